--- /dev/null
+++ b/crates/cumintrail-cli/src/access.rs
@@ -0,0 +1,80 @@
+//! Where the platform and the daemons are, and the key that opens them.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::Path;
+use std::time::Duration;
+
+use actix_http::Method;
+use cumintrail_client::{ClientError, HttpClient, HttpPlatform, VmList};
+use cumintrail_config::{Document, Problems, Secret, SectionReader};
+use cumintrail_wire::platform::ListedRole;
+use serde::de::DeserializeOwned;
+
+const NOWHERE: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::UNSPECIFIED), 0);
+const TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Reaches the platform and the daemons for an operator.
+pub struct Access {
+    /// The platform.
+    pub platform: HttpPlatform,
+    operator_key: Secret,
+    http: HttpClient,
+}
+
+impl Access {
+    /// Reads the operator's access file: sections `[platform]` and `[operator]`.
+    pub fn open(path: &Path) -> Result<Self, Problems> {
+        let document = Document::open(path)?;
+        let mut problems = Problems::default();
+        let mut addresses = [NOWHERE; 3];
+        let mut key = Secret::default();
+        for section in &document.sections {
+            let mut r = SectionReader::new(section, &mut problems);
+            match &*section.kind {
+                "platform" => {
+                    addresses = ["table", "objects", "vm_list"].map(|key| r.required(key, NOWHERE));
+                }
+                "operator" => key = r.required("key", Secret::default()),
+                _ => {}
+            }
+            r.finish();
+        }
+        let [table, objects, vm_list] = addresses;
+        problems.or_value(Self::new(table, objects, vm_list, key))
+    }
+
+    /// Makes access from its parts.
+    pub fn new(table: SocketAddr, objects: SocketAddr, vm_list: SocketAddr, key: Secret) -> Self {
+        Self {
+            platform: HttpPlatform::open(table, objects, vm_list),
+            operator_key: key,
+            http: HttpClient::pooled(TIMEOUT),
+        }
+    }
+
+    /// Lists the daemons by operator address and failure domain.
+    pub async fn daemons(&self) -> Result<Vec<(SocketAddr, String)>, ClientError> {
+        let list = self.platform.vms().await?;
+        let daemons = list
+            .vms
+            .into_iter()
+            .filter(|vm| vm.role == ListedRole::Daemon && !vm.leaving);
+        Ok(daemons.map(|vm| (vm.address, vm.domain)).collect())
+    }
+
+    /// Reads JSON from a daemon's operator endpoint.
+    pub async fn get<T: DeserializeOwned>(
+        &self,
+        daemon: SocketAddr,
+        path: &str,
+    ) -> Result<T, ClientError> {
+        let req = self.http.request(Method::GET, daemon, path);
+        let key = format!("Bearer {}", self.operator_key.expose());
+        let req = req.insert_header(("authorization", key));
+        self.http
+            .send(req, bytes::Bytes::new())
+            .await?
+            .json(TIMEOUT)
+            .await
+    }
+}
--- /dev/null
+++ b/crates/cumintrail-cli/src/commands.rs
@@ -0,0 +1,341 @@
+//! The commands and their output.
+
+use std::path::{Path, PathBuf};
+use std::time::{Duration, Instant};
+
+use clap::{CommandFactory, Parser, Subcommand, ValueEnum};
+use clap_complete::Shell;
+use cumintrail_config::{Sections, Settings, Snapshot};
+use cumintrail_types::{Digest, Generation};
+use cumintrail_wire::operator::Status;
+use serde::Serialize;
+use snafu::ResultExt;
+
+use crate::errors::{UnconfirmedSnafu, UnreachableSnafu, UsageSnafu};
+use crate::{Access, CliError, publish};
+
+const CONFIRM_POLL: Duration = Duration::from_millis(100);
+
+/// Operates a cumintrail deployment.
+#[derive(Debug, Parser)]
+#[command(name = "cumintrail", version)]
+pub struct Arguments {
+    /// The operator's access file, with [platform] and [operator].
+    #[arg(
+        long,
+        global = true,
+        value_name = "FILE",
+        default_value = "operator.ini"
+    )]
+    access: PathBuf,
+    /// How results are written.
+    #[arg(long, global = true, value_enum, default_value_t = Format::Text)]
+    format: Format,
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, ValueEnum)]
+enum Format {
+    /// For people.
+    Text,
+    /// For scripts.
+    Json,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// Check a directory of declarations, or a daemon's settings file.
+    Check {
+        /// The directory or file.
+        path: PathBuf,
+    },
+    /// Show what applying a directory of declarations would change.
+    Plan {
+        /// The directory.
+        directory: PathBuf,
+    },
+    /// Put a directory of declarations in force.
+    Apply {
+        /// The directory.
+        directory: PathBuf,
+        /// Wait until all daemons have confirmed, at most this many seconds.
+        #[arg(long, value_name = "SECONDS")]
+        wait: Option<u64>,
+    },
+    /// List presets, or switch the one in force.
+    Preset {
+        #[command(subcommand)]
+        command: PresetCommand,
+    },
+    /// Show the generation in force per daemon and failure domain.
+    Status,
+    /// Show the state of one daemon.
+    Dump {
+        /// The VM's name.
+        #[arg(long)]
+        vm: String,
+    },
+    /// Print the digest of an API key read from standard input.
+    HashKey,
+    /// Print a completion script.
+    Completions {
+        /// The shell.
+        shell: Shell,
+    },
+}
+
+#[derive(Debug, Subcommand)]
+enum PresetCommand {
+    /// List the presets.
+    List,
+    /// Put a preset in force.
+    Switch {
+        /// Its name.
+        name: String,
+        /// Wait until all daemons have confirmed, at most this many seconds.
+        #[arg(long, value_name = "SECONDS")]
+        wait: Option<u64>,
+    },
+}
+
+/// Runs a command and returns its output.
+pub async fn run(arguments: Arguments) -> Result<String, CliError> {
+    let format = arguments.format;
+    match &arguments.command {
+        Command::Check { path } => check(path).map(|()| format!("{}: ok", path.display())),
+        Command::HashKey => hash_key(),
+        Command::Completions { shell } => Ok(completions(*shell)),
+        command => run_with_access(command, &Access::open(&arguments.access)?, format).await,
+    }
+}
+
+async fn run_with_access(
+    command: &Command,
+    access: &Access,
+    format: Format,
+) -> Result<String, CliError> {
+    match command {
+        Command::Plan { directory } => {
+            let (_, change) = publish::plan(access, directory).await?;
+            Ok(render(format, &change, || describe(&change)))
+        }
+        Command::Apply { directory, wait } => {
+            let generation = publish::apply(access, directory).await?;
+            confirm(access, generation, *wait).await?;
+            Ok(render(format, &generation, || {
+                format!("generation {generation} is accepted")
+            }))
+        }
+        Command::Preset {
+            command: PresetCommand::List,
+        } => list_presets(access, format).await,
+        Command::Preset {
+            command: PresetCommand::Switch { name, wait },
+        } => {
+            let generation = publish::switch_preset(access, name).await?;
+            confirm(access, generation, *wait).await?;
+            Ok(render(format, &generation, || {
+                format!("generation {generation} is accepted")
+            }))
+        }
+        Command::Status => {
+            let rows = statuses(access).await?;
+            Ok(render(format, &rows, || table(&rows)))
+        }
+        Command::Dump { vm } => dump(access, vm).await,
+        Command::Check { .. } | Command::HashKey | Command::Completions { .. } => Ok(String::new()),
+    }
+}
+
+fn check(path: &Path) -> Result<(), CliError> {
+    if path.is_dir() {
+        let (_, parsed) = Sections::open(path)?;
+        Snapshot::build(Generation(1), &parsed, None, None)?;
+    } else {
+        Settings::open(path)?;
+    }
+    Ok(())
+}
+
+fn hash_key() -> Result<String, CliError> {
+    let mut line = String::new();
+    let read = std::io::stdin().read_line(&mut line);
+    let key = line.trim();
+    if read.is_err() || key.is_empty() {
+        let (message, hint) = (
+            "no key on standard input",
+            "pipe the API key into the command",
+        );
+        return UsageSnafu { message, hint }.fail();
+    }
+    Ok(Digest::of(key.as_bytes()).to_string())
+}
+
+fn completions(shell: Shell) -> String {
+    let mut script = Vec::new();
+    clap_complete::generate(shell, &mut Arguments::command(), "cumintrail", &mut script);
+    String::from_utf8_lossy(&script).into_owned()
+}
+
+fn describe(change: &publish::Change) -> String {
+    let mut lines = vec![format!("changes to generation {}:", change.from)];
+    lines.extend(
+        change
+            .delta
+            .set
+            .iter()
+            .map(|(name, _)| format!("  set     [{name}]")),
+    );
+    lines.extend(
+        change
+            .delta
+            .removed
+            .iter()
+            .map(|name| format!("  remove  [{name}]")),
+    );
+    if change.delta.is_empty() {
+        lines.push("  none".into());
+    }
+    lines.push(format!("preset in force: {}", change.preset));
+    lines.join("\n")
+}
+
+async fn list_presets(access: &Access, format: Format) -> Result<String, CliError> {
+    let accepted = publish::Accepted::read(access).await?;
+    let presets = accepted
+        .sections
+        .0
+        .keys()
+        .filter(|name| &*name.kind == "preset");
+    let rows: Vec<(String, bool)> = presets
+        .map(|name| {
+            (
+                name.name.to_string(),
+                accepted.preset.as_deref() == Some(&*name.name),
+            )
+        })
+        .collect();
+    let line = |(name, on): &(String, bool)| format!("{} {name}", if *on { "*" } else { " " });
+    Ok(render(format, &rows, || {
+        rows.iter().map(line).collect::<Vec<_>>().join("\n")
+    }))
+}
+
+/// Tells what one daemon answered.
+#[derive(Debug, Serialize)]
+struct StatusRow {
+    domain: String,
+    address: String,
+    status: Option<Status>,
+}
+
+async fn statuses(access: &Access) -> Result<Vec<StatusRow>, CliError> {
+    let hint = "the VM list is needed to find the daemons";
+    let daemons = access.daemons().await;
+    let daemons = daemons.context(UnreachableSnafu {
+        what: "the VM list",
+        hint,
+    })?;
+    let mut rows = Vec::new();
+    for (address, domain) in daemons {
+        let status = access.get::<Status>(address, "/operator/status").await.ok();
+        rows.push(StatusRow {
+            domain,
+            address: address.to_string(),
+            status,
+        });
+    }
+    rows.sort_by(|a, b| (&a.domain, &a.address).cmp(&(&b.domain, &b.address)));
+    Ok(rows)
+}
+
+fn table(rows: &[StatusRow]) -> String {
+    let mut lines = vec![format!(
+        "{:<14} {:<12} {:<22} {:>10} {:<12} {:<6} {:>6}  {}",
+        "DOMAIN", "VM", "ADDRESS", "GENERATION", "PRESET", "READY", "CALLS", "DEGRADED"
+    )];
+    for row in rows {
+        let line = match &row.status {
+            Some(s) => format!(
+                "{:<14} {:<12} {:<22} {:>10} {:<12} {:<6} {:>6}  {}",
+                row.domain,
+                s.vm,
+                row.address,
+                s.generation.0,
+                s.preset.as_deref().unwrap_or("-"),
+                if s.ready { "yes" } else { "no" },
+                s.calls,
+                s.degraded.join("; ")
+            ),
+            None => format!(
+                "{:<14} {:<12} {:<22} no answer",
+                row.domain, "?", row.address
+            ),
+        };
+        lines.push(line.trim_end().to_owned());
+    }
+    lines.join("\n")
+}
+
+/// Waits until all listed daemons have a generation in force.
+async fn confirm(
+    access: &Access,
+    generation: Generation,
+    wait: Option<u64>,
+) -> Result<(), CliError> {
+    let Some(seconds) = wait else { return Ok(()) };
+    let deadline = Instant::now() + Duration::from_secs(seconds);
+    loop {
+        let rows = statuses(access).await?;
+        let behind = rows.iter().filter(|row| {
+            row.status
+                .as_ref()
+                .is_none_or(|s| s.generation < generation)
+        });
+        let missing: Vec<String> = behind
+            .map(|r| format!("{} ({})", r.domain, r.address))
+            .collect();
+        if missing.is_empty() {
+            return Ok(());
+        }
+        if Instant::now() >= deadline {
+            return UnconfirmedSnafu {
+                generation,
+                missing: missing.join(", "),
+            }
+            .fail();
+        }
+        actix_rt::time::sleep(CONFIRM_POLL).await;
+    }
+}
+
+async fn dump(access: &Access, vm: &str) -> Result<String, CliError> {
+    for row in statuses(access).await? {
+        if row.status.as_ref().is_none_or(|s| &*s.vm != vm) {
+            continue;
+        }
+        let Ok(address) = row.address.parse() else {
+            continue;
+        };
+        let hint = "the daemon may have stopped; look at `cumintrail status`";
+        let state = access
+            .get::<serde_json::Value>(address, "/debug/state")
+            .await;
+        let state = state.context(UnreachableSnafu { what: vm, hint })?;
+        return Ok(serde_json::to_string_pretty(&state).unwrap_or_default());
+    }
+    let hint = "look at `cumintrail status` for the names";
+    UsageSnafu {
+        message: format!("no daemon of VM `{vm}` answers"),
+        hint,
+    }
+    .fail()
+}
+
+fn render<T: Serialize>(format: Format, value: &T, text: impl FnOnce() -> String) -> String {
+    match format {
+        Format::Text => text(),
+        Format::Json => serde_json::to_string(value).unwrap_or_default(),
+    }
+}
--- /dev/null
+++ b/crates/cumintrail-cli/src/lib.rs
@@ -0,0 +1,11 @@
+//! The operators' command line: declarations, presets, status and dumps.
+
+mod access;
+mod commands;
+mod errors;
+mod publish;
+
+pub use access::Access;
+pub use commands::{Arguments, run};
+pub use errors::CliError;
+pub use publish::{Accepted, Change, apply, plan, switch_preset};
--- /dev/null
+++ b/crates/cumintrail-client/src/engine.rs
@@ -0,0 +1,195 @@
+//! Model engines over HTTP and SSE.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use actix_http::Method;
+use cumintrail_wire::engine::{
+    CALL_HEADER, CacheEvents, ExportOrder, ExportReport, Generate, ImportOrder, ImportReport,
+    LoadOrder, Report,
+};
+
+use crate::{AnswerStream, ClientError, HttpClient};
+
+const CONTROL_TIMEOUT: Duration = Duration::from_secs(1);
+const TRANSFER_TIMEOUT: Duration = Duration::from_secs(60);
+const STREAM_LIMIT: Duration = Duration::from_secs(3_600);
+const OK: u16 = 200;
+
+/// Speaks to model engines.
+pub trait Engine {
+    /// Starts an answer; its head must arrive within `head`.
+    async fn generate(
+        &self,
+        at: SocketAddr,
+        generate: &Generate,
+        head: Duration,
+    ) -> Result<AnswerStream, ClientError>;
+    /// Continues an answer after event `last`, on a new connection.
+    async fn resume(
+        &self,
+        at: SocketAddr,
+        call: &str,
+        last: u32,
+        head: Duration,
+    ) -> Result<AnswerStream, ClientError>;
+    /// Stops an answer.
+    async fn cancel(&self, at: SocketAddr, call: &str) -> Result<(), ClientError>;
+    /// Stages a block.
+    async fn import(
+        &self,
+        at: SocketAddr,
+        order: &ImportOrder,
+        within: Duration,
+    ) -> Result<ImportReport, ClientError>;
+    /// Writes a block to a store.
+    async fn export(
+        &self,
+        at: SocketAddr,
+        order: &ExportOrder,
+    ) -> Result<ExportReport, ClientError>;
+    /// Reads the load report.
+    async fn report(&self, at: SocketAddr) -> Result<Report, ClientError>;
+    /// Reads cache events after number `after`.
+    async fn cache_events(&self, at: SocketAddr, after: u64) -> Result<CacheEvents, ClientError>;
+    /// Orders a weight version to be loaded; gives up after `within`.
+    async fn order(
+        &self,
+        at: SocketAddr,
+        order: &LoadOrder,
+        within: Duration,
+    ) -> Result<Report, ClientError>;
+}
+
+/// Speaks to engines from one thread.
+pub struct HttpEngine {
+    calls: HttpClient,
+    control: HttpClient,
+}
+
+impl HttpEngine {
+    /// Makes clients for the current thread.
+    pub fn open() -> Self {
+        Self {
+            calls: HttpClient::unpooled(TRANSFER_TIMEOUT),
+            control: HttpClient::pooled(CONTROL_TIMEOUT),
+        }
+    }
+
+    async fn stream(
+        &self,
+        req: awc::ClientRequest,
+        body: Vec<u8>,
+        call: &str,
+    ) -> Result<AnswerStream, ClientError> {
+        let response = self.calls.send(req, body.into()).await?;
+        if response.status() != OK {
+            return Err(response
+                .json::<()>(CONTROL_TIMEOUT)
+                .await
+                .err()
+                .unwrap_or(ClientError::Unreadable));
+        }
+        let echoed = response
+            .headers()
+            .get(CALL_HEADER)
+            .and_then(|v| v.to_str().ok());
+        if echoed != Some(call) {
+            return Err(ClientError::Unreadable);
+        }
+        Ok(AnswerStream::new(response.into_stream(STREAM_LIMIT)))
+    }
+}
+
+impl Engine for HttpEngine {
+    async fn generate(
+        &self,
+        at: SocketAddr,
+        generate: &Generate,
+        head: Duration,
+    ) -> Result<AnswerStream, ClientError> {
+        let body = serde_json::to_vec(generate).map_err(|_| ClientError::Unreadable)?;
+        let req = self
+            .calls
+            .request(Method::POST, at, "/v1/generate")
+            .timeout(head);
+        let req = req.insert_header((CALL_HEADER, generate.call.as_str()));
+        self.stream(req, body, &generate.call).await
+    }
+
+    async fn resume(
+        &self,
+        at: SocketAddr,
+        call: &str,
+        last: u32,
+        head: Duration,
+    ) -> Result<AnswerStream, ClientError> {
+        let req = self
+            .calls
+            .request(Method::GET, at, &format!("/v1/streams/{call}"))
+            .timeout(head);
+        let req = req.insert_header(("last-event-id", last.to_string()));
+        self.stream(req, Vec::new(), call).await
+    }
+
+    async fn cancel(&self, at: SocketAddr, call: &str) -> Result<(), ClientError> {
+        let req = self
+            .control
+            .request(Method::DELETE, at, &format!("/v1/streams/{call}"));
+        self.control
+            .send(req, bytes::Bytes::new())
+            .await
+            .map(|_| ())
+    }
+
+    async fn import(
+        &self,
+        at: SocketAddr,
+        order: &ImportOrder,
+        within: Duration,
+    ) -> Result<ImportReport, ClientError> {
+        let exchange = self
+            .calls
+            .exchange(Method::POST, at, "/v1/import", Some(order));
+        actix_rt::time::timeout(within, exchange)
+            .await
+            .unwrap_or(Err(ClientError::Silent))
+    }
+
+    async fn export(
+        &self,
+        at: SocketAddr,
+        order: &ExportOrder,
+    ) -> Result<ExportReport, ClientError> {
+        self.calls
+            .exchange(Method::POST, at, "/v1/export", Some(order))
+            .await
+    }
+
+    async fn report(&self, at: SocketAddr) -> Result<Report, ClientError> {
+        self.control
+            .exchange(Method::GET, at, "/v1/report", None::<&()>)
+            .await
+    }
+
+    async fn cache_events(&self, at: SocketAddr, after: u64) -> Result<CacheEvents, ClientError> {
+        let path = format!("/v1/cache-events?after={after}");
+        self.control
+            .exchange(Method::GET, at, &path, None::<&()>)
+            .await
+    }
+
+    async fn order(
+        &self,
+        at: SocketAddr,
+        order: &LoadOrder,
+        within: Duration,
+    ) -> Result<Report, ClientError> {
+        let exchange = self
+            .calls
+            .exchange(Method::POST, at, "/v1/orders", Some(order));
+        actix_rt::time::timeout(within, exchange)
+            .await
+            .unwrap_or(Err(ClientError::Silent))
+    }
+}
--- /dev/null
+++ b/crates/cumintrail-client/src/error.rs
@@ -0,0 +1,68 @@
+//! Errors of talking to an outside process.
+
+use cumintrail_wire::CodecError;
+use cumintrail_wire::engine::EngineReason;
+use snafu::Snafu;
+
+/// Tells how an exchange failed, and with that whether the request can have arrived.
+#[derive(Debug, Snafu)]
+#[snafu(visibility(pub(crate)))]
+pub enum ClientError {
+    /// No connection came about, so no byte of the request left.
+    #[snafu(display("no connection"))]
+    NotSent,
+    /// No answer within the time limit.
+    #[snafu(display("no answer in time"))]
+    Silent,
+    /// The connection broke.
+    #[snafu(display("the connection broke"))]
+    Broken,
+    /// The engine refused and says why.
+    #[snafu(display("the engine refused: {reason:?}"))]
+    Refused {
+        /// The reason.
+        reason: EngineReason,
+    },
+    /// The answer has an unexpected status.
+    #[snafu(display("unexpected status {status}"))]
+    Status {
+        /// The HTTP status.
+        status: u16,
+    },
+    /// The answer cannot be read.
+    #[snafu(display("unreadable answer"))]
+    Unreadable,
+    /// A message between daemons cannot be written or read.
+    #[snafu(transparent)]
+    Codec {
+        /// The codec's error.
+        source: CodecError,
+    },
+}
+
+impl ClientError {
+    /// Tells whether bytes of the request can have left.
+    pub const fn may_have_arrived(&self) -> bool {
+        !matches!(self, Self::NotSent)
+    }
+}
+
+impl From<awc::error::SendRequestError> for ClientError {
+    fn from(e: awc::error::SendRequestError) -> Self {
+        use awc::error::SendRequestError as E;
+        match e {
+            // The library also reports a connection closed before the response head so, although
+            // the request has been written by then.
+            E::Connect(awc::error::ConnectError::Disconnected) => Self::Broken,
+            E::Connect(_) | E::Url(_) => Self::NotSent,
+            E::Timeout => Self::Silent,
+            _ => Self::Broken,
+        }
+    }
+}
+
+impl From<awc::error::PayloadError> for ClientError {
+    fn from(_: awc::error::PayloadError) -> Self {
+        Self::Broken
+    }
+}
--- /dev/null
+++ b/crates/cumintrail-client/src/http.rs
@@ -0,0 +1,162 @@
+//! One thread's HTTP client with limits on time and size.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use actix_http::Method;
+use actix_http::header::HeaderMap;
+use awc::{Client, ClientRequest, ClientResponse, Connector};
+use bytes::Bytes;
+use cumintrail_wire::engine::EngineRefusal;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::ClientError;
+use crate::error::{RefusedSnafu, StatusSnafu};
+
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+const IDLE_LIFE: Duration = Duration::from_secs(5);
+const OK: u16 = 200;
+const MAX_BODY_BYTES: usize = 64 << 20;
+
+/// Sends HTTP requests from one thread.
+pub struct HttpClient {
+    client: RefCell<Client>,
+    reuse: bool,
+    timeout: Duration,
+}
+
+impl HttpClient {
+    /// Makes a client that keeps idle connections for a few seconds.
+    pub fn pooled(timeout: Duration) -> Self {
+        Self {
+            client: RefCell::new(build(true)),
+            reuse: true,
+            timeout,
+        }
+    }
+
+    /// Makes a client that opens a connection for each request.
+    ///
+    /// A connection that fails to open proves that nothing was sent, and one that went silent is
+    /// never met again; both matter more to calls than the saved round trip.
+    pub fn unpooled(timeout: Duration) -> Self {
+        Self {
+            client: RefCell::new(build(false)),
+            reuse: false,
+            timeout,
+        }
+    }
+
+    /// Starts a request with the client's time limit.
+    pub fn request(&self, method: Method, at: SocketAddr, path: &str) -> ClientRequest {
+        let req = self
+            .client
+            .borrow()
+            .request(method, format!("http://{at}{path}"));
+        let req = req.timeout(self.timeout).no_decompress();
+        if self.reuse { req } else { req.force_close() }
+    }
+
+    /// Sends a request with a body.
+    pub async fn send(&self, req: ClientRequest, body: Bytes) -> Result<Response, ClientError> {
+        match req.send_body(body).await {
+            Ok(response) => Ok(response.into()),
+            Err(e) => {
+                let e = ClientError::from(e);
+                self.note_failure(&e);
+                Err(e)
+            }
+        }
+    }
+
+    /// Sends JSON and reads a JSON answer of status 200.
+    pub async fn exchange<Q: Serialize, A: DeserializeOwned>(
+        &self,
+        method: Method,
+        at: SocketAddr,
+        path: &str,
+        body: Option<&Q>,
+    ) -> Result<A, ClientError> {
+        let req = self
+            .request(method, at, path)
+            .insert_header(("content-type", "application/json"));
+        let body = body
+            .map(serde_json::to_vec)
+            .transpose()
+            .map_err(|_| ClientError::Unreadable)?;
+        let response = self.send(req, body.unwrap_or_default().into()).await?;
+        response.json(self.timeout).await
+    }
+
+    /// Drops all idle connections after one of them went silent.
+    fn note_failure(&self, e: &ClientError) {
+        if self.reuse && matches!(e, ClientError::Silent | ClientError::Broken) {
+            self.client.replace(build(true));
+        }
+    }
+}
+
+fn build(reuse: bool) -> Client {
+    let keep = if reuse { IDLE_LIFE } else { Duration::ZERO };
+    let connector = Connector::new()
+        .timeout(CONNECT_TIMEOUT)
+        .conn_keep_alive(keep)
+        .limit(0);
+    Client::builder()
+        .connector(connector)
+        .disable_redirects()
+        .finish()
+}
+
+/// Holds a response whose body is not read yet.
+pub struct Response {
+    inner: ClientResponse,
+}
+
+impl From<ClientResponse> for Response {
+    fn from(inner: ClientResponse) -> Self {
+        Self { inner }
+    }
+}
+
+impl Response {
+    /// Returns the HTTP status.
+    pub fn status(&self) -> u16 {
+        self.inner.status().as_u16()
+    }
+
+    /// Returns the headers.
+    pub fn headers(&self) -> &HeaderMap {
+        self.inner.headers()
+    }
+
+    /// Reads the whole body within a time limit.
+    pub async fn bytes(self, within: Duration) -> Result<Bytes, ClientError> {
+        self.inner
+            .timeout(within)
+            .body()
+            .limit(MAX_BODY_BYTES)
+            .await
+            .map_err(ClientError::from)
+    }
+
+    /// Reads the body as JSON if the status is 200; an engine's refusal becomes an error.
+    pub async fn json<A: DeserializeOwned>(self, within: Duration) -> Result<A, ClientError> {
+        let status = self.status();
+        let body = self.bytes(within).await?;
+        if status == OK {
+            return serde_json::from_slice(&body).map_err(|_| ClientError::Unreadable);
+        }
+        let refusal = serde_json::from_slice::<EngineRefusal>(&body);
+        refusal.map_or(StatusSnafu { status }.fail(), |r| {
+            RefusedSnafu { reason: r.reason }.fail()
+        })
+    }
+
+    /// Turns the body into a stream that lasts at most `limit`.
+    pub fn into_stream(self, limit: Duration) -> ClientResponse {
+        self.inner.timeout(limit)
+    }
+}
--- /dev/null
+++ b/crates/cumintrail-client/src/platform.rs
@@ -0,0 +1,104 @@
+//! The platform's table, object store and VM list over HTTP.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use actix_http::Method;
+use bytes::Bytes;
+use cumintrail_wire::platform::{self, Committed, Row, Transaction};
+
+use crate::{ClientError, HttpClient};
+
+const TIMEOUT: Duration = Duration::from_millis(1_500);
+const OK: u16 = 200;
+const NOT_FOUND: u16 = 404;
+
+/// Reads and changes rows; an error of a change may hide that it took effect.
+pub trait Table {
+    /// Runs a transaction.
+    async fn commit(&self, transaction: &Transaction) -> Result<Committed, ClientError>;
+    /// Reads a row.
+    async fn read(&self, key: &str) -> Result<Option<Row>, ClientError>;
+}
+
+/// Reads and writes whole objects.
+pub trait Objects {
+    /// Writes an object.
+    async fn put(&self, name: &str, body: Bytes) -> Result<(), ClientError>;
+    /// Reads an object.
+    async fn get(&self, name: &str) -> Result<Option<Bytes>, ClientError>;
+}
+
+/// Reads the platform's list of VMs, which may lag.
+pub trait VmList {
+    /// Reads the list.
+    async fn vms(&self) -> Result<platform::VmList, ClientError>;
+}
+
+/// Speaks to the platform from one thread.
+pub struct HttpPlatform {
+    http: HttpClient,
+    table: SocketAddr,
+    objects: SocketAddr,
+    vm_list: SocketAddr,
+}
+
+impl HttpPlatform {
+    /// Makes a client for the current thread.
+    pub fn open(table: SocketAddr, objects: SocketAddr, vm_list: SocketAddr) -> Self {
+        Self {
+            http: HttpClient::pooled(TIMEOUT),
+            table,
+            objects,
+            vm_list,
+        }
+    }
+}
+
+impl Table for HttpPlatform {
+    async fn commit(&self, transaction: &Transaction) -> Result<Committed, ClientError> {
+        self.http
+            .exchange(Method::POST, self.table, "/table", Some(transaction))
+            .await
+    }
+
+    async fn read(&self, key: &str) -> Result<Option<Row>, ClientError> {
+        let path = format!("/table/{key}");
+        self.http
+            .exchange(Method::GET, self.table, &path, None::<&()>)
+            .await
+    }
+}
+
+impl Objects for HttpPlatform {
+    async fn put(&self, name: &str, body: Bytes) -> Result<(), ClientError> {
+        let req = self
+            .http
+            .request(Method::PUT, self.objects, &format!("/objects/{name}"));
+        let response = self.http.send(req, body).await?;
+        match response.status() {
+            OK => Ok(()),
+            status => Err(ClientError::Status { status }),
+        }
+    }
+
+    async fn get(&self, name: &str) -> Result<Option<Bytes>, ClientError> {
+        let req = self
+            .http
+            .request(Method::GET, self.objects, &format!("/objects/{name}"));
+        let response = self.http.send(req, Bytes::new()).await?;
+        match response.status() {
+            OK => response.bytes(TIMEOUT).await.map(Some),
+            NOT_FOUND => Ok(None),
+            status => Err(ClientError::Status { status }),
+        }
+    }
+}
+
+impl VmList for HttpPlatform {
+    async fn vms(&self) -> Result<platform::VmList, ClientError> {
+        self.http
+            .exchange(Method::GET, self.vm_list, "/vms", None::<&()>)
+            .await
+    }
+}
--- /dev/null
+++ b/crates/cumintrail-client/src/service.rs
@@ -0,0 +1,99 @@
+//! Plain services over HTTP.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use actix_http::Method;
+use actix_http::header::{HeaderName, HeaderValue};
+use bytes::Bytes;
+
+use crate::{ClientError, HttpClient};
+
+const HOP_HEADERS: [&str; 9] = [
+    "connection",
+    "content-length",
+    "host",
+    "keep-alive",
+    "proxy-authorization",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// Describes a call to a plain service.
+#[derive(Debug, Clone)]
+pub struct ServiceCall {
+    /// The method.
+    pub method: Method,
+    /// The path below the service's root, with its query.
+    pub path: String,
+    /// The caller's headers that are passed on.
+    pub headers: Vec<(HeaderName, HeaderValue)>,
+    /// The body.
+    pub body: Bytes,
+    /// When the answer is given up.
+    pub within: Duration,
+}
+
+/// Holds the whole answer of a plain service.
+#[derive(Debug, Clone)]
+pub struct ServiceAnswer {
+    /// The HTTP status.
+    pub status: u16,
+    /// The headers that are passed on.
+    pub headers: Vec<(HeaderName, HeaderValue)>,
+    /// The body.
+    pub body: Bytes,
+}
+
+/// Speaks to plain services.
+pub trait Service {
+    /// Sends a call once, on a new connection, and reads the whole answer.
+    async fn call(&self, at: SocketAddr, call: &ServiceCall) -> Result<ServiceAnswer, ClientError>;
+}
+
+/// Speaks to plain services from one thread.
+pub struct HttpService {
+    http: HttpClient,
+}
+
+impl HttpService {
+    /// Makes a client for the current thread.
+    pub fn open() -> Self {
+        Self {
+            http: HttpClient::unpooled(Duration::from_secs(60)),
+        }
+    }
+}
+
+impl Service for HttpService {
+    async fn call(&self, at: SocketAddr, call: &ServiceCall) -> Result<ServiceAnswer, ClientError> {
+        let mut req = self
+            .http
+            .request(call.method.clone(), at, &call.path)
+            .timeout(call.within);
+        for (name, value) in call.headers.iter().filter(|(name, _)| is_end_to_end(name)) {
+            req = req.append_header((name.clone(), value.clone()));
+        }
+        let response = self.http.send(req, call.body.clone()).await?;
+        let status = response.status();
+        let headers = response
+            .headers()
+            .iter()
+            .filter(|(name, _)| is_end_to_end(name));
+        let headers = headers
+            .map(|(name, value)| (name.clone(), value.clone()))
+            .collect();
+        let body = response.bytes(call.within).await?;
+        Ok(ServiceAnswer {
+            status,
+            headers,
+            body,
+        })
+    }
+}
+
+fn is_end_to_end(name: &HeaderName) -> bool {
+    !HOP_HEADERS.contains(&name.as_str())
+}
--- /dev/null
+++ b/crates/cumintrail-client/src/store.rs
@@ -0,0 +1,55 @@
+//! Store VMs over HTTP; block bytes travel between engines and stores only.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use actix_http::Method;
+use cumintrail_types::{BlockKey, Sealed};
+use cumintrail_wire::store::Listing;
+
+use crate::{ClientError, HttpClient};
+
+const TIMEOUT: Duration = Duration::from_secs(2);
+const PAGE: usize = 1_000;
+
+/// Speaks to store VMs.
+pub trait Store {
+    /// Lists a page of sealed blocks after `after`.
+    async fn list(&self, at: SocketAddr, after: Option<BlockKey>) -> Result<Listing, ClientError>;
+    /// Frees the exact write of a block.
+    async fn free(&self, at: SocketAddr, sealed: &Sealed) -> Result<(), ClientError>;
+}
+
+/// Speaks to stores from one thread.
+pub struct HttpStore {
+    http: HttpClient,
+}
+
+impl HttpStore {
+    /// Makes a client for the current thread.
+    pub fn open() -> Self {
+        Self {
+            http: HttpClient::pooled(TIMEOUT),
+        }
+    }
+}
+
+impl Store for HttpStore {
+    async fn list(&self, at: SocketAddr, after: Option<BlockKey>) -> Result<Listing, ClientError> {
+        let after = after.map(|key| key.to_string()).unwrap_or_default();
+        let path = format!("/blocks?after={after}&limit={PAGE}");
+        self.http
+            .exchange(Method::GET, at, &path, None::<&()>)
+            .await
+    }
+
+    async fn free(&self, at: SocketAddr, sealed: &Sealed) -> Result<(), ClientError> {
+        let path = format!("/blocks/{}", sealed.key);
+        let tag = format!("\"{}\"", sealed.write_id);
+        let req = self
+            .http
+            .request(Method::DELETE, at, &path)
+            .insert_header(("if-match", tag));
+        self.http.send(req, bytes::Bytes::new()).await.map(|_| ())
+    }
+}
--- /dev/null
+++ b/crates/cumintrail-config/src/declarations.rs
@@ -0,0 +1,151 @@
+//! What operators declare: client accounts, shared material, presets, services, targets and
+//! stores.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use cumintrail_types::{
+    AccountKey, Bytes, Digest, DomainKey, ModelKey, ServiceKey, Tokens, WeightVersion,
+};
+
+/// Holds what is declared once for the whole deployment.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Deployment {
+    /// The length of a kept piece of prompt state.
+    pub piece: Tokens,
+    /// Bytes of prompt text counted as one token.
+    pub bytes_per_token: u32,
+    /// The preset that the first `apply` puts in force.
+    pub first_preset: Arc<str>,
+    /// Targets that may load weights at once before loads slow each other down.
+    pub load_slots: u8,
+    /// How long an idempotency record is kept; an older key is refused.
+    pub record_life: Duration,
+    /// The longest time a call may take when it names no deadline.
+    pub default_deadline: Duration,
+}
+
+/// Declares a client account.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Account {
+    /// Its name, unique in the deployment.
+    pub name: Arc<str>,
+    /// Digests of its API keys; the keys themselves are never declared.
+    pub key_digests: Vec<Digest>,
+    /// Its weight when slots are scarce.
+    pub weight: u32,
+    /// Its calls in flight in the whole deployment.
+    pub concurrency: u32,
+    /// Its requests a second in the whole deployment.
+    pub requests_per_second: u32,
+    /// Its prompt and answer tokens a second in the whole deployment.
+    pub tokens_per_second: u32,
+    /// Whether the account was removed; its key stays valid.
+    pub retired: bool,
+}
+
+/// Declares text that many prompts of an account start from.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Material {
+    /// Its name.
+    pub name: Arc<str>,
+    /// The account whose prompts start from it.
+    pub account: AccountKey,
+    /// The model it is read by.
+    pub model: ModelKey,
+    /// The digest of its text, which lies in the object store as `material/{digest}`.
+    pub digest: Digest,
+}
+
+/// Declares a preset; exactly one is in force.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Preset {
+    /// Its name.
+    pub name: Arc<str>,
+    /// The price of a second until the first token.
+    pub first_token_weight: f64,
+    /// The price of a second of engine time spent on recomputing prompt state.
+    pub recompute_weight: f64,
+    /// The price of a second of link time.
+    pub link_weight: f64,
+    /// Whether shared material is loaded ahead.
+    pub warm_material: bool,
+    /// Calls that may wait for a slot in one daemon.
+    pub queue: usize,
+}
+
+/// Declares a model.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Model {
+    /// Its name, as callers give it.
+    pub name: Arc<str>,
+    /// The weight version that new calls use.
+    pub version: WeightVersion,
+    /// The size of kept state per token.
+    pub state_per_token: Bytes,
+    /// The longest expected time between two tokens of an answer.
+    pub token_gap: Duration,
+}
+
+/// Declares a plain service.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Service {
+    /// Its name, as in `/services/{name}/`.
+    pub name: Arc<str>,
+    /// Methods whose calls are safe to repeat.
+    pub repeatable: Vec<Arc<str>>,
+    /// The longest time a call may take.
+    pub timeout: Duration,
+}
+
+/// Tells what a target serves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum TargetKind {
+    /// A model engine.
+    Engine(ModelKey),
+    /// A replica of a plain service.
+    Service(ServiceKey),
+}
+
+/// Declares a target and its traits.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Target {
+    /// Its name.
+    pub name: Arc<str>,
+    /// What it serves.
+    pub kind: TargetKind,
+    /// Where it is reached.
+    pub address: SocketAddr,
+    /// The failure domain it stands in.
+    pub domain: DomainKey,
+    /// Calls it runs at once.
+    pub slots: u32,
+    /// Prompt tokens it computes a second.
+    pub prefill_per_second: u32,
+    /// What its link takes in, in bytes a second.
+    pub link_per_second: Bytes,
+    /// Whether it refuses orders with an old fencing number.
+    pub checks_fencing: bool,
+    /// Whether the target was removed from the declarations; its key stays valid.
+    pub retired: bool,
+}
+
+/// Declares a store VM of kept KV cache.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Store {
+    /// Its name.
+    pub name: Arc<str>,
+    /// Where it is reached.
+    pub address: SocketAddr,
+    /// The failure domain it stands in.
+    pub domain: DomainKey,
+    /// What its link gives out, in bytes a second.
+    pub link_per_second: Bytes,
+    /// What its disk gives out, in bytes a second.
+    pub disk_per_second: Bytes,
+    /// The kept state it has room for.
+    pub capacity: Bytes,
+    /// Whether the store was removed from the declarations; its key stays valid.
+    pub retired: bool,
+}
--- /dev/null
+++ b/crates/cumintrail-config/src/document.rs
@@ -0,0 +1,188 @@
+//! An INI file with the lines of its sections and keys.
+
+use std::path::Path;
+use std::sync::Arc;
+
+use ini::{Ini, ParseOption};
+
+use crate::{Problem, Problems};
+
+/// Holds a parsed INI file.
+#[derive(Debug, Clone)]
+pub struct Document {
+    /// The file as it was named.
+    pub file: Arc<str>,
+    /// The sections in file order.
+    pub sections: Vec<Section>,
+}
+
+/// Holds one section `[kind name]` of a file.
+#[derive(Debug, Clone)]
+pub struct Section {
+    /// The file that the section stands in.
+    pub file: Arc<str>,
+    /// The line of the header, from 1.
+    pub line: usize,
+    /// The first word of the header.
+    pub kind: Arc<str>,
+    /// The rest of the header; empty for a section without name.
+    pub name: Arc<str>,
+    /// Keys, values and their lines.
+    pub entries: Vec<Entry>,
+}
+
+/// Holds one `key = value` line.
+#[derive(Debug, Clone)]
+pub struct Entry {
+    /// The key.
+    pub key: Arc<str>,
+    /// The value without surrounding space.
+    pub value: Arc<str>,
+    /// The line, from 1.
+    pub line: usize,
+}
+
+impl Document {
+    /// Reads and parses a file.
+    pub fn open(path: &Path) -> Result<Self, Problems> {
+        let file: Arc<str> = path.display().to_string().into();
+        match std::fs::read_to_string(path) {
+            Ok(text) => Self::parse(&file, &text),
+            Err(e) => Err(Problems(vec![Problem {
+                file,
+                line: 1,
+                message: format!("cannot read the file: {e}"),
+                hint: "check the path and its permissions".into(),
+            }])),
+        }
+    }
+
+    /// Parses INI text; `file` is used in errors only.
+    pub fn parse(file: &Arc<str>, text: &str) -> Result<Self, Problems> {
+        let options = ParseOption {
+            enabled_escape: false,
+            enabled_quote: false,
+            ..ParseOption::default()
+        };
+        let ini = Ini::load_from_str_opt(text, options).map_err(|e| {
+            Problems(vec![Problem {
+                file: file.clone(),
+                line: e.line.max(1),
+                message: format!("not valid INI: {}", e.msg),
+                hint: "write `[section name]` headers and `key = value` lines; comments start \
+                       with `;` or `#`"
+                    .into(),
+            }])
+        })?;
+
+        let lines = Lines::scan(text);
+        let mut problems = Problems::default();
+        let mut sections = Vec::new();
+        for (index, (header, properties)) in ini.iter().enumerate() {
+            let Some(header) = header else {
+                problems
+                    .0
+                    .extend(properties.iter().next().map(|(key, _)| Problem {
+                        file: file.clone(),
+                        line: lines.key(0, key, 0),
+                        message: format!("key `{key}` stands before any section"),
+                        hint: "move it below a `[section]` header".into(),
+                    }));
+                continue;
+            };
+            sections.push(section_of(file, header, properties, &lines, index));
+        }
+        report_repeats(&sections, &mut problems);
+        problems.or_value(Self {
+            file: file.clone(),
+            sections,
+        })
+    }
+}
+
+fn section_of(
+    file: &Arc<str>,
+    header: &str,
+    properties: &ini::Properties,
+    lines: &Lines,
+    index: usize,
+) -> Section {
+    let (kind, name) = header
+        .trim()
+        .split_once(char::is_whitespace)
+        .unwrap_or((header.trim(), ""));
+    let mut entries: Vec<Entry> = Vec::new();
+    for (key, value) in properties {
+        let earlier = entries.iter().filter(|e| &*e.key == key).count();
+        entries.push(Entry {
+            key: key.into(),
+            value: value.trim().into(),
+            line: lines.key(index, key, earlier),
+        });
+    }
+    Section {
+        file: file.clone(),
+        line: lines.header(index),
+        kind: kind.into(),
+        name: name.trim().into(),
+        entries,
+    }
+}
+
+fn report_repeats(sections: &[Section], problems: &mut Problems) {
+    for (i, section) in sections.iter().enumerate() {
+        let earlier = sections[..i]
+            .iter()
+            .find(|s| s.kind == section.kind && s.name == section.name);
+        problems.0.extend(earlier.map(|first| Problem {
+            file: section.file.clone(),
+            line: section.line,
+            message: format!("section [{} {}] stands twice", section.kind, section.name),
+            hint: format!("merge it with the one at line {}", first.line),
+        }));
+    }
+}
+
+/// Finds lines again, since the parser does not keep them.
+struct Lines {
+    sections: Vec<(usize, Vec<(String, usize)>)>,
+}
+
+impl Lines {
+    fn scan(text: &str) -> Self {
+        let mut sections = vec![(1, Vec::new())];
+        for (i, line) in text.lines().enumerate() {
+            let line = line.trim();
+            match line.chars().next() {
+                None | Some(';' | '#') => {}
+                Some('[') => sections.push((i + 1, Vec::new())),
+                Some(_) => {
+                    let key = line
+                        .split(['=', ':'])
+                        .next()
+                        .unwrap_or_default()
+                        .trim()
+                        .to_owned();
+                    if let Some((_, keys)) = sections.last_mut() {
+                        keys.push((key, i + 1));
+                    }
+                }
+            }
+        }
+        Self { sections }
+    }
+
+    fn header(&self, index: usize) -> usize {
+        self.sections.get(index).map_or(1, |(line, _)| *line)
+    }
+
+    fn key(&self, index: usize, key: &str, earlier: usize) -> usize {
+        let keys = self
+            .sections
+            .get(index)
+            .map(|(_, keys)| keys.as_slice())
+            .unwrap_or_default();
+        let found = keys.iter().filter(|(k, _)| k == key).nth(earlier);
+        found.map_or_else(|| self.header(index), |(_, line)| *line)
+    }
+}
--- /dev/null
+++ b/crates/cumintrail-config/src/lib.rs
@@ -0,0 +1,20 @@
+//! A daemon's settings and the operators' declarations, read from INI and checked with file, line
+//! and a hint; docs/OPERATIONS.md is their reference.
+
+mod declarations;
+mod document;
+mod problem;
+mod reader;
+mod sections;
+mod settings;
+mod snapshot;
+
+pub use declarations::{
+    Account, Deployment, Material, Model, Preset, Service, Store, Target, TargetKind,
+};
+pub use document::{Document, Section};
+pub use problem::{Problem, Problems};
+pub use reader::SectionReader;
+pub use sections::{Delta, SectionName, Sections};
+pub use settings::{LogFormat, Secret, Settings};
+pub use snapshot::Snapshot;
--- /dev/null
+++ b/crates/cumintrail-config/src/reader.rs
@@ -0,0 +1,200 @@
+//! Typed access to a section, which reports bad values and unknown keys.
+
+use std::fmt::Display;
+use std::ops::RangeInclusive;
+use std::str::FromStr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::document::Entry;
+use crate::{Problem, Problems, Section};
+
+const CLOSE_ENOUGH: f64 = 0.7;
+
+/// Reads the keys of one section and remembers which it was asked for.
+#[derive(Debug)]
+pub struct SectionReader<'a> {
+    section: &'a Section,
+    problems: &'a mut Problems,
+    known: Vec<&'static str>,
+}
+
+impl<'a> SectionReader<'a> {
+    /// Starts reading `section`; errors are appended to `problems`.
+    pub const fn new(section: &'a Section, problems: &'a mut Problems) -> Self {
+        Self {
+            section,
+            problems,
+            known: Vec::new(),
+        }
+    }
+
+    /// Returns the text of `key`, if present.
+    pub fn text(&mut self, key: &'static str) -> Option<Arc<str>> {
+        self.entry(key).map(|e| e.value.clone())
+    }
+
+    /// Returns the parsed value of `key`, if present and valid.
+    pub fn optional<T: FromStr<Err: Display>>(&mut self, key: &'static str) -> Option<T> {
+        let entry = self.entry(key)?;
+        match entry.value.parse() {
+            Ok(value) => Some(value),
+            Err(e) => {
+                self.report(
+                    entry.line,
+                    format!("bad value for `{key}`: {e}"),
+                    &format!("give `{key}` a valid value"),
+                );
+                None
+            }
+        }
+    }
+
+    /// Returns the value of `key`, or `default` if it is absent.
+    pub fn or<T: FromStr<Err: Display>>(&mut self, key: &'static str, default: T) -> T {
+        self.optional(key).unwrap_or(default)
+    }
+
+    /// Returns the value of a key that must be present, or `fallback` after reporting.
+    pub fn required<T: FromStr<Err: Display>>(&mut self, key: &'static str, fallback: T) -> T {
+        if self.entry(key).is_none() {
+            let place = self.place();
+            self.report(
+                self.section.line,
+                format!("{place} lacks `{key}`"),
+                &format!("add `{key} = …` to the section"),
+            );
+            return fallback;
+        }
+        self.or(key, fallback)
+    }
+
+    /// Returns a number that must lie in `range`, or `default` if it is absent.
+    pub fn within(&mut self, key: &'static str, default: u64, range: RangeInclusive<u64>) -> u64 {
+        let value = self.or(key, default);
+        if !range.contains(&value) {
+            let line = self.entry(key).map_or(self.section.line, |e| e.line);
+            let (low, high) = (range.start(), range.end());
+            self.report(
+                line,
+                format!("`{key} = {value}` is out of range"),
+                &format!("give a number from {low} to {high}"),
+            );
+            return default;
+        }
+        value
+    }
+
+    /// Returns a time in milliseconds that must lie in `range`, or `default` if it is absent.
+    pub fn millis(
+        &mut self,
+        key: &'static str,
+        default: u64,
+        range: RangeInclusive<u64>,
+    ) -> Duration {
+        Duration::from_millis(self.within(key, default, range))
+    }
+
+    /// Returns a finite number of zero or more, or `default` if it is absent.
+    pub fn weight(&mut self, key: &'static str, default: f64) -> f64 {
+        let value = self.or(key, default);
+        if value.is_finite() && value >= 0.0 {
+            return value;
+        }
+        let line = self.entry(key).map_or(self.section.line, |e| e.line);
+        self.report(
+            line,
+            format!("`{key} = {value}` is not a weight"),
+            "give a number of 0 or more",
+        );
+        default
+    }
+
+    /// Returns the parts of a comma-separated list.
+    pub fn list(&mut self, key: &'static str) -> Vec<Arc<str>> {
+        let text = self.text(key).unwrap_or_default();
+        text.split(',')
+            .map(str::trim)
+            .filter(|part| !part.is_empty())
+            .map(Arc::from)
+            .collect()
+    }
+
+    /// Returns one of the named choices, or the first if the key is absent.
+    pub fn choice<T: Copy>(&mut self, key: &'static str, choices: &[(&str, T)]) -> T {
+        let Some(entry) = self.entry(key) else {
+            return choices[0].1;
+        };
+        if let Some((_, value)) = choices.iter().find(|(name, _)| *name == &*entry.value) {
+            return *value;
+        }
+        let names: Vec<&str> = choices.iter().map(|(name, _)| *name).collect();
+        self.report(
+            entry.line,
+            format!("`{key} = {}` is no choice", entry.value),
+            &format!("use one of: {}", names.join(", ")),
+        );
+        choices[0].1
+    }
+
+    /// Reports an error at `key`.
+    pub fn reject(&mut self, key: &'static str, message: String, hint: &str) {
+        let line = self.entry(key).map_or(self.section.line, |e| e.line);
+        self.report(line, message, hint);
+    }
+
+    /// Reports keys that nothing asked for, with the nearest known key, and keys given twice.
+    pub fn finish(self) {
+        for (i, entry) in self.section.entries.iter().enumerate() {
+            let repeated = self.section.entries[..i].iter().any(|e| e.key == entry.key);
+            let (message, hint) = match &*entry.key {
+                key if repeated => (
+                    format!("key `{key}` is given twice"),
+                    "keep one of them".into(),
+                ),
+                key if self.known.contains(&key) => continue,
+                key => (format!("unknown key `{key}`"), nearest(key, &self.known)),
+            };
+            let file = self.section.file.clone();
+            self.problems.0.push(Problem {
+                file,
+                line: entry.line,
+                message,
+                hint,
+            });
+        }
+    }
+
+    fn entry(&mut self, key: &'static str) -> Option<&'a Entry> {
+        if !self.known.contains(&key) {
+            self.known.push(key);
+        }
+        self.section.entries.iter().find(|e| &*e.key == key)
+    }
+
+    fn place(&self) -> String {
+        format!("[{} {}]", self.section.kind, self.section.name).replace(" ]", "]")
+    }
+
+    fn report(&mut self, line: usize, message: String, hint: &str) {
+        let file = self.section.file.clone();
+        self.problems.0.push(Problem {
+            file,
+            line,
+            message,
+            hint: hint.to_owned(),
+        });
+    }
+}
+
+/// Names the known word nearest to `word`, or lists all.
+pub fn nearest(word: &str, known: &[&str]) -> String {
+    let best = known
+        .iter()
+        .map(|k| (strsim::jaro_winkler(word, k), k))
+        .max_by(|a, b| a.0.total_cmp(&b.0));
+    match best {
+        Some((score, name)) if score >= CLOSE_ENOUGH => format!("did you mean `{name}`?"),
+        _ => format!("use one of: {}", known.join(", ")),
+    }
+}
--- /dev/null
+++ b/crates/cumintrail-config/src/settings.rs
@@ -0,0 +1,257 @@
+//! The settings of one daemon: its addresses, keys, platform and limits.
+
+use std::fmt;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::Path;
+use std::str::FromStr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use derive_more::Display;
+
+use crate::reader::nearest;
+use crate::{Document, Problem, Problems, Section, SectionReader};
+
+const NOWHERE: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::UNSPECIFIED), 0);
+const SECTIONS: [&str; 6] = ["vm", "keys", "platform", "limits", "timing", "log"];
+const MIN_SECRET_BYTES: usize = 16;
+
+/// Holds the settings of one daemon.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// The name of this VM in status, logs and dumps.
+    pub vm: Arc<str>,
+    /// The failure domain of this VM.
+    pub domain: Arc<str>,
+    /// Where callers connect.
+    pub caller_address: SocketAddr,
+    /// Where operators, peers and the balancer's health checks connect.
+    pub operator_address: SocketAddr,
+    /// Opens the operator endpoints.
+    pub operator_key: Secret,
+    /// Opens the peer endpoints.
+    pub peer_key: Secret,
+    /// Keys the block names of all client accounts; equal on all daemons.
+    pub block_secret: Secret,
+    /// The platform's table service.
+    pub table: SocketAddr,
+    /// The platform's object store.
+    pub objects: SocketAddr,
+    /// The platform's VM list.
+    pub vm_list: SocketAddr,
+    /// Daemons to ask before the VM list is known.
+    pub peers: Vec<SocketAddr>,
+    /// The largest request body, in bytes.
+    pub max_body_bytes: usize,
+    /// The time in which a request's head and body must arrive.
+    pub request_timeout: Duration,
+    /// Concurrent connections of callers per traffic thread.
+    pub max_connections: usize,
+    /// Events that may wait for the control thread.
+    pub control_queue: usize,
+    /// Traffic threads.
+    pub workers: usize,
+    /// The time between looks at the configuration head.
+    pub config_poll: Duration,
+    /// The time between probes of a target.
+    pub probe_interval: Duration,
+    /// The time between digests to peers.
+    pub digest_interval: Duration,
+    /// How long a stopping daemon still takes calls, until the balancer has noticed.
+    pub stop_grace: Duration,
+    /// How long a planned stop waits for calls in flight.
+    pub drain_limit: Duration,
+    /// How logs are written.
+    pub log_format: LogFormat,
+    /// The log level, such as `info`.
+    pub log_level: Arc<str>,
+}
+
+/// Chooses how logs are written.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LogFormat {
+    /// One readable line per entry.
+    Text,
+    /// One JSON object per entry.
+    Json,
+}
+
+/// Holds a key that appears in no log, dump or error.
+#[derive(Clone, PartialEq, Eq, Default)]
+pub struct Secret(Arc<str>);
+
+impl Secret {
+    /// Wraps a key.
+    pub fn new(text: &str) -> Self {
+        Self(text.into())
+    }
+
+    /// Returns the key itself; never format or log it.
+    pub fn expose(&self) -> &str {
+        &self.0
+    }
+}
+
+impl fmt::Debug for Secret {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Secret(hidden)")
+    }
+}
+
+/// Reports a key that is too short.
+#[derive(Debug, Display)]
+#[display("shorter than {MIN_SECRET_BYTES} bytes")]
+pub struct TooShort;
+
+impl FromStr for Secret {
+    type Err = TooShort;
+
+    fn from_str(text: &str) -> Result<Self, TooShort> {
+        if text.len() < MIN_SECRET_BYTES {
+            Err(TooShort)
+        } else {
+            Ok(Self::new(text))
+        }
+    }
+}
+
+impl Settings {
+    /// Reads and checks a settings file.
+    pub fn open(path: &Path) -> Result<Self, Problems> {
+        Self::from_document(&Document::open(path)?)
+    }
+
+    /// Checks parsed settings.
+    pub fn from_document(document: &Document) -> Result<Self, Problems> {
+        let mut problems = Problems::default();
+        report_unknown_sections(document, &mut problems);
+
+        let empty = |kind: &str| Section {
+            file: document.file.clone(),
+            line: 1,
+            kind: kind.into(),
+            name: "".into(),
+            entries: Vec::new(),
+        };
+        let find = |kind: &str| {
+            document
+                .sections
+                .iter()
+                .find(|s| &*s.kind == kind)
+                .cloned()
+                .unwrap_or_else(|| empty(kind))
+        };
+        let [vm, keys, platform, limits, timing, log] = SECTIONS.map(find);
+
+        let mut r = SectionReader::new(&vm, &mut problems);
+        let name: String = r.required("name", String::new());
+        let domain: String = r.required("failure_domain", String::new());
+        let caller_address = r.required("caller_address", NOWHERE);
+        let operator_address = r.required("operator_address", NOWHERE);
+        if caller_address == operator_address && caller_address.port() != 0 {
+            r.reject(
+                "operator_address",
+                "`operator_address` equals `caller_address`".into(),
+                "give operators and peers an address of their own",
+            );
+        }
+        r.finish();
+
+        let mut r = SectionReader::new(&keys, &mut problems);
+        let operator_key = r.required("operator", Secret::default());
+        let peer_key = r.required("peer", Secret::default());
+        let block_secret = r.required("block_secret", Secret::default());
+        r.finish();
+
+        let mut r = SectionReader::new(&platform, &mut problems);
+        let table = r.required("table", NOWHERE);
+        let objects = r.required("objects", NOWHERE);
+        let vm_list = r.required("vm_list", NOWHERE);
+        let peers = parse_addresses(&mut r, "peers");
+        r.finish();
+
+        let mut r = SectionReader::new(&limits, &mut problems);
+        let max_body_bytes = r.within("max_body_bytes", 4 << 20, 1_024..=256 << 20) as usize;
+        let request_timeout = r.millis("request_timeout_ms", 10_000, 100..=120_000);
+        let max_connections = r.within("max_connections", 4_096, 8..=100_000) as usize;
+        let control_queue = r.within("control_queue", 4_096, 16..=65_536) as usize;
+        let workers = r.within("workers", 2, 1..=64) as usize;
+        r.finish();
+
+        let mut r = SectionReader::new(&timing, &mut problems);
+        let config_poll = r.millis("config_poll_ms", 1_500, 50..=4_000);
+        let probe_interval = r.millis("probe_interval_ms", 500, 50..=10_000);
+        let digest_interval = r.millis("digest_interval_ms", 1_000, 50..=10_000);
+        let stop_grace = r.millis("stop_grace_ms", 3_000, 0..=60_000);
+        let drain_limit = r.millis("drain_limit_ms", 600_000, 0..=86_400_000);
+        r.finish();
+
+        let mut r = SectionReader::new(&log, &mut problems);
+        let log_format = r.choice(
+            "format",
+            &[("text", LogFormat::Text), ("json", LogFormat::Json)],
+        );
+        let levels = [
+            ("info", "info"),
+            ("error", "error"),
+            ("warn", "warn"),
+            ("debug", "debug"),
+        ];
+        let log_level = r.choice("level", &levels).into();
+        r.finish();
+
+        problems.or_value(Self {
+            vm: name.into(),
+            domain: domain.into(),
+            caller_address,
+            operator_address,
+            operator_key,
+            peer_key,
+            block_secret,
+            table,
+            objects,
+            vm_list,
+            peers,
+            max_body_bytes,
+            request_timeout,
+            max_connections,
+            control_queue,
+            workers,
+            config_poll,
+            probe_interval,
+            digest_interval,
+            stop_grace,
+            drain_limit,
+            log_format,
+            log_level,
+        })
+    }
+}
+
+fn parse_addresses(r: &mut SectionReader<'_>, key: &'static str) -> Vec<SocketAddr> {
+    let mut addresses = Vec::new();
+    for text in r.list(key) {
+        match text.parse() {
+            Ok(address) => addresses.push(address),
+            Err(_) => r.reject(
+                key,
+                format!("`{text}` is no address"),
+                "write IP:PORT, IP:PORT, …",
+            ),
+        }
+    }
+    addresses
+}
+
+fn report_unknown_sections(document: &Document, problems: &mut Problems) {
+    for section in &document.sections {
+        if !SECTIONS.contains(&&*section.kind) {
+            problems.0.push(Problem {
+                file: section.file.clone(),
+                line: section.line,
+                message: format!("unknown section [{}]", section.kind),
+                hint: nearest(&section.kind, &SECTIONS),
+            });
+        }
+    }
+}
--- /dev/null
+++ b/crates/cumintrail-control/src/calls.rs
@@ -0,0 +1,117 @@
+//! The calls of one daemon and their one-way state machine.
+
+use cumintrail_types::{AttemptNumber, Moment, Ran, TargetKey, Tokens, WeightVersion};
+
+use crate::Arrival;
+
+/// Marks how far a call has come; a call never goes back to [`Phase::Queued`] once sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Phase {
+    /// No byte can have reached a target.
+    Queued,
+    /// An attempt was ordered; bytes may have left.
+    Sending,
+    /// Tokens reached the caller.
+    Streaming,
+}
+
+/// Holds one call that is not answered yet.
+#[derive(Debug, Clone)]
+pub struct Call {
+    /// What the call asked for.
+    pub arrival: Arrival,
+    /// When it arrived.
+    pub arrived: Moment,
+    /// When its current attempt was ordered.
+    pub dispatched: Moment,
+    /// The weight version of its answer, once tokens were passed on.
+    pub pinned: Option<WeightVersion>,
+    /// Prompt tokens that its current attempt is expected to compute.
+    pub expected_prefill: Tokens,
+    attempts: u8,
+    phase: Phase,
+    target: Option<TargetKey>,
+    may_have_run: bool,
+}
+
+impl Call {
+    /// Makes a queued call.
+    pub const fn new(arrival: Arrival, arrived: Moment) -> Self {
+        Self {
+            arrival,
+            arrived,
+            dispatched: arrived,
+            pinned: None,
+            expected_prefill: Tokens(0),
+            attempts: 0,
+            phase: Phase::Queued,
+            target: None,
+            may_have_run: false,
+        }
+    }
+
+    /// Returns how far the call has come.
+    pub const fn phase(&self) -> Phase {
+        self.phase
+    }
+
+    /// Returns where the current attempt runs.
+    pub const fn target(&self) -> Option<TargetKey> {
+        self.target
+    }
+
+    /// Returns the number of attempts ordered.
+    pub const fn attempts(&self) -> u8 {
+        self.attempts
+    }
+
+    /// Returns the current attempt.
+    pub const fn attempt(&self) -> AttemptNumber {
+        AttemptNumber(self.attempts)
+    }
+
+    /// Tells what a refusal of this call may say about its execution.
+    ///
+    /// "No" is true only while no attempt is out and all earlier ones sent nothing.
+    pub const fn ran(&self) -> Ran {
+        match self.phase {
+            Phase::Queued if !self.may_have_run => Ran::No,
+            _ => Ran::Unknown,
+        }
+    }
+
+    /// Orders an attempt; from here on bytes may leave.
+    pub fn start_attempt(&mut self, target: TargetKey, now: Moment) -> AttemptNumber {
+        self.attempts = self.attempts.saturating_add(1);
+        self.target = Some(target);
+        self.dispatched = now;
+        if self.phase == Phase::Queued {
+            self.phase = Phase::Sending;
+        }
+        self.attempt()
+    }
+
+    /// Notes that the first token of the answer reached the caller.
+    pub fn start_streaming(&mut self, version: WeightVersion) {
+        self.phase = Phase::Streaming;
+        self.pinned = Some(version);
+        self.may_have_run = true;
+    }
+
+    /// Takes back an attempt of which no byte left; the call is as if never sent.
+    pub fn attempt_not_sent(&mut self) {
+        self.target = None;
+        if self.phase == Phase::Sending {
+            self.phase = Phase::Queued;
+        }
+    }
+
+    /// Notes an attempt that broke after bytes were sent.
+    pub fn attempt_failed(&mut self) {
+        self.target = None;
+        self.may_have_run = true;
+        if self.phase == Phase::Sending {
+            self.phase = Phase::Queued;
+        }
+    }
+}
--- /dev/null
+++ b/crates/cumintrail-control/src/control.rs
@@ -0,0 +1,200 @@
+//! The control state of one daemon and its event handler.
+
+mod blocks;
+mod state;
+mod traffic;
+mod upkeep;
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use cumintrail_config::Snapshot;
+use cumintrail_types::{
+    Arena, CallKey, Generation, Incarnation, Moment, Sealed, StoreKey, TargetKey, Tier,
+};
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+use self::state::{StoreState, TargetState};
+use crate::admission::Admission;
+use crate::directory::Directory;
+use crate::links::Links;
+use crate::membership::Membership;
+use crate::retry::RetryBudget;
+use crate::{Actions, Call, CallDump, Dump, Event, TargetDump};
+
+/// Tells who a daemon is.
+#[derive(Debug, Clone)]
+pub struct Identity {
+    /// The VM's name.
+    pub vm: Arc<str>,
+    /// The VM's failure domain.
+    pub domain: Arc<str>,
+    /// The run of the process.
+    pub incarnation: Incarnation,
+    /// Where peers reach it.
+    pub address: SocketAddr,
+    /// The time between probes of a target.
+    pub probe_interval: Duration,
+    /// The time between digests to peers.
+    pub digest_interval: Duration,
+}
+
+/// Owns all control state of one daemon; lives on one thread.
+#[derive(Debug)]
+pub struct Control {
+    identity: Identity,
+    rng: StdRng,
+    snapshot: Option<Arc<Snapshot>>,
+    targets: Arena<TargetKey, TargetState>,
+    stores: Arena<StoreKey, StoreState>,
+    calls: HashMap<CallKey, Call>,
+    admission: Admission,
+    directory: Directory,
+    links: Links,
+    membership: Membership,
+    retries: RetryBudget,
+    next_digest: Moment,
+    /// Blocks exported since the last digest.
+    fresh_kept: Vec<(SocketAddr, Sealed, Tier)>,
+    stopping: bool,
+}
+
+impl Control {
+    /// Creates the state of a daemon that has no configuration yet.
+    pub fn new(identity: Identity, seed: u64) -> Self {
+        Self {
+            identity,
+            rng: StdRng::seed_from_u64(seed),
+            snapshot: None,
+            targets: Arena::new(),
+            stores: Arena::new(),
+            calls: HashMap::new(),
+            admission: Admission::new(1.0),
+            directory: Directory::default(),
+            links: Links::default(),
+            membership: Membership::default(),
+            retries: RetryBudget::default(),
+            next_digest: Moment::default(),
+            fresh_kept: Vec::new(),
+            stopping: false,
+        }
+    }
+
+    /// Takes one event and returns what it orders.
+    pub fn handle(&mut self, now: Moment, event: Event) -> Actions {
+        let mut actions = Actions::new();
+        match event {
+            Event::Configured(snapshot) => self.take_configuration(now, snapshot, &mut actions),
+            Event::Arrived(arrival) => self.take_arrival(now, arrival, &mut actions),
+            Event::CallerGone { call } => self.drop_call(call, &mut actions),
+            Event::Fetched {
+                call,
+                target,
+                outcomes,
+                took,
+            } => {
+                self.take_fetches(call, target, &outcomes, took);
+            }
+            Event::FirstToken { call } => self.take_first_token(call),
+            Event::AttemptEnded {
+                call,
+                attempt,
+                outcome,
+            } => {
+                self.take_attempt_end(now, call, attempt, outcome, &mut actions);
+            }
+            Event::TargetReported { target, report } => self.take_report(now, target, report),
+            Event::TargetSilent { target } => self.take_target_silence(now, target),
+            Event::CacheChanged {
+                target,
+                incarnation,
+                gap,
+                stored,
+                evicted,
+            } => {
+                self.take_cache_change(target, incarnation, gap, &stored, &evicted);
+            }
+            Event::Exported { export, sealed } => self.take_export(now, export, sealed),
+            Event::StoreListed {
+                store,
+                incarnation,
+                first,
+                blocks,
+            } => {
+                self.take_listing(now, store, incarnation, first, &blocks);
+            }
+            Event::StoreSilent { store } => self.take_store_silence(now, store),
+            Event::VmsListed { sequence, vms } => self.take_vm_list(sequence, &vms),
+            Event::PeerDigest(digest) => self.take_digest(now, &digest),
+            Event::PeerSilent { address } => self.membership.peer_silent(address),
+            Event::Stopping => self.stopping = true,
+            Event::Tick => self.tick(now, &mut actions),
+        }
+        self.dispatch_waiting(now, &mut actions);
+        actions
+    }
+
+    /// Returns the generation in force, or zero.
+    pub fn generation(&self) -> Generation {
+        self.snapshot
+            .as_ref()
+            .map_or(Generation(0), |s| s.generation)
+    }
+
+    /// Returns the number of calls that are not answered yet.
+    pub fn calls_in_flight(&self) -> usize {
+        self.calls.len()
+    }
+
+    /// Describes the whole state for operators.
+    pub fn dump(&self, now: Moment) -> Dump {
+        let domain_name = |key| {
+            let names = self.snapshot.as_ref().map(|s| &s.domains);
+            names.and_then(|d| d.get(key)).cloned().unwrap_or_default()
+        };
+        let targets = self
+            .snapshot
+            .iter()
+            .flat_map(|s| s.targets.iter())
+            .filter_map(|(key, t)| {
+                let state = self.targets.get(key)?;
+                Some(TargetDump {
+                    name: t.name.clone(),
+                    address: t.address,
+                    domain: domain_name(t.domain),
+                    liveness: format!("{:?}", state.liveness).to_lowercase(),
+                    leaving: self.is_leaving(key),
+                    retired: t.retired,
+                    version: state.report.map(|r| r.version.0),
+                    in_flight: state.in_flight,
+                    slots: t.slots,
+                    blocks: self.directory.engine_len(key),
+                    report_age_ms: state.reported.map(|at| now.since(at).as_millis() as u64),
+                })
+            });
+        Dump {
+            vm: self.identity.vm.clone(),
+            domain: self.identity.domain.clone(),
+            incarnation: self.identity.incarnation,
+            generation: self.generation(),
+            preset: self.snapshot.as_ref().map(|s| s.preset.name.clone()),
+            stopping: self.stopping,
+            waiting: self.admission.waiting(),
+            calls: self
+                .calls
+                .iter()
+                .map(|(key, call)| CallDump::new(now, *key, call))
+                .collect(),
+            targets: targets.collect(),
+            kept_blocks: self.directory.kept_len(),
+            peers: self
+                .membership
+                .peers()
+                .map(|(address, p)| (address, p.into()))
+                .collect(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/cumintrail-control/src/event.rs
@@ -0,0 +1,389 @@
+//! What a daemon tells its control state, and what that orders in return.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use cumintrail_config::{Snapshot, TargetKind};
+use cumintrail_types::{
+    AccountKey, AttemptNumber, BlockKey, CallClass, CallKey, FencingNumber, Generation,
+    Incarnation, Moment, Refusal, Sealed, StoreKey, TargetKey, Tier, Tokens, WeightVersion,
+    WriteId,
+};
+use smallvec::SmallVec;
+
+/// The orders that one event leads to; most lead to few.
+pub type Actions = SmallVec<[Action; 4]>;
+
+/// Tells the control state what happened.
+#[derive(Debug, Clone)]
+pub enum Event {
+    /// A higher generation was adopted.
+    Configured(Arc<Snapshot>),
+    /// An authenticated call wants to run.
+    Arrived(Arrival),
+    /// The caller closed its connection.
+    CallerGone {
+        /// The call.
+        call: CallKey,
+    },
+    /// The fetches of a dispatch ended or were given up.
+    Fetched {
+        /// The call that the blocks were fetched for.
+        call: CallKey,
+        /// The target that imported them.
+        target: TargetKey,
+        /// How each fetch ended.
+        outcomes: SmallVec<[(StoreKey, BlockKey, FetchOutcome); 4]>,
+        /// How long all of them took.
+        took: Duration,
+    },
+    /// The first token of an answer arrived.
+    FirstToken {
+        /// The call.
+        call: CallKey,
+    },
+    /// An attempt ended.
+    AttemptEnded {
+        /// The call.
+        call: CallKey,
+        /// The attempt.
+        attempt: AttemptNumber,
+        /// How it ended.
+        outcome: AttemptOutcome,
+    },
+    /// A target answered a probe.
+    TargetReported {
+        /// The target.
+        target: TargetKey,
+        /// Its report, which may lag.
+        report: TargetReport,
+    },
+    /// A target did not answer a probe or refused a connection.
+    TargetSilent {
+        /// The target.
+        target: TargetKey,
+    },
+    /// A target told of blocks that it now holds or has evicted; may be late and have gaps.
+    CacheChanged {
+        /// The target.
+        target: TargetKey,
+        /// The run of the target's process that the events belong to.
+        incarnation: Incarnation,
+        /// Whether events before these were lost.
+        gap: bool,
+        /// Blocks now held.
+        stored: Vec<BlockKey>,
+        /// Blocks no longer held.
+        evicted: Vec<BlockKey>,
+    },
+    /// An export ended; nothing if it failed.
+    Exported {
+        /// The order that it answers.
+        export: Export,
+        /// The seal of the written block.
+        sealed: Option<(Sealed, Tier)>,
+    },
+    /// A store listed a page of its sealed blocks.
+    StoreListed {
+        /// The store.
+        store: StoreKey,
+        /// The run of the store's process.
+        incarnation: Incarnation,
+        /// Whether this is the first page, which replaces what was known.
+        first: bool,
+        /// The blocks.
+        blocks: Vec<(Sealed, Tier)>,
+    },
+    /// A store did not answer.
+    StoreSilent {
+        /// The store.
+        store: StoreKey,
+    },
+    /// The platform's VM list was read.
+    VmsListed {
+        /// The list's sequence number; an older list never revives a VM.
+        sequence: u64,
+        /// The VMs.
+        vms: Vec<VmEntry>,
+    },
+    /// A peer sent its digest.
+    PeerDigest(PeerDigest),
+    /// A peer did not take a digest.
+    PeerSilent {
+        /// The peer's address.
+        address: SocketAddr,
+    },
+    /// The daemon was asked to stop: no new work from now on.
+    Stopping,
+    /// Time passed.
+    Tick,
+}
+
+/// Orders traffic threads or the background thread to act.
+#[derive(Debug, Clone)]
+pub enum Action {
+    /// Run an attempt of a call.
+    Dispatch(Dispatch),
+    /// Answer a call with a refusal.
+    Refuse {
+        /// The call.
+        call: CallKey,
+        /// The refusal.
+        refusal: Refusal,
+    },
+    /// Stop an attempt whose answer nobody waits for.
+    Cancel {
+        /// The call.
+        call: CallKey,
+        /// The attempt.
+        attempt: AttemptNumber,
+        /// Where it runs.
+        target: TargetKey,
+    },
+    /// Ask a target for its report and cache events.
+    Probe(TargetKey),
+    /// Let a target write a block to a store.
+    Export(Export),
+    /// Free a block of a store.
+    Free {
+        /// The store.
+        store: StoreKey,
+        /// The exact write to free.
+        sealed: Sealed,
+    },
+    /// List a store's blocks.
+    ListStore(StoreKey),
+    /// Load shared material ahead: run its prompt with no answer on a target.
+    Warm {
+        /// The target.
+        target: TargetKey,
+        /// The index in the snapshot's materials.
+        material: usize,
+    },
+    /// Send a digest to a peer.
+    SendDigest {
+        /// The peer's operator address.
+        to: SocketAddr,
+        /// The digest.
+        digest: PeerDigest,
+    },
+}
+
+/// Describes a call that wants to run.
+#[derive(Debug, Clone)]
+pub struct Arrival {
+    /// The call.
+    pub call: CallKey,
+    /// The client account that pays for it.
+    pub account: AccountKey,
+    /// How it may be repeated.
+    pub class: CallClass,
+    /// What it needs.
+    pub kind: TargetKind,
+    /// The weight version that `pieces` were computed for.
+    pub version: WeightVersion,
+    /// The block keys of the prompt's full pieces, in order.
+    pub pieces: Arc<[BlockKey]>,
+    /// The length of the prompt.
+    pub prompt: Tokens,
+    /// The longest answer asked for.
+    pub max_answer: Tokens,
+    /// When the call is given up.
+    pub deadline: Moment,
+}
+
+/// Orders one attempt.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Dispatch {
+    /// The call.
+    pub call: CallKey,
+    /// The attempt.
+    pub attempt: AttemptNumber,
+    /// Where to run it.
+    pub target: TargetKey,
+    /// The weight version that the call is pinned to.
+    pub version: WeightVersion,
+    /// What to import first.
+    pub plan: FetchPlan,
+    /// When the first token is expected, from the order on.
+    pub first_token: Duration,
+}
+
+/// Tells which kept blocks to import before an attempt, and how long that may take.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct FetchPlan {
+    /// The blocks, in prompt order.
+    pub fetches: SmallVec<[Fetch; 4]>,
+    /// When importing is given up for recomputing.
+    pub within: Duration,
+}
+
+/// Names one block to import.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Fetch {
+    /// The store to read from.
+    pub store: StoreKey,
+    /// The exact write to read.
+    pub sealed: Sealed,
+}
+
+/// Tells how a fetch ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum FetchOutcome {
+    /// The engine staged the block and its digest matches the seal.
+    Imported,
+    /// The store no longer has that write of the block.
+    Missing,
+    /// The bytes do not match the seal.
+    Mismatch,
+    /// The fetch failed or ran out of time.
+    Failed,
+}
+
+/// Tells how an attempt ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AttemptOutcome {
+    /// No byte of the call left this daemon.
+    NotSent,
+    /// The answer is complete.
+    Answered(Usage),
+    /// The target refused before running the call, and says so.
+    RefusedByTarget {
+        /// Whether it refuses because it is leaving.
+        leaving: bool,
+    },
+    /// The attempt broke after bytes were sent.
+    Failed {
+        /// Tokens already passed to the caller.
+        answered: Tokens,
+    },
+    /// The traffic thread has answered the call itself; the attempt needs no successor.
+    Settled,
+}
+
+/// Counts what an answer cost.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Usage {
+    /// Tokens of the prompt.
+    pub prompt: Tokens,
+    /// Prompt tokens whose state was in the engine's memory.
+    pub cached: Tokens,
+    /// Prompt tokens whose state was imported for this call.
+    pub imported: Tokens,
+    /// Tokens of the answer.
+    pub answer: Tokens,
+}
+
+impl Usage {
+    /// Returns the prompt tokens that were computed again.
+    pub const fn recomputed(&self) -> Tokens {
+        self.prompt
+            .saturating_sub(self.cached)
+            .saturating_sub(self.imported)
+    }
+}
+
+/// Holds what a target tells of itself.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct TargetReport {
+    /// The run of its process.
+    pub incarnation: Incarnation,
+    /// Whether it takes no new work.
+    pub leaving: bool,
+    /// The weight version that new calls get; zero for plain services.
+    pub version: WeightVersion,
+    /// Whether weights are being loaded.
+    pub loading: bool,
+    /// Calls running.
+    pub running: u32,
+    /// Calls waiting.
+    pub waiting: u32,
+    /// Prompt tokens still to compute for the calls waiting and running.
+    pub prefill_backlog: Tokens,
+}
+
+/// Orders a target to write a block to a store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Export {
+    /// The target that holds the block.
+    pub target: TargetKey,
+    /// The store to write to.
+    pub store: StoreKey,
+    /// The block.
+    pub key: BlockKey,
+    /// The id that this write will have.
+    pub write_id: WriteId,
+}
+
+/// Changes what a target has loaded.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Order {
+    /// The target.
+    pub target: TargetKey,
+    /// The number of the lease under which the order is sent.
+    pub fencing: FencingNumber,
+    /// What to do.
+    pub kind: OrderKind,
+}
+
+/// Names the change that an order asks for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OrderKind {
+    /// Load a weight version and use it for new calls.
+    Load(WeightVersion),
+}
+
+/// Tells what the platform runs on a VM.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum VmRole {
+    /// A daemon of this system; its address is the operator address.
+    Daemon,
+    /// A target.
+    Target,
+    /// A store of kept KV cache.
+    Store,
+}
+
+/// Tells what the platform intends with a VM.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum VmState {
+    /// In use.
+    Live,
+    /// About to be stopped.
+    Leaving,
+}
+
+/// Holds one row of the platform's VM list.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct VmEntry {
+    /// The address of the process on it.
+    pub address: SocketAddr,
+    /// The failure domain.
+    pub domain: Arc<str>,
+    /// What runs on it.
+    pub role: VmRole,
+    /// What is intended with it.
+    pub state: VmState,
+}
+
+/// Holds what a daemon tells a peer; small, so that it can be sent often.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct PeerDigest {
+    /// The sender's VM name.
+    pub vm: Arc<str>,
+    /// The sender's failure domain.
+    pub domain: Arc<str>,
+    /// The run of the sender's process.
+    pub incarnation: Incarnation,
+    /// The sender's operator address.
+    pub address: Option<SocketAddr>,
+    /// The generation in force at the sender.
+    pub generation: Generation,
+    /// Target incarnations that are leaving, by target address; sticky.
+    pub leaving: Vec<(SocketAddr, Incarnation)>,
+    /// Blocks that the sender learned to be in stores since its last digest to this peer.
+    pub stored: Vec<(SocketAddr, Sealed, Tier)>,
+    /// Use of client accounts by the sender, for dividing limits: name, calls wanted.
+    pub wants: Vec<(Arc<str>, u32)>,
+}
--- /dev/null
+++ b/crates/cumintrail-control/src/lib.rs
@@ -0,0 +1,29 @@
+//! All decisions of a daemon, without I/O.
+//!
+//! Time and random numbers come in as arguments, so that each decision can be replayed, compared
+//! with a naive one and measured; docs/DESIGN.md, "The control library".
+
+pub mod admission;
+pub mod adoption;
+pub mod directory;
+pub mod keeping;
+pub mod links;
+pub mod membership;
+pub mod once;
+pub mod placement;
+pub mod retry;
+pub mod rollout;
+pub mod stream;
+
+mod calls;
+mod control;
+mod dump;
+mod event;
+
+pub use calls::{Call, Phase};
+pub use control::{Control, Identity};
+pub use dump::{CallDump, Dump, TargetDump};
+pub use event::{
+    Action, Actions, Arrival, AttemptOutcome, Dispatch, Event, Export, Fetch, FetchOutcome,
+    FetchPlan, Order, OrderKind, PeerDigest, TargetReport, Usage, VmEntry, VmRole, VmState,
+};
--- /dev/null
+++ b/crates/cumintrail-daemon/src/background/orders.rs
@@ -0,0 +1,218 @@
+//! Probes, listings, exports and digests, as the control state orders them.
+
+use std::cell::Cell;
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use cumintrail_client::{Engine, Peer, Store};
+use cumintrail_control::{Action, Event, Export, PeerDigest};
+use cumintrail_types::{Incarnation, Sealed, StoreKey, TargetKey, Tier};
+use cumintrail_wire::engine::{CacheEvents, ExportOrder};
+use cumintrail_wire::peer::DigestMessage;
+
+use super::Background;
+use crate::metric;
+
+/// Remembers which cache events of each target were read.
+#[derive(Default)]
+pub struct Cursors {
+    targets: HashMap<TargetKey, Rc<Cursor>>,
+}
+
+#[derive(Default)]
+struct Cursor {
+    incarnation: Cell<Incarnation>,
+    last: Cell<u64>,
+    busy: Cell<bool>,
+}
+
+/// Follows one order without waiting for it.
+pub fn follow(background: &Rc<Background>, cursors: &mut Cursors, action: Action) {
+    let background = background.clone();
+    match action {
+        Action::Probe(target) => {
+            let cursor = cursors.targets.entry(target).or_default().clone();
+            if !cursor.busy.replace(true) {
+                actix_rt::spawn(async move {
+                    probe(&background, target, &cursor).await;
+                    cursor.busy.set(false);
+                });
+            }
+        }
+        Action::Export(order) => {
+            actix_rt::spawn(async move { export(&background, order).await });
+        }
+        Action::Free { store, sealed } => {
+            actix_rt::spawn(async move { free(&background, store, sealed).await });
+        }
+        Action::ListStore(store) => {
+            actix_rt::spawn(async move { list_store(&background, store).await });
+        }
+        Action::SendDigest { to, digest } => {
+            actix_rt::spawn(async move { send_digest(&background, to, digest).await });
+        }
+        Action::Cancel {
+            call,
+            attempt,
+            target,
+        } => {
+            actix_rt::spawn(async move {
+                let id = format!("{}-{attempt}", background.shared.call_id(call));
+                if let Some(at) = background.target_address(target) {
+                    // An engine that cannot be reached stops by itself when nobody reads.
+                    let _ = background.engines.cancel(at, &id).await;
+                }
+            });
+        }
+        Action::Warm { .. } | Action::Dispatch(_) | Action::Refuse { .. } => {}
+    }
+}
+
+impl Background {
+    fn target_address(&self, target: TargetKey) -> Option<std::net::SocketAddr> {
+        self.shared
+            .snapshot()?
+            .targets
+            .get(target)
+            .map(|t| t.address)
+    }
+
+    fn store_address(&self, store: StoreKey) -> Option<std::net::SocketAddr> {
+        self.shared.snapshot()?.stores.get(store).map(|s| s.address)
+    }
+}
+
+async fn probe(background: &Background, target: TargetKey, cursor: &Cursor) {
+    let Some(at) = background.target_address(target) else {
+        return;
+    };
+    let control = &background.shared.control;
+    let Ok(report) = background.engines.report(at).await else {
+        control.tell(Event::TargetSilent { target }).await;
+        return;
+    };
+    control
+        .tell(Event::TargetReported {
+            target,
+            report: report.into(),
+        })
+        .await;
+    if report.version.0 == 0 {
+        return;
+    }
+    if cursor.incarnation.replace(report.incarnation) != report.incarnation {
+        cursor.last.set(0);
+    }
+    let events = background.engines.cache_events(at, cursor.last.get()).await;
+    if let Some(event) = events
+        .ok()
+        .and_then(|events| cache_change(target, cursor, &events))
+    {
+        control.tell(event).await;
+    }
+}
+
+fn cache_change(target: TargetKey, cursor: &Cursor, events: &CacheEvents) -> Option<Event> {
+    let gap = events.oldest > cursor.last.get() + 1;
+    let newest = events.events.last()?.number;
+    cursor.last.set(newest);
+    let mut held: HashMap<_, bool> = HashMap::new();
+    for event in &events.events {
+        held.insert(event.key, event.stored);
+    }
+    let keys = |wanted: bool| {
+        held.iter()
+            .filter(move |(_, s)| **s == wanted)
+            .map(|(k, _)| *k)
+    };
+    let (stored, evicted) = (keys(true).collect(), keys(false).collect());
+    let incarnation = events.incarnation;
+    Some(Event::CacheChanged {
+        target,
+        incarnation,
+        gap,
+        stored,
+        evicted,
+    })
+}
+
+async fn export(background: &Background, order: Export) {
+    let addresses = background
+        .target_address(order.target)
+        .zip(background.store_address(order.store));
+    let Some((at, store)) = addresses else { return };
+    let message = ExportOrder {
+        key: order.key,
+        store,
+        write_id: order.write_id,
+    };
+    let report = background.engines.export(at, &message).await;
+    let sealed = report.ok().and_then(|r| r.sealed).map(|(digest, length)| {
+        (
+            Sealed {
+                key: order.key,
+                write_id: order.write_id,
+                digest,
+                length,
+            },
+            Tier::Memory,
+        )
+    });
+    background
+        .shared
+        .control
+        .tell(Event::Exported {
+            export: order,
+            sealed,
+        })
+        .await;
+}
+
+async fn free(background: &Background, store: StoreKey, sealed: Sealed) {
+    if let Some(at) = background.store_address(store) {
+        // A block that could not be freed shows up again in the next listing.
+        let _ = background.stores.free(at, &sealed).await;
+    }
+}
+
+async fn list_store(background: &Background, store: StoreKey) {
+    let Some(at) = background.store_address(store) else {
+        return;
+    };
+    let control = &background.shared.control;
+    let mut after = None;
+    loop {
+        let Ok(page) = background.stores.list(at, after).await else {
+            control.tell(Event::StoreSilent { store }).await;
+            return;
+        };
+        let first = after.is_none();
+        after = page.blocks.last().map(|b| b.sealed.key);
+        let blocks = page.blocks.iter().map(|b| (b.sealed, b.tier)).collect();
+        let incarnation = page.incarnation;
+        control
+            .tell(Event::StoreListed {
+                store,
+                incarnation,
+                first,
+                blocks,
+            })
+            .await;
+        if !page.more || after.is_none() {
+            return;
+        }
+    }
+}
+
+async fn send_digest(background: &Background, to: std::net::SocketAddr, digest: PeerDigest) {
+    let message = DigestMessage::from(digest);
+    let size = cumintrail_wire::to_msgpack(&message).map_or(0, |m| m.len());
+    metrics::counter!(metric::PEER_BYTES).increment(size as u64);
+    if background.peers.digest(to, &message).await.is_err() {
+        background
+            .shared
+            .control
+            .tell(Event::PeerSilent { address: to })
+            .await;
+    }
+}
--- /dev/null
+++ b/crates/cumintrail-daemon/src/callers/engine_attempt.rs
@@ -0,0 +1,349 @@
+//! Attempts of a model call: imports, the streamed answer, and its continuation when a connection
+//! goes silent or breaks.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use cumintrail_client::{AnswerEvent, AnswerStream, ClientError, Engine};
+use cumintrail_config::Snapshot;
+use cumintrail_control::stream::{Check, StreamCheck};
+use cumintrail_control::{AttemptOutcome, Dispatch, Event, Fetch, FetchOutcome, Usage};
+use cumintrail_types::{AccountKey, BlockKey, CallKey, Moment, StoreKey, WeightVersion};
+use cumintrail_wire::caller::{CompletionRequest, DEFAULT_MAX_TOKENS};
+use cumintrail_wire::engine::{EndEvent, EngineReason, Generate, ImportOrder, ImportOutcome};
+use smallvec::SmallVec;
+use tokio::sync::mpsc;
+
+use super::model_answer::CallEvent;
+use super::{Worker, model_call};
+use crate::metric;
+
+const MAX_RESUMES: u8 = 3;
+const PRIORITY_CALL: u8 = 1;
+const ESTIMATE_FACTOR: u32 = 2;
+
+/// Holds a model call over all of its attempts.
+pub struct EngineCall {
+    /// Its key.
+    pub call: CallKey,
+    id: String,
+    account: AccountKey,
+    parsed: CompletionRequest,
+    pieces: Arc<[BlockKey]>,
+    version: WeightVersion,
+    arrived: Moment,
+    check: StreamCheck,
+    answered: Vec<String>,
+}
+
+/// Tells how an attempt ended.
+pub enum AttemptEnd {
+    /// The caller closed its connection.
+    CallerGone,
+    /// The control thread decides what follows.
+    Outcome(AttemptOutcome),
+}
+
+/// Tells how one connection of an attempt ended.
+enum ConnectionEnd {
+    Whole(EndEvent),
+    CallerGone,
+    /// It went silent, broke, or skipped events: the answer may go on over a new one.
+    Lost,
+}
+
+impl EngineCall {
+    /// Makes a call that no attempt was made of.
+    pub const fn new(
+        id: String,
+        call: CallKey,
+        account: AccountKey,
+        parsed: CompletionRequest,
+        pieces: Arc<[BlockKey]>,
+        version: WeightVersion,
+        arrived: Moment,
+    ) -> Self {
+        let check = StreamCheck::new(String::new());
+        Self {
+            call,
+            id,
+            account,
+            parsed,
+            pieces,
+            version,
+            arrived,
+            check,
+            answered: Vec::new(),
+        }
+    }
+
+    /// Makes one attempt.
+    pub async fn attempt(
+        &mut self,
+        worker: &Worker,
+        snapshot: &Snapshot,
+        dispatch: &Dispatch,
+        tx: &mpsc::Sender<CallEvent>,
+    ) -> AttemptEnd {
+        let latest = worker.shared.snapshot();
+        let snapshot = latest.as_deref().unwrap_or(snapshot);
+        let Some(target) = snapshot.targets.get(dispatch.target) else {
+            return AttemptEnd::Outcome(AttemptOutcome::NotSent);
+        };
+        let at = target.address;
+        let wire_id = format!("{}-{}", self.id, dispatch.attempt);
+        self.check = StreamCheck::continued(wire_id.clone(), self.answered.len() as u32);
+        let imports = self.import(worker, snapshot, dispatch, at, &wire_id).await;
+        let generate = self.generate(worker, snapshot, dispatch, &wire_id, imports);
+
+        let gap = self.token_gap(snapshot);
+        let first_gap = dispatch.first_token * ESTIMATE_FACTOR + gap;
+        let mut stream = match worker.engines.generate(at, &generate, first_gap).await {
+            Ok(stream) => Some(stream),
+            Err(ClientError::NotSent) => return AttemptEnd::Outcome(AttemptOutcome::NotSent),
+            Err(ClientError::Refused { reason }) => {
+                let leaving = reason == EngineReason::Leaving;
+                return AttemptEnd::Outcome(AttemptOutcome::RefusedByTarget { leaving });
+            }
+            Err(_) => None,
+        };
+        let mut resumes = 0;
+        loop {
+            if let Some(open) = stream.as_mut() {
+                match self.follow(worker, open, first_gap, gap, tx).await {
+                    ConnectionEnd::Whole(end) => return self.finish(end, tx).await,
+                    ConnectionEnd::CallerGone => return AttemptEnd::CallerGone,
+                    ConnectionEnd::Lost => {}
+                }
+            }
+            if resumes == MAX_RESUMES {
+                let answered = self.check.answered();
+                return AttemptEnd::Outcome(AttemptOutcome::Failed { answered });
+            }
+            resumes += 1;
+            metrics::counter!(metric::RESUMES).increment(1);
+            stream = worker
+                .engines
+                .resume(at, &wire_id, self.check.last(), gap)
+                .await
+                .ok();
+        }
+    }
+
+    /// Imports the planned blocks and returns the names of those that match their seals.
+    async fn import(
+        &self,
+        worker: &Worker,
+        snapshot: &Snapshot,
+        dispatch: &Dispatch,
+        at: SocketAddr,
+        wire_id: &str,
+    ) -> Vec<String> {
+        let plan = &dispatch.plan;
+        if plan.fetches.is_empty() {
+            return Vec::new();
+        }
+        let started = worker.shared.now();
+        let orders = plan.fetches.iter().enumerate().map(|(i, fetch)| {
+            let name = format!("{wire_id}-{i}");
+            import_one(worker, snapshot, at, *fetch, name, plan.within)
+        });
+        let results = futures_util::future::join_all(orders).await;
+
+        let mut outcomes: SmallVec<[(StoreKey, BlockKey, FetchOutcome); 4]> = SmallVec::new();
+        let mut names = Vec::new();
+        for (fetch, (name, outcome)) in plan.fetches.iter().zip(results) {
+            outcomes.push((fetch.store, fetch.sealed.key, outcome));
+            count_import(fetch, outcome);
+            if outcome == FetchOutcome::Imported {
+                names.push(name);
+            }
+        }
+        let took = worker.shared.now().since(started);
+        let (call, target) = (self.call, dispatch.target);
+        worker
+            .shared
+            .control
+            .tell(Event::Fetched {
+                call,
+                target,
+                outcomes,
+                took,
+            })
+            .await;
+        names
+    }
+
+    fn generate(
+        &self,
+        worker: &Worker,
+        snapshot: &Snapshot,
+        dispatch: &Dispatch,
+        wire_id: &str,
+        imports: Vec<String>,
+    ) -> Generate {
+        let pieces = if dispatch.version == self.version {
+            self.pieces.clone()
+        } else {
+            model_call::piece_keys(
+                worker,
+                snapshot,
+                self.account,
+                &self.parsed,
+                dispatch.version,
+            )
+        };
+        Generate {
+            call: wire_id.to_owned(),
+            attempt: dispatch.attempt.0,
+            model: self.parsed.model.clone(),
+            version: dispatch.version,
+            prompt: self.parsed.prompt.clone(),
+            pieces: pieces.to_vec(),
+            piece_tokens: snapshot.deployment.piece.0,
+            imports,
+            answered: self.answered.clone(),
+            max_tokens: self.parsed.max_tokens.unwrap_or(DEFAULT_MAX_TOKENS),
+            priority: PRIORITY_CALL,
+        }
+    }
+
+    /// Passes on what one connection yields, as long as it is consecutive and the call's own.
+    async fn follow(
+        &mut self,
+        worker: &Worker,
+        stream: &mut AnswerStream,
+        first_gap: Duration,
+        gap: Duration,
+        tx: &mpsc::Sender<CallEvent>,
+    ) -> ConnectionEnd {
+        loop {
+            let limit = if self.answered.is_empty() {
+                first_gap
+            } else {
+                gap
+            };
+            let event = tokio::select! {
+                event = stream.next(limit) => event,
+                () = tx.closed() => return ConnectionEnd::CallerGone,
+            };
+            match event {
+                Ok(AnswerEvent::Token(id, token)) => match self.check.token(&token.call, id) {
+                    Check::Accept => {
+                        self.note_token(worker, token.text.clone()).await;
+                        if tx.send(CallEvent::Token(token.text)).await.is_err() {
+                            return ConnectionEnd::CallerGone;
+                        }
+                    }
+                    Check::Duplicate => count_dropped("duplicate"),
+                    Check::Gap => return ConnectionEnd::Lost,
+                    Check::Foreign => {
+                        count_dropped("foreign");
+                        return ConnectionEnd::Lost;
+                    }
+                },
+                Ok(AnswerEvent::End(id, end)) => match self.check.end(&end.call, id) {
+                    Check::Accept => return ConnectionEnd::Whole(end),
+                    _ => return ConnectionEnd::Lost,
+                },
+                Err(_) => return ConnectionEnd::Lost,
+            }
+        }
+    }
+
+    async fn note_token(&mut self, worker: &Worker, text: String) {
+        if self.answered.is_empty() {
+            let waited = worker.shared.now().since(self.arrived);
+            metrics::histogram!(metric::FIRST_TOKEN).record(waited.as_secs_f64());
+            worker
+                .shared
+                .control
+                .tell(Event::FirstToken { call: self.call })
+                .await;
+        }
+        self.answered.push(text);
+    }
+
+    async fn finish(&self, end: EndEvent, tx: &mpsc::Sender<CallEvent>) -> AttemptEnd {
+        let usage = Usage::from(&end);
+        count_prompt(usage);
+        let reason = end.reason;
+        match tx.send(CallEvent::End { reason, usage }).await {
+            Ok(()) => AttemptEnd::Outcome(AttemptOutcome::Answered(usage)),
+            Err(_) => AttemptEnd::CallerGone,
+        }
+    }
+
+    fn token_gap(&self, snapshot: &Snapshot) -> Duration {
+        let model = snapshot
+            .model(&self.parsed.model)
+            .and_then(|key| snapshot.models.get(key));
+        model.map_or(Duration::from_secs(2), |m| m.token_gap)
+    }
+}
+
+/// Lets the engine stage one block and compares what arrived with its seal.
+async fn import_one(
+    worker: &Worker,
+    snapshot: &Snapshot,
+    at: SocketAddr,
+    fetch: Fetch,
+    name: String,
+    within: Duration,
+) -> (String, FetchOutcome) {
+    let Some(store) = snapshot.stores.get(fetch.store) else {
+        return (name, FetchOutcome::Missing);
+    };
+    let sealed = fetch.sealed;
+    let order = ImportOrder {
+        import: name.clone(),
+        key: sealed.key,
+        store: store.address,
+        write_id: sealed.write_id,
+    };
+    let outcome = match worker
+        .engines
+        .import(at, &order, within)
+        .await
+        .map(|r| r.outcome)
+    {
+        Ok(ImportOutcome::Staged { digest, length })
+            if digest == sealed.digest && length == sealed.length =>
+        {
+            FetchOutcome::Imported
+        }
+        Ok(ImportOutcome::Staged { .. }) => FetchOutcome::Mismatch,
+        Ok(ImportOutcome::Missing) => FetchOutcome::Missing,
+        Ok(ImportOutcome::Failed) | Err(_) => FetchOutcome::Failed,
+    };
+    (name, outcome)
+}
+
+fn count_import(fetch: &Fetch, outcome: FetchOutcome) {
+    let label = match outcome {
+        FetchOutcome::Imported => "imported",
+        FetchOutcome::Missing => "missing",
+        FetchOutcome::Mismatch => "mismatch",
+        FetchOutcome::Failed => "failed",
+    };
+    metrics::counter!(metric::IMPORTS, "outcome" => label).increment(1);
+    if outcome == FetchOutcome::Imported {
+        metrics::counter!(metric::LINK_BYTES).increment(fetch.sealed.length.0);
+    }
+}
+
+fn count_prompt(usage: Usage) {
+    let sources = [
+        ("memory", usage.cached),
+        ("store", usage.imported),
+        ("computed", usage.recomputed()),
+    ];
+    for (source, tokens) in sources {
+        metrics::counter!(metric::PROMPT_TOKENS, "source" => source).increment(tokens.0.into());
+    }
+}
+
+fn count_dropped(reason: &'static str) {
+    metrics::counter!(metric::DROPPED_EVENTS, "reason" => reason).increment(1);
+}
--- /dev/null
+++ b/crates/cumintrail-daemon/src/callers/request.rs
@@ -0,0 +1,76 @@
+//! Reading requests within limits of time and size.
+
+use std::time::Duration;
+
+use actix_http::header::CONTENT_LENGTH;
+use actix_http::{HttpMessage, Payload, Request, RequestHead};
+use bytes::{Bytes, BytesMut};
+use cumintrail_types::{Refusal, RefusalCode};
+use cumintrail_wire::caller::DEADLINE_HEADER;
+use futures_util::StreamExt;
+
+const DISCARD_BYTES: usize = 64 << 20;
+const DISCARD_LIMIT: Duration = Duration::from_secs(2);
+
+/// Reads a request's body; neither a large nor a slow one holds memory for long.
+pub async fn read_body(
+    req: &mut Request,
+    max_bytes: usize,
+    within: Duration,
+) -> Result<Bytes, Refusal> {
+    let announced = req
+        .headers()
+        .get(CONTENT_LENGTH)
+        .and_then(|v| v.to_str().ok()?.parse().ok());
+    let mut payload = req.take_payload();
+    if announced.is_some_and(|length: usize| length > max_bytes) {
+        discard(&mut payload).await;
+        return Err(Refusal::not_run(RefusalCode::TooLarge));
+    }
+    let read = async {
+        let mut body = BytesMut::new();
+        while let Some(chunk) = payload.next().await {
+            let chunk = chunk.map_err(|_| Refusal::not_run(RefusalCode::BadRequest))?;
+            if body.len() + chunk.len() > max_bytes {
+                discard(&mut payload).await;
+                return Err(Refusal::not_run(RefusalCode::TooLarge));
+            }
+            body.extend_from_slice(&chunk);
+        }
+        Ok(body.freeze())
+    };
+    let timed_out = Refusal::not_run(RefusalCode::RequestTimeout);
+    actix_rt::time::timeout(within, read)
+        .await
+        .unwrap_or(Err(timed_out))
+}
+
+/// Reads on without keeping anything, since many callers see no answer before they have sent all.
+async fn discard(payload: &mut Payload) {
+    let drain = async {
+        let mut read = 0;
+        while let Some(Ok(chunk)) = payload.next().await {
+            read += chunk.len();
+            if read > DISCARD_BYTES {
+                break;
+            }
+        }
+    };
+    // A caller that is slower than this loses the answer, not the daemon its memory.
+    let _ = actix_rt::time::timeout(DISCARD_LIMIT, drain).await;
+}
+
+/// Returns how long the caller is ready to wait, at most `longest`.
+pub fn patience(head: &RequestHead, longest: Duration) -> Result<Duration, Refusal> {
+    let Some(value) = head.headers().get(DEADLINE_HEADER) else {
+        return Ok(longest);
+    };
+    let millis = value
+        .to_str()
+        .ok()
+        .and_then(|text| text.trim().parse().ok());
+    let asked = millis.map(Duration::from_millis);
+    asked
+        .map(|d| d.min(longest))
+        .ok_or_else(|| Refusal::not_run(RefusalCode::BadRequest))
+}
--- /dev/null
+++ b/crates/cumintrail-daemon/src/callers/router.rs
@@ -0,0 +1,96 @@
+//! Which handler answers a request.
+
+use std::rc::Rc;
+
+use actix_http::{Method, Request, Response};
+use cumintrail_types::{Refusal, RefusalCode};
+use cumintrail_wire::caller::{ChatRequest, CompletionRequest, ModelEntry, ModelList};
+use serde::de::DeserializeOwned;
+
+use super::model_answer::AnswerStyle;
+use super::refuse::{json, refuse};
+use super::request::read_body;
+use super::{CallerBody, Worker, auth, model_call, service_call};
+
+const OK: u16 = 200;
+const UNAVAILABLE: u16 = 503;
+const SERVICES: &str = "/services/";
+
+/// Answers one request.
+pub async fn answer(worker: Rc<Worker>, req: Request) -> Response<CallerBody> {
+    route(worker, req)
+        .await
+        .unwrap_or_else(|refusal| refuse(&refusal))
+}
+
+async fn route(worker: Rc<Worker>, req: Request) -> Result<Response<CallerBody>, Refusal> {
+    let path = req.path().to_owned();
+    let method = req.method().clone();
+    match (path.as_str(), method) {
+        ("/livez", Method::GET) => Ok(json(OK, &"alive")),
+        ("/readyz", Method::GET) if worker.shared.is_ready() => Ok(json(OK, &"ready")),
+        ("/readyz", Method::GET) => Ok(json(UNAVAILABLE, &"not ready")),
+        ("/v1/models", Method::GET) => list_models(&worker, &req),
+        ("/v1/completions", Method::POST) => complete(worker, req).await,
+        ("/v1/chat/completions", Method::POST) => chat(worker, req).await,
+        (path, _) if path.starts_with(SERVICES) => service_call::answer(worker, req).await,
+        ("/livez" | "/readyz" | "/v1/models" | "/v1/completions" | "/v1/chat/completions", _) => {
+            Err(Refusal::not_run(RefusalCode::MethodNotAllowed))
+        }
+        _ => Err(Refusal::not_run(RefusalCode::NotFound)),
+    }
+}
+
+fn list_models(worker: &Worker, req: &Request) -> Result<Response<CallerBody>, Refusal> {
+    let snapshot = worker.snapshot()?;
+    auth::account_of(req.head(), &snapshot)?;
+    let entry = |name: &str| ModelEntry {
+        id: name.to_owned(),
+        object: "model".into(),
+    };
+    let data = snapshot
+        .models
+        .iter()
+        .map(|(_, m)| entry(&m.name))
+        .collect();
+    Ok(json(
+        OK,
+        &ModelList {
+            object: "list".into(),
+            data,
+        },
+    ))
+}
+
+async fn complete(worker: Rc<Worker>, req: Request) -> Result<Response<CallerBody>, Refusal> {
+    let (req, parsed) = read_json::<CompletionRequest>(&worker, req).await?;
+    model_call::answer(worker, req.head(), parsed, AnswerStyle::Completion).await
+}
+
+async fn chat(worker: Rc<Worker>, req: Request) -> Result<Response<CallerBody>, Refusal> {
+    let (req, parsed) = read_json::<ChatRequest>(&worker, req).await?;
+    model_call::answer(worker, req.head(), parsed.into(), AnswerStyle::Chat).await
+}
+
+/// Reads a JSON body, after the API key, so that strangers cannot make the daemon read much.
+async fn read_json<T: DeserializeOwned>(
+    worker: &Worker,
+    mut req: Request,
+) -> Result<(Request, T), Refusal> {
+    auth::account_of(req.head(), &*worker.snapshot()?)?;
+    let settings = &worker.shared.settings;
+    let body = read_body(&mut req, settings.max_body_bytes, settings.request_timeout).await?;
+    let parsed = serde_json::from_slice(&body);
+    parsed
+        .map(|parsed| (req, parsed))
+        .map_err(|_| Refusal::not_run(RefusalCode::BadRequest))
+}
+
+impl Worker {
+    /// Returns the configuration in force, or refuses.
+    pub(super) fn snapshot(&self) -> Result<std::sync::Arc<cumintrail_config::Snapshot>, Refusal> {
+        self.shared
+            .snapshot()
+            .ok_or_else(|| Refusal::not_run(RefusalCode::NotConfigured))
+    }
+}
--- /dev/null
+++ b/crates/cumintrail-daemon/src/control_thread.rs
@@ -0,0 +1,166 @@
+//! The thread that owns the control state.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use cumintrail_control::{Action, Arrival, AttemptOutcome, Control, Dispatch, Dump, Event};
+use cumintrail_types::{CallKey, Refusal};
+use tokio::sync::{mpsc, oneshot};
+
+use crate::clock::Clock;
+
+const TICK: Duration = Duration::from_millis(20);
+
+/// Tells a call's task what was decided for it.
+#[derive(Debug)]
+pub enum Command {
+    /// Run an attempt.
+    Dispatch(Box<Dispatch>),
+    /// Answer with a refusal.
+    Refuse(Refusal),
+}
+
+/// Asks the control thread.
+#[derive(Debug)]
+enum Message {
+    Arrive(Arrival, mpsc::UnboundedSender<Command>),
+    Event(Event),
+    Dump(oneshot::Sender<Dump>),
+    CallsInFlight(oneshot::Sender<usize>),
+}
+
+/// Reaches the control thread from any other.
+#[derive(Debug, Clone)]
+pub struct ControlLink {
+    tx: mpsc::Sender<Message>,
+}
+
+/// Reports that the control thread cannot take a call now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct QueueFull;
+
+impl ControlLink {
+    /// Announces a call; a full queue refuses it at once.
+    pub fn arrive(&self, arrival: Arrival) -> Result<mpsc::UnboundedReceiver<Command>, QueueFull> {
+        let (tx, rx) = mpsc::unbounded_channel();
+        self.tx
+            .try_send(Message::Arrive(arrival, tx))
+            .map(|()| rx)
+            .map_err(|_| QueueFull)
+    }
+
+    /// Tells an event, waiting for room in the queue.
+    pub async fn tell(&self, event: Event) {
+        // The control thread outlives all senders but at the very end of the process.
+        let _ = self.tx.send(Message::Event(event)).await;
+    }
+
+    /// Asks for a dump of the control state.
+    pub async fn dump(&self) -> Option<Dump> {
+        let (tx, rx) = oneshot::channel();
+        self.tx.send(Message::Dump(tx)).await.ok()?;
+        rx.await.ok()
+    }
+
+    /// Asks for the number of calls that are not answered yet.
+    pub async fn calls_in_flight(&self) -> usize {
+        let (tx, rx) = oneshot::channel();
+        match self.tx.send(Message::CallsInFlight(tx)).await {
+            Ok(()) => rx.await.unwrap_or(0),
+            Err(_) => 0,
+        }
+    }
+}
+
+/// Receives what a [`ControlLink`] sends.
+#[derive(Debug)]
+pub struct ControlInbox {
+    rx: mpsc::Receiver<Message>,
+}
+
+/// Makes a bounded link to the control thread.
+pub fn channel(queue: usize) -> (ControlLink, ControlInbox) {
+    let (tx, rx) = mpsc::channel(queue);
+    (ControlLink { tx }, ControlInbox { rx })
+}
+
+/// Runs the control state until all links are gone.
+pub async fn run(
+    mut inbox: ControlInbox,
+    mut control: Control,
+    clock: Clock,
+    background: mpsc::UnboundedSender<Action>,
+) {
+    let mut calls: HashMap<CallKey, mpsc::UnboundedSender<Command>> = HashMap::new();
+    let mut ticks = actix_rt::time::interval(TICK);
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        let message = tokio::select! {
+            message = inbox.rx.recv() => message,
+            _ = ticks.tick() => Some(Message::Event(Event::Tick)),
+        };
+        let now = clock.now();
+        let actions = match message {
+            None => return,
+            Some(Message::Dump(reply)) => {
+                let _ = reply.send(control.dump(now));
+                continue;
+            }
+            Some(Message::CallsInFlight(reply)) => {
+                let _ = reply.send(control.calls_in_flight());
+                continue;
+            }
+            Some(Message::Arrive(arrival, commands)) => {
+                calls.insert(arrival.call, commands);
+                control.handle(now, Event::Arrived(arrival))
+            }
+            Some(Message::Event(event)) => {
+                if let Some(call) = ended_call(&event) {
+                    calls.remove(&call);
+                }
+                control.handle(now, event)
+            }
+        };
+        for action in actions {
+            route(action, &mut calls, &background);
+        }
+    }
+}
+
+/// Returns the call that needs no more commands after `event`.
+fn ended_call(event: &Event) -> Option<CallKey> {
+    match event {
+        Event::CallerGone { call } => Some(*call),
+        Event::AttemptEnded { call, outcome, .. } => {
+            let ended = matches!(
+                outcome,
+                AttemptOutcome::Answered(_) | AttemptOutcome::Settled
+            );
+            ended.then_some(*call)
+        }
+        _ => None,
+    }
+}
+
+fn route(
+    action: Action,
+    calls: &mut HashMap<CallKey, mpsc::UnboundedSender<Command>>,
+    background: &mpsc::UnboundedSender<Action>,
+) {
+    match action {
+        Action::Dispatch(dispatch) => {
+            // A call whose task is gone has told so; its event is on the way.
+            if let Some(commands) = calls.get(&dispatch.call) {
+                let _ = commands.send(Command::Dispatch(Box::new(dispatch)));
+            }
+        }
+        Action::Refuse { call, refusal } => {
+            if let Some(commands) = calls.remove(&call) {
+                let _ = commands.send(Command::Refuse(refusal));
+            }
+        }
+        other => {
+            let _ = background.send(other);
+        }
+    }
+}
--- /dev/null
+++ b/crates/cumintrail-daemon/src/daemon.rs
@@ -0,0 +1,160 @@
+//! Starting and stopping a daemon.
+
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::time::Duration;
+
+use actix_rt::Arbiter;
+use actix_server::{Server, ServerHandle};
+use cumintrail_config::Settings;
+use cumintrail_control::{Control, Event, Identity};
+use cumintrail_types::Incarnation;
+use rand::Rng;
+use snafu::{ResultExt, Snafu};
+
+use crate::clock::Clock;
+use crate::shared::Shared;
+use crate::{background, callers, control_thread, operators};
+
+const DRAIN_POLL: Duration = Duration::from_millis(20);
+
+/// Reports that a daemon could not start.
+#[derive(Debug, Snafu)]
+pub enum SpawnError {
+    /// An address cannot be listened on.
+    #[snafu(display("cannot listen on {address}; check `{setting}` in the settings: {source}"))]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// The setting that names it.
+        setting: &'static str,
+        /// The system's error.
+        source: io::Error,
+    },
+}
+
+/// Runs one entry VM's daemon.
+pub struct Daemon {
+    shared: Arc<Shared>,
+    caller_address: SocketAddr,
+    servers: [ServerHandle; 2],
+    arbiters: [Arbiter; 2],
+}
+
+impl Daemon {
+    /// Starts all threads of a daemon within the running actix system.
+    pub fn spawn(settings: Settings) -> Result<Self, SpawnError> {
+        let callers = listen(settings.caller_address, "caller_address")?;
+        let operators = listen(settings.operator_address, "operator_address")?;
+        let caller_address = bound(&callers, settings.caller_address);
+        let operator_address = bound(&operators, settings.operator_address);
+
+        let clock = Clock::start();
+        let incarnation = Incarnation(rand::rng().random_range(1..u64::MAX));
+        let identity = Identity {
+            vm: settings.vm.clone(),
+            domain: settings.domain.clone(),
+            incarnation,
+            address: operator_address,
+            probe_interval: settings.probe_interval,
+            digest_interval: settings.digest_interval,
+        };
+        let control = Control::new(identity, rand::rng().random());
+        let (link, inbox) = control_thread::channel(settings.control_queue);
+        let (orders_tx, orders_rx) = tokio::sync::mpsc::unbounded_channel();
+        let workers = settings.workers;
+        let shared = Arc::new(Shared::new(
+            settings,
+            incarnation,
+            operator_address,
+            link,
+            clock,
+        ));
+
+        let control_arbiter = Arbiter::new();
+        control_arbiter.spawn(control_thread::run(inbox, control, clock, orders_tx));
+        let background_arbiter = Arbiter::new();
+        let for_background = shared.clone();
+        background_arbiter.spawn_fn(move || {
+            actix_rt::spawn(background::run(for_background, orders_rx));
+        });
+
+        let servers = [
+            serve(callers, workers, callers::Factory::new(shared.clone())),
+            serve(operators, 1, operators::Factory::new(shared.clone())),
+        ];
+        log::info!(
+            "vm {} serves callers on {caller_address}",
+            shared.settings.vm
+        );
+        Ok(Self {
+            shared,
+            caller_address,
+            servers,
+            arbiters: [control_arbiter, background_arbiter],
+        })
+    }
+
+    /// Returns where callers connect.
+    pub const fn caller_address(&self) -> SocketAddr {
+        self.caller_address
+    }
+
+    /// Returns where operators and peers connect.
+    pub fn operator_address(&self) -> SocketAddr {
+        self.shared.operator_address
+    }
+
+    /// Tells whether the daemon takes calls.
+    pub fn is_ready(&self) -> bool {
+        self.shared.is_ready()
+    }
+
+    /// Stops without cutting a call: not ready, then no new calls, then the rest is finished.
+    pub async fn stop(self) {
+        let settings = &self.shared.settings;
+        log::info!("vm {} begins a planned stop", settings.vm);
+        self.shared.begin_stop();
+        actix_rt::time::sleep(settings.stop_grace).await;
+        self.shared.control.tell(Event::Stopping).await;
+
+        let deadline = self.shared.now() + settings.drain_limit;
+        while self.shared.control.calls_in_flight().await > 0 && self.shared.now() < deadline {
+            actix_rt::time::sleep(DRAIN_POLL).await;
+        }
+        log::info!("vm {} has no call in flight", settings.vm);
+        for server in &self.servers {
+            server.stop(true).await;
+        }
+        for arbiter in &self.arbiters {
+            arbiter.stop();
+        }
+    }
+}
+
+fn serve<F: ListenFactory>(listener: TcpListener, workers: usize, factory: F) -> ServerHandle {
+    let builder = Server::build().workers(workers).disable_signals();
+    let server = factory.listen(builder, listener).run();
+    let handle = server.handle();
+    actix_rt::spawn(server);
+    handle
+}
+
+/// Adds a kind of HTTP endpoint to a server.
+pub trait ListenFactory {
+    /// Serves `listener` with this factory's services.
+    fn listen(
+        self,
+        builder: actix_server::ServerBuilder,
+        listener: TcpListener,
+    ) -> actix_server::ServerBuilder;
+}
+
+fn listen(address: SocketAddr, setting: &'static str) -> Result<TcpListener, SpawnError> {
+    TcpListener::bind(address).context(ListenSnafu { address, setting })
+}
+
+fn bound(listener: &TcpListener, wanted: SocketAddr) -> SocketAddr {
+    listener.local_addr().unwrap_or(wanted)
+}
--- /dev/null
+++ b/crates/cumintrail-daemon/src/lib.rs
@@ -0,0 +1,16 @@
+//! The daemon of one entry VM.
+//!
+//! One thread owns the control state, others carry traffic, and one does the background I/O that
+//! the control state orders; docs/DESIGN.md, "The life of a request".
+
+mod background;
+mod callers;
+mod clock;
+mod control_thread;
+mod daemon;
+mod metric;
+mod operators;
+mod shared;
+
+pub use daemon::{Daemon, SpawnError};
+pub use metric::install_recorder;
--- /dev/null
+++ b/crates/cumintrail-daemon/src/operators.rs
@@ -0,0 +1,178 @@
+//! The operators' and peers' endpoint, with its own address and keys.
+
+use std::convert::Infallible;
+use std::net::TcpListener;
+use std::sync::Arc;
+
+use actix_http::header::{CONTENT_TYPE, HeaderValue};
+use actix_http::{HttpService, Method, Request, Response, StatusCode};
+use actix_server::ServerBuilder;
+use actix_service::{ServiceFactoryExt as _, fn_service};
+use bytes::Bytes;
+use cumintrail_control::{Dump, Event, PeerDigest};
+use cumintrail_types::{Refusal, RefusalCode};
+use cumintrail_wire::operator::Status;
+use cumintrail_wire::peer::{ConfigReply, ConfigRequest, DigestMessage};
+use cumintrail_wire::{from_msgpack, to_msgpack};
+
+use crate::callers::CallerBody;
+use crate::callers::{auth, refuse, request};
+use crate::daemon::ListenFactory;
+use crate::metric;
+use crate::shared::Shared;
+
+const OK: u16 = 200;
+const UNAVAILABLE: u16 = 503;
+const MAX_PEER_BYTES: usize = 32 << 20;
+
+/// Makes the operators' HTTP service.
+#[derive(Clone)]
+pub struct Factory {
+    shared: Arc<Shared>,
+}
+
+impl Factory {
+    /// Serves with the daemon's shared state.
+    pub const fn new(shared: Arc<Shared>) -> Self {
+        Self { shared }
+    }
+}
+
+impl ListenFactory for Factory {
+    fn listen(self, builder: ServerBuilder, listener: TcpListener) -> ServerBuilder {
+        let service = move || {
+            let shared = self.shared.clone();
+            HttpService::build()
+                .client_request_timeout(shared.settings.request_timeout)
+                .finish(fn_service(move |req: Request| {
+                    let shared = shared.clone();
+                    async move { Ok::<_, Infallible>(answer(&shared, req).await) }
+                }))
+                .tcp()
+                .map_err(|_| ())
+        };
+        builder
+            .listen("operators", listener, service)
+            .expect("the listener is bound already")
+    }
+}
+
+async fn answer(shared: &Shared, req: Request) -> Response<CallerBody> {
+    route(shared, req)
+        .await
+        .unwrap_or_else(|refusal| refuse::refuse(&refusal))
+}
+
+async fn route(shared: &Shared, mut req: Request) -> Result<Response<CallerBody>, Refusal> {
+    let path = req.path().to_owned();
+    let settings = &shared.settings;
+    let key = if path.starts_with("/peer/") {
+        &settings.peer_key
+    } else {
+        &settings.operator_key
+    };
+    let is_health = matches!(path.as_str(), "/livez" | "/readyz");
+    if !is_health && !auth::shows_key(req.head(), key.expose()) {
+        return Err(Refusal::not_run(RefusalCode::Unauthorized));
+    }
+    match (req.method().clone(), path.as_str()) {
+        (Method::GET, "/livez") => Ok(refuse::json(OK, &"alive")),
+        (Method::GET, "/readyz") if shared.is_ready() => Ok(refuse::json(OK, &"ready")),
+        (Method::GET, "/readyz") => Ok(refuse::json(UNAVAILABLE, &"not ready")),
+        (Method::GET, "/metrics") => Ok(render_metrics()),
+        (Method::GET, "/debug/state") => Ok(refuse::json(OK, &dump(shared).await?)),
+        (Method::GET, "/operator/status") => Ok(refuse::json(OK, &status(shared).await?)),
+        (Method::POST, "/peer/digest") => take_digest(shared, &mut req).await,
+        (Method::POST, "/peer/config") => answer_config(shared, &mut req).await,
+        _ => Err(Refusal::not_run(RefusalCode::NotFound)),
+    }
+}
+
+fn render_metrics() -> Response<CallerBody> {
+    let text = metric::install_recorder().render();
+    let mut response = Response::with_body(StatusCode::OK, CallerBody::Whole(text.into()));
+    let plain = HeaderValue::from_static("text/plain; version=0.0.4");
+    response.headers_mut().insert(CONTENT_TYPE, plain);
+    response
+}
+
+async fn dump(shared: &Shared) -> Result<Dump, Refusal> {
+    shared
+        .control
+        .dump()
+        .await
+        .ok_or(Refusal::not_run(RefusalCode::Stopping))
+}
+
+async fn status(shared: &Shared) -> Result<Status, Refusal> {
+    let dump = dump(shared).await?;
+    let silent = dump
+        .targets
+        .iter()
+        .filter(|t| t.liveness == "silent" && !t.retired);
+    let mut degraded: Vec<String> = silent
+        .map(|t| format!("target {} is silent", t.name))
+        .collect();
+    let peers = dump.peers.iter().filter(|(_, p)| p.liveness == "silent");
+    degraded.extend(peers.map(|(address, _)| format!("peer {address} is silent")));
+    Ok(Status {
+        vm: dump.vm,
+        domain: dump.domain,
+        generation: shared.generation(),
+        preset: dump.preset,
+        ready: shared.is_ready(),
+        degraded,
+        calls: dump.calls.len(),
+    })
+}
+
+async fn take_digest(shared: &Shared, req: &mut Request) -> Result<Response<CallerBody>, Refusal> {
+    let message: DigestMessage = read(shared, req).await?;
+    let digest = PeerDigest::from(message);
+    if digest.generation > shared.generation() {
+        shared.newer_generation.notify_one();
+    }
+    shared.control.tell(Event::PeerDigest(digest)).await;
+    Ok(Response::with_body(
+        StatusCode::OK,
+        CallerBody::Whole(Bytes::new()),
+    ))
+}
+
+async fn answer_config(
+    shared: &Shared,
+    req: &mut Request,
+) -> Result<Response<CallerBody>, Refusal> {
+    let asked: ConfigRequest = read(shared, req).await?;
+    let body = to_msgpack(&config_reply(shared, asked));
+    let body = body.map_err(|_| Refusal::not_run(RefusalCode::BadRequest))?;
+    Ok(Response::with_body(
+        StatusCode::OK,
+        CallerBody::Whole(body.into()),
+    ))
+}
+
+fn config_reply(shared: &Shared, asked: ConfigRequest) -> ConfigReply {
+    let Some(adopted) = shared.adopted() else {
+        return ConfigReply::Nothing;
+    };
+    if adopted.snapshot.generation <= asked.after {
+        return ConfigReply::Nothing;
+    }
+    let next = asked.after.0 + 1;
+    match adopted.recent.front() {
+        Some(oldest) if asked.after.0 > 0 && oldest.generation.0 <= next => {
+            let newer = adopted.recent.iter().filter(|c| c.generation.0 >= next);
+            ConfigReply::Changes(newer.cloned().collect())
+        }
+        _ => ConfigReply::Snapshot(adopted.to_record()),
+    }
+}
+
+async fn read<T: serde::de::DeserializeOwned>(
+    shared: &Shared,
+    req: &mut Request,
+) -> Result<T, Refusal> {
+    let body = request::read_body(req, MAX_PEER_BYTES, shared.settings.request_timeout).await?;
+    from_msgpack(&body).map_err(|_| Refusal::not_run(RefusalCode::BadRequest))
+}
--- /dev/null
+++ b/crates/cumintrail-types/src/block.rs
@@ -0,0 +1,169 @@
+//! Kept KV blocks: their names, seals and key chains.
+
+use std::fmt;
+use std::str::FromStr;
+
+use derive_more::Display;
+use serde::{Deserialize, Serialize};
+
+use crate::{Bytes, Tokens, WeightVersion};
+
+const KEY_CONTEXT: &str = "cumintrail 2026 block key chain";
+
+macro_rules! hex_names {
+    ($($(#[$doc:meta])* $name:ident, $len:literal;)*) => {$(
+        $(#[$doc])*
+        #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        #[derive(Serialize, Deserialize)]
+        #[serde(into = "String", try_from = "String")]
+        pub struct $name(pub [u8; $len]);
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                self.0.iter().try_for_each(|b| write!(f, "{b:02x}"))
+            }
+        }
+
+        impl fmt::Debug for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                fmt::Display::fmt(self, f)
+            }
+        }
+
+        impl From<$name> for String {
+            fn from(name: $name) -> Self {
+                name.to_string()
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = NotHex;
+
+            fn from_str(text: &str) -> Result<Self, NotHex> {
+                let mut bytes = [0; $len];
+                decode_hex(text, &mut bytes).map(|()| Self(bytes))
+            }
+        }
+
+        impl TryFrom<String> for $name {
+            type Error = NotHex;
+
+            fn try_from(text: String) -> Result<Self, NotHex> {
+                text.parse()
+            }
+        }
+    )*};
+}
+
+hex_names! {
+    /// Names a piece of prompt state: 128 bits of the keyed hash chain up to and with the piece.
+    BlockKey, 16;
+    /// Identifies one write of a block, so that a freed and reused place is told apart.
+    WriteId, 16;
+    /// Holds the blake3 digest of a block's bytes.
+    Digest, 32;
+}
+
+impl Digest {
+    /// Computes the digest of `bytes`.
+    pub fn of(bytes: &[u8]) -> Self {
+        Self(*blake3::hash(bytes).as_bytes())
+    }
+}
+
+/// Reports text that is not the expected number of hexadecimal digits.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+#[display("not a name in hexadecimal digits of the right length")]
+pub struct NotHex;
+
+impl std::error::Error for NotHex {}
+
+fn decode_hex(text: &str, bytes: &mut [u8]) -> Result<(), NotHex> {
+    if text.len() != bytes.len() * 2 || !text.is_ascii() {
+        return Err(NotHex);
+    }
+    for (i, byte) in bytes.iter_mut().enumerate() {
+        *byte = u8::from_str_radix(&text[2 * i..2 * i + 2], 16).map_err(|_| NotHex)?;
+    }
+    Ok(())
+}
+
+/// Tells where a store VM holds a block.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Tier {
+    /// Main memory of the store VM.
+    #[display("memory")]
+    Memory,
+    /// Disk of the store VM.
+    #[display("disk")]
+    Disk,
+}
+
+/// Describes a completely written block; a read that does not match it is a miss.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Sealed {
+    /// The name of the piece.
+    pub key: BlockKey,
+    /// The write that produced the bytes; also the store's strong `ETag`.
+    pub write_id: WriteId,
+    /// The digest of the bytes.
+    pub digest: Digest,
+    /// The number of bytes.
+    pub length: Bytes,
+}
+
+/// Derives the block keys of a prompt; see docs/DESIGN.md, "Block keys".
+///
+/// The chain is keyed with the client account's secret, so no other account can name its blocks,
+/// and covers model, adapter and weight version, so a version never reads another's state.
+#[derive(Debug, Clone)]
+pub struct KeyChain {
+    secret: [u8; 32],
+    previous: BlockKey,
+}
+
+impl KeyChain {
+    /// Starts a chain for one account, model, adapter and weight version.
+    pub fn new(account_secret: &[u8], model: &str, adapter: &str, version: WeightVersion) -> Self {
+        let secret = blake3::derive_key(KEY_CONTEXT, account_secret);
+        let mut hasher = blake3::Hasher::new_keyed(&secret);
+        for part in [
+            model.as_bytes(),
+            adapter.as_bytes(),
+            &version.0.to_le_bytes(),
+        ] {
+            hasher.update(&(part.len() as u64).to_le_bytes());
+            hasher.update(part);
+        }
+        Self {
+            secret,
+            previous: shorten(&hasher.finalize()),
+        }
+    }
+
+    /// Appends a piece of prompt text and returns the key of the state after it.
+    pub fn next_key(&mut self, piece: &[u8]) -> BlockKey {
+        let mut hasher = blake3::Hasher::new_keyed(&self.secret);
+        hasher.update(&self.previous.0);
+        hasher.update(piece);
+        self.previous = shorten(&hasher.finalize());
+        self.previous
+    }
+
+    /// Returns the keys of all full pieces of `prompt`; a shorter rest has no key.
+    pub fn keys_of(mut self, prompt: &str, piece: Tokens, bytes_per_token: u32) -> Vec<BlockKey> {
+        let piece_bytes = (piece.0 * bytes_per_token).max(1) as usize;
+        prompt
+            .as_bytes()
+            .chunks_exact(piece_bytes)
+            .map(|piece| self.next_key(piece))
+            .collect()
+    }
+}
+
+fn shorten(hash: &blake3::Hash) -> BlockKey {
+    let mut key = [0; 16];
+    key.copy_from_slice(&hash.as_bytes()[..16]);
+    BlockKey(key)
+}
--- /dev/null
+++ b/crates/cumintrail-types/src/lib.rs
@@ -0,0 +1,21 @@
+//! Keys, units and nouns shared by every cumintrail crate; docs/GLOSSARY.md maps them to standard
+//! terms.
+
+mod arena;
+mod block;
+mod call;
+mod keys;
+mod refusal;
+mod time;
+mod units;
+
+pub use arena::{Arena, Key};
+pub use block::{BlockKey, Digest, KeyChain, Sealed, Tier, WriteId};
+pub use call::{AttemptNumber, CallClass, Ran};
+pub use keys::{
+    AccountKey, CallKey, DomainKey, FencingNumber, Generation, Incarnation, ModelKey, ServiceKey,
+    StoreKey, TargetKey, WeightVersion,
+};
+pub use refusal::{Refusal, RefusalCode};
+pub use time::Moment;
+pub use units::{Bytes, Tokens};
--- /dev/null
+++ b/tests/src/demo.rs
@@ -0,0 +1,118 @@
+//! Serves a catalogue prompt cold, evicts it, and lets it return through another daemon.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use actix_http::Method;
+use cumintrail_types::{Bytes, WeightVersion};
+use cumintrail_wire::caller::{Completion, CompletionRequest, DONE};
+use futures_util::StreamExt;
+use serde::Serialize;
+
+use crate::cluster::{CALLER_KEY, Cluster, ClusterError, Plan, eventually};
+use crate::standins::engine;
+use crate::standins::store::Store;
+
+const ANSWER_TOKENS: u32 = 16;
+const CATALOGUE_LINES: usize = 1_500;
+const EXPORT_LIMIT: Duration = Duration::from_secs(10);
+const PIECE_BYTES: usize = 400;
+
+/// Holds what the demonstration measured.
+#[derive(Debug, Serialize)]
+pub struct Results {
+    /// The first time the prompt came.
+    pub cold: Measured,
+    /// The time it returned.
+    pub returned: Measured,
+}
+
+/// Holds what one answer cost.
+#[derive(Debug, Serialize)]
+pub struct Measured {
+    /// Time to the first token, in milliseconds.
+    pub first_token_ms: f64,
+    /// The share of the prompt that was computed.
+    pub recomputed_share: f64,
+    /// Bytes read from stores.
+    pub link_bytes: u64,
+    /// Whether the answer was whole and right.
+    pub complete: bool,
+}
+
+/// Runs the demonstration.
+pub async fn run() -> Result<Results, ClusterError> {
+    let plan = Plan::default();
+    let cluster = Cluster::spawn(&plan).await?;
+    let prompt = catalogue();
+    let cold = ask(&cluster, cluster.daemons[0].caller_address(), &prompt).await;
+
+    let pieces = prompt.len() / PIECE_BYTES;
+    let kept = || cluster.stores[0].blocks().len() >= pieces;
+    eventually(EXPORT_LIMIT, kept).await;
+    for engine in &cluster.engines {
+        engine.evict_all();
+    }
+    // The other daemon learns of evictions and kept blocks from events, listings and digests.
+    actix_rt::time::sleep(Duration::from_secs(1)).await;
+    let returned = ask(&cluster, cluster.daemons[1].caller_address(), &prompt).await;
+    Ok(Results { cold, returned })
+}
+
+fn catalogue() -> String {
+    let line = |i| {
+        format!(
+            "{i}: kesong puti, wrapped in banana leaf, 200 g, lot {}\n",
+            i * 7 % 101
+        )
+    };
+    (0..CATALOGUE_LINES).map(line).collect()
+}
+
+async fn ask(cluster: &Cluster, at: SocketAddr, prompt: &str) -> Measured {
+    let before: u64 = cluster.stores.iter().map(Store::sent_bytes).sum();
+    let request = CompletionRequest {
+        model: "curd".into(),
+        prompt: prompt.to_owned(),
+        max_tokens: Some(ANSWER_TOKENS),
+        stream: true,
+    };
+    let started = Instant::now();
+    let client = awc::Client::builder().disable_timeout().finish();
+    let req = client.request(Method::POST, format!("http://{at}/v1/completions"));
+    let req = req.insert_header(("authorization", format!("Bearer {CALLER_KEY}")));
+    let mut measured = Measured {
+        first_token_ms: 0.0,
+        recomputed_share: 1.0,
+        link_bytes: 0,
+        complete: false,
+    };
+    let Ok(response) = req.send_json(&request).await else {
+        return measured;
+    };
+
+    let mut events = eventsource_stream::EventStream::new(response);
+    let (mut text, mut done) = (String::new(), false);
+    while let Some(Ok(event)) = events.next().await {
+        if event.data == DONE {
+            done = true;
+            break;
+        }
+        let Ok(chunk) = serde_json::from_str::<Completion>(&event.data) else {
+            break;
+        };
+        if text.is_empty() {
+            measured.first_token_ms = started.elapsed().as_secs_f64() * 1e3;
+        }
+        text.extend(chunk.choices.iter().filter_map(|c| c.text.as_deref()));
+        if let Some(usage) = chunk.usage {
+            let computed = usage.prompt_tokens - usage.cached_tokens - usage.imported_tokens;
+            measured.recomputed_share = f64::from(computed) / f64::from(usage.prompt_tokens);
+        }
+    }
+    let after: u64 = cluster.stores.iter().map(Store::sent_bytes).sum();
+    measured.link_bytes = Bytes(after).saturating_sub(Bytes(before)).0;
+    let expected = engine::answer_of(prompt, WeightVersion(1), ANSWER_TOKENS as usize);
+    measured.complete = done && text == expected;
+    measured
+}
--- /dev/null
+++ b/tests/src/http.rs
@@ -0,0 +1,191 @@
+//! A small HTTP server and client for stand-ins and tests.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::net::{SocketAddr, TcpListener};
+use std::time::Duration;
+
+use actix_http::body::BoxBody;
+use actix_http::{HttpMessage, HttpService, Method, Request, Response, StatusCode};
+use actix_server::{Server, ServerHandle};
+use actix_service::{ServiceFactoryExt as _, fn_service};
+use bytes::{Bytes, BytesMut};
+use futures_util::StreamExt;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+/// The answer of a stand-in.
+pub type Answer = Response<BoxBody>;
+
+/// Runs an HTTP server until it is stopped.
+#[derive(Clone)]
+pub struct Running {
+    /// Where it listens.
+    pub address: SocketAddr,
+    server: ServerHandle,
+}
+
+impl Running {
+    /// Stops at once and cuts all connections.
+    pub async fn kill(&self) {
+        self.server.stop(false).await;
+    }
+}
+
+/// Serves `handler` on `address`; port zero picks a free one.
+pub fn serve<H, F>(address: SocketAddr, handler: H) -> std::io::Result<Running>
+where
+    H: Fn(Request) -> F + Clone + Send + 'static,
+    F: Future<Output = Answer> + 'static,
+{
+    let listener = TcpListener::bind(address)?;
+    let address = listener.local_addr()?;
+    let service = move || {
+        let handler = handler.clone();
+        HttpService::build()
+            .finish(fn_service(move |req: Request| {
+                let answer = handler(req);
+                async move { Ok::<_, Infallible>(answer.await) }
+            }))
+            .tcp()
+            .map_err(|_| ())
+    };
+    let server = Server::build()
+        .workers(1)
+        .disable_signals()
+        .shutdown_timeout(0)
+        .listen("stand-in", listener, service)?
+        .run();
+    let handle = server.handle();
+    actix_rt::spawn(server);
+    Ok(Running {
+        address,
+        server: handle,
+    })
+}
+
+/// Reads a request's body.
+pub async fn body(req: &mut Request) -> Bytes {
+    let mut payload = req.take_payload();
+    let mut body = BytesMut::new();
+    while let Some(Ok(chunk)) = payload.next().await {
+        body.extend_from_slice(&chunk);
+    }
+    body.freeze()
+}
+
+/// Reads a request's body as JSON.
+pub async fn read<T: DeserializeOwned>(req: &mut Request) -> Option<T> {
+    serde_json::from_slice(&body(req).await).ok()
+}
+
+/// Answers with JSON.
+pub fn json<T: Serialize>(status: StatusCode, value: &T) -> Answer {
+    let bytes = serde_json::to_vec(value).unwrap_or_default();
+    let mut response = Response::with_body(status, BoxBody::new(bytes));
+    let kind = actix_http::header::HeaderValue::from_static("application/json");
+    response
+        .headers_mut()
+        .insert(actix_http::header::CONTENT_TYPE, kind);
+    response
+}
+
+/// Answers with a status and nothing else.
+pub fn empty(status: StatusCode) -> Answer {
+    Response::with_body(status, BoxBody::new(Bytes::new()))
+}
+
+/// Returns a query parameter.
+pub fn query(req: &Request, name: &str) -> Option<String> {
+    let pairs = req.uri().query()?.split('&');
+    pairs
+        .filter_map(|p| p.split_once('='))
+        .find(|(k, _)| *k == name)
+        .map(|(_, v)| v.to_owned())
+}
+
+/// Returns a header.
+pub fn header(req: &Request, name: &str) -> Option<String> {
+    req.headers()
+        .get(name)?
+        .to_str()
+        .ok()
+        .map(ToOwned::to_owned)
+}
+
+/// Holds what a client got.
+#[derive(Debug, Clone)]
+pub struct Got {
+    /// The HTTP status, or zero if no answer came.
+    pub status: u16,
+    /// The headers.
+    pub headers: Vec<(String, String)>,
+    /// The body as far as it came.
+    pub body: Bytes,
+    /// Whether the body came to its proper end.
+    pub whole: bool,
+}
+
+impl Got {
+    /// Parses the body.
+    pub fn json<T: DeserializeOwned>(&self) -> Option<T> {
+        serde_json::from_slice(&self.body).ok()
+    }
+
+    /// Returns the body as text.
+    pub fn text(&self) -> String {
+        String::from_utf8_lossy(&self.body).into_owned()
+    }
+}
+
+/// Sends a request on a new connection and reads the answer, within `limit`.
+pub async fn send(
+    method: Method,
+    at: SocketAddr,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: impl Into<Bytes>,
+    limit: Duration,
+) -> Got {
+    let none = Got {
+        status: 0,
+        headers: Vec::new(),
+        body: Bytes::new(),
+        whole: false,
+    };
+    let client = awc::Client::builder()
+        .disable_timeout()
+        .disable_redirects()
+        .finish();
+    let mut req = client
+        .request(method, format!("http://{at}{path}"))
+        .force_close();
+    for (name, value) in headers {
+        req = req.append_header((*name, *value));
+    }
+    let exchange = async {
+        let Ok(mut response) = req.send_body(body.into()).await else {
+            return none.clone();
+        };
+        let status = response.status().as_u16();
+        let headers = response.headers().iter();
+        let headers = headers.map(|(n, v)| (n.to_string(), v.to_str().unwrap_or("").to_owned()));
+        let headers = headers.collect();
+        let (mut text, mut whole) = (BytesMut::new(), true);
+        while let Some(chunk) = response.next().await {
+            match chunk {
+                Ok(chunk) => text.extend_from_slice(&chunk),
+                Err(_) => whole = false,
+            }
+        }
+        Got {
+            status,
+            headers,
+            body: text.freeze(),
+            whole,
+        }
+    };
+    actix_rt::time::timeout(limit, exchange)
+        .await
+        .unwrap_or(none.clone())
+}
--- /dev/null
+++ b/tests/src/lib.rs
@@ -0,0 +1,6 @@
+//! Stand-ins for outside processes, the demonstration, and tools for tests; never shipped.
+
+pub mod cluster;
+pub mod demo;
+pub mod http;
+pub mod standins;
--- /dev/null
+++ b/tests/src/main.rs
@@ -0,0 +1,186 @@
+//! `cumintrail-tests`: the demonstration and each stand-in as a process of its own.
+
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use clap::{Parser, Subcommand, ValueEnum};
+use cumintrail_tests::demo;
+use cumintrail_tests::standins::{engine, platform, relay, service, store};
+
+/// Runs stand-ins, the demonstration and measuring tools.
+#[derive(Debug, Parser)]
+#[command(name = "cumintrail-tests", version)]
+struct Arguments {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// Serve a prompt cold and when it returns, through the whole system.
+    Demo {
+        /// How results are written.
+        #[arg(long, value_enum, default_value_t = Format::Text)]
+        format: Format,
+    },
+    /// Run a platform.
+    Platform {
+        /// Where it listens.
+        #[arg(long, default_value = "127.0.0.1:7100")]
+        address: SocketAddr,
+        /// The time of one weight load.
+        #[arg(long, default_value_t = 1_000)]
+        load_ms: u64,
+        /// Loads at full speed.
+        #[arg(long, default_value_t = 2)]
+        load_slots: u32,
+    },
+    /// Run a model engine.
+    Engine {
+        /// Where it listens.
+        #[arg(long, default_value = "127.0.0.1:7201")]
+        address: SocketAddr,
+        /// The weight version that is loaded.
+        #[arg(long, default_value_t = 1)]
+        version: u64,
+        /// The platform's weight store.
+        #[arg(long)]
+        weights: Option<SocketAddr>,
+        /// Pieces of prompt state held in memory.
+        #[arg(long, default_value_t = 64)]
+        memory_pieces: usize,
+        /// Follow orders with old fencing numbers.
+        #[arg(long)]
+        ignore_fencing: bool,
+    },
+    /// Run a store.
+    Store {
+        /// Where it listens.
+        #[arg(long, default_value = "127.0.0.1:7301")]
+        address: SocketAddr,
+        /// Bytes a second over the link.
+        #[arg(long, default_value_t = 100 << 20)]
+        link_per_second: u64,
+    },
+    /// Run a plain service.
+    Service {
+        /// Where it listens.
+        #[arg(long, default_value = "127.0.0.1:7401")]
+        address: SocketAddr,
+    },
+    /// Run a relay.
+    Relay {
+        /// Where it listens.
+        #[arg(long)]
+        address: SocketAddr,
+        /// Where connections go.
+        #[arg(long)]
+        to: SocketAddr,
+        /// Where `POST /mode` is taken.
+        #[arg(long)]
+        control: SocketAddr,
+    },
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, ValueEnum)]
+enum Format {
+    /// For people.
+    Text,
+    /// For scripts.
+    Json,
+}
+
+fn main() -> ExitCode {
+    let arguments = Arguments::parse();
+    actix_rt::System::new().block_on(run(arguments.command))
+}
+
+async fn run(command: Command) -> ExitCode {
+    let started = match command {
+        Command::Demo { format } => return show_demo(format).await,
+        Command::Platform {
+            address,
+            load_ms,
+            load_slots,
+        } => platform::Platform::spawn(address, load_ms, load_slots).map(|p| p.address()),
+        Command::Engine {
+            address,
+            version,
+            weights,
+            memory_pieces,
+            ignore_fencing,
+        } => {
+            let checks_fencing = !ignore_fencing;
+            let limits = engine::Limits {
+                weights,
+                memory_pieces,
+                checks_fencing,
+                ..Default::default()
+            };
+            engine::Engine::spawn(address, version, limits).map(|e| e.address())
+        }
+        Command::Store {
+            address,
+            link_per_second,
+        } => {
+            let limits = store::Limits {
+                memory_bytes: 256 << 20,
+                capacity_bytes: 1 << 30,
+                link_per_second,
+                disk_per_second: 50 << 20,
+            };
+            store::Store::spawn(address, limits).map(|s| s.address())
+        }
+        Command::Service { address } => service::Service::spawn(address).map(|s| s.address()),
+        Command::Relay {
+            address,
+            to,
+            control,
+        } => match relay::Relay::spawn(address, to).await {
+            Ok(relay) => relay.serve_control(control).map(|_| relay.address()),
+            Err(e) => Err(e),
+        },
+    };
+    match started {
+        Ok(address) => {
+            println!("listening on {address}");
+            loop {
+                actix_rt::time::sleep(Duration::from_secs(3_600)).await;
+            }
+        }
+        Err(e) => {
+            eprintln!("cannot start: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn show_demo(format: Format) -> ExitCode {
+    let results = match demo::run().await {
+        Ok(results) => results,
+        Err(e) => {
+            eprintln!("{e}");
+            return ExitCode::FAILURE;
+        }
+    };
+    if format == Format::Json {
+        println!("{}", serde_json::to_string(&results).unwrap_or_default());
+    } else {
+        println!(
+            "{:<10} {:>14} {:>17} {:>12} {:>9}",
+            "PROMPT", "FIRST TOKEN ms", "RECOMPUTED SHARE", "LINK BYTES", "WHOLE"
+        );
+        for (name, m) in [("cold", &results.cold), ("returned", &results.returned)] {
+            println!(
+                "{name:<10} {:>14.1} {:>17.3} {:>12} {:>9}",
+                m.first_token_ms, m.recomputed_share, m.link_bytes, m.complete
+            );
+        }
+    }
+    if results.cold.complete && results.returned.complete {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    }
+}
--- /dev/null
+++ b/tests/src/standins/engine.rs
@@ -0,0 +1,689 @@
+//! A model engine: streams with event ids, limited prefix memory, KV export and import.
+//!
+//! Kept state of a piece is a fixed text of its key, so that a wrong block shows in the answer.
+
+use std::collections::{HashMap, HashSet, VecDeque};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use actix_http::body::{BodyStream, BoxBody};
+use actix_http::{Method, Request, StatusCode};
+use bytes::Bytes;
+use cumintrail_types::{BlockKey, Digest, FencingNumber, Incarnation, WeightVersion};
+use cumintrail_wire::engine::{
+    CALL_HEADER, CacheEvent, CacheEvents, END_EVENT, EndEvent, EngineReason, EngineRefusal,
+    ExportOrder, ExportReport, Generate, ImportOrder, ImportOutcome, ImportReport, LoadOrder,
+    Report, TOKEN_EVENT, TokenEvent,
+};
+use cumintrail_wire::store::{DIGEST_HEADER, WRITE_HEADER};
+use serde::{Deserialize, Serialize};
+use tokio::sync::{Notify, Semaphore, mpsc};
+
+use crate::http::{self, Answer, Running, empty, json};
+
+const EVENTS_KEPT: usize = 4_096;
+const TRANSFER_LIMIT: Duration = Duration::from_secs(30);
+const UNREAD_LIMIT: Duration = Duration::from_secs(10);
+/// Shows in an answer that was computed from a block of wrong bytes.
+pub const POISON: &str = "!poisoned!";
+
+/// Sets the speed and size of an engine.
+#[derive(Debug, Clone, Copy)]
+pub struct Limits {
+    /// Pieces of prompt state held in memory.
+    pub memory_pieces: usize,
+    /// Bytes of kept state per piece.
+    pub piece_bytes: usize,
+    /// Calls that run at once.
+    pub slots: usize,
+    /// Prompt tokens computed a second.
+    pub prefill_per_second: u32,
+    /// Time between two tokens of an answer.
+    pub token_time: Duration,
+    /// How old a load report is.
+    pub report_lag: Duration,
+    /// How late cache events are told.
+    pub event_lag: Duration,
+    /// Every how many cache events one is lost; zero for never.
+    pub event_gap_every: u64,
+    /// Whether orders with an old fencing number are refused.
+    pub checks_fencing: bool,
+    /// The platform's weight store.
+    pub weights: Option<SocketAddr>,
+    /// Bytes of prompt text counted as one token.
+    pub bytes_per_token: u32,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            memory_pieces: 512,
+            piece_bytes: 4 << 10,
+            slots: 8,
+            prefill_per_second: 20_000,
+            token_time: Duration::from_millis(2),
+            report_lag: Duration::from_millis(200),
+            event_lag: Duration::from_millis(100),
+            event_gap_every: 0,
+            checks_fencing: true,
+            weights: None,
+            bytes_per_token: 4,
+        }
+    }
+}
+
+/// Switches failures of an engine.
+#[derive(Debug, Clone, Copy, Default, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Fault {
+    /// Takes no new work.
+    pub leaving: bool,
+    /// Breaks connections off after this many events; zero for never.
+    pub cut_after: u32,
+    /// Falls silent on connections after this many events; zero for never.
+    pub silent_after: u32,
+    /// Answers with the call id of somebody else.
+    pub foreign_answers: bool,
+    /// Fails streams instead of resuming them.
+    pub forget_streams: bool,
+}
+
+struct Stream {
+    tokens: Vec<String>,
+    end: Option<EndEvent>,
+    changed: Arc<Notify>,
+    read: Instant,
+    cancelled: bool,
+    version: WeightVersion,
+}
+
+struct State {
+    incarnation: Incarnation,
+    version: WeightVersion,
+    loading: u32,
+    fencing: FencingNumber,
+    orders: Vec<(FencingNumber, WeightVersion)>,
+    memory: VecDeque<BlockKey>,
+    held: HashSet<BlockKey>,
+    wrong: HashSet<BlockKey>,
+    staged: HashMap<String, (BlockKey, Bytes)>,
+    streams: HashMap<String, Stream>,
+    events: VecDeque<(Instant, CacheEvent)>,
+    next_event: u64,
+    running: u32,
+    waiting: u32,
+    backlog: u32,
+    reports: VecDeque<(Instant, Report)>,
+    started: u64,
+    fault: Fault,
+}
+
+/// Runs an engine.
+#[derive(Clone)]
+pub struct Engine {
+    /// Its server.
+    pub running: Running,
+    inner: Arc<Inner>,
+}
+
+struct Inner {
+    limits: Limits,
+    state: Mutex<State>,
+    slots: Semaphore,
+    prefill: tokio::sync::Mutex<()>,
+}
+
+impl Engine {
+    /// Starts an engine that has `version` loaded.
+    pub fn spawn(address: SocketAddr, version: u64, limits: Limits) -> std::io::Result<Self> {
+        let state = State {
+            incarnation: Incarnation(rand::random()),
+            version: WeightVersion(version),
+            loading: 0,
+            fencing: FencingNumber(0),
+            orders: Vec::new(),
+            memory: VecDeque::new(),
+            held: HashSet::new(),
+            wrong: HashSet::new(),
+            staged: HashMap::new(),
+            streams: HashMap::new(),
+            events: VecDeque::new(),
+            next_event: 1,
+            running: 0,
+            waiting: 0,
+            backlog: 0,
+            reports: VecDeque::new(),
+            started: 0,
+            fault: Fault::default(),
+        };
+        let inner = Arc::new(Inner {
+            limits,
+            state: Mutex::new(state),
+            slots: Semaphore::new(limits.slots),
+            prefill: tokio::sync::Mutex::new(()),
+        });
+        let for_server = inner.clone();
+        let running = http::serve(address, move |req| answer(for_server.clone(), req))?;
+        Ok(Self { running, inner })
+    }
+
+    /// Returns where it listens.
+    pub const fn address(&self) -> SocketAddr {
+        self.running.address
+    }
+
+    /// Switches failures.
+    pub fn set_fault(&self, fault: Fault) {
+        self.inner.lock().fault = fault;
+    }
+
+    /// Evicts all prompt state, as memory pressure does.
+    pub fn evict_all(&self) {
+        let mut state = self.inner.lock();
+        while let Some(key) = state.memory.pop_front() {
+            state.held.remove(&key);
+            state.tell(key, false);
+        }
+    }
+
+    /// Returns the number of answers that it started.
+    pub fn started(&self) -> u64 {
+        self.inner.lock().started
+    }
+
+    /// Returns the orders that it followed.
+    pub fn orders(&self) -> Vec<(FencingNumber, WeightVersion)> {
+        self.inner.lock().orders.clone()
+    }
+}
+
+impl Inner {
+    fn lock(&self) -> std::sync::MutexGuard<'_, State> {
+        self.state.lock().expect("no holder panics")
+    }
+}
+
+impl State {
+    fn tell(&mut self, key: BlockKey, stored: bool) {
+        let event = CacheEvent {
+            number: self.next_event,
+            key,
+            stored,
+        };
+        self.next_event += 1;
+        self.events.push_back((Instant::now(), event));
+        if self.events.len() > EVENTS_KEPT {
+            self.events.pop_front();
+        }
+    }
+
+    fn hold(&mut self, key: BlockKey, limit: usize) {
+        if self.held.insert(key) {
+            self.memory.push_back(key);
+            self.tell(key, true);
+        } else if let Some(at) = self.memory.iter().position(|k| *k == key) {
+            self.memory.remove(at);
+            self.memory.push_back(key);
+        }
+        while self.memory.len() > limit {
+            let Some(oldest) = self.memory.pop_front() else {
+                return;
+            };
+            self.held.remove(&oldest);
+            self.wrong.remove(&oldest);
+            self.tell(oldest, false);
+        }
+    }
+
+    fn report(&self) -> Report {
+        Report {
+            incarnation: self.incarnation,
+            leaving: self.fault.leaving,
+            version: self.version,
+            loading: self.loading > 0,
+            running: self.running,
+            waiting: self.waiting,
+            prefill_backlog: self.backlog,
+        }
+    }
+}
+
+/// Returns the kept state of a piece.
+pub fn content_of(key: BlockKey, length: usize) -> Bytes {
+    let mut bytes = vec![0; length];
+    blake3::Hasher::new()
+        .update(&key.0)
+        .finalize_xof()
+        .fill(&mut bytes);
+    bytes.into()
+}
+
+/// Returns token `index` of the answer to a prompt, from zero.
+pub fn token_of(prompt: &str, version: WeightVersion, index: usize) -> String {
+    let mut hasher = blake3::Hasher::new();
+    hasher
+        .update(prompt.as_bytes())
+        .update(&version.0.to_le_bytes())
+        .update(&index.to_le_bytes());
+    let hash = hasher.finalize();
+    format!(" {:02x}{:02x}", hash.as_bytes()[0], hash.as_bytes()[1])
+}
+
+/// Returns the whole answer to a prompt.
+pub fn answer_of(prompt: &str, version: WeightVersion, tokens: usize) -> String {
+    (0..tokens).map(|i| token_of(prompt, version, i)).collect()
+}
+
+async fn answer(inner: Arc<Inner>, mut req: Request) -> Answer {
+    let path = req.path().to_owned();
+    let method = req.method().clone();
+    if let Some(call) = path.strip_prefix("/v1/streams/") {
+        let last = http::header(&req, "last-event-id")
+            .and_then(|v| v.parse().ok())
+            .unwrap_or(0);
+        return match method {
+            Method::DELETE => cancel(&inner, call),
+            _ => resume(&inner, call, last),
+        };
+    }
+    match (method, path.as_str()) {
+        (Method::POST, "/v1/generate") => match http::read(&mut req).await {
+            Some(request) => generate(&inner, request),
+            None => empty(StatusCode::BAD_REQUEST),
+        },
+        (Method::POST, "/v1/import") => match http::read(&mut req).await {
+            Some(order) => import(&inner, order).await,
+            None => empty(StatusCode::BAD_REQUEST),
+        },
+        (Method::POST, "/v1/export") => match http::read(&mut req).await {
+            Some(order) => export(&inner, order).await,
+            None => empty(StatusCode::BAD_REQUEST),
+        },
+        (Method::POST, "/v1/orders") => match http::read(&mut req).await {
+            Some(order) => take_order(&inner, order).await,
+            None => empty(StatusCode::BAD_REQUEST),
+        },
+        (Method::GET, "/v1/report") => report(&inner),
+        (Method::GET, "/v1/cache-events") => cache_events(&inner, &req),
+        (Method::POST, "/fault") => {
+            let fault = http::read(&mut req).await.unwrap_or_default();
+            inner.lock().fault = fault;
+            empty(StatusCode::OK)
+        }
+        _ => empty(StatusCode::NOT_FOUND),
+    }
+}
+
+fn refuse(reason: EngineReason) -> Answer {
+    json(StatusCode::CONFLICT, &EngineRefusal { reason })
+}
+
+fn generate(inner: &Arc<Inner>, request: Generate) -> Answer {
+    let call = request.call.clone();
+    {
+        let mut state = inner.lock();
+        if state.fault.leaving {
+            return refuse(EngineReason::Leaving);
+        }
+        if request.version != state.version {
+            return refuse(EngineReason::WrongVersion);
+        }
+        state.started += 1;
+        state.waiting += 1;
+        let stream = Stream {
+            tokens: request.answered.clone(),
+            end: None,
+            changed: Arc::new(Notify::new()),
+            read: Instant::now(),
+            cancelled: false,
+            version: request.version,
+        };
+        state.streams.insert(call.clone(), stream);
+    }
+    let last = request.answered.len() as u32;
+    actix_rt::spawn(run(inner.clone(), request));
+    stream_answer(inner, &call, last)
+}
+
+/// Computes an answer, whether or not somebody reads it.
+async fn run(inner: Arc<Inner>, request: Generate) {
+    let _slot = inner.slots.acquire().await;
+    let tokens_of = |text: &str| (text.len() as u32).div_ceil(inner.limits.bytes_per_token);
+    let prompt_tokens = tokens_of(&request.prompt);
+    let (cached, imported, poisoned) = take_prefix(&inner, &request);
+    let obtained = ((cached + imported) * request.piece_tokens).min(prompt_tokens);
+    let compute = prompt_tokens - obtained;
+    {
+        let mut state = inner.lock();
+        state.waiting -= 1;
+        state.running += 1;
+        state.backlog += compute;
+    }
+    {
+        let _turn = inner.prefill.lock().await;
+        let speed = f64::from(inner.limits.prefill_per_second.max(1));
+        actix_rt::time::sleep(Duration::from_secs_f64(f64::from(compute) / speed)).await;
+    }
+    {
+        let mut state = inner.lock();
+        state.backlog -= compute;
+        for key in &request.pieces {
+            state.hold(*key, inner.limits.memory_pieces);
+        }
+    }
+    let total = request.max_tokens as usize;
+    for index in request.answered.len()..total {
+        actix_rt::time::sleep(inner.limits.token_time).await;
+        let mut state = inner.lock();
+        let Some(stream) = state.streams.get_mut(&request.call) else {
+            break;
+        };
+        if stream.cancelled || stream.read.elapsed() > UNREAD_LIMIT {
+            break;
+        }
+        let text = if poisoned {
+            POISON.to_owned()
+        } else {
+            token_of(&request.prompt, stream.version, index)
+        };
+        stream.tokens.push(text);
+        stream.changed.notify_waiters();
+    }
+    let mut state = inner.lock();
+    state.running -= 1;
+    if let Some(stream) = state
+        .streams
+        .get_mut(&request.call)
+        .filter(|s| !s.cancelled)
+    {
+        stream.end = Some(EndEvent {
+            call: request.call.clone(),
+            reason: "length".into(),
+            prompt_tokens,
+            cached_tokens: (cached * request.piece_tokens).min(prompt_tokens),
+            imported_tokens: (imported * request.piece_tokens).min(prompt_tokens),
+            answer_tokens: total as u32,
+        });
+        stream.changed.notify_waiters();
+    }
+}
+
+/// Counts the leading pieces in memory and those that staged imports add.
+fn take_prefix(inner: &Inner, request: &Generate) -> (u32, u32, bool) {
+    let mut state = inner.lock();
+    let staged: HashMap<BlockKey, Bytes> = request
+        .imports
+        .iter()
+        .filter_map(|name| state.staged.remove(name))
+        .collect();
+    let (mut cached, mut imported, mut poisoned) = (0, 0, false);
+    for key in &request.pieces {
+        if state.held.contains(key) {
+            cached += 1;
+            poisoned |= state.wrong.contains(key);
+        } else if let Some(bytes) = staged.get(key) {
+            imported += 1;
+            if *bytes != content_of(*key, inner.limits.piece_bytes) {
+                state.wrong.insert(*key);
+                poisoned = true;
+            }
+        } else {
+            break;
+        }
+    }
+    (cached, imported, poisoned)
+}
+
+fn cancel(inner: &Inner, call: &str) -> Answer {
+    let mut state = inner.lock();
+    match state.streams.get_mut(call) {
+        Some(stream) => {
+            stream.cancelled = true;
+            stream.changed.notify_waiters();
+            empty(StatusCode::OK)
+        }
+        None => refuse(EngineReason::NotFound),
+    }
+}
+
+fn resume(inner: &Arc<Inner>, call: &str, last: u32) -> Answer {
+    {
+        let state = inner.lock();
+        if state.fault.forget_streams || !state.streams.contains_key(call) {
+            return refuse(EngineReason::NotFound);
+        }
+    }
+    stream_answer(inner, call, last)
+}
+
+fn stream_answer(inner: &Arc<Inner>, call: &str, last: u32) -> Answer {
+    let (tx, rx) = mpsc::channel::<Result<Bytes, std::io::Error>>(16);
+    actix_rt::spawn(feed(inner.clone(), call.to_owned(), last, tx));
+    let events =
+        futures_util::stream::unfold(rx, |mut rx| async { rx.recv().await.map(|e| (e, rx)) });
+    let mut answer = Answer::with_body(
+        StatusCode::OK,
+        BoxBody::new(BodyStream::new(Box::pin(events))),
+    );
+    let headers = answer.headers_mut();
+    let kind = actix_http::header::HeaderValue::from_static("text/event-stream");
+    headers.insert(actix_http::header::CONTENT_TYPE, kind);
+    if let Ok(value) = call.parse() {
+        headers.insert(
+            actix_http::header::HeaderName::from_static(CALL_HEADER),
+            value,
+        );
+    }
+    answer
+}
+
+/// What to write next to one connection.
+enum Next {
+    Event(Bytes),
+    End(Bytes),
+    Wait(Arc<Notify>),
+    Silence,
+    Cut,
+}
+
+/// Writes the events of a stream to one connection.
+async fn feed(
+    inner: Arc<Inner>,
+    call: String,
+    mut last: u32,
+    tx: mpsc::Sender<Result<Bytes, std::io::Error>>,
+) {
+    let mut sent = 0;
+    loop {
+        let next = next_event(&inner, &call, &mut last, sent);
+        match next {
+            Next::Event(chunk) => {
+                sent += 1;
+                if tx.send(Ok(chunk)).await.is_err() {
+                    return;
+                }
+            }
+            Next::End(chunk) => {
+                let _ = tx.send(Ok(chunk)).await;
+                return;
+            }
+            Next::Wait(changed) => {
+                // A notification between the look and the wait is caught by the time limit.
+                let wait = Duration::from_millis(20);
+                let _ = actix_rt::time::timeout(wait, changed.notified()).await;
+                if tx.is_closed() {
+                    return;
+                }
+            }
+            Next::Silence => return tx.closed().await,
+            Next::Cut => {
+                let _ = tx.send(Err(std::io::Error::other("cut"))).await;
+                return;
+            }
+        }
+    }
+}
+
+fn next_event(inner: &Inner, call: &str, last: &mut u32, sent: u32) -> Next {
+    let mut state = inner.lock();
+    let fault = state.fault;
+    let Some(stream) = state.streams.get_mut(call) else {
+        return Next::Cut;
+    };
+    stream.read = Instant::now();
+    let shown = if fault.foreign_answers {
+        "somebody-else"
+    } else {
+        call
+    };
+    match (stream.tokens.get(*last as usize), &stream.end) {
+        _ if fault.cut_after > 0 && sent >= fault.cut_after => Next::Cut,
+        _ if fault.silent_after > 0 && sent >= fault.silent_after => Next::Silence,
+        (Some(text), _) => {
+            *last += 1;
+            let event = TokenEvent {
+                call: shown.to_owned(),
+                text: text.clone(),
+            };
+            Next::Event(sse(TOKEN_EVENT, *last, &event))
+        }
+        (None, Some(end)) => {
+            let event = EndEvent {
+                call: shown.to_owned(),
+                ..end.clone()
+            };
+            Next::End(sse(END_EVENT, *last, &event))
+        }
+        (None, None) if stream.cancelled => Next::Cut,
+        (None, None) => Next::Wait(stream.changed.clone()),
+    }
+}
+
+fn sse<T: Serialize>(kind: &str, id: u32, event: &T) -> Bytes {
+    let data = serde_json::to_string(event).unwrap_or_default();
+    format!("id: {id}\nevent: {kind}\ndata: {data}\n\n").into()
+}
+
+async fn import(inner: &Inner, order: ImportOrder) -> Answer {
+    let path = format!("/blocks/{}", order.key);
+    let tag = format!("\"{}\"", order.write_id);
+    let got = http::send(
+        Method::GET,
+        order.store,
+        &path,
+        &[("if-match", &tag)],
+        Bytes::new(),
+        TRANSFER_LIMIT,
+    )
+    .await;
+    let outcome = match got.status {
+        200 if got.whole => {
+            let (digest, length) = (Digest::of(&got.body), got.body.len() as u64);
+            inner
+                .lock()
+                .staged
+                .insert(order.import, (order.key, got.body));
+            ImportOutcome::Staged {
+                digest,
+                length: length.into(),
+            }
+        }
+        404 | 412 => ImportOutcome::Missing,
+        _ => ImportOutcome::Failed,
+    };
+    json(StatusCode::OK, &ImportReport { outcome })
+}
+
+async fn export(inner: &Inner, order: ExportOrder) -> Answer {
+    if !inner.lock().held.contains(&order.key) {
+        return json(StatusCode::OK, &ExportReport { sealed: None });
+    }
+    let bytes = content_of(order.key, inner.limits.piece_bytes);
+    let (digest, length) = (Digest::of(&bytes), bytes.len() as u64);
+    let write_id = order.write_id.to_string();
+    let headers = [
+        (WRITE_HEADER, write_id.as_str()),
+        (DIGEST_HEADER, &digest.to_string()),
+    ];
+    let path = format!("/blocks/{}", order.key);
+    let got = http::send(
+        Method::PUT,
+        order.store,
+        &path,
+        &headers,
+        bytes,
+        TRANSFER_LIMIT,
+    )
+    .await;
+    let sealed = (got.status == 200).then(|| (digest, length.into()));
+    json(StatusCode::OK, &ExportReport { sealed })
+}
+
+async fn take_order(inner: &Inner, order: LoadOrder) -> Answer {
+    {
+        let mut state = inner.lock();
+        if inner.limits.checks_fencing && order.fencing < state.fencing {
+            return refuse(EngineReason::OldFencing);
+        }
+        state.fencing = state.fencing.max(order.fencing);
+        state.orders.push((order.fencing, order.version));
+        state.loading += 1;
+    }
+    if let Some(weights) = inner.limits.weights {
+        let path = format!("/weights/{}", order.version);
+        http::send(
+            Method::GET,
+            weights,
+            &path,
+            &[],
+            Bytes::new(),
+            TRANSFER_LIMIT,
+        )
+        .await;
+    }
+    let mut state = inner.lock();
+    state.loading -= 1;
+    state.version = order.version;
+    json(StatusCode::OK, &state.report())
+}
+
+fn report(inner: &Inner) -> Answer {
+    let mut state = inner.lock();
+    let now = Instant::now();
+    let fresh = state.report();
+    state.reports.push_back((now, fresh));
+    while state.reports.len() > 1 && state.reports[1].0 + inner.limits.report_lag <= now {
+        state.reports.pop_front();
+    }
+    let told = state.reports.front().map_or(fresh, |(_, report)| *report);
+    json(StatusCode::OK, &told)
+}
+
+fn cache_events(inner: &Inner, req: &Request) -> Answer {
+    let state = inner.lock();
+    let after = http::query(req, "after")
+        .and_then(|v| v.parse().ok())
+        .unwrap_or(0);
+    let every = inner.limits.event_gap_every;
+    let told = state
+        .events
+        .iter()
+        .filter(|(at, _)| at.elapsed() >= inner.limits.event_lag);
+    let events = told.map(|(_, e)| *e).filter(|e| e.number > after);
+    let events = events
+        .filter(|e| every == 0 || e.number % every != 0)
+        .collect();
+    let oldest = state
+        .events
+        .front()
+        .map_or(state.next_event, |(_, e)| e.number);
+    json(
+        StatusCode::OK,
+        &CacheEvents {
+            incarnation: state.incarnation,
+            oldest,
+            events,
+        },
+    )
+}
--- /dev/null
+++ b/tests/src/standins/platform.rs
@@ -0,0 +1,218 @@
+//! The platform: a transactional table, an object store, a VM list and a weight store.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use actix_http::{Method, Request, StatusCode};
+use bytes::Bytes;
+use cumintrail_wire::platform::{Committed, ListedVm, Row, Transaction, VmList};
+use serde::{Deserialize, Serialize};
+
+use crate::http::{self, Answer, Running, empty, json};
+
+/// Switches failures of the platform.
+#[derive(Debug, Clone, Copy, Default, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Fault {
+    /// Answers nothing but errors.
+    pub down: bool,
+    /// Waits before each answer, in milliseconds.
+    pub slow_ms: u64,
+    /// Lets writes take effect and then loses the answer.
+    pub lose_answers: bool,
+    /// Answers the VM list as it was at this sequence number; zero for the current one.
+    pub list_stuck_at: u64,
+}
+
+#[derive(Default)]
+struct State {
+    rows: BTreeMap<String, Row>,
+    objects: BTreeMap<String, Bytes>,
+    lists: Vec<VmList>,
+    fault: Fault,
+    loads: u32,
+    writes: u64,
+    reads: u64,
+}
+
+/// Runs a platform.
+#[derive(Clone)]
+pub struct Platform {
+    /// Its server.
+    pub running: Running,
+    state: Arc<Mutex<State>>,
+    load_ms: u64,
+    load_slots: u32,
+}
+
+impl Platform {
+    /// Starts a platform whose weight store takes `load_ms` for up to `load_slots` loads at once.
+    pub fn spawn(address: SocketAddr, load_ms: u64, load_slots: u32) -> std::io::Result<Self> {
+        let state = Arc::new(Mutex::new(State::default()));
+        let for_server = state.clone();
+        let running = http::serve(address, move |req| {
+            answer(for_server.clone(), req, load_ms, load_slots)
+        })?;
+        Ok(Self {
+            running,
+            state,
+            load_ms,
+            load_slots,
+        })
+    }
+
+    /// Returns where it listens.
+    pub const fn address(&self) -> SocketAddr {
+        self.running.address
+    }
+
+    /// Returns the time of one weight load and how many run at full speed.
+    pub const fn weight_store(&self) -> (u64, u32) {
+        (self.load_ms, self.load_slots)
+    }
+
+    /// Switches failures.
+    pub fn set_fault(&self, fault: Fault) {
+        self.lock().fault = fault;
+    }
+
+    /// Publishes a new VM list.
+    pub fn list_vms(&self, vms: Vec<ListedVm>) {
+        let mut state = self.lock();
+        let sequence = state.lists.len() as u64 + 1;
+        state.lists.push(VmList { sequence, vms });
+    }
+
+    /// Returns a row's value.
+    pub fn row(&self, key: &str) -> Option<String> {
+        self.lock().rows.get(key).map(|r| r.value.clone())
+    }
+
+    /// Returns the counts of table writes and reads.
+    pub fn table_use(&self) -> (u64, u64) {
+        let state = self.lock();
+        (state.writes, state.reads)
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, State> {
+        self.state.lock().expect("no holder panics")
+    }
+}
+
+async fn answer(
+    state: Arc<Mutex<State>>,
+    mut req: Request,
+    load_ms: u64,
+    load_slots: u32,
+) -> Answer {
+    let path = req.path().to_owned();
+    let method = req.method().clone();
+    if path == "/fault" {
+        let fault = http::read(&mut req).await.unwrap_or_default();
+        state.lock().expect("no holder panics").fault = fault;
+        return empty(StatusCode::OK);
+    }
+    let fault = state.lock().expect("no holder panics").fault;
+    actix_rt::time::sleep(Duration::from_millis(fault.slow_ms)).await;
+    if fault.down {
+        return empty(StatusCode::SERVICE_UNAVAILABLE);
+    }
+    if let Some(version) = path.strip_prefix("/weights/") {
+        return load_weights(&state, version, load_ms, load_slots).await;
+    }
+    let body = http::body(&mut req).await;
+    let writes = method != Method::GET;
+    let answer = {
+        let mut state = state.lock().expect("no holder panics");
+        match (method, path.as_str()) {
+            (Method::POST, "/table") => commit(&mut state, &body),
+            (Method::GET, "/vms") => json(StatusCode::OK, &listed(&state)),
+            (method, path) => match (method, path.split_at_checked(7), path.split_at_checked(9)) {
+                (Method::GET, Some(("/table/", key)), _) => {
+                    state.reads += 1;
+                    json(StatusCode::OK, &state.rows.get(key))
+                }
+                (Method::PUT, _, Some(("/objects/", name))) => {
+                    state.objects.insert(name.to_owned(), body);
+                    empty(StatusCode::OK)
+                }
+                (Method::GET, _, Some(("/objects/", name))) => match state.objects.get(name) {
+                    Some(object) => Answer::with_body(
+                        StatusCode::OK,
+                        actix_http::body::BoxBody::new(object.clone()),
+                    ),
+                    None => empty(StatusCode::NOT_FOUND),
+                },
+                (Method::POST, _, _) if path == "/vms" => publish(&mut state, &body),
+                _ => empty(StatusCode::NOT_FOUND),
+            },
+        }
+    };
+    if fault.lose_answers && writes {
+        // Longer than any client waits; the connection stays open without a word.
+        actix_rt::time::sleep(Duration::from_secs(3_600)).await;
+    }
+    answer
+}
+
+fn commit(state: &mut State, body: &[u8]) -> Answer {
+    let Ok(transaction) = serde_json::from_slice::<Transaction>(body) else {
+        return empty(StatusCode::BAD_REQUEST);
+    };
+    state.writes += 1;
+    let conditions = transaction.conditions.iter();
+    let found: Vec<Option<Row>> = conditions
+        .map(|c| state.rows.get(&c.key).cloned())
+        .collect();
+    let committed = transaction
+        .conditions
+        .iter()
+        .zip(&found)
+        .all(|(c, row)| row.as_ref().map_or(0, |r| r.version) == c.version);
+    if committed {
+        for write in transaction.writes {
+            let version = state.rows.get(&write.key).map_or(0, |r| r.version) + 1;
+            match write.value {
+                Some(value) => state.rows.insert(write.key, Row { version, value }),
+                None => state.rows.remove(&write.key),
+            };
+        }
+    }
+    json(StatusCode::OK, &Committed { committed, found })
+}
+
+fn listed(state: &State) -> VmList {
+    match state.fault.list_stuck_at {
+        0 => state.lists.last().cloned().unwrap_or_default(),
+        at => state
+            .lists
+            .iter()
+            .find(|l| l.sequence == at)
+            .cloned()
+            .unwrap_or_default(),
+    }
+}
+
+fn publish(state: &mut State, body: &[u8]) -> Answer {
+    let Ok(vms) = serde_json::from_slice::<Vec<ListedVm>>(body) else {
+        return empty(StatusCode::BAD_REQUEST);
+    };
+    let sequence = state.lists.len() as u64 + 1;
+    state.lists.push(VmList { sequence, vms });
+    empty(StatusCode::OK)
+}
+
+/// Takes longer when more than `slots` replicas load at once.
+async fn load_weights(state: &Mutex<State>, version: &str, load_ms: u64, slots: u32) -> Answer {
+    let loads = {
+        let mut state = state.lock().expect("no holder panics");
+        state.loads += 1;
+        state.loads
+    };
+    let factor = u64::from(loads.div_ceil(slots.max(1)));
+    actix_rt::time::sleep(Duration::from_millis(load_ms * factor)).await;
+    state.lock().expect("no holder panics").loads -= 1;
+    json(StatusCode::OK, &version)
+}
--- /dev/null
+++ b/tests/src/standins/relay.rs
@@ -0,0 +1,143 @@
+//! A TCP relay that cuts, delays or silences connections.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+use crate::http::{self, Running, empty};
+
+const CHUNK_BYTES: usize = 16 << 10;
+
+/// Tells what a relay does with connections.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Mode {
+    /// Passes everything on.
+    #[default]
+    Pass,
+    /// Closes open connections and new ones at once.
+    Cut,
+    /// Keeps connections that are open now without a word; new ones work.
+    SilenceOpen,
+    /// Accepts connections and passes nothing on.
+    SilenceAll,
+}
+
+#[derive(Debug, Clone, Copy, Default)]
+struct Rule {
+    mode: Mode,
+    /// Connections with a lower number are silent for good.
+    silenced_below: u64,
+    delay: Duration,
+}
+
+/// Runs a relay.
+#[derive(Clone)]
+pub struct Relay {
+    address: SocketAddr,
+    rule: Arc<watch::Sender<Rule>>,
+    accepted: Arc<std::sync::atomic::AtomicU64>,
+}
+
+impl Relay {
+    /// Relays connections to `address` on to `to`.
+    pub async fn spawn(address: SocketAddr, to: SocketAddr) -> std::io::Result<Self> {
+        let listener = TcpListener::bind(address).await?;
+        let relay = Self {
+            address: listener.local_addr()?,
+            rule: Arc::new(watch::channel(Rule::default()).0),
+            accepted: Arc::default(),
+        };
+        let (rule, accepted) = (relay.rule.clone(), relay.accepted.clone());
+        actix_rt::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let number = accepted.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+                actix_rt::spawn(pass(stream, to, number, rule.subscribe()));
+            }
+        });
+        Ok(relay)
+    }
+
+    /// Returns where it listens.
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Changes what happens to connections.
+    pub fn set(&self, mode: Mode) {
+        let silenced_below = self.accepted.load(std::sync::atomic::Ordering::Relaxed);
+        self.rule.send_modify(|rule| {
+            if mode == Mode::SilenceOpen || rule.mode == Mode::SilenceAll {
+                rule.silenced_below = silenced_below;
+            }
+            rule.mode = mode;
+        });
+    }
+
+    /// Delays each chunk.
+    pub fn set_delay(&self, delay: Duration) {
+        self.rule.send_modify(|rule| rule.delay = delay);
+    }
+
+    /// Takes `POST /mode` on `address`, for use as a process of its own.
+    pub fn serve_control(&self, address: SocketAddr) -> std::io::Result<Running> {
+        let relay = self.clone();
+        http::serve(address, move |mut req| {
+            let relay = relay.clone();
+            async move {
+                match http::read::<Mode>(&mut req).await {
+                    Some(mode) => relay.set(mode),
+                    None => return empty(actix_http::StatusCode::BAD_REQUEST),
+                }
+                empty(actix_http::StatusCode::OK)
+            }
+        })
+    }
+}
+
+async fn pass(near: TcpStream, to: SocketAddr, number: u64, mut rule: watch::Receiver<Rule>) {
+    if rule.borrow().mode == Mode::Cut {
+        return;
+    }
+    let Ok(far) = TcpStream::connect(to).await else {
+        return;
+    };
+    let (near_read, near_write) = near.into_split();
+    let (far_read, far_write) = far.into_split();
+    let up = copy(near_read, far_write, number, rule.clone());
+    let down = copy(far_read, near_write, number, rule.clone());
+    tokio::select! {
+        _ = async { tokio::join!(up, down) } => {}
+        _ = rule.wait_for(|rule| rule.mode == Mode::Cut) => {}
+    }
+}
+
+async fn copy(
+    mut from: impl AsyncReadExt + Unpin,
+    mut to: impl AsyncWriteExt + Unpin,
+    number: u64,
+    mut rule: watch::Receiver<Rule>,
+) {
+    let mut buf = vec![0; CHUNK_BYTES];
+    while let Ok(read) = from.read(&mut buf).await {
+        let delay = rule.borrow().delay;
+        actix_rt::time::sleep(delay).await;
+        let passes = |rule: &Rule| match rule.mode {
+            Mode::Cut | Mode::SilenceAll => false,
+            Mode::Pass | Mode::SilenceOpen => number >= rule.silenced_below,
+        };
+        // A silenced connection stays silent for good, as when something has lost track of it.
+        if rule.wait_for(passes).await.is_err()
+            || read == 0
+            || to.write_all(&buf[..read]).await.is_err()
+        {
+            break;
+        }
+    }
+    let _ = to.shutdown().await;
+}
--- /dev/null
+++ b/tests/src/standins/store.rs
@@ -0,0 +1,289 @@
+//! A store VM: memory and disk behind one limited link.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use actix_http::body::BoxBody;
+use actix_http::{Method, Request, StatusCode};
+use bytes::Bytes;
+use cumintrail_types::{BlockKey, Digest, Incarnation, Sealed, Tier, WriteId};
+use cumintrail_wire::store::{DIGEST_HEADER, ListedBlock, Listing, WRITE_HEADER, Written};
+use serde::{Deserialize, Serialize};
+
+use crate::http::{self, Answer, Running, empty, json};
+
+/// Sets the limits of a store.
+#[derive(Debug, Clone, Copy)]
+pub struct Limits {
+    /// Bytes in memory; the rest goes to disk.
+    pub memory_bytes: u64,
+    /// Bytes in all.
+    pub capacity_bytes: u64,
+    /// Bytes a second over the link.
+    pub link_per_second: u64,
+    /// Bytes a second from disk.
+    pub disk_per_second: u64,
+}
+
+/// Switches failures of a store.
+#[derive(Debug, Clone, Copy, Default, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Fault {
+    /// Keeps only half of what is written and lists it as complete.
+    pub torn_writes: bool,
+    /// Refuses writes as if full.
+    pub full: bool,
+    /// Divides the link's speed.
+    pub slow_factor: u64,
+    /// Answers nothing but errors.
+    pub down: bool,
+}
+
+struct Block {
+    sealed: Sealed,
+    tier: Tier,
+    bytes: Bytes,
+}
+
+struct State {
+    incarnation: Incarnation,
+    blocks: BTreeMap<BlockKey, Block>,
+    fault: Fault,
+    limits: Limits,
+    sent_bytes: u64,
+}
+
+/// Runs a store.
+#[derive(Clone)]
+pub struct Store {
+    /// Its server.
+    pub running: Running,
+    state: Arc<Mutex<State>>,
+}
+
+impl Store {
+    /// Starts an empty store.
+    pub fn spawn(address: SocketAddr, limits: Limits) -> std::io::Result<Self> {
+        let state = State {
+            incarnation: Incarnation(rand::random()),
+            blocks: BTreeMap::new(),
+            fault: Fault::default(),
+            limits,
+            sent_bytes: 0,
+        };
+        let state = Arc::new(Mutex::new(state));
+        let link = Arc::new(tokio::sync::Mutex::new(()));
+        let for_server = state.clone();
+        let running = http::serve(address, move |req| {
+            answer(for_server.clone(), link.clone(), req)
+        })?;
+        Ok(Self { running, state })
+    }
+
+    /// Returns where it listens.
+    pub const fn address(&self) -> SocketAddr {
+        self.running.address
+    }
+
+    /// Switches failures.
+    pub fn set_fault(&self, fault: Fault) {
+        self.lock().fault = fault;
+    }
+
+    /// Returns the sealed blocks.
+    pub fn blocks(&self) -> Vec<Sealed> {
+        self.lock().blocks.values().map(|b| b.sealed).collect()
+    }
+
+    /// Frees all blocks, as a store does that needs room.
+    pub fn free_all(&self) {
+        self.lock().blocks.clear();
+    }
+
+    /// Replaces the bytes of all blocks without changing their seals, as a broken store would.
+    pub fn corrupt_all(&self) {
+        for block in self.lock().blocks.values_mut() {
+            block.bytes = vec![0; block.bytes.len()].into();
+        }
+    }
+
+    /// Returns the bytes read from it.
+    pub fn sent_bytes(&self) -> u64 {
+        self.lock().sent_bytes
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, State> {
+        self.state.lock().expect("no holder panics")
+    }
+}
+
+async fn answer(
+    state: Arc<Mutex<State>>,
+    link: Arc<tokio::sync::Mutex<()>>,
+    mut req: Request,
+) -> Answer {
+    let path = req.path().to_owned();
+    if path == "/fault" {
+        let fault = http::read(&mut req).await.unwrap_or_default();
+        state.lock().expect("no holder panics").fault = fault;
+        return empty(StatusCode::OK);
+    }
+    if state.lock().expect("no holder panics").fault.down {
+        return empty(StatusCode::SERVICE_UNAVAILABLE);
+    }
+    let key = path
+        .strip_prefix("/blocks/")
+        .and_then(|text| text.parse::<BlockKey>().ok());
+    match (req.method().clone(), key) {
+        (Method::GET, None) if path == "/blocks" => list(&state, &req),
+        (Method::GET, Some(key)) => read(&state, &link, key, &req).await,
+        (Method::PUT, Some(key)) => write(&state, &link, key, req).await,
+        (Method::DELETE, Some(key)) => free(&state, key, &req),
+        _ => empty(StatusCode::NOT_FOUND),
+    }
+}
+
+fn list(state: &Mutex<State>, req: &Request) -> Answer {
+    let state = state.lock().expect("no holder panics");
+    let after = http::query(req, "after").and_then(|text| text.parse::<BlockKey>().ok());
+    let limit = http::query(req, "limit")
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(1_000);
+    let listed = state
+        .blocks
+        .values()
+        .filter(|b| after.is_none_or(|after| b.sealed.key > after));
+    let mut blocks: Vec<ListedBlock> = listed
+        .take(limit + 1)
+        .map(|b| ListedBlock {
+            sealed: b.sealed,
+            tier: b.tier,
+        })
+        .collect();
+    let more = blocks.len() > limit;
+    blocks.truncate(limit);
+    json(
+        StatusCode::OK,
+        &Listing {
+            incarnation: state.incarnation,
+            blocks,
+            more,
+        },
+    )
+}
+
+async fn read(
+    state: &Mutex<State>,
+    link: &tokio::sync::Mutex<()>,
+    key: BlockKey,
+    req: &Request,
+) -> Answer {
+    let (bytes, write_id, pause) = {
+        let mut state = state.lock().expect("no holder panics");
+        let Some(block) = state.blocks.get(&key) else {
+            return empty(StatusCode::NOT_FOUND);
+        };
+        let tag = format!("\"{}\"", block.sealed.write_id);
+        if http::header(req, "if-match").is_some_and(|wanted| wanted != tag) {
+            return empty(StatusCode::PRECONDITION_FAILED);
+        }
+        let (bytes, write_id, tier) = (block.bytes.clone(), block.sealed.write_id, block.tier);
+        let length = bytes.len() as u64;
+        state.sent_bytes += length;
+        let pause = transfer(&state, length, tier);
+        (bytes, write_id, pause)
+    };
+    let _held = link.lock().await;
+    actix_rt::time::sleep(pause).await;
+    let mut answer = Answer::with_body(StatusCode::OK, BoxBody::new(bytes));
+    if let Ok(tag) = format!("\"{write_id}\"").parse() {
+        answer.headers_mut().insert(actix_http::header::ETAG, tag);
+    }
+    answer
+}
+
+async fn write(
+    state: &Mutex<State>,
+    link: &tokio::sync::Mutex<()>,
+    key: BlockKey,
+    mut req: Request,
+) -> Answer {
+    let write_id = http::header(&req, WRITE_HEADER).and_then(|v| v.parse::<WriteId>().ok());
+    let digest = http::header(&req, DIGEST_HEADER).and_then(|v| v.parse::<Digest>().ok());
+    let (Some(write_id), Some(digest)) = (write_id, digest) else {
+        return empty(StatusCode::BAD_REQUEST);
+    };
+    let mut bytes = http::body(&mut req).await;
+    let length = cumintrail_types::Bytes(bytes.len() as u64);
+    let pause = transfer(
+        &state.lock().expect("no holder panics"),
+        length.0,
+        Tier::Memory,
+    );
+    let _held = link.lock().await;
+    actix_rt::time::sleep(pause).await;
+
+    let mut state = state.lock().expect("no holder panics");
+    let used: u64 = state.blocks.values().map(|b| b.bytes.len() as u64).sum();
+    if state.fault.full || used + length.0 > state.limits.capacity_bytes {
+        return empty(StatusCode::INSUFFICIENT_STORAGE);
+    }
+    if state.fault.torn_writes {
+        bytes.truncate(bytes.len() / 2);
+    } else if Digest::of(&bytes) != digest {
+        return empty(StatusCode::BAD_REQUEST);
+    }
+    let tier = if used + length.0 <= state.limits.memory_bytes {
+        Tier::Memory
+    } else {
+        Tier::Disk
+    };
+    let sealed = Sealed {
+        key,
+        write_id,
+        digest,
+        length,
+    };
+    state.blocks.insert(
+        key,
+        Block {
+            sealed,
+            tier,
+            bytes,
+        },
+    );
+    json(
+        StatusCode::OK,
+        &Written {
+            write_id,
+            digest,
+            length,
+            tier,
+        },
+    )
+}
+
+fn free(state: &Mutex<State>, key: BlockKey, req: &Request) -> Answer {
+    let mut state = state.lock().expect("no holder panics");
+    let Some(block) = state.blocks.get(&key) else {
+        return empty(StatusCode::NOT_FOUND);
+    };
+    let tag = format!("\"{}\"", block.sealed.write_id);
+    if http::header(req, "if-match").as_ref() != Some(&tag) {
+        return empty(StatusCode::PRECONDITION_FAILED);
+    }
+    state.blocks.remove(&key);
+    empty(StatusCode::OK)
+}
+
+fn transfer(state: &State, length: u64, tier: Tier) -> Duration {
+    let limits = &state.limits;
+    let speed = match tier {
+        Tier::Memory => limits.link_per_second,
+        Tier::Disk => limits.link_per_second.min(limits.disk_per_second),
+    };
+    let speed = speed / state.fault.slow_factor.max(1);
+    Duration::from_secs_f64(length as f64 / speed.max(1) as f64)
+}
