--- a/crates/cumintrail-cli/src/access.rs
+++ b/crates/cumintrail-cli/src/access.rs
@@ -55,10 +55,8 @@
     /// Lists the daemons by operator address and failure domain.
     pub async fn daemons(&self) -> Result<Vec<(SocketAddr, String)>, ClientError> {
         let list = self.platform.vms().await?;
-        let daemons = list
-            .vms
-            .into_iter()
-            .filter(|vm| vm.role == ListedRole::Daemon && !vm.leaving);
+        let daemons =
+            list.vms.into_iter().filter(|vm| vm.role == ListedRole::Daemon && !vm.leaving);
         Ok(daemons.map(|vm| (vm.address, vm.domain)).collect())
     }
 
@@ -71,10 +69,6 @@
         let req = self.http.request(Method::GET, daemon, path);
         let key = format!("Bearer {}", self.operator_key.expose());
         let req = req.insert_header(("authorization", key));
-        self.http
-            .send(req, bytes::Bytes::new())
-            .await?
-            .json(TIMEOUT)
-            .await
+        self.http.send(req, bytes::Bytes::new()).await?.json(TIMEOUT).await
     }
 }
--- a/crates/cumintrail-cli/src/commands.rs
+++ b/crates/cumintrail-cli/src/commands.rs
@@ -1,6 +1,7 @@
 //! The commands and their output.
 
 use std::path::{Path, PathBuf};
+use std::process::ExitCode;
 use std::time::{Duration, Instant};
 
 use clap::{CommandFactory, Parser, Subcommand, ValueEnum};
@@ -21,12 +22,7 @@
 #[command(name = "cumintrail", version)]
 pub struct Arguments {
     /// The operator's access file, with [platform] and [operator].
-    #[arg(
-        long,
-        global = true,
-        value_name = "FILE",
-        default_value = "operator.ini"
-    )]
+    #[arg(long, global = true, value_name = "FILE", default_value = "operator.ini")]
     access: PathBuf,
     /// How results are written.
     #[arg(long, global = true, value_enum, default_value_t = Format::Text)]
@@ -99,6 +95,20 @@
     },
 }
 
+/// Runs a command in a system of its own, prints its output, and returns the exit code.
+pub fn run_to_exit(arguments: Arguments) -> ExitCode {
+    match actix_rt::System::new().block_on(run(arguments)) {
+        Ok(output) => {
+            println!("{output}");
+            ExitCode::SUCCESS
+        }
+        Err(e) => {
+            eprintln!("{e}");
+            ExitCode::from(e.exit_code())
+        }
+    }
+}
+
 /// Runs a command and returns its output.
 pub async fn run(arguments: Arguments) -> Result<String, CliError> {
     let format = arguments.format;
@@ -123,21 +133,13 @@
         Command::Apply { directory, wait } => {
             let generation = publish::apply(access, directory).await?;
             confirm(access, generation, *wait).await?;
-            Ok(render(format, &generation, || {
-                format!("generation {generation} is accepted")
-            }))
+            Ok(render(format, &generation, || format!("generation {generation} is accepted")))
         }
-        Command::Preset {
-            command: PresetCommand::List,
-        } => list_presets(access, format).await,
-        Command::Preset {
-            command: PresetCommand::Switch { name, wait },
-        } => {
+        Command::Preset { command: PresetCommand::List } => list_presets(access, format).await,
+        Command::Preset { command: PresetCommand::Switch { name, wait } } => {
             let generation = publish::switch_preset(access, name).await?;
             confirm(access, generation, *wait).await?;
-            Ok(render(format, &generation, || {
-                format!("generation {generation} is accepted")
-            }))
+            Ok(render(format, &generation, || format!("generation {generation} is accepted")))
         }
         Command::Status => {
             let rows = statuses(access).await?;
@@ -163,10 +165,7 @@
     let read = std::io::stdin().read_line(&mut line);
     let key = line.trim();
     if read.is_err() || key.is_empty() {
-        let (message, hint) = (
-            "no key on standard input",
-            "pipe the API key into the command",
-        );
+        let (message, hint) = ("no key on standard input", "pipe the API key into the command");
         return UsageSnafu { message, hint }.fail();
     }
     Ok(Digest::of(key.as_bytes()).to_string())
@@ -180,20 +179,8 @@
 
 fn describe(change: &publish::Change) -> String {
     let mut lines = vec![format!("changes to generation {}:", change.from)];
-    lines.extend(
-        change
-            .delta
-            .set
-            .iter()
-            .map(|(name, _)| format!("  set     [{name}]")),
-    );
-    lines.extend(
-        change
-            .delta
-            .removed
-            .iter()
-            .map(|name| format!("  remove  [{name}]")),
-    );
+    lines.extend(change.delta.set.iter().map(|(name, _)| format!("  set     [{name}]")));
+    lines.extend(change.delta.removed.iter().map(|name| format!("  remove  [{name}]")));
     if change.delta.is_empty() {
         lines.push("  none".into());
     }
@@ -203,23 +190,12 @@
 
 async fn list_presets(access: &Access, format: Format) -> Result<String, CliError> {
     let accepted = publish::Accepted::read(access).await?;
-    let presets = accepted
-        .sections
-        .0
-        .keys()
-        .filter(|name| &*name.kind == "preset");
+    let presets = accepted.sections.0.keys().filter(|name| &*name.kind == "preset");
     let rows: Vec<(String, bool)> = presets
-        .map(|name| {
-            (
-                name.name.to_string(),
-                accepted.preset.as_deref() == Some(&*name.name),
-            )
-        })
+        .map(|name| (name.name.to_string(), accepted.preset.as_deref() == Some(&*name.name)))
         .collect();
     let line = |(name, on): &(String, bool)| format!("{} {name}", if *on { "*" } else { " " });
-    Ok(render(format, &rows, || {
-        rows.iter().map(line).collect::<Vec<_>>().join("\n")
-    }))
+    Ok(render(format, &rows, || rows.iter().map(line).collect::<Vec<_>>().join("\n")))
 }
 
 /// Tells what one daemon answered.
@@ -233,18 +209,11 @@
 async fn statuses(access: &Access) -> Result<Vec<StatusRow>, CliError> {
     let hint = "the VM list is needed to find the daemons";
     let daemons = access.daemons().await;
-    let daemons = daemons.context(UnreachableSnafu {
-        what: "the VM list",
-        hint,
-    })?;
+    let daemons = daemons.context(UnreachableSnafu { what: "the VM list", hint })?;
     let mut rows = Vec::new();
     for (address, domain) in daemons {
         let status = access.get::<Status>(address, "/operator/status").await.ok();
-        rows.push(StatusRow {
-            domain,
-            address: address.to_string(),
-            status,
-        });
+        rows.push(StatusRow { domain, address: address.to_string(), status });
     }
     rows.sort_by(|a, b| (&a.domain, &a.address).cmp(&(&b.domain, &b.address)));
     Ok(rows)
@@ -268,10 +237,7 @@
                 s.calls,
                 s.degraded.join("; ")
             ),
-            None => format!(
-                "{:<14} {:<12} {:<22} no answer",
-                row.domain, "?", row.address
-            ),
+            None => format!("{:<14} {:<12} {:<22} no answer", row.domain, "?", row.address),
         };
         lines.push(line.trim_end().to_owned());
     }
@@ -288,23 +254,15 @@
     let deadline = Instant::now() + Duration::from_secs(seconds);
     loop {
         let rows = statuses(access).await?;
-        let behind = rows.iter().filter(|row| {
-            row.status
-                .as_ref()
-                .is_none_or(|s| s.generation < generation)
-        });
-        let missing: Vec<String> = behind
-            .map(|r| format!("{} ({})", r.domain, r.address))
-            .collect();
+        let behind =
+            rows.iter().filter(|row| row.status.as_ref().is_none_or(|s| s.generation < generation));
+        let missing: Vec<String> =
+            behind.map(|r| format!("{} ({})", r.domain, r.address)).collect();
         if missing.is_empty() {
             return Ok(());
         }
         if Instant::now() >= deadline {
-            return UnconfirmedSnafu {
-                generation,
-                missing: missing.join(", "),
-            }
-            .fail();
+            return UnconfirmedSnafu { generation, missing: missing.join(", ") }.fail();
         }
         actix_rt::time::sleep(CONFIRM_POLL).await;
     }
@@ -319,18 +277,12 @@
             continue;
         };
         let hint = "the daemon may have stopped; look at `cumintrail status`";
-        let state = access
-            .get::<serde_json::Value>(address, "/debug/state")
-            .await;
+        let state = access.get::<serde_json::Value>(address, "/debug/state").await;
         let state = state.context(UnreachableSnafu { what: vm, hint })?;
         return Ok(serde_json::to_string_pretty(&state).unwrap_or_default());
     }
     let hint = "look at `cumintrail status` for the names";
-    UsageSnafu {
-        message: format!("no daemon of VM `{vm}` answers"),
-        hint,
-    }
-    .fail()
+    UsageSnafu { message: format!("no daemon of VM `{vm}` answers"), hint }.fail()
 }
 
 fn render<T: Serialize>(format: Format, value: &T, text: impl FnOnce() -> String) -> String {
--- a/crates/cumintrail-cli/src/lib.rs
+++ b/crates/cumintrail-cli/src/lib.rs
@@ -6,6 +6,6 @@
 mod publish;
 
 pub use access::Access;
-pub use commands::{Arguments, run};
+pub use commands::{Arguments, run, run_to_exit};
 pub use errors::CliError;
 pub use publish::{Accepted, Change, apply, plan, switch_preset};
--- a/crates/cumintrail-cli/src/main.rs
+++ b/crates/cumintrail-cli/src/main.rs
@@ -3,18 +3,8 @@
 use std::process::ExitCode;
 
 use clap::Parser;
-use cumintrail_cli::{Arguments, run};
+use cumintrail_cli::{Arguments, run_to_exit};
 
 fn main() -> ExitCode {
-    let arguments = Arguments::parse();
-    match actix_rt::System::new().block_on(run(arguments)) {
-        Ok(output) => {
-            println!("{output}");
-            ExitCode::SUCCESS
-        }
-        Err(e) => {
-            eprintln!("{e}");
-            ExitCode::from(e.exit_code())
-        }
-    }
+    run_to_exit(Arguments::parse())
 }
--- a/crates/cumintrail-cli/src/publish.rs
+++ b/crates/cumintrail-cli/src/publish.rs
@@ -53,26 +53,16 @@
             .platform
             .read(HEAD_KEY)
             .await
-            .context(UnreachableSnafu {
-                what: PLATFORM,
-                hint,
-            })?;
+            .context(UnreachableSnafu { what: PLATFORM, hint })?;
         let Some(row) = row else {
             let sections = Sections::default();
-            return Ok(Self {
-                generation: Generation(0),
-                preset: None,
-                sections,
-                head_version: 0,
-            });
+            return Ok(Self { generation: Generation(0), preset: None, sections, head_version: 0 });
         };
         let head: HeadRecord = decode(HEAD_KEY, row.value.as_bytes())?;
         let first = read_change(access, head.snapshot).await?;
         let name = snapshot_name(head.snapshot, &first.change);
-        let body = access.platform.get(&name).await.context(UnreachableSnafu {
-            what: PLATFORM,
-            hint,
-        })?;
+        let body =
+            access.platform.get(&name).await.context(UnreachableSnafu { what: PLATFORM, hint })?;
         let record: SnapshotRecord = decode(&name, &body.unwrap_or_default())?;
         let mut sections = record.to_sections();
         let mut preset = record.preset;
@@ -82,12 +72,7 @@
             preset = change.preset;
         }
         let head_version = row.version;
-        Ok(Self {
-            generation: head.generation,
-            preset: Some(preset),
-            sections,
-            head_version,
-        })
+        Ok(Self { generation: head.generation, preset: Some(preset), sections, head_version })
     }
 }
 
@@ -99,11 +84,7 @@
     let next = Generation(accepted.generation.0 + 1);
     let checked = Snapshot::build(next, &parsed, preset.as_deref(), None)?;
     let delta = accepted.sections.delta_to(&sections);
-    let change = Change {
-        from: accepted.generation,
-        delta,
-        preset: checked.preset.name.clone(),
-    };
+    let change = Change { from: accepted.generation, delta, preset: checked.preset.name.clone() };
     Ok((accepted, change))
 }
 
@@ -125,11 +106,7 @@
     let parsed = accepted.sections.to_parsed()?;
     let next = Generation(accepted.generation.0 + 1);
     Snapshot::build(next, &parsed, Some(name), None)?;
-    let change = Change {
-        from: accepted.generation,
-        delta: Delta::default(),
-        preset: name.into(),
-    };
+    let change = Change { from: accepted.generation, delta: Delta::default(), preset: name.into() };
     publish(access, &accepted, change).await
 }
 
@@ -151,46 +128,23 @@
     let name = snapshot_name(generation, &id);
     let hint = TRY_AGAIN;
     let stored = access.platform.put(&name, encode(&snapshot).into()).await;
-    stored.context(UnreachableSnafu {
-        what: PLATFORM,
-        hint,
-    })?;
+    stored.context(UnreachableSnafu { what: PLATFORM, hint })?;
 
-    let record = ChangeRecord {
-        generation,
-        change: id.clone(),
-        delta: change.delta,
-        preset: change.preset,
-    };
-    let head = HeadRecord {
-        generation,
-        change: id.clone(),
-        snapshot: generation,
-    };
+    let record =
+        ChangeRecord { generation, change: id.clone(), delta: change.delta, preset: change.preset };
+    let head = HeadRecord { generation, change: id.clone(), snapshot: generation };
     let transaction = Transaction {
-        conditions: vec![Condition {
-            key: HEAD_KEY.into(),
-            version: accepted.head_version,
-        }],
+        conditions: vec![Condition { key: HEAD_KEY.into(), version: accepted.head_version }],
         writes: vec![
-            Write {
-                key: HEAD_KEY.into(),
-                value: Some(encode(&head)),
-            },
-            Write {
-                key: change_key(generation),
-                value: Some(encode(&record)),
-            },
+            Write { key: HEAD_KEY.into(), value: Some(encode(&head)) },
+            Write { key: change_key(generation), value: Some(encode(&record)) },
         ],
     };
     match access.platform.commit(&transaction).await {
         Ok(reply) if reply.committed => Ok(generation),
         Ok(_) => settle(access, generation, &id).await,
         Err(e) if e.may_have_arrived() => settle(access, generation, &id).await,
-        Err(e) => Err(e).context(UnreachableSnafu {
-            what: PLATFORM,
-            hint,
-        }),
+        Err(e) => Err(e).context(UnreachableSnafu { what: PLATFORM, hint }),
     }
 }
 
@@ -205,44 +159,27 @@
                 if found.change == id {
                     return Ok(generation);
                 }
-                let changed = found
-                    .delta
-                    .set
-                    .iter()
-                    .map(|(name, _)| name)
-                    .chain(&found.delta.removed);
+                let changed =
+                    found.delta.set.iter().map(|(name, _)| name).chain(&found.delta.removed);
                 let names: Vec<String> = changed.map(ToString::to_string).collect();
                 let sections = names.join(", ");
-                return ConflictSnafu {
-                    accepted: found.generation,
-                    sections,
-                }
-                .fail();
+                return ConflictSnafu { accepted: found.generation, sections }.fail();
             }
             Ok(None) => {
-                return Err(last).context(UnreachableSnafu {
-                    what: PLATFORM,
-                    hint: TRY_AGAIN,
-                });
+                return Err(last).context(UnreachableSnafu { what: PLATFORM, hint: TRY_AGAIN });
             }
             Err(e) => last = e,
         }
     }
     let hint =
         "the change may or may not be accepted; `cumintrail plan` tells once the platform answers";
-    Err(last).context(UnreachableSnafu {
-        what: PLATFORM,
-        hint,
-    })
+    Err(last).context(UnreachableSnafu { what: PLATFORM, hint })
 }
 
 async fn read_change(access: &Access, generation: Generation) -> Result<ChangeRecord, CliError> {
     let key = change_key(generation);
     let row = access.platform.read(&key).await;
-    let row = row.context(UnreachableSnafu {
-        what: PLATFORM,
-        hint: TRY_AGAIN,
-    })?;
+    let row = row.context(UnreachableSnafu { what: PLATFORM, hint: TRY_AGAIN })?;
     decode(&key, row.map(|r| r.value).unwrap_or_default().as_bytes())
 }
 
--- a/crates/cumintrail-client/src/answer.rs
+++ b/crates/cumintrail-client/src/answer.rs
@@ -25,9 +25,7 @@
 
 impl AnswerStream {
     pub(crate) fn new(response: ClientResponse) -> Self {
-        Self {
-            events: EventStream::new(response),
-        }
+        Self { events: EventStream::new(response) }
     }
 
     /// Waits for the next event, at most `gap`; a closed connection is [`ClientError::Broken`].
--- a/crates/cumintrail-client/src/engine.rs
+++ b/crates/cumintrail-client/src/engine.rs
@@ -90,10 +90,7 @@
                 .err()
                 .unwrap_or(ClientError::Unreadable));
         }
-        let echoed = response
-            .headers()
-            .get(CALL_HEADER)
-            .and_then(|v| v.to_str().ok());
+        let echoed = response.headers().get(CALL_HEADER).and_then(|v| v.to_str().ok());
         if echoed != Some(call) {
             return Err(ClientError::Unreadable);
         }
@@ -109,10 +106,7 @@
         head: Duration,
     ) -> Result<AnswerStream, ClientError> {
         let body = serde_json::to_vec(generate).map_err(|_| ClientError::Unreadable)?;
-        let req = self
-            .calls
-            .request(Method::POST, at, "/v1/generate")
-            .timeout(head);
+        let req = self.calls.request(Method::POST, at, "/v1/generate").timeout(head);
         let req = req.insert_header((CALL_HEADER, generate.call.as_str()));
         self.stream(req, body, &generate.call).await
     }
@@ -124,22 +118,14 @@
         last: u32,
         head: Duration,
     ) -> Result<AnswerStream, ClientError> {
-        let req = self
-            .calls
-            .request(Method::GET, at, &format!("/v1/streams/{call}"))
-            .timeout(head);
+        let req = self.calls.request(Method::GET, at, &format!("/v1/streams/{call}")).timeout(head);
         let req = req.insert_header(("last-event-id", last.to_string()));
         self.stream(req, Vec::new(), call).await
     }
 
     async fn cancel(&self, at: SocketAddr, call: &str) -> Result<(), ClientError> {
-        let req = self
-            .control
-            .request(Method::DELETE, at, &format!("/v1/streams/{call}"));
-        self.control
-            .send(req, bytes::Bytes::new())
-            .await
-            .map(|_| ())
+        let req = self.control.request(Method::DELETE, at, &format!("/v1/streams/{call}"));
+        self.control.send(req, bytes::Bytes::new()).await.map(|_| ())
     }
 
     async fn import(
@@ -148,12 +134,8 @@
         order: &ImportOrder,
         within: Duration,
     ) -> Result<ImportReport, ClientError> {
-        let exchange = self
-            .calls
-            .exchange(Method::POST, at, "/v1/import", Some(order));
-        actix_rt::time::timeout(within, exchange)
-            .await
-            .unwrap_or(Err(ClientError::Silent))
+        let exchange = self.calls.exchange(Method::POST, at, "/v1/import", Some(order));
+        actix_rt::time::timeout(within, exchange).await.unwrap_or(Err(ClientError::Silent))
     }
 
     async fn export(
@@ -161,22 +143,16 @@
         at: SocketAddr,
         order: &ExportOrder,
     ) -> Result<ExportReport, ClientError> {
-        self.calls
-            .exchange(Method::POST, at, "/v1/export", Some(order))
-            .await
+        self.calls.exchange(Method::POST, at, "/v1/export", Some(order)).await
     }
 
     async fn report(&self, at: SocketAddr) -> Result<Report, ClientError> {
-        self.control
-            .exchange(Method::GET, at, "/v1/report", None::<&()>)
-            .await
+        self.control.exchange(Method::GET, at, "/v1/report", None::<&()>).await
     }
 
     async fn cache_events(&self, at: SocketAddr, after: u64) -> Result<CacheEvents, ClientError> {
         let path = format!("/v1/cache-events?after={after}");
-        self.control
-            .exchange(Method::GET, at, &path, None::<&()>)
-            .await
+        self.control.exchange(Method::GET, at, &path, None::<&()>).await
     }
 
     async fn order(
@@ -185,11 +161,7 @@
         order: &LoadOrder,
         within: Duration,
     ) -> Result<Report, ClientError> {
-        let exchange = self
-            .calls
-            .exchange(Method::POST, at, "/v1/orders", Some(order));
-        actix_rt::time::timeout(within, exchange)
-            .await
-            .unwrap_or(Err(ClientError::Silent))
+        let exchange = self.calls.exchange(Method::POST, at, "/v1/orders", Some(order));
+        actix_rt::time::timeout(within, exchange).await.unwrap_or(Err(ClientError::Silent))
     }
 }
--- a/crates/cumintrail-client/src/http.rs
+++ b/crates/cumintrail-client/src/http.rs
@@ -30,11 +30,7 @@
 impl HttpClient {
     /// Makes a client that keeps idle connections for a few seconds.
     pub fn pooled(timeout: Duration) -> Self {
-        Self {
-            client: RefCell::new(build(true)),
-            reuse: true,
-            timeout,
-        }
+        Self { client: RefCell::new(build(true)), reuse: true, timeout }
     }
 
     /// Makes a client that opens a connection for each request.
@@ -42,19 +38,12 @@
     /// A connection that fails to open proves that nothing was sent, and one that went silent is
     /// never met again; both matter more to calls than the saved round trip.
     pub fn unpooled(timeout: Duration) -> Self {
-        Self {
-            client: RefCell::new(build(false)),
-            reuse: false,
-            timeout,
-        }
+        Self { client: RefCell::new(build(false)), reuse: false, timeout }
     }
 
     /// Starts a request with the client's time limit.
     pub fn request(&self, method: Method, at: SocketAddr, path: &str) -> ClientRequest {
-        let req = self
-            .client
-            .borrow()
-            .request(method, format!("http://{at}{path}"));
+        let req = self.client.borrow().request(method, format!("http://{at}{path}"));
         let req = req.timeout(self.timeout).no_decompress();
         if self.reuse { req } else { req.force_close() }
     }
@@ -79,13 +68,9 @@
         path: &str,
         body: Option<&Q>,
     ) -> Result<A, ClientError> {
-        let req = self
-            .request(method, at, path)
-            .insert_header(("content-type", "application/json"));
-        let body = body
-            .map(serde_json::to_vec)
-            .transpose()
-            .map_err(|_| ClientError::Unreadable)?;
+        let req =
+            self.request(method, at, path).insert_header(("content-type", "application/json"));
+        let body = body.map(serde_json::to_vec).transpose().map_err(|_| ClientError::Unreadable)?;
         let response = self.send(req, body.unwrap_or_default().into()).await?;
         response.json(self.timeout).await
     }
@@ -100,14 +85,8 @@
 
 fn build(reuse: bool) -> Client {
     let keep = if reuse { IDLE_LIFE } else { Duration::ZERO };
-    let connector = Connector::new()
-        .timeout(CONNECT_TIMEOUT)
-        .conn_keep_alive(keep)
-        .limit(0);
-    Client::builder()
-        .connector(connector)
-        .disable_redirects()
-        .finish()
+    let connector = Connector::new().timeout(CONNECT_TIMEOUT).conn_keep_alive(keep).limit(0);
+    Client::builder().connector(connector).disable_redirects().finish()
 }
 
 /// Holds a response whose body is not read yet.
@@ -134,12 +113,7 @@
 
     /// Reads the whole body within a time limit.
     pub async fn bytes(self, within: Duration) -> Result<Bytes, ClientError> {
-        self.inner
-            .timeout(within)
-            .body()
-            .limit(MAX_BODY_BYTES)
-            .await
-            .map_err(ClientError::from)
+        self.inner.timeout(within).body().limit(MAX_BODY_BYTES).await.map_err(ClientError::from)
     }
 
     /// Reads the body as JSON if the status is 200; an engine's refusal becomes an error.
@@ -150,9 +124,7 @@
             return serde_json::from_slice(&body).map_err(|_| ClientError::Unreadable);
         }
         let refusal = serde_json::from_slice::<EngineRefusal>(&body);
-        refusal.map_or(StatusSnafu { status }.fail(), |r| {
-            RefusedSnafu { reason: r.reason }.fail()
-        })
+        refusal.map_or(StatusSnafu { status }.fail(), |r| RefusedSnafu { reason: r.reason }.fail())
     }
 
     /// Turns the body into a stream that lasts at most `limit`.
--- a/crates/cumintrail-client/src/peer.rs
+++ b/crates/cumintrail-client/src/peer.rs
@@ -34,10 +34,7 @@
 impl HttpPeer {
     /// Makes a client for the current thread that shows `key` to peers.
     pub fn open(key: &str) -> Self {
-        Self {
-            http: HttpClient::pooled(TIMEOUT),
-            key: format!("Bearer {key}"),
-        }
+        Self { http: HttpClient::pooled(TIMEOUT), key: format!("Bearer {key}") }
     }
 
     async fn post<Q: Serialize>(
--- a/crates/cumintrail-client/src/platform.rs
+++ b/crates/cumintrail-client/src/platform.rs
@@ -46,35 +46,24 @@
 impl HttpPlatform {
     /// Makes a client for the current thread.
     pub fn open(table: SocketAddr, objects: SocketAddr, vm_list: SocketAddr) -> Self {
-        Self {
-            http: HttpClient::pooled(TIMEOUT),
-            table,
-            objects,
-            vm_list,
-        }
+        Self { http: HttpClient::pooled(TIMEOUT), table, objects, vm_list }
     }
 }
 
 impl Table for HttpPlatform {
     async fn commit(&self, transaction: &Transaction) -> Result<Committed, ClientError> {
-        self.http
-            .exchange(Method::POST, self.table, "/table", Some(transaction))
-            .await
+        self.http.exchange(Method::POST, self.table, "/table", Some(transaction)).await
     }
 
     async fn read(&self, key: &str) -> Result<Option<Row>, ClientError> {
         let path = format!("/table/{key}");
-        self.http
-            .exchange(Method::GET, self.table, &path, None::<&()>)
-            .await
+        self.http.exchange(Method::GET, self.table, &path, None::<&()>).await
     }
 }
 
 impl Objects for HttpPlatform {
     async fn put(&self, name: &str, body: Bytes) -> Result<(), ClientError> {
-        let req = self
-            .http
-            .request(Method::PUT, self.objects, &format!("/objects/{name}"));
+        let req = self.http.request(Method::PUT, self.objects, &format!("/objects/{name}"));
         let response = self.http.send(req, body).await?;
         match response.status() {
             OK => Ok(()),
@@ -83,9 +72,7 @@
     }
 
     async fn get(&self, name: &str) -> Result<Option<Bytes>, ClientError> {
-        let req = self
-            .http
-            .request(Method::GET, self.objects, &format!("/objects/{name}"));
+        let req = self.http.request(Method::GET, self.objects, &format!("/objects/{name}"));
         let response = self.http.send(req, Bytes::new()).await?;
         match response.status() {
             OK => response.bytes(TIMEOUT).await.map(Some),
@@ -97,8 +84,6 @@
 
 impl VmList for HttpPlatform {
     async fn vms(&self) -> Result<platform::VmList, ClientError> {
-        self.http
-            .exchange(Method::GET, self.vm_list, "/vms", None::<&()>)
-            .await
+        self.http.exchange(Method::GET, self.vm_list, "/vms", None::<&()>).await
     }
 }
--- a/crates/cumintrail-client/src/service.rs
+++ b/crates/cumintrail-client/src/service.rs
@@ -61,36 +61,22 @@
 impl HttpService {
     /// Makes a client for the current thread.
     pub fn open() -> Self {
-        Self {
-            http: HttpClient::unpooled(Duration::from_secs(60)),
-        }
+        Self { http: HttpClient::unpooled(Duration::from_secs(60)) }
     }
 }
 
 impl Service for HttpService {
     async fn call(&self, at: SocketAddr, call: &ServiceCall) -> Result<ServiceAnswer, ClientError> {
-        let mut req = self
-            .http
-            .request(call.method.clone(), at, &call.path)
-            .timeout(call.within);
+        let mut req = self.http.request(call.method.clone(), at, &call.path).timeout(call.within);
         for (name, value) in call.headers.iter().filter(|(name, _)| is_end_to_end(name)) {
             req = req.append_header((name.clone(), value.clone()));
         }
         let response = self.http.send(req, call.body.clone()).await?;
         let status = response.status();
-        let headers = response
-            .headers()
-            .iter()
-            .filter(|(name, _)| is_end_to_end(name));
-        let headers = headers
-            .map(|(name, value)| (name.clone(), value.clone()))
-            .collect();
+        let headers = response.headers().iter().filter(|(name, _)| is_end_to_end(name));
+        let headers = headers.map(|(name, value)| (name.clone(), value.clone())).collect();
         let body = response.bytes(call.within).await?;
-        Ok(ServiceAnswer {
-            status,
-            headers,
-            body,
-        })
+        Ok(ServiceAnswer { status, headers, body })
     }
 }
 
--- a/crates/cumintrail-client/src/store.rs
+++ b/crates/cumintrail-client/src/store.rs
@@ -28,9 +28,7 @@
 impl HttpStore {
     /// Makes a client for the current thread.
     pub fn open() -> Self {
-        Self {
-            http: HttpClient::pooled(TIMEOUT),
-        }
+        Self { http: HttpClient::pooled(TIMEOUT) }
     }
 }
 
@@ -38,18 +36,13 @@
     async fn list(&self, at: SocketAddr, after: Option<BlockKey>) -> Result<Listing, ClientError> {
         let after = after.map(|key| key.to_string()).unwrap_or_default();
         let path = format!("/blocks?after={after}&limit={PAGE}");
-        self.http
-            .exchange(Method::GET, at, &path, None::<&()>)
-            .await
+        self.http.exchange(Method::GET, at, &path, None::<&()>).await
     }
 
     async fn free(&self, at: SocketAddr, sealed: &Sealed) -> Result<(), ClientError> {
         let path = format!("/blocks/{}", sealed.key);
         let tag = format!("\"{}\"", sealed.write_id);
-        let req = self
-            .http
-            .request(Method::DELETE, at, &path)
-            .insert_header(("if-match", tag));
+        let req = self.http.request(Method::DELETE, at, &path).insert_header(("if-match", tag));
         self.http.send(req, bytes::Bytes::new()).await.map(|_| ())
     }
 }
--- a/crates/cumintrail-config/src/document.rs
+++ b/crates/cumintrail-config/src/document.rs
@@ -59,11 +59,8 @@
 
     /// Parses INI text; `file` is used in errors only.
     pub fn parse(file: &Arc<str>, text: &str) -> Result<Self, Problems> {
-        let options = ParseOption {
-            enabled_escape: false,
-            enabled_quote: false,
-            ..ParseOption::default()
-        };
+        let options =
+            ParseOption { enabled_escape: false, enabled_quote: false, ..ParseOption::default() };
         let ini = Ini::load_from_str_opt(text, options).map_err(|e| {
             Problems(vec![Problem {
                 file: file.clone(),
@@ -80,23 +77,18 @@
         let mut sections = Vec::new();
         for (index, (header, properties)) in ini.iter().enumerate() {
             let Some(header) = header else {
-                problems
-                    .0
-                    .extend(properties.iter().next().map(|(key, _)| Problem {
-                        file: file.clone(),
-                        line: lines.key(0, key, 0),
-                        message: format!("key `{key}` stands before any section"),
-                        hint: "move it below a `[section]` header".into(),
-                    }));
+                problems.0.extend(properties.iter().next().map(|(key, _)| Problem {
+                    file: file.clone(),
+                    line: lines.key(0, key, 0),
+                    message: format!("key `{key}` stands before any section"),
+                    hint: "move it below a `[section]` header".into(),
+                }));
                 continue;
             };
             sections.push(section_of(file, header, properties, &lines, index));
         }
         report_repeats(&sections, &mut problems);
-        problems.or_value(Self {
-            file: file.clone(),
-            sections,
-        })
+        problems.or_value(Self { file: file.clone(), sections })
     }
 }
 
@@ -107,10 +99,7 @@
     lines: &Lines,
     index: usize,
 ) -> Section {
-    let (kind, name) = header
-        .trim()
-        .split_once(char::is_whitespace)
-        .unwrap_or((header.trim(), ""));
+    let (kind, name) = header.trim().split_once(char::is_whitespace).unwrap_or((header.trim(), ""));
     let mut entries: Vec<Entry> = Vec::new();
     for (key, value) in properties {
         let earlier = entries.iter().filter(|e| &*e.key == key).count();
@@ -131,9 +120,8 @@
 
 fn report_repeats(sections: &[Section], problems: &mut Problems) {
     for (i, section) in sections.iter().enumerate() {
-        let earlier = sections[..i]
-            .iter()
-            .find(|s| s.kind == section.kind && s.name == section.name);
+        let earlier =
+            sections[..i].iter().find(|s| s.kind == section.kind && s.name == section.name);
         problems.0.extend(earlier.map(|first| Problem {
             file: section.file.clone(),
             line: section.line,
@@ -157,12 +145,7 @@
                 None | Some(';' | '#') => {}
                 Some('[') => sections.push((i + 1, Vec::new())),
                 Some(_) => {
-                    let key = line
-                        .split(['=', ':'])
-                        .next()
-                        .unwrap_or_default()
-                        .trim()
-                        .to_owned();
+                    let key = line.split(['=', ':']).next().unwrap_or_default().trim().to_owned();
                     if let Some((_, keys)) = sections.last_mut() {
                         keys.push((key, i + 1));
                     }
@@ -177,11 +160,7 @@
     }
 
     fn key(&self, index: usize, key: &str, earlier: usize) -> usize {
-        let keys = self
-            .sections
-            .get(index)
-            .map(|(_, keys)| keys.as_slice())
-            .unwrap_or_default();
+        let keys = self.sections.get(index).map(|(_, keys)| keys.as_slice()).unwrap_or_default();
         let found = keys.iter().filter(|(k, _)| k == key).nth(earlier);
         found.map_or_else(|| self.header(index), |(_, line)| *line)
     }
--- a/crates/cumintrail-config/src/problem.rs
+++ b/crates/cumintrail-config/src/problem.rs
@@ -20,11 +20,7 @@
 
 impl fmt::Display for Problem {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(
-            f,
-            "{}:{}: {}\n  hint: {}",
-            self.file, self.line, self.message, self.hint
-        )
+        write!(f, "{}:{}: {}\n  hint: {}", self.file, self.line, self.message, self.hint)
     }
 }
 
@@ -35,11 +31,7 @@
 impl Problems {
     /// Returns `value` if no error was found.
     pub fn or_value<T>(self, value: T) -> Result<T, Self> {
-        if self.0.is_empty() {
-            Ok(value)
-        } else {
-            Err(self)
-        }
+        if self.0.is_empty() { Ok(value) } else { Err(self) }
     }
 }
 
--- a/crates/cumintrail-config/src/reader.rs
+++ b/crates/cumintrail-config/src/reader.rs
@@ -22,11 +22,7 @@
 impl<'a> SectionReader<'a> {
     /// Starts reading `section`; errors are appended to `problems`.
     pub const fn new(section: &'a Section, problems: &'a mut Problems) -> Self {
-        Self {
-            section,
-            problems,
-            known: Vec::new(),
-        }
+        Self { section, problems, known: Vec::new() }
     }
 
     /// Returns the text of `key`, if present.
@@ -113,11 +109,7 @@
     /// Returns the parts of a comma-separated list.
     pub fn list(&mut self, key: &'static str) -> Vec<Arc<str>> {
         let text = self.text(key).unwrap_or_default();
-        text.split(',')
-            .map(str::trim)
-            .filter(|part| !part.is_empty())
-            .map(Arc::from)
-            .collect()
+        text.split(',').map(str::trim).filter(|part| !part.is_empty()).map(Arc::from).collect()
     }
 
     /// Returns one of the named choices, or the first if the key is absent.
@@ -148,20 +140,14 @@
         for (i, entry) in self.section.entries.iter().enumerate() {
             let repeated = self.section.entries[..i].iter().any(|e| e.key == entry.key);
             let (message, hint) = match &*entry.key {
-                key if repeated => (
-                    format!("key `{key}` is given twice"),
-                    "keep one of them".into(),
-                ),
+                key if repeated => {
+                    (format!("key `{key}` is given twice"), "keep one of them".into())
+                }
                 key if self.known.contains(&key) => continue,
                 key => (format!("unknown key `{key}`"), nearest(key, &self.known)),
             };
             let file = self.section.file.clone();
-            self.problems.0.push(Problem {
-                file,
-                line: entry.line,
-                message,
-                hint,
-            });
+            self.problems.0.push(Problem { file, line: entry.line, message, hint });
         }
     }
 
@@ -178,21 +164,14 @@
 
     fn report(&mut self, line: usize, message: String, hint: &str) {
         let file = self.section.file.clone();
-        self.problems.0.push(Problem {
-            file,
-            line,
-            message,
-            hint: hint.to_owned(),
-        });
+        self.problems.0.push(Problem { file, line, message, hint: hint.to_owned() });
     }
 }
 
 /// Names the known word nearest to `word`, or lists all.
 pub fn nearest(word: &str, known: &[&str]) -> String {
-    let best = known
-        .iter()
-        .map(|k| (strsim::jaro_winkler(word, k), k))
-        .max_by(|a, b| a.0.total_cmp(&b.0));
+    let best =
+        known.iter().map(|k| (strsim::jaro_winkler(word, k), k)).max_by(|a, b| a.0.total_cmp(&b.0));
     match best {
         Some((score, name)) if score >= CLOSE_ENOUGH => format!("did you mean `{name}`?"),
         _ => format!("use one of: {}", known.join(", ")),
--- a/crates/cumintrail-config/src/sections.rs
+++ b/crates/cumintrail-config/src/sections.rs
@@ -89,20 +89,10 @@
 
     /// Computes what leads from `self` to `next`.
     pub fn delta_to(&self, next: &Self) -> Delta {
-        let changed = next
-            .0
-            .iter()
-            .filter(|(name, body)| self.0.get(*name) != Some(*body));
+        let changed = next.0.iter().filter(|(name, body)| self.0.get(*name) != Some(*body));
         Delta {
-            set: changed
-                .map(|(name, body)| (name.clone(), body.clone()))
-                .collect(),
-            removed: self
-                .0
-                .keys()
-                .filter(|name| !next.0.contains_key(*name))
-                .cloned()
-                .collect(),
+            set: changed.map(|(name, body)| (name.clone(), body.clone())).collect(),
+            removed: self.0.keys().filter(|name| !next.0.contains_key(*name)).cloned().collect(),
         }
     }
 
@@ -116,10 +106,7 @@
 }
 
 fn name_of(section: &Section) -> SectionName {
-    SectionName {
-        kind: section.kind.clone(),
-        name: section.name.clone(),
-    }
+    SectionName { kind: section.kind.clone(), name: section.name.clone() }
 }
 
 fn body_of(section: &Section) -> Arc<str> {
@@ -138,10 +125,7 @@
                 file: section.file.clone(),
                 line: section.line,
                 message: format!("section [{}] is declared twice", name_of(section)),
-                hint: format!(
-                    "keep one; the other stands at {}:{}",
-                    first.file, first.line
-                ),
+                hint: format!("keep one; the other stands at {}:{}", first.file, first.line),
             }),
             Some(_) => {}
             None => {
--- a/crates/cumintrail-config/src/settings.rs
+++ b/crates/cumintrail-config/src/settings.rs
@@ -107,11 +107,7 @@
     type Err = TooShort;
 
     fn from_str(text: &str) -> Result<Self, TooShort> {
-        if text.len() < MIN_SECRET_BYTES {
-            Err(TooShort)
-        } else {
-            Ok(Self::new(text))
-        }
+        if text.len() < MIN_SECRET_BYTES { Err(TooShort) } else { Ok(Self::new(text)) }
     }
 }
 
@@ -187,16 +183,9 @@
         r.finish();
 
         let mut r = SectionReader::new(&log, &mut problems);
-        let log_format = r.choice(
-            "format",
-            &[("text", LogFormat::Text), ("json", LogFormat::Json)],
-        );
-        let levels = [
-            ("info", "info"),
-            ("error", "error"),
-            ("warn", "warn"),
-            ("debug", "debug"),
-        ];
+        let log_format =
+            r.choice("format", &[("text", LogFormat::Text), ("json", LogFormat::Json)]);
+        let levels = [("info", "info"), ("error", "error"), ("warn", "warn"), ("debug", "debug")];
         let log_level = r.choice("level", &levels).into();
         r.finish();
 
@@ -233,11 +222,7 @@
     for text in r.list(key) {
         match text.parse() {
             Ok(address) => addresses.push(address),
-            Err(_) => r.reject(
-                key,
-                format!("`{text}` is no address"),
-                "write IP:PORT, IP:PORT, …",
-            ),
+            Err(_) => r.reject(key, format!("`{text}` is no address"), "write IP:PORT, IP:PORT, …"),
         }
     }
     addresses
--- a/crates/cumintrail-config/src/snapshot.rs
+++ b/crates/cumintrail-config/src/snapshot.rs
@@ -17,16 +17,8 @@
 
 const NOWHERE: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::UNSPECIFIED), 0);
 const MIB: u64 = 1 << 20;
-const KINDS: [&str; 8] = [
-    "deployment",
-    "account",
-    "material",
-    "preset",
-    "model",
-    "service",
-    "target",
-    "store",
-];
+const KINDS: [&str; 8] =
+    ["deployment", "account", "material", "preset", "model", "service", "target", "store"];
 
 /// Holds one configuration.
 ///
@@ -71,14 +63,9 @@
     ) -> Result<Self, Problems> {
         let mut problems = Problems::default();
         report_unknown_kinds(sections, &mut problems);
-        let file = sections
-            .first()
-            .map_or_else(|| "configuration".into(), |s| s.file.clone());
+        let file = sections.first().map_or_else(|| "configuration".into(), |s| s.file.clone());
         let deployment = read_deployment(sections, &file, &mut problems);
-        let mut next = Builder {
-            sections,
-            problems: &mut problems,
-        };
+        let mut next = Builder { sections, problems: &mut problems };
 
         let mut domains = previous.map(|p| p.domains.clone()).unwrap_or_default();
         let models = next.models(previous);
@@ -125,26 +112,17 @@
 
     /// Finds a model by name.
     pub fn model(&self, name: &str) -> Option<ModelKey> {
-        self.models
-            .iter()
-            .find(|(_, m)| &*m.name == name)
-            .map(|(k, _)| k)
+        self.models.iter().find(|(_, m)| &*m.name == name).map(|(k, _)| k)
     }
 
     /// Finds a plain service by name.
     pub fn service(&self, name: &str) -> Option<ServiceKey> {
-        self.services
-            .iter()
-            .find(|(_, s)| &*s.name == name)
-            .map(|(k, _)| k)
+        self.services.iter().find(|(_, s)| &*s.name == name).map(|(k, _)| k)
     }
 
     /// Finds a failure domain by name.
     pub fn domain(&self, name: &str) -> Option<DomainKey> {
-        self.domains
-            .iter()
-            .find(|(_, n)| &***n == name)
-            .map(|(k, _)| k)
+        self.domains.iter().find(|(_, n)| &***n == name).map(|(k, _)| k)
     }
 }
 
@@ -247,12 +225,7 @@
             checks_fencing: r.choice("checks_fencing", &[("no", false), ("yes", true)]),
             retired: false,
         });
-        merge(
-            previous.map(|p| &p.targets),
-            read,
-            |t| &t.name,
-            |t| t.retired = true,
-        )
+        merge(previous.map(|p| &p.targets), read, |t| &t.name, |t| t.retired = true)
     }
 
     fn stores(
@@ -269,12 +242,7 @@
             capacity: Bytes(r.within("capacity_bytes", 64 << 30, 1..=u64::MAX)),
             retired: false,
         });
-        merge(
-            previous.map(|p| &p.stores),
-            read,
-            |s| &s.name,
-            |s| s.retired = true,
-        )
+        merge(previous.map(|p| &p.stores), read, |s| &s.name, |s| s.retired = true)
     }
 
     fn presets(&mut self) -> Vec<Preset> {
@@ -310,11 +278,7 @@
         })
     });
     let mut merged: Arena<K, V> = kept.collect();
-    for value in order
-        .into_iter()
-        .filter_map(|n| fresh.remove(&n))
-        .collect::<Vec<_>>()
-    {
+    for value in order.into_iter().filter_map(|n| fresh.remove(&n)).collect::<Vec<_>>() {
         merged.push(value);
     }
     merged
@@ -328,10 +292,7 @@
         name: "".into(),
         entries: Vec::new(),
     };
-    let section = sections
-        .iter()
-        .find(|s| &*s.kind == "deployment")
-        .unwrap_or(&empty);
+    let section = sections.iter().find(|s| &*s.kind == "deployment").unwrap_or(&empty);
     let mut r = SectionReader::new(section, problems);
     let deployment = Deployment {
         piece: Tokens(r.within("piece_tokens", 2_000, 1..=1_000_000) as u32),
@@ -350,11 +311,9 @@
     for text in r.list("key_digests") {
         match text.parse() {
             Ok(digest) => digests.push(digest),
-            Err(e) => r.reject(
-                "key_digests",
-                format!("bad digest: {e}"),
-                "run `cumintrail hash-key`",
-            ),
+            Err(e) => {
+                r.reject("key_digests", format!("bad digest: {e}"), "run `cumintrail hash-key`");
+            }
         }
     }
     if digests.is_empty() {
@@ -376,11 +335,9 @@
         (Some(_), None) => {
             TargetKind::Engine(named(r, "model", models.iter().map(|(k, m)| (k, &m.name))))
         }
-        (None, Some(_)) => TargetKind::Service(named(
-            r,
-            "service",
-            services.iter().map(|(k, s)| (k, &s.name)),
-        )),
+        (None, Some(_)) => {
+            TargetKind::Service(named(r, "service", services.iter().map(|(k, s)| (k, &s.name))))
+        }
         _ => {
             r.reject(
                 "model",
@@ -429,10 +386,7 @@
             let Some(other) = index.insert(*digest, key).filter(|other| *other != key) else {
                 continue;
             };
-            let first = accounts
-                .get(other)
-                .map(|a| a.name.clone())
-                .unwrap_or_default();
+            let first = accounts.get(other).map(|a| a.name.clone()).unwrap_or_default();
             problems.0.push(Problem {
                 file: "configuration".into(),
                 line: 1,
--- a/crates/cumintrail-control/src/admission.rs
+++ b/crates/cumintrail-control/src/admission.rs
@@ -54,10 +54,7 @@
 impl Admission {
     /// Creates an empty admission that may use `share` of each limit.
     pub fn new(share: f64) -> Self {
-        Self {
-            share,
-            ..Self::default()
-        }
+        Self { share, ..Self::default() }
     }
 
     /// Changes the part of each limit that this daemon may use.
@@ -75,18 +72,14 @@
     ) -> Result<(), Refusal> {
         let used = self.uses.entry(key).or_default();
         let refuse = |after| Refusal::not_run(RefusalCode::AccountLimit).retry_after(after);
-        let concurrency = (f64::from(account.concurrency) * self.share)
-            .ceil()
-            .max(1.0);
+        let concurrency = (f64::from(account.concurrency) * self.share).ceil().max(1.0);
         if f64::from(used.in_flight) >= concurrency {
             return Err(refuse(RETRY_AFTER_LIMIT));
         }
         let requests = (f64::from(account.requests_per_second) * self.share).max(1.0);
         used.requests.try_take(now, 1.0, requests).map_err(refuse)?;
         let rate = (f64::from(account.tokens_per_second) * self.share).max(1.0);
-        used.tokens
-            .try_take(now, f64::from(tokens), rate)
-            .map_err(refuse)?;
+        used.tokens.try_take(now, f64::from(tokens), rate).map_err(refuse)?;
         used.in_flight += 1;
         Ok(())
     }
@@ -105,10 +98,7 @@
 
     /// Lets a call wait.
     pub fn enqueue(&mut self, kind: TargetKind, account: AccountKey, weight: u32, call: CallKey) {
-        self.queues
-            .entry(kind)
-            .or_default()
-            .push(account, weight, call);
+        self.queues.entry(kind).or_default().push(account, weight, call);
         self.waiting += 1;
     }
 
@@ -126,10 +116,7 @@
 
     /// Removes a waiting call, if it waits.
     pub fn remove(&mut self, kind: TargetKind, account: AccountKey, call: CallKey) {
-        let removed = self
-            .queues
-            .get_mut(&kind)
-            .is_some_and(|q| q.remove(account, call));
+        let removed = self.queues.get_mut(&kind).is_some_and(|q| q.remove(account, call));
         self.waiting -= usize::from(removed);
     }
 
@@ -140,10 +127,7 @@
 
     /// Returns what calls wait for.
     pub fn kinds(&self) -> impl Iterator<Item = TargetKind> {
-        self.queues
-            .iter()
-            .filter(|(_, q)| q.peek().is_some())
-            .map(|(kind, _)| *kind)
+        self.queues.iter().filter(|(_, q)| q.peek().is_some()).map(|(kind, _)| *kind)
     }
 }
 
@@ -173,9 +157,7 @@
 
     fn next_account(&self) -> Option<AccountKey> {
         let waiting = self.lanes.iter().filter(|(_, lane)| !lane.calls.is_empty());
-        waiting
-            .min_by_key(|(account, lane)| (lane.finish, **account))
-            .map(|(account, _)| *account)
+        waiting.min_by_key(|(account, lane)| (lane.finish, **account)).map(|(account, _)| *account)
     }
 
     fn peek(&self) -> Option<CallKey> {
--- a/crates/cumintrail-control/src/adoption.rs
+++ b/crates/cumintrail-control/src/adoption.rs
@@ -25,10 +25,9 @@
 pub const fn next_step(in_force: Generation, heard: Generation) -> Step {
     match heard.0.checked_sub(in_force.0) {
         None | Some(0) => Step::Keep,
-        Some(gap) if in_force.0 > 0 && gap <= MAX_CHANGES => Step::ReadChanges {
-            from: Generation(in_force.0 + 1),
-            to: heard,
-        },
+        Some(gap) if in_force.0 > 0 && gap <= MAX_CHANGES => {
+            Step::ReadChanges { from: Generation(in_force.0 + 1), to: heard }
+        }
         Some(_) => Step::ReadSnapshot,
     }
 }
--- a/crates/cumintrail-control/src/control.rs
+++ b/crates/cumintrail-control/src/control.rs
@@ -1,8 +1,9 @@
 //! The control state of one daemon and its event handler.
 
+mod arrivals;
+mod attempts;
 mod blocks;
 mod state;
-mod traffic;
 mod upkeep;
 
 use std::collections::HashMap;
@@ -90,40 +91,20 @@
             Event::Configured(snapshot) => self.take_configuration(now, snapshot, &mut actions),
             Event::Arrived(arrival) => self.take_arrival(now, arrival, &mut actions),
             Event::CallerGone { call } => self.drop_call(call, &mut actions),
-            Event::Fetched {
-                call,
-                target,
-                outcomes,
-                took,
-            } => {
+            Event::Fetched { call, target, outcomes, took } => {
                 self.take_fetches(call, target, &outcomes, took);
             }
             Event::FirstToken { call } => self.take_first_token(call),
-            Event::AttemptEnded {
-                call,
-                attempt,
-                outcome,
-            } => {
+            Event::AttemptEnded { call, attempt, outcome } => {
                 self.take_attempt_end(now, call, attempt, outcome, &mut actions);
             }
             Event::TargetReported { target, report } => self.take_report(now, target, report),
             Event::TargetSilent { target } => self.take_target_silence(now, target),
-            Event::CacheChanged {
-                target,
-                incarnation,
-                gap,
-                stored,
-                evicted,
-            } => {
+            Event::CacheChanged { target, incarnation, gap, stored, evicted } => {
                 self.take_cache_change(target, incarnation, gap, &stored, &evicted);
             }
             Event::Exported { export, sealed } => self.take_export(now, export, sealed),
-            Event::StoreListed {
-                store,
-                incarnation,
-                first,
-                blocks,
-            } => {
+            Event::StoreListed { store, incarnation, first, blocks } => {
                 self.take_listing(now, store, incarnation, first, &blocks);
             }
             Event::StoreSilent { store } => self.take_store_silence(now, store),
@@ -139,9 +120,7 @@
 
     /// Returns the generation in force, or zero.
     pub fn generation(&self) -> Generation {
-        self.snapshot
-            .as_ref()
-            .map_or(Generation(0), |s| s.generation)
+        self.snapshot.as_ref().map_or(Generation(0), |s| s.generation)
     }
 
     /// Returns the number of calls that are not answered yet.
@@ -155,26 +134,22 @@
             let names = self.snapshot.as_ref().map(|s| &s.domains);
             names.and_then(|d| d.get(key)).cloned().unwrap_or_default()
         };
-        let targets = self
-            .snapshot
-            .iter()
-            .flat_map(|s| s.targets.iter())
-            .filter_map(|(key, t)| {
-                let state = self.targets.get(key)?;
-                Some(TargetDump {
-                    name: t.name.clone(),
-                    address: t.address,
-                    domain: domain_name(t.domain),
-                    liveness: format!("{:?}", state.liveness).to_lowercase(),
-                    leaving: self.is_leaving(key),
-                    retired: t.retired,
-                    version: state.report.map(|r| r.version.0),
-                    in_flight: state.in_flight,
-                    slots: t.slots,
-                    blocks: self.directory.engine_len(key),
-                    report_age_ms: state.reported.map(|at| now.since(at).as_millis() as u64),
-                })
-            });
+        let targets = self.snapshot.iter().flat_map(|s| s.targets.iter()).filter_map(|(key, t)| {
+            let state = self.targets.get(key)?;
+            Some(TargetDump {
+                name: t.name.clone(),
+                address: t.address,
+                domain: domain_name(t.domain),
+                liveness: format!("{:?}", state.liveness).to_lowercase(),
+                leaving: self.is_leaving(key),
+                retired: t.retired,
+                version: state.report.map(|r| r.version.0),
+                in_flight: state.in_flight,
+                slots: t.slots,
+                blocks: self.directory.engine_len(key),
+                report_age_ms: state.reported.map(|at| now.since(at).as_millis() as u64),
+            })
+        });
         Dump {
             vm: self.identity.vm.clone(),
             domain: self.identity.domain.clone(),
@@ -183,18 +158,10 @@
             preset: self.snapshot.as_ref().map(|s| s.preset.name.clone()),
             stopping: self.stopping,
             waiting: self.admission.waiting(),
-            calls: self
-                .calls
-                .iter()
-                .map(|(key, call)| CallDump::new(now, *key, call))
-                .collect(),
+            calls: self.calls.iter().map(|(key, call)| CallDump::new(now, *key, call)).collect(),
             targets: targets.collect(),
             kept_blocks: self.directory.kept_len(),
-            peers: self
-                .membership
-                .peers()
-                .map(|(address, p)| (address, p.into()))
-                .collect(),
+            peers: self.membership.peers().map(|(address, p)| (address, p.into())).collect(),
         }
     }
 }
--- /dev/null
+++ b/crates/cumintrail-control/src/control/arrivals.rs
@@ -0,0 +1,188 @@
+//! Calls from their arrival to the order of an attempt.
+
+use std::time::Duration;
+
+use cumintrail_config::{Snapshot, TargetKind};
+use cumintrail_types::{CallKey, Moment, Refusal, RefusalCode, TargetKey, Tokens, WeightVersion};
+
+use super::Control;
+use crate::membership::Liveness;
+use crate::placement::{self, Candidate, Context, Placement};
+use crate::{Action, Actions, Arrival, Call, Dispatch};
+
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+impl Control {
+    pub(super) fn take_arrival(&mut self, now: Moment, arrival: Arrival, actions: &mut Actions) {
+        let call = arrival.call;
+        match self.admit(now, &arrival) {
+            Ok(weight) => {
+                self.admission.enqueue(arrival.kind, arrival.account, weight, call);
+                self.calls.insert(call, Call::new(arrival, now));
+                self.retries.deposit();
+            }
+            Err(refusal) => actions.push(Action::Refuse { call, refusal }),
+        }
+    }
+
+    fn admit(&mut self, now: Moment, arrival: &Arrival) -> Result<u32, Refusal> {
+        let Some(snapshot) = &self.snapshot else {
+            return Err(Refusal::not_run(RefusalCode::NotConfigured).retry_after(RETRY_AFTER));
+        };
+        let Some(account) = snapshot.accounts.get(arrival.account).filter(|a| !a.retired) else {
+            return Err(Refusal::not_run(RefusalCode::Unauthorized));
+        };
+        if self.stopping {
+            return Err(Refusal::not_run(RefusalCode::Stopping).retry_after(RETRY_AFTER));
+        }
+        if self.admission.waiting() >= snapshot.preset.queue.max(1) {
+            return Err(Refusal::not_run(RefusalCode::Overloaded).retry_after(RETRY_AFTER));
+        }
+        let tokens = (arrival.prompt + arrival.max_answer).0;
+        self.admission.admit(now, arrival.account, account, tokens)?;
+        Ok(account.weight)
+    }
+
+    pub(super) fn dispatch_waiting(&mut self, now: Moment, actions: &mut Actions) {
+        let Some(snapshot) = self.snapshot.clone() else {
+            return;
+        };
+        let kinds: Vec<TargetKind> = self.admission.kinds().collect();
+        for kind in kinds {
+            while let Some(key) = self.admission.peek(kind) {
+                match self.place(now, &snapshot, key) {
+                    Ok(Some(placement)) => {
+                        self.admission.pop(kind);
+                        self.dispatch(now, key, placement, actions);
+                    }
+                    Ok(None) => break,
+                    Err(refusal) => {
+                        self.admission.pop(kind);
+                        self.end_call(key);
+                        actions.push(Action::Refuse { call: key, refusal });
+                    }
+                }
+            }
+        }
+    }
+
+    /// Places a waiting call; nothing if all usable targets are busy.
+    fn place(
+        &self,
+        now: Moment,
+        snapshot: &Snapshot,
+        key: CallKey,
+    ) -> Result<Option<Placement>, Refusal> {
+        let Some(call) = self.calls.get(&key) else {
+            return Err(Refusal::not_run(RefusalCode::Deadline));
+        };
+        let arrival = &call.arrival;
+        let usable: Vec<TargetKey> = self.usable_targets(now, snapshot, call).collect();
+        if usable.is_empty() {
+            let code = RefusalCode::NoTarget;
+            return Err(Refusal { code, ran: call.ran(), retry_after: Some(RETRY_AFTER) });
+        }
+        let candidates =
+            usable.into_iter().filter_map(|key| self.candidate(snapshot, arrival, key));
+        let model = match arrival.kind {
+            TargetKind::Engine(model) => snapshot.models.get(model),
+            TargetKind::Service(_) => None,
+        };
+        let Some(model) = model else {
+            return Ok(candidates.min_by_key(|c| c.backlog).map(|c| plain_placement(c.key)));
+        };
+        let cx = Context {
+            stores: &snapshot.stores,
+            deployment: &snapshot.deployment,
+            preset: &snapshot.preset,
+            model,
+            directory: &self.directory,
+            links: &self.links,
+        };
+        Ok(placement::place(&cx, &arrival.pieces, arrival.prompt, candidates))
+    }
+
+    /// Lists targets that may get this call, busy ones included.
+    fn usable_targets<'a>(
+        &'a self,
+        now: Moment,
+        snapshot: &'a Snapshot,
+        call: &'a Call,
+    ) -> impl Iterator<Item = TargetKey> + 'a {
+        let declared = snapshot.targets.iter();
+        let matching = declared.filter(|(_, t)| t.kind == call.arrival.kind && !t.retired);
+        matching.map(|(key, _)| key).filter(move |key| {
+            let Some(state) = self.targets.get(*key) else {
+                return false;
+            };
+            state.liveness != Liveness::Silent
+                && state.ejected_until <= now
+                && !self.is_leaving(*key)
+                && call.pinned.is_none_or(|version| self.version_of(*key, version) == version)
+        })
+    }
+
+    /// Describes a target to placement, if it has a free slot.
+    fn candidate<'a>(
+        &self,
+        snapshot: &'a Snapshot,
+        arrival: &Arrival,
+        key: TargetKey,
+    ) -> Option<Candidate<'a>> {
+        let target = snapshot.targets.get(key)?;
+        let state = self.targets.get(key)?;
+        (state.in_flight < target.slots).then(|| Candidate {
+            key,
+            target,
+            backlog: state.backlog.max(state.report.map_or(Tokens(0), |r| r.prefill_backlog)),
+            importable: self.version_of(key, arrival.version) == arrival.version,
+        })
+    }
+
+    /// Returns the version that a target last reported, or `fallback` before its first report.
+    pub(super) fn version_of(&self, key: TargetKey, fallback: WeightVersion) -> WeightVersion {
+        let report = self.targets.get(key).and_then(|t| t.report);
+        report.map(|r| r.version).filter(|v| v.0 > 0).unwrap_or(fallback)
+    }
+
+    pub(super) fn is_leaving(&self, key: TargetKey) -> bool {
+        let declared = self.snapshot.as_ref().and_then(|s| s.targets.get(key));
+        let state = self.targets.get(key);
+        declared.zip(state).is_some_and(|(target, state)| {
+            self.membership.is_leaving(target.address, state.incarnation())
+        })
+    }
+
+    fn dispatch(&mut self, now: Moment, key: CallKey, placement: Placement, actions: &mut Actions) {
+        let target = placement.target;
+        let arrived_for = self.calls.get(&key).map_or(WeightVersion(0), |c| c.arrival.version);
+        let version = self.version_of(target, arrived_for);
+        let Some(call) = self.calls.get_mut(&key) else {
+            return;
+        };
+        let attempt = call.start_attempt(target, now);
+        call.expected_prefill = placement.recompute;
+        if let Some(state) = self.targets.get_mut(target) {
+            state.in_flight += 1;
+            state.backlog += placement.recompute;
+        }
+        for fetch in &placement.plan.fetches {
+            self.links.start(fetch.store, fetch.sealed.length);
+        }
+        let Placement { plan, first_token, .. } = placement;
+        let dispatch = Dispatch { call: key, attempt, target, version, plan, first_token };
+        actions.push(Action::Dispatch(dispatch));
+    }
+}
+
+/// Places a call to a plain service, which imports nothing.
+fn plain_placement(target: TargetKey) -> Placement {
+    Placement {
+        target,
+        cost: 0.0,
+        first_token: Duration::ZERO,
+        recompute: Tokens(0),
+        plan: crate::FetchPlan::default(),
+        link_bytes: cumintrail_types::Bytes(0),
+    }
+}
--- a/crates/cumintrail-control/src/control/blocks.rs
+++ b/crates/cumintrail-control/src/control/blocks.rs
@@ -22,10 +22,8 @@
     ) {
         for (store, key, outcome) in outcomes {
             let places = self.directory.kept(*key);
-            let length = places
-                .iter()
-                .find(|k| k.store == *store)
-                .map_or(Bytes(0), |k| k.sealed.length);
+            let length =
+                places.iter().find(|k| k.store == *store).map_or(Bytes(0), |k| k.sealed.length);
             let imported = *outcome == FetchOutcome::Imported;
             let arrived = if imported { length } else { Bytes(0) };
             self.links.finish(*store, length, arrived, took);
@@ -47,10 +45,7 @@
         stored: &[BlockKey],
         evicted: &[BlockKey],
     ) {
-        let current = self
-            .targets
-            .get(target)
-            .map(super::state::TargetState::incarnation);
+        let current = self.targets.get(target).map(super::state::TargetState::incarnation);
         if gap || current != Some(incarnation) {
             self.directory.clear_engine(target);
         }
@@ -64,17 +59,9 @@
         sealed: Option<(Sealed, Tier)>,
     ) {
         if let Some((sealed, tier)) = sealed {
-            self.directory.add_kept(Kept {
-                store: export.store,
-                sealed,
-                tier,
-            });
-            let declared = self
-                .snapshot
-                .as_ref()
-                .and_then(|s| s.stores.get(export.store));
-            self.fresh_kept
-                .extend(declared.map(|s| (s.address, sealed, tier)));
+            self.directory.add_kept(Kept { store: export.store, sealed, tier });
+            let declared = self.snapshot.as_ref().and_then(|s| s.stores.get(export.store));
+            self.fresh_kept.extend(declared.map(|s| (s.address, sealed, tier)));
         }
     }
 
@@ -95,11 +82,7 @@
         }
         state.incarnation = Some(incarnation);
         for (sealed, tier) in blocks {
-            self.directory.add_kept(Kept {
-                store,
-                sealed: *sealed,
-                tier: *tier,
-            });
+            self.directory.add_kept(Kept { store, sealed: *sealed, tier: *tier });
         }
     }
 
@@ -113,10 +96,7 @@
     pub(super) fn live_stores(&self, _now: Moment) -> Vec<StoreKey> {
         let declared = self.snapshot.iter().flat_map(|s| s.stores.iter());
         let usable = declared.filter(|(key, store)| {
-            let live = self
-                .stores
-                .get(*key)
-                .is_some_and(|s| s.liveness != Liveness::Silent);
+            let live = self.stores.get(*key).is_some_and(|s| s.liveness != Liveness::Silent);
             live && !store.retired
         });
         usable.map(|(key, _)| key).collect()
--- a/crates/cumintrail-control/src/control/upkeep.rs
+++ b/crates/cumintrail-control/src/control/upkeep.rs
@@ -25,16 +25,10 @@
             return;
         }
         while self.targets.len() < snapshot.targets.len() {
-            self.targets.push(TargetState {
-                next_probe: now,
-                ..TargetState::default()
-            });
+            self.targets.push(TargetState { next_probe: now, ..TargetState::default() });
         }
         while self.stores.len() < snapshot.stores.len() {
-            self.stores.push(StoreState {
-                next_listing: now,
-                ..StoreState::default()
-            });
+            self.stores.push(StoreState { next_listing: now, ..StoreState::default() });
         }
         self.snapshot = Some(snapshot);
     }
@@ -42,16 +36,12 @@
     pub(super) fn take_report(&mut self, now: Moment, key: TargetKey, report: TargetReport) {
         let declared = self.snapshot.as_ref().and_then(|s| s.targets.get(key));
         if let Some(target) = declared.filter(|_| report.leaving) {
-            self.membership
-                .mark_leaving(target.address, report.incarnation);
+            self.membership.mark_leaving(target.address, report.incarnation);
         }
         let Some(state) = self.targets.get_mut(key) else {
             return;
         };
-        if state
-            .report
-            .is_some_and(|r| r.incarnation != report.incarnation)
-        {
+        if state.report.is_some_and(|r| r.incarnation != report.incarnation) {
             self.directory.clear_engine(key);
             state.failures = 0;
         }
@@ -78,11 +68,7 @@
         for (address, sealed, tier) in &digest.stored {
             let store = snapshot.stores.iter().find(|(_, s)| s.address == *address);
             if let Some((store, _)) = store {
-                let kept = crate::directory::Kept {
-                    store,
-                    sealed: *sealed,
-                    tier: *tier,
-                };
+                let kept = crate::directory::Kept { store, sealed: *sealed, tier: *tier };
                 self.directory.add_kept(kept);
             }
         }
@@ -136,14 +122,7 @@
             wants: Vec::new(),
         };
         let own = self.identity.address;
-        let peers = self
-            .membership
-            .peers()
-            .map(|(address, _)| address)
-            .filter(|a| *a != own);
-        actions.extend(peers.map(|to| Action::SendDigest {
-            to,
-            digest: digest.clone(),
-        }));
+        let peers = self.membership.peers().map(|(address, _)| address).filter(|a| *a != own);
+        actions.extend(peers.map(|to| Action::SendDigest { to, digest: digest.clone() }));
     }
 }
--- a/crates/cumintrail-control/src/directory.rs
+++ b/crates/cumintrail-control/src/directory.rs
@@ -54,10 +54,7 @@
 
     /// Returns the stores that probably have a block.
     pub fn kept(&self, key: BlockKey) -> &[Kept] {
-        self.kept
-            .get(&key)
-            .map(SmallVec::as_slice)
-            .unwrap_or_default()
+        self.kept.get(&key).map(SmallVec::as_slice).unwrap_or_default()
     }
 
     /// Notes blocks that an engine holds or has evicted.
--- a/crates/cumintrail-control/src/event.rs
+++ b/crates/cumintrail-control/src/event.rs
@@ -278,9 +278,7 @@
 impl Usage {
     /// Returns the prompt tokens that were computed again.
     pub const fn recomputed(&self) -> Tokens {
-        self.prompt
-            .saturating_sub(self.cached)
-            .saturating_sub(self.imported)
+        self.prompt.saturating_sub(self.cached).saturating_sub(self.imported)
     }
 }
 
--- a/crates/cumintrail-control/src/keeping.rs
+++ b/crates/cumintrail-control/src/keeping.rs
@@ -14,7 +14,5 @@
         return Vec::new();
     }
     let missing = pieces.iter().filter(|key| directory.kept(**key).is_empty());
-    missing
-        .map(|key| (*key, stores[usize::from(key.0[0]) % stores.len()]))
-        .collect()
+    missing.map(|key| (*key, stores[usize::from(key.0[0]) % stores.len()])).collect()
 }
--- a/crates/cumintrail-control/src/links.rs
+++ b/crates/cumintrail-control/src/links.rs
@@ -25,11 +25,7 @@
     pub fn estimate(&self, store: StoreKey, bytes: Bytes, declared: Bytes) -> Duration {
         let link = self.stores.get(&store).copied().unwrap_or_default();
         let declared = declared.0 as f64;
-        let speed = if link.observed > 0.0 {
-            link.observed.min(declared)
-        } else {
-            declared
-        };
+        let speed = if link.observed > 0.0 { link.observed.min(declared) } else { declared };
         Duration::from_secs_f64((link.in_flight + bytes).0 as f64 / speed.max(1.0))
     }
 
@@ -44,11 +40,7 @@
         link.in_flight = link.in_flight.saturating_sub(ordered);
         if arrived.0 > 0 && !took.is_zero() {
             let speed = arrived.0 as f64 / took.as_secs_f64();
-            let old = if link.observed > 0.0 {
-                link.observed
-            } else {
-                speed
-            };
+            let old = if link.observed > 0.0 { link.observed } else { speed };
             link.observed = old + SMOOTHING * (speed - old);
         }
     }
--- a/crates/cumintrail-control/src/placement.rs
+++ b/crates/cumintrail-control/src/placement.rs
@@ -119,13 +119,7 @@
     let cost = preset.first_token_weight * first_token
         + preset.recompute_weight * prefill
         + preset.link_weight * transfer;
-    let fetches = fetches
-        .iter()
-        .map(|k| Fetch {
-            store: k.store,
-            sealed: k.sealed,
-        })
-        .collect();
+    let fetches = fetches.iter().map(|k| Fetch { store: k.store, sealed: k.sealed }).collect();
     Placement {
         target: candidate.key,
         cost,
--- a/crates/cumintrail-control/src/stream.rs
+++ b/crates/cumintrail-control/src/stream.rs
@@ -26,20 +26,12 @@
 impl StreamCheck {
     /// Starts with no event passed on.
     pub const fn new(call_id: String) -> Self {
-        Self {
-            call_id,
-            last: 0,
-            ended: false,
-        }
+        Self { call_id, last: 0, ended: false }
     }
 
     /// Starts an attempt that goes on after `last` events of earlier ones.
     pub const fn continued(call_id: String, last: u32) -> Self {
-        Self {
-            call_id,
-            last,
-            ended: false,
-        }
+        Self { call_id, last, ended: false }
     }
 
     /// Checks a token event.
--- a/crates/cumintrail-daemon/src/background/config_sync.rs
+++ b/crates/cumintrail-daemon/src/background/config_sync.rs
@@ -95,15 +95,9 @@
 async fn sync_peers(background: &Background) {
     let mut addresses = background.shared.settings.peers.clone();
     let dump = background.shared.control.dump().await;
-    addresses.extend(
-        dump.into_iter()
-            .flat_map(|d| d.peers)
-            .map(|(address, _)| address),
-    );
+    addresses.extend(dump.into_iter().flat_map(|d| d.peers).map(|(address, _)| address));
     for address in addresses {
-        let request = ConfigRequest {
-            after: background.shared.generation(),
-        };
+        let request = ConfigRequest { after: background.shared.generation() };
         let Ok(reply) = background.peers.config(address, &request).await else {
             continue;
         };
@@ -147,14 +141,7 @@
 
 async fn adopt_record(background: &Background, record: SnapshotRecord) -> Result<(), SyncError> {
     let sections = record.to_sections();
-    adopt(
-        background,
-        record.generation,
-        &record.preset,
-        sections,
-        VecDeque::new(),
-    )
-    .await
+    adopt(background, record.generation, &record.preset, sections, VecDeque::new()).await
 }
 
 async fn adopt(
@@ -171,23 +158,13 @@
     let previous = background.shared.snapshot();
     let snapshot = Snapshot::build(generation, &parsed, Some(preset), previous.as_deref())?;
     let snapshot = Arc::new(snapshot);
-    background
-        .shared
-        .control
-        .tell(Event::Configured(snapshot.clone()))
-        .await;
-    background.shared.adopt(Arc::new(Adopted {
-        snapshot,
-        sections,
-        recent,
-    }));
+    background.shared.control.tell(Event::Configured(snapshot.clone())).await;
+    background.shared.adopt(Arc::new(Adopted { snapshot, sections, recent }));
     metrics::gauge!(metric::GENERATION).set(generation.0 as f64);
     log::info!("generation {generation} is in force, preset {preset}");
     Ok(())
 }
 
 fn decode<T: DeserializeOwned>(key: &str, bytes: &[u8]) -> Result<T, SyncError> {
-    serde_json::from_slice(bytes).map_err(|_| SyncError::Record {
-        key: key.to_owned(),
-    })
+    serde_json::from_slice(bytes).map_err(|_| SyncError::Record { key: key.to_owned() })
 }
--- a/crates/cumintrail-daemon/src/background/orders.rs
+++ b/crates/cumintrail-daemon/src/background/orders.rs
@@ -51,11 +51,7 @@
         Action::SendDigest { to, digest } => {
             actix_rt::spawn(async move { send_digest(&background, to, digest).await });
         }
-        Action::Cancel {
-            call,
-            attempt,
-            target,
-        } => {
+        Action::Cancel { call, attempt, target } => {
             actix_rt::spawn(async move {
                 let id = format!("{}-{attempt}", background.shared.call_id(call));
                 if let Some(at) = background.target_address(target) {
@@ -70,11 +66,7 @@
 
 impl Background {
     fn target_address(&self, target: TargetKey) -> Option<std::net::SocketAddr> {
-        self.shared
-            .snapshot()?
-            .targets
-            .get(target)
-            .map(|t| t.address)
+        self.shared.snapshot()?.targets.get(target).map(|t| t.address)
     }
 
     fn store_address(&self, store: StoreKey) -> Option<std::net::SocketAddr> {
@@ -91,12 +83,7 @@
         control.tell(Event::TargetSilent { target }).await;
         return;
     };
-    control
-        .tell(Event::TargetReported {
-            target,
-            report: report.into(),
-        })
-        .await;
+    control.tell(Event::TargetReported { target, report: report.into() }).await;
     if report.version.0 == 0 {
         return;
     }
@@ -104,10 +91,7 @@
         cursor.last.set(0);
     }
     let events = background.engines.cache_events(at, cursor.last.get()).await;
-    if let Some(event) = events
-        .ok()
-        .and_then(|events| cache_change(target, cursor, &events))
-    {
+    if let Some(event) = events.ok().and_then(|events| cache_change(target, cursor, &events)) {
         control.tell(event).await;
     }
 }
@@ -120,52 +104,22 @@
     for event in &events.events {
         held.insert(event.key, event.stored);
     }
-    let keys = |wanted: bool| {
-        held.iter()
-            .filter(move |(_, s)| **s == wanted)
-            .map(|(k, _)| *k)
-    };
+    let keys = |wanted: bool| held.iter().filter(move |(_, s)| **s == wanted).map(|(k, _)| *k);
     let (stored, evicted) = (keys(true).collect(), keys(false).collect());
     let incarnation = events.incarnation;
-    Some(Event::CacheChanged {
-        target,
-        incarnation,
-        gap,
-        stored,
-        evicted,
-    })
+    Some(Event::CacheChanged { target, incarnation, gap, stored, evicted })
 }
 
 async fn export(background: &Background, order: Export) {
-    let addresses = background
-        .target_address(order.target)
-        .zip(background.store_address(order.store));
+    let addresses =
+        background.target_address(order.target).zip(background.store_address(order.store));
     let Some((at, store)) = addresses else { return };
-    let message = ExportOrder {
-        key: order.key,
-        store,
-        write_id: order.write_id,
-    };
+    let message = ExportOrder { key: order.key, store, write_id: order.write_id };
     let report = background.engines.export(at, &message).await;
     let sealed = report.ok().and_then(|r| r.sealed).map(|(digest, length)| {
-        (
-            Sealed {
-                key: order.key,
-                write_id: order.write_id,
-                digest,
-                length,
-            },
-            Tier::Memory,
-        )
+        (Sealed { key: order.key, write_id: order.write_id, digest, length }, Tier::Memory)
     });
-    background
-        .shared
-        .control
-        .tell(Event::Exported {
-            export: order,
-            sealed,
-        })
-        .await;
+    background.shared.control.tell(Event::Exported { export: order, sealed }).await;
 }
 
 async fn free(background: &Background, store: StoreKey, sealed: Sealed) {
@@ -190,14 +144,7 @@
         after = page.blocks.last().map(|b| b.sealed.key);
         let blocks = page.blocks.iter().map(|b| (b.sealed, b.tier)).collect();
         let incarnation = page.incarnation;
-        control
-            .tell(Event::StoreListed {
-                store,
-                incarnation,
-                first,
-                blocks,
-            })
-            .await;
+        control.tell(Event::StoreListed { store, incarnation, first, blocks }).await;
         if !page.more || after.is_none() {
             return;
         }
@@ -209,10 +156,6 @@
     let size = cumintrail_wire::to_msgpack(&message).map_or(0, |m| m.len());
     metrics::counter!(metric::PEER_BYTES).increment(size as u64);
     if background.peers.digest(to, &message).await.is_err() {
-        background
-            .shared
-            .control
-            .tell(Event::PeerSilent { address: to })
-            .await;
+        background.shared.control.tell(Event::PeerSilent { address: to }).await;
     }
 }
--- a/crates/cumintrail-daemon/src/background/vm_list.rs
+++ b/crates/cumintrail-daemon/src/background/vm_list.rs
@@ -18,19 +18,13 @@
         role: VmRole::Daemon,
         state: VmState::Live,
     });
-    let event = Event::VmsListed {
-        sequence: 0,
-        vms: known.collect(),
-    };
+    let event = Event::VmsListed { sequence: 0, vms: known.collect() };
     background.shared.control.tell(event).await;
     loop {
         match background.platform.vms().await {
             Ok(list) => {
                 let vms = list.vms.into_iter().map(VmEntry::from).collect();
-                let event = Event::VmsListed {
-                    sequence: list.sequence,
-                    vms,
-                };
+                let event = Event::VmsListed { sequence: list.sequence, vms };
                 background.shared.control.tell(event).await;
             }
             Err(_) => metrics::counter!(metric::PLATFORM_ERRORS, "part" => "vm_list").increment(1),
--- a/crates/cumintrail-daemon/src/callers.rs
+++ b/crates/cumintrail-daemon/src/callers.rs
@@ -30,10 +30,7 @@
     shared: Arc<Shared>,
     engines: HttpEngine,
     services: PlainService,
-    #[expect(
-        dead_code,
-        reason = "claims of idempotency keys are read and written here"
-    )]
+    #[expect(dead_code, reason = "claims of idempotency keys are read and written here")]
     platform: HttpPlatform,
 }
 
@@ -41,12 +38,7 @@
     fn open(shared: Arc<Shared>) -> Self {
         let s = &shared.settings;
         let platform = HttpPlatform::open(s.table, s.objects, s.vm_list);
-        Self {
-            engines: HttpEngine::open(),
-            services: PlainService::open(),
-            platform,
-            shared,
-        }
+        Self { engines: HttpEngine::open(), services: PlainService::open(), platform, shared }
     }
 }
 
@@ -84,8 +76,6 @@
                 .tcp()
                 .map_err(|_| ())
         };
-        builder
-            .listen("callers", listener, service)
-            .expect("the listener is bound already")
+        builder.listen("callers", listener, service).expect("the listener is bound already")
     }
 }
--- a/crates/cumintrail-daemon/src/callers/auth.rs
+++ b/crates/cumintrail-daemon/src/callers/auth.rs
@@ -12,31 +12,19 @@
     let found = shown.and_then(|digest| Some((digest, snapshot.account_of(&digest)?)));
     let verified = found.filter(|(digest, key)| {
         let account = snapshot.accounts.get(*key);
-        let digests = account
-            .map(|a| a.key_digests.as_slice())
-            .unwrap_or_default();
+        let digests = account.map(|a| a.key_digests.as_slice()).unwrap_or_default();
         digests.iter().any(|d| bool::from(d.0.ct_eq(&digest.0)))
     });
-    verified
-        .map(|(_, key)| key)
-        .ok_or_else(|| Refusal::not_run(RefusalCode::Unauthorized))
+    verified.map(|(_, key)| key).ok_or_else(|| Refusal::not_run(RefusalCode::Unauthorized))
 }
 
 /// Tells whether the request shows `key`, in constant time.
 pub fn shows_key(head: &RequestHead, key: &str) -> bool {
     bearer(head).is_some_and(|shown| {
-        bool::from(
-            Digest::of(shown.as_bytes())
-                .0
-                .ct_eq(&Digest::of(key.as_bytes()).0),
-        )
+        bool::from(Digest::of(shown.as_bytes()).0.ct_eq(&Digest::of(key.as_bytes()).0))
     })
 }
 
 fn bearer(head: &RequestHead) -> Option<&str> {
-    head.headers()
-        .get(AUTHORIZATION)?
-        .to_str()
-        .ok()?
-        .strip_prefix("Bearer ")
+    head.headers().get(AUTHORIZATION)?.to_str().ok()?.strip_prefix("Bearer ")
 }
--- a/crates/cumintrail-daemon/src/callers/engine_attempt.rs
+++ b/crates/cumintrail-daemon/src/callers/engine_attempt.rs
@@ -65,17 +65,7 @@
         arrived: Moment,
     ) -> Self {
         let check = StreamCheck::new(String::new());
-        Self {
-            call,
-            id,
-            account,
-            parsed,
-            pieces,
-            version,
-            arrived,
-            check,
-            answered: Vec::new(),
-        }
+        Self { call, id, account, parsed, pieces, version, arrived, check, answered: Vec::new() }
     }
 
     /// Makes one attempt.
@@ -123,11 +113,7 @@
             }
             resumes += 1;
             metrics::counter!(metric::RESUMES).increment(1);
-            stream = worker
-                .engines
-                .resume(at, &wire_id, self.check.last(), gap)
-                .await
-                .ok();
+            stream = worker.engines.resume(at, &wire_id, self.check.last(), gap).await.ok();
         }
     }
 
@@ -162,16 +148,7 @@
         }
         let took = worker.shared.now().since(started);
         let (call, target) = (self.call, dispatch.target);
-        worker
-            .shared
-            .control
-            .tell(Event::Fetched {
-                call,
-                target,
-                outcomes,
-                took,
-            })
-            .await;
+        worker.shared.control.tell(Event::Fetched { call, target, outcomes, took }).await;
         names
     }
 
@@ -186,13 +163,7 @@
         let pieces = if dispatch.version == self.version {
             self.pieces.clone()
         } else {
-            model_call::piece_keys(
-                worker,
-                snapshot,
-                self.account,
-                &self.parsed,
-                dispatch.version,
-            )
+            model_call::piece_keys(worker, snapshot, self.account, &self.parsed, dispatch.version)
         };
         Generate {
             call: wire_id.to_owned(),
@@ -219,11 +190,7 @@
         tx: &mpsc::Sender<CallEvent>,
     ) -> ConnectionEnd {
         loop {
-            let limit = if self.answered.is_empty() {
-                first_gap
-            } else {
-                gap
-            };
+            let limit = if self.answered.is_empty() { first_gap } else { gap };
             let event = tokio::select! {
                 event = stream.next(limit) => event,
                 () = tx.closed() => return ConnectionEnd::CallerGone,
@@ -256,11 +223,7 @@
         if self.answered.is_empty() {
             let waited = worker.shared.now().since(self.arrived);
             metrics::histogram!(metric::FIRST_TOKEN).record(waited.as_secs_f64());
-            worker
-                .shared
-                .control
-                .tell(Event::FirstToken { call: self.call })
-                .await;
+            worker.shared.control.tell(Event::FirstToken { call: self.call }).await;
         }
         self.answered.push(text);
     }
@@ -276,9 +239,7 @@
     }
 
     fn token_gap(&self, snapshot: &Snapshot) -> Duration {
-        let model = snapshot
-            .model(&self.parsed.model)
-            .and_then(|key| snapshot.models.get(key));
+        let model = snapshot.model(&self.parsed.model).and_then(|key| snapshot.models.get(key));
         model.map_or(Duration::from_secs(2), |m| m.token_gap)
     }
 }
@@ -302,12 +263,7 @@
         store: store.address,
         write_id: sealed.write_id,
     };
-    let outcome = match worker
-        .engines
-        .import(at, &order, within)
-        .await
-        .map(|r| r.outcome)
-    {
+    let outcome = match worker.engines.import(at, &order, within).await.map(|r| r.outcome) {
         Ok(ImportOutcome::Staged { digest, length })
             if digest == sealed.digest && length == sealed.length =>
         {
@@ -334,11 +290,8 @@
 }
 
 fn count_prompt(usage: Usage) {
-    let sources = [
-        ("memory", usage.cached),
-        ("store", usage.imported),
-        ("computed", usage.recomputed()),
-    ];
+    let sources =
+        [("memory", usage.cached), ("store", usage.imported), ("computed", usage.recomputed())];
     for (source, tokens) in sources {
         metrics::counter!(metric::PROMPT_TOKENS, "source" => source).increment(tokens.0.into());
     }
--- a/crates/cumintrail-daemon/src/callers/model_answer.rs
+++ b/crates/cumintrail-daemon/src/callers/model_answer.rs
@@ -86,9 +86,7 @@
             let mut opening = true;
             while let Some(event) = next.take() {
                 let goes_on = matches!(event, CallEvent::Token(_));
-                let sent = tx
-                    .send(self.chunk(event, std::mem::take(&mut opening)))
-                    .await;
+                let sent = tx.send(self.chunk(event, std::mem::take(&mut opening))).await;
                 if !goes_on || sent.is_err() {
                     return;
                 }
@@ -108,9 +106,7 @@
             CallEvent::Token(text) => Ok(sse(&self.part(Some(text), None, None, opening))),
             CallEvent::End { reason, usage } => {
                 let end = sse(&self.part(None, Some(reason), Some(usage), opening));
-                Ok([end, Bytes::from(format!("data: {DONE}\n\n"))]
-                    .concat()
-                    .into())
+                Ok([end, Bytes::from(format!("data: {DONE}\n\n"))].concat().into())
             }
             // The head has left, so the only truthful end is a cut connection.
             CallEvent::Refused(refusal) => Err(io::Error::other(refusal.code.to_string())),
@@ -126,21 +122,12 @@
     ) -> Completion {
         let role = opening.then(|| "assistant".to_owned());
         let choice = match self.style {
-            AnswerStyle::Completion => Choice {
-                text: Some(text.unwrap_or_default()),
-                finish_reason,
-                ..Choice::default()
-            },
+            AnswerStyle::Completion => {
+                Choice { text: Some(text.unwrap_or_default()), finish_reason, ..Choice::default() }
+            }
             AnswerStyle::Chat => {
-                let delta = Some(ChatDelta {
-                    role,
-                    content: text,
-                });
-                Choice {
-                    delta,
-                    finish_reason,
-                    ..Choice::default()
-                }
+                let delta = Some(ChatDelta { role, content: text });
+                Choice { delta, finish_reason, ..Choice::default() }
             }
         };
         let object = match self.style {
@@ -154,23 +141,12 @@
         let finish_reason = Some(reason.to_owned());
         match self.style {
             AnswerStyle::Completion => {
-                let choice = Choice {
-                    text: Some(text),
-                    finish_reason,
-                    ..Choice::default()
-                };
+                let choice = Choice { text: Some(text), finish_reason, ..Choice::default() };
                 self.wrap("text_completion", choice, Some(usage))
             }
             AnswerStyle::Chat => {
-                let message = Some(ChatMessage {
-                    role: "assistant".into(),
-                    content: text,
-                });
-                let choice = Choice {
-                    message,
-                    finish_reason,
-                    ..Choice::default()
-                };
+                let message = Some(ChatMessage { role: "assistant".into(), content: text });
+                let choice = Choice { message, finish_reason, ..Choice::default() };
                 self.wrap("chat.completion", choice, Some(usage))
             }
         }
@@ -203,9 +179,5 @@
 }
 
 fn sse(chunk: &Completion) -> Bytes {
-    format!(
-        "data: {}\n\n",
-        serde_json::to_string(chunk).unwrap_or_default()
-    )
-    .into()
+    format!("data: {}\n\n", serde_json::to_string(chunk).unwrap_or_default()).into()
 }
--- a/crates/cumintrail-daemon/src/callers/model_call.rs
+++ b/crates/cumintrail-daemon/src/callers/model_call.rs
@@ -33,17 +33,12 @@
     let snapshot = worker.snapshot()?;
     let account = auth::account_of(head, &snapshot)?;
     let patience = request::patience(head, snapshot.deployment.default_deadline)?;
-    let model = snapshot
-        .model(&parsed.model)
-        .ok_or(Refusal::not_run(RefusalCode::NotFound))?;
+    let model = snapshot.model(&parsed.model).ok_or(Refusal::not_run(RefusalCode::NotFound))?;
     let max_tokens = parsed.max_tokens.unwrap_or(DEFAULT_MAX_TOKENS);
     if parsed.prompt.is_empty() || max_tokens == 0 || max_tokens > MAX_ANSWER {
         return Err(Refusal::not_run(RefusalCode::BadRequest));
     }
-    let version = snapshot
-        .models
-        .get(model)
-        .map_or(WeightVersion(0), |m| m.version);
+    let version = snapshot.models.get(model).map_or(WeightVersion(0), |m| m.version);
     let pieces = piece_keys(&worker, &snapshot, account, &parsed, version);
 
     let call = worker.shared.next_call();
@@ -60,19 +55,11 @@
         deadline: now + patience,
     };
     let overloaded = Refusal::not_run(RefusalCode::Overloaded);
-    let commands = worker
-        .shared
-        .control
-        .arrive(arrival)
-        .map_err(|_| overloaded)?;
+    let commands = worker.shared.control.arrive(arrival).map_err(|_| overloaded)?;
 
     let id = worker.shared.call_id(call);
     let streamed = parsed.stream;
-    let formatter = Formatter {
-        id: id.clone(),
-        model: parsed.model.clone(),
-        style,
-    };
+    let formatter = Formatter { id: id.clone(), model: parsed.model.clone(), style };
     let engine_call = EngineCall::new(id.clone(), call, account, parsed, pieces, version, now);
     let (tx, mut rx) = mpsc::channel(EVENTS_AHEAD);
     actix_rt::spawn(run(worker, snapshot, engine_call, commands, tx));
@@ -84,9 +71,7 @@
         first => formatter.whole(first, rx).await?,
     };
     if let Ok(value) = HeaderValue::from_str(&id) {
-        response
-            .headers_mut()
-            .insert(HeaderName::from_static(CALL_HEADER), value);
+        response.headers_mut().insert(HeaderName::from_static(CALL_HEADER), value);
     }
     Ok(response)
 }
@@ -99,17 +84,11 @@
     parsed: &CompletionRequest,
     version: WeightVersion,
 ) -> Arc<[BlockKey]> {
-    let name = snapshot
-        .accounts
-        .get(account)
-        .map(|a| a.name.clone())
-        .unwrap_or_default();
+    let name = snapshot.accounts.get(account).map(|a| a.name.clone()).unwrap_or_default();
     let secret = format!("{}\0{name}", worker.shared.settings.block_secret.expose());
     let chain = KeyChain::new(secret.as_bytes(), &parsed.model, "", version);
     let deployment = &snapshot.deployment;
-    chain
-        .keys_of(&parsed.prompt, deployment.piece, deployment.bytes_per_token)
-        .into()
+    chain.keys_of(&parsed.prompt, deployment.piece, deployment.bytes_per_token).into()
 }
 
 /// Follows the control thread's commands until the call is answered or its caller is gone.
@@ -146,15 +125,7 @@
             AttemptEnd::Outcome(outcome) => outcome,
         };
         let attempt = dispatch.attempt;
-        worker
-            .shared
-            .control
-            .tell(Event::AttemptEnded {
-                call,
-                attempt,
-                outcome,
-            })
-            .await;
+        worker.shared.control.tell(Event::AttemptEnded { call, attempt, outcome }).await;
         if let AttemptOutcome::Answered(_) = outcome {
             metrics::counter!(metric::CALLS, "outcome" => "answered").increment(1);
             return;
--- a/crates/cumintrail-daemon/src/callers/refuse.rs
+++ b/crates/cumintrail-daemon/src/callers/refuse.rs
@@ -16,9 +16,7 @@
     let mut response = json(refusal.code.status(), &body);
     if let Some(after) = refusal.retry_after {
         let seconds = after.as_millis().div_ceil(1_000) as u64;
-        response
-            .headers_mut()
-            .insert(RETRY_AFTER, HeaderValue::from(seconds));
+        response.headers_mut().insert(RETRY_AFTER, HeaderValue::from(seconds));
     }
     response
 }
@@ -28,9 +26,7 @@
     let bytes = serde_json::to_vec(body).unwrap_or_default();
     let status = StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
     let mut response = Response::with_body(status, CallerBody::Whole(bytes.into()));
-    response
-        .headers_mut()
-        .insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
     response
 }
 
--- a/crates/cumintrail-daemon/src/callers/request.rs
+++ b/crates/cumintrail-daemon/src/callers/request.rs
@@ -18,10 +18,7 @@
     max_bytes: usize,
     within: Duration,
 ) -> Result<Bytes, Refusal> {
-    let announced = req
-        .headers()
-        .get(CONTENT_LENGTH)
-        .and_then(|v| v.to_str().ok()?.parse().ok());
+    let announced = req.headers().get(CONTENT_LENGTH).and_then(|v| v.to_str().ok()?.parse().ok());
     let mut payload = req.take_payload();
     if announced.is_some_and(|length: usize| length > max_bytes) {
         discard(&mut payload).await;
@@ -40,9 +37,7 @@
         Ok(body.freeze())
     };
     let timed_out = Refusal::not_run(RefusalCode::RequestTimeout);
-    actix_rt::time::timeout(within, read)
-        .await
-        .unwrap_or(Err(timed_out))
+    actix_rt::time::timeout(within, read).await.unwrap_or(Err(timed_out))
 }
 
 /// Reads on without keeping anything, since many callers see no answer before they have sent all.
@@ -65,12 +60,7 @@
     let Some(value) = head.headers().get(DEADLINE_HEADER) else {
         return Ok(longest);
     };
-    let millis = value
-        .to_str()
-        .ok()
-        .and_then(|text| text.trim().parse().ok());
+    let millis = value.to_str().ok().and_then(|text| text.trim().parse().ok());
     let asked = millis.map(Duration::from_millis);
-    asked
-        .map(|d| d.min(longest))
-        .ok_or_else(|| Refusal::not_run(RefusalCode::BadRequest))
+    asked.map(|d| d.min(longest)).ok_or_else(|| Refusal::not_run(RefusalCode::BadRequest))
 }
--- a/crates/cumintrail-daemon/src/callers/router.rs
+++ b/crates/cumintrail-daemon/src/callers/router.rs
@@ -18,9 +18,7 @@
 
 /// Answers one request.
 pub async fn answer(worker: Rc<Worker>, req: Request) -> Response<CallerBody> {
-    route(worker, req)
-        .await
-        .unwrap_or_else(|refusal| refuse(&refusal))
+    route(worker, req).await.unwrap_or_else(|refusal| refuse(&refusal))
 }
 
 async fn route(worker: Rc<Worker>, req: Request) -> Result<Response<CallerBody>, Refusal> {
@@ -44,22 +42,9 @@
 fn list_models(worker: &Worker, req: &Request) -> Result<Response<CallerBody>, Refusal> {
     let snapshot = worker.snapshot()?;
     auth::account_of(req.head(), &snapshot)?;
-    let entry = |name: &str| ModelEntry {
-        id: name.to_owned(),
-        object: "model".into(),
-    };
-    let data = snapshot
-        .models
-        .iter()
-        .map(|(_, m)| entry(&m.name))
-        .collect();
-    Ok(json(
-        OK,
-        &ModelList {
-            object: "list".into(),
-            data,
-        },
-    ))
+    let entry = |name: &str| ModelEntry { id: name.to_owned(), object: "model".into() };
+    let data = snapshot.models.iter().map(|(_, m)| entry(&m.name)).collect();
+    Ok(json(OK, &ModelList { object: "list".into(), data }))
 }
 
 async fn complete(worker: Rc<Worker>, req: Request) -> Result<Response<CallerBody>, Refusal> {
@@ -81,16 +66,12 @@
     let settings = &worker.shared.settings;
     let body = read_body(&mut req, settings.max_body_bytes, settings.request_timeout).await?;
     let parsed = serde_json::from_slice(&body);
-    parsed
-        .map(|parsed| (req, parsed))
-        .map_err(|_| Refusal::not_run(RefusalCode::BadRequest))
+    parsed.map(|parsed| (req, parsed)).map_err(|_| Refusal::not_run(RefusalCode::BadRequest))
 }
 
 impl Worker {
     /// Returns the configuration in force, or refuses.
     pub(super) fn snapshot(&self) -> Result<std::sync::Arc<cumintrail_config::Snapshot>, Refusal> {
-        self.shared
-            .snapshot()
-            .ok_or_else(|| Refusal::not_run(RefusalCode::NotConfigured))
+        self.shared.snapshot().ok_or_else(|| Refusal::not_run(RefusalCode::NotConfigured))
     }
 }
--- a/crates/cumintrail-daemon/src/callers/service_call.rs
+++ b/crates/cumintrail-daemon/src/callers/service_call.rs
@@ -25,10 +25,7 @@
     let snapshot = worker.snapshot()?;
     let account = auth::account_of(req.head(), &snapshot)?;
     let (key, path) = split_path(&snapshot, &req)?;
-    let service = snapshot
-        .services
-        .get(key)
-        .ok_or(Refusal::not_run(RefusalCode::NotFound))?;
+    let service = snapshot.services.get(key).ok_or(Refusal::not_run(RefusalCode::NotFound))?;
     let patience = request::patience(req.head(), service.timeout)?;
     let class = match req.method() {
         method if service.repeatable.iter().any(|m| **m == *method.as_str()) => {
@@ -39,16 +36,11 @@
     let settings = &worker.shared.settings;
     let body =
         request::read_body(&mut req, settings.max_body_bytes, settings.request_timeout).await?;
-    let headers = req
-        .headers()
-        .iter()
-        .filter(|(name, _)| **name != AUTHORIZATION);
+    let headers = req.headers().iter().filter(|(name, _)| **name != AUTHORIZATION);
     let call = ServiceCall {
         method: req.method().clone(),
         path,
-        headers: headers
-            .map(|(name, value)| (name.clone(), value.clone()))
-            .collect(),
+        headers: headers.map(|(name, value)| (name.clone(), value.clone())).collect(),
         body,
         within: patience,
     };
@@ -68,14 +60,8 @@
 ) -> Result<(ServiceKey, String), Refusal> {
     let rest = req.path().strip_prefix(ROOT).unwrap_or_default();
     let (name, path) = rest.split_once('/').unwrap_or((rest, ""));
-    let query = req
-        .uri()
-        .query()
-        .map(|q| format!("?{q}"))
-        .unwrap_or_default();
-    let key = snapshot
-        .service(name)
-        .ok_or(Refusal::not_run(RefusalCode::NotFound))?;
+    let query = req.uri().query().map(|q| format!("?{q}")).unwrap_or_default();
+    let key = snapshot.service(name).ok_or(Refusal::not_run(RefusalCode::NotFound))?;
     Ok((key, format!("/{path}{query}")))
 }
 
@@ -97,11 +83,7 @@
         max_answer: Tokens(0),
         deadline: worker.shared.now() + patience,
     };
-    worker
-        .shared
-        .control
-        .arrive(arrival)
-        .map_err(|_| Refusal::not_run(RefusalCode::Overloaded))
+    worker.shared.control.arrive(arrival).map_err(|_| Refusal::not_run(RefusalCode::Overloaded))
 }
 
 /// Follows the control thread's commands until the call is answered or given up.
@@ -122,16 +104,10 @@
         };
         let outcome = match &sent {
             Ok(_) => AttemptOutcome::Answered(Usage::default()),
-            Err(e) if e.may_have_arrived() => AttemptOutcome::Failed {
-                answered: Tokens(0),
-            },
+            Err(e) if e.may_have_arrived() => AttemptOutcome::Failed { answered: Tokens(0) },
             Err(_) => AttemptOutcome::NotSent,
         };
-        let event = Event::AttemptEnded {
-            call: dispatch.call,
-            attempt: dispatch.attempt,
-            outcome,
-        };
+        let event = Event::AttemptEnded { call: dispatch.call, attempt: dispatch.attempt, outcome };
         worker.shared.control.tell(event).await;
         if let Ok(answer) = sent {
             metrics::counter!(metric::CALLS, "outcome" => "answered").increment(1);
@@ -146,9 +122,7 @@
     call: &ServiceCall,
 ) -> Result<ServiceAnswer, ClientError> {
     let snapshot = worker.shared.snapshot();
-    let target = snapshot
-        .as_ref()
-        .and_then(|s| s.targets.get(dispatch.target));
+    let target = snapshot.as_ref().and_then(|s| s.targets.get(dispatch.target));
     match target {
         Some(target) => worker.services.call(target.address, call).await,
         None => Err(ClientError::NotSent),
--- a/crates/cumintrail-daemon/src/control_thread.rs
+++ b/crates/cumintrail-daemon/src/control_thread.rs
@@ -43,10 +43,7 @@
     /// Announces a call; a full queue refuses it at once.
     pub fn arrive(&self, arrival: Arrival) -> Result<mpsc::UnboundedReceiver<Command>, QueueFull> {
         let (tx, rx) = mpsc::unbounded_channel();
-        self.tx
-            .try_send(Message::Arrive(arrival, tx))
-            .map(|()| rx)
-            .map_err(|_| QueueFull)
+        self.tx.try_send(Message::Arrive(arrival, tx)).map(|()| rx).map_err(|_| QueueFull)
     }
 
     /// Tells an event, waiting for room in the queue.
@@ -132,10 +129,7 @@
     match event {
         Event::CallerGone { call } => Some(*call),
         Event::AttemptEnded { call, outcome, .. } => {
-            let ended = matches!(
-                outcome,
-                AttemptOutcome::Answered(_) | AttemptOutcome::Settled
-            );
+            let ended = matches!(outcome, AttemptOutcome::Answered(_) | AttemptOutcome::Settled);
             ended.then_some(*call)
         }
         _ => None,
--- a/crates/cumintrail-daemon/src/daemon.rs
+++ b/crates/cumintrail-daemon/src/daemon.rs
@@ -64,13 +64,7 @@
         let (link, inbox) = control_thread::channel(settings.control_queue);
         let (orders_tx, orders_rx) = tokio::sync::mpsc::unbounded_channel();
         let workers = settings.workers;
-        let shared = Arc::new(Shared::new(
-            settings,
-            incarnation,
-            operator_address,
-            link,
-            clock,
-        ));
+        let shared = Arc::new(Shared::new(settings, incarnation, operator_address, link, clock));
 
         let control_arbiter = Arbiter::new();
         control_arbiter.spawn(control_thread::run(inbox, control, clock, orders_tx));
@@ -84,10 +78,7 @@
             serve(callers, workers, callers::Factory::new(shared.clone())),
             serve(operators, 1, operators::Factory::new(shared.clone())),
         ];
-        log::info!(
-            "vm {} serves callers on {caller_address}",
-            shared.settings.vm
-        );
+        log::info!("vm {} serves callers on {caller_address}", shared.settings.vm);
         Ok(Self {
             shared,
             caller_address,
--- a/crates/cumintrail-daemon/src/lib.rs
+++ b/crates/cumintrail-daemon/src/lib.rs
@@ -10,7 +10,9 @@
 mod daemon;
 mod metric;
 mod operators;
+mod process;
 mod shared;
 
 pub use daemon::{Daemon, SpawnError};
 pub use metric::install_recorder;
+pub use process::{Arguments, run};
--- a/crates/cumintrail-daemon/src/main.rs
+++ b/crates/cumintrail-daemon/src/main.rs
@@ -1,94 +1,10 @@
 //! `cumintraild`: serves callers on one entry VM.
 
-use std::path::PathBuf;
 use std::process::ExitCode;
 
 use clap::Parser;
-use cumintrail_config::{LogFormat, Settings};
-use cumintrail_daemon::{Daemon, install_recorder};
-use flexi_logger::{DeferredNow, Logger, LoggerHandle};
-use log::Record;
-use tokio::signal::unix::{SignalKind, signal};
-
-const EXIT_BAD_SETTINGS: u8 = 2;
-const EXIT_CANNOT_START: u8 = 3;
-
-/// Serves callers on one entry VM.
-#[derive(Debug, Parser)]
-#[command(name = "cumintraild", version)]
-struct Arguments {
-    /// The settings file of this VM.
-    #[arg(long, value_name = "FILE")]
-    settings: PathBuf,
-    /// Check the settings and exit: 0 if they are good, 2 if not.
-    #[arg(long)]
-    check: bool,
-}
+use cumintrail_daemon::{Arguments, run};
 
 fn main() -> ExitCode {
-    let arguments = Arguments::parse();
-    let settings = match Settings::open(&arguments.settings) {
-        Ok(settings) => settings,
-        Err(problems) => {
-            eprintln!("{problems}");
-            return ExitCode::from(EXIT_BAD_SETTINGS);
-        }
-    };
-    if arguments.check {
-        println!("{}: ok", arguments.settings.display());
-        return ExitCode::SUCCESS;
-    }
-    let _logger = start_logger(&settings);
-    install_recorder();
-    actix_rt::System::new().block_on(serve(settings))
-}
-
-async fn serve(settings: Settings) -> ExitCode {
-    let stopped =
-        signal(SignalKind::terminate()).and_then(|t| Ok((t, signal(SignalKind::interrupt())?)));
-    let (mut terminate, mut interrupt) = match stopped {
-        Ok(signals) => signals,
-        Err(e) => {
-            eprintln!("cannot listen for signals: {e}");
-            return ExitCode::from(EXIT_CANNOT_START);
-        }
-    };
-    let daemon = match Daemon::spawn(settings) {
-        Ok(daemon) => daemon,
-        Err(e) => {
-            eprintln!("{e}");
-            return ExitCode::from(EXIT_CANNOT_START);
-        }
-    };
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
-    }
-    daemon.stop().await;
-    ExitCode::SUCCESS
-}
-
-fn start_logger(settings: &Settings) -> Option<LoggerHandle> {
-    let logger = Logger::try_with_str(&*settings.log_level)
-        .ok()?
-        .log_to_stderr();
-    let logger = match settings.log_format {
-        LogFormat::Text => logger.format(flexi_logger::detailed_format),
-        LogFormat::Json => logger.format(write_json_line),
-    };
-    logger.start().ok()
-}
-
-fn write_json_line(
-    w: &mut dyn std::io::Write,
-    now: &mut DeferredNow,
-    record: &Record<'_>,
-) -> Result<(), std::io::Error> {
-    let line = serde_json::json!({
-        "time": now.now().to_rfc3339(),
-        "level": record.level().as_str(),
-        "module": record.module_path(),
-        "message": record.args().to_string(),
-    });
-    write!(w, "{line}")
+    run(&Arguments::parse())
 }
--- a/crates/cumintrail-daemon/src/operators.rs
+++ b/crates/cumintrail-daemon/src/operators.rs
@@ -51,26 +51,18 @@
                 .tcp()
                 .map_err(|_| ())
         };
-        builder
-            .listen("operators", listener, service)
-            .expect("the listener is bound already")
+        builder.listen("operators", listener, service).expect("the listener is bound already")
     }
 }
 
 async fn answer(shared: &Shared, req: Request) -> Response<CallerBody> {
-    route(shared, req)
-        .await
-        .unwrap_or_else(|refusal| refuse::refuse(&refusal))
+    route(shared, req).await.unwrap_or_else(|refusal| refuse::refuse(&refusal))
 }
 
 async fn route(shared: &Shared, mut req: Request) -> Result<Response<CallerBody>, Refusal> {
     let path = req.path().to_owned();
     let settings = &shared.settings;
-    let key = if path.starts_with("/peer/") {
-        &settings.peer_key
-    } else {
-        &settings.operator_key
-    };
+    let key = if path.starts_with("/peer/") { &settings.peer_key } else { &settings.operator_key };
     let is_health = matches!(path.as_str(), "/livez" | "/readyz");
     if !is_health && !auth::shows_key(req.head(), key.expose()) {
         return Err(Refusal::not_run(RefusalCode::Unauthorized));
@@ -97,22 +89,14 @@
 }
 
 async fn dump(shared: &Shared) -> Result<Dump, Refusal> {
-    shared
-        .control
-        .dump()
-        .await
-        .ok_or(Refusal::not_run(RefusalCode::Stopping))
+    shared.control.dump().await.ok_or(Refusal::not_run(RefusalCode::Stopping))
 }
 
 async fn status(shared: &Shared) -> Result<Status, Refusal> {
     let dump = dump(shared).await?;
-    let silent = dump
-        .targets
-        .iter()
-        .filter(|t| t.liveness == "silent" && !t.retired);
-    let mut degraded: Vec<String> = silent
-        .map(|t| format!("target {} is silent", t.name))
-        .collect();
+    let silent = dump.targets.iter().filter(|t| t.liveness == "silent" && !t.retired);
+    let mut degraded: Vec<String> =
+        silent.map(|t| format!("target {} is silent", t.name)).collect();
     let peers = dump.peers.iter().filter(|(_, p)| p.liveness == "silent");
     degraded.extend(peers.map(|(address, _)| format!("peer {address} is silent")));
     Ok(Status {
@@ -133,10 +117,7 @@
         shared.newer_generation.notify_one();
     }
     shared.control.tell(Event::PeerDigest(digest)).await;
-    Ok(Response::with_body(
-        StatusCode::OK,
-        CallerBody::Whole(Bytes::new()),
-    ))
+    Ok(Response::with_body(StatusCode::OK, CallerBody::Whole(Bytes::new())))
 }
 
 async fn answer_config(
@@ -146,10 +127,7 @@
     let asked: ConfigRequest = read(shared, req).await?;
     let body = to_msgpack(&config_reply(shared, asked));
     let body = body.map_err(|_| Refusal::not_run(RefusalCode::BadRequest))?;
-    Ok(Response::with_body(
-        StatusCode::OK,
-        CallerBody::Whole(body.into()),
-    ))
+    Ok(Response::with_body(StatusCode::OK, CallerBody::Whole(body.into())))
 }
 
 fn config_reply(shared: &Shared, asked: ConfigRequest) -> ConfigReply {
--- a/crates/cumintrail-daemon/src/shared.rs
+++ b/crates/cumintrail-daemon/src/shared.rs
@@ -31,12 +31,7 @@
         SnapshotRecord {
             generation: self.snapshot.generation,
             preset: self.snapshot.preset.name.clone(),
-            sections: self
-                .sections
-                .0
-                .iter()
-                .map(|(n, b)| (n.clone(), b.clone()))
-                .collect(),
+            sections: self.sections.0.iter().map(|(n, b)| (n.clone(), b.clone())).collect(),
         }
     }
 }
@@ -99,10 +94,7 @@
 
     /// Returns the generation in force, or zero.
     pub fn generation(&self) -> Generation {
-        self.adopted
-            .load()
-            .as_ref()
-            .map_or(Generation(0), |a| a.snapshot.generation)
+        self.adopted.load().as_ref().map_or(Generation(0), |a| a.snapshot.generation)
     }
 
     /// Puts a configuration in force; only the configuration task calls this.
--- a/crates/cumintrail-types/src/arena.rs
+++ b/crates/cumintrail-types/src/arena.rs
@@ -22,10 +22,7 @@
 impl<K: Key, V> Arena<K, V> {
     /// Creates an empty arena.
     pub const fn new() -> Self {
-        Self {
-            values: Vec::new(),
-            keys: PhantomData,
-        }
+        Self { values: Vec::new(), keys: PhantomData }
     }
 
     /// Appends a value and returns its key.
@@ -46,18 +43,12 @@
 
     /// Iterates over keys and values in the order of insertion.
     pub fn iter(&self) -> impl Iterator<Item = (K, &V)> {
-        self.values
-            .iter()
-            .enumerate()
-            .map(|(i, v)| (K::from_index(i), v))
+        self.values.iter().enumerate().map(|(i, v)| (K::from_index(i), v))
     }
 
     /// Iterates over keys and changeable values in the order of insertion.
     pub fn iter_mut(&mut self) -> impl Iterator<Item = (K, &mut V)> {
-        self.values
-            .iter_mut()
-            .enumerate()
-            .map(|(i, v)| (K::from_index(i), v))
+        self.values.iter_mut().enumerate().map(|(i, v)| (K::from_index(i), v))
     }
 
     /// Returns the number of entries.
@@ -79,9 +70,6 @@
 
 impl<K: Key, V> FromIterator<V> for Arena<K, V> {
     fn from_iter<I: IntoIterator<Item = V>>(iter: I) -> Self {
-        Self {
-            values: iter.into_iter().collect(),
-            keys: PhantomData,
-        }
+        Self { values: iter.into_iter().collect(), keys: PhantomData }
     }
 }
--- a/crates/cumintrail-types/src/block.rs
+++ b/crates/cumintrail-types/src/block.rs
@@ -128,18 +128,11 @@
     pub fn new(account_secret: &[u8], model: &str, adapter: &str, version: WeightVersion) -> Self {
         let secret = blake3::derive_key(KEY_CONTEXT, account_secret);
         let mut hasher = blake3::Hasher::new_keyed(&secret);
-        for part in [
-            model.as_bytes(),
-            adapter.as_bytes(),
-            &version.0.to_le_bytes(),
-        ] {
+        for part in [model.as_bytes(), adapter.as_bytes(), &version.0.to_le_bytes()] {
             hasher.update(&(part.len() as u64).to_le_bytes());
             hasher.update(part);
         }
-        Self {
-            secret,
-            previous: shorten(&hasher.finalize()),
-        }
+        Self { secret, previous: shorten(&hasher.finalize()) }
     }
 
     /// Appends a piece of prompt text and returns the key of the state after it.
@@ -154,11 +147,7 @@
     /// Returns the keys of all full pieces of `prompt`; a shorter rest has no key.
     pub fn keys_of(mut self, prompt: &str, piece: Tokens, bytes_per_token: u32) -> Vec<BlockKey> {
         let piece_bytes = (piece.0 * bytes_per_token).max(1) as usize;
-        prompt
-            .as_bytes()
-            .chunks_exact(piece_bytes)
-            .map(|piece| self.next_key(piece))
-            .collect()
+        prompt.as_bytes().chunks_exact(piece_bytes).map(|piece| self.next_key(piece)).collect()
     }
 }
 
--- a/crates/cumintrail-types/src/refusal.rs
+++ b/crates/cumintrail-types/src/refusal.rs
@@ -128,20 +128,12 @@
 impl Refusal {
     /// Refuses a call of which no byte can have reached a target.
     pub const fn not_run(code: RefusalCode) -> Self {
-        Self {
-            code,
-            ran: Ran::No,
-            retry_after: None,
-        }
+        Self { code, ran: Ran::No, retry_after: None }
     }
 
     /// Refuses a call that a target may have run.
     pub const fn unknown(code: RefusalCode) -> Self {
-        Self {
-            code,
-            ran: Ran::Unknown,
-            retry_after: None,
-        }
+        Self { code, ran: Ran::Unknown, retry_after: None }
     }
 
     /// Adds the time after which asking again can help.
--- a/crates/cumintrail-wire/src/caller.rs
+++ b/crates/cumintrail-wire/src/caller.rs
@@ -62,12 +62,7 @@
             let _ = writeln!(prompt, "<|{}|>\n{}", message.role, message.content);
         }
         prompt.push_str("<|assistant|>\n");
-        Self {
-            model: chat.model,
-            prompt,
-            max_tokens: chat.max_tokens,
-            stream: chat.stream,
-        }
+        Self { model: chat.model, prompt, max_tokens: chat.max_tokens, stream: chat.stream }
     }
 }
 
--- a/crates/cumintrail-wire/src/platform.rs
+++ b/crates/cumintrail-wire/src/platform.rs
@@ -97,16 +97,7 @@
             ListedRole::Target => VmRole::Target,
             ListedRole::Store => VmRole::Store,
         };
-        let state = if vm.leaving {
-            VmState::Leaving
-        } else {
-            VmState::Live
-        };
-        Self {
-            address: vm.address,
-            domain: vm.domain.into(),
-            role,
-            state,
-        }
+        let state = if vm.leaving { VmState::Leaving } else { VmState::Live };
+        Self { address: vm.address, domain: vm.domain.into(), role, state }
     }
 }
--- a/tests/src/cluster.rs
+++ b/tests/src/cluster.rs
@@ -131,12 +131,7 @@
         let engine_addresses: Vec<SocketAddr> = engines.iter().map(Engine::address).collect();
         let store_addresses: Vec<SocketAddr> = stores.iter().map(Store::address).collect();
         let service_addresses: Vec<SocketAddr> = services.iter().map(Service::address).collect();
-        let text = declare(
-            plan,
-            &engine_addresses,
-            &store_addresses,
-            &service_addresses,
-        );
+        let text = declare(plan, &engine_addresses, &store_addresses, &service_addresses);
         write(declarations.path(), &text)?;
 
         let access = Access::new(at, at, at, Secret::new(OPERATOR_KEY));
@@ -151,15 +146,7 @@
             leaving: false,
         });
         platform.list_vms(listed.collect());
-        let cluster = Self {
-            platform,
-            engines,
-            stores,
-            services,
-            daemons,
-            declarations,
-            access,
-        };
+        let cluster = Self { platform, engines, stores, services, daemons, declarations, access };
         cluster.wait_ready().await?;
         Ok(cluster)
     }
@@ -243,11 +230,7 @@
             domain(i),
             plan.engine.slots,
             plan.engine.prefill_per_second,
-            if plan.engine.checks_fencing {
-                "yes"
-            } else {
-                "no"
-            },
+            if plan.engine.checks_fencing { "yes" } else { "no" },
         );
     }
     for (i, address) in services.iter().enumerate() {
--- a/tests/src/demo.rs
+++ b/tests/src/demo.rs
@@ -60,12 +60,8 @@
 }
 
 fn catalogue() -> String {
-    let line = |i| {
-        format!(
-            "{i}: kesong puti, wrapped in banana leaf, 200 g, lot {}\n",
-            i * 7 % 101
-        )
-    };
+    let line =
+        |i| format!("{i}: kesong puti, wrapped in banana leaf, 200 g, lot {}\n", i * 7 % 101);
     (0..CATALOGUE_LINES).map(line).collect()
 }
 
@@ -81,12 +77,8 @@
     let client = awc::Client::builder().disable_timeout().finish();
     let req = client.request(Method::POST, format!("http://{at}/v1/completions"));
     let req = req.insert_header(("authorization", format!("Bearer {CALLER_KEY}")));
-    let mut measured = Measured {
-        first_token_ms: 0.0,
-        recomputed_share: 1.0,
-        link_bytes: 0,
-        complete: false,
-    };
+    let mut measured =
+        Measured { first_token_ms: 0.0, recomputed_share: 1.0, link_bytes: 0, complete: false };
     let Ok(response) = req.send_json(&request).await else {
         return measured;
     };
--- a/tests/src/http.rs
+++ b/tests/src/http.rs
@@ -58,10 +58,7 @@
         .run();
     let handle = server.handle();
     actix_rt::spawn(server);
-    Ok(Running {
-        address,
-        server: handle,
-    })
+    Ok(Running { address, server: handle })
 }
 
 /// Reads a request's body.
@@ -84,9 +81,7 @@
     let bytes = serde_json::to_vec(value).unwrap_or_default();
     let mut response = Response::with_body(status, BoxBody::new(bytes));
     let kind = actix_http::header::HeaderValue::from_static("application/json");
-    response
-        .headers_mut()
-        .insert(actix_http::header::CONTENT_TYPE, kind);
+    response.headers_mut().insert(actix_http::header::CONTENT_TYPE, kind);
     response
 }
 
@@ -98,19 +93,12 @@
 /// Returns a query parameter.
 pub fn query(req: &Request, name: &str) -> Option<String> {
     let pairs = req.uri().query()?.split('&');
-    pairs
-        .filter_map(|p| p.split_once('='))
-        .find(|(k, _)| *k == name)
-        .map(|(_, v)| v.to_owned())
+    pairs.filter_map(|p| p.split_once('=')).find(|(k, _)| *k == name).map(|(_, v)| v.to_owned())
 }
 
 /// Returns a header.
 pub fn header(req: &Request, name: &str) -> Option<String> {
-    req.headers()
-        .get(name)?
-        .to_str()
-        .ok()
-        .map(ToOwned::to_owned)
+    req.headers().get(name)?.to_str().ok().map(ToOwned::to_owned)
 }
 
 /// Holds what a client got.
@@ -147,19 +135,9 @@
     body: impl Into<Bytes>,
     limit: Duration,
 ) -> Got {
-    let none = Got {
-        status: 0,
-        headers: Vec::new(),
-        body: Bytes::new(),
-        whole: false,
-    };
-    let client = awc::Client::builder()
-        .disable_timeout()
-        .disable_redirects()
-        .finish();
-    let mut req = client
-        .request(method, format!("http://{at}{path}"))
-        .force_close();
+    let none = Got { status: 0, headers: Vec::new(), body: Bytes::new(), whole: false };
+    let client = awc::Client::builder().disable_timeout().disable_redirects().finish();
+    let mut req = client.request(method, format!("http://{at}{path}")).force_close();
     for (name, value) in headers {
         req = req.append_header((*name, *value));
     }
@@ -178,14 +156,7 @@
                 Err(_) => whole = false,
             }
         }
-        Got {
-            status,
-            headers,
-            body: text.freeze(),
-            whole,
-        }
+        Got { status, headers, body: text.freeze(), whole }
     };
-    actix_rt::time::timeout(limit, exchange)
-        .await
-        .unwrap_or(none.clone())
+    actix_rt::time::timeout(limit, exchange).await.unwrap_or(none.clone())
 }
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -3,4 +3,5 @@
 pub mod cluster;
 pub mod demo;
 pub mod http;
+pub mod process;
 pub mod standins;
--- a/tests/src/main.rs
+++ b/tests/src/main.rs
@@ -69,6 +69,10 @@
         #[arg(long, default_value = "127.0.0.1:7401")]
         address: SocketAddr,
     },
+    /// Run `cumintraild` itself, for process tests.
+    Cumintraild(cumintrail_daemon::Arguments),
+    /// Run `cumintrail` itself, for process tests.
+    Cumintrail(cumintrail_cli::Arguments),
     /// Run a relay.
     Relay {
         /// Where it listens.
@@ -92,38 +96,26 @@
 }
 
 fn main() -> ExitCode {
-    let arguments = Arguments::parse();
-    actix_rt::System::new().block_on(run(arguments.command))
+    match Arguments::parse().command {
+        Command::Cumintraild(arguments) => cumintrail_daemon::run(&arguments),
+        Command::Cumintrail(arguments) => cumintrail_cli::run_to_exit(arguments),
+        command => actix_rt::System::new().block_on(run(command)),
+    }
 }
 
 async fn run(command: Command) -> ExitCode {
     let started = match command {
         Command::Demo { format } => return show_demo(format).await,
-        Command::Platform {
-            address,
-            load_ms,
-            load_slots,
-        } => platform::Platform::spawn(address, load_ms, load_slots).map(|p| p.address()),
-        Command::Engine {
-            address,
-            version,
-            weights,
-            memory_pieces,
-            ignore_fencing,
-        } => {
+        Command::Platform { address, load_ms, load_slots } => {
+            platform::Platform::spawn(address, load_ms, load_slots).map(|p| p.address())
+        }
+        Command::Engine { address, version, weights, memory_pieces, ignore_fencing } => {
             let checks_fencing = !ignore_fencing;
-            let limits = engine::Limits {
-                weights,
-                memory_pieces,
-                checks_fencing,
-                ..Default::default()
-            };
+            let limits =
+                engine::Limits { weights, memory_pieces, checks_fencing, ..Default::default() };
             engine::Engine::spawn(address, version, limits).map(|e| e.address())
         }
-        Command::Store {
-            address,
-            link_per_second,
-        } => {
+        Command::Store { address, link_per_second } => {
             let limits = store::Limits {
                 memory_bytes: 256 << 20,
                 capacity_bytes: 1 << 30,
@@ -133,11 +125,8 @@
             store::Store::spawn(address, limits).map(|s| s.address())
         }
         Command::Service { address } => service::Service::spawn(address).map(|s| s.address()),
-        Command::Relay {
-            address,
-            to,
-            control,
-        } => match relay::Relay::spawn(address, to).await {
+        Command::Cumintraild(_) | Command::Cumintrail(_) => return ExitCode::SUCCESS,
+        Command::Relay { address, to, control } => match relay::Relay::spawn(address, to).await {
             Ok(relay) => relay.serve_control(control).map(|_| relay.address()),
             Err(e) => Err(e),
         },
--- a/tests/src/standins/engine.rs
+++ b/tests/src/standins/engine.rs
@@ -206,11 +206,7 @@
 
 impl State {
     fn tell(&mut self, key: BlockKey, stored: bool) {
-        let event = CacheEvent {
-            number: self.next_event,
-            key,
-            stored,
-        };
+        let event = CacheEvent { number: self.next_event, key, stored };
         self.next_event += 1;
         self.events.push_back((Instant::now(), event));
         if self.events.len() > EVENTS_KEPT {
@@ -252,20 +248,14 @@
 /// Returns the kept state of a piece.
 pub fn content_of(key: BlockKey, length: usize) -> Bytes {
     let mut bytes = vec![0; length];
-    blake3::Hasher::new()
-        .update(&key.0)
-        .finalize_xof()
-        .fill(&mut bytes);
+    blake3::Hasher::new().update(&key.0).finalize_xof().fill(&mut bytes);
     bytes.into()
 }
 
 /// Returns token `index` of the answer to a prompt, from zero.
 pub fn token_of(prompt: &str, version: WeightVersion, index: usize) -> String {
     let mut hasher = blake3::Hasher::new();
-    hasher
-        .update(prompt.as_bytes())
-        .update(&version.0.to_le_bytes())
-        .update(&index.to_le_bytes());
+    hasher.update(prompt.as_bytes()).update(&version.0.to_le_bytes()).update(&index.to_le_bytes());
     let hash = hasher.finalize();
     format!(" {:02x}{:02x}", hash.as_bytes()[0], hash.as_bytes()[1])
 }
@@ -279,9 +269,7 @@
     let path = req.path().to_owned();
     let method = req.method().clone();
     if let Some(call) = path.strip_prefix("/v1/streams/") {
-        let last = http::header(&req, "last-event-id")
-            .and_then(|v| v.parse().ok())
-            .unwrap_or(0);
+        let last = http::header(&req, "last-event-id").and_then(|v| v.parse().ok()).unwrap_or(0);
         return match method {
             Method::DELETE => cancel(&inner, call),
             _ => resume(&inner, call, last),
@@ -392,11 +380,7 @@
     }
     let mut state = inner.lock();
     state.running -= 1;
-    if let Some(stream) = state
-        .streams
-        .get_mut(&request.call)
-        .filter(|s| !s.cancelled)
-    {
+    if let Some(stream) = state.streams.get_mut(&request.call).filter(|s| !s.cancelled) {
         stream.end = Some(EndEvent {
             call: request.call.clone(),
             reason: "length".into(),
@@ -412,11 +396,8 @@
 /// Counts the leading pieces in memory and those that staged imports add.
 fn take_prefix(inner: &Inner, request: &Generate) -> (u32, u32, bool) {
     let mut state = inner.lock();
-    let staged: HashMap<BlockKey, Bytes> = request
-        .imports
-        .iter()
-        .filter_map(|name| state.staged.remove(name))
-        .collect();
+    let staged: HashMap<BlockKey, Bytes> =
+        request.imports.iter().filter_map(|name| state.staged.remove(name)).collect();
     let (mut cached, mut imported, mut poisoned) = (0, 0, false);
     for key in &request.pieces {
         if state.held.contains(key) {
@@ -462,18 +443,13 @@
     actix_rt::spawn(feed(inner.clone(), call.to_owned(), last, tx));
     let events =
         futures_util::stream::unfold(rx, |mut rx| async { rx.recv().await.map(|e| (e, rx)) });
-    let mut answer = Answer::with_body(
-        StatusCode::OK,
-        BoxBody::new(BodyStream::new(Box::pin(events))),
-    );
+    let mut answer =
+        Answer::with_body(StatusCode::OK, BoxBody::new(BodyStream::new(Box::pin(events))));
     let headers = answer.headers_mut();
     let kind = actix_http::header::HeaderValue::from_static("text/event-stream");
     headers.insert(actix_http::header::CONTENT_TYPE, kind);
     if let Ok(value) = call.parse() {
-        headers.insert(
-            actix_http::header::HeaderName::from_static(CALL_HEADER),
-            value,
-        );
+        headers.insert(actix_http::header::HeaderName::from_static(CALL_HEADER), value);
     }
     answer
 }
@@ -532,27 +508,17 @@
         return Next::Cut;
     };
     stream.read = Instant::now();
-    let shown = if fault.foreign_answers {
-        "somebody-else"
-    } else {
-        call
-    };
+    let shown = if fault.foreign_answers { "somebody-else" } else { call };
     match (stream.tokens.get(*last as usize), &stream.end) {
         _ if fault.cut_after > 0 && sent >= fault.cut_after => Next::Cut,
         _ if fault.silent_after > 0 && sent >= fault.silent_after => Next::Silence,
         (Some(text), _) => {
             *last += 1;
-            let event = TokenEvent {
-                call: shown.to_owned(),
-                text: text.clone(),
-            };
+            let event = TokenEvent { call: shown.to_owned(), text: text.clone() };
             Next::Event(sse(TOKEN_EVENT, *last, &event))
         }
         (None, Some(end)) => {
-            let event = EndEvent {
-                call: shown.to_owned(),
-                ..end.clone()
-            };
+            let event = EndEvent { call: shown.to_owned(), ..end.clone() };
             Next::End(sse(END_EVENT, *last, &event))
         }
         (None, None) if stream.cancelled => Next::Cut,
@@ -580,14 +546,8 @@
     let outcome = match got.status {
         200 if got.whole => {
             let (digest, length) = (Digest::of(&got.body), got.body.len() as u64);
-            inner
-                .lock()
-                .staged
-                .insert(order.import, (order.key, got.body));
-            ImportOutcome::Staged {
-                digest,
-                length: length.into(),
-            }
+            inner.lock().staged.insert(order.import, (order.key, got.body));
+            ImportOutcome::Staged { digest, length: length.into() }
         }
         404 | 412 => ImportOutcome::Missing,
         _ => ImportOutcome::Failed,
@@ -602,20 +562,9 @@
     let bytes = content_of(order.key, inner.limits.piece_bytes);
     let (digest, length) = (Digest::of(&bytes), bytes.len() as u64);
     let write_id = order.write_id.to_string();
-    let headers = [
-        (WRITE_HEADER, write_id.as_str()),
-        (DIGEST_HEADER, &digest.to_string()),
-    ];
+    let headers = [(WRITE_HEADER, write_id.as_str()), (DIGEST_HEADER, &digest.to_string())];
     let path = format!("/blocks/{}", order.key);
-    let got = http::send(
-        Method::PUT,
-        order.store,
-        &path,
-        &headers,
-        bytes,
-        TRANSFER_LIMIT,
-    )
-    .await;
+    let got = http::send(Method::PUT, order.store, &path, &headers, bytes, TRANSFER_LIMIT).await;
     let sealed = (got.status == 200).then(|| (digest, length.into()));
     json(StatusCode::OK, &ExportReport { sealed })
 }
@@ -632,15 +581,7 @@
     }
     if let Some(weights) = inner.limits.weights {
         let path = format!("/weights/{}", order.version);
-        http::send(
-            Method::GET,
-            weights,
-            &path,
-            &[],
-            Bytes::new(),
-            TRANSFER_LIMIT,
-        )
-        .await;
+        http::send(Method::GET, weights, &path, &[], Bytes::new(), TRANSFER_LIMIT).await;
     }
     let mut state = inner.lock();
     state.loading -= 1;
@@ -662,28 +603,11 @@
 
 fn cache_events(inner: &Inner, req: &Request) -> Answer {
     let state = inner.lock();
-    let after = http::query(req, "after")
-        .and_then(|v| v.parse().ok())
-        .unwrap_or(0);
+    let after = http::query(req, "after").and_then(|v| v.parse().ok()).unwrap_or(0);
     let every = inner.limits.event_gap_every;
-    let told = state
-        .events
-        .iter()
-        .filter(|(at, _)| at.elapsed() >= inner.limits.event_lag);
+    let told = state.events.iter().filter(|(at, _)| at.elapsed() >= inner.limits.event_lag);
     let events = told.map(|(_, e)| *e).filter(|e| e.number > after);
-    let events = events
-        .filter(|e| every == 0 || e.number % every != 0)
-        .collect();
-    let oldest = state
-        .events
-        .front()
-        .map_or(state.next_event, |(_, e)| e.number);
-    json(
-        StatusCode::OK,
-        &CacheEvents {
-            incarnation: state.incarnation,
-            oldest,
-            events,
-        },
-    )
+    let events = events.filter(|e| every == 0 || e.number % every != 0).collect();
+    let oldest = state.events.front().map_or(state.next_event, |(_, e)| e.number);
+    json(StatusCode::OK, &CacheEvents { incarnation: state.incarnation, oldest, events })
 }
--- a/tests/src/standins/platform.rs
+++ b/tests/src/standins/platform.rs
@@ -52,15 +52,9 @@
     pub fn spawn(address: SocketAddr, load_ms: u64, load_slots: u32) -> std::io::Result<Self> {
         let state = Arc::new(Mutex::new(State::default()));
         let for_server = state.clone();
-        let running = http::serve(address, move |req| {
-            answer(for_server.clone(), req, load_ms, load_slots)
-        })?;
-        Ok(Self {
-            running,
-            state,
-            load_ms,
-            load_slots,
-        })
+        let running =
+            http::serve(address, move |req| answer(for_server.clone(), req, load_ms, load_slots))?;
+        Ok(Self { running, state, load_ms, load_slots })
     }
 
     /// Returns where it listens.
@@ -163,9 +157,7 @@
     };
     state.writes += 1;
     let conditions = transaction.conditions.iter();
-    let found: Vec<Option<Row>> = conditions
-        .map(|c| state.rows.get(&c.key).cloned())
-        .collect();
+    let found: Vec<Option<Row>> = conditions.map(|c| state.rows.get(&c.key).cloned()).collect();
     let committed = transaction
         .conditions
         .iter()
@@ -186,12 +178,7 @@
 fn listed(state: &State) -> VmList {
     match state.fault.list_stuck_at {
         0 => state.lists.last().cloned().unwrap_or_default(),
-        at => state
-            .lists
-            .iter()
-            .find(|l| l.sequence == at)
-            .cloned()
-            .unwrap_or_default(),
+        at => state.lists.iter().find(|l| l.sequence == at).cloned().unwrap_or_default(),
     }
 }
 
--- a/tests/src/standins/service.rs
+++ b/tests/src/standins/service.rs
@@ -42,9 +42,8 @@
         let state = Arc::new(Mutex::new(State::default()));
         let for_server = state.clone();
         let incarnation = rand::random();
-        let running = http::serve(address, move |req| {
-            answer(for_server.clone(), incarnation, req)
-        })?;
+        let running =
+            http::serve(address, move |req| answer(for_server.clone(), incarnation, req))?;
         Ok(Self { running, state })
     }
 
@@ -60,11 +59,7 @@
 
     /// Returns how often each operation ran, by the text of its body.
     pub fn executions(&self) -> BTreeMap<String, u64> {
-        self.state
-            .lock()
-            .expect("no holder panics")
-            .executions
-            .clone()
+        self.state.lock().expect("no holder panics").executions.clone()
     }
 }
 
@@ -107,10 +102,7 @@
             if fault.lose_answers {
                 actix_rt::time::sleep(Duration::from_secs(3_600)).await;
             }
-            json(
-                StatusCode::OK,
-                &serde_json::json!({ "operation": operation, "execution": count }),
-            )
+            json(StatusCode::OK, &serde_json::json!({ "operation": operation, "execution": count }))
         }
     }
 }
--- a/tests/src/standins/store.rs
+++ b/tests/src/standins/store.rs
@@ -76,9 +76,8 @@
         let state = Arc::new(Mutex::new(state));
         let link = Arc::new(tokio::sync::Mutex::new(()));
         let for_server = state.clone();
-        let running = http::serve(address, move |req| {
-            answer(for_server.clone(), link.clone(), req)
-        })?;
+        let running =
+            http::serve(address, move |req| answer(for_server.clone(), link.clone(), req))?;
         Ok(Self { running, state })
     }
 
@@ -133,9 +132,7 @@
     if state.lock().expect("no holder panics").fault.down {
         return empty(StatusCode::SERVICE_UNAVAILABLE);
     }
-    let key = path
-        .strip_prefix("/blocks/")
-        .and_then(|text| text.parse::<BlockKey>().ok());
+    let key = path.strip_prefix("/blocks/").and_then(|text| text.parse::<BlockKey>().ok());
     match (req.method().clone(), key) {
         (Method::GET, None) if path == "/blocks" => list(&state, &req),
         (Method::GET, Some(key)) => read(&state, &link, key, &req).await,
@@ -148,30 +145,13 @@
 fn list(state: &Mutex<State>, req: &Request) -> Answer {
     let state = state.lock().expect("no holder panics");
     let after = http::query(req, "after").and_then(|text| text.parse::<BlockKey>().ok());
-    let limit = http::query(req, "limit")
-        .and_then(|text| text.parse().ok())
-        .unwrap_or(1_000);
-    let listed = state
-        .blocks
-        .values()
-        .filter(|b| after.is_none_or(|after| b.sealed.key > after));
-    let mut blocks: Vec<ListedBlock> = listed
-        .take(limit + 1)
-        .map(|b| ListedBlock {
-            sealed: b.sealed,
-            tier: b.tier,
-        })
-        .collect();
+    let limit = http::query(req, "limit").and_then(|text| text.parse().ok()).unwrap_or(1_000);
+    let listed = state.blocks.values().filter(|b| after.is_none_or(|after| b.sealed.key > after));
+    let mut blocks: Vec<ListedBlock> =
+        listed.take(limit + 1).map(|b| ListedBlock { sealed: b.sealed, tier: b.tier }).collect();
     let more = blocks.len() > limit;
     blocks.truncate(limit);
-    json(
-        StatusCode::OK,
-        &Listing {
-            incarnation: state.incarnation,
-            blocks,
-            more,
-        },
-    )
+    json(StatusCode::OK, &Listing { incarnation: state.incarnation, blocks, more })
 }
 
 async fn read(
@@ -217,11 +197,7 @@
     };
     let mut bytes = http::body(&mut req).await;
     let length = cumintrail_types::Bytes(bytes.len() as u64);
-    let pause = transfer(
-        &state.lock().expect("no holder panics"),
-        length.0,
-        Tier::Memory,
-    );
+    let pause = transfer(&state.lock().expect("no holder panics"), length.0, Tier::Memory);
     let _held = link.lock().await;
     actix_rt::time::sleep(pause).await;
 
@@ -235,34 +211,10 @@
     } else if Digest::of(&bytes) != digest {
         return empty(StatusCode::BAD_REQUEST);
     }
-    let tier = if used + length.0 <= state.limits.memory_bytes {
-        Tier::Memory
-    } else {
-        Tier::Disk
-    };
-    let sealed = Sealed {
-        key,
-        write_id,
-        digest,
-        length,
-    };
-    state.blocks.insert(
-        key,
-        Block {
-            sealed,
-            tier,
-            bytes,
-        },
-    );
-    json(
-        StatusCode::OK,
-        &Written {
-            write_id,
-            digest,
-            length,
-            tier,
-        },
-    )
+    let tier = if used + length.0 <= state.limits.memory_bytes { Tier::Memory } else { Tier::Disk };
+    let sealed = Sealed { key, write_id, digest, length };
+    state.blocks.insert(key, Block { sealed, tier, bytes });
+    json(StatusCode::OK, &Written { write_id, digest, length, tier })
 }
 
 fn free(state: &Mutex<State>, key: BlockKey, req: &Request) -> Answer {
--- a/tests/tests/thin_path.rs
+++ b/tests/tests/thin_path.rs
@@ -13,19 +13,8 @@
 
 async fn post(cluster: &Cluster, path: &str, key: &str, body: String) -> Got {
     let bearer = format!("Bearer {key}");
-    let headers = [
-        ("authorization", bearer.as_str()),
-        ("content-type", "application/json"),
-    ];
-    send(
-        Method::POST,
-        cluster.daemons[0].caller_address(),
-        path,
-        &headers,
-        body,
-        LIMIT,
-    )
-    .await
+    let headers = [("authorization", bearer.as_str()), ("content-type", "application/json")];
+    send(Method::POST, cluster.daemons[0].caller_address(), path, &headers, body, LIMIT).await
 }
 
 #[actix_rt::test]
@@ -42,10 +31,7 @@
     let whole = post(&cluster, "/v1/completions", CALLER_KEY, body(false)).await;
     assert_eq!(whole.status, 200, "{}", whole.text());
     let completion: Completion = whole.json().unwrap();
-    assert_eq!(
-        completion.choices[0].text.as_deref(),
-        Some(expected.as_str())
-    );
+    assert_eq!(completion.choices[0].text.as_deref(), Some(expected.as_str()));
 
     let streamed = post(&cluster, "/v1/completions", CALLER_KEY, body(true)).await;
     assert!(streamed.whole && streamed.text().ends_with("data: [DONE]\n\n"));
@@ -54,13 +40,7 @@
 #[actix_rt::test]
 async fn a_plain_service_is_reached_below_its_name() {
     let cluster = Cluster::spawn(&Plan::default()).await.unwrap();
-    let got = post(
-        &cluster,
-        "/services/holds/place",
-        CALLER_KEY,
-        "two wheels".into(),
-    )
-    .await;
+    let got = post(&cluster, "/services/holds/place", CALLER_KEY, "two wheels".into()).await;
     assert_eq!(got.status, 200, "{}", got.text());
     assert_eq!(cluster.services[0].executions()["two wheels"], 1);
 }
@@ -71,42 +51,16 @@
     let prompt = r#"{"model":"curd","prompt":"x","max_tokens":1}"#;
     let large = "x".repeat(5 << 20);
     let cases = [
-        (
-            "/v1/completions",
-            "wrong-key",
-            prompt.to_owned(),
-            RefusalCode::Unauthorized,
-        ),
-        (
-            "/v1/completions",
-            CALLER_KEY,
-            "{".to_owned(),
-            RefusalCode::BadRequest,
-        ),
+        ("/v1/completions", "wrong-key", prompt.to_owned(), RefusalCode::Unauthorized),
+        ("/v1/completions", CALLER_KEY, "{".to_owned(), RefusalCode::BadRequest),
         ("/v1/completions", CALLER_KEY, large, RefusalCode::TooLarge),
-        (
-            "/v1/completions",
-            CALLER_KEY,
-            prompt.replace("curd", "whey"),
-            RefusalCode::NotFound,
-        ),
-        (
-            "/services/nothing/",
-            CALLER_KEY,
-            String::new(),
-            RefusalCode::NotFound,
-        ),
+        ("/v1/completions", CALLER_KEY, prompt.replace("curd", "whey"), RefusalCode::NotFound),
+        ("/services/nothing/", CALLER_KEY, String::new(), RefusalCode::NotFound),
         ("/nowhere", CALLER_KEY, String::new(), RefusalCode::NotFound),
     ];
     for (path, key, body, code) in cases {
         let got = post(&cluster, path, key, body).await;
-        let refusal: RefusalBody = got
-            .json()
-            .unwrap_or_else(|| panic!("{path}: {}", got.text()));
-        assert_eq!(
-            (refusal.error.code, got.status),
-            (code, code.status()),
-            "{path}"
-        );
+        let refusal: RefusalBody = got.json().unwrap_or_else(|| panic!("{path}: {}", got.text()));
+        assert_eq!((refusal.error.code, got.status), (code, code.status()), "{path}");
     }
 }
