Report bad settings and declarations at their own file and line

Cause: a value that ends with a backslash was joined with the next line by the INI parser, so its canonical form swallowed the key behind it; a line without separator became part of the next key; an undeclared first preset and a shared API key were reported at line 1 of the first file or of "configuration".

Line numbers of repeated keys, `:` separators, CRLF, empty sections and indented lines were checked and were right already.

Change: joined lines are reported before parsing; problems between files name the declaring section; the readers list the keys that they ask for with default and range, for the reference in docs/OPERATIONS.md.

--- a/crates/cumintrail-config/src/document.rs
+++ b/crates/cumintrail-config/src/document.rs
@@ -42,6 +42,13 @@
     pub line: usize,
 }
 
+impl Section {
+    /// Returns the header's text in its shortest form.
+    pub fn title(&self) -> String {
+        format!("{} {}", self.kind, self.name).trim_end().to_owned()
+    }
+}
+
 impl Document {
     /// Reads and parses a file.
     pub fn open(path: &Path) -> Result<Self, Problems> {
@@ -59,6 +66,7 @@
 
     /// Parses INI text; `file` is used in errors only.
     pub fn parse(file: &Arc<str>, text: &str) -> Result<Self, Problems> {
+        report_joined_lines(file, text).or_value(())?;
         let options =
             ParseOption { enabled_escape: false, enabled_quote: false, ..ParseOption::default() };
         let ini = Ini::load_from_str_opt(text, options).map_err(|e| {
@@ -87,11 +95,33 @@
             };
             sections.push(section_of(file, header, properties, &lines, index));
         }
+        report_broken_keys(&sections, &mut problems);
         report_repeats(&sections, &mut problems);
         problems.or_value(Self { file: file.clone(), sections })
     }
 }
 
+/// Reports lines that the parser would silently join with the next.
+fn report_joined_lines(file: &Arc<str>, text: &str) -> Problems {
+    let mut problems = Problems::default();
+    for (i, line) in text.lines().enumerate() {
+        let line = line.trim();
+        let (message, hint) = match line.chars().next() {
+            None | Some(';' | '#') => continue,
+            Some('[') if !line.contains(']') => {
+                ("the section header has no `]`", "write `[section name]`")
+            }
+            _ if line.ends_with('\\') => {
+                ("the line ends with a backslash", "write the value on one line")
+            }
+            _ => continue,
+        };
+        let (file, line) = (file.clone(), i + 1);
+        problems.0.push(Problem { file, line, message: message.into(), hint: hint.into() });
+    }
+    problems
+}
+
 fn section_of(
     file: &Arc<str>,
     header: &str,
@@ -118,6 +148,24 @@
     }
 }
 
+/// Reports lines without separator, which the parser joins with the key of the next line.
+fn report_broken_keys(sections: &[Section], problems: &mut Problems) {
+    for section in sections {
+        let broken = section.entries.iter().filter(|e| e.key.contains(['\n', '\r']));
+        problems.0.extend(broken.map(|entry| Problem {
+            file: section.file.clone(),
+            line: entry.line,
+            message: format!("`{}` is not followed by `=`", first_line(&entry.key)),
+            hint:
+                "write `key = value`; comments start with `;` or `#` on lines of their own".into(),
+        }));
+    }
+}
+
+fn first_line(text: &str) -> &str {
+    text.lines().next().unwrap_or_default().trim()
+}
+
 fn report_repeats(sections: &[Section], problems: &mut Problems) {
     for (i, section) in sections.iter().enumerate() {
         let earlier =
@@ -125,7 +173,7 @@
         problems.0.extend(earlier.map(|first| Problem {
             file: section.file.clone(),
             line: section.line,
-            message: format!("section [{} {}] stands twice", section.kind, section.name),
+            message: format!("section [{}] stands twice", section.title()),
             hint: format!("merge it with the one at line {}", first.line),
         }));
     }
@@ -161,7 +209,7 @@
 
     fn key(&self, index: usize, key: &str, earlier: usize) -> usize {
         let keys = self.sections.get(index).map(|(_, keys)| keys.as_slice()).unwrap_or_default();
-        let found = keys.iter().filter(|(k, _)| k == key).nth(earlier);
+        let found = keys.iter().filter(|(k, _)| k == first_line(key)).nth(earlier);
         found.map_or_else(|| self.header(index), |(_, line)| *line)
     }
 }
--- a/crates/cumintrail-config/src/lib.rs
+++ b/crates/cumintrail-config/src/lib.rs
@@ -5,6 +5,7 @@
 mod document;
 mod problem;
 mod reader;
+mod reference;
 mod sections;
 mod settings;
 mod snapshot;
@@ -15,6 +16,7 @@
 pub use document::{Document, Section};
 pub use problem::{Problem, Problems};
 pub use reader::SectionReader;
+pub use reference::{KeyReference, SectionReference};
 pub use sections::{Delta, SectionName, Sections};
 pub use settings::{LogFormat, Secret, Settings};
 pub use snapshot::Snapshot;
--- a/crates/cumintrail-config/src/reader.rs
+++ b/crates/cumintrail-config/src/reader.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use crate::document::Entry;
-use crate::{Problem, Problems, Section};
+use crate::{KeyReference, Problem, Problems, Section};
 
 const CLOSE_ENOUGH: f64 = 0.7;
 
@@ -16,7 +16,7 @@
 pub struct SectionReader<'a> {
     section: &'a Section,
     problems: &'a mut Problems,
-    known: Vec<&'static str>,
+    known: Vec<KeyReference>,
 }
 
 impl<'a> SectionReader<'a> {
@@ -36,11 +36,12 @@
         match entry.value.parse() {
             Ok(value) => Some(value),
             Err(e) => {
-                self.report(
-                    entry.line,
-                    format!("bad value for `{key}`: {e}"),
-                    &format!("give `{key}` a valid value"),
-                );
+                let hint = if entry.value.contains([';', '#']) {
+                    "write comments on lines of their own".to_owned()
+                } else {
+                    format!("give `{key}` a valid value")
+                };
+                self.report(entry.line, format!("bad value for `{key}`: {e}"), &hint);
                 None
             }
         }
@@ -53,6 +54,7 @@
 
     /// Returns the value of a key that must be present, or `fallback` after reporting.
     pub fn required<T: FromStr<Err: Display>>(&mut self, key: &'static str, fallback: T) -> T {
+        self.describe(key, "required", "");
         if self.entry(key).is_none() {
             let place = self.place();
             self.report(
@@ -67,10 +69,11 @@
 
     /// Returns a number that must lie in `range`, or `default` if it is absent.
     pub fn within(&mut self, key: &'static str, default: u64, range: RangeInclusive<u64>) -> u64 {
+        let (low, high) = (range.start(), range.end());
+        self.describe(key, &default.to_string(), &format!("{low}–{high}"));
         let value = self.or(key, default);
         if !range.contains(&value) {
             let line = self.entry(key).map_or(self.section.line, |e| e.line);
-            let (low, high) = (range.start(), range.end());
             self.report(
                 line,
                 format!("`{key} = {value}` is out of range"),
@@ -93,6 +96,7 @@
 
     /// Returns a finite number of zero or more, or `default` if it is absent.
     pub fn weight(&mut self, key: &'static str, default: f64) -> f64 {
+        self.describe(key, &default.to_string(), "0 or more");
         let value = self.or(key, default);
         if value.is_finite() && value >= 0.0 {
             return value;
@@ -114,13 +118,14 @@
 
     /// Returns one of the named choices, or the first if the key is absent.
     pub fn choice<T: Copy>(&mut self, key: &'static str, choices: &[(&str, T)]) -> T {
+        let names: Vec<&str> = choices.iter().map(|(name, _)| *name).collect();
+        self.describe(key, names[0], &names.join(", "));
         let Some(entry) = self.entry(key) else {
             return choices[0].1;
         };
         if let Some((_, value)) = choices.iter().find(|(name, _)| *name == &*entry.value) {
             return *value;
         }
-        let names: Vec<&str> = choices.iter().map(|(name, _)| *name).collect();
         self.report(
             entry.line,
             format!("`{key} = {}` is no choice", entry.value),
@@ -136,30 +141,41 @@
     }
 
     /// Reports keys that nothing asked for, with the nearest known key, and keys given twice.
-    pub fn finish(self) {
+    ///
+    /// Returns all keys that were asked for, which is what the reference documents.
+    pub fn finish(self) -> Vec<KeyReference> {
+        let known: Vec<&str> = self.known.iter().map(|k| k.key).collect();
         for (i, entry) in self.section.entries.iter().enumerate() {
             let repeated = self.section.entries[..i].iter().any(|e| e.key == entry.key);
             let (message, hint) = match &*entry.key {
                 key if repeated => {
                     (format!("key `{key}` is given twice"), "keep one of them".into())
                 }
-                key if self.known.contains(&key) => continue,
-                key => (format!("unknown key `{key}`"), nearest(key, &self.known)),
+                key if known.contains(&key) => continue,
+                key => (format!("unknown key `{key}`"), nearest(key, &known)),
             };
             let file = self.section.file.clone();
             self.problems.0.push(Problem { file, line: entry.line, message, hint });
         }
+        self.known
     }
 
     fn entry(&mut self, key: &'static str) -> Option<&'a Entry> {
-        if !self.known.contains(&key) {
-            self.known.push(key);
+        if self.known.iter().all(|k| k.key != key) {
+            self.known.push(KeyReference { key, default: String::new(), range: String::new() });
         }
         self.section.entries.iter().find(|e| &*e.key == key)
     }
 
+    fn describe(&mut self, key: &'static str, default: &str, range: &str) {
+        if self.known.iter().all(|k| k.key != key) {
+            let (default, range) = (default.to_owned(), range.to_owned());
+            self.known.push(KeyReference { key, default, range });
+        }
+    }
+
     fn place(&self) -> String {
-        format!("[{} {}]", self.section.kind, self.section.name).replace(" ]", "]")
+        format!("[{}]", self.section.title())
     }
 
     fn report(&mut self, line: usize, message: String, hint: &str) {
@@ -173,6 +189,7 @@
     let best =
         known.iter().map(|k| (strsim::jaro_winkler(word, k), k)).max_by(|a, b| a.0.total_cmp(&b.0));
     match best {
+        None => "nothing of the kind is declared".into(),
         Some((score, name)) if score >= CLOSE_ENOUGH => format!("did you mean `{name}`?"),
         _ => format!("use one of: {}", known.join(", ")),
     }
--- a/crates/cumintrail-config/src/sections.rs
+++ b/crates/cumintrail-config/src/sections.rs
@@ -1,18 +1,16 @@
 //! Declarations as canonical sections, the unit in which configuration travels.
 
 use std::collections::BTreeMap;
-use std::fmt::Write as _;
+use std::fmt::{self, Write as _};
 use std::path::Path;
 use std::sync::Arc;
 
-use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
 use crate::{Document, Problem, Problems, Section};
 
 /// Names a section by kind and name.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Display, Serialize, Deserialize)]
-#[display("{kind} {name}")]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct SectionName {
     /// The first word of the header.
     pub kind: Arc<str>,
@@ -20,6 +18,15 @@
     pub name: Arc<str>,
 }
 
+impl fmt::Display for SectionName {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match &*self.name {
+            "" => f.write_str(&self.kind),
+            name => write!(f, "{} {name}", self.kind),
+        }
+    }
+}
+
 /// Holds all declarations by section, each as its canonical INI body.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Sections(pub BTreeMap<SectionName, Arc<str>>);
--- a/crates/cumintrail-config/src/settings.rs
+++ b/crates/cumintrail-config/src/settings.rs
@@ -10,7 +10,7 @@
 use derive_more::Display;
 
 use crate::reader::nearest;
-use crate::{Document, Problem, Problems, Section, SectionReader};
+use crate::{Document, Problem, Problems, Section, SectionReader, SectionReference};
 
 const NOWHERE: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::UNSPECIFIED), 0);
 const SECTIONS: [&str; 6] = ["vm", "keys", "platform", "limits", "timing", "log"];
@@ -120,7 +120,20 @@
     /// Checks parsed settings.
     pub fn from_document(document: &Document) -> Result<Self, Problems> {
         let mut problems = Problems::default();
-        report_unknown_sections(document, &mut problems);
+        let (settings, _) = Self::read(document, &mut problems);
+        problems.or_value(settings)
+    }
+
+    /// Lists the keys of each section, as the reader asks for them.
+    pub fn reference() -> Vec<SectionReference> {
+        let document = Document { file: "reference".into(), sections: Vec::new() };
+        Self::read(&document, &mut Problems::default()).1
+    }
+
+    fn read(document: &Document, problems: &mut Problems) -> (Self, Vec<SectionReference>) {
+        let mut reference = Vec::new();
+        let mut note = |kind, keys| reference.push(SectionReference { kind, keys });
+        report_unknown_sections(document, problems);
 
         let empty = |kind: &str| Section {
             file: document.file.clone(),
@@ -139,7 +152,7 @@
         };
         let [vm, keys, platform, limits, timing, log] = SECTIONS.map(find);
 
-        let mut r = SectionReader::new(&vm, &mut problems);
+        let mut r = SectionReader::new(&vm, problems);
         let name: String = r.required("name", String::new());
         let domain: String = r.required("failure_domain", String::new());
         let caller_address = r.required("caller_address", NOWHERE);
@@ -151,45 +164,45 @@
                 "give operators and peers an address of their own",
             );
         }
-        r.finish();
+        note("vm", r.finish());
 
-        let mut r = SectionReader::new(&keys, &mut problems);
+        let mut r = SectionReader::new(&keys, problems);
         let operator_key = r.required("operator", Secret::default());
         let peer_key = r.required("peer", Secret::default());
         let block_secret = r.required("block_secret", Secret::default());
-        r.finish();
+        note("keys", r.finish());
 
-        let mut r = SectionReader::new(&platform, &mut problems);
+        let mut r = SectionReader::new(&platform, problems);
         let table = r.required("table", NOWHERE);
         let objects = r.required("objects", NOWHERE);
         let vm_list = r.required("vm_list", NOWHERE);
         let peers = parse_addresses(&mut r, "peers");
-        r.finish();
+        note("platform", r.finish());
 
-        let mut r = SectionReader::new(&limits, &mut problems);
+        let mut r = SectionReader::new(&limits, problems);
         let max_body_bytes = r.within("max_body_bytes", 4 << 20, 1_024..=256 << 20) as usize;
         let request_timeout = r.millis("request_timeout_ms", 10_000, 100..=120_000);
         let max_connections = r.within("max_connections", 4_096, 8..=100_000) as usize;
         let control_queue = r.within("control_queue", 4_096, 16..=65_536) as usize;
         let workers = r.within("workers", 2, 1..=64) as usize;
-        r.finish();
+        note("limits", r.finish());
 
-        let mut r = SectionReader::new(&timing, &mut problems);
+        let mut r = SectionReader::new(&timing, problems);
         let config_poll = r.millis("config_poll_ms", 1_500, 50..=4_000);
         let probe_interval = r.millis("probe_interval_ms", 500, 50..=10_000);
         let digest_interval = r.millis("digest_interval_ms", 1_000, 50..=10_000);
         let stop_grace = r.millis("stop_grace_ms", 3_000, 0..=60_000);
         let drain_limit = r.millis("drain_limit_ms", 600_000, 0..=86_400_000);
-        r.finish();
+        note("timing", r.finish());
 
-        let mut r = SectionReader::new(&log, &mut problems);
+        let mut r = SectionReader::new(&log, problems);
         let log_format =
             r.choice("format", &[("text", LogFormat::Text), ("json", LogFormat::Json)]);
         let levels = [("info", "info"), ("error", "error"), ("warn", "warn"), ("debug", "debug")];
         let log_level = r.choice("level", &levels).into();
-        r.finish();
+        note("log", r.finish());
 
-        problems.or_value(Self {
+        let settings = Self {
             vm: name.into(),
             domain: domain.into(),
             caller_address,
@@ -213,7 +226,8 @@
             drain_limit,
             log_format,
             log_level,
-        })
+        };
+        (settings, reference)
     }
 }
 
--- a/crates/cumintrail-config/src/snapshot.rs
+++ b/crates/cumintrail-config/src/snapshot.rs
@@ -1,22 +1,21 @@
 //! A checked configuration with typed keys, as one generation is in force.
 
+mod read;
+
 use std::collections::HashMap;
-use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 
 use cumintrail_types::{
-    AccountKey, Arena, Bytes, Digest, DomainKey, Generation, Key, ModelKey, ServiceKey, StoreKey,
-    TargetKey, Tokens, WeightVersion,
+    AccountKey, Arena, Digest, DomainKey, Generation, Key, ModelKey, ServiceKey, StoreKey,
+    TargetKey,
 };
 
 use crate::reader::nearest;
 use crate::{
     Account, Deployment, Material, Model, Preset, Problem, Problems, Section, SectionReader,
-    Service, Store, Target, TargetKind,
+    SectionReference, Service, Store, Target,
 };
 
-const NOWHERE: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::UNSPECIFIED), 0);
-const MIB: u64 = 1 << 20;
 const KINDS: [&str; 8] =
     ["deployment", "account", "material", "preset", "model", "service", "target", "store"];
 
@@ -63,8 +62,7 @@
     ) -> Result<Self, Problems> {
         let mut problems = Problems::default();
         report_unknown_kinds(sections, &mut problems);
-        let file = sections.first().map_or_else(|| "configuration".into(), |s| s.file.clone());
-        let deployment = read_deployment(sections, &file, &mut problems);
+        let deployment = read_deployment(sections, &mut problems);
         let mut next = Builder { sections, problems: &mut problems };
 
         let mut domains = previous.map(|p| p.domains.clone()).unwrap_or_default();
@@ -79,15 +77,9 @@
         let wanted = preset.unwrap_or(&deployment.first_preset);
         let in_force = presets.iter().find(|p| &*p.name == wanted).cloned();
         if in_force.is_none() {
-            let names: Vec<&str> = presets.iter().map(|p| &*p.name).collect();
-            problems.0.push(Problem {
-                file,
-                line: 1,
-                message: format!("preset `{wanted}` is to be in force but is not declared"),
-                hint: nearest(wanted, &names),
-            });
+            report_undeclared_preset(wanted, &presets, sections, &mut problems);
         }
-        let by_key_digest = index_keys(&accounts, &mut problems);
+        let by_key_digest = index_keys(&accounts, sections, &mut problems);
         let preset = in_force.unwrap_or_else(|| default_preset(wanted));
         problems.or_value(Self {
             generation,
@@ -105,6 +97,11 @@
         })
     }
 
+    /// Lists the keys of each kind of section, as the readers ask for them.
+    pub fn reference() -> Vec<SectionReference> {
+        read::reference()
+    }
+
     /// Finds the account that an API key's digest belongs to.
     pub fn account_of(&self, digest: &Digest) -> Option<AccountKey> {
         self.by_key_digest.get(digest).copied()
@@ -155,38 +152,17 @@
     }
 
     fn models(&mut self, previous: Option<&Snapshot>) -> Arena<ModelKey, Model> {
-        let read = self.each("model", |name, r| Model {
-            name: name.clone(),
-            version: WeightVersion(r.within("version", 1, 1..=u64::MAX)),
-            state_per_token: Bytes(r.within("state_bytes_per_token", 131_072, 1..=1 << 30)),
-            token_gap: r.millis("token_gap_ms", 2_000, 10..=60_000),
-        });
+        let read = self.each("model", read::model);
         merge(previous.map(|p| &p.models), read, |m| &m.name, |_| {})
     }
 
     fn services(&mut self, previous: Option<&Snapshot>) -> Arena<ServiceKey, Service> {
-        let read = self.each("service", |name, r| Service {
-            name: name.clone(),
-            repeatable: match r.list("repeatable") {
-                methods if methods.is_empty() => vec!["GET".into(), "HEAD".into()],
-                methods => methods,
-            },
-            timeout: r.millis("timeout_ms", 5_000, 10..=600_000),
-        });
+        let read = self.each("service", read::service);
         merge(previous.map(|p| &p.services), read, |s| &s.name, |_| {})
     }
 
     fn accounts(&mut self, previous: Option<&Snapshot>) -> Arena<AccountKey, Account> {
-        let read = self.each("account", |name, r| Account {
-            name: name.clone(),
-            key_digests: read_digests(r),
-            weight: r.within("weight", 1, 1..=1_000) as u32,
-            concurrency: r.within("concurrency", 16, 1..=100_000) as u32,
-            requests_per_second: r.within("requests_per_second", 1_000, 1..=1_000_000) as u32,
-            tokens_per_second: r.within("tokens_per_second", 1_000_000, 1..=u64::from(u32::MAX))
-                as u32,
-            retired: false,
-        });
+        let read = self.each("account", read::account);
         let retire = |a: &mut Account| {
             a.retired = true;
             a.key_digests.clear();
@@ -199,12 +175,7 @@
         accounts: &Arena<AccountKey, Account>,
         models: &Arena<ModelKey, Model>,
     ) -> Vec<Material> {
-        self.each("material", |name, r| Material {
-            name: name.clone(),
-            account: named(r, "account", accounts.iter().map(|(k, a)| (k, &a.name))),
-            model: named(r, "model", models.iter().map(|(k, m)| (k, &m.name))),
-            digest: r.required("digest", Digest([0; 32])),
-        })
+        self.each("material", |name, r| read::material(name, r, accounts, models))
     }
 
     fn targets(
@@ -214,17 +185,7 @@
         models: &Arena<ModelKey, Model>,
         services: &Arena<ServiceKey, Service>,
     ) -> Arena<TargetKey, Target> {
-        let read = self.each("target", |name, r| Target {
-            name: name.clone(),
-            kind: read_kind(r, models, services),
-            address: r.required("address", NOWHERE),
-            domain: read_domain(r, domains),
-            slots: r.within("slots", 8, 1..=10_000) as u32,
-            prefill_per_second: r.within("prefill_tokens_per_second", 8_000, 1..=10_000_000) as u32,
-            link_per_second: Bytes(r.within("link_bytes_per_second", 1_000 * MIB, 1..=u64::MAX)),
-            checks_fencing: r.choice("checks_fencing", &[("no", false), ("yes", true)]),
-            retired: false,
-        });
+        let read = self.each("target", |name, r| read::target(name, r, domains, models, services));
         merge(previous.map(|p| &p.targets), read, |t| &t.name, |t| t.retired = true)
     }
 
@@ -233,27 +194,12 @@
         previous: Option<&Snapshot>,
         domains: &mut Arena<DomainKey, Arc<str>>,
     ) -> Arena<StoreKey, Store> {
-        let read = self.each("store", |name, r| Store {
-            name: name.clone(),
-            address: r.required("address", NOWHERE),
-            domain: read_domain(r, domains),
-            link_per_second: Bytes(r.within("link_bytes_per_second", 1_000 * MIB, 1..=u64::MAX)),
-            disk_per_second: Bytes(r.within("disk_bytes_per_second", 500 * MIB, 1..=u64::MAX)),
-            capacity: Bytes(r.within("capacity_bytes", 64 << 30, 1..=u64::MAX)),
-            retired: false,
-        });
+        let read = self.each("store", |name, r| read::store(name, r, domains));
         merge(previous.map(|p| &p.stores), read, |s| &s.name, |s| s.retired = true)
     }
 
     fn presets(&mut self) -> Vec<Preset> {
-        self.each("preset", |name, r| Preset {
-            name: name.clone(),
-            first_token_weight: r.weight("first_token_weight", 1.0),
-            recompute_weight: r.weight("recompute_weight", 0.1),
-            link_weight: r.weight("link_weight", 0.1),
-            warm_material: r.choice("warm_material", &[("no", false), ("yes", true)]),
-            queue: r.within("queue", 256, 0..=100_000) as usize,
-        })
+        self.each("preset", read::preset)
     }
 }
 
@@ -284,100 +230,20 @@
     merged
 }
 
-fn read_deployment(sections: &[Section], file: &Arc<str>, problems: &mut Problems) -> Deployment {
-    let empty = Section {
-        file: file.clone(),
-        line: 1,
-        kind: "deployment".into(),
-        name: "".into(),
-        entries: Vec::new(),
-    };
+fn read_deployment(sections: &[Section], problems: &mut Problems) -> Deployment {
+    let file = sections.first().map_or_else(|| "configuration".into(), |s| s.file.clone());
+    let empty =
+        Section { file, line: 1, kind: "deployment".into(), name: "".into(), entries: Vec::new() };
     let section = sections.iter().find(|s| &*s.kind == "deployment").unwrap_or(&empty);
     let mut r = SectionReader::new(section, problems);
-    let deployment = Deployment {
-        piece: Tokens(r.within("piece_tokens", 2_000, 1..=1_000_000) as u32),
-        bytes_per_token: r.within("bytes_per_token", 4, 1..=64) as u32,
-        first_preset: r.required("first_preset", String::new()).into(),
-        load_slots: r.within("load_slots", 2, 1..=64) as u8,
-        record_life: r.millis("record_life_ms", 86_400_000, 1_000..=2_592_000_000),
-        default_deadline: r.millis("default_deadline_ms", 120_000, 100..=3_600_000),
-    };
+    let deployment = read::deployment(&mut r);
     r.finish();
     deployment
 }
 
-fn read_digests(r: &mut SectionReader<'_>) -> Vec<Digest> {
-    let mut digests = Vec::new();
-    for text in r.list("key_digests") {
-        match text.parse() {
-            Ok(digest) => digests.push(digest),
-            Err(e) => {
-                r.reject("key_digests", format!("bad digest: {e}"), "run `cumintrail hash-key`");
-            }
-        }
-    }
-    if digests.is_empty() {
-        r.reject(
-            "key_digests",
-            "the account has no API key".into(),
-            "add key_digests, made by `cumintrail hash-key`",
-        );
-    }
-    digests
-}
-
-fn read_kind(
-    r: &mut SectionReader<'_>,
-    models: &Arena<ModelKey, Model>,
-    services: &Arena<ServiceKey, Service>,
-) -> TargetKind {
-    match (r.text("model"), r.text("service")) {
-        (Some(_), None) => {
-            TargetKind::Engine(named(r, "model", models.iter().map(|(k, m)| (k, &m.name))))
-        }
-        (None, Some(_)) => {
-            TargetKind::Service(named(r, "service", services.iter().map(|(k, s)| (k, &s.name))))
-        }
-        _ => {
-            r.reject(
-                "model",
-                "a target serves one model or one service".into(),
-                "give either `model` or `service`",
-            );
-            TargetKind::Engine(ModelKey(0))
-        }
-    }
-}
-
-fn read_domain(r: &mut SectionReader<'_>, domains: &mut Arena<DomainKey, Arc<str>>) -> DomainKey {
-    let name: String = r.required("failure_domain", String::new());
-    let known = domains.iter().find(|(_, n)| ***n == *name).map(|(k, _)| k);
-    known.unwrap_or_else(|| domains.push(name.into()))
-}
-
-fn named<'n, K: Key>(
-    r: &mut SectionReader<'_>,
-    key: &'static str,
-    choices: impl Iterator<Item = (K, &'n Arc<str>)>,
-) -> K {
-    let wanted: String = r.required(key, String::new());
-    let choices: Vec<(K, &Arc<str>)> = choices.collect();
-    if let Some((found, _)) = choices.iter().find(|(_, name)| ***name == *wanted) {
-        return *found;
-    }
-    let names: Vec<&str> = choices.iter().map(|(_, name)| &***name).collect();
-    if !wanted.is_empty() {
-        r.reject(
-            key,
-            format!("`{key} = {wanted}` names nothing that is declared"),
-            &nearest(&wanted, &names),
-        );
-    }
-    K::from_index(0)
-}
-
 fn index_keys(
     accounts: &Arena<AccountKey, Account>,
+    sections: &[Section],
     problems: &mut Problems,
 ) -> HashMap<Digest, AccountKey> {
     let mut index = HashMap::new();
@@ -387,9 +253,10 @@
                 continue;
             };
             let first = accounts.get(other).map(|a| a.name.clone()).unwrap_or_default();
+            let (file, line) = place_of(sections, "account", &account.name, "key_digests");
             problems.0.push(Problem {
-                file: "configuration".into(),
-                line: 1,
+                file,
+                line,
                 message: format!("accounts `{first}` and `{}` share an API key", account.name),
                 hint: "give each client account keys of its own".into(),
             });
@@ -398,6 +265,32 @@
     index
 }
 
+fn report_undeclared_preset(
+    wanted: &str,
+    presets: &[Preset],
+    sections: &[Section],
+    problems: &mut Problems,
+) {
+    let names: Vec<&str> = presets.iter().map(|p| &*p.name).collect();
+    let (file, line) = place_of(sections, "deployment", "", "first_preset");
+    problems.0.push(Problem {
+        file,
+        line,
+        message: format!("preset `{wanted}` is to be in force but is not declared"),
+        hint: nearest(wanted, &names),
+    });
+}
+
+/// Finds where a key, or else its section, is declared.
+fn place_of(sections: &[Section], kind: &str, name: &str, key: &str) -> (Arc<str>, usize) {
+    let Some(section) = sections.iter().find(|s| &*s.kind == kind && &*s.name == name) else {
+        let file = sections.first().map_or_else(|| "configuration".into(), |s| s.file.clone());
+        return (file, 1);
+    };
+    let entry = section.entries.iter().find(|e| &*e.key == key);
+    (section.file.clone(), entry.map_or(section.line, |e| e.line))
+}
+
 fn report_unknown_kinds(sections: &[Section], problems: &mut Problems) {
     for section in sections.iter().filter(|s| !KINDS.contains(&&*s.kind)) {
         problems.0.push(Problem {
--- /dev/null
+++ b/crates/cumintrail-config/src/snapshot/read.rs
@@ -0,0 +1,221 @@
+//! Readers of the single declarations; their keys are listed in docs/OPERATIONS.md.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+
+use cumintrail_types::{
+    AccountKey, Arena, Bytes, Digest, DomainKey, Key, ModelKey, ServiceKey, Tokens, WeightVersion,
+};
+
+use crate::reader::nearest;
+use crate::{
+    Account, Deployment, Material, Model, Preset, Problems, Section, SectionReader,
+    SectionReference, Service, Store, Target, TargetKind,
+};
+
+const NOWHERE: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::UNSPECIFIED), 0);
+const MIB: u64 = 1 << 20;
+
+type Domains = Arena<DomainKey, Arc<str>>;
+
+pub(super) fn deployment(r: &mut SectionReader<'_>) -> Deployment {
+    Deployment {
+        piece: Tokens(r.within("piece_tokens", 2_000, 1..=1_000_000) as u32),
+        bytes_per_token: r.within("bytes_per_token", 4, 1..=64) as u32,
+        first_preset: r.required("first_preset", String::new()).into(),
+        load_slots: r.within("load_slots", 2, 1..=64) as u8,
+        record_life: r.millis("record_life_ms", 86_400_000, 1_000..=2_592_000_000),
+        default_deadline: r.millis("default_deadline_ms", 120_000, 100..=3_600_000),
+    }
+}
+
+pub(super) fn model(name: &Arc<str>, r: &mut SectionReader<'_>) -> Model {
+    Model {
+        name: name.clone(),
+        version: WeightVersion(r.within("version", 1, 1..=u64::MAX)),
+        state_per_token: Bytes(r.within("state_bytes_per_token", 131_072, 1..=1 << 30)),
+        token_gap: r.millis("token_gap_ms", 2_000, 10..=60_000),
+    }
+}
+
+pub(super) fn service(name: &Arc<str>, r: &mut SectionReader<'_>) -> Service {
+    Service {
+        name: name.clone(),
+        repeatable: match r.list("repeatable") {
+            methods if methods.is_empty() => vec!["GET".into(), "HEAD".into()],
+            methods => methods,
+        },
+        timeout: r.millis("timeout_ms", 5_000, 10..=600_000),
+    }
+}
+
+pub(super) fn account(name: &Arc<str>, r: &mut SectionReader<'_>) -> Account {
+    let tokens = 1..=u64::from(u32::MAX);
+    Account {
+        name: name.clone(),
+        key_digests: read_digests(r),
+        weight: r.within("weight", 1, 1..=1_000) as u32,
+        concurrency: r.within("concurrency", 16, 1..=100_000) as u32,
+        requests_per_second: r.within("requests_per_second", 1_000, 1..=1_000_000) as u32,
+        tokens_per_second: r.within("tokens_per_second", 1_000_000, tokens) as u32,
+        retired: false,
+    }
+}
+
+pub(super) fn material(
+    name: &Arc<str>,
+    r: &mut SectionReader<'_>,
+    accounts: &Arena<AccountKey, Account>,
+    models: &Arena<ModelKey, Model>,
+) -> Material {
+    Material {
+        name: name.clone(),
+        account: named(r, "account", accounts.iter().map(|(k, a)| (k, &a.name))),
+        model: named(r, "model", models.iter().map(|(k, m)| (k, &m.name))),
+        digest: r.required("digest", Digest([0; 32])),
+    }
+}
+
+pub(super) fn target(
+    name: &Arc<str>,
+    r: &mut SectionReader<'_>,
+    domains: &mut Domains,
+    models: &Arena<ModelKey, Model>,
+    services: &Arena<ServiceKey, Service>,
+) -> Target {
+    Target {
+        name: name.clone(),
+        kind: read_kind(r, models, services),
+        address: r.required("address", NOWHERE),
+        domain: read_domain(r, domains),
+        slots: r.within("slots", 8, 1..=10_000) as u32,
+        prefill_per_second: r.within("prefill_tokens_per_second", 8_000, 1..=10_000_000) as u32,
+        link_per_second: Bytes(r.within("link_bytes_per_second", 1_000 * MIB, 1..=u64::MAX)),
+        checks_fencing: r.choice("checks_fencing", &[("no", false), ("yes", true)]),
+        retired: false,
+    }
+}
+
+pub(super) fn store(name: &Arc<str>, r: &mut SectionReader<'_>, domains: &mut Domains) -> Store {
+    Store {
+        name: name.clone(),
+        address: r.required("address", NOWHERE),
+        domain: read_domain(r, domains),
+        link_per_second: Bytes(r.within("link_bytes_per_second", 1_000 * MIB, 1..=u64::MAX)),
+        disk_per_second: Bytes(r.within("disk_bytes_per_second", 500 * MIB, 1..=u64::MAX)),
+        capacity: Bytes(r.within("capacity_bytes", 64 << 30, 1..=u64::MAX)),
+        retired: false,
+    }
+}
+
+pub(super) fn preset(name: &Arc<str>, r: &mut SectionReader<'_>) -> Preset {
+    Preset {
+        name: name.clone(),
+        first_token_weight: r.weight("first_token_weight", 1.0),
+        recompute_weight: r.weight("recompute_weight", 0.1),
+        link_weight: r.weight("link_weight", 0.1),
+        warm_material: r.choice("warm_material", &[("no", false), ("yes", true)]),
+        queue: r.within("queue", 256, 0..=100_000) as usize,
+    }
+}
+
+/// Lets each reader read an empty section and collects what it asked for.
+pub(super) fn reference() -> Vec<SectionReference> {
+    let name: Arc<str> = "NAME".into();
+    let (accounts, models, services) = (Arena::new(), Arena::new(), Arena::new());
+    let mut domains = Domains::new();
+    vec![
+        keys_of("deployment", |r| drop(deployment(r))),
+        keys_of("account", |r| drop(account(&name, r))),
+        keys_of("material", |r| drop(material(&name, r, &accounts, &models))),
+        keys_of("preset", |r| drop(preset(&name, r))),
+        keys_of("model", |r| drop(model(&name, r))),
+        keys_of("service", |r| drop(service(&name, r))),
+        keys_of("target", |r| drop(target(&name, r, &mut domains, &models, &services))),
+        keys_of("store", |r| drop(store(&name, r, &mut domains))),
+    ]
+}
+
+fn keys_of(kind: &'static str, read: impl FnOnce(&mut SectionReader<'_>)) -> SectionReference {
+    let section = Section {
+        file: "reference".into(),
+        line: 1,
+        kind: kind.into(),
+        name: "".into(),
+        entries: Vec::new(),
+    };
+    let mut problems = Problems::default();
+    let mut r = SectionReader::new(&section, &mut problems);
+    read(&mut r);
+    SectionReference { kind, keys: r.finish() }
+}
+
+fn read_digests(r: &mut SectionReader<'_>) -> Vec<Digest> {
+    let mut digests = Vec::new();
+    for text in r.list("key_digests") {
+        match text.parse() {
+            Ok(digest) => digests.push(digest),
+            Err(e) => {
+                r.reject("key_digests", format!("bad digest: {e}"), "run `cumintrail hash-key`");
+            }
+        }
+    }
+    if digests.is_empty() {
+        r.reject(
+            "key_digests",
+            "the account has no API key".into(),
+            "add key_digests, made by `cumintrail hash-key`",
+        );
+    }
+    digests
+}
+
+fn read_kind(
+    r: &mut SectionReader<'_>,
+    models: &Arena<ModelKey, Model>,
+    services: &Arena<ServiceKey, Service>,
+) -> TargetKind {
+    match (r.text("model"), r.text("service")) {
+        (Some(_), None) => {
+            TargetKind::Engine(named(r, "model", models.iter().map(|(k, m)| (k, &m.name))))
+        }
+        (None, Some(_)) => {
+            TargetKind::Service(named(r, "service", services.iter().map(|(k, s)| (k, &s.name))))
+        }
+        _ => {
+            r.reject(
+                "model",
+                "a target serves one model or one service".into(),
+                "give either `model` or `service`",
+            );
+            TargetKind::Engine(ModelKey(0))
+        }
+    }
+}
+
+fn read_domain(r: &mut SectionReader<'_>, domains: &mut Domains) -> DomainKey {
+    let name: String = r.required("failure_domain", String::new());
+    let known = domains.iter().find(|(_, n)| ***n == *name).map(|(k, _)| k);
+    known.unwrap_or_else(|| domains.push(name.into()))
+}
+
+fn named<'n, K: Key>(
+    r: &mut SectionReader<'_>,
+    key: &'static str,
+    choices: impl Iterator<Item = (K, &'n Arc<str>)>,
+) -> K {
+    let wanted: String = r.required(key, String::new());
+    let choices: Vec<(K, &Arc<str>)> = choices.collect();
+    if let Some((found, _)) = choices.iter().find(|(_, name)| ***name == *wanted) {
+        return *found;
+    }
+    let names: Vec<&str> = choices.iter().map(|(_, name)| &***name).collect();
+    if !wanted.is_empty() {
+        r.reject(
+            key,
+            format!("`{key} = {wanted}` names nothing that is declared"),
+            &nearest(&wanted, &names),
+        );
+    }
+    K::from_index(0)
+}
