Show status per failure domain and a whole dump as tables

Cause: status listed daemons in one table with free text for what is degraded; a dump left out stores, links, limits and ages; neither said since when the platform is unreachable or which failure domain has not confirmed.

Change: degradations are typed (target or store or peer silent with the age of its last answer, target ejected or leaving, platform unreachable, generation behind a peer's, stopping, not configured); the daemon remembers its last contact with the platform and logs when that changes; the dump has stores, links, limits and ages. The command line asks all daemons at once, groups them by failure domain, colours a terminal only, and falls back to `daemons` of the access file when the VM list cannot be read. JSON names units in its keys.

--- a/crates/cumintrail-cli/src/access.rs
+++ b/crates/cumintrail-cli/src/access.rs
@@ -18,6 +18,8 @@
     /// The platform.
     pub platform: HttpPlatform,
     operator_key: Secret,
+    /// Daemons to ask when the VM list cannot be read.
+    known_daemons: Vec<SocketAddr>,
     http: HttpClient,
 }
 
@@ -28,19 +30,27 @@
         let mut problems = Problems::default();
         let mut addresses = [NOWHERE; 3];
         let mut key = Secret::default();
+        let mut known_daemons = Vec::new();
         for section in &document.sections {
             let mut r = SectionReader::new(section, &mut problems);
             match &*section.kind {
                 "platform" => {
                     addresses = ["table", "objects", "vm_list"].map(|key| r.required(key, NOWHERE));
                 }
-                "operator" => key = r.required("key", Secret::default()),
-                _ => {}
+                "operator" => {
+                    key = r.required("key", Secret::default());
+                    known_daemons = r.addresses("daemons");
+                }
+                _ => {
+                    r.reject_section(&["platform", "operator"]);
+                    continue;
+                }
             }
             r.finish();
         }
         let [table, objects, vm_list] = addresses;
-        problems.or_value(Self::new(table, objects, vm_list, key))
+        let access = Self::new(table, objects, vm_list, key);
+        problems.or_value(Self { known_daemons, ..access })
     }
 
     /// Makes access from its parts.
@@ -48,13 +58,23 @@
         Self {
             platform: HttpPlatform::open(table, objects, vm_list),
             operator_key: key,
+            known_daemons: Vec::new(),
             http: HttpClient::pooled(TIMEOUT),
         }
     }
 
     /// Lists the daemons by operator address and failure domain.
+    ///
+    /// When the VM list cannot be read, the daemons of the access file are returned; their
+    /// failure domain is empty.
     pub async fn daemons(&self) -> Result<Vec<(SocketAddr, String)>, ClientError> {
-        let list = self.platform.vms().await?;
+        let list = match self.platform.vms().await {
+            Ok(list) => list,
+            Err(e) if self.known_daemons.is_empty() => return Err(e),
+            Err(_) => {
+                return Ok(self.known_daemons.iter().map(|at| (*at, String::new())).collect());
+            }
+        };
         let daemons =
             list.vms.into_iter().filter(|vm| vm.role == ListedRole::Daemon && !vm.leaving);
         Ok(daemons.map(|vm| (vm.address, vm.domain)).collect())
--- a/crates/cumintrail-cli/src/commands.rs
+++ b/crates/cumintrail-cli/src/commands.rs
@@ -8,12 +8,11 @@
 use clap_complete::Shell;
 use cumintrail_config::{Sections, Settings, Snapshot};
 use cumintrail_types::{Digest, Generation};
-use cumintrail_wire::operator::Status;
 use serde::Serialize;
-use snafu::ResultExt;
 
-use crate::errors::{UnconfirmedSnafu, UnreachableSnafu, UsageSnafu};
-use crate::{Access, CliError, publish};
+use crate::errors::{UnconfirmedSnafu, UsageSnafu};
+use crate::table::Style;
+use crate::{Access, CliError, dump, publish, status};
 
 const CONFIRM_POLL: Duration = Duration::from_millis(100);
 
@@ -142,10 +141,13 @@
             Ok(render(format, &generation, || format!("generation {generation} is accepted")))
         }
         Command::Status => {
-            let rows = statuses(access).await?;
-            Ok(render(format, &rows, || table(&rows)))
+            let report = status::Report::new(status::ask(access).await?);
+            Ok(render(format, &report, || report.to_text(Style::of_stdout())))
+        }
+        Command::Dump { vm } => {
+            let state = dump::ask(access, vm).await?;
+            Ok(render(format, &state, || dump::to_text(&state, Style::of_stdout())))
         }
-        Command::Dump { vm } => dump(access, vm).await,
         Command::Check { .. } | Command::HashKey | Command::Completions { .. } => Ok(String::new()),
     }
 }
@@ -198,52 +200,6 @@
     Ok(render(format, &rows, || rows.iter().map(line).collect::<Vec<_>>().join("\n")))
 }
 
-/// Tells what one daemon answered.
-#[derive(Debug, Serialize)]
-struct StatusRow {
-    domain: String,
-    address: String,
-    status: Option<Status>,
-}
-
-async fn statuses(access: &Access) -> Result<Vec<StatusRow>, CliError> {
-    let hint = "the VM list is needed to find the daemons";
-    let daemons = access.daemons().await;
-    let daemons = daemons.context(UnreachableSnafu { what: "the VM list", hint })?;
-    let mut rows = Vec::new();
-    for (address, domain) in daemons {
-        let status = access.get::<Status>(address, "/operator/status").await.ok();
-        rows.push(StatusRow { domain, address: address.to_string(), status });
-    }
-    rows.sort_by(|a, b| (&a.domain, &a.address).cmp(&(&b.domain, &b.address)));
-    Ok(rows)
-}
-
-fn table(rows: &[StatusRow]) -> String {
-    let mut lines = vec![format!(
-        "{:<14} {:<12} {:<22} {:>10} {:<12} {:<6} {:>6}  {}",
-        "DOMAIN", "VM", "ADDRESS", "GENERATION", "PRESET", "READY", "CALLS", "DEGRADED"
-    )];
-    for row in rows {
-        let line = match &row.status {
-            Some(s) => format!(
-                "{:<14} {:<12} {:<22} {:>10} {:<12} {:<6} {:>6}  {}",
-                row.domain,
-                s.vm,
-                row.address,
-                s.generation.0,
-                s.preset.as_deref().unwrap_or("-"),
-                if s.ready { "yes" } else { "no" },
-                s.calls,
-                s.degraded.join("; ")
-            ),
-            None => format!("{:<14} {:<12} {:<22} no answer", row.domain, "?", row.address),
-        };
-        lines.push(line.trim_end().to_owned());
-    }
-    lines.join("\n")
-}
-
 /// Waits until all listed daemons have a generation in force.
 async fn confirm(
     access: &Access,
@@ -253,9 +209,8 @@
     let Some(seconds) = wait else { return Ok(()) };
     let deadline = Instant::now() + Duration::from_secs(seconds);
     loop {
-        let rows = statuses(access).await?;
-        let behind =
-            rows.iter().filter(|row| row.status.as_ref().is_none_or(|s| s.generation < generation));
+        let rows = status::ask(access).await?;
+        let behind = rows.iter().filter(|row| !row.has(generation));
         let missing: Vec<String> =
             behind.map(|r| format!("{} ({})", r.domain, r.address)).collect();
         if missing.is_empty() {
@@ -268,23 +223,6 @@
     }
 }
 
-async fn dump(access: &Access, vm: &str) -> Result<String, CliError> {
-    for row in statuses(access).await? {
-        if row.status.as_ref().is_none_or(|s| &*s.vm != vm) {
-            continue;
-        }
-        let Ok(address) = row.address.parse() else {
-            continue;
-        };
-        let hint = "the daemon may have stopped; look at `cumintrail status`";
-        let state = access.get::<serde_json::Value>(address, "/debug/state").await;
-        let state = state.context(UnreachableSnafu { what: vm, hint })?;
-        return Ok(serde_json::to_string_pretty(&state).unwrap_or_default());
-    }
-    let hint = "look at `cumintrail status` for the names";
-    UsageSnafu { message: format!("no daemon of VM `{vm}` answers"), hint }.fail()
-}
-
 fn render<T: Serialize>(format: Format, value: &T, text: impl FnOnce() -> String) -> String {
     match format {
         Format::Text => text(),
--- /dev/null
+++ b/crates/cumintrail-cli/src/dump.rs
@@ -0,0 +1,178 @@
+//! The state of one daemon.
+
+use std::net::SocketAddr;
+
+use cumintrail_control::{CallDump, Dump, LimitDump, PeerDump, StoreDump, TargetDump};
+use cumintrail_wire::operator::Age;
+use snafu::ResultExt;
+
+use crate::errors::{UnreachableSnafu, UsageSnafu};
+use crate::table::{Style, Table, Tone};
+use crate::{Access, CliError, status};
+
+const MIB: u64 = 1 << 20;
+
+/// Asks the daemon of VM `vm` for its state.
+pub async fn ask(access: &Access, vm: &str) -> Result<Dump, CliError> {
+    let rows = status::ask(access).await?;
+    let named = rows.iter().find(|row| row.status.as_ref().is_some_and(|s| &*s.vm == vm));
+    let address = named.and_then(|row| row.address.parse::<SocketAddr>().ok());
+    let Some(address) = address else {
+        let hint = "look at `cumintrail status` for the names";
+        return UsageSnafu { message: format!("no daemon of VM `{vm}` answers"), hint }.fail();
+    };
+    let hint = "the daemon may have stopped; look at `cumintrail status`";
+    let state = access.get::<Dump>(address, "/debug/state").await;
+    state.context(UnreachableSnafu { what: vm, hint })
+}
+
+/// Writes a dump for people.
+pub fn to_text(dump: &Dump, style: Style) -> String {
+    let mut lines = vec![style.paint(Tone::Strong, &headline(dump))];
+    let parts = [
+        ("calls", calls(&dump.calls)),
+        ("client accounts with calls", limits(&dump.limits)),
+        ("targets", targets(&dump.targets)),
+        ("stores", stores(&dump.stores)),
+        ("peers", peers(&dump.peers)),
+    ];
+    for (title, table) in parts {
+        lines.push(String::new());
+        if table.is_empty() {
+            lines.push(format!("{title}: none"));
+            continue;
+        }
+        lines.push(style.paint(Tone::Strong, title));
+        lines.extend(table.lines("  "));
+    }
+    lines.join("\n")
+}
+
+fn headline(dump: &Dump) -> String {
+    let stopping = if dump.stopping { ", stopping" } else { "" };
+    format!(
+        "{} in {}: up {}, generation {}, preset {}, {} calls ({} waiting), {} kept blocks known\
+         {stopping}",
+        dump.vm,
+        dump.domain,
+        Age(dump.up_ms),
+        dump.generation,
+        dump.preset.as_deref().unwrap_or("-"),
+        dump.calls.len(),
+        dump.waiting,
+        dump.kept_blocks,
+    )
+}
+
+fn calls(calls: &[CallDump]) -> Table {
+    let headings =
+        [">CALL", "ACCOUNT", "CLASS", "PHASE", "TARGET", ">ATTEMPTS", ">PROMPT", ">AGE", ">LEFT"];
+    let mut table = Table::new(&headings);
+    for call in calls {
+        table.row([
+            call.call.to_string(),
+            call.account.to_string(),
+            call.class.to_string(),
+            call.phase.clone(),
+            call.target.as_deref().unwrap_or("-").to_owned(),
+            call.attempts.to_string(),
+            call.prompt.to_string(),
+            Age(call.age_ms).to_string(),
+            Age(call.left_ms).to_string(),
+        ]);
+    }
+    table
+}
+
+fn limits(limits: &[LimitDump]) -> Table {
+    let mut table = Table::new(&["ACCOUNT", ">IN FLIGHT", ">DECLARED LIMIT", ">WEIGHT"]);
+    for limit in limits {
+        table.row([
+            limit.account.to_string(),
+            limit.in_flight.to_string(),
+            limit.concurrency.to_string(),
+            limit.weight.to_string(),
+        ]);
+    }
+    table
+}
+
+fn targets(targets: &[TargetDump]) -> Table {
+    let headings = [
+        "TARGET",
+        "DOMAIN",
+        "ADDRESS",
+        "STATE",
+        ">VERSION",
+        ">OUT",
+        ">SLOTS",
+        ">BACKLOG",
+        ">BLOCKS",
+        ">FAILURES",
+        ">REPORTED",
+    ];
+    let mut table = Table::new(&headings);
+    for target in targets.iter().filter(|t| !t.retired) {
+        table.row([
+            target.name.to_string(),
+            target.domain.to_string(),
+            target.address.to_string(),
+            state_of(target).to_owned(),
+            target.version.map_or_else(|| "-".into(), |v| v.to_string()),
+            target.in_flight.to_string(),
+            target.slots.to_string(),
+            target.backlog.to_string(),
+            target.blocks.to_string(),
+            target.failures.to_string(),
+            age(target.report_age_ms),
+        ]);
+    }
+    table
+}
+
+fn state_of(target: &TargetDump) -> &str {
+    match target {
+        t if t.leaving => "leaving",
+        t if t.ejected_ms > 0 => "ejected",
+        t if t.loading => "loading",
+        t => &t.liveness,
+    }
+}
+
+fn stores(stores: &[StoreDump]) -> Table {
+    let headings =
+        ["STORE", "DOMAIN", "ADDRESS", "STATE", ">LINK MiB/s", ">SEEN MiB/s", ">ON WAY", ">LISTED"];
+    let mut table = Table::new(&headings);
+    for store in stores.iter().filter(|s| !s.retired) {
+        table.row([
+            store.name.to_string(),
+            store.domain.to_string(),
+            store.address.to_string(),
+            store.liveness.clone(),
+            (store.link_per_second.0 / MIB).to_string(),
+            (store.observed_per_second.0 / MIB).to_string(),
+            store.link_in_flight.to_string(),
+            age(store.listing_age_ms),
+        ]);
+    }
+    table
+}
+
+fn peers(peers: &[(SocketAddr, PeerDump)]) -> Table {
+    let mut table = Table::new(&["PEER", "DOMAIN", "ADDRESS", "STATE", ">GENERATION", ">HEARD"]);
+    for (address, peer) in peers {
+        table.row([
+            if peer.vm.is_empty() { "?".into() } else { peer.vm.to_string() },
+            peer.domain.to_string(),
+            address.to_string(),
+            peer.liveness.clone(),
+            peer.generation.to_string(),
+            age(peer.heard_ms),
+        ]);
+    }
+    table
+}
+
+fn age(ms: Option<u64>) -> String {
+    ms.map_or_else(|| "never".into(), |ms| Age(ms).to_string())
+}
--- a/crates/cumintrail-cli/src/lib.rs
+++ b/crates/cumintrail-cli/src/lib.rs
@@ -2,10 +2,14 @@
 
 mod access;
 mod commands;
+pub mod dump;
 mod errors;
 mod publish;
+pub mod status;
+mod table;
 
 pub use access::Access;
 pub use commands::{Arguments, run, run_to_exit};
 pub use errors::CliError;
 pub use publish::{Accepted, Change, apply, plan, switch_preset};
+pub use table::Style;
--- a/crates/cumintrail-config/src/reader.rs
+++ b/crates/cumintrail-config/src/reader.rs
@@ -1,6 +1,7 @@
 //! Typed access to a section, which reports bad values and unknown keys.
 
 use std::fmt::Display;
+use std::net::SocketAddr;
 use std::ops::RangeInclusive;
 use std::str::FromStr;
 use std::sync::Arc;
@@ -116,6 +117,25 @@
         text.split(',').map(str::trim).filter(|part| !part.is_empty()).map(Arc::from).collect()
     }
 
+    /// Returns the addresses of a comma-separated list.
+    pub fn addresses(&mut self, key: &'static str) -> Vec<SocketAddr> {
+        let mut addresses = Vec::new();
+        for text in self.list(key) {
+            if let Ok(address) = text.parse() {
+                addresses.push(address);
+                continue;
+            }
+            self.reject(key, format!("`{text}` is no address"), "write IP:PORT, IP:PORT, …");
+        }
+        addresses
+    }
+
+    /// Reports that the section is none of those that the file may have.
+    pub fn reject_section(&mut self, known: &[&str]) {
+        let message = format!("unknown section [{}]", self.section.title());
+        self.report(self.section.line, message, &nearest(&self.section.kind, known));
+    }
+
     /// Returns one of the named choices, or the first if the key is absent.
     pub fn choice<T: Copy>(&mut self, key: &'static str, choices: &[(&str, T)]) -> T {
         let names: Vec<&str> = choices.iter().map(|(name, _)| *name).collect();
--- a/crates/cumintrail-config/src/settings.rs
+++ b/crates/cumintrail-config/src/settings.rs
@@ -176,7 +176,7 @@
         let table = r.required("table", NOWHERE);
         let objects = r.required("objects", NOWHERE);
         let vm_list = r.required("vm_list", NOWHERE);
-        let peers = parse_addresses(&mut r, "peers");
+        let peers = r.addresses("peers");
         note("platform", r.finish());
 
         let mut r = SectionReader::new(&limits, problems);
@@ -231,17 +231,6 @@
     }
 }
 
-fn parse_addresses(r: &mut SectionReader<'_>, key: &'static str) -> Vec<SocketAddr> {
-    let mut addresses = Vec::new();
-    for text in r.list(key) {
-        match text.parse() {
-            Ok(address) => addresses.push(address),
-            Err(_) => r.reject(key, format!("`{text}` is no address"), "write IP:PORT, IP:PORT, …"),
-        }
-    }
-    addresses
-}
-
 fn report_unknown_sections(document: &Document, problems: &mut Problems) {
     for section in &document.sections {
         if !SECTIONS.contains(&&*section.kind) {
--- a/crates/cumintrail-control/src/control.rs
+++ b/crates/cumintrail-control/src/control.rs
@@ -3,6 +3,7 @@
 mod arrivals;
 mod attempts;
 mod blocks;
+mod description;
 mod state;
 mod upkeep;
 
@@ -24,7 +25,7 @@
 use crate::links::Links;
 use crate::membership::Membership;
 use crate::retry::RetryBudget;
-use crate::{Actions, Call, CallDump, Dump, Event, TargetDump};
+use crate::{Actions, Call, Event};
 
 /// Tells who a daemon is.
 #[derive(Debug, Clone)]
@@ -127,41 +128,4 @@
     pub fn calls_in_flight(&self) -> usize {
         self.calls.len()
     }
-
-    /// Describes the whole state for operators.
-    pub fn dump(&self, now: Moment) -> Dump {
-        let domain_name = |key| {
-            let names = self.snapshot.as_ref().map(|s| &s.domains);
-            names.and_then(|d| d.get(key)).cloned().unwrap_or_default()
-        };
-        let targets = self.snapshot.iter().flat_map(|s| s.targets.iter()).filter_map(|(key, t)| {
-            let state = self.targets.get(key)?;
-            Some(TargetDump {
-                name: t.name.clone(),
-                address: t.address,
-                domain: domain_name(t.domain),
-                liveness: format!("{:?}", state.liveness).to_lowercase(),
-                leaving: self.is_leaving(key),
-                retired: t.retired,
-                version: state.report.map(|r| r.version.0),
-                in_flight: state.in_flight,
-                slots: t.slots,
-                blocks: self.directory.engine_len(key),
-                report_age_ms: state.reported.map(|at| now.since(at).as_millis() as u64),
-            })
-        });
-        Dump {
-            vm: self.identity.vm.clone(),
-            domain: self.identity.domain.clone(),
-            incarnation: self.identity.incarnation,
-            generation: self.generation(),
-            preset: self.snapshot.as_ref().map(|s| s.preset.name.clone()),
-            stopping: self.stopping,
-            waiting: self.admission.waiting(),
-            calls: self.calls.iter().map(|(key, call)| CallDump::new(now, *key, call)).collect(),
-            targets: targets.collect(),
-            kept_blocks: self.directory.kept_len(),
-            peers: self.membership.peers().map(|(address, p)| (address, p.into())).collect(),
-        }
-    }
 }
--- a/crates/cumintrail-control/src/control/blocks.rs
+++ b/crates/cumintrail-control/src/control/blocks.rs
@@ -67,7 +67,7 @@
 
     pub(super) fn take_listing(
         &mut self,
-        _now: Moment,
+        now: Moment,
         store: StoreKey,
         incarnation: Incarnation,
         first: bool,
@@ -77,6 +77,7 @@
             return;
         };
         state.liveness = Liveness::Live;
+        state.listed = Some(now);
         if first || state.incarnation != Some(incarnation) {
             self.directory.clear_store(store);
         }
--- /dev/null
+++ b/crates/cumintrail-control/src/control/description.rs
@@ -0,0 +1,136 @@
+//! Describing the control state for operators.
+
+use std::sync::Arc;
+
+use cumintrail_config::{Snapshot, Store, Target};
+use cumintrail_types::{Arena, CallKey, DomainKey, Moment, StoreKey, TargetKey};
+
+use super::Control;
+use super::state::{StoreState, TargetState};
+use crate::dump::{liveness, millis};
+use crate::{Call, CallDump, Dump, LimitDump, PeerDump, StoreDump, TargetDump};
+
+impl Control {
+    /// Describes the whole state for operators.
+    pub fn dump(&self, now: Moment) -> Dump {
+        let snapshot = self.snapshot.as_deref();
+        Dump {
+            vm: self.identity.vm.clone(),
+            domain: self.identity.domain.clone(),
+            incarnation: self.identity.incarnation,
+            up_ms: millis(now, Moment::default()),
+            generation: self.generation(),
+            preset: snapshot.map(|s| s.preset.name.clone()),
+            stopping: self.stopping,
+            waiting: self.admission.waiting(),
+            calls: self.describe_calls(now),
+            limits: snapshot.map(|s| self.describe_limits(s)).unwrap_or_default(),
+            targets: snapshot.map(|s| self.describe_targets(now, s)).unwrap_or_default(),
+            stores: snapshot.map(|s| self.describe_stores(now, s)).unwrap_or_default(),
+            kept_blocks: self.directory.kept_len(),
+            peers: self
+                .membership
+                .peers()
+                .map(|(address, peer)| (address, PeerDump::new(now, peer)))
+                .collect(),
+        }
+    }
+
+    fn describe_calls(&self, now: Moment) -> Vec<CallDump> {
+        let mut calls: Vec<(&CallKey, &Call)> = self.calls.iter().collect();
+        calls.sort_unstable_by_key(|(key, _)| **key);
+        let account = |call: &Call| {
+            let accounts = self.snapshot.as_ref().map(|s| &s.accounts);
+            let found = accounts.and_then(|a| a.get(call.arrival.account));
+            found.map(|a| a.name.clone()).unwrap_or_default()
+        };
+        let target = |call: &Call| {
+            let targets = self.snapshot.as_ref().map(|s| &s.targets);
+            targets.and_then(|t| t.get(call.target()?)).map(|t| t.name.clone())
+        };
+        let describe = |(key, call): (&CallKey, &Call)| {
+            CallDump::new(now, *key, call, account(call), target(call))
+        };
+        calls.into_iter().map(describe).collect()
+    }
+
+    fn describe_limits(&self, snapshot: &Snapshot) -> Vec<LimitDump> {
+        let used = snapshot.accounts.iter().filter_map(|(key, account)| {
+            let in_flight = self.admission.in_flight(key);
+            (in_flight > 0).then(|| LimitDump {
+                account: account.name.clone(),
+                in_flight,
+                concurrency: account.concurrency,
+                weight: account.weight,
+            })
+        });
+        used.collect()
+    }
+
+    fn describe_targets(&self, now: Moment, snapshot: &Snapshot) -> Vec<TargetDump> {
+        let known = snapshot.targets.iter().filter_map(|(key, target)| {
+            let state = self.targets.get(key)?;
+            Some(self.describe_target(now, key, target, state, &snapshot.domains))
+        });
+        known.collect()
+    }
+
+    fn describe_target(
+        &self,
+        now: Moment,
+        key: TargetKey,
+        target: &Target,
+        state: &TargetState,
+        domains: &Arena<DomainKey, Arc<str>>,
+    ) -> TargetDump {
+        TargetDump {
+            name: target.name.clone(),
+            address: target.address,
+            domain: domains.get(target.domain).cloned().unwrap_or_default(),
+            liveness: liveness(state.liveness),
+            leaving: self.is_leaving(key),
+            retired: target.retired,
+            version: state.report.map(|r| r.version.0),
+            loading: state.report.is_some_and(|r| r.loading),
+            in_flight: state.in_flight,
+            slots: target.slots,
+            backlog: state.backlog,
+            blocks: self.directory.engine_len(key),
+            failures: state.failures,
+            ejected_ms: millis(state.ejected_until, now),
+            report_age_ms: state.reported.map(|at| millis(now, at)),
+        }
+    }
+
+    fn describe_stores(&self, now: Moment, snapshot: &Snapshot) -> Vec<StoreDump> {
+        let known = snapshot.stores.iter().filter_map(|(key, store)| {
+            let state = self.stores.get(key)?;
+            let domain = snapshot.domains.get(store.domain).cloned().unwrap_or_default();
+            Some(self.describe_store(now, key, store, state, domain))
+        });
+        known.collect()
+    }
+
+    fn describe_store(
+        &self,
+        now: Moment,
+        key: StoreKey,
+        store: &Store,
+        state: &StoreState,
+        domain: Arc<str>,
+    ) -> StoreDump {
+        let (link_in_flight, observed_per_second) = self.links.usage(key);
+        StoreDump {
+            name: store.name.clone(),
+            address: store.address,
+            domain,
+            liveness: liveness(state.liveness),
+            retired: store.retired,
+            incarnation: state.incarnation,
+            listing_age_ms: state.listed.map(|at| millis(now, at)),
+            link_per_second: store.link_per_second,
+            observed_per_second,
+            link_in_flight,
+        }
+    }
+}
--- a/crates/cumintrail-control/src/control/state.rs
+++ b/crates/cumintrail-control/src/control/state.rs
@@ -40,6 +40,8 @@
     pub liveness: Liveness,
     /// The run of its process that was last listed.
     pub incarnation: Option<Incarnation>,
+    /// When its last listing arrived.
+    pub listed: Option<Moment>,
     /// When it is listed next.
     pub next_listing: Moment,
 }
--- a/crates/cumintrail-control/src/dump.rs
+++ b/crates/cumintrail-control/src/dump.rs
@@ -1,13 +1,13 @@
-//! A readable description of the control state.
+//! A readable description of the control state; docs/OPERATIONS.md, "Reading a dump".
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use cumintrail_types::{CallKey, Generation, Incarnation, Moment};
+use cumintrail_types::{Bytes, CallClass, CallKey, Generation, Incarnation, Moment, Tokens};
 use serde::{Deserialize, Serialize};
 
 use crate::Call;
-use crate::membership::Peer;
+use crate::membership::{Liveness, Peer};
 
 /// Describes a daemon; holds no prompt text, answer or key.
 #[derive(Debug, Clone, Serialize, Deserialize)]
@@ -18,6 +18,8 @@
     pub domain: Arc<str>,
     /// The run of the process.
     pub incarnation: Incarnation,
+    /// Milliseconds since the process started.
+    pub up_ms: u64,
     /// The generation in force.
     pub generation: Generation,
     /// The preset in force.
@@ -26,10 +28,14 @@
     pub stopping: bool,
     /// Calls that wait for a slot.
     pub waiting: usize,
-    /// Calls that are not answered yet.
+    /// Calls that are not answered yet, oldest first.
     pub calls: Vec<CallDump>,
+    /// Client accounts with calls in flight.
+    pub limits: Vec<LimitDump>,
     /// The targets as this daemon sees them.
     pub targets: Vec<TargetDump>,
+    /// The stores as this daemon sees them.
+    pub stores: Vec<StoreDump>,
     /// Blocks known in stores.
     pub kept_blocks: usize,
     /// The peers as this daemon sees them, by operator address.
@@ -41,10 +47,20 @@
 pub struct CallDump {
     /// The call.
     pub call: CallKey,
+    /// The client account that pays for it.
+    #[serde(default)]
+    pub account: Arc<str>,
+    /// How it may be repeated.
+    pub class: CallClass,
     /// How far it has come.
     pub phase: String,
+    /// Where its current attempt runs.
+    #[serde(default)]
+    pub target: Option<Arc<str>>,
     /// Attempts so far.
     pub attempts: u8,
+    /// The length of its prompt.
+    pub prompt: Tokens,
     /// Milliseconds since it arrived.
     pub age_ms: u64,
     /// Milliseconds until it is given up.
@@ -52,17 +68,40 @@
 }
 
 impl CallDump {
-    pub(crate) fn new(now: Moment, key: CallKey, call: &Call) -> Self {
+    pub(crate) fn new(
+        now: Moment,
+        key: CallKey,
+        call: &Call,
+        account: Arc<str>,
+        target: Option<Arc<str>>,
+    ) -> Self {
         Self {
             call: key,
+            account,
+            class: call.arrival.class,
             phase: format!("{:?}", call.phase()).to_lowercase(),
+            target,
             attempts: call.attempts(),
-            age_ms: now.since(call.arrived).as_millis() as u64,
-            left_ms: call.arrival.deadline.since(now).as_millis() as u64,
+            prompt: call.arrival.prompt,
+            age_ms: millis(now, call.arrived),
+            left_ms: millis(call.arrival.deadline, now),
         }
     }
 }
 
+/// Describes what a client account uses in this daemon.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct LimitDump {
+    /// The account's name.
+    pub account: Arc<str>,
+    /// Its calls that are not answered yet.
+    pub in_flight: u32,
+    /// Its declared limit in the whole deployment.
+    pub concurrency: u32,
+    /// Its weight when slots are scarce.
+    pub weight: u32,
+}
+
 /// Describes a target.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct TargetDump {
@@ -80,16 +119,53 @@
     pub retired: bool,
     /// The weight version it last reported.
     pub version: Option<u64>,
+    /// Whether it last reported that weights are being loaded.
+    #[serde(default)]
+    pub loading: bool,
     /// Calls that this daemon has out at it.
     pub in_flight: u32,
     /// Its declared slots.
     pub slots: u32,
+    /// Prompt tokens that this daemon expects it to compute.
+    #[serde(default)]
+    pub backlog: Tokens,
     /// Blocks that it probably holds.
     pub blocks: usize,
+    /// Failures in a row.
+    #[serde(default)]
+    pub failures: u32,
+    /// Milliseconds until it gets work again after failures.
+    #[serde(default)]
+    pub ejected_ms: u64,
     /// Milliseconds since its last report.
     pub report_age_ms: Option<u64>,
 }
 
+/// Describes a store and its link.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct StoreDump {
+    /// Its declared name.
+    pub name: Arc<str>,
+    /// Where it is reached.
+    pub address: SocketAddr,
+    /// Its failure domain.
+    pub domain: Arc<str>,
+    /// Whether it answers.
+    pub liveness: String,
+    /// Whether it was removed from the declarations.
+    pub retired: bool,
+    /// The run of its process that was last listed.
+    pub incarnation: Option<Incarnation>,
+    /// Milliseconds since its last listing.
+    pub listing_age_ms: Option<u64>,
+    /// Its declared link speed, in bytes a second.
+    pub link_per_second: Bytes,
+    /// Observed link speed in bytes a second; zero before the first transfer.
+    pub observed_per_second: Bytes,
+    /// Bytes of this daemon's transfers on the way.
+    pub link_in_flight: Bytes,
+}
+
 /// Describes a peer daemon.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct PeerDump {
@@ -101,15 +177,29 @@
     pub generation: Generation,
     /// Whether it answers.
     pub liveness: String,
+    /// Milliseconds since its last digest.
+    #[serde(default)]
+    pub heard_ms: Option<u64>,
 }
 
-impl From<&Peer> for PeerDump {
-    fn from(peer: &Peer) -> Self {
+impl PeerDump {
+    pub(crate) fn new(now: Moment, peer: &Peer) -> Self {
         Self {
             vm: peer.vm.clone(),
             domain: peer.domain.clone(),
             generation: peer.generation,
-            liveness: format!("{:?}", peer.liveness).to_lowercase(),
+            liveness: liveness(peer.liveness),
+            heard_ms: peer.heard.map(|at| millis(now, at)),
         }
     }
 }
+
+/// Names a liveness as dumps show it.
+pub fn liveness(of: Liveness) -> String {
+    format!("{of:?}").to_lowercase()
+}
+
+/// Returns whole milliseconds from one moment to a later one.
+pub const fn millis(later: Moment, earlier: Moment) -> u64 {
+    later.since(earlier).as_millis() as u64
+}
--- a/crates/cumintrail-control/src/lib.rs
+++ b/crates/cumintrail-control/src/lib.rs
@@ -22,7 +22,7 @@
 
 pub use calls::{Call, Phase};
 pub use control::{Control, Identity};
-pub use dump::{CallDump, Dump, TargetDump};
+pub use dump::{CallDump, Dump, LimitDump, PeerDump, StoreDump, TargetDump};
 pub use event::{
     Action, Actions, Arrival, AttemptOutcome, Dispatch, Event, Export, Fetch, FetchOutcome,
     FetchPlan, Order, OrderKind, PeerDigest, TargetReport, Usage, VmEntry, VmRole, VmState,
--- a/crates/cumintrail-control/src/links.rs
+++ b/crates/cumintrail-control/src/links.rs
@@ -29,6 +29,12 @@
         Duration::from_secs_f64((link.in_flight + bytes).0 as f64 / speed.max(1.0))
     }
 
+    /// Returns the bytes on their way and the observed speed in bytes a second.
+    pub fn usage(&self, store: StoreKey) -> (Bytes, Bytes) {
+        let link = self.stores.get(&store).copied().unwrap_or_default();
+        (link.in_flight, Bytes(link.observed as u64))
+    }
+
     /// Notes a transfer that was ordered.
     pub fn start(&mut self, store: StoreKey, bytes: Bytes) {
         self.stores.entry(store).or_default().in_flight += bytes;
--- a/crates/cumintrail-daemon/src/background/config_sync.rs
+++ b/crates/cumintrail-daemon/src/background/config_sync.rs
@@ -35,7 +35,9 @@
 /// Looks for newer configurations until the process ends.
 pub async fn run(background: Rc<Background>) {
     loop {
-        if let Err(e) = sync_platform(&background).await {
+        let synced = sync_platform(&background).await;
+        note_contact(&background, &synced);
+        if let Err(e) = synced {
             metrics::counter!(metric::PLATFORM_ERRORS, "part" => "config").increment(1);
             log::debug!("no configuration from the platform: {e}");
             sync_peers(&background).await;
@@ -49,6 +51,17 @@
     }
 }
 
+/// Remembers whether the platform answers and logs when that changes.
+fn note_contact(background: &Background, synced: &Result<(), SyncError>) {
+    let answered = !matches!(synced, Err(SyncError::Client { .. }));
+    let shared = &background.shared;
+    match shared.platform_contact.note(shared.now(), answered) {
+        true if answered => log::info!("the platform answers again"),
+        true => log::warn!("the platform does not answer; the last configuration stays in force"),
+        false => {}
+    }
+}
+
 async fn sync_platform(background: &Background) -> Result<(), SyncError> {
     let Some(row) = background.platform.read(HEAD_KEY).await? else {
         return Ok(());
--- a/crates/cumintrail-daemon/src/lib.rs
+++ b/crates/cumintrail-daemon/src/lib.rs
@@ -6,8 +6,10 @@
 mod background;
 mod callers;
 mod clock;
+mod contact;
 mod control_thread;
 mod daemon;
+mod degraded;
 mod metric;
 mod operators;
 mod process;
--- a/crates/cumintrail-daemon/src/operators.rs
+++ b/crates/cumintrail-daemon/src/operators.rs
@@ -11,15 +11,15 @@
 use bytes::Bytes;
 use cumintrail_control::{Dump, Event, PeerDigest};
 use cumintrail_types::{Refusal, RefusalCode};
-use cumintrail_wire::operator::Status;
+use cumintrail_wire::operator::{Age, Status};
 use cumintrail_wire::peer::{ConfigReply, ConfigRequest, DigestMessage};
 use cumintrail_wire::{from_msgpack, to_msgpack};
 
 use crate::callers::CallerBody;
 use crate::callers::{auth, refuse, request};
 use crate::daemon::ListenFactory;
-use crate::metric;
 use crate::shared::Shared;
+use crate::{degraded, metric};
 
 const OK: u16 = 200;
 const UNAVAILABLE: u16 = 503;
@@ -94,19 +94,17 @@
 
 async fn status(shared: &Shared) -> Result<Status, Refusal> {
     let dump = dump(shared).await?;
-    let silent = dump.targets.iter().filter(|t| t.liveness == "silent" && !t.retired);
-    let mut degraded: Vec<String> =
-        silent.map(|t| format!("target {} is silent", t.name)).collect();
-    let peers = dump.peers.iter().filter(|(_, p)| p.liveness == "silent");
-    degraded.extend(peers.map(|(address, _)| format!("peer {address} is silent")));
+    let degraded = degraded::degradations(shared, &dump);
     Ok(Status {
         vm: dump.vm,
         domain: dump.domain,
         generation: shared.generation(),
         preset: dump.preset,
         ready: shared.is_ready(),
+        up: Age(dump.up_ms),
         degraded,
         calls: dump.calls.len(),
+        waiting: dump.waiting,
     })
 }
 
--- a/crates/cumintrail-daemon/src/shared.rs
+++ b/crates/cumintrail-daemon/src/shared.rs
@@ -12,6 +12,7 @@
 use tokio::sync::Notify;
 
 use crate::clock::Clock;
+use crate::contact::Contact;
 use crate::control_thread::ControlLink;
 
 /// Holds a configuration that is in force, with what peers may ask of it.
@@ -49,6 +50,8 @@
     pub control: ControlLink,
     /// Wakes the configuration task when a peer has a higher generation.
     pub newer_generation: Notify,
+    /// When the platform last answered.
+    pub platform_contact: Contact,
     clock: Clock,
     adopted: ArcSwapOption<Adopted>,
     stopping: AtomicBool,
@@ -70,6 +73,7 @@
             operator_address,
             control,
             newer_generation: Notify::new(),
+            platform_contact: Contact::default(),
             clock,
             adopted: ArcSwapOption::empty(),
             stopping: AtomicBool::new(false),
