Describe all metrics in one table and check the operators' page against it

Cause: metrics had names only; nothing kept the reference of settings, declarations, refusal codes, exit codes and metrics in step with the code, and histogram samples would grow without bound on a daemon that nobody scrapes.

Change: a table of metric descriptions that the recorder also uses; gauges of calls, targets, stores, peers, queue, control time, memory and processor time; buckets for the first token; upkeep every 5 s; exit codes as constants; docs/OPERATIONS.md, with tests that compare its tables with what the readers ask for and with what a daemon shows. Process tests cover exit codes, messages with file, line and remedy, JSON logs, and that no key, prompt or answer is in logs, dump, status or metrics.

Red without the mechanism (trial edits, reverted): a log line with the prompt turned logs_are_json_objects_of_state_changes_without_secrets red; an unlisted counter a_daemon_shows_no_metric_that_is_not_described; colour without a terminal a_daemon_that_has_not_confirmed_is_named; refusing the operator key on two paths no_secret_prompt_or_answer_is_shown_to_operators.

--- a/crates/cumintrail-cli/src/errors.rs
+++ b/crates/cumintrail-cli/src/errors.rs
@@ -62,14 +62,23 @@
     },
 }
 
+const EXIT_INVALID: u8 = 2;
+const EXIT_UNREACHABLE: u8 = 3;
+const EXIT_CONFLICT: u8 = 4;
+const EXIT_UNCONFIRMED: u8 = 5;
+
 impl CliError {
+    /// Lists all exit codes but zero.
+    pub const EXIT_CODES: [u8; 4] =
+        [EXIT_INVALID, EXIT_UNREACHABLE, EXIT_CONFLICT, EXIT_UNCONFIRMED];
+
     /// Returns the exit code, as docs/OPERATIONS.md documents it.
     pub const fn exit_code(&self) -> u8 {
         match self {
-            Self::Invalid { .. } | Self::Usage { .. } => 2,
-            Self::Unreachable { .. } | Self::Record { .. } => 3,
-            Self::Conflict { .. } => 4,
-            Self::Unconfirmed { .. } => 5,
+            Self::Invalid { .. } | Self::Usage { .. } => EXIT_INVALID,
+            Self::Unreachable { .. } | Self::Record { .. } => EXIT_UNREACHABLE,
+            Self::Conflict { .. } => EXIT_CONFLICT,
+            Self::Unconfirmed { .. } => EXIT_UNCONFIRMED,
         }
     }
 }
--- a/crates/cumintrail-control/src/control/description.rs
+++ b/crates/cumintrail-control/src/control/description.rs
@@ -8,7 +8,7 @@
 use super::Control;
 use super::state::{StoreState, TargetState};
 use crate::dump::{liveness, millis};
-use crate::{Call, CallDump, Dump, LimitDump, PeerDump, StoreDump, TargetDump};
+use crate::{Call, CallDump, Counts, Dump, LimitDump, PeerDump, StoreDump, TargetDump};
 
 impl Control {
     /// Describes the whole state for operators.
@@ -36,6 +36,27 @@
         }
     }
 
+    /// Counts what the gauges of the metrics show, without copying any state.
+    pub fn counts(&self) -> Counts {
+        let snapshot = self.snapshot.as_deref();
+        let targets = snapshot.into_iter().flat_map(|s| s.targets.iter());
+        let targets = targets.filter(|(_, t)| !t.retired).filter_map(|(key, _)| {
+            let state = self.targets.get(key)?;
+            Some(if self.is_leaving(key) { None } else { Some(state.liveness) })
+        });
+        let stores = snapshot.into_iter().flat_map(|s| s.stores.iter());
+        let stores = stores.filter(|(_, s)| !s.retired);
+        let stores = stores.filter_map(|(key, _)| Some(Some(self.stores.get(key)?.liveness)));
+        Counts {
+            calls: self.calls.len(),
+            waiting: self.admission.waiting(),
+            kept_blocks: self.directory.kept_len(),
+            targets: targets.collect(),
+            stores: stores.collect(),
+            peers: self.membership.peers().map(|(_, peer)| Some(peer.liveness)).collect(),
+        }
+    }
+
     fn describe_calls(&self, now: Moment) -> Vec<CallDump> {
         let mut calls: Vec<(&CallKey, &Call)> = self.calls.iter().collect();
         calls.sort_unstable_by_key(|(key, _)| **key);
--- a/crates/cumintrail-control/src/lib.rs
+++ b/crates/cumintrail-control/src/lib.rs
@@ -17,11 +17,13 @@
 
 mod calls;
 mod control;
+mod counts;
 mod dump;
 mod event;
 
 pub use calls::{Call, Phase};
 pub use control::{Control, Identity};
+pub use counts::{Counts, States};
 pub use dump::{CallDump, Dump, LimitDump, PeerDump, StoreDump, TargetDump};
 pub use event::{
     Action, Actions, Arrival, AttemptOutcome, Dispatch, Event, Export, Fetch, FetchOutcome,
--- a/crates/cumintrail-daemon/src/background.rs
+++ b/crates/cumintrail-daemon/src/background.rs
@@ -11,6 +11,7 @@
 use cumintrail_control::Action;
 use tokio::sync::mpsc;
 
+use crate::metric;
 use crate::shared::Shared;
 
 /// Holds the clients of the background thread.
@@ -34,6 +35,7 @@
     });
     actix_rt::spawn(config_sync::run(background.clone()));
     actix_rt::spawn(vm_list::run(background.clone()));
+    actix_rt::spawn(metric::upkeep());
     let mut cursors = orders::Cursors::default();
     while let Some(action) = orders.recv().await {
         orders::follow(&background, &mut cursors, action);
--- a/crates/cumintrail-daemon/src/background/config_sync.rs
+++ b/crates/cumintrail-daemon/src/background/config_sync.rs
@@ -55,6 +55,7 @@
 fn note_contact(background: &Background, synced: &Result<(), SyncError>) {
     let answered = !matches!(synced, Err(SyncError::Client { .. }));
     let shared = &background.shared;
+    metrics::gauge!(metric::PLATFORM_REACHABLE).set(if answered { 1.0 } else { 0.0 });
     match shared.platform_contact.note(shared.now(), answered) {
         true if answered => log::info!("the platform answers again"),
         true => log::warn!("the platform does not answer; the last configuration stays in force"),
--- a/crates/cumintrail-daemon/src/control_thread.rs
+++ b/crates/cumintrail-daemon/src/control_thread.rs
@@ -1,15 +1,18 @@
 //! The thread that owns the control state.
 
 use std::collections::HashMap;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use cumintrail_control::{Action, Arrival, AttemptOutcome, Control, Dispatch, Dump, Event};
-use cumintrail_types::{CallKey, Refusal};
+use cumintrail_types::{AttemptNumber, CallKey, Refusal};
 use tokio::sync::{mpsc, oneshot};
 
 use crate::clock::Clock;
+use crate::control_meter::ControlMeter;
+use crate::metric;
 
 const TICK: Duration = Duration::from_millis(20);
+const FIRST_ATTEMPT: AttemptNumber = AttemptNumber(1);
 
 /// Tells a call's task what was decided for it.
 #[derive(Debug)]
@@ -89,6 +92,7 @@
     background: mpsc::UnboundedSender<Action>,
 ) {
     let mut calls: HashMap<CallKey, mpsc::UnboundedSender<Command>> = HashMap::new();
+    let mut meter = ControlMeter::start();
     let mut ticks = actix_rt::time::interval(TICK);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
@@ -96,7 +100,7 @@
             message = inbox.rx.recv() => message,
             _ = ticks.tick() => Some(Message::Event(Event::Tick)),
         };
-        let now = clock.now();
+        let (now, begun) = (clock.now(), Instant::now());
         let actions = match message {
             None => return,
             Some(Message::Dump(reply)) => {
@@ -121,6 +125,9 @@
         for action in actions {
             route(action, &mut calls, &background);
         }
+        if meter.note(begun) {
+            meter.publish(inbox.rx.len(), &control.counts());
+        }
     }
 }
 
@@ -143,6 +150,9 @@
 ) {
     match action {
         Action::Dispatch(dispatch) => {
+            if dispatch.attempt > FIRST_ATTEMPT {
+                metrics::counter!(metric::RETRIES).increment(1);
+            }
             // A call whose task is gone has told so; its event is on the way.
             if let Some(commands) = calls.get(&dispatch.call) {
                 let _ = commands.send(Command::Dispatch(Box::new(dispatch)));
--- a/crates/cumintrail-daemon/src/operators.rs
+++ b/crates/cumintrail-daemon/src/operators.rs
@@ -81,7 +81,7 @@
 }
 
 fn render_metrics() -> Response<CallerBody> {
-    let text = metric::install_recorder().render();
+    let text = metric::render();
     let mut response = Response::with_body(StatusCode::OK, CallerBody::Whole(text.into()));
     let plain = HeaderValue::from_static("text/plain; version=0.0.4");
     response.headers_mut().insert(CONTENT_TYPE, plain);
--- a/crates/cumintrail-daemon/src/process.rs
+++ b/crates/cumintrail-daemon/src/process.rs
@@ -14,6 +14,9 @@
 const EXIT_BAD_SETTINGS: u8 = 2;
 const EXIT_CANNOT_START: u8 = 3;
 
+/// Lists all exit codes of `cumintraild` but zero.
+pub const EXIT_CODES: [u8; 2] = [EXIT_BAD_SETTINGS, EXIT_CANNOT_START];
+
 /// Serves callers on one entry VM.
 #[derive(Debug, Parser)]
 #[command(name = "cumintraild", version)]
--- /dev/null
+++ b/crates/cumintrail-daemon/src/usage.rs
@@ -0,0 +1,42 @@
+//! What the process uses of its VM.
+
+use std::time::Duration;
+
+/// The kernel's unit of processor time towards programs, on all Linux machines.
+const TICKS_PER_SECOND: u64 = 100;
+/// Fields of `/proc/self/stat` between the program's name and `utime`.
+const FIELDS_BEFORE_UTIME: usize = 11;
+
+/// Holds what a process uses.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Usage {
+    /// Resident memory.
+    pub resident_bytes: u64,
+    /// Processor time since the start.
+    pub processor: Duration,
+}
+
+/// Reads what this process uses; zero where `/proc` does not tell.
+pub fn of_process() -> Usage {
+    let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let stat = std::fs::read_to_string("/proc/self/stat").unwrap_or_default();
+    Usage {
+        resident_bytes: parse_resident(&status).unwrap_or(0),
+        processor: parse_processor(&stat).unwrap_or_default(),
+    }
+}
+
+fn parse_resident(status: &str) -> Option<u64> {
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"))?;
+    let kib: u64 = line.trim().strip_suffix("kB")?.trim().parse().ok()?;
+    Some(kib << 10)
+}
+
+fn parse_processor(stat: &str) -> Option<Duration> {
+    // The program's name may hold spaces but ends at the last parenthesis.
+    let (_, fields) = stat.rsplit_once(')')?;
+    let mut times = fields.split_whitespace().skip(FIELDS_BEFORE_UTIME);
+    let user: u64 = times.next()?.parse().ok()?;
+    let system: u64 = times.next()?.parse().ok()?;
+    Some(Duration::from_millis((user + system) * 1_000 / TICKS_PER_SECOND))
+}
