--- a/crates/cumintrail-control/src/control/description.rs
+++ b/crates/cumintrail-control/src/control/description.rs
@@ -1,5 +1,6 @@
 //! Describing the control state for operators.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use cumintrail_config::{Snapshot, Store, Target};
@@ -8,6 +9,7 @@
 use super::Control;
 use super::state::{StoreState, TargetState};
 use crate::dump::{liveness, millis};
+use crate::membership::Peer;
 use crate::{Call, CallDump, Counts, Dump, LimitDump, PeerDump, StoreDump, TargetDump};
 
 impl Control {
@@ -29,8 +31,7 @@
             stores: snapshot.map(|s| self.describe_stores(now, s)).unwrap_or_default(),
             kept_blocks: self.directory.kept_len(),
             peers: self
-                .membership
-                .peers()
+                .other_peers()
                 .map(|(address, peer)| (address, PeerDump::new(now, peer)))
                 .collect(),
         }
@@ -53,10 +54,15 @@
             kept_blocks: self.directory.kept_len(),
             targets: targets.collect(),
             stores: stores.collect(),
-            peers: self.membership.peers().map(|(_, peer)| Some(peer.liveness)).collect(),
+            peers: self.other_peers().map(|(_, peer)| Some(peer.liveness)).collect(),
         }
     }
 
+    /// Returns the peers but this daemon itself, which the VM list also names.
+    fn other_peers(&self) -> impl Iterator<Item = (SocketAddr, &Peer)> {
+        self.membership.peers().filter(|(address, _)| *address != self.identity.address)
+    }
+
     fn describe_calls(&self, now: Moment) -> Vec<CallDump> {
         let mut calls: Vec<(&CallKey, &Call)> = self.calls.iter().collect();
         calls.sort_unstable_by_key(|(key, _)| **key);
--- a/crates/cumintrail-daemon/src/operators.rs
+++ b/crates/cumintrail-daemon/src/operators.rs
@@ -23,6 +23,8 @@
 
 const OK: u16 = 200;
 const UNAVAILABLE: u16 = 503;
+/// Peers keep connections open; none of them may hold up a planned stop.
+const STOP_LIMIT_S: u64 = 1;
 const MAX_PEER_BYTES: usize = 32 << 20;
 
 /// Makes the operators' HTTP service.
@@ -51,6 +53,7 @@
                 .tcp()
                 .map_err(|_| ())
         };
+        let builder = builder.shutdown_timeout(STOP_LIMIT_S);
         builder.listen("operators", listener, service).expect("the listener is bound already")
     }
 }
--- a/crates/cumintrail-daemon/src/process.rs
+++ b/crates/cumintrail-daemon/src/process.rs
@@ -13,6 +13,9 @@
 
 const EXIT_BAD_SETTINGS: u8 = 2;
 const EXIT_CANNOT_START: u8 = 3;
+/// Keeps the servers' lines about their own threads out of the log.
+const QUIET_LIBRARIES: &str = "actix_server=warn, actix_http=warn, awc=warn, mio=warn";
+const TIME_FORMAT: &str = "%Y-%m-%dT%H:%M:%S%.3f%:z";
 
 /// Lists all exit codes of `cumintraild` but zero.
 pub const EXIT_CODES: [u8; 2] = [EXIT_BAD_SETTINGS, EXIT_CANNOT_START];
@@ -74,14 +77,24 @@
 }
 
 fn start_logger(settings: &Settings) -> Option<LoggerHandle> {
-    let logger = Logger::try_with_str(&*settings.log_level).ok()?.log_to_stderr();
+    let levels = format!("{}, {QUIET_LIBRARIES}", settings.log_level);
+    let logger = Logger::try_with_str(levels).ok()?.log_to_stderr();
     let logger = match settings.log_format {
-        LogFormat::Text => logger.format(flexi_logger::detailed_format),
+        LogFormat::Text => logger.format(write_text_line),
         LogFormat::Json => logger.format(write_json_line),
     };
     logger.start().ok()
 }
 
+fn write_text_line(
+    w: &mut dyn std::io::Write,
+    now: &mut DeferredNow,
+    record: &Record<'_>,
+) -> Result<(), std::io::Error> {
+    let time = now.format(TIME_FORMAT);
+    write!(w, "{time} {:<5} {}", record.level(), record.args())
+}
+
 fn write_json_line(
     w: &mut dyn std::io::Write,
     now: &mut DeferredNow,
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -3,5 +3,6 @@
 pub mod cluster;
 pub mod demo;
 pub mod http;
+pub mod load;
 pub mod process;
 pub mod standins;
--- /dev/null
+++ b/tests/src/load/callers.rs
@@ -0,0 +1,197 @@
+//! Callers that start calls at a fixed rate, whether earlier ones have ended or not.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use cumintrail_client::{AnswerEvent, Engine as _, HttpEngine};
+use cumintrail_types::WeightVersion;
+use cumintrail_wire::caller::{Completion, CompletionRequest, DONE};
+use cumintrail_wire::engine::Generate;
+use futures_util::StreamExt;
+use futures_util::future::join_all;
+use hdrhistogram::Histogram;
+
+use crate::cluster::CALLER_KEY;
+use crate::standins::engine::answer_of;
+
+const ANSWER_TOKENS: u32 = 20;
+const CALL_LIMIT: Duration = Duration::from_secs(10);
+const LONGEST_US: u64 = 60_000_000;
+const DIGITS: u8 = 3;
+
+/// Names the way of a call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Route {
+    /// Through a daemon, over a kept connection as a balancer has it.
+    Daemon(SocketAddr),
+    /// Straight to an engine, over a new connection as a daemon makes it.
+    Engine(SocketAddr),
+}
+
+/// Collects what calls took, in microseconds.
+pub struct Latency {
+    /// From the start to the first token.
+    pub first_token: Histogram<u64>,
+    /// Between two tokens, as the average of a call.
+    pub token_gap: Histogram<u64>,
+    /// Calls that were answered whole and right.
+    pub answered: u64,
+    /// All other calls.
+    pub failed: u64,
+}
+
+struct Timing {
+    first: Duration,
+    last: Duration,
+}
+
+/// Starts `rate` calls a second, in turn over the routes, for `length`.
+pub async fn drive(routes: &[Route], rate: u16, length: Duration) -> Latency {
+    let clients = Rc::new(Clients::open());
+    let pause = Duration::from_secs(1) / u32::from(rate);
+    let calls = u64::from(rate) * length.as_secs();
+    let started = Instant::now();
+    let mut running = Vec::new();
+    for number in 0..calls {
+        let due = started + pause * u32::try_from(number).unwrap_or(u32::MAX);
+        actix_rt::time::sleep_until(due.into()).await;
+        let route = routes[number as usize % routes.len()];
+        let clients = clients.clone();
+        // A late start counts against the call, as a caller would see it.
+        running.push(actix_rt::spawn(async move { clients.call(route, number, due).await }));
+    }
+    let mut latency = Latency::new();
+    for timing in join_all(running).await {
+        latency.note(timing.ok().flatten());
+    }
+    latency
+}
+
+impl Latency {
+    fn new() -> Self {
+        let histogram = || Histogram::new_with_max(LONGEST_US, DIGITS).expect("bounds are valid");
+        Self { first_token: histogram(), token_gap: histogram(), answered: 0, failed: 0 }
+    }
+
+    fn note(&mut self, timing: Option<Timing>) {
+        let Some(timing) = timing else {
+            self.failed += 1;
+            return;
+        };
+        self.answered += 1;
+        let micros = |d: Duration| d.as_micros() as u64;
+        self.first_token.saturating_record(micros(timing.first));
+        let gap = timing.last.saturating_sub(timing.first) / (ANSWER_TOKENS - 1);
+        self.token_gap.saturating_record(micros(gap));
+    }
+}
+
+struct Clients {
+    daemons: awc::Client,
+    engines: HttpEngine,
+}
+
+impl Clients {
+    fn open() -> Self {
+        let daemons = awc::Client::builder().disable_timeout().finish();
+        Self { daemons, engines: HttpEngine::open() }
+    }
+
+    async fn call(&self, route: Route, number: u64, due: Instant) -> Option<Timing> {
+        let prompt = format!("summarise order {number}");
+        let expected = answer_of(&prompt, WeightVersion(1), ANSWER_TOKENS as usize);
+        let call = async {
+            match route {
+                Route::Daemon(at) => self.through_daemon(at, prompt, due).await,
+                Route::Engine(at) => self.to_engine(at, number, prompt, due).await,
+            }
+        };
+        let (text, timing) = actix_rt::time::timeout(CALL_LIMIT, call).await.ok().flatten()?;
+        (text == expected).then_some(timing)
+    }
+
+    async fn through_daemon(
+        &self,
+        at: SocketAddr,
+        prompt: String,
+        due: Instant,
+    ) -> Option<(String, Timing)> {
+        let request = CompletionRequest {
+            model: "curd".into(),
+            prompt,
+            max_tokens: Some(ANSWER_TOKENS),
+            stream: true,
+        };
+        let req = self.daemons.post(format!("http://{at}/v1/completions"));
+        let req = req.insert_header(("authorization", format!("Bearer {CALLER_KEY}")));
+        let response = req.send_json(&request).await.ok()?;
+        let mut events = eventsource_stream::EventStream::new(response);
+        let mut answer = Answer::new(due);
+        loop {
+            let event = events.next().await?.ok()?;
+            if event.data == DONE {
+                return answer.end();
+            }
+            let chunk: Completion = serde_json::from_str(&event.data).ok()?;
+            let text: String = chunk.choices.iter().filter_map(|c| c.text.as_deref()).collect();
+            if !text.is_empty() {
+                answer.token(&text);
+            }
+        }
+    }
+
+    async fn to_engine(
+        &self,
+        at: SocketAddr,
+        number: u64,
+        prompt: String,
+        due: Instant,
+    ) -> Option<(String, Timing)> {
+        let generate = Generate {
+            call: format!("direct-{number}"),
+            attempt: 1,
+            model: "curd".into(),
+            version: WeightVersion(1),
+            prompt,
+            pieces: Vec::new(),
+            piece_tokens: 100,
+            imports: Vec::new(),
+            answered: Vec::new(),
+            max_tokens: ANSWER_TOKENS,
+            priority: 1,
+        };
+        let mut stream = self.engines.generate(at, &generate, CALL_LIMIT).await.ok()?;
+        let mut answer = Answer::new(due);
+        loop {
+            match stream.next(CALL_LIMIT).await.ok()? {
+                AnswerEvent::Token(_, token) => answer.token(&token.text),
+                AnswerEvent::End(..) => return answer.end(),
+            }
+        }
+    }
+}
+
+struct Answer {
+    due: Instant,
+    text: String,
+    first: Option<Duration>,
+    last: Duration,
+}
+
+impl Answer {
+    const fn new(due: Instant) -> Self {
+        Self { due, text: String::new(), first: None, last: Duration::ZERO }
+    }
+
+    fn token(&mut self, text: &str) {
+        self.last = self.due.elapsed();
+        self.first.get_or_insert(self.last);
+        self.text.push_str(text);
+    }
+
+    fn end(self) -> Option<(String, Timing)> {
+        let timing = Timing { first: self.first?, last: self.last };
+        Some((self.text, timing))
+    }
+}
--- /dev/null
+++ b/tests/src/load/deployment.rs
@@ -0,0 +1,211 @@
+//! A deployment whose daemons are processes of their own.
+
+use std::fmt::Write as _;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use actix_http::Method;
+use cumintrail_cli::Access;
+use cumintrail_config::Secret;
+use cumintrail_types::{BlockKey, Digest, Sealed, Tier, WriteId};
+use cumintrail_wire::platform::{ListedRole, ListedVm};
+
+use super::{LoadError, Options, process_use};
+use crate::cluster::{ClusterError, LOOPBACK, OPERATOR_KEY, Plan, declare, domain, settings_text};
+use crate::http::send;
+use crate::process::Process;
+use crate::standins::engine::{self, Engine};
+use crate::standins::platform::Platform;
+use crate::standins::store::Store;
+
+const ENGINES: usize = 4;
+const ENGINE_SLOTS: usize = 256;
+const TOKEN_TIME: Duration = Duration::from_millis(5);
+const PREFILL_PER_SECOND: u32 = 10_000_000;
+const READY_LIMIT: Duration = Duration::from_secs(60);
+const ANSWER_LIMIT: Duration = Duration::from_secs(10);
+const PIECE_BYTES: u64 = 4 << 10;
+
+/// Runs stand-ins in this process and daemons as children.
+pub struct Deployment {
+    platform: Platform,
+    engines: Vec<Engine>,
+    _store: Store,
+    daemons: Vec<Process>,
+    _files: tempfile::TempDir,
+}
+
+/// Holds what all daemons used until a moment.
+#[derive(Debug, Clone, Copy)]
+pub struct Usage {
+    /// The moment.
+    pub at: Instant,
+    /// Daemons.
+    pub daemons: usize,
+    /// Processor time of all daemons.
+    pub processor: Duration,
+    /// Resident memory of the largest daemon.
+    pub resident_bytes: u64,
+    /// Bytes that all daemons sent to peers.
+    pub peer_bytes: u64,
+    /// Events that all control threads took.
+    pub control_events: u64,
+    /// Time that all control threads spent on events.
+    pub control_busy: Duration,
+    /// Table reads of all daemons.
+    pub table_reads: u64,
+}
+
+impl Deployment {
+    /// Starts all parts and waits until the daemons are ready.
+    pub async fn spawn(options: &Options) -> Result<Self, LoadError> {
+        let platform = Platform::spawn(LOOPBACK, 200, 2).map_err(ClusterError::from)?;
+        let plan = Plan {
+            engine: engine::Limits {
+                slots: ENGINE_SLOTS,
+                token_time: TOKEN_TIME,
+                prefill_per_second: PREFILL_PER_SECOND,
+                ..engine::Limits::default()
+            },
+            ..Plan::default()
+        };
+        let engines = (0..ENGINES).map(|_| Engine::spawn(LOOPBACK, 1, plan.engine));
+        let engines: Vec<Engine> = engines.collect::<Result<_, _>>().map_err(ClusterError::from)?;
+        let store = Store::spawn(LOOPBACK, plan.store).map_err(ClusterError::from)?;
+        store.seal((0..options.blocks).map(known_block));
+
+        let addresses: Vec<SocketAddr> = engines.iter().map(Engine::address).collect();
+        let text = declarations(options, &plan, &addresses, store.address());
+        let files = tempfile::tempdir().map_err(ClusterError::from)?;
+        let declared = files.path().join("declarations");
+        std::fs::create_dir(&declared).map_err(ClusterError::from)?;
+        std::fs::write(declared.join("all.ini"), text).map_err(ClusterError::from)?;
+        let at = platform.address();
+        let access = Access::new(at, at, at, Secret::new(OPERATOR_KEY));
+        cumintrail_cli::apply(&access, &declared).await.map_err(ClusterError::from)?;
+
+        let daemons = spawn_daemons(options, at, files.path()).map_err(ClusterError::from)?;
+        platform.list_vms(daemons.iter().enumerate().map(listed).collect());
+        let deployment = Self { platform, engines, _store: store, daemons, _files: files };
+        deployment.wait_ready().await?;
+        Ok(deployment)
+    }
+
+    async fn wait_ready(&self) -> Result<(), LoadError> {
+        let deadline = Instant::now() + READY_LIMIT;
+        for at in self.caller_addresses() {
+            while send(Method::GET, at, "/readyz", &[], "", ANSWER_LIMIT).await.status != 200 {
+                if Instant::now() > deadline {
+                    return Err(ClusterError::NotReady.into());
+                }
+                actix_rt::time::sleep(Duration::from_millis(50)).await;
+            }
+        }
+        Ok(())
+    }
+
+    /// Returns where callers connect.
+    pub fn caller_addresses(&self) -> impl Iterator<Item = SocketAddr> {
+        self.daemons.iter().map(|daemon| daemon.addresses[0])
+    }
+
+    /// Returns where the engines are reached without a daemon.
+    pub fn engine_addresses(&self) -> impl Iterator<Item = SocketAddr> {
+        self.engines.iter().map(Engine::address)
+    }
+
+    /// Reads what all daemons used so far.
+    pub async fn usage(&self) -> Result<Usage, LoadError> {
+        let mut usage = Usage {
+            at: Instant::now(),
+            daemons: self.daemons.len(),
+            processor: Duration::ZERO,
+            resident_bytes: 0,
+            peer_bytes: 0,
+            control_events: 0,
+            control_busy: Duration::ZERO,
+            table_reads: self.platform.table_use().1,
+        };
+        for (index, daemon) in self.daemons.iter().enumerate() {
+            usage.processor += process_use::processor(daemon.pid());
+            let resident = process_use::resident_bytes(daemon.pid());
+            usage.resident_bytes = usage.resident_bytes.max(resident);
+            let text = metrics_of(daemon.addresses[1]).await;
+            let text = text.ok_or(LoadError::NoMetrics { index })?;
+            usage.peer_bytes += counter(&text, "cumintrail_peer_bytes_total");
+            usage.control_events += counter(&text, "cumintrail_control_events_total");
+            let busy = counter(&text, "cumintrail_control_busy_microseconds_total");
+            usage.control_busy += Duration::from_micros(busy);
+        }
+        Ok(usage)
+    }
+}
+
+async fn metrics_of(at: SocketAddr) -> Option<String> {
+    let bearer = format!("Bearer {OPERATOR_KEY}");
+    let headers = [("authorization", bearer.as_str())];
+    let got = send(Method::GET, at, "/metrics", &headers, "", ANSWER_LIMIT).await;
+    (got.status == 200).then(|| got.text())
+}
+
+/// Adds up a counter over its labels.
+fn counter(text: &str, name: &str) -> u64 {
+    let samples = text.lines().filter(|line| {
+        let rest = line.strip_prefix(name);
+        rest.is_some_and(|rest| rest.starts_with([' ', '{']))
+    });
+    samples.filter_map(|line| line.rsplit(' ').next()?.parse::<u64>().ok()).sum()
+}
+
+fn spawn_daemons(
+    options: &Options,
+    platform: SocketAddr,
+    files: &std::path::Path,
+) -> std::io::Result<Vec<Process>> {
+    let binary = std::env::current_exe()?.display().to_string();
+    let spawn = |index: usize| {
+        let text = settings_text(index, LOOPBACK, LOOPBACK, platform, &[]);
+        let (text, _) = text.split_once("[timing]").unwrap_or((&text, ""));
+        let path = files.join(format!("vm-{index}.ini"));
+        std::fs::write(&path, text)?;
+        Process::daemon(&binary, &path)
+    };
+    (0..usize::from(options.daemons)).map(spawn).collect()
+}
+
+fn listed((index, daemon): (usize, &Process)) -> ListedVm {
+    let address = daemon.addresses[1];
+    ListedVm { address, domain: domain(index), role: ListedRole::Daemon, leaving: false }
+}
+
+fn declarations(
+    options: &Options,
+    plan: &Plan,
+    engines: &[SocketAddr],
+    store: SocketAddr,
+) -> String {
+    let mut text = declare(plan, engines, &[store], &[]);
+    text = text.replacen("[account kesong]", "[account kesong]\nconcurrency = 10000", 1);
+    for i in 0..options.accounts {
+        let digest = Digest::of(format!("key-{i}").as_bytes());
+        let _ = write!(text, "[account extra-{i}]\nkey_digests = {digest}\n\n");
+    }
+    for i in 0..options.targets {
+        let address = engines[i as usize % engines.len()];
+        let domain = domain(i as usize);
+        let _ = write!(
+            text,
+            "[target extra-{i}]\nmodel = curd\naddress = {address}\nfailure_domain = {domain}\n\n"
+        );
+    }
+    text
+}
+
+fn known_block(index: u32) -> (Sealed, Tier) {
+    let digest = Digest::of(&index.to_le_bytes());
+    let mut key = [0; 16];
+    key.copy_from_slice(&digest.0[..16]);
+    let write_id = WriteId(key);
+    let key = BlockKey(key);
+    (Sealed { key, write_id, digest, length: cumintrail_types::Bytes(PIECE_BYTES) }, Tier::Disk)
+}
--- /dev/null
+++ b/tests/src/load/report.rs
@@ -0,0 +1,165 @@
+//! What a measurement found, for people and scripts.
+
+use std::fmt;
+
+use hdrhistogram::Histogram;
+use serde::Serialize;
+
+use super::callers::Latency;
+use super::deployment::Usage;
+
+const US_PER_MS: f64 = 1_000.0;
+
+/// Holds what a measurement found.
+#[derive(Debug, Clone, Serialize)]
+pub struct Report {
+    /// Daemon processes.
+    pub daemons: u16,
+    /// Seconds of rest, and as many of load.
+    pub seconds: u16,
+    /// Calls a second through daemons, and as many straight to engines.
+    pub rate: u16,
+    /// Client accounts declared besides the caller's.
+    pub accounts: u32,
+    /// Targets declared besides the engines.
+    pub targets: u32,
+    /// Blocks that the store held from the start.
+    pub blocks: u32,
+    /// Cost of a daemon without calls.
+    pub rest: Cost,
+    /// Cost of a daemon under load.
+    pub load: Cost,
+    /// Calls through daemons.
+    pub through: Served,
+    /// Calls straight to engines.
+    pub direct: Served,
+}
+
+/// Holds the average cost of one daemon over a while.
+#[derive(Debug, Clone, Copy, Serialize)]
+pub struct Cost {
+    /// Share of one core.
+    pub processor_share: f64,
+    /// Share of one core that the control thread spent on events.
+    pub control_share: f64,
+    /// Events of the control thread a second.
+    pub control_events_per_second: f64,
+    /// Digest bytes sent to peers a second, without HTTP heads.
+    pub peer_bytes_per_second: f64,
+    /// Table reads a second.
+    pub table_reads_per_second: f64,
+    /// Resident memory of the largest daemon.
+    pub resident_bytes: u64,
+}
+
+/// Holds how calls were served.
+#[derive(Debug, Clone, Copy, Serialize)]
+pub struct Served {
+    /// Calls that were answered whole and right.
+    pub answered: u64,
+    /// All other calls.
+    pub failed: u64,
+    /// Time to the first token, in milliseconds.
+    pub first_token_ms: Quantiles,
+    /// Average time between two tokens of a call, in milliseconds.
+    pub token_gap_ms: Quantiles,
+}
+
+/// Holds quantiles of a time.
+#[derive(Debug, Clone, Copy, Serialize)]
+pub struct Quantiles {
+    /// The median.
+    pub p50: f64,
+    /// The 95th percentile.
+    pub p95: f64,
+    /// The 99th percentile.
+    pub p99: f64,
+}
+
+impl Cost {
+    /// Averages over the time between two readings.
+    pub fn between(before: &Usage, after: &Usage) -> Self {
+        let seconds = (after.at - before.at).as_secs_f64() * before.daemons as f64;
+        let rate = |before: u64, after: u64| (after - before) as f64 / seconds;
+        let share = |before: std::time::Duration, after: std::time::Duration| {
+            after.saturating_sub(before).as_secs_f64() / seconds
+        };
+        Self {
+            processor_share: share(before.processor, after.processor),
+            control_share: share(before.control_busy, after.control_busy),
+            control_events_per_second: rate(before.control_events, after.control_events),
+            peer_bytes_per_second: rate(before.peer_bytes, after.peer_bytes),
+            table_reads_per_second: rate(before.table_reads, after.table_reads),
+            resident_bytes: after.resident_bytes,
+        }
+    }
+}
+
+impl Served {
+    /// Summarises the calls of one way.
+    pub fn new(latency: &Latency) -> Self {
+        Self {
+            answered: latency.answered,
+            failed: latency.failed,
+            first_token_ms: Quantiles::of(&latency.first_token),
+            token_gap_ms: Quantiles::of(&latency.token_gap),
+        }
+    }
+}
+
+impl Quantiles {
+    fn of(micros: &Histogram<u64>) -> Self {
+        let at = |q| micros.value_at_quantile(q) as f64 / US_PER_MS;
+        Self { p50: at(0.5), p95: at(0.95), p99: at(0.99) }
+    }
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(
+            f,
+            "{} daemons, {} s each, {} calls a second; extra: {} accounts, {} targets, {} blocks\n",
+            self.daemons, self.seconds, self.rate, self.accounts, self.targets, self.blocks
+        )?;
+        writeln!(
+            f,
+            "PER DAEMON  CORE %  CONTROL %  EVENTS/s  PEER BYTES/s  TABLE READS/s  MEMORY MiB"
+        )?;
+        for (name, cost) in [("rest", &self.rest), ("load", &self.load)] {
+            writeln!(
+                f,
+                "{name:<10}  {:>6.2}  {:>9.3}  {:>8.1}  {:>12.0}  {:>13.2}  {:>10.1}",
+                cost.processor_share * 100.0,
+                cost.control_share * 100.0,
+                cost.control_events_per_second,
+                cost.peer_bytes_per_second,
+                cost.table_reads_per_second,
+                cost.resident_bytes as f64 / f64::from(1 << 20),
+            )?;
+        }
+        writeln!(f, "\nCALLS       WHOLE  FAILED  FIRST TOKEN ms p50/p95/p99  GAP ms p50/p95/p99")?;
+        for (name, served) in [("through", &self.through), ("direct", &self.direct)] {
+            writeln!(
+                f,
+                "{name:<10}  {:>5}  {:>6}  {:>26}  {:>18}",
+                served.answered,
+                served.failed,
+                served.first_token_ms.to_string(),
+                served.token_gap_ms.to_string(),
+            )?;
+        }
+        let (a, b) = (&self.through, &self.direct);
+        write!(
+            f,
+            "\nadded by the daemon at the median: {:.2} ms to the first token, {:.3} ms per token",
+            a.first_token_ms.p50 - b.first_token_ms.p50,
+            a.token_gap_ms.p50 - b.token_gap_ms.p50,
+        )
+    }
+}
+
+impl fmt::Display for Quantiles {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:.2}/{:.2}/{:.2}", self.p50, self.p95, self.p99)
+    }
+}
--- a/tests/src/main.rs
+++ b/tests/src/main.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use clap::{Parser, Subcommand, ValueEnum};
-use cumintrail_tests::demo;
 use cumintrail_tests::standins::{engine, platform, relay, service, store};
+use cumintrail_tests::{demo, load};
 
 /// Runs stand-ins, the demonstration and measuring tools.
 #[derive(Debug, Parser)]
@@ -24,6 +24,14 @@
         #[arg(long, value_enum, default_value_t = Format::Text)]
         format: Format,
     },
+    /// Measure real daemons at rest and under load, over loopback.
+    Load {
+        #[command(flatten)]
+        options: load::Options,
+        /// How results are written.
+        #[arg(long, value_enum, default_value_t = Format::Text)]
+        format: Format,
+    },
     /// Run a platform.
     Platform {
         /// Where it listens.
@@ -106,6 +114,7 @@
 async fn run(command: Command) -> ExitCode {
     let started = match command {
         Command::Demo { format } => return show_demo(format).await,
+        Command::Load { options, format } => return show_load(options, format).await,
         Command::Platform { address, load_ms, load_slots } => {
             platform::Platform::spawn(address, load_ms, load_slots).map(|p| p.address())
         }
@@ -145,6 +154,23 @@
     }
 }
 
+async fn show_load(options: load::Options, format: Format) -> ExitCode {
+    match load::run(options).await {
+        Ok(report) if format == Format::Json => {
+            println!("{}", serde_json::to_string(&report).unwrap_or_default());
+            ExitCode::SUCCESS
+        }
+        Ok(report) => {
+            println!("{report}");
+            ExitCode::SUCCESS
+        }
+        Err(e) => {
+            eprintln!("{e}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
 async fn show_demo(format: Format) -> ExitCode {
     let results = match demo::run().await {
         Ok(results) => results,
--- a/tests/src/process.rs
+++ b/tests/src/process.rs
@@ -39,6 +39,11 @@
         Self::spawn(binary, &["cumintraild", "--settings", &settings.display().to_string()])
     }
 
+    /// Returns the id of the process.
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Sends a signal.
     pub fn signal(&self, signal: Signal) {
         let pid = Pid::from_raw(i32::try_from(self.child.id()).unwrap_or(0));
--- a/tests/src/standins/store.rs
+++ b/tests/src/standins/store.rs
@@ -96,6 +96,14 @@
         self.lock().blocks.values().map(|b| b.sealed).collect()
     }
 
+    /// Lists blocks as sealed without holding their bytes, to fill directories cheaply.
+    pub fn seal(&self, blocks: impl Iterator<Item = (Sealed, Tier)>) {
+        let entry = |(sealed, tier): (Sealed, Tier)| {
+            (sealed.key, Block { sealed, tier, bytes: Bytes::new() })
+        };
+        self.lock().blocks.extend(blocks.map(entry));
+    }
+
     /// Frees all blocks, as a store does that needs room.
     pub fn free_all(&self) {
         self.lock().blocks.clear();
--- /dev/null
+++ b/tests/tests/load.rs
@@ -0,0 +1,26 @@
+//! The load tool measures real daemons and counts whole answers only.
+
+use std::process::Command;
+
+const BINARY: &str = env!("CARGO_BIN_EXE_cumintrail-tests");
+
+#[test]
+fn a_short_run_is_answered_whole_and_reported_as_one_object() {
+    let arguments = ["load", "--daemons", "2", "--seconds", "1", "--rate", "10", "--accounts", "5"];
+    let output = Command::new(BINARY).args(arguments).args(["--format", "json"]).output().unwrap();
+    assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stderr));
+    let report: serde_json::Value = serde_json::from_slice(&output.stdout).unwrap();
+    for way in ["through", "direct"] {
+        assert_eq!((&report[way]["answered"], &report[way]["failed"]), (&10.into(), &0.into()));
+    }
+    let cost = &report["load"];
+    assert!(cost["processor_share"].as_f64().unwrap() > 0.0, "{report}");
+    assert!(cost["resident_bytes"].as_u64().unwrap() > 1 << 20, "{report}");
+    assert!(cost["peer_bytes_per_second"].as_f64().unwrap() > 0.0, "{report}");
+}
+
+#[test]
+fn sizes_are_bounded() {
+    let output = Command::new(BINARY).args(["load", "--daemons", "65"]).output().unwrap();
+    assert_eq!(output.status.code(), Some(2));
+}
