Measure placement policies side by side in virtual time

Cause: placement could not be compared with anything, so no change of it could be judged. Change: Control takes its placement policy as a type parameter (Placer, default CheapestPlacer); the tool `experiment` feeds a seeded trace with late, lossy reports and faults into one Control and prices engine, link and disk time. The other policies and the exact oracle live in the tests package. Loads are split into own calls (exact) and calls of others (from lagging reports).

--- a/crates/cumintrail-control/src/control.rs
+++ b/crates/cumintrail-control/src/control.rs
@@ -23,6 +23,7 @@
 use crate::directory::Directory;
 use crate::links::Links;
 use crate::membership::Membership;
+use crate::placement::{CheapestPlacer, Placer};
 use crate::retry::RetryBudget;
 use crate::{Actions, Call, CallDump, Dump, Event, TargetDump};
 
@@ -45,7 +46,8 @@
 
 /// Owns all control state of one daemon; lives on one thread.
 #[derive(Debug)]
-pub struct Control {
+pub struct Control<P = CheapestPlacer> {
+    placer: P,
     identity: Identity,
     rng: StdRng,
     snapshot: Option<Arc<Snapshot>>,
@@ -66,7 +68,15 @@
 impl Control {
     /// Creates the state of a daemon that has no configuration yet.
     pub fn new(identity: Identity, seed: u64) -> Self {
+        Self::with_placer(identity, seed, CheapestPlacer)
+    }
+}
+
+impl<P: Placer> Control<P> {
+    /// Creates the state of a daemon that places calls by `placer`.
+    pub fn with_placer(identity: Identity, seed: u64, placer: P) -> Self {
         Self {
+            placer,
             identity,
             rng: StdRng::seed_from_u64(seed),
             snapshot: None,
@@ -90,11 +100,11 @@
         match event {
             Event::Configured(snapshot) => self.take_configuration(now, snapshot, &mut actions),
             Event::Arrived(arrival) => self.take_arrival(now, arrival, &mut actions),
-            Event::CallerGone { call } => self.drop_call(call, &mut actions),
+            Event::CallerGone { call } => self.drop_call(now, call, &mut actions),
             Event::Fetched { call, target, outcomes, took } => {
                 self.take_fetches(call, target, &outcomes, took);
             }
-            Event::FirstToken { call } => self.take_first_token(call),
+            Event::FirstToken { call } => self.take_first_token(now, call),
             Event::AttemptEnded { call, attempt, outcome } => {
                 self.take_attempt_end(now, call, attempt, outcome, &mut actions);
             }
--- a/crates/cumintrail-control/src/control/arrivals.rs
+++ b/crates/cumintrail-control/src/control/arrivals.rs
@@ -4,15 +4,16 @@
 
 use cumintrail_config::{Snapshot, TargetKind};
 use cumintrail_types::{CallKey, Moment, Refusal, RefusalCode, TargetKey, Tokens, WeightVersion};
+use smallvec::SmallVec;
 
 use super::Control;
 use crate::membership::Liveness;
-use crate::placement::{self, Candidate, Context, Placement};
+use crate::placement::{Candidate, Context, Placement, Placer, Request};
 use crate::{Action, Actions, Arrival, Call, Dispatch};
 
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
-impl Control {
+impl<P: Placer> Control<P> {
     pub(super) fn take_arrival(&mut self, now: Moment, arrival: Arrival, actions: &mut Actions) {
         let call = arrival.call;
         match self.admit(now, &arrival) {
@@ -82,14 +83,17 @@
             let code = RefusalCode::NoTarget;
             return Err(Refusal { code, ran: call.ran(), retry_after: Some(RETRY_AFTER) });
         }
-        let candidates =
-            usable.into_iter().filter_map(|key| self.candidate(snapshot, arrival, key));
+        let candidates: SmallVec<[Candidate<'_>; 32]> = usable
+            .into_iter()
+            .filter_map(|key| self.candidate(now, snapshot, arrival, key))
+            .collect();
         let model = match arrival.kind {
             TargetKind::Engine(model) => snapshot.models.get(model),
             TargetKind::Service(_) => None,
         };
         let Some(model) = model else {
-            return Ok(candidates.min_by_key(|c| c.backlog).map(|c| plain_placement(c.key)));
+            let free = candidates.iter().filter(|c| c.free);
+            return Ok(free.min_by_key(|c| c.calls).map(|c| plain_placement(c.key)));
         };
         let cx = Context {
             stores: &snapshot.stores,
@@ -99,7 +103,8 @@
             directory: &self.directory,
             links: &self.links,
         };
-        Ok(placement::place(&cx, &arrival.pieces, arrival.prompt, candidates))
+        let Arrival { call, ref pieces, prompt, .. } = *arrival;
+        Ok(self.placer.place(&cx, &Request { call, pieces, prompt }, &candidates))
     }
 
     /// Lists targets that may get this call, busy ones included.
@@ -122,19 +127,22 @@
         })
     }
 
-    /// Describes a target to placement, if it has a free slot.
+    /// Describes a target to placement.
     fn candidate<'a>(
         &self,
+        now: Moment,
         snapshot: &'a Snapshot,
         arrival: &Arrival,
         key: TargetKey,
     ) -> Option<Candidate<'a>> {
         let target = snapshot.targets.get(key)?;
         let state = self.targets.get(key)?;
-        (state.in_flight < target.slots).then(|| Candidate {
+        Some(Candidate {
             key,
             target,
-            backlog: state.backlog.max(state.report.map_or(Tokens(0), |r| r.prefill_backlog)),
+            backlog: state.expected_backlog(now, target.prefill_per_second),
+            calls: state.calls(),
+            free: state.in_flight < target.slots,
             importable: self.version_of(key, arrival.version) == arrival.version,
         })
     }
@@ -164,7 +172,7 @@
         call.expected_prefill = placement.recompute;
         if let Some(state) = self.targets.get_mut(target) {
             state.in_flight += 1;
-            state.backlog += placement.recompute;
+            state.add_prefill(now, placement.recompute);
         }
         for fetch in &placement.plan.fetches {
             self.links.start(fetch.store, fetch.sealed.length);
--- a/crates/cumintrail-control/src/control/attempts.rs
+++ b/crates/cumintrail-control/src/control/attempts.rs
@@ -5,6 +5,7 @@
 use cumintrail_types::{AttemptNumber, CallKey, Moment, Ran, Refusal, RefusalCode, TargetKey};
 
 use super::Control;
+use crate::placement::Placer;
 use crate::{Action, Actions, AttemptOutcome, Call, Phase, Usage, keeping, retry};
 
 const RETRY_AFTER: Duration = Duration::from_secs(1);
@@ -12,14 +13,14 @@
 const EJECT_BASE: Duration = Duration::from_secs(1);
 const EJECT_DOUBLINGS: u32 = 5;
 
-impl Control {
-    pub(super) fn take_first_token(&mut self, key: CallKey) {
+impl<P: Placer> Control<P> {
+    pub(super) fn take_first_token(&mut self, now: Moment, key: CallKey) {
         let Some(call) = self.calls.get(&key) else {
             return;
         };
         let Some(target) = call.target() else { return };
         let version = self.version_of(target, call.arrival.version);
-        self.settle_backlog(key);
+        self.settle_backlog(now, key);
         if let Some(call) = self.calls.get_mut(&key) {
             call.start_streaming(version);
         }
@@ -37,7 +38,7 @@
             return;
         };
         let Some(target) = call.target() else { return };
-        self.release_slot(key, target);
+        self.release_slot(now, key, target);
         self.judge_target(now, target, outcome);
         let Some(call) = self.calls.get_mut(&key) else {
             return;
@@ -130,33 +131,33 @@
         }
     }
 
-    fn release_slot(&mut self, key: CallKey, target: TargetKey) {
-        self.settle_backlog(key);
+    fn release_slot(&mut self, now: Moment, key: CallKey, target: TargetKey) {
+        self.settle_backlog(now, key);
         if let Some(state) = self.targets.get_mut(target) {
             state.in_flight = state.in_flight.saturating_sub(1);
         }
     }
 
     /// Takes a call's expected prefill off its target, once.
-    fn settle_backlog(&mut self, key: CallKey) {
+    fn settle_backlog(&mut self, now: Moment, key: CallKey) {
         let Some(call) = self.calls.get_mut(&key) else {
             return;
         };
         let expected = std::mem::take(&mut call.expected_prefill);
         let state = call.target().and_then(|target| self.targets.get_mut(target));
         if let Some(state) = state {
-            state.backlog = state.backlog.saturating_sub(expected);
+            state.remove_prefill(now, expected);
         }
     }
 
     /// Drops a call whose caller is gone and cancels its attempt.
-    pub(super) fn drop_call(&mut self, key: CallKey, actions: &mut Actions) {
+    pub(super) fn drop_call(&mut self, now: Moment, key: CallKey, actions: &mut Actions) {
         let Some(call) = self.calls.get(&key) else {
             return;
         };
         if let Some(target) = call.target() {
             let attempt = call.attempt();
-            self.release_slot(key, target);
+            self.release_slot(now, key, target);
             actions.push(Action::Cancel { call: key, attempt, target });
         }
         self.end_call(key);
@@ -168,7 +169,7 @@
         let late: Vec<(CallKey, Phase)> = late.map(|(key, call)| (*key, call.phase())).collect();
         for (key, _) in late {
             let ran = self.calls.get(&key).map_or(Ran::Unknown, Call::ran);
-            self.drop_call(key, actions);
+            self.drop_call(now, key, actions);
             let code = RefusalCode::Deadline;
             let refusal = Refusal { code, ran, retry_after: Some(RETRY_AFTER) };
             actions.push(Action::Refuse { call: key, refusal });
--- a/crates/cumintrail-control/src/control/blocks.rs
+++ b/crates/cumintrail-control/src/control/blocks.rs
@@ -10,9 +10,10 @@
 use super::Control;
 use crate::directory::Kept;
 use crate::membership::Liveness;
+use crate::placement::Placer;
 use crate::{Export, FetchOutcome};
 
-impl Control {
+impl<P: Placer> Control<P> {
     pub(super) fn take_fetches(
         &mut self,
         _call: CallKey,
--- a/crates/cumintrail-control/src/control/state.rs
+++ b/crates/cumintrail-control/src/control/state.rs
@@ -18,6 +18,12 @@
     pub in_flight: u32,
     /// Prompt tokens that this daemon expects it to compute for calls without a first token.
     pub backlog: Tokens,
+    /// When the engine last began to work on that backlog, as far as events tell.
+    pub prefill_since: Moment,
+    /// Calls of others at the last report.
+    pub foreign_calls: u32,
+    /// Prompt tokens that it had to compute for others at the last report.
+    pub foreign_backlog: Tokens,
     /// Failures in a row.
     pub failures: u32,
     /// No new work before this moment, after failures.
@@ -31,6 +37,47 @@
     pub fn incarnation(&self) -> Incarnation {
         self.report.map_or(Incarnation(0), |r| r.incarnation)
     }
+
+    /// Takes a report, splitting its load into this daemon's calls and those of others.
+    ///
+    /// A report lags, so the own part is known better from calls that are out.
+    pub fn take_load(&mut self, now: Moment, report: TargetReport) {
+        self.foreign_calls = (report.running + report.waiting).saturating_sub(self.in_flight);
+        self.foreign_backlog = report.prefill_backlog.saturating_sub(self.backlog);
+        self.report = Some(report);
+        self.reported = Some(now);
+    }
+
+    /// Returns the calls that the target probably has, own ones included.
+    pub const fn calls(&self) -> u32 {
+        self.foreign_calls + self.in_flight
+    }
+
+    /// Returns the prompt tokens that the target probably still has to compute at `now`.
+    pub fn expected_backlog(&self, now: Moment, per_second: u32) -> Tokens {
+        let done = |since: Moment| {
+            let tokens = now.since(since).as_secs_f64() * f64::from(per_second);
+            Tokens(tokens.min(f64::from(u32::MAX)) as u32)
+        };
+        let own = self.backlog.saturating_sub(done(self.prefill_since));
+        let foreign =
+            self.reported.map_or(Tokens(0), |at| self.foreign_backlog.saturating_sub(done(at)));
+        own + foreign
+    }
+
+    /// Adds the prefill of a call that was just sent.
+    pub fn add_prefill(&mut self, now: Moment, tokens: Tokens) {
+        if self.backlog == Tokens(0) {
+            self.prefill_since = now;
+        }
+        self.backlog += tokens;
+    }
+
+    /// Removes the prefill of a call whose first token arrived or that ended.
+    pub fn remove_prefill(&mut self, now: Moment, tokens: Tokens) {
+        self.backlog = self.backlog.saturating_sub(tokens);
+        self.prefill_since = now;
+    }
 }
 
 /// Remembers a store.
--- a/crates/cumintrail-control/src/control/upkeep.rs
+++ b/crates/cumintrail-control/src/control/upkeep.rs
@@ -10,11 +10,12 @@
 use super::Control;
 use super::state::{StoreState, TargetState};
 use crate::membership::Liveness;
+use crate::placement::Placer;
 use crate::{Action, Actions, PeerDigest, TargetReport, VmEntry};
 
 const LISTING_INTERVAL: Duration = Duration::from_secs(30);
 
-impl Control {
+impl<P: Placer> Control<P> {
     pub(super) fn take_configuration(
         &mut self,
         now: Moment,
@@ -46,8 +47,7 @@
             state.failures = 0;
         }
         state.liveness = Liveness::Live;
-        state.report = Some(report);
-        state.reported = Some(now);
+        state.take_load(now, report);
     }
 
     pub(super) fn take_target_silence(&mut self, _now: Moment, key: TargetKey) {
--- a/crates/cumintrail-control/src/placement.rs
+++ b/crates/cumintrail-control/src/placement.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use cumintrail_config::{Deployment, Model, Preset, Store, Target};
-use cumintrail_types::{Arena, BlockKey, Bytes, StoreKey, TargetKey, Tokens};
+use cumintrail_types::{Arena, BlockKey, Bytes, CallKey, StoreKey, TargetKey, Tokens};
 use smallvec::SmallVec;
 
 use crate::directory::{Directory, Kept};
@@ -38,6 +38,10 @@
     pub target: &'a Target,
     /// Prompt tokens that it still has to compute for other calls.
     pub backlog: Tokens,
+    /// Calls that it probably has.
+    pub calls: u32,
+    /// Whether this daemon may send it another call now.
+    pub free: bool,
     /// Whether blocks may be imported, which needs the version that the keys are for.
     pub importable: bool,
 }
@@ -59,15 +63,43 @@
     pub link_bytes: Bytes,
 }
 
-/// Chooses the cheapest target and number of pieces to import.
-pub fn place<'a>(
-    cx: &Context<'_>,
-    pieces: &[BlockKey],
-    prompt: Tokens,
-    candidates: impl Iterator<Item = Candidate<'a>>,
-) -> Option<Placement> {
-    let best = candidates.map(|candidate| best_on(cx, pieces, prompt, candidate));
-    best.min_by(|a, b| a.cost.total_cmp(&b.cost).then(a.target.cmp(&b.target)))
+/// Describes the call that is placed.
+#[derive(Debug, Clone, Copy)]
+pub struct Request<'a> {
+    /// The call.
+    pub call: CallKey,
+    /// The block keys of the prompt's full pieces, in order.
+    pub pieces: &'a [BlockKey],
+    /// The length of the prompt.
+    pub prompt: Tokens,
+}
+
+/// Chooses where a call runs, so that other policies can be measured in the same control state.
+pub trait Placer {
+    /// Chooses a target and what to import; nothing if the call should wait.
+    fn place(
+        &self,
+        cx: &Context<'_>,
+        request: &Request<'_>,
+        candidates: &[Candidate<'_>],
+    ) -> Option<Placement>;
+}
+
+/// Chooses the target and number of pieces with the lowest weighted cost.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct CheapestPlacer;
+
+impl Placer for CheapestPlacer {
+    fn place(
+        &self,
+        cx: &Context<'_>,
+        request: &Request<'_>,
+        candidates: &[Candidate<'_>],
+    ) -> Option<Placement> {
+        let free = candidates.iter().filter(|c| c.free);
+        let best = free.map(|c| best_on(cx, request.pieces, request.prompt, *c));
+        best.min_by(|a, b| a.cost.total_cmp(&b.cost).then(a.target.cmp(&b.target)))
+    }
 }
 
 /// Chooses the number of pieces to import for one target.
@@ -97,7 +129,7 @@
 }
 
 /// Estimates one target with `held` pieces in memory and `fetches` imported.
-fn estimate(
+pub fn estimate(
     cx: &Context<'_>,
     prompt: Tokens,
     candidate: Candidate<'_>,
--- /dev/null
+++ b/tests/src/experiment/policies.rs
@@ -0,0 +1,130 @@
+//! The policies that are compared with the product's.
+
+use std::cell::RefCell;
+use std::cmp::Reverse;
+use std::rc::Rc;
+use std::time::Duration;
+
+use cumintrail_control::directory::Kept;
+use cumintrail_control::placement::{
+    Candidate, CheapestPlacer, Context, Placement, Placer, Request,
+};
+use cumintrail_control::{Fetch, FetchPlan};
+use cumintrail_types::{Bytes, Key, Moment, StoreKey, Tier, Tokens};
+use smallvec::SmallVec;
+
+use super::Policy;
+use super::world::{PIECE_BYTES, PIECE_TOKENS, World, prefill_time};
+
+/// Chooses by the policy under test.
+#[derive(Debug)]
+pub struct Compared {
+    /// Which policy.
+    pub policy: Policy,
+    /// The exact state, which only the oracle reads.
+    pub world: Rc<RefCell<World>>,
+}
+
+impl Placer for Compared {
+    fn place(
+        &self,
+        cx: &Context<'_>,
+        request: &Request<'_>,
+        candidates: &[Candidate<'_>],
+    ) -> Option<Placement> {
+        let free = candidates.iter().filter(|c| c.free);
+        let held = |c: &Candidate<'_>| cx.directory.held_prefix(c.key, request.pieces);
+        let chosen = match self.policy {
+            Policy::Ours => return CheapestPlacer.place(cx, request, candidates),
+            Policy::Oracle => return self.exhaustive(cx, request, candidates),
+            Policy::Random => free.min_by_key(|c| mix(request.call.0, c.key.0.into())),
+            Policy::LeastLoaded | Policy::AlwaysFetch => free.min_by_key(|c| (c.backlog, c.calls)),
+            Policy::Affinity => free.max_by_key(|c| (held(c), Reverse(c.backlog))),
+            Policy::AlwaysRecompute => free.min_by_key(|c| {
+                let rest = request.prompt.0 - held(c) as u32 * PIECE_TOKENS;
+                c.backlog.0 + rest
+            }),
+        };
+        let chosen = chosen?;
+        let held = held(chosen);
+        let mut fetches: SmallVec<[Fetch; 4]> = SmallVec::new();
+        if self.policy == Policy::AlwaysFetch {
+            let kept = request.pieces[held..].iter().map_while(|k| cx.directory.kept(*k).first());
+            fetches.extend(kept.map(|k: &Kept| Fetch { store: k.store, sealed: k.sealed }));
+        }
+        let obtained = (held + fetches.len()) as u32 * PIECE_TOKENS;
+        let recompute = Tokens(request.prompt.0 - obtained);
+        let link_bytes = Bytes(fetches.len() as u64 * PIECE_BYTES);
+        let first_token = prefill_time(chosen.backlog.0 + recompute.0);
+        let plan = FetchPlan { fetches, within: Duration::from_secs(60) };
+        Some(Placement { target: chosen.key, cost: 0.0, first_token, recompute, plan, link_bytes })
+    }
+}
+
+impl Compared {
+    /// Tries every target and number of pieces with the exact queues, memories and links.
+    fn exhaustive(
+        &self,
+        cx: &Context<'_>,
+        request: &Request<'_>,
+        candidates: &[Candidate<'_>],
+    ) -> Option<Placement> {
+        let world = self.world.borrow();
+        let now = world.now;
+        let tried = candidates.iter().flat_map(|candidate| {
+            let engine = &world.engines[candidate.key.index()];
+            let held = request.pieces.iter().take_while(|k| engine.memory.contains(**k)).count();
+            let ready = engine.ready_at(now);
+            let mut links = vec![(Moment(0), Moment(0)); world.stores.len()];
+            let (mut fetches, mut end) = (SmallVec::<[Fetch; 4]>::new(), now);
+            let mut options = Vec::new();
+            for taken in 0..=request.pieces.len() - held {
+                let obtained = (held + taken) as u32 * PIECE_TOKENS;
+                let prefill = prefill_time(request.prompt.0 - obtained);
+                let first_token = ready.max(end).since(now) + prefill;
+                options.push(exact(cx, candidate, first_token, prefill, &fetches));
+                let Some(key) = request.pieces.get(held + taken) else { break };
+                let alive = world.stores.iter().enumerate().filter(|(_, s)| s.alive);
+                let ways = alive.filter_map(|(i, store)| {
+                    let (sealed, tier): (_, Tier) = store.sealed(*key)?;
+                    let (mut link, mut disk) = links[i];
+                    let end = store.read_end(now, tier, &mut link, &mut disk);
+                    Some((end, i, sealed, (link, disk)))
+                });
+                let Some((at, i, sealed, busy)) = ways.min_by_key(|way| (way.0, way.1)) else {
+                    break;
+                };
+                links[i] = busy;
+                end = end.max(at);
+                fetches.push(Fetch { store: StoreKey::from_index(i), sealed });
+            }
+            options
+        });
+        tried.min_by(|a, b| a.cost.total_cmp(&b.cost).then(a.target.cmp(&b.target)))
+    }
+}
+
+fn exact(
+    cx: &Context<'_>,
+    candidate: &Candidate<'_>,
+    first_token: Duration,
+    prefill: Duration,
+    fetches: &SmallVec<[Fetch; 4]>,
+) -> Placement {
+    let link_bytes = Bytes(fetches.len() as u64 * PIECE_BYTES);
+    let link = link_bytes.0 as f64 / super::world::LINK_PER_SECOND as f64;
+    let cost = cx.preset.first_token_weight * first_token.as_secs_f64()
+        + cx.preset.recompute_weight * prefill.as_secs_f64()
+        + cx.preset.link_weight * link;
+    let plan = FetchPlan { fetches: fetches.clone(), within: Duration::from_secs(60) };
+    let recompute =
+        Tokens((prefill.as_secs_f64() * f64::from(candidate.target.prefill_per_second)) as u32);
+    Placement { target: candidate.key, cost, first_token, recompute, plan, link_bytes }
+}
+
+/// Spreads two numbers evenly, so that a random choice needs no state.
+fn mix(a: u64, b: u64) -> u64 {
+    let mut x = a.wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ b.wrapping_mul(0xd1b5_4a32_d192_ed03);
+    x = (x ^ (x >> 31)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    x ^ (x >> 29)
+}
--- /dev/null
+++ b/tests/src/experiment/run.rs
@@ -0,0 +1,395 @@
+//! Feeds a trace into one control state, in virtual time, and measures what follows.
+
+use std::cell::RefCell;
+use std::collections::{BTreeMap, HashMap};
+use std::net::{Ipv4Addr, SocketAddr};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use cumintrail_config::{Document, Snapshot, TargetKind};
+use cumintrail_control::{
+    Action, Arrival, AttemptOutcome, Control, Dispatch, Event, Export, FetchOutcome, Identity,
+    Usage,
+};
+use cumintrail_types::{
+    AccountKey, AttemptNumber, BlockKey, CallClass, CallKey, Generation, Incarnation, Key,
+    ModelKey, Moment, Sealed, StoreKey, TargetKey, Tier, Tokens, WeightVersion, WriteId,
+};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+use super::measures::{Measures, Recorder};
+use super::policies::Compared;
+use super::trace::{self, Fault, LISTING_PAGE, REPORT_LAG, Trace};
+use super::world::{Engine, Job, PIECE_BYTES, PIECE_TOKENS, Store, World};
+use super::{Policy, Setup};
+
+const TICK: Duration = Duration::from_millis(100);
+const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+const DEADLINE: Duration = Duration::from_secs(60);
+/// How long a dead store is taken for live.
+const SILENCE_NOTICED: Duration = Duration::from_secs(2);
+/// The part of cache events that are lost.
+const GAP_SHARE: f64 = 0.03;
+/// How long the last calls may take.
+const GRACE: Duration = Duration::from_secs(120);
+
+/// What happens at a moment.
+enum Step {
+    Arrive(usize),
+    Tick,
+    Fault(Fault),
+    Staged { engine: usize, job: Job, outcomes: Outcomes, ordered: Moment },
+    PrefillDone { engine: usize, incarnation: Incarnation },
+    Ended { engine: usize, job: Job },
+    Written(Export),
+    Tell(Event),
+}
+
+type Outcomes = Vec<(StoreKey, BlockKey, FetchOutcome)>;
+
+/// Runs a policy over a trace.
+pub fn run(setup: &Setup, trace: &Trace, policy: Policy) -> Measures {
+    let mut run = Run::new(setup, trace, policy);
+    run.start();
+    while let Some(((now, _), step)) = run.steps.pop_first() {
+        if now > trace.end + GRACE {
+            break;
+        }
+        run.world.borrow_mut().now = now;
+        run.take(now, step);
+    }
+    run.recorder.finish()
+}
+
+struct Run<'a> {
+    trace: &'a Trace,
+    control: Control<Compared>,
+    world: Rc<RefCell<World>>,
+    steps: BTreeMap<(Moment, u64), Step>,
+    sequence: u64,
+    rng: StdRng,
+    recorder: Recorder,
+    lost_events: HashMap<usize, bool>,
+}
+
+impl<'a> Run<'a> {
+    fn new(setup: &Setup, trace: &'a Trace, policy: Policy) -> Self {
+        let (memory, capacity) = trace.store_pieces;
+        let world = Rc::new(RefCell::new(World {
+            now: Moment(0),
+            engines: (0..trace.engines).map(|_| Engine::default()).collect(),
+            stores: (0..trace.stores).map(|_| Store::new(memory, capacity)).collect(),
+        }));
+        let identity = Identity {
+            vm: "vm-0".into(),
+            domain: "d0".into(),
+            incarnation: Incarnation(1),
+            address: SocketAddr::new(Ipv4Addr::LOCALHOST.into(), 1),
+            probe_interval: PROBE_INTERVAL,
+            digest_interval: Duration::from_secs(3_600),
+        };
+        let placer = Compared { policy, world: world.clone() };
+        Self {
+            trace,
+            control: Control::with_placer(identity, setup.seed, placer),
+            world,
+            steps: BTreeMap::new(),
+            sequence: 0,
+            rng: StdRng::seed_from_u64(setup.seed ^ 1),
+            recorder: Recorder::new(policy, &trace.large),
+            lost_events: HashMap::new(),
+        }
+    }
+
+    fn start(&mut self) {
+        let document = Document::parse(&"experiment.ini".into(), &self.trace.declarations);
+        let sections = document.map(|d| d.sections).expect("the declarations parse");
+        let snapshot = Snapshot::build(Generation(1), &sections, None, None);
+        self.fill_stores();
+        let snapshot = Arc::new(snapshot.expect("the declarations are valid"));
+        self.tell(Moment(0), Event::Configured(snapshot));
+        for i in 0..self.trace.requests.len() {
+            self.plan(self.trace.requests[i].at, Step::Arrive(i));
+        }
+        for (at, fault) in &self.trace.faults {
+            self.plan(*at, Step::Fault(*fault));
+        }
+        self.plan(Moment(0), Step::Tick);
+    }
+
+    fn fill_stores(&mut self) {
+        let mut world = self.world.borrow_mut();
+        let count = world.stores.len();
+        for key in &self.trace.kept {
+            let store = &mut world.stores[usize::from(key.0[0]) % count];
+            store.insert(*key, WriteId(self.rng.random()));
+        }
+    }
+
+    fn plan(&mut self, at: Moment, step: Step) {
+        self.sequence += 1;
+        self.steps.insert((at, self.sequence), step);
+    }
+
+    fn tell(&mut self, now: Moment, event: Event) {
+        for action in self.control.handle(now, event) {
+            self.act(now, action);
+        }
+    }
+
+    fn take(&mut self, now: Moment, step: Step) {
+        match step {
+            Step::Arrive(index) => self.arrive(now, index),
+            Step::Tick => {
+                self.tell(now, Event::Tick);
+                if now < self.trace.end + GRACE {
+                    self.plan(now + TICK, Step::Tick);
+                }
+            }
+            Step::Fault(fault) => self.fail(now, fault),
+            Step::Staged { engine, job, outcomes, ordered } => {
+                self.stage(now, engine, job, &outcomes, ordered);
+            }
+            Step::PrefillDone { engine, incarnation } => {
+                self.finish_prefill(now, engine, incarnation);
+            }
+            Step::Ended { engine, job } => self.end(now, engine, &job),
+            Step::Written(export) => self.write(now, export),
+            Step::Tell(event) => self.tell(now, event),
+        }
+    }
+
+    fn arrive(&mut self, now: Moment, index: usize) {
+        let request = &self.trace.requests[index];
+        let prompt = request.prompt.pieces.len() as u32 * PIECE_TOKENS + request.prompt.rest;
+        let pieces = request.prompt.pieces.clone();
+        if let Some(engine) = request.foreign {
+            let answer = request.answer;
+            let job = Job { call: None, pieces, prompt, answer, staged: 0, obtained: 0 };
+            return self.enqueue(now, engine, job);
+        }
+        let call = CallKey(index as u64);
+        self.recorder.arrived(call, request.prompt.account, now);
+        let arrival = Arrival {
+            call,
+            account: AccountKey(request.prompt.account as u32),
+            class: CallClass::Model,
+            kind: TargetKind::Engine(ModelKey(0)),
+            version: WeightVersion(1),
+            pieces,
+            prompt: Tokens(prompt),
+            max_answer: Tokens(request.answer),
+            deadline: now + DEADLINE,
+        };
+        self.tell(now, Event::Arrived(arrival));
+    }
+
+    fn act(&mut self, now: Moment, action: Action) {
+        match action {
+            Action::Dispatch(dispatch) => self.dispatch(now, &dispatch),
+            Action::Refuse { call, .. } => self.recorder.refused(call),
+            Action::Probe(target) => self.probe(now, target),
+            Action::Export(export) => self.export(now, export),
+            Action::Free { store, sealed } => {
+                self.world.borrow_mut().stores[store.index()].free(&sealed);
+            }
+            Action::ListStore(store) => self.list(now, store),
+            Action::Cancel { call, attempt, target } => {
+                let engine = &mut self.world.borrow_mut().engines[target.index()];
+                engine.queue.retain(|job| job.call != Some((call, attempt.0)));
+            }
+            Action::Warm { .. } | Action::SendDigest { .. } => {}
+        }
+    }
+
+    fn dispatch(&mut self, now: Moment, dispatch: &Dispatch) {
+        let request = &self.trace.requests[dispatch.call.0 as usize];
+        let pieces = request.prompt.pieces.clone();
+        let mut job = Job {
+            call: Some((dispatch.call, dispatch.attempt.0)),
+            prompt: pieces.len() as u32 * PIECE_TOKENS + request.prompt.rest,
+            pieces,
+            answer: request.answer,
+            staged: 0,
+            obtained: 0,
+        };
+        let limit = now + dispatch.plan.within;
+        let mut staged = now;
+        let mut outcomes = Outcomes::new();
+        let mut world = self.world.borrow_mut();
+        for fetch in &dispatch.plan.fetches {
+            let store = &mut world.stores[fetch.store.index()];
+            let key = fetch.sealed.key;
+            if !store.alive {
+                staged = limit;
+                outcomes.push((fetch.store, key, FetchOutcome::Failed));
+                continue;
+            }
+            let missing = store.blocks.get(&key) != Some(&fetch.sealed.write_id);
+            let (read, end, bytes) = store.read(now, key, limit);
+            self.recorder.moved(bytes);
+            staged = staged.max(end);
+            let outcome = match read {
+                Ok(()) => FetchOutcome::Imported,
+                Err(()) if missing => FetchOutcome::Missing,
+                Err(()) => FetchOutcome::Failed,
+            };
+            if let Some(i) = job.pieces.iter().position(|p| *p == key).filter(|_| read.is_ok()) {
+                job.staged |= 1 << i;
+            }
+            outcomes.push((fetch.store, key, outcome));
+        }
+        drop(world);
+        let engine = dispatch.target.index();
+        self.plan(staged, Step::Staged { engine, job, outcomes, ordered: now });
+    }
+
+    fn stage(
+        &mut self,
+        now: Moment,
+        engine: usize,
+        job: Job,
+        outcomes: &Outcomes,
+        ordered: Moment,
+    ) {
+        if let Some((call, _)) = job.call.filter(|_| !outcomes.is_empty()) {
+            let outcomes = outcomes.iter().copied().collect();
+            let (target, took) = (TargetKey::from_index(engine), now.since(ordered));
+            self.tell(now, Event::Fetched { call, target, outcomes, took });
+        }
+        self.enqueue(now, engine, job);
+    }
+
+    fn enqueue(&mut self, now: Moment, engine: usize, job: Job) {
+        self.world.borrow_mut().engines[engine].queue.push_back(job);
+        self.start_next(now, engine);
+    }
+
+    fn start_next(&mut self, now: Moment, engine: usize) {
+        let started = {
+            let engine = &mut self.world.borrow_mut().engines[engine];
+            engine.start_next(now).map(|end| (end, engine.incarnation))
+        };
+        if let Some((end, incarnation)) = started {
+            self.plan(end, Step::PrefillDone { engine, incarnation });
+        }
+    }
+
+    fn finish_prefill(&mut self, now: Moment, engine: usize, incarnation: Incarnation) {
+        let finished = {
+            let engine = &mut self.world.borrow_mut().engines[engine];
+            let current = engine.incarnation == incarnation;
+            current.then(|| engine.finish_prefill(now)).flatten()
+        };
+        let Some((job, end)) = finished else { return };
+        if let Some((call, _)) = job.call {
+            self.recorder.first_token(call, now, &job);
+            self.tell(now, Event::FirstToken { call });
+        }
+        self.plan(end, Step::Ended { engine, job });
+        self.start_next(now, engine);
+    }
+
+    fn end(&mut self, now: Moment, engine: usize, job: &Job) {
+        if let Some((call, attempt)) = job.call {
+            let imported = job.staged.count_ones() * PIECE_TOKENS;
+            let usage = Usage {
+                prompt: Tokens(job.prompt),
+                cached: Tokens((job.obtained as u32 * PIECE_TOKENS).saturating_sub(imported)),
+                imported: Tokens(imported),
+                answer: Tokens(job.answer),
+            };
+            let (attempt, outcome) = (AttemptNumber(attempt), AttemptOutcome::Answered(usage));
+            self.tell(now, Event::AttemptEnded { call, attempt, outcome });
+        }
+        self.start_next(now, engine);
+    }
+
+    /// Answers a probe late, and loses some of the cache events.
+    fn probe(&mut self, now: Moment, target: TargetKey) {
+        let lost = self.rng.random_bool(GAP_SHARE);
+        let engine = &mut self.world.borrow_mut().engines[target.index()];
+        let report = engine.report(now);
+        let incarnation = engine.incarnation;
+        let (stored, evicted) = std::mem::take(&mut engine.changes);
+        let gap = self.lost_events.insert(target.index(), lost).unwrap_or_default();
+        let at = now + REPORT_LAG;
+        let sequence = self.sequence;
+        self.sequence += 2;
+        let told = Event::TargetReported { target, report };
+        self.steps.insert((at, sequence + 1), Step::Tell(told));
+        if !lost {
+            let told = Event::CacheChanged { target, incarnation, gap, stored, evicted };
+            self.steps.insert((at, sequence + 2), Step::Tell(told));
+        }
+    }
+
+    fn export(&mut self, now: Moment, export: Export) {
+        let at = {
+            let mut world = self.world.borrow_mut();
+            let store = &mut world.stores[export.store.index()];
+            if store.alive { store.write_end(now) } else { now + SILENCE_NOTICED }
+        };
+        self.recorder.moved(PIECE_BYTES);
+        self.plan(at, Step::Written(export));
+    }
+
+    fn write(&mut self, now: Moment, export: Export) {
+        let sealed = {
+            let mut world = self.world.borrow_mut();
+            let held = world.engines[export.target.index()].memory.contains(export.key);
+            let store = &mut world.stores[export.store.index()];
+            held.then(|| store.insert(export.key, export.write_id)).flatten()
+        };
+        self.tell(now, Event::Exported { export, sealed });
+    }
+
+    fn list(&mut self, now: Moment, store: StoreKey) {
+        let (alive, incarnation, blocks) = {
+            let world = self.world.borrow();
+            let s = &world.stores[store.index()];
+            let mut keys: Vec<BlockKey> = s.blocks.keys().copied().collect();
+            keys.sort_unstable();
+            let blocks: Vec<(Sealed, Tier)> = keys.iter().filter_map(|k| s.sealed(*k)).collect();
+            (s.alive, s.incarnation, blocks)
+        };
+        if !alive {
+            return self.plan(now + SILENCE_NOTICED, Step::Tell(Event::StoreSilent { store }));
+        }
+        let mut first = true;
+        let pages = blocks.chunks(LISTING_PAGE).map(<[_]>::to_vec);
+        let pages: Vec<_> = if blocks.is_empty() { vec![Vec::new()] } else { pages.collect() };
+        for blocks in pages {
+            let told = Event::StoreListed { store, incarnation, first, blocks };
+            self.plan(now + REPORT_LAG, Step::Tell(told));
+            first = false;
+        }
+    }
+
+    fn fail(&mut self, now: Moment, fault: Fault) {
+        match fault {
+            Fault::LinkSpeed(speed) => {
+                let mut world = self.world.borrow_mut();
+                world.stores.iter_mut().for_each(|s| s.speed = speed);
+            }
+            Fault::StoreDies(store) => {
+                self.world.borrow_mut().stores[store].fail();
+            }
+            Fault::StoreReturns(store) => self.world.borrow_mut().stores[store].alive = true,
+            Fault::DomainRestarts(domain) => self.restart(now, domain),
+        }
+    }
+
+    fn restart(&mut self, now: Moment, domain: usize) {
+        for index in (0..self.trace.engines).filter(|e| trace::in_domain(*e, domain)) {
+            let broken = self.world.borrow_mut().engines[index].restart();
+            for (call, attempt) in broken.into_iter().filter_map(|job| job.call) {
+                let outcome = AttemptOutcome::Failed { answered: Tokens(0) };
+                let attempt = AttemptNumber(attempt);
+                self.plan(now, Step::Tell(Event::AttemptEnded { call, attempt, outcome }));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/tests/src/experiment/world.rs
@@ -0,0 +1,367 @@
+//! The priced parts of an experiment: engines with prompt state in memory, stores behind links.
+//!
+//! Only what a decision pays for is here: prefill, slots, link and disk time. There is no network,
+//! no process and no membership.
+
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::time::Duration;
+
+use cumintrail_control::TargetReport;
+use cumintrail_types::{
+    BlockKey, Bytes, CallKey, Digest, Incarnation, Moment, Sealed, Tier, Tokens, WeightVersion,
+    WriteId,
+};
+
+/// Tokens in a piece of prompt state.
+pub const PIECE_TOKENS: u32 = 2_000;
+/// Bytes of prompt state in a piece.
+pub const PIECE_BYTES: u64 = 65_536 * PIECE_TOKENS as u64;
+/// Prompt tokens that an engine computes a second.
+pub const PREFILL_PER_SECOND: u32 = 6_000;
+/// Calls that an engine runs at once.
+pub const SLOTS: usize = 8;
+/// Bytes a second that a store's link gives out.
+pub const LINK_PER_SECOND: u64 = 1_250_000_000;
+/// Bytes a second that a store's disk gives out.
+pub const DISK_PER_SECOND: u64 = 600_000_000;
+/// Pieces that an engine holds in memory.
+const ENGINE_PIECES: usize = 48;
+/// The time between two tokens of an answer.
+const TOKEN_GAP: Duration = Duration::from_millis(25);
+/// The time of a request that moves no data.
+const ROUND_TRIP: Duration = Duration::from_millis(2);
+
+/// Holds keys up to a limit and drops the least recently used.
+#[derive(Debug, Default)]
+pub struct Lru {
+    stamps: HashMap<BlockKey, u64>,
+    order: BTreeMap<u64, BlockKey>,
+    clock: u64,
+}
+
+impl Lru {
+    /// Tells whether a key is held.
+    pub fn contains(&self, key: BlockKey) -> bool {
+        self.stamps.contains_key(&key)
+    }
+
+    /// Returns the number of keys.
+    pub fn len(&self) -> usize {
+        self.stamps.len()
+    }
+
+    /// Marks a key as used; tells whether it is new.
+    pub fn touch(&mut self, key: BlockKey) -> bool {
+        self.clock += 1;
+        let old = self.stamps.insert(key, self.clock);
+        if let Some(old) = old {
+            self.order.remove(&old);
+        }
+        self.order.insert(self.clock, key);
+        old.is_none()
+    }
+
+    /// Removes a key.
+    pub fn remove(&mut self, key: BlockKey) -> bool {
+        let stamp = self.stamps.remove(&key);
+        stamp.is_some_and(|s| self.order.remove(&s).is_some())
+    }
+
+    /// Removes the least recently used key.
+    pub fn evict(&mut self) -> Option<BlockKey> {
+        let (_, key) = self.order.pop_first()?;
+        self.stamps.remove(&key);
+        Some(key)
+    }
+}
+
+/// Runs at an engine; calls of other daemons have no call key.
+#[derive(Debug, Clone)]
+pub struct Job {
+    /// The call and attempt, if it is of the daemon under test.
+    pub call: Option<(CallKey, u8)>,
+    /// The keys of its pieces.
+    pub pieces: std::sync::Arc<[BlockKey]>,
+    /// The length of its prompt.
+    pub prompt: u32,
+    /// The length of its answer.
+    pub answer: u32,
+    /// Which pieces were imported for it, one bit each.
+    pub staged: u64,
+    /// Pieces that needed no computing, once it started.
+    pub obtained: usize,
+}
+
+impl Job {
+    fn recompute(&self, obtained: usize) -> u32 {
+        self.prompt.saturating_sub(obtained as u32 * PIECE_TOKENS)
+    }
+}
+
+/// A model engine: one prefill at a time, in order, and a number of slots.
+#[derive(Debug)]
+pub struct Engine {
+    /// The run of its process.
+    pub incarnation: Incarnation,
+    /// The pieces in its memory.
+    pub memory: Lru,
+    /// Jobs that wait for a slot or for the prefill of others.
+    pub queue: VecDeque<Job>,
+    /// The job whose prompt is computed, and when that ends.
+    pub prefilling: Option<(Job, Moment)>,
+    /// When each streaming answer ends.
+    pub streaming: Vec<Moment>,
+    /// Pieces stored and evicted since the last cache event.
+    pub changes: (Vec<BlockKey>, Vec<BlockKey>),
+}
+
+impl Default for Engine {
+    fn default() -> Self {
+        Self {
+            incarnation: Incarnation(1),
+            memory: Lru::default(),
+            queue: VecDeque::new(),
+            prefilling: None,
+            streaming: Vec::new(),
+            changes: (Vec::new(), Vec::new()),
+        }
+    }
+}
+
+impl Engine {
+    /// Starts the next prefill if the engine is idle and has a slot; returns when it ends.
+    pub fn start_next(&mut self, now: Moment) -> Option<Moment> {
+        self.streaming.retain(|end| *end > now);
+        if self.prefilling.is_some() || self.streaming.len() >= SLOTS {
+            return None;
+        }
+        let mut job = self.queue.pop_front()?;
+        job.obtained = self.obtained(&job);
+        let end = now + prefill_time(job.recompute(job.obtained));
+        self.prefilling = Some((job, end));
+        Some(end)
+    }
+
+    /// Ends the prefill; the answer streams from now on.
+    pub fn finish_prefill(&mut self, now: Moment) -> Option<(Job, Moment)> {
+        let (job, _) = self.prefilling.take()?;
+        for key in job.pieces.iter().rev() {
+            self.hold(*key);
+        }
+        let end = now + TOKEN_GAP * job.answer;
+        self.streaming.push(end);
+        Some((job, end))
+    }
+
+    /// Counts the leading pieces of a job that need no computing.
+    pub fn obtained(&self, job: &Job) -> usize {
+        let pieces = job.pieces.iter().enumerate();
+        pieces
+            .take_while(|(i, key)| job.staged >> i & 1 == 1 || self.memory.contains(**key))
+            .count()
+    }
+
+    /// Puts a piece into memory.
+    pub fn hold(&mut self, key: BlockKey) {
+        if self.memory.touch(key) {
+            self.changes.0.push(key);
+        }
+        while self.memory.len() > ENGINE_PIECES {
+            self.changes.1.extend(self.memory.evict());
+        }
+    }
+
+    /// Returns when a job that enters now would begin its prefill.
+    pub fn ready_at(&self, now: Moment) -> Moment {
+        let mut at = self.prefilling.as_ref().map_or(now, |(_, end)| *end);
+        for job in &self.queue {
+            at = at + prefill_time(job.recompute(self.obtained(job)));
+        }
+        let mut ends: Vec<Moment> = self.streaming.iter().copied().filter(|e| *e > now).collect();
+        ends.sort_unstable();
+        let busy = ends.len() + self.queue.len() + usize::from(self.prefilling.is_some());
+        let Some(over) = busy.checked_sub(SLOTS) else {
+            return at;
+        };
+        ends.get(over).map_or(at, |end| at.max(*end))
+    }
+
+    /// Describes the load as the engine itself sees it.
+    pub fn report(&self, now: Moment) -> TargetReport {
+        let streaming = self.streaming.iter().filter(|end| **end > now).count();
+        let running = streaming + usize::from(self.prefilling.is_some());
+        let rest = self.prefilling.as_ref().map_or(Duration::ZERO, |(_, end)| end.since(now));
+        let mut backlog = rest.as_secs_f64() * f64::from(PREFILL_PER_SECOND);
+        backlog += self.queue.iter().map(|j| f64::from(j.recompute(self.obtained(j)))).sum::<f64>();
+        TargetReport {
+            incarnation: self.incarnation,
+            leaving: false,
+            version: WeightVersion(1),
+            loading: false,
+            running: running as u32,
+            waiting: self.queue.len() as u32,
+            prefill_backlog: Tokens(backlog as u32),
+        }
+    }
+
+    /// Loses everything, as by a restart; returns the jobs that broke.
+    pub fn restart(&mut self) -> Vec<Job> {
+        let next = Incarnation(self.incarnation.0 + 1);
+        let old = std::mem::replace(self, Self { incarnation: next, ..Self::default() });
+        old.queue.into_iter().chain(old.prefilling.map(|(job, _)| job)).collect()
+    }
+}
+
+/// Returns the time that an engine computes `tokens` for.
+pub fn prefill_time(tokens: u32) -> Duration {
+    Duration::from_secs_f64(f64::from(tokens) / f64::from(PREFILL_PER_SECOND))
+}
+
+/// A store VM: memory over disk, behind a link that serves in order.
+#[derive(Debug)]
+pub struct Store {
+    /// The run of its process.
+    pub incarnation: Incarnation,
+    /// Whether it answers.
+    pub alive: bool,
+    /// The blocks, and the write of each.
+    pub blocks: HashMap<BlockKey, WriteId>,
+    /// The blocks that are in memory too.
+    pub memory: Lru,
+    /// How many blocks memory holds.
+    pub memory_pieces: usize,
+    /// How many blocks there is room for.
+    pub capacity_pieces: usize,
+    /// The part of the link's speed that is left.
+    pub speed: f64,
+    link_free: Moment,
+    disk_free: Moment,
+    ingress_free: Moment,
+}
+
+impl Store {
+    /// Makes an empty store.
+    pub fn new(memory_pieces: usize, capacity_pieces: usize) -> Self {
+        Self {
+            incarnation: Incarnation(1),
+            alive: true,
+            blocks: HashMap::new(),
+            memory: Lru::default(),
+            memory_pieces,
+            capacity_pieces,
+            speed: 1.0,
+            link_free: Moment(0),
+            disk_free: Moment(0),
+            ingress_free: Moment(0),
+        }
+    }
+
+    /// Describes a block, if the store has it.
+    pub fn sealed(&self, key: BlockKey) -> Option<(Sealed, Tier)> {
+        let write_id = *self.blocks.get(&key)?;
+        let tier = if self.memory.contains(key) { Tier::Memory } else { Tier::Disk };
+        Some((seal(key, write_id), tier))
+    }
+
+    /// Returns when a read that is ordered now would end, after `ahead` other reads.
+    pub fn read_end(
+        &self,
+        now: Moment,
+        tier: Tier,
+        link: &mut Moment,
+        disk: &mut Moment,
+    ) -> Moment {
+        *link = (*link).max(self.link_free).max(now) + self.link_time();
+        if tier == Tier::Memory {
+            return *link;
+        }
+        *disk = (*disk).max(self.disk_free).max(now) + disk_time();
+        (*link).max(*disk)
+    }
+
+    /// Reads a block unless that ends after `limit`; returns the end and the bytes that moved.
+    pub fn read(
+        &mut self,
+        now: Moment,
+        key: BlockKey,
+        limit: Moment,
+    ) -> (Result<(), ()>, Moment, u64) {
+        let Some((_, tier)) = self.sealed(key) else {
+            return (Err(()), now + ROUND_TRIP, 0);
+        };
+        let (mut link, mut disk) = (self.link_free, self.disk_free);
+        let end = self.read_end(now, tier, &mut link, &mut disk);
+        if end > limit {
+            let begun = limit.since(self.link_free.max(now));
+            let part = begun.as_secs_f64() * LINK_PER_SECOND as f64 * self.speed;
+            self.link_free = self.link_free.max(limit.min(link));
+            return (Err(()), limit, (part as u64).min(PIECE_BYTES));
+        }
+        (self.link_free, self.disk_free) = (link, disk);
+        self.promote(key);
+        (Ok(()), end, PIECE_BYTES)
+    }
+
+    /// Returns when a write that is ordered now ends.
+    pub fn write_end(&mut self, now: Moment) -> Moment {
+        self.ingress_free = self.ingress_free.max(now) + self.link_time();
+        self.ingress_free
+    }
+
+    /// Takes a block in, unless the store is full.
+    pub fn insert(&mut self, key: BlockKey, write_id: WriteId) -> Option<(Sealed, Tier)> {
+        let full = self.blocks.len() >= self.capacity_pieces && !self.blocks.contains_key(&key);
+        if !self.alive || full {
+            return None;
+        }
+        self.blocks.insert(key, write_id);
+        self.promote(key);
+        self.sealed(key)
+    }
+
+    /// Frees a block if it is still the named write.
+    pub fn free(&mut self, sealed: &Sealed) {
+        if self.blocks.get(&sealed.key) == Some(&sealed.write_id) {
+            self.blocks.remove(&sealed.key);
+            self.memory.remove(sealed.key);
+        }
+    }
+
+    /// Loses everything and stops answering.
+    pub fn fail(&mut self) {
+        self.alive = false;
+        self.blocks.clear();
+        self.memory = Lru::default();
+        self.incarnation = Incarnation(self.incarnation.0 + 1);
+    }
+
+    fn promote(&mut self, key: BlockKey) {
+        self.memory.touch(key);
+        while self.memory.len() > self.memory_pieces {
+            self.memory.evict();
+        }
+    }
+
+    fn link_time(&self) -> Duration {
+        Duration::from_secs_f64(PIECE_BYTES as f64 / (LINK_PER_SECOND as f64 * self.speed))
+    }
+}
+
+fn disk_time() -> Duration {
+    Duration::from_secs_f64(PIECE_BYTES as f64 / DISK_PER_SECOND as f64)
+}
+
+fn seal(key: BlockKey, write_id: WriteId) -> Sealed {
+    Sealed { key, write_id, digest: Digest([0; 32]), length: Bytes(PIECE_BYTES) }
+}
+
+/// Holds all priced parts.
+#[derive(Debug)]
+pub struct World {
+    /// The present.
+    pub now: Moment,
+    /// The engines, by target key.
+    pub engines: Vec<Engine>,
+    /// The stores, by store key.
+    pub stores: Vec<Store>,
+}
--- a/tests/src/main.rs
+++ b/tests/src/main.rs
@@ -6,6 +6,7 @@
 
 use clap::{Parser, Subcommand, ValueEnum};
 use cumintrail_tests::demo;
+use cumintrail_tests::experiment::{self, Policy};
 use cumintrail_tests::standins::{engine, platform, relay, service, store};
 
 /// Runs stand-ins, the demonstration and measuring tools.
@@ -24,6 +25,18 @@
         #[arg(long, value_enum, default_value_t = Format::Text)]
         format: Format,
     },
+    /// Measure placement policies in virtual time.
+    Experiment {
+        /// What is measured.
+        #[command(flatten)]
+        setup: experiment::Setup,
+        /// A policy, or `all`.
+        #[arg(long, default_value = "all")]
+        policy: String,
+        /// How results are written.
+        #[arg(long, value_enum, default_value_t = Format::Text)]
+        format: Format,
+    },
     /// Run a platform.
     Platform {
         /// Where it listens.
@@ -99,6 +112,15 @@
     match Arguments::parse().command {
         Command::Cumintraild(arguments) => cumintrail_daemon::run(&arguments),
         Command::Cumintrail(arguments) => cumintrail_cli::run_to_exit(arguments),
+        Command::Experiment { setup, policy, format } => {
+            match experiment::parse_policies(&policy) {
+                Ok(policies) => show_experiment(&setup, &policies, format),
+                Err(e) => {
+                    eprintln!("unknown policy `{policy}`: {e}");
+                    ExitCode::FAILURE
+                }
+            }
+        }
         command => actix_rt::System::new().block_on(run(command)),
     }
 }
@@ -125,7 +147,9 @@
             store::Store::spawn(address, limits).map(|s| s.address())
         }
         Command::Service { address } => service::Service::spawn(address).map(|s| s.address()),
-        Command::Cumintraild(_) | Command::Cumintrail(_) => return ExitCode::SUCCESS,
+        Command::Experiment { .. } | Command::Cumintraild(_) | Command::Cumintrail(_) => {
+            return ExitCode::SUCCESS;
+        }
         Command::Relay { address, to, control } => match relay::Relay::spawn(address, to).await {
             Ok(relay) => relay.serve_control(control).map(|_| relay.address()),
             Err(e) => Err(e),
@@ -145,6 +169,18 @@
     }
 }
 
+fn show_experiment(setup: &experiment::Setup, policies: &[Policy], format: Format) -> ExitCode {
+    let measures = experiment::run(setup, policies);
+    match format {
+        Format::Text => print!("{}", experiment::to_table(&measures)),
+        Format::Json => {
+            let result = serde_json::json!({ "setup": setup, "policies": measures });
+            println!("{result}");
+        }
+    }
+    ExitCode::SUCCESS
+}
+
 async fn show_demo(format: Format) -> ExitCode {
     let results = match demo::run().await {
         Ok(results) => results,
