End a planned stop with the last call, not with the last kept connection

Cause: the servers wait on a stop for open connections. Peers keep connections to the operators' endpoint and use them each second, and a busy balancer never lets one to the callers' endpoint idle, so the wait ran to its limit: 30 s and `drain_limit_ms`.

Cutting callers' connections after a short limit was ruled out, since the tail of an answer to a slow caller may still be on its way.

--- a/crates/cumintrail-daemon/src/callers/router.rs
+++ b/crates/cumintrail-daemon/src/callers/router.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use actix_http::{Method, Request, Response};
+use actix_http::{ConnectionType, Method, Request, Response};
 use cumintrail_types::{Refusal, RefusalCode};
 use cumintrail_wire::caller::{ChatRequest, CompletionRequest, ModelEntry, ModelList};
 use serde::de::DeserializeOwned;
@@ -17,8 +17,16 @@
 const SERVICES: &str = "/services/";
 
 /// Answers one request.
+///
+/// A stopping daemon closes each connection with its answer: a balancer that keeps connections
+/// would otherwise hold up the planned stop.
 pub async fn answer(worker: Rc<Worker>, req: Request) -> Response<CallerBody> {
-    route(worker, req).await.unwrap_or_else(|refusal| refuse(&refusal))
+    let shared = worker.shared.clone();
+    let mut response = route(worker, req).await.unwrap_or_else(|refusal| refuse(&refusal));
+    if shared.is_stopping() {
+        response.head_mut().set_connection_type(ConnectionType::Close);
+    }
+    response
 }
 
 async fn route(worker: Rc<Worker>, req: Request) -> Result<Response<CallerBody>, Refusal> {
