Follow configurations by a change log that operators and daemons share

Change: client::config_log holds reading and proposing for both binaries:

answer settled by sending the same transaction again and reading the change's own id. wire::configuration holds content with its last changes. The daemon follows platform and peers in two tasks, asks the peer that has told of a higher generation first, asks platform and peers at boot, and keeps the old configuration when a newer one cannot be built; status says so.

--- a/crates/cumintrail-cli/src/commands.rs
+++ b/crates/cumintrail-cli/src/commands.rs
@@ -6,14 +6,15 @@
 
 use clap::{CommandFactory, Parser, Subcommand, ValueEnum};
 use clap_complete::Shell;
-use cumintrail_config::{Sections, Settings, Snapshot};
+use cumintrail_config::{Settings, Snapshot};
 use cumintrail_types::{Digest, Generation};
 use cumintrail_wire::operator::Status;
 use serde::Serialize;
 use snafu::ResultExt;
 
 use crate::errors::{UnconfirmedSnafu, UnreachableSnafu, UsageSnafu};
-use crate::{Access, CliError, publish};
+use crate::materials::Declared;
+use crate::{Access, CliError, Missing, publish};
 
 const CONFIRM_POLL: Duration = Duration::from_millis(100);
 
@@ -95,15 +96,30 @@
     },
 }
 
+/// Tells scripts why a command failed.
+#[derive(Debug, Serialize)]
+struct Failure {
+    error: &'static str,
+    exit_code: u8,
+    message: String,
+}
+
+impl From<&CliError> for Failure {
+    fn from(e: &CliError) -> Self {
+        Self { error: e.code(), exit_code: e.exit_code(), message: e.to_string() }
+    }
+}
+
 /// Runs a command in a system of its own, prints its output, and returns the exit code.
 pub fn run_to_exit(arguments: Arguments) -> ExitCode {
+    let format = arguments.format;
     match actix_rt::System::new().block_on(run(arguments)) {
         Ok(output) => {
             println!("{output}");
             ExitCode::SUCCESS
         }
         Err(e) => {
-            eprintln!("{e}");
+            eprintln!("{}", render(format, &Failure::from(&e), || e.to_string()));
             ExitCode::from(e.exit_code())
         }
     }
@@ -152,8 +168,8 @@
 
 fn check(path: &Path) -> Result<(), CliError> {
     if path.is_dir() {
-        let (_, parsed) = Sections::open(path)?;
-        Snapshot::build(Generation(1), &parsed, None, None)?;
+        let declared = Declared::open(path)?;
+        Snapshot::build(Generation(1), &declared.parsed, None, None)?;
     } else {
         Settings::open(path)?;
     }
@@ -178,14 +194,7 @@
 }
 
 fn describe(change: &publish::Change) -> String {
-    let mut lines = vec![format!("changes to generation {}:", change.from)];
-    lines.extend(change.delta.set.iter().map(|(name, _)| format!("  set     [{name}]")));
-    lines.extend(change.delta.removed.iter().map(|name| format!("  remove  [{name}]")));
-    if change.delta.is_empty() {
-        lines.push("  none".into());
-    }
-    lines.push(format!("preset in force: {}", change.preset));
-    lines.join("\n")
+    format!("changes to generation {}:\n{}", change.from, change.lines().join("\n"))
 }
 
 async fn list_presets(access: &Access, format: Format) -> Result<String, CliError> {
@@ -245,7 +254,7 @@
 }
 
 /// Waits until all listed daemons have a generation in force.
-async fn confirm(
+pub async fn confirm(
     access: &Access,
     generation: Generation,
     wait: Option<u64>,
@@ -256,13 +265,13 @@
         let rows = statuses(access).await?;
         let behind =
             rows.iter().filter(|row| row.status.as_ref().is_none_or(|s| s.generation < generation));
-        let missing: Vec<String> =
-            behind.map(|r| format!("{} ({})", r.domain, r.address)).collect();
+        let mut missing = Missing::default();
+        behind.for_each(|row| missing.add(&row.domain, &row.address));
         if missing.is_empty() {
             return Ok(());
         }
         if Instant::now() >= deadline {
-            return UnconfirmedSnafu { generation, missing: missing.join(", ") }.fail();
+            return UnconfirmedSnafu { generation, missing }.fail();
         }
         actix_rt::time::sleep(CONFIRM_POLL).await;
     }
--- a/crates/cumintrail-cli/src/lib.rs
+++ b/crates/cumintrail-cli/src/lib.rs
@@ -3,9 +3,10 @@
 mod access;
 mod commands;
 mod errors;
+mod materials;
 mod publish;
 
 pub use access::Access;
-pub use commands::{Arguments, run, run_to_exit};
-pub use errors::CliError;
+pub use commands::{Arguments, confirm, run, run_to_exit};
+pub use errors::{CliError, Missing};
 pub use publish::{Accepted, Change, apply, plan, switch_preset};
--- a/crates/cumintrail-cli/src/publish.rs
+++ b/crates/cumintrail-cli/src/publish.rs
@@ -3,24 +3,20 @@
 use std::path::Path;
 use std::sync::Arc;
 
-use cumintrail_client::{ClientError, Objects, Table};
+use cumintrail_client::config_log::{self, Head, LogError, Outcome, Proposal};
 use cumintrail_config::{Delta, Sections, Snapshot};
 use cumintrail_types::{Generation, WriteId};
-use cumintrail_wire::peer::{
-    ChangeRecord, HEAD_KEY, HeadRecord, SnapshotRecord, change_key, snapshot_name,
-};
-use cumintrail_wire::platform::{Condition, Transaction, Write};
+use cumintrail_wire::configuration::Configuration;
 use rand::Rng;
 use serde::Serialize;
-use serde::de::DeserializeOwned;
 use snafu::ResultExt;
 
-use crate::errors::{ConflictSnafu, RecordSnafu, UnreachableSnafu};
+use crate::errors::{ConflictSnafu, RecordSnafu, UnreachableSnafu, UnsettledSnafu};
+use crate::materials::Declared;
 use crate::{Access, CliError};
 
 const PLATFORM: &str = "the platform";
 const TRY_AGAIN: &str = "the platform may be down; nothing is lost, try again";
-const SETTLE_TRIES: u32 = 5;
 
 /// Holds the accepted configuration as the platform has it.
 #[derive(Debug, Clone)]
@@ -31,7 +27,7 @@
     pub preset: Option<Arc<str>>,
     /// The declarations.
     pub sections: Sections,
-    head_version: u64,
+    head: Head,
 }
 
 /// Describes a change that is to be accepted.
@@ -45,56 +41,64 @@
     pub preset: Arc<str>,
 }
 
+impl Change {
+    /// Lists the changed sections, one a line, and the preset.
+    pub fn lines(&self) -> Vec<String> {
+        let set = self.delta.set.iter().map(|(name, _)| format!("  set     [{name}]"));
+        let removed = self.delta.removed.iter().map(|name| format!("  remove  [{name}]"));
+        let mut lines: Vec<String> = set.chain(removed).collect();
+        if lines.is_empty() {
+            lines.push("  no section".into());
+        }
+        lines.push(format!("  preset in force: {}", self.preset));
+        lines
+    }
+}
+
 impl Accepted {
     /// Reads the accepted configuration.
     pub async fn read(access: &Access) -> Result<Self, CliError> {
-        let hint = TRY_AGAIN;
-        let row = access
-            .platform
-            .read(HEAD_KEY)
-            .await
-            .context(UnreachableSnafu { what: PLATFORM, hint })?;
-        let Some(row) = row else {
-            let sections = Sections::default();
-            return Ok(Self { generation: Generation(0), preset: None, sections, head_version: 0 });
-        };
-        let head: HeadRecord = decode(HEAD_KEY, row.value.as_bytes())?;
-        let first = read_change(access, head.snapshot).await?;
-        let name = snapshot_name(head.snapshot, &first.change);
-        let body =
-            access.platform.get(&name).await.context(UnreachableSnafu { what: PLATFORM, hint })?;
-        let record: SnapshotRecord = decode(&name, &body.unwrap_or_default())?;
-        let mut sections = record.to_sections();
-        let mut preset = record.preset;
-        for generation in head.snapshot.0 + 1..=head.generation.0 {
-            let change = read_change(access, Generation(generation)).await?;
-            sections.apply(&change.delta);
-            preset = change.preset;
-        }
-        let head_version = row.version;
-        Ok(Self { generation: head.generation, preset: Some(preset), sections, head_version })
+        let head = config_log::read_head(&access.platform).await.map_err(log_error)?;
+        let nothing = Configuration::default();
+        let current = config_log::read_configuration(&access.platform, &head, &nothing).await;
+        let current = current.map_err(log_error)?;
+        Ok(Self {
+            generation: current.generation,
+            preset: head.record.as_ref().map(|_| current.preset),
+            sections: current.sections,
+            head,
+        })
     }
 }
 
 /// Computes what applying a directory of declarations would change.
 pub async fn plan(access: &Access, directory: &Path) -> Result<(Accepted, Change), CliError> {
-    let (sections, parsed) = Sections::open(directory)?;
+    plan_declared(access, &Declared::open(directory)?).await
+}
+
+async fn plan_declared(
+    access: &Access,
+    declared: &Declared,
+) -> Result<(Accepted, Change), CliError> {
+    Snapshot::build(Generation(1), &declared.parsed, None, None)?;
     let accepted = Accepted::read(access).await?;
     let preset = accepted.preset.clone();
     let next = Generation(accepted.generation.0 + 1);
-    let checked = Snapshot::build(next, &parsed, preset.as_deref(), None)?;
-    let delta = accepted.sections.delta_to(&sections);
+    let checked = Snapshot::build(next, &declared.parsed, preset.as_deref(), None)?;
+    let delta = accepted.sections.delta_to(&declared.sections);
     let change = Change { from: accepted.generation, delta, preset: checked.preset.name.clone() };
     Ok((accepted, change))
 }
 
 /// Applies a directory of declarations; returns the accepted generation.
 pub async fn apply(access: &Access, directory: &Path) -> Result<Generation, CliError> {
-    let (accepted, change) = plan(access, directory).await?;
+    let declared = Declared::open(directory)?;
+    let (accepted, change) = plan_declared(access, &declared).await?;
     if change.delta.is_empty() && accepted.generation.0 > 0 {
         return Ok(accepted.generation);
     }
-    publish(access, &accepted, change).await
+    declared.upload(access).await?;
+    publish(access, accepted, change).await
 }
 
 /// Puts another preset in force; returns the accepted generation.
@@ -107,87 +111,54 @@
     let next = Generation(accepted.generation.0 + 1);
     Snapshot::build(next, &parsed, Some(name), None)?;
     let change = Change { from: accepted.generation, delta: Delta::default(), preset: name.into() };
-    publish(access, &accepted, change).await
+    publish(access, accepted, change).await
 }
 
 /// Advances the head by one generation, or reports who did it first.
 async fn publish(
     access: &Access,
-    accepted: &Accepted,
+    accepted: Accepted,
     change: Change,
 ) -> Result<Generation, CliError> {
-    let generation = Generation(accepted.generation.0 + 1);
-    let id = WriteId(rand::rng().random()).to_string();
     let mut sections = accepted.sections.clone();
     sections.apply(&change.delta);
-    let snapshot = SnapshotRecord {
-        generation,
-        preset: change.preset.clone(),
-        sections: sections.0.into_iter().collect(),
-    };
-    let name = snapshot_name(generation, &id);
-    let hint = TRY_AGAIN;
-    let stored = access.platform.put(&name, encode(&snapshot).into()).await;
-    stored.context(UnreachableSnafu { what: PLATFORM, hint })?;
-
-    let record =
-        ChangeRecord { generation, change: id.clone(), delta: change.delta, preset: change.preset };
-    let head = HeadRecord { generation, change: id.clone(), snapshot: generation };
-    let transaction = Transaction {
-        conditions: vec![Condition { key: HEAD_KEY.into(), version: accepted.head_version }],
-        writes: vec![
-            Write { key: HEAD_KEY.into(), value: Some(encode(&head)) },
-            Write { key: change_key(generation), value: Some(encode(&record)) },
-        ],
+    let proposal = Proposal {
+        head: accepted.head.clone(),
+        id: WriteId(rand::rng().random()).to_string(),
+        delta: change.delta,
+        preset: change.preset,
+        settle_pause: config_log::SETTLE_PAUSE,
     };
-    match access.platform.commit(&transaction).await {
-        Ok(reply) if reply.committed => Ok(generation),
-        Ok(_) => settle(access, generation, &id).await,
-        Err(e) if e.may_have_arrived() => settle(access, generation, &id).await,
-        Err(e) => Err(e).context(UnreachableSnafu { what: PLATFORM, hint }),
-    }
-}
-
-/// Learns by the change's own id whether a write with a lost answer took effect.
-async fn settle(access: &Access, generation: Generation, id: &str) -> Result<Generation, CliError> {
-    let key = change_key(generation);
-    let mut last = ClientError::Silent;
-    for _ in 0..SETTLE_TRIES {
-        match access.platform.read(&key).await {
-            Ok(Some(row)) => {
-                let found: ChangeRecord = decode(&key, row.value.as_bytes())?;
-                if found.change == id {
-                    return Ok(generation);
-                }
-                let changed =
-                    found.delta.set.iter().map(|(name, _)| name).chain(&found.delta.removed);
-                let names: Vec<String> = changed.map(ToString::to_string).collect();
-                let sections = names.join(", ");
-                return ConflictSnafu { accepted: found.generation, sections }.fail();
-            }
-            Ok(None) => {
-                return Err(last).context(UnreachableSnafu { what: PLATFORM, hint: TRY_AGAIN });
-            }
-            Err(e) => last = e,
+    match config_log::propose(&access.platform, &proposal, &sections).await {
+        Outcome::Accepted(generation) => Ok(generation),
+        Outcome::Conflict => Err(conflict(access, &accepted).await),
+        Outcome::Failed(source) => {
+            Err(source).context(UnreachableSnafu { what: PLATFORM, hint: TRY_AGAIN })
         }
+        Outcome::Unknown(source) => Err(source).context(UnsettledSnafu),
     }
-    let hint =
-        "the change may or may not be accepted; `cumintrail plan` tells once the platform answers";
-    Err(last).context(UnreachableSnafu { what: PLATFORM, hint })
-}
-
-async fn read_change(access: &Access, generation: Generation) -> Result<ChangeRecord, CliError> {
-    let key = change_key(generation);
-    let row = access.platform.read(&key).await;
-    let row = row.context(UnreachableSnafu { what: PLATFORM, hint: TRY_AGAIN })?;
-    decode(&key, row.map(|r| r.value).unwrap_or_default().as_bytes())
 }
 
-fn decode<T: DeserializeOwned>(key: &str, bytes: &[u8]) -> Result<T, CliError> {
-    let hint = "the platform's table or object store has lost or changed it; restore it";
-    serde_json::from_slice(bytes).or_else(|_| RecordSnafu { key, hint }.fail())
+/// Describes what other operators changed since `before`.
+async fn conflict(access: &Access, before: &Accepted) -> CliError {
+    let now = match Accepted::read(access).await {
+        Ok(now) => now,
+        Err(e) => return e,
+    };
+    let delta = before.sections.delta_to(&now.sections);
+    let preset = now.preset.unwrap_or_default();
+    let change = Change { from: before.generation, delta, preset };
+    ConflictSnafu { accepted: now.generation, changes: change.lines().join("\n") }.build()
 }
 
-fn encode<T: Serialize>(value: &T) -> String {
-    serde_json::to_string(value).unwrap_or_default()
+fn log_error(e: LogError) -> CliError {
+    match e {
+        LogError::Client { source } => {
+            CliError::Unreachable { what: PLATFORM.into(), source, hint: TRY_AGAIN }
+        }
+        LogError::Record { key } => {
+            let hint = "the platform's table or object store has lost or changed it; restore it";
+            RecordSnafu { key, hint }.build()
+        }
+    }
 }
--- a/crates/cumintrail-client/src/lib.rs
+++ b/crates/cumintrail-client/src/lib.rs
@@ -6,6 +6,7 @@
 #![allow(async_fn_in_trait)]
 
 mod answer;
+pub mod config_log;
 mod engine;
 mod error;
 mod http;
--- a/crates/cumintrail-client/src/peer.rs
+++ b/crates/cumintrail-client/src/peer.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use actix_http::Method;
-use cumintrail_wire::peer::{ConfigReply, ConfigRequest, DigestMessage};
+use cumintrail_wire::peer::{ConfigReply, ConfigRequest, DigestMessage, DigestReply};
 use cumintrail_wire::{from_msgpack, to_msgpack};
 use serde::Serialize;
 
@@ -16,7 +16,11 @@
 /// Speaks to other daemons.
 pub trait Peer {
     /// Sends a digest.
-    async fn digest(&self, at: SocketAddr, digest: &DigestMessage) -> Result<(), ClientError>;
+    async fn digest(
+        &self,
+        at: SocketAddr,
+        digest: &DigestMessage,
+    ) -> Result<DigestReply, ClientError>;
     /// Asks for a newer configuration.
     async fn config(
         &self,
@@ -55,8 +59,13 @@
 }
 
 impl Peer for HttpPeer {
-    async fn digest(&self, at: SocketAddr, digest: &DigestMessage) -> Result<(), ClientError> {
-        self.post(at, "/peer/digest", digest).await.map(|_| ())
+    async fn digest(
+        &self,
+        at: SocketAddr,
+        digest: &DigestMessage,
+    ) -> Result<DigestReply, ClientError> {
+        let body = self.post(at, "/peer/digest", digest).await?;
+        Ok(from_msgpack(&body)?)
     }
 
     async fn config(
--- a/crates/cumintrail-control/src/adoption.rs
+++ b/crates/cumintrail-control/src/adoption.rs
@@ -2,32 +2,34 @@
 
 use cumintrail_types::Generation;
 
+/// The longest gap that is closed change by change.
+pub const MAX_CHANGES: u64 = 64;
+/// Changes between two snapshots; bounds what a new daemon reads.
+pub const SNAPSHOT_EVERY: u64 = 64;
+/// Changes that the log keeps; older ones are removed as new ones are written.
+pub const CHANGES_KEPT: u64 = 1_024;
+
 /// Tells how to get from the generation in force to the one that was heard of.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Step {
     /// Nothing newer was heard of.
     Keep,
     /// Read the changes after the generation in force.
-    ReadChanges {
-        /// The first change to read.
-        from: Generation,
-        /// The last change to read.
-        to: Generation,
-    },
-    /// Read a snapshot, since the gap is long.
+    ReadChanges,
+    /// Read a snapshot and the changes after it, since the gap is long.
     ReadSnapshot,
 }
 
-/// The longest gap that is closed change by change.
-pub const MAX_CHANGES: u64 = 64;
-
 /// Decides how to reach `heard` from `in_force`; never goes back.
 pub const fn next_step(in_force: Generation, heard: Generation) -> Step {
     match heard.0.checked_sub(in_force.0) {
         None | Some(0) => Step::Keep,
-        Some(gap) if in_force.0 > 0 && gap <= MAX_CHANGES => {
-            Step::ReadChanges { from: Generation(in_force.0 + 1), to: heard }
-        }
+        Some(gap) if in_force.0 > 0 && gap <= MAX_CHANGES => Step::ReadChanges,
         Some(_) => Step::ReadSnapshot,
     }
 }
+
+/// Tells whether `next` is to be written as a whole, given the last snapshot.
+pub const fn snapshot_is_due(next: Generation, last_snapshot: Generation) -> bool {
+    last_snapshot.0 == 0 || next.0 >= last_snapshot.0 + SNAPSHOT_EVERY
+}
--- a/crates/cumintrail-control/src/control/upkeep.rs
+++ b/crates/cumintrail-control/src/control/upkeep.rs
@@ -31,6 +31,8 @@
             self.stores.push(StoreState { next_listing: now, ..StoreState::default() });
         }
         self.snapshot = Some(snapshot);
+        // Peers that the platform cannot reach learn the generation from the next digest.
+        self.next_digest = now;
     }
 
     pub(super) fn take_report(&mut self, now: Moment, key: TargetKey, report: TargetReport) {
--- a/crates/cumintrail-daemon/src/background.rs
+++ b/crates/cumintrail-daemon/src/background.rs
@@ -20,6 +20,7 @@
     stores: HttpStore,
     peers: HttpPeer,
     platform: HttpPlatform,
+    adopting: tokio::sync::Mutex<()>,
 }
 
 /// Runs until the control thread ends.
@@ -30,9 +31,11 @@
         stores: HttpStore::open(),
         peers: HttpPeer::open(s.peer_key.expose()),
         platform: HttpPlatform::open(s.table, s.objects, s.vm_list),
+        adopting: tokio::sync::Mutex::new(()),
         shared: shared.clone(),
     });
-    actix_rt::spawn(config_sync::run(background.clone()));
+    actix_rt::spawn(config_sync::follow_platform(background.clone()));
+    actix_rt::spawn(config_sync::follow_peers(background.clone()));
     actix_rt::spawn(vm_list::run(background.clone()));
     let mut cursors = orders::Cursors::default();
     while let Some(action) = orders.recv().await {
--- a/crates/cumintrail-daemon/src/background/config_sync.rs
+++ b/crates/cumintrail-daemon/src/background/config_sync.rs
@@ -1,170 +1,148 @@
 //! Adopts configurations from the platform and from peers; docs/DESIGN.md, "Configuration".
+//!
+//! Two tasks look independently, so that a slow platform does not delay what a peer has told.
 
-use std::collections::VecDeque;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 
-use cumintrail_client::{ClientError, Objects, Peer, Table};
-use cumintrail_config::{Problems, Sections, Snapshot};
+use cumintrail_client::config_log::{self, LogError};
+use cumintrail_client::{ClientError, Peer};
+use cumintrail_config::{Problems, Snapshot};
 use cumintrail_control::Event;
-use cumintrail_control::adoption::{MAX_CHANGES, Step, next_step};
 use cumintrail_types::Generation;
-use cumintrail_wire::peer::{
-    ChangeRecord, ConfigReply, ConfigRequest, HEAD_KEY, HeadRecord, SnapshotRecord, change_key,
-    snapshot_name,
-};
+use cumintrail_wire::configuration::Configuration;
+use cumintrail_wire::peer::{ConfigReply, ConfigRequest};
+use futures_util::future::{join, join_all};
 use rand::Rng;
-use serde::de::DeserializeOwned;
+use rand::seq::IndexedRandom;
 use snafu::Snafu;
 
 use super::Background;
 use crate::metric;
-use crate::shared::Adopted;
+use crate::shared::{Adopted, NotAdopted};
+
+/// Peers asked at once when nobody has told of a newer generation.
+const PEERS_ASKED: usize = 4;
 
 /// Reports why a newer configuration was not adopted.
 #[derive(Debug, Snafu)]
 enum SyncError {
+    #[snafu(transparent)]
+    Log { source: LogError },
     #[snafu(transparent)]
     Client { source: ClientError },
     #[snafu(transparent)]
     Invalid { source: Problems },
-    #[snafu(display("the record `{key}` is missing or unreadable"))]
-    Record { key: String },
 }
 
-/// Looks for newer configurations until the process ends.
-pub async fn run(background: Rc<Background>) {
+/// Follows the platform's head until the process ends; asks peers while it cannot be reached.
+pub async fn follow_platform(background: Rc<Background>) {
     loop {
-        if let Err(e) = sync_platform(&background).await {
+        let (platform, ()) = join(sync_platform(&background), ask_peers_at_boot(&background)).await;
+        if let Err(e) = platform {
             metrics::counter!(metric::PLATFORM_ERRORS, "part" => "config").increment(1);
             log::debug!("no configuration from the platform: {e}");
-            sync_peers(&background).await;
+            ask_known_peers(&background).await;
         }
         let jitter = rand::rng().random_range(0.8..1.2);
-        let pause = background.shared.settings.config_poll.mul_f64(jitter);
-        let woken = background.shared.newer_generation.notified();
-        if actix_rt::time::timeout(pause, woken).await.is_ok() {
-            sync_peers(&background).await;
-        }
+        actix_rt::time::sleep(background.shared.settings.config_poll.mul_f64(jitter)).await;
     }
 }
 
-async fn sync_platform(background: &Background) -> Result<(), SyncError> {
-    let Some(row) = background.platform.read(HEAD_KEY).await? else {
-        return Ok(());
-    };
-    let head: HeadRecord = decode(HEAD_KEY, row.value.as_bytes())?;
-    match next_step(background.shared.generation(), head.generation) {
-        Step::Keep => Ok(()),
-        Step::ReadChanges { from, to } => read_changes(background, from, to).await,
-        Step::ReadSnapshot => read_snapshot(background, &head).await,
+/// Asks each peer that told of a newer generation, until the process ends.
+pub async fn follow_peers(background: Rc<Background>) {
+    let mut newer = background.shared.newer.subscribe();
+    while newer.changed().await.is_ok() {
+        let Some(heard) = *newer.borrow_and_update() else {
+            continue;
+        };
+        if heard.generation <= background.shared.generation() {
+            continue;
+        }
+        if !ask(&background, heard.from).await {
+            ask_known_peers(&background).await;
+        }
     }
 }
 
-async fn read_changes(
-    background: &Background,
-    from: Generation,
-    to: Generation,
-) -> Result<(), SyncError> {
-    let mut changes = Vec::new();
-    for generation in from.0..=to.0 {
-        let key = change_key(Generation(generation));
-        let row = background.platform.read(&key).await?;
-        let row = row.ok_or_else(|| SyncError::Record { key: key.clone() })?;
-        changes.push(decode(&key, row.value.as_bytes())?);
+async fn sync_platform(background: &Background) -> Result<(), SyncError> {
+    let head = config_log::read_head(&background.platform).await?;
+    let shared = &background.shared;
+    if head.generation() <= shared.generation().max(shared.not_adopted_generation()) {
+        return Ok(());
     }
-    apply_changes(background, changes).await
+    let current = shared.configuration();
+    let next = config_log::read_configuration(&background.platform, &head, &current).await?;
+    adopt(background, next).await
 }
 
-async fn read_snapshot(background: &Background, head: &HeadRecord) -> Result<(), SyncError> {
-    let key = change_key(head.snapshot);
-    let row = background.platform.read(&key).await?;
-    let row = row.ok_or_else(|| SyncError::Record { key: key.clone() })?;
-    let change: ChangeRecord = decode(&key, row.value.as_bytes())?;
-    let name = snapshot_name(head.snapshot, &change.change);
-    let body = background.platform.get(&name).await?;
-    let body = body.ok_or_else(|| SyncError::Record { key: name.clone() })?;
-    adopt_record(background, decode(&name, &body)?).await?;
-    if head.generation > head.snapshot {
-        read_changes(background, Generation(head.snapshot.0 + 1), head.generation).await?;
+/// Takes the highest generation of the platform and all peers of the settings before the first.
+async fn ask_peers_at_boot(background: &Background) {
+    if background.shared.generation() == Generation(0) {
+        let peers = &background.shared.settings.peers;
+        join_all(peers.iter().map(|peer| ask(background, *peer))).await;
     }
-    Ok(())
 }
 
-/// Asks the known peers, those of the settings first, until one has something newer.
-async fn sync_peers(background: &Background) {
-    let mut addresses = background.shared.settings.peers.clone();
+/// Asks a few random peers, and those of the settings.
+async fn ask_known_peers(background: &Background) {
     let dump = background.shared.control.dump().await;
-    addresses.extend(dump.into_iter().flat_map(|d| d.peers).map(|(address, _)| address));
-    for address in addresses {
-        let request = ConfigRequest { after: background.shared.generation() };
-        let Ok(reply) = background.peers.config(address, &request).await else {
-            continue;
-        };
-        let adopted = match reply {
-            ConfigReply::Nothing => continue,
-            ConfigReply::Changes(changes) => apply_changes(background, changes).await,
-            ConfigReply::Snapshot(record) => adopt_record(background, record).await,
-        };
-        match adopted {
-            Ok(()) => return,
-            Err(e) => log::warn!("cannot adopt the configuration of peer {address}: {e}"),
-        }
-    }
+    let known = dump.into_iter().flat_map(|d| d.peers);
+    let known: Vec<SocketAddr> =
+        known.filter(|(_, p)| p.liveness != "silent").map(|(address, _)| address).collect();
+    let mut asked: Vec<SocketAddr> =
+        known.choose_multiple(&mut rand::rng(), PEERS_ASKED).copied().collect();
+    let configured = &background.shared.settings.peers;
+    asked.extend(configured.iter().filter(|p| !known.contains(p)));
+    join_all(asked.into_iter().map(|peer| ask(background, peer))).await;
 }
 
-async fn apply_changes(
-    background: &Background,
-    changes: Vec<ChangeRecord>,
-) -> Result<(), SyncError> {
-    let Some(current) = background.shared.adopted() else {
-        return Ok(());
+/// Asks one peer and tells whether it answered.
+async fn ask(background: &Background, peer: SocketAddr) -> bool {
+    let current = background.shared.configuration();
+    let request = ConfigRequest { after: current.generation };
+    let reply = match background.peers.config(peer, &request).await {
+        Ok(ConfigReply::Nothing) => return true,
+        Ok(reply) => reply,
+        Err(_) => return false,
     };
-    let mut sections = current.sections.clone();
-    let mut recent = current.recent.clone();
-    let mut generation = current.snapshot.generation;
-    let mut preset = current.snapshot.preset.name.clone();
-    for change in changes {
-        if change.generation.0 != generation.0 + 1 {
-            continue;
-        }
-        sections.apply(&change.delta);
-        generation = change.generation;
-        preset = change.preset.clone();
-        recent.push_back(change);
-    }
-    while recent.len() > MAX_CHANGES as usize {
-        recent.pop_front();
+    if let Err(e) = adopt(background, current.after(reply)).await {
+        log::debug!("cannot adopt the configuration of peer {peer}: {e}");
     }
-    adopt(background, generation, &preset, sections, recent).await
-}
-
-async fn adopt_record(background: &Background, record: SnapshotRecord) -> Result<(), SyncError> {
-    let sections = record.to_sections();
-    adopt(background, record.generation, &record.preset, sections, VecDeque::new()).await
+    true
 }
 
-async fn adopt(
-    background: &Background,
-    generation: Generation,
-    preset: &str,
-    sections: Sections,
-    recent: VecDeque<ChangeRecord>,
-) -> Result<(), SyncError> {
-    if generation <= background.shared.generation() {
+/// Puts a configuration in force if it is higher than the one in force.
+async fn adopt(background: &Background, next: Configuration) -> Result<(), SyncError> {
+    let shared = &background.shared;
+    // Both tasks adopt, and a snapshot builds on the one before.
+    let _one_at_a_time = background.adopting.lock().await;
+    if !next.supersedes(shared.generation()) {
         return Ok(());
     }
-    let parsed = sections.to_parsed()?;
-    let previous = background.shared.snapshot();
-    let snapshot = Snapshot::build(generation, &parsed, Some(preset), previous.as_deref())?;
-    let snapshot = Arc::new(snapshot);
-    background.shared.control.tell(Event::Configured(snapshot.clone())).await;
-    background.shared.adopt(Arc::new(Adopted { snapshot, sections, recent }));
+    let generation = next.generation;
+    let snapshot = match build(&next, shared.snapshot().as_deref()) {
+        Ok(snapshot) => Arc::new(snapshot),
+        Err(problems) => {
+            if shared.not_adopted_generation() < generation {
+                log::error!("generation {generation} cannot be put in force: {problems}");
+            }
+            let reason = problems.to_string();
+            shared.set_not_adopted(Some(NotAdopted { generation, reason }));
+            return Err(problems.into());
+        }
+    };
+    // The control state knows new keys before any traffic thread can use them.
+    shared.control.tell(Event::Configured(snapshot.clone())).await;
+    log::info!("generation {generation} is in force, preset {}", next.preset);
+    shared.adopt(Arc::new(Adopted { snapshot, configuration: next }));
+    shared.set_not_adopted(None);
     metrics::gauge!(metric::GENERATION).set(generation.0 as f64);
-    log::info!("generation {generation} is in force, preset {preset}");
     Ok(())
 }
 
-fn decode<T: DeserializeOwned>(key: &str, bytes: &[u8]) -> Result<T, SyncError> {
-    serde_json::from_slice(bytes).map_err(|_| SyncError::Record { key: key.to_owned() })
+fn build(next: &Configuration, previous: Option<&Snapshot>) -> Result<Snapshot, Problems> {
+    let parsed = next.sections.to_parsed()?;
+    Snapshot::build(next.generation, &parsed, Some(&next.preset), previous)
 }
--- a/crates/cumintrail-daemon/src/background/orders.rs
+++ b/crates/cumintrail-daemon/src/background/orders.rs
@@ -155,7 +155,8 @@
     let message = DigestMessage::from(digest);
     let size = cumintrail_wire::to_msgpack(&message).map_or(0, |m| m.len());
     metrics::counter!(metric::PEER_BYTES).increment(size as u64);
-    if background.peers.digest(to, &message).await.is_err() {
-        background.shared.control.tell(Event::PeerSilent { address: to }).await;
+    match background.peers.digest(to, &message).await {
+        Ok(reply) => background.shared.hear_generation(reply.generation, to),
+        Err(_) => background.shared.control.tell(Event::PeerSilent { address: to }).await,
     }
 }
--- a/crates/cumintrail-daemon/src/operators.rs
+++ b/crates/cumintrail-daemon/src/operators.rs
@@ -8,12 +8,12 @@
 use actix_http::{HttpService, Method, Request, Response, StatusCode};
 use actix_server::ServerBuilder;
 use actix_service::{ServiceFactoryExt as _, fn_service};
-use bytes::Bytes;
 use cumintrail_control::{Dump, Event, PeerDigest};
 use cumintrail_types::{Refusal, RefusalCode};
 use cumintrail_wire::operator::Status;
-use cumintrail_wire::peer::{ConfigReply, ConfigRequest, DigestMessage};
+use cumintrail_wire::peer::{ConfigReply, ConfigRequest, DigestMessage, DigestReply};
 use cumintrail_wire::{from_msgpack, to_msgpack};
+use serde::Serialize;
 
 use crate::callers::CallerBody;
 use crate::callers::{auth, refuse, request};
@@ -99,6 +99,12 @@
         silent.map(|t| format!("target {} is silent", t.name)).collect();
     let peers = dump.peers.iter().filter(|(_, p)| p.liveness == "silent");
     degraded.extend(peers.map(|(address, _)| format!("peer {address} is silent")));
+    let not_adopted = shared.not_adopted().filter(|n| n.generation > shared.generation());
+    degraded.extend(
+        not_adopted.map(|n| {
+            format!("generation {} cannot be put in force here: {}", n.generation, n.reason)
+        }),
+    );
     Ok(Status {
         vm: dump.vm,
         domain: dump.domain,
@@ -113,11 +119,11 @@
 async fn take_digest(shared: &Shared, req: &mut Request) -> Result<Response<CallerBody>, Refusal> {
     let message: DigestMessage = read(shared, req).await?;
     let digest = PeerDigest::from(message);
-    if digest.generation > shared.generation() {
-        shared.newer_generation.notify_one();
+    if let Some(from) = digest.address {
+        shared.hear_generation(digest.generation, from);
     }
     shared.control.tell(Event::PeerDigest(digest)).await;
-    Ok(Response::with_body(StatusCode::OK, CallerBody::Whole(Bytes::new())))
+    packed(&DigestReply { generation: shared.generation() })
 }
 
 async fn answer_config(
@@ -125,26 +131,17 @@
     req: &mut Request,
 ) -> Result<Response<CallerBody>, Refusal> {
     let asked: ConfigRequest = read(shared, req).await?;
-    let body = to_msgpack(&config_reply(shared, asked));
-    let body = body.map_err(|_| Refusal::not_run(RefusalCode::BadRequest))?;
+    packed(&config_reply(shared, asked))
+}
+
+fn packed<T: Serialize>(message: &T) -> Result<Response<CallerBody>, Refusal> {
+    let body = to_msgpack(message).map_err(|_| Refusal::not_run(RefusalCode::BadRequest))?;
     Ok(Response::with_body(StatusCode::OK, CallerBody::Whole(body.into())))
 }
 
 fn config_reply(shared: &Shared, asked: ConfigRequest) -> ConfigReply {
-    let Some(adopted) = shared.adopted() else {
-        return ConfigReply::Nothing;
-    };
-    if adopted.snapshot.generation <= asked.after {
-        return ConfigReply::Nothing;
-    }
-    let next = asked.after.0 + 1;
-    match adopted.recent.front() {
-        Some(oldest) if asked.after.0 > 0 && oldest.generation.0 <= next => {
-            let newer = adopted.recent.iter().filter(|c| c.generation.0 >= next);
-            ConfigReply::Changes(newer.cloned().collect())
-        }
-        _ => ConfigReply::Snapshot(adopted.to_record()),
-    }
+    let adopted = shared.adopted();
+    adopted.map_or(ConfigReply::Nothing, |a| a.configuration.reply_to(asked.after))
 }
 
 async fn read<T: serde::de::DeserializeOwned>(
--- a/crates/cumintrail-daemon/src/shared.rs
+++ b/crates/cumintrail-daemon/src/shared.rs
@@ -1,39 +1,43 @@
 //! What all threads of a daemon read.
 
-use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
 use arc_swap::ArcSwapOption;
-use cumintrail_config::{Sections, Settings, Snapshot};
+use cumintrail_config::{Settings, Snapshot};
 use cumintrail_types::{CallKey, Generation, Incarnation, Moment};
-use cumintrail_wire::peer::{ChangeRecord, SnapshotRecord};
-use tokio::sync::Notify;
+use cumintrail_wire::configuration::Configuration;
+use tokio::sync::watch;
 
 use crate::clock::Clock;
 use crate::control_thread::ControlLink;
 
-/// Holds a configuration that is in force, with what peers may ask of it.
+/// Holds a configuration that is in force.
 #[derive(Debug)]
 pub struct Adopted {
     /// The checked configuration.
     pub snapshot: Arc<Snapshot>,
-    /// Its sections.
-    pub sections: Sections,
-    /// The last changes, oldest first, for peers that lag a little.
-    pub recent: VecDeque<ChangeRecord>,
+    /// What it was built from, for peers.
+    pub configuration: Configuration,
 }
 
-impl Adopted {
-    /// Returns the whole configuration as a record.
-    pub fn to_record(&self) -> SnapshotRecord {
-        SnapshotRecord {
-            generation: self.snapshot.generation,
-            preset: self.snapshot.preset.name.clone(),
-            sections: self.sections.0.iter().map(|(n, b)| (n.clone(), b.clone())).collect(),
-        }
-    }
+/// Tells which peer has a higher generation.
+#[derive(Debug, Clone, Copy)]
+pub struct Newer {
+    /// The generation.
+    pub generation: Generation,
+    /// The peer's operator address.
+    pub from: SocketAddr,
+}
+
+/// Tells why an accepted generation is not in force here.
+#[derive(Debug)]
+pub struct NotAdopted {
+    /// The generation.
+    pub generation: Generation,
+    /// What is wrong with it.
+    pub reason: String,
 }
 
 /// Holds what is shared between the threads of one daemon.
@@ -48,9 +52,10 @@
     /// The way to the control thread.
     pub control: ControlLink,
     /// Wakes the configuration task when a peer has a higher generation.
-    pub newer_generation: Notify,
+    pub newer: watch::Sender<Option<Newer>>,
     clock: Clock,
     adopted: ArcSwapOption<Adopted>,
+    not_adopted: ArcSwapOption<NotAdopted>,
     stopping: AtomicBool,
     next_call: AtomicU64,
 }
@@ -69,9 +74,10 @@
             incarnation,
             operator_address,
             control,
-            newer_generation: Notify::new(),
+            newer: watch::Sender::new(None),
             clock,
             adopted: ArcSwapOption::empty(),
+            not_adopted: ArcSwapOption::empty(),
             stopping: AtomicBool::new(false),
             next_call: AtomicU64::new(1),
         }
@@ -97,6 +103,33 @@
         self.adopted.load().as_ref().map_or(Generation(0), |a| a.snapshot.generation)
     }
 
+    /// Returns the configuration in force as it travels; generation zero before the first.
+    pub fn configuration(&self) -> Configuration {
+        self.adopted().map(|a| a.configuration.clone()).unwrap_or_default()
+    }
+
+    /// Returns why an accepted generation above the one in force is not adopted.
+    pub fn not_adopted(&self) -> Option<Arc<NotAdopted>> {
+        self.not_adopted.load_full()
+    }
+
+    /// Returns the highest generation that could not be adopted, or zero.
+    pub fn not_adopted_generation(&self) -> Generation {
+        self.not_adopted.load().as_ref().map_or(Generation(0), |n| n.generation)
+    }
+
+    /// Notes a generation that cannot be adopted, or that there is none.
+    pub fn set_not_adopted(&self, not_adopted: Option<NotAdopted>) {
+        self.not_adopted.store(not_adopted.map(Arc::new));
+    }
+
+    /// Notes that a peer has `generation`, which wakes the configuration task if it is higher.
+    pub fn hear_generation(&self, generation: Generation, from: SocketAddr) {
+        if generation > self.generation().max(self.not_adopted_generation()) {
+            self.newer.send_replace(Some(Newer { generation, from }));
+        }
+    }
+
     /// Puts a configuration in force; only the configuration task calls this.
     pub fn adopt(&self, adopted: Arc<Adopted>) {
         self.adopted.store(Some(adopted));
--- a/crates/cumintrail-wire/src/lib.rs
+++ b/crates/cumintrail-wire/src/lib.rs
@@ -4,6 +4,7 @@
 //! between daemons. docs/DESIGN.md, "Protocols", lists the paths.
 
 pub mod caller;
+pub mod configuration;
 pub mod engine;
 pub mod operator;
 pub mod peer;
--- a/crates/cumintrail-wire/src/peer.rs
+++ b/crates/cumintrail-wire/src/peer.rs
@@ -8,7 +8,7 @@
 
 use cumintrail_config::{Delta, Sections};
 use cumintrail_control::PeerDigest;
-use cumintrail_types::{Generation, Incarnation, Sealed, Tier};
+use cumintrail_types::{Digest, Generation, Incarnation, Sealed, Tier};
 use serde::{Deserialize, Serialize};
 
 /// Holds a daemon's digest; see [`PeerDigest`] for the fields.
@@ -57,6 +57,13 @@
     }
 }
 
+/// Answers a digest, so that a sender that lags learns it from the one it told.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+pub struct DigestReply {
+    /// The generation in force at the receiver.
+    pub generation: Generation,
+}
+
 /// Asks a peer for what it has in force beyond `after`.
 #[derive(Debug, Clone, Copy, Serialize, Deserialize)]
 pub struct ConfigRequest {
@@ -129,3 +136,8 @@
 pub fn snapshot_name(generation: Generation, change: &str) -> String {
     format!("config/{}-{change}", generation.0)
 }
+
+/// Names the object of a shared text.
+pub fn material_name(digest: &Digest) -> String {
+    format!("material/{digest}")
+}
