--- a/crates/cumintrail-daemon/src/background/config_sync.rs
+++ b/crates/cumintrail-daemon/src/background/config_sync.rs
@@ -6,8 +6,8 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
+use cumintrail_client::Peer;
 use cumintrail_client::config_log::{self, LogError};
-use cumintrail_client::{ClientError, Peer};
 use cumintrail_config::{Problems, Snapshot};
 use cumintrail_control::Event;
 use cumintrail_types::Generation;
@@ -31,8 +31,6 @@
     #[snafu(transparent)]
     Log { source: LogError },
     #[snafu(transparent)]
-    Client { source: ClientError },
-    #[snafu(transparent)]
     Invalid { source: Problems },
 }
 
@@ -40,6 +38,7 @@
 pub async fn follow_platform(background: Rc<Background>) {
     loop {
         let (platform, ()) = join(sync_platform(&background), ask_peers_at_boot(&background)).await;
+        note_contact(&background, &platform);
         if let Err(e) = platform {
             metrics::counter!(metric::PLATFORM_ERRORS, "part" => "config").increment(1);
             log::debug!("no configuration from the platform: {e}");
@@ -66,6 +65,18 @@
     }
 }
 
+/// Remembers whether the platform answers and logs when that changes.
+fn note_contact(background: &Background, synced: &Result<(), SyncError>) {
+    let answered = !matches!(synced, Err(SyncError::Log { source: LogError::Client { .. } }));
+    let shared = &background.shared;
+    metrics::gauge!(metric::PLATFORM_REACHABLE).set(if answered { 1.0 } else { 0.0 });
+    match shared.platform_contact.note(shared.now(), answered) {
+        true if answered => log::info!("the platform answers again"),
+        true => log::warn!("the platform does not answer; the last configuration stays in force"),
+        false => {}
+    }
+}
+
 async fn sync_platform(background: &Background) -> Result<(), SyncError> {
     let head = config_log::read_head(&background.platform).await?;
     let shared = &background.shared;
--- a/crates/cumintrail-daemon/src/operators.rs
+++ b/crates/cumintrail-daemon/src/operators.rs
@@ -10,7 +10,7 @@
 use actix_service::{ServiceFactoryExt as _, fn_service};
 use cumintrail_control::{Dump, Event, PeerDigest};
 use cumintrail_types::{Refusal, RefusalCode};
-use cumintrail_wire::operator::Status;
+use cumintrail_wire::operator::{Age, Status};
 use cumintrail_wire::peer::{ConfigReply, ConfigRequest, DigestMessage, DigestReply};
 use cumintrail_wire::{from_msgpack, to_msgpack};
 use serde::Serialize;
@@ -18,8 +18,8 @@
 use crate::callers::CallerBody;
 use crate::callers::{auth, refuse, request};
 use crate::daemon::ListenFactory;
-use crate::metric;
 use crate::shared::Shared;
+use crate::{degraded, metric};
 
 const OK: u16 = 200;
 const UNAVAILABLE: u16 = 503;
@@ -81,7 +81,7 @@
 }
 
 fn render_metrics() -> Response<CallerBody> {
-    let text = metric::install_recorder().render();
+    let text = metric::render();
     let mut response = Response::with_body(StatusCode::OK, CallerBody::Whole(text.into()));
     let plain = HeaderValue::from_static("text/plain; version=0.0.4");
     response.headers_mut().insert(CONTENT_TYPE, plain);
@@ -94,25 +94,17 @@
 
 async fn status(shared: &Shared) -> Result<Status, Refusal> {
     let dump = dump(shared).await?;
-    let silent = dump.targets.iter().filter(|t| t.liveness == "silent" && !t.retired);
-    let mut degraded: Vec<String> =
-        silent.map(|t| format!("target {} is silent", t.name)).collect();
-    let peers = dump.peers.iter().filter(|(_, p)| p.liveness == "silent");
-    degraded.extend(peers.map(|(address, _)| format!("peer {address} is silent")));
-    let not_adopted = shared.not_adopted().filter(|n| n.generation > shared.generation());
-    degraded.extend(
-        not_adopted.map(|n| {
-            format!("generation {} cannot be put in force here: {}", n.generation, n.reason)
-        }),
-    );
+    let degraded = degraded::degradations(shared, &dump);
     Ok(Status {
         vm: dump.vm,
         domain: dump.domain,
         generation: shared.generation(),
         preset: dump.preset,
         ready: shared.is_ready(),
+        up: Age(dump.up_ms),
         degraded,
         calls: dump.calls.len(),
+        waiting: dump.waiting,
     })
 }
 
--- a/crates/cumintrail-daemon/src/shared.rs
+++ b/crates/cumintrail-daemon/src/shared.rs
@@ -11,6 +11,7 @@
 use tokio::sync::watch;
 
 use crate::clock::Clock;
+use crate::contact::Contact;
 use crate::control_thread::ControlLink;
 
 /// Holds a configuration that is in force.
@@ -53,6 +54,8 @@
     pub control: ControlLink,
     /// Wakes the configuration task when a peer has a higher generation.
     pub newer: watch::Sender<Option<Newer>>,
+    /// When the platform last answered.
+    pub platform_contact: Contact,
     clock: Clock,
     adopted: ArcSwapOption<Adopted>,
     not_adopted: ArcSwapOption<NotAdopted>,
@@ -75,6 +78,7 @@
             operator_address,
             control,
             newer: watch::Sender::new(None),
+            platform_contact: Contact::default(),
             clock,
             adopted: ArcSwapOption::empty(),
             not_adopted: ArcSwapOption::empty(),
--- a/tests/tests/configuration.rs
+++ b/tests/tests/configuration.rs
@@ -15,7 +15,7 @@
 use cumintrail_tests::standins::platform::Fault;
 use cumintrail_types::Generation;
 use cumintrail_wire::configuration::Configuration;
-use cumintrail_wire::operator::Status;
+use cumintrail_wire::operator::{Degradation, Status};
 use cumintrail_wire::platform::{ListedRole, ListedVm};
 
 /// The time in which an accepted configuration is in force everywhere.
@@ -161,7 +161,12 @@
     assert!(matches!(propose(unknown).await, Outcome::Accepted(Generation(2))));
 
     let deadline = std::time::Instant::now() + IN_FORCE;
-    while status(&cluster.daemons[0]).await.degraded.iter().all(|d| !d.contains("generation 2")) {
+    let refused = |s: &Status| {
+        s.degraded
+            .iter()
+            .any(|d| matches!(d, Degradation::NotAdopted { accepted, .. } if accepted.0 == 2))
+    };
+    while !refused(&status(&cluster.daemons[0]).await) {
         assert!(std::time::Instant::now() < deadline, "the status does not tell");
         actix_rt::time::sleep(Duration::from_millis(20)).await;
     }
@@ -170,7 +175,7 @@
 
     propose(Delta { set: vec![], removed: vec![name] }).await;
     wait_for(&cluster.daemons, 3).await;
-    assert!(status(&cluster.daemons[0]).await.degraded.iter().all(|d| !d.contains("generation")));
+    assert!(!refused(&status(&cluster.daemons[0]).await));
 }
 
 #[actix_rt::test]
