Divide probes between daemons and tell peers changes only

Cause: every daemon probed every target and sent its whole digest to every peer; one missed probe made a target silent, a plain service without a report was always silent, and a VM list's leaving address barred the next VM on the same address for good.

Change: a target is probed by the two daemons of its failure domain that win the rendezvous hash; a domain without daemons is probed by two of each domain that notices. A digest carries what changed since the last one to that peer, to all peers while there are at most eight, else to three of the failure domain and one of the next; a new process is brought up to date by two sponsors. Leaving is sticky per run, comes from the report, a refusal, a digest or the VM list (for the run seen there), is told at once, and its memory ends everywhere an hour after the run. Three misses make a target silent, two failed digests a peer; both are tried again. Digests carry calls wanted per account (Membership::wanted_by_peers).

Two probers with the other's silence taken as the last word made a target flap; silence is now told once per prober.

Tests: membership 9 passed.

--- a/crates/cumintrail-client/src/error.rs
+++ b/crates/cumintrail-client/src/error.rs
@@ -41,6 +41,11 @@
 }
 
 impl ClientError {
+    /// Tells whether the other side answered, if not as expected.
+    pub const fn is_answer(&self) -> bool {
+        matches!(self, Self::Refused { .. } | Self::Status { .. } | Self::Unreadable)
+    }
+
     /// Tells whether bytes of the request can have left.
     pub const fn may_have_arrived(&self) -> bool {
         !matches!(self, Self::NotSent)
--- a/crates/cumintrail-control/src/control.rs
+++ b/crates/cumintrail-control/src/control.rs
@@ -4,6 +4,8 @@
 mod attempts;
 mod blocks;
 mod description;
+mod digests;
+mod probes;
 mod state;
 mod upkeep;
 
@@ -61,6 +63,10 @@
     membership: Membership,
     retries: RetryBudget,
     next_digest: Moment,
+    last_digest: Moment,
+    next_expiry: Moment,
+    /// Where each declared target is found by address.
+    target_at: HashMap<SocketAddr, TargetKey>,
     /// Blocks exported since the last digest.
     fresh_kept: Vec<(SocketAddr, Sealed, Tier)>,
     stopping: bool,
@@ -90,6 +96,9 @@
             membership: Membership::default(),
             retries: RetryBudget::default(),
             next_digest: Moment::default(),
+            last_digest: Moment::default(),
+            next_expiry: Moment::default(),
+            target_at: HashMap::new(),
             fresh_kept: Vec::new(),
             stopping: false,
         }
@@ -110,6 +119,8 @@
                 self.take_attempt_end(now, call, attempt, outcome, &mut actions);
             }
             Event::TargetReported { target, report } => self.take_report(now, target, report),
+            Event::TargetAnswered { target } => self.take_answer(now, target),
+            Event::DrainTarget { target } => self.drain_target(now, target),
             Event::TargetSilent { target } => self.take_target_silence(now, target),
             Event::CacheChanged { target, incarnation, gap, stored, evicted } => {
                 self.take_cache_change(target, incarnation, gap, &stored, &evicted);
@@ -119,7 +130,7 @@
                 self.take_listing(now, store, incarnation, first, &blocks);
             }
             Event::StoreSilent { store } => self.take_store_silence(now, store),
-            Event::VmsListed { sequence, vms } => self.take_vm_list(sequence, &vms),
+            Event::VmsListed { sequence, vms } => self.take_vm_list(now, sequence, &vms),
             Event::PeerDigest(digest) => self.take_digest(now, &digest),
             Event::PeerSilent { address } => self.membership.peer_silent(address),
             Event::Stopping => self.stopping = true,
--- a/crates/cumintrail-control/src/control/attempts.rs
+++ b/crates/cumintrail-control/src/control/attempts.rs
@@ -114,7 +114,8 @@
         if outcome == (AttemptOutcome::RefusedByTarget { leaving: true }) {
             let declared = self.snapshot.as_ref().and_then(|s| s.targets.get(target));
             if let Some((declared, incarnation)) = declared.zip(incarnation) {
-                self.membership.mark_leaving(declared.address, incarnation);
+                let address = declared.address;
+                self.note_leaving(now, address, incarnation);
             }
         }
         let Some(state) = self.targets.get_mut(target) else {
--- a/crates/cumintrail-control/src/control/state.rs
+++ b/crates/cumintrail-control/src/control/state.rs
@@ -30,6 +30,10 @@
     pub ejected_until: Moment,
     /// When it is probed next.
     pub next_probe: Moment,
+    /// Own probes that it missed in a row.
+    pub missed: u32,
+    /// When it last answered an own probe.
+    pub answered: Option<Moment>,
 }
 
 impl TargetState {
--- a/crates/cumintrail-control/src/control/upkeep.rs
+++ b/crates/cumintrail-control/src/control/upkeep.rs
@@ -4,16 +4,17 @@
 use std::time::Duration;
 
 use cumintrail_config::Snapshot;
-use cumintrail_types::{Moment, TargetKey};
+use cumintrail_types::Moment;
 use rand::Rng;
 
 use super::Control;
 use super::state::{StoreState, TargetState};
 use crate::membership::Liveness;
 use crate::placement::Placer;
-use crate::{Action, Actions, PeerDigest, TargetReport, VmEntry};
+use crate::{Action, Actions};
 
 const LISTING_INTERVAL: Duration = Duration::from_secs(30);
+const EXPIRY_INTERVAL: Duration = Duration::from_secs(10);
 
 impl<P: Placer> Control<P> {
     pub(super) fn take_configuration(
@@ -31,49 +32,11 @@
         while self.stores.len() < snapshot.stores.len() {
             self.stores.push(StoreState { next_listing: now, ..StoreState::default() });
         }
+        let used = snapshot.targets.iter().filter(|(_, t)| !t.retired);
+        self.target_at = used.map(|(key, target)| (target.address, key)).collect();
         self.snapshot = Some(snapshot);
         // Peers that the platform cannot reach learn the generation from the next digest.
-        self.next_digest = now;
-    }
-
-    pub(super) fn take_report(&mut self, now: Moment, key: TargetKey, report: TargetReport) {
-        let declared = self.snapshot.as_ref().and_then(|s| s.targets.get(key));
-        if let Some(target) = declared.filter(|_| report.leaving) {
-            self.membership.mark_leaving(target.address, report.incarnation);
-        }
-        let Some(state) = self.targets.get_mut(key) else {
-            return;
-        };
-        if state.report.is_some_and(|r| r.incarnation != report.incarnation) {
-            self.directory.clear_engine(key);
-            state.failures = 0;
-        }
-        state.liveness = Liveness::Live;
-        state.take_load(now, report);
-    }
-
-    pub(super) fn take_target_silence(&mut self, _now: Moment, key: TargetKey) {
-        if let Some(state) = self.targets.get_mut(key) {
-            state.liveness = Liveness::Silent;
-        }
-    }
-
-    pub(super) fn take_vm_list(&mut self, sequence: u64, vms: &[VmEntry]) {
-        self.membership.take_list(sequence, vms);
-    }
-
-    pub(super) fn take_digest(&mut self, now: Moment, digest: &PeerDigest) {
-        self.membership.take_digest(now, digest);
-        let Some(snapshot) = self.snapshot.clone() else {
-            return;
-        };
-        for (address, sealed, tier) in &digest.stored {
-            let store = snapshot.stores.iter().find(|(_, s)| s.address == *address);
-            if let Some((store, _)) = store {
-                let kept = crate::directory::Kept { store, sealed: *sealed, tier: *tier };
-                self.directory.add_kept(kept);
-            }
-        }
+        self.hasten_digest(now);
     }
 
     pub(super) fn tick(&mut self, now: Moment, actions: &mut Actions) {
@@ -81,21 +44,19 @@
         self.order_probes(now, actions);
         self.order_listings(now, actions);
         self.order_digests(now, actions);
+        self.expire_members(now);
     }
 
-    fn order_probes(&mut self, now: Moment, actions: &mut Actions) {
-        let Some(snapshot) = self.snapshot.clone() else {
+    fn expire_members(&mut self, now: Moment) {
+        if self.next_expiry > now {
             return;
-        };
-        let interval = self.identity.probe_interval;
-        for (key, state) in self.targets.iter_mut() {
-            let retired = snapshot.targets.get(key).is_none_or(|t| t.retired);
-            if retired || state.next_probe > now {
-                continue;
-            }
-            state.next_probe = now + interval.mul_f64(self.rng.random_range(0.9..1.1));
-            actions.push(Action::Probe(key));
         }
+        self.next_expiry = now + EXPIRY_INTERVAL;
+        let (targets, target_at) = (&self.targets, &self.target_at);
+        self.membership.expire(now, |address| {
+            let state = targets.get(*target_at.get(&address)?)?;
+            (state.liveness == Liveness::Live).then(|| state.incarnation())
+        });
     }
 
     fn order_listings(&mut self, now: Moment, actions: &mut Actions) {
@@ -107,24 +68,4 @@
             }
         }
     }
-
-    fn order_digests(&mut self, now: Moment, actions: &mut Actions) {
-        if self.next_digest > now {
-            return;
-        }
-        self.next_digest = now + self.identity.digest_interval;
-        let digest = PeerDigest {
-            vm: self.identity.vm.clone(),
-            domain: self.identity.domain.clone(),
-            incarnation: self.identity.incarnation,
-            address: Some(self.identity.address),
-            generation: self.generation(),
-            leaving: self.membership.leaving().collect(),
-            stored: std::mem::take(&mut self.fresh_kept),
-            wants: Vec::new(),
-        };
-        let own = self.identity.address;
-        let peers = self.membership.peers().map(|(address, _)| address).filter(|a| *a != own);
-        actions.extend(peers.map(|to| Action::SendDigest { to, digest: digest.clone() }));
-    }
 }
--- a/crates/cumintrail-control/src/event.rs
+++ b/crates/cumintrail-control/src/event.rs
@@ -59,6 +59,16 @@
         /// Its report, which may lag.
         report: TargetReport,
     },
+    /// A target answered a probe but gives no report, as plain services may.
+    TargetAnswered {
+        /// The target.
+        target: TargetKey,
+    },
+    /// An operator wants a target to get no new work.
+    DrainTarget {
+        /// The target.
+        target: TargetKey,
+    },
     /// A target did not answer a probe or refused a connection.
     TargetSilent {
         /// The target.
@@ -365,6 +375,30 @@
     pub state: VmState,
 }
 
+/// Names a run of a target that is leaving, for good.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LeavingRun {
+    /// The target's address.
+    pub address: SocketAddr,
+    /// The run of its process.
+    pub incarnation: Incarnation,
+    /// How much longer the run is remembered after it has ended.
+    pub left: Duration,
+}
+
+/// Tells what probes found of a target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct TargetNews {
+    /// The target's address.
+    pub address: SocketAddr,
+    /// Grows with each change of its state; the highest counts.
+    pub stamp: u64,
+    /// Whether it missed its last probes.
+    pub silent: bool,
+    /// Its last report; nothing for plain services that give none.
+    pub report: Option<TargetReport>,
+}
+
 /// Holds what a daemon tells a peer; small, so that it can be sent often.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct PeerDigest {
@@ -378,8 +412,10 @@
     pub address: Option<SocketAddr>,
     /// The generation in force at the sender.
     pub generation: Generation,
-    /// Target incarnations that are leaving, by target address; sticky.
-    pub leaving: Vec<(SocketAddr, Incarnation)>,
+    /// Runs of targets that are leaving, as far as this peer was not told yet.
+    pub leaving: Vec<LeavingRun>,
+    /// What probes found, as far as this peer was not told yet.
+    pub targets: Vec<TargetNews>,
     /// Blocks that the sender learned to be in stores since its last digest to this peer.
     pub stored: Vec<(SocketAddr, Sealed, Tier)>,
     /// Use of client accounts by the sender, for dividing limits: name, calls wanted.
--- a/crates/cumintrail-control/src/lib.rs
+++ b/crates/cumintrail-control/src/lib.rs
@@ -27,5 +27,6 @@
 pub use dump::{CallDump, Dump, LimitDump, PeerDump, StoreDump, TargetDump};
 pub use event::{
     Action, Actions, Arrival, AttemptOutcome, Dispatch, Event, Export, Fetch, FetchOutcome,
-    FetchPlan, Order, OrderKind, PeerDigest, TargetReport, Usage, VmEntry, VmRole, VmState,
+    FetchPlan, LeavingRun, Order, OrderKind, PeerDigest, TargetNews, TargetReport, Usage, VmEntry,
+    VmRole, VmState,
 };
--- a/crates/cumintrail-control/src/membership.rs
+++ b/crates/cumintrail-control/src/membership.rs
@@ -1,12 +1,38 @@
-//! Which targets, stores and peers take part.
+//! Which targets, stores and peers take part; docs/DESIGN.md, "Membership".
+//!
+//! Daemons tell each other changes only: each peer is sent what changed since the last digest to
+//! it, and a few peers are chosen each time. A peer that misses one is sent everything again.
 
-use std::collections::{HashMap, HashSet};
+mod leaving;
+mod news;
+mod rendezvous;
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
+
+use cumintrail_types::{Generation, Incarnation, Moment};
+use rand::Rng;
+use rand::seq::IteratorRandom;
 
-use cumintrail_types::{Incarnation, Moment};
+use self::leaving::Leaving;
+use self::news::News;
+pub use self::rendezvous::is_winner;
+use crate::{PeerDigest, TargetNews, TargetReport, VmEntry, VmRole, VmState};
 
-use crate::{PeerDigest, VmEntry, VmRole, VmState};
+/// Failed digests in a row after which a peer counts as silent.
+const SILENT_AFTER_FAILURES: u32 = 2;
+/// Digests between two tries to reach a silent peer.
+const RETRY_SILENT_EVERY: u64 = 4;
+/// Up to this many peers, each digest goes to all of them.
+const SMALL_DEPLOYMENT: usize = 8;
+/// Peers of the own failure domain that a digest goes to.
+const NEAR_FANOUT: usize = 3;
+/// How long a peer that the VM list no longer has is kept after its last digest.
+const UNLISTED_LIFE: Duration = Duration::from_secs(60);
+/// How long what a peer wants counts after its last digest.
+const WANTS_LIFE: Duration = Duration::from_secs(10);
 
 /// Tells whether a process answers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
@@ -21,102 +47,280 @@
 }
 
 /// Holds what is known of a peer daemon.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Default)]
 pub struct Peer {
     /// Its VM name, once it sent a digest.
     pub vm: Arc<str>,
-    /// Its failure domain.
+    /// Its failure domain; empty until it is known.
     pub domain: Arc<str>,
     /// The run of its process.
     pub incarnation: Incarnation,
     /// The generation it last told.
-    pub generation: cumintrail_types::Generation,
+    pub generation: Generation,
     /// When it last sent a digest.
     pub heard: Option<Moment>,
     /// Whether it answers.
     pub liveness: Liveness,
+    /// Whether the VM list has it as about to be stopped.
+    pub leaving: bool,
+    /// The calls per client account that it last told to want.
+    pub wants: Vec<(Arc<str>, u32)>,
+    /// Whether the settings or the last VM list name it.
+    listed: bool,
+    failures: u32,
+    /// The last change that was sent to it.
+    sent: u64,
+    /// The last change before the digest that it may not have taken.
+    sent_before: u64,
+    /// Whether it was brought up to date since its process started.
+    greeted: bool,
 }
 
-/// Remembers leaving VMs and peers.
+/// Remembers peers, leaving targets and what is told of targets.
 #[derive(Debug, Default)]
 pub struct Membership {
     list_sequence: u64,
-    leaving_addresses: HashSet<SocketAddr>,
-    leaving: HashSet<(SocketAddr, Incarnation)>,
     peers: HashMap<SocketAddr, Peer>,
+    leaving: Leaving,
+    news: News,
+    /// Counts changes, so that each peer is sent those after its last one.
+    changes: u64,
+    /// That count at the last two calls of [`Membership::expire`], the older one first.
+    earlier_changes: u64,
+    recent_changes: u64,
+    rounds: u64,
 }
 
 impl Membership {
     /// Takes a VM list, unless a newer one was read before.
-    pub fn take_list(&mut self, sequence: u64, vms: &[VmEntry]) {
+    ///
+    /// A listed address that is leaving stands for the run seen there, so that a new VM on the same
+    /// address is usable again; `running` tells that run.
+    pub fn take_list(
+        &mut self,
+        now: Moment,
+        sequence: u64,
+        vms: &[VmEntry],
+        running: impl Fn(SocketAddr) -> Option<Incarnation>,
+    ) {
         if sequence < self.list_sequence {
             return;
         }
         self.list_sequence = sequence;
+        for peer in self.peers.values_mut().filter(|_| sequence > 0) {
+            peer.listed = false;
+        }
         for vm in vms {
-            match (vm.role, vm.state) {
-                (VmRole::Daemon, VmState::Live) => self.add_peer(vm.address, &vm.domain),
-                (_, VmState::Leaving) => {
-                    self.leaving_addresses.insert(vm.address);
-                }
-                _ => {}
+            let leaving = vm.state == VmState::Leaving;
+            if vm.role == VmRole::Daemon {
+                let peer = self.add_peer(vm.address, &vm.domain);
+                (peer.listed, peer.leaving) = (true, leaving);
+            } else if leaving && self.leaving.list(vm.address) {
+                let seen = running(vm.address).filter(|i| i.0 > 0);
+                seen.map(|incarnation| self.mark_leaving(now, vm.address, incarnation));
             }
         }
+        let listed =
+            |at: SocketAddr| vms.iter().any(|vm| vm.address == at && vm.state == VmState::Leaving);
+        self.leaving.unlist(|address| !listed(address));
     }
 
     /// Notes a peer that may be asked.
-    pub fn add_peer(&mut self, address: SocketAddr, domain: &Arc<str>) {
-        self.peers.entry(address).or_insert_with(|| Peer {
-            vm: "".into(),
-            domain: domain.clone(),
-            incarnation: Incarnation(0),
-            generation: cumintrail_types::Generation(0),
-            heard: None,
-            liveness: Liveness::Unknown,
-        });
+    fn add_peer(&mut self, address: SocketAddr, domain: &Arc<str>) -> &mut Peer {
+        let peer = self.peers.entry(address).or_default();
+        if peer.domain.is_empty() {
+            peer.domain = domain.clone();
+        }
+        peer
     }
 
-    /// Takes a peer's digest.
-    pub fn take_digest(&mut self, now: Moment, digest: &PeerDigest) {
-        self.leaving.extend(digest.leaving.iter().copied());
+    /// Takes a peer's digest; returns the news of targets that were accepted.
+    pub fn take_digest(&mut self, now: Moment, digest: &PeerDigest) -> Vec<TargetNews> {
+        for run in &digest.leaving {
+            let told = self.leaving.hear(now, *run, self.changes + 1);
+            self.changes += u64::from(told);
+        }
+        let accepted =
+            digest.targets.iter().filter(|news| self.news.take(news, &mut self.changes)).copied();
+        let accepted = accepted.collect();
         let Some(address) = digest.address else {
-            return;
+            return accepted;
         };
-        self.add_peer(address, &digest.domain);
-        if let Some(peer) = self.peers.get_mut(&address) {
-            peer.vm = digest.vm.clone();
-            peer.domain = digest.domain.clone();
-            peer.incarnation = digest.incarnation;
-            peer.generation = peer.generation.max(digest.generation);
-            peer.heard = Some(now);
-            peer.liveness = Liveness::Live;
+        let peer = self.add_peer(address, &digest.domain);
+        if peer.incarnation != digest.incarnation {
+            // A new process knows nothing of what was sent to the one before.
+            (peer.greeted, peer.generation) = (false, Generation(0));
         }
+        peer.vm = digest.vm.clone();
+        peer.domain = digest.domain.clone();
+        peer.incarnation = digest.incarnation;
+        peer.generation = peer.generation.max(digest.generation);
+        peer.heard = Some(now);
+        peer.wants.clone_from(&digest.wants);
+        (peer.liveness, peer.failures) = (Liveness::Live, 0);
+        accepted
     }
 
-    /// Notes a peer that did not answer.
+    /// Notes a peer that did not take a digest; it is tried again at once, then now and then.
     pub fn peer_silent(&mut self, address: SocketAddr) {
         if let Some(peer) = self.peers.get_mut(&address) {
-            peer.liveness = Liveness::Silent;
+            peer.failures += 1;
+            peer.sent = peer.sent_before;
+            if peer.failures >= SILENT_AFTER_FAILURES {
+                peer.liveness = Liveness::Silent;
+            }
         }
     }
 
-    /// Notes that a run of a target is leaving, for good.
-    pub fn mark_leaving(&mut self, address: SocketAddr, incarnation: Incarnation) {
-        self.leaving.insert((address, incarnation));
+    /// Notes that a run of a target is leaving, for good; tells whether that is new.
+    pub fn mark_leaving(
+        &mut self,
+        now: Moment,
+        address: SocketAddr,
+        incarnation: Incarnation,
+    ) -> bool {
+        let new = self.leaving.mark(now, address, incarnation, self.changes + 1);
+        self.changes += u64::from(new);
+        new
     }
 
     /// Tells whether a run of a target is leaving.
     pub fn is_leaving(&self, address: SocketAddr, incarnation: Incarnation) -> bool {
-        self.leaving.contains(&(address, incarnation)) || self.leaving_addresses.contains(&address)
+        self.leaving.contains(address, incarnation)
+    }
+
+    /// Forgets runs that have ended and peers that are gone.
+    pub fn expire(&mut self, now: Moment, running: impl Fn(SocketAddr) -> Option<Incarnation>) {
+        self.leaving.expire(now, running);
+        self.earlier_changes = std::mem::replace(&mut self.recent_changes, self.changes);
+        self.peers.retain(|_, peer| {
+            peer.listed || peer.heard.is_some_and(|at| now.since(at) < UNLISTED_LIFE)
+        });
     }
 
-    /// Returns all runs known to be leaving.
-    pub fn leaving(&self) -> impl Iterator<Item = (SocketAddr, Incarnation)> {
-        self.leaving.iter().copied()
+    /// Takes the result of an own probe; tells whether peers should know at once.
+    pub fn observe(&mut self, address: SocketAddr, report: Option<TargetReport>) -> bool {
+        self.news.observe(address, report, &mut self.changes)
+    }
+
+    /// Takes an own probe that a target missed often enough to count as silent.
+    pub fn observe_silence(&mut self, address: SocketAddr) -> bool {
+        self.news.observe_silence(address, &mut self.changes)
     }
 
     /// Returns the known peers.
     pub fn peers(&self) -> impl Iterator<Item = (SocketAddr, &Peer)> {
         self.peers.iter().map(|(address, peer)| (*address, peer))
     }
+
+    /// Returns how many calls of a client account all other daemons want, as far as they told.
+    pub fn wanted_by_peers(&self, now: Moment, account: &str) -> u32 {
+        let fresh = self.peers.values().filter(|peer| {
+            peer.liveness == Liveness::Live
+                && peer.heard.is_some_and(|at| now.since(at) < WANTS_LIFE)
+        });
+        let wants = fresh.flat_map(|peer| &peer.wants).filter(|(name, _)| &**name == account);
+        wants.map(|(_, calls)| *calls).sum()
+    }
+
+    /// Groups the daemons that take part in probing by failure domain, `own` included.
+    pub fn probers(&self, own: SocketAddr, own_domain: &Arc<str>) -> Probers {
+        let mut by_domain: BTreeMap<Arc<str>, Vec<SocketAddr>> = BTreeMap::new();
+        by_domain.entry(own_domain.clone()).or_default().push(own);
+        for (address, peer) in self.peers().filter(|(address, _)| *address != own) {
+            if peer.liveness != Liveness::Silent && !peer.leaving && !peer.domain.is_empty() {
+                by_domain.entry(peer.domain.clone()).or_default().push(address);
+            }
+        }
+        Probers { own, own_domain: own_domain.clone(), by_domain }
+    }
+
+    /// Chooses the peers of the next digest.
+    pub fn choose_peers(
+        &mut self,
+        own: SocketAddr,
+        own_domain: &Arc<str>,
+        rng: &mut impl Rng,
+    ) -> Vec<SocketAddr> {
+        self.rounds += 1;
+        let try_silent = self.rounds.is_multiple_of(RETRY_SILENT_EVERY);
+        let others = || self.peers().filter(|(address, _)| *address != own);
+        let usable = || others().filter(|(_, p)| p.liveness != Liveness::Silent);
+        if others().count() <= SMALL_DEPLOYMENT {
+            let all = others().filter(|(_, p)| try_silent || p.liveness != Liveness::Silent);
+            return all.map(|(address, _)| address).collect();
+        }
+        let near = usable().filter(|(_, p)| p.domain == *own_domain).map(|(address, _)| address);
+        let mut chosen = near.choose_multiple(rng, NEAR_FANOUT);
+        let next = next_domain(own_domain, usable().map(|(_, p)| &p.domain).collect());
+        let far = usable().filter(|(_, p)| Some(&p.domain) == next);
+        chosen.extend(far.map(|(address, _)| address).choose(rng));
+        let new = usable().filter(|(a, p)| !p.greeted && self.is_sponsor(*a, own, own_domain));
+        chosen.extend(new.map(|(address, _)| address).take(NEAR_FANOUT));
+        // A suspected peer is asked again before it counts as silent.
+        chosen.extend(usable().filter(|(_, p)| p.failures > 0).map(|(a, _)| a).choose(rng));
+        let silent = others().filter(|(_, p)| try_silent && p.liveness == Liveness::Silent);
+        chosen.extend(silent.map(|(address, _)| address).choose(rng));
+        chosen.sort_unstable();
+        chosen.dedup();
+        chosen
+    }
+
+    /// Tells whether `own` brings a new process up to date; two daemons of its failure domain do,
+    /// the others tell it only what changed of late.
+    fn is_sponsor(&self, of: SocketAddr, own: SocketAddr, own_domain: &Arc<str>) -> bool {
+        let domain = self.peers.get(&of).map(|p| p.domain.clone()).unwrap_or_default();
+        let usable = |(address, p): &(SocketAddr, &Peer)| {
+            ![of, own].contains(address) && p.liveness != Liveness::Silent && !p.leaving
+        };
+        let others = self.peers().filter(usable).map(|(address, p)| (address, &p.domain));
+        let all: Vec<_> = others.chain([(own, own_domain)]).collect();
+        let near = all.iter().filter(|(_, d)| **d == domain).map(|(address, _)| *address);
+        let near: Vec<SocketAddr> = near.collect();
+        if near.is_empty() {
+            let all: Vec<SocketAddr> = all.iter().map(|(address, _)| *address).collect();
+            return is_winner(of, own, &all);
+        }
+        is_winner(of, own, &near)
+    }
+
+    /// Fills a digest with what changed since the last one to `peer`.
+    pub fn fill(&mut self, now: Moment, to: SocketAddr, digest: &mut PeerDigest) {
+        let sponsors = digest.address.is_none_or(|own| self.is_sponsor(to, own, &digest.domain));
+        let Some(peer) = self.peers.get_mut(&to) else {
+            return;
+        };
+        if !std::mem::replace(&mut peer.greeted, true) {
+            peer.sent = if sponsors { 0 } else { self.earlier_changes };
+        }
+        peer.sent_before = peer.sent;
+        digest.leaving = self.leaving.after(now, peer.sent);
+        let upto = self.news.after(peer.sent, &mut digest.targets);
+        peer.sent = upto.unwrap_or(self.changes);
+    }
+}
+
+/// Returns the failure domain after `own` in name order, around the end.
+fn next_domain<'a>(own: &Arc<str>, mut domains: BTreeSet<&'a Arc<str>>) -> Option<&'a Arc<str>> {
+    domains.retain(|d| !d.is_empty() && *d != own);
+    domains.iter().find(|d| **d > own).or_else(|| domains.first()).copied()
+}
+
+/// Divides the probing of targets between daemons.
+#[derive(Debug)]
+pub struct Probers {
+    own: SocketAddr,
+    own_domain: Arc<str>,
+    by_domain: BTreeMap<Arc<str>, Vec<SocketAddr>>,
+}
+
+impl Probers {
+    /// Tells whether this daemon probes a target.
+    ///
+    /// The daemons of the target's failure domain do; where there is none, those of each other
+    /// domain that has noticed stand in.
+    pub fn is_own(&self, target: SocketAddr, domain: &str) -> bool {
+        let daemons = self.by_domain.get(domain).or_else(|| self.by_domain.get(&self.own_domain));
+        daemons.is_some_and(|daemons| is_winner(target, self.own, daemons))
+    }
 }
--- /dev/null
+++ b/crates/cumintrail-control/src/membership/rendezvous.rs
@@ -0,0 +1,40 @@
+//! Rendezvous hashing: which daemons look after a target, without agreement.
+
+use std::net::{IpAddr, SocketAddr};
+
+/// Daemons that look after each target.
+const WINNERS: usize = 2;
+
+/// Tells whether `own` is one of `daemons` and among those that look after `target`.
+pub fn is_winner(target: SocketAddr, own: SocketAddr, daemons: &[SocketAddr]) -> bool {
+    if !daemons.contains(&own) {
+        return false;
+    }
+    let mine = weight(target, own);
+    let ahead = daemons.iter().filter(|d| **d != own && weight(target, **d) > mine);
+    ahead.take(WINNERS).count() < WINNERS
+}
+
+/// Weighs a pair alike on all daemons and builds, so the standard hasher does not fit.
+fn weight(target: SocketAddr, daemon: SocketAddr) -> u64 {
+    mix(mix(bits(target)) ^ bits(daemon))
+}
+
+fn bits(address: SocketAddr) -> u64 {
+    let ip = match address.ip() {
+        IpAddr::V4(ip) => u64::from(ip.to_bits()),
+        IpAddr::V6(ip) => {
+            let ip = ip.to_bits();
+            mix((ip >> 64) as u64) ^ (ip as u64)
+        }
+    };
+    mix(ip) ^ u64::from(address.port())
+}
+
+/// Mixes all bits, as the finalizer of `SplitMix64` does.
+const fn mix(x: u64) -> u64 {
+    let x = x.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    let x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    x ^ (x >> 31)
+}
--- a/crates/cumintrail-daemon/src/background/orders.rs
+++ b/crates/cumintrail-daemon/src/background/orders.rs
@@ -79,9 +79,11 @@
         return;
     };
     let control = &background.shared.control;
-    let Ok(report) = background.engines.report(at).await else {
-        control.tell(Event::TargetSilent { target }).await;
-        return;
+    let report = match background.engines.report(at).await {
+        Ok(report) => report,
+        // A plain service may have no such path; any answer shows that it is there.
+        Err(e) if e.is_answer() => return control.tell(Event::TargetAnswered { target }).await,
+        Err(_) => return control.tell(Event::TargetSilent { target }).await,
     };
     control.tell(Event::TargetReported { target, report: report.into() }).await;
     if report.version.0 == 0 {
--- a/crates/cumintrail-wire/src/peer.rs
+++ b/crates/cumintrail-wire/src/peer.rs
@@ -5,10 +5,11 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use cumintrail_config::{Delta, Sections};
-use cumintrail_control::PeerDigest;
-use cumintrail_types::{Digest, Generation, Incarnation, Sealed, Tier};
+use cumintrail_control::{LeavingRun, PeerDigest, TargetNews, TargetReport};
+use cumintrail_types::{Digest, Generation, Incarnation, Sealed, Tier, Tokens, WeightVersion};
 use serde::{Deserialize, Serialize};
 
 /// Holds a daemon's digest; see [`PeerDigest`] for the fields.
@@ -19,11 +20,13 @@
     incarnation: Incarnation,
     address: Option<SocketAddr>,
     generation: Generation,
-    #[serde(default)]
-    leaving: Vec<(SocketAddr, Incarnation)>,
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    leaving: Vec<LeavingMessage>,
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    targets: Vec<TargetMessage>,
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     stored: Vec<(SocketAddr, Sealed, Tier)>,
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     wants: Vec<(Arc<str>, u32)>,
 }
 
@@ -35,7 +38,8 @@
             incarnation: d.incarnation,
             address: d.address,
             generation: d.generation,
-            leaving: d.leaving,
+            leaving: d.leaving.into_iter().map(Into::into).collect(),
+            targets: d.targets.into_iter().map(Into::into).collect(),
             stored: d.stored,
             wants: d.wants,
         }
@@ -50,13 +54,64 @@
             incarnation: m.incarnation,
             address: m.address,
             generation: m.generation,
-            leaving: m.leaving,
+            leaving: m.leaving.into_iter().map(Into::into).collect(),
+            targets: m.targets.into_iter().map(Into::into).collect(),
             stored: m.stored,
             wants: m.wants,
         }
     }
 }
 
+/// Holds a [`LeavingRun`] without field names: address, incarnation, seconds left.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+struct LeavingMessage(SocketAddr, Incarnation, u32);
+
+impl From<LeavingRun> for LeavingMessage {
+    fn from(r: LeavingRun) -> Self {
+        Self(r.address, r.incarnation, r.left.as_secs() as u32)
+    }
+}
+
+impl From<LeavingMessage> for LeavingRun {
+    fn from(LeavingMessage(address, incarnation, left): LeavingMessage) -> Self {
+        Self { address, incarnation, left: Duration::from_secs(left.into()) }
+    }
+}
+
+/// Holds a [`TargetNews`] without field names: address, stamp, silent, report.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+struct TargetMessage(SocketAddr, u64, bool, Option<ReportMessage>);
+
+/// Holds a [`TargetReport`]: incarnation, leaving, version, loading, running, waiting, backlog.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+struct ReportMessage(Incarnation, bool, WeightVersion, bool, u32, u32, u32);
+
+impl From<TargetNews> for TargetMessage {
+    fn from(n: TargetNews) -> Self {
+        let report = n.report.map(|r| {
+            let backlog = r.prefill_backlog.0;
+            let load = (r.running, r.waiting, backlog);
+            ReportMessage(r.incarnation, r.leaving, r.version, r.loading, load.0, load.1, load.2)
+        });
+        Self(n.address, n.stamp, n.silent, report)
+    }
+}
+
+impl From<TargetMessage> for TargetNews {
+    fn from(TargetMessage(address, stamp, silent, report): TargetMessage) -> Self {
+        let report = report.map(|r| TargetReport {
+            incarnation: r.0,
+            leaving: r.1,
+            version: r.2,
+            loading: r.3,
+            running: r.4,
+            waiting: r.5,
+            prefill_backlog: Tokens(r.6),
+        });
+        Self { address, stamp, silent, report }
+    }
+}
+
 /// Answers a digest, so that a sender that lags learns it from the one it told.
 #[derive(Debug, Clone, Copy, Serialize, Deserialize)]
 pub struct DigestReply {
--- /dev/null
+++ b/tests/tests/membership.rs
@@ -0,0 +1,318 @@
+//! Membership: probes divided, leaving sticky and known to all, silence suspected first.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use cumintrail_config::{Document, Snapshot};
+use cumintrail_control::{
+    Action, Control, Event, Identity, PeerDigest, TargetReport, VmEntry, VmRole, VmState,
+};
+use cumintrail_tests::cluster::{Cluster, OPERATOR_KEY, Plan, declare, domain, eventually};
+use cumintrail_tests::http::send;
+use cumintrail_tests::standins::engine;
+use cumintrail_types::{Generation, Incarnation, Key, Moment, TargetKey, Tokens, WeightVersion};
+use cumintrail_wire::peer::DigestMessage;
+
+/// The time in which all daemons know that a target is leaving.
+const A_FEW_SECONDS: Duration = Duration::from_secs(3);
+const STEP: Duration = Duration::from_millis(20);
+const PROBE: Duration = Duration::from_millis(500);
+const DIGEST: Duration = Duration::from_secs(1);
+
+fn daemon(i: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, 1, 0], 7_000 + i as u16))
+}
+
+fn engine_at(i: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, 2, 0], 7_000 + i as u16))
+}
+
+fn snapshot(engines: usize) -> Arc<Snapshot> {
+    let addresses: Vec<SocketAddr> = (0..engines).map(engine_at).collect();
+    let text = declare(&Plan::default(), &addresses, &[], &[]);
+    let sections = Document::parse(&"test".into(), &text).unwrap().sections;
+    Arc::new(Snapshot::build(Generation(1), &sections, None, None).unwrap())
+}
+
+fn entry(address: SocketAddr, i: usize, role: VmRole, state: VmState) -> VmEntry {
+    VmEntry { address, domain: domain(i).into(), role, state }
+}
+
+fn report(incarnation: u64, leaving: bool, running: u32) -> TargetReport {
+    TargetReport {
+        incarnation: Incarnation(incarnation),
+        leaving,
+        version: WeightVersion(1),
+        loading: false,
+        running,
+        waiting: 0,
+        prefill_backlog: Tokens(0),
+    }
+}
+
+/// Daemons whose probes and digests are answered at once, in virtual time.
+struct Net {
+    now: Moment,
+    daemons: Vec<Control>,
+    /// What each engine answers to a probe of a daemon.
+    answer: Box<dyn Fn(usize, usize, Moment) -> Option<TargetReport>>,
+    probes: BTreeMap<usize, Vec<usize>>,
+    digests: Vec<(usize, PeerDigest)>,
+    lost: Box<dyn Fn(usize, usize) -> bool>,
+}
+
+impl Net {
+    /// Starts `daemons` daemons spread over the four failure domains.
+    fn new(daemons: usize, engines: usize) -> Self {
+        let snapshot = snapshot(engines);
+        let listed: Vec<VmEntry> =
+            (0..daemons).map(|i| entry(daemon(i), i, VmRole::Daemon, VmState::Live)).collect();
+        let start = |i: usize| {
+            let identity = Identity {
+                vm: format!("vm-{i}").into(),
+                domain: domain(i).into(),
+                incarnation: Incarnation(1),
+                address: daemon(i),
+                probe_interval: PROBE,
+                digest_interval: DIGEST,
+            };
+            let mut control = Control::new(identity, i as u64);
+            control.handle(Moment::default(), Event::Configured(snapshot.clone()));
+            let vms = listed.clone();
+            control.handle(Moment::default(), Event::VmsListed { sequence: 1, vms });
+            control
+        };
+        Self {
+            now: Moment::default(),
+            daemons: (0..daemons).map(start).collect(),
+            answer: Box::new(|_, _, _| Some(report(1, false, 0))),
+            probes: BTreeMap::new(),
+            digests: Vec::new(),
+            lost: Box::new(|_, _| false),
+        }
+    }
+
+    fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.now = self.now + STEP;
+            for i in 0..self.daemons.len() {
+                let actions = self.daemons[i].handle(self.now, Event::Tick);
+                actions.into_iter().for_each(|action| self.follow(i, action));
+            }
+        }
+    }
+
+    fn follow(&mut self, from: usize, action: Action) {
+        let now = self.now;
+        match action {
+            Action::Probe(target) => {
+                self.probes.entry(target.index()).or_default().push(from);
+                let event = match (self.answer)(from, target.index(), now) {
+                    Some(report) => Event::TargetReported { target, report },
+                    None => Event::TargetSilent { target },
+                };
+                self.daemons[from].handle(now, event);
+            }
+            Action::SendDigest { to, digest } => {
+                let index = usize::from(to.port() - 7_000);
+                if (self.lost)(from, index) {
+                    self.daemons[from].handle(now, Event::PeerSilent { address: to });
+                    return;
+                }
+                self.digests.push((from, digest.clone()));
+                self.daemons[index].handle(now, Event::PeerDigest(digest));
+            }
+            _ => {}
+        }
+    }
+
+    fn all(&self, holds: impl Fn(&cumintrail_control::TargetDump) -> bool, target: usize) -> bool {
+        self.daemons.iter().all(|d| holds(&d.dump(self.now).targets[target]))
+    }
+}
+
+#[test]
+fn each_target_is_probed_by_two_daemons_of_its_failure_domain() {
+    let mut net = Net::new(40, 8);
+    net.run(A_FEW_SECONDS);
+    for (target, by) in &net.probes {
+        let mut by = by.clone();
+        by.sort_unstable();
+        by.dedup();
+        assert_eq!(by.len(), 2, "target {target} is probed by {by:?}");
+        assert!(by.iter().all(|d| d % 4 == target % 4), "target {target} is probed by {by:?}");
+    }
+    assert_eq!(net.probes.len(), 8);
+    assert!(net.all(|t| t.liveness == "live" && t.version == Some(1), 5), "news reach everyone");
+}
+
+#[test]
+fn a_failure_domain_without_daemons_is_probed_from_outside() {
+    let mut net = Net::new(3, 4);
+    net.run(A_FEW_SECONDS);
+    assert!(net.probes.contains_key(&3));
+    net.probes.clear();
+    // The only daemon of the second domain stops answering.
+    net.lost = Box::new(|from, to| from == 1 || to == 1);
+    net.run(Duration::from_secs(5));
+    assert!(net.probes[&1].iter().any(|by| *by != 1), "nobody stands in");
+}
+
+#[test]
+fn all_daemons_know_within_seconds_that_a_target_is_leaving_and_never_forget() {
+    for daemons in [2, 9, 40] {
+        let mut net = Net::new(daemons, 4);
+        net.run(Duration::from_secs(2));
+        net.answer = Box::new(|_, target, _| Some(report(1, target == 0, 0)));
+        net.run(A_FEW_SECONDS);
+        assert!(net.all(|t| t.leaving, 0), "{daemons} daemons");
+        // A report that lags says again that the same run is not leaving.
+        net.answer = Box::new(|_, _, _| Some(report(1, false, 0)));
+        net.run(A_FEW_SECONDS);
+        assert!(net.all(|t| t.leaving, 0), "{daemons} daemons");
+        assert!(net.all(|t| !t.leaving, 1));
+        // A new run on the same address is another target.
+        net.answer = Box::new(|_, _, _| Some(report(2, false, 0)));
+        net.run(A_FEW_SECONDS);
+        assert!(net.all(|t| !t.leaving, 0), "{daemons} daemons");
+    }
+}
+
+#[test]
+fn an_older_vm_list_never_revives_a_target_and_a_newer_one_frees_only_a_new_run() {
+    let mut net = Net::new(2, 2);
+    net.run(Duration::from_secs(2));
+    let daemons = [0, 1].map(|i| entry(daemon(i), i, VmRole::Daemon, VmState::Live));
+    let list = |state| {
+        let mut vms = daemons.to_vec();
+        vms.push(entry(engine_at(0), 0, VmRole::Target, state));
+        vms
+    };
+    let tell = |net: &mut Net, sequence, state| {
+        let event = Event::VmsListed { sequence, vms: list(state) };
+        net.daemons[0].handle(net.now, event);
+    };
+    tell(&mut net, 5, VmState::Leaving);
+    net.run(A_FEW_SECONDS);
+    assert!(net.all(|t| t.leaving, 0), "the other daemon is told");
+    tell(&mut net, 4, VmState::Live);
+    assert!(net.all(|t| t.leaving, 0), "an older list");
+    tell(&mut net, 6, VmState::Live);
+    assert!(net.all(|t| t.leaving, 0), "the run is the one that was leaving");
+    net.answer = Box::new(|_, _, _| Some(report(2, false, 0)));
+    net.run(A_FEW_SECONDS);
+    assert!(net.all(|t| !t.leaving, 0), "a new VM on the same address is usable");
+}
+
+#[test]
+fn a_target_is_silent_after_several_misses_and_not_when_one_prober_is_cut_off() {
+    let mut net = Net::new(8, 4);
+    net.run(Duration::from_secs(2));
+    let by = net.probes[&0].clone();
+    let (one, other) = (by[0], *by.iter().find(|d| **d != by[0]).unwrap());
+    let deadline = net.now + PROBE * 2;
+    net.answer = Box::new(move |_, target, now| {
+        (target != 0 || now > deadline).then(|| report(1, false, 0))
+    });
+    net.run(PROBE * 2);
+    assert!(net.all(|t| t.liveness == "live", 0), "one or two misses are no silence");
+
+    net.run(Duration::from_secs(2));
+    net.answer =
+        Box::new(move |from, target, _| (target != 0 || from != one).then(|| report(1, false, 0)));
+    net.run(Duration::from_secs(4));
+    for (i, control) in net.daemons.iter().enumerate().filter(|(i, _)| *i != one) {
+        assert_eq!(control.dump(net.now).targets[0].liveness, "live", "daemon {i}, not {other}");
+    }
+
+    net.answer = Box::new(|_, target, _| (target != 0).then(|| report(1, false, 0)));
+    net.run(Duration::from_secs(5));
+    assert!(net.all(|t| t.liveness == "silent", 0));
+    net.answer = Box::new(|_, _, _| Some(report(1, false, 0)));
+    net.run(A_FEW_SECONDS);
+    assert!(net.all(|t| t.liveness == "live", 0), "silent targets are probed again");
+}
+
+#[test]
+fn a_plain_service_without_reports_is_live() {
+    let mut net = Net::new(2, 1);
+    let target = TargetKey(0);
+    for _ in 0..5 {
+        net.daemons[0].handle(net.now, Event::TargetAnswered { target });
+    }
+    assert_eq!(net.daemons[0].dump(net.now).targets[0].liveness, "live");
+}
+
+#[test]
+fn runs_that_have_ended_are_forgotten() {
+    let mut net = Net::new(2, 1);
+    for incarnation in 1..=200 {
+        net.answer = Box::new(move |_, _, _| Some(report(incarnation, true, 0)));
+        net.run(PROBE * 2);
+    }
+    net.answer = Box::new(|_, _, _| Some(report(1_000, false, 0)));
+    net.digests.clear();
+    net.run(Duration::from_secs(3_700));
+    // A peer that starts anew is told everything that is still remembered.
+    let mut fresh = net.digests.last().unwrap().1.clone();
+    fresh.incarnation = Incarnation(9);
+    net.digests.clear();
+    net.daemons[0]
+        .handle(net.now, Event::PeerDigest(PeerDigest { address: Some(daemon(1)), ..fresh }));
+    net.run(DIGEST * 2);
+    let told = net.digests.iter().map(|(_, d)| d.leaving.len()).max();
+    assert_eq!(told, Some(0));
+}
+
+#[test]
+fn digests_stay_within_the_control_traffic_of_a_daemon() {
+    const LIMIT_PER_SECOND: usize = 4_096;
+    for (daemons, engines) in [(2, 12), (9, 18), (72, 222)] {
+        let mut net = Net::new(daemons, engines);
+        // Loads change with each probe.
+        net.answer = Box::new(|_, _, now| Some(report(1, false, (now.0 / 500_000 % 7) as u32 * 3)));
+        net.run(Duration::from_secs(10));
+        net.digests.clear();
+        let seconds = 10;
+        net.run(Duration::from_secs(seconds));
+        let size = |d: &PeerDigest| {
+            cumintrail_wire::to_msgpack(&DigestMessage::from(d.clone())).unwrap().len()
+        };
+        let total: usize = net.digests.iter().map(|(_, d)| size(d)).sum();
+        let per_digest = total / net.digests.len();
+        let per_second = total / daemons / seconds as usize;
+        println!(
+            "{daemons} daemons, {engines} engines: {per_digest} bytes a digest, \
+             {per_second} bytes a second and daemon"
+        );
+        assert!(per_second < LIMIT_PER_SECOND, "{per_second} bytes a second");
+    }
+}
+
+#[actix_rt::test]
+async fn a_leaving_engine_gets_no_new_work_from_any_daemon() {
+    let cluster = Cluster::spawn(&Plan::default()).await.unwrap();
+    cluster.engines[0].set_fault(engine::Fault { leaving: true, ..engine::Fault::default() });
+    let bearer = format!("Bearer {OPERATOR_KEY}");
+    let headers = [("authorization", bearer.as_str())];
+    for daemon in &cluster.daemons {
+        let deadline = std::time::Instant::now() + A_FEW_SECONDS;
+        loop {
+            let at = daemon.operator_address();
+            let get = actix_http::Method::GET;
+            let got = send(get, at, "/debug/state", &headers, "", A_FEW_SECONDS).await;
+            let dump: cumintrail_control::Dump = got.json().unwrap();
+            if dump.targets[0].leaving {
+                break;
+            }
+            assert!(std::time::Instant::now() < deadline, "not known as leaving");
+            actix_rt::time::sleep(STEP).await;
+        }
+    }
+    // The run stays leaving although its report takes it back.
+    cluster.engines[0].set_fault(engine::Fault::default());
+    assert!(!eventually(Duration::from_millis(500), || cluster.engines[0].started() > 0).await);
+}
