--- a/crates/cumintrail-wire/src/operator.rs
+++ b/crates/cumintrail-wire/src/operator.rs
@@ -64,6 +64,13 @@
         /// The highest generation that a peer told.
         known: Generation,
     },
+    /// An accepted generation cannot be put in force here; the one before stays.
+    NotAdopted {
+        /// The accepted generation.
+        accepted: Generation,
+        /// What is wrong with it.
+        reason: String,
+    },
     /// The platform has not answered.
     PlatformUnreachable {
         /// How long ago it last answered, if ever.
@@ -129,6 +136,9 @@
             Self::NotConfigured => f.write_str("no configuration yet"),
             Self::Stopping => f.write_str("a planned stop has begun"),
             Self::GenerationBehind { known } => write!(f, "behind: a peer has generation {known}"),
+            Self::NotAdopted { accepted, reason } => {
+                write!(f, "generation {accepted} cannot be put in force: {reason}")
+            }
             Self::PlatformUnreachable { last } => {
                 write!(f, "platform unreachable, {}", answered(*last))
             }
