--- a/crates/cumintrail-client/src/peer.rs
+++ b/crates/cumintrail-client/src/peer.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use actix_http::Method;
-use cumintrail_wire::peer::{ConfigReply, ConfigRequest, DigestMessage};
+use cumintrail_wire::peer::{
+    ConfigReply, ConfigRequest, DigestMessage, ForwardReply, ForwardRequest,
+};
 use cumintrail_wire::{from_msgpack, to_msgpack};
 use serde::Serialize;
 
@@ -23,18 +25,30 @@
         at: SocketAddr,
         request: &ConfigRequest,
     ) -> Result<ConfigReply, ClientError>;
+    /// Lets the issuer of an operation key run its call, once, on a new connection.
+    async fn forward(
+        &self,
+        at: SocketAddr,
+        request: &ForwardRequest,
+        within: Duration,
+    ) -> Result<ForwardReply, ClientError>;
 }
 
 /// Speaks to peers from one thread.
 pub struct HttpPeer {
     http: HttpClient,
+    forwards: HttpClient,
     key: String,
 }
 
 impl HttpPeer {
     /// Makes a client for the current thread that shows `key` to peers.
     pub fn open(key: &str) -> Self {
-        Self { http: HttpClient::pooled(TIMEOUT), key: format!("Bearer {key}") }
+        Self {
+            http: HttpClient::pooled(TIMEOUT),
+            forwards: HttpClient::unpooled(TIMEOUT),
+            key: format!("Bearer {key}"),
+        }
     }
 
     async fn post<Q: Serialize>(
@@ -67,4 +81,20 @@
         let body = self.post(at, "/peer/config", request).await?;
         Ok(from_msgpack(&body)?)
     }
+
+    async fn forward(
+        &self,
+        at: SocketAddr,
+        request: &ForwardRequest,
+        within: Duration,
+    ) -> Result<ForwardReply, ClientError> {
+        let body = to_msgpack(request)?;
+        let req = self.forwards.request(Method::POST, at, "/peer/forward").timeout(within);
+        let req = req.insert_header(("authorization", self.key.as_str()));
+        let response = self.forwards.send(req, body.into()).await?;
+        match response.status() {
+            OK => Ok(from_msgpack(&response.bytes(TIMEOUT).await?)?),
+            status => Err(ClientError::Status { status }),
+        }
+    }
 }
--- a/crates/cumintrail-client/src/service.rs
+++ b/crates/cumintrail-client/src/service.rs
@@ -6,6 +6,7 @@
 use actix_http::Method;
 use actix_http::header::{HeaderName, HeaderValue};
 use bytes::Bytes;
+use cumintrail_wire::record::AnswerRecord;
 
 use crate::{ClientError, HttpClient};
 
@@ -47,6 +48,22 @@
     pub body: Bytes,
 }
 
+impl From<&ServiceAnswer> for AnswerRecord {
+    fn from(answer: &ServiceAnswer) -> Self {
+        let headers = answer.headers.iter();
+        let text = headers.filter_map(|(n, v)| Some((n.to_string(), v.to_str().ok()?.to_owned())));
+        Self { status: answer.status, headers: text.collect(), body: (&*answer.body).into() }
+    }
+}
+
+impl From<AnswerRecord> for ServiceAnswer {
+    fn from(record: AnswerRecord) -> Self {
+        let headers = record.headers.into_iter();
+        let headers = headers.filter_map(|(n, v)| Some((n.parse().ok()?, v.parse().ok()?)));
+        Self { status: record.status, headers: headers.collect(), body: record.body.into() }
+    }
+}
+
 /// Speaks to plain services.
 pub trait Service {
     /// Sends a call once, on a new connection, and reads the whole answer.
--- a/crates/cumintrail-control/src/calls.rs
+++ b/crates/cumintrail-control/src/calls.rs
@@ -31,6 +31,7 @@
     attempts: u8,
     phase: Phase,
     target: Option<TargetKey>,
+    failed_at: Option<TargetKey>,
     may_have_run: bool,
 }
 
@@ -46,6 +47,7 @@
             attempts: 0,
             phase: Phase::Queued,
             target: None,
+            failed_at: None,
             may_have_run: false,
         }
     }
@@ -60,6 +62,11 @@
         self.target
     }
 
+    /// Returns where the last attempt broke, which another attempt better avoids.
+    pub const fn failed_at(&self) -> Option<TargetKey> {
+        self.failed_at
+    }
+
     /// Returns the number of attempts ordered.
     pub const fn attempts(&self) -> u8 {
         self.attempts
@@ -100,7 +107,7 @@
 
     /// Takes back an attempt of which no byte left; the call is as if never sent.
     pub fn attempt_not_sent(&mut self) {
-        self.target = None;
+        self.failed_at = self.target.take();
         if self.phase == Phase::Sending {
             self.phase = Phase::Queued;
         }
@@ -108,7 +115,7 @@
 
     /// Notes an attempt that broke after bytes were sent.
     pub fn attempt_failed(&mut self) {
-        self.target = None;
+        self.failed_at = self.target.take();
         self.may_have_run = true;
         if self.phase == Phase::Sending {
             self.phase = Phase::Queued;
--- a/crates/cumintrail-control/src/control.rs
+++ b/crates/cumintrail-control/src/control.rs
@@ -57,6 +57,8 @@
     links: Links,
     membership: Membership,
     retries: RetryBudget,
+    /// Calls that wait out a backoff, with its end.
+    backing_off: Vec<(Moment, CallKey)>,
     next_digest: Moment,
     /// Blocks exported since the last digest.
     fresh_kept: Vec<(SocketAddr, Sealed, Tier)>,
@@ -78,6 +80,7 @@
             links: Links::default(),
             membership: Membership::default(),
             retries: RetryBudget::default(),
+            backing_off: Vec::new(),
             next_digest: Moment::default(),
             fresh_kept: Vec::new(),
             stopping: false,
@@ -90,7 +93,7 @@
         match event {
             Event::Configured(snapshot) => self.take_configuration(now, snapshot, &mut actions),
             Event::Arrived(arrival) => self.take_arrival(now, arrival, &mut actions),
-            Event::CallerGone { call } => self.drop_call(call, &mut actions),
+            Event::CallerGone { call } => self.drop_call(now, call, &mut actions),
             Event::Fetched { call, target, outcomes, took } => {
                 self.take_fetches(call, target, &outcomes, took);
             }
--- a/crates/cumintrail-control/src/control/arrivals.rs
+++ b/crates/cumintrail-control/src/control/arrivals.rs
@@ -8,7 +8,7 @@
 use super::Control;
 use crate::membership::Liveness;
 use crate::placement::{self, Candidate, Context, Placement};
-use crate::{Action, Actions, Arrival, Call, Dispatch};
+use crate::{Action, Actions, Arrival, Call, Dispatch, retry};
 
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -77,10 +77,12 @@
             return Err(Refusal::not_run(RefusalCode::Deadline));
         };
         let arrival = &call.arrival;
-        let usable: Vec<TargetKey> = self.usable_targets(now, snapshot, call).collect();
+        let mut usable: Vec<TargetKey> = self.usable_targets(now, snapshot, call).collect();
+        if usable.len() > 1 {
+            usable.retain(|key| call.failed_at() != Some(*key));
+        }
         if usable.is_empty() {
-            let code = RefusalCode::NoTarget;
-            return Err(Refusal { code, ran: call.ran(), retry_after: Some(RETRY_AFTER) });
+            return Err(retry::give_up(call, RefusalCode::NoTarget));
         }
         let candidates =
             usable.into_iter().filter_map(|key| self.candidate(snapshot, arrival, key));
@@ -116,7 +118,7 @@
                 return false;
             };
             state.liveness != Liveness::Silent
-                && state.ejected_until <= now
+                && state.breaker.allows(now)
                 && !self.is_leaving(*key)
                 && call.pinned.is_none_or(|version| self.version_of(*key, version) == version)
         })
@@ -164,6 +166,7 @@
         call.expected_prefill = placement.recompute;
         if let Some(state) = self.targets.get_mut(target) {
             state.in_flight += 1;
+            state.breaker.start();
             state.backlog += placement.recompute;
         }
         for fetch in &placement.plan.fetches {
--- a/crates/cumintrail-control/src/control/attempts.rs
+++ b/crates/cumintrail-control/src/control/attempts.rs
@@ -2,15 +2,14 @@
 
 use std::time::Duration;
 
-use cumintrail_types::{AttemptNumber, CallKey, Moment, Ran, Refusal, RefusalCode, TargetKey};
+use cumintrail_types::{AttemptNumber, CallKey, Moment, Ran, RefusalCode, TargetKey};
 
 use super::Control;
+use crate::retry::Health;
 use crate::{Action, Actions, AttemptOutcome, Call, Phase, Usage, keeping, retry};
 
-const RETRY_AFTER: Duration = Duration::from_secs(1);
-const EJECT_AFTER_FAILURES: u32 = 3;
-const EJECT_BASE: Duration = Duration::from_secs(1);
-const EJECT_DOUBLINGS: u32 = 5;
+/// A target that did not answer for so long before a deadline counts as failing.
+const SILENCE_LIMIT: Duration = Duration::from_secs(2);
 
 impl Control {
     pub(super) fn take_first_token(&mut self, key: CallKey) {
@@ -52,17 +51,49 @@
             }
             AttemptOutcome::Failed { .. } => call.attempt_failed(),
         }
-        if retry::may_retry(call, outcome, now) && self.retries.withdraw() {
-            self.requeue(key);
+        if retry::may_retry(call, outcome, now) && self.withdraw_retry(target) {
+            self.back_off(now, key);
             return;
         }
-        let (code, ran) = (RefusalCode::TargetFailed, call.ran());
-        let code = if ran == Ran::No { RefusalCode::NoTarget } else { code };
+        let Some(call) = self.calls.get(&key) else {
+            return;
+        };
+        let code = match call.ran() {
+            Ran::No => RefusalCode::NoTarget,
+            Ran::Unknown => RefusalCode::TargetFailed,
+        };
+        let refusal = retry::give_up(call, code);
         self.end_call(key);
-        let refusal = Refusal { code, ran, retry_after: Some(RETRY_AFTER) };
         actions.push(Action::Refuse { call: key, refusal });
     }
 
+    /// Takes a retry from the daemon's budget and from that of the target that failed.
+    fn withdraw_retry(&mut self, target: TargetKey) -> bool {
+        let Some(state) = self.targets.get_mut(target) else {
+            return false;
+        };
+        state.retries.has_one() && self.retries.withdraw() && state.retries.withdraw()
+    }
+
+    fn back_off(&mut self, now: Moment, key: CallKey) {
+        let attempts = self.calls.get(&key).map_or(1, Call::attempts);
+        let due = now + retry::backoff(attempts, &mut self.rng);
+        self.backing_off.push((due, key));
+    }
+
+    /// Queues calls again whose backoff is over.
+    pub(super) fn requeue_due(&mut self, now: Moment) {
+        let mut due = Vec::new();
+        self.backing_off.retain(|(at, key)| {
+            let is_due = *at <= now;
+            due.extend(is_due.then_some(*key));
+            !is_due
+        });
+        for key in due {
+            self.requeue(key);
+        }
+    }
+
     fn requeue(&mut self, key: CallKey) {
         let Some(call) = self.calls.get(&key) else {
             return;
@@ -107,7 +138,7 @@
         }
     }
 
-    /// Notes failures in a row and ejects a target for a growing time.
+    /// Notes what an attempt's end says of its target.
     fn judge_target(&mut self, now: Moment, target: TargetKey, outcome: AttemptOutcome) {
         let incarnation = self.targets.get(target).map(super::state::TargetState::incarnation);
         if outcome == (AttemptOutcome::RefusedByTarget { leaving: true }) {
@@ -116,17 +147,9 @@
                 self.membership.mark_leaving(declared.address, incarnation);
             }
         }
-        let Some(state) = self.targets.get_mut(target) else {
-            return;
-        };
-        match outcome {
-            AttemptOutcome::Answered(_) => state.failures = 0,
-            AttemptOutcome::NotSent | AttemptOutcome::Failed { .. } => state.failures += 1,
-            AttemptOutcome::RefusedByTarget { .. } | AttemptOutcome::Settled => {}
-        }
-        if state.failures >= EJECT_AFTER_FAILURES {
-            let doublings = (state.failures - EJECT_AFTER_FAILURES).min(EJECT_DOUBLINGS);
-            state.ejected_until = now + EJECT_BASE * 2_u32.pow(doublings);
+        if let Some(state) = self.targets.get_mut(target) {
+            state.retries.deposit();
+            state.breaker.judge(now, outcome.into(), &mut self.rng);
         }
     }
 
@@ -150,27 +173,38 @@
     }
 
     /// Drops a call whose caller is gone and cancels its attempt.
-    pub(super) fn drop_call(&mut self, key: CallKey, actions: &mut Actions) {
+    pub(super) fn drop_call(&mut self, now: Moment, key: CallKey, actions: &mut Actions) {
+        self.cancel_attempt(now, key, Health::Unclear, actions);
+        self.end_call(key);
+    }
+
+    fn cancel_attempt(&mut self, now: Moment, key: CallKey, health: Health, actions: &mut Actions) {
         let Some(call) = self.calls.get(&key) else {
             return;
         };
-        if let Some(target) = call.target() {
-            let attempt = call.attempt();
-            self.release_slot(key, target);
-            actions.push(Action::Cancel { call: key, attempt, target });
+        let Some(target) = call.target() else { return };
+        let attempt = call.attempt();
+        self.release_slot(key, target);
+        if let Some(state) = self.targets.get_mut(target) {
+            state.breaker.judge(now, health, &mut self.rng);
         }
-        self.end_call(key);
+        actions.push(Action::Cancel { call: key, attempt, target });
     }
 
     /// Gives up calls whose deadline passed; they are answered at once.
     pub(super) fn expire_calls(&mut self, now: Moment, actions: &mut Actions) {
         let late = self.calls.iter().filter(|(_, call)| call.arrival.deadline <= now);
-        let late: Vec<(CallKey, Phase)> = late.map(|(key, call)| (*key, call.phase())).collect();
-        for (key, _) in late {
-            let ran = self.calls.get(&key).map_or(Ran::Unknown, Call::ran);
-            self.drop_call(key, actions);
-            let code = RefusalCode::Deadline;
-            let refusal = Refusal { code, ran, retry_after: Some(RETRY_AFTER) };
+        let late: Vec<CallKey> = late.map(|(key, _)| *key).collect();
+        for key in late {
+            let Some(call) = self.calls.get(&key) else {
+                continue;
+            };
+            let refusal = retry::give_up(call, RefusalCode::Deadline);
+            let silent =
+                call.phase() == Phase::Sending && now.since(call.dispatched) >= SILENCE_LIMIT;
+            let health = if silent { Health::Bad } else { Health::Unclear };
+            self.cancel_attempt(now, key, health, actions);
+            self.end_call(key);
             actions.push(Action::Refuse { call: key, refusal });
         }
     }
@@ -179,6 +213,7 @@
         if let Some(call) = self.calls.remove(&key) {
             self.admission.remove(call.arrival.kind, call.arrival.account, key);
             self.admission.release(call.arrival.account);
+            self.backing_off.retain(|(_, waiting)| *waiting != key);
         }
     }
 }
--- a/crates/cumintrail-control/src/control/state.rs
+++ b/crates/cumintrail-control/src/control/state.rs
@@ -4,6 +4,7 @@
 
 use crate::TargetReport;
 use crate::membership::Liveness;
+use crate::retry::{Breaker, RetryBudget};
 
 /// Remembers a target.
 #[derive(Debug, Clone, Default)]
@@ -18,10 +19,10 @@
     pub in_flight: u32,
     /// Prompt tokens that this daemon expects it to compute for calls without a first token.
     pub backlog: Tokens,
-    /// Failures in a row.
-    pub failures: u32,
-    /// No new work before this moment, after failures.
-    pub ejected_until: Moment,
+    /// Keeps calls away after failures.
+    pub breaker: Breaker,
+    /// Limits the retries that its failures cause.
+    pub retries: RetryBudget,
     /// When it is probed next.
     pub next_probe: Moment,
 }
--- a/crates/cumintrail-control/src/control/upkeep.rs
+++ b/crates/cumintrail-control/src/control/upkeep.rs
@@ -10,6 +10,7 @@
 use super::Control;
 use super::state::{StoreState, TargetState};
 use crate::membership::Liveness;
+use crate::retry::{Breaker, RetryBudget};
 use crate::{Action, Actions, PeerDigest, TargetReport, VmEntry};
 
 const LISTING_INTERVAL: Duration = Duration::from_secs(30);
@@ -25,7 +26,8 @@
             return;
         }
         while self.targets.len() < snapshot.targets.len() {
-            self.targets.push(TargetState { next_probe: now, ..TargetState::default() });
+            let retries = RetryBudget::of_target();
+            self.targets.push(TargetState { next_probe: now, retries, ..TargetState::default() });
         }
         while self.stores.len() < snapshot.stores.len() {
             self.stores.push(StoreState { next_listing: now, ..StoreState::default() });
@@ -43,7 +45,7 @@
         };
         if state.report.is_some_and(|r| r.incarnation != report.incarnation) {
             self.directory.clear_engine(key);
-            state.failures = 0;
+            state.breaker = Breaker::default();
         }
         state.liveness = Liveness::Live;
         state.report = Some(report);
@@ -76,6 +78,7 @@
 
     pub(super) fn tick(&mut self, now: Moment, actions: &mut Actions) {
         self.expire_calls(now, actions);
+        self.requeue_due(now);
         self.order_probes(now, actions);
         self.order_listings(now, actions);
         self.order_digests(now, actions);
--- a/crates/cumintrail-control/src/retry.rs
+++ b/crates/cumintrail-control/src/retry.rs
@@ -1,36 +1,54 @@
-//! Whether a broken attempt gets a successor.
+//! Whether and when a broken attempt gets a successor, and which targets get no attempts.
 
 use std::time::Duration;
 
-use cumintrail_types::{CallClass, Moment};
+use cumintrail_types::{CallClass, Moment, Ran, Refusal, RefusalCode};
+use rand::Rng;
 
 use crate::{AttemptOutcome, Call};
 
 const MAX_ATTEMPTS: u8 = 3;
 const BUDGET_PER_CALL: f64 = 0.2;
 const BUDGET_CAP: f64 = 20.0;
+const TARGET_BUDGET_CAP: f64 = 5.0;
+const BACKOFF_BASE: Duration = Duration::from_millis(20);
+const COME_BACK: Duration = Duration::from_secs(1);
+const OPEN_AFTER_FAILURES: u32 = 3;
+const OPEN_BASE: Duration = Duration::from_secs(1);
+const OPEN_DOUBLINGS: u32 = 5;
 
 /// Limits retries to a share of calls, so that failures cause no storm.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct RetryBudget {
     tokens: f64,
+    cap: f64,
 }
 
 impl Default for RetryBudget {
     fn default() -> Self {
-        Self { tokens: BUDGET_CAP }
+        Self { tokens: BUDGET_CAP, cap: BUDGET_CAP }
     }
 }
 
 impl RetryBudget {
-    /// Notes a new call, which earns a part of a retry.
-    pub fn deposit(&mut self) {
-        self.tokens = (self.tokens + BUDGET_PER_CALL).min(BUDGET_CAP);
+    /// Makes the budget for retries that one target's failures cause.
+    pub const fn of_target() -> Self {
+        Self { tokens: TARGET_BUDGET_CAP, cap: TARGET_BUDGET_CAP }
+    }
+
+    /// Notes a call, which earns a part of a retry.
+    pub const fn deposit(&mut self) {
+        self.tokens = (self.tokens + BUDGET_PER_CALL).min(self.cap);
+    }
+
+    /// Tells whether a retry is left.
+    pub const fn has_one(&self) -> bool {
+        self.tokens >= 1.0
     }
 
     /// Takes one retry, if any is left.
-    pub fn withdraw(&mut self) -> bool {
-        let enough = self.tokens >= 1.0;
+    pub const fn withdraw(&mut self) -> bool {
+        let enough = self.has_one();
         if enough {
             self.tokens -= 1.0;
         }
@@ -48,3 +66,79 @@
     };
     repeatable && in_time && call.attempts() < MAX_ATTEMPTS
 }
+
+/// Returns the wait before the attempt after number `attempts`: it doubles, with jitter so that
+/// calls that broke together do not return together.
+pub fn backoff(attempts: u8, rng: &mut impl Rng) -> Duration {
+    let doubled = BACKOFF_BASE * 2_u32.pow(u32::from(attempts.clamp(1, MAX_ATTEMPTS)) - 1);
+    doubled.mul_f64(rng.random_range(0.5..1.5))
+}
+
+/// Refuses a call that is given up; names when to come back unless a repeat could run it twice.
+pub fn give_up(call: &Call, code: RefusalCode) -> Refusal {
+    let ran = call.ran();
+    let repeatable = ran == Ran::No || call.arrival.class != CallClass::Once;
+    Refusal { code, ran, retry_after: repeatable.then_some(COME_BACK) }
+}
+
+/// Tells how an attempt speaks for its target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Health {
+    /// The target answered in full.
+    Good,
+    /// The target could not be reached, broke off or stayed silent.
+    Bad,
+    /// Nothing can be said.
+    Unclear,
+}
+
+impl From<AttemptOutcome> for Health {
+    fn from(outcome: AttemptOutcome) -> Self {
+        match outcome {
+            AttemptOutcome::Answered(_) => Self::Good,
+            AttemptOutcome::NotSent | AttemptOutcome::Failed { .. } => Self::Bad,
+            AttemptOutcome::RefusedByTarget { .. } | AttemptOutcome::Settled => Self::Unclear,
+        }
+    }
+}
+
+/// Keeps calls away from a target that fails, and lets a single one through to try it again.
+#[derive(Debug, Clone, Default)]
+pub struct Breaker {
+    failures: u32,
+    open_until: Moment,
+    on_trial: bool,
+}
+
+impl Breaker {
+    /// Tells whether the target may get a call now.
+    pub fn allows(&self, now: Moment) -> bool {
+        !self.is_open() || (now >= self.open_until && !self.on_trial)
+    }
+
+    /// Notes that an attempt was ordered; while the breaker is open, it is the only one.
+    pub const fn start(&mut self) {
+        self.on_trial = self.is_open();
+    }
+
+    /// Notes how an attempt ended.
+    pub fn judge(&mut self, now: Moment, health: Health, rng: &mut impl Rng) {
+        self.on_trial = false;
+        match health {
+            Health::Good => *self = Self::default(),
+            Health::Unclear => {}
+            Health::Bad => {
+                self.failures = self.failures.saturating_add(1);
+                if self.is_open() {
+                    let doublings = (self.failures - OPEN_AFTER_FAILURES).min(OPEN_DOUBLINGS);
+                    let closed = OPEN_BASE * 2_u32.pow(doublings);
+                    self.open_until = now + closed.mul_f64(rng.random_range(0.8..1.2));
+                }
+            }
+        }
+    }
+
+    const fn is_open(&self) -> bool {
+        self.failures >= OPEN_AFTER_FAILURES
+    }
+}
--- a/crates/cumintrail-daemon/src/callers.rs
+++ b/crates/cumintrail-daemon/src/callers.rs
@@ -3,12 +3,16 @@
 pub mod auth;
 mod body;
 mod engine_attempt;
+mod keyed;
 mod model_answer;
 mod model_call;
+pub mod operation_keys;
+mod records;
 pub mod refuse;
 pub mod request;
 mod router;
 mod service_call;
+mod service_run;
 
 use std::convert::Infallible;
 use std::net::TcpListener;
@@ -18,11 +22,13 @@
 use actix_http::{HttpService, Request};
 use actix_server::ServerBuilder;
 use actix_service::{ServiceFactoryExt as _, fn_factory, fn_service};
-use cumintrail_client::{HttpEngine, HttpPlatform, HttpService as PlainService};
+use cumintrail_client::{HttpEngine, HttpPeer, HttpPlatform, HttpService as PlainService};
 
 use crate::daemon::ListenFactory;
 use crate::shared::Shared;
 
+use self::records::Records;
+
 pub use body::CallerBody;
 
 /// Holds what one traffic thread needs.
@@ -30,15 +36,26 @@
     shared: Arc<Shared>,
     engines: HttpEngine,
     services: PlainService,
-    #[expect(dead_code, reason = "claims of idempotency keys are read and written here")]
-    platform: HttpPlatform,
+    peers: HttpPeer,
+    records: Records,
 }
 
 impl Worker {
-    fn open(shared: Arc<Shared>) -> Self {
+    /// Opens the clients of the current thread.
+    pub fn open(shared: Arc<Shared>) -> Self {
         let s = &shared.settings;
-        let platform = HttpPlatform::open(s.table, s.objects, s.vm_list);
-        Self { engines: HttpEngine::open(), services: PlainService::open(), platform, shared }
+        Self {
+            engines: HttpEngine::open(),
+            services: PlainService::open(),
+            peers: HttpPeer::open(s.peer_key.expose()),
+            records: Records::open(HttpPlatform::open(s.table, s.objects, s.vm_list)),
+            shared,
+        }
+    }
+
+    /// Returns what the daemon's threads share.
+    pub const fn shared(&self) -> &Arc<Shared> {
+        &self.shared
     }
 }
 
@@ -65,8 +82,9 @@
             HttpService::build()
                 .client_request_timeout(shared.settings.request_timeout)
                 .finish(fn_factory(move || {
-                    let worker = Rc::new(Worker::open(shared.clone()));
+                    let shared = shared.clone();
                     async move {
+                        let worker = Rc::new(Worker::open(shared));
                         Ok::<_, Infallible>(fn_service(move |req: Request| {
                             let worker = worker.clone();
                             async move { Ok::<_, Infallible>(router::answer(worker, req).await) }
--- /dev/null
+++ b/crates/cumintrail-daemon/src/callers/operation_keys.rs
@@ -0,0 +1,169 @@
+//! Operation keys: issued without the platform, used at their issuer alone.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_http::header::{HeaderName, HeaderValue};
+use actix_http::{Method, Request, Response};
+use cumintrail_client::{Peer, ServiceCall};
+use cumintrail_config::Snapshot;
+use cumintrail_control::once::{IN_PROGRESS_RETRY, OperationKey, Verdict};
+use cumintrail_types::{Refusal, RefusalCode, WriteId};
+use cumintrail_wire::caller::OperationKeyBody;
+use cumintrail_wire::peer::{ForwardReply, ForwardRequest};
+use cumintrail_wire::record::AnswerRecord;
+
+use super::keyed::{IssuedUse, Keyed};
+use super::refuse::json;
+use super::service_call::{PlainCall, class_of};
+use super::service_run::{Answered, execute};
+use super::{CallerBody, Worker, auth};
+use crate::control_thread::OPERATION_KEY_LIFE;
+use crate::metric;
+
+const OK: u16 = 200;
+const STOPPING_RETRY: Duration = Duration::from_secs(1);
+/// Lets the issuer's own answer at the deadline arrive first.
+const FORWARD_MARGIN: Duration = Duration::from_millis(500);
+
+/// Issues a key, which only this process run may use.
+pub fn issue(worker: &Worker, req: &Request) -> Result<Response<CallerBody>, Refusal> {
+    let snapshot = worker.snapshot()?;
+    let account = auth::account_of(req.head(), &snapshot)?;
+    let shared = &worker.shared;
+    if shared.is_stopping() {
+        return Err(Refusal::not_run(RefusalCode::Stopping).retry_after(STOPPING_RETRY));
+    }
+    let name = snapshot.accounts.get(account).map(|a| a.name.clone()).unwrap_or_default();
+    let (address, incarnation) = (shared.operator_address, shared.incarnation);
+    let id = WriteId(rand::random());
+    let key = shared.key_ring.issue(&name, address, incarnation, shared.now(), id);
+    let expires_in_ms = OPERATION_KEY_LIFE.as_millis() as u64;
+    Ok(json(OK, &OperationKeyBody { key: key.to_string(), expires_in_ms }))
+}
+
+/// Answers a call under an operation key, here or at the key's issuer.
+pub async fn answer(
+    worker: Rc<Worker>,
+    snapshot: &Snapshot,
+    plain: PlainCall,
+    text: &str,
+) -> Result<Answered, Refusal> {
+    let account = snapshot.accounts.get(plain.account).map(|a| a.name.clone()).unwrap_or_default();
+    let key = genuine(&worker, &account, text)?;
+    if key.address == worker.shared.operator_address {
+        return run(worker, plain, key).await;
+    }
+    let service = snapshot.services.get(plain.service).map(|s| s.name.to_string());
+    forward(&worker, &plain, key, account.to_string(), service.unwrap_or_default()).await
+}
+
+fn genuine(worker: &Worker, account: &str, text: &str) -> Result<OperationKey, Refusal> {
+    let parsed = text.parse().ok();
+    let genuine = parsed.filter(|key| worker.shared.key_ring.verifies(account, key));
+    genuine.ok_or(Refusal::not_run(RefusalCode::BadRequest))
+}
+
+/// Runs a call under a key with the address of this VM.
+async fn run(worker: Rc<Worker>, plain: PlainCall, key: OperationKey) -> Result<Answered, Refusal> {
+    if key.incarnation != worker.shared.incarnation {
+        // The issuer has ended, and with it what it knew of the key.
+        return Err(Refusal::unknown(RefusalCode::OutcomeUnknown));
+    }
+    match worker.shared.control.begin_key(key, plain.digest()).await {
+        Verdict::Run => {
+            let shared = worker.shared.clone();
+            execute(worker, plain, Keyed::Issued(IssuedUse { shared, id: key.id })).await
+        }
+        verdict => Answered::from_verdict(verdict),
+    }
+}
+
+/// Lets the issuer run the call; whatever goes wrong on the way, it is run nowhere else.
+async fn forward(
+    worker: &Worker,
+    plain: &PlainCall,
+    key: OperationKey,
+    account: String,
+    service: String,
+) -> Result<Answered, Refusal> {
+    let headers = plain.call.headers.iter();
+    let text = headers.filter_map(|(n, v)| Some((n.to_string(), v.to_str().ok()?.to_owned())));
+    let request = ForwardRequest {
+        account,
+        service,
+        key: key.to_string(),
+        method: plain.call.method.to_string(),
+        path: plain.call.path.clone(),
+        headers: text.collect(),
+        body: (&*plain.call.body).into(),
+        within_ms: plain.patience.as_millis() as u64,
+    };
+    let within = plain.patience + FORWARD_MARGIN;
+    let reply = worker.peers.forward(key.address, &request, within).await;
+    let outcome = if reply.is_ok() { "answered" } else { "lost" };
+    metrics::counter!(metric::FORWARDS, "outcome" => outcome).increment(1);
+    match reply {
+        Ok(ForwardReply::Answered { answer, replayed }) => {
+            Ok(Answered { answer: answer.into(), replayed })
+        }
+        Ok(ForwardReply::Refused(refusal)) => Err(refusal.into()),
+        Err(_) => {
+            let refusal = Refusal::unknown(RefusalCode::OutcomeUnknown);
+            Err(refusal.retry_after(IN_PROGRESS_RETRY))
+        }
+    }
+}
+
+/// Runs a call that another daemon forwards to this one, the issuer of its key.
+pub async fn run_forwarded(worker: Rc<Worker>, request: ForwardRequest) -> ForwardReply {
+    match try_forwarded(worker, request).await {
+        Ok(Answered { answer, replayed }) => {
+            ForwardReply::Answered { answer: AnswerRecord::from(&answer), replayed }
+        }
+        Err(refusal) => ForwardReply::Refused(refusal.into()),
+    }
+}
+
+async fn try_forwarded(worker: Rc<Worker>, request: ForwardRequest) -> Result<Answered, Refusal> {
+    let snapshot = worker.snapshot()?;
+    let named = snapshot.accounts.iter().find(|(_, a)| *a.name == *request.account && !a.retired);
+    let (account, _) = named.ok_or(Refusal::not_run(RefusalCode::Unauthorized))?;
+    let key = genuine(&worker, &request.account, &request.key)?;
+    if key.address != worker.shared.operator_address {
+        return Err(Refusal::unknown(RefusalCode::OutcomeUnknown));
+    }
+    let plain = to_plain(&snapshot, account, request)?;
+    run(worker, plain.keyed(), key).await
+}
+
+fn to_plain(
+    snapshot: &Snapshot,
+    account: cumintrail_types::AccountKey,
+    request: ForwardRequest,
+) -> Result<PlainCall, Refusal> {
+    let key = snapshot.service(&request.service).ok_or(Refusal::not_run(RefusalCode::NotFound))?;
+    let service = snapshot.services.get(key).ok_or(Refusal::not_run(RefusalCode::NotFound))?;
+    let method = Method::from_bytes(request.method.as_bytes());
+    let method = method.map_err(|_| Refusal::not_run(RefusalCode::BadRequest))?;
+    let patience = Duration::from_millis(request.within_ms).min(service.timeout);
+    let class = class_of(snapshot, key, method.as_str());
+    let headers = request.headers.into_iter();
+    let headers = headers.filter_map(|(n, v)| Some((to_name(&n)?, to_value(&v)?)));
+    let call = ServiceCall {
+        method,
+        path: request.path,
+        headers: headers.collect(),
+        body: request.body.into(),
+        within: patience,
+    };
+    Ok(PlainCall { account, service: key, class, call, patience, linger: service.timeout })
+}
+
+fn to_name(text: &str) -> Option<HeaderName> {
+    text.parse().ok()
+}
+
+fn to_value(text: &str) -> Option<HeaderValue> {
+    text.parse().ok()
+}
--- a/crates/cumintrail-daemon/src/callers/router.rs
+++ b/crates/cumintrail-daemon/src/callers/router.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use actix_http::{Method, Request, Response};
+use actix_http::{ConnectionType, Method, Request, Response};
 use cumintrail_types::{Refusal, RefusalCode};
 use cumintrail_wire::caller::{ChatRequest, CompletionRequest, ModelEntry, ModelList};
 use serde::de::DeserializeOwned;
@@ -10,7 +10,7 @@
 use super::model_answer::AnswerStyle;
 use super::refuse::{json, refuse};
 use super::request::read_body;
-use super::{CallerBody, Worker, auth, model_call, service_call};
+use super::{CallerBody, Worker, auth, model_call, operation_keys, service_call};
 
 const OK: u16 = 200;
 const UNAVAILABLE: u16 = 503;
@@ -18,7 +18,13 @@
 
 /// Answers one request.
 pub async fn answer(worker: Rc<Worker>, req: Request) -> Response<CallerBody> {
-    route(worker, req).await.unwrap_or_else(|refusal| refuse(&refusal))
+    let stopping = worker.shared.is_stopping();
+    let mut response = route(worker, req).await.unwrap_or_else(|refusal| refuse(&refusal));
+    if stopping {
+        // The next request of this caller belongs on another VM.
+        response.head_mut().set_connection_type(ConnectionType::Close);
+    }
+    response
 }
 
 async fn route(worker: Rc<Worker>, req: Request) -> Result<Response<CallerBody>, Refusal> {
@@ -31,10 +37,17 @@
         ("/v1/models", Method::GET) => list_models(&worker, &req),
         ("/v1/completions", Method::POST) => complete(worker, req).await,
         ("/v1/chat/completions", Method::POST) => chat(worker, req).await,
+        ("/v1/operation-keys", Method::POST) => operation_keys::issue(&worker, &req),
         (path, _) if path.starts_with(SERVICES) => service_call::answer(worker, req).await,
-        ("/livez" | "/readyz" | "/v1/models" | "/v1/completions" | "/v1/chat/completions", _) => {
-            Err(Refusal::not_run(RefusalCode::MethodNotAllowed))
-        }
+        (
+            "/livez"
+            | "/readyz"
+            | "/v1/models"
+            | "/v1/completions"
+            | "/v1/chat/completions"
+            | "/v1/operation-keys",
+            _,
+        ) => Err(Refusal::not_run(RefusalCode::MethodNotAllowed)),
         _ => Err(Refusal::not_run(RefusalCode::NotFound)),
     }
 }
--- a/crates/cumintrail-daemon/src/callers/service_call.rs
+++ b/crates/cumintrail-daemon/src/callers/service_call.rs
@@ -1,41 +1,82 @@
-//! Calls to plain services.
+//! Calls to plain services: what is asked, and under which key.
 
 use std::rc::Rc;
 use std::time::Duration;
 
-use actix_http::header::AUTHORIZATION;
-use actix_http::{HttpMessage, Request, Response, StatusCode};
-use cumintrail_client::{ClientError, Service, ServiceAnswer, ServiceCall};
-use cumintrail_config::TargetKind;
-use cumintrail_control::{Arrival, AttemptOutcome, Dispatch, Event, Usage};
-use cumintrail_types::{
-    AccountKey, CallClass, Refusal, RefusalCode, ServiceKey, Tokens, WeightVersion,
-};
-use tokio::sync::{mpsc, oneshot};
-
-use super::model_answer::lost;
-use super::{CallerBody, Worker, auth, request};
-use crate::control_thread::Command;
-use crate::metric;
+use actix_http::header::{AUTHORIZATION, HeaderName, HeaderValue};
+use actix_http::{HttpMessage, Request, RequestHead, Response, StatusCode};
+use cumintrail_client::ServiceCall;
+use cumintrail_config::Snapshot;
+use cumintrail_control::once::{KeyedRequest, OperationKey, Verdict, WallMillis};
+use cumintrail_types::{AccountKey, CallClass, Digest, Refusal, RefusalCode, ServiceKey, WriteId};
+use cumintrail_wire::caller::{IDEMPOTENCY_HEADER, KEY_TIME_HEADER, REPLAYED_HEADER};
+use cumintrail_wire::record::claim_key;
+
+use super::keyed::{Keyed, TableClaim};
+use super::service_run::{Answered, execute};
+use super::{CallerBody, Worker, auth, operation_keys, request};
+use crate::clock;
 
 const ROOT: &str = "/services/";
+const MAX_KEY_BYTES: usize = 255;
+
+/// Describes an authenticated call to a plain service.
+pub struct PlainCall {
+    /// The client account.
+    pub account: AccountKey,
+    /// The service.
+    pub service: ServiceKey,
+    /// Whether it may be sent again.
+    pub class: CallClass,
+    /// What is sent.
+    pub call: ServiceCall,
+    /// How long the caller waits.
+    pub patience: Duration,
+    /// How long an outcome is waited for once the caller was answered; only keyed calls do.
+    pub linger: Duration,
+}
+
+impl PlainCall {
+    /// Returns the digest by which a reuse of a key for something else is told.
+    pub fn digest(&self) -> Digest {
+        let head = format!("{}\0{}\0", self.call.method, self.call.path);
+        Digest::of(&[head.as_bytes(), &*self.call.body].concat())
+    }
+
+    /// Lets the target take longer than the caller waits, so that the outcome is still learned.
+    pub fn keyed(mut self) -> Self {
+        self.call.within = self.patience + self.linger;
+        self
+    }
+}
 
 /// Answers a call to `/services/{name}/…`.
 pub async fn answer(worker: Rc<Worker>, mut req: Request) -> Result<Response<CallerBody>, Refusal> {
     let snapshot = worker.snapshot()?;
     let account = auth::account_of(req.head(), &snapshot)?;
-    let (key, path) = split_path(&snapshot, &req)?;
-    let service = snapshot.services.get(key).ok_or(Refusal::not_run(RefusalCode::NotFound))?;
-    let patience = request::patience(req.head(), service.timeout)?;
-    let class = match req.method() {
-        method if service.repeatable.iter().any(|m| **m == *method.as_str()) => {
-            CallClass::Repeatable
+    let plain = read_call(&worker, &snapshot, account, &mut req).await?;
+    let key = idempotency_key(req.head())?.filter(|_| plain.class == CallClass::Once);
+    let answered = match key {
+        None => execute(worker, plain, Keyed::Unkeyed).await,
+        Some(key) if OperationKey::is_claimed_by(&key) => {
+            operation_keys::answer(worker, &snapshot, plain.keyed(), &key).await
         }
-        _ => CallClass::Once,
+        Some(key) => answer_claimed(worker, &snapshot, plain.keyed(), req.head(), &key).await,
     };
+    answered.map(to_response)
+}
+
+async fn read_call(
+    worker: &Worker,
+    snapshot: &Snapshot,
+    account: AccountKey,
+    req: &mut Request,
+) -> Result<PlainCall, Refusal> {
+    let (key, path) = split_path(snapshot, req)?;
+    let service = snapshot.services.get(key).ok_or(Refusal::not_run(RefusalCode::NotFound))?;
+    let patience = request::patience(req.head(), service.timeout)?;
     let settings = &worker.shared.settings;
-    let body =
-        request::read_body(&mut req, settings.max_body_bytes, settings.request_timeout).await?;
+    let body = request::read_body(req, settings.max_body_bytes, settings.request_timeout).await?;
     let headers = req.headers().iter().filter(|(name, _)| **name != AUTHORIZATION);
     let call = ServiceCall {
         method: req.method().clone(),
@@ -44,20 +85,20 @@
         body,
         within: patience,
     };
+    let class = class_of(snapshot, key, call.method.as_str());
+    Ok(PlainCall { account, service: key, class, call, patience, linger: service.timeout })
+}
 
-    let commands = announce(&worker, account, key, class, patience)?;
-    // The task goes on when the caller leaves, so the outcome of a sent call is always learned.
-    let (tx, rx) = oneshot::channel();
-    actix_rt::spawn(async move {
-        let _ = tx.send(run(&worker, call, commands).await);
-    });
-    rx.await.unwrap_or_else(|_| Err(lost())).map(to_response)
+/// Tells how calls with this method may be repeated.
+pub fn class_of(snapshot: &Snapshot, service: ServiceKey, method: &str) -> CallClass {
+    let declared = snapshot.services.get(service);
+    match declared {
+        Some(service) if service.repeatable.iter().any(|m| **m == *method) => CallClass::Repeatable,
+        _ => CallClass::Once,
+    }
 }
 
-fn split_path(
-    snapshot: &cumintrail_config::Snapshot,
-    req: &Request,
-) -> Result<(ServiceKey, String), Refusal> {
+fn split_path(snapshot: &Snapshot, req: &Request) -> Result<(ServiceKey, String), Refusal> {
     let rest = req.path().strip_prefix(ROOT).unwrap_or_default();
     let (name, path) = rest.split_once('/').unwrap_or((rest, ""));
     let query = req.uri().query().map(|q| format!("?{q}")).unwrap_or_default();
@@ -65,85 +106,73 @@
     Ok((key, format!("/{path}{query}")))
 }
 
-fn announce(
-    worker: &Worker,
-    account: AccountKey,
-    service: ServiceKey,
-    class: CallClass,
-    patience: Duration,
-) -> Result<mpsc::UnboundedReceiver<Command>, Refusal> {
-    let arrival = Arrival {
-        call: worker.shared.next_call(),
-        account,
-        class,
-        kind: TargetKind::Service(service),
-        version: WeightVersion(0),
-        pieces: [].into(),
-        prompt: Tokens(0),
-        max_answer: Tokens(0),
-        deadline: worker.shared.now() + patience,
+fn idempotency_key(head: &RequestHead) -> Result<Option<String>, Refusal> {
+    let Some(value) = head.headers().get(IDEMPOTENCY_HEADER) else {
+        return Ok(None);
     };
-    worker.shared.control.arrive(arrival).map_err(|_| Refusal::not_run(RefusalCode::Overloaded))
+    let text = value.to_str().ok().filter(|t| !t.is_empty() && t.len() <= MAX_KEY_BYTES);
+    text.map(|t| Some(t.to_owned())).ok_or(Refusal::not_run(RefusalCode::BadRequest))
 }
 
-/// Follows the control thread's commands until the call is answered or given up.
-async fn run(
-    worker: &Worker,
-    call: ServiceCall,
-    mut commands: mpsc::UnboundedReceiver<Command>,
-) -> Result<ServiceAnswer, Refusal> {
-    loop {
-        let dispatch = match commands.recv().await {
-            Some(Command::Dispatch(dispatch)) => dispatch,
-            Some(Command::Refuse(refusal)) => return Err(refusal),
-            None => return Err(lost()),
-        };
-        let sent = tokio::select! {
-            sent = send(worker, &dispatch, &call) => sent,
-            refusal = refused(&mut commands) => return Err(refusal),
-        };
-        let outcome = match &sent {
-            Ok(_) => AttemptOutcome::Answered(Usage::default()),
-            Err(e) if e.may_have_arrived() => AttemptOutcome::Failed { answered: Tokens(0) },
-            Err(_) => AttemptOutcome::NotSent,
-        };
-        let event = Event::AttemptEnded { call: dispatch.call, attempt: dispatch.attempt, outcome };
-        worker.shared.control.tell(event).await;
-        if let Ok(answer) = sent {
-            metrics::counter!(metric::CALLS, "outcome" => "answered").increment(1);
-            return Ok(answer);
-        }
+/// Answers a call under a key that the caller chose.
+async fn answer_claimed(
+    worker: Rc<Worker>,
+    snapshot: &Snapshot,
+    plain: PlainCall,
+    head: &RequestHead,
+    key: &str,
+) -> Result<Answered, Refusal> {
+    let life = snapshot.deployment.record_life;
+    refuse_old_key(head, life)?;
+    let account = snapshot.accounts.get(plain.account).map(|a| a.name.clone());
+    let service = snapshot.services.get(plain.service).map(|s| s.name.clone());
+    let row = claim_key(&account.unwrap_or_default(), &service.unwrap_or_default(), key);
+    let claim = WriteId(rand::random());
+    let request = KeyedRequest { claim, digest: plain.digest(), life };
+    let (records, shared) = (worker.records.clone(), worker.shared.clone());
+    let wait = plain.patience + plain.linger;
+    match TableClaim::look(records, shared, row, request, wait).await {
+        Ok(claim) => execute(worker, plain, Keyed::Claimed(Box::new(claim))).await,
+        Err(verdict) => Answered::from_verdict(verdict),
     }
 }
 
-async fn send(
-    worker: &Worker,
-    dispatch: &Dispatch,
-    call: &ServiceCall,
-) -> Result<ServiceAnswer, ClientError> {
-    let snapshot = worker.shared.snapshot();
-    let target = snapshot.as_ref().and_then(|s| s.targets.get(dispatch.target));
-    match target {
-        Some(target) => worker.services.call(target.address, call).await,
-        None => Err(ClientError::NotSent),
+/// Refuses a key that its caller made too long ago, without a look at the table.
+fn refuse_old_key(head: &RequestHead, life: Duration) -> Result<(), Refusal> {
+    let Some(value) = head.headers().get(KEY_TIME_HEADER) else {
+        return Ok(());
+    };
+    let millis = value.to_str().ok().and_then(|text| text.trim().parse().ok());
+    let made = millis.map(WallMillis).ok_or(Refusal::not_run(RefusalCode::BadRequest))?;
+    if clock::wall_millis().since(made) >= life {
+        return Err(Refusal::unknown(RefusalCode::KeyExpired));
     }
+    Ok(())
 }
 
-async fn refused(commands: &mut mpsc::UnboundedReceiver<Command>) -> Refusal {
-    loop {
-        match commands.recv().await {
-            Some(Command::Refuse(refusal)) => return refusal,
-            Some(Command::Dispatch(_)) => {}
-            None => return lost(),
+impl Answered {
+    /// Answers without running, as a key's record demands.
+    pub fn from_verdict(
+        verdict: Verdict<cumintrail_wire::record::AnswerRecord>,
+    ) -> Result<Self, Refusal> {
+        match verdict {
+            Verdict::Replay(answer) => Ok(Self::replayed(answer)),
+            Verdict::Refuse(refusal) => Err(refusal),
+            Verdict::Run | Verdict::Free => Err(Refusal::unknown(RefusalCode::OutcomeUnknown)),
         }
     }
 }
 
-fn to_response(answer: ServiceAnswer) -> Response<CallerBody> {
+fn to_response(answered: Answered) -> Response<CallerBody> {
+    let Answered { answer, replayed } = answered;
     let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
     let mut response = Response::with_body(status, CallerBody::Whole(answer.body));
     for (name, value) in answer.headers {
         response.headers_mut().append(name, value);
     }
+    if replayed {
+        let name = HeaderName::from_static(REPLAYED_HEADER);
+        response.headers_mut().insert(name, HeaderValue::from_static("true"));
+    }
     response
 }
--- a/crates/cumintrail-daemon/src/control_thread.rs
+++ b/crates/cumintrail-daemon/src/control_thread.rs
@@ -3,12 +3,16 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use cumintrail_control::once::{End, OperationKey, UsedKeys, Verdict};
 use cumintrail_control::{Action, Arrival, AttemptOutcome, Control, Dispatch, Dump, Event};
-use cumintrail_types::{CallKey, Refusal};
+use cumintrail_types::{CallKey, Digest, Refusal, RefusalCode, WriteId};
+use cumintrail_wire::record::AnswerRecord;
 use tokio::sync::{mpsc, oneshot};
 
 use crate::clock::Clock;
 
+/// How long an issued operation key may be used.
+pub const OPERATION_KEY_LIFE: Duration = Duration::from_secs(600);
 const TICK: Duration = Duration::from_millis(20);
 
 /// Tells a call's task what was decided for it.
@@ -27,6 +31,8 @@
     Event(Event),
     Dump(oneshot::Sender<Dump>),
     CallsInFlight(oneshot::Sender<usize>),
+    BeginKey(OperationKey, Digest, oneshot::Sender<Verdict<AnswerRecord>>),
+    EndKey(WriteId, End<AnswerRecord>),
 }
 
 /// Reaches the control thread from any other.
@@ -69,6 +75,26 @@
     }
 }
 
+impl ControlLink {
+    /// Begins the call of an operation key that this process issued.
+    pub async fn begin_key(&self, key: OperationKey, request: Digest) -> Verdict<AnswerRecord> {
+        let (tx, rx) = oneshot::channel();
+        let sent = self.tx.send(Message::BeginKey(key, request, tx)).await;
+        let verdict = match sent {
+            Ok(()) => rx.await.ok(),
+            Err(_) => None,
+        };
+        let stopping = Refusal::unknown(RefusalCode::OutcomeUnknown);
+        verdict.unwrap_or(Verdict::Refuse(stopping))
+    }
+
+    /// Ends the call of an operation key.
+    pub async fn end_key(&self, id: WriteId, end: End<AnswerRecord>) {
+        // Without the control thread the process is at its very end and forgets all keys.
+        let _ = self.tx.send(Message::EndKey(id, end)).await;
+    }
+}
+
 /// Receives what a [`ControlLink`] sends.
 #[derive(Debug)]
 pub struct ControlInbox {
@@ -89,6 +115,7 @@
     background: mpsc::UnboundedSender<Action>,
 ) {
     let mut calls: HashMap<CallKey, mpsc::UnboundedSender<Command>> = HashMap::new();
+    let mut keys = UsedKeys::new(OPERATION_KEY_LIFE);
     let mut ticks = actix_rt::time::interval(TICK);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
@@ -107,6 +134,18 @@
                 let _ = reply.send(control.calls_in_flight());
                 continue;
             }
+            Some(Message::BeginKey(key, request, reply)) => {
+                let verdict = keys.begin(now, &key, request);
+                // A call that nobody waits for any more was not sent.
+                if let Err(Verdict::Run) = reply.send(verdict) {
+                    keys.end(key.id, End::NotSent);
+                }
+                continue;
+            }
+            Some(Message::EndKey(id, end)) => {
+                keys.end(id, end);
+                continue;
+            }
             Some(Message::Arrive(arrival, commands)) => {
                 calls.insert(arrival.call, commands);
                 control.handle(now, Event::Arrived(arrival))
--- a/crates/cumintrail-daemon/src/daemon.rs
+++ b/crates/cumintrail-daemon/src/daemon.rs
@@ -111,7 +111,7 @@
         self.shared.control.tell(Event::Stopping).await;
 
         let deadline = self.shared.now() + settings.drain_limit;
-        while self.shared.control.calls_in_flight().await > 0 && self.shared.now() < deadline {
+        while !self.is_drained().await && self.shared.now() < deadline {
             actix_rt::time::sleep(DRAIN_POLL).await;
         }
         log::info!("vm {} has no call in flight", settings.vm);
@@ -122,6 +122,11 @@
             arbiter.stop();
         }
     }
+
+    /// Tells whether all calls are answered and all their outcomes recorded.
+    async fn is_drained(&self) -> bool {
+        self.shared.control.calls_in_flight().await == 0 && self.shared.pending_outcomes() == 0
+    }
 }
 
 fn serve<F: ListenFactory>(listener: TcpListener, workers: usize, factory: F) -> ServerHandle {
--- a/crates/cumintrail-daemon/src/metric.rs
+++ b/crates/cumintrail-daemon/src/metric.rs
@@ -18,6 +18,10 @@
 pub const RESUMES: &str = "cumintrail_stream_resumes_total";
 /// Events that were dropped as late, repeated or foreign.
 pub const DROPPED_EVENTS: &str = "cumintrail_dropped_events_total";
+/// Recorded answers that were repeated under an idempotency key.
+pub const REPLAYS: &str = "cumintrail_replays_total";
+/// Calls forwarded to the issuer of their operation key, by outcome: `answered` or `lost`.
+pub const FORWARDS: &str = "cumintrail_forwards_total";
 /// The generation in force.
 pub const GENERATION: &str = "cumintrail_generation";
 /// Bytes sent to peers.
--- a/crates/cumintrail-daemon/src/operators.rs
+++ b/crates/cumintrail-daemon/src/operators.rs
@@ -2,21 +2,21 @@
 
 use std::convert::Infallible;
 use std::net::TcpListener;
+use std::rc::Rc;
 use std::sync::Arc;
 
 use actix_http::header::{CONTENT_TYPE, HeaderValue};
 use actix_http::{HttpService, Method, Request, Response, StatusCode};
 use actix_server::ServerBuilder;
-use actix_service::{ServiceFactoryExt as _, fn_service};
+use actix_service::{ServiceFactoryExt as _, fn_factory, fn_service};
 use bytes::Bytes;
 use cumintrail_control::{Dump, Event, PeerDigest};
 use cumintrail_types::{Refusal, RefusalCode};
 use cumintrail_wire::operator::Status;
-use cumintrail_wire::peer::{ConfigReply, ConfigRequest, DigestMessage};
+use cumintrail_wire::peer::{ConfigReply, ConfigRequest, DigestMessage, ForwardRequest};
 use cumintrail_wire::{from_msgpack, to_msgpack};
 
-use crate::callers::CallerBody;
-use crate::callers::{auth, refuse, request};
+use crate::callers::{CallerBody, Worker, auth, operation_keys, refuse, request};
 use crate::daemon::ListenFactory;
 use crate::metric;
 use crate::shared::Shared;
@@ -44,9 +44,15 @@
             let shared = self.shared.clone();
             HttpService::build()
                 .client_request_timeout(shared.settings.request_timeout)
-                .finish(fn_service(move |req: Request| {
+                .finish(fn_factory(move || {
                     let shared = shared.clone();
-                    async move { Ok::<_, Infallible>(answer(&shared, req).await) }
+                    async move {
+                        let worker = Rc::new(Worker::open(shared));
+                        Ok::<_, Infallible>(fn_service(move |req: Request| {
+                            let worker = worker.clone();
+                            async move { Ok::<_, Infallible>(answer(worker, req).await) }
+                        }))
+                    }
                 }))
                 .tcp()
                 .map_err(|_| ())
@@ -55,11 +61,12 @@
     }
 }
 
-async fn answer(shared: &Shared, req: Request) -> Response<CallerBody> {
-    route(shared, req).await.unwrap_or_else(|refusal| refuse::refuse(&refusal))
+async fn answer(worker: Rc<Worker>, req: Request) -> Response<CallerBody> {
+    route(worker, req).await.unwrap_or_else(|refusal| refuse::refuse(&refusal))
 }
 
-async fn route(shared: &Shared, mut req: Request) -> Result<Response<CallerBody>, Refusal> {
+async fn route(worker: Rc<Worker>, mut req: Request) -> Result<Response<CallerBody>, Refusal> {
+    let shared = &*worker.shared().clone();
     let path = req.path().to_owned();
     let settings = &shared.settings;
     let key = if path.starts_with("/peer/") { &settings.peer_key } else { &settings.operator_key };
@@ -76,6 +83,7 @@
         (Method::GET, "/operator/status") => Ok(refuse::json(OK, &status(shared).await?)),
         (Method::POST, "/peer/digest") => take_digest(shared, &mut req).await,
         (Method::POST, "/peer/config") => answer_config(shared, &mut req).await,
+        (Method::POST, "/peer/forward") => run_forwarded(worker, &mut req).await,
         _ => Err(Refusal::not_run(RefusalCode::NotFound)),
     }
 }
@@ -130,6 +138,16 @@
     Ok(Response::with_body(StatusCode::OK, CallerBody::Whole(body.into())))
 }
 
+async fn run_forwarded(
+    worker: Rc<Worker>,
+    req: &mut Request,
+) -> Result<Response<CallerBody>, Refusal> {
+    let asked: ForwardRequest = read(worker.shared(), req).await?;
+    let body = to_msgpack(&operation_keys::run_forwarded(worker, asked).await);
+    let body = body.map_err(|_| Refusal::unknown(RefusalCode::OutcomeUnknown))?;
+    Ok(Response::with_body(StatusCode::OK, CallerBody::Whole(body.into())))
+}
+
 fn config_reply(shared: &Shared, asked: ConfigRequest) -> ConfigReply {
     let Some(adopted) = shared.adopted() else {
         return ConfigReply::Nothing;
--- a/crates/cumintrail-daemon/src/shared.rs
+++ b/crates/cumintrail-daemon/src/shared.rs
@@ -3,10 +3,11 @@
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 
 use arc_swap::ArcSwapOption;
 use cumintrail_config::{Sections, Settings, Snapshot};
+use cumintrail_control::once::KeyRing;
 use cumintrail_types::{CallKey, Generation, Incarnation, Moment};
 use cumintrail_wire::peer::{ChangeRecord, SnapshotRecord};
 use tokio::sync::Notify;
@@ -49,10 +50,30 @@
     pub control: ControlLink,
     /// Wakes the configuration task when a peer has a higher generation.
     pub newer_generation: Notify,
+    /// Issues and verifies operation keys.
+    pub key_ring: KeyRing,
     clock: Clock,
     adopted: ArcSwapOption<Adopted>,
     stopping: AtomicBool,
     next_call: AtomicU64,
+    pending_outcomes: AtomicUsize,
+}
+
+/// Counts a call whose outcome is still to be recorded, for as long as it lives.
+pub struct PendingOutcome(Arc<Shared>);
+
+impl PendingOutcome {
+    /// Begins to count.
+    pub fn begin(shared: &Arc<Shared>) -> Self {
+        shared.pending_outcomes.fetch_add(1, Ordering::AcqRel);
+        Self(shared.clone())
+    }
+}
+
+impl Drop for PendingOutcome {
+    fn drop(&mut self) {
+        self.0.pending_outcomes.fetch_sub(1, Ordering::AcqRel);
+    }
 }
 
 impl Shared {
@@ -65,6 +86,7 @@
         clock: Clock,
     ) -> Self {
         Self {
+            key_ring: KeyRing::new(settings.peer_key.expose()),
             settings,
             incarnation,
             operator_address,
@@ -74,9 +96,15 @@
             adopted: ArcSwapOption::empty(),
             stopping: AtomicBool::new(false),
             next_call: AtomicU64::new(1),
+            pending_outcomes: AtomicUsize::new(0),
         }
     }
 
+    /// Returns the number of calls whose outcome is still to be recorded.
+    pub fn pending_outcomes(&self) -> usize {
+        self.pending_outcomes.load(Ordering::Acquire)
+    }
+
     /// Returns the current moment.
     pub fn now(&self) -> Moment {
         self.clock.now()
--- a/crates/cumintrail-wire/src/caller.rs
+++ b/crates/cumintrail-wire/src/caller.rs
@@ -9,6 +9,10 @@
 pub const DEADLINE_HEADER: &str = "x-cumintrail-deadline-ms";
 /// Marks a call that the caller may repeat without running it twice.
 pub const IDEMPOTENCY_HEADER: &str = "idempotency-key";
+/// Tells when the caller made its idempotency key, in milliseconds since the Unix epoch.
+pub const KEY_TIME_HEADER: &str = "x-cumintrail-key-time-ms";
+/// Marks an answer that was recorded when the call ran and is repeated now.
+pub const REPLAYED_HEADER: &str = "x-cumintrail-replayed";
 /// Names a call in answers, for support and logs.
 pub const CALL_HEADER: &str = "x-cumintrail-call";
 /// Ends an SSE stream of a whole answer.
@@ -16,6 +20,15 @@
 /// The answer length when the caller names none, in tokens.
 pub const DEFAULT_MAX_TOKENS: u32 = 256;
 
+/// Answers `POST /v1/operation-keys`.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OperationKeyBody {
+    /// The key, to be sent as the idempotency key of one call.
+    pub key: String,
+    /// How long it may be used, in milliseconds.
+    pub expires_in_ms: u64,
+}
+
 /// Holds the body of `POST /v1/completions`.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct CompletionRequest {
--- a/crates/cumintrail-wire/src/lib.rs
+++ b/crates/cumintrail-wire/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod operator;
 pub mod peer;
 pub mod platform;
+pub mod record;
 pub mod store;
 
 mod codec;
--- a/crates/cumintrail-wire/src/peer.rs
+++ b/crates/cumintrail-wire/src/peer.rs
@@ -2,15 +2,18 @@
 //!
 //! - `POST /peer/digest` takes a [`DigestMessage`].
 //! - `POST /peer/config` takes a [`ConfigRequest`] and answers a [`ConfigReply`].
+//! - `POST /peer/forward` takes a [`ForwardRequest`] and answers a [`ForwardReply`].
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 use cumintrail_config::{Delta, Sections};
 use cumintrail_control::PeerDigest;
-use cumintrail_types::{Generation, Incarnation, Sealed, Tier};
+use cumintrail_types::{Generation, Incarnation, Ran, Refusal, RefusalCode, Sealed, Tier};
 use serde::{Deserialize, Serialize};
 
+use crate::record::{AnswerRecord, BodyRecord};
+
 /// Holds a daemon's digest; see [`PeerDigest`] for the fields.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct DigestMessage {
@@ -75,6 +78,63 @@
     Snapshot(SnapshotRecord),
 }
 
+/// Asks the issuer of an operation key to run the key's call.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct ForwardRequest {
+    /// The client account's name.
+    pub account: String,
+    /// The service's name.
+    pub service: String,
+    /// The operation key.
+    pub key: String,
+    /// The method.
+    pub method: String,
+    /// The path below the service's root, with its query.
+    pub path: String,
+    /// The headers to pass on.
+    pub headers: Vec<(String, String)>,
+    /// The body.
+    pub body: BodyRecord,
+    /// How long the caller is ready to wait, in milliseconds.
+    pub within_ms: u64,
+}
+
+/// Answers a forwarded call.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub enum ForwardReply {
+    /// The call's answer, which may be a repeated one.
+    Answered {
+        /// The answer.
+        answer: AnswerRecord,
+        /// Whether it is repeated.
+        replayed: bool,
+    },
+    /// The call is refused.
+    Refused(RefusalRecord),
+}
+
+/// Holds a refusal between daemons.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+pub struct RefusalRecord {
+    code: RefusalCode,
+    ran: Ran,
+    retry_after_ms: Option<u64>,
+}
+
+impl From<Refusal> for RefusalRecord {
+    fn from(r: Refusal) -> Self {
+        let retry_after_ms = r.retry_after.map(|after| after.as_millis() as u64);
+        Self { code: r.code, ran: r.ran, retry_after_ms }
+    }
+}
+
+impl From<RefusalRecord> for Refusal {
+    fn from(r: RefusalRecord) -> Self {
+        let retry_after = r.retry_after_ms.map(std::time::Duration::from_millis);
+        Self { code: r.code, ran: r.ran, retry_after }
+    }
+}
+
 /// Holds the row `config/head`: the accepted generation.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HeadRecord {
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -4,4 +4,5 @@
 pub mod demo;
 pub mod http;
 pub mod process;
+pub mod process_cluster;
 pub mod standins;
