--- a/crates/cumintrail-control/src/control/attempts.rs
+++ b/crates/cumintrail-control/src/control/attempts.rs
@@ -6,7 +6,7 @@
 
 use super::Control;
 use crate::retry::Health;
-use crate::{Action, Actions, AttemptOutcome, Call, Phase, Usage, keeping, retry};
+use crate::{Action, Actions, AttemptOutcome, Phase, Usage, keeping, retry};
 
 /// A target that did not answer for so long before a deadline counts as failing.
 const SILENCE_LIMIT: Duration = Duration::from_secs(2);
@@ -51,8 +51,9 @@
             }
             AttemptOutcome::Failed { .. } => call.attempt_failed(),
         }
-        if retry::may_retry(call, outcome, now) && self.withdraw_retry(target) {
-            self.back_off(now, key);
+        let due = now + retry::backoff(call.attempts(), &mut self.rng);
+        if retry::may_retry(call, outcome, due) && self.withdraw_retry(target) {
+            self.backing_off.push((due, key));
             return;
         }
         let Some(call) = self.calls.get(&key) else {
@@ -75,12 +76,6 @@
         state.retries.has_one() && self.retries.withdraw() && state.retries.withdraw()
     }
 
-    fn back_off(&mut self, now: Moment, key: CallKey) {
-        let attempts = self.calls.get(&key).map_or(1, Call::attempts);
-        let due = now + retry::backoff(attempts, &mut self.rng);
-        self.backing_off.push((due, key));
-    }
-
     /// Queues calls again whose backoff is over.
     pub(super) fn requeue_due(&mut self, now: Moment) {
         let mut due = Vec::new();
--- a/crates/cumintrail-control/src/retry.rs
+++ b/crates/cumintrail-control/src/retry.rs
@@ -8,9 +8,10 @@
 use crate::{AttemptOutcome, Call};
 
 const MAX_ATTEMPTS: u8 = 3;
-const BUDGET_PER_CALL: f64 = 0.2;
-const BUDGET_CAP: f64 = 20.0;
-const TARGET_BUDGET_CAP: f64 = 5.0;
+/// The calls that earn one retry.
+const CALLS_PER_RETRY: u32 = 5;
+const MAX_SAVED: u32 = 20;
+const MAX_SAVED_OF_TARGET: u32 = 5;
 const BACKOFF_BASE: Duration = Duration::from_millis(20);
 const COME_BACK: Duration = Duration::from_secs(1);
 const OPEN_AFTER_FAILURES: u32 = 3;
@@ -20,45 +21,51 @@
 /// Limits retries to a share of calls, so that failures cause no storm.
 #[derive(Debug, Clone)]
 pub struct RetryBudget {
-    tokens: f64,
-    cap: f64,
+    /// Calls that earned no retry yet.
+    saved: u32,
+    cap: u32,
 }
 
 impl Default for RetryBudget {
     fn default() -> Self {
-        Self { tokens: BUDGET_CAP, cap: BUDGET_CAP }
+        Self::full(MAX_SAVED)
     }
 }
 
 impl RetryBudget {
     /// Makes the budget for retries that one target's failures cause.
     pub const fn of_target() -> Self {
-        Self { tokens: TARGET_BUDGET_CAP, cap: TARGET_BUDGET_CAP }
+        Self::full(MAX_SAVED_OF_TARGET)
+    }
+
+    const fn full(retries: u32) -> Self {
+        let cap = retries * CALLS_PER_RETRY;
+        Self { saved: cap, cap }
     }
 
     /// Notes a call, which earns a part of a retry.
-    pub const fn deposit(&mut self) {
-        self.tokens = (self.tokens + BUDGET_PER_CALL).min(self.cap);
+    pub fn deposit(&mut self) {
+        self.saved = (self.saved + 1).min(self.cap);
     }
 
     /// Tells whether a retry is left.
     pub const fn has_one(&self) -> bool {
-        self.tokens >= 1.0
+        self.saved >= CALLS_PER_RETRY
     }
 
     /// Takes one retry, if any is left.
     pub const fn withdraw(&mut self) -> bool {
         let enough = self.has_one();
         if enough {
-            self.tokens -= 1.0;
+            self.saved -= CALLS_PER_RETRY;
         }
         enough
     }
 }
 
-/// Tells whether a call may be sent again after `outcome`.
-pub fn may_retry(call: &Call, outcome: AttemptOutcome, now: Moment) -> bool {
-    let in_time = call.arrival.deadline.since(now) > Duration::ZERO;
+/// Tells whether a call may be sent again at `due` after `outcome`.
+pub fn may_retry(call: &Call, outcome: AttemptOutcome, due: Moment) -> bool {
+    let in_time = call.arrival.deadline.since(due) > Duration::ZERO;
     let repeatable = match outcome {
         AttemptOutcome::NotSent | AttemptOutcome::RefusedByTarget { .. } => true,
         AttemptOutcome::Failed { .. } => call.arrival.class != CallClass::Once,
