--- a/crates/cumintrail-control/tests/retry.rs
+++ b/crates/cumintrail-control/tests/retry.rs
@@ -57,7 +57,8 @@
         |attempts| -> Vec<Duration> { (0..200).map(|_| backoff(attempts, &mut rng)).collect() };
     let (first, third) = (waits(1), waits(3));
     assert!(first.iter().max() < third.iter().max());
-    let spread = |waits: &[Duration]| *waits.iter().max().unwrap() - *waits.iter().min().unwrap();
+    let spread =
+        |waits: &[Duration]| waits.iter().max().unwrap().abs_diff(*waits.iter().min().unwrap());
     assert!(spread(&first) > Duration::from_millis(10) && spread(&third) > spread(&first));
 }
 
