--- a/crates/cumintrail-control/src/control.rs
+++ b/crates/cumintrail-control/src/control.rs
@@ -3,6 +3,7 @@
 mod arrivals;
 mod attempts;
 mod blocks;
+mod description;
 mod state;
 mod upkeep;
 
@@ -23,8 +24,9 @@
 use crate::directory::Directory;
 use crate::links::Links;
 use crate::membership::Membership;
+use crate::placement::{CheapestPlacer, Placer};
 use crate::retry::RetryBudget;
-use crate::{Actions, Call, CallDump, Dump, Event, TargetDump};
+use crate::{Actions, Call, Event};
 
 /// Tells who a daemon is.
 #[derive(Debug, Clone)]
@@ -45,7 +47,8 @@
 
 /// Owns all control state of one daemon; lives on one thread.
 #[derive(Debug)]
-pub struct Control {
+pub struct Control<P = CheapestPlacer> {
+    placer: P,
     identity: Identity,
     rng: StdRng,
     snapshot: Option<Arc<Snapshot>>,
@@ -68,7 +71,15 @@
 impl Control {
     /// Creates the state of a daemon that has no configuration yet.
     pub fn new(identity: Identity, seed: u64) -> Self {
+        Self::with_placer(identity, seed, CheapestPlacer)
+    }
+}
+
+impl<P: Placer> Control<P> {
+    /// Creates the state of a daemon that places calls by `placer`.
+    pub fn with_placer(identity: Identity, seed: u64, placer: P) -> Self {
         Self {
+            placer,
             identity,
             rng: StdRng::seed_from_u64(seed),
             snapshot: None,
@@ -97,7 +108,7 @@
             Event::Fetched { call, target, outcomes, took } => {
                 self.take_fetches(call, target, &outcomes, took);
             }
-            Event::FirstToken { call } => self.take_first_token(call),
+            Event::FirstToken { call } => self.take_first_token(now, call),
             Event::AttemptEnded { call, attempt, outcome } => {
                 self.take_attempt_end(now, call, attempt, outcome, &mut actions);
             }
@@ -130,41 +141,4 @@
     pub fn calls_in_flight(&self) -> usize {
         self.calls.len()
     }
-
-    /// Describes the whole state for operators.
-    pub fn dump(&self, now: Moment) -> Dump {
-        let domain_name = |key| {
-            let names = self.snapshot.as_ref().map(|s| &s.domains);
-            names.and_then(|d| d.get(key)).cloned().unwrap_or_default()
-        };
-        let targets = self.snapshot.iter().flat_map(|s| s.targets.iter()).filter_map(|(key, t)| {
-            let state = self.targets.get(key)?;
-            Some(TargetDump {
-                name: t.name.clone(),
-                address: t.address,
-                domain: domain_name(t.domain),
-                liveness: format!("{:?}", state.liveness).to_lowercase(),
-                leaving: self.is_leaving(key),
-                retired: t.retired,
-                version: state.report.map(|r| r.version.0),
-                in_flight: state.in_flight,
-                slots: t.slots,
-                blocks: self.directory.engine_len(key),
-                report_age_ms: state.reported.map(|at| now.since(at).as_millis() as u64),
-            })
-        });
-        Dump {
-            vm: self.identity.vm.clone(),
-            domain: self.identity.domain.clone(),
-            incarnation: self.identity.incarnation,
-            generation: self.generation(),
-            preset: self.snapshot.as_ref().map(|s| s.preset.name.clone()),
-            stopping: self.stopping,
-            waiting: self.admission.waiting(),
-            calls: self.calls.iter().map(|(key, call)| CallDump::new(now, *key, call)).collect(),
-            targets: targets.collect(),
-            kept_blocks: self.directory.kept_len(),
-            peers: self.membership.peers().map(|(address, p)| (address, p.into())).collect(),
-        }
-    }
 }
--- a/crates/cumintrail-control/src/control/attempts.rs
+++ b/crates/cumintrail-control/src/control/attempts.rs
@@ -5,20 +5,21 @@
 use cumintrail_types::{AttemptNumber, CallKey, Moment, Ran, RefusalCode, TargetKey};
 
 use super::Control;
+use crate::placement::Placer;
 use crate::retry::Health;
 use crate::{Action, Actions, AttemptOutcome, Phase, Usage, keeping, retry};
 
 /// A target that did not answer for so long before a deadline counts as failing.
 const SILENCE_LIMIT: Duration = Duration::from_secs(2);
 
-impl Control {
-    pub(super) fn take_first_token(&mut self, key: CallKey) {
+impl<P: Placer> Control<P> {
+    pub(super) fn take_first_token(&mut self, now: Moment, key: CallKey) {
         let Some(call) = self.calls.get(&key) else {
             return;
         };
         let Some(target) = call.target() else { return };
         let version = self.version_of(target, call.arrival.version);
-        self.settle_backlog(key);
+        self.settle_backlog(now, key);
         if let Some(call) = self.calls.get_mut(&key) {
             call.start_streaming(version);
         }
@@ -36,7 +37,7 @@
             return;
         };
         let Some(target) = call.target() else { return };
-        self.release_slot(key, target);
+        self.release_slot(now, key, target);
         self.judge_target(now, target, outcome);
         let Some(call) = self.calls.get_mut(&key) else {
             return;
@@ -148,22 +149,22 @@
         }
     }
 
-    fn release_slot(&mut self, key: CallKey, target: TargetKey) {
-        self.settle_backlog(key);
+    fn release_slot(&mut self, now: Moment, key: CallKey, target: TargetKey) {
+        self.settle_backlog(now, key);
         if let Some(state) = self.targets.get_mut(target) {
             state.in_flight = state.in_flight.saturating_sub(1);
         }
     }
 
     /// Takes a call's expected prefill off its target, once.
-    fn settle_backlog(&mut self, key: CallKey) {
+    fn settle_backlog(&mut self, now: Moment, key: CallKey) {
         let Some(call) = self.calls.get_mut(&key) else {
             return;
         };
         let expected = std::mem::take(&mut call.expected_prefill);
         let state = call.target().and_then(|target| self.targets.get_mut(target));
         if let Some(state) = state {
-            state.backlog = state.backlog.saturating_sub(expected);
+            state.remove_prefill(now, expected);
         }
     }
 
@@ -179,7 +180,7 @@
         };
         let Some(target) = call.target() else { return };
         let attempt = call.attempt();
-        self.release_slot(key, target);
+        self.release_slot(now, key, target);
         if let Some(state) = self.targets.get_mut(target) {
             state.breaker.judge(now, health, &mut self.rng);
         }
--- a/crates/cumintrail-control/src/control/blocks.rs
+++ b/crates/cumintrail-control/src/control/blocks.rs
@@ -10,9 +10,10 @@
 use super::Control;
 use crate::directory::Kept;
 use crate::membership::Liveness;
+use crate::placement::Placer;
 use crate::{Export, FetchOutcome};
 
-impl Control {
+impl<P: Placer> Control<P> {
     pub(super) fn take_fetches(
         &mut self,
         _call: CallKey,
@@ -67,7 +68,7 @@
 
     pub(super) fn take_listing(
         &mut self,
-        _now: Moment,
+        now: Moment,
         store: StoreKey,
         incarnation: Incarnation,
         first: bool,
@@ -77,6 +78,7 @@
             return;
         };
         state.liveness = Liveness::Live;
+        state.listed = Some(now);
         if first || state.incarnation != Some(incarnation) {
             self.directory.clear_store(store);
         }
--- a/crates/cumintrail-control/src/retry.rs
+++ b/crates/cumintrail-control/src/retry.rs
@@ -145,6 +145,16 @@
         }
     }
 
+    /// Returns the failures in a row.
+    pub const fn failures(&self) -> u32 {
+        self.failures
+    }
+
+    /// Returns when a call may try the target again.
+    pub const fn open_until(&self) -> Moment {
+        self.open_until
+    }
+
     const fn is_open(&self) -> bool {
         self.failures >= OPEN_AFTER_FAILURES
     }
--- a/crates/cumintrail-daemon/src/lib.rs
+++ b/crates/cumintrail-daemon/src/lib.rs
@@ -6,13 +6,18 @@
 mod background;
 mod callers;
 mod clock;
+mod contact;
+mod control_meter;
 mod control_thread;
 mod daemon;
+mod degraded;
 mod metric;
 mod operators;
 mod process;
 mod shared;
+mod usage;
 
 pub use daemon::{Daemon, SpawnError};
-pub use metric::install_recorder;
-pub use process::{Arguments, run};
+pub use metric::{Description, Kind, METRICS, install_recorder};
+pub use process::{Arguments, EXIT_CODES, run};
+pub use usage::{Usage, of_process};
--- a/crates/cumintrail-daemon/src/shared.rs
+++ b/crates/cumintrail-daemon/src/shared.rs
@@ -13,6 +13,7 @@
 use tokio::sync::Notify;
 
 use crate::clock::Clock;
+use crate::contact::Contact;
 use crate::control_thread::ControlLink;
 
 /// Holds a configuration that is in force, with what peers may ask of it.
@@ -52,6 +53,8 @@
     pub newer_generation: Notify,
     /// Issues and verifies operation keys.
     pub key_ring: KeyRing,
+    /// When the platform last answered.
+    pub platform_contact: Contact,
     clock: Clock,
     adopted: ArcSwapOption<Adopted>,
     stopping: AtomicBool,
@@ -92,6 +95,7 @@
             operator_address,
             control,
             newer_generation: Notify::new(),
+            platform_contact: Contact::default(),
             clock,
             adopted: ArcSwapOption::empty(),
             stopping: AtomicBool::new(false),
