--- a/crates/cumintrail-control/src/control/arrivals.rs
+++ b/crates/cumintrail-control/src/control/arrivals.rs
@@ -9,7 +9,7 @@
 use super::Control;
 use crate::membership::Liveness;
 use crate::placement::{Candidate, Context, Placement, Placer, Request};
-use crate::{Action, Actions, Arrival, Call, Dispatch};
+use crate::{Action, Actions, Arrival, Call, Dispatch, retry};
 
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -78,10 +78,12 @@
             return Err(Refusal::not_run(RefusalCode::Deadline));
         };
         let arrival = &call.arrival;
-        let usable: Vec<TargetKey> = self.usable_targets(now, snapshot, call).collect();
+        let mut usable: Vec<TargetKey> = self.usable_targets(now, snapshot, call).collect();
+        if usable.len() > 1 {
+            usable.retain(|key| call.failed_at() != Some(*key));
+        }
         if usable.is_empty() {
-            let code = RefusalCode::NoTarget;
-            return Err(Refusal { code, ran: call.ran(), retry_after: Some(RETRY_AFTER) });
+            return Err(retry::give_up(call, RefusalCode::NoTarget));
         }
         let candidates: SmallVec<[Candidate<'_>; 32]> = usable
             .into_iter()
@@ -121,7 +123,7 @@
                 return false;
             };
             state.liveness != Liveness::Silent
-                && state.ejected_until <= now
+                && state.breaker.allows(now)
                 && !self.is_leaving(*key)
                 && call.pinned.is_none_or(|version| self.version_of(*key, version) == version)
         })
@@ -172,6 +174,7 @@
         call.expected_prefill = placement.recompute;
         if let Some(state) = self.targets.get_mut(target) {
             state.in_flight += 1;
+            state.breaker.start();
             state.add_prefill(now, placement.recompute);
         }
         for fetch in &placement.plan.fetches {
--- a/crates/cumintrail-control/src/control/upkeep.rs
+++ b/crates/cumintrail-control/src/control/upkeep.rs
@@ -11,6 +11,7 @@
 use super::state::{StoreState, TargetState};
 use crate::membership::Liveness;
 use crate::placement::Placer;
+use crate::retry::RetryBudget;
 use crate::{Action, Actions};
 
 const LISTING_INTERVAL: Duration = Duration::from_secs(30);
@@ -27,7 +28,8 @@
             return;
         }
         while self.targets.len() < snapshot.targets.len() {
-            self.targets.push(TargetState { next_probe: now, ..TargetState::default() });
+            let retries = RetryBudget::of_target();
+            self.targets.push(TargetState { next_probe: now, retries, ..TargetState::default() });
         }
         while self.stores.len() < snapshot.stores.len() {
             self.stores.push(StoreState { next_listing: now, ..StoreState::default() });
@@ -41,6 +43,7 @@
 
     pub(super) fn tick(&mut self, now: Moment, actions: &mut Actions) {
         self.expire_calls(now, actions);
+        self.requeue_due(now);
         self.order_probes(now, actions);
         self.order_listings(now, actions);
         self.order_digests(now, actions);
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -6,4 +6,5 @@
 pub mod http;
 pub mod load;
 pub mod process;
+pub mod process_cluster;
 pub mod standins;
