--- a/tests/src/load/callers.rs
+++ b/tests/src/load/callers.rs
@@ -94,7 +94,9 @@
 
 impl Clients {
     fn open() -> Self {
-        let daemons = awc::Client::builder().disable_timeout().finish();
+        // The usual limit of connections would make calls wait here and not in the daemon.
+        let connector = awc::Connector::new().limit(0);
+        let daemons = awc::Client::builder().connector(connector).disable_timeout().finish();
         Self { daemons, engines: HttpEngine::open() }
     }
 
