Prove kept blocks, account separation and whole answers with real processes

A harness (`deployment`) now starts daemons as processes with a relay on every link (callers, targets, stores, peers, platform); a relay can be retargeted, so a process may be replaced behind its address, and a cut that is followed at once by a pass is no longer missed by open connections.

Found by the tests, and failing first: after an attempt broke, the retry went to the same target again, so an answer of 50 tokens ended after one while a second engine was idle (`an_answer_goes_on_at_another_target`, `an_answer_that_turns_foreign_midway_is_finished_with_its_own_text`). A call now remembers where it failed and prefers other targets. Ruled out: ejecting the target after one failure, which would punish it for one broken connection.

Peers announced their bound address, so a link between peers could not stand behind a relay or an address translation: new optional setting `peer_address`.

--- a/crates/cumintrail-config/src/settings.rs
+++ b/crates/cumintrail-config/src/settings.rs
@@ -27,6 +27,8 @@
     pub caller_address: SocketAddr,
     /// Where operators, peers and the balancer's health checks connect.
     pub operator_address: SocketAddr,
+    /// Where peers reach this VM, if not at `operator_address` itself.
+    pub peer_address: Option<SocketAddr>,
     /// Opens the operator endpoints.
     pub operator_key: Secret,
     /// Opens the peer endpoints.
@@ -144,6 +146,7 @@
         let domain: String = r.required("failure_domain", String::new());
         let caller_address = r.required("caller_address", NOWHERE);
         let operator_address = r.required("operator_address", NOWHERE);
+        let peer_address = parse_addresses(&mut r, "peer_address").first().copied();
         if caller_address == operator_address && caller_address.port() != 0 {
             r.reject(
                 "operator_address",
@@ -194,6 +197,7 @@
             domain: domain.into(),
             caller_address,
             operator_address,
+            peer_address,
             operator_key,
             peer_key,
             block_secret,
--- a/crates/cumintrail-control/src/calls.rs
+++ b/crates/cumintrail-control/src/calls.rs
@@ -2,6 +2,8 @@
 
 use cumintrail_types::{AttemptNumber, Moment, Ran, TargetKey, Tokens, WeightVersion};
 
+use smallvec::SmallVec;
+
 use crate::Arrival;
 
 /// Marks how far a call has come; a call never goes back to [`Phase::Queued`] once sent.
@@ -32,11 +34,12 @@
     phase: Phase,
     target: Option<TargetKey>,
     may_have_run: bool,
+    failed_at: SmallVec<[TargetKey; 2]>,
 }
 
 impl Call {
     /// Makes a queued call.
-    pub const fn new(arrival: Arrival, arrived: Moment) -> Self {
+    pub fn new(arrival: Arrival, arrived: Moment) -> Self {
         Self {
             arrival,
             arrived,
@@ -47,6 +50,7 @@
             phase: Phase::Queued,
             target: None,
             may_have_run: false,
+            failed_at: SmallVec::new(),
         }
     }
 
@@ -98,9 +102,14 @@
         self.may_have_run = true;
     }
 
+    /// Tells whether an attempt of this call failed at a target.
+    pub fn has_failed_at(&self, target: TargetKey) -> bool {
+        self.failed_at.contains(&target)
+    }
+
     /// Takes back an attempt of which no byte left; the call is as if never sent.
     pub fn attempt_not_sent(&mut self) {
-        self.target = None;
+        self.failed_at.extend(self.target.take());
         if self.phase == Phase::Sending {
             self.phase = Phase::Queued;
         }
@@ -108,7 +117,7 @@
 
     /// Notes an attempt that broke after bytes were sent.
     pub fn attempt_failed(&mut self) {
-        self.target = None;
+        self.failed_at.extend(self.target.take());
         self.may_have_run = true;
         if self.phase == Phase::Sending {
             self.phase = Phase::Queued;
--- a/crates/cumintrail-control/src/control/arrivals.rs
+++ b/crates/cumintrail-control/src/control/arrivals.rs
@@ -82,6 +82,7 @@
             let code = RefusalCode::NoTarget;
             return Err(Refusal { code, ran: call.ran(), retry_after: Some(RETRY_AFTER) });
         }
+        let usable = prefer_untried(call, usable);
         let candidates =
             usable.into_iter().filter_map(|key| self.candidate(snapshot, arrival, key));
         let model = match arrival.kind {
@@ -175,6 +176,13 @@
     }
 }
 
+/// Leaves out targets at which the call failed before, as long as there are others.
+fn prefer_untried(call: &Call, usable: Vec<TargetKey>) -> Vec<TargetKey> {
+    let untried = usable.iter().copied().filter(|key| !call.has_failed_at(*key));
+    let untried: Vec<TargetKey> = untried.collect();
+    if untried.is_empty() { usable } else { untried }
+}
+
 /// Places a call to a plain service, which imports nothing.
 fn plain_placement(target: TargetKey) -> Placement {
     Placement {
--- a/crates/cumintrail-daemon/src/daemon.rs
+++ b/crates/cumintrail-daemon/src/daemon.rs
@@ -56,7 +56,7 @@
             vm: settings.vm.clone(),
             domain: settings.domain.clone(),
             incarnation,
-            address: operator_address,
+            address: settings.peer_address.unwrap_or(operator_address),
             probe_interval: settings.probe_interval,
             digest_interval: settings.digest_interval,
         };
--- a/tests/src/cluster.rs
+++ b/tests/src/cluster.rs
@@ -254,7 +254,8 @@
     text
 }
 
-fn write(directory: &Path, text: &str) -> std::io::Result<()> {
+/// Writes the declarations into a directory.
+pub fn write(directory: &Path, text: &str) -> std::io::Result<()> {
     std::fs::write(directory.join("deployment.ini"), text)
 }
 
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod cluster;
 pub mod demo;
+pub mod deployment;
 pub mod http;
 pub mod process;
 pub mod standins;
--- a/tests/src/process.rs
+++ b/tests/src/process.rs
@@ -46,6 +46,24 @@
         let _ = kill(pid, signal);
     }
 
+    /// Kills the process at once, as `kill -9` or the loss of its VM does.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Waits for the process to end by itself, while the caller's other tasks go on.
+    pub async fn ended(&mut self, limit: Duration) -> Option<ExitStatus> {
+        let deadline = Instant::now() + limit;
+        while Instant::now() < deadline {
+            if let Ok(Some(status)) = self.child.try_wait() {
+                return Some(status);
+            }
+            actix_rt::time::sleep(Duration::from_millis(10)).await;
+        }
+        None
+    }
+
     /// Waits for the process to end by itself.
     pub fn wait(&mut self, limit: Duration) -> Option<ExitStatus> {
         let deadline = Instant::now() + limit;
--- a/tests/src/standins/engine.rs
+++ b/tests/src/standins/engine.rs
@@ -27,6 +27,8 @@
 const UNREAD_LIMIT: Duration = Duration::from_secs(10);
 /// Shows in an answer that was computed from a block of wrong bytes.
 pub const POISON: &str = "!poisoned!";
+/// The text of answers that belong to somebody else.
+pub const FOREIGN: &str = "!foreign!";
 
 /// Sets the speed and size of an engine.
 #[derive(Debug, Clone, Copy)]
@@ -514,7 +516,8 @@
         _ if fault.silent_after > 0 && sent >= fault.silent_after => Next::Silence,
         (Some(text), _) => {
             *last += 1;
-            let event = TokenEvent { call: shown.to_owned(), text: text.clone() };
+            let text = if fault.foreign_answers { FOREIGN.to_owned() } else { text.clone() };
+            let event = TokenEvent { call: shown.to_owned(), text };
             Next::Event(sse(TOKEN_EVENT, *last, &event))
         }
         (None, Some(end)) => {
--- a/tests/src/standins/relay.rs
+++ b/tests/src/standins/relay.rs
@@ -28,11 +28,15 @@
     SilenceAll,
 }
 
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Copy)]
 struct Rule {
+    /// Where new connections go.
+    to: SocketAddr,
     mode: Mode,
     /// Connections with a lower number are silent for good.
     silenced_below: u64,
+    /// Connections with a lower number are closed.
+    cut_below: u64,
     delay: Duration,
 }
 
@@ -48,16 +52,18 @@
     /// Relays connections to `address` on to `to`.
     pub async fn spawn(address: SocketAddr, to: SocketAddr) -> std::io::Result<Self> {
         let listener = TcpListener::bind(address).await?;
+        let rule =
+            Rule { to, mode: Mode::Pass, silenced_below: 0, cut_below: 0, delay: Duration::ZERO };
         let relay = Self {
             address: listener.local_addr()?,
-            rule: Arc::new(watch::channel(Rule::default()).0),
+            rule: Arc::new(watch::channel(rule).0),
             accepted: Arc::default(),
         };
         let (rule, accepted) = (relay.rule.clone(), relay.accepted.clone());
         actix_rt::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
                 let number = accepted.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
-                actix_rt::spawn(pass(stream, to, number, rule.subscribe()));
+                actix_rt::spawn(pass(stream, number, rule.subscribe()));
             }
         });
         Ok(relay)
@@ -70,15 +76,23 @@
 
     /// Changes what happens to connections.
     pub fn set(&self, mode: Mode) {
-        let silenced_below = self.accepted.load(std::sync::atomic::Ordering::Relaxed);
+        let accepted = self.accepted.load(std::sync::atomic::Ordering::Relaxed);
         self.rule.send_modify(|rule| {
             if mode == Mode::SilenceOpen || rule.mode == Mode::SilenceAll {
-                rule.silenced_below = silenced_below;
+                rule.silenced_below = accepted;
+            }
+            if mode == Mode::Cut || rule.mode == Mode::Cut {
+                rule.cut_below = accepted;
             }
             rule.mode = mode;
         });
     }
 
+    /// Sends new connections elsewhere, as when a process was replaced behind its address.
+    pub fn retarget(&self, to: SocketAddr) {
+        self.rule.send_modify(|rule| rule.to = to);
+    }
+
     /// Delays each chunk.
     pub fn set_delay(&self, delay: Duration) {
         self.rule.send_modify(|rule| rule.delay = delay);
@@ -100,7 +114,8 @@
     }
 }
 
-async fn pass(near: TcpStream, to: SocketAddr, number: u64, mut rule: watch::Receiver<Rule>) {
+async fn pass(near: TcpStream, number: u64, mut rule: watch::Receiver<Rule>) {
+    let to = rule.borrow().to;
     if rule.borrow().mode == Mode::Cut {
         return;
     }
@@ -113,7 +128,7 @@
     let down = copy(far_read, near_write, number, rule.clone());
     tokio::select! {
         _ = async { tokio::join!(up, down) } => {}
-        _ = rule.wait_for(|rule| rule.mode == Mode::Cut) => {}
+        _ = rule.wait_for(|rule| rule.mode == Mode::Cut || number < rule.cut_below) => {}
     }
 }
 
--- /dev/null
+++ b/tests/tests/process_blocks.rs
@@ -0,0 +1,151 @@
+//! No answer is computed from kept state that was freed, torn, replaced or damaged.
+
+use std::time::Duration;
+
+use actix_http::Method;
+use cumintrail_tests::cluster::{CALLER_KEY, Plan};
+use cumintrail_tests::deployment::{ANSWER_LIMIT, Deployment, Reply};
+use cumintrail_tests::http::send;
+use cumintrail_tests::standins::engine::{Limits, POISON, answer_of};
+use cumintrail_tests::standins::relay::Mode;
+use cumintrail_tests::standins::store::Fault;
+use cumintrail_types::{Digest, WeightVersion, WriteId};
+use cumintrail_wire::store::{DIGEST_HEADER, WRITE_HEADER};
+
+const BINARY: &str = env!("CARGO_BIN_EXE_cumintrail-tests");
+const PIECES: usize = 12;
+const PIECE_BYTES: usize = 400;
+const TOKENS: u32 = 6;
+
+fn catalogue() -> String {
+    let line = |i| format!("{i}: kesong puti, lot {}\n", i * 7 % 101);
+    let mut text: String = (0..400).map(line).collect();
+    text.truncate(PIECES * PIECE_BYTES + 11);
+    text
+}
+
+/// Recomputing costs so much that every policy reads kept state where there is any.
+fn plan() -> Plan {
+    let engine = Limits { prefill_per_second: 3_000, ..Limits::default() };
+    Plan { engines: 1, daemons: 1, services: 0, engine, ..Plan::default() }
+}
+
+async fn kept() -> Deployment {
+    let deployment = Deployment::spawn(BINARY, &plan()).await.unwrap();
+    assert!(deployment.keep(CALLER_KEY, &catalogue(), PIECES).await, "the prompt was not kept");
+    deployment
+}
+
+async fn returned(deployment: &Deployment) -> Reply {
+    let reply = deployment.ask(0, CALLER_KEY, &catalogue(), TOKENS).await;
+    assert!(!reply.text.contains(POISON), "computed from wrong state: {}", reply.text);
+    assert!(reply.whole, "{reply:?}");
+    assert_eq!(reply.text, answer_of(&catalogue(), WeightVersion(1), TOKENS as usize));
+    reply
+}
+
+#[actix_rt::test]
+async fn intact_state_is_imported() {
+    let deployment = kept().await;
+    let reply = returned(&deployment).await;
+    assert!(reply.usage.unwrap().imported_tokens > 0, "{reply:?}");
+}
+
+#[actix_rt::test]
+async fn a_block_with_damaged_bytes_and_an_unchanged_seal_is_a_miss() {
+    let deployment = kept().await;
+    deployment.stores[0].corrupt_all();
+    let reply = returned(&deployment).await;
+    assert_eq!(reply.usage.unwrap().imported_tokens, 0);
+    assert!(deployment.metrics(0).await.contains(r#"outcome="mismatch""#));
+}
+
+#[actix_rt::test]
+async fn a_torn_write_is_a_miss() {
+    let deployment = Deployment::spawn(BINARY, &plan()).await.unwrap();
+    deployment.stores[0].set_fault(Fault { torn_writes: true, ..Fault::default() });
+    assert!(deployment.keep(CALLER_KEY, &catalogue(), PIECES).await);
+    let reply = returned(&deployment).await;
+    assert_eq!(reply.usage.unwrap().imported_tokens, 0);
+    assert!(deployment.metrics(0).await.contains(r#"outcome="mismatch""#));
+}
+
+#[actix_rt::test]
+async fn a_freed_block_is_a_miss() {
+    let deployment = kept().await;
+    deployment.stores[0].free_all();
+    let reply = returned(&deployment).await;
+    assert_eq!(reply.usage.unwrap().imported_tokens, 0);
+}
+
+#[actix_rt::test]
+async fn a_freed_and_reused_place_is_a_miss() {
+    let deployment = kept().await;
+    let store = &deployment.stores[0];
+    let old = store.blocks();
+    store.free_all();
+    for (i, sealed) in old.iter().enumerate() {
+        let bytes = vec![i as u8; sealed.length.0 as usize];
+        let write_id = WriteId([i as u8; 16]).to_string();
+        let digest = Digest::of(&bytes).to_string();
+        let headers = [(WRITE_HEADER, write_id.as_str()), (DIGEST_HEADER, digest.as_str())];
+        let path = format!("/blocks/{}", sealed.key);
+        let got = send(Method::PUT, store.address(), &path, &headers, bytes, ANSWER_LIMIT).await;
+        assert_eq!(got.status, 200);
+    }
+    let reply = returned(&deployment).await;
+    assert_eq!(reply.usage.unwrap().imported_tokens, 0);
+}
+
+#[actix_rt::test]
+async fn a_store_that_dies_or_is_lost_mid_transfer_costs_no_answer() {
+    for mode in [None, Some(Mode::Cut), Some(Mode::SilenceOpen), Some(Mode::SilenceAll)] {
+        let mut deployment = kept().await;
+        // A block takes longer than any policy waits for it, so the fault meets an open transfer.
+        deployment.stores[0].set_fault(Fault { slow_factor: 1_000_000, ..Fault::default() });
+        let before = deployment.stores[0].sent_bytes();
+        let at = deployment.vms[0].callers.address();
+        let asked = actix_rt::spawn(async move {
+            cumintrail_tests::deployment::ask(at, CALLER_KEY, &catalogue(), TOKENS, true).await
+        });
+        let store = deployment.stores[0].clone();
+        let started = || store.sent_bytes() > before;
+        assert!(cumintrail_tests::cluster::eventually(ANSWER_LIMIT, started).await);
+        match mode {
+            Some(mode) => deployment.store_links[0].set(mode),
+            None => deployment.replace_store(0).await.unwrap(),
+        }
+        let reply = asked.await.unwrap();
+        let expected = answer_of(&catalogue(), WeightVersion(1), TOKENS as usize);
+        assert_eq!((reply.whole, reply.text.as_str()), (true, expected.as_str()), "{mode:?}");
+        // A second return finds the store gone, silent or empty, and is answered as well.
+        deployment.engines[0].evict_all();
+        returned(&deployment).await;
+    }
+}
+
+#[actix_rt::test]
+async fn a_daemon_killed_mid_import_leaves_nothing_that_a_later_answer_uses_wrongly() {
+    let mut deployment = kept().await;
+    deployment.stores[0].set_fault(Fault { slow_factor: 1_000, ..Fault::default() });
+    let before = deployment.stores[0].sent_bytes();
+    let at = deployment.vms[0].callers.address();
+    let asked = actix_rt::spawn(async move {
+        cumintrail_tests::deployment::ask(at, CALLER_KEY, &catalogue(), TOKENS, true).await
+    });
+    let store = deployment.stores[0].clone();
+    let started = || store.sent_bytes() > before;
+    assert!(cumintrail_tests::cluster::eventually(ANSWER_LIMIT, started).await);
+    deployment.vms[0].process.kill();
+    assert!(!asked.await.unwrap().whole);
+    deployment.stores[0].set_fault(Fault::default());
+    deployment.stores[0].corrupt_all();
+    deployment.restart(0).unwrap();
+    deployment.wait_ready().await.unwrap();
+    let known = |dump: &serde_json::Value| dump["kept_blocks"].as_u64() >= Some(PIECES as u64);
+    assert!(
+        deployment.until(0, Duration::from_secs(10), known).await,
+        "not listed after a restart"
+    );
+    returned(&deployment).await;
+}
