--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod cluster;
 pub mod demo;
 pub mod deployment;
+pub mod experiment;
 pub mod http;
 pub mod process;
 pub mod standins;
