--- a/crates/cumintrail-daemon/src/daemon.rs
+++ b/crates/cumintrail-daemon/src/daemon.rs
@@ -115,9 +115,10 @@
             actix_rt::time::sleep(DRAIN_POLL).await;
         }
         log::info!("vm {} has no call in flight", settings.vm);
-        for server in &self.servers {
-            server.stop(true).await;
-        }
+        let [callers, operators] = &self.servers;
+        callers.stop(true).await;
+        // Peers keep their connections in use, so a graceful stop would wait for them in vain.
+        operators.stop(false).await;
         for arbiter in &self.arbiters {
             arbiter.stop();
         }
--- /dev/null
+++ b/tests/tests/process_leaving.rs
@@ -0,0 +1,123 @@
+//! A leaving target gets no new work after a few seconds, whoever said so first.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use cumintrail_tests::cluster::{CALLER_KEY, Plan, domain};
+use cumintrail_tests::deployment::{Deployment, ask, hold};
+use cumintrail_tests::standins::{engine, platform, service};
+use cumintrail_wire::platform::{ListedRole, ListedVm};
+
+const BINARY: &str = env!("CARGO_BIN_EXE_cumintrail-tests");
+/// The users' "few seconds".
+const NOTICED_LIMIT: Duration = Duration::from_secs(5);
+/// How long a target is watched after that.
+const WATCHED: Duration = Duration::from_secs(2);
+
+fn plan() -> Plan {
+    Plan { engines: 2, services: 2, stores: 0, daemons: 2, ..Plan::default() }
+}
+
+/// Lists the daemons, and a target as leaving or not.
+fn list(deployment: &Deployment, target: std::net::SocketAddr, leaving: bool) {
+    let entry = |address, role, leaving, i| ListedVm { address, domain: domain(i), role, leaving };
+    let vms = deployment.vms.iter().enumerate();
+    let mut listed: Vec<ListedVm> =
+        vms.map(|(i, vm)| entry(vm.peers.address(), ListedRole::Daemon, false, i)).collect();
+    listed.push(entry(target, ListedRole::Target, leaving, 0));
+    deployment.platform.list_vms(listed);
+}
+
+/// Sends model and service calls through all daemons until it is dropped.
+struct Load {
+    stop: Rc<Cell<bool>>,
+    answered: Rc<Cell<u32>>,
+}
+
+impl Load {
+    fn spawn(deployment: &Deployment) -> Self {
+        let load = Self { stop: Rc::default(), answered: Rc::default() };
+        for (i, vm) in deployment.vms.iter().enumerate() {
+            let (stop, answered, at) =
+                (load.stop.clone(), load.answered.clone(), vm.callers.address());
+            actix_rt::spawn(async move {
+                for n in 0.. {
+                    if stop.get() {
+                        return;
+                    }
+                    let call = format!("{i}-{n}");
+                    let (reply, held) = futures_util::future::join(
+                        ask(at, CALLER_KEY, &call, 3, true),
+                        hold(at, &call, &[]),
+                    )
+                    .await;
+                    let both = reply.whole && held.status == 200;
+                    answered.set(answered.get() + u32::from(both));
+                }
+            });
+        }
+        load
+    }
+}
+
+impl Drop for Load {
+    fn drop(&mut self) {
+        self.stop.set(true);
+    }
+}
+
+/// Watches the work of a target after the time in which its leaving must be noticed.
+async fn gets_no_more_work(work: impl Fn() -> u64, load: &Load) {
+    actix_rt::time::sleep(NOTICED_LIMIT).await;
+    let (before, answered) = (work(), load.answered.get());
+    actix_rt::time::sleep(WATCHED).await;
+    assert_eq!(work(), before, "a leaving target got new work");
+    assert!(load.answered.get() > answered, "the other target got no work either");
+}
+
+async fn is_used(work: impl Fn() -> u64) -> bool {
+    cumintrail_tests::cluster::eventually(Duration::from_secs(10), || work() > 0).await
+}
+
+fn service_work(deployment: &Deployment) -> impl Fn() -> u64 + use<> {
+    let service = deployment.services[0].clone();
+    move || service.executions().values().sum()
+}
+
+#[actix_rt::test]
+async fn a_target_that_the_vm_list_calls_leaving_and_an_older_list_does_not_revive_it() {
+    let deployment = Deployment::spawn(BINARY, &plan()).await.unwrap();
+    let load = Load::spawn(&deployment);
+    let engine = deployment.engines[0].clone();
+    let work = move || engine.started();
+    assert!(is_used(&work).await);
+    list(&deployment, deployment.engine_links[0].address(), true);
+    gets_no_more_work(&work, &load).await;
+    let older = platform::Fault { list_stuck_at: 1, ..platform::Fault::default() };
+    deployment.platform.set_fault(older);
+    gets_no_more_work(&work, &load).await;
+}
+
+#[actix_rt::test]
+async fn a_target_that_says_it_leaves_while_the_platform_is_down() {
+    let deployment = Deployment::spawn(BINARY, &plan()).await.unwrap();
+    let load = Load::spawn(&deployment);
+    let work = service_work(&deployment);
+    assert!(is_used(&work).await);
+    let down = platform::Fault { down: true, ..platform::Fault::default() };
+    deployment.platform.set_fault(down);
+    deployment.services[0].set_fault(service::Fault { leaving: true, ..Default::default() });
+    gets_no_more_work(&work, &load).await;
+}
+
+#[actix_rt::test]
+async fn a_leaving_engine_refuses_and_its_calls_are_answered_elsewhere() {
+    let deployment = Deployment::spawn(BINARY, &plan()).await.unwrap();
+    deployment.engines[0].set_fault(engine::Fault { leaving: true, ..Default::default() });
+    for i in 0..6 {
+        let reply = deployment.ask(i % 2, CALLER_KEY, &format!("call {i}"), 3).await;
+        assert!(reply.whole, "{reply:?}");
+    }
+    assert_eq!(deployment.engines[0].started(), 0);
+}
