--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -5,5 +5,6 @@
 pub mod deployment;
 pub mod experiment;
 pub mod http;
+pub mod longrun;
 pub mod process;
 pub mod standins;
--- /dev/null
+++ b/tests/src/longrun.rs
@@ -0,0 +1,155 @@
+//! A randomised run of a whole deployment under faults, judged from the outside.
+//!
+//! Callers, services, engines and the platform are the tests' own, so each rule is checked on what
+//! they saw, never on what a daemon says of itself.
+
+mod book;
+mod faults;
+mod schedule;
+mod workload;
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use cumintrail_config::Secret;
+use cumintrail_types::{Generation, Incarnation};
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use serde::{Deserialize, Serialize};
+
+use self::book::Book;
+use self::faults::Injector;
+pub use self::schedule::{Fault, Link, Planned};
+use crate::cluster::{ClusterError, OPERATOR_KEY, Plan};
+use crate::deployment::{Deployment, IN_FORCE_LIMIT};
+use crate::standins::engine::Limits;
+
+const TICK: Duration = Duration::from_millis(50);
+const SETTLE_LIMIT: Duration = Duration::from_secs(5);
+const DAEMONS: usize = 3;
+
+/// Sets a run.
+#[derive(Debug, Clone, Copy)]
+pub struct Options {
+    /// Decides the faults, their times and the callers' choices.
+    pub seed: u64,
+    /// How long faults are injected.
+    pub run: Duration,
+}
+
+impl Options {
+    /// Draws the faults of the run.
+    pub fn schedule(&self) -> Vec<Planned> {
+        schedule::draw(&mut StdRng::seed_from_u64(self.seed), self.run)
+    }
+}
+
+/// Tells what a run saw.
+#[derive(Debug, Serialize)]
+pub struct Verdict {
+    /// The seed.
+    pub seed: u64,
+    /// The faults with their times.
+    pub schedule: Vec<String>,
+    /// Model calls that were answered whole.
+    pub answered: u64,
+    /// Model calls that were refused or visibly broken.
+    pub unanswered: u64,
+    /// Prompt tokens that were reused.
+    pub reused_tokens: u64,
+    /// Operations of the plain service that callers tried.
+    pub operations: usize,
+    /// Operations that ran.
+    pub operations_run: usize,
+    /// The last accepted generation.
+    pub generation: Generation,
+    /// Broken rules.
+    pub violations: Vec<String>,
+}
+
+/// Runs a deployment under faults and judges it.
+pub async fn run(binary: &str, options: &Options) -> Result<Verdict, ClusterError> {
+    let engine = Limits {
+        token_time: Duration::from_millis(15),
+        memory_pieces: 40,
+        prefill_per_second: 10_000,
+        ..Limits::default()
+    };
+    let plan =
+        Plan { engines: 3, stores: 2, services: 2, daemons: DAEMONS, engine, ..Plan::default() };
+    let edit = |text: String| text.replace("timeout_ms = 5000", "timeout_ms = 1000");
+    let deployment = Deployment::spawn_with(binary, &plan, edit).await?;
+    let book = Rc::new(RefCell::new(Book::default()));
+    let schedule = options.schedule();
+    let described = schedule.iter().map(ToString::to_string).collect();
+    let mut injector = Injector::new(deployment, schedule, book.clone());
+
+    let callers: Vec<_> = injector.deployment.vms.iter().map(|vm| vm.callers.address()).collect();
+    let tasks = workload::spawn(&callers, options.seed, &book);
+    let watchers = watch_generations(&injector);
+    let started = Instant::now();
+    while started.elapsed() < options.run {
+        injector.advance(started.elapsed()).await?;
+        injector.observe();
+        actix_rt::time::sleep(TICK).await;
+    }
+    injector.heal_all().await?;
+    let newest = injector.newest;
+    for vm in 0..DAEMONS {
+        if !injector.deployment.in_force(vm, newest, IN_FORCE_LIMIT).await {
+            book.borrow_mut().violate(format!("vm {vm} has not generation {newest} in force"));
+        }
+    }
+    book.borrow_mut().stopped = true;
+    settle(tasks).await;
+    injector.observe();
+    watchers.iter().for_each(actix_rt::task::JoinHandle::abort);
+    let deployment = &injector.deployment;
+    book.borrow_mut().judge_operations(|operation| deployment.executions(operation));
+    let verdict = book.borrow_mut().verdict(options.seed, described, newest);
+    Ok(verdict)
+}
+
+/// Waits for calls in flight; those on connections that are silent for good never end.
+async fn settle(tasks: Vec<actix_rt::task::JoinHandle<()>>) {
+    let deadline = Instant::now() + SETTLE_LIMIT;
+    while Instant::now() < deadline && tasks.iter().any(|task| !task.is_finished()) {
+        actix_rt::time::sleep(TICK).await;
+    }
+    tasks.iter().for_each(actix_rt::task::JoinHandle::abort);
+}
+
+/// The part of a daemon's dump that shows which configuration is in force.
+#[derive(Debug, Clone, Copy, Deserialize)]
+struct InForce {
+    incarnation: Incarnation,
+    generation: Generation,
+}
+
+/// Checks that no run of a daemon ever goes back to a lower generation.
+fn watch_generations(injector: &Injector) -> Vec<actix_rt::task::JoinHandle<()>> {
+    let watch = |vm: usize| {
+        let (operators, book) = (injector.operators.clone(), injector.book.clone());
+        let platform = injector.deployment.platform.address();
+        actix_rt::spawn(async move {
+            let key = Secret::new(OPERATOR_KEY);
+            let access = cumintrail_cli::Access::new(platform, platform, platform, key);
+            let mut last: Option<InForce> = None;
+            loop {
+                actix_rt::time::sleep(TICK).await;
+                let at = operators.borrow()[vm];
+                let Ok(now) = access.get::<InForce>(at, "/debug/state").await else {
+                    continue;
+                };
+                let same_run = last.filter(|last| last.incarnation == now.incarnation);
+                if let Some(last) = same_run.filter(|last| last.generation > now.generation) {
+                    let (from, to) = (last.generation, now.generation);
+                    book.borrow_mut().violate(format!("vm {vm} went back from {from} to {to}"));
+                }
+                last = Some(now);
+            }
+        })
+    };
+    (0..DAEMONS).map(watch).collect()
+}
--- /dev/null
+++ b/tests/src/longrun/book.rs
@@ -0,0 +1,164 @@
+//! What callers and stand-ins saw, and whether it breaks a rule.
+
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::net::SocketAddr;
+
+use cumintrail_types::{BlockKey, Generation, Ran, WeightVersion};
+use cumintrail_wire::caller::RefusalBody;
+use rand::Rng;
+use rand::rngs::StdRng;
+
+use super::Verdict;
+use crate::deployment::Reply;
+use crate::http::Got;
+use crate::standins::engine::{FOREIGN, Generated, POISON, answer_of};
+
+/// Describes a model call.
+pub struct ModelCall {
+    /// The number that no other call has.
+    pub unique: u64,
+    /// The prompt.
+    pub prompt: String,
+    /// The answer's length.
+    pub tokens: u32,
+}
+
+/// Sums up what callers were told of one operation.
+#[derive(Debug, Default)]
+pub struct Operation {
+    /// Tries that were begun.
+    pub begun: u32,
+    /// Tries that were answered with the truth-bound `ran: no`.
+    said_no: u32,
+    /// Tries that were answered as run.
+    answered: u32,
+}
+
+/// Collects a run.
+#[derive(Default)]
+pub struct Book {
+    /// Whether callers stop.
+    pub stopped: bool,
+    /// Operations by their body.
+    pub operations: BTreeMap<String, Operation>,
+    /// Targets that the VM list calls leaving.
+    pub leaving: Vec<SocketAddr>,
+    /// The newest weight version.
+    pub versions: u64,
+    catalogues: u64,
+    accounts: Vec<usize>,
+    refused: HashSet<u64>,
+    started: HashSet<u64>,
+    owners: HashMap<BlockKey, (usize, WeightVersion)>,
+    answered: u64,
+    unanswered: u64,
+    reused: u64,
+    violations: Vec<String>,
+}
+
+impl Book {
+    /// Notes a broken rule.
+    pub fn violate(&mut self, what: String) {
+        self.violations.push(what);
+    }
+
+    /// Numbers a call.
+    pub fn next_unique(&mut self, account: usize) -> u64 {
+        self.accounts.push(account);
+        self.accounts.len() as u64 - 1
+    }
+
+    /// Chooses a catalogue, mostly one that was asked for before by any account.
+    pub fn pick_catalogue(&mut self, rng: &mut StdRng, new: f64) -> u64 {
+        if self.catalogues == 0 || rng.random_bool(new) {
+            self.catalogues += 1;
+            return self.catalogues - 1;
+        }
+        rng.random_range(0..self.catalogues)
+    }
+
+    /// Checks an answer: whole or visibly not, of one version, its own, and of its own state.
+    pub fn judge_reply(&mut self, call: &ModelCall, reply: &Reply) {
+        let wrong = [POISON, FOREIGN].iter().any(|mark| reply.text.contains(mark));
+        let pure = (1..=self.versions.max(1)).any(|version| {
+            let text = answer_of(&call.prompt, WeightVersion(version), call.tokens as usize);
+            if reply.whole { text == reply.text } else { text.starts_with(&reply.text) }
+        });
+        if wrong || !pure {
+            self.violate(format!("call {} got `{}`", call.unique, reply.text));
+        }
+        if reply.refusal.as_ref().is_some_and(|r| r.error.ran == Ran::No) {
+            self.refused.insert(call.unique);
+        }
+        self.reused += u64::from(reply.reused());
+        if reply.whole {
+            self.answered += 1;
+        } else {
+            self.unanswered += 1;
+        }
+    }
+
+    /// Checks that each block belongs to one account and one weight version.
+    pub fn note_generated(&mut self, generated: Vec<Generated>) {
+        for run in generated {
+            let unique: Option<u64> = run.prompt_end.parse().ok();
+            let account = unique.and_then(|n| self.accounts.get(n as usize).copied());
+            let Some((unique, account)) = unique.zip(account) else {
+                continue;
+            };
+            self.started.insert(unique);
+            for key in run.pieces {
+                let owner = *self.owners.entry(key).or_insert((account, run.version));
+                if owner != (account, run.version) {
+                    self.violate(format!("block {key} of {owner:?} used by call {unique}"));
+                }
+            }
+        }
+    }
+
+    /// Notes what a caller was told of an operation.
+    pub fn note_operation(&mut self, operation: &str, got: &Got) {
+        let told = self.operations.entry(operation.to_owned()).or_default();
+        let refusal = got.json::<RefusalBody>();
+        told.said_no += u32::from(refusal.is_some_and(|r| r.error.ran == Ran::No));
+        told.answered += u32::from(got.status == 200);
+    }
+
+    /// Compares what callers were told with the executions that the service counted.
+    pub fn judge_operations(&mut self, executions: impl Fn(&str) -> u64) {
+        let mut broken = Vec::new();
+        for (name, told) in &self.operations {
+            let ran = executions(name);
+            if ran > 1 {
+                broken.push(format!("{name} ran {ran} times"));
+            }
+            if told.answered > 0 && ran == 0 {
+                broken.push(format!("{name} was answered but never ran"));
+            }
+            if told.said_no == told.begun && ran > 0 {
+                broken.push(format!("{name} ran though every try was told `ran: no`"));
+            }
+        }
+        broken.extend(
+            self.refused
+                .intersection(&self.started)
+                .map(|n| format!("refused call {n} was started")),
+        );
+        self.violations.extend(broken);
+    }
+
+    /// Sums up the run.
+    pub fn verdict(&mut self, seed: u64, schedule: Vec<String>, generation: Generation) -> Verdict {
+        Verdict {
+            seed,
+            schedule,
+            answered: self.answered,
+            unanswered: self.unanswered,
+            reused_tokens: self.reused,
+            operations: self.operations.len(),
+            operations_run: self.operations.values().filter(|o| o.answered > 0).count(),
+            generation,
+            violations: std::mem::take(&mut self.violations),
+        }
+    }
+}
--- /dev/null
+++ b/tests/src/longrun/faults.rs
@@ -0,0 +1,317 @@
+//! Begins and ends faults, and observes the stand-ins meanwhile.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use actix_http::Method;
+use cumintrail_types::{FencingNumber, Generation, WeightVersion};
+use cumintrail_wire::engine::LoadOrder;
+use cumintrail_wire::platform::{ListedRole, ListedVm};
+use nix::sys::signal::Signal;
+
+use super::book::Book;
+use super::schedule::{Fault, Link, Planned};
+use crate::cluster::{ClusterError, domain, write};
+use crate::deployment::{ANSWER_LIMIT, Deployment};
+use crate::http::send;
+use crate::standins::relay::{Mode, Relay};
+use crate::standins::{engine, platform, service, store};
+
+/// The users' "few seconds" after which a leaving target gets no new work.
+const LEAVING_LIMIT: Duration = Duration::from_secs(5);
+const SLOW_LINK_FACTOR: u64 = 2_000;
+/// Above the numbers that the system itself gives out.
+const FENCING_BASE: u64 = 1_000_000;
+
+/// Watches a target that leaves.
+struct Leaving {
+    since: Instant,
+    work: Box<dyn Fn() -> u64>,
+    /// The work when the limit had passed.
+    settled: Option<u64>,
+}
+
+/// Applies a schedule to a deployment.
+pub struct Injector {
+    /// The deployment.
+    pub deployment: Deployment,
+    /// Where the daemons' operators connect now.
+    pub operators: Rc<RefCell<Vec<SocketAddr>>>,
+    /// What was seen.
+    pub book: Rc<RefCell<Book>>,
+    /// The last accepted generation.
+    pub newest: Generation,
+    waiting: Vec<Planned>,
+    active: Vec<Planned>,
+    leaving: Vec<Leaving>,
+    version: WeightVersion,
+    weight: u32,
+    /// When a daemon was last started or went on after a pause.
+    disturbed: Instant,
+}
+
+impl Injector {
+    /// Makes an injector that has done nothing yet.
+    pub fn new(deployment: Deployment, schedule: Vec<Planned>, book: Rc<RefCell<Book>>) -> Self {
+        let operators = deployment.vms.iter().map(|vm| vm.process.addresses[1]).collect();
+        Self {
+            deployment,
+            operators: Rc::new(RefCell::new(operators)),
+            book,
+            newest: Generation(1),
+            waiting: schedule,
+            active: Vec::new(),
+            leaving: Vec::new(),
+            version: WeightVersion(1),
+            weight: 1,
+            disturbed: Instant::now(),
+        }
+    }
+
+    /// Ends and begins what is due.
+    pub async fn advance(&mut self, elapsed: Duration) -> Result<(), ClusterError> {
+        let over = |p: &Planned| p.at + p.lasts <= elapsed;
+        let (ended, active): (Vec<_>, Vec<_>) = self.active.drain(..).partition(over);
+        self.active = active;
+        for planned in ended {
+            self.end(planned.fault).await?;
+        }
+        let (due, waiting): (Vec<_>, Vec<_>) =
+            self.waiting.drain(..).partition(|p| p.at <= elapsed);
+        self.waiting = waiting;
+        for planned in due {
+            if self.active.iter().any(|p| p.fault.shares_process(planned.fault)) {
+                continue;
+            }
+            self.begin(planned.fault).await?;
+            self.active.push(planned);
+        }
+        Ok(())
+    }
+
+    /// Ends all faults but leaving, which is for good.
+    pub async fn heal_all(&mut self) -> Result<(), ClusterError> {
+        for planned in std::mem::take(&mut self.active) {
+            self.end(planned.fault).await?;
+        }
+        Ok(())
+    }
+
+    /// Reads what engines were asked and whether leaving targets get work.
+    pub fn observe(&mut self) {
+        let mut book = self.book.borrow_mut();
+        for engine in &self.deployment.engines {
+            book.note_generated(engine.take_generated());
+        }
+        let calm = self.disturbed.elapsed() > LEAVING_LIMIT;
+        for (i, leaving) in self.leaving.iter_mut().enumerate() {
+            let work = (leaving.work)();
+            match leaving.settled {
+                _ if !calm || leaving.since.elapsed() < LEAVING_LIMIT => leaving.settled = None,
+                Some(settled) if work > settled => {
+                    book.violate(format!("leaving target {i} got work {settled} to {work}"));
+                    leaving.settled = Some(work);
+                }
+                Some(_) => {}
+                None => leaving.settled = Some(work),
+            }
+        }
+    }
+
+    async fn begin(&mut self, fault: Fault) -> Result<(), ClusterError> {
+        let d = &mut self.deployment;
+        match fault {
+            Fault::Kill(vm) => d.vms[vm].process.kill(),
+            Fault::Pause(vm) => d.vms[vm].process.signal(Signal::SIGSTOP),
+            Fault::Stop(vm) => d.vms[vm].process.signal(Signal::SIGTERM),
+            Fault::Link(link, i, mode) => relay(d, link, i).set(mode),
+            Fault::PlatformDown => set_platform(d, |f| f.down = true),
+            Fault::PlatformSlow => set_platform(d, |f| f.slow_ms = 300),
+            Fault::PlatformLosesAnswers => set_platform(d, |f| f.lose_answers = true),
+            Fault::StaleList => set_platform(d, |f| f.list_stuck_at = 1),
+            Fault::StoreDamage(i) => d.stores[i].corrupt_all(),
+            Fault::StoreFree(i) => d.stores[i].free_all(),
+            Fault::StoreTorn(i) => set_store(d, i, |f| f.torn_writes = true),
+            Fault::StoreFull(i) => set_store(d, i, |f| f.full = true),
+            Fault::StoreSlow(i) => set_store(d, i, |f| f.slow_factor = SLOW_LINK_FACTOR),
+            Fault::StoreDeath(i) => d.replace_store(i).await?,
+            Fault::EngineDeath(i) => {
+                self.book.borrow_mut().note_generated(d.engines[i].take_generated());
+                d.replace_engine(i).await?;
+                load(d, i, self.version).await;
+            }
+            Fault::EngineSilent(i) => set_engine(d, i, |f| f.silent_after = 3),
+            Fault::EngineCuts(i) => set_engine(d, i, |f| f.cut_after = 3),
+            Fault::EngineForeign(i) => set_engine(d, i, |f| f.foreign_answers = true),
+            Fault::EngineForgets(i) => set_engine(d, i, |f| f.forget_streams = true),
+            Fault::ServiceSlow(i) => set_service(d, i, |f| f.slow_ms = 400),
+            Fault::ServiceLosesAnswers(i) => set_service(d, i, |f| f.lose_answers = true),
+            Fault::ServiceLeaves(i) => {
+                set_service(d, i, |f| f.leaving = true);
+                let service = d.services[i].clone();
+                let address = d.service_links[i].address();
+                self.leave(address, Box::new(move || service.executions().values().sum()));
+            }
+            Fault::EngineLeaves(i) => {
+                let engine = d.engines[i].clone();
+                let address = d.engine_links[i].address();
+                self.leave(address, Box::new(move || engine.started()));
+            }
+            Fault::Swap => self.swap().await?,
+            Fault::Operators => self.race().await?,
+        }
+        Ok(())
+    }
+
+    async fn end(&mut self, fault: Fault) -> Result<(), ClusterError> {
+        let d = &mut self.deployment;
+        match fault {
+            Fault::Kill(vm) => self.start(vm)?,
+            Fault::Pause(vm) => {
+                d.vms[vm].process.signal(Signal::SIGCONT);
+                self.disturbed = Instant::now();
+            }
+            Fault::Stop(vm) => {
+                let status = d.vms[vm].process.ended(ANSWER_LIMIT).await;
+                if !status.is_some_and(|s| s.success()) {
+                    self.book.borrow_mut().violate(format!("vm {vm} ends a stop with {status:?}"));
+                }
+                self.start(vm)?;
+            }
+            Fault::Link(link, i, _) => relay(d, link, i).set(Mode::Pass),
+            Fault::PlatformDown => set_platform(d, |f| f.down = false),
+            Fault::PlatformSlow => set_platform(d, |f| f.slow_ms = 0),
+            Fault::PlatformLosesAnswers => set_platform(d, |f| f.lose_answers = false),
+            Fault::StaleList => set_platform(d, |f| f.list_stuck_at = 0),
+            Fault::StoreTorn(i) => set_store(d, i, |f| f.torn_writes = false),
+            Fault::StoreFull(i) => set_store(d, i, |f| f.full = false),
+            Fault::StoreSlow(i) => set_store(d, i, |f| f.slow_factor = 0),
+            Fault::EngineSilent(i) => set_engine(d, i, |f| f.silent_after = 0),
+            Fault::EngineCuts(i) => set_engine(d, i, |f| f.cut_after = 0),
+            Fault::EngineForeign(i) => set_engine(d, i, |f| f.foreign_answers = false),
+            Fault::EngineForgets(i) => set_engine(d, i, |f| f.forget_streams = false),
+            Fault::ServiceSlow(i) => set_service(d, i, |f| f.slow_ms = 0),
+            Fault::ServiceLosesAnswers(i) => set_service(d, i, |f| f.lose_answers = false),
+            Fault::StoreDamage(_)
+            | Fault::StoreFree(_)
+            | Fault::StoreDeath(_)
+            | Fault::EngineDeath(_)
+            | Fault::ServiceLeaves(_)
+            | Fault::EngineLeaves(_)
+            | Fault::Swap
+            | Fault::Operators => {}
+        }
+        Ok(())
+    }
+
+    fn start(&mut self, vm: usize) -> Result<(), ClusterError> {
+        self.deployment.restart(vm)?;
+        self.operators.borrow_mut()[vm] = self.deployment.vms[vm].process.addresses[1];
+        self.disturbed = Instant::now();
+        Ok(())
+    }
+
+    /// Lists the targets that leave from now on.
+    fn leave(&mut self, address: SocketAddr, work: Box<dyn Fn() -> u64>) {
+        self.leaving.push(Leaving { since: Instant::now(), work, settled: None });
+        self.book.borrow_mut().leaving.push(address);
+        let entry = |address, role, leaving| ListedVm { address, domain: domain(0), role, leaving };
+        let vms = self.deployment.vms.iter().enumerate().map(|(i, vm)| ListedVm {
+            domain: domain(i),
+            ..entry(vm.peers.address(), ListedRole::Daemon, false)
+        });
+        let mut listed: Vec<ListedVm> = vms.collect();
+        let left = self.book.borrow().leaving.clone();
+        listed.extend(left.into_iter().map(|address| entry(address, ListedRole::Target, true)));
+        self.deployment.platform.list_vms(listed);
+    }
+
+    /// Declares and loads the next weight version; an outage of the platform puts it off.
+    async fn swap(&mut self) -> Result<(), ClusterError> {
+        let next = WeightVersion(self.version.0 + 1);
+        // Answers of the next version are right from the moment in which it may be accepted.
+        self.book.borrow_mut().versions = next.0;
+        let text = self.text(next, self.weight);
+        write(self.deployment.declarations.path(), &text)?;
+        let path = self.deployment.declarations.path();
+        let Ok(generation) = cumintrail_cli::apply(&self.deployment.access, path).await else {
+            return Ok(());
+        };
+        self.accept(generation);
+        self.version = next;
+        for engine in 0..self.deployment.engines.len() {
+            load(&self.deployment, engine, next).await;
+        }
+        Ok(())
+    }
+
+    async fn race(&mut self) -> Result<(), ClusterError> {
+        let directories = [tempfile::tempdir()?, tempfile::tempdir()?];
+        for directory in &directories {
+            self.weight += 1;
+            write(directory.path(), &self.text(self.version, self.weight))?;
+        }
+        let [a, b] = &directories;
+        let access = &self.deployment.access;
+        let (a, b) = futures_util::future::join(
+            cumintrail_cli::apply(access, a.path()),
+            cumintrail_cli::apply(access, b.path()),
+        )
+        .await;
+        if let (Ok(a), Ok(b)) = (&a, &b)
+            && a == b
+        {
+            self.book.borrow_mut().violate(format!("generation {a} was given to two operators"));
+        }
+        for generation in [a, b].into_iter().flatten() {
+            self.accept(generation);
+        }
+        Ok(())
+    }
+
+    fn accept(&mut self, generation: Generation) {
+        self.newest = self.newest.max(generation);
+    }
+
+    fn text(&self, version: WeightVersion, weight: u32) -> String {
+        let text = self.deployment.text.replace("version = 1", &format!("version = {version}"));
+        text.replace("[account litera]", &format!("[account litera]\nweight = {weight}"))
+    }
+}
+
+fn relay(d: &Deployment, link: Link, i: usize) -> &Relay {
+    match link {
+        Link::Callers => &d.vms[i].callers,
+        Link::Engine => &d.engine_links[i],
+        Link::Service => &d.service_links[i],
+        Link::Store => &d.store_links[i],
+        Link::Peer => &d.vms[i].peers,
+        Link::Platform => &d.vms[i].platform,
+    }
+}
+
+fn set_platform(d: &Deployment, change: impl FnOnce(&mut platform::Fault)) {
+    d.platform.change_fault(change);
+}
+
+fn set_store(d: &Deployment, i: usize, change: impl FnOnce(&mut store::Fault)) {
+    d.stores[i].change_fault(change);
+}
+
+fn set_engine(d: &Deployment, i: usize, change: impl FnOnce(&mut engine::Fault)) {
+    d.engines[i].change_fault(change);
+}
+
+fn set_service(d: &Deployment, i: usize, change: impl FnOnce(&mut service::Fault)) {
+    d.services[i].change_fault(change);
+}
+
+/// Loads a version past the system.
+async fn load(d: &Deployment, engine: usize, version: WeightVersion) {
+    let order = LoadOrder { fencing: FencingNumber(FENCING_BASE + version.0), version };
+    let body = serde_json::to_vec(&order).unwrap_or_default();
+    let at = d.engines[engine].address();
+    send(Method::POST, at, "/v1/orders", &[], body, ANSWER_LIMIT).await;
+}
--- a/tests/src/main.rs
+++ b/tests/src/main.rs
@@ -5,9 +5,9 @@
 use std::time::Duration;
 
 use clap::{Parser, Subcommand, ValueEnum};
-use cumintrail_tests::demo;
 use cumintrail_tests::experiment::{self, Policy};
 use cumintrail_tests::standins::{engine, platform, relay, service, store};
+use cumintrail_tests::{demo, longrun};
 
 /// Runs stand-ins, the demonstration and measuring tools.
 #[derive(Debug, Parser)]
@@ -37,6 +37,15 @@
         #[arg(long, value_enum, default_value_t = Format::Text)]
         format: Format,
     },
+    /// Run a deployment under random faults and check all rules from the outside.
+    Longrun {
+        /// Decides the faults and the callers' choices.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// How long faults are injected.
+        #[arg(long, default_value_t = 60)]
+        seconds: u64,
+    },
     /// Run a platform.
     Platform {
         /// Where it listens.
@@ -128,6 +137,9 @@
 async fn run(command: Command) -> ExitCode {
     let started = match command {
         Command::Demo { format } => return show_demo(format).await,
+        Command::Longrun { seed, seconds } => {
+            return run_long(longrun::Options { seed, run: Duration::from_secs(seconds) }).await;
+        }
         Command::Platform { address, load_ms, load_slots } => {
             platform::Platform::spawn(address, load_ms, load_slots).map(|p| p.address())
         }
@@ -181,6 +193,24 @@
     ExitCode::SUCCESS
 }
 
+async fn run_long(options: longrun::Options) -> ExitCode {
+    println!("seed {}", options.seed);
+    for planned in options.schedule() {
+        println!("{planned}");
+    }
+    let binary = std::env::current_exe().unwrap_or_default().display().to_string();
+    match longrun::run(&binary, &options).await {
+        Ok(verdict) => {
+            println!("{}", serde_json::to_string_pretty(&verdict).unwrap_or_default());
+            if verdict.violations.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+        }
+        Err(e) => {
+            eprintln!("{e}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
 async fn show_demo(format: Format) -> ExitCode {
     let results = match demo::run().await {
         Ok(results) => results,
--- a/tests/src/standins/engine.rs
+++ b/tests/src/standins/engine.rs
@@ -91,6 +91,17 @@
     pub forget_streams: bool,
 }
 
+/// Describes an answer that an engine started.
+#[derive(Debug, Clone)]
+pub struct Generated {
+    /// The weight version.
+    pub version: WeightVersion,
+    /// The prompt's text after its last space.
+    pub prompt_end: String,
+    /// The names of its pieces.
+    pub pieces: Vec<BlockKey>,
+}
+
 struct Stream {
     tokens: Vec<String>,
     end: Option<EndEvent>,
@@ -118,6 +129,7 @@
     backlog: u32,
     reports: VecDeque<(Instant, Report)>,
     started: u64,
+    generated: Vec<Generated>,
     fault: Fault,
 }
 
@@ -157,6 +169,7 @@
             backlog: 0,
             reports: VecDeque::new(),
             started: 0,
+            generated: Vec::new(),
             fault: Fault::default(),
         };
         let inner = Arc::new(Inner {
@@ -175,6 +188,11 @@
         self.running.address
     }
 
+    /// Switches some failures and leaves the others as they are.
+    pub fn change_fault(&self, change: impl FnOnce(&mut Fault)) {
+        change(&mut self.inner.lock().fault);
+    }
+
     /// Switches failures.
     pub fn set_fault(&self, fault: Fault) {
         self.inner.lock().fault = fault;
@@ -194,6 +212,11 @@
         self.inner.lock().started
     }
 
+    /// Returns what it was asked to answer since the last time.
+    pub fn take_generated(&self) -> Vec<Generated> {
+        std::mem::take(&mut self.inner.lock().generated)
+    }
+
     /// Returns the orders that it followed.
     pub fn orders(&self) -> Vec<(FencingNumber, WeightVersion)> {
         self.inner.lock().orders.clone()
@@ -320,6 +343,9 @@
             return refuse(EngineReason::WrongVersion);
         }
         state.started += 1;
+        let prompt_end = request.prompt.rsplit(' ').next().unwrap_or_default().to_owned();
+        let pieces = request.pieces.clone();
+        state.generated.push(Generated { version: request.version, prompt_end, pieces });
         state.waiting += 1;
         let stream = Stream {
             tokens: request.answered.clone(),
--- a/tests/src/standins/platform.rs
+++ b/tests/src/standins/platform.rs
@@ -22,6 +22,8 @@
     pub slow_ms: u64,
     /// Lets writes take effect and then loses the answer.
     pub lose_answers: bool,
+    /// Does the same to transactions alone.
+    pub lose_commits: bool,
     /// Answers the VM list as it was at this sequence number; zero for the current one.
     pub list_stuck_at: u64,
 }
@@ -67,6 +69,11 @@
         (self.load_ms, self.load_slots)
     }
 
+    /// Switches some failures and leaves the others as they are.
+    pub fn change_fault(&self, change: impl FnOnce(&mut Fault)) {
+        change(&mut self.lock().fault);
+    }
+
     /// Switches failures.
     pub fn set_fault(&self, fault: Fault) {
         self.lock().fault = fault;
@@ -144,7 +151,8 @@
             },
         }
     };
-    if fault.lose_answers && writes {
+    let lost = fault.lose_answers && writes || fault.lose_commits && path == "/table";
+    if lost {
         // Longer than any client waits; the connection stays open without a word.
         actix_rt::time::sleep(Duration::from_secs(3_600)).await;
     }
--- a/tests/src/standins/service.rs
+++ b/tests/src/standins/service.rs
@@ -52,6 +52,11 @@
         self.running.address
     }
 
+    /// Switches some failures and leaves the others as they are.
+    pub fn change_fault(&self, change: impl FnOnce(&mut Fault)) {
+        change(&mut self.state.lock().expect("no holder panics").fault);
+    }
+
     /// Switches failures.
     pub fn set_fault(&self, fault: Fault) {
         self.state.lock().expect("no holder panics").fault = fault;
--- a/tests/src/standins/store.rs
+++ b/tests/src/standins/store.rs
@@ -86,6 +86,11 @@
         self.running.address
     }
 
+    /// Switches some failures and leaves the others as they are.
+    pub fn change_fault(&self, change: impl FnOnce(&mut Fault)) {
+        change(&mut self.lock().fault);
+    }
+
     /// Switches failures.
     pub fn set_fault(&self, fault: Fault) {
         self.lock().fault = fault;
--- a/tests/tests/process_config.rs
+++ b/tests/tests/process_config.rs
@@ -120,14 +120,18 @@
 
 #[actix_rt::test]
 async fn an_operator_is_told_the_truth_when_the_platform_loses_its_answers() {
-    let deployment = Deployment::spawn(BINARY, &plan(1)).await.unwrap();
-    deployment.platform.set_fault(Fault { lose_answers: true, ..Fault::default() });
-    let told = cumintrail_cli::switch_preset(&deployment.access, "peak").await;
-    deployment.platform.set_fault(Fault::default());
-    let accepted = switch(&deployment, "peak").await;
-    let expected = if told.is_ok() { "accepted the first time" } else { "nothing was lost" };
-    assert_eq!(accepted, Generation(2), "{expected}: {told:?}");
-    assert!(in_force_everywhere(&deployment, accepted).await);
+    let all = Fault { lose_answers: true, ..Fault::default() };
+    let commits = Fault { lose_commits: true, ..Fault::default() };
+    for fault in [all, commits] {
+        let deployment = Deployment::spawn(BINARY, &plan(1)).await.unwrap();
+        deployment.platform.set_fault(fault);
+        let told = cumintrail_cli::switch_preset(&deployment.access, "peak").await;
+        deployment.platform.set_fault(Fault::default());
+        assert!(!fault.lose_commits || told.is_ok(), "the change is in force: {told:?}");
+        let accepted = switch(&deployment, "peak").await;
+        assert_eq!(accepted, Generation(2), "{told:?}");
+        assert!(in_force_everywhere(&deployment, accepted).await);
+    }
 }
 
 #[actix_rt::test]
