--- a/crates/cumintrail-control/src/control/arrivals.rs
+++ b/crates/cumintrail-control/src/control/arrivals.rs
@@ -78,13 +78,11 @@
             return Err(Refusal::not_run(RefusalCode::Deadline));
         };
         let arrival = &call.arrival;
-        let mut usable: Vec<TargetKey> = self.usable_targets(now, snapshot, call).collect();
-        if usable.len() > 1 {
-            usable.retain(|key| call.failed_at() != Some(*key));
-        }
+        let usable: Vec<TargetKey> = self.usable_targets(now, snapshot, call).collect();
         if usable.is_empty() {
             return Err(retry::give_up(call, RefusalCode::NoTarget));
         }
+        let usable = prefer_untried(call, usable);
         let candidates: SmallVec<[Candidate<'_>; 32]> = usable
             .into_iter()
             .filter_map(|key| self.candidate(now, snapshot, arrival, key))
@@ -186,6 +184,13 @@
     }
 }
 
+/// Leaves out targets at which the call failed before, as long as there are others.
+fn prefer_untried(call: &Call, usable: Vec<TargetKey>) -> Vec<TargetKey> {
+    let untried = usable.iter().copied().filter(|key| !call.has_failed_at(*key));
+    let untried: Vec<TargetKey> = untried.collect();
+    if untried.is_empty() { usable } else { untried }
+}
+
 /// Places a call to a plain service, which imports nothing.
 fn plain_placement(target: TargetKey) -> Placement {
     Placement {
--- a/crates/cumintrail-daemon/src/daemon.rs
+++ b/crates/cumintrail-daemon/src/daemon.rs
@@ -56,7 +56,7 @@
             vm: settings.vm.clone(),
             domain: settings.domain.clone(),
             incarnation,
-            address: operator_address,
+            address: settings.peer_address.unwrap_or(operator_address),
             probe_interval: settings.probe_interval,
             digest_interval: settings.digest_interval,
         };
@@ -115,9 +115,10 @@
             actix_rt::time::sleep(DRAIN_POLL).await;
         }
         log::info!("vm {} has no call in flight", settings.vm);
-        for server in &self.servers {
-            server.stop(true).await;
-        }
+        let [callers, operators] = &self.servers;
+        callers.stop(true).await;
+        // Peers keep their connections in use, so a graceful stop would wait for them in vain.
+        operators.stop(false).await;
         for arbiter in &self.arbiters {
             arbiter.stop();
         }
