Load declared weight versions under a lease with fencing numbers

Cause: nothing brought a target to the declared weight version.

Change: control::rollout is a pure machine. A daemon that sees a difference reads the lease's row (key lease/rollout; daemons further down the rendezvous order look later), takes it over when the row has not changed for lease plus order timeout, renews it after two of six seconds and sends nothing in the last two. Any doubt (a lost or late answer, a conflict) ends the holding; the row is read again, and a row of the own process is acquired under the next number. Loads stay within load_slots, a model with more than one target keeps one that serves, silent and leaving targets are passed over, the reports confirm each load, and the lease is given back. Orders are sent by background/rollout.rs with a limit on the daemon's clock that is read before each step of the exchange; OldFencing gives the lease up.

Left: targets that ignore numbers are covered by the margins only; a pause between the last look at the clock and the system call that writes is not.

--- a/crates/cumintrail-control/src/control.rs
+++ b/crates/cumintrail-control/src/control.rs
@@ -6,6 +6,7 @@
 mod description;
 mod digests;
 mod probes;
+mod rollouts;
 mod state;
 mod upkeep;
 
@@ -28,6 +29,7 @@
 use crate::membership::Membership;
 use crate::placement::{CheapestPlacer, Placer};
 use crate::retry::RetryBudget;
+use crate::rollout::Rollout;
 use crate::{Actions, Call, Event};
 
 /// Tells who a daemon is.
@@ -61,6 +63,8 @@
     directory: Directory,
     links: Links,
     membership: Membership,
+    rollout: Rollout,
+    next_rollout: Moment,
     retries: RetryBudget,
     next_digest: Moment,
     last_digest: Moment,
@@ -82,6 +86,7 @@
 impl<P: Placer> Control<P> {
     /// Creates the state of a daemon that places calls by `placer`.
     pub fn with_placer(identity: Identity, seed: u64, placer: P) -> Self {
+        let rollout = Rollout::new(format!("{}-{:x}", identity.vm, identity.incarnation.0).into());
         Self {
             placer,
             identity,
@@ -94,6 +99,8 @@
             directory: Directory::default(),
             links: Links::default(),
             membership: Membership::default(),
+            rollout,
+            next_rollout: Moment::default(),
             retries: RetryBudget::default(),
             next_digest: Moment::default(),
             last_digest: Moment::default(),
@@ -133,6 +140,18 @@
             Event::VmsListed { sequence, vms } => self.take_vm_list(now, sequence, &vms),
             Event::PeerDigest(digest) => self.take_digest(now, &digest),
             Event::PeerSilent { address } => self.membership.peer_silent(address),
+            Event::LeaseRead { row } => {
+                if let Some(request) = self.rollout.lease_read(now, row.as_ref()) {
+                    self.follow_rollout(now, request, &mut actions);
+                }
+            }
+            Event::LeaseWritten { asked, committed } => {
+                self.rollout.lease_written(now, asked, committed);
+            }
+            Event::LeaseFailed => self.rollout.lease_failed(now),
+            Event::OrderEnded { target, outcome } => {
+                self.rollout.order_ended(now, target, outcome);
+            }
             Event::Stopping => self.stopping = true,
             Event::Tick => self.tick(now, &mut actions),
         }
--- /dev/null
+++ b/crates/cumintrail-control/src/control/rollouts.rs
@@ -0,0 +1,77 @@
+//! Rollouts of weight versions: what the control state tells the machine and orders for it.
+
+use std::time::Duration;
+
+use cumintrail_config::{Snapshot, TargetKind};
+use cumintrail_types::{Moment, TargetKey};
+
+use super::Control;
+use crate::membership::Liveness;
+use crate::placement::Placer;
+use crate::rollout::{RolloutRequest, TargetView};
+use crate::{Action, Actions};
+
+const ROLLOUT_INTERVAL: Duration = Duration::from_millis(100);
+
+impl<P: Placer> Control<P> {
+    /// Compares declared with reported weight versions now and then.
+    pub(super) fn order_rollout(&mut self, now: Moment, actions: &mut Actions) {
+        if self.next_rollout > now || self.stopping {
+            return;
+        }
+        self.next_rollout = now + ROLLOUT_INTERVAL;
+        let Some(snapshot) = self.snapshot.clone() else {
+            return;
+        };
+        let targets: Vec<TargetView> = self.rollout_view(&snapshot);
+        let slots = usize::from(snapshot.deployment.load_slots);
+        let rank = self.membership.rank(self.identity.address);
+        let requests = self.rollout.tick(now, &targets, slots, rank);
+        for request in requests {
+            self.follow_rollout(now, request, actions);
+        }
+    }
+
+    pub(super) fn follow_rollout(
+        &mut self,
+        now: Moment,
+        request: RolloutRequest,
+        actions: &mut Actions,
+    ) {
+        match request {
+            RolloutRequest::Lease(request) => actions.push(Action::Lease(request)),
+            RolloutRequest::Order(order) => actions.push(Action::Order(order)),
+            RolloutRequest::Probe(target) => self.probe_early(now, target, actions),
+        }
+    }
+
+    /// Probes a target that loads, whoever probes it otherwise.
+    fn probe_early(&mut self, now: Moment, target: TargetKey, actions: &mut Actions) {
+        let interval = self.identity.probe_interval;
+        let Some(state) = self.targets.get_mut(target).filter(|s| s.next_load_probe <= now) else {
+            return;
+        };
+        state.next_load_probe = now + interval;
+        actions.push(Action::Probe(target));
+    }
+
+    fn rollout_view(&self, snapshot: &Snapshot) -> Vec<TargetView> {
+        let engines = snapshot.targets.iter().filter(|(_, t)| !t.retired);
+        let view = engines.filter_map(|(key, target)| {
+            let TargetKind::Engine(model) = target.kind else {
+                return None;
+            };
+            let state = self.targets.get(key)?;
+            Some(TargetView {
+                key,
+                model,
+                declared: snapshot.models.get(model)?.version,
+                reported: state.report.map(|r| r.version),
+                loading: state.report.is_some_and(|r| r.loading),
+                reported_at: state.reported,
+                usable: state.liveness == Liveness::Live && !self.is_leaving(key),
+            })
+        });
+        view.collect()
+    }
+}
--- a/crates/cumintrail-control/src/control/state.rs
+++ b/crates/cumintrail-control/src/control/state.rs
@@ -30,6 +30,8 @@
     pub ejected_until: Moment,
     /// When it is probed next.
     pub next_probe: Moment,
+    /// When it is probed next because it loads weights.
+    pub next_load_probe: Moment,
     /// Own probes that it missed in a row.
     pub missed: u32,
     /// When it last answered an own probe.
--- a/crates/cumintrail-control/src/control/upkeep.rs
+++ b/crates/cumintrail-control/src/control/upkeep.rs
@@ -43,6 +43,7 @@
         self.expire_calls(now, actions);
         self.order_probes(now, actions);
         self.order_listings(now, actions);
+        self.order_rollout(now, actions);
         self.order_digests(now, actions);
         self.expire_members(now);
     }
--- a/crates/cumintrail-control/src/event.rs
+++ b/crates/cumintrail-control/src/event.rs
@@ -12,6 +12,8 @@
 };
 use smallvec::SmallVec;
 
+use crate::rollout::{LeaseRequest, LeaseRow, OrderOutcome};
+
 /// The orders that one event leads to; most lead to few.
 pub type Actions = SmallVec<[Action; 4]>;
 
@@ -124,6 +126,27 @@
         /// The peer's address.
         address: SocketAddr,
     },
+    /// The lease's row was read.
+    LeaseRead {
+        /// The row, if there is one.
+        row: Option<LeaseRow>,
+    },
+    /// A write of the lease's row was answered.
+    LeaseWritten {
+        /// Read before the request was sent.
+        asked: Moment,
+        /// Whether the condition held.
+        committed: bool,
+    },
+    /// An exchange about the lease was not answered; a write may have taken effect.
+    LeaseFailed,
+    /// An order to a target ended.
+    OrderEnded {
+        /// The target.
+        target: TargetKey,
+        /// How.
+        outcome: OrderOutcome,
+    },
     /// The daemon was asked to stop: no new work from now on.
     Stopping,
     /// Time passed.
@@ -171,6 +194,10 @@
         /// The index in the snapshot's materials.
         material: usize,
     },
+    /// Exchange with the table about the lease for orders.
+    Lease(LeaseRequest),
+    /// Send an order to a target.
+    Order(Order),
     /// Send a digest to a peer.
     SendDigest {
         /// The peer's operator address.
@@ -333,6 +360,8 @@
     pub fencing: FencingNumber,
     /// What to do.
     pub kind: OrderKind,
+    /// The moment from which on it may not be sent any more.
+    pub not_after: Moment,
 }
 
 /// Names the change that an order asks for.
--- a/crates/cumintrail-control/src/membership.rs
+++ b/crates/cumintrail-control/src/membership.rs
@@ -7,8 +7,8 @@
 mod news;
 mod rendezvous;
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
-use std::net::SocketAddr;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -34,6 +34,9 @@
 /// How long what a peer wants counts after its last digest.
 const WANTS_LIFE: Duration = Duration::from_secs(10);
 
+/// Stands for the lease in the rendezvous hash.
+const LEASE_PLACE: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::UNSPECIFIED), 0);
+
 /// Tells whether a process answers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub enum Liveness {
@@ -80,7 +83,7 @@
 #[derive(Debug, Default)]
 pub struct Membership {
     list_sequence: u64,
-    peers: HashMap<SocketAddr, Peer>,
+    peers: BTreeMap<SocketAddr, Peer>,
     leaving: Leaving,
     news: News,
     /// Counts changes, so that each peer is sent those after its last one.
@@ -266,6 +269,13 @@
         chosen
     }
 
+    /// Returns this daemon's place among those that may hold the lease for orders.
+    pub fn rank(&self, own: SocketAddr) -> u32 {
+        let usable = self.peers().filter(|(_, p)| p.liveness != Liveness::Silent && !p.leaving);
+        let daemons: Vec<SocketAddr> = usable.map(|(address, _)| address).collect();
+        rendezvous::rank(LEASE_PLACE, own, &daemons) as u32
+    }
+
     /// Tells whether `own` brings a new process up to date; two daemons of its failure domain do,
     /// the others tell it only what changed of late.
     fn is_sponsor(&self, of: SocketAddr, own: SocketAddr, own_domain: &Arc<str>) -> bool {
--- a/crates/cumintrail-control/src/membership/rendezvous.rs
+++ b/crates/cumintrail-control/src/membership/rendezvous.rs
@@ -7,12 +7,14 @@
 
 /// Tells whether `own` is one of `daemons` and among those that look after `target`.
 pub fn is_winner(target: SocketAddr, own: SocketAddr, daemons: &[SocketAddr]) -> bool {
-    if !daemons.contains(&own) {
-        return false;
-    }
+    daemons.contains(&own) && rank(target, own, daemons) < WINNERS
+}
+
+/// Returns how many of `daemons` come before `own` for `target`.
+pub fn rank(target: SocketAddr, own: SocketAddr, daemons: &[SocketAddr]) -> usize {
     let mine = weight(target, own);
     let ahead = daemons.iter().filter(|d| **d != own && weight(target, **d) > mine);
-    ahead.take(WINNERS).count() < WINNERS
+    ahead.count()
 }
 
 /// Weighs a pair alike on all daemons and builds, so the standard hasher does not fit.
--- a/crates/cumintrail-control/src/rollout.rs
+++ b/crates/cumintrail-control/src/rollout.rs
@@ -1,8 +1,21 @@
-//! Orders to targets under a lease with fencing numbers.
+//! Orders to targets under a lease with fencing numbers; docs/DESIGN.md, "Weight rollouts".
+//!
+//! The lease lies in the platform's table. Its holder stops sending well before the end by its own
+//! monotonic clock, and the next one waits for the end of what the holder may still have sent.
 
+mod lease;
+mod plan;
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::Duration;
 
-use cumintrail_types::{FencingNumber, Moment};
+use cumintrail_types::{FencingNumber, Moment, TargetKey};
+use smallvec::SmallVec;
+
+pub use self::lease::{LeaseKeeper, LeaseRequest, LeaseRow, LeaseWrite};
+pub use self::plan::{Loading, TargetView, is_behind, next_loads};
+use crate::{Order, OrderKind};
 
 /// How long a lease lasts.
 pub const LEASE: Duration = Duration::from_secs(6);
@@ -10,6 +23,10 @@
 pub const ORDER_TIMEOUT: Duration = Duration::from_millis(500);
 /// How long before the end of its lease a holder stops sending.
 pub const SEND_MARGIN: Duration = Duration::from_secs(2);
+/// How long after an order its target may take to report the version.
+const LOAD_LIMIT: Duration = Duration::from_secs(60);
+/// How long a target is left alone after an order that did not leave.
+const RESEND_PAUSE: Duration = Duration::from_secs(1);
 
 /// Holds a lease as its holder sees it on its own monotonic clock.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -21,15 +38,147 @@
 }
 
 impl Lease {
-    /// Tells whether an order may still be sent at `now`.
+    /// Returns the moment from which on no order may be sent.
     ///
     /// Counted from before the request, so a slow or late answer only shortens it.
+    pub fn send_until(&self) -> Moment {
+        self.asked + LEASE.saturating_sub(SEND_MARGIN)
+    }
+
+    /// Tells whether an order may still be sent at `now`.
     pub fn may_send(&self, now: Moment) -> bool {
-        now < self.asked + LEASE.saturating_sub(SEND_MARGIN)
+        now < self.send_until()
     }
 }
 
-/// Returns how long a new holder waits after the last renewal that it saw of the old lease.
+/// Returns how long a new holder waits after the last change that it saw of the old lease.
 pub fn takeover_wait() -> Duration {
     LEASE + ORDER_TIMEOUT
 }
+
+/// Tells how an order ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OrderOutcome {
+    /// The target has followed it.
+    Followed,
+    /// The target has seen a higher fencing number.
+    OldFencing,
+    /// No byte of the order left.
+    NotSent,
+    /// The order may have arrived; the target's reports tell.
+    Unknown,
+}
+
+/// Asks the daemon to act for a rollout.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum RolloutRequest {
+    /// Exchange with the table.
+    Lease(LeaseRequest),
+    /// Send an order.
+    Order(Order),
+    /// Ask a target for its report.
+    Probe(TargetKey),
+}
+
+/// Brings targets to the declared weight versions while this daemon holds the lease.
+#[derive(Debug)]
+pub struct Rollout {
+    lease: LeaseKeeper,
+    loading: BTreeMap<TargetKey, Loading>,
+    last_order: Moment,
+}
+
+impl Rollout {
+    /// Starts without the lease; `holder` names this run of the process.
+    pub fn new(holder: Arc<str>) -> Self {
+        Self {
+            lease: LeaseKeeper::new(holder),
+            loading: BTreeMap::new(),
+            last_order: Moment::default(),
+        }
+    }
+
+    /// Returns the lease, if this daemon has it.
+    pub fn lease(&self) -> Option<Lease> {
+        self.lease.lease()
+    }
+
+    /// Acts on the present reports; `rank` is this daemon's place among those that may take over.
+    pub fn tick(
+        &mut self,
+        now: Moment,
+        targets: &[TargetView],
+        slots: usize,
+        rank: u32,
+    ) -> SmallVec<[RolloutRequest; 4]> {
+        let mut requests = SmallVec::new();
+        self.settle_loads(now, targets);
+        let behind = targets.iter().any(is_behind);
+        requests.extend(self.lease.tick(now, behind, rank).map(RolloutRequest::Lease));
+        let Some(lease) = self.lease.lease() else {
+            return requests;
+        };
+        if !behind && self.loading.is_empty() && now.since(self.last_order) > ORDER_TIMEOUT * 2 {
+            requests.extend(self.lease.release().map(RolloutRequest::Lease));
+            return requests;
+        }
+        requests.extend(self.loading.keys().map(|key| RolloutRequest::Probe(*key)));
+        if lease.may_send(now) {
+            for target in next_loads(now, targets, &self.loading, slots) {
+                self.last_order = now;
+                let load = Loading { version: target.declared, sent: now, again: now + LOAD_LIMIT };
+                self.loading.insert(target.key, load);
+                requests.push(RolloutRequest::Order(Order {
+                    target: target.key,
+                    fencing: lease.fencing,
+                    kind: OrderKind::Load(target.declared),
+                    not_after: lease.send_until(),
+                }));
+            }
+        }
+        requests
+    }
+
+    /// Takes the row of the lease as it was read.
+    pub fn lease_read(&mut self, now: Moment, row: Option<&LeaseRow>) -> Option<RolloutRequest> {
+        self.lease.read(now, row).map(RolloutRequest::Lease)
+    }
+
+    /// Takes the answer to a write of the lease.
+    pub fn lease_written(&mut self, now: Moment, asked: Moment, committed: bool) {
+        self.lease.written(now, asked, committed);
+    }
+
+    /// Takes that the table did not answer.
+    pub fn lease_failed(&mut self, now: Moment) {
+        self.lease.failed(now);
+    }
+
+    /// Takes the end of an order.
+    pub fn order_ended(&mut self, now: Moment, target: TargetKey, outcome: OrderOutcome) {
+        match outcome {
+            OrderOutcome::Followed | OrderOutcome::Unknown => {}
+            OrderOutcome::NotSent => {
+                if let Some(load) = self.loading.get_mut(&target) {
+                    load.again = now + RESEND_PAUSE;
+                }
+            }
+            OrderOutcome::OldFencing => {
+                self.loading.remove(&target);
+                self.lease.give_up(now);
+            }
+        }
+    }
+
+    /// Forgets loads that the targets' reports confirm, that are given up, or whose target is gone.
+    fn settle_loads(&mut self, now: Moment, targets: &[TargetView]) {
+        self.loading.retain(|key, load| {
+            let target = targets.iter().find(|t| t.key == *key);
+            let done = target.is_none_or(|t| {
+                let fresh = t.reported_at.is_some_and(|at| at > load.sent);
+                !t.usable || fresh && !t.loading && t.reported == Some(load.version)
+            });
+            !done && now < load.again
+        });
+    }
+}
--- /dev/null
+++ b/crates/cumintrail-control/src/rollout/lease.rs
@@ -0,0 +1,210 @@
+//! Acquiring, renewing and giving up the lease.
+//!
+//! Any doubt ends the holding: the row is read again, and a row of this very process is acquired
+//! anew under the next fencing number.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use cumintrail_types::{FencingNumber, Moment};
+
+use super::{LEASE, Lease, takeover_wait};
+
+/// The age of a lease at which it is renewed.
+const RENEW_AFTER: Duration = Duration::from_secs(2);
+/// The time between two looks at a lease of another holder.
+const WATCH_INTERVAL: Duration = Duration::from_secs(1);
+/// The same for daemons that are far from taking over.
+const FAR_WATCH_INTERVAL: Duration = Duration::from_secs(10);
+/// The delay before the first look, for each daemon that is to look first.
+const RANK_DELAY: Duration = Duration::from_secs(2);
+const RETRY: Duration = Duration::from_millis(500);
+const NEAR_RANKS: u32 = 3;
+
+/// Holds the lease's row.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LeaseRow {
+    /// The row's version, which grows with each write.
+    pub version: u64,
+    /// The run of the process that wrote it.
+    pub holder: Arc<str>,
+    /// The number of its holding.
+    pub fencing: FencingNumber,
+    /// Whether the holder has given it back.
+    pub released: bool,
+}
+
+/// Writes the lease's row.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LeaseWrite {
+    /// The version that the row must have; zero demands that it is absent.
+    pub expected: u64,
+    /// The writer.
+    pub holder: Arc<str>,
+    /// The number of the holding.
+    pub fencing: FencingNumber,
+    /// Whether the lease is given back.
+    pub released: bool,
+}
+
+/// Asks for an exchange with the table.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum LeaseRequest {
+    /// Read the row.
+    Read,
+    /// Write the row under its condition.
+    Write(LeaseWrite),
+}
+
+#[derive(Debug, Clone, Copy)]
+enum State {
+    /// Nothing is to be done.
+    Idle,
+    /// Another holder's row is watched until it has not changed for long enough.
+    Watching { seen: Option<Seen>, next: Moment },
+    /// This daemon holds the lease; its row has `version`.
+    Holding { lease: Lease, version: u64 },
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Seen {
+    version: u64,
+    since: Moment,
+}
+
+/// Keeps the lease of one daemon; at most one exchange with the table is out at a time.
+#[derive(Debug)]
+pub struct LeaseKeeper {
+    holder: Arc<str>,
+    state: State,
+    busy: bool,
+    /// The number and row version that an acquiring write would lead to.
+    acquiring: Option<(FencingNumber, u64)>,
+}
+
+impl LeaseKeeper {
+    /// Starts without the lease.
+    pub const fn new(holder: Arc<str>) -> Self {
+        Self { holder, state: State::Idle, busy: false, acquiring: None }
+    }
+
+    /// Returns the lease, if it is held.
+    pub const fn lease(&self) -> Option<Lease> {
+        match self.state {
+            State::Holding { lease, .. } => Some(lease),
+            State::Idle | State::Watching { .. } => None,
+        }
+    }
+
+    /// Acts as time passes; `wanted` tells whether there is anything to order.
+    pub fn tick(&mut self, now: Moment, wanted: bool, rank: u32) -> Option<LeaseRequest> {
+        match &mut self.state {
+            State::Idle if wanted => {
+                let next = now + RANK_DELAY * rank.min(NEAR_RANKS);
+                self.state = State::Watching { seen: None, next };
+                None
+            }
+            State::Watching { .. } if !wanted && !self.busy => {
+                self.state = State::Idle;
+                None
+            }
+            State::Watching { next, .. } if !self.busy && now >= *next => {
+                *next = now + if rank < NEAR_RANKS { WATCH_INTERVAL } else { FAR_WATCH_INTERVAL };
+                self.busy = true;
+                Some(LeaseRequest::Read)
+            }
+            State::Holding { lease, .. } if now >= lease.asked + LEASE => {
+                self.watch_from(now);
+                None
+            }
+            State::Holding { lease, version } if !self.busy && now >= lease.asked + RENEW_AFTER => {
+                let (expected, fencing) = (*version, lease.fencing);
+                Some(self.write(expected, fencing, false))
+            }
+            State::Idle | State::Watching { .. } | State::Holding { .. } => None,
+        }
+    }
+
+    /// Takes the row as it was read.
+    pub fn read(&mut self, now: Moment, row: Option<&LeaseRow>) -> Option<LeaseRequest> {
+        self.busy = false;
+        let State::Watching { seen, .. } = &mut self.state else {
+            return None;
+        };
+        let Some(row) = row else {
+            return Some(self.acquire(0, FencingNumber(1)));
+        };
+        let next = FencingNumber(row.fencing.0 + 1);
+        match *seen {
+            _ if row.released || row.holder == self.holder => Some(self.acquire(row.version, next)),
+            Some(s) if s.version == row.version && now.since(s.since) >= takeover_wait() => {
+                Some(self.acquire(row.version, next))
+            }
+            Some(s) if s.version == row.version => None,
+            _ => {
+                *seen = Some(Seen { version: row.version, since: now });
+                None
+            }
+        }
+    }
+
+    /// Takes the answer to a write that was sent after `asked`.
+    pub fn written(&mut self, now: Moment, asked: Moment, committed: bool) {
+        self.busy = false;
+        let acquired = self.acquiring.take();
+        match &mut self.state {
+            State::Idle => {}
+            _ if !committed => self.watch_from(now),
+            State::Watching { .. } => {
+                if let Some((fencing, version)) = acquired {
+                    self.state = State::Holding { lease: Lease { fencing, asked }, version };
+                }
+            }
+            State::Holding { lease, version } => {
+                lease.asked = asked;
+                *version += 1;
+            }
+        }
+    }
+
+    /// Takes that the table did not answer; a write may have taken effect.
+    pub fn failed(&mut self, now: Moment) {
+        self.busy = false;
+        self.acquiring = None;
+        if !matches!(self.state, State::Idle) {
+            self.watch_from(now + RETRY);
+        }
+    }
+
+    /// Leaves the lease to the holder that a target has heard of.
+    pub fn give_up(&mut self, now: Moment) {
+        self.watch_from(now + takeover_wait());
+    }
+
+    /// Gives the lease back, so that the next holder need not wait.
+    pub fn release(&mut self) -> Option<LeaseRequest> {
+        let State::Holding { lease, version } = self.state else {
+            return None;
+        };
+        if self.busy {
+            return None;
+        }
+        self.state = State::Idle;
+        Some(self.write(version, lease.fencing, true))
+    }
+
+    fn acquire(&mut self, expected: u64, fencing: FencingNumber) -> LeaseRequest {
+        self.acquiring = Some((fencing, expected + 1));
+        self.write(expected, fencing, false)
+    }
+
+    fn write(&mut self, expected: u64, fencing: FencingNumber, released: bool) -> LeaseRequest {
+        self.busy = true;
+        let holder = self.holder.clone();
+        LeaseRequest::Write(LeaseWrite { expected, holder, fencing, released })
+    }
+
+    const fn watch_from(&mut self, next: Moment) {
+        self.state = State::Watching { seen: None, next };
+    }
+}
--- /dev/null
+++ b/crates/cumintrail-control/src/rollout/plan.rs
@@ -0,0 +1,72 @@
+//! Which targets load next.
+
+use std::collections::{BTreeMap, HashMap};
+
+use cumintrail_types::{ModelKey, Moment, TargetKey, WeightVersion};
+
+/// Describes a model engine to a rollout.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct TargetView {
+    /// The target.
+    pub key: TargetKey,
+    /// Its model.
+    pub model: ModelKey,
+    /// The version that is declared.
+    pub declared: WeightVersion,
+    /// The version that it last reported.
+    pub reported: Option<WeightVersion>,
+    /// Whether it reported that it loads weights.
+    pub loading: bool,
+    /// When it last reported.
+    pub reported_at: Option<Moment>,
+    /// Whether it answers and is not leaving.
+    pub usable: bool,
+}
+
+/// Remembers an order whose effect no report has shown yet.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Loading {
+    /// The version that was ordered.
+    pub version: WeightVersion,
+    /// When the order was given.
+    pub sent: Moment,
+    /// When the target may be ordered again.
+    pub again: Moment,
+}
+
+/// Tells whether a target has to load another version.
+pub fn is_behind(target: &TargetView) -> bool {
+    target.usable && target.reported.is_some_and(|version| version != target.declared)
+}
+
+/// Chooses the targets that load now, within the load slots.
+///
+/// Each model keeps a target that serves, unless it has only one.
+pub fn next_loads<'a>(
+    now: Moment,
+    targets: &'a [TargetView],
+    loading: &BTreeMap<TargetKey, Loading>,
+    slots: usize,
+) -> Vec<&'a TargetView> {
+    let is_loading = |t: &TargetView| t.loading || loading.contains_key(&t.key);
+    let mut free = slots.saturating_sub(targets.iter().filter(|t| is_loading(t)).count());
+    let mut serving: HashMap<ModelKey, usize> = HashMap::new();
+    let mut usable: HashMap<ModelKey, usize> = HashMap::new();
+    for target in targets.iter().filter(|t| t.usable) {
+        *usable.entry(target.model).or_default() += 1;
+        *serving.entry(target.model).or_default() += usize::from(!is_loading(target));
+    }
+    let mut chosen = Vec::new();
+    for target in targets.iter().filter(|t| is_behind(t) && !is_loading(t)) {
+        let left = serving.entry(target.model).or_default();
+        let alone = usable.get(&target.model) == Some(&1);
+        if free == 0 || (*left <= 1 && !alone) {
+            continue;
+        }
+        free -= 1;
+        *left -= 1;
+        chosen.push(target);
+    }
+    debug_assert!(chosen.iter().all(|t| t.reported_at.is_none_or(|at| at <= now)));
+    chosen
+}
--- a/crates/cumintrail-daemon/src/background.rs
+++ b/crates/cumintrail-daemon/src/background.rs
@@ -2,6 +2,7 @@
 
 mod config_sync;
 mod orders;
+mod rollout;
 mod vm_list;
 
 use std::rc::Rc;
--- a/crates/cumintrail-daemon/src/background/orders.rs
+++ b/crates/cumintrail-daemon/src/background/orders.rs
@@ -10,7 +10,7 @@
 use cumintrail_wire::engine::{CacheEvents, ExportOrder};
 use cumintrail_wire::peer::DigestMessage;
 
-use super::Background;
+use super::{Background, rollout};
 use crate::metric;
 
 /// Remembers which cache events of each target were read.
@@ -51,6 +51,12 @@
         Action::SendDigest { to, digest } => {
             actix_rt::spawn(async move { send_digest(&background, to, digest).await });
         }
+        Action::Lease(request) => {
+            actix_rt::spawn(async move { rollout::exchange_lease(&background, request).await });
+        }
+        Action::Order(order) => {
+            actix_rt::spawn(async move { rollout::order(&background, order).await });
+        }
         Action::Cancel { call, attempt, target } => {
             actix_rt::spawn(async move {
                 let id = format!("{}-{attempt}", background.shared.call_id(call));
@@ -65,7 +71,7 @@
 }
 
 impl Background {
-    fn target_address(&self, target: TargetKey) -> Option<std::net::SocketAddr> {
+    pub(super) fn target_address(&self, target: TargetKey) -> Option<std::net::SocketAddr> {
         self.shared.snapshot()?.targets.get(target).map(|t| t.address)
     }
 
--- /dev/null
+++ b/crates/cumintrail-daemon/src/background/rollout.rs
@@ -0,0 +1,94 @@
+//! Exchanges for rollouts: the lease's row and orders to targets.
+
+use std::future::{Future, poll_fn};
+use std::pin::pin;
+use std::task::Poll;
+
+use cumintrail_client::{ClientError, Engine, Table};
+use cumintrail_control::rollout::{
+    LeaseRequest, LeaseRow, LeaseWrite, ORDER_TIMEOUT, OrderOutcome,
+};
+use cumintrail_control::{Event, Order, OrderKind};
+use cumintrail_types::Moment;
+use cumintrail_wire::engine::{EngineReason, LoadOrder};
+use cumintrail_wire::platform::{Condition, LEASE_KEY, LeaseRecord, Row, Transaction, Write};
+
+use super::Background;
+use crate::shared::Shared;
+
+/// Reads or writes the lease's row.
+pub async fn exchange_lease(background: &Background, request: LeaseRequest) {
+    let event = match request {
+        LeaseRequest::Read => read(background).await,
+        LeaseRequest::Write(write) => commit(background, write).await,
+    };
+    background.shared.control.tell(event.unwrap_or(Event::LeaseFailed)).await;
+}
+
+async fn read(background: &Background) -> Result<Event, ClientError> {
+    let row = background.platform.read(LEASE_KEY).await?;
+    let row = row.map(|row| parse(&row)).transpose()?;
+    Ok(Event::LeaseRead { row })
+}
+
+fn parse(row: &Row) -> Result<LeaseRow, ClientError> {
+    let record: Result<LeaseRecord, _> = serde_json::from_str(&row.value);
+    let LeaseRecord { holder, fencing, released } = record.map_err(|_| ClientError::Unreadable)?;
+    Ok(LeaseRow { version: row.version, holder, fencing, released })
+}
+
+async fn commit(background: &Background, write: LeaseWrite) -> Result<Event, ClientError> {
+    let record =
+        LeaseRecord { holder: write.holder, fencing: write.fencing, released: write.released };
+    let value = serde_json::to_string(&record).map_err(|_| ClientError::Unreadable)?;
+    let transaction = Transaction {
+        conditions: vec![Condition { key: LEASE_KEY.into(), version: write.expected }],
+        writes: vec![Write { key: LEASE_KEY.into(), value: Some(value) }],
+    };
+    // The lease counts from before the request.
+    let asked = background.shared.now();
+    let reply = background.platform.commit(&transaction).await?;
+    Ok(Event::LeaseWritten { asked, committed: reply.committed })
+}
+
+/// Sends an order, unless its lease may not be used any more.
+pub async fn order(background: &Background, order: Order) {
+    let target = order.target;
+    let outcome = match background.target_address(target) {
+        Some(at) => send(background, at, &order).await,
+        None => OrderOutcome::NotSent,
+    };
+    log::info!("order to target {target} under number {}: {outcome:?}", order.fencing);
+    background.shared.control.tell(Event::OrderEnded { target, outcome }).await;
+}
+
+async fn send(background: &Background, at: std::net::SocketAddr, order: &Order) -> OrderOutcome {
+    let OrderKind::Load(version) = order.kind;
+    let message = LoadOrder { fencing: order.fencing, version };
+    let exchange = background.engines.order(at, &message, ORDER_TIMEOUT);
+    match before(&background.shared, order.not_after, exchange).await {
+        // The limit may have passed between two steps, so bytes may have left.
+        None => OrderOutcome::Unknown,
+        Some(Ok(_)) => OrderOutcome::Followed,
+        Some(Err(ClientError::Refused { reason: EngineReason::OldFencing })) => {
+            OrderOutcome::OldFencing
+        }
+        Some(Err(e)) if e.may_have_arrived() => OrderOutcome::Unknown,
+        Some(Err(_)) => OrderOutcome::NotSent,
+    }
+}
+
+/// Runs `exchange` only as long as the clock is before `limit`.
+///
+/// The clock is read before each step, so that a process that was paused between two steps sends
+/// nothing under a lease that has passed to another holder.
+async fn before<T>(shared: &Shared, limit: Moment, exchange: impl Future<Output = T>) -> Option<T> {
+    let mut exchange = pin!(exchange);
+    poll_fn(|cx| {
+        if shared.now() >= limit {
+            return Poll::Ready(None);
+        }
+        exchange.as_mut().poll(cx).map(Some)
+    })
+    .await
+}
--- a/crates/cumintrail-wire/src/platform.rs
+++ b/crates/cumintrail-wire/src/platform.rs
@@ -5,8 +5,10 @@
 //! - `GET /vms`.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use cumintrail_control::{VmEntry, VmRole, VmState};
+use cumintrail_types::FencingNumber;
 use derive_more::From;
 use serde::{Deserialize, Serialize};
 
@@ -101,3 +103,17 @@
         Self { address: vm.address, domain: vm.domain.into(), role, state }
     }
 }
+
+/// The row of the lease for orders to targets.
+pub const LEASE_KEY: &str = "lease/rollout";
+
+/// Holds the row [`LEASE_KEY`].
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct LeaseRecord {
+    /// The VM and the run of its process that wrote the row.
+    pub holder: Arc<str>,
+    /// The number of its holding, which orders carry.
+    pub fencing: FencingNumber,
+    /// Whether the holder has given the lease back.
+    pub released: bool,
+}
--- a/tests/src/experiment/run.rs
+++ b/tests/src/experiment/run.rs
@@ -200,7 +200,10 @@
                 let engine = &mut self.world.borrow_mut().engines[target.index()];
                 engine.queue.retain(|job| job.call != Some((call, attempt.0)));
             }
-            Action::Warm { .. } | Action::SendDigest { .. } => {}
+            Action::Warm { .. }
+            | Action::SendDigest { .. }
+            | Action::Lease(_)
+            | Action::Order(_) => {}
         }
     }
 
--- a/tests/tests/membership.rs
+++ b/tests/tests/membership.rs
@@ -100,7 +100,9 @@
             self.now = self.now + STEP;
             for i in 0..self.daemons.len() {
                 let actions = self.daemons[i].handle(self.now, Event::Tick);
-                actions.into_iter().for_each(|action| self.follow(i, action));
+                for action in actions {
+                    self.follow(i, action);
+                }
             }
         }
     }
@@ -146,6 +148,7 @@
         assert!(by.iter().all(|d| d % 4 == target % 4), "target {target} is probed by {by:?}");
     }
     assert_eq!(net.probes.len(), 8);
+    net.run(Duration::from_secs(10));
     assert!(net.all(|t| t.liveness == "live" && t.version == Some(1), 5), "news reach everyone");
 }
 
@@ -207,6 +210,20 @@
     assert!(net.all(|t| !t.leaving, 0), "a new VM on the same address is usable");
 }
 
+#[test]
+fn an_older_vm_list_never_revives_a_target_that_has_not_reported_yet() {
+    let mut net = Net::new(1, 1);
+    net.answer = Box::new(|_, _, _| None);
+    for (sequence, state) in [(5, VmState::Leaving), (4, VmState::Live)] {
+        let vms = vec![entry(engine_at(0), 0, VmRole::Target, state)];
+        net.daemons[0].handle(net.now, Event::VmsListed { sequence, vms });
+        assert!(net.all(|t| t.leaving, 0), "list {sequence}");
+    }
+    let vms = vec![entry(engine_at(0), 0, VmRole::Target, VmState::Live)];
+    net.daemons[0].handle(net.now, Event::VmsListed { sequence: 6, vms });
+    assert!(net.all(|t| !t.leaving, 0));
+}
+
 #[test]
 fn a_target_is_silent_after_several_misses_and_not_when_one_prober_is_cut_off() {
     let mut net = Net::new(8, 4);
