--- a/crates/cumintrail-daemon/src/background/orders.rs
+++ b/crates/cumintrail-daemon/src/background/orders.rs
@@ -79,9 +79,11 @@
         return;
     };
     let control = &background.shared.control;
-    let Ok(report) = background.engines.report(at).await else {
-        control.tell(Event::TargetSilent { target }).await;
-        return;
+    let report = match background.engines.report(at).await {
+        Ok(report) => report,
+        // A plain service may have no such path; any answer shows that it is there.
+        Err(e) if e.is_answer() => return control.tell(Event::TargetAnswered { target }).await,
+        Err(_) => return control.tell(Event::TargetSilent { target }).await,
     };
     control.tell(Event::TargetReported { target, report: report.into() }).await;
     if report.version.0 == 0 {
@@ -155,7 +157,8 @@
     let message = DigestMessage::from(digest);
     let size = cumintrail_wire::to_msgpack(&message).map_or(0, |m| m.len());
     metrics::counter!(metric::PEER_BYTES).increment(size as u64);
-    if background.peers.digest(to, &message).await.is_err() {
-        background.shared.control.tell(Event::PeerSilent { address: to }).await;
+    match background.peers.digest(to, &message).await {
+        Ok(reply) => background.shared.hear_generation(reply.generation, to),
+        Err(_) => background.shared.control.tell(Event::PeerSilent { address: to }).await,
     }
 }
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod deployment;
 pub mod experiment;
 pub mod http;
+pub mod load;
 pub mod longrun;
 pub mod process;
 pub mod standins;
--- a/tests/src/main.rs
+++ b/tests/src/main.rs
@@ -7,7 +7,7 @@
 use clap::{Parser, Subcommand, ValueEnum};
 use cumintrail_tests::experiment::{self, Policy};
 use cumintrail_tests::standins::{engine, platform, relay, service, store};
-use cumintrail_tests::{demo, longrun};
+use cumintrail_tests::{demo, load, longrun};
 
 /// Runs stand-ins, the demonstration and measuring tools.
 #[derive(Debug, Parser)]
@@ -25,6 +25,14 @@
         #[arg(long, value_enum, default_value_t = Format::Text)]
         format: Format,
     },
+    /// Measure real daemons at rest and under load, over loopback.
+    Load {
+        #[command(flatten)]
+        options: load::Options,
+        /// How results are written.
+        #[arg(long, value_enum, default_value_t = Format::Text)]
+        format: Format,
+    },
     /// Measure placement policies in virtual time.
     Experiment {
         /// What is measured.
@@ -140,6 +148,7 @@
         Command::Longrun { seed, seconds } => {
             return run_long(longrun::Options { seed, run: Duration::from_secs(seconds) }).await;
         }
+        Command::Load { options, format } => return show_load(options, format).await,
         Command::Platform { address, load_ms, load_slots } => {
             platform::Platform::spawn(address, load_ms, load_slots).map(|p| p.address())
         }
@@ -181,6 +190,23 @@
     }
 }
 
+async fn show_load(options: load::Options, format: Format) -> ExitCode {
+    match load::run(options).await {
+        Ok(report) if format == Format::Json => {
+            println!("{}", serde_json::to_string(&report).unwrap_or_default());
+            ExitCode::SUCCESS
+        }
+        Ok(report) => {
+            println!("{report}");
+            ExitCode::SUCCESS
+        }
+        Err(e) => {
+            eprintln!("{e}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
 fn show_experiment(setup: &experiment::Setup, policies: &[Policy], format: Format) -> ExitCode {
     let measures = experiment::run(setup, policies);
     match format {
