--- a/tests/tests/process_leaving.rs
+++ b/tests/tests/process_leaving.rs
@@ -6,6 +6,7 @@
 
 use cumintrail_tests::cluster::{CALLER_KEY, Plan, domain};
 use cumintrail_tests::deployment::{Deployment, ask, hold};
+use cumintrail_tests::standins::relay::Mode;
 use cumintrail_tests::standins::{engine, platform, service};
 use cumintrail_wire::platform::{ListedRole, ListedVm};
 
@@ -111,6 +112,18 @@
     gets_no_more_work(&work, &load).await;
 }
 
+#[actix_rt::test]
+async fn a_daemon_that_is_cut_off_from_the_platform_learns_of_leaving_from_its_peer() {
+    let deployment = Deployment::spawn(BINARY, &plan()).await.unwrap();
+    let load = Load::spawn(&deployment);
+    let engine = deployment.engines[0].clone();
+    let work = move || engine.started();
+    assert!(is_used(&work).await);
+    deployment.vms[0].platform.set(Mode::Cut);
+    list(&deployment, deployment.engine_links[0].address(), true);
+    gets_no_more_work(&work, &load).await;
+}
+
 #[actix_rt::test]
 async fn a_leaving_engine_refuses_and_its_calls_are_answered_elsewhere() {
     let deployment = Deployment::spawn(BINARY, &plan()).await.unwrap();
