--- a/crates/cumintrail-control/src/control.rs
+++ b/crates/cumintrail-control/src/control.rs
@@ -62,6 +62,8 @@
     links: Links,
     membership: Membership,
     retries: RetryBudget,
+    /// Calls that wait out a backoff, with its end.
+    backing_off: Vec<(Moment, CallKey)>,
     next_digest: Moment,
     last_digest: Moment,
     next_expiry: Moment,
@@ -95,6 +97,7 @@
             links: Links::default(),
             membership: Membership::default(),
             retries: RetryBudget::default(),
+            backing_off: Vec::new(),
             next_digest: Moment::default(),
             last_digest: Moment::default(),
             next_expiry: Moment::default(),
--- a/crates/cumintrail-control/src/control/description.rs
+++ b/crates/cumintrail-control/src/control/description.rs
@@ -123,8 +123,8 @@
             slots: target.slots,
             backlog: state.backlog,
             blocks: self.directory.engine_len(key),
-            failures: state.failures,
-            ejected_ms: millis(state.ejected_until, now),
+            failures: state.breaker.failures(),
+            ejected_ms: millis(state.breaker.open_until(), now),
             report_age_ms: state.reported.map(|at| millis(now, at)),
         }
     }
--- a/crates/cumintrail-control/src/control/probes.rs
+++ b/crates/cumintrail-control/src/control/probes.rs
@@ -8,6 +8,7 @@
 use super::Control;
 use crate::membership::Liveness;
 use crate::placement::Placer;
+use crate::retry::Breaker;
 use crate::{Action, Actions, TargetNews, TargetReport, VmEntry};
 
 /// Probes missed in a row after which a target counts as silent.
@@ -120,7 +121,7 @@
         };
         if state.report.is_some_and(|r| r.incarnation != report.incarnation) {
             self.directory.clear_engine(key);
-            state.failures = 0;
+            state.breaker = Breaker::default();
         }
         state.take_load(now, report);
     }
--- a/crates/cumintrail-daemon/src/metric.rs
+++ b/crates/cumintrail-daemon/src/metric.rs
@@ -30,6 +30,10 @@
 pub const RESUMES: &str = "cumintrail_stream_resumes_total";
 /// Events that were dropped as late, repeated or foreign.
 pub const DROPPED_EVENTS: &str = "cumintrail_dropped_events_total";
+/// Recorded answers that were repeated under an idempotency key.
+pub const REPLAYS: &str = "cumintrail_replays_total";
+/// Calls forwarded to the issuer of their operation key, by outcome: `answered` or `lost`.
+pub const FORWARDS: &str = "cumintrail_forwards_total";
 /// The generation in force.
 pub const GENERATION: &str = "cumintrail_generation";
 /// Targets by state.
@@ -103,7 +107,7 @@
 }
 
 /// Describes all metrics.
-pub const METRICS: [Description; 24] = [
+pub const METRICS: [Description; 26] = [
     counter(CALLS, Unit::Count, "Calls by outcome").by("outcome"),
     gauge(CALLS_IN_FLIGHT, Unit::Count, "Calls that are not answered yet"),
     gauge(CALLS_WAITING, Unit::Count, "Calls that wait for a slot"),
@@ -120,6 +124,9 @@
     counter(IMPORTS, Unit::Count, "Blocks by outcome of their import").by("outcome"),
     gauge(KEPT_BLOCKS, Unit::Count, "Blocks known in stores"),
     counter(RESUMES, Unit::Count, "Streams that went on over a new connection"),
+    counter(REPLAYS, Unit::Count, "Recorded answers repeated under an idempotency key"),
+    counter(FORWARDS, Unit::Count, "Calls forwarded to the issuer of their operation key")
+        .by("outcome"),
     counter(DROPPED_EVENTS, Unit::Count, "Late, repeated or foreign answer events").by("reason"),
     gauge(GENERATION, Unit::Count, "The generation in force"),
     gauge(TARGETS, Unit::Count, "Declared targets by state").by("state"),
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -8,4 +8,5 @@
 pub mod load;
 pub mod longrun;
 pub mod process;
+pub mod process_cluster;
 pub mod standins;
