Keep streamed answers whole over new connections, targets and weight swaps

Causes, each found by a test that failed first: - An answer that went on at another target was pinned to the version that its first target reported last, not to the one it was computed with: a swap between the order and the first token mixed two versions in one answer. - Abandoned attempts at plain services were cancelled with an engine's DELETE, which a service would have run as a call. - The gap between tokens, not the estimate, limited the wait for the first token of a continued answer; three resumes in a whole answer ended it however much arrived in between; a failed attempt was left running at its engine. - A caller that did not read held its slot until the deadline. - A service's answer shorter than its announced length looked whole: the HTTP library takes a closed connection for the end of a body.

Change: the ordered version is kept with the attempt; cancel only for model calls and also for failed attempts; gaps by attempt; resumes counted without progress; a caller that does not read for the request time-out is dropped; announced lengths are compared.

Known red: a chunked body of a plain service that breaks off between chunks still looks whole, because the library hides the missing last chunk.

--- a/crates/cumintrail-client/src/http.rs
+++ b/crates/cumintrail-client/src/http.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use actix_http::Method;
-use actix_http::header::HeaderMap;
+use actix_http::header::{CONTENT_LENGTH, HeaderMap};
 use awc::{Client, ClientRequest, ClientResponse, Connector};
 use bytes::Bytes;
 use cumintrail_wire::engine::EngineRefusal;
@@ -18,6 +18,7 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 const IDLE_LIFE: Duration = Duration::from_secs(5);
 const OK: u16 = 200;
+const NOT_MODIFIED: u16 = 304;
 const MAX_BODY_BYTES: usize = 64 << 20;
 
 /// Sends HTTP requests from one thread.
@@ -112,8 +113,20 @@
     }
 
     /// Reads the whole body within a time limit.
+    ///
+    /// The library takes a connection that closes for the end of the body, so the length is
+    /// compared here; of a chunked body that breaks off between chunks nothing tells.
     pub async fn bytes(self, within: Duration) -> Result<Bytes, ClientError> {
-        self.inner.timeout(within).body().limit(MAX_BODY_BYTES).await.map_err(ClientError::from)
+        let status = self.status();
+        let announced = self.headers().get(CONTENT_LENGTH).and_then(|v| v.to_str().ok());
+        let announced: Option<usize> = announced.and_then(|text| text.parse().ok());
+        let body = self.inner.timeout(within).body().limit(MAX_BODY_BYTES).await?;
+        match announced {
+            Some(length) if length > body.len() && status != NOT_MODIFIED => {
+                Err(ClientError::Broken)
+            }
+            _ => Ok(body),
+        }
     }
 
     /// Reads the body as JSON if the status is 200; an engine's refusal becomes an error.
--- a/crates/cumintrail-client/src/service.rs
+++ b/crates/cumintrail-client/src/service.rs
@@ -92,7 +92,11 @@
         let status = response.status();
         let headers = response.headers().iter().filter(|(name, _)| is_end_to_end(name));
         let headers = headers.map(|(name, value)| (name.clone(), value.clone())).collect();
-        let body = response.bytes(call.within).await?;
+        let body = match call.method {
+            // The answer names the length of a body that it does not have.
+            Method::HEAD => Bytes::new(),
+            _ => response.bytes(call.within).await?,
+        };
         Ok(ServiceAnswer { status, headers, body })
     }
 }
--- a/crates/cumintrail-control/src/calls.rs
+++ b/crates/cumintrail-control/src/calls.rs
@@ -31,6 +31,7 @@
     attempts: u8,
     phase: Phase,
     target: Option<TargetKey>,
+    version: WeightVersion,
     failed_at: Option<TargetKey>,
     may_have_run: bool,
 }
@@ -47,6 +48,7 @@
             attempts: 0,
             phase: Phase::Queued,
             target: None,
+            version: WeightVersion(0),
             failed_at: None,
             may_have_run: false,
         }
@@ -67,6 +69,11 @@
         self.failed_at
     }
 
+    /// Returns the weight version that the last attempt was ordered for.
+    pub const fn version(&self) -> WeightVersion {
+        self.version
+    }
+
     /// Returns the number of attempts ordered.
     pub const fn attempts(&self) -> u8 {
         self.attempts
@@ -88,8 +95,14 @@
     }
 
     /// Orders an attempt; from here on bytes may leave.
-    pub fn start_attempt(&mut self, target: TargetKey, now: Moment) -> AttemptNumber {
+    pub fn start_attempt(
+        &mut self,
+        target: TargetKey,
+        version: WeightVersion,
+        now: Moment,
+    ) -> AttemptNumber {
         self.attempts = self.attempts.saturating_add(1);
+        self.version = version;
         self.target = Some(target);
         self.dispatched = now;
         if self.phase == Phase::Queued {
@@ -99,9 +112,12 @@
     }
 
     /// Notes that the first token of the answer reached the caller.
-    pub fn start_streaming(&mut self, version: WeightVersion) {
+    ///
+    /// The answer stays with the version that the attempt was ordered for, which the target may
+    /// have swapped since.
+    pub const fn start_streaming(&mut self) {
         self.phase = Phase::Streaming;
-        self.pinned = Some(version);
+        self.pinned = Some(self.version);
         self.may_have_run = true;
     }
 
--- a/crates/cumintrail-control/src/control/arrivals.rs
+++ b/crates/cumintrail-control/src/control/arrivals.rs
@@ -166,11 +166,12 @@
     fn dispatch(&mut self, now: Moment, key: CallKey, placement: Placement, actions: &mut Actions) {
         let target = placement.target;
         let arrived_for = self.calls.get(&key).map_or(WeightVersion(0), |c| c.arrival.version);
-        let version = self.version_of(target, arrived_for);
+        let loaded = self.version_of(target, arrived_for);
         let Some(call) = self.calls.get_mut(&key) else {
             return;
         };
-        let attempt = call.start_attempt(target, now);
+        let version = call.pinned.unwrap_or(loaded);
+        let attempt = call.start_attempt(target, version, now);
         call.expected_prefill = placement.recompute;
         if let Some(state) = self.targets.get_mut(target) {
             state.in_flight += 1;
--- a/crates/cumintrail-control/src/control/attempts.rs
+++ b/crates/cumintrail-control/src/control/attempts.rs
@@ -2,26 +2,21 @@
 
 use std::time::Duration;
 
-use cumintrail_types::{AttemptNumber, CallKey, Moment, Ran, RefusalCode, TargetKey};
+use cumintrail_types::{AttemptNumber, CallClass, CallKey, Moment, Ran, RefusalCode, TargetKey};
 
 use super::Control;
 use crate::placement::Placer;
 use crate::retry::Health;
-use crate::{Action, Actions, AttemptOutcome, Phase, Usage, keeping, retry};
+use crate::{Action, Actions, AttemptOutcome, Call, Phase, Usage, keeping, retry};
 
 /// A target that did not answer for so long before a deadline counts as failing.
 const SILENCE_LIMIT: Duration = Duration::from_secs(2);
 
 impl<P: Placer> Control<P> {
     pub(super) fn take_first_token(&mut self, now: Moment, key: CallKey) {
-        let Some(call) = self.calls.get(&key) else {
-            return;
-        };
-        let Some(target) = call.target() else { return };
-        let version = self.version_of(target, call.arrival.version);
         self.settle_backlog(now, key);
-        if let Some(call) = self.calls.get_mut(&key) {
-            call.start_streaming(version);
+        if let Some(call) = self.calls.get_mut(&key).filter(|c| c.target().is_some()) {
+            call.start_streaming();
         }
     }
 
@@ -50,7 +45,10 @@
             AttemptOutcome::NotSent | AttemptOutcome::RefusedByTarget { .. } => {
                 call.attempt_not_sent();
             }
-            AttemptOutcome::Failed { .. } => call.attempt_failed(),
+            AttemptOutcome::Failed { .. } => {
+                call.attempt_failed();
+                push_cancel(call, target, actions);
+            }
         }
         let due = now + retry::backoff(call.attempts(), &mut self.rng);
         if retry::may_retry(call, outcome, due) && self.withdraw_retry(target) {
@@ -112,7 +110,8 @@
             return;
         };
         let pieces = call.arrival.pieces.clone();
-        let fresh = self.version_of(target, call.arrival.version) == call.arrival.version;
+        let wanted = call.arrival.version;
+        let fresh = call.version() == wanted && self.version_of(target, wanted) == wanted;
         self.end_call(key);
         if fresh && usage.prompt.0 > 0 {
             self.order_exports(now, target, &pieces, actions);
@@ -179,12 +178,11 @@
             return;
         };
         let Some(target) = call.target() else { return };
-        let attempt = call.attempt();
+        push_cancel(call, target, actions);
         self.release_slot(now, key, target);
         if let Some(state) = self.targets.get_mut(target) {
             state.breaker.judge(now, health, &mut self.rng);
         }
-        actions.push(Action::Cancel { call: key, attempt, target });
     }
 
     /// Gives up calls whose deadline passed; they are answered at once.
@@ -213,3 +211,11 @@
         }
     }
 }
+
+/// Stops a model call's attempt at its engine; a plain service knows no such order.
+fn push_cancel(call: &Call, target: TargetKey, actions: &mut Actions) {
+    if call.arrival.class == CallClass::Model {
+        let (call, attempt) = (call.arrival.call, call.attempt());
+        actions.push(Action::Cancel { call, attempt, target });
+    }
+}
--- a/crates/cumintrail-control/tests/calls.rs
+++ b/crates/cumintrail-control/tests/calls.rs
@@ -5,7 +5,8 @@
 
 use cumintrail_config::{Document, Snapshot, TargetKind};
 use cumintrail_control::{
-    Action, Actions, Arrival, AttemptOutcome, Control, Dispatch, Event, Identity, Usage,
+    Action, Actions, Arrival, AttemptOutcome, Control, Dispatch, Event, Identity, TargetReport,
+    Usage,
 };
 use cumintrail_types::{
     AccountKey, AttemptNumber, CallClass, CallKey, Generation, Incarnation, ModelKey, Moment, Ran,
@@ -35,6 +36,8 @@
     LateEnd(usize),
     CallerGone(usize),
     TargetSilent(u32),
+    /// An engine reports that it has another weight version loaded.
+    Swap(u32, u64),
     Wait(u64),
 }
 
@@ -44,6 +47,8 @@
     class: CallClass,
     deadline: Moment,
     ordered: Option<Dispatch>,
+    /// The weight version of the tokens passed on.
+    pinned: Option<WeightVersion>,
     sent: bool,
     may_have_run: bool,
     attempts: u32,
@@ -85,6 +90,7 @@
             }
             Op::FirstToken(index) => match self.ordered(index) {
                 Some((call, truth)) if truth.sent && truth.class == CallClass::Model => {
+                    truth.pinned = truth.pinned.or(truth.ordered.as_ref().map(|d| d.version));
                     self.tell(Event::FirstToken { call })
                 }
                 _ => Ok(()),
@@ -108,6 +114,18 @@
             Op::TargetSilent(target) => {
                 self.tell(Event::TargetSilent { target: TargetKey(target) })
             }
+            Op::Swap(target, version) => {
+                let report = TargetReport {
+                    incarnation: Incarnation(1),
+                    leaving: false,
+                    version: WeightVersion(version),
+                    loading: false,
+                    running: 0,
+                    waiting: 0,
+                    prefill_backlog: Tokens(0),
+                };
+                self.tell(Event::TargetReported { target: TargetKey(target), report })
+            }
             Op::Wait(ms) => {
                 self.now = self.now + Duration::from_millis(ms);
                 self.tell(Event::Tick)?;
@@ -128,6 +146,7 @@
             class,
             deadline,
             ordered: None,
+            pinned: None,
             sent: false,
             may_have_run: false,
             attempts: 0,
@@ -191,6 +210,8 @@
                     let truth = self.calls.get_mut(&dispatch.call).unwrap();
                     prop_assert!(!truth.over && truth.ordered.is_none(), "{truth:?}");
                     prop_assert!(truth.class != CallClass::Once || !truth.may_have_run);
+                    let pinned = truth.pinned.unwrap_or(dispatch.version);
+                    prop_assert_eq!(dispatch.version, pinned, "a swap within an answer");
                     truth.attempts += 1;
                     prop_assert!(truth.attempts <= MAX_ATTEMPTS);
                     truth.ordered = Some(dispatch);
@@ -227,6 +248,7 @@
         1 => any::<usize>().prop_map(Op::LateEnd),
         1 => any::<usize>().prop_map(Op::CallerGone),
         1 => (0..4_u32).prop_map(Op::TargetSilent),
+        1 => (0..2_u32, 1..3_u64).prop_map(|(target, version)| Op::Swap(target, version)),
         4 => (0..800_u64).prop_map(Op::Wait),
     ];
     prop::collection::vec(op, 1..80)
--- a/crates/cumintrail-daemon/src/callers/engine_attempt.rs
+++ b/crates/cumintrail-daemon/src/callers/engine_attempt.rs
@@ -9,7 +9,7 @@
 use cumintrail_config::Snapshot;
 use cumintrail_control::stream::{Check, StreamCheck};
 use cumintrail_control::{AttemptOutcome, Dispatch, Event, Fetch, FetchOutcome, Usage};
-use cumintrail_types::{AccountKey, BlockKey, CallKey, Moment, StoreKey, WeightVersion};
+use cumintrail_types::{AccountKey, BlockKey, CallKey, Moment, Ran, StoreKey, WeightVersion};
 use cumintrail_wire::caller::{CompletionRequest, DEFAULT_MAX_TOKENS};
 use cumintrail_wire::engine::{EndEvent, EngineReason, Generate, ImportOrder, ImportOutcome};
 use smallvec::SmallVec;
@@ -19,6 +19,7 @@
 use super::{Worker, model_call};
 use crate::metric;
 
+/// Connections in a row that may fail without a new token.
 const MAX_RESUMES: u8 = 3;
 const PRIORITY_CALL: u8 = 1;
 const ESTIMATE_FACTOR: u32 = 2;
@@ -35,6 +36,7 @@
     arrived: Moment,
     check: StreamCheck,
     answered: Vec<String>,
+    sent: bool,
 }
 
 /// Tells how an attempt ended.
@@ -45,6 +47,23 @@
     Outcome(AttemptOutcome),
 }
 
+/// Holds how long the events of an attempt may be waited for.
+#[derive(Debug, Clone, Copy)]
+struct Gaps {
+    /// For the first token, which needs the prompt's state to be computed.
+    first: Duration,
+    /// For each further one.
+    next: Duration,
+    /// The last event of earlier attempts.
+    before: u32,
+}
+
+impl Gaps {
+    const fn after(self, last: u32) -> Duration {
+        if last > self.before { self.next } else { self.first }
+    }
+}
+
 /// Tells how one connection of an attempt ended.
 enum ConnectionEnd {
     Whole(EndEvent),
@@ -65,7 +84,23 @@
         arrived: Moment,
     ) -> Self {
         let check = StreamCheck::new(String::new());
-        Self { call, id, account, parsed, pieces, version, arrived, check, answered: Vec::new() }
+        Self {
+            call,
+            id,
+            account,
+            parsed,
+            pieces,
+            version,
+            arrived,
+            check,
+            answered: Vec::new(),
+            sent: false,
+        }
+    }
+
+    /// Tells what is known of the call's execution.
+    pub const fn ran(&self) -> Ran {
+        if self.sent { Ran::Unknown } else { Ran::No }
     }
 
     /// Makes one attempt.
@@ -89,34 +124,52 @@
 
         let gap = self.token_gap(snapshot);
         let first_gap = dispatch.first_token * ESTIMATE_FACTOR + gap;
+        let sent_before = std::mem::replace(&mut self.sent, true);
         let mut stream = match worker.engines.generate(at, &generate, first_gap).await {
             Ok(stream) => Some(stream),
-            Err(ClientError::NotSent) => return AttemptEnd::Outcome(AttemptOutcome::NotSent),
+            Err(ClientError::NotSent) => {
+                self.sent = sent_before;
+                return AttemptEnd::Outcome(AttemptOutcome::NotSent);
+            }
             Err(ClientError::Refused { reason }) => {
+                self.sent = sent_before;
                 let leaving = reason == EngineReason::Leaving;
                 return AttemptEnd::Outcome(AttemptOutcome::RefusedByTarget { leaving });
             }
             Err(_) => None,
         };
+        let gaps = Gaps { first: first_gap, next: gap, before: self.check.last() };
         let mut resumes = 0;
         loop {
+            let last = self.check.last();
             if let Some(open) = stream.as_mut() {
-                match self.follow(worker, open, first_gap, gap, tx).await {
-                    ConnectionEnd::Whole(end) => return self.finish(end, tx).await,
+                match self.follow(worker, open, gaps, tx).await {
+                    ConnectionEnd::Whole(end) => return self.finish(worker, end, tx).await,
                     ConnectionEnd::CallerGone => return AttemptEnd::CallerGone,
                     ConnectionEnd::Lost => {}
                 }
             }
+            if self.check.last() > last {
+                resumes = 0;
+            }
             if resumes == MAX_RESUMES {
-                let answered = self.check.answered();
-                return AttemptEnd::Outcome(AttemptOutcome::Failed { answered });
+                return self.failed();
             }
             resumes += 1;
             metrics::counter!(metric::RESUMES).increment(1);
-            stream = worker.engines.resume(at, &wire_id, self.check.last(), gap).await.ok();
+            stream = match worker.engines.resume(at, &wire_id, self.check.last(), gap).await {
+                Ok(stream) => Some(stream),
+                // An engine that does not know the answer will not learn of it again.
+                Err(ClientError::Refused { .. }) => return self.failed(),
+                Err(_) => None,
+            };
         }
     }
 
+    const fn failed(&self) -> AttemptEnd {
+        AttemptEnd::Outcome(AttemptOutcome::Failed { answered: self.check.answered() })
+    }
+
     /// Imports the planned blocks and returns the names of those that match their seals.
     async fn import(
         &self,
@@ -185,12 +238,12 @@
         &mut self,
         worker: &Worker,
         stream: &mut AnswerStream,
-        first_gap: Duration,
-        gap: Duration,
+        gaps: Gaps,
         tx: &mpsc::Sender<CallEvent>,
     ) -> ConnectionEnd {
+        let patience = worker.shared.settings.request_timeout;
         loop {
-            let limit = if self.answered.is_empty() { first_gap } else { gap };
+            let limit = gaps.after(self.check.last());
             let event = tokio::select! {
                 event = stream.next(limit) => event,
                 () = tx.closed() => return ConnectionEnd::CallerGone,
@@ -199,12 +252,18 @@
                 Ok(AnswerEvent::Token(id, token)) => match self.check.token(&token.call, id) {
                     Check::Accept => {
                         self.note_token(worker, token.text.clone()).await;
-                        if tx.send(CallEvent::Token(token.text)).await.is_err() {
+                        // A caller that does not read holds its slot no longer than one that
+                        // does not write.
+                        let sending = tx.send_timeout(CallEvent::Token(token.text), patience);
+                        if sending.await.is_err() {
                             return ConnectionEnd::CallerGone;
                         }
                     }
                     Check::Duplicate => count_dropped("duplicate"),
-                    Check::Gap => return ConnectionEnd::Lost,
+                    Check::Gap => {
+                        count_dropped("gap");
+                        return ConnectionEnd::Lost;
+                    }
                     Check::Foreign => {
                         count_dropped("foreign");
                         return ConnectionEnd::Lost;
@@ -212,7 +271,10 @@
                 },
                 Ok(AnswerEvent::End(id, end)) => match self.check.end(&end.call, id) {
                     Check::Accept => return ConnectionEnd::Whole(end),
-                    _ => return ConnectionEnd::Lost,
+                    check => {
+                        count_dropped(if check == Check::Foreign { "foreign" } else { "gap" });
+                        return ConnectionEnd::Lost;
+                    }
                 },
                 Err(_) => return ConnectionEnd::Lost,
             }
@@ -228,11 +290,17 @@
         self.answered.push(text);
     }
 
-    async fn finish(&self, end: EndEvent, tx: &mpsc::Sender<CallEvent>) -> AttemptEnd {
+    async fn finish(
+        &self,
+        worker: &Worker,
+        end: EndEvent,
+        tx: &mpsc::Sender<CallEvent>,
+    ) -> AttemptEnd {
         let usage = Usage::from(&end);
         count_prompt(usage);
         let reason = end.reason;
-        match tx.send(CallEvent::End { reason, usage }).await {
+        let patience = worker.shared.settings.request_timeout;
+        match tx.send_timeout(CallEvent::End { reason, usage }, patience).await {
             Ok(()) => AttemptEnd::Outcome(AttemptOutcome::Answered(usage)),
             Err(_) => AttemptEnd::CallerGone,
         }
--- a/crates/cumintrail-daemon/src/callers/model_call.rs
+++ b/crates/cumintrail-daemon/src/callers/model_call.rs
@@ -2,6 +2,7 @@
 
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use actix_http::header::{HeaderName, HeaderValue};
 use actix_http::{RequestHead, Response};
@@ -19,6 +20,7 @@
 use crate::control_thread::Command;
 use crate::metric;
 
+const COME_BACK: Duration = Duration::from_secs(1);
 const EVENTS_AHEAD: usize = 32;
 /// Limits the answer that one call may ask for.
 const MAX_ANSWER: u32 = 1 << 20;
@@ -54,7 +56,7 @@
         max_answer: Tokens(max_tokens),
         deadline: now + patience,
     };
-    let overloaded = Refusal::not_run(RefusalCode::Overloaded);
+    let overloaded = Refusal::not_run(RefusalCode::Overloaded).retry_after(COME_BACK);
     let commands = worker.shared.control.arrive(arrival).map_err(|_| overloaded)?;
 
     let id = worker.shared.call_id(call);
@@ -64,7 +66,7 @@
     let (tx, mut rx) = mpsc::channel(EVENTS_AHEAD);
     actix_rt::spawn(run(worker, snapshot, engine_call, commands, tx));
 
-    let first = rx.recv().await.ok_or_else(lost)?;
+    let first = rx.recv().await.ok_or_else(|| lost().retry_after(COME_BACK))?;
     let mut response = match first {
         CallEvent::Refused(refusal) => return Err(refusal),
         first if streamed => formatter.streamed(first, rx),
@@ -108,6 +110,7 @@
         let dispatch = match command {
             Some(Command::Dispatch(dispatch)) => dispatch,
             Some(Command::Refuse(refusal)) => {
+                let refusal = Refusal { ran: engine_call.ran(), ..refusal };
                 let _ = tx.send(CallEvent::Refused(refusal)).await;
                 return;
             }
@@ -116,6 +119,7 @@
         let ended = tokio::select! {
             ended = engine_call.attempt(&worker, &snapshot, &dispatch, &tx) => ended,
             refusal = refused(&mut commands) => {
+                let refusal = Refusal { ran: engine_call.ran(), ..refusal };
                 let _ = tx.send(CallEvent::Refused(refusal)).await;
                 return;
             }
--- a/crates/cumintrail-daemon/src/callers/router.rs
+++ b/crates/cumintrail-daemon/src/callers/router.rs
@@ -1,6 +1,7 @@
 //! Which handler answers a request.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use actix_http::{ConnectionType, Method, Request, Response};
 use cumintrail_types::{Refusal, RefusalCode};
@@ -14,6 +15,7 @@
 
 const OK: u16 = 200;
 const UNAVAILABLE: u16 = 503;
+const COME_BACK: Duration = Duration::from_secs(1);
 const SERVICES: &str = "/services/";
 
 /// Answers one request.
@@ -85,6 +87,7 @@
 impl Worker {
     /// Returns the configuration in force, or refuses.
     pub(super) fn snapshot(&self) -> Result<std::sync::Arc<cumintrail_config::Snapshot>, Refusal> {
-        self.shared.snapshot().ok_or_else(|| Refusal::not_run(RefusalCode::NotConfigured))
+        let missing = Refusal::not_run(RefusalCode::NotConfigured).retry_after(COME_BACK);
+        self.shared.snapshot().ok_or(missing)
     }
 }
--- a/tests/src/process_cluster.rs
+++ b/tests/src/process_cluster.rs
@@ -20,6 +20,7 @@
     /// The daemons.
     pub daemons: Vec<Process>,
     settings: tempfile::TempDir,
+    extra: String,
 }
 
 impl ProcessCluster {
@@ -28,11 +29,26 @@
         binary: &str,
         plan: &Plan,
         edit: impl FnOnce(String) -> String,
+    ) -> Result<Self, ClusterError> {
+        Self::spawn_with(binary, plan, edit, "").await
+    }
+
+    /// Starts all parts with more sections of settings.
+    pub async fn spawn_with(
+        binary: &str,
+        plan: &Plan,
+        edit: impl FnOnce(String) -> String,
+        extra: &str,
     ) -> Result<Self, ClusterError> {
         let cluster = Cluster::spawn(&Plan { daemons: 0, ..*plan }).await?;
         let declared = std::fs::read_to_string(cluster.declarations.path().join("deployment.ini"))?;
         cluster.reapply(&edit(declared)).await?;
-        let mut started = Self { cluster, daemons: Vec::new(), settings: tempfile::tempdir()? };
+        let mut started = Self {
+            cluster,
+            daemons: Vec::new(),
+            settings: tempfile::tempdir()?,
+            extra: extra.to_owned(),
+        };
         for index in 0..plan.daemons {
             let process = Process::daemon(binary, &started.write_settings(index, LOOPBACK)?)?;
             started.daemons.push(process);
@@ -65,7 +81,8 @@
     fn write_settings(&self, index: usize, operators: SocketAddr) -> std::io::Result<PathBuf> {
         let platform = self.cluster.platform.address();
         let path = self.settings.path().join(format!("vm-{index}.ini"));
-        std::fs::write(&path, settings_text(index, LOOPBACK, operators, platform, &[]))?;
+        let text = settings_text(index, LOOPBACK, operators, platform, &[]);
+        std::fs::write(&path, text + &self.extra)?;
         Ok(path)
     }
 
