--- a/crates/cumintrail-daemon/src/daemon.rs
+++ b/crates/cumintrail-daemon/src/daemon.rs
@@ -18,6 +18,8 @@
 use crate::{background, callers, control_thread, operators};
 
 const DRAIN_POLL: Duration = Duration::from_millis(20);
+/// How long callers that come back right after their last answer are still told to go elsewhere.
+const LAST_REFUSALS: Duration = Duration::from_millis(500);
 
 /// Reports that a daemon could not start.
 #[derive(Debug, Snafu)]
@@ -115,9 +117,11 @@
             actix_rt::time::sleep(DRAIN_POLL).await;
         }
         log::info!("vm {} has no call in flight", settings.vm);
-        for server in &self.servers {
-            server.stop(true).await;
-        }
+        actix_rt::time::sleep(LAST_REFUSALS).await;
+        let [callers, operators] = &self.servers;
+        callers.stop(true).await;
+        // Peers keep their connections busy and would hold a graceful stop up.
+        operators.stop(false).await;
         for arbiter in &self.arbiters {
             arbiter.stop();
         }
--- a/tests/src/process_cluster.rs
+++ b/tests/src/process_cluster.rs
@@ -20,7 +20,7 @@
     /// The daemons.
     pub daemons: Vec<Process>,
     settings: tempfile::TempDir,
-    extra: String,
+    edit_settings: fn(String) -> String,
 }
 
 impl ProcessCluster {
@@ -30,25 +30,21 @@
         plan: &Plan,
         edit: impl FnOnce(String) -> String,
     ) -> Result<Self, ClusterError> {
-        Self::spawn_with(binary, plan, edit, "").await
+        Self::spawn_with(binary, plan, edit, |settings| settings).await
     }
 
-    /// Starts all parts with more sections of settings.
+    /// Starts all parts with changed settings of the daemons.
     pub async fn spawn_with(
         binary: &str,
         plan: &Plan,
         edit: impl FnOnce(String) -> String,
-        extra: &str,
+        edit_settings: fn(String) -> String,
     ) -> Result<Self, ClusterError> {
         let cluster = Cluster::spawn(&Plan { daemons: 0, ..*plan }).await?;
         let declared = std::fs::read_to_string(cluster.declarations.path().join("deployment.ini"))?;
         cluster.reapply(&edit(declared)).await?;
-        let mut started = Self {
-            cluster,
-            daemons: Vec::new(),
-            settings: tempfile::tempdir()?,
-            extra: extra.to_owned(),
-        };
+        let mut started =
+            Self { cluster, daemons: Vec::new(), settings: tempfile::tempdir()?, edit_settings };
         for index in 0..plan.daemons {
             let process = Process::daemon(binary, &started.write_settings(index, LOOPBACK)?)?;
             started.daemons.push(process);
@@ -82,7 +78,7 @@
         let platform = self.cluster.platform.address();
         let path = self.settings.path().join(format!("vm-{index}.ini"));
         let text = settings_text(index, LOOPBACK, operators, platform, &[]);
-        std::fs::write(&path, text + &self.extra)?;
+        std::fs::write(&path, (self.edit_settings)(text))?;
         Ok(path)
     }
 
--- /dev/null
+++ b/tests/tests/planned_stop.rs
@@ -0,0 +1,125 @@
+//! A planned stop of a daemon cuts no call and loses no outcome.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use actix_http::Method;
+use cumintrail_tests::cluster::{CALLER_KEY, Plan, eventually};
+use cumintrail_tests::http::{Got, send};
+use cumintrail_tests::process_cluster::ProcessCluster;
+use cumintrail_tests::standins::{engine, platform, service};
+use cumintrail_types::{Ran, RefusalCode};
+use cumintrail_wire::caller::{IDEMPOTENCY_HEADER, REPLAYED_HEADER, RefusalBody};
+use nix::sys::signal::Signal;
+
+const BINARY: &str = env!("CARGO_BIN_EXE_cumintrail-tests");
+const LIMIT: Duration = Duration::from_secs(30);
+const STREAMS: usize = 4;
+const HOLDS: usize = 4;
+
+async fn spawn() -> ProcessCluster {
+    let engine = engine::Limits { token_time: Duration::from_millis(10), ..Default::default() };
+    let plan = Plan { engine, ..Plan::default() };
+    let longer = |text: String| text.replace("stop_grace_ms = 200", "stop_grace_ms = 1500");
+    let p = ProcessCluster::spawn_with(BINARY, &plan, |text| text, longer).await.unwrap();
+    for service in &p.cluster.services {
+        service.set_fault(service::Fault { slow_ms: 300, ..service::Fault::default() });
+    }
+    p
+}
+
+async fn post(at: SocketAddr, path: &str, headers: &[(&str, &str)], body: String) -> Got {
+    let bearer = format!("Bearer {CALLER_KEY}");
+    let mut all = vec![("authorization", bearer.as_str())];
+    all.extend_from_slice(headers);
+    send(Method::POST, at, path, &all, body, LIMIT).await
+}
+
+async fn stream(at: SocketAddr, number: usize) -> Got {
+    let body = serde_json::json!({
+        "model": "curd", "prompt": format!("list {number}"), "max_tokens": 100 + 40 * number,
+        "stream": true,
+    });
+    post(at, "/v1/completions", &[], body.to_string()).await
+}
+
+async fn hold(at: SocketAddr, key: &str) -> Got {
+    post(at, "/services/holds/place", &[(IDEMPOTENCY_HEADER, key)], key.to_owned()).await
+}
+
+fn is_stopping(got: &Got) -> bool {
+    let refusal = got.json::<RefusalBody>().map(|body| (body.error.code, body.error.ran));
+    refusal == Some((RefusalCode::Stopping, Ran::No))
+}
+
+/// Calls until the daemon says that it stops; returns the answered calls and those gone wrong.
+async fn call_until_stopping(at: SocketAddr, number: usize) -> (usize, Vec<Got>) {
+    let (mut answered, mut wrong) = (0, Vec::new());
+    loop {
+        let got = match number {
+            n if n < STREAMS => stream(at, n).await,
+            n => hold(at, &format!("hold-{n}-{answered}")).await,
+        };
+        let whole = got.whole && (number >= STREAMS || got.text().ends_with("data: [DONE]\n\n"));
+        match got.status {
+            503 if is_stopping(&got) => return (answered, wrong),
+            200 if whole => answered += 1,
+            _ => {
+                wrong.push(got);
+                return (answered, wrong);
+            }
+        }
+    }
+}
+
+#[actix_rt::test]
+async fn a_stopping_daemon_finishes_its_calls_and_refuses_new_ones_only_after_the_grace() {
+    let mut p = spawn().await;
+    let at = p.callers(0);
+    let load = (0..STREAMS + HOLDS).map(|n| actix_rt::spawn(call_until_stopping(at, n)));
+    let load: Vec<_> = load.collect();
+    actix_rt::time::sleep(Duration::from_millis(700)).await;
+
+    p.daemons[0].signal(Signal::SIGTERM);
+    let told = Instant::now();
+    while p.is_ready(0).await {
+        assert!(told.elapsed() < Duration::from_secs(1), "still ready after a second");
+    }
+    let during_grace = hold(at, "hold-in-grace").await;
+    assert_eq!(during_grace.status, 200, "{}", during_grace.text());
+
+    for calls in load {
+        let (answered, wrong) = calls.await.unwrap();
+        assert!(wrong.is_empty(), "{wrong:?}");
+        assert!(answered > 0);
+    }
+    let status = p.daemons[0].wait(LIMIT).expect("the daemon stops");
+    assert_eq!(status.code(), Some(0));
+    let executions = p.cluster.services[0].executions();
+    assert!(executions.values().all(|count| *count == 1), "{executions:?}");
+    assert!(!p.is_ready(0).await && p.is_ready(1).await);
+}
+
+#[actix_rt::test]
+async fn a_stopping_daemon_waits_until_outcomes_are_recorded() {
+    let mut p = spawn().await;
+    let at = p.callers(0);
+    let (written, _) = p.cluster.platform.table_use();
+    let calling = actix_rt::spawn(async move { hold(at, "hold-flushed").await });
+    // The claim is written, and the service takes its time to run the call.
+    assert!(eventually(LIMIT, || p.cluster.platform.table_use().0 > written).await);
+    p.cluster.platform.set_fault(platform::Fault { down: true, ..Default::default() });
+    let answered = calling.await.unwrap();
+    assert_eq!(answered.status, 200);
+
+    p.daemons[0].signal(Signal::SIGTERM);
+    assert!(p.daemons[0].wait(Duration::from_secs(4)).is_none(), "an outcome is still unwritten");
+    p.cluster.platform.set_fault(platform::Fault::default());
+    let status = p.daemons[0].wait(LIMIT).expect("the daemon stops");
+    assert_eq!(status.code(), Some(0));
+
+    let repeat = hold(p.callers(1), "hold-flushed").await;
+    assert_eq!((repeat.status, &repeat.body), (200, &answered.body));
+    assert!(repeat.headers.iter().any(|(name, _)| name == REPLAYED_HEADER));
+    assert_eq!(p.cluster.services[0].executions()["hold-flushed"], 1);
+}
