--- a/crates/cumintrail-daemon/src/callers.rs
+++ b/crates/cumintrail-daemon/src/callers.rs
@@ -18,6 +18,7 @@
 use std::net::TcpListener;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use actix_http::{HttpService, Request};
 use actix_server::ServerBuilder;
@@ -31,6 +32,10 @@
 
 pub use body::CallerBody;
 
+/// Lets the refusal of a half-sent body, which names code and execution, come before the HTTP
+/// library's empty one.
+const BODY_MARGIN: Duration = Duration::from_millis(500);
+
 /// Holds what one traffic thread needs.
 pub struct Worker {
     shared: Arc<Shared>,
@@ -80,7 +85,7 @@
         let service = move || {
             let shared = self.shared.clone();
             HttpService::build()
-                .client_request_timeout(shared.settings.request_timeout)
+                .client_request_timeout(shared.settings.request_timeout + BODY_MARGIN)
                 .finish(fn_factory(move || {
                     let shared = shared.clone();
                     async move {
