--- a/crates/cumintrail-daemon/src/daemon.rs
+++ b/crates/cumintrail-daemon/src/daemon.rs
@@ -58,7 +58,7 @@
             vm: settings.vm.clone(),
             domain: settings.domain.clone(),
             incarnation,
-            address: operator_address,
+            address: settings.peer_address.unwrap_or(operator_address),
             probe_interval: settings.probe_interval,
             digest_interval: settings.digest_interval,
         };
@@ -120,7 +120,8 @@
         actix_rt::time::sleep(LAST_REFUSALS).await;
         let [callers, operators] = &self.servers;
         callers.stop(true).await;
-        operators.stop(true).await;
+        // Peers keep their connections in use, so a graceful stop would wait for them in vain.
+        operators.stop(false).await;
         for arbiter in &self.arbiters {
             arbiter.stop();
         }
