--- a/tests/src/load/callers.rs
+++ b/tests/src/load/callers.rs
@@ -1,12 +1,14 @@
 //! Callers that start calls at a fixed rate, whether earlier ones have ended or not.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use actix_http::StatusCode;
 use cumintrail_client::{AnswerEvent, Engine as _, HttpEngine};
 use cumintrail_types::WeightVersion;
-use cumintrail_wire::caller::{Completion, CompletionRequest, DONE};
+use cumintrail_wire::caller::{Completion, CompletionRequest, DONE, RefusalBody};
 use cumintrail_wire::engine::Generate;
 use futures_util::StreamExt;
 use futures_util::future::join_all;
@@ -19,6 +21,7 @@
 const CALL_LIMIT: Duration = Duration::from_secs(10);
 const LONGEST_US: u64 = 60_000_000;
 const DIGITS: u8 = 3;
+const BROKEN: &str = "the answer broke off";
 
 /// Names the way of a call.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -37,8 +40,8 @@
     pub token_gap: Histogram<u64>,
     /// Calls that were answered whole and right.
     pub answered: u64,
-    /// All other calls.
-    pub failed: u64,
+    /// All other calls by what went wrong.
+    pub failures: BTreeMap<String, u64>,
 }
 
 struct Timing {
@@ -63,7 +66,7 @@
     }
     let mut latency = Latency::new();
     for timing in join_all(running).await {
-        latency.note(timing.ok().flatten());
+        latency.note(timing.unwrap_or_else(|_| Err("the caller's task ended".into())));
     }
     latency
 }
@@ -71,13 +74,17 @@
 impl Latency {
     fn new() -> Self {
         let histogram = || Histogram::new_with_max(LONGEST_US, DIGITS).expect("bounds are valid");
-        Self { first_token: histogram(), token_gap: histogram(), answered: 0, failed: 0 }
+        let failures = BTreeMap::new();
+        Self { first_token: histogram(), token_gap: histogram(), answered: 0, failures }
     }
 
-    fn note(&mut self, timing: Option<Timing>) {
-        let Some(timing) = timing else {
-            self.failed += 1;
-            return;
+    fn note(&mut self, timing: Result<Timing, String>) {
+        let timing = match timing {
+            Ok(timing) => timing,
+            Err(reason) => {
+                *self.failures.entry(reason).or_default() += 1;
+                return;
+            }
         };
         self.answered += 1;
         let micros = |d: Duration| d.as_micros() as u64;
@@ -100,7 +107,7 @@
         Self { daemons, engines: HttpEngine::open() }
     }
 
-    async fn call(&self, route: Route, number: u64, due: Instant) -> Option<Timing> {
+    async fn call(&self, route: Route, number: u64, due: Instant) -> Result<Timing, String> {
         let prompt = format!("summarise order {number}");
         let expected = answer_of(&prompt, WeightVersion(1), ANSWER_TOKENS as usize);
         let call = async {
@@ -109,8 +116,9 @@
                 Route::Engine(at) => self.to_engine(at, number, prompt, due).await,
             }
         };
-        let (text, timing) = actix_rt::time::timeout(CALL_LIMIT, call).await.ok().flatten()?;
-        (text == expected).then_some(timing)
+        let ended = actix_rt::time::timeout(CALL_LIMIT, call).await;
+        let (text, timing) = ended.map_err(|_| "no answer in time".to_owned())??;
+        if text == expected { Ok(timing) } else { Err("wrong text".into()) }
     }
 
     async fn through_daemon(
@@ -118,7 +126,7 @@
         at: SocketAddr,
         prompt: String,
         due: Instant,
-    ) -> Option<(String, Timing)> {
+    ) -> Result<(String, Timing), String> {
         let request = CompletionRequest {
             model: "curd".into(),
             prompt,
@@ -127,15 +135,21 @@
         };
         let req = self.daemons.post(format!("http://{at}/v1/completions"));
         let req = req.insert_header(("authorization", format!("Bearer {CALLER_KEY}")));
-        let response = req.send_json(&request).await.ok()?;
+        let mut response = req.send_json(&request).await.map_err(|e| e.to_string())?;
+        if response.status() != StatusCode::OK {
+            let refusal = response.json::<RefusalBody>().await.map_err(|e| e.to_string())?;
+            return Err(refusal.error.code.to_string());
+        }
         let mut events = eventsource_stream::EventStream::new(response);
         let mut answer = Answer::new(due);
         loop {
-            let event = events.next().await?.ok()?;
+            let Some(Ok(event)) = events.next().await else {
+                return Err(BROKEN.into());
+            };
             if event.data == DONE {
                 return answer.end();
             }
-            let chunk: Completion = serde_json::from_str(&event.data).ok()?;
+            let chunk: Completion = serde_json::from_str(&event.data).map_err(|e| e.to_string())?;
             let text: String = chunk.choices.iter().filter_map(|c| c.text.as_deref()).collect();
             if !text.is_empty() {
                 answer.token(&text);
@@ -149,7 +163,7 @@
         number: u64,
         prompt: String,
         due: Instant,
-    ) -> Option<(String, Timing)> {
+    ) -> Result<(String, Timing), String> {
         let generate = Generate {
             call: format!("direct-{number}"),
             attempt: 1,
@@ -163,10 +177,11 @@
             max_tokens: ANSWER_TOKENS,
             priority: 1,
         };
-        let mut stream = self.engines.generate(at, &generate, CALL_LIMIT).await.ok()?;
+        let stream = self.engines.generate(at, &generate, CALL_LIMIT).await;
+        let mut stream = stream.map_err(|e| e.to_string())?;
         let mut answer = Answer::new(due);
         loop {
-            match stream.next(CALL_LIMIT).await.ok()? {
+            match stream.next(CALL_LIMIT).await.map_err(|e| e.to_string())? {
                 AnswerEvent::Token(_, token) => answer.token(&token.text),
                 AnswerEvent::End(..) => return answer.end(),
             }
@@ -192,8 +207,8 @@
         self.text.push_str(text);
     }
 
-    fn end(self) -> Option<(String, Timing)> {
-        let timing = Timing { first: self.first?, last: self.last };
-        Some((self.text, timing))
+    fn end(self) -> Result<(String, Timing), String> {
+        let first = self.first.ok_or(BROKEN)?;
+        Ok((self.text, Timing { first, last: self.last }))
     }
 }
--- a/tests/src/load/report.rs
+++ b/tests/src/load/report.rs
@@ -1,5 +1,6 @@
 //! What a measurement found, for people and scripts.
 
+use std::collections::BTreeMap;
 use std::fmt;
 
 use hdrhistogram::Histogram;
@@ -53,12 +54,14 @@
 }
 
 /// Holds how calls were served.
-#[derive(Debug, Clone, Copy, Serialize)]
+#[derive(Debug, Clone, Serialize)]
 pub struct Served {
     /// Calls that were answered whole and right.
     pub answered: u64,
     /// All other calls.
     pub failed: u64,
+    /// These by what went wrong.
+    pub failures: BTreeMap<String, u64>,
     /// Time to the first token, in milliseconds.
     pub first_token_ms: Quantiles,
     /// Average time between two tokens of a call, in milliseconds.
@@ -100,7 +103,8 @@
     pub fn new(latency: &Latency) -> Self {
         Self {
             answered: latency.answered,
-            failed: latency.failed,
+            failed: latency.failures.values().sum(),
+            failures: latency.failures.clone(),
             first_token_ms: Quantiles::of(&latency.first_token),
             token_gap_ms: Quantiles::of(&latency.token_gap),
         }
@@ -147,6 +151,9 @@
                 served.first_token_ms.to_string(),
                 served.token_gap_ms.to_string(),
             )?;
+            for (reason, count) in &served.failures {
+                writeln!(f, "  {count} failed: {reason}")?;
+            }
         }
         let (a, b) = (&self.through, &self.direct);
         write!(
