--- a/crates/cumintrail-control/src/calls.rs
+++ b/crates/cumintrail-control/src/calls.rs
@@ -26,6 +26,8 @@
     pub dispatched: Moment,
     /// The weight version of its answer, once tokens were passed on.
     pub pinned: Option<WeightVersion>,
+    /// When its first token arrived.
+    pub first_token: Option<Moment>,
     /// Prompt tokens that its current attempt is expected to compute.
     pub expected_prefill: Tokens,
     attempts: u8,
@@ -42,6 +44,7 @@
             arrived,
             dispatched: arrived,
             pinned: None,
+            first_token: None,
             expected_prefill: Tokens(0),
             attempts: 0,
             phase: Phase::Queued,
--- a/crates/cumintrail-control/src/control.rs
+++ b/crates/cumintrail-control/src/control.rs
@@ -62,6 +62,8 @@
     next_digest: Moment,
     /// Blocks exported since the last digest.
     fresh_kept: Vec<(SocketAddr, Sealed, Tier)>,
+    /// How long answers take after their first token, smoothed.
+    answer_time: Duration,
     stopping: bool,
 }
 
@@ -90,6 +92,7 @@
             retries: RetryBudget::default(),
             next_digest: Moment::default(),
             fresh_kept: Vec::new(),
+            answer_time: Duration::ZERO,
             stopping: false,
         }
     }
@@ -101,8 +104,8 @@
             Event::Configured(snapshot) => self.take_configuration(now, snapshot, &mut actions),
             Event::Arrived(arrival) => self.take_arrival(now, arrival, &mut actions),
             Event::CallerGone { call } => self.drop_call(now, call, &mut actions),
-            Event::Fetched { call, target, outcomes, took } => {
-                self.take_fetches(call, target, &outcomes, took);
+            Event::Fetched { call, target, outcomes, .. } => {
+                self.take_fetches(now, call, target, &outcomes);
             }
             Event::FirstToken { call } => self.take_first_token(now, call),
             Event::AttemptEnded { call, attempt, outcome } => {
--- a/crates/cumintrail-control/src/control/arrivals.rs
+++ b/crates/cumintrail-control/src/control/arrivals.rs
@@ -2,16 +2,18 @@
 
 use std::time::Duration;
 
-use cumintrail_config::{Snapshot, TargetKind};
+use cumintrail_config::{Snapshot, Target, TargetKind};
 use cumintrail_types::{CallKey, Moment, Refusal, RefusalCode, TargetKey, Tokens, WeightVersion};
 use smallvec::SmallVec;
 
 use super::Control;
+use super::state::TargetState;
 use crate::membership::Liveness;
 use crate::placement::{Candidate, Context, Placement, Placer, Request};
 use crate::{Action, Actions, Arrival, Call, Dispatch};
 
 const RETRY_AFTER: Duration = Duration::from_secs(1);
+const SMOOTHING: f64 = 0.1;
 
 impl<P: Placer> Control<P> {
     pub(super) fn take_arrival(&mut self, now: Moment, arrival: Arrival, actions: &mut Actions) {
@@ -96,6 +98,7 @@
             return Ok(free.min_by_key(|c| c.calls).map(|c| plain_placement(c.key)));
         };
         let cx = Context {
+            now,
             stores: &snapshot.stores,
             deployment: &snapshot.deployment,
             preset: &snapshot.preset,
@@ -142,11 +145,27 @@
             target,
             backlog: state.expected_backlog(now, target.prefill_per_second),
             calls: state.calls(),
+            slot_wait: self.slot_wait(state, target),
             free: state.in_flight < target.slots,
             importable: self.version_of(key, arrival.version) == arrival.version,
         })
     }
 
+    /// Estimates how long a target's slots stay taken, if all are.
+    fn slot_wait(&self, state: &TargetState, target: &Target) -> Duration {
+        let Some(over) = state.calls().checked_sub(target.slots) else {
+            return Duration::ZERO;
+        };
+        self.answer_time.mul_f64(f64::from(over + 1) / f64::from(target.slots.max(1)))
+    }
+
+    /// Follows how long answers take, which tells when taken slots become free.
+    pub(super) fn learn_answer_time(&mut self, took: Option<Duration>) {
+        let Some(took) = took else { return };
+        let old = if self.answer_time.is_zero() { took } else { self.answer_time };
+        self.answer_time = old.mul_f64(1.0 - SMOOTHING) + took.mul_f64(SMOOTHING);
+    }
+
     /// Returns the version that a target last reported, or `fallback` before its first report.
     pub(super) fn version_of(&self, key: TargetKey, fallback: WeightVersion) -> WeightVersion {
         let report = self.targets.get(key).and_then(|t| t.report);
@@ -170,13 +189,13 @@
         };
         let attempt = call.start_attempt(target, now);
         call.expected_prefill = placement.recompute;
+        let pieces = call.arrival.pieces.clone();
         if let Some(state) = self.targets.get_mut(target) {
             state.in_flight += 1;
             state.add_prefill(now, placement.recompute);
         }
-        for fetch in &placement.plan.fetches {
-            self.links.start(fetch.store, fetch.sealed.length);
-        }
+        self.start_fetches(now, key, &placement.plan);
+        self.directory.change_engine(target, &pieces, &[]);
         let Placement { plan, first_token, .. } = placement;
         let dispatch = Dispatch { call: key, attempt, target, version, plan, first_token };
         actions.push(Action::Dispatch(dispatch));
--- a/crates/cumintrail-control/src/control/attempts.rs
+++ b/crates/cumintrail-control/src/control/attempts.rs
@@ -22,6 +22,7 @@
         let version = self.version_of(target, call.arrival.version);
         self.settle_backlog(now, key);
         if let Some(call) = self.calls.get_mut(&key) {
+            call.first_token.get_or_insert(now);
             call.start_streaming(version);
         }
     }
@@ -86,7 +87,9 @@
             return;
         };
         let pieces = call.arrival.pieces.clone();
+        let answering = call.first_token.map(|at| now.since(at));
         let fresh = self.version_of(target, call.arrival.version) == call.arrival.version;
+        self.learn_answer_time(answering);
         self.end_call(key);
         if fresh && usage.prompt.0 > 0 {
             self.order_exports(now, target, &pieces, actions);
@@ -180,6 +183,7 @@
         if let Some(call) = self.calls.remove(&key) {
             self.admission.remove(call.arrival.kind, call.arrival.account, key);
             self.admission.release(call.arrival.account);
+            self.links.forget(key);
         }
     }
 }
--- a/crates/cumintrail-control/src/control/blocks.rs
+++ b/crates/cumintrail-control/src/control/blocks.rs
@@ -1,33 +1,59 @@
 //! What is learned of kept blocks.
 
-use std::time::Duration;
-
 use cumintrail_types::{
-    BlockKey, Bytes, CallKey, Incarnation, Moment, Sealed, StoreKey, TargetKey, Tier, WriteId,
+    BlockKey, CallKey, Incarnation, Moment, Sealed, StoreKey, TargetKey, Tier, WriteId,
 };
 use rand::Rng;
+use smallvec::SmallVec;
 
 use super::Control;
 use crate::directory::Kept;
+use crate::links::Load;
 use crate::membership::Liveness;
 use crate::placement::Placer;
-use crate::{Export, FetchOutcome};
+use crate::{Export, Fetch, FetchOutcome, FetchPlan};
 
 impl<P: Placer> Control<P> {
+    /// Notes the imports of a dispatch on their links.
+    pub(super) fn start_fetches(&mut self, now: Moment, call: CallKey, plan: &FetchPlan) {
+        let Some(snapshot) = &self.snapshot else {
+            return;
+        };
+        for (store, load) in self.loads(plan) {
+            if let Some(declared) = snapshot.stores.get(store) {
+                self.links.start(now, call, store, load, declared);
+            }
+        }
+    }
+
+    fn loads(&self, plan: &FetchPlan) -> SmallVec<[(StoreKey, Load); 2]> {
+        let mut loads: SmallVec<[(StoreKey, Load); 2]> = SmallVec::new();
+        for Fetch { store, sealed } in &plan.fetches {
+            let places = self.directory.kept(sealed.key).iter();
+            let tier = places.filter(|k| k.store == *store).map(|k| k.tier).next();
+            let at = loads.iter().position(|(s, _)| s == store).unwrap_or(loads.len());
+            if at == loads.len() {
+                loads.push((*store, Load::default()));
+            }
+            loads[at].1.add(sealed.length, tier.unwrap_or(Tier::Disk));
+        }
+        loads
+    }
+
     pub(super) fn take_fetches(
         &mut self,
-        _call: CallKey,
+        now: Moment,
+        call: CallKey,
         target: TargetKey,
         outcomes: &[(StoreKey, BlockKey, FetchOutcome)],
-        took: Duration,
     ) {
+        let mut stores: SmallVec<[(StoreKey, bool); 2]> = SmallVec::new();
         for (store, key, outcome) in outcomes {
-            let places = self.directory.kept(*key);
-            let length =
-                places.iter().find(|k| k.store == *store).map_or(Bytes(0), |k| k.sealed.length);
             let imported = *outcome == FetchOutcome::Imported;
-            let arrived = if imported { length } else { Bytes(0) };
-            self.links.finish(*store, length, arrived, took);
+            match stores.iter_mut().find(|(s, _)| s == store) {
+                Some((_, whole)) => *whole &= imported,
+                None => stores.push((*store, imported)),
+            }
             match outcome {
                 FetchOutcome::Imported => self.directory.change_engine(target, &[*key], &[]),
                 FetchOutcome::Missing | FetchOutcome::Mismatch => {
@@ -36,18 +62,21 @@
                 FetchOutcome::Failed => {}
             }
         }
+        for (store, whole) in stores {
+            self.links.finish(now, call, store, whole);
+        }
     }
 
     pub(super) fn take_cache_change(
         &mut self,
         target: TargetKey,
         incarnation: Incarnation,
-        gap: bool,
+        _gap: bool,
         stored: &[BlockKey],
         evicted: &[BlockKey],
     ) {
         let current = self.targets.get(target).map(super::state::TargetState::incarnation);
-        if gap || current != Some(incarnation) {
+        if current.is_some_and(|c| c.0 > 0 && c != incarnation) {
             self.directory.clear_engine(target);
         }
         self.directory.change_engine(target, stored, evicted);
--- a/crates/cumintrail-control/src/links.rs
+++ b/crates/cumintrail-control/src/links.rs
@@ -1,47 +1,173 @@
-//! How much of each link is in use by this daemon's transfers.
+//! How much of each store's link and disk is in use by this daemon's transfers.
 
 use std::collections::HashMap;
 use std::time::Duration;
 
-use cumintrail_types::{Bytes, StoreKey};
+use cumintrail_config::Store;
+use cumintrail_types::{Bytes, CallKey, Moment, StoreKey, Tier};
 
-/// Estimates transfer times from declared and observed link speeds.
+const SMOOTHING: f64 = 0.3;
+/// Bounds how much slower than declared a store is taken for.
+const SLOWEST: f64 = 50.0;
+/// The time after which half of an observed slowness is forgotten, so that it is tried again.
+const SLOWNESS_HALF_LIFE: Duration = Duration::from_secs(20);
+
+/// Predicts transfer times and learns from how transfers went.
 #[derive(Debug, Default)]
 pub struct Links {
     stores: HashMap<StoreKey, Link>,
+    transfers: HashMap<(CallKey, StoreKey), Transfer>,
 }
 
-#[derive(Debug, Clone, Copy, Default)]
+/// Holds what is known of the way from one store.
+#[derive(Debug, Clone, Copy)]
 struct Link {
-    in_flight: Bytes,
-    /// Observed speed in bytes a second; zero before the first transfer.
-    observed: f64,
+    /// When the link and the disk are through with what was ordered.
+    link_free: Moment,
+    disk_free: Moment,
+    /// How many times slower than declared transfers were, and when that was seen.
+    slowness: f64,
+    judged: Moment,
 }
 
-const SMOOTHING: f64 = 0.3;
+impl Default for Link {
+    fn default() -> Self {
+        let zero = Moment(0);
+        Self { link_free: zero, disk_free: zero, slowness: 1.0, judged: zero }
+    }
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Transfer {
+    ordered: Moment,
+    expected: Duration,
+}
+
+/// Counts bytes by what they pass.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Load {
+    /// Bytes over the link, all of them.
+    pub link: Bytes,
+    /// Bytes that come from disk.
+    pub disk: Bytes,
+}
+
+impl Load {
+    /// Adds a block in a tier.
+    pub fn add(&mut self, length: Bytes, tier: Tier) {
+        self.link += length;
+        if tier == Tier::Disk {
+            self.disk += length;
+        }
+    }
+
+    /// Subtracts what lies before a position, for sums over a range.
+    #[must_use]
+    pub const fn since(self, earlier: Self) -> Self {
+        Self {
+            link: self.link.saturating_sub(earlier.link),
+            disk: self.disk.saturating_sub(earlier.disk),
+        }
+    }
+}
+
+/// Predicts transfers from one store at one moment.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Forecast {
+    link_wait: f64,
+    disk_wait: f64,
+    per_link_byte: f64,
+    per_disk_byte: f64,
+}
+
+impl Forecast {
+    /// Returns the seconds until `load` has arrived.
+    pub fn seconds(&self, load: Load) -> f64 {
+        if load.link.0 == 0 {
+            return 0.0;
+        }
+        let link = self.link_wait + load.link.0 as f64 * self.per_link_byte;
+        if load.disk.0 == 0 {
+            return link;
+        }
+        link.max(self.disk_wait + load.disk.0 as f64 * self.per_disk_byte)
+    }
+}
 
 impl Links {
-    /// Estimates how long `bytes` take behind what is already on its way.
-    pub fn estimate(&self, store: StoreKey, bytes: Bytes, declared: Bytes) -> Duration {
+    /// Predicts transfers from a store that are ordered now.
+    pub fn forecast(&self, now: Moment, store: StoreKey, declared: &Store) -> Forecast {
         let link = self.stores.get(&store).copied().unwrap_or_default();
-        let declared = declared.0 as f64;
-        let speed = if link.observed > 0.0 { link.observed.min(declared) } else { declared };
-        Duration::from_secs_f64((link.in_flight + bytes).0 as f64 / speed.max(1.0))
+        let slowness = link.slowness_at(now);
+        Forecast {
+            link_wait: link.link_free.since(now).as_secs_f64(),
+            disk_wait: link.disk_free.since(now).as_secs_f64(),
+            per_link_byte: slowness / declared.link_per_second.0.max(1) as f64,
+            per_disk_byte: slowness / declared.disk_per_second.0.max(1) as f64,
+        }
     }
 
     /// Notes a transfer that was ordered.
-    pub fn start(&mut self, store: StoreKey, bytes: Bytes) {
-        self.stores.entry(store).or_default().in_flight += bytes;
+    pub fn start(
+        &mut self,
+        now: Moment,
+        call: CallKey,
+        store: StoreKey,
+        load: Load,
+        declared: &Store,
+    ) {
+        let forecast = self.forecast(now, store, declared);
+        let expected = Duration::from_secs_f64(forecast.seconds(load));
+        let link = self.stores.entry(store).or_default();
+        let busy = |bytes: Bytes, per_byte: f64| Duration::from_secs_f64(bytes.0 as f64 * per_byte);
+        link.link_free = link.link_free.max(now) + busy(load.link, forecast.per_link_byte);
+        if load.disk.0 > 0 {
+            link.disk_free = link.disk_free.max(now) + busy(load.disk, forecast.per_disk_byte);
+        }
+        self.transfers.insert((call, store), Transfer { ordered: now, expected });
     }
 
-    /// Notes a transfer that ended after `took`, or broke if nothing arrived.
-    pub fn finish(&mut self, store: StoreKey, ordered: Bytes, arrived: Bytes, took: Duration) {
+    /// Notes that a transfer ended; `whole` if all of it arrived.
+    pub fn finish(&mut self, now: Moment, call: CallKey, store: StoreKey, whole: bool) {
+        let Some(transfer) = self.transfers.remove(&(call, store)) else {
+            return;
+        };
         let link = self.stores.entry(store).or_default();
-        link.in_flight = link.in_flight.saturating_sub(ordered);
-        if arrived.0 > 0 && !took.is_zero() {
-            let speed = arrived.0 as f64 / took.as_secs_f64();
-            let old = if link.observed > 0.0 { link.observed } else { speed };
-            link.observed = old + SMOOTHING * (speed - old);
+        let took = now.since(transfer.ordered);
+        let ratio = took.as_secs_f64() / transfer.expected.as_secs_f64().max(0.001);
+        // A transfer that was cut off tells only that it was slower than this.
+        if whole || ratio > 1.0 {
+            let old = link.slowness_at(now);
+            let new = old + SMOOTHING * (old * ratio - old);
+            link.slowness = new.clamp(1.0, SLOWEST);
+            link.judged = now;
+        }
+        link.shift(now, took, transfer.expected);
+    }
+
+    /// Forgets a transfer whose end will not be told.
+    pub fn forget(&mut self, call: CallKey) {
+        self.transfers.retain(|(c, _), _| *c != call);
+    }
+}
+
+impl Link {
+    fn slowness_at(&self, now: Moment) -> f64 {
+        let halves = now.since(self.judged).as_secs_f64() / SLOWNESS_HALF_LIFE.as_secs_f64();
+        1.0 + (self.slowness - 1.0) * 0.5_f64.powf(halves)
+    }
+
+    /// Moves the end of what is ordered by as much as a transfer was early or late.
+    fn shift(&mut self, now: Moment, took: Duration, expected: Duration) {
+        let moved = |free: Moment| match took.checked_sub(expected) {
+            Some(late) => free.max(now) + late.min(free.since(now)),
+            None => (free - (expected - took)).max(now),
+        };
+        if self.link_free > now {
+            self.link_free = moved(self.link_free);
+        }
+        if self.disk_free > now {
+            self.disk_free = moved(self.disk_free);
         }
     }
 }
--- a/crates/cumintrail-control/src/placement.rs
+++ b/crates/cumintrail-control/src/placement.rs
@@ -1,12 +1,15 @@
 //! Where a call runs and which kept blocks it imports first; docs/DESIGN.md, "Placement".
 
+mod sources;
+
 use std::time::Duration;
 
 use cumintrail_config::{Deployment, Model, Preset, Store, Target};
-use cumintrail_types::{Arena, BlockKey, Bytes, CallKey, StoreKey, TargetKey, Tokens};
+use cumintrail_types::{Arena, BlockKey, Bytes, CallKey, Moment, StoreKey, TargetKey, Tokens};
 use smallvec::SmallVec;
 
-use crate::directory::{Directory, Kept};
+use self::sources::Sources;
+use crate::directory::Directory;
 use crate::links::Links;
 use crate::{Fetch, FetchPlan};
 
@@ -15,6 +18,8 @@
 /// Holds what a choice of target looks at.
 #[derive(Debug)]
 pub struct Context<'a> {
+    /// The present.
+    pub now: Moment,
     /// The stores of the configuration.
     pub stores: &'a Arena<StoreKey, Store>,
     /// Piece length and text density.
@@ -29,7 +34,7 @@
     pub links: &'a Links,
 }
 
-/// Describes a target that could run the call now.
+/// Describes a target that could run the call.
 #[derive(Debug, Clone, Copy)]
 pub struct Candidate<'a> {
     /// Its key.
@@ -40,12 +45,22 @@
     pub backlog: Tokens,
     /// Calls that it probably has.
     pub calls: u32,
+    /// The time until it probably has a slot.
+    pub slot_wait: Duration,
     /// Whether this daemon may send it another call now.
     pub free: bool,
     /// Whether blocks may be imported, which needs the version that the keys are for.
     pub importable: bool,
 }
 
+impl Candidate<'_> {
+    /// Returns the seconds until it begins with the prompt.
+    pub fn wait(&self) -> f64 {
+        let backlog = f64::from(self.backlog.0) / f64::from(self.target.prefill_per_second);
+        backlog.max(self.slot_wait.as_secs_f64())
+    }
+}
+
 /// Holds the estimate for one target and number of pieces.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Placement {
@@ -96,87 +111,80 @@
         request: &Request<'_>,
         candidates: &[Candidate<'_>],
     ) -> Option<Placement> {
-        let free = candidates.iter().filter(|c| c.free);
-        let best = free.map(|c| best_on(cx, request.pieces, request.prompt, *c));
-        best.min_by(|a, b| a.cost.total_cmp(&b.cost).then(a.target.cmp(&b.target)))
+        let sources = Sources::new(cx, request.pieces);
+        let groups = groups(cx, request, candidates);
+        let options = groups.iter().map(|group| (group, sources.cheapest(cx, request, group)));
+        let best = options.min_by(|(a, x), (b, y)| {
+            let by_cost = x.cost.total_cmp(&y.cost);
+            by_cost.then(a.candidate.key.cmp(&b.candidate.key))
+        });
+        best.map(|(group, option)| sources.placement(cx, request, group, &option))
     }
 }
 
-/// Chooses the number of pieces to import for one target.
-fn best_on(
+/// Stands for all targets that hold equally much and compute equally fast.
+///
+/// Among those the one that begins first is never worse, whatever is imported.
+#[derive(Debug, Clone, Copy)]
+struct Group<'a> {
+    held: usize,
+    candidate: Candidate<'a>,
+    wait: f64,
+}
+
+fn groups<'a>(
     cx: &Context<'_>,
-    pieces: &[BlockKey],
-    prompt: Tokens,
-    candidate: Candidate<'_>,
-) -> Placement {
-    let held = cx.directory.held_prefix(candidate.key, pieces);
-    let mut fetches: SmallVec<[Kept; 4]> = SmallVec::new();
-    let mut best = estimate(cx, prompt, candidate, held, &fetches);
-    if !candidate.importable {
-        return best;
-    }
-    for key in &pieces[held..] {
-        let Some(kept) = cx.directory.kept(*key).first() else {
-            break;
-        };
-        fetches.push(*kept);
-        let next = estimate(cx, prompt, candidate, held, &fetches);
-        if next.cost < best.cost {
-            best = next;
+    request: &Request<'_>,
+    candidates: &[Candidate<'a>],
+) -> SmallVec<[Group<'a>; 16]> {
+    let held = cx.directory.prefixes(request.pieces);
+    let mut groups: SmallVec<[Group<'a>; 16]> = SmallVec::new();
+    for candidate in candidates.iter().filter(|c| c.free) {
+        let found = held.binary_search_by_key(&candidate.key, |(target, _)| *target);
+        let held = found.map_or(0, |at| held[at].1);
+        let new = Group { held, candidate: *candidate, wait: candidate.wait() };
+        match groups.iter_mut().find(|g| g.is_like(&new)) {
+            Some(group) if (new.wait, candidate.key) < (group.wait, group.candidate.key) => {
+                *group = new;
+            }
+            Some(_) => {}
+            None => groups.push(new),
         }
     }
-    best
+    groups
 }
 
-/// Estimates one target with `held` pieces in memory and `fetches` imported.
-pub fn estimate(
-    cx: &Context<'_>,
-    prompt: Tokens,
-    candidate: Candidate<'_>,
-    held: usize,
-    fetches: &[Kept],
-) -> Placement {
-    let piece = cx.deployment.piece.0;
-    let obtained = Tokens((held + fetches.len()) as u32 * piece);
-    let recompute = prompt.saturating_sub(obtained);
-    let speed = f64::from(candidate.target.prefill_per_second);
-    let wait = f64::from(candidate.backlog.0) / speed;
-    let prefill = f64::from(recompute.0) / speed;
-    let link_bytes: Bytes = fetches.iter().map(|k| k.sealed.length).sum();
-    let transfer = transfer_time(cx, fetches).as_secs_f64();
-    let first_token = wait.max(transfer) + prefill;
-
-    let saved = f64::from(fetches.len() as u32 * piece) / speed;
-    let preset = cx.preset;
-    let cost = preset.first_token_weight * first_token
-        + preset.recompute_weight * prefill
-        + preset.link_weight * transfer;
-    let fetches = fetches.iter().map(|k| Fetch { store: k.store, sealed: k.sealed }).collect();
-    Placement {
-        target: candidate.key,
-        cost,
-        first_token: Duration::from_secs_f64(first_token),
-        recompute,
-        plan: FetchPlan {
-            fetches,
-            within: Duration::from_secs_f64(wait.max(saved)) + FETCH_MARGIN,
-        },
-        link_bytes,
+impl Group<'_> {
+    fn is_like(&self, other: &Self) -> bool {
+        let speed = |group: &Self| group.candidate.target.prefill_per_second;
+        self.held == other.held
+            && speed(self) == speed(other)
+            && self.candidate.importable == other.candidate.importable
     }
 }
 
-/// Estimates the time until the slowest store has delivered its part.
-fn transfer_time(cx: &Context<'_>, fetches: &[Kept]) -> Duration {
-    let mut by_store: SmallVec<[(StoreKey, Bytes); 2]> = SmallVec::new();
-    for kept in fetches {
-        match by_store.iter_mut().find(|(store, _)| *store == kept.store) {
-            Some((_, bytes)) => *bytes += kept.sealed.length,
-            None => by_store.push((kept.store, kept.sealed.length)),
-        }
+/// Prices importing some pieces and computing the rest on one target.
+#[derive(Debug, Clone, Copy)]
+struct Price {
+    cost: f64,
+    first_token: f64,
+}
+
+impl Price {
+    fn new(preset: &Preset, wait: f64, transfer: f64, prefill: f64, link: f64) -> Self {
+        let first_token = wait.max(transfer) + prefill;
+        let cost = preset.first_token_weight * first_token
+            + preset.recompute_weight * prefill
+            + preset.link_weight * link;
+        Self { cost, first_token }
     }
-    let times = by_store.iter().map(|(key, bytes)| {
-        let declared = cx.stores.get(*key).map_or(Bytes(1), |s| s.link_per_second);
-        cx.links.estimate(*key, *bytes, declared)
-    });
-    times.max().unwrap_or_default()
+}
+
+/// Returns how long importing may take before the pieces would have been computed anyway.
+fn patience(wait: f64, saved: f64) -> Duration {
+    Duration::from_secs_f64(wait + saved) + FETCH_MARGIN
+}
+
+fn fetch_plan(fetches: SmallVec<[Fetch; 4]>, wait: f64, saved: f64) -> FetchPlan {
+    FetchPlan { fetches, within: patience(wait, saved) }
 }
