--- a/crates/cumintrail-control/src/control/arrivals.rs
+++ b/crates/cumintrail-control/src/control/arrivals.rs
@@ -146,7 +146,7 @@
             backlog: state.expected_backlog(now, target.prefill_per_second),
             calls: state.calls(),
             slot_wait: self.slot_wait(state, target),
-            free: state.in_flight < target.slots,
+            free: state.in_flight < target.slots * 4,
             importable: self.version_of(key, arrival.version) == arrival.version,
         })
     }
--- a/crates/cumintrail-control/src/control/blocks.rs
+++ b/crates/cumintrail-control/src/control/blocks.rs
@@ -47,24 +47,20 @@
         target: TargetKey,
         outcomes: &[(StoreKey, BlockKey, FetchOutcome)],
     ) {
-        let mut stores: SmallVec<[(StoreKey, bool); 2]> = SmallVec::new();
         for (store, key, outcome) in outcomes {
-            let imported = *outcome == FetchOutcome::Imported;
-            match stores.iter_mut().find(|(s, _)| s == store) {
-                Some((_, whole)) => *whole &= imported,
-                None => stores.push((*store, imported)),
-            }
             match outcome {
-                FetchOutcome::Imported => self.directory.change_engine(target, &[*key], &[]),
+                FetchOutcome::Imported => {
+                    self.directory.change_engine(target, &[*key], &[]);
+                    self.directory.promote(*store, *key);
+                }
                 FetchOutcome::Missing | FetchOutcome::Mismatch => {
                     self.directory.remove_kept(*store, *key);
                 }
                 FetchOutcome::Failed => {}
             }
         }
-        for (store, whole) in stores {
-            self.links.finish(now, call, store, whole);
-        }
+        let whole = outcomes.iter().all(|(_, _, outcome)| *outcome == FetchOutcome::Imported);
+        self.links.finish(now, call, whole);
     }
 
     pub(super) fn take_cache_change(
--- a/crates/cumintrail-control/src/directory.rs
+++ b/crates/cumintrail-control/src/directory.rs
@@ -89,6 +89,14 @@
         }
     }
 
+    /// Notes that a read brought a block into a store's memory.
+    pub fn promote(&mut self, store: StoreKey, key: BlockKey) {
+        let places = self.kept.get_mut(&key).into_iter().flatten();
+        for kept in places.filter(|k| k.store == store) {
+            kept.tier = Tier::Memory;
+        }
+    }
+
     /// Forgets all blocks of a store.
     pub fn clear_store(&mut self, store: StoreKey) {
         self.kept.retain(|_, places| {
--- a/crates/cumintrail-control/src/links.rs
+++ b/crates/cumintrail-control/src/links.rs
@@ -5,8 +5,13 @@
 
 use cumintrail_config::Store;
 use cumintrail_types::{Bytes, CallKey, Moment, StoreKey, Tier};
+use smallvec::SmallVec;
 
 const SMOOTHING: f64 = 0.3;
+/// Bounds how much one transfer changes the observed slowness, since it may have met a burst.
+const LARGEST_STEP: f64 = 3.0;
+/// Expected times are taken for at least this, so that a short delay is no sign of a slow link.
+const SHORTEST_SECONDS: f64 = 0.05;
 /// Bounds how much slower than declared a store is taken for.
 const SLOWEST: f64 = 50.0;
 /// The time after which half of an observed slowness is forgotten, so that it is tried again.
@@ -16,7 +21,7 @@
 #[derive(Debug, Default)]
 pub struct Links {
     stores: HashMap<StoreKey, Link>,
-    transfers: HashMap<(CallKey, StoreKey), Transfer>,
+    transfers: HashMap<CallKey, SmallVec<[Transfer; 2]>>,
 }
 
 /// Holds what is known of the way from one store.
@@ -39,6 +44,7 @@
 
 #[derive(Debug, Clone, Copy)]
 struct Transfer {
+    store: StoreKey,
     ordered: Moment,
     expected: Duration,
 }
@@ -124,30 +130,34 @@
         if load.disk.0 > 0 {
             link.disk_free = link.disk_free.max(now) + busy(load.disk, forecast.per_disk_byte);
         }
-        self.transfers.insert((call, store), Transfer { ordered: now, expected });
+        let transfer = Transfer { store, ordered: now, expected };
+        self.transfers.entry(call).or_default().push(transfer);
     }
 
-    /// Notes that a transfer ended; `whole` if all of it arrived.
-    pub fn finish(&mut self, now: Moment, call: CallKey, store: StoreKey, whole: bool) {
-        let Some(transfer) = self.transfers.remove(&(call, store)) else {
+    /// Notes that all transfers of a call ended; `whole` if all of each arrived.
+    ///
+    /// Only the end of the last is known, so only the store that was expected to be last is judged.
+    pub fn finish(&mut self, now: Moment, call: CallKey, whole: bool) {
+        let transfers = self.transfers.remove(&call).unwrap_or_default();
+        let Some(last) = transfers.iter().max_by_key(|t| t.expected) else {
             return;
         };
-        let link = self.stores.entry(store).or_default();
-        let took = now.since(transfer.ordered);
-        let ratio = took.as_secs_f64() / transfer.expected.as_secs_f64().max(0.001);
+        let link = self.stores.entry(last.store).or_default();
+        let took = now.since(last.ordered);
+        let ratio = took.as_secs_f64() / last.expected.as_secs_f64().max(SHORTEST_SECONDS);
         // A transfer that was cut off tells only that it was slower than this.
         if whole || ratio > 1.0 {
             let old = link.slowness_at(now);
-            let new = old + SMOOTHING * (old * ratio - old);
+            let new = old * (1.0 + SMOOTHING * (ratio.min(LARGEST_STEP) - 1.0));
             link.slowness = new.clamp(1.0, SLOWEST);
             link.judged = now;
         }
-        link.shift(now, took, transfer.expected);
+        link.shift(now, took, last.expected);
     }
 
-    /// Forgets a transfer whose end will not be told.
+    /// Forgets transfers whose end will not be told.
     pub fn forget(&mut self, call: CallKey) {
-        self.transfers.retain(|(c, _), _| *c != call);
+        self.transfers.remove(&call);
     }
 }
 
