--- a/crates/cumintrail-control/src/directory.rs
+++ b/crates/cumintrail-control/src/directory.rs
@@ -11,6 +11,8 @@
 
 /// The stale entries, as a part of all, that are worth a sweep.
 const SWEEP_DIVISOR: usize = 4;
+const SHORTER_STEP: f32 = 0.2;
+const LONGER_STEP: f32 = 0.05;
 
 /// Names a write of a block in a store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -38,16 +40,40 @@
 /// Names an engine that holds a block, in the order of targets.
 ///
 /// The epoch lets all holdings of an engine lapse at once.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Debug, Clone, Copy)]
 struct Holder {
     target: TargetKey,
     epoch: u32,
+    /// The engine's count of inserted blocks when this one was last used.
+    stamp: u32,
 }
 
+/// Follows the memory of one engine.
+///
+/// Evictions are told late or not at all, and calls that wait will cause more. So a block counts
+/// as held only while fewer blocks went in after its last use than usually do before an eviction.
 #[derive(Debug, Clone, Copy, Default)]
 struct Held {
     epoch: u32,
     blocks: usize,
+    inserted: u32,
+    /// Blocks that go in between a block's last use and its eviction; none seen before the first.
+    lifetime: Option<f32>,
+}
+
+impl Held {
+    fn has(&self, holder: &Holder) -> bool {
+        let age = self.inserted.wrapping_sub(holder.stamp) as f32;
+        holder.epoch == self.epoch && self.lifetime.is_none_or(|lifetime| age <= lifetime)
+    }
+
+    /// Follows short lifetimes faster than long ones, since trusting an evicted block costs more.
+    fn learn_lifetime(&mut self, holder: &Holder) {
+        let age = self.inserted.wrapping_sub(holder.stamp) as f32;
+        let old = self.lifetime.unwrap_or(age);
+        let step = if age < old { SHORTER_STEP } else { LONGER_STEP };
+        self.lifetime = Some(old + step * (age - old));
+    }
 }
 
 type KeyMap<V> = HashMap<BlockKey, V, BuildHasherDefault<KeyHasher>>;
@@ -118,11 +144,15 @@
     /// Notes blocks that an engine holds or has evicted.
     pub fn change_engine(&mut self, target: TargetKey, stored: &[BlockKey], evicted: &[BlockKey]) {
         let held = self.engines.entry(target).or_default();
-        let holder = Holder { target, epoch: held.epoch };
         for key in stored {
             let holders = self.holders.entry(*key).or_default();
-            match holders.binary_search_by_key(&target, |h| h.target) {
-                Ok(at) if holders[at].epoch == held.epoch => {}
+            let found = holders.binary_search_by_key(&target, |h| h.target);
+            if found.is_err() || found.is_ok_and(|at| !held.has(&holders[at])) {
+                held.inserted = held.inserted.wrapping_add(1);
+            }
+            let holder = Holder { target, epoch: held.epoch, stamp: held.inserted };
+            match found {
+                Ok(at) if holders[at].epoch == held.epoch => holders[at] = holder,
                 Ok(at) => {
                     holders[at] = holder;
                     held.blocks += 1;
@@ -136,8 +166,11 @@
         }
         for key in evicted {
             let Some(holders) = self.holders.get_mut(key) else { continue };
-            if let Ok(at) = holders.binary_search(&holder) {
-                holders.remove(at);
+            let found = holders.binary_search_by_key(&target, |h| h.target);
+            if let Ok(at) = found
+                && holders[at].epoch == held.epoch
+            {
+                held.learn_lifetime(&holders.remove(at));
                 held.blocks -= 1;
             }
             if holders.is_empty() {
@@ -150,7 +183,7 @@
     pub fn clear_engine(&mut self, target: TargetKey) {
         let held = self.engines.entry(target).or_default();
         self.stale += held.blocks;
-        *held = Held { epoch: held.epoch + 1, blocks: 0 };
+        *held = Held { epoch: held.epoch + 1, blocks: 0, ..*held };
         if self.stale > self.holders.len() / SWEEP_DIVISOR {
             self.sweep();
         }
@@ -170,9 +203,12 @@
         let Some(held) = self.engines.get(&target) else {
             return 0;
         };
-        let holder = Holder { target, epoch: held.epoch };
-        let holds = |key| self.holders.get(key).is_some_and(|h| h.binary_search(&holder).is_ok());
-        pieces.iter().take_while(|key| holds(*key)).count()
+        let holds = |key: &&BlockKey| {
+            let Some(holders) = self.holders.get(*key) else { return false };
+            let found = holders.binary_search_by_key(&target, |h| h.target);
+            found.is_ok_and(|at| held.has(&holders[at]))
+        };
+        pieces.iter().take_while(holds).count()
     }
 
     /// Counts the leading pieces of a prompt for all engines that probably hold any.
@@ -182,7 +218,7 @@
         let mut found = Prefixes::new();
         for (position, key) in pieces.iter().enumerate() {
             let Some(holders) = self.holders.get(key) else { break };
-            let live = |h: &Holder| self.engines.get(&h.target).is_some_and(|e| e.epoch == h.epoch);
+            let live = |h: &Holder| self.engines.get(&h.target).is_some_and(|e| e.has(h));
             if position == 0 {
                 found.extend(holders.iter().filter(|h| live(h)).map(|h| (h.target, 1)));
                 continue;
