--- a/crates/cumintrail-cli/src/commands.rs
+++ b/crates/cumintrail-cli/src/commands.rs
@@ -6,14 +6,14 @@
 
 use clap::{CommandFactory, Parser, Subcommand, ValueEnum};
 use clap_complete::Shell;
-use cumintrail_config::{Sections, Settings, Snapshot};
+use cumintrail_config::{Settings, Snapshot};
 use cumintrail_types::{Digest, Generation};
-use cumintrail_wire::operator::Status;
 use serde::Serialize;
-use snafu::ResultExt;
 
-use crate::errors::{UnconfirmedSnafu, UnreachableSnafu, UsageSnafu};
-use crate::{Access, CliError, publish};
+use crate::errors::{UnconfirmedSnafu, UsageSnafu};
+use crate::materials::Declared;
+use crate::table::Style;
+use crate::{Access, CliError, Missing, dump, publish, status};
 
 const CONFIRM_POLL: Duration = Duration::from_millis(100);
 
@@ -95,15 +95,30 @@
     },
 }
 
+/// Tells scripts why a command failed.
+#[derive(Debug, Serialize)]
+struct Failure {
+    error: &'static str,
+    exit_code: u8,
+    message: String,
+}
+
+impl From<&CliError> for Failure {
+    fn from(e: &CliError) -> Self {
+        Self { error: e.code(), exit_code: e.exit_code(), message: e.to_string() }
+    }
+}
+
 /// Runs a command in a system of its own, prints its output, and returns the exit code.
 pub fn run_to_exit(arguments: Arguments) -> ExitCode {
+    let format = arguments.format;
     match actix_rt::System::new().block_on(run(arguments)) {
         Ok(output) => {
             println!("{output}");
             ExitCode::SUCCESS
         }
         Err(e) => {
-            eprintln!("{e}");
+            eprintln!("{}", render(format, &Failure::from(&e), || e.to_string()));
             ExitCode::from(e.exit_code())
         }
     }
@@ -142,18 +157,21 @@
             Ok(render(format, &generation, || format!("generation {generation} is accepted")))
         }
         Command::Status => {
-            let rows = statuses(access).await?;
-            Ok(render(format, &rows, || table(&rows)))
+            let report = status::Report::new(status::ask(access).await?);
+            Ok(render(format, &report, || report.to_text(Style::of_stdout())))
+        }
+        Command::Dump { vm } => {
+            let state = dump::ask(access, vm).await?;
+            Ok(render(format, &state, || dump::to_text(&state, Style::of_stdout())))
         }
-        Command::Dump { vm } => dump(access, vm).await,
         Command::Check { .. } | Command::HashKey | Command::Completions { .. } => Ok(String::new()),
     }
 }
 
 fn check(path: &Path) -> Result<(), CliError> {
     if path.is_dir() {
-        let (_, parsed) = Sections::open(path)?;
-        Snapshot::build(Generation(1), &parsed, None, None)?;
+        let declared = Declared::open(path)?;
+        Snapshot::build(Generation(1), &declared.parsed, None, None)?;
     } else {
         Settings::open(path)?;
     }
@@ -178,14 +196,7 @@
 }
 
 fn describe(change: &publish::Change) -> String {
-    let mut lines = vec![format!("changes to generation {}:", change.from)];
-    lines.extend(change.delta.set.iter().map(|(name, _)| format!("  set     [{name}]")));
-    lines.extend(change.delta.removed.iter().map(|name| format!("  remove  [{name}]")));
-    if change.delta.is_empty() {
-        lines.push("  none".into());
-    }
-    lines.push(format!("preset in force: {}", change.preset));
-    lines.join("\n")
+    format!("changes to generation {}:\n{}", change.from, change.lines().join("\n"))
 }
 
 async fn list_presets(access: &Access, format: Format) -> Result<String, CliError> {
@@ -198,54 +209,8 @@
     Ok(render(format, &rows, || rows.iter().map(line).collect::<Vec<_>>().join("\n")))
 }
 
-/// Tells what one daemon answered.
-#[derive(Debug, Serialize)]
-struct StatusRow {
-    domain: String,
-    address: String,
-    status: Option<Status>,
-}
-
-async fn statuses(access: &Access) -> Result<Vec<StatusRow>, CliError> {
-    let hint = "the VM list is needed to find the daemons";
-    let daemons = access.daemons().await;
-    let daemons = daemons.context(UnreachableSnafu { what: "the VM list", hint })?;
-    let mut rows = Vec::new();
-    for (address, domain) in daemons {
-        let status = access.get::<Status>(address, "/operator/status").await.ok();
-        rows.push(StatusRow { domain, address: address.to_string(), status });
-    }
-    rows.sort_by(|a, b| (&a.domain, &a.address).cmp(&(&b.domain, &b.address)));
-    Ok(rows)
-}
-
-fn table(rows: &[StatusRow]) -> String {
-    let mut lines = vec![format!(
-        "{:<14} {:<12} {:<22} {:>10} {:<12} {:<6} {:>6}  {}",
-        "DOMAIN", "VM", "ADDRESS", "GENERATION", "PRESET", "READY", "CALLS", "DEGRADED"
-    )];
-    for row in rows {
-        let line = match &row.status {
-            Some(s) => format!(
-                "{:<14} {:<12} {:<22} {:>10} {:<12} {:<6} {:>6}  {}",
-                row.domain,
-                s.vm,
-                row.address,
-                s.generation.0,
-                s.preset.as_deref().unwrap_or("-"),
-                if s.ready { "yes" } else { "no" },
-                s.calls,
-                s.degraded.join("; ")
-            ),
-            None => format!("{:<14} {:<12} {:<22} no answer", row.domain, "?", row.address),
-        };
-        lines.push(line.trim_end().to_owned());
-    }
-    lines.join("\n")
-}
-
 /// Waits until all listed daemons have a generation in force.
-async fn confirm(
+pub async fn confirm(
     access: &Access,
     generation: Generation,
     wait: Option<u64>,
@@ -253,38 +218,20 @@
     let Some(seconds) = wait else { return Ok(()) };
     let deadline = Instant::now() + Duration::from_secs(seconds);
     loop {
-        let rows = statuses(access).await?;
-        let behind =
-            rows.iter().filter(|row| row.status.as_ref().is_none_or(|s| s.generation < generation));
-        let missing: Vec<String> =
-            behind.map(|r| format!("{} ({})", r.domain, r.address)).collect();
+        let rows = status::ask(access).await?;
+        let mut missing = Missing::default();
+        let behind = rows.iter().filter(|row| !row.has(generation));
+        behind.for_each(|row| missing.add(&row.domain, &row.address));
         if missing.is_empty() {
             return Ok(());
         }
         if Instant::now() >= deadline {
-            return UnconfirmedSnafu { generation, missing: missing.join(", ") }.fail();
+            return UnconfirmedSnafu { generation, missing }.fail();
         }
         actix_rt::time::sleep(CONFIRM_POLL).await;
     }
 }
 
-async fn dump(access: &Access, vm: &str) -> Result<String, CliError> {
-    for row in statuses(access).await? {
-        if row.status.as_ref().is_none_or(|s| &*s.vm != vm) {
-            continue;
-        }
-        let Ok(address) = row.address.parse() else {
-            continue;
-        };
-        let hint = "the daemon may have stopped; look at `cumintrail status`";
-        let state = access.get::<serde_json::Value>(address, "/debug/state").await;
-        let state = state.context(UnreachableSnafu { what: vm, hint })?;
-        return Ok(serde_json::to_string_pretty(&state).unwrap_or_default());
-    }
-    let hint = "look at `cumintrail status` for the names";
-    UsageSnafu { message: format!("no daemon of VM `{vm}` answers"), hint }.fail()
-}
-
 fn render<T: Serialize>(format: Format, value: &T, text: impl FnOnce() -> String) -> String {
     match format {
         Format::Text => text(),
--- a/crates/cumintrail-client/src/peer.rs
+++ b/crates/cumintrail-client/src/peer.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use actix_http::Method;
-use cumintrail_wire::peer::{ConfigReply, ConfigRequest, DigestMessage};
+use cumintrail_wire::peer::{
+    ConfigReply, ConfigRequest, DigestMessage, DigestReply, ForwardReply, ForwardRequest,
+};
 use cumintrail_wire::{from_msgpack, to_msgpack};
 use serde::Serialize;
 
@@ -16,25 +18,41 @@
 /// Speaks to other daemons.
 pub trait Peer {
     /// Sends a digest.
-    async fn digest(&self, at: SocketAddr, digest: &DigestMessage) -> Result<(), ClientError>;
+    async fn digest(
+        &self,
+        at: SocketAddr,
+        digest: &DigestMessage,
+    ) -> Result<DigestReply, ClientError>;
     /// Asks for a newer configuration.
     async fn config(
         &self,
         at: SocketAddr,
         request: &ConfigRequest,
     ) -> Result<ConfigReply, ClientError>;
+    /// Lets the issuer of an operation key run its call, once, on a new connection.
+    async fn forward(
+        &self,
+        at: SocketAddr,
+        request: &ForwardRequest,
+        within: Duration,
+    ) -> Result<ForwardReply, ClientError>;
 }
 
 /// Speaks to peers from one thread.
 pub struct HttpPeer {
     http: HttpClient,
+    forwards: HttpClient,
     key: String,
 }
 
 impl HttpPeer {
     /// Makes a client for the current thread that shows `key` to peers.
     pub fn open(key: &str) -> Self {
-        Self { http: HttpClient::pooled(TIMEOUT), key: format!("Bearer {key}") }
+        Self {
+            http: HttpClient::pooled(TIMEOUT),
+            forwards: HttpClient::unpooled(TIMEOUT),
+            key: format!("Bearer {key}"),
+        }
     }
 
     async fn post<Q: Serialize>(
@@ -55,8 +73,13 @@
 }
 
 impl Peer for HttpPeer {
-    async fn digest(&self, at: SocketAddr, digest: &DigestMessage) -> Result<(), ClientError> {
-        self.post(at, "/peer/digest", digest).await.map(|_| ())
+    async fn digest(
+        &self,
+        at: SocketAddr,
+        digest: &DigestMessage,
+    ) -> Result<DigestReply, ClientError> {
+        let body = self.post(at, "/peer/digest", digest).await?;
+        Ok(from_msgpack(&body)?)
     }
 
     async fn config(
@@ -67,4 +90,20 @@
         let body = self.post(at, "/peer/config", request).await?;
         Ok(from_msgpack(&body)?)
     }
+
+    async fn forward(
+        &self,
+        at: SocketAddr,
+        request: &ForwardRequest,
+        within: Duration,
+    ) -> Result<ForwardReply, ClientError> {
+        let body = to_msgpack(request)?;
+        let req = self.forwards.request(Method::POST, at, "/peer/forward").timeout(within);
+        let req = req.insert_header(("authorization", self.key.as_str()));
+        let response = self.forwards.send(req, body.into()).await?;
+        match response.status() {
+            OK => Ok(from_msgpack(&response.bytes(TIMEOUT).await?)?),
+            status => Err(ClientError::Status { status }),
+        }
+    }
 }
--- a/crates/cumintrail-control/src/control.rs
+++ b/crates/cumintrail-control/src/control.rs
@@ -3,6 +3,9 @@
 mod arrivals;
 mod attempts;
 mod blocks;
+mod description;
+mod digests;
+mod probes;
 mod state;
 mod upkeep;
 
@@ -25,7 +28,7 @@
 use crate::membership::Membership;
 use crate::placement::{CheapestPlacer, Placer};
 use crate::retry::RetryBudget;
-use crate::{Actions, Call, CallDump, Dump, Event, TargetDump};
+use crate::{Actions, Call, Event};
 
 /// Tells who a daemon is.
 #[derive(Debug, Clone)]
@@ -59,7 +62,13 @@
     links: Links,
     membership: Membership,
     retries: RetryBudget,
+    /// Calls that wait out a backoff, with its end.
+    backing_off: Vec<(Moment, CallKey)>,
     next_digest: Moment,
+    last_digest: Moment,
+    next_expiry: Moment,
+    /// Where each declared target is found by address.
+    target_at: HashMap<SocketAddr, TargetKey>,
     /// Blocks exported since the last digest.
     fresh_kept: Vec<(SocketAddr, Sealed, Tier)>,
     /// How long answers take after their first token, smoothed.
@@ -90,7 +99,11 @@
             links: Links::default(),
             membership: Membership::default(),
             retries: RetryBudget::default(),
+            backing_off: Vec::new(),
             next_digest: Moment::default(),
+            last_digest: Moment::default(),
+            next_expiry: Moment::default(),
+            target_at: HashMap::new(),
             fresh_kept: Vec::new(),
             answer_time: Duration::ZERO,
             stopping: false,
@@ -112,6 +125,8 @@
                 self.take_attempt_end(now, call, attempt, outcome, &mut actions);
             }
             Event::TargetReported { target, report } => self.take_report(now, target, report),
+            Event::TargetAnswered { target } => self.take_answer(now, target),
+            Event::DrainTarget { target } => self.drain_target(now, target),
             Event::TargetSilent { target } => self.take_target_silence(now, target),
             Event::CacheChanged { target, incarnation, gap, stored, evicted } => {
                 self.take_cache_change(target, incarnation, gap, &stored, &evicted);
@@ -121,7 +136,7 @@
                 self.take_listing(now, store, incarnation, first, &blocks);
             }
             Event::StoreSilent { store } => self.take_store_silence(now, store),
-            Event::VmsListed { sequence, vms } => self.take_vm_list(sequence, &vms),
+            Event::VmsListed { sequence, vms } => self.take_vm_list(now, sequence, &vms),
             Event::PeerDigest(digest) => self.take_digest(now, &digest),
             Event::PeerSilent { address } => self.membership.peer_silent(address),
             Event::Stopping => self.stopping = true,
@@ -140,41 +155,4 @@
     pub fn calls_in_flight(&self) -> usize {
         self.calls.len()
     }
-
-    /// Describes the whole state for operators.
-    pub fn dump(&self, now: Moment) -> Dump {
-        let domain_name = |key| {
-            let names = self.snapshot.as_ref().map(|s| &s.domains);
-            names.and_then(|d| d.get(key)).cloned().unwrap_or_default()
-        };
-        let targets = self.snapshot.iter().flat_map(|s| s.targets.iter()).filter_map(|(key, t)| {
-            let state = self.targets.get(key)?;
-            Some(TargetDump {
-                name: t.name.clone(),
-                address: t.address,
-                domain: domain_name(t.domain),
-                liveness: format!("{:?}", state.liveness).to_lowercase(),
-                leaving: self.is_leaving(key),
-                retired: t.retired,
-                version: state.report.map(|r| r.version.0),
-                in_flight: state.in_flight,
-                slots: t.slots,
-                blocks: self.directory.engine_len(key),
-                report_age_ms: state.reported.map(|at| now.since(at).as_millis() as u64),
-            })
-        });
-        Dump {
-            vm: self.identity.vm.clone(),
-            domain: self.identity.domain.clone(),
-            incarnation: self.identity.incarnation,
-            generation: self.generation(),
-            preset: self.snapshot.as_ref().map(|s| s.preset.name.clone()),
-            stopping: self.stopping,
-            waiting: self.admission.waiting(),
-            calls: self.calls.iter().map(|(key, call)| CallDump::new(now, *key, call)).collect(),
-            targets: targets.collect(),
-            kept_blocks: self.directory.kept_len(),
-            peers: self.membership.peers().map(|(address, p)| (address, p.into())).collect(),
-        }
-    }
 }
--- a/crates/cumintrail-control/src/control/arrivals.rs
+++ b/crates/cumintrail-control/src/control/arrivals.rs
@@ -10,7 +10,7 @@
 use super::state::TargetState;
 use crate::membership::Liveness;
 use crate::placement::{Candidate, Context, Placement, Placer, Request};
-use crate::{Action, Actions, Arrival, Call, Dispatch};
+use crate::{Action, Actions, Arrival, Call, Dispatch, retry};
 
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 const SMOOTHING: f64 = 0.1;
@@ -80,10 +80,12 @@
             return Err(Refusal::not_run(RefusalCode::Deadline));
         };
         let arrival = &call.arrival;
-        let usable: Vec<TargetKey> = self.usable_targets(now, snapshot, call).collect();
+        let mut usable: Vec<TargetKey> = self.usable_targets(now, snapshot, call).collect();
+        if usable.len() > 1 {
+            usable.retain(|key| call.failed_at() != Some(*key));
+        }
         if usable.is_empty() {
-            let code = RefusalCode::NoTarget;
-            return Err(Refusal { code, ran: call.ran(), retry_after: Some(RETRY_AFTER) });
+            return Err(retry::give_up(call, RefusalCode::NoTarget));
         }
         let candidates: SmallVec<[Candidate<'_>; 32]> = usable
             .into_iter()
@@ -124,7 +126,7 @@
                 return false;
             };
             state.liveness != Liveness::Silent
-                && state.ejected_until <= now
+                && state.breaker.allows(now)
                 && !self.is_leaving(*key)
                 && call.pinned.is_none_or(|version| self.version_of(*key, version) == version)
         })
@@ -192,6 +194,7 @@
         let pieces = call.arrival.pieces.clone();
         if let Some(state) = self.targets.get_mut(target) {
             state.in_flight += 1;
+            state.breaker.start();
             state.add_prefill(now, placement.recompute);
         }
         self.start_fetches(now, key, &placement.plan);
--- a/crates/cumintrail-control/src/control/blocks.rs
+++ b/crates/cumintrail-control/src/control/blocks.rs
@@ -93,7 +93,7 @@
 
     pub(super) fn take_listing(
         &mut self,
-        _now: Moment,
+        now: Moment,
         store: StoreKey,
         incarnation: Incarnation,
         first: bool,
@@ -103,6 +103,7 @@
             return;
         };
         state.liveness = Liveness::Live;
+        state.listed = Some(now);
         if first || state.incarnation != Some(incarnation) {
             self.directory.clear_store(store);
         }
--- a/crates/cumintrail-control/src/control/state.rs
+++ b/crates/cumintrail-control/src/control/state.rs
@@ -4,6 +4,7 @@
 
 use crate::TargetReport;
 use crate::membership::Liveness;
+use crate::retry::{Breaker, RetryBudget};
 
 /// Remembers a target.
 #[derive(Debug, Clone, Default)]
@@ -24,12 +25,16 @@
     pub foreign_calls: u32,
     /// Prompt tokens that it had to compute for others at the last report.
     pub foreign_backlog: Tokens,
-    /// Failures in a row.
-    pub failures: u32,
-    /// No new work before this moment, after failures.
-    pub ejected_until: Moment,
+    /// Keeps calls away after failures.
+    pub breaker: Breaker,
+    /// Limits the retries that its failures cause.
+    pub retries: RetryBudget,
     /// When it is probed next.
     pub next_probe: Moment,
+    /// Own probes that it missed in a row.
+    pub missed: u32,
+    /// When it last answered an own probe.
+    pub answered: Option<Moment>,
 }
 
 impl TargetState {
@@ -87,6 +92,8 @@
     pub liveness: Liveness,
     /// The run of its process that was last listed.
     pub incarnation: Option<Incarnation>,
+    /// When its last listing arrived.
+    pub listed: Option<Moment>,
     /// When it is listed next.
     pub next_listing: Moment,
 }
--- a/crates/cumintrail-control/src/lib.rs
+++ b/crates/cumintrail-control/src/lib.rs
@@ -17,13 +17,16 @@
 
 mod calls;
 mod control;
+mod counts;
 mod dump;
 mod event;
 
 pub use calls::{Call, Phase};
 pub use control::{Control, Identity};
-pub use dump::{CallDump, Dump, TargetDump};
+pub use counts::{Counts, States};
+pub use dump::{CallDump, Dump, LimitDump, PeerDump, StoreDump, TargetDump};
 pub use event::{
     Action, Actions, Arrival, AttemptOutcome, Dispatch, Event, Export, Fetch, FetchOutcome,
-    FetchPlan, Order, OrderKind, PeerDigest, TargetReport, Usage, VmEntry, VmRole, VmState,
+    FetchPlan, LeavingRun, Order, OrderKind, PeerDigest, TargetNews, TargetReport, Usage, VmEntry,
+    VmRole, VmState,
 };
--- a/crates/cumintrail-control/src/links.rs
+++ b/crates/cumintrail-control/src/links.rs
@@ -28,23 +28,26 @@
 #[derive(Debug, Clone, Copy)]
 struct Link {
     /// When the link and the disk are through with what was ordered.
-    link_free: Moment,
-    disk_free: Moment,
+    free_at: Moment,
+    disk_free_at: Moment,
     /// How many times slower than declared transfers were, and when that was seen.
     slowness: f64,
     judged: Moment,
+    /// Bytes a second that the last order counted on.
+    speed: f64,
 }
 
 impl Default for Link {
     fn default() -> Self {
         let zero = Moment(0);
-        Self { link_free: zero, disk_free: zero, slowness: 1.0, judged: zero }
+        Self { free_at: zero, disk_free_at: zero, slowness: 1.0, judged: zero, speed: 0.0 }
     }
 }
 
 #[derive(Debug, Clone, Copy)]
 struct Transfer {
     store: StoreKey,
+    bytes: Bytes,
     ordered: Moment,
     expected: Duration,
 }
@@ -106,8 +109,8 @@
         let link = self.stores.get(&store).copied().unwrap_or_default();
         let slowness = link.slowness_at(now);
         Forecast {
-            link_wait: link.link_free.since(now).as_secs_f64(),
-            disk_wait: link.disk_free.since(now).as_secs_f64(),
+            link_wait: link.free_at.since(now).as_secs_f64(),
+            disk_wait: link.disk_free_at.since(now).as_secs_f64(),
             per_link_byte: slowness / declared.link_per_second.0.max(1) as f64,
             per_disk_byte: slowness / declared.disk_per_second.0.max(1) as f64,
         }
@@ -125,12 +128,14 @@
         let forecast = self.forecast(now, store, declared);
         let expected = Duration::from_secs_f64(forecast.seconds(load));
         let link = self.stores.entry(store).or_default();
+        link.speed = 1.0 / forecast.per_link_byte;
         let busy = |bytes: Bytes, per_byte: f64| Duration::from_secs_f64(bytes.0 as f64 * per_byte);
-        link.link_free = link.link_free.max(now) + busy(load.link, forecast.per_link_byte);
+        link.free_at = link.free_at.max(now) + busy(load.link, forecast.per_link_byte);
         if load.disk.0 > 0 {
-            link.disk_free = link.disk_free.max(now) + busy(load.disk, forecast.per_disk_byte);
+            link.disk_free_at =
+                link.disk_free_at.max(now) + busy(load.disk, forecast.per_disk_byte);
         }
-        let transfer = Transfer { store, ordered: now, expected };
+        let transfer = Transfer { store, bytes: load.link, ordered: now, expected };
         self.transfers.entry(call).or_default().push(transfer);
     }
 
@@ -155,6 +160,13 @@
         link.shift(now, took, last.expected);
     }
 
+    /// Returns the bytes on their way and the expected speed in bytes a second.
+    pub fn usage(&self, store: StoreKey) -> (Bytes, Bytes) {
+        let transfers = self.transfers.values().flatten().filter(|t| t.store == store);
+        let speed = self.stores.get(&store).map_or(0.0, |link| link.speed);
+        (transfers.map(|t| t.bytes).sum(), Bytes(speed as u64))
+    }
+
     /// Forgets transfers whose end will not be told.
     pub fn forget(&mut self, call: CallKey) {
         self.transfers.remove(&call);
@@ -169,15 +181,14 @@
 
     /// Moves the end of what is ordered by as much as a transfer was early or late.
     fn shift(&mut self, now: Moment, took: Duration, expected: Duration) {
-        let moved = |free: Moment| match took.checked_sub(expected) {
-            Some(late) => free.max(now) + late.min(free.since(now)),
-            None => (free - (expected - took)).max(now),
-        };
-        if self.link_free > now {
-            self.link_free = moved(self.link_free);
+        let late = took.saturating_sub(expected);
+        let early = expected.saturating_sub(took);
+        let moved = |free: Moment| (free + late.min(free.since(now)) - early).max(now);
+        if self.free_at > now {
+            self.free_at = moved(self.free_at);
         }
-        if self.disk_free > now {
-            self.disk_free = moved(self.disk_free);
+        if self.disk_free_at > now {
+            self.disk_free_at = moved(self.disk_free_at);
         }
     }
 }
--- a/crates/cumintrail-daemon/src/operators.rs
+++ b/crates/cumintrail-daemon/src/operators.rs
@@ -2,27 +2,31 @@
 
 use std::convert::Infallible;
 use std::net::TcpListener;
+use std::rc::Rc;
 use std::sync::Arc;
 
 use actix_http::header::{CONTENT_TYPE, HeaderValue};
 use actix_http::{HttpService, Method, Request, Response, StatusCode};
 use actix_server::ServerBuilder;
-use actix_service::{ServiceFactoryExt as _, fn_service};
-use bytes::Bytes;
+use actix_service::{ServiceFactoryExt as _, fn_factory, fn_service};
 use cumintrail_control::{Dump, Event, PeerDigest};
 use cumintrail_types::{Refusal, RefusalCode};
-use cumintrail_wire::operator::Status;
-use cumintrail_wire::peer::{ConfigReply, ConfigRequest, DigestMessage};
+use cumintrail_wire::operator::{Age, Status};
+use cumintrail_wire::peer::{
+    ConfigReply, ConfigRequest, DigestMessage, DigestReply, ForwardRequest,
+};
 use cumintrail_wire::{from_msgpack, to_msgpack};
+use serde::Serialize;
 
-use crate::callers::CallerBody;
-use crate::callers::{auth, refuse, request};
+use crate::callers::{CallerBody, Worker, auth, operation_keys, refuse, request};
 use crate::daemon::ListenFactory;
-use crate::metric;
 use crate::shared::Shared;
+use crate::{degraded, metric};
 
 const OK: u16 = 200;
 const UNAVAILABLE: u16 = 503;
+/// Peers keep connections open; none of them may hold up a planned stop.
+const STOP_LIMIT_S: u64 = 1;
 const MAX_PEER_BYTES: usize = 32 << 20;
 
 /// Makes the operators' HTTP service.
@@ -44,22 +48,30 @@
             let shared = self.shared.clone();
             HttpService::build()
                 .client_request_timeout(shared.settings.request_timeout)
-                .finish(fn_service(move |req: Request| {
+                .finish(fn_factory(move || {
                     let shared = shared.clone();
-                    async move { Ok::<_, Infallible>(answer(&shared, req).await) }
+                    async move {
+                        let worker = Rc::new(Worker::open(shared));
+                        Ok::<_, Infallible>(fn_service(move |req: Request| {
+                            let worker = worker.clone();
+                            async move { Ok::<_, Infallible>(answer(worker, req).await) }
+                        }))
+                    }
                 }))
                 .tcp()
                 .map_err(|_| ())
         };
+        let builder = builder.shutdown_timeout(STOP_LIMIT_S);
         builder.listen("operators", listener, service).expect("the listener is bound already")
     }
 }
 
-async fn answer(shared: &Shared, req: Request) -> Response<CallerBody> {
-    route(shared, req).await.unwrap_or_else(|refusal| refuse::refuse(&refusal))
+async fn answer(worker: Rc<Worker>, req: Request) -> Response<CallerBody> {
+    route(worker, req).await.unwrap_or_else(|refusal| refuse::refuse(&refusal))
 }
 
-async fn route(shared: &Shared, mut req: Request) -> Result<Response<CallerBody>, Refusal> {
+async fn route(worker: Rc<Worker>, mut req: Request) -> Result<Response<CallerBody>, Refusal> {
+    let shared = &*worker.shared().clone();
     let path = req.path().to_owned();
     let settings = &shared.settings;
     let key = if path.starts_with("/peer/") { &settings.peer_key } else { &settings.operator_key };
@@ -76,12 +88,13 @@
         (Method::GET, "/operator/status") => Ok(refuse::json(OK, &status(shared).await?)),
         (Method::POST, "/peer/digest") => take_digest(shared, &mut req).await,
         (Method::POST, "/peer/config") => answer_config(shared, &mut req).await,
+        (Method::POST, "/peer/forward") => run_forwarded(worker, &mut req).await,
         _ => Err(Refusal::not_run(RefusalCode::NotFound)),
     }
 }
 
 fn render_metrics() -> Response<CallerBody> {
-    let text = metric::install_recorder().render();
+    let text = metric::render();
     let mut response = Response::with_body(StatusCode::OK, CallerBody::Whole(text.into()));
     let plain = HeaderValue::from_static("text/plain; version=0.0.4");
     response.headers_mut().insert(CONTENT_TYPE, plain);
@@ -94,30 +107,28 @@
 
 async fn status(shared: &Shared) -> Result<Status, Refusal> {
     let dump = dump(shared).await?;
-    let silent = dump.targets.iter().filter(|t| t.liveness == "silent" && !t.retired);
-    let mut degraded: Vec<String> =
-        silent.map(|t| format!("target {} is silent", t.name)).collect();
-    let peers = dump.peers.iter().filter(|(_, p)| p.liveness == "silent");
-    degraded.extend(peers.map(|(address, _)| format!("peer {address} is silent")));
+    let degraded = degraded::degradations(shared, &dump);
     Ok(Status {
         vm: dump.vm,
         domain: dump.domain,
         generation: shared.generation(),
         preset: dump.preset,
         ready: shared.is_ready(),
+        up: Age(dump.up_ms),
         degraded,
         calls: dump.calls.len(),
+        waiting: dump.waiting,
     })
 }
 
 async fn take_digest(shared: &Shared, req: &mut Request) -> Result<Response<CallerBody>, Refusal> {
     let message: DigestMessage = read(shared, req).await?;
     let digest = PeerDigest::from(message);
-    if digest.generation > shared.generation() {
-        shared.newer_generation.notify_one();
+    if let Some(from) = digest.address {
+        shared.hear_generation(digest.generation, from);
     }
     shared.control.tell(Event::PeerDigest(digest)).await;
-    Ok(Response::with_body(StatusCode::OK, CallerBody::Whole(Bytes::new())))
+    packed(&DigestReply { generation: shared.generation() })
 }
 
 async fn answer_config(
@@ -125,26 +136,27 @@
     req: &mut Request,
 ) -> Result<Response<CallerBody>, Refusal> {
     let asked: ConfigRequest = read(shared, req).await?;
-    let body = to_msgpack(&config_reply(shared, asked));
-    let body = body.map_err(|_| Refusal::not_run(RefusalCode::BadRequest))?;
+    packed(&config_reply(shared, asked))
+}
+
+fn packed<T: Serialize>(message: &T) -> Result<Response<CallerBody>, Refusal> {
+    let body = to_msgpack(message).map_err(|_| Refusal::not_run(RefusalCode::BadRequest))?;
+    Ok(Response::with_body(StatusCode::OK, CallerBody::Whole(body.into())))
+}
+
+async fn run_forwarded(
+    worker: Rc<Worker>,
+    req: &mut Request,
+) -> Result<Response<CallerBody>, Refusal> {
+    let asked: ForwardRequest = read(worker.shared(), req).await?;
+    let body = to_msgpack(&operation_keys::run_forwarded(worker, asked).await);
+    let body = body.map_err(|_| Refusal::unknown(RefusalCode::OutcomeUnknown))?;
     Ok(Response::with_body(StatusCode::OK, CallerBody::Whole(body.into())))
 }
 
 fn config_reply(shared: &Shared, asked: ConfigRequest) -> ConfigReply {
-    let Some(adopted) = shared.adopted() else {
-        return ConfigReply::Nothing;
-    };
-    if adopted.snapshot.generation <= asked.after {
-        return ConfigReply::Nothing;
-    }
-    let next = asked.after.0 + 1;
-    match adopted.recent.front() {
-        Some(oldest) if asked.after.0 > 0 && oldest.generation.0 <= next => {
-            let newer = adopted.recent.iter().filter(|c| c.generation.0 >= next);
-            ConfigReply::Changes(newer.cloned().collect())
-        }
-        _ => ConfigReply::Snapshot(adopted.to_record()),
-    }
+    let adopted = shared.adopted();
+    adopted.map_or(ConfigReply::Nothing, |a| a.configuration.reply_to(asked.after))
 }
 
 async fn read<T: serde::de::DeserializeOwned>(
--- a/crates/cumintrail-wire/src/lib.rs
+++ b/crates/cumintrail-wire/src/lib.rs
@@ -4,10 +4,12 @@
 //! between daemons. docs/DESIGN.md, "Protocols", lists the paths.
 
 pub mod caller;
+pub mod configuration;
 pub mod engine;
 pub mod operator;
 pub mod peer;
 pub mod platform;
+pub mod record;
 pub mod store;
 
 mod codec;
--- a/crates/cumintrail-wire/src/peer.rs
+++ b/crates/cumintrail-wire/src/peer.rs
@@ -2,15 +2,21 @@
 //!
 //! - `POST /peer/digest` takes a [`DigestMessage`].
 //! - `POST /peer/config` takes a [`ConfigRequest`] and answers a [`ConfigReply`].
+//! - `POST /peer/forward` takes a [`ForwardRequest`] and answers a [`ForwardReply`].
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use cumintrail_config::{Delta, Sections};
-use cumintrail_control::PeerDigest;
-use cumintrail_types::{Generation, Incarnation, Sealed, Tier};
+use cumintrail_control::{LeavingRun, PeerDigest, TargetNews, TargetReport};
+use cumintrail_types::{
+    Digest, Generation, Incarnation, Ran, Refusal, RefusalCode, Sealed, Tier, Tokens, WeightVersion,
+};
 use serde::{Deserialize, Serialize};
 
+use crate::record::{AnswerRecord, BodyRecord};
+
 /// Holds a daemon's digest; see [`PeerDigest`] for the fields.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct DigestMessage {
@@ -19,11 +25,13 @@
     incarnation: Incarnation,
     address: Option<SocketAddr>,
     generation: Generation,
-    #[serde(default)]
-    leaving: Vec<(SocketAddr, Incarnation)>,
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    leaving: Vec<LeavingMessage>,
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    targets: Vec<TargetMessage>,
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     stored: Vec<(SocketAddr, Sealed, Tier)>,
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     wants: Vec<(Arc<str>, u32)>,
 }
 
@@ -35,7 +43,8 @@
             incarnation: d.incarnation,
             address: d.address,
             generation: d.generation,
-            leaving: d.leaving,
+            leaving: d.leaving.into_iter().map(Into::into).collect(),
+            targets: d.targets.into_iter().map(Into::into).collect(),
             stored: d.stored,
             wants: d.wants,
         }
@@ -50,13 +59,71 @@
             incarnation: m.incarnation,
             address: m.address,
             generation: m.generation,
-            leaving: m.leaving,
+            leaving: m.leaving.into_iter().map(Into::into).collect(),
+            targets: m.targets.into_iter().map(Into::into).collect(),
             stored: m.stored,
             wants: m.wants,
         }
     }
 }
 
+/// Holds a [`LeavingRun`] without field names: address, incarnation, seconds left.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+struct LeavingMessage(SocketAddr, Incarnation, u32);
+
+impl From<LeavingRun> for LeavingMessage {
+    fn from(r: LeavingRun) -> Self {
+        Self(r.address, r.incarnation, r.left.as_secs() as u32)
+    }
+}
+
+impl From<LeavingMessage> for LeavingRun {
+    fn from(LeavingMessage(address, incarnation, left): LeavingMessage) -> Self {
+        Self { address, incarnation, left: Duration::from_secs(left.into()) }
+    }
+}
+
+/// Holds a [`TargetNews`] without field names: address, stamp, silent, report.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+struct TargetMessage(SocketAddr, u64, bool, Option<ReportMessage>);
+
+/// Holds a [`TargetReport`]: incarnation, leaving, version, loading, running, waiting, backlog.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+struct ReportMessage(Incarnation, bool, WeightVersion, bool, u32, u32, u32);
+
+impl From<TargetNews> for TargetMessage {
+    fn from(n: TargetNews) -> Self {
+        let report = n.report.map(|r| {
+            let backlog = r.prefill_backlog.0;
+            let load = (r.running, r.waiting, backlog);
+            ReportMessage(r.incarnation, r.leaving, r.version, r.loading, load.0, load.1, load.2)
+        });
+        Self(n.address, n.stamp, n.silent, report)
+    }
+}
+
+impl From<TargetMessage> for TargetNews {
+    fn from(TargetMessage(address, stamp, silent, report): TargetMessage) -> Self {
+        let report = report.map(|r| TargetReport {
+            incarnation: r.0,
+            leaving: r.1,
+            version: r.2,
+            loading: r.3,
+            running: r.4,
+            waiting: r.5,
+            prefill_backlog: Tokens(r.6),
+        });
+        Self { address, stamp, silent, report }
+    }
+}
+
+/// Answers a digest, so that a sender that lags learns it from the one it told.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+pub struct DigestReply {
+    /// The generation in force at the receiver.
+    pub generation: Generation,
+}
+
 /// Asks a peer for what it has in force beyond `after`.
 #[derive(Debug, Clone, Copy, Serialize, Deserialize)]
 pub struct ConfigRequest {
@@ -75,6 +142,63 @@
     Snapshot(SnapshotRecord),
 }
 
+/// Asks the issuer of an operation key to run the key's call.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct ForwardRequest {
+    /// The client account's name.
+    pub account: String,
+    /// The service's name.
+    pub service: String,
+    /// The operation key.
+    pub key: String,
+    /// The method.
+    pub method: String,
+    /// The path below the service's root, with its query.
+    pub path: String,
+    /// The headers to pass on.
+    pub headers: Vec<(String, String)>,
+    /// The body.
+    pub body: BodyRecord,
+    /// How long the caller is ready to wait, in milliseconds.
+    pub within_ms: u64,
+}
+
+/// Answers a forwarded call.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub enum ForwardReply {
+    /// The call's answer, which may be a repeated one.
+    Answered {
+        /// The answer.
+        answer: AnswerRecord,
+        /// Whether it is repeated.
+        replayed: bool,
+    },
+    /// The call is refused.
+    Refused(RefusalRecord),
+}
+
+/// Holds a refusal between daemons.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+pub struct RefusalRecord {
+    code: RefusalCode,
+    ran: Ran,
+    retry_after_ms: Option<u64>,
+}
+
+impl From<Refusal> for RefusalRecord {
+    fn from(r: Refusal) -> Self {
+        let retry_after_ms = r.retry_after.map(|after| after.as_millis() as u64);
+        Self { code: r.code, ran: r.ran, retry_after_ms }
+    }
+}
+
+impl From<RefusalRecord> for Refusal {
+    fn from(r: RefusalRecord) -> Self {
+        let retry_after = r.retry_after_ms.map(std::time::Duration::from_millis);
+        Self { code: r.code, ran: r.ran, retry_after }
+    }
+}
+
 /// Holds the row `config/head`: the accepted generation.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HeadRecord {
@@ -129,3 +253,8 @@
 pub fn snapshot_name(generation: Generation, change: &str) -> String {
     format!("config/{}-{change}", generation.0)
 }
+
+/// Names the object of a shared text.
+pub fn material_name(digest: &Digest) -> String {
+    format!("material/{digest}")
+}
