Queue fairly by a heap, divide limits by need and refuse hopeless waits at once

Cause: the fair queue scanned all accounts on each look; a full queue of model calls refused plain calls; limits were not divided between daemons; calls that could not run in time waited anyway. Change: a heap of lanes by virtual finish time; queue bounds per kind of target; a part of each account's limits by what peers told they want, half of it divided by need, so that parts add up to 1 and are off by at most half each while a digest is on its way; expected wait from the rate at which the queue is served, refused with the time to come back when it passes the deadline. The old queue charged an account twice after its lane ran empty; the naive queue of the test does not. Red without: with one bound for all kinds a_full_queue_of_model_calls_does_not_refuse_plain_calls fails.

--- a/crates/cumintrail-control/src/admission.rs
+++ b/crates/cumintrail-control/src/admission.rs
@@ -1,13 +1,19 @@
 //! Who may run: limits per client account and a weighted fair queue before the targets.
 
-use std::collections::{HashMap, VecDeque};
+mod queue;
+mod share;
+
+use std::collections::HashMap;
 use std::time::Duration;
 
 use cumintrail_config::{Account, TargetKind};
 use cumintrail_types::{AccountKey, CallKey, Moment, Refusal, RefusalCode};
 
+pub use self::queue::FairQueue;
+pub use self::share::share;
+
 const RETRY_AFTER_LIMIT: Duration = Duration::from_secs(1);
-const VIRTUAL_SECOND: u64 = 1 << 20;
+const DRAIN_SMOOTHING: f64 = 0.1;
 
 /// Counts what a client account uses in this daemon.
 #[derive(Debug, Clone, Default)]
@@ -41,14 +47,25 @@
     }
 }
 
+/// Holds the calls that wait for one kind of target.
+#[derive(Debug, Default)]
+struct Queue {
+    calls: FairQueue,
+    /// Seconds from one dispatch to the next while calls waited, smoothed.
+    interval: f64,
+    popped: Option<Moment>,
+}
+
 /// Holds the limits and the queue of one daemon.
 #[derive(Debug, Default)]
 pub struct Admission {
     uses: HashMap<AccountKey, Use>,
-    queues: HashMap<TargetKind, FairQueue>,
+    queues: HashMap<TargetKind, Queue>,
     waiting: usize,
     /// This daemon's part of each deployment-wide limit, from 0 to 1.
     share: f64,
+    /// Parts of single accounts' limits, where they differ from `share`.
+    shares: HashMap<AccountKey, f64>,
 }
 
 impl Admission {
@@ -62,6 +79,11 @@
         self.share = share;
     }
 
+    /// Changes the part of one account's limits that this daemon may use.
+    pub fn set_account_share(&mut self, key: AccountKey, share: f64) {
+        self.shares.insert(key, share);
+    }
+
     /// Takes a call into an account's limits, or refuses it.
     pub fn admit(
         &mut self,
@@ -70,15 +92,16 @@
         account: &Account,
         tokens: u32,
     ) -> Result<(), Refusal> {
+        let share = self.shares.get(&key).copied().unwrap_or(self.share);
         let used = self.uses.entry(key).or_default();
         let refuse = |after| Refusal::not_run(RefusalCode::AccountLimit).retry_after(after);
-        let concurrency = (f64::from(account.concurrency) * self.share).ceil().max(1.0);
+        let concurrency = (f64::from(account.concurrency) * share).ceil().max(1.0);
         if f64::from(used.in_flight) >= concurrency {
             return Err(refuse(RETRY_AFTER_LIMIT));
         }
-        let requests = (f64::from(account.requests_per_second) * self.share).max(1.0);
+        let requests = (f64::from(account.requests_per_second) * share).max(1.0);
         used.requests.try_take(now, 1.0, requests).map_err(refuse)?;
-        let rate = (f64::from(account.tokens_per_second) * self.share).max(1.0);
+        let rate = (f64::from(account.tokens_per_second) * share).max(1.0);
         used.tokens.try_take(now, f64::from(tokens), rate).map_err(refuse)?;
         used.in_flight += 1;
         Ok(())
@@ -98,88 +121,62 @@
 
     /// Lets a call wait.
     pub fn enqueue(&mut self, kind: TargetKind, account: AccountKey, weight: u32, call: CallKey) {
-        self.queues.entry(kind).or_default().push(account, weight, call);
+        self.queues.entry(kind).or_default().calls.push(account, weight, call);
         self.waiting += 1;
     }
 
     /// Returns the call that is next by fair shares, without removing it.
-    pub fn peek(&self, kind: TargetKind) -> Option<CallKey> {
-        self.queues.get(&kind).and_then(FairQueue::peek)
+    pub fn peek(&mut self, kind: TargetKind) -> Option<CallKey> {
+        self.queues.get_mut(&kind)?.calls.peek()
     }
 
     /// Removes the call that is next by fair shares.
-    pub fn pop(&mut self, kind: TargetKind) -> Option<CallKey> {
-        let call = self.queues.get_mut(&kind)?.pop()?;
+    pub fn pop(&mut self, now: Moment, kind: TargetKind) -> Option<CallKey> {
+        let queue = self.queues.get_mut(&kind)?;
+        let call = queue.calls.pop()?;
+        queue.note_pop(now);
         self.waiting -= 1;
         Some(call)
     }
 
     /// Removes a waiting call, if it waits.
     pub fn remove(&mut self, kind: TargetKind, account: AccountKey, call: CallKey) {
-        let removed = self.queues.get_mut(&kind).is_some_and(|q| q.remove(account, call));
+        let removed = self.queues.get_mut(&kind).is_some_and(|q| q.calls.remove(account, call));
         self.waiting -= usize::from(removed);
     }
 
+    /// Estimates how long a new call of an account would wait behind those in the queue.
+    pub fn expected_wait(&self, kind: TargetKind, account: AccountKey, weight: u32) -> Duration {
+        let Some(queue) = self.queues.get(&kind).filter(|q| !q.calls.is_empty()) else {
+            return Duration::ZERO;
+        };
+        let ahead = queue.calls.ahead_of(account, weight);
+        Duration::from_secs_f64(queue.interval * ahead as f64)
+    }
+
     /// Returns the number of waiting calls.
     pub const fn waiting(&self) -> usize {
         self.waiting
     }
 
+    /// Returns the number of calls that wait for one kind of target.
+    pub fn waiting_for(&self, kind: TargetKind) -> usize {
+        self.queues.get(&kind).map_or(0, |q| q.calls.len())
+    }
+
     /// Returns what calls wait for.
     pub fn kinds(&self) -> impl Iterator<Item = TargetKind> {
-        self.queues.iter().filter(|(_, q)| q.peek().is_some()).map(|(kind, _)| *kind)
+        self.queues.iter().filter(|(_, q)| !q.calls.is_empty()).map(|(kind, _)| *kind)
     }
 }
 
-/// Serves accounts in proportion to their weights by virtual finish times.
-#[derive(Debug, Default)]
-struct FairQueue {
-    lanes: HashMap<AccountKey, Lane>,
-    clock: u64,
-}
-
-#[derive(Debug, Default)]
-struct Lane {
-    calls: VecDeque<CallKey>,
-    weight: u32,
-    finish: u64,
-}
-
-impl FairQueue {
-    fn push(&mut self, account: AccountKey, weight: u32, call: CallKey) {
-        let lane = self.lanes.entry(account).or_default();
-        if lane.calls.is_empty() {
-            lane.finish = lane.finish.max(self.clock) + VIRTUAL_SECOND / u64::from(weight.max(1));
+impl Queue {
+    /// Follows how fast the queue is served; only calls that others waited behind count.
+    fn note_pop(&mut self, now: Moment) {
+        if let Some(popped) = self.popped {
+            let interval = now.since(popped).as_secs_f64();
+            self.interval += DRAIN_SMOOTHING * (interval - self.interval);
         }
-        lane.weight = weight.max(1);
-        lane.calls.push_back(call);
-    }
-
-    fn next_account(&self) -> Option<AccountKey> {
-        let waiting = self.lanes.iter().filter(|(_, lane)| !lane.calls.is_empty());
-        waiting.min_by_key(|(account, lane)| (lane.finish, **account)).map(|(account, _)| *account)
-    }
-
-    fn peek(&self) -> Option<CallKey> {
-        let account = self.next_account()?;
-        self.lanes.get(&account)?.calls.front().copied()
-    }
-
-    fn pop(&mut self) -> Option<CallKey> {
-        let account = self.next_account()?;
-        let lane = self.lanes.get_mut(&account)?;
-        let call = lane.calls.pop_front()?;
-        self.clock = self.clock.max(lane.finish);
-        lane.finish += VIRTUAL_SECOND / u64::from(lane.weight);
-        Some(call)
-    }
-
-    fn remove(&mut self, account: AccountKey, call: CallKey) -> bool {
-        let Some(lane) = self.lanes.get_mut(&account) else {
-            return false;
-        };
-        let before = lane.calls.len();
-        lane.calls.retain(|c| *c != call);
-        lane.calls.len() != before
+        self.popped = (!self.calls.is_empty()).then_some(now);
     }
 }
--- /dev/null
+++ b/crates/cumintrail-control/src/admission/share.rs
@@ -0,0 +1,19 @@
+//! How a limit of the whole deployment is divided between its daemons.
+
+/// The part of a limit that is divided by need; the rest is divided equally.
+const BY_NEED: f64 = 0.5;
+
+/// Returns the part of a limit that one daemon may use, from 0 to 1.
+///
+/// `own` and `peers` count the calls wanted here and at all peers, as last told, and `daemons` all
+/// daemons. While all daemons know the same counts, the parts add up to 1. While a change is on its
+/// way, each daemon's part is off by at most half, so the sum is below `(daemons + 1) / 2`, and it
+/// is so for no longer than digests take.
+pub fn share(own: u32, peers: u32, daemons: usize) -> f64 {
+    let equal = 1.0 / daemons.max(1) as f64;
+    let wanted = f64::from(own) + f64::from(peers);
+    if wanted == 0.0 {
+        return equal;
+    }
+    (1.0 - BY_NEED) * equal + BY_NEED * f64::from(own) / wanted
+}
--- a/crates/cumintrail-control/src/control/arrivals.rs
+++ b/crates/cumintrail-control/src/control/arrivals.rs
@@ -8,12 +8,17 @@
 
 use super::Control;
 use super::state::TargetState;
+use crate::admission;
 use crate::membership::Liveness;
 use crate::placement::{Candidate, Context, Placement, Placer, Request};
 use crate::{Action, Actions, Arrival, Call, Dispatch, retry};
 
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 const SMOOTHING: f64 = 0.1;
+/// Calls that an engine may be sent, as a multiple of its slots.
+///
+/// A call is worth queueing at an engine that holds its prompt; fair queueing keeps the rest here.
+const ENGINE_QUEUE_FACTOR: u32 = 4;
 
 impl<P: Placer> Control<P> {
     pub(super) fn take_arrival(&mut self, now: Moment, arrival: Arrival, actions: &mut Actions) {
@@ -38,9 +43,20 @@
         if self.stopping {
             return Err(Refusal::not_run(RefusalCode::Stopping).retry_after(RETRY_AFTER));
         }
-        if self.admission.waiting() >= snapshot.preset.queue.max(1) {
+        if self.admission.waiting_for(arrival.kind) >= snapshot.preset.queue.max(1) {
             return Err(Refusal::not_run(RefusalCode::Overloaded).retry_after(RETRY_AFTER));
         }
+        let wait = self.admission.expected_wait(arrival.kind, arrival.account, account.weight);
+        let left = arrival.deadline.since(now);
+        if wait > left {
+            let after = wait.saturating_sub(left).max(RETRY_AFTER);
+            return Err(Refusal::not_run(RefusalCode::Overloaded).retry_after(after));
+        }
+        let live = self.membership.peers().filter(|(_, p)| p.liveness == Liveness::Live).count();
+        let wanted = self.admission.in_flight(arrival.account) + 1;
+        let by_peers = self.membership.wanted_by_peers(now, &account.name);
+        let share = admission::share(wanted, by_peers, live + 1);
+        self.admission.set_account_share(arrival.account, share);
         let tokens = (arrival.prompt + arrival.max_answer).0;
         self.admission.admit(now, arrival.account, account, tokens)?;
         Ok(account.weight)
@@ -55,12 +71,12 @@
             while let Some(key) = self.admission.peek(kind) {
                 match self.place(now, &snapshot, key) {
                     Ok(Some(placement)) => {
-                        self.admission.pop(kind);
+                        self.admission.pop(now, kind);
                         self.dispatch(now, key, placement, actions);
                     }
                     Ok(None) => break,
                     Err(refusal) => {
-                        self.admission.pop(kind);
+                        self.admission.pop(now, kind);
                         self.end_call(key);
                         actions.push(Action::Refuse { call: key, refusal });
                     }
@@ -142,13 +158,17 @@
     ) -> Option<Candidate<'a>> {
         let target = snapshot.targets.get(key)?;
         let state = self.targets.get(key)?;
+        let queue_factor = match arrival.kind {
+            TargetKind::Engine(_) => ENGINE_QUEUE_FACTOR,
+            TargetKind::Service(_) => 1,
+        };
         Some(Candidate {
             key,
             target,
             backlog: state.expected_backlog(now, target.prefill_per_second),
             calls: state.calls(),
             slot_wait: self.slot_wait(state, target),
-            free: state.in_flight < target.slots * 4,
+            free: state.in_flight < target.slots * queue_factor,
             importable: self.version_of(key, arrival.version) == arrival.version,
         })
     }
