--- a/crates/cumintrail-control/src/control/attempts.rs
+++ b/crates/cumintrail-control/src/control/attempts.rs
@@ -16,6 +16,7 @@
     pub(super) fn take_first_token(&mut self, now: Moment, key: CallKey) {
         self.settle_backlog(now, key);
         if let Some(call) = self.calls.get_mut(&key).filter(|c| c.target().is_some()) {
+            call.first_token.get_or_insert(now);
             call.start_streaming();
         }
     }
@@ -112,6 +113,8 @@
         let pieces = call.arrival.pieces.clone();
         let wanted = call.arrival.version;
         let fresh = call.version() == wanted && self.version_of(target, wanted) == wanted;
+        let answering = call.first_token.map(|at| now.since(at));
+        self.learn_answer_time(answering);
         self.end_call(key);
         if fresh && usage.prompt.0 > 0 {
             self.order_exports(now, target, &pieces, actions);
@@ -208,6 +211,7 @@
         if let Some(call) = self.calls.remove(&key) {
             self.admission.remove(call.arrival.kind, call.arrival.account, key);
             self.admission.release(call.arrival.account);
+            self.links.forget(key);
             self.backing_off.retain(|(_, waiting)| *waiting != key);
         }
     }
