--- a/crates/cumintrail-cli/src/dump.rs
+++ b/crates/cumintrail-cli/src/dump.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use cumintrail_control::{CallDump, Dump, LimitDump, PeerDump, StoreDump, TargetDump};
+use cumintrail_control::{CallDump, Dump, LimitDump, PeerDump, QueueDump, StoreDump, TargetDump};
 use cumintrail_wire::operator::Age;
 use snafu::ResultExt;
 
@@ -31,6 +31,7 @@
     let mut lines = vec![style.paint(Tone::Strong, &headline(dump))];
     let parts = [
         ("calls", calls(&dump.calls)),
+        ("queues", queues(&dump.queues)),
         ("client accounts with calls", limits(&dump.limits)),
         ("targets", targets(&dump.targets)),
         ("stores", stores(&dump.stores)),
@@ -84,13 +85,23 @@
     table
 }
 
+fn queues(queues: &[QueueDump]) -> Table {
+    let mut table = Table::new(&["MODEL OR SERVICE", ">WAITING"]);
+    for queue in queues {
+        table.row([queue.name.to_string(), queue.waiting.to_string()]);
+    }
+    table
+}
+
 fn limits(limits: &[LimitDump]) -> Table {
-    let mut table = Table::new(&["ACCOUNT", ">IN FLIGHT", ">DECLARED LIMIT", ">WEIGHT"]);
+    let mut table =
+        Table::new(&["ACCOUNT", ">IN FLIGHT", ">DECLARED LIMIT", ">SHARE %", ">WEIGHT"]);
     for limit in limits {
         table.row([
             limit.account.to_string(),
             limit.in_flight.to_string(),
             limit.concurrency.to_string(),
+            format!("{:.0}", limit.share * 100.0),
             limit.weight.to_string(),
         ]);
     }
--- a/crates/cumintrail-cli/tests/output.rs
+++ b/crates/cumintrail-cli/tests/output.rs
@@ -2,7 +2,7 @@
 
 use cumintrail_cli::status::{Report, StatusRow};
 use cumintrail_cli::{Style, dump};
-use cumintrail_control::{CallDump, Dump, LimitDump, PeerDump, StoreDump, TargetDump};
+use cumintrail_control::{CallDump, Dump, LimitDump, PeerDump, QueueDump, StoreDump, TargetDump};
 use cumintrail_types::{Bytes, CallClass, CallKey, Generation, Incarnation, Tokens};
 use cumintrail_wire::operator::{Age, Degradation, Status};
 use insta::{assert_json_snapshot, assert_snapshot};
@@ -127,10 +127,12 @@
         stopping: false,
         waiting: 0,
         calls: vec![call],
+        queues: vec![QueueDump { name: "curd".into(), waiting: 3 }],
         limits: vec![LimitDump {
             account: "kesong".into(),
             in_flight: 1,
             concurrency: 64,
+            share: 0.25,
             weight: 4,
         }],
         targets: vec![gone, target],
@@ -151,6 +153,7 @@
         preset: None,
         stopping: true,
         calls: Vec::new(),
+        queues: Vec::new(),
         limits: Vec::new(),
         targets: Vec::new(),
         stores: Vec::new(),
--- a/crates/cumintrail-control/src/admission.rs
+++ b/crates/cumintrail-control/src/admission.rs
@@ -92,7 +92,7 @@
         account: &Account,
         tokens: u32,
     ) -> Result<(), Refusal> {
-        let share = self.shares.get(&key).copied().unwrap_or(self.share);
+        let share = self.share_of(key);
         let used = self.uses.entry(key).or_default();
         let refuse = |after| Refusal::not_run(RefusalCode::AccountLimit).retry_after(after);
         let concurrency = (f64::from(account.concurrency) * share).ceil().max(1.0);
@@ -107,6 +107,11 @@
         Ok(())
     }
 
+    /// Returns the part of an account's limits that this daemon may use.
+    pub fn share_of(&self, key: AccountKey) -> f64 {
+        self.shares.get(&key).copied().unwrap_or(self.share)
+    }
+
     /// Gives back what [`Admission::admit`] took, once a call is answered.
     pub fn release(&mut self, key: AccountKey) {
         if let Some(used) = self.uses.get_mut(&key) {
--- a/crates/cumintrail-control/src/control/description.rs
+++ b/crates/cumintrail-control/src/control/description.rs
@@ -3,14 +3,14 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use cumintrail_config::{Snapshot, Store, Target};
+use cumintrail_config::{Snapshot, Store, Target, TargetKind};
 use cumintrail_types::{Arena, CallKey, DomainKey, Moment, StoreKey, TargetKey};
 
 use super::Control;
 use super::state::{StoreState, TargetState};
 use crate::dump::{liveness, millis};
 use crate::membership::Peer;
-use crate::{Call, CallDump, Counts, Dump, LimitDump, PeerDump, StoreDump, TargetDump};
+use crate::{Call, CallDump, Counts, Dump, LimitDump, PeerDump, QueueDump, StoreDump, TargetDump};
 
 impl Control {
     /// Describes the whole state for operators.
@@ -26,6 +26,7 @@
             stopping: self.stopping,
             waiting: self.admission.waiting(),
             calls: self.describe_calls(now),
+            queues: snapshot.map(|s| self.describe_queues(s)).unwrap_or_default(),
             limits: snapshot.map(|s| self.describe_limits(s)).unwrap_or_default(),
             targets: snapshot.map(|s| self.describe_targets(now, s)).unwrap_or_default(),
             stores: snapshot.map(|s| self.describe_stores(now, s)).unwrap_or_default(),
@@ -81,6 +82,18 @@
         calls.into_iter().map(describe).collect()
     }
 
+    fn describe_queues(&self, snapshot: &Snapshot) -> Vec<QueueDump> {
+        let queues = self.admission.kinds().map(|kind| {
+            let name = match kind {
+                TargetKind::Engine(key) => snapshot.models.get(key).map(|m| m.name.clone()),
+                TargetKind::Service(key) => snapshot.services.get(key).map(|s| s.name.clone()),
+            };
+            let waiting = self.admission.waiting_for(kind);
+            QueueDump { name: name.unwrap_or_default(), waiting }
+        });
+        queues.collect()
+    }
+
     fn describe_limits(&self, snapshot: &Snapshot) -> Vec<LimitDump> {
         let used = snapshot.accounts.iter().filter_map(|(key, account)| {
             let in_flight = self.admission.in_flight(key);
@@ -88,6 +101,7 @@
                 account: account.name.clone(),
                 in_flight,
                 concurrency: account.concurrency,
+                share: self.admission.share_of(key),
                 weight: account.weight,
             })
         });
--- a/crates/cumintrail-control/src/dump.rs
+++ b/crates/cumintrail-control/src/dump.rs
@@ -30,6 +30,8 @@
     pub waiting: usize,
     /// Calls that are not answered yet, oldest first.
     pub calls: Vec<CallDump>,
+    /// Queues that are not empty.
+    pub queues: Vec<QueueDump>,
     /// Client accounts with calls in flight.
     pub limits: Vec<LimitDump>,
     /// The targets as this daemon sees them.
@@ -98,10 +100,21 @@
     pub in_flight: u32,
     /// Its declared limit in the whole deployment.
     pub concurrency: u32,
+    /// The part of its limits that this daemon may use.
+    pub share: f64,
     /// Its weight when slots are scarce.
     pub weight: u32,
 }
 
+/// Describes the calls that wait for a slot of one model or plain service.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct QueueDump {
+    /// The model's or service's name.
+    pub name: Arc<str>,
+    /// Calls that wait.
+    pub waiting: usize,
+}
+
 /// Describes a target.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct TargetDump {
--- a/crates/cumintrail-control/src/lib.rs
+++ b/crates/cumintrail-control/src/lib.rs
@@ -24,7 +24,7 @@
 pub use calls::{Call, Phase};
 pub use control::{Control, Identity};
 pub use counts::{Counts, States};
-pub use dump::{CallDump, Dump, LimitDump, PeerDump, StoreDump, TargetDump};
+pub use dump::{CallDump, Dump, LimitDump, PeerDump, QueueDump, StoreDump, TargetDump};
 pub use event::{
     Action, Actions, Arrival, AttemptOutcome, Dispatch, Event, Export, Fetch, FetchOutcome,
     FetchPlan, LeavingRun, Order, OrderKind, PeerDigest, TargetNews, TargetReport, Usage, VmEntry,
