Drain targets and VMs from the command line, and load material ahead

Warm runs the material's text with one token at the lowest priority, keyed for its account. The rollout tests now also refuse two holders under one number: a trial without growing numbers had stayed green.

--- a/crates/cumintrail-cli/src/access.rs
+++ b/crates/cumintrail-cli/src/access.rs
@@ -8,9 +8,11 @@
 use cumintrail_client::{ClientError, HttpClient, HttpPlatform, VmList};
 use cumintrail_config::{Document, Problems, Secret, SectionReader};
 use cumintrail_wire::platform::ListedRole;
+use serde::Serialize;
 use serde::de::DeserializeOwned;
 
 const NOWHERE: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::UNSPECIFIED), 0);
+const OK: u16 = 200;
 const TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Reaches the platform and the daemons for an operator.
@@ -80,6 +82,24 @@
         Ok(daemons.map(|vm| (vm.address, vm.domain)).collect())
     }
 
+    /// Sends JSON to a daemon's operator endpoint.
+    pub async fn post<Q: Serialize>(
+        &self,
+        daemon: SocketAddr,
+        path: &str,
+        message: &Q,
+    ) -> Result<(), ClientError> {
+        let body = serde_json::to_vec(message).map_err(|_| ClientError::Unreadable)?;
+        let req = self.http.request(Method::POST, daemon, path);
+        let key = format!("Bearer {}", self.operator_key.expose());
+        let req = req.insert_header(("authorization", key));
+        let response = self.http.send(req, body.into()).await?;
+        match response.status() {
+            OK => Ok(()),
+            status => Err(ClientError::Status { status }),
+        }
+    }
+
     /// Reads JSON from a daemon's operator endpoint.
     pub async fn get<T: DeserializeOwned>(
         &self,
--- a/crates/cumintrail-cli/src/commands.rs
+++ b/crates/cumintrail-cli/src/commands.rs
@@ -4,16 +4,17 @@
 use std::process::ExitCode;
 use std::time::{Duration, Instant};
 
-use clap::{CommandFactory, Parser, Subcommand, ValueEnum};
+use clap::{Args, CommandFactory, Parser, Subcommand, ValueEnum};
 use clap_complete::Shell;
 use cumintrail_config::{Settings, Snapshot};
 use cumintrail_types::{Digest, Generation};
+use cumintrail_wire::operator::DrainOrder;
 use serde::Serialize;
 
 use crate::errors::{UnconfirmedSnafu, UsageSnafu};
 use crate::materials::Declared;
 use crate::table::Style;
-use crate::{Access, CliError, Missing, dump, publish, status};
+use crate::{Access, CliError, Missing, drain, dump, publish, status};
 
 const CONFIRM_POLL: Duration = Duration::from_millis(100);
 
@@ -72,6 +73,8 @@
         #[arg(long)]
         vm: String,
     },
+    /// Give a target or a VM no new work and tell when it is safe to stop.
+    Drain(DrainArguments),
     /// Print the digest of an API key read from standard input.
     HashKey,
     /// Print a completion script.
@@ -81,6 +84,35 @@
     },
 }
 
+#[derive(Debug, Args)]
+struct DrainArguments {
+    #[command(flatten)]
+    subject: DrainSubject,
+    /// Wait until it is safe to stop, at most this many seconds.
+    #[arg(long, value_name = "SECONDS", default_value_t = 0)]
+    wait: u64,
+}
+
+#[derive(Debug, Args)]
+#[group(required = true, multiple = false)]
+struct DrainSubject {
+    /// The declared name of a target.
+    #[arg(long, value_name = "NAME")]
+    target: Option<String>,
+    /// The name of an entry VM, whose daemon then finishes its calls and takes no more.
+    #[arg(long, value_name = "NAME")]
+    vm: Option<String>,
+}
+
+impl DrainSubject {
+    fn order(&self) -> DrainOrder {
+        match (&self.target, &self.vm) {
+            (Some(target), _) => DrainOrder::Target(target.as_str().into()),
+            (None, vm) => DrainOrder::Vm(vm.as_deref().unwrap_or_default().into()),
+        }
+    }
+}
+
 #[derive(Debug, Subcommand)]
 enum PresetCommand {
     /// List the presets.
@@ -128,9 +160,15 @@
 pub async fn run(arguments: Arguments) -> Result<String, CliError> {
     let format = arguments.format;
     match &arguments.command {
-        Command::Check { path } => check(path).map(|()| format!("{}: ok", path.display())),
-        Command::HashKey => hash_key(),
-        Command::Completions { shell } => Ok(completions(*shell)),
+        Command::Check { path } => {
+            check(path)?;
+            Ok(render(format, &path, || format!("{}: ok", path.display())))
+        }
+        Command::HashKey => hash_key().map(|digest| render(format, &digest, || digest.to_string())),
+        Command::Completions { shell } => {
+            let script = completions(*shell);
+            Ok(render(format, &script, || script.clone()))
+        }
         command => run_with_access(command, &Access::open(&arguments.access)?, format).await,
     }
 }
@@ -164,6 +202,11 @@
             let state = dump::ask(access, vm).await?;
             Ok(render(format, &state, || dump::to_text(&state, Style::of_stdout())))
         }
+        Command::Drain(DrainArguments { subject, wait }) => {
+            let wait = Duration::from_secs(*wait);
+            let drained = drain::drain(access, &subject.order(), wait).await?;
+            Ok(render(format, &drained, || format!("{} is safe to stop", drained.name)))
+        }
         Command::Check { .. } | Command::HashKey | Command::Completions { .. } => Ok(String::new()),
     }
 }
@@ -178,7 +221,7 @@
     Ok(())
 }
 
-fn hash_key() -> Result<String, CliError> {
+fn hash_key() -> Result<Digest, CliError> {
     let mut line = String::new();
     let read = std::io::stdin().read_line(&mut line);
     let key = line.trim();
@@ -186,7 +229,7 @@
         let (message, hint) = ("no key on standard input", "pipe the API key into the command");
         return UsageSnafu { message, hint }.fail();
     }
-    Ok(Digest::of(key.as_bytes()).to_string())
+    Ok(Digest::of(key.as_bytes()))
 }
 
 fn completions(shell: Shell) -> String {
--- a/crates/cumintrail-cli/src/lib.rs
+++ b/crates/cumintrail-cli/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod access;
 mod commands;
+pub mod drain;
 pub mod dump;
 mod errors;
 mod materials;
--- a/crates/cumintrail-daemon/src/background.rs
+++ b/crates/cumintrail-daemon/src/background.rs
@@ -4,6 +4,7 @@
 mod orders;
 mod rollout;
 mod vm_list;
+mod warm;
 
 use std::rc::Rc;
 use std::sync::Arc;
--- a/crates/cumintrail-daemon/src/background/orders.rs
+++ b/crates/cumintrail-daemon/src/background/orders.rs
@@ -10,7 +10,7 @@
 use cumintrail_wire::engine::{CacheEvents, ExportOrder};
 use cumintrail_wire::peer::DigestMessage;
 
-use super::{Background, rollout};
+use super::{Background, rollout, warm};
 use crate::metric;
 
 /// Remembers which cache events of each target were read.
@@ -66,7 +66,10 @@
                 }
             });
         }
-        Action::Warm { .. } | Action::Dispatch(_) | Action::Refuse { .. } => {}
+        Action::Warm { target, material } => {
+            actix_rt::spawn(async move { warm::warm(&background, target, material).await });
+        }
+        Action::Dispatch(_) | Action::Refuse { .. } => {}
     }
 }
 
--- a/crates/cumintrail-daemon/src/operators.rs
+++ b/crates/cumintrail-daemon/src/operators.rs
@@ -10,7 +10,7 @@
 use actix_service::{ServiceFactoryExt as _, fn_service};
 use cumintrail_control::{Dump, Event, PeerDigest};
 use cumintrail_types::{Refusal, RefusalCode};
-use cumintrail_wire::operator::{Age, Status};
+use cumintrail_wire::operator::{Age, DrainOrder, Status};
 use cumintrail_wire::peer::{ConfigReply, ConfigRequest, DigestMessage, DigestReply};
 use cumintrail_wire::{from_msgpack, to_msgpack};
 use serde::Serialize;
@@ -23,6 +23,7 @@
 
 const OK: u16 = 200;
 const UNAVAILABLE: u16 = 503;
+const MAX_ORDER_BYTES: usize = 4 << 10;
 const MAX_PEER_BYTES: usize = 32 << 20;
 
 /// Makes the operators' HTTP service.
@@ -74,6 +75,7 @@
         (Method::GET, "/metrics") => Ok(render_metrics()),
         (Method::GET, "/debug/state") => Ok(refuse::json(OK, &dump(shared).await?)),
         (Method::GET, "/operator/status") => Ok(refuse::json(OK, &status(shared).await?)),
+        (Method::POST, "/operator/drain") => take_drain(shared, &mut req).await,
         (Method::POST, "/peer/digest") => take_digest(shared, &mut req).await,
         (Method::POST, "/peer/config") => answer_config(shared, &mut req).await,
         _ => Err(Refusal::not_run(RefusalCode::NotFound)),
@@ -108,6 +110,36 @@
     })
 }
 
+/// Drains a target or this daemon; both may be asked for again.
+async fn take_drain(shared: &Shared, req: &mut Request) -> Result<Response<CallerBody>, Refusal> {
+    let settings = &shared.settings;
+    let body = request::read_body(req, MAX_ORDER_BYTES, settings.request_timeout).await?;
+    let order = serde_json::from_slice(&body);
+    match order.map_err(|_| Refusal::not_run(RefusalCode::BadRequest))? {
+        DrainOrder::Target(name) => {
+            let snapshot = shared.snapshot();
+            let targets = snapshot.iter().flat_map(|s| s.targets.iter());
+            let mut named = targets.filter(|(_, t)| t.name == name && !t.retired);
+            let (target, _) = named.next().ok_or(Refusal::not_run(RefusalCode::NotFound))?;
+            shared.control.tell(Event::DrainTarget { target }).await;
+        }
+        DrainOrder::Vm(name) if name == settings.vm => {
+            if !shared.is_stopping() {
+                log::info!("vm {name} is drained by an operator");
+                shared.begin_stop();
+                let (control, grace) = (shared.control.clone(), settings.stop_grace);
+                // The balancer still sends calls until it has noticed.
+                actix_rt::spawn(async move {
+                    actix_rt::time::sleep(grace).await;
+                    control.tell(Event::Stopping).await;
+                });
+            }
+        }
+        DrainOrder::Vm(_) => return Err(Refusal::not_run(RefusalCode::NotFound)),
+    }
+    Ok(refuse::json(OK, &"draining"))
+}
+
 async fn take_digest(shared: &Shared, req: &mut Request) -> Result<Response<CallerBody>, Refusal> {
     let message: DigestMessage = read(shared, req).await?;
     let digest = PeerDigest::from(message);
--- a/crates/cumintrail-daemon/src/shared.rs
+++ b/crates/cumintrail-daemon/src/shared.rs
@@ -6,7 +6,7 @@
 
 use arc_swap::ArcSwapOption;
 use cumintrail_config::{Settings, Snapshot};
-use cumintrail_types::{CallKey, Generation, Incarnation, Moment};
+use cumintrail_types::{CallKey, Generation, Incarnation, KeyChain, Moment, WeightVersion};
 use cumintrail_wire::configuration::Configuration;
 use tokio::sync::watch;
 
@@ -159,6 +159,12 @@
         CallKey(self.next_call.fetch_add(1, Ordering::Relaxed))
     }
 
+    /// Starts the block keys of an account's prompts for one model and weight version.
+    pub fn key_chain(&self, account: &str, model: &str, version: WeightVersion) -> KeyChain {
+        let secret = format!("{}\0{account}", self.settings.block_secret.expose());
+        KeyChain::new(secret.as_bytes(), model, "", version)
+    }
+
     /// Makes the id of a call that is unique over daemons and their restarts.
     pub fn call_id(&self, call: CallKey) -> String {
         format!("{}-{:x}-{}", self.settings.vm, self.incarnation.0, call)
--- a/crates/cumintrail-wire/src/operator.rs
+++ b/crates/cumintrail-wire/src/operator.rs
@@ -35,6 +35,16 @@
     pub waiting: usize,
 }
 
+/// Holds the body of `POST /operator/drain`.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum DrainOrder {
+    /// Give a target no new work, from all daemons.
+    Target(Arc<str>),
+    /// Let the daemon of this VM finish its calls and take no more.
+    Vm(Arc<str>),
+}
+
 /// Holds a time in milliseconds, shown in the largest unit that fits.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Age(pub u64);
--- a/tests/tests/rollout.rs
+++ b/tests/tests/rollout.rs
@@ -1,5 +1,6 @@
 //! Weight rollouts: one sender at a time, load slots, versions kept apart.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -162,6 +163,11 @@
     fn check(&self) {
         let numbers = self.orders.iter().map(|(_, _, fencing)| *fencing);
         assert!(numbers.is_sorted(), "an order under an old number: {:?}", self.orders);
+        let mut holders = BTreeMap::new();
+        for (_, holder, fencing) in &self.orders {
+            let first = holders.entry(fencing).or_insert(holder);
+            assert_eq!(*first, holder, "two holders under number {fencing}");
+        }
         assert!(self.most_loading <= 2, "{} loads at once", self.most_loading);
         assert!(self.fewest_serving >= 1, "no target serves");
     }
