--- a/crates/cumintrail-control/src/control.rs
+++ b/crates/cumintrail-control/src/control.rs
@@ -66,6 +66,8 @@
     rollout: Rollout,
     next_rollout: Moment,
     retries: RetryBudget,
+    /// Calls that wait out a backoff, with its end.
+    backing_off: Vec<(Moment, CallKey)>,
     next_digest: Moment,
     last_digest: Moment,
     next_expiry: Moment,
@@ -102,6 +104,7 @@
             rollout,
             next_rollout: Moment::default(),
             retries: RetryBudget::default(),
+            backing_off: Vec::new(),
             next_digest: Moment::default(),
             last_digest: Moment::default(),
             next_expiry: Moment::default(),
--- a/crates/cumintrail-control/src/control/arrivals.rs
+++ b/crates/cumintrail-control/src/control/arrivals.rs
@@ -9,7 +9,7 @@
 use super::Control;
 use crate::membership::Liveness;
 use crate::placement::{Candidate, Context, Placement, Placer, Request};
-use crate::{Action, Actions, Arrival, Call, Dispatch};
+use crate::{Action, Actions, Arrival, Call, Dispatch, retry};
 
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -80,9 +80,9 @@
         let arrival = &call.arrival;
         let usable: Vec<TargetKey> = self.usable_targets(now, snapshot, call).collect();
         if usable.is_empty() {
-            let code = RefusalCode::NoTarget;
-            return Err(Refusal { code, ran: call.ran(), retry_after: Some(RETRY_AFTER) });
+            return Err(retry::give_up(call, RefusalCode::NoTarget));
         }
+        let usable = prefer_untried(call, usable);
         let candidates: SmallVec<[Candidate<'_>; 32]> = usable
             .into_iter()
             .filter_map(|key| self.candidate(now, snapshot, arrival, key))
@@ -121,7 +121,7 @@
                 return false;
             };
             state.liveness != Liveness::Silent
-                && state.ejected_until <= now
+                && state.breaker.allows(now)
                 && !self.is_leaving(*key)
                 && call.pinned.is_none_or(|version| self.version_of(*key, version) == version)
         })
@@ -164,14 +164,16 @@
     fn dispatch(&mut self, now: Moment, key: CallKey, placement: Placement, actions: &mut Actions) {
         let target = placement.target;
         let arrived_for = self.calls.get(&key).map_or(WeightVersion(0), |c| c.arrival.version);
-        let version = self.version_of(target, arrived_for);
+        let loaded = self.version_of(target, arrived_for);
         let Some(call) = self.calls.get_mut(&key) else {
             return;
         };
-        let attempt = call.start_attempt(target, now);
+        let version = call.pinned.unwrap_or(loaded);
+        let attempt = call.start_attempt(target, version, now);
         call.expected_prefill = placement.recompute;
         if let Some(state) = self.targets.get_mut(target) {
             state.in_flight += 1;
+            state.breaker.start();
             state.add_prefill(now, placement.recompute);
         }
         for fetch in &placement.plan.fetches {
@@ -183,6 +185,13 @@
     }
 }
 
+/// Leaves out targets at which the call failed before, as long as there are others.
+fn prefer_untried(call: &Call, usable: Vec<TargetKey>) -> Vec<TargetKey> {
+    let untried = usable.iter().copied().filter(|key| !call.has_failed_at(*key));
+    let untried: Vec<TargetKey> = untried.collect();
+    if untried.is_empty() { usable } else { untried }
+}
+
 /// Places a call to a plain service, which imports nothing.
 fn plain_placement(target: TargetKey) -> Placement {
     Placement {
--- a/crates/cumintrail-control/src/control/attempts.rs
+++ b/crates/cumintrail-control/src/control/attempts.rs
@@ -2,27 +2,21 @@
 
 use std::time::Duration;
 
-use cumintrail_types::{AttemptNumber, CallKey, Moment, Ran, Refusal, RefusalCode, TargetKey};
+use cumintrail_types::{AttemptNumber, CallClass, CallKey, Moment, Ran, RefusalCode, TargetKey};
 
 use super::Control;
 use crate::placement::Placer;
+use crate::retry::Health;
 use crate::{Action, Actions, AttemptOutcome, Call, Phase, Usage, keeping, retry};
 
-const RETRY_AFTER: Duration = Duration::from_secs(1);
-const EJECT_AFTER_FAILURES: u32 = 3;
-const EJECT_BASE: Duration = Duration::from_secs(1);
-const EJECT_DOUBLINGS: u32 = 5;
+/// A target that did not answer for so long before a deadline counts as failing.
+const SILENCE_LIMIT: Duration = Duration::from_secs(2);
 
 impl<P: Placer> Control<P> {
     pub(super) fn take_first_token(&mut self, now: Moment, key: CallKey) {
-        let Some(call) = self.calls.get(&key) else {
-            return;
-        };
-        let Some(target) = call.target() else { return };
-        let version = self.version_of(target, call.arrival.version);
         self.settle_backlog(now, key);
-        if let Some(call) = self.calls.get_mut(&key) {
-            call.start_streaming(version);
+        if let Some(call) = self.calls.get_mut(&key).filter(|c| c.target().is_some()) {
+            call.start_streaming();
         }
     }
 
@@ -51,19 +45,49 @@
             AttemptOutcome::NotSent | AttemptOutcome::RefusedByTarget { .. } => {
                 call.attempt_not_sent();
             }
-            AttemptOutcome::Failed { .. } => call.attempt_failed(),
+            AttemptOutcome::Failed { .. } => {
+                call.attempt_failed();
+                push_cancel(call, target, actions);
+            }
         }
-        if retry::may_retry(call, outcome, now) && self.retries.withdraw() {
-            self.requeue(key);
+        let due = now + retry::backoff(call.attempts(), &mut self.rng);
+        if retry::may_retry(call, outcome, due) && self.withdraw_retry(target) {
+            self.backing_off.push((due, key));
             return;
         }
-        let (code, ran) = (RefusalCode::TargetFailed, call.ran());
-        let code = if ran == Ran::No { RefusalCode::NoTarget } else { code };
+        let Some(call) = self.calls.get(&key) else {
+            return;
+        };
+        let code = match call.ran() {
+            Ran::No => RefusalCode::NoTarget,
+            Ran::Unknown => RefusalCode::TargetFailed,
+        };
+        let refusal = retry::give_up(call, code);
         self.end_call(key);
-        let refusal = Refusal { code, ran, retry_after: Some(RETRY_AFTER) };
         actions.push(Action::Refuse { call: key, refusal });
     }
 
+    /// Takes a retry from the daemon's budget and from that of the target that failed.
+    fn withdraw_retry(&mut self, target: TargetKey) -> bool {
+        let Some(state) = self.targets.get_mut(target) else {
+            return false;
+        };
+        state.retries.has_one() && self.retries.withdraw() && state.retries.withdraw()
+    }
+
+    /// Queues calls again whose backoff is over.
+    pub(super) fn requeue_due(&mut self, now: Moment) {
+        let mut due = Vec::new();
+        self.backing_off.retain(|(at, key)| {
+            let is_due = *at <= now;
+            due.extend(is_due.then_some(*key));
+            !is_due
+        });
+        for key in due {
+            self.requeue(key);
+        }
+    }
+
     fn requeue(&mut self, key: CallKey) {
         let Some(call) = self.calls.get(&key) else {
             return;
@@ -86,7 +110,8 @@
             return;
         };
         let pieces = call.arrival.pieces.clone();
-        let fresh = self.version_of(target, call.arrival.version) == call.arrival.version;
+        let wanted = call.arrival.version;
+        let fresh = call.version() == wanted && self.version_of(target, wanted) == wanted;
         self.end_call(key);
         if fresh && usage.prompt.0 > 0 {
             self.order_exports(now, target, &pieces, actions);
@@ -108,7 +133,7 @@
         }
     }
 
-    /// Notes failures in a row and ejects a target for a growing time.
+    /// Notes what an attempt's end says of its target.
     fn judge_target(&mut self, now: Moment, target: TargetKey, outcome: AttemptOutcome) {
         let incarnation = self.targets.get(target).map(super::state::TargetState::incarnation);
         if outcome == (AttemptOutcome::RefusedByTarget { leaving: true }) {
@@ -118,17 +143,9 @@
                 self.note_leaving(now, address, incarnation);
             }
         }
-        let Some(state) = self.targets.get_mut(target) else {
-            return;
-        };
-        match outcome {
-            AttemptOutcome::Answered(_) => state.failures = 0,
-            AttemptOutcome::NotSent | AttemptOutcome::Failed { .. } => state.failures += 1,
-            AttemptOutcome::RefusedByTarget { .. } | AttemptOutcome::Settled => {}
-        }
-        if state.failures >= EJECT_AFTER_FAILURES {
-            let doublings = (state.failures - EJECT_AFTER_FAILURES).min(EJECT_DOUBLINGS);
-            state.ejected_until = now + EJECT_BASE * 2_u32.pow(doublings);
+        if let Some(state) = self.targets.get_mut(target) {
+            state.retries.deposit();
+            state.breaker.judge(now, outcome.into(), &mut self.rng);
         }
     }
 
@@ -153,26 +170,36 @@
 
     /// Drops a call whose caller is gone and cancels its attempt.
     pub(super) fn drop_call(&mut self, now: Moment, key: CallKey, actions: &mut Actions) {
+        self.cancel_attempt(now, key, Health::Unclear, actions);
+        self.end_call(key);
+    }
+
+    fn cancel_attempt(&mut self, now: Moment, key: CallKey, health: Health, actions: &mut Actions) {
         let Some(call) = self.calls.get(&key) else {
             return;
         };
-        if let Some(target) = call.target() {
-            let attempt = call.attempt();
-            self.release_slot(now, key, target);
-            actions.push(Action::Cancel { call: key, attempt, target });
+        let Some(target) = call.target() else { return };
+        push_cancel(call, target, actions);
+        self.release_slot(now, key, target);
+        if let Some(state) = self.targets.get_mut(target) {
+            state.breaker.judge(now, health, &mut self.rng);
         }
-        self.end_call(key);
     }
 
     /// Gives up calls whose deadline passed; they are answered at once.
     pub(super) fn expire_calls(&mut self, now: Moment, actions: &mut Actions) {
         let late = self.calls.iter().filter(|(_, call)| call.arrival.deadline <= now);
-        let late: Vec<(CallKey, Phase)> = late.map(|(key, call)| (*key, call.phase())).collect();
-        for (key, _) in late {
-            let ran = self.calls.get(&key).map_or(Ran::Unknown, Call::ran);
-            self.drop_call(now, key, actions);
-            let code = RefusalCode::Deadline;
-            let refusal = Refusal { code, ran, retry_after: Some(RETRY_AFTER) };
+        let late: Vec<CallKey> = late.map(|(key, _)| *key).collect();
+        for key in late {
+            let Some(call) = self.calls.get(&key) else {
+                continue;
+            };
+            let refusal = retry::give_up(call, RefusalCode::Deadline);
+            let silent =
+                call.phase() == Phase::Sending && now.since(call.dispatched) >= SILENCE_LIMIT;
+            let health = if silent { Health::Bad } else { Health::Unclear };
+            self.cancel_attempt(now, key, health, actions);
+            self.end_call(key);
             actions.push(Action::Refuse { call: key, refusal });
         }
     }
@@ -181,6 +208,15 @@
         if let Some(call) = self.calls.remove(&key) {
             self.admission.remove(call.arrival.kind, call.arrival.account, key);
             self.admission.release(call.arrival.account);
+            self.backing_off.retain(|(_, waiting)| *waiting != key);
         }
     }
 }
+
+/// Stops a model call's attempt at its engine; a plain service knows no such order.
+fn push_cancel(call: &Call, target: TargetKey, actions: &mut Actions) {
+    if call.arrival.class == CallClass::Model {
+        let (call, attempt) = (call.arrival.call, call.attempt());
+        actions.push(Action::Cancel { call, attempt, target });
+    }
+}
--- a/crates/cumintrail-daemon/src/callers/router.rs
+++ b/crates/cumintrail-daemon/src/callers/router.rs
@@ -1,8 +1,9 @@
 //! Which handler answers a request.
 
 use std::rc::Rc;
+use std::time::Duration;
 
-use actix_http::{Method, Request, Response};
+use actix_http::{ConnectionType, Method, Request, Response};
 use cumintrail_types::{Refusal, RefusalCode};
 use cumintrail_wire::caller::{ChatRequest, CompletionRequest, ModelEntry, ModelList};
 use serde::de::DeserializeOwned;
@@ -10,15 +11,25 @@
 use super::model_answer::AnswerStyle;
 use super::refuse::{json, refuse};
 use super::request::read_body;
-use super::{CallerBody, Worker, auth, model_call, service_call};
+use super::{CallerBody, Worker, auth, model_call, operation_keys, service_call};
 
 const OK: u16 = 200;
 const UNAVAILABLE: u16 = 503;
+const COME_BACK: Duration = Duration::from_secs(1);
 const SERVICES: &str = "/services/";
 
 /// Answers one request.
+///
+/// A stopping daemon closes each connection with its answer: a balancer that keeps connections
+/// would otherwise hold up the planned stop.
 pub async fn answer(worker: Rc<Worker>, req: Request) -> Response<CallerBody> {
-    route(worker, req).await.unwrap_or_else(|refusal| refuse(&refusal))
+    let shared = worker.shared.clone();
+    let mut response = route(worker, req).await.unwrap_or_else(|refusal| refuse(&refusal));
+    if shared.is_stopping() {
+        // The next request of this caller belongs on another VM.
+        response.head_mut().set_connection_type(ConnectionType::Close);
+    }
+    response
 }
 
 async fn route(worker: Rc<Worker>, req: Request) -> Result<Response<CallerBody>, Refusal> {
@@ -31,10 +42,17 @@
         ("/v1/models", Method::GET) => list_models(&worker, &req),
         ("/v1/completions", Method::POST) => complete(worker, req).await,
         ("/v1/chat/completions", Method::POST) => chat(worker, req).await,
+        ("/v1/operation-keys", Method::POST) => operation_keys::issue(&worker, &req),
         (path, _) if path.starts_with(SERVICES) => service_call::answer(worker, req).await,
-        ("/livez" | "/readyz" | "/v1/models" | "/v1/completions" | "/v1/chat/completions", _) => {
-            Err(Refusal::not_run(RefusalCode::MethodNotAllowed))
-        }
+        (
+            "/livez"
+            | "/readyz"
+            | "/v1/models"
+            | "/v1/completions"
+            | "/v1/chat/completions"
+            | "/v1/operation-keys",
+            _,
+        ) => Err(Refusal::not_run(RefusalCode::MethodNotAllowed)),
         _ => Err(Refusal::not_run(RefusalCode::NotFound)),
     }
 }
@@ -72,6 +90,7 @@
 impl Worker {
     /// Returns the configuration in force, or refuses.
     pub(super) fn snapshot(&self) -> Result<std::sync::Arc<cumintrail_config::Snapshot>, Refusal> {
-        self.shared.snapshot().ok_or_else(|| Refusal::not_run(RefusalCode::NotConfigured))
+        let missing = Refusal::not_run(RefusalCode::NotConfigured).retry_after(COME_BACK);
+        self.shared.snapshot().ok_or(missing)
     }
 }
--- a/crates/cumintrail-daemon/src/control_thread.rs
+++ b/crates/cumintrail-daemon/src/control_thread.rs
@@ -3,14 +3,18 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
+use cumintrail_control::once::{End, OperationKey, UsedKeys, Verdict};
 use cumintrail_control::{Action, Arrival, AttemptOutcome, Control, Dispatch, Dump, Event};
-use cumintrail_types::{AttemptNumber, CallKey, Refusal};
+use cumintrail_types::{AttemptNumber, CallKey, Digest, Refusal, RefusalCode, WriteId};
+use cumintrail_wire::record::AnswerRecord;
 use tokio::sync::{mpsc, oneshot};
 
 use crate::clock::Clock;
 use crate::control_meter::ControlMeter;
 use crate::metric;
 
+/// How long an issued operation key may be used.
+pub const OPERATION_KEY_LIFE: Duration = Duration::from_secs(600);
 const TICK: Duration = Duration::from_millis(20);
 const FIRST_ATTEMPT: AttemptNumber = AttemptNumber(1);
 
@@ -30,6 +34,8 @@
     Event(Event),
     Dump(oneshot::Sender<Dump>),
     CallsInFlight(oneshot::Sender<usize>),
+    BeginKey(OperationKey, Digest, oneshot::Sender<Verdict<AnswerRecord>>),
+    EndKey(WriteId, End<AnswerRecord>),
 }
 
 /// Reaches the control thread from any other.
@@ -72,6 +78,26 @@
     }
 }
 
+impl ControlLink {
+    /// Begins the call of an operation key that this process issued.
+    pub async fn begin_key(&self, key: OperationKey, request: Digest) -> Verdict<AnswerRecord> {
+        let (tx, rx) = oneshot::channel();
+        let sent = self.tx.send(Message::BeginKey(key, request, tx)).await;
+        let verdict = match sent {
+            Ok(()) => rx.await.ok(),
+            Err(_) => None,
+        };
+        let stopping = Refusal::unknown(RefusalCode::OutcomeUnknown);
+        verdict.unwrap_or(Verdict::Refuse(stopping))
+    }
+
+    /// Ends the call of an operation key.
+    pub async fn end_key(&self, id: WriteId, end: End<AnswerRecord>) {
+        // Without the control thread the process is at its very end and forgets all keys.
+        let _ = self.tx.send(Message::EndKey(id, end)).await;
+    }
+}
+
 /// Receives what a [`ControlLink`] sends.
 #[derive(Debug)]
 pub struct ControlInbox {
@@ -92,6 +118,7 @@
     background: mpsc::UnboundedSender<Action>,
 ) {
     let mut calls: HashMap<CallKey, mpsc::UnboundedSender<Command>> = HashMap::new();
+    let mut keys = UsedKeys::new(OPERATION_KEY_LIFE);
     let mut meter = ControlMeter::start();
     let mut ticks = actix_rt::time::interval(TICK);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
@@ -111,6 +138,18 @@
                 let _ = reply.send(control.calls_in_flight());
                 continue;
             }
+            Some(Message::BeginKey(key, request, reply)) => {
+                let verdict = keys.begin(now, &key, request);
+                // A call that nobody waits for any more was not sent.
+                if let Err(Verdict::Run) = reply.send(verdict) {
+                    keys.end(key.id, End::NotSent);
+                }
+                continue;
+            }
+            Some(Message::EndKey(id, end)) => {
+                keys.end(id, end);
+                continue;
+            }
             Some(Message::Arrive(arrival, commands)) => {
                 calls.insert(arrival.call, commands);
                 control.handle(now, Event::Arrived(arrival))
--- a/tests/src/standins/engine.rs
+++ b/tests/src/standins/engine.rs
@@ -27,6 +27,8 @@
 const UNREAD_LIMIT: Duration = Duration::from_secs(10);
 /// Shows in an answer that was computed from a block of wrong bytes.
 pub const POISON: &str = "!poisoned!";
+/// The text of answers that belong to somebody else.
+pub const FOREIGN: &str = "!foreign!";
 
 /// Sets the speed and size of an engine.
 #[derive(Debug, Clone, Copy)]
@@ -89,6 +91,17 @@
     pub forget_streams: bool,
 }
 
+/// Describes an answer that an engine started.
+#[derive(Debug, Clone)]
+pub struct Generated {
+    /// The weight version.
+    pub version: WeightVersion,
+    /// The prompt's text after its last space.
+    pub prompt_end: String,
+    /// The names of its pieces.
+    pub pieces: Vec<BlockKey>,
+}
+
 struct Stream {
     tokens: Vec<String>,
     end: Option<EndEvent>,
@@ -116,6 +129,7 @@
     backlog: u32,
     reports: VecDeque<(Instant, Report)>,
     started: u64,
+    generated: Vec<Generated>,
     fault: Fault,
 }
 
@@ -155,6 +169,7 @@
             backlog: 0,
             reports: VecDeque::new(),
             started: 0,
+            generated: Vec::new(),
             fault: Fault::default(),
         };
         let inner = Arc::new(Inner {
@@ -173,6 +188,11 @@
         self.running.address
     }
 
+    /// Switches some failures and leaves the others as they are.
+    pub fn change_fault(&self, change: impl FnOnce(&mut Fault)) {
+        change(&mut self.inner.lock().fault);
+    }
+
     /// Switches failures.
     pub fn set_fault(&self, fault: Fault) {
         self.inner.lock().fault = fault;
@@ -192,6 +212,11 @@
         self.inner.lock().started
     }
 
+    /// Returns what it was asked to answer since the last time.
+    pub fn take_generated(&self) -> Vec<Generated> {
+        std::mem::take(&mut self.inner.lock().generated)
+    }
+
     /// Returns the orders that it followed.
     pub fn orders(&self) -> Vec<(FencingNumber, WeightVersion)> {
         self.inner.lock().orders.clone()
@@ -318,6 +343,9 @@
             return refuse(EngineReason::WrongVersion);
         }
         state.started += 1;
+        let prompt_end = request.prompt.rsplit(' ').next().unwrap_or_default().to_owned();
+        let pieces = request.pieces.clone();
+        state.generated.push(Generated { version: request.version, prompt_end, pieces });
         state.waiting += 1;
         let stream = Stream {
             tokens: request.answered.clone(),
@@ -514,7 +542,8 @@
         _ if fault.silent_after > 0 && sent >= fault.silent_after => Next::Silence,
         (Some(text), _) => {
             *last += 1;
-            let event = TokenEvent { call: shown.to_owned(), text: text.clone() };
+            let text = if fault.foreign_answers { FOREIGN.to_owned() } else { text.clone() };
+            let event = TokenEvent { call: shown.to_owned(), text };
             Next::Event(sse(TOKEN_EVENT, *last, &event))
         }
         (None, Some(end)) => {
