--- /dev/null
+++ b/tests/tests/process_once.rs
@@ -0,0 +1,232 @@
+//! A call that may not be repeated runs at most once, and "not run" is true, whatever fails.
+
+use std::time::Duration;
+
+use actix_http::Method;
+use cumintrail_tests::cluster::{CALLER_KEY, Plan, eventually};
+use cumintrail_tests::deployment::{ANSWER_LIMIT, Deployment, hold};
+use cumintrail_tests::http::{Got, send};
+use cumintrail_tests::standins::relay::Mode;
+use cumintrail_tests::standins::{platform, service};
+use cumintrail_types::Ran;
+use cumintrail_wire::caller::{IDEMPOTENCY_HEADER, OperationKeyBody, RefusalBody};
+use nix::sys::signal::Signal;
+
+const BINARY: &str = env!("CARGO_BIN_EXE_cumintrail-tests");
+const REPEATS: usize = 4;
+
+fn plan() -> Plan {
+    Plan { engines: 0, stores: 0, services: 2, daemons: 2, ..Plan::default() }
+}
+
+async fn spawn() -> Deployment {
+    let edit = |text: String| text.replace("timeout_ms = 5000", "timeout_ms = 1500");
+    Deployment::spawn_with(BINARY, &plan(), edit).await.unwrap()
+}
+
+async fn keyed(deployment: &Deployment, vm: usize, operation: &str) -> Got {
+    deployment.hold(vm, operation, &[(IDEMPOTENCY_HEADER, operation)]).await
+}
+
+/// Checks one answer against the number of executions so far.
+fn assert_truthful(deployment: &Deployment, operation: &str, got: &Got) {
+    let ran = deployment.executions(operation);
+    assert!(ran <= 1, "{operation} ran {ran} times");
+    let refusal = got.json::<RefusalBody>().map(|body| body.error);
+    let says_no = refusal.as_ref().is_some_and(|r| r.ran == Ran::No);
+    assert!(!says_no || ran == 0, "{operation}: `ran: no` but it ran: {refusal:?}");
+    assert!(got.status != 200 || ran == 1, "{operation}: answered but not run");
+}
+
+/// Repeats a keyed call through all daemons, as a caller does that got no answer.
+async fn repeat(deployment: &Deployment, operation: &str) {
+    for i in 0..REPEATS {
+        let got = keyed(deployment, i % deployment.vms.len(), operation).await;
+        let ran = deployment.executions(operation);
+        assert!(ran <= 1, "{operation} ran {ran} times: {}", got.text());
+        assert!(got.status != 200 || ran == 1, "{operation}: answered but not run");
+    }
+}
+
+async fn ran(deployment: &Deployment, operation: &str) -> bool {
+    eventually(ANSWER_LIMIT, || deployment.executions(operation) > 0).await
+}
+
+#[actix_rt::test]
+async fn a_daemon_killed_between_claim_and_outcome_leaves_a_claim_that_nobody_runs_again() {
+    let mut deployment = spawn().await;
+    for service in &deployment.services {
+        service.set_fault(service::Fault { slow_ms: 600, ..service::Fault::default() });
+    }
+    let at = deployment.vms[0].callers.address();
+    let call = actix_rt::spawn(async move {
+        hold(at, "hold-killed", &[(IDEMPOTENCY_HEADER, "hold-killed")]).await
+    });
+    let sent = |dump: &serde_json::Value| {
+        dump["calls"].as_array().is_some_and(|calls| calls.iter().any(|c| c["phase"] != "queued"))
+    };
+    assert!(deployment.until(0, ANSWER_LIMIT, sent).await);
+    deployment.vms[0].process.kill();
+    assert_ne!(call.await.unwrap().status, 200);
+    repeat(&deployment, "hold-killed").await;
+    deployment.restart(0).unwrap();
+    deployment.wait_ready().await.unwrap();
+    repeat(&deployment, "hold-killed").await;
+}
+
+#[actix_rt::test]
+async fn a_lost_answer_of_the_service_is_not_followed_by_a_second_run() {
+    let deployment = spawn().await;
+    for service in &deployment.services {
+        service.set_fault(service::Fault { lose_answers: true, ..service::Fault::default() });
+    }
+    for (operation, key) in [("pay-unkeyed", None), ("pay-keyed", Some("pay-keyed"))] {
+        let headers: Vec<_> = key.into_iter().map(|key| (IDEMPOTENCY_HEADER, key)).collect();
+        let got = deployment.hold(0, operation, &headers).await;
+        assert_truthful(&deployment, operation, &got);
+        assert_eq!(got.json::<RefusalBody>().unwrap().error.ran, Ran::Unknown);
+    }
+    for service in &deployment.services {
+        service.set_fault(service::Fault::default());
+    }
+    repeat(&deployment, "pay-keyed").await;
+}
+
+#[actix_rt::test]
+async fn a_cut_or_silent_link_to_the_service_causes_no_second_run() {
+    for mode in [Mode::Cut, Mode::SilenceOpen, Mode::SilenceAll] {
+        let deployment = spawn().await;
+        for service in &deployment.services {
+            // The call has run while its answer is still on the way when the link is lost.
+            service.set_fault(service::Fault { lose_answers: true, ..service::Fault::default() });
+        }
+        let at = deployment.vms[0].callers.address();
+        let calls = ["unkeyed", "keyed"].map(|operation| {
+            actix_rt::spawn(async move {
+                let key = [(IDEMPOTENCY_HEADER, operation)];
+                let headers = if operation == "keyed" { &key[..] } else { &[] };
+                hold(at, operation, headers).await
+            })
+        });
+        assert!(ran(&deployment, "keyed").await && ran(&deployment, "unkeyed").await);
+        for link in &deployment.service_links {
+            link.set(mode);
+            if mode == Mode::Cut {
+                // New connections work at once, so that a second try would get through.
+                link.set(Mode::Pass);
+            }
+        }
+        for (call, operation) in calls.into_iter().zip(["unkeyed", "keyed"]) {
+            assert_truthful(&deployment, operation, &call.await.unwrap());
+        }
+        for (link, service) in deployment.service_links.iter().zip(&deployment.services) {
+            link.set(Mode::Pass);
+            service.set_fault(service::Fault::default());
+        }
+        repeat(&deployment, "keyed").await;
+        assert_eq!(deployment.executions("unkeyed"), 1, "{mode:?}");
+    }
+}
+
+#[actix_rt::test]
+async fn a_service_that_cannot_be_reached_truly_did_not_run_the_call() {
+    let deployment = spawn().await;
+    for service in &deployment.services {
+        service.running.kill().await;
+    }
+    for link in &deployment.service_links {
+        link.set(Mode::Cut);
+    }
+    for i in 0..4 {
+        let operation = format!("unreachable-{i}");
+        let got = deployment.hold(i % 2, &operation, &[]).await;
+        assert_truthful(&deployment, &operation, &got);
+    }
+}
+
+#[actix_rt::test]
+async fn lost_answers_and_outages_of_the_platform_cause_no_second_run() {
+    let deployment = spawn().await;
+    let faults = [
+        platform::Fault { lose_answers: true, ..Default::default() },
+        platform::Fault { down: true, ..Default::default() },
+        platform::Fault { slow_ms: 400, ..Default::default() },
+    ];
+    for (i, fault) in faults.into_iter().enumerate() {
+        let operation = format!("hold-platform-{i}");
+        deployment.platform.set_fault(fault);
+        let got = keyed(&deployment, 0, &operation).await;
+        assert_truthful(&deployment, &operation, &got);
+        deployment.platform.set_fault(platform::Fault::default());
+        repeat(&deployment, &operation).await;
+    }
+}
+
+#[actix_rt::test]
+async fn an_outage_of_the_table_and_the_death_of_a_daemon_together_cause_no_second_run() {
+    let mut deployment = spawn().await;
+    deployment.platform.set_fault(platform::Fault { down: true, ..Default::default() });
+    let got = keyed(&deployment, 0, "hold-twice").await;
+    assert_truthful(&deployment, "hold-twice", &got);
+    deployment.vms[0].process.kill();
+    deployment.platform.set_fault(platform::Fault::default());
+    deployment.restart(0).unwrap();
+    deployment.wait_ready().await.unwrap();
+    repeat(&deployment, "hold-twice").await;
+    assert_eq!(deployment.executions("hold-twice"), 1, "the table is back, so it must run");
+}
+
+#[actix_rt::test]
+async fn a_daemon_paused_around_its_claim_causes_no_second_run() {
+    let deployment = spawn().await;
+    for service in &deployment.services {
+        service.set_fault(service::Fault { slow_ms: 200, ..service::Fault::default() });
+    }
+    for (i, pause_after) in [0, 5, 20, 80].into_iter().enumerate() {
+        let operation = format!("hold-paused-{i}");
+        let (at, name) = (deployment.vms[0].callers.address(), operation.clone());
+        let call =
+            actix_rt::spawn(async move { hold(at, &name, &[(IDEMPOTENCY_HEADER, &name)]).await });
+        actix_rt::time::sleep(Duration::from_millis(pause_after)).await;
+        deployment.vms[0].process.signal(Signal::SIGSTOP);
+        let meanwhile = keyed(&deployment, 1, &operation).await;
+        actix_rt::time::sleep(Duration::from_millis(1_800)).await;
+        deployment.vms[0].process.signal(Signal::SIGCONT);
+        let first = call.await.unwrap();
+        let answered = [&meanwhile, &first].iter().filter(|g| g.status == 200).count();
+        repeat(&deployment, &operation).await;
+        assert!(answered == 0 || deployment.executions(&operation) == 1);
+    }
+}
+
+#[actix_rt::test]
+async fn racing_callers_of_two_daemons_during_a_platform_cut_run_once() {
+    let deployment = spawn().await;
+    deployment.vms[1].platform.set(Mode::SilenceOpen);
+    let calls = (0..10).map(|i| keyed(&deployment, i % 2, "attendance"));
+    let got = futures_util::future::join_all(calls).await;
+    assert_eq!(deployment.executions("attendance"), 1);
+    assert!(got.iter().any(|g| g.status == 200));
+}
+
+#[actix_rt::test]
+async fn an_operation_key_runs_once_through_an_outage_and_the_death_of_its_issuer() {
+    let mut deployment = spawn().await;
+    let down = platform::Fault { down: true, ..Default::default() };
+    deployment.platform.set_fault(down);
+    let bearer = format!("Bearer {CALLER_KEY}");
+    let headers = [("authorization", bearer.as_str())];
+    let issuer = deployment.vms[0].callers.address();
+    let got = send(Method::POST, issuer, "/v1/operation-keys", &headers, "", ANSWER_LIMIT).await;
+    let key = got.json::<OperationKeyBody>().unwrap_or_else(|| panic!("{}", got.text())).key;
+    let use_key = [(IDEMPOTENCY_HEADER, key.as_str())];
+    let calls = (0..6).map(|i| deployment.hold(i % 2, "mark", &use_key));
+    futures_util::future::join_all(calls).await;
+    assert_eq!(deployment.executions("mark"), 1);
+    deployment.restart(0).unwrap();
+    for vm in [1, 0] {
+        let got = deployment.hold(vm, "mark", &use_key).await;
+        assert_ne!(got.status, 200, "{}", got.text());
+        assert_eq!(deployment.executions("mark"), 1);
+    }
+}
