--- a/tests/src/deployment.rs
+++ b/tests/src/deployment.rs
@@ -18,7 +18,7 @@
 };
 use crate::http::{Got, send};
 use crate::process::Process;
-use crate::standins::engine::Engine;
+use crate::standins::engine::{Engine, Limits};
 use crate::standins::platform::Platform;
 use crate::standins::relay::{Mode, Relay};
 use crate::standins::service::Service;
@@ -86,6 +86,7 @@
     ) -> Result<Self, ClusterError> {
         let platform = Platform::spawn(LOOPBACK, 200, 2)?;
         let at = platform.address();
+        let plan = &with_weights(plan, at);
         let engines = (0..plan.engines).map(|_| Engine::spawn(LOOPBACK, 1, plan.engine));
         let engines = engines.collect::<Result<Vec<_>, _>>()?;
         let stores = (0..plan.stores).map(|_| Store::spawn(LOOPBACK, plan.store));
@@ -310,6 +311,12 @@
     }
 }
 
+/// Lets engines load weights from the platform, which takes time.
+fn with_weights(plan: &Plan, platform: SocketAddr) -> Plan {
+    let weights = plan.engine.weights.or(Some(platform));
+    Plan { engine: Limits { weights, ..plan.engine }, ..*plan }
+}
+
 async fn relays(to: impl Iterator<Item = SocketAddr>) -> std::io::Result<Vec<Relay>> {
     let mut relays = Vec::new();
     for to in to {
