--- a/tests/src/longrun/faults.rs
+++ b/tests/src/longrun/faults.rs
@@ -5,9 +5,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use actix_http::Method;
-use cumintrail_types::{FencingNumber, Generation, WeightVersion};
-use cumintrail_wire::engine::LoadOrder;
+use cumintrail_types::{Generation, WeightVersion};
 use cumintrail_wire::platform::{ListedRole, ListedVm};
 use nix::sys::signal::Signal;
 
@@ -15,15 +13,12 @@
 use super::schedule::{Fault, Link, Planned};
 use crate::cluster::{ClusterError, domain, write};
 use crate::deployment::{ANSWER_LIMIT, Deployment};
-use crate::http::send;
 use crate::standins::relay::{Mode, Relay};
 use crate::standins::{engine, platform, service, store};
 
 /// The users' "few seconds" after which a leaving target gets no new work.
 const LEAVING_LIMIT: Duration = Duration::from_secs(5);
 const SLOW_LINK_FACTOR: u64 = 2_000;
-/// Above the numbers that the system itself gives out.
-const FENCING_BASE: u64 = 1_000_000;
 
 /// Watches a target that leaves.
 struct Leaving {
@@ -140,7 +135,6 @@
             Fault::EngineDeath(i) => {
                 self.book.borrow_mut().note_generated(d.engines[i].take_generated());
                 d.replace_engine(i).await?;
-                load(d, i, self.version).await;
             }
             Fault::EngineSilent(i) => set_engine(d, i, |f| f.silent_after = 3),
             Fault::EngineCuts(i) => set_engine(d, i, |f| f.cut_after = 3),
@@ -241,9 +235,6 @@
         };
         self.accept(generation);
         self.version = next;
-        for engine in 0..self.deployment.engines.len() {
-            load(&self.deployment, engine, next).await;
-        }
         Ok(())
     }
 
@@ -307,11 +298,3 @@
 fn set_service(d: &Deployment, i: usize, change: impl FnOnce(&mut service::Fault)) {
     d.services[i].change_fault(change);
 }
-
-/// Loads a version past the system.
-async fn load(d: &Deployment, engine: usize, version: WeightVersion) {
-    let order = LoadOrder { fencing: FencingNumber(FENCING_BASE + version.0), version };
-    let body = serde_json::to_vec(&order).unwrap_or_default();
-    let at = d.engines[engine].address();
-    send(Method::POST, at, "/v1/orders", &[], body, ANSWER_LIMIT).await;
-}
