--- a/crates/cumintrail-control/src/control/arrivals.rs
+++ b/crates/cumintrail-control/src/control/arrivals.rs
@@ -2,16 +2,23 @@
 
 use std::time::Duration;
 
-use cumintrail_config::{Snapshot, TargetKind};
+use cumintrail_config::{Snapshot, Target, TargetKind};
 use cumintrail_types::{CallKey, Moment, Refusal, RefusalCode, TargetKey, Tokens, WeightVersion};
 use smallvec::SmallVec;
 
 use super::Control;
+use super::state::TargetState;
+use crate::admission;
 use crate::membership::Liveness;
 use crate::placement::{Candidate, Context, Placement, Placer, Request};
 use crate::{Action, Actions, Arrival, Call, Dispatch, retry};
 
 const RETRY_AFTER: Duration = Duration::from_secs(1);
+const SMOOTHING: f64 = 0.1;
+/// Calls that an engine may be sent, as a multiple of its slots.
+///
+/// A call is worth queueing at an engine that holds its prompt; fair queueing keeps the rest here.
+const ENGINE_QUEUE_FACTOR: u32 = 4;
 
 impl<P: Placer> Control<P> {
     pub(super) fn take_arrival(&mut self, now: Moment, arrival: Arrival, actions: &mut Actions) {
@@ -36,9 +43,20 @@
         if self.stopping {
             return Err(Refusal::not_run(RefusalCode::Stopping).retry_after(RETRY_AFTER));
         }
-        if self.admission.waiting() >= snapshot.preset.queue.max(1) {
+        if self.admission.waiting_for(arrival.kind) >= snapshot.preset.queue.max(1) {
             return Err(Refusal::not_run(RefusalCode::Overloaded).retry_after(RETRY_AFTER));
         }
+        let wait = self.admission.expected_wait(arrival.kind, arrival.account, account.weight);
+        let left = arrival.deadline.since(now);
+        if wait > left {
+            let after = wait.saturating_sub(left).max(RETRY_AFTER);
+            return Err(Refusal::not_run(RefusalCode::Overloaded).retry_after(after));
+        }
+        let live = self.membership.peers().filter(|(_, p)| p.liveness == Liveness::Live).count();
+        let wanted = self.admission.in_flight(arrival.account) + 1;
+        let by_peers = self.membership.wanted_by_peers(now, &account.name);
+        let share = admission::share(wanted, by_peers, live + 1);
+        self.admission.set_account_share(arrival.account, share);
         let tokens = (arrival.prompt + arrival.max_answer).0;
         self.admission.admit(now, arrival.account, account, tokens)?;
         Ok(account.weight)
@@ -53,12 +71,12 @@
             while let Some(key) = self.admission.peek(kind) {
                 match self.place(now, &snapshot, key) {
                     Ok(Some(placement)) => {
-                        self.admission.pop(kind);
+                        self.admission.pop(now, kind);
                         self.dispatch(now, key, placement, actions);
                     }
                     Ok(None) => break,
                     Err(refusal) => {
-                        self.admission.pop(kind);
+                        self.admission.pop(now, kind);
                         self.end_call(key);
                         actions.push(Action::Refuse { call: key, refusal });
                     }
@@ -96,6 +114,7 @@
             return Ok(free.min_by_key(|c| c.calls).map(|c| plain_placement(c.key)));
         };
         let cx = Context {
+            now,
             stores: &snapshot.stores,
             deployment: &snapshot.deployment,
             preset: &snapshot.preset,
@@ -137,16 +156,36 @@
     ) -> Option<Candidate<'a>> {
         let target = snapshot.targets.get(key)?;
         let state = self.targets.get(key)?;
+        let queue_factor = match arrival.kind {
+            TargetKind::Engine(_) => ENGINE_QUEUE_FACTOR,
+            TargetKind::Service(_) => 1,
+        };
         Some(Candidate {
             key,
             target,
             backlog: state.expected_backlog(now, target.prefill_per_second),
             calls: state.calls(),
-            free: state.in_flight < target.slots,
+            slot_wait: self.slot_wait(state, target),
+            free: state.in_flight < target.slots * queue_factor,
             importable: self.version_of(key, arrival.version) == arrival.version,
         })
     }
 
+    /// Estimates how long a target's slots stay taken, if all are.
+    fn slot_wait(&self, state: &TargetState, target: &Target) -> Duration {
+        let Some(over) = state.calls().checked_sub(target.slots) else {
+            return Duration::ZERO;
+        };
+        self.answer_time.mul_f64(f64::from(over + 1) / f64::from(target.slots.max(1)))
+    }
+
+    /// Follows how long answers take, which tells when taken slots become free.
+    pub(super) fn learn_answer_time(&mut self, took: Option<Duration>) {
+        let Some(took) = took else { return };
+        let old = if self.answer_time.is_zero() { took } else { self.answer_time };
+        self.answer_time = old.mul_f64(1.0 - SMOOTHING) + took.mul_f64(SMOOTHING);
+    }
+
     /// Returns the version that a target last reported, or `fallback` before its first report.
     pub(super) fn version_of(&self, key: TargetKey, fallback: WeightVersion) -> WeightVersion {
         let report = self.targets.get(key).and_then(|t| t.report);
@@ -171,14 +210,14 @@
         let version = call.pinned.unwrap_or(loaded);
         let attempt = call.start_attempt(target, version, now);
         call.expected_prefill = placement.recompute;
+        let pieces = call.arrival.pieces.clone();
         if let Some(state) = self.targets.get_mut(target) {
             state.in_flight += 1;
             state.breaker.start();
             state.add_prefill(now, placement.recompute);
         }
-        for fetch in &placement.plan.fetches {
-            self.links.start(fetch.store, fetch.sealed.length);
-        }
+        self.start_fetches(now, key, &placement.plan);
+        self.directory.change_engine(target, &pieces, &[]);
         let Placement { plan, first_token, .. } = placement;
         let dispatch = Dispatch { call: key, attempt, target, version, plan, first_token };
         actions.push(Action::Dispatch(dispatch));
