Show that a continued answer is given the tokens so far

Cause: the test of an engine that dies mid stream stayed green without them, since the second engine's repeated events are dropped and the text is the same.

Change: the test also reads the daemon's count of repeated events, which must not appear.

--- a/tests/tests/streams.rs
+++ b/tests/tests/streams.rs
@@ -4,8 +4,9 @@
 use std::time::{Duration, Instant};
 
 use actix_http::Method;
-use cumintrail_tests::cluster::{CALLER_KEY, Cluster, LOOPBACK, Plan, eventually};
+use cumintrail_tests::cluster::{CALLER_KEY, Cluster, LOOPBACK, OPERATOR_KEY, Plan, eventually};
 use cumintrail_tests::http::{Got, send};
+use cumintrail_tests::process_cluster::ProcessCluster;
 use cumintrail_tests::standins::engine::{self, Engine, answer_of};
 use cumintrail_tests::standins::relay::{Mode, Relay};
 use cumintrail_types::{Ran, WeightVersion};
@@ -13,6 +14,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
+const BINARY: &str = env!("CARGO_BIN_EXE_cumintrail-tests");
 const LIMIT: Duration = Duration::from_secs(30);
 const PROMPT: &str = "list the cheeses";
 const TOKENS: usize = 30;
@@ -100,15 +102,22 @@
 
 #[actix_rt::test]
 async fn an_answer_goes_on_at_another_engine_when_its_own_dies() {
-    let cluster = Cluster::spawn(&slow_engines(2)).await.unwrap();
-    let at = cluster.daemons[0].caller_address();
+    let p = ProcessCluster::spawn(BINARY, &slow_engines(2), |text| text).await.unwrap();
+    let (at, engines) = (p.callers(0), &p.cluster.engines);
     let calling = actix_rt::spawn(async move { complete(at, true).await });
-    assert!(eventually(LIMIT, || started(&cluster.engines) == 1).await);
+    assert!(eventually(LIMIT, || started(engines) == 1).await);
     actix_rt::time::sleep(Duration::from_millis(60)).await;
-    let running = cluster.engines.iter().find(|e| e.started() == 1).unwrap();
+    let running = engines.iter().find(|e| e.started() == 1).unwrap();
     running.running.kill().await;
     assert_eq!(read_stream(&calling.await.unwrap()), expected());
-    assert_eq!(started(&cluster.engines), 2);
+    assert_eq!(started(engines), 2);
+
+    // The second engine was given the tokens so far; otherwise it would have told them again.
+    let bearer = format!("Bearer {OPERATOR_KEY}");
+    let headers = [("authorization", bearer.as_str())];
+    let metrics = send(Method::GET, p.operators(0), "/metrics", &headers, "", LIMIT).await;
+    assert_eq!(metrics.status, 200);
+    assert!(!metrics.text().contains(r#"reason="duplicate""#), "{}", metrics.text());
 }
 
 #[actix_rt::test]
