--- a/crates/cumintrail-daemon/src/callers/operation_keys.rs
+++ b/crates/cumintrail-daemon/src/callers/operation_keys.rs
@@ -35,7 +35,7 @@
         return Err(Refusal::not_run(RefusalCode::Stopping).retry_after(STOPPING_RETRY));
     }
     let name = snapshot.accounts.get(account).map(|a| a.name.clone()).unwrap_or_default();
-    let (address, incarnation) = (shared.operator_address, shared.incarnation);
+    let (address, incarnation) = (shared.peer_address(), shared.incarnation);
     let id = WriteId(rand::random());
     let key = shared.key_ring.issue(&name, address, incarnation, shared.now(), id);
     let expires_in_ms = OPERATION_KEY_LIFE.as_millis() as u64;
@@ -51,7 +51,7 @@
 ) -> Result<Answered, Refusal> {
     let account = snapshot.accounts.get(plain.account).map(|a| a.name.clone()).unwrap_or_default();
     let key = genuine(&worker, &account, text)?;
-    if key.address == worker.shared.operator_address {
+    if key.address == worker.shared.peer_address() {
         return run(worker, plain, key).await;
     }
     let service = snapshot.services.get(plain.service).map(|s| s.name.to_string());
@@ -130,7 +130,7 @@
     let named = snapshot.accounts.iter().find(|(_, a)| *a.name == *request.account && !a.retired);
     let (account, _) = named.ok_or(Refusal::not_run(RefusalCode::Unauthorized))?;
     let key = genuine(&worker, &request.account, &request.key)?;
-    if key.address != worker.shared.operator_address {
+    if key.address != worker.shared.peer_address() {
         return Err(Refusal::unknown(RefusalCode::OutcomeUnknown));
     }
     let plain = to_plain(&snapshot, account, request)?;
--- a/crates/cumintrail-daemon/src/shared.rs
+++ b/crates/cumintrail-daemon/src/shared.rs
@@ -115,6 +115,11 @@
         self.pending_outcomes.load(Ordering::Acquire)
     }
 
+    /// Returns where peers reach this daemon.
+    pub fn peer_address(&self) -> SocketAddr {
+        self.settings.peer_address.unwrap_or(self.operator_address)
+    }
+
     /// Returns the current moment.
     pub fn now(&self) -> Moment {
         self.clock.now()
--- a/tests/src/main.rs
+++ b/tests/src/main.rs
@@ -145,10 +145,10 @@
 async fn run(command: Command) -> ExitCode {
     let started = match command {
         Command::Demo { format } => return show_demo(format).await,
-        Command::Load { options, format } => return show_load(options, format).await,
         Command::Longrun { seed, seconds } => {
             return run_long(longrun::Options { seed, run: Duration::from_secs(seconds) }).await;
         }
+        Command::Load { options, format } => return show_load(options, format).await,
         Command::Platform { address, load_ms, load_slots } => {
             platform::Platform::spawn(address, load_ms, load_slots).map(|p| p.address())
         }
