--- /dev/null
+++ b/tests/benches/decision.rs
@@ -0,0 +1,142 @@
+//! The cost of one decision, by targets and by known prompts.
+
+use std::fmt::Write as _;
+use std::hint::black_box;
+use std::time::Duration;
+
+use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
+use cumintrail_config::{Document, Snapshot};
+use cumintrail_control::directory::{Directory, Kept};
+use cumintrail_control::links::Links;
+use cumintrail_control::placement::{Candidate, CheapestPlacer, Context, Placer, Request};
+use cumintrail_types::{
+    BlockKey, Bytes, CallKey, Digest, Generation, ModelKey, Moment, Sealed, StoreKey, TargetKey,
+    Tier, Tokens, WriteId,
+};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+const PIECE: u32 = 2_000;
+/// Pieces that all prompts of a group share, and those that each adds.
+const SHARED: usize = 8;
+const OWN: usize = 2;
+/// Prompts that start from the same shared material.
+const PROMPTS_PER_MATERIAL: usize = 20;
+const PIECES_PER_ENGINE: usize = 300;
+const STORES: usize = 4;
+
+fn snapshot(targets: usize) -> Snapshot {
+    let digest = Digest::of(b"key");
+    let mut text = format!(
+        "[deployment]\npiece_tokens = {PIECE}\nfirst_preset = p\n[preset p]\n[model m]\n\
+         [account a]\nkey_digests = {digest}\n"
+    );
+    for i in 0..targets {
+        let (high, low) = (i / 200, i % 200 + 1);
+        let _ = write!(
+            text,
+            "[target e{i}]\nmodel = m\naddress = 10.0.{high}.{low}:80\nfailure_domain = d\n"
+        );
+    }
+    for i in 1..=STORES {
+        let _ = write!(text, "[store s{i}]\naddress = 10.1.0.{i}:80\nfailure_domain = d\n");
+    }
+    let sections = Document::parse(&"bench.ini".into(), &text).map(|d| d.sections);
+    Snapshot::build(Generation(1), &sections.expect("it parses"), None, None).expect("it is valid")
+}
+
+fn prompts(count: usize, rng: &mut StdRng) -> Vec<Vec<BlockKey>> {
+    let mut key = || BlockKey(rng.random());
+    let mut shared = Vec::new();
+    let prompts = (0..count).map(|i| {
+        if i % PROMPTS_PER_MATERIAL == 0 {
+            shared = (0..SHARED).map(|_| key()).collect();
+        }
+        shared.iter().copied().chain((0..OWN).map(|_| key())).collect()
+    });
+    prompts.collect()
+}
+
+fn directory(prompts: &[Vec<BlockKey>], targets: usize, rng: &mut StdRng) -> Directory {
+    let mut directory = Directory::default();
+    for key in prompts.iter().flatten() {
+        let (write_id, digest) = (WriteId(rng.random()), Digest([0; 32]));
+        let sealed = Sealed { key: *key, write_id, digest, length: Bytes(131_072_000) };
+        let store = StoreKey(u16::from(key.0[0]) % STORES as u16);
+        directory.add_kept(Kept { store, sealed, tier: Tier::Memory });
+    }
+    for target in 0..targets {
+        for _ in 0..PIECES_PER_ENGINE / (SHARED + OWN) {
+            let prompt = &prompts[rng.random_range(0..prompts.len())];
+            directory.change_engine(TargetKey(target as u32), prompt, &[]);
+        }
+    }
+    directory
+}
+
+fn resident_bytes() -> u64 {
+    let status = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = status.split_whitespace().nth(1).and_then(|pages| pages.parse::<u64>().ok());
+    pages.unwrap_or_default() * 4_096
+}
+
+fn decide(c: &mut Criterion) {
+    let mut group = c.benchmark_group("decision");
+    group.sample_size(20).measurement_time(Duration::from_secs(1));
+    group.warm_up_time(Duration::from_millis(200));
+    for targets in [12, 111, 1_000] {
+        let snapshot = snapshot(targets);
+        for known in [1_000, 30_000, 260_000] {
+            let mut rng = StdRng::seed_from_u64(1);
+            let prompts = prompts(known, &mut rng);
+            let before = resident_bytes();
+            let directory = directory(&prompts, targets, &mut rng);
+            let grown = resident_bytes().saturating_sub(before);
+            println!("{targets} targets, {known} prompts: {} bytes a prompt", grown / known as u64);
+            let links = Links::default();
+            let cx = Context {
+                now: Moment(0),
+                stores: &snapshot.stores,
+                deployment: &snapshot.deployment,
+                preset: &snapshot.preset,
+                model: snapshot.models.get(ModelKey(0)).expect("the model is declared"),
+                directory: &directory,
+                links: &links,
+            };
+            let candidates: Vec<Candidate<'_>> = snapshot
+                .targets
+                .iter()
+                .map(|(key, target)| Candidate {
+                    key,
+                    target,
+                    backlog: Tokens(rng.random_range(0..20_000)),
+                    calls: 3,
+                    slot_wait: Duration::ZERO,
+                    free: true,
+                    importable: true,
+                })
+                .collect();
+            let id = BenchmarkId::new(format!("{targets}-targets"), known);
+            let mut next = 0;
+            group.bench_function(id, |b| {
+                b.iter(|| {
+                    next = (next + 7_919) % prompts.len();
+                    let pieces = &prompts[next];
+                    let prompt = Tokens(pieces.len() as u32 * PIECE + 500);
+                    let request = Request { call: CallKey(1), pieces, prompt };
+                    black_box(CheapestPlacer.place(&cx, &request, &candidates))
+                });
+            });
+        }
+    }
+    group.finish();
+}
+
+#[allow(missing_docs, reason = "the macro makes an undocumented function")]
+mod groups {
+    use super::{criterion_group, decide};
+
+    criterion_group!(benches, decide);
+}
+
+criterion_main!(groups::benches);
--- /dev/null
+++ b/tests/tests/placement_differential.rs
@@ -0,0 +1,189 @@
+//! The placement of calls against a brute force that tries every target and number of pieces.
+
+use std::fmt::Write as _;
+use std::time::Duration;
+
+use cumintrail_config::{Document, Snapshot};
+use cumintrail_control::directory::{Directory, Kept};
+use cumintrail_control::links::{Links, Load};
+use cumintrail_control::placement::{Candidate, CheapestPlacer, Context, Placer, Request};
+use cumintrail_types::{
+    BlockKey, Bytes, CallKey, Digest, Generation, ModelKey, Moment, Sealed, StoreKey, TargetKey,
+    Tier, Tokens, WriteId,
+};
+use proptest::prelude::*;
+use proptest::test_runner::{RngAlgorithm, TestRng, TestRunner};
+
+const CASES: u32 = 512;
+const PIECE: u32 = 2_000;
+const TARGETS: usize = 6;
+const STORES: usize = 3;
+const PIECES: usize = 8;
+
+#[derive(Debug, Clone)]
+struct Case {
+    /// Leading pieces in each target's memory.
+    held: Vec<usize>,
+    /// Tokens queued at each target, and seconds until it has a slot.
+    waits: Vec<(u32, u64)>,
+    /// Whether each target is free and may import.
+    usable: Vec<(bool, bool)>,
+    /// The store and tier of each piece, if it is kept.
+    kept: Vec<Option<(u16, bool)>>,
+    /// Pieces that already move from each store.
+    moving: Vec<u64>,
+    rest: u32,
+    weights: (u8, u8, u8),
+}
+
+fn case() -> impl Strategy<Value = Case> {
+    let kept = prop::option::weighted(0.8, (0..STORES as u16, any::<bool>()));
+    (
+        prop::collection::vec(0..=PIECES, TARGETS),
+        prop::collection::vec((0..40_000_u32, 0..3_u64), TARGETS),
+        prop::collection::vec((prop::bool::weighted(0.8), prop::bool::weighted(0.8)), TARGETS),
+        prop::collection::vec(kept, PIECES),
+        prop::collection::vec(0..12_u64, STORES),
+        0..PIECE,
+        (1..10_u8, 0..10_u8, 0..10_u8),
+    )
+        .prop_map(|(held, waits, usable, kept, moving, rest, weights)| Case {
+            held,
+            waits,
+            usable,
+            kept,
+            moving,
+            rest,
+            weights,
+        })
+}
+
+fn snapshot((first_token, recompute, link): (u8, u8, u8)) -> Snapshot {
+    let digest = Digest::of(b"key");
+    let mut text = format!(
+        "[deployment]\npiece_tokens = {PIECE}\nfirst_preset = p\n[account a]\nkey_digests = {digest}\n\
+         [preset p]\nfirst_token_weight = {first_token}\nrecompute_weight = {recompute}\n\
+         link_weight = {link}\n[model m]\n"
+    );
+    for i in 0..TARGETS {
+        let speed = [4_000, 8_000][i % 2];
+        let _ = write!(
+            text,
+            "[target e{i}]\nmodel = m\naddress = 10.0.0.{}:80\nfailure_domain = d\n\
+             prefill_tokens_per_second = {speed}\n",
+            i + 1
+        );
+    }
+    for i in 0..STORES {
+        let link = [500_000_000_u64, 1_000_000_000, 2_000_000_000][i];
+        let _ = write!(
+            text,
+            "[store s{i}]\naddress = 10.0.1.{}:80\nfailure_domain = d\n\
+             link_bytes_per_second = {link}\ndisk_bytes_per_second = 300000000\n",
+            i + 1
+        );
+    }
+    let sections = Document::parse(&"test.ini".into(), &text).map(|d| d.sections);
+    let sections = sections.unwrap_or_else(|e| panic!("{e:?}"));
+    Snapshot::build(Generation(1), &sections, None, None).unwrap_or_else(|e| panic!("{e:?}"))
+}
+
+/// Tries every target and number of pieces, and asks the directory anew for each.
+fn brute_force(
+    cx: &Context<'_>,
+    request: &Request<'_>,
+    candidates: &[Candidate<'_>],
+) -> Option<f64> {
+    let mut best: Option<f64> = None;
+    for candidate in candidates.iter().filter(|c| c.free) {
+        let held = cx.directory.held_prefix(candidate.key, request.pieces);
+        let mut loads = [Load::default(); STORES];
+        for taken in 0..=request.pieces.len() - held {
+            let mut transfer = 0.0_f64;
+            let mut link = 0.0;
+            for (key, store) in cx.stores.iter() {
+                let load = loads[usize::from(key.0)];
+                transfer = transfer.max(cx.links.forecast(cx.now, key, store).seconds(load));
+                link += load.link.0 as f64 / store.link_per_second.0 as f64;
+            }
+            let speed = f64::from(candidate.target.prefill_per_second);
+            let rest = request.prompt.0 - (held + taken) as u32 * PIECE;
+            let prefill = f64::from(rest) / speed;
+            let queued = f64::from(candidate.backlog.0) / speed;
+            let wait = queued.max(candidate.slot_wait.as_secs_f64());
+            let cost = cx.preset.first_token_weight * (wait.max(transfer) + prefill)
+                + cx.preset.recompute_weight * prefill
+                + cx.preset.link_weight * link;
+            if best.is_none_or(|best| cost < best) {
+                best = Some(cost);
+            }
+            let next = request.pieces.get(held + taken).filter(|_| candidate.importable);
+            let Some(kept) = next.and_then(|key| cx.directory.kept(*key).first()) else { break };
+            loads[usize::from(kept.store.0)].add(kept.sealed.length, kept.tier);
+        }
+    }
+    best
+}
+
+#[test]
+fn the_fast_choice_costs_what_the_best_of_all_choices_costs() {
+    let checked = runner().run(&case(), |case| {
+        let snapshot = snapshot(case.weights);
+        let pieces: Vec<BlockKey> = (0..PIECES).map(|i| BlockKey([i as u8 + 1; 16])).collect();
+        let mut directory = Directory::default();
+        for (i, held) in case.held.iter().enumerate() {
+            directory.change_engine(TargetKey(i as u32), &pieces[..*held], &[]);
+        }
+        for (key, place) in pieces.iter().zip(&case.kept) {
+            let Some((store, disk)) = *place else { continue };
+            let tier = if disk { Tier::Disk } else { Tier::Memory };
+            let (write_id, length) = (WriteId([1; 16]), Bytes(100_000_000));
+            let sealed = Sealed { key: *key, write_id, digest: Digest([0; 32]), length };
+            directory.add_kept(Kept { store: StoreKey(store), sealed, tier });
+        }
+        let mut links = Links::default();
+        for ((key, store), moving) in snapshot.stores.iter().zip(&case.moving) {
+            let load = Load { link: Bytes(moving * 100_000_000), disk: Bytes(0) };
+            links.start(Moment(0), CallKey(99), key, load, store);
+        }
+        let model = snapshot.models.get(ModelKey(0)).expect("the model is declared");
+        let cx = Context {
+            now: Moment(0),
+            stores: &snapshot.stores,
+            deployment: &snapshot.deployment,
+            preset: &snapshot.preset,
+            model,
+            directory: &directory,
+            links: &links,
+        };
+        let candidates: Vec<Candidate<'_>> = snapshot
+            .targets
+            .iter()
+            .enumerate()
+            .map(|(i, (key, target))| Candidate {
+                key,
+                target,
+                backlog: Tokens(case.waits[i].0),
+                calls: 0,
+                slot_wait: Duration::from_secs(case.waits[i].1),
+                free: case.usable[i].0,
+                importable: case.usable[i].1,
+            })
+            .collect();
+        let prompt = Tokens(PIECES as u32 * PIECE + case.rest);
+        let request = Request { call: CallKey(1), pieces: &pieces, prompt };
+        let fast = CheapestPlacer.place(&cx, &request, &candidates).map(|p| p.cost);
+        let naive = brute_force(&cx, &request, &candidates);
+        prop_assert_eq!(fast.is_some(), naive.is_some());
+        let difference = fast.unwrap_or_default() - naive.unwrap_or_default();
+        prop_assert!(difference.abs() < 1e-9, "fast {:?}, naive {:?}", fast, naive);
+        Ok(())
+    });
+    checked.unwrap_or_else(|e| panic!("{e}"));
+}
+
+fn runner() -> TestRunner {
+    let config =
+        ProptestConfig { cases: CASES, failure_persistence: None, ..ProptestConfig::default() };
+    TestRunner::new_with_rng(config, TestRng::deterministic_rng(RngAlgorithm::ChaCha))
+}
