Free the least used block of a full store and export each block once

Cause: exports to a full store failed and were ordered again after each answer; calls of one prompt that ended together exported its blocks twice. Change: a block is planned once; few exports are under way at a time; a full store frees the block with the fewest recent uses, and a block worth less than all kept ones is not exported.

--- a/crates/cumintrail-control/src/control.rs
+++ b/crates/cumintrail-control/src/control.rs
@@ -24,6 +24,7 @@
 use self::state::{StoreState, TargetState};
 use crate::admission::Admission;
 use crate::directory::Directory;
+use crate::keeping::Keeping;
 use crate::links::Links;
 use crate::membership::Membership;
 use crate::placement::{CheapestPlacer, Placer};
@@ -60,6 +61,7 @@
     admission: Admission,
     directory: Directory,
     links: Links,
+    keeping: Keeping,
     membership: Membership,
     retries: RetryBudget,
     /// Calls that wait out a backoff, with its end.
@@ -97,6 +99,7 @@
             admission: Admission::new(1.0),
             directory: Directory::default(),
             links: Links::default(),
+            keeping: Keeping::default(),
             membership: Membership::default(),
             retries: RetryBudget::default(),
             backing_off: Vec::new(),
@@ -131,7 +134,9 @@
             Event::CacheChanged { target, incarnation, gap, stored, evicted } => {
                 self.take_cache_change(target, incarnation, gap, &stored, &evicted);
             }
-            Event::Exported { export, sealed } => self.take_export(now, export, sealed),
+            Event::Exported { export, sealed } => {
+                self.take_export(now, export, sealed, &mut actions);
+            }
             Event::StoreListed { store, incarnation, first, blocks } => {
                 self.take_listing(now, store, incarnation, first, &blocks);
             }
--- a/crates/cumintrail-control/src/control/attempts.rs
+++ b/crates/cumintrail-control/src/control/attempts.rs
@@ -7,7 +7,7 @@
 use super::Control;
 use crate::placement::Placer;
 use crate::retry::Health;
-use crate::{Action, Actions, AttemptOutcome, Phase, Usage, keeping, retry};
+use crate::{Action, Actions, AttemptOutcome, Phase, Usage, retry};
 
 /// A target that did not answer for so long before a deadline counts as failing.
 const SILENCE_LIMIT: Duration = Duration::from_secs(2);
@@ -131,10 +131,8 @@
     ) {
         self.directory.change_engine(target, pieces, &[]);
         let stores = self.live_stores(now);
-        for (key, store) in keeping::exports(&self.directory, pieces, &stores) {
-            let write_id = self.random_write_id();
-            actions.push(Action::Export(crate::Export { target, store, key, write_id }));
-        }
+        self.keeping.plan(now, &self.directory, target, pieces, &stores);
+        self.start_exports(now, actions);
     }
 
     /// Notes what an attempt's end says of its target.
--- a/crates/cumintrail-control/src/control/blocks.rs
+++ b/crates/cumintrail-control/src/control/blocks.rs
@@ -1,17 +1,19 @@
 //! What is learned of kept blocks.
 
+use cumintrail_config::Snapshot;
 use cumintrail_types::{
-    BlockKey, CallKey, Incarnation, Moment, Sealed, StoreKey, TargetKey, Tier, WriteId,
+    BlockKey, Bytes, CallKey, Incarnation, Moment, Sealed, StoreKey, TargetKey, Tier, WriteId,
 };
 use rand::Rng;
 use smallvec::SmallVec;
 
 use super::Control;
 use crate::directory::Kept;
+use crate::keeping::{NotWorth, Planned, Room};
 use crate::links::Load;
 use crate::membership::Liveness;
 use crate::placement::Placer;
-use crate::{Export, Fetch, FetchOutcome, FetchPlan};
+use crate::{Action, Actions, Export, Fetch, FetchOutcome, FetchPlan};
 
 impl<P: Placer> Control<P> {
     /// Notes the imports of a dispatch on their links.
@@ -80,15 +82,18 @@
 
     pub(super) fn take_export(
         &mut self,
-        _now: Moment,
+        now: Moment,
         export: Export,
         sealed: Option<(Sealed, Tier)>,
+        actions: &mut Actions,
     ) {
+        self.keeping.finish(export.key);
         if let Some((sealed, tier)) = sealed {
             self.directory.add_kept(Kept { store: export.store, sealed, tier });
             let declared = self.snapshot.as_ref().and_then(|s| s.stores.get(export.store));
             self.fresh_kept.extend(declared.map(|s| (s.address, sealed, tier)));
         }
+        self.start_exports(now, actions);
     }
 
     pub(super) fn take_listing(
@@ -120,6 +125,41 @@
         }
     }
 
+    /// Orders planned exports while few are under way, freeing what is worth less in full stores.
+    pub(super) fn start_exports(&mut self, now: Moment, actions: &mut Actions) {
+        let Some(snapshot) = self.snapshot.clone() else {
+            return;
+        };
+        while let Some(planned) = self.keeping.next(now) {
+            let Planned { target, store, key } = planned;
+            let Some(room) = self
+                .room(&snapshot, store)
+                .filter(|_| self.directory.kept(key).is_empty() && self.directory.is_held(key))
+            else {
+                continue;
+            };
+            match self.keeping.make_room(now, &self.directory, &planned, room) {
+                Ok(None) => {}
+                Ok(Some(sealed)) => {
+                    self.directory.remove_kept(store, sealed.key);
+                    actions.push(Action::Free { store, sealed });
+                }
+                Err(NotWorth) => continue,
+            }
+            self.keeping.start(now, key);
+            let write_id = self.random_write_id();
+            actions.push(Action::Export(Export { target, store, key, write_id }));
+        }
+    }
+
+    fn room(&self, snapshot: &Snapshot, store: StoreKey) -> Option<Room> {
+        let declared = snapshot.stores.get(store)?;
+        let tokens = u64::from(snapshot.deployment.piece.0);
+        let largest = snapshot.models.iter().map(|(_, model)| model.state_per_token.0).max();
+        let block = Bytes(tokens * largest.unwrap_or_default());
+        Some(Room { capacity: declared.capacity, used: self.directory.stored_bytes(store), block })
+    }
+
     pub(super) fn live_stores(&self, _now: Moment) -> Vec<StoreKey> {
         let declared = self.snapshot.iter().flat_map(|s| s.stores.iter());
         let usable = declared.filter(|(key, store)| {
--- a/crates/cumintrail-control/src/control/upkeep.rs
+++ b/crates/cumintrail-control/src/control/upkeep.rs
@@ -46,6 +46,7 @@
         self.requeue_due(now);
         self.order_probes(now, actions);
         self.order_listings(now, actions);
+        self.start_exports(now, actions);
         self.order_digests(now, actions);
         self.expire_members(now);
     }
--- a/crates/cumintrail-control/src/directory.rs
+++ b/crates/cumintrail-control/src/directory.rs
@@ -6,7 +6,7 @@
 use std::collections::HashMap;
 use std::hash::{BuildHasherDefault, Hasher};
 
-use cumintrail_types::{BlockKey, Sealed, StoreKey, TargetKey, Tier};
+use cumintrail_types::{BlockKey, Bytes, Sealed, StoreKey, TargetKey, Tier};
 use smallvec::SmallVec;
 
 /// The stale entries, as a part of all, that are worth a sweep.
@@ -35,6 +35,8 @@
     holders: KeyMap<SmallVec<[Holder; 2]>>,
     engines: HashMap<TargetKey, Held>,
     stale: usize,
+    /// Bytes known in each store.
+    stored: HashMap<StoreKey, Bytes>,
 }
 
 /// Names an engine that holds a block, in the order of targets.
@@ -100,19 +102,34 @@
 impl Directory {
     /// Notes a sealed block in a store.
     pub fn add_kept(&mut self, kept: Kept) {
+        let stored = self.stored.entry(kept.store).or_default();
         let places = self.kept.entry(kept.sealed.key).or_default();
-        places.retain(|k| k.store != kept.store);
+        if let Some(old) = places.iter_mut().find(|k| k.store == kept.store) {
+            *stored = stored.saturating_sub(old.sealed.length) + kept.sealed.length;
+            *old = kept;
+            return;
+        }
+        *stored += kept.sealed.length;
         places.push(kept);
     }
 
     /// Forgets a write of a block that a store no longer has.
     pub fn remove_kept(&mut self, store: StoreKey, key: BlockKey) {
-        if let Some(places) = self.kept.get_mut(&key) {
-            places.retain(|k| k.store != store);
-            if places.is_empty() {
-                self.kept.remove(&key);
-            }
+        let Some(places) = self.kept.get_mut(&key) else {
+            return;
+        };
+        if let Some(at) = places.iter().position(|k| k.store == store) {
+            let stored = self.stored.entry(store).or_default();
+            *stored = stored.saturating_sub(places.remove(at).sealed.length);
         }
+        if places.is_empty() {
+            self.kept.remove(&key);
+        }
+    }
+
+    /// Returns the bytes known in a store.
+    pub fn stored_bytes(&self, store: StoreKey) -> Bytes {
+        self.stored.get(&store).copied().unwrap_or_default()
     }
 
     /// Notes that a read brought a block into a store's memory.
@@ -125,6 +142,7 @@
 
     /// Forgets all blocks of a store.
     pub fn clear_store(&mut self, store: StoreKey) {
+        self.stored.remove(&store);
         self.kept.retain(|_, places| {
             places.retain(|k| k.store != store);
             !places.is_empty()
