--- a/crates/cumintrail-control/src/calls.rs
+++ b/crates/cumintrail-control/src/calls.rs
@@ -2,6 +2,8 @@
 
 use cumintrail_types::{AttemptNumber, Moment, Ran, TargetKey, Tokens, WeightVersion};
 
+use smallvec::SmallVec;
+
 use crate::Arrival;
 
 /// Marks how far a call has come; a call never goes back to [`Phase::Queued`] once sent.
@@ -33,13 +35,14 @@
     attempts: u8,
     phase: Phase,
     target: Option<TargetKey>,
-    failed_at: Option<TargetKey>,
+    version: WeightVersion,
     may_have_run: bool,
+    failed_at: SmallVec<[TargetKey; 2]>,
 }
 
 impl Call {
     /// Makes a queued call.
-    pub const fn new(arrival: Arrival, arrived: Moment) -> Self {
+    pub fn new(arrival: Arrival, arrived: Moment) -> Self {
         Self {
             arrival,
             arrived,
@@ -50,8 +53,9 @@
             attempts: 0,
             phase: Phase::Queued,
             target: None,
-            failed_at: None,
+            version: WeightVersion(0),
             may_have_run: false,
+            failed_at: SmallVec::new(),
         }
     }
 
@@ -65,9 +69,9 @@
         self.target
     }
 
-    /// Returns where the last attempt broke, which another attempt better avoids.
-    pub const fn failed_at(&self) -> Option<TargetKey> {
-        self.failed_at
+    /// Returns the weight version that the last attempt was ordered for.
+    pub const fn version(&self) -> WeightVersion {
+        self.version
     }
 
     /// Returns the number of attempts ordered.
@@ -91,8 +95,14 @@
     }
 
     /// Orders an attempt; from here on bytes may leave.
-    pub fn start_attempt(&mut self, target: TargetKey, now: Moment) -> AttemptNumber {
+    pub fn start_attempt(
+        &mut self,
+        target: TargetKey,
+        version: WeightVersion,
+        now: Moment,
+    ) -> AttemptNumber {
         self.attempts = self.attempts.saturating_add(1);
+        self.version = version;
         self.target = Some(target);
         self.dispatched = now;
         if self.phase == Phase::Queued {
@@ -102,15 +112,23 @@
     }
 
     /// Notes that the first token of the answer reached the caller.
-    pub fn start_streaming(&mut self, version: WeightVersion) {
+    ///
+    /// The answer stays with the version that the attempt was ordered for, which the target may
+    /// have swapped since.
+    pub const fn start_streaming(&mut self) {
         self.phase = Phase::Streaming;
-        self.pinned = Some(version);
+        self.pinned = Some(self.version);
         self.may_have_run = true;
     }
 
+    /// Tells whether an attempt of this call failed at a target.
+    pub fn has_failed_at(&self, target: TargetKey) -> bool {
+        self.failed_at.contains(&target)
+    }
+
     /// Takes back an attempt of which no byte left; the call is as if never sent.
     pub fn attempt_not_sent(&mut self) {
-        self.failed_at = self.target.take();
+        self.failed_at.extend(self.target.take());
         if self.phase == Phase::Sending {
             self.phase = Phase::Queued;
         }
@@ -118,7 +136,7 @@
 
     /// Notes an attempt that broke after bytes were sent.
     pub fn attempt_failed(&mut self) {
-        self.failed_at = self.target.take();
+        self.failed_at.extend(self.target.take());
         self.may_have_run = true;
         if self.phase == Phase::Sending {
             self.phase = Phase::Queued;
--- a/crates/cumintrail-control/src/control/arrivals.rs
+++ b/crates/cumintrail-control/src/control/arrivals.rs
@@ -96,13 +96,11 @@
             return Err(Refusal::not_run(RefusalCode::Deadline));
         };
         let arrival = &call.arrival;
-        let mut usable: Vec<TargetKey> = self.usable_targets(now, snapshot, call).collect();
-        if usable.len() > 1 {
-            usable.retain(|key| call.failed_at() != Some(*key));
-        }
+        let usable: Vec<TargetKey> = self.usable_targets(now, snapshot, call).collect();
         if usable.is_empty() {
             return Err(retry::give_up(call, RefusalCode::NoTarget));
         }
+        let usable = prefer_untried(call, usable);
         let candidates: SmallVec<[Candidate<'_>; 32]> = usable
             .into_iter()
             .filter_map(|key| self.candidate(now, snapshot, arrival, key))
@@ -205,11 +203,12 @@
     fn dispatch(&mut self, now: Moment, key: CallKey, placement: Placement, actions: &mut Actions) {
         let target = placement.target;
         let arrived_for = self.calls.get(&key).map_or(WeightVersion(0), |c| c.arrival.version);
-        let version = self.version_of(target, arrived_for);
+        let loaded = self.version_of(target, arrived_for);
         let Some(call) = self.calls.get_mut(&key) else {
             return;
         };
-        let attempt = call.start_attempt(target, now);
+        let version = call.pinned.unwrap_or(loaded);
+        let attempt = call.start_attempt(target, version, now);
         call.expected_prefill = placement.recompute;
         let pieces = call.arrival.pieces.clone();
         if let Some(state) = self.targets.get_mut(target) {
@@ -225,6 +224,13 @@
     }
 }
 
+/// Leaves out targets at which the call failed before, as long as there are others.
+fn prefer_untried(call: &Call, usable: Vec<TargetKey>) -> Vec<TargetKey> {
+    let untried = usable.iter().copied().filter(|key| !call.has_failed_at(*key));
+    let untried: Vec<TargetKey> = untried.collect();
+    if untried.is_empty() { usable } else { untried }
+}
+
 /// Places a call to a plain service, which imports nothing.
 fn plain_placement(target: TargetKey) -> Placement {
     Placement {
--- a/crates/cumintrail-daemon/src/daemon.rs
+++ b/crates/cumintrail-daemon/src/daemon.rs
@@ -18,6 +18,8 @@
 use crate::{background, callers, control_thread, operators};
 
 const DRAIN_POLL: Duration = Duration::from_millis(20);
+/// How long callers that come back right after their last answer are still told to go elsewhere.
+const LAST_REFUSALS: Duration = Duration::from_millis(500);
 
 /// Reports that a daemon could not start.
 #[derive(Debug, Snafu)]
@@ -56,7 +58,7 @@
             vm: settings.vm.clone(),
             domain: settings.domain.clone(),
             incarnation,
-            address: operator_address,
+            address: settings.peer_address.unwrap_or(operator_address),
             probe_interval: settings.probe_interval,
             digest_interval: settings.digest_interval,
         };
@@ -115,9 +117,11 @@
             actix_rt::time::sleep(DRAIN_POLL).await;
         }
         log::info!("vm {} has no call in flight", settings.vm);
-        for server in &self.servers {
-            server.stop(true).await;
-        }
+        actix_rt::time::sleep(LAST_REFUSALS).await;
+        let [callers, operators] = &self.servers;
+        callers.stop(true).await;
+        // Peers keep their connections in use, so a graceful stop would wait for them in vain.
+        operators.stop(false).await;
         for arbiter in &self.arbiters {
             arbiter.stop();
         }
