--- a/crates/cumintrail-control/src/control/attempts.rs
+++ b/crates/cumintrail-control/src/control/attempts.rs
@@ -7,7 +7,7 @@
 use super::Control;
 use crate::placement::Placer;
 use crate::retry::Health;
-use crate::{Action, Actions, AttemptOutcome, Call, Phase, Usage, keeping, retry};
+use crate::{Action, Actions, AttemptOutcome, Call, Phase, Usage, retry};
 
 /// A target that did not answer for so long before a deadline counts as failing.
 const SILENCE_LIMIT: Duration = Duration::from_secs(2);
@@ -111,9 +111,9 @@
             return;
         };
         let pieces = call.arrival.pieces.clone();
+        let answering = call.first_token.map(|at| now.since(at));
         let wanted = call.arrival.version;
         let fresh = call.version() == wanted && self.version_of(target, wanted) == wanted;
-        let answering = call.first_token.map(|at| now.since(at));
         self.learn_answer_time(answering);
         self.end_call(key);
         if fresh && usage.prompt.0 > 0 {
@@ -130,10 +130,8 @@
     ) {
         self.directory.change_engine(target, pieces, &[]);
         let stores = self.live_stores(now);
-        for (key, store) in keeping::exports(&self.directory, pieces, &stores) {
-            let write_id = self.random_write_id();
-            actions.push(Action::Export(crate::Export { target, store, key, write_id }));
-        }
+        self.keeping.plan(now, &self.directory, target, pieces, &stores);
+        self.start_exports(now, actions);
     }
 
     /// Notes what an attempt's end says of its target.
