--- a/crates/cumintrail-daemon/src/callers/model_call.rs
+++ b/crates/cumintrail-daemon/src/callers/model_call.rs
@@ -9,7 +9,7 @@
 use cumintrail_config::{Snapshot, TargetKind};
 use cumintrail_control::{Arrival, AttemptOutcome, Event};
 use cumintrail_types::{
-    AccountKey, BlockKey, CallClass, CallKey, KeyChain, Refusal, RefusalCode, Tokens, WeightVersion,
+    AccountKey, BlockKey, CallClass, CallKey, Refusal, RefusalCode, Tokens, WeightVersion,
 };
 use cumintrail_wire::caller::{CALL_HEADER, CompletionRequest, DEFAULT_MAX_TOKENS};
 use tokio::sync::mpsc;
@@ -87,8 +87,7 @@
     version: WeightVersion,
 ) -> Arc<[BlockKey]> {
     let name = snapshot.accounts.get(account).map(|a| a.name.clone()).unwrap_or_default();
-    let secret = format!("{}\0{name}", worker.shared.settings.block_secret.expose());
-    let chain = KeyChain::new(secret.as_bytes(), &parsed.model, "", version);
+    let chain = worker.shared.key_chain(&name, &parsed.model, version);
     let deployment = &snapshot.deployment;
     chain.keys_of(&parsed.prompt, deployment.piece, deployment.bytes_per_token).into()
 }
--- a/tests/tests/configuration.rs
+++ b/tests/tests/configuration.rs
@@ -126,6 +126,14 @@
     assert_eq!(head.generation(), Generation(2), "the change is not applied twice");
 }
 
+#[actix_rt::test]
+async fn a_change_is_in_force_in_time_while_the_platform_is_slow() {
+    let cluster = Cluster::spawn(&Plan::default()).await.unwrap();
+    cluster.platform.set_fault(Fault { slow_ms: 1_000, ..Fault::default() });
+    let generation = cumintrail_cli::switch_preset(&cluster.access, "peak").await.unwrap();
+    wait_for(&cluster.daemons, generation.0).await;
+}
+
 #[actix_rt::test]
 async fn the_loser_of_a_race_is_told_what_the_winner_changed() {
     let cluster = Cluster::spawn(&Plan::default()).await.unwrap();
