Load shared material ahead while the preset in force asks for it

Cause: Action::Warm had I/O but nothing ordered it.

Change: the first prober of each engine orders each material of its model once per run and version of the engine, two a second; warming.rs in the control library. A load that fails is not tried again before a switch or a restart.

--- a/crates/cumintrail-control/src/control.rs
+++ b/crates/cumintrail-control/src/control.rs
@@ -9,6 +9,7 @@
 mod rollouts;
 mod state;
 mod upkeep;
+mod warming;
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -17,7 +18,8 @@
 
 use cumintrail_config::Snapshot;
 use cumintrail_types::{
-    Arena, CallKey, Generation, Incarnation, Moment, Sealed, StoreKey, TargetKey, Tier,
+    Arena, CallKey, Digest, Generation, Incarnation, Moment, Sealed, StoreKey, TargetKey, Tier,
+    WeightVersion,
 };
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -65,6 +67,9 @@
     membership: Membership,
     rollout: Rollout,
     next_rollout: Moment,
+    next_warming: Moment,
+    /// Material that was loaded ahead, with the run and version that read it.
+    warmed: HashMap<(TargetKey, Digest), (Incarnation, WeightVersion)>,
     retries: RetryBudget,
     /// Calls that wait out a backoff, with its end.
     backing_off: Vec<(Moment, CallKey)>,
@@ -105,6 +110,8 @@
             membership: Membership::default(),
             rollout,
             next_rollout: Moment::default(),
+            next_warming: Moment::default(),
+            warmed: HashMap::new(),
             retries: RetryBudget::default(),
             backing_off: Vec::new(),
             next_digest: Moment::default(),
--- a/crates/cumintrail-control/src/control/upkeep.rs
+++ b/crates/cumintrail-control/src/control/upkeep.rs
@@ -47,6 +47,7 @@
         self.order_probes(now, actions);
         self.order_listings(now, actions);
         self.order_rollout(now, actions);
+        self.order_warming(now, actions);
         self.order_digests(now, actions);
         self.expire_members(now);
     }
--- /dev/null
+++ b/crates/cumintrail-control/src/control/warming.rs
@@ -0,0 +1,68 @@
+//! Loading shared material ahead, while the preset in force asks for it.
+
+use std::time::Duration;
+
+use cumintrail_config::{Snapshot, Target, TargetKind};
+use cumintrail_types::{Digest, Moment, TargetKey};
+
+use super::Control;
+use crate::membership::{Liveness, Probers};
+use crate::placement::Placer;
+use crate::{Action, Actions};
+
+const WARM_INTERVAL: Duration = Duration::from_secs(1);
+/// Loads that one daemon orders at once, so that calls are not held up.
+const WARM_AT_ONCE: usize = 2;
+
+impl<P: Placer> Control<P> {
+    /// Loads each material once into each run of an engine; one daemon per engine does.
+    pub(super) fn order_warming(&mut self, now: Moment, actions: &mut Actions) {
+        if self.next_warming > now || self.stopping {
+            return;
+        }
+        self.next_warming = now + WARM_INTERVAL;
+        let Some(snapshot) = self.snapshot.clone() else {
+            return;
+        };
+        if !snapshot.preset.warm_material {
+            return self.warmed.clear();
+        }
+        let probers = self.membership.probers(self.identity.address, &self.identity.domain);
+        let engines = snapshot.targets.iter().filter(|(_, t)| !t.retired);
+        let engines = engines.filter(|(_, t)| is_first(&probers, &snapshot, t));
+        let cold = engines.flat_map(|(key, t)| self.cold_materials(&snapshot, key, t));
+        let cold: Vec<(TargetKey, usize, Digest)> = cold.take(WARM_AT_ONCE).collect();
+        for (target, material, digest) in cold {
+            if let Some(report) = self.targets.get(target).and_then(|state| state.report) {
+                self.warmed.insert((target, digest), (report.incarnation, report.version));
+                actions.push(Action::Warm { target, material });
+            }
+        }
+    }
+
+    /// Lists the materials that an engine's present run and version have not read.
+    fn cold_materials(
+        &self,
+        snapshot: &Snapshot,
+        key: TargetKey,
+        target: &Target,
+    ) -> Vec<(TargetKey, usize, Digest)> {
+        let state = self.targets.get(key).filter(|s| s.liveness == Liveness::Live);
+        let report = state.and_then(|s| s.report).filter(|r| !r.loading && !self.is_leaving(key));
+        let (TargetKind::Engine(model), Some(report)) = (target.kind, report) else {
+            return Vec::new();
+        };
+        if snapshot.models.get(model).is_none_or(|m| m.version != report.version) {
+            return Vec::new();
+        }
+        let run = (report.incarnation, report.version);
+        let materials = snapshot.materials.iter().enumerate().filter(|(_, m)| m.model == model);
+        let cold = materials.filter(|(_, m)| self.warmed.get(&(key, m.digest)) != Some(&run));
+        cold.map(|(index, m)| (key, index, m.digest)).collect()
+    }
+}
+
+fn is_first(probers: &Probers, snapshot: &Snapshot, target: &Target) -> bool {
+    let domain = snapshot.domains.get(target.domain).map_or("", |d| d);
+    probers.is_first(target.address, domain)
+}
--- a/crates/cumintrail-control/src/membership.rs
+++ b/crates/cumintrail-control/src/membership.rs
@@ -330,7 +330,17 @@
     /// The daemons of the target's failure domain do; where there is none, those of each other
     /// domain that has noticed stand in.
     pub fn is_own(&self, target: SocketAddr, domain: &str) -> bool {
+        is_winner(target, self.own, self.daemons(domain))
+    }
+
+    /// Tells whether this daemon comes first for a target, for what only one is to do.
+    pub fn is_first(&self, target: SocketAddr, domain: &str) -> bool {
+        let daemons = self.daemons(domain);
+        daemons.contains(&self.own) && rendezvous::rank(target, self.own, daemons) == 0
+    }
+
+    fn daemons(&self, domain: &str) -> &[SocketAddr] {
         let daemons = self.by_domain.get(domain).or_else(|| self.by_domain.get(&self.own_domain));
-        daemons.is_some_and(|daemons| is_winner(target, self.own, daemons))
+        daemons.map(Vec::as_slice).unwrap_or_default()
     }
 }
