--- a/crates/cumintrail-control/src/control/upkeep.rs
+++ b/crates/cumintrail-control/src/control/upkeep.rs
@@ -48,6 +48,7 @@
         self.order_listings(now, actions);
         self.start_exports(now, actions);
         self.order_rollout(now, actions);
+        self.order_warming(now, actions);
         self.order_digests(now, actions);
         self.expire_members(now);
     }
