Spread calls against unseen load and trust engine memory for less long

Cause: after each report all calls went to the targets that looked idle; pieces were counted as held from the order on, and until the usual eviction, though queued calls evict them earlier. Change: 0.2 s of wait for each call that a target has, holdings trusted for 0.7 of the usual lifetime and only from the answer on, fetches given up after twice the time of computing.

--- a/crates/cumintrail-control/src/control/arrivals.rs
+++ b/crates/cumintrail-control/src/control/arrivals.rs
@@ -210,14 +210,12 @@
         let version = call.pinned.unwrap_or(loaded);
         let attempt = call.start_attempt(target, version, now);
         call.expected_prefill = placement.recompute;
-        let pieces = call.arrival.pieces.clone();
         if let Some(state) = self.targets.get_mut(target) {
             state.in_flight += 1;
             state.breaker.start();
             state.add_prefill(now, placement.recompute);
         }
         self.start_fetches(now, key, &placement.plan);
-        self.directory.change_engine(target, &pieces, &[]);
         let Placement { plan, first_token, .. } = placement;
         let dispatch = Dispatch { call: key, attempt, target, version, plan, first_token };
         actions.push(Action::Dispatch(dispatch));
--- a/crates/cumintrail-control/src/directory.rs
+++ b/crates/cumintrail-control/src/directory.rs
@@ -11,6 +11,8 @@
 
 /// The stale entries, as a part of all, that are worth a sweep.
 const SWEEP_DIVISOR: usize = 4;
+/// The part of the usual lifetime for which a block counts as held.
+const TRUSTED_LIFETIME: f32 = 0.7;
 const SHORTER_STEP: f32 = 0.2;
 const LONGER_STEP: f32 = 0.05;
 
@@ -66,7 +68,8 @@
 impl Held {
     fn has(&self, holder: &Holder) -> bool {
         let age = self.inserted.wrapping_sub(holder.stamp) as f32;
-        holder.epoch == self.epoch && self.lifetime.is_none_or(|lifetime| age <= lifetime)
+        holder.epoch == self.epoch
+            && self.lifetime.is_none_or(|lifetime| age <= lifetime * TRUSTED_LIFETIME)
     }
 
     /// Follows short lifetimes faster than long ones, since trusting an evicted block costs more.
--- a/crates/cumintrail-control/src/placement.rs
+++ b/crates/cumintrail-control/src/placement.rs
@@ -14,6 +14,12 @@
 use crate::{Fetch, FetchPlan};
 
 const FETCH_MARGIN: Duration = Duration::from_millis(50);
+/// A fetch is given up when it takes this many times what computing its pieces would have taken.
+const FETCH_PATIENCE: f64 = 2.0;
+/// Seconds of wait expected for each call of a target, beyond what its last report shows.
+///
+/// Reports lag, so a target with more calls is likelier to be busier than it seems.
+const UNSEEN_WAIT_PER_CALL: f64 = 0.2;
 
 /// Holds what a choice of target looks at.
 #[derive(Debug)]
@@ -57,7 +63,8 @@
     /// Returns the seconds until it begins with the prompt.
     pub fn wait(&self) -> f64 {
         let backlog = f64::from(self.backlog.0) / f64::from(self.target.prefill_per_second);
-        backlog.max(self.slot_wait.as_secs_f64())
+        let unseen = f64::from(self.calls) * UNSEEN_WAIT_PER_CALL;
+        backlog.max(self.slot_wait.as_secs_f64()) + unseen
     }
 }
 
@@ -180,9 +187,9 @@
     }
 }
 
-/// Returns how long importing may take before the pieces would have been computed anyway.
+/// Returns how long importing may take before computing the pieces is the better way.
 fn patience(wait: f64, saved: f64) -> Duration {
-    Duration::from_secs_f64(wait + saved) + FETCH_MARGIN
+    Duration::from_secs_f64(wait + saved * FETCH_PATIENCE) + FETCH_MARGIN
 }
 
 fn fetch_plan(fetches: SmallVec<[Fetch; 4]>, wait: f64, saved: f64) -> FetchPlan {
