--- a/crates/cumintrail-control/src/admission.rs
+++ b/crates/cumintrail-control/src/admission.rs
@@ -10,7 +10,7 @@
 use cumintrail_types::{AccountKey, CallKey, Moment, Refusal, RefusalCode};
 
 pub use self::queue::FairQueue;
-pub use self::share::share;
+pub use self::share::{BY_NEED, share};
 
 const RETRY_AFTER_LIMIT: Duration = Duration::from_secs(1);
 const DRAIN_SMOOTHING: f64 = 0.1;
--- a/crates/cumintrail-control/src/control/attempts.rs
+++ b/crates/cumintrail-control/src/control/attempts.rs
@@ -111,9 +111,9 @@
             return;
         };
         let pieces = call.arrival.pieces.clone();
-        let answering = call.first_token.map(|at| now.since(at));
         let wanted = call.arrival.version;
         let fresh = call.version() == wanted && self.version_of(target, wanted) == wanted;
+        let answering = call.first_token.map(|at| now.since(at));
         self.learn_answer_time(answering);
         self.end_call(key);
         if fresh && usage.prompt.0 > 0 {
