--- a/crates/cumintrail-control/src/control.rs
+++ b/crates/cumintrail-control/src/control.rs
@@ -9,6 +9,7 @@
 mod rollouts;
 mod state;
 mod upkeep;
+mod warming;
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -17,7 +18,8 @@
 
 use cumintrail_config::Snapshot;
 use cumintrail_types::{
-    Arena, CallKey, Generation, Incarnation, Moment, Sealed, StoreKey, TargetKey, Tier,
+    Arena, CallKey, Digest, Generation, Incarnation, Moment, Sealed, StoreKey, TargetKey, Tier,
+    WeightVersion,
 };
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -25,6 +27,7 @@
 use self::state::{StoreState, TargetState};
 use crate::admission::Admission;
 use crate::directory::Directory;
+use crate::keeping::Keeping;
 use crate::links::Links;
 use crate::membership::Membership;
 use crate::placement::{CheapestPlacer, Placer};
@@ -62,9 +65,13 @@
     admission: Admission,
     directory: Directory,
     links: Links,
+    keeping: Keeping,
     membership: Membership,
     rollout: Rollout,
     next_rollout: Moment,
+    next_warming: Moment,
+    /// Material that was loaded ahead, with the run and version that read it.
+    warmed: HashMap<(TargetKey, Digest), (Incarnation, WeightVersion)>,
     retries: RetryBudget,
     /// Calls that wait out a backoff, with its end.
     backing_off: Vec<(Moment, CallKey)>,
@@ -102,9 +109,12 @@
             admission: Admission::new(1.0),
             directory: Directory::default(),
             links: Links::default(),
+            keeping: Keeping::default(),
             membership: Membership::default(),
             rollout,
             next_rollout: Moment::default(),
+            next_warming: Moment::default(),
+            warmed: HashMap::new(),
             retries: RetryBudget::default(),
             backing_off: Vec::new(),
             next_digest: Moment::default(),
@@ -138,7 +148,9 @@
             Event::CacheChanged { target, incarnation, gap, stored, evicted } => {
                 self.take_cache_change(target, incarnation, gap, &stored, &evicted);
             }
-            Event::Exported { export, sealed } => self.take_export(now, export, sealed),
+            Event::Exported { export, sealed } => {
+                self.take_export(now, export, sealed, &mut actions);
+            }
             Event::StoreListed { store, incarnation, first, blocks } => {
                 self.take_listing(now, store, incarnation, first, &blocks);
             }
