Wait for a slow engine that still has the call instead of starting it again

Cause: an attempt was given up after three resumes without a new token, even when the engine answered each of them.

Ruled out: a longer first wait, which makes a connection that has gone silent cost that wait; following observed times only, since a first call has none.

Change: resumes that the engine answers and those that it does not are counted apart. Three unanswered in a row give the attempt up as before; an answered one doubles the wait for the next, six in all, and a new token starts the count anew.

Before: streams::an_engine_that_is_slower_than_declared_is_waited_for failed with 502 target-failed. After: 7 of 7 in streams pass in 5.6 s.

--- a/crates/cumintrail-daemon/src/callers/engine_attempt.rs
+++ b/crates/cumintrail-daemon/src/callers/engine_attempt.rs
@@ -19,8 +19,10 @@
 use super::{Worker, model_call};
 use crate::metric;
 
-/// Connections in a row that may fail without a new token.
-const MAX_RESUMES: u8 = 3;
+/// Resumes in a row that an engine may leave unanswered.
+const MAX_UNANSWERED: u8 = 3;
+/// Resumes in a row that an engine may answer without a new token; the wait doubles with each.
+const MAX_STALLS: u8 = 6;
 const PRIORITY_CALL: u8 = 1;
 const ESTIMATE_FACTOR: u32 = 2;
 
@@ -59,8 +61,28 @@
 }
 
 impl Gaps {
-    const fn after(self, last: u32) -> Duration {
-        if last > self.before { self.next } else { self.first }
+    /// Returns the wait after event `last`, doubled for each stall.
+    fn after(self, last: u32, stalls: u8) -> Duration {
+        let gap = if last > self.before { self.next } else { self.first };
+        gap * 2_u32.pow(u32::from(stalls))
+    }
+}
+
+/// Counts resumes since the last new token.
+///
+/// An engine that still knows the call is slow rather than lost. Giving it up early would start the
+/// call again elsewhere and add to the load that made it slow.
+#[derive(Debug, Clone, Copy, Default)]
+struct Resumes {
+    /// Those that the engine answered.
+    stalls: u8,
+    /// Those that it did not, in a row.
+    unanswered: u8,
+}
+
+impl Resumes {
+    const fn are_exhausted(self) -> bool {
+        self.stalls >= MAX_STALLS || self.unanswered >= MAX_UNANSWERED
     }
 }
 
@@ -139,29 +161,35 @@
             Err(_) => None,
         };
         let gaps = Gaps { first: first_gap, next: gap, before: self.check.last() };
-        let mut resumes = 0;
+        let mut resumes = Resumes::default();
         loop {
             let last = self.check.last();
             if let Some(open) = stream.as_mut() {
-                match self.follow(worker, open, gaps, tx).await {
+                match self.follow(worker, open, gaps, resumes.stalls, tx).await {
                     ConnectionEnd::Whole(end) => return self.finish(worker, end, tx).await,
                     ConnectionEnd::CallerGone => return AttemptEnd::CallerGone,
                     ConnectionEnd::Lost => {}
                 }
             }
             if self.check.last() > last {
-                resumes = 0;
+                resumes = Resumes::default();
             }
-            if resumes == MAX_RESUMES {
+            if resumes.are_exhausted() {
                 return self.failed();
             }
-            resumes += 1;
             metrics::counter!(metric::RESUMES).increment(1);
             stream = match worker.engines.resume(at, &wire_id, self.check.last(), gap).await {
-                Ok(stream) => Some(stream),
+                Ok(stream) => {
+                    resumes.stalls += 1;
+                    resumes.unanswered = 0;
+                    Some(stream)
+                }
                 // An engine that does not know the answer will not learn of it again.
                 Err(ClientError::Refused { .. }) => return self.failed(),
-                Err(_) => None,
+                Err(_) => {
+                    resumes.unanswered += 1;
+                    None
+                }
             };
         }
     }
@@ -239,11 +267,14 @@
         worker: &Worker,
         stream: &mut AnswerStream,
         gaps: Gaps,
+        stalls: u8,
         tx: &mpsc::Sender<CallEvent>,
     ) -> ConnectionEnd {
         let patience = worker.shared.settings.request_timeout;
+        let opened_at = self.check.last();
         loop {
-            let limit = gaps.after(self.check.last());
+            let last = self.check.last();
+            let limit = gaps.after(last, if last > opened_at { 0 } else { stalls });
             let event = tokio::select! {
                 event = stream.next(limit) => event,
                 () = tx.closed() => return ConnectionEnd::CallerGone,
--- a/crates/cumintrail-daemon/src/daemon.rs
+++ b/crates/cumintrail-daemon/src/daemon.rs
@@ -9,7 +9,7 @@
 use actix_server::{Server, ServerHandle};
 use cumintrail_config::Settings;
 use cumintrail_control::{Control, Event, Identity};
-use cumintrail_types::Incarnation;
+use cumintrail_types::{Generation, Incarnation};
 use rand::Rng;
 use snafu::{ResultExt, Snafu};
 
@@ -99,6 +99,11 @@
         self.shared.operator_address
     }
 
+    /// Returns the generation in force, or zero.
+    pub fn generation(&self) -> Generation {
+        self.shared.generation()
+    }
+
     /// Tells whether the daemon takes calls.
     pub fn is_ready(&self) -> bool {
         self.shared.is_ready()
--- a/tests/tests/streams.rs
+++ b/tests/tests/streams.rs
@@ -169,3 +169,33 @@
     assert_eq!(read_stream(&complete(at, true).await), expected());
     assert!(began.elapsed() < Duration::from_secs(8));
 }
+
+#[actix_rt::test]
+async fn an_engine_that_is_slower_than_declared_is_waited_for() {
+    let engine = engine::Limits { prefill_per_second: 20, ..Default::default() };
+    let cluster = Cluster::spawn(&Plan { engine, daemons: 1, ..Plan::default() }).await.unwrap();
+    let path = cluster.declarations.path().join("deployment.ini");
+    let declared = std::fs::read_to_string(path).unwrap();
+    let text =
+        declared.replace("prefill_tokens_per_second = 20\n", "prefill_tokens_per_second = 20000\n");
+    assert_ne!(text, declared);
+    let generation = cluster.reapply(&text).await.unwrap();
+    let in_force = || cluster.daemons[0].generation() >= generation;
+    assert!(eventually(Duration::from_secs(5), in_force).await);
+
+    // Five seconds of computing, where the declared speed and the token gap let expect half of one.
+    let prompt = "cheese".repeat(67);
+    let bearer = format!("Bearer {CALLER_KEY}");
+    let headers = [("authorization", bearer.as_str())];
+    let body = serde_json::json!({ "model": "curd", "prompt": prompt, "max_tokens": 3 });
+    let at = cluster.daemons[0].caller_address();
+    let path = "/v1/completions";
+    let got = send(Method::POST, at, path, &headers, body.to_string(), LIMIT).await;
+
+    assert_eq!(got.status, 200, "{}", got.text());
+    let completion: Completion = got.json().unwrap();
+    let expected = answer_of(&prompt, WeightVersion(1), 3);
+    assert_eq!(completion.choices[0].text.as_deref(), Some(expected.as_str()));
+    let runs: u64 = cluster.engines.iter().map(Engine::started).sum();
+    assert_eq!(runs, 1, "the call was started again elsewhere");
+}
