Bound a planned stop by the time a caller may take to read a tail

Cause: after its last call a stopping daemon waited for connections whose callers do not read, for up to drain_limit_ms (ten minutes by default). All calls are answered by then; what is left is bytes that nobody takes.

Ruled out: closing at once, which cuts the tail of an answer to a slow caller.

Change: the wait is request_timeout_ms, the bound that a slow writer and a slow reader of a stream have already.

Before: planned_stop::a_caller_that_reads_nothing_does_not_hold_up_the_stop failed at its 15 s.

--- a/crates/cumintrail-daemon/src/callers.rs
+++ b/crates/cumintrail-daemon/src/callers.rs
@@ -79,9 +79,12 @@
 
 impl ListenFactory for Factory {
     fn listen(self, builder: ServerBuilder, listener: TcpListener) -> ServerBuilder {
+        let settings = &self.shared.settings;
+        // All calls are answered before the server stops; what is left are tails of answers, which
+        // callers must read as fast as they must write requests.
         let builder = builder
-            .max_concurrent_connections(self.shared.settings.max_connections)
-            .shutdown_timeout(self.shared.settings.drain_limit.as_secs());
+            .max_concurrent_connections(settings.max_connections)
+            .shutdown_timeout(settings.request_timeout.as_secs().max(1));
         let service = move || {
             let shared = self.shared.clone();
             HttpService::build()
--- a/tests/src/experiment.rs
+++ b/tests/src/experiment.rs
@@ -1,4 +1,4 @@
-//! Measures placement policies side by side, in virtual time; docs/POLICY-NOTES.md.
+//! Measures placement policies side by side, in virtual time; docs/POLICY.md.
 //!
 //! A seeded trace goes straight into one [`cumintrail_control::Control`]; faults enter only as the
 //! events that a daemon would see, late and with gaps.
--- a/tests/tests/planned_stop.rs
+++ b/tests/tests/planned_stop.rs
@@ -4,7 +4,8 @@
 use std::time::{Duration, Instant};
 
 use actix_http::Method;
-use cumintrail_tests::cluster::{CALLER_KEY, Cluster, Plan, eventually};
+use cumintrail_daemon::Daemon;
+use cumintrail_tests::cluster::{CALLER_KEY, Cluster, Plan, eventually, settings};
 use cumintrail_tests::http::{Got, send};
 use cumintrail_tests::process_cluster::ProcessCluster;
 use cumintrail_tests::standins::{engine, platform, service};
@@ -12,6 +13,8 @@
 use cumintrail_wire::caller::{IDEMPOTENCY_HEADER, REPLAYED_HEADER, RefusalBody};
 use futures_util::StreamExt;
 use nix::sys::signal::Signal;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 
 const BINARY: &str = env!("CARGO_BIN_EXE_cumintrail-tests");
 const LIMIT: Duration = Duration::from_secs(30);
@@ -155,3 +158,30 @@
     let gone = send(Method::GET, at, "/livez", &[], "", LIMIT).await;
     assert_eq!(gone.status, 0);
 }
+
+#[actix_rt::test]
+async fn a_caller_that_reads_nothing_does_not_hold_up_the_stop() {
+    let cluster = Cluster::spawn(&Plan { daemons: 1, ..Plan::default() }).await.unwrap();
+    let mut settings = settings(1, cluster.platform.address(), &[]).unwrap();
+    settings.max_body_bytes = 64 << 20;
+    settings.request_timeout = Duration::from_secs(2);
+    let daemon = Daemon::spawn(settings).unwrap();
+    assert!(eventually(Duration::from_secs(5), || daemon.is_ready()).await);
+
+    // The service answers with what it was sent, which is more than socket buffers hold.
+    let body = "w".repeat(32 << 20);
+    let head = format!(
+        "POST /services/holds/place HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {CALLER_KEY}\r\n\
+         content-length: {}\r\n\r\n",
+        body.len()
+    );
+    let mut caller = TcpStream::connect(daemon.caller_address()).await.unwrap();
+    caller.write_all((head + &body).as_bytes()).await.unwrap();
+    let ran = || !cluster.services[0].executions().is_empty();
+    assert!(eventually(Duration::from_secs(10), ran).await);
+    let mut first = [0; 64];
+    assert!(caller.read(&mut first).await.unwrap() > 0);
+
+    let stopped = actix_rt::time::timeout(Duration::from_secs(15), daemon.stop()).await;
+    assert!(stopped.is_ok(), "the stop waits for a caller that does not read");
+}
