Split the engine stand-in and keep one wait for a refusal

Change: streaming and orders of the engine stand in files of their own; `refused` stands once beside `lost`. No behaviour changes.

--- a/crates/cumintrail-daemon/src/callers/model_answer.rs
+++ b/crates/cumintrail-daemon/src/callers/model_answer.rs
@@ -12,6 +12,7 @@
 
 use super::CallerBody;
 use super::refuse::json;
+use crate::control_thread::Command;
 
 const OK: u16 = 200;
 const CHUNKS_AHEAD: usize = 32;
@@ -168,6 +169,17 @@
     Refusal::unknown(cumintrail_types::RefusalCode::OutcomeUnknown)
 }
 
+/// Waits until the control thread gives a call up.
+pub async fn refused(commands: &mut mpsc::UnboundedReceiver<Command>) -> Refusal {
+    loop {
+        match commands.recv().await {
+            Some(Command::Refuse(refusal)) => return refusal,
+            Some(Command::Dispatch(_)) => {}
+            None => return lost(),
+        }
+    }
+}
+
 fn usage_body(usage: Usage) -> UsageBody {
     UsageBody {
         prompt_tokens: usage.prompt.0,
--- a/crates/cumintrail-daemon/src/callers/model_call.rs
+++ b/crates/cumintrail-daemon/src/callers/model_call.rs
@@ -15,7 +15,7 @@
 use tokio::sync::mpsc;
 
 use super::engine_attempt::{AttemptEnd, EngineCall};
-use super::model_answer::{AnswerStyle, CallEvent, Formatter, lost};
+use super::model_answer::{AnswerStyle, CallEvent, Formatter, lost, refused};
 use super::{CallerBody, Worker, auth, request};
 use crate::control_thread::Command;
 use crate::metric;
@@ -136,17 +136,6 @@
     }
 }
 
-/// Waits until the control thread gives the call up.
-async fn refused(commands: &mut mpsc::UnboundedReceiver<Command>) -> Refusal {
-    loop {
-        match commands.recv().await {
-            Some(Command::Refuse(refusal)) => return refusal,
-            Some(Command::Dispatch(_)) => {}
-            None => return lost(),
-        }
-    }
-}
-
 impl Worker {
     async fn tell_gone(&self, call: CallKey) {
         self.shared.control.tell(Event::CallerGone { call }).await;
--- a/crates/cumintrail-daemon/src/callers/service_run.rs
+++ b/crates/cumintrail-daemon/src/callers/service_run.rs
@@ -14,7 +14,7 @@
 
 use super::Worker;
 use super::keyed::Keyed;
-use super::model_answer::lost;
+use super::model_answer::{lost, refused};
 use super::service_call::PlainCall;
 use crate::control_thread::Command;
 use crate::metric;
@@ -205,14 +205,3 @@
         None => Err(ClientError::NotSent),
     }
 }
-
-/// Waits until the control thread gives the call up.
-async fn refused(commands: &mut mpsc::UnboundedReceiver<Command>) -> Refusal {
-    loop {
-        match commands.recv().await {
-            Some(Command::Refuse(refusal)) => return refusal,
-            Some(Command::Dispatch(_)) => {}
-            None => return lost(),
-        }
-    }
-}
--- a/tests/src/standins/engine.rs
+++ b/tests/src/standins/engine.rs
@@ -2,24 +2,25 @@
 //!
 //! Kept state of a piece is a fixed text of its key, so that a wrong block shows in the answer.
 
+mod orders;
+mod streaming;
+
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use actix_http::body::{BodyStream, BoxBody};
 use actix_http::{Method, Request, StatusCode};
 use bytes::Bytes;
-use cumintrail_types::{BlockKey, Digest, FencingNumber, Incarnation, WeightVersion};
+use cumintrail_types::{BlockKey, FencingNumber, Incarnation, WeightVersion};
 use cumintrail_wire::engine::{
-    CALL_HEADER, CacheEvent, CacheEvents, END_EVENT, EndEvent, EngineReason, EngineRefusal,
-    ExportOrder, ExportReport, Generate, ImportOrder, ImportOutcome, ImportReport, LoadOrder,
-    Report, TOKEN_EVENT, TokenEvent,
+    CacheEvent, EndEvent, EngineReason, EngineRefusal, Generate, Report,
 };
-use cumintrail_wire::store::{DIGEST_HEADER, WRITE_HEADER};
 use serde::{Deserialize, Serialize};
-use tokio::sync::{Notify, Semaphore, mpsc};
+use tokio::sync::{Notify, Semaphore};
 
+use self::orders::{cache_events, export, import, report, take_order};
+use self::streaming::stream_answer;
 use crate::http::{self, Answer, Running, empty, json};
 
 const EVENTS_KEPT: usize = 4_096;
@@ -465,178 +466,3 @@
     }
     stream_answer(inner, call, last)
 }
-
-fn stream_answer(inner: &Arc<Inner>, call: &str, last: u32) -> Answer {
-    let (tx, rx) = mpsc::channel::<Result<Bytes, std::io::Error>>(16);
-    actix_rt::spawn(feed(inner.clone(), call.to_owned(), last, tx));
-    let events =
-        futures_util::stream::unfold(rx, |mut rx| async { rx.recv().await.map(|e| (e, rx)) });
-    let mut answer =
-        Answer::with_body(StatusCode::OK, BoxBody::new(BodyStream::new(Box::pin(events))));
-    let headers = answer.headers_mut();
-    let kind = actix_http::header::HeaderValue::from_static("text/event-stream");
-    headers.insert(actix_http::header::CONTENT_TYPE, kind);
-    if let Ok(value) = call.parse() {
-        headers.insert(actix_http::header::HeaderName::from_static(CALL_HEADER), value);
-    }
-    answer
-}
-
-/// What to write next to one connection.
-enum Next {
-    Event(Bytes),
-    End(Bytes),
-    Wait(Arc<Notify>),
-    Silence,
-    Cut,
-}
-
-/// Writes the events of a stream to one connection.
-async fn feed(
-    inner: Arc<Inner>,
-    call: String,
-    mut last: u32,
-    tx: mpsc::Sender<Result<Bytes, std::io::Error>>,
-) {
-    let mut sent = 0;
-    loop {
-        let next = next_event(&inner, &call, &mut last, sent);
-        match next {
-            Next::Event(chunk) => {
-                sent += 1;
-                if tx.send(Ok(chunk)).await.is_err() {
-                    return;
-                }
-            }
-            Next::End(chunk) => {
-                let _ = tx.send(Ok(chunk)).await;
-                return;
-            }
-            Next::Wait(changed) => {
-                // A notification between the look and the wait is caught by the time limit.
-                let wait = Duration::from_millis(20);
-                let _ = actix_rt::time::timeout(wait, changed.notified()).await;
-                if tx.is_closed() {
-                    return;
-                }
-            }
-            Next::Silence => return tx.closed().await,
-            Next::Cut => {
-                let _ = tx.send(Err(std::io::Error::other("cut"))).await;
-                return;
-            }
-        }
-    }
-}
-
-fn next_event(inner: &Inner, call: &str, last: &mut u32, sent: u32) -> Next {
-    let mut state = inner.lock();
-    let fault = state.fault;
-    let Some(stream) = state.streams.get_mut(call) else {
-        return Next::Cut;
-    };
-    stream.read = Instant::now();
-    let shown = if fault.foreign_answers { "somebody-else" } else { call };
-    match (stream.tokens.get(*last as usize), &stream.end) {
-        _ if fault.cut_after > 0 && sent >= fault.cut_after => Next::Cut,
-        _ if fault.silent_after > 0 && sent >= fault.silent_after => Next::Silence,
-        (Some(text), _) => {
-            *last += 1;
-            let text = if fault.foreign_answers { FOREIGN.to_owned() } else { text.clone() };
-            let event = TokenEvent { call: shown.to_owned(), text };
-            Next::Event(sse(TOKEN_EVENT, *last, &event))
-        }
-        (None, Some(end)) => {
-            let event = EndEvent { call: shown.to_owned(), ..end.clone() };
-            Next::End(sse(END_EVENT, *last, &event))
-        }
-        (None, None) if stream.cancelled => Next::Cut,
-        (None, None) => Next::Wait(stream.changed.clone()),
-    }
-}
-
-fn sse<T: Serialize>(kind: &str, id: u32, event: &T) -> Bytes {
-    let data = serde_json::to_string(event).unwrap_or_default();
-    format!("id: {id}\nevent: {kind}\ndata: {data}\n\n").into()
-}
-
-async fn import(inner: &Inner, order: ImportOrder) -> Answer {
-    let path = format!("/blocks/{}", order.key);
-    let tag = format!("\"{}\"", order.write_id);
-    let got = http::send(
-        Method::GET,
-        order.store,
-        &path,
-        &[("if-match", &tag)],
-        Bytes::new(),
-        TRANSFER_LIMIT,
-    )
-    .await;
-    let outcome = match got.status {
-        200 if got.whole => {
-            let (digest, length) = (Digest::of(&got.body), got.body.len() as u64);
-            inner.lock().staged.insert(order.import, (order.key, got.body));
-            ImportOutcome::Staged { digest, length: length.into() }
-        }
-        404 | 412 => ImportOutcome::Missing,
-        _ => ImportOutcome::Failed,
-    };
-    json(StatusCode::OK, &ImportReport { outcome })
-}
-
-async fn export(inner: &Inner, order: ExportOrder) -> Answer {
-    if !inner.lock().held.contains(&order.key) {
-        return json(StatusCode::OK, &ExportReport { sealed: None });
-    }
-    let bytes = content_of(order.key, inner.limits.piece_bytes);
-    let (digest, length) = (Digest::of(&bytes), bytes.len() as u64);
-    let write_id = order.write_id.to_string();
-    let headers = [(WRITE_HEADER, write_id.as_str()), (DIGEST_HEADER, &digest.to_string())];
-    let path = format!("/blocks/{}", order.key);
-    let got = http::send(Method::PUT, order.store, &path, &headers, bytes, TRANSFER_LIMIT).await;
-    let sealed = (got.status == 200).then(|| (digest, length.into()));
-    json(StatusCode::OK, &ExportReport { sealed })
-}
-
-async fn take_order(inner: &Inner, order: LoadOrder) -> Answer {
-    {
-        let mut state = inner.lock();
-        if inner.limits.checks_fencing && order.fencing < state.fencing {
-            return refuse(EngineReason::OldFencing);
-        }
-        state.fencing = state.fencing.max(order.fencing);
-        state.orders.push((order.fencing, order.version));
-        state.loading += 1;
-    }
-    if let Some(weights) = inner.limits.weights {
-        let path = format!("/weights/{}", order.version);
-        http::send(Method::GET, weights, &path, &[], Bytes::new(), TRANSFER_LIMIT).await;
-    }
-    let mut state = inner.lock();
-    state.loading -= 1;
-    state.version = order.version;
-    json(StatusCode::OK, &state.report())
-}
-
-fn report(inner: &Inner) -> Answer {
-    let mut state = inner.lock();
-    let now = Instant::now();
-    let fresh = state.report();
-    state.reports.push_back((now, fresh));
-    while state.reports.len() > 1 && state.reports[1].0 + inner.limits.report_lag <= now {
-        state.reports.pop_front();
-    }
-    let told = state.reports.front().map_or(fresh, |(_, report)| *report);
-    json(StatusCode::OK, &told)
-}
-
-fn cache_events(inner: &Inner, req: &Request) -> Answer {
-    let state = inner.lock();
-    let after = http::query(req, "after").and_then(|v| v.parse().ok()).unwrap_or(0);
-    let every = inner.limits.event_gap_every;
-    let told = state.events.iter().filter(|(at, _)| at.elapsed() >= inner.limits.event_lag);
-    let events = told.map(|(_, e)| *e).filter(|e| e.number > after);
-    let events = events.filter(|e| every == 0 || e.number % every != 0).collect();
-    let oldest = state.events.front().map_or(state.next_event, |(_, e)| e.number);
-    json(StatusCode::OK, &CacheEvents { incarnation: state.incarnation, oldest, events })
-}
--- /dev/null
+++ b/tests/src/standins/engine/orders.rs
@@ -0,0 +1,96 @@
+//! Imports, exports, weight loads, load reports and cache events.
+
+use std::time::Instant;
+
+use actix_http::{Method, Request, StatusCode};
+use bytes::Bytes;
+use cumintrail_types::Digest;
+use cumintrail_wire::engine::{
+    CacheEvents, EngineReason, ExportOrder, ExportReport, ImportOrder, ImportOutcome, ImportReport,
+    LoadOrder,
+};
+use cumintrail_wire::store::{DIGEST_HEADER, WRITE_HEADER};
+
+use super::{Inner, TRANSFER_LIMIT, content_of, refuse};
+use crate::http::{self, Answer, json};
+
+pub(super) async fn import(inner: &Inner, order: ImportOrder) -> Answer {
+    let path = format!("/blocks/{}", order.key);
+    let tag = format!("\"{}\"", order.write_id);
+    let got = http::send(
+        Method::GET,
+        order.store,
+        &path,
+        &[("if-match", &tag)],
+        Bytes::new(),
+        TRANSFER_LIMIT,
+    )
+    .await;
+    let outcome = match got.status {
+        200 if got.whole => {
+            let (digest, length) = (Digest::of(&got.body), got.body.len() as u64);
+            inner.lock().staged.insert(order.import, (order.key, got.body));
+            ImportOutcome::Staged { digest, length: length.into() }
+        }
+        404 | 412 => ImportOutcome::Missing,
+        _ => ImportOutcome::Failed,
+    };
+    json(StatusCode::OK, &ImportReport { outcome })
+}
+
+pub(super) async fn export(inner: &Inner, order: ExportOrder) -> Answer {
+    if !inner.lock().held.contains(&order.key) {
+        return json(StatusCode::OK, &ExportReport { sealed: None });
+    }
+    let bytes = content_of(order.key, inner.limits.piece_bytes);
+    let (digest, length) = (Digest::of(&bytes), bytes.len() as u64);
+    let write_id = order.write_id.to_string();
+    let headers = [(WRITE_HEADER, write_id.as_str()), (DIGEST_HEADER, &digest.to_string())];
+    let path = format!("/blocks/{}", order.key);
+    let got = http::send(Method::PUT, order.store, &path, &headers, bytes, TRANSFER_LIMIT).await;
+    let sealed = (got.status == 200).then(|| (digest, length.into()));
+    json(StatusCode::OK, &ExportReport { sealed })
+}
+
+pub(super) async fn take_order(inner: &Inner, order: LoadOrder) -> Answer {
+    {
+        let mut state = inner.lock();
+        if inner.limits.checks_fencing && order.fencing < state.fencing {
+            return refuse(EngineReason::OldFencing);
+        }
+        state.fencing = state.fencing.max(order.fencing);
+        state.orders.push((order.fencing, order.version));
+        state.loading += 1;
+    }
+    if let Some(weights) = inner.limits.weights {
+        let path = format!("/weights/{}", order.version);
+        http::send(Method::GET, weights, &path, &[], Bytes::new(), TRANSFER_LIMIT).await;
+    }
+    let mut state = inner.lock();
+    state.loading -= 1;
+    state.version = order.version;
+    json(StatusCode::OK, &state.report())
+}
+
+pub(super) fn report(inner: &Inner) -> Answer {
+    let mut state = inner.lock();
+    let now = Instant::now();
+    let fresh = state.report();
+    state.reports.push_back((now, fresh));
+    while state.reports.len() > 1 && state.reports[1].0 + inner.limits.report_lag <= now {
+        state.reports.pop_front();
+    }
+    let told = state.reports.front().map_or(fresh, |(_, report)| *report);
+    json(StatusCode::OK, &told)
+}
+
+pub(super) fn cache_events(inner: &Inner, req: &Request) -> Answer {
+    let state = inner.lock();
+    let after = http::query(req, "after").and_then(|v| v.parse().ok()).unwrap_or(0);
+    let every = inner.limits.event_gap_every;
+    let told = state.events.iter().filter(|(at, _)| at.elapsed() >= inner.limits.event_lag);
+    let events = told.map(|(_, e)| *e).filter(|e| e.number > after);
+    let events = events.filter(|e| every == 0 || e.number % every != 0).collect();
+    let oldest = state.events.front().map_or(state.next_event, |(_, e)| e.number);
+    json(StatusCode::OK, &CacheEvents { incarnation: state.incarnation, oldest, events })
+}
--- /dev/null
+++ b/tests/src/standins/engine/streaming.rs
@@ -0,0 +1,108 @@
+//! Answers as SSE, each event with its id, on any number of connections.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use actix_http::StatusCode;
+use actix_http::body::{BodyStream, BoxBody};
+use bytes::Bytes;
+use cumintrail_wire::engine::{CALL_HEADER, END_EVENT, EndEvent, TOKEN_EVENT, TokenEvent};
+use serde::Serialize;
+use tokio::sync::{Notify, mpsc};
+
+use super::{FOREIGN, Inner};
+use crate::http::Answer;
+
+pub(super) fn stream_answer(inner: &Arc<Inner>, call: &str, last: u32) -> Answer {
+    let (tx, rx) = mpsc::channel::<Result<Bytes, std::io::Error>>(16);
+    actix_rt::spawn(feed(inner.clone(), call.to_owned(), last, tx));
+    let events =
+        futures_util::stream::unfold(rx, |mut rx| async { rx.recv().await.map(|e| (e, rx)) });
+    let mut answer =
+        Answer::with_body(StatusCode::OK, BoxBody::new(BodyStream::new(Box::pin(events))));
+    let headers = answer.headers_mut();
+    let kind = actix_http::header::HeaderValue::from_static("text/event-stream");
+    headers.insert(actix_http::header::CONTENT_TYPE, kind);
+    if let Ok(value) = call.parse() {
+        headers.insert(actix_http::header::HeaderName::from_static(CALL_HEADER), value);
+    }
+    answer
+}
+
+/// What to write next to one connection.
+enum Next {
+    Event(Bytes),
+    End(Bytes),
+    Wait(Arc<Notify>),
+    Silence,
+    Cut,
+}
+
+/// Writes the events of a stream to one connection.
+async fn feed(
+    inner: Arc<Inner>,
+    call: String,
+    mut last: u32,
+    tx: mpsc::Sender<Result<Bytes, std::io::Error>>,
+) {
+    let mut sent = 0;
+    loop {
+        let next = next_event(&inner, &call, &mut last, sent);
+        match next {
+            Next::Event(chunk) => {
+                sent += 1;
+                if tx.send(Ok(chunk)).await.is_err() {
+                    return;
+                }
+            }
+            Next::End(chunk) => {
+                let _ = tx.send(Ok(chunk)).await;
+                return;
+            }
+            Next::Wait(changed) => {
+                // A notification between the look and the wait is caught by the time limit.
+                let wait = Duration::from_millis(20);
+                let _ = actix_rt::time::timeout(wait, changed.notified()).await;
+                if tx.is_closed() {
+                    return;
+                }
+            }
+            Next::Silence => return tx.closed().await,
+            Next::Cut => {
+                let _ = tx.send(Err(std::io::Error::other("cut"))).await;
+                return;
+            }
+        }
+    }
+}
+
+fn next_event(inner: &Inner, call: &str, last: &mut u32, sent: u32) -> Next {
+    let mut state = inner.lock();
+    let fault = state.fault;
+    let Some(stream) = state.streams.get_mut(call) else {
+        return Next::Cut;
+    };
+    stream.read = Instant::now();
+    let shown = if fault.foreign_answers { "somebody-else" } else { call };
+    match (stream.tokens.get(*last as usize), &stream.end) {
+        _ if fault.cut_after > 0 && sent >= fault.cut_after => Next::Cut,
+        _ if fault.silent_after > 0 && sent >= fault.silent_after => Next::Silence,
+        (Some(text), _) => {
+            *last += 1;
+            let text = if fault.foreign_answers { FOREIGN.to_owned() } else { text.clone() };
+            let event = TokenEvent { call: shown.to_owned(), text };
+            Next::Event(sse(TOKEN_EVENT, *last, &event))
+        }
+        (None, Some(end)) => {
+            let event = EndEvent { call: shown.to_owned(), ..end.clone() };
+            Next::End(sse(END_EVENT, *last, &event))
+        }
+        (None, None) if stream.cancelled => Next::Cut,
+        (None, None) => Next::Wait(stream.changed.clone()),
+    }
+}
+
+fn sse<T: Serialize>(kind: &str, id: u32, event: &T) -> Bytes {
+    let data = serde_json::to_string(event).unwrap_or_default();
+    format!("id: {id}\nevent: {kind}\ndata: {data}\n\n").into()
+}
