Cut a caller that takes no byte, and follow planned stops in the long run

The injector waited inside one planned stop for 30 s while it kept that VM cut off from the platform, so the stop could not give its claim back, which it may try for 30 s by itself. The stop was right and the wait was not: what a stop waits for was held up by the test.

Ruled out: a shorter RELEASE_LIMIT, which leaves a claim of a call that never ran and bars its key for the caller; a fixed bound on connections at a stop, which cuts slow readers.

Change: the injector looks at a stopping daemon in each tick and starts it anew when it has ended; it must end with status 0 within 30 s from when it could reach the platform again, which is as strict for the daemon. A connection breaks when its other end takes no byte for stall_limit_ms (10 s), also outside a stop (tokio-io-timeout). The two copies of the HTTP factory are one module.

--- a/crates/cumintrail-config/src/settings.rs
+++ b/crates/cumintrail-config/src/settings.rs
@@ -47,6 +47,8 @@
     pub max_body_bytes: usize,
     /// The time in which a request's head and body must arrive.
     pub request_timeout: Duration,
+    /// The time for which a connection may take no byte of an answer.
+    pub stall_limit: Duration,
     /// Concurrent connections of callers per traffic thread.
     pub max_connections: usize,
     /// Events that may wait for the control thread.
@@ -185,6 +187,7 @@
         let mut r = SectionReader::new(&limits, problems);
         let max_body_bytes = r.within("max_body_bytes", 4 << 20, 1_024..=256 << 20) as usize;
         let request_timeout = r.millis("request_timeout_ms", 10_000, 100..=120_000);
+        let stall_limit = r.millis("stall_limit_ms", 10_000, 1_000..=600_000);
         let max_connections = r.within("max_connections", 4_096, 8..=100_000) as usize;
         let control_queue = r.within("control_queue", 4_096, 16..=65_536) as usize;
         let workers = r.within("workers", 2, 1..=64) as usize;
@@ -220,6 +223,7 @@
             peers,
             max_body_bytes,
             request_timeout,
+            stall_limit,
             max_connections,
             control_queue,
             workers,
--- a/crates/cumintrail-daemon/src/callers.rs
+++ b/crates/cumintrail-daemon/src/callers.rs
@@ -14,18 +14,15 @@
 mod service_call;
 mod service_run;
 
-use std::convert::Infallible;
+use std::io;
 use std::net::TcpListener;
-use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
-use actix_http::{HttpService, Request};
-use actix_server::ServerBuilder;
-use actix_service::{ServiceFactoryExt as _, fn_factory, fn_service};
+use actix_server::ServerHandle;
 use cumintrail_client::{HttpEngine, HttpPeer, HttpPlatform, HttpService as PlainService};
 
-use crate::daemon::ListenFactory;
+use crate::endpoint::{self, Limits};
 use crate::shared::Shared;
 
 use self::records::Records;
@@ -64,42 +61,15 @@
     }
 }
 
-/// Makes the callers' HTTP service on each traffic thread.
-#[derive(Clone)]
-pub struct Factory {
-    shared: Arc<Shared>,
-}
-
-impl Factory {
-    /// Serves with the daemon's shared state.
-    pub const fn new(shared: Arc<Shared>) -> Self {
-        Self { shared }
-    }
-}
-
-impl ListenFactory for Factory {
-    fn listen(self, builder: ServerBuilder, listener: TcpListener) -> ServerBuilder {
-        let settings = &self.shared.settings;
-        let builder = builder
-            .max_concurrent_connections(settings.max_connections)
-            .shutdown_timeout(settings.drain_limit.as_secs());
-        let service = move || {
-            let shared = self.shared.clone();
-            HttpService::build()
-                .client_request_timeout(shared.settings.request_timeout + BODY_MARGIN)
-                .finish(fn_factory(move || {
-                    let shared = shared.clone();
-                    async move {
-                        let worker = Rc::new(Worker::open(shared));
-                        Ok::<_, Infallible>(fn_service(move |req: Request| {
-                            let worker = worker.clone();
-                            async move { Ok::<_, Infallible>(router::answer(worker, req).await) }
-                        }))
-                    }
-                }))
-                .tcp()
-                .map_err(|_| ())
-        };
-        builder.listen("callers", listener, service).expect("the listener is bound already")
-    }
+/// Serves callers on `listener`.
+pub fn serve(listener: TcpListener, shared: Arc<Shared>) -> io::Result<ServerHandle> {
+    let settings = &shared.settings;
+    let limits = Limits {
+        workers: settings.workers,
+        connections: settings.max_connections,
+        request_timeout: settings.request_timeout + BODY_MARGIN,
+        stall_limit: settings.stall_limit,
+        stop_limit: settings.drain_limit,
+    };
+    endpoint::serve(listener, limits, shared, router::answer)
 }
--- a/crates/cumintrail-daemon/src/daemon.rs
+++ b/crates/cumintrail-daemon/src/daemon.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use actix_rt::Arbiter;
-use actix_server::{Server, ServerHandle};
+use actix_server::ServerHandle;
 use cumintrail_config::Settings;
 use cumintrail_control::{Control, Event, Identity};
 use cumintrail_types::{Generation, Incarnation};
@@ -34,6 +34,12 @@
         /// The system's error.
         source: io::Error,
     },
+    /// A bound address cannot be served.
+    #[snafu(display("cannot serve a listener; raise the limit of open files: {source}"))]
+    Serve {
+        /// The system's error.
+        source: io::Error,
+    },
 }
 
 /// Runs one entry VM's daemon.
@@ -65,7 +71,6 @@
         let control = Control::new(identity, rand::rng().random());
         let (link, inbox) = control_thread::channel(settings.control_queue);
         let (orders_tx, orders_rx) = tokio::sync::mpsc::unbounded_channel();
-        let workers = settings.workers;
         let shared = Arc::new(Shared::new(settings, incarnation, operator_address, link, clock));
 
         let control_arbiter = Arbiter::new();
@@ -77,8 +82,8 @@
         });
 
         let servers = [
-            serve(callers, workers, callers::Factory::new(shared.clone())),
-            serve(operators, 1, operators::Factory::new(shared.clone())),
+            callers::serve(callers, shared.clone()).context(ServeSnafu)?,
+            operators::serve(operators, shared.clone()).context(ServeSnafu)?,
         ];
         log::info!("vm {} serves callers on {caller_address}", shared.settings.vm);
         Ok(Self {
@@ -138,24 +143,6 @@
     }
 }
 
-fn serve<F: ListenFactory>(listener: TcpListener, workers: usize, factory: F) -> ServerHandle {
-    let builder = Server::build().workers(workers).disable_signals();
-    let server = factory.listen(builder, listener).run();
-    let handle = server.handle();
-    actix_rt::spawn(server);
-    handle
-}
-
-/// Adds a kind of HTTP endpoint to a server.
-pub trait ListenFactory {
-    /// Serves `listener` with this factory's services.
-    fn listen(
-        self,
-        builder: actix_server::ServerBuilder,
-        listener: TcpListener,
-    ) -> actix_server::ServerBuilder;
-}
-
 fn listen(address: SocketAddr, setting: &'static str) -> Result<TcpListener, SpawnError> {
     TcpListener::bind(address).context(ListenSnafu { address, setting })
 }
--- a/crates/cumintrail-daemon/src/lib.rs
+++ b/crates/cumintrail-daemon/src/lib.rs
@@ -11,6 +11,7 @@
 mod control_thread;
 mod daemon;
 mod degraded;
+mod endpoint;
 mod metric;
 mod operators;
 mod process;
--- a/crates/cumintrail-daemon/src/operators.rs
+++ b/crates/cumintrail-daemon/src/operators.rs
@@ -1,14 +1,14 @@
 //! The operators' and peers' endpoint, with its own address and keys.
 
-use std::convert::Infallible;
+use std::io;
 use std::net::TcpListener;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use actix_http::header::{CONTENT_TYPE, HeaderValue};
-use actix_http::{HttpService, Method, Request, Response, StatusCode};
-use actix_server::ServerBuilder;
-use actix_service::{ServiceFactoryExt as _, fn_factory, fn_service};
+use actix_http::{Method, Request, Response, StatusCode};
+use actix_server::ServerHandle;
 use cumintrail_control::{Dump, Event, PeerDigest};
 use cumintrail_types::{Refusal, RefusalCode};
 use cumintrail_wire::operator::{Age, DrainOrder, Status};
@@ -19,7 +19,7 @@
 use serde::Serialize;
 
 use crate::callers::{CallerBody, Worker, auth, operation_keys, refuse, request};
-use crate::daemon::ListenFactory;
+use crate::endpoint::{self, Limits};
 use crate::shared::Shared;
 use crate::{degraded, metric};
 
@@ -27,44 +27,20 @@
 const UNAVAILABLE: u16 = 503;
 const MAX_ORDER_BYTES: usize = 4 << 10;
 /// Peers keep connections open; none of them may hold up a planned stop.
-const STOP_LIMIT_S: u64 = 1;
+const STOP_LIMIT: Duration = Duration::from_secs(1);
 const MAX_PEER_BYTES: usize = 32 << 20;
 
-/// Makes the operators' HTTP service.
-#[derive(Clone)]
-pub struct Factory {
-    shared: Arc<Shared>,
-}
-
-impl Factory {
-    /// Serves with the daemon's shared state.
-    pub const fn new(shared: Arc<Shared>) -> Self {
-        Self { shared }
-    }
-}
-
-impl ListenFactory for Factory {
-    fn listen(self, builder: ServerBuilder, listener: TcpListener) -> ServerBuilder {
-        let service = move || {
-            let shared = self.shared.clone();
-            HttpService::build()
-                .client_request_timeout(shared.settings.request_timeout)
-                .finish(fn_factory(move || {
-                    let shared = shared.clone();
-                    async move {
-                        let worker = Rc::new(Worker::open(shared));
-                        Ok::<_, Infallible>(fn_service(move |req: Request| {
-                            let worker = worker.clone();
-                            async move { Ok::<_, Infallible>(answer(worker, req).await) }
-                        }))
-                    }
-                }))
-                .tcp()
-                .map_err(|_| ())
-        };
-        let builder = builder.shutdown_timeout(STOP_LIMIT_S);
-        builder.listen("operators", listener, service).expect("the listener is bound already")
-    }
+/// Serves operators and peers on `listener`.
+pub fn serve(listener: TcpListener, shared: Arc<Shared>) -> io::Result<ServerHandle> {
+    let settings = &shared.settings;
+    let limits = Limits {
+        workers: 1,
+        connections: settings.max_connections,
+        request_timeout: settings.request_timeout,
+        stall_limit: settings.stall_limit,
+        stop_limit: STOP_LIMIT,
+    };
+    endpoint::serve(listener, limits, shared, answer)
 }
 
 async fn answer(worker: Rc<Worker>, req: Request) -> Response<CallerBody> {
--- a/tests/src/longrun/faults.rs
+++ b/tests/src/longrun/faults.rs
@@ -18,8 +18,16 @@
 
 /// The users' "few seconds" after which a leaving target gets no new work.
 const LEAVING_LIMIT: Duration = Duration::from_secs(5);
+const STOP_POLL: Duration = Duration::from_millis(20);
 const SLOW_LINK_FACTOR: u64 = 2_000;
 
+/// Watches a daemon that was told to stop.
+struct Stopping {
+    vm: usize,
+    /// When the stop began, or when the daemon could last not reach the platform.
+    since: Instant,
+}
+
 /// Watches a target that leaves.
 struct Leaving {
     since: Instant,
@@ -41,6 +49,7 @@
     waiting: Vec<Planned>,
     active: Vec<Planned>,
     leaving: Vec<Leaving>,
+    stopping: Vec<Stopping>,
     version: WeightVersion,
     weight: u32,
     /// When a daemon was last started or went on after a pause.
@@ -59,6 +68,7 @@
             waiting: schedule,
             active: Vec::new(),
             leaving: Vec::new(),
+            stopping: Vec::new(),
             version: WeightVersion(1),
             weight: 1,
             disturbed: Instant::now(),
@@ -71,25 +81,57 @@
         let (ended, active): (Vec<_>, Vec<_>) = self.active.drain(..).partition(over);
         self.active = active;
         for planned in ended {
-            self.end(planned.fault).await?;
+            self.end(planned.fault)?;
         }
         let (due, waiting): (Vec<_>, Vec<_>) =
             self.waiting.drain(..).partition(|p| p.at <= elapsed);
         self.waiting = waiting;
         for planned in due {
-            if self.active.iter().any(|p| p.fault.shares_process(planned.fault)) {
+            let vm = planned.fault.process();
+            let stops = self.stopping.iter().any(|s| Some(s.vm) == vm);
+            if stops || self.active.iter().any(|p| p.fault.shares_process(planned.fault)) {
                 continue;
             }
             self.begin(planned.fault).await?;
             self.active.push(planned);
         }
-        Ok(())
+        self.follow_stops()
     }
 
     /// Ends all faults but leaving, which is for good.
     pub async fn heal_all(&mut self) -> Result<(), ClusterError> {
         for planned in std::mem::take(&mut self.active) {
-            self.end(planned.fault).await?;
+            self.end(planned.fault)?;
+        }
+        while !self.stopping.is_empty() {
+            self.follow_stops()?;
+            actix_rt::time::sleep(STOP_POLL).await;
+        }
+        Ok(())
+    }
+
+    /// Starts daemons anew whose planned stop has ended.
+    ///
+    /// A stop lasts as long as an outcome cannot be recorded, so its time counts from when the
+    /// daemon could reach the platform again.
+    fn follow_stops(&mut self) -> Result<(), ClusterError> {
+        for mut stopping in std::mem::take(&mut self.stopping) {
+            let vm = stopping.vm;
+            if self.active.iter().any(|p| p.fault.hides_platform(vm)) {
+                stopping.since = Instant::now();
+            }
+            match self.deployment.vms[vm].process.status() {
+                None if stopping.since.elapsed() < ANSWER_LIMIT => {
+                    self.stopping.push(stopping);
+                    continue;
+                }
+                Some(status) if status.success() => {}
+                status => {
+                    let what = format!("vm {vm} ends a stop with {status:?}");
+                    self.book.borrow_mut().violate(what);
+                }
+            }
+            self.start(vm)?;
         }
         Ok(())
     }
@@ -159,7 +201,7 @@
         Ok(())
     }
 
-    async fn end(&mut self, fault: Fault) -> Result<(), ClusterError> {
+    fn end(&mut self, fault: Fault) -> Result<(), ClusterError> {
         let d = &mut self.deployment;
         match fault {
             Fault::Kill(vm) => self.start(vm)?,
@@ -167,13 +209,8 @@
                 d.vms[vm].process.signal(Signal::SIGCONT);
                 self.disturbed = Instant::now();
             }
-            Fault::Stop(vm) => {
-                let status = d.vms[vm].process.ended(ANSWER_LIMIT).await;
-                if !status.is_some_and(|s| s.success()) {
-                    self.book.borrow_mut().violate(format!("vm {vm} ends a stop with {status:?}"));
-                }
-                self.start(vm)?;
-            }
+            // Started anew as soon as it has ended.
+            Fault::Stop(vm) => self.stopping.push(Stopping { vm, since: Instant::now() }),
             Fault::Link(link, i, _) => relay(d, link, i).set(Mode::Pass),
             Fault::PlatformDown => set_platform(d, |f| f.down = false),
             Fault::PlatformSlow => set_platform(d, |f| f.slow_ms = 0),
--- a/tests/src/longrun/schedule.rs
+++ b/tests/src/longrun/schedule.rs
@@ -89,11 +89,24 @@
 impl Fault {
     /// Tells whether two faults would act on the process of one daemon.
     pub fn shares_process(self, other: Self) -> bool {
-        let process = |fault| match fault {
+        self.process().is_some() && self.process() == other.process()
+    }
+
+    /// Returns the daemon on whose process a fault acts.
+    pub fn process(self) -> Option<usize> {
+        match self {
             Self::Kill(vm) | Self::Pause(vm) | Self::Stop(vm) => Some(vm),
             _ => None,
-        };
-        process(self).is_some() && process(self) == process(other)
+        }
+    }
+
+    /// Tells whether a daemon cannot rely on the platform during the fault.
+    pub fn hides_platform(self, vm: usize) -> bool {
+        match self {
+            Self::PlatformDown | Self::PlatformSlow | Self::PlatformLosesAnswers => true,
+            Self::Link(Link::Platform, cut, _) => cut == vm,
+            _ => false,
+        }
     }
 }
 
--- a/tests/src/process.rs
+++ b/tests/src/process.rs
@@ -57,11 +57,16 @@
         let _ = self.child.wait();
     }
 
+    /// Returns how the process ended, if it has.
+    pub fn status(&mut self) -> Option<ExitStatus> {
+        self.child.try_wait().ok().flatten()
+    }
+
     /// Waits for the process to end by itself, while the caller's other tasks go on.
     pub async fn ended(&mut self, limit: Duration) -> Option<ExitStatus> {
         let deadline = Instant::now() + limit;
         while Instant::now() < deadline {
-            if let Ok(Some(status)) = self.child.try_wait() {
+            if let Some(status) = self.status() {
                 return Some(status);
             }
             actix_rt::time::sleep(Duration::from_millis(10)).await;
@@ -73,7 +78,7 @@
     pub fn wait(&mut self, limit: Duration) -> Option<ExitStatus> {
         let deadline = Instant::now() + limit;
         while Instant::now() < deadline {
-            if let Ok(Some(status)) = self.child.try_wait() {
+            if let Some(status) = self.status() {
                 return Some(status);
             }
             std::thread::sleep(Duration::from_millis(10));
