Call a drained VM safe only when all outcomes are recorded

Cause: drain --vm looked at calls in flight only. While the table does not answer, a call under an idempotency key has ended but its outcome is not written; stopping the VM then loses it, and its caller's repeat is told outcome-unknown although the call was answered. Found in the read-through.

Ruled out: waiting inside the daemon's drain order, which would hold a connection for as long as an outage lasts.

Change: status counts pending outcomes; drain reads it after the dump, since a call that ends in between is counted there.

Before: cli::a_drained_vm_is_safe_only_when_its_outcomes_are_recorded failed, 'safe' was told during the outage. After: cli 6 of 6 passed in 3.6 s.

--- a/crates/cumintrail-cli/src/drain.rs
+++ b/crates/cumintrail-cli/src/drain.rs
@@ -6,7 +6,7 @@
 
 use cumintrail_client::ClientError;
 use cumintrail_control::Dump;
-use cumintrail_wire::operator::DrainOrder;
+use cumintrail_wire::operator::{DrainOrder, Status};
 use futures_util::future::join_all;
 use serde::Serialize;
 use snafu::ResultExt;
@@ -125,14 +125,28 @@
     let told = access.post(address, "/operator/drain", order).await;
     told.context(UnreachableSnafu { what: name, hint: HINT })?;
     let mut missing = Missing::default();
-    let reason = match access.get::<Dump>(address, "/debug/state").await {
-        Err(_) => Some("no answer".to_owned()),
-        Ok(dump) if !dump.stopping => Some("still takes calls".to_owned()),
-        Ok(dump) if !dump.calls.is_empty() => Some(format!("{} calls in flight", dump.calls.len())),
-        Ok(_) => None,
-    };
-    if let Some(reason) = reason {
+    if let Some(reason) = reason_of_vm(access, address).await {
         missing.add(&row.domain, &format!("{address}: {reason}"));
     }
     Ok(missing)
 }
+
+/// Tells why a daemon is not safe to stop.
+///
+/// The status is read after the dump: a call that has ended meanwhile is counted there until its
+/// outcome is recorded.
+async fn reason_of_vm(access: &Access, address: SocketAddr) -> Option<String> {
+    let dump = access.get::<Dump>(address, "/debug/state").await;
+    let status = access.get::<Status>(address, "/operator/status").await;
+    match (dump, status) {
+        (Err(_), _) | (_, Err(_)) => Some("no answer".to_owned()),
+        (Ok(dump), _) if !dump.stopping => Some("still takes calls".to_owned()),
+        (Ok(dump), _) if !dump.calls.is_empty() => {
+            Some(format!("{} calls in flight", dump.calls.len()))
+        }
+        (_, Ok(status)) if status.pending_outcomes > 0 => {
+            Some(format!("{} outcomes not recorded yet", status.pending_outcomes))
+        }
+        _ => None,
+    }
+}
--- a/crates/cumintrail-cli/tests/output.rs
+++ b/crates/cumintrail-cli/tests/output.rs
@@ -18,6 +18,7 @@
         degraded,
         calls: 12,
         waiting: 3,
+        pending_outcomes: 0,
     };
     StatusRow { domain: domain.into(), address: "10.0.0.1:7002".into(), status: Some(status) }
 }
--- a/crates/cumintrail-daemon/src/operators.rs
+++ b/crates/cumintrail-daemon/src/operators.rs
@@ -96,6 +96,7 @@
         degraded,
         calls: dump.calls.len(),
         waiting: dump.waiting,
+        pending_outcomes: shared.pending_outcomes(),
     })
 }
 
--- a/crates/cumintrail-wire/src/operator.rs
+++ b/crates/cumintrail-wire/src/operator.rs
@@ -33,6 +33,8 @@
     pub calls: usize,
     /// Calls of these that wait for a slot.
     pub waiting: usize,
+    /// Calls under an idempotency key whose outcome is still to be recorded.
+    pub pending_outcomes: usize,
 }
 
 /// Holds the body of `POST /operator/drain`.
--- a/tests/tests/cli.rs
+++ b/tests/tests/cli.rs
@@ -6,12 +6,14 @@
 use actix_http::Method;
 use clap::{CommandFactory, Parser};
 use cumintrail_cli::drain::drain;
-use cumintrail_cli::{Arguments, CliError, Missing, run};
+use cumintrail_cli::{Access, Arguments, CliError, Missing, run};
 use cumintrail_client::{ClientError, Objects};
 use cumintrail_config::{Problem, Problems};
 use cumintrail_tests::cluster::{CALLER_KEY, Cluster, OPERATOR_KEY, Plan, eventually};
 use cumintrail_tests::http::send;
+use cumintrail_tests::standins::{platform, service};
 use cumintrail_types::{Digest, Generation};
+use cumintrail_wire::caller::IDEMPOTENCY_HEADER;
 use cumintrail_wire::operator::DrainOrder;
 use cumintrail_wire::peer::material_name;
 use serde_json::Value;
@@ -90,6 +92,38 @@
     assert!(!cluster.daemons[1].is_ready() && cluster.daemons[0].is_ready());
 }
 
+#[actix_rt::test]
+async fn a_drained_vm_is_safe_only_when_its_outcomes_are_recorded() {
+    let cluster = Cluster::spawn(&Plan::default()).await.unwrap();
+    let slow = service::Fault { slow_ms: 300, ..service::Fault::default() };
+    cluster.services[0].set_fault(slow);
+    let (at, operators) =
+        (cluster.daemons[1].caller_address(), cluster.daemons[1].operator_address());
+    let (written, _) = cluster.platform.table_use();
+    let call = actix_rt::spawn(async move {
+        let bearer = format!("Bearer {CALLER_KEY}");
+        let headers = [("authorization", bearer.as_str()), (IDEMPOTENCY_HEADER, "wheel-1")];
+        send(Method::POST, at, "/services/holds/place", &headers, "a wheel", LIMIT).await
+    });
+    assert!(eventually(LIMIT, || cluster.platform.table_use().0 > written).await);
+    cluster.platform.set_fault(platform::Fault { down: true, ..Default::default() });
+    assert_eq!(call.await.unwrap().status, 200);
+
+    let file = cluster.declarations.path().join("operator.conf");
+    let table = cluster.platform.address();
+    let text = format!(
+        "[platform]\ntable = {table}\nobjects = {table}\nvm_list = {table}\n\
+         [operator]\nkey = {OPERATOR_KEY}\ndaemons = {operators}\n"
+    );
+    std::fs::write(&file, text).unwrap();
+    let access = Access::open(&file).unwrap();
+    let order = DrainOrder::Vm("vm-1".into());
+    let early = drain(&access, &order, Duration::from_secs(1)).await.unwrap_err();
+    assert!(early.to_string().contains("1 outcome"), "{early}");
+    cluster.platform.set_fault(platform::Fault::default());
+    assert!(drain(&access, &order, LIMIT).await.unwrap().safe);
+}
+
 #[actix_rt::test]
 async fn a_text_file_of_shared_material_is_uploaded_and_named_by_its_digest() {
     let cluster = Cluster::spawn(&Plan::default()).await.unwrap();
