Count the bytes of store listings in the load tool

Cause: docs/CAPACITY.md works out what listings cost from a block's size; no run counted them. Change: the store stand-in counts the bodies of its listings, the report shows them per daemon.

--- a/tests/src/load/deployment.rs
+++ b/tests/src/load/deployment.rs
@@ -30,7 +30,7 @@
 pub struct Deployment {
     platform: Platform,
     engines: Vec<Engine>,
-    _store: Store,
+    store: Store,
     daemons: Vec<Process>,
     _files: tempfile::TempDir,
 }
@@ -54,6 +54,8 @@
     pub control_busy: Duration,
     /// Table reads of all daemons.
     pub table_reads: u64,
+    /// Bytes of listings that the store gave to all daemons.
+    pub listed_bytes: u64,
 }
 
 impl Deployment {
@@ -86,7 +88,7 @@
 
         let daemons = spawn_daemons(options, at, files.path()).map_err(ClusterError::from)?;
         platform.list_vms(daemons.iter().enumerate().map(listed).collect());
-        let deployment = Self { platform, engines, _store: store, daemons, _files: files };
+        let deployment = Self { platform, engines, store, daemons, _files: files };
         deployment.wait_ready().await?;
         Ok(deployment)
     }
@@ -125,6 +127,7 @@
             control_events: 0,
             control_busy: Duration::ZERO,
             table_reads: self.platform.table_use().1,
+            listed_bytes: self.store.listed_bytes(),
         };
         for (index, daemon) in self.daemons.iter().enumerate() {
             usage.processor += process_use::processor(daemon.pid());
--- a/tests/src/load/report.rs
+++ b/tests/src/load/report.rs
@@ -49,6 +49,8 @@
     pub peer_bytes_per_second: f64,
     /// Table reads a second.
     pub table_reads_per_second: f64,
+    /// Bytes of store listings a second, without HTTP heads.
+    pub listed_bytes_per_second: f64,
     /// Resident memory of the largest daemon.
     pub resident_bytes: u64,
 }
@@ -93,6 +95,7 @@
             control_events_per_second: rate(before.control_events, after.control_events),
             peer_bytes_per_second: rate(before.peer_bytes, after.peer_bytes),
             table_reads_per_second: rate(before.table_reads, after.table_reads),
+            listed_bytes_per_second: rate(before.listed_bytes, after.listed_bytes),
             resident_bytes: after.resident_bytes,
         }
     }
@@ -127,17 +130,18 @@
         )?;
         writeln!(
             f,
-            "PER DAEMON  CORE %  CONTROL %  EVENTS/s  PEER BYTES/s  TABLE READS/s  MEMORY MiB"
+            "PER DAEMON  CORE %  CONTROL %  EVENTS/s  PEER BYTES/s  TABLE READS/s  STORE BYTES/s  MEMORY MiB"
         )?;
         for (name, cost) in [("rest", &self.rest), ("load", &self.load)] {
             writeln!(
                 f,
-                "{name:<10}  {:>6.2}  {:>9.3}  {:>8.1}  {:>12.0}  {:>13.2}  {:>10.1}",
+                "{name:<10}  {:>6.2}  {:>9.3}  {:>8.1}  {:>12.0}  {:>13.2}  {:>13.0}  {:>10.1}",
                 cost.processor_share * 100.0,
                 cost.control_share * 100.0,
                 cost.control_events_per_second,
                 cost.peer_bytes_per_second,
                 cost.table_reads_per_second,
+                cost.listed_bytes_per_second,
                 cost.resident_bytes as f64 / f64::from(1 << 20),
             )?;
         }
--- a/tests/src/standins/store.rs
+++ b/tests/src/standins/store.rs
@@ -53,6 +53,7 @@
     fault: Fault,
     limits: Limits,
     sent_bytes: u64,
+    listed_bytes: u64,
 }
 
 /// Runs a store.
@@ -72,6 +73,7 @@
             fault: Fault::default(),
             limits,
             sent_bytes: 0,
+            listed_bytes: 0,
         };
         let state = Arc::new(Mutex::new(state));
         let link = Arc::new(tokio::sync::Mutex::new(()));
@@ -126,6 +128,11 @@
         self.lock().sent_bytes
     }
 
+    /// Returns the bytes of its listings that were read.
+    pub fn listed_bytes(&self) -> u64 {
+        self.lock().listed_bytes
+    }
+
     fn lock(&self) -> std::sync::MutexGuard<'_, State> {
         self.state.lock().expect("no holder panics")
     }
@@ -156,7 +163,7 @@
 }
 
 fn list(state: &Mutex<State>, req: &Request) -> Answer {
-    let state = state.lock().expect("no holder panics");
+    let mut state = state.lock().expect("no holder panics");
     let after = http::query(req, "after").and_then(|text| text.parse::<BlockKey>().ok());
     let limit = http::query(req, "limit").and_then(|text| text.parse().ok()).unwrap_or(1_000);
     let listed = state.blocks.values().filter(|b| after.is_none_or(|after| b.sealed.key > after));
@@ -164,7 +171,14 @@
         listed.take(limit + 1).map(|b| ListedBlock { sealed: b.sealed, tier: b.tier }).collect();
     let more = blocks.len() > limit;
     blocks.truncate(limit);
-    json(StatusCode::OK, &Listing { incarnation: state.incarnation, blocks, more })
+    let listing = Listing { incarnation: state.incarnation, blocks, more };
+    tell(&mut state, &listing)
+}
+
+/// Answers with JSON and counts its bytes.
+fn tell<T: Serialize>(state: &mut State, told: &T) -> Answer {
+    state.listed_bytes += serde_json::to_vec(told).map_or(0, |body| body.len() as u64);
+    json(StatusCode::OK, told)
 }
 
 async fn read(
