Follow stores by their changes and bound the directory

Cause: each daemon read the whole listing of each store every 30 s (1.6 MB/s at the two-year size, limit 4 KB/s) and remembered the blocks of all stores of all failure domains (450 MB, limit 128). Change: a store numbers what it seals and frees in each run and tells it since a number, in pages. A new run, a forgotten log, a number ahead of the store's or an answer without progress leads to a listing in pages with pauses, one store at a time, begun at a random moment that depends on how much the store holds; pages wait up to 5 s while the daemon's own imports use the link. A silent store's blocks are hidden instead of forgotten. A free that may not have arrived is noted, since no listing brings the block back. The directory remembers 400,000 blocks, own failure domain first, other stores only as a whole; exports go to stores that are known as a whole. Ruled out: clearing a store at the first page (hints would be gone during a listing); a part of another failure domain's store (a prompt needs its first blocks); a periodic listing as a repair (13 KB/s at once an hour).

--- a/crates/cumintrail-client/src/store.rs
+++ b/crates/cumintrail-client/src/store.rs
@@ -5,17 +5,22 @@
 
 use actix_http::Method;
 use cumintrail_types::{BlockKey, Sealed};
-use cumintrail_wire::store::Listing;
+use cumintrail_wire::store::{Changes, Listing};
 
 use crate::{ClientError, HttpClient};
 
 const TIMEOUT: Duration = Duration::from_secs(2);
+/// Entries of one page, which bounds what an answer takes from a store's link at once.
 const PAGE: usize = 1_000;
 
 /// Speaks to store VMs.
 pub trait Store {
     /// Lists a page of sealed blocks after `after`.
     async fn list(&self, at: SocketAddr, after: Option<BlockKey>) -> Result<Listing, ClientError>;
+    /// Reads a page of what was sealed and freed after change `after`.
+    async fn changes(&self, at: SocketAddr, after: u64) -> Result<Changes, ClientError>;
+    /// Asks only for the store's run and how much it holds.
+    async fn summary(&self, at: SocketAddr) -> Result<Changes, ClientError>;
     /// Frees the exact write of a block.
     async fn free(&self, at: SocketAddr, sealed: &Sealed) -> Result<(), ClientError>;
 }
@@ -39,6 +44,15 @@
         self.http.exchange(Method::GET, at, &path, None::<&()>).await
     }
 
+    async fn changes(&self, at: SocketAddr, after: u64) -> Result<Changes, ClientError> {
+        let path = format!("/changes?after={after}&limit={PAGE}");
+        self.http.exchange(Method::GET, at, &path, None::<&()>).await
+    }
+
+    async fn summary(&self, at: SocketAddr) -> Result<Changes, ClientError> {
+        self.http.exchange(Method::GET, at, "/changes?after=0&limit=0", None::<&()>).await
+    }
+
     async fn free(&self, at: SocketAddr, sealed: &Sealed) -> Result<(), ClientError> {
         let path = format!("/blocks/{}", sealed.key);
         let tag = format!("\"{}\"", sealed.write_id);
--- a/crates/cumintrail-control/src/control.rs
+++ b/crates/cumintrail-control/src/control.rs
@@ -8,6 +8,7 @@
 mod probes;
 mod rollouts;
 mod state;
+mod stores;
 mod upkeep;
 mod warming;
 
@@ -151,10 +152,11 @@
             Event::Exported { export, sealed } => {
                 self.take_export(now, export, sealed, &mut actions);
             }
-            Event::StoreListed { store, incarnation, first, blocks } => {
-                self.take_listing(now, store, incarnation, first, &blocks);
+            Event::StoreAnswered { store, ticket, answer } => {
+                self.take_store_answer(now, store, ticket, &answer);
             }
-            Event::StoreSilent { store } => self.take_store_silence(now, store),
+            Event::StoreSilent { store, ticket } => self.take_store_silence(now, store, ticket),
+            Event::FreeFailed { store, sealed } => self.take_failed_free(store, sealed),
             Event::VmsListed { sequence, vms } => self.take_vm_list(now, sequence, &vms),
             Event::PeerDigest(digest) => self.take_digest(now, &digest),
             Event::PeerSilent { address } => self.membership.peer_silent(address),
--- a/crates/cumintrail-control/src/control/attempts.rs
+++ b/crates/cumintrail-control/src/control/attempts.rs
@@ -129,7 +129,7 @@
         actions: &mut Actions,
     ) {
         self.directory.change_engine(target, pieces, &[]);
-        let stores = self.live_stores(now);
+        let stores = self.live_stores();
         self.keeping.plan(now, &self.directory, target, pieces, &stores);
         self.start_exports(now, actions);
     }
--- a/crates/cumintrail-control/src/control/blocks.rs
+++ b/crates/cumintrail-control/src/control/blocks.rs
@@ -11,7 +11,6 @@
 use crate::directory::Kept;
 use crate::keeping::{NotWorth, Planned, Room};
 use crate::links::Load;
-use crate::membership::Liveness;
 use crate::placement::Placer;
 use crate::{Action, Actions, Export, Fetch, FetchOutcome, FetchPlan};
 
@@ -31,7 +30,7 @@
     fn loads(&self, plan: &FetchPlan) -> SmallVec<[(StoreKey, Load); 2]> {
         let mut loads: SmallVec<[(StoreKey, Load); 2]> = SmallVec::new();
         for Fetch { store, sealed } in &plan.fetches {
-            let places = self.directory.kept(sealed.key).iter();
+            let places = self.directory.kept(sealed.key);
             let tier = places.filter(|k| k.store == *store).map(|k| k.tier).next();
             let at = loads.iter().position(|(s, _)| s == store).unwrap_or(loads.len());
             if at == loads.len() {
@@ -53,10 +52,10 @@
             match outcome {
                 FetchOutcome::Imported => {
                     self.directory.change_engine(target, &[*key], &[]);
-                    self.directory.promote(*store, *key);
+                    self.directory.stores_mut().promote(*store, *key);
                 }
                 FetchOutcome::Missing | FetchOutcome::Mismatch => {
-                    self.directory.remove_kept(*store, *key);
+                    self.directory.stores_mut().remove(*store, *key);
                 }
                 FetchOutcome::Failed => {}
             }
@@ -96,35 +95,6 @@
         self.start_exports(now, actions);
     }
 
-    pub(super) fn take_listing(
-        &mut self,
-        now: Moment,
-        store: StoreKey,
-        incarnation: Incarnation,
-        first: bool,
-        blocks: &[(Sealed, Tier)],
-    ) {
-        let Some(state) = self.stores.get_mut(store) else {
-            return;
-        };
-        state.liveness = Liveness::Live;
-        state.listed = Some(now);
-        if first || state.incarnation != Some(incarnation) {
-            self.directory.clear_store(store);
-        }
-        state.incarnation = Some(incarnation);
-        for (sealed, tier) in blocks {
-            self.directory.add_kept(Kept { store, sealed: *sealed, tier: *tier });
-        }
-    }
-
-    pub(super) fn take_store_silence(&mut self, _now: Moment, store: StoreKey) {
-        if let Some(state) = self.stores.get_mut(store) {
-            state.liveness = Liveness::Silent;
-            self.directory.clear_store(store);
-        }
-    }
-
     /// Orders planned exports while few are under way, freeing what is worth less in full stores.
     pub(super) fn start_exports(&mut self, now: Moment, actions: &mut Actions) {
         let Some(snapshot) = self.snapshot.clone() else {
@@ -134,14 +104,14 @@
             let Planned { target, store, key } = planned;
             let Some(room) = self
                 .room(&snapshot, store)
-                .filter(|_| self.directory.kept(key).is_empty() && self.directory.is_held(key))
+                .filter(|_| !self.directory.is_kept(key) && self.directory.is_held(key))
             else {
                 continue;
             };
             match self.keeping.make_room(now, &self.directory, &planned, room) {
                 Ok(None) => {}
                 Ok(Some(sealed)) => {
-                    self.directory.remove_kept(store, sealed.key);
+                    self.directory.stores_mut().remove(store, sealed.key);
                     actions.push(Action::Free { store, sealed });
                 }
                 Err(NotWorth) => continue,
@@ -157,16 +127,11 @@
         let tokens = u64::from(snapshot.deployment.piece.0);
         let largest = snapshot.models.iter().map(|(_, model)| model.state_per_token.0).max();
         let block = Bytes(tokens * largest.unwrap_or_default());
-        Some(Room { capacity: declared.capacity, used: self.directory.stored_bytes(store), block })
-    }
-
-    pub(super) fn live_stores(&self, _now: Moment) -> Vec<StoreKey> {
-        let declared = self.snapshot.iter().flat_map(|s| s.stores.iter());
-        let usable = declared.filter(|(key, store)| {
-            let live = self.stores.get(*key).is_some_and(|s| s.liveness != Liveness::Silent);
-            live && !store.retired
-        });
-        usable.map(|(key, _)| key).collect()
+        Some(Room {
+            capacity: declared.capacity,
+            used: self.directory.stores().bytes(store),
+            block,
+        })
     }
 
     pub(super) fn random_write_id(&mut self) -> WriteId {
--- a/crates/cumintrail-control/src/control/description.rs
+++ b/crates/cumintrail-control/src/control/description.rs
@@ -30,7 +30,7 @@
             limits: snapshot.map(|s| self.describe_limits(s)).unwrap_or_default(),
             targets: snapshot.map(|s| self.describe_targets(now, s)).unwrap_or_default(),
             stores: snapshot.map(|s| self.describe_stores(now, s)).unwrap_or_default(),
-            kept_blocks: self.directory.kept_len(),
+            kept_blocks: self.directory.stores().len(),
             peers: self
                 .other_peers()
                 .map(|(address, peer)| (address, PeerDump::new(now, peer)))
@@ -52,7 +52,7 @@
         Counts {
             calls: self.calls.len(),
             waiting: self.admission.waiting(),
-            kept_blocks: self.directory.kept_len(),
+            kept_blocks: self.directory.stores().len(),
             targets: targets.collect(),
             stores: stores.collect(),
             peers: self.other_peers().map(|(_, peer)| Some(peer.liveness)).collect(),
@@ -167,8 +167,8 @@
             domain,
             liveness: liveness(state.liveness),
             retired: store.retired,
-            incarnation: state.incarnation,
-            listing_age_ms: state.listed.map(|at| millis(now, at)),
+            incarnation: state.following.run(),
+            listing_age_ms: state.following.heard().map(|at| millis(now, at)),
             link_per_second: store.link_per_second,
             observed_per_second,
             link_in_flight,
--- a/crates/cumintrail-control/src/control/state.rs
+++ b/crates/cumintrail-control/src/control/state.rs
@@ -3,6 +3,7 @@
 use cumintrail_types::{Incarnation, Moment, Tokens};
 
 use crate::TargetReport;
+use crate::following::Following;
 use crate::membership::Liveness;
 use crate::retry::{Breaker, RetryBudget};
 
@@ -92,10 +93,6 @@
 pub struct StoreState {
     /// Whether it answers.
     pub liveness: Liveness,
-    /// The run of its process that was last listed.
-    pub incarnation: Option<Incarnation>,
-    /// When its last listing arrived.
-    pub listed: Option<Moment>,
-    /// When it is listed next.
-    pub next_listing: Moment,
+    /// How far its blocks are known.
+    pub following: Following,
 }
--- /dev/null
+++ b/crates/cumintrail-control/src/control/stores.rs
@@ -0,0 +1,118 @@
+//! Which stores are read when, and what their answers change.
+
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::time::Duration;
+
+use cumintrail_config::Snapshot;
+use cumintrail_types::{Bytes, Moment, Sealed, StoreKey, Tier};
+
+use super::Control;
+use crate::directory::{Kept, Rank};
+use crate::following::{StoreAnswer, StoreRead};
+use crate::membership::Liveness;
+use crate::placement::Placer;
+use crate::{Action, Actions};
+
+/// The longest time for which a page waits until imports have left the store's link.
+const PAGE_PATIENCE: Duration = Duration::from_secs(5);
+
+impl<P: Placer> Control<P> {
+    /// Puts the stores of the own failure domain first, the others in an order of this daemon's.
+    pub(super) fn rank_stores(&mut self, snapshot: &Snapshot) {
+        for (key, store) in snapshot.stores.iter() {
+            let domain = snapshot.domains.get(store.domain);
+            let mut hasher = DefaultHasher::new();
+            (&self.identity.vm, &store.name).hash(&mut hasher);
+            let foreign = domain.is_none_or(|domain| *domain != self.identity.domain);
+            let rank = Rank { foreign, order: hasher.finish() };
+            self.directory.stores_mut().set_rank(key, rank);
+        }
+    }
+
+    /// Orders due reads, but the pages of only one listing at a time.
+    ///
+    /// A daemon without a directory still answers, so its listings leave the links to imports.
+    pub(super) fn order_store_reads(&mut self, now: Moment, actions: &mut Actions) {
+        let Some(snapshot) = self.snapshot.clone() else {
+            return;
+        };
+        let listed = self.store_to_list(now);
+        for (key, state) in self.stores.iter_mut() {
+            let retired = snapshot.stores.get(key).is_none_or(|store| store.retired);
+            let Some(read) = state.following.due(now).filter(|_| !retired) else {
+                continue;
+            };
+            if let StoreRead::Listing { .. } = read {
+                let in_use = self.links.usage(key).0 > Bytes(0);
+                let patient = now.since(state.following.due_since()) < PAGE_PATIENCE;
+                if listed != Some(key) || (in_use && patient) {
+                    continue;
+                }
+            }
+            let ticket = state.following.start(now, read);
+            actions.push(Action::ReadStore { store: key, ticket, read });
+        }
+    }
+
+    /// Returns the store whose listing goes on, or the most valuable one that waits for its own.
+    fn store_to_list(&self, now: Moment) -> Option<StoreKey> {
+        let begun = self.stores.iter().find(|(_, state)| state.following.is_listing());
+        let waiting = self.stores.iter().filter(|(_, state)| {
+            matches!(state.following.due(now), Some(StoreRead::Listing { .. }))
+        });
+        let first = || waiting.min_by_key(|(key, _)| self.directory.stores().rank(*key));
+        begun.or_else(first).map(|(key, _)| key)
+    }
+
+    pub(super) fn take_store_answer(
+        &mut self,
+        now: Moment,
+        store: StoreKey,
+        ticket: u32,
+        answer: &StoreAnswer,
+    ) {
+        let Some(state) = self.stores.get_mut(store) else {
+            return;
+        };
+        let Some(read) = state.following.answered(ticket) else {
+            return;
+        };
+        state.liveness = Liveness::Live;
+        let known = self.directory.stores_mut();
+        known.set_hidden(store, false);
+        state.following.take(now, store, (read, answer), known, &mut self.rng);
+    }
+
+    /// Offers a silent store's blocks no more, but keeps them for its return.
+    pub(super) fn take_store_silence(&mut self, now: Moment, store: StoreKey, ticket: u32) {
+        let Some(state) = self.stores.get_mut(store) else {
+            return;
+        };
+        if state.following.answered(ticket).is_some() {
+            state.liveness = Liveness::Silent;
+            state.following.take_silence(now, &mut self.rng);
+            self.directory.stores_mut().set_hidden(store, true);
+        }
+    }
+
+    /// Takes a block back into the directory that was not freed, as far as known.
+    pub(super) fn take_failed_free(&mut self, store: StoreKey, sealed: Sealed) {
+        self.directory.add_kept(Kept { store, sealed, tier: Tier::Disk });
+    }
+
+    /// Returns the stores that exports may go to: those whose blocks are all known, if any.
+    pub(super) fn live_stores(&self) -> Vec<StoreKey> {
+        let declared = self.snapshot.iter().flat_map(|s| s.stores.iter());
+        let usable = declared.filter(|(key, store)| {
+            let live = self.stores.get(*key).is_some_and(|s| s.liveness != Liveness::Silent);
+            live && !store.retired
+        });
+        let usable: Vec<StoreKey> = usable.map(|(key, _)| key).collect();
+        let whole = |key: &StoreKey| {
+            let left_out = self.directory.stores().is_partial(*key);
+            !left_out && self.stores.get(*key).is_some_and(|s| !s.following.is_unfollowed())
+        };
+        let known: Vec<StoreKey> = usable.iter().copied().filter(whole).collect();
+        if known.is_empty() { usable } else { known }
+    }
+}
--- a/crates/cumintrail-control/src/control/upkeep.rs
+++ b/crates/cumintrail-control/src/control/upkeep.rs
@@ -5,16 +5,14 @@
 
 use cumintrail_config::Snapshot;
 use cumintrail_types::Moment;
-use rand::Rng;
 
 use super::Control;
 use super::state::{StoreState, TargetState};
+use crate::Actions;
 use crate::membership::Liveness;
 use crate::placement::Placer;
 use crate::retry::RetryBudget;
-use crate::{Action, Actions};
 
-const LISTING_INTERVAL: Duration = Duration::from_secs(30);
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(10);
 
 impl<P: Placer> Control<P> {
@@ -32,8 +30,9 @@
             self.targets.push(TargetState { next_probe: now, retries, ..TargetState::default() });
         }
         while self.stores.len() < snapshot.stores.len() {
-            self.stores.push(StoreState { next_listing: now, ..StoreState::default() });
+            self.stores.push(StoreState::default());
         }
+        self.rank_stores(&snapshot);
         let used = snapshot.targets.iter().filter(|(_, t)| !t.retired);
         self.target_at = used.map(|(key, target)| (target.address, key)).collect();
         self.snapshot = Some(snapshot);
@@ -45,7 +44,7 @@
         self.expire_calls(now, actions);
         self.requeue_due(now);
         self.order_probes(now, actions);
-        self.order_listings(now, actions);
+        self.order_store_reads(now, actions);
         self.start_exports(now, actions);
         self.order_rollout(now, actions);
         self.order_warming(now, actions);
@@ -64,14 +63,4 @@
             (state.liveness == Liveness::Live).then(|| state.incarnation())
         });
     }
-
-    fn order_listings(&mut self, now: Moment, actions: &mut Actions) {
-        for (key, state) in self.stores.iter_mut() {
-            if state.next_listing <= now {
-                state.next_listing =
-                    now + LISTING_INTERVAL.mul_f64(self.rng.random_range(0.9..1.1));
-                actions.push(Action::ListStore(key));
-            }
-        }
-    }
 }
--- a/crates/cumintrail-control/src/directory.rs
+++ b/crates/cumintrail-control/src/directory.rs
@@ -3,12 +3,16 @@
 //! A stale entry costs a failed conditional read, never a wrong one: see docs/DESIGN.md, "Sealed
 //! blocks".
 
+mod kept;
+
 use std::collections::HashMap;
 use std::hash::{BuildHasherDefault, Hasher};
 
-use cumintrail_types::{BlockKey, Bytes, Sealed, StoreKey, TargetKey, Tier};
+use cumintrail_types::{BlockKey, TargetKey};
 use smallvec::SmallVec;
 
+pub use self::kept::{Kept, KeptBlocks, MAX_KNOWN_BLOCKS, Rank, Remembered};
+
 /// The stale entries, as a part of all, that are worth a sweep.
 const SWEEP_DIVISOR: usize = 4;
 /// The part of the usual lifetime for which a block counts as held.
@@ -16,29 +20,16 @@
 const SHORTER_STEP: f32 = 0.2;
 const LONGER_STEP: f32 = 0.05;
 
-/// Names a write of a block in a store.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Kept {
-    /// The store.
-    pub store: StoreKey,
-    /// The write.
-    pub sealed: Sealed,
-    /// Where the store holds it.
-    pub tier: Tier,
-}
-
 /// Lists targets and the leading pieces that each holds, by target.
 pub type Prefixes = SmallVec<[(TargetKey, usize); 16]>;
 
 /// Remembers where blocks were last seen.
 #[derive(Debug, Default)]
 pub struct Directory {
-    kept: KeyMap<SmallVec<[Kept; 1]>>,
+    kept: KeptBlocks,
     holders: KeyMap<SmallVec<[Holder; 2]>>,
     engines: HashMap<TargetKey, Held>,
     stale: usize,
-    /// Bytes known in each store.
-    stored: HashMap<StoreKey, Bytes>,
 }
 
 /// Names an engine that holds a block, in the order of targets.
@@ -103,63 +94,34 @@
 }
 
 impl Directory {
-    /// Notes a sealed block in a store.
-    pub fn add_kept(&mut self, kept: Kept) {
-        let stored = self.stored.entry(kept.store).or_default();
-        let places = self.kept.entry(kept.sealed.key).or_default();
-        if let Some(old) = places.iter_mut().find(|k| k.store == kept.store) {
-            *stored = stored.saturating_sub(old.sealed.length) + kept.sealed.length;
-            *old = kept;
-            return;
-        }
-        *stored += kept.sealed.length;
-        places.push(kept);
-    }
-
-    /// Forgets a write of a block that a store no longer has.
-    pub fn remove_kept(&mut self, store: StoreKey, key: BlockKey) {
-        let Some(places) = self.kept.get_mut(&key) else {
-            return;
-        };
-        if let Some(at) = places.iter().position(|k| k.store == store) {
-            let stored = self.stored.entry(store).or_default();
-            *stored = stored.saturating_sub(places.remove(at).sealed.length);
-        }
-        if places.is_empty() {
-            self.kept.remove(&key);
-        }
+    /// Makes a directory that remembers at most `bound` blocks in stores.
+    pub fn bounded(bound: usize) -> Self {
+        Self { kept: KeptBlocks::bounded(bound), ..Self::default() }
     }
 
-    /// Returns the bytes known in a store.
-    pub fn stored_bytes(&self, store: StoreKey) -> Bytes {
-        self.stored.get(&store).copied().unwrap_or_default()
+    /// Returns what is known of blocks in stores.
+    pub const fn stores(&self) -> &KeptBlocks {
+        &self.kept
     }
 
-    /// Notes that a read brought a block into a store's memory.
-    pub fn promote(&mut self, store: StoreKey, key: BlockKey) {
-        let places = self.kept.get_mut(&key).into_iter().flatten();
-        for kept in places.filter(|k| k.store == store) {
-            kept.tier = Tier::Memory;
-        }
+    /// Returns what is known of blocks in stores for changing it.
+    pub const fn stores_mut(&mut self) -> &mut KeptBlocks {
+        &mut self.kept
     }
 
-    /// Forgets all blocks of a store.
-    pub fn clear_store(&mut self, store: StoreKey) {
-        self.stored.remove(&store);
-        self.kept.retain(|_, places| {
-            places.retain(|k| k.store != store);
-            !places.is_empty()
-        });
+    /// Notes a sealed block in a store.
+    pub fn add_kept(&mut self, kept: Kept) {
+        self.kept.add(kept);
     }
 
-    /// Returns the stores that probably have a block.
-    pub fn kept(&self, key: BlockKey) -> &[Kept] {
-        self.kept.get(&key).map(SmallVec::as_slice).unwrap_or_default()
+    /// Returns the stores that answer and probably have a block.
+    pub fn kept(&self, key: BlockKey) -> impl Iterator<Item = Kept> {
+        self.kept.get(key)
     }
 
-    /// Lists all blocks in stores.
-    pub fn all_kept(&self) -> impl Iterator<Item = &Kept> {
-        self.kept.values().flatten()
+    /// Tells whether a store that answers probably has a block.
+    pub fn is_kept(&self, key: BlockKey) -> bool {
+        self.kept(key).next().is_some()
     }
 
     /// Notes blocks that an engine holds or has evicted.
@@ -265,11 +227,6 @@
         self.holders.contains_key(&key)
     }
 
-    /// Returns the number of blocks known in stores.
-    pub fn kept_len(&self) -> usize {
-        self.kept.len()
-    }
-
     /// Returns the number of blocks known in an engine.
     pub fn engine_len(&self, target: TargetKey) -> usize {
         self.engines.get(&target).map_or(0, |held| held.blocks)
--- a/crates/cumintrail-control/src/dump.rs
+++ b/crates/cumintrail-control/src/dump.rs
@@ -167,9 +167,9 @@
     pub liveness: String,
     /// Whether it was removed from the declarations.
     pub retired: bool,
-    /// The run of its process that was last listed.
+    /// The run of its process that answered last.
     pub incarnation: Option<Incarnation>,
-    /// Milliseconds since its last listing.
+    /// Milliseconds since its changes were last read to the end.
     pub listing_age_ms: Option<u64>,
     /// Its declared link speed, in bytes a second.
     pub link_per_second: Bytes,
--- a/crates/cumintrail-control/src/event.rs
+++ b/crates/cumintrail-control/src/event.rs
@@ -12,6 +12,7 @@
 };
 use smallvec::SmallVec;
 
+use crate::following::{StoreAnswer, StoreRead};
 use crate::rollout::{LeaseRequest, LeaseRow, OrderOutcome};
 
 /// The orders that one event leads to; most lead to few.
@@ -96,21 +97,28 @@
         /// The seal of the written block.
         sealed: Option<(Sealed, Tier)>,
     },
-    /// A store listed a page of its sealed blocks.
-    StoreListed {
+    /// A store answered a read.
+    StoreAnswered {
         /// The store.
         store: StoreKey,
-        /// The run of the store's process.
-        incarnation: Incarnation,
-        /// Whether this is the first page, which replaces what was known.
-        first: bool,
-        /// The blocks.
-        blocks: Vec<(Sealed, Tier)>,
+        /// The number of the read.
+        ticket: u32,
+        /// Its answer.
+        answer: StoreAnswer,
     },
-    /// A store did not answer.
+    /// A store did not answer a read.
     StoreSilent {
         /// The store.
         store: StoreKey,
+        /// The number of the read.
+        ticket: u32,
+    },
+    /// A block may still be in its store although it was to be freed.
+    FreeFailed {
+        /// The store.
+        store: StoreKey,
+        /// The write.
+        sealed: Sealed,
     },
     /// The platform's VM list was read.
     VmsListed {
@@ -185,8 +193,15 @@
         /// The exact write to free.
         sealed: Sealed,
     },
-    /// List a store's blocks.
-    ListStore(StoreKey),
+    /// Read what a store holds.
+    ReadStore {
+        /// The store.
+        store: StoreKey,
+        /// The number of the read.
+        ticket: u32,
+        /// What to read.
+        read: StoreRead,
+    },
     /// Load shared material ahead: run its prompt with no answer on a target.
     Warm {
         /// The target.
--- a/crates/cumintrail-control/src/keeping.rs
+++ b/crates/cumintrail-control/src/keeping.rs
@@ -97,7 +97,7 @@
         if stores.is_empty() {
             return;
         }
-        for key in pieces.iter().filter(|key| directory.kept(**key).is_empty()) {
+        for key in pieces.iter().filter(|key| !directory.is_kept(**key)) {
             let store = stores[usize::from(key.0[0]) % stores.len()];
             if self.waiting.len() < MAX_WAITING
                 && !self.exporting.contains_key(key)
@@ -166,8 +166,8 @@
         store: StoreKey,
     ) -> VecDeque<(f64, Sealed)> {
         let value = |kept: &Kept| self.uses.get(&kept.sealed.key).map_or(0.0, |u| u.at(now));
-        let kept = directory.all_kept().filter(|kept| kept.store == store);
-        let mut valued: Vec<(f64, Sealed)> = kept.map(|k| (value(k), k.sealed)).collect();
+        let kept = directory.stores().of_store(store);
+        let mut valued: Vec<(f64, Sealed)> = kept.map(|k| (value(&k), k.sealed)).collect();
         let by_value =
             |a: &(f64, Sealed), b: &(f64, Sealed)| a.0.total_cmp(&b.0).then(a.1.key.cmp(&b.1.key));
         if valued.len() > VICTIMS_PER_SCAN {
@@ -181,7 +181,7 @@
     /// Forgets uses of blocks that are neither kept nor used lately.
     fn forget_idle(&mut self, now: Moment, directory: &Directory) {
         let idle = |u: &Use| now.since(u.last) > HALF_LIFE;
-        self.uses.retain(|key, u| !idle(u) || !directory.kept(*key).is_empty());
+        self.uses.retain(|key, u| !idle(u) || directory.is_kept(*key));
         self.swept = self.uses.len();
     }
 }
--- a/crates/cumintrail-control/src/lib.rs
+++ b/crates/cumintrail-control/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod admission;
 pub mod adoption;
 pub mod directory;
+pub mod following;
 pub mod keeping;
 pub mod links;
 pub mod membership;
--- a/crates/cumintrail-control/src/placement/sources.rs
+++ b/crates/cumintrail-control/src/placement/sources.rs
@@ -40,10 +40,10 @@
     pub(super) fn new(cx: &Context<'_>, pieces: &[BlockKey]) -> Self {
         let mut sources = Self { chosen: SmallVec::new(), stores: SmallVec::new() };
         for key in pieces {
-            let places = cx.directory.kept(*key).iter();
-            let timed = places.filter_map(|kept| Some((sources.arrival(cx, kept)?, kept)));
+            let places = cx.directory.kept(*key);
+            let timed = places.filter_map(|kept| Some((sources.arrival(cx, &kept)?, kept)));
             let first = timed.min_by(|(a, x), (b, y)| a.total_cmp(b).then(x.store.cmp(&y.store)));
-            let chosen = first.map(|(_, kept)| *kept);
+            let chosen = first.map(|(_, kept)| kept);
             sources.append(cx, chosen);
         }
         sources
--- a/crates/cumintrail-daemon/src/background/orders.rs
+++ b/crates/cumintrail-daemon/src/background/orders.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 
 use cumintrail_client::{Engine, Peer, Store};
+use cumintrail_control::following::{StoreAnswer, StoreRead};
 use cumintrail_control::{Action, Event, Export, PeerDigest};
 use cumintrail_types::{Incarnation, Sealed, StoreKey, TargetKey, Tier};
 use cumintrail_wire::engine::{CacheEvents, ExportOrder};
@@ -45,8 +46,8 @@
         Action::Free { store, sealed } => {
             actix_rt::spawn(async move { free(&background, store, sealed).await });
         }
-        Action::ListStore(store) => {
-            actix_rt::spawn(async move { list_store(&background, store).await });
+        Action::ReadStore { store, ticket, read } => {
+            actix_rt::spawn(async move { read_store(&background, store, ticket, read).await });
         }
         Action::SendDigest { to, digest } => {
             actix_rt::spawn(async move { send_digest(&background, to, digest).await });
@@ -134,32 +135,31 @@
 }
 
 async fn free(background: &Background, store: StoreKey, sealed: Sealed) {
-    if let Some(at) = background.store_address(store) {
-        // A block that could not be freed shows up again in the next listing.
-        let _ = background.stores.free(at, &sealed).await;
+    let Some(at) = background.store_address(store) else {
+        return;
+    };
+    // A store that answers no has another write of the block, or none.
+    let answered = background.stores.free(at, &sealed).await;
+    if answered.is_err_and(|e| !e.is_answer()) {
+        background.shared.control.tell(Event::FreeFailed { store, sealed }).await;
     }
 }
 
-async fn list_store(background: &Background, store: StoreKey) {
+async fn read_store(background: &Background, store: StoreKey, ticket: u32, read: StoreRead) {
     let Some(at) = background.store_address(store) else {
         return;
     };
-    let control = &background.shared.control;
-    let mut after = None;
-    loop {
-        let Ok(page) = background.stores.list(at, after).await else {
-            control.tell(Event::StoreSilent { store }).await;
-            return;
-        };
-        let first = after.is_none();
-        after = page.blocks.last().map(|b| b.sealed.key);
-        let blocks = page.blocks.iter().map(|b| (b.sealed, b.tier)).collect();
-        let incarnation = page.incarnation;
-        control.tell(Event::StoreListed { store, incarnation, first, blocks }).await;
-        if !page.more || after.is_none() {
-            return;
-        }
-    }
+    let stores = &background.stores;
+    let answer = match read {
+        StoreRead::Summary => stores.summary(at).await.map(StoreAnswer::from),
+        StoreRead::Listing { after } => stores.list(at, after).await.map(StoreAnswer::from),
+        StoreRead::Changes { after } => stores.changes(at, after).await.map(StoreAnswer::from),
+    };
+    let event = match answer {
+        Ok(answer) => Event::StoreAnswered { store, ticket, answer },
+        Err(_) => Event::StoreSilent { store, ticket },
+    };
+    background.shared.control.tell(event).await;
 }
 
 async fn send_digest(background: &Background, to: std::net::SocketAddr, digest: PeerDigest) {
--- a/crates/cumintrail-wire/src/store.rs
+++ b/crates/cumintrail-wire/src/store.rs
@@ -3,8 +3,11 @@
 //! - `PUT /blocks/{key}` writes; the `ETag` is the write id from [`WRITE_HEADER`].
 //! - `GET /blocks/{key}` and `DELETE` take `If-Match`.
 //! - `GET /blocks?after=KEY&limit=N` lists sealed blocks.
+//! - `GET /changes?after=NUMBER&limit=N` tells what was sealed and freed since; with a limit of
+//!   zero only who answers and how much it holds.
 
-use cumintrail_types::{Bytes, Digest, Incarnation, Sealed, Tier, WriteId};
+use cumintrail_control::following::{ChangesPage, ListingPage, StoreAnswer, StoreChange};
+use cumintrail_types::{BlockKey, Bytes, Digest, Incarnation, Sealed, Tier, WriteId};
 use serde::{Deserialize, Serialize};
 
 /// Carries the id of a write.
@@ -17,6 +20,8 @@
 pub struct Listing {
     /// The run of the store's process.
     pub incarnation: Incarnation,
+    /// The number of the last change when this page was made.
+    pub newest: u64,
     /// Sealed blocks in key order.
     pub blocks: Vec<ListedBlock>,
     /// Whether more follow.
@@ -32,6 +37,38 @@
     pub tier: Tier,
 }
 
+/// Answers `GET /changes`.
+///
+/// Changes are numbered from one on in each run of the store's process, which keeps the last ones.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Changes {
+    /// The run of the store's process.
+    pub incarnation: Incarnation,
+    /// The number of the oldest change that the store still knows.
+    pub oldest: u64,
+    /// The number of the last change.
+    pub newest: u64,
+    /// The sealed blocks that the store holds.
+    pub held: u64,
+    /// The changes after the one that was named, without gaps.
+    pub changes: Vec<Change>,
+}
+
+/// Names what happened to a block.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Change {
+    /// The block was completely written, or moved to another tier.
+    Sealed(ListedBlock),
+    /// This write of the block was freed.
+    Freed {
+        /// The block.
+        key: BlockKey,
+        /// The write.
+        write_id: WriteId,
+    },
+}
+
 /// Answers a completed write.
 #[derive(Debug, Clone, Copy, Serialize, Deserialize)]
 pub struct Written {
@@ -44,3 +81,28 @@
     /// Where it lies.
     pub tier: Tier,
 }
+
+impl From<Listing> for StoreAnswer {
+    fn from(listing: Listing) -> Self {
+        let Listing { incarnation, newest, blocks, more } = listing;
+        let blocks = blocks.iter().map(|b| (b.sealed, b.tier)).collect();
+        Self::Listing(ListingPage { incarnation, newest, blocks, more })
+    }
+}
+
+impl From<Changes> for StoreAnswer {
+    fn from(told: Changes) -> Self {
+        let Changes { incarnation, oldest, newest, held, changes } = told;
+        let changes = changes.into_iter().map(StoreChange::from).collect();
+        Self::Changes(ChangesPage { incarnation, oldest, newest, held, changes })
+    }
+}
+
+impl From<Change> for StoreChange {
+    fn from(change: Change) -> Self {
+        match change {
+            Change::Sealed(ListedBlock { sealed, tier }) => Self::Sealed(sealed, tier),
+            Change::Freed { key, write_id } => Self::Freed(key, write_id),
+        }
+    }
+}
--- a/tests/src/experiment/policies.rs
+++ b/tests/src/experiment/policies.rs
@@ -49,8 +49,8 @@
         let held = held(chosen);
         let mut fetches: SmallVec<[Fetch; 4]> = SmallVec::new();
         if self.policy == Policy::AlwaysFetch {
-            let kept = request.pieces[held..].iter().map_while(|k| cx.directory.kept(*k).first());
-            fetches.extend(kept.map(|k: &Kept| Fetch { store: k.store, sealed: k.sealed }));
+            let kept = request.pieces[held..].iter().map_while(|k| cx.directory.kept(*k).next());
+            fetches.extend(kept.map(|k: Kept| Fetch { store: k.store, sealed: k.sealed }));
         }
         let obtained = (held + fetches.len()) as u32 * PIECE_TOKENS;
         let recompute = Tokens(request.prompt.0 - obtained);
--- a/tests/src/experiment/run.rs
+++ b/tests/src/experiment/run.rs
@@ -8,20 +8,21 @@
 use std::time::Duration;
 
 use cumintrail_config::{Document, Snapshot, TargetKind};
+use cumintrail_control::following::StoreRead;
 use cumintrail_control::{
     Action, Arrival, AttemptOutcome, Control, Dispatch, Event, Export, FetchOutcome, Identity,
     Usage,
 };
 use cumintrail_types::{
     AccountKey, AttemptNumber, BlockKey, CallClass, CallKey, Generation, Incarnation, Key,
-    ModelKey, Moment, Sealed, StoreKey, TargetKey, Tier, Tokens, WeightVersion, WriteId,
+    ModelKey, Moment, StoreKey, TargetKey, Tokens, WeightVersion, WriteId,
 };
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
 use super::measures::{Measures, Recorder};
 use super::policies::Compared;
-use super::trace::{self, Fault, LISTING_PAGE, REPORT_LAG, Trace};
+use super::trace::{self, Fault, REPORT_LAG, Trace};
 use super::world::{Engine, Job, PIECE_BYTES, PIECE_TOKENS, Store, World};
 use super::{Policy, Setup};
 
@@ -195,7 +196,7 @@
             Action::Free { store, sealed } => {
                 self.world.borrow_mut().stores[store.index()].free(&sealed);
             }
-            Action::ListStore(store) => self.list(now, store),
+            Action::ReadStore { store, ticket, read } => self.read_store(now, store, ticket, read),
             Action::Cancel { call, attempt, target } => {
                 let engine = &mut self.world.borrow_mut().engines[target.index()];
                 engine.queue.retain(|job| job.call != Some((call, attempt.0)));
@@ -349,26 +350,13 @@
         self.tell(now, Event::Exported { export, sealed });
     }
 
-    fn list(&mut self, now: Moment, store: StoreKey) {
-        let (alive, incarnation, blocks) = {
-            let world = self.world.borrow();
-            let s = &world.stores[store.index()];
-            let mut keys: Vec<BlockKey> = s.blocks.keys().copied().collect();
-            keys.sort_unstable();
-            let blocks: Vec<(Sealed, Tier)> = keys.iter().filter_map(|k| s.sealed(*k)).collect();
-            (s.alive, s.incarnation, blocks)
+    fn read_store(&mut self, now: Moment, store: StoreKey, ticket: u32, read: StoreRead) {
+        let answer = self.world.borrow().stores[store.index()].answer(read);
+        let (at, event) = match answer {
+            Some(answer) => (now + REPORT_LAG, Event::StoreAnswered { store, ticket, answer }),
+            None => (now + SILENCE_NOTICED, Event::StoreSilent { store, ticket }),
         };
-        if !alive {
-            return self.plan(now + SILENCE_NOTICED, Step::Tell(Event::StoreSilent { store }));
-        }
-        let mut first = true;
-        let pages = blocks.chunks(LISTING_PAGE).map(<[_]>::to_vec);
-        let pages: Vec<_> = if blocks.is_empty() { vec![Vec::new()] } else { pages.collect() };
-        for blocks in pages {
-            let told = Event::StoreListed { store, incarnation, first, blocks };
-            self.plan(now + REPORT_LAG, Step::Tell(told));
-            first = false;
-        }
+        self.plan(at, Step::Tell(event));
     }
 
     fn fail(&mut self, now: Moment, fault: Fault) {
--- a/tests/src/experiment/trace.rs
+++ b/tests/src/experiment/trace.rs
@@ -286,8 +286,5 @@
     text
 }
 
-/// Blocks on a page of a store's listing.
-pub const LISTING_PAGE: usize = 500;
-
 /// How long a report or a cache event is on its way.
 pub const REPORT_LAG: Duration = Duration::from_millis(400);
--- a/tests/src/experiment/world.rs
+++ b/tests/src/experiment/world.rs
@@ -7,6 +7,9 @@
 use std::time::Duration;
 
 use cumintrail_control::TargetReport;
+use cumintrail_control::following::{
+    ChangesPage, ListingPage, StoreAnswer, StoreChange, StoreRead,
+};
 use cumintrail_types::{
     BlockKey, Bytes, CallKey, Digest, Incarnation, Moment, Sealed, Tier, Tokens, WeightVersion,
     WriteId,
@@ -234,6 +237,8 @@
     pub capacity_pieces: usize,
     /// The part of the link's speed that is left.
     pub speed: f64,
+    /// What happened to blocks in this run.
+    log: Vec<StoreChange>,
     link_free: Moment,
     disk_free: Moment,
     ingress_free: Moment,
@@ -250,6 +255,7 @@
             memory_pieces,
             capacity_pieces,
             speed: 1.0,
+            log: Vec::new(),
             link_free: Moment(0),
             disk_free: Moment(0),
             ingress_free: Moment(0),
@@ -263,6 +269,26 @@
         Some((seal(key, write_id), tier))
     }
 
+    /// Answers a daemon that reads what it holds, if it is alive.
+    pub fn answer(&self, read: StoreRead) -> Option<StoreAnswer> {
+        let (incarnation, newest) = (self.incarnation, self.log.len() as u64);
+        let answer = match read {
+            StoreRead::Listing { .. } => {
+                let mut keys: Vec<BlockKey> = self.blocks.keys().copied().collect();
+                keys.sort_unstable();
+                let blocks = keys.iter().filter_map(|k| self.sealed(*k)).collect();
+                StoreAnswer::Listing(ListingPage { incarnation, newest, blocks, more: false })
+            }
+            StoreRead::Summary | StoreRead::Changes { .. } => {
+                let from = if let StoreRead::Changes { after } = read { after } else { newest };
+                let changes = self.log.get(from as usize..).unwrap_or_default().to_vec();
+                let held = self.blocks.len() as u64;
+                StoreAnswer::Changes(ChangesPage { incarnation, oldest: 1, newest, held, changes })
+            }
+        };
+        self.alive.then_some(answer)
+    }
+
     /// Returns when a read that is ordered now would end, after `ahead` other reads.
     pub fn read_end(
         &self,
@@ -324,6 +350,7 @@
         if self.blocks.get(&sealed.key) == Some(&sealed.write_id) {
             self.blocks.remove(&sealed.key);
             self.memory.remove(sealed.key);
+            self.log.push(StoreChange::Freed(sealed.key, sealed.write_id));
         }
     }
 
@@ -332,13 +359,16 @@
         self.alive = false;
         self.blocks.clear();
         self.memory = Lru::default();
+        self.log.clear();
         self.incarnation = Incarnation(self.incarnation.0 + 1);
     }
 
     fn promote(&mut self, key: BlockKey) {
         self.memory.touch(key);
+        self.log.extend(self.sealed(key).map(|(sealed, tier)| StoreChange::Sealed(sealed, tier)));
         while self.memory.len() > self.memory_pieces {
-            self.memory.evict();
+            let moved = self.memory.evict().and_then(|key| self.sealed(key));
+            self.log.extend(moved.map(|(sealed, tier)| StoreChange::Sealed(sealed, tier)));
         }
     }
 
--- a/tests/src/standins/store.rs
+++ b/tests/src/standins/store.rs
@@ -1,7 +1,8 @@
 //! A store VM: memory and disk behind one limited link.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
+use std::ops::Bound;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -9,11 +10,16 @@
 use actix_http::{Method, Request, StatusCode};
 use bytes::Bytes;
 use cumintrail_types::{BlockKey, Digest, Incarnation, Sealed, Tier, WriteId};
-use cumintrail_wire::store::{DIGEST_HEADER, ListedBlock, Listing, WRITE_HEADER, Written};
+use cumintrail_wire::store::{
+    Change, Changes, DIGEST_HEADER, ListedBlock, Listing, WRITE_HEADER, Written,
+};
 use serde::{Deserialize, Serialize};
 
 use crate::http::{self, Answer, Running, empty, json};
 
+/// Changes that a store remembers.
+const LOG_LENGTH: usize = 4_096;
+
 /// Sets the limits of a store.
 #[derive(Debug, Clone, Copy)]
 pub struct Limits {
@@ -50,12 +56,37 @@
 struct State {
     incarnation: Incarnation,
     blocks: BTreeMap<BlockKey, Block>,
+    /// The last changes, and the number of the newest.
+    log: VecDeque<Change>,
+    newest: u64,
     fault: Fault,
     limits: Limits,
     sent_bytes: u64,
     listed_bytes: u64,
 }
 
+impl State {
+    fn insert(&mut self, block: Block) {
+        let Block { sealed, tier, .. } = block;
+        self.blocks.insert(sealed.key, block);
+        self.note(Change::Sealed(ListedBlock { sealed, tier }));
+    }
+
+    fn remove(&mut self, key: BlockKey) {
+        if let Some(block) = self.blocks.remove(&key) {
+            self.note(Change::Freed { key, write_id: block.sealed.write_id });
+        }
+    }
+
+    fn note(&mut self, change: Change) {
+        self.newest += 1;
+        self.log.push_back(change);
+        if self.log.len() > LOG_LENGTH {
+            self.log.pop_front();
+        }
+    }
+}
+
 /// Runs a store.
 #[derive(Clone)]
 pub struct Store {
@@ -70,6 +101,8 @@
         let state = State {
             incarnation: Incarnation(rand::random()),
             blocks: BTreeMap::new(),
+            log: VecDeque::new(),
+            newest: 0,
             fault: Fault::default(),
             limits,
             sent_bytes: 0,
@@ -105,15 +138,24 @@
 
     /// Lists blocks as sealed without holding their bytes, to fill directories cheaply.
     pub fn seal(&self, blocks: impl Iterator<Item = (Sealed, Tier)>) {
-        let entry = |(sealed, tier): (Sealed, Tier)| {
-            (sealed.key, Block { sealed, tier, bytes: Bytes::new() })
-        };
-        self.lock().blocks.extend(blocks.map(entry));
+        let mut state = self.lock();
+        for (sealed, tier) in blocks {
+            state.insert(Block { sealed, tier, bytes: Bytes::new() });
+        }
     }
 
     /// Frees all blocks, as a store does that needs room.
     pub fn free_all(&self) {
-        self.lock().blocks.clear();
+        let mut state = self.lock();
+        let keys: Vec<BlockKey> = state.blocks.keys().copied().collect();
+        for key in keys {
+            state.remove(key);
+        }
+    }
+
+    /// Forgets its log but no block.
+    pub fn forget_log(&self) {
+        self.lock().log.clear();
     }
 
     /// Replaces the bytes of all blocks without changing their seals, as a broken store would.
@@ -155,6 +197,7 @@
     let key = path.strip_prefix("/blocks/").and_then(|text| text.parse::<BlockKey>().ok());
     match (req.method().clone(), key) {
         (Method::GET, None) if path == "/blocks" => list(&state, &req),
+        (Method::GET, None) if path == "/changes" => changes(&state, &req),
         (Method::GET, Some(key)) => read(&state, &link, key, &req).await,
         (Method::PUT, Some(key)) => write(&state, &link, key, req).await,
         (Method::DELETE, Some(key)) => free(&state, key, &req),
@@ -166,15 +209,32 @@
     let mut state = state.lock().expect("no holder panics");
     let after = http::query(req, "after").and_then(|text| text.parse::<BlockKey>().ok());
     let limit = http::query(req, "limit").and_then(|text| text.parse().ok()).unwrap_or(1_000);
-    let listed = state.blocks.values().filter(|b| after.is_none_or(|after| b.sealed.key > after));
+    let from = after.map_or(Bound::Unbounded, Bound::Excluded);
+    let listed = state.blocks.range((from, Bound::Unbounded)).map(|(_, block)| block);
     let mut blocks: Vec<ListedBlock> =
         listed.take(limit + 1).map(|b| ListedBlock { sealed: b.sealed, tier: b.tier }).collect();
     let more = blocks.len() > limit;
     blocks.truncate(limit);
-    let listing = Listing { incarnation: state.incarnation, blocks, more };
+    let listing = Listing { incarnation: state.incarnation, newest: state.newest, blocks, more };
     tell(&mut state, &listing)
 }
 
+fn changes(state: &Mutex<State>, req: &Request) -> Answer {
+    let mut state = state.lock().expect("no holder panics");
+    let number = |name| http::query(req, name).and_then(|text| text.parse::<u64>().ok());
+    let (after, limit) = (number("after").unwrap_or(0), number("limit").unwrap_or(1_000));
+    let oldest = state.newest - state.log.len() as u64 + 1;
+    let skipped = (after + 1).saturating_sub(oldest) as usize;
+    let told = Changes {
+        incarnation: state.incarnation,
+        oldest,
+        newest: state.newest,
+        held: state.blocks.len() as u64,
+        changes: state.log.iter().skip(skipped).take(limit as usize).copied().collect(),
+    };
+    tell(&mut state, &told)
+}
+
 /// Answers with JSON and counts its bytes.
 fn tell<T: Serialize>(state: &mut State, told: &T) -> Answer {
     state.listed_bytes += serde_json::to_vec(told).map_or(0, |body| body.len() as u64);
@@ -240,7 +300,7 @@
     }
     let tier = if used + length.0 <= state.limits.memory_bytes { Tier::Memory } else { Tier::Disk };
     let sealed = Sealed { key, write_id, digest, length };
-    state.blocks.insert(key, Block { sealed, tier, bytes });
+    state.insert(Block { sealed, tier, bytes });
     json(StatusCode::OK, &Written { write_id, digest, length, tier })
 }
 
@@ -253,7 +313,7 @@
     if http::header(req, "if-match").as_ref() != Some(&tag) {
         return empty(StatusCode::PRECONDITION_FAILED);
     }
-    state.blocks.remove(&key);
+    state.remove(key);
     empty(StatusCode::OK)
 }
 
--- a/tests/tests/placement_differential.rs
+++ b/tests/tests/placement_differential.rs
@@ -118,7 +118,7 @@
                 best = Some(cost);
             }
             let next = request.pieces.get(held + taken).filter(|_| candidate.importable);
-            let Some(kept) = next.and_then(|key| cx.directory.kept(*key).first()) else { break };
+            let Some(kept) = next.and_then(|key| cx.directory.kept(*key).next()) else { break };
             loads[usize::from(kept.store.0)].add(kept.sealed.length, kept.tier);
         }
     }
