Record large answers, pace outcomes, and refuse keyed calls at once

Answers above 64 KiB were not recorded, each keyed call cost two table transactions, each call of an outage waited for the table's timeout, and lost outcomes of all daemons came back together after the heal.

Ruled out: no look before queueing (reads are not scarce, and a repeat would need a target); the claim before queueing (a release for each call that the queue refuses). A writer per traffic thread still cost 2 writes per call at 3.3 calls a second per daemon, since few writes met there.

Bodies above 64 KiB are objects, written before their row and checked by digest. One writer per process lets outcomes share the transaction of a claim and keeps 4 transactions on their way. One breaker per process refuses keyed calls while the table does not answer. Lost outcomes are written again one transaction after the other, with jittered pauses.

--- a/crates/cumintrail-control/src/retry.rs
+++ b/crates/cumintrail-control/src/retry.rs
@@ -110,14 +110,27 @@
 }
 
 /// Keeps calls away from a target that fails, and lets a single one through to try it again.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub struct Breaker {
     failures: u32,
     open_until: Moment,
     on_trial: bool,
+    /// How often the pause between two trials doubles.
+    doublings: u32,
+}
+
+impl Default for Breaker {
+    fn default() -> Self {
+        Self::with_doublings(OPEN_DOUBLINGS)
+    }
 }
 
 impl Breaker {
+    /// Makes a closed breaker whose pause between two trials doubles at most so often.
+    pub const fn with_doublings(doublings: u32) -> Self {
+        Self { failures: 0, open_until: Moment(0), on_trial: false, doublings }
+    }
+
     /// Tells whether the target may get a call now.
     pub fn allows(&self, now: Moment) -> bool {
         !self.is_open() || (now >= self.open_until && !self.on_trial)
@@ -132,12 +145,12 @@
     pub fn judge(&mut self, now: Moment, health: Health, rng: &mut impl Rng) {
         self.on_trial = false;
         match health {
-            Health::Good => *self = Self::default(),
+            Health::Good => *self = Self::with_doublings(self.doublings),
             Health::Unclear => {}
             Health::Bad => {
                 self.failures = self.failures.saturating_add(1);
                 if self.is_open() {
-                    let doublings = (self.failures - OPEN_AFTER_FAILURES).min(OPEN_DOUBLINGS);
+                    let doublings = (self.failures - OPEN_AFTER_FAILURES).min(self.doublings);
                     let closed = OPEN_BASE * 2_u32.pow(doublings);
                     self.open_until = now + closed.mul_f64(rng.random_range(0.8..1.2));
                 }
--- a/crates/cumintrail-daemon/src/callers.rs
+++ b/crates/cumintrail-daemon/src/callers.rs
@@ -1,5 +1,6 @@
 //! The callers' endpoint: authentication, model calls and calls to plain services.
 
+mod answer_objects;
 pub mod auth;
 mod body;
 mod engine_attempt;
@@ -7,6 +8,7 @@
 mod model_answer;
 mod model_call;
 pub mod operation_keys;
+mod outcomes;
 mod records;
 pub mod refuse;
 pub mod request;
@@ -20,7 +22,7 @@
 use std::time::Duration;
 
 use actix_server::ServerHandle;
-use cumintrail_client::{HttpEngine, HttpPeer, HttpPlatform, HttpService as PlainService};
+use cumintrail_client::{HttpEngine, HttpPeer, HttpService as PlainService};
 
 use crate::endpoint::{self, Limits};
 use crate::shared::Shared;
@@ -50,7 +52,7 @@
             engines: HttpEngine::open(),
             services: PlainService::open(),
             peers: HttpPeer::open(s.peer_key.expose()),
-            records: Records::open(HttpPlatform::open(s.table, s.objects, s.vm_list)),
+            records: Records::open(shared.clone()),
             shared,
         }
     }
--- a/crates/cumintrail-daemon/src/callers/keyed.rs
+++ b/crates/cumintrail-daemon/src/callers/keyed.rs
@@ -6,21 +6,17 @@
 use cumintrail_control::once::{
     Claiming, End, Found, KeyedRequest, Record, RecordState, Step, Verdict, WallMillis,
 };
-use cumintrail_types::{Refusal, RefusalCode, WriteId};
-use cumintrail_wire::record::AnswerRecord;
+use cumintrail_types::WriteId;
+use cumintrail_wire::record::{AnswerRecord, KeptAnswer};
 
-use super::records::{Lost, Records, Written};
+use super::outcomes::{Claim, settle};
+use super::records::{Records, unavailable};
 use crate::clock;
-use crate::metric;
 use crate::shared::{PendingOutcome, Shared};
+use crate::table::{Lost, Urgency, Written};
 
-/// Answers with larger bodies are not recorded; a repeat learns that the outcome is unknown.
-const MAX_KEPT_BYTES: usize = 64 << 10;
-const PLATFORM_RETRY: Duration = Duration::from_secs(2);
-const SETTLE_PAUSE: Duration = Duration::from_millis(100);
-const SETTLE_PAUSE_MAX: Duration = Duration::from_secs(2);
-/// A release whose claim does not show up for so long has nothing to release.
-const RELEASE_LIMIT: Duration = Duration::from_secs(30);
+/// Calls with a key that one process may have open; more are refused before they run.
+const MAX_OPEN: usize = 4_096;
 
 /// Guards one call with its key, if it has one.
 pub enum Keyed {
@@ -42,7 +38,10 @@
     pub async fn before_send(&mut self) -> Verdict<AnswerRecord> {
         match self {
             Self::Unkeyed | Self::Issued(_) => Verdict::Run,
-            Self::Claimed(claim) => claim.claim().await,
+            Self::Claimed(claim) => {
+                let verdict = claim.claim().await;
+                claim.records.objects().complete(verdict).await
+            }
         }
     }
 
@@ -75,13 +74,6 @@
     held: Option<Claim>,
 }
 
-/// Holds a claim that was written, or may have been.
-struct Claim {
-    record: Record<AnswerRecord>,
-    version: Option<u64>,
-    _pending: PendingOutcome,
-}
-
 impl TableClaim {
     /// Looks at the key's row before the call is queued, so that repeats need no target.
     pub async fn look(
@@ -91,22 +83,26 @@
         request: KeyedRequest,
         wait: Duration,
     ) -> Result<Self, Verdict<AnswerRecord>> {
-        let found = records.read(&row).await.map_err(|Lost| unavailable())?;
+        let found = records.read(&row).await;
+        let found = found.map_err(|Lost| Verdict::Refuse(unavailable()))?;
         let seen = match found {
             None => 0,
             Some(Found { version, record }) => match request.judge(clock::wall_millis(), record) {
                 Verdict::Free => version,
-                verdict => return Err(verdict),
+                verdict => return Err(records.objects().complete(verdict).await),
             },
         };
         Ok(Self { records, shared, row, request, seen, wait, held: None })
     }
 
     /// Claims the key, or finds that this call already has.
-    async fn claim(&mut self) -> Verdict<AnswerRecord> {
+    async fn claim(&mut self) -> Verdict<KeptAnswer> {
         if self.held.as_ref().is_some_and(|claim| claim.version.is_some()) {
             return Verdict::Run;
         }
+        if self.shared.pending_outcomes() >= MAX_OPEN {
+            return Verdict::Refuse(unavailable());
+        }
         let now = clock::wall_millis();
         let record = Record {
             claim: self.request.claim,
@@ -116,13 +112,19 @@
             state: RecordState::Claimed,
         };
         let pending = PendingOutcome::begin(&self.shared);
-        self.held = Some(Claim { record: record.clone(), version: None, _pending: pending });
+        self.held = Some(Claim { record: record.clone(), version: None, pending });
         let mut claiming = Claiming::new(self.request, self.seen);
+        let mut sent = false;
         let mut step = claiming.start();
         loop {
             step = match step {
                 Step::Insert(version) => {
-                    match self.records.write(&self.row, version, record.clone()).await {
+                    let written =
+                        self.records.write(&self.row, version, record.clone(), Urgency::Claim);
+                    let written = written.await;
+                    sent |= written != Ok(Written::NotSent);
+                    match written {
+                        Ok(Written::NotSent) => Step::Unavailable,
                         Ok(Written::Done) => claiming.inserted(now, None),
                         Ok(Written::Conflict(Some(found))) => claiming.inserted(now, Some(found)),
                         // Also after an absent row where one was seen: look again.
@@ -143,61 +145,19 @@
                     self.held = None;
                     return verdict;
                 }
-                Step::Unavailable => return unavailable(),
+                Step::Unavailable => {
+                    if !sent {
+                        self.held = None;
+                    }
+                    return Verdict::Refuse(unavailable());
+                }
             };
         }
     }
 
     fn end(self, end: End<AnswerRecord>) {
-        let Some(mut claim) = self.held else {
-            return;
-        };
-        claim.record.state = match end {
-            End::Unknown => return,
-            End::Answered(_, bytes) if bytes > MAX_KEPT_BYTES => return,
-            End::Answered(answer, _) => RecordState::Answered(answer),
-            End::NotSent => RecordState::Released,
-        };
-        actix_rt::spawn(settle(self.records, self.row, claim));
-    }
-}
-
-/// Writes the final state of a claim, again and again while the table does not answer.
-///
-/// All writes demand the version that was seen and rows are never removed, so a delayed write
-/// never meets the claim of another.
-async fn settle(records: Records, row: String, mut claim: Claim) {
-    let released = claim.record.state == RecordState::Released;
-    let started = actix_rt::time::Instant::now();
-    let mut pause = SETTLE_PAUSE;
-    loop {
-        let found = match claim.version {
-            None => records.read(&row).await,
-            Some(version) => match records.write(&row, version, claim.record.clone()).await {
-                Ok(Written::Done) => return,
-                Ok(Written::Conflict(found)) => Ok(found),
-                Err(Lost) => Err(Lost),
-            },
-        };
-        match found {
-            Ok(Some(found)) if found.record == claim.record => return,
-            Ok(Some(found)) if found.record.claim == claim.record.claim => {
-                let first_look = claim.version.replace(found.version) != Some(found.version);
-                if first_look {
-                    continue;
-                }
-            }
-            Ok(Some(_)) => return,
-            Ok(None) | Err(Lost) if released && started.elapsed() > RELEASE_LIMIT => return,
-            Ok(None) => {}
-            Err(Lost) => metrics::counter!(metric::PLATFORM_ERRORS).increment(1),
+        if let Some(claim) = self.held {
+            actix_rt::spawn(settle(self.records, self.row, claim, end));
         }
-        actix_rt::time::sleep(pause).await;
-        pause = (pause * 2).min(SETTLE_PAUSE_MAX);
     }
 }
-
-fn unavailable() -> Verdict<AnswerRecord> {
-    let refusal = Refusal::not_run(RefusalCode::PlatformUnavailable);
-    Verdict::Refuse(refusal.retry_after(PLATFORM_RETRY))
-}
--- a/crates/cumintrail-daemon/src/daemon.rs
+++ b/crates/cumintrail-daemon/src/daemon.rs
@@ -15,7 +15,7 @@
 
 use crate::clock::Clock;
 use crate::shared::Shared;
-use crate::{background, callers, control_thread, operators};
+use crate::{background, callers, control_thread, operators, table};
 
 const DRAIN_POLL: Duration = Duration::from_millis(20);
 /// How long callers that come back right after their last answer are still told to go elsewhere.
@@ -47,7 +47,7 @@
     shared: Arc<Shared>,
     caller_address: SocketAddr,
     servers: [ServerHandle; 2],
-    arbiters: [Arbiter; 2],
+    arbiters: [Arbiter; 3],
 }
 
 impl Daemon {
@@ -71,7 +71,10 @@
         let control = Control::new(identity, rand::rng().random());
         let (link, inbox) = control_thread::channel(settings.control_queue);
         let (orders_tx, orders_rx) = tokio::sync::mpsc::unbounded_channel();
-        let shared = Arc::new(Shared::new(settings, incarnation, operator_address, link, clock));
+        let (table_writer, table_inbox) = table::channel();
+        let shared =
+            Shared::new(settings, incarnation, operator_address, link, table_writer, clock);
+        let shared = Arc::new(shared);
 
         let control_arbiter = Arbiter::new();
         control_arbiter.spawn(control_thread::run(inbox, control, clock, orders_tx));
@@ -80,6 +83,11 @@
         background_arbiter.spawn_fn(move || {
             actix_rt::spawn(background::run(for_background, orders_rx));
         });
+        let table_arbiter = Arbiter::new();
+        let for_writer = shared.clone();
+        table_arbiter.spawn_fn(move || {
+            actix_rt::spawn(table::run(for_writer, table_inbox));
+        });
 
         let servers = [
             callers::serve(callers, shared.clone()).context(ServeSnafu)?,
@@ -90,7 +98,7 @@
             shared,
             caller_address,
             servers,
-            arbiters: [control_arbiter, background_arbiter],
+            arbiters: [control_arbiter, background_arbiter, table_arbiter],
         })
     }
 
--- a/crates/cumintrail-daemon/src/lib.rs
+++ b/crates/cumintrail-daemon/src/lib.rs
@@ -16,6 +16,7 @@
 mod operators;
 mod process;
 mod shared;
+mod table;
 mod usage;
 
 pub use daemon::{Daemon, SpawnError};
--- a/crates/cumintrail-daemon/src/shared.rs
+++ b/crates/cumintrail-daemon/src/shared.rs
@@ -14,6 +14,7 @@
 use crate::clock::Clock;
 use crate::contact::Contact;
 use crate::control_thread::ControlLink;
+use crate::table::{TableGate, WriterLink};
 
 /// Holds a configuration that is in force.
 #[derive(Debug)]
@@ -59,28 +60,44 @@
     pub key_ring: KeyRing,
     /// When the platform last answered.
     pub platform_contact: Contact,
+    /// Whether keyed calls may ask the table.
+    pub table_gate: TableGate,
+    /// The way to the writer of records.
+    pub table_writer: WriterLink,
     clock: Clock,
     adopted: ArcSwapOption<Adopted>,
     not_adopted: ArcSwapOption<NotAdopted>,
     stopping: AtomicBool,
     next_call: AtomicU64,
     pending_outcomes: AtomicUsize,
+    pending_bytes: AtomicUsize,
 }
 
 /// Counts a call whose outcome is still to be recorded, for as long as it lives.
-pub struct PendingOutcome(Arc<Shared>);
+pub struct PendingOutcome {
+    shared: Arc<Shared>,
+    bytes: usize,
+}
 
 impl PendingOutcome {
     /// Begins to count.
     pub fn begin(shared: &Arc<Shared>) -> Self {
         shared.pending_outcomes.fetch_add(1, Ordering::AcqRel);
-        Self(shared.clone())
+        Self { shared: shared.clone(), bytes: 0 }
+    }
+
+    /// Counts the bytes of its answer, unless the process then holds more than `limit`.
+    pub fn hold(&mut self, bytes: usize, limit: usize) -> bool {
+        let held = self.shared.pending_bytes.fetch_add(bytes, Ordering::AcqRel);
+        self.bytes += bytes;
+        held + bytes <= limit
     }
 }
 
 impl Drop for PendingOutcome {
     fn drop(&mut self) {
-        self.0.pending_outcomes.fetch_sub(1, Ordering::AcqRel);
+        self.shared.pending_bytes.fetch_sub(self.bytes, Ordering::AcqRel);
+        self.shared.pending_outcomes.fetch_sub(1, Ordering::AcqRel);
     }
 }
 
@@ -91,6 +108,7 @@
         incarnation: Incarnation,
         operator_address: SocketAddr,
         control: ControlLink,
+        table_writer: WriterLink,
         clock: Clock,
     ) -> Self {
         Self {
@@ -101,12 +119,15 @@
             control,
             newer: watch::Sender::new(None),
             platform_contact: Contact::default(),
+            table_gate: TableGate::default(),
+            table_writer,
             clock,
             adopted: ArcSwapOption::empty(),
             not_adopted: ArcSwapOption::empty(),
             stopping: AtomicBool::new(false),
             next_call: AtomicU64::new(1),
             pending_outcomes: AtomicUsize::new(0),
+            pending_bytes: AtomicUsize::new(0),
         }
     }
 
--- /dev/null
+++ b/crates/cumintrail-daemon/src/table/link.rs
@@ -0,0 +1,82 @@
+//! Exchanges with the table within a time limit, and only while it answers.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use cumintrail_client::{ClientError, HttpPlatform};
+use cumintrail_control::once::Found;
+use cumintrail_wire::platform::Row;
+use cumintrail_wire::record::{ClaimRecord, KeptAnswer};
+
+use crate::metric;
+use crate::shared::Shared;
+
+/// A table that is slower is taken for unreachable.
+pub const TABLE_TIMEOUT: Duration = Duration::from_millis(750);
+
+/// Reports that the table did not answer; a write may or may not have taken effect.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Lost;
+
+/// Reports an exchange without an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NoAnswer {
+    /// It was not sent, since the table does not answer.
+    NotSent,
+    /// It may have taken effect.
+    Lost,
+}
+
+/// Tells what became of a write.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Written {
+    /// It took effect.
+    Done,
+    /// The row has another version than demanded.
+    Conflict(Option<Found<KeptAnswer>>),
+    /// It was not sent, since the table does not answer.
+    NotSent,
+}
+
+/// Exchanges messages with the table from one thread.
+#[derive(Clone)]
+pub struct TableLink {
+    /// The client of the current thread.
+    pub platform: Rc<HttpPlatform>,
+    /// What the daemon's threads share.
+    pub shared: Arc<Shared>,
+}
+
+impl TableLink {
+    /// Makes a client for the current thread.
+    pub fn open(shared: Arc<Shared>) -> Self {
+        let s = &shared.settings;
+        let platform = Rc::new(HttpPlatform::open(s.table, s.objects, s.vm_list));
+        Self { platform, shared }
+    }
+
+    /// Runs an exchange within the time limit, unless the table is known not to answer.
+    pub async fn exchange<T>(
+        &self,
+        exchange: impl Future<Output = Result<T, ClientError>>,
+    ) -> Result<T, NoAnswer> {
+        let gate = &self.shared.table_gate;
+        let passage = gate.enter(self.shared.now()).ok_or(NoAnswer::NotSent)?;
+        let answered = match actix_rt::time::timeout(TABLE_TIMEOUT, exchange).await {
+            Ok(Ok(answer)) => Ok(answer),
+            Ok(Err(_)) | Err(_) => Err(NoAnswer::Lost),
+        };
+        passage.judge(self.shared.now(), answered.is_ok());
+        if answered.is_err() {
+            metrics::counter!(metric::PLATFORM_ERRORS, "part" => "records").increment(1);
+        }
+        answered
+    }
+}
+
+/// Reads a record out of its row.
+pub fn parse(row: &Row) -> Result<Found<KeptAnswer>, Lost> {
+    let record: ClaimRecord = serde_json::from_str(&row.value).map_err(|_| Lost)?;
+    Ok(Found { version: row.version, record: record.into() })
+}
--- a/crates/cumintrail-wire/src/record.rs
+++ b/crates/cumintrail-wire/src/record.rs
@@ -22,6 +22,47 @@
     Claimed,
     Released,
     Answered(AnswerRecord),
+    Stored(StoredAnswer),
+}
+
+/// Holds an answer as the table keeps it: whole, or with its body in the object store.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum KeptAnswer {
+    /// The row holds the whole answer.
+    Whole(AnswerRecord),
+    /// The body is an object, since it is too large for a row.
+    Stored(StoredAnswer),
+}
+
+/// Holds an answer whose body is an object, so that a row stays small.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StoredAnswer {
+    /// The random id of the claim, which names the object; see [`answer_name`].
+    pub object: WriteId,
+    /// The digest of the body, so that a lost or damaged object is never taken for the answer.
+    pub digest: Digest,
+    /// The HTTP status.
+    pub status: u16,
+    /// The end-to-end headers.
+    pub headers: Vec<(String, String)>,
+}
+
+impl StoredAnswer {
+    /// Describes an answer whose body goes to the object of a claim.
+    pub fn new(object: WriteId, answer: &AnswerRecord, body: &[u8]) -> Self {
+        let (status, headers) = (answer.status, answer.headers.clone());
+        Self { object, digest: Digest::of(body), status, headers }
+    }
+
+    /// Returns the whole answer, or nothing if `body` is not the one that was stored.
+    pub fn with_body(self, body: &[u8]) -> Option<AnswerRecord> {
+        let (status, headers) = (self.status, self.headers);
+        (Digest::of(body) == self.digest).then(|| AnswerRecord {
+            status,
+            headers,
+            body: body.into(),
+        })
+    }
 }
 
 /// Holds the whole answer of a plain service.
@@ -61,12 +102,13 @@
     }
 }
 
-impl From<Record<AnswerRecord>> for ClaimRecord {
-    fn from(r: Record<AnswerRecord>) -> Self {
+impl From<Record<KeptAnswer>> for ClaimRecord {
+    fn from(r: Record<KeptAnswer>) -> Self {
         let state = match r.state {
             RecordState::Claimed => ClaimState::Claimed,
             RecordState::Released => ClaimState::Released,
-            RecordState::Answered(answer) => ClaimState::Answered(answer),
+            RecordState::Answered(KeptAnswer::Whole(answer)) => ClaimState::Answered(answer),
+            RecordState::Answered(KeptAnswer::Stored(stored)) => ClaimState::Stored(stored),
         };
         Self {
             claim: r.claim,
@@ -78,12 +120,13 @@
     }
 }
 
-impl From<ClaimRecord> for Record<AnswerRecord> {
+impl From<ClaimRecord> for Record<KeptAnswer> {
     fn from(r: ClaimRecord) -> Self {
         let state = match r.state {
             ClaimState::Claimed => RecordState::Claimed,
             ClaimState::Released => RecordState::Released,
-            ClaimState::Answered(answer) => RecordState::Answered(answer),
+            ClaimState::Answered(answer) => RecordState::Answered(KeptAnswer::Whole(answer)),
+            ClaimState::Stored(stored) => RecordState::Answered(KeptAnswer::Stored(stored)),
         };
         Self {
             claim: r.claim,
@@ -100,3 +143,8 @@
     let named = [account, service, key].map(|part| format!("{}:{part}", part.len())).concat();
     format!("once/{}", Digest::of(named.as_bytes()))
 }
+
+/// Names the object that holds the body of a claim's answer.
+pub fn answer_name(claim: WriteId) -> String {
+    format!("answers/{claim}")
+}
--- a/tests/src/standins/platform.rs
+++ b/tests/src/standins/platform.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use actix_http::{Method, Request, StatusCode};
 use bytes::Bytes;
@@ -37,6 +37,8 @@
     loads: u32,
     writes: u64,
     reads: u64,
+    /// When each transaction came.
+    written_at: Vec<Instant>,
 }
 
 /// Runs a platform.
@@ -97,6 +99,36 @@
         (state.writes, state.reads)
     }
 
+    /// Returns the transactions that came after `since`, and the most of them within a second.
+    pub fn writes_since(&self, since: Instant) -> (usize, usize) {
+        let state = self.lock();
+        let times: Vec<Instant> =
+            state.written_at.iter().copied().filter(|at| *at >= since).collect();
+        let second = |from: &Instant| {
+            times.iter().filter(|at| *at >= from && **at < *from + Duration::from_secs(1)).count()
+        };
+        (times.len(), times.iter().map(second).max().unwrap_or(0))
+    }
+
+    /// Returns the names of all objects below `prefix`.
+    pub fn objects(&self, prefix: &str) -> Vec<String> {
+        self.lock().objects.keys().filter(|name| name.starts_with(prefix)).cloned().collect()
+    }
+
+    /// Returns the keys of all rows below `prefix`.
+    pub fn rows(&self, prefix: &str) -> Vec<String> {
+        self.lock().rows.keys().filter(|key| key.starts_with(prefix)).cloned().collect()
+    }
+
+    /// Replaces the bytes of an object, or loses it.
+    pub fn damage_object(&self, name: &str, body: Option<Bytes>) {
+        let mut state = self.lock();
+        match body {
+            Some(body) => state.objects.insert(name.to_owned(), body),
+            None => state.objects.remove(name),
+        };
+    }
+
     fn lock(&self) -> std::sync::MutexGuard<'_, State> {
         self.state.lock().expect("no holder panics")
     }
@@ -139,6 +171,10 @@
                     state.objects.insert(name.to_owned(), body);
                     empty(StatusCode::OK)
                 }
+                (Method::DELETE, _, Some(("/objects/", name))) => {
+                    state.objects.remove(name);
+                    empty(StatusCode::OK)
+                }
                 (Method::GET, _, Some(("/objects/", name))) => match state.objects.get(name) {
                     Some(object) => Answer::with_body(
                         StatusCode::OK,
@@ -164,6 +200,7 @@
         return empty(StatusCode::BAD_REQUEST);
     };
     state.writes += 1;
+    state.written_at.push(Instant::now());
     let conditions = transaction.conditions.iter();
     let found: Vec<Option<Row>> = conditions.map(|c| state.rows.get(&c.key).cloned()).collect();
     let committed = transaction
