Prove following of stores with real daemons and cold starts

Change: tests with daemon processes (a sealed and a freed block without a listing, a forgotten log, an empty and another store under the same address), 36 daemons that start cold in virtual time, a page that waits for imports but not for ever, late pages; the metric cumintrail_store_reads_total.

--- a/crates/cumintrail-control/tests/following.rs
+++ b/crates/cumintrail-control/tests/following.rs
@@ -29,12 +29,13 @@
     forgotten: usize,
     writes: u8,
     listed: usize,
+    answered: usize,
 }
 
 impl Fake {
     fn new(run: u64) -> Self {
         let (blocks, log) = (BTreeMap::new(), Vec::new());
-        Self { run, blocks, log, forgotten: 0, writes: 0, listed: 0 }
+        Self { run, blocks, log, forgotten: 0, writes: 0, listed: 0, answered: 0 }
     }
 
     fn seal(&mut self, key: u8) {
@@ -53,6 +54,7 @@
     }
 
     fn answer(&mut self, read: StoreRead) -> StoreAnswer {
+        self.answered += 1;
         let (incarnation, newest) = (Incarnation(self.run), self.log.len() as u64);
         let after = match read {
             StoreRead::Listing { after } => {
@@ -189,6 +191,27 @@
     assert_eq!(world.known.get(BlockKey([20; 16])).count(), 0);
 }
 
+#[test]
+fn a_late_page_is_not_taken_for_the_one_that_was_asked_for() {
+    let mut world = World::new(2);
+    (20..40).for_each(|key| world.store.seal(key));
+    while world.late.is_empty() {
+        world.tick(Fate::Late);
+    }
+    let asked_again = world.store.answered + 1;
+    while world.store.answered < asked_again {
+        world.tick(Fate::Arrives);
+    }
+    while world.late.len() < 2 {
+        world.tick(Fate::Late);
+    }
+    world.late.truncate(1);
+    let listed = world.store.listed;
+    world.deliver_late();
+    world.settle();
+    assert_eq!(world.store.listed, listed, "a page was lost");
+}
+
 #[test]
 fn a_store_that_came_back_empty_leaves_nothing_known() {
     let mut world = World::new(10);
@@ -196,6 +219,27 @@
     world.settle();
 }
 
+#[test]
+fn a_new_run_hides_what_the_old_one_held_before_its_listing() {
+    let mut world = World::new(10);
+    world.store = Fake::new(2);
+    (20..30).for_each(|key| world.store.seal(key));
+    let answered = world.store.answered;
+    while world.store.answered == answered {
+        world.tick(Fate::Arrives);
+    }
+    assert_eq!(world.known.len(), 0);
+    world.settle();
+}
+
+#[test]
+fn a_store_that_is_empty_and_forgot_its_log_leaves_nothing_known() {
+    let mut world = World::new(10);
+    (0..10).for_each(|key| world.store.free(key));
+    world.store.forgotten = world.store.log.len();
+    world.settle();
+}
+
 #[test]
 fn a_store_that_forgot_its_log_is_listed_again() {
     let mut world = World::new(10);
--- a/crates/cumintrail-daemon/src/background/orders.rs
+++ b/crates/cumintrail-daemon/src/background/orders.rs
@@ -145,10 +145,19 @@
     }
 }
 
+const fn name_of(read: StoreRead) -> &'static str {
+    match read {
+        StoreRead::Summary => "summary",
+        StoreRead::Listing { .. } => "listing",
+        StoreRead::Changes { .. } => "changes",
+    }
+}
+
 async fn read_store(background: &Background, store: StoreKey, ticket: u32, read: StoreRead) {
     let Some(at) = background.store_address(store) else {
         return;
     };
+    metrics::counter!(metric::STORE_READS, "read" => name_of(read)).increment(1);
     let stores = &background.stores;
     let answer = match read {
         StoreRead::Summary => stores.summary(at).await.map(StoreAnswer::from),
--- a/crates/cumintrail-daemon/src/metric.rs
+++ b/crates/cumintrail-daemon/src/metric.rs
@@ -26,6 +26,8 @@
 pub const IMPORTS: &str = "cumintrail_imports_total";
 /// Blocks known in stores.
 pub const KEPT_BLOCKS: &str = "cumintrail_kept_blocks";
+/// Reads of what stores hold, by kind: `summary`, `listing` or `changes`.
+pub const STORE_READS: &str = "cumintrail_store_reads_total";
 /// Streams that went on over a new connection.
 pub const RESUMES: &str = "cumintrail_stream_resumes_total";
 /// Events that were dropped as late, repeated or foreign.
@@ -107,7 +109,7 @@
 }
 
 /// Describes all metrics.
-pub const METRICS: [Description; 26] = [
+pub const METRICS: [Description; 27] = [
     counter(CALLS, Unit::Count, "Calls by outcome").by("outcome"),
     gauge(CALLS_IN_FLIGHT, Unit::Count, "Calls that are not answered yet"),
     gauge(CALLS_WAITING, Unit::Count, "Calls that wait for a slot"),
@@ -123,6 +125,7 @@
     counter(LINK_BYTES, Unit::Bytes, "Bytes imported from stores"),
     counter(IMPORTS, Unit::Count, "Blocks by outcome of their import").by("outcome"),
     gauge(KEPT_BLOCKS, Unit::Count, "Blocks known in stores"),
+    counter(STORE_READS, Unit::Count, "Reads of what stores hold by kind").by("read"),
     counter(RESUMES, Unit::Count, "Streams that went on over a new connection"),
     counter(REPLAYS, Unit::Count, "Recorded answers repeated under an idempotency key"),
     counter(FORWARDS, Unit::Count, "Calls forwarded to the issuer of their operation key")
--- /dev/null
+++ b/tests/tests/stores.rs
@@ -0,0 +1,215 @@
+//! Daemons follow stores by their changes, and a cold start leaves the links to imports.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use actix_http::Method;
+use cumintrail_config::{Document, Snapshot, TargetKind};
+use cumintrail_control::following::{ChangesPage, ListingPage, StoreAnswer, StoreRead};
+use cumintrail_control::{Action, Arrival, Control, Event, Identity, TargetReport};
+use cumintrail_tests::cluster::{LOOPBACK, Plan, declare};
+use cumintrail_tests::deployment::{ANSWER_LIMIT, Deployment};
+use cumintrail_tests::http::send;
+use cumintrail_tests::standins::engine;
+use cumintrail_types::{
+    AccountKey, BlockKey, Bytes, CallClass, CallKey, Digest, Generation, Incarnation, ModelKey,
+    Moment, Sealed, StoreKey, TargetKey, Tier, Tokens, WeightVersion, WriteId,
+};
+use cumintrail_wire::store::{DIGEST_HEADER, WRITE_HEADER};
+
+const BINARY: &str = env!("CARGO_BIN_EXE_cumintrail-tests");
+const BLOCKS: u32 = 3_000;
+/// Two looks at a store's changes, with jitter.
+const LEARN_LIMIT: Duration = Duration::from_secs(26);
+/// What two daemons read in that time, without a listing of 600 KB.
+const FEW_BYTES: u64 = 16 << 10;
+
+fn block(index: u32) -> (Sealed, Tier) {
+    let digest = Digest::of(&index.to_le_bytes());
+    let mut key = [0; 16];
+    key.copy_from_slice(&digest.0[..16]);
+    let write_id = WriteId(key);
+    (Sealed { key: BlockKey(key), write_id, digest, length: Bytes(400) }, Tier::Disk)
+}
+
+async fn all_know(deployment: &Deployment, blocks: u32) -> bool {
+    let known = |dump: &serde_json::Value| dump["kept_blocks"] == blocks;
+    deployment.until(0, LEARN_LIMIT, known).await && deployment.until(1, LEARN_LIMIT, known).await
+}
+
+async fn filled() -> Deployment {
+    let plan = Plan { engines: 1, daemons: 2, services: 0, ..Plan::default() };
+    let deployment = Deployment::spawn(BINARY, &plan).await.unwrap();
+    deployment.stores[0].seal((0..BLOCKS).map(block));
+    assert!(all_know(&deployment, BLOCKS).await);
+    deployment
+}
+
+#[actix_rt::test]
+async fn a_sealed_and_a_freed_block_are_learned_without_a_listing() {
+    let deployment = filled().await;
+    let store = &deployment.stores[0];
+    let before = store.listed_bytes();
+    let bytes = vec![1; 400];
+    let digest = Digest::of(&bytes).to_string();
+    let write_id = WriteId([1; 16]).to_string();
+    let headers = [(WRITE_HEADER, write_id.as_str()), (DIGEST_HEADER, digest.as_str())];
+    let path = format!("/blocks/{}", BlockKey([1; 16]));
+    let put = send(Method::PUT, store.address(), &path, &headers, bytes, ANSWER_LIMIT).await;
+    assert_eq!(put.status, 200);
+    assert!(all_know(&deployment, BLOCKS + 1).await, "not sealed");
+    let tag = format!("\"{write_id}\"");
+    let headers = [("if-match", tag.as_str())];
+    let freed = send(Method::DELETE, store.address(), &path, &headers, "", ANSWER_LIMIT).await;
+    assert_eq!(freed.status, 200);
+    assert!(all_know(&deployment, BLOCKS).await, "not freed");
+    let read = store.listed_bytes() - before;
+    assert!(read < FEW_BYTES, "{read} bytes were read for two changes");
+}
+
+#[actix_rt::test]
+async fn a_store_that_forgot_its_log_or_was_replaced_is_listed_again() {
+    let mut deployment = filled().await;
+    let store = &deployment.stores[0];
+    store.seal((BLOCKS..BLOCKS + 10).map(block));
+    store.forget_log();
+    assert!(all_know(&deployment, BLOCKS + 10).await, "the log was forgotten");
+    deployment.replace_store(0).await.unwrap();
+    assert!(all_know(&deployment, 0).await, "an empty store came back");
+    deployment.replace_store(0).await.unwrap();
+    deployment.stores[0].seal((0..BLOCKS / 2).map(block));
+    assert!(all_know(&deployment, BLOCKS / 2).await, "another store took its place");
+}
+
+const DAEMONS: usize = 36;
+const PAGE: usize = 1_000;
+const HELD: u32 = 30_000;
+const STEP: Duration = Duration::from_millis(20);
+/// Pages of a daemon a second, jitter included.
+const PAGES_PER_SECOND: usize = 5;
+
+fn cold_daemon(index: usize) -> Control {
+    let identity = Identity {
+        vm: format!("vm-{index}").into(),
+        domain: "d0".into(),
+        incarnation: Incarnation(index as u64 + 1),
+        address: SocketAddr::from(([10, 0, 1, 0], 7_000 + index as u16)),
+        probe_interval: Duration::from_secs(1),
+        digest_interval: Duration::from_secs(1),
+    };
+    Control::new(identity, index as u64)
+}
+
+fn store_answer(blocks: &[(Sealed, Tier)], read: StoreRead) -> StoreAnswer {
+    let incarnation = Incarnation(1);
+    if let StoreRead::Listing { after } = read {
+        let from = after.map_or(0, |after| blocks.partition_point(|(s, _)| s.key <= after));
+        let to = blocks.len().min(from + PAGE);
+        let (more, blocks) = (to < blocks.len(), blocks[from..to].to_vec());
+        return StoreAnswer::Listing(ListingPage { incarnation, newest: 0, blocks, more });
+    }
+    let held = blocks.len() as u64;
+    let page = ChangesPage { incarnation, oldest: 1, newest: 0, held, changes: Vec::new() };
+    StoreAnswer::Changes(page)
+}
+
+/// Counts the pages that a daemon orders in a second of ticks.
+fn pages_ordered(daemon: &mut Control, now: &mut Moment) -> Vec<(StoreKey, u32, StoreRead)> {
+    let mut ordered = Vec::new();
+    for _ in 0..50 {
+        *now = *now + STEP;
+        for action in daemon.handle(*now, Event::Tick) {
+            if let Action::ReadStore { store, ticket, read } = action {
+                ordered.push((store, ticket, read));
+            }
+        }
+    }
+    ordered
+}
+
+#[test]
+fn a_page_of_a_listing_waits_for_imports_but_not_for_ever() {
+    let (engine, store) = (([10, 0, 2, 0], 9_000).into(), ([10, 0, 3, 0], 9_000).into());
+    let limits = engine::Limits { prefill_per_second: 3_000, ..engine::Limits::default() };
+    let text = declare(&Plan { engine: limits, ..Plan::default() }, &[engine], &[store], &[]);
+    let sections = Document::parse(&"test".into(), &text).unwrap().sections;
+    let snapshot = Snapshot::build(Generation(1), &sections, None, None).unwrap();
+    let mut blocks: Vec<_> = (0..3_000).map(block).collect();
+    blocks.sort_unstable_by_key(|(sealed, _)| sealed.key);
+
+    let (mut daemon, mut now) = (cold_daemon(0), Moment::from_millis(1));
+    daemon.handle(now, Event::Configured(snapshot.into()));
+    while daemon.dump(now).kept_blocks == 0 {
+        for (store, ticket, read) in pages_ordered(&mut daemon, &mut now) {
+            let answer = store_answer(&blocks, read);
+            daemon.handle(now, Event::StoreAnswered { store, ticket, answer });
+        }
+    }
+    let report = TargetReport {
+        incarnation: Incarnation(1),
+        leaving: false,
+        version: WeightVersion(1),
+        loading: false,
+        running: 0,
+        waiting: 0,
+        prefill_backlog: Tokens(0),
+    };
+    daemon.handle(now, Event::TargetReported { target: TargetKey(0), report });
+    let arrival = Arrival {
+        call: CallKey(1),
+        account: AccountKey(0),
+        class: CallClass::Model,
+        kind: TargetKind::Engine(ModelKey(0)),
+        version: WeightVersion(1),
+        pieces: [blocks[0].0.key].into(),
+        prompt: Tokens(150),
+        max_answer: Tokens(10),
+        deadline: now + Duration::from_secs(60),
+    };
+    let actions = daemon.handle(now, Event::Arrived(arrival));
+    let imports = |a: &Action| matches!(a, Action::Dispatch(d) if !d.plan.fetches.is_empty());
+    assert!(actions.iter().any(imports), "{actions:?}");
+    for _ in 0..4 {
+        assert_eq!(pages_ordered(&mut daemon, &mut now), []);
+    }
+    let late: Vec<_> = (0..2).flat_map(|_| pages_ordered(&mut daemon, &mut now)).collect();
+    assert_eq!(late.len(), 1, "the import's end was never told, and the listing still goes on");
+}
+
+#[test]
+fn a_failure_domain_that_starts_cold_spreads_its_listings() {
+    let store = SocketAddr::from((LOOPBACK.ip(), 9_000));
+    let text = declare(&Plan::default(), &[], &[store], &[]);
+    let sections = Document::parse(&"test".into(), &text).unwrap().sections;
+    let snapshot = Arc::new(Snapshot::build(Generation(1), &sections, None, None).unwrap());
+    let mut blocks: Vec<_> = (0..HELD).map(block).collect();
+    blocks.sort_unstable_by_key(|(sealed, _)| sealed.key);
+
+    let mut now = Moment::from_millis(1);
+    let mut daemons: Vec<Control> = (0..DAEMONS).map(cold_daemon).collect();
+    let mut pages_in_second = vec![0_usize; 60];
+    for daemon in &mut daemons {
+        daemon.handle(now, Event::Configured(snapshot.clone()));
+    }
+    for pages in &mut pages_in_second {
+        for _ in 0..50 {
+            now = now + STEP;
+            for daemon in &mut daemons {
+                for action in daemon.handle(now, Event::Tick) {
+                    let Action::ReadStore { store, ticket, read } = action else { continue };
+                    let listing = matches!(read, StoreRead::Listing { .. });
+                    *pages += usize::from(listing);
+                    let answer = store_answer(&blocks, read);
+                    daemon.handle(now, Event::StoreAnswered { store, ticket, answer });
+                }
+            }
+        }
+    }
+    let peak = pages_in_second.iter().max().unwrap();
+    assert!(*peak <= DAEMONS * PAGES_PER_SECOND, "{pages_in_second:?}");
+    assert!(pages_in_second[0] <= DAEMONS * PAGES_PER_SECOND / 2, "{pages_in_second:?}");
+    assert!(daemons.iter().all(|d| d.dump(now).kept_blocks == HELD as usize));
+    let listed = DAEMONS * (HELD as usize).div_ceil(PAGE);
+    assert_eq!(pages_in_second.iter().sum::<usize>(), listed, "each daemon lists once");
+}
