Hold back accounts at their fair share of engine queues

Cause: up to 32 calls are sent to an engine, which serves them in order of arrival, so the calls of a flooding account lay before those of small accounts, out of reach of the fair queue.

Change: a call is kept in the fair queue when the target that is best for it would not begin for a while and its account already has its weighted part of the tokens that this daemon's engines compute. Calls of others pass it. At most 8 calls are placed in vain.

Without the change the new test of admission and that of the experiment fail.

--- a/crates/cumintrail-control/src/admission.rs
+++ b/crates/cumintrail-control/src/admission.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use cumintrail_config::{Account, TargetKind};
-use cumintrail_types::{AccountKey, CallKey, Moment, Refusal, RefusalCode};
+use cumintrail_types::{AccountKey, CallKey, Moment, Refusal, RefusalCode, Tokens};
 
 pub use self::queue::FairQueue;
 pub use self::share::{BY_NEED, share};
@@ -19,6 +19,10 @@
 #[derive(Debug, Clone, Default)]
 struct Use {
     in_flight: u32,
+    /// Its weight while calls are in flight.
+    weight: u32,
+    /// Prompt tokens that engines still have to compute for it.
+    prefill: u64,
     requests: Bucket,
     tokens: Bucket,
 }
@@ -53,7 +57,7 @@
     calls: FairQueue,
     /// Seconds from one dispatch to the next while calls waited, smoothed.
     interval: f64,
-    popped: Option<Moment>,
+    served: Option<Moment>,
 }
 
 /// Holds the limits and the queue of one daemon.
@@ -66,6 +70,9 @@
     share: f64,
     /// Parts of single accounts' limits, where they differ from `share`.
     shares: HashMap<AccountKey, f64>,
+    /// The weights of the accounts with calls in flight, and the tokens of [`Use::prefill`], summed.
+    active_weight: u64,
+    prefill: u64,
 }
 
 impl Admission {
@@ -103,6 +110,10 @@
         used.requests.try_take(now, 1.0, requests).map_err(refuse)?;
         let rate = (f64::from(account.tokens_per_second) * share).max(1.0);
         used.tokens.try_take(now, f64::from(tokens), rate).map_err(refuse)?;
+        if used.in_flight == 0 {
+            used.weight = account.weight.max(1);
+            self.active_weight += u64::from(used.weight);
+        }
         used.in_flight += 1;
         Ok(())
     }
@@ -114,11 +125,43 @@
 
     /// Gives back what [`Admission::admit`] took, once a call is answered.
     pub fn release(&mut self, key: AccountKey) {
-        if let Some(used) = self.uses.get_mut(&key) {
-            used.in_flight = used.in_flight.saturating_sub(1);
+        let Some(used) = self.uses.get_mut(&key).filter(|used| used.in_flight > 0) else {
+            return;
+        };
+        used.in_flight -= 1;
+        if used.in_flight == 0 {
+            self.active_weight -= u64::from(used.weight);
         }
     }
 
+    /// Notes prompt tokens that an engine was given to compute for an account.
+    pub fn add_prefill(&mut self, key: AccountKey, tokens: Tokens) {
+        self.uses.entry(key).or_default().prefill += u64::from(tokens.0);
+        self.prefill += u64::from(tokens.0);
+    }
+
+    /// Notes that tokens of [`Admission::add_prefill`] were computed or given up.
+    pub fn remove_prefill(&mut self, key: AccountKey, tokens: Tokens) {
+        let Some(used) = self.uses.get_mut(&key) else {
+            return;
+        };
+        let taken = used.prefill.min(u64::from(tokens.0));
+        used.prefill -= taken;
+        self.prefill -= taken;
+    }
+
+    /// Tells whether an account has its fair part of the tokens that engines compute, or more.
+    ///
+    /// An account of which engines compute nothing is below its share, so its first reply is not
+    /// held back.
+    pub fn has_fair_share(&self, key: AccountKey) -> bool {
+        let Some(used) = self.uses.get(&key).filter(|used| used.prefill > 0) else {
+            return false;
+        };
+        let own = u128::from(used.prefill) * u128::from(self.active_weight);
+        own >= u128::from(used.weight) * u128::from(self.prefill)
+    }
+
     /// Returns the calls of an account that are not answered yet.
     pub fn in_flight(&self, key: AccountKey) -> u32 {
         self.uses.get(&key).map_or(0, |used| used.in_flight)
@@ -130,16 +173,16 @@
         self.waiting += 1;
     }
 
-    /// Returns the call that is next by fair shares, without removing it.
-    pub fn peek(&mut self, kind: TargetKind) -> Option<CallKey> {
-        self.queues.get_mut(&kind)?.calls.peek()
+    /// Lists the first waiting call of each account, in the order of fair shares.
+    pub fn heads(&self, kind: TargetKind) -> impl Iterator<Item = (AccountKey, CallKey)> + '_ {
+        self.queues.get(&kind).into_iter().flat_map(|queue| queue.calls.heads())
     }
 
-    /// Removes the call that is next by fair shares.
-    pub fn pop(&mut self, now: Moment, kind: TargetKind) -> Option<CallKey> {
+    /// Removes the first waiting call of an account because it is served.
+    pub fn serve(&mut self, now: Moment, kind: TargetKind, account: AccountKey) -> Option<CallKey> {
         let queue = self.queues.get_mut(&kind)?;
-        let call = queue.calls.pop()?;
-        queue.note_pop(now);
+        let call = queue.calls.serve(account)?;
+        queue.note_serve(now);
         self.waiting -= 1;
         Some(call)
     }
@@ -177,11 +220,11 @@
 
 impl Queue {
     /// Follows how fast the queue is served; only calls that others waited behind count.
-    fn note_pop(&mut self, now: Moment) {
-        if let Some(popped) = self.popped {
-            let interval = now.since(popped).as_secs_f64();
+    fn note_serve(&mut self, now: Moment) {
+        if let Some(served) = self.served {
+            let interval = now.since(served).as_secs_f64();
             self.interval += DRAIN_SMOOTHING * (interval - self.interval);
         }
-        self.popped = (!self.calls.is_empty()).then_some(now);
+        self.served = (!self.calls.is_empty()).then_some(now);
     }
 }
--- a/crates/cumintrail-control/src/admission/queue.rs
+++ b/crates/cumintrail-control/src/admission/queue.rs
@@ -1,7 +1,6 @@
 //! A queue that serves client accounts in proportion to their weights.
 
-use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap, VecDeque};
+use std::collections::{BTreeSet, HashMap, VecDeque};
 
 use cumintrail_types::{AccountKey, CallKey};
 
@@ -11,8 +10,8 @@
 #[derive(Debug, Default)]
 pub struct FairQueue {
     lanes: HashMap<AccountKey, Lane>,
-    /// Finish times of lanes; an entry counts only while its lane still has that finish time.
-    order: BinaryHeap<Reverse<(u64, AccountKey)>>,
+    /// Finish times of the lanes in which calls wait.
+    order: BTreeSet<(u64, AccountKey)>,
     clock: u64,
     waiting: usize,
 }
@@ -31,34 +30,38 @@
         lane.weight = weight.max(1);
         if lane.calls.is_empty() {
             lane.finish = lane.finish.max(self.clock) + VIRTUAL_SECOND / u64::from(lane.weight);
-            self.order.push(Reverse((lane.finish, account)));
+            self.order.insert((lane.finish, account));
         }
         lane.calls.push_back(call);
         self.waiting += 1;
     }
 
-    /// Returns the next call without removing it.
-    pub fn peek(&mut self) -> Option<CallKey> {
-        let account = self.next_account()?;
-        self.lanes.get(&account)?.calls.front().copied()
+    /// Lists the first call of each account in the order in which accounts are served.
+    pub fn heads(&self) -> impl Iterator<Item = (AccountKey, CallKey)> + '_ {
+        self.order.iter().filter_map(|(_, account)| {
+            let lane = self.lanes.get(account)?;
+            lane.calls.front().map(|call| (*account, *call))
+        })
     }
 
-    /// Removes the next call.
-    pub fn pop(&mut self) -> Option<CallKey> {
-        let account = self.next_account()?;
-        self.order.pop();
+    /// Removes the first call of an account, which pays for it.
+    ///
+    /// Accounts before it in the order keep their places, so that one that is held back for now is
+    /// served as soon as it may be.
+    pub fn serve(&mut self, account: AccountKey) -> Option<CallKey> {
         let lane = self.lanes.get_mut(&account)?;
         let call = lane.calls.pop_front()?;
         self.waiting -= 1;
+        self.order.remove(&(lane.finish, account));
         self.clock = self.clock.max(lane.finish);
         if !lane.calls.is_empty() {
             lane.finish += VIRTUAL_SECOND / u64::from(lane.weight);
-            self.order.push(Reverse((lane.finish, account)));
+            self.order.insert((lane.finish, account));
         }
         Some(call)
     }
 
-    /// Removes a waiting call; tells whether it waited.
+    /// Removes a waiting call that is not served; tells whether it waited.
     pub fn remove(&mut self, account: AccountKey, call: CallKey) -> bool {
         let Some(lane) = self.lanes.get_mut(&account) else {
             return false;
@@ -67,6 +70,9 @@
             return false;
         };
         lane.calls.remove(at);
+        if lane.calls.is_empty() {
+            self.order.remove(&(lane.finish, account));
+        }
         self.waiting -= 1;
         true
     }
@@ -94,15 +100,4 @@
     pub const fn is_empty(&self) -> bool {
         self.waiting == 0
     }
-
-    fn next_account(&mut self) -> Option<AccountKey> {
-        while let Some(Reverse((finish, account))) = self.order.peek().copied() {
-            let lane = self.lanes.get(&account).filter(|lane| !lane.calls.is_empty());
-            if lane.is_some_and(|lane| lane.finish == finish) {
-                return Some(account);
-            }
-            self.order.pop();
-        }
-        None
-    }
 }
--- a/crates/cumintrail-control/src/control/arrivals.rs
+++ b/crates/cumintrail-control/src/control/arrivals.rs
@@ -2,8 +2,10 @@
 
 use std::time::Duration;
 
-use cumintrail_config::{Snapshot, Target, TargetKind};
-use cumintrail_types::{CallKey, Moment, Refusal, RefusalCode, TargetKey, Tokens, WeightVersion};
+use cumintrail_config::{Preset, Snapshot, Target, TargetKind};
+use cumintrail_types::{
+    AccountKey, CallKey, Moment, Refusal, RefusalCode, TargetKey, Tokens, WeightVersion,
+};
 use smallvec::SmallVec;
 
 use super::Control;
@@ -19,6 +21,14 @@
 ///
 /// A call is worth queueing at an engine that holds its prompt; fair queueing keeps the rest here.
 const ENGINE_QUEUE_FACTOR: u32 = 4;
+/// The wait at an engine that calls of accounts with their fair share are sent into.
+///
+/// Engines serve in the order of arrival, so what one account queues there delays all others.
+const WAIT_AT_SHARE: Duration = Duration::from_secs(1);
+/// The longest such wait, however much a preset saves on computing.
+const LONGEST_WAIT_AT_SHARE: Duration = Duration::from_secs(10);
+/// Calls placed in vain, for being held back, before further accounts with their share are skipped.
+const HELD_CALLS_PLACED: usize = 8;
 
 impl<P: Placer> Control<P> {
     pub(super) fn take_arrival(&mut self, now: Moment, arrival: Arrival, actions: &mut Actions) {
@@ -68,15 +78,11 @@
         };
         let kinds: Vec<TargetKind> = self.admission.kinds().collect();
         for kind in kinds {
-            while let Some(key) = self.admission.peek(kind) {
-                match self.place(now, &snapshot, key) {
-                    Ok(Some(placement)) => {
-                        self.admission.pop(now, kind);
-                        self.dispatch(now, key, placement, actions);
-                    }
-                    Ok(None) => break,
+            while let Some((account, key, placed)) = self.next_to_send(now, &snapshot, kind) {
+                self.admission.serve(now, kind, account);
+                match placed {
+                    Ok(placement) => self.dispatch(now, key, placement, actions),
                     Err(refusal) => {
-                        self.admission.pop(now, kind);
                         self.end_call(key);
                         actions.push(Action::Refuse { call: key, refusal });
                     }
@@ -85,6 +91,40 @@
         }
     }
 
+    /// Finds the first waiting call that is to be sent or refused now.
+    ///
+    /// Calls of other accounts pass those that are held back.
+    fn next_to_send(
+        &self,
+        now: Moment,
+        snapshot: &Snapshot,
+        kind: TargetKind,
+    ) -> Option<(AccountKey, CallKey, Result<Placement, Refusal>)> {
+        let longest_wait = longest_wait_at_share(&snapshot.preset);
+        let mut held = 0;
+        for (account, key) in self.admission.heads(kind) {
+            if held >= HELD_CALLS_PLACED && self.admission.has_fair_share(account) {
+                continue;
+            }
+            match self.place(now, snapshot, key) {
+                Err(refusal) => return Some((account, key, Err(refusal))),
+                Ok(Some(placement))
+                    if placement.wait > longest_wait && self.holds_back(account) =>
+                {
+                    held += 1;
+                }
+                Ok(Some(placement)) => return Some((account, key, Ok(placement))),
+                Ok(None) => return None,
+            }
+        }
+        None
+    }
+
+    /// Tells whether calls of an account wait here rather than at a busy target.
+    fn holds_back(&self, account: AccountKey) -> bool {
+        self.placer.holds_back() && self.admission.has_fair_share(account)
+    }
+
     /// Places a waiting call; nothing if all usable targets are busy.
     fn place(
         &self,
@@ -210,11 +250,13 @@
         let version = call.pinned.unwrap_or(loaded);
         let attempt = call.start_attempt(target, version, now);
         call.expected_prefill = placement.recompute;
+        let account = call.arrival.account;
         if let Some(state) = self.targets.get_mut(target) {
             state.in_flight += 1;
             state.breaker.start();
             state.add_prefill(now, placement.recompute);
         }
+        self.admission.add_prefill(account, placement.recompute);
         self.start_fetches(now, key, &placement.plan);
         let Placement { plan, first_token, .. } = placement;
         let dispatch = Dispatch { call: key, attempt, target, version, plan, first_token };
@@ -222,6 +264,16 @@
     }
 }
 
+/// Returns the longest wait at an engine that calls of accounts with their fair share are sent into.
+///
+/// The dearer computing is, the longer a call should wait for an engine that holds its prompt.
+fn longest_wait_at_share(preset: &Preset) -> Duration {
+    let waiting = preset.first_token_weight.max(f64::EPSILON);
+    let computing = preset.first_token_weight + preset.recompute_weight;
+    let worth = (computing / waiting).min(LONGEST_WAIT_AT_SHARE.as_secs_f64());
+    (WAIT_AT_SHARE + WAIT_AT_SHARE.mul_f64(worth)).min(LONGEST_WAIT_AT_SHARE)
+}
+
 /// Leaves out targets at which the call failed before, as long as there are others.
 fn prefer_untried(call: &Call, usable: Vec<TargetKey>) -> Vec<TargetKey> {
     let untried = usable.iter().copied().filter(|key| !call.has_failed_at(*key));
@@ -234,6 +286,7 @@
     Placement {
         target,
         cost: 0.0,
+        wait: Duration::ZERO,
         first_token: Duration::ZERO,
         recompute: Tokens(0),
         plan: crate::FetchPlan::default(),
--- a/crates/cumintrail-control/src/control/attempts.rs
+++ b/crates/cumintrail-control/src/control/attempts.rs
@@ -163,6 +163,7 @@
             return;
         };
         let expected = std::mem::take(&mut call.expected_prefill);
+        self.admission.remove_prefill(call.arrival.account, expected);
         let state = call.target().and_then(|target| self.targets.get_mut(target));
         if let Some(state) = state {
             state.remove_prefill(now, expected);
--- a/crates/cumintrail-control/src/placement.rs
+++ b/crates/cumintrail-control/src/placement.rs
@@ -75,6 +75,8 @@
     pub target: TargetKey,
     /// The weighted cost, in seconds of time to first token.
     pub cost: f64,
+    /// The expected time until the target begins with the prompt.
+    pub wait: Duration,
     /// The expected time to first token.
     pub first_token: Duration,
     /// Prompt tokens that the target will compute.
@@ -105,6 +107,11 @@
         request: &Request<'_>,
         candidates: &[Candidate<'_>],
     ) -> Option<Placement>;
+
+    /// Tells whether accounts at their fair share wait here for a busy target, not at the target.
+    fn holds_back(&self) -> bool {
+        true
+    }
 }
 
 /// Chooses the target and number of pieces with the lowest weighted cost.
--- a/tests/src/experiment/policies.rs
+++ b/tests/src/experiment/policies.rs
@@ -57,7 +57,20 @@
         let link_bytes = Bytes(fetches.len() as u64 * PIECE_BYTES);
         let first_token = prefill_time(chosen.backlog.0 + recompute.0);
         let plan = FetchPlan { fetches, within: Duration::from_secs(60) };
-        Some(Placement { target: chosen.key, cost: 0.0, first_token, recompute, plan, link_bytes })
+        Some(Placement {
+            target: chosen.key,
+            cost: 0.0,
+            wait: Duration::ZERO,
+            first_token,
+            recompute,
+            plan,
+            link_bytes,
+        })
+    }
+
+    /// Only the product's is measured with it; the others queue at engines.
+    fn holds_back(&self) -> bool {
+        self.policy == Policy::Ours
     }
 }
 
@@ -119,7 +132,15 @@
     let plan = FetchPlan { fetches: fetches.clone(), within: Duration::from_secs(60) };
     let recompute =
         Tokens((prefill.as_secs_f64() * f64::from(candidate.target.prefill_per_second)) as u32);
-    Placement { target: candidate.key, cost, first_token, recompute, plan, link_bytes }
+    Placement {
+        target: candidate.key,
+        cost,
+        wait: Duration::ZERO,
+        first_token,
+        recompute,
+        plan,
+        link_bytes,
+    }
 }
 
 /// Spreads two numbers evenly, so that a random choice needs no state.
--- a/tests/tests/admission.rs
+++ b/tests/tests/admission.rs
@@ -39,8 +39,9 @@
         calls.push(call);
     }
 
-    fn pop(&mut self) -> Option<CallKey> {
+    fn serve(&mut self, held: AccountKey) -> Option<CallKey> {
         let waiting = self.lanes.iter_mut().filter(|(_, (calls, ..))| !calls.is_empty());
+        let waiting = waiting.filter(|(key, _)| **key != held);
         let (_, (calls, finish, step)) = waiting.min_by_key(|(key, lane)| (lane.1, **key))?;
         self.clock = self.clock.max(*finish);
         let call = calls.remove(0);
@@ -61,7 +62,8 @@
 #[derive(Debug, Clone)]
 enum Step {
     Push(u32),
-    Pop,
+    /// Serves any account but one that is held back.
+    Serve(u32),
     Remove(u64),
 }
 
@@ -69,7 +71,7 @@
 fn the_queue_serves_in_the_order_of_a_naive_scan() {
     let step = prop_oneof![
         3 => (0..6_u32).prop_map(Step::Push),
-        2 => Just(Step::Pop),
+        2 => (0..8_u32).prop_map(Step::Serve),
         1 => (0..40_u64).prop_map(Step::Remove),
     ];
     let steps = prop::collection::vec(step, 1..80);
@@ -85,7 +87,13 @@
                     fast.push(key, account + 1, call);
                     naive.push(key, account + 1, call);
                 }
-                Step::Pop => prop_assert_eq!(fast.pop(), naive.pop()),
+                Step::Serve(held) => {
+                    let held = AccountKey(held);
+                    let next = fast.heads().find(|(account, _)| *account != held);
+                    let served = next.and_then(|(account, _)| fast.serve(account));
+                    prop_assert_eq!(served, next.map(|(_, call)| call));
+                    prop_assert_eq!(served, naive.serve(held));
+                }
                 Step::Remove(call) => {
                     let owner = owners.get(call as usize).copied().unwrap_or(AccountKey(0));
                     let removed = naive.remove(owner, CallKey(call));
@@ -121,7 +129,7 @@
         admission.enqueue(kind, AccountKey(0), 1, CallKey(call));
     }
     for second in 1..=40 {
-        admission.pop(Moment::from_millis(second * 1_000), kind);
+        admission.serve(Moment::from_millis(second * 1_000), kind, AccountKey(0));
     }
     let large = admission.expected_wait(kind, AccountKey(0), 1);
     let small = admission.expected_wait(kind, AccountKey(1), 1);
@@ -129,17 +137,103 @@
     assert!(small < Duration::from_secs(2), "{small:?}");
 }
 
+fn snapshot(text: &str) -> Snapshot {
+    let sections = Document::parse(&"test.ini".into(), text).map(|d| d.sections);
+    let sections = sections.unwrap_or_else(|e| panic!("{e:?}"));
+    let snapshot = Snapshot::build(Generation(1), &sections, None, None);
+    snapshot.unwrap_or_else(|e| panic!("{e:?}"))
+}
+
+#[derive(Debug, Clone)]
+enum Work {
+    Admit(u32),
+    Release(u32),
+    Add(u32, u32),
+    Remove(u32, u32),
+}
+
+/// Sums everything up again for each question.
+#[derive(Default)]
+struct NaiveShares {
+    /// Calls in flight and tokens at engines of each account, whose weight is its number plus one.
+    accounts: [(u32, u64); 3],
+}
+
+impl NaiveShares {
+    fn has_fair_share(&self, account: usize) -> bool {
+        let weight = |i: usize| i as u64 + 1;
+        let active = (0..3).filter(|i| self.accounts[*i].0 > 0);
+        let weights: u64 = active.map(weight).sum();
+        let tokens: u64 = self.accounts.iter().map(|(_, tokens)| tokens).sum();
+        let own = self.accounts[account].1;
+        own > 0 && own * weights >= weight(account) * tokens
+    }
+}
+
+#[test]
+fn fair_shares_of_engines_equal_a_naive_sum() {
+    let digests = [b"0", b"1", b"2"].map(|key| Digest::of(key));
+    let accounts = digests.iter().enumerate().map(|(i, digest)| {
+        format!("[account a{i}]\nkey_digests = {digest}\nweight = {}\nconcurrency = 999\n", i + 1)
+    });
+    let text =
+        format!("[deployment]\nfirst_preset = p\n[preset p]\n{}", accounts.collect::<String>());
+    let snapshot = snapshot(&text);
+    let step = prop_oneof![
+        (0..3_u32).prop_map(Work::Admit),
+        (0..3_u32).prop_map(Work::Release),
+        (0..3_u32, 0..50_u32).prop_map(|(a, n)| Work::Add(a, n)),
+        (0..3_u32, 0..50_u32).prop_map(|(a, n)| Work::Remove(a, n)),
+    ];
+    let checked = runner().run(&prop::collection::vec(step, 1..60), |steps| {
+        let (mut fast, mut naive) = (Admission::new(1.0), NaiveShares::default());
+        for (at, step) in steps.into_iter().enumerate() {
+            match step {
+                Work::Admit(a) => {
+                    let key = AccountKey(a);
+                    let account = snapshot.accounts.get(key).expect("it is declared");
+                    let now = Moment::from_millis(at as u64 * 1_000_000);
+                    prop_assert!(fast.admit(now, key, account, 1).is_ok());
+                    naive.accounts[a as usize].0 += 1;
+                }
+                Work::Release(a) => {
+                    fast.release(AccountKey(a));
+                    let calls = &mut naive.accounts[a as usize].0;
+                    *calls = calls.saturating_sub(1);
+                }
+                // Only calls in flight are at engines.
+                Work::Add(a, _) if naive.accounts[a as usize].0 == 0 => {}
+                Work::Add(a, tokens) => {
+                    fast.add_prefill(AccountKey(a), Tokens(tokens));
+                    naive.accounts[a as usize].1 += u64::from(tokens);
+                }
+                Work::Remove(a, tokens) => {
+                    fast.remove_prefill(AccountKey(a), Tokens(tokens));
+                    let left = &mut naive.accounts[a as usize].1;
+                    *left = left.saturating_sub(u64::from(tokens));
+                }
+            }
+            for account in 0..3 {
+                let expected = naive.has_fair_share(account);
+                prop_assert_eq!(fast.has_fair_share(AccountKey(account as u32)), expected);
+            }
+        }
+        Ok(())
+    });
+    checked.unwrap_or_else(|e| panic!("{e}"));
+}
+
 fn control() -> Control {
     let digest = Digest::of(b"key");
-    let text = format!(
+    control_of(&format!(
         "[deployment]\nfirst_preset = p\n[preset p]\nqueue = 2\n[account a]\nkey_digests = {digest}\n\
          [model m]\n[service s]\n\
          [target e]\nmodel = m\naddress = 10.0.0.1:80\nfailure_domain = d\nslots = 1\n\
          [target r]\nservice = s\naddress = 10.0.0.2:80\nfailure_domain = d\n"
-    );
-    let sections = Document::parse(&"test.ini".into(), &text).map(|d| d.sections);
-    let sections = sections.unwrap_or_else(|e| panic!("{e:?}"));
-    let snapshot = Snapshot::build(Generation(1), &sections, None, None);
+    ))
+}
+
+fn control_of(text: &str) -> Control {
     let identity = Identity {
         vm: "vm".into(),
         domain: "d".into(),
@@ -149,8 +243,7 @@
         digest_interval: Duration::from_secs(1),
     };
     let mut control = Control::new(identity, 1);
-    let snapshot = Arc::new(snapshot.unwrap_or_else(|e| panic!("{e:?}")));
-    control.handle(Moment(0), Event::Configured(snapshot));
+    control.handle(Moment(0), Event::Configured(Arc::new(snapshot(text))));
     control
 }
 
@@ -192,3 +285,36 @@
     let plain = |action: &Action| matches!(action, Action::Dispatch(d) if d.call == CallKey(100));
     assert!(actions.iter().any(plain), "{actions:?}");
 }
+
+/// All calls of a large account used to be sent at once, so that others waited behind them.
+#[test]
+fn an_account_at_its_share_does_not_queue_for_long_at_engines() {
+    const PROMPT: u32 = 6_000;
+    let (large, small) = (Digest::of(b"large"), Digest::of(b"small"));
+    let mut control = control_of(&format!(
+        "[deployment]\nfirst_preset = p\n[preset p]\n[model m]\n\
+         [account large]\nkey_digests = {large}\nconcurrency = 100\nrequests_per_second = 100\n\
+         tokens_per_second = 10000000\n[account small]\nkey_digests = {small}\n\
+         [target e]\nmodel = m\naddress = 10.0.0.1:80\nfailure_domain = d\nslots = 8\n\
+         prefill_tokens_per_second = 6000\n"
+    ));
+    let mut send = |call, account| {
+        let call = arrival(call, TargetKind::Engine(ModelKey(0)), CallClass::Model);
+        let arrival = Arrival { account: AccountKey(account), prompt: Tokens(PROMPT), ..call };
+        let actions = control.handle(Moment(1), Event::Arrived(arrival));
+        actions.iter().filter(|action| matches!(action, Action::Dispatch(_))).count()
+    };
+    let at_engine: usize = (0..20).map(|call| send(call, 0)).sum();
+    assert!(
+        (2..=3).contains(&at_engine),
+        "{at_engine} calls of a second each lie before the small account"
+    );
+    assert_eq!(send(100, 1), 1, "the small account passes those that wait");
+    assert_eq!(send(101, 0), 0);
+    let next = |action: &Action| matches!(action, Action::Dispatch(d) if d.call.0 < 20);
+    let resumed = (1..=at_engine as u64).any(|second| {
+        let event = Event::FirstToken { call: CallKey(second - 1) };
+        control.handle(Moment::from_millis(second * 1_000), event).iter().any(next)
+    });
+    assert!(resumed, "the engine is kept busy");
+}
--- a/tests/tests/experiment.rs
+++ b/tests/tests/experiment.rs
@@ -30,3 +30,12 @@
     }
     assert_eq!(ours[0].refused, 0);
 }
+
+#[test]
+fn small_accounts_are_kept_apart_from_a_flood() {
+    let measures = measure(Scenario::Flood, &[Policy::Ours, Policy::Affinity]);
+    let [ours, naive] = [0, 1].map(|i| measures[i].worst_small_account_p95_ms);
+    assert!(ours < naive / 3.0, "{measures:?}");
+    assert!(measures[0].first_token_ms.p95 < measures[1].first_token_ms.p95, "{measures:?}");
+    assert!(measures[0].refused < measures[1].refused, "{measures:?}");
+}
