Prove planned stops, silent boots and cuts between one pair of daemons

Cause: the long run saw how a stop ended but not whether it cut a call, and no test had a daemon paused behind its claim, a platform that is silent while a daemon boots, a cut between one pair of daemons, or two faults on different kinds of links.

Change: the long run keeps a history of its faults. A call that can have met nothing but a planned stop of its daemon must end with an answer or a refusal; stops are drawn more often. The platform stand-in keeps answers to commits, so that a daemon is paused exactly between its claim and the first byte. A relay closes or silences the connections of one VM, told by its first digest. The limit for "in force everywhere" now covers all daemons together.

Ruled out: telling a connection's process by the kernel's list of connections; one look took 0.2 to 1.5 s on a busy machine and starved the test.

--- a/tests/src/deployment.rs
+++ b/tests/src/deployment.rs
@@ -177,6 +177,14 @@
         }
     }
 
+    /// Changes the links between two daemons alone, in both directions.
+    pub fn set_pair(&self, one: usize, other: usize, mode: Mode) {
+        for (from, to) in [(one, other), (other, one)] {
+            let source = Some((from, mode)).filter(|_| mode != Mode::Pass);
+            self.vms[to].peers.set_source(source);
+        }
+    }
+
     /// Reads the status of a daemon past all relays.
     pub async fn status(&self, vm: usize) -> Option<Status> {
         let at = self.vms[vm].process.addresses[1];
@@ -212,6 +220,18 @@
         }
     }
 
+    /// Waits until all daemons have at least a generation in force, within one limit for all.
+    pub async fn in_force_everywhere(&self, generation: Generation) -> bool {
+        let started = Instant::now();
+        for vm in 0..self.vms.len() {
+            let left = IN_FORCE_LIMIT.saturating_sub(started.elapsed());
+            if !self.in_force(vm, generation, left).await {
+                return false;
+            }
+        }
+        true
+    }
+
     /// Waits until all daemons are ready and have seen all targets and stores.
     pub async fn wait_ready(&self) -> Result<(), ClusterError> {
         let deadline = Instant::now() + READY_LIMIT;
--- a/tests/src/longrun.rs
+++ b/tests/src/longrun.rs
@@ -5,6 +5,7 @@
 
 mod book;
 mod faults;
+mod history;
 mod schedule;
 mod workload;
 
@@ -22,7 +23,7 @@
 use self::faults::Injector;
 pub use self::schedule::{Fault, Link, Planned};
 use crate::cluster::{ClusterError, OPERATOR_KEY, Plan};
-use crate::deployment::{Deployment, IN_FORCE_LIMIT};
+use crate::deployment::Deployment;
 use crate::standins::engine::Limits;
 
 const TICK: Duration = Duration::from_millis(50);
@@ -62,6 +63,8 @@
     pub operations: usize,
     /// Operations that ran.
     pub operations_run: usize,
+    /// Calls that can have met nothing but a planned stop of their daemon.
+    pub stopped_calls: u64,
     /// The last accepted generation.
     pub generation: Generation,
     /// Broken rules.
@@ -96,10 +99,8 @@
     }
     injector.heal_all().await?;
     let newest = injector.newest;
-    for vm in 0..DAEMONS {
-        if !injector.deployment.in_force(vm, newest, IN_FORCE_LIMIT).await {
-            book.borrow_mut().violate(format!("vm {vm} has not generation {newest} in force"));
-        }
+    if !injector.deployment.in_force_everywhere(newest).await {
+        book.borrow_mut().violate(format!("generation {newest} is not in force everywhere"));
     }
     book.borrow_mut().stopped = true;
     settle(tasks).await;
--- a/tests/src/longrun/book.rs
+++ b/tests/src/longrun/book.rs
@@ -9,6 +9,7 @@
 use rand::rngs::StdRng;
 
 use super::Verdict;
+use super::history::{History, Span};
 use crate::deployment::Reply;
 use crate::http::Got;
 use crate::standins::engine::{FOREIGN, Generated, POISON, answer_of};
@@ -21,6 +22,10 @@
     pub prompt: String,
     /// The answer's length.
     pub tokens: u32,
+    /// The daemon.
+    pub vm: usize,
+    /// When it was in flight.
+    pub span: Span,
 }
 
 /// Sums up what callers were told of one operation.
@@ -43,6 +48,8 @@
     pub operations: BTreeMap<String, Operation>,
     /// Targets that the VM list calls leaving.
     pub leaving: Vec<SocketAddr>,
+    /// The faults so far.
+    pub history: History,
     /// The newest weight version.
     pub versions: u64,
     catalogues: u64,
@@ -53,6 +60,7 @@
     answered: u64,
     unanswered: u64,
     reused: u64,
+    stopped_calls: u64,
     violations: Vec<String>,
 }
 
@@ -87,6 +95,8 @@
         if wrong || !pure {
             self.violate(format!("call {} got `{}`", call.unique, reply.text));
         }
+        let answered = reply.whole || reply.refusal.is_some();
+        self.judge_stop(call.vm, call.span, reply.status != 0, answered);
         if reply.refusal.as_ref().is_some_and(|r| r.error.ran == Ran::No) {
             self.refused.insert(call.unique);
         }
@@ -98,6 +108,18 @@
         }
     }
 
+    /// Checks that a planned stop cut no call that met nothing else.
+    pub fn judge_stop(&mut self, vm: usize, call: Span, answer_began: bool, answered: bool) {
+        if !self.history.only_stopped(vm, call, answer_began) {
+            return;
+        }
+        self.stopped_calls += 1;
+        if !answered {
+            let lasted = call.to.duration_since(call.from);
+            self.violate(format!("a planned stop of vm {vm} cut a call after {lasted:?}"));
+        }
+    }
+
     /// Checks that each block belongs to one account and one weight version.
     pub fn note_generated(&mut self, generated: Vec<Generated>) {
         for run in generated {
@@ -157,6 +179,7 @@
             reused_tokens: self.reused,
             operations: self.operations.len(),
             operations_run: self.operations.values().filter(|o| o.answered > 0).count(),
+            stopped_calls: self.stopped_calls,
             generation,
             violations: std::mem::take(&mut self.violations),
         }
--- a/tests/src/longrun/faults.rs
+++ b/tests/src/longrun/faults.rs
@@ -132,6 +132,7 @@
                 }
             }
             self.start(vm)?;
+            self.book.borrow_mut().history.end(Fault::Stop(vm));
         }
         Ok(())
     }
@@ -158,6 +159,7 @@
     }
 
     async fn begin(&mut self, fault: Fault) -> Result<(), ClusterError> {
+        self.book.borrow_mut().history.begin(fault);
         let d = &mut self.deployment;
         match fault {
             Fault::Kill(vm) => d.vms[vm].process.kill(),
@@ -202,6 +204,10 @@
     }
 
     fn end(&mut self, fault: Fault) -> Result<(), ClusterError> {
+        // A planned stop lasts until the daemon has ended.
+        if !matches!(fault, Fault::Stop(_)) {
+            self.book.borrow_mut().history.end(fault);
+        }
         let d = &mut self.deployment;
         match fault {
             Fault::Kill(vm) => self.start(vm)?,
--- a/tests/src/longrun/schedule.rs
+++ b/tests/src/longrun/schedule.rs
@@ -145,10 +145,10 @@
 fn draw_fault(rng: &mut StdRng) -> Fault {
     let (vm, engine, pair) =
         (rng.random_range(0..3), rng.random_range(0..3), rng.random_range(0..2));
-    match rng.random_range(0..30) {
+    match rng.random_range(0..33) {
         0..=1 => Fault::Kill(vm),
         2..=3 => Fault::Pause(vm),
-        4 => Fault::Stop(vm),
+        4 | 29..=31 => Fault::Stop(vm),
         5..=13 => draw_link(rng),
         14 => Fault::PlatformDown,
         15 => Fault::PlatformSlow,
--- a/tests/src/longrun/workload.rs
+++ b/tests/src/longrun/workload.rs
@@ -3,7 +3,7 @@
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use actix_rt::task::JoinHandle;
 use cumintrail_wire::caller::IDEMPOTENCY_HEADER;
@@ -11,6 +11,7 @@
 use rand::{Rng, SeedableRng};
 
 use super::book::{Book, ModelCall};
+use super::history::Span;
 use crate::cluster::{CALLER_KEY, OTHER_KEY};
 use crate::deployment::{ask, hold};
 
@@ -29,7 +30,7 @@
     for (i, at) in daemons.iter().enumerate() {
         for account in 0..KEYS.len() {
             let rng = StdRng::seed_from_u64(seed ^ (i * KEYS.len() + account + 1) as u64);
-            tasks.push(actix_rt::spawn(ask_on(*at, account, rng, book.clone())));
+            tasks.push(actix_rt::spawn(ask_on((i, *at), account, rng, book.clone())));
         }
         let rng = StdRng::seed_from_u64(seed ^ (100 + i) as u64);
         tasks.push(actix_rt::spawn(hold_on(daemons.to_vec(), i, rng, book.clone())));
@@ -44,7 +45,12 @@
     text + &format!(" call {unique}")
 }
 
-async fn ask_on(at: SocketAddr, account: usize, mut rng: StdRng, book: Rc<RefCell<Book>>) {
+async fn ask_on(
+    (vm, at): (usize, SocketAddr),
+    account: usize,
+    mut rng: StdRng,
+    book: Rc<RefCell<Book>>,
+) {
     while !book.borrow().stopped {
         let (catalogue, unique) = {
             let mut book = book.borrow_mut();
@@ -52,8 +58,10 @@
         };
         let prompt = prompt_of(catalogue, unique);
         let tokens = rng.random_range(3..30);
+        let from = Instant::now();
         let reply = ask(at, KEYS[account], &prompt, tokens, rng.random()).await;
-        let call = ModelCall { unique, prompt, tokens };
+        let span = Span { from, to: Instant::now() };
+        let call = ModelCall { unique, prompt, tokens, vm, span };
         book.borrow_mut().judge_reply(&call, &reply);
         if !reply.whole {
             actix_rt::time::sleep(PAUSE).await;
@@ -74,8 +82,13 @@
         for i in 0..tries {
             // Noted before the call, since an aborted caller still counts as one that tried.
             book.borrow_mut().operations.entry(operation.clone()).or_default().begun += 1;
-            let got = hold(daemons[(first + i) % daemons.len()], &operation, headers).await;
+            let vm = (first + i) % daemons.len();
+            let from = Instant::now();
+            let got = hold(daemons[vm], &operation, headers).await;
+            let span = Span { from, to: Instant::now() };
+            let answered = got.status != 0 && got.whole;
             book.borrow_mut().note_operation(&operation, &got);
+            book.borrow_mut().judge_stop(vm, span, got.status != 0, answered);
             match got.status {
                 200 if rng.random() => break,
                 200 => {}
--- a/tests/src/standins/platform.rs
+++ b/tests/src/standins/platform.rs
@@ -12,6 +12,8 @@
 
 use crate::http::{self, Answer, Running, empty, json};
 
+const HOLD_POLL: Duration = Duration::from_millis(5);
+
 /// Switches failures of the platform.
 #[derive(Debug, Clone, Copy, Default, Serialize, Deserialize)]
 #[serde(default)]
@@ -24,6 +26,8 @@
     pub lose_answers: bool,
     /// Does the same to transactions alone.
     pub lose_commits: bool,
+    /// Lets transactions take effect and keeps their answers until the fault ends.
+    pub hold_commits: bool,
     /// Answers the VM list as it was at this sequence number; zero for the current one.
     pub list_stuck_at: u64,
 }
@@ -151,6 +155,9 @@
             },
         }
     };
+    while path == "/table" && state.lock().expect("no holder panics").fault.hold_commits {
+        actix_rt::time::sleep(HOLD_POLL).await;
+    }
     let lost = fault.lose_answers && writes || fault.lose_commits && path == "/table";
     if lost {
         // Longer than any client waits; the connection stays open without a word.
--- a/tests/src/standins/relay.rs
+++ b/tests/src/standins/relay.rs
@@ -12,6 +12,8 @@
 use crate::http::{self, Running, empty};
 
 const CHUNK_BYTES: usize = 16 << 10;
+/// Digests begin with the name of the VM that sends them, behind the request's head.
+const VM_NAME: &[u8] = b"vm-";
 
 /// Tells what a relay does with connections.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
@@ -38,6 +40,8 @@
     /// Connections with a lower number are closed.
     cut_below: u64,
     delay: Duration,
+    /// The VM whose connections have a mode of their own.
+    source: Option<(usize, Mode)>,
 }
 
 /// Runs a relay.
@@ -52,8 +56,14 @@
     /// Relays connections to `address` on to `to`.
     pub async fn spawn(address: SocketAddr, to: SocketAddr) -> std::io::Result<Self> {
         let listener = TcpListener::bind(address).await?;
-        let rule =
-            Rule { to, mode: Mode::Pass, silenced_below: 0, cut_below: 0, delay: Duration::ZERO };
+        let rule = Rule {
+            to,
+            mode: Mode::Pass,
+            silenced_below: 0,
+            cut_below: 0,
+            delay: Duration::ZERO,
+            source: None,
+        };
         let relay = Self {
             address: listener.local_addr()?,
             rule: Arc::new(watch::channel(rule).0),
@@ -88,6 +98,18 @@
         });
     }
 
+    /// Changes what happens to the connections of one VM alone, or to those of none.
+    ///
+    /// All connections are closed, so that new ones tell by their first digest whose they are; one
+    /// that tells nothing gets no answer.
+    pub fn set_source(&self, source: Option<(usize, Mode)>) {
+        let accepted = self.accepted.load(std::sync::atomic::Ordering::Relaxed);
+        self.rule.send_modify(|rule| {
+            rule.source = source;
+            rule.cut_below = accepted;
+        });
+    }
+
     /// Sends new connections elsewhere, as when a process was replaced behind its address.
     pub fn retarget(&self, to: SocketAddr) {
         self.rule.send_modify(|rule| rule.to = to);
@@ -114,14 +136,28 @@
     }
 }
 
-async fn pass(near: TcpStream, number: u64, mut rule: watch::Receiver<Rule>) {
-    let to = rule.borrow().to;
-    if rule.borrow().mode == Mode::Cut {
+async fn pass(mut near: TcpStream, number: u64, mut rule: watch::Receiver<Rule>) {
+    let Rule { to, mode, source, .. } = *rule.borrow();
+    if mode == Mode::Cut {
         return;
     }
-    let Ok(far) = TcpStream::connect(to).await else {
+    let mut first = Vec::new();
+    if let Some((vm, mode)) = source {
+        match read_source(&mut near, &mut first).await {
+            Some(sender) if sender != vm => {}
+            Some(_) if mode == Mode::Cut => return,
+            _ => {
+                let _ = rule.wait_for(|rule| number < rule.cut_below).await;
+                return;
+            }
+        }
+    }
+    let Ok(mut far) = TcpStream::connect(to).await else {
         return;
     };
+    if far.write_all(&first).await.is_err() {
+        return;
+    }
     let (near_read, near_write) = near.into_split();
     let (far_read, far_write) = far.into_split();
     let up = copy(near_read, far_write, number, rule.clone());
@@ -132,6 +168,19 @@
     }
 }
 
+/// Reads a connection up to the name of the VM that opened it.
+async fn read_source(near: &mut TcpStream, first: &mut Vec<u8>) -> Option<usize> {
+    loop {
+        let name = first.windows(VM_NAME.len() + 1).find(|text| text.starts_with(VM_NAME));
+        if let Some(digit) = name.and_then(<[u8]>::last) {
+            return char::from(*digit).to_digit(10).map(|digit| digit as usize);
+        }
+        if near.read_buf(first).await.ok()? == 0 {
+            return None;
+        }
+    }
+}
+
 async fn copy(
     mut from: impl AsyncReadExt + Unpin,
     mut to: impl AsyncWriteExt + Unpin,
--- a/tests/tests/process_config.rs
+++ b/tests/tests/process_config.rs
@@ -18,15 +18,6 @@
     deployment.text.replace("[account litera]", &format!("[account litera]\nweight = {weight}"))
 }
 
-async fn in_force_everywhere(deployment: &Deployment, generation: Generation) -> bool {
-    for vm in 0..deployment.vms.len() {
-        if !deployment.in_force(vm, generation, IN_FORCE_LIMIT).await {
-            return false;
-        }
-    }
-    true
-}
-
 async fn generation(deployment: &Deployment, vm: usize) -> Generation {
     deployment.status(vm).await.map_or(Generation(0), |s| s.generation)
 }
@@ -39,10 +30,10 @@
 async fn a_change_and_a_preset_switch_are_in_force_everywhere_in_time() {
     let deployment = Deployment::spawn(BINARY, &plan(4)).await.unwrap();
     let applied = deployment.reapply(&changed(&deployment, 2)).await.unwrap();
-    assert!(in_force_everywhere(&deployment, applied).await);
+    assert!(deployment.in_force_everywhere(applied).await);
     let switched = switch(&deployment, "peak").await;
     assert_eq!(switched.0, applied.0 + 1);
-    assert!(in_force_everywhere(&deployment, switched).await);
+    assert!(deployment.in_force_everywhere(switched).await);
     for vm in 0..4 {
         let preset = deployment.status(vm).await.unwrap().preset;
         assert_eq!(preset.as_deref(), Some("peak"));
@@ -53,7 +44,7 @@
 async fn a_killed_daemon_comes_back_with_the_newest_generation_while_the_platform_is_down() {
     let mut deployment = Deployment::spawn(BINARY, &plan(2)).await.unwrap();
     let newest = switch(&deployment, "peak").await;
-    assert!(in_force_everywhere(&deployment, newest).await);
+    assert!(deployment.in_force_everywhere(newest).await);
     deployment.platform.set_fault(Fault { down: true, ..Fault::default() });
     deployment.restart(0).unwrap();
     assert!(deployment.in_force(0, newest, IN_FORCE_LIMIT).await, "peers know the generation");
@@ -79,7 +70,7 @@
         let deployment = Deployment::spawn(BINARY, &plan(2)).await.unwrap();
         deployment.vms[0].platform.set(mode);
         let newest = switch(&deployment, "peak").await;
-        assert!(in_force_everywhere(&deployment, newest).await, "{mode:?}");
+        assert!(deployment.in_force_everywhere(newest).await, "{mode:?}");
         assert!(deployment.ask(0, CALLER_KEY, "x", 2).await.whole, "{mode:?}");
     }
 }
@@ -107,7 +98,7 @@
         vm.peers.set(Mode::SilenceOpen);
     }
     let newest = switch(&deployment, "peak").await;
-    assert!(in_force_everywhere(&deployment, newest).await);
+    assert!(deployment.in_force_everywhere(newest).await);
 }
 
 #[actix_rt::test]
@@ -115,7 +106,7 @@
     let deployment = Deployment::spawn(BINARY, &plan(2)).await.unwrap();
     deployment.platform.set_fault(Fault { slow_ms: 300, ..Fault::default() });
     let newest = switch(&deployment, "peak").await;
-    assert!(in_force_everywhere(&deployment, newest).await);
+    assert!(deployment.in_force_everywhere(newest).await);
 }
 
 #[actix_rt::test]
@@ -130,7 +121,7 @@
         assert!(!fault.lose_commits || told.is_ok(), "the change is in force: {told:?}");
         let accepted = switch(&deployment, "peak").await;
         assert_eq!(accepted, Generation(2), "{told:?}");
-        assert!(in_force_everywhere(&deployment, accepted).await);
+        assert!(deployment.in_force_everywhere(accepted).await);
     }
 }
 
@@ -153,7 +144,7 @@
             accepted = generation.0;
         }
     }
-    assert!(in_force_everywhere(&deployment, Generation(accepted)).await);
+    assert!(deployment.in_force_everywhere(Generation(accepted)).await);
     let presets =
         [deployment.status(0).await.unwrap().preset, deployment.status(1).await.unwrap().preset];
     assert_eq!(presets[0], presets[1]);
@@ -198,6 +189,56 @@
             assert!(deployment.in_force(2, seen[2], IN_FORCE_LIMIT).await, "a restart went back");
         }
     }
-    assert!(in_force_everywhere(&deployment, newest).await);
+    assert!(deployment.in_force_everywhere(newest).await);
+    assert!(deployment.ask(0, CALLER_KEY, "x", 2).await.whole);
+}
+
+#[actix_rt::test]
+async fn a_daemon_that_boots_while_the_platform_is_silent_is_ready_from_its_peers() {
+    let mut deployment = Deployment::spawn(BINARY, &plan(2)).await.unwrap();
+    let newest = switch(&deployment, "peak").await;
+    assert!(deployment.in_force_everywhere(newest).await);
+    deployment.vms.iter().for_each(|vm| vm.platform.set(Mode::SilenceAll));
+    deployment.restart(0).unwrap();
+    assert!(deployment.in_force(0, newest, IN_FORCE_LIMIT).await, "the peer knows the generation");
+    assert!(deployment.status(0).await.unwrap().ready);
     assert!(deployment.ask(0, CALLER_KEY, "x", 2).await.whole);
 }
+
+#[actix_rt::test]
+async fn two_daemons_that_boot_while_the_platform_is_silent_learn_from_the_third() {
+    let mut deployment = Deployment::spawn(BINARY, &plan(3)).await.unwrap();
+    let newest = switch(&deployment, "peak").await;
+    assert!(deployment.in_force_everywhere(newest).await);
+    deployment.vms.iter().for_each(|vm| vm.platform.set(Mode::SilenceAll));
+    // The one that knows cannot be reached at first, so the questions at boot are in vain.
+    deployment.vms[2].peers.set(Mode::Cut);
+    deployment.restart(0).unwrap();
+    deployment.restart(1).unwrap();
+    actix_rt::time::sleep(std::time::Duration::from_millis(700)).await;
+    deployment.vms[2].peers.set(Mode::Pass);
+    assert!(deployment.in_force_everywhere(newest).await);
+}
+
+#[actix_rt::test]
+async fn a_cut_between_one_pair_of_daemons_does_not_keep_a_change_from_either() {
+    for mode in [Mode::Cut, Mode::SilenceAll] {
+        let deployment = Deployment::spawn(BINARY, &plan(3)).await.unwrap();
+        deployment.set_pair(0, 1, mode);
+        // The first daemon can hear of the change from the third alone.
+        deployment.vms[0].platform.set(mode);
+        let other = deployment.vms[1].peers.address().to_string();
+        let apart = |dump: &serde_json::Value| {
+            let peers = dump["peers"].as_array().cloned().unwrap_or_default();
+            peers.iter().any(|p| p[0] == other.as_str() && p[1]["liveness"] == "silent")
+        };
+        let noticed = deployment.until(0, IN_FORCE_LIMIT, apart).await;
+        assert!(
+            noticed,
+            "{mode:?}: still in touch: {}",
+            deployment.dump(0).await.unwrap()["peers"]
+        );
+        let newest = switch(&deployment, "peak").await;
+        assert!(deployment.in_force_everywhere(newest).await, "{mode:?}");
+    }
+}
--- a/tests/tests/process_leaving.rs
+++ b/tests/tests/process_leaving.rs
@@ -124,6 +124,30 @@
     gets_no_more_work(&work, &load).await;
 }
 
+#[actix_rt::test]
+async fn a_mark_passes_around_a_cut_between_one_pair_of_daemons() {
+    let cases = [Mode::Cut, Mode::SilenceAll];
+    futures_util::future::join_all(cases.map(mark_passes_around)).await;
+}
+
+async fn mark_passes_around(mode: Mode) {
+    let deployment = Deployment::spawn(BINARY, &Plan { daemons: 3, ..plan() }).await.unwrap();
+    let load = Load::spawn(&deployment);
+    let engine = deployment.engines[0].clone();
+    let work = move || engine.started();
+    assert!(is_used(&work).await);
+    // The first daemon can hear of it from the third alone.
+    deployment.set_pair(0, 1, mode);
+    deployment.vms[0].platform.set(mode);
+    list(&deployment, deployment.engine_links[0].address(), true);
+    gets_no_more_work(&work, &load).await;
+    for vm in 0..3 {
+        let targets = deployment.dump(vm).await.unwrap()["targets"].as_array().unwrap().clone();
+        let marked = targets.iter().any(|t| t["leaving"] == true);
+        assert!(marked, "{mode:?}: vm {vm}: {targets:?}");
+    }
+}
+
 #[actix_rt::test]
 async fn a_leaving_engine_refuses_and_its_calls_are_answered_elsewhere() {
     let deployment = Deployment::spawn(BINARY, &plan()).await.unwrap();
--- a/tests/tests/process_once.rs
+++ b/tests/tests/process_once.rs
@@ -8,19 +8,24 @@
 use cumintrail_tests::http::{Got, send};
 use cumintrail_tests::standins::relay::Mode;
 use cumintrail_tests::standins::{platform, service};
-use cumintrail_types::Ran;
+use cumintrail_types::{Ran, RefusalCode};
 use cumintrail_wire::caller::{IDEMPOTENCY_HEADER, OperationKeyBody, RefusalBody};
+use cumintrail_wire::record::claim_key;
 use nix::sys::signal::Signal;
 
 const BINARY: &str = env!("CARGO_BIN_EXE_cumintrail-tests");
 const REPEATS: usize = 4;
+const SERVICE_TIMEOUT_MS: u64 = 1_500;
+/// A claim's holder waits for the service as long as its caller does, and as long again.
+const CLAIM_TIME: Duration = Duration::from_millis(2 * SERVICE_TIMEOUT_MS);
 
 fn plan() -> Plan {
     Plan { engines: 0, stores: 0, services: 2, daemons: 2, ..Plan::default() }
 }
 
 async fn spawn() -> Deployment {
-    let edit = |text: String| text.replace("timeout_ms = 5000", "timeout_ms = 1500");
+    let timeout = format!("timeout_ms = {SERVICE_TIMEOUT_MS}");
+    let edit = |text: String| text.replace("timeout_ms = 5000", &timeout);
     Deployment::spawn_with(BINARY, &plan(), edit).await.unwrap()
 }
 
@@ -199,6 +204,36 @@
     }
 }
 
+#[actix_rt::test]
+async fn a_daemon_paused_between_its_claim_and_the_first_byte_causes_no_second_run() {
+    const KEY: &str = "hold-claimed";
+    let deployment = spawn().await;
+    let held = platform::Fault { hold_commits: true, ..platform::Fault::default() };
+    deployment.platform.set_fault(held);
+    let at = deployment.vms[0].callers.address();
+    let call = actix_rt::spawn(async move { hold(at, KEY, &[(IDEMPOTENCY_HEADER, KEY)]).await });
+    let row = claim_key("kesong", "holds", KEY);
+    let claimed = || deployment.platform.row(&row).is_some();
+    assert!(eventually(ANSWER_LIMIT, claimed).await);
+    deployment.vms[0].process.signal(Signal::SIGSTOP);
+    // The answer to the claim now waits in the paused daemon's socket.
+    deployment.platform.set_fault(platform::Fault::default());
+    let meanwhile = keyed(&deployment, 1, KEY).await;
+    assert_truthful(&deployment, KEY, &meanwhile);
+    actix_rt::time::sleep(CLAIM_TIME + Duration::from_secs(1)).await;
+    let lapsed = keyed(&deployment, 1, KEY).await;
+    let refusal = lapsed.json::<RefusalBody>().unwrap().error;
+    assert_eq!((refusal.code, refusal.ran), (RefusalCode::OutcomeUnknown, Ran::Unknown));
+    assert_eq!(deployment.executions(KEY), 0, "a claim was taken over");
+
+    deployment.vms[0].process.signal(Signal::SIGCONT);
+    let first = call.await.unwrap();
+    // Time enough for a byte that is still on its way.
+    actix_rt::time::sleep(CLAIM_TIME).await;
+    assert_truthful(&deployment, KEY, &first);
+    repeat(&deployment, KEY).await;
+}
+
 #[actix_rt::test]
 async fn racing_callers_of_two_daemons_during_a_platform_cut_run_once() {
     let deployment = spawn().await;
