--- a/crates/cumintrail-client/src/engine.rs
+++ b/crates/cumintrail-client/src/engine.rs
@@ -6,7 +6,7 @@
 use actix_http::Method;
 use cumintrail_wire::engine::{
     CALL_HEADER, CacheEvents, ExportOrder, ExportReport, Generate, ImportOrder, ImportReport,
-    LoadOrder, Report,
+    LoadOrder, Probe, Report,
 };
 
 use crate::{AnswerStream, ClientError, HttpClient};
@@ -48,9 +48,9 @@
         at: SocketAddr,
         order: &ExportOrder,
     ) -> Result<ExportReport, ClientError>;
-    /// Reads the load report.
-    async fn report(&self, at: SocketAddr) -> Result<Report, ClientError>;
-    /// Reads cache events after number `after`.
+    /// Reads the load report and the cache events after number `after`.
+    async fn probe(&self, at: SocketAddr, after: u64) -> Result<Probe, ClientError>;
+    /// Reads cache events of an engine whose report has none.
     async fn cache_events(&self, at: SocketAddr, after: u64) -> Result<CacheEvents, ClientError>;
     /// Orders a weight version to be loaded; gives up after `within`.
     async fn order(
@@ -76,6 +76,11 @@
         }
     }
 
+    /// Returns the bytes of control exchanges in both directions, HTTP heads included.
+    pub fn control_bytes(&self) -> u64 {
+        self.control.bytes()
+    }
+
     async fn stream(
         &self,
         req: awc::ClientRequest,
@@ -146,8 +151,9 @@
         self.calls.exchange(Method::POST, at, "/v1/export", Some(order)).await
     }
 
-    async fn report(&self, at: SocketAddr) -> Result<Report, ClientError> {
-        self.control.exchange(Method::GET, at, "/v1/report", None::<&()>).await
+    async fn probe(&self, at: SocketAddr, after: u64) -> Result<Probe, ClientError> {
+        let path = format!("/v1/report?after={after}");
+        self.control.exchange(Method::GET, at, &path, None::<&()>).await
     }
 
     async fn cache_events(&self, at: SocketAddr, after: u64) -> Result<CacheEvents, ClientError> {
--- a/crates/cumintrail-client/src/http.rs
+++ b/crates/cumintrail-client/src/http.rs
@@ -14,6 +14,7 @@
 
 use crate::ClientError;
 use crate::error::{RefusedSnafu, StatusSnafu};
+use crate::traffic::Traffic;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 const IDLE_LIFE: Duration = Duration::from_secs(5);
@@ -26,12 +27,13 @@
     client: RefCell<Client>,
     reuse: bool,
     timeout: Duration,
+    traffic: Traffic,
 }
 
 impl HttpClient {
     /// Makes a client that keeps idle connections for a few seconds.
     pub fn pooled(timeout: Duration) -> Self {
-        Self { client: RefCell::new(build(true)), reuse: true, timeout }
+        Self::open(true, timeout)
     }
 
     /// Makes a client that opens a connection for each request.
@@ -39,7 +41,17 @@
     /// A connection that fails to open proves that nothing was sent, and one that went silent is
     /// never met again; both matter more to calls than the saved round trip.
     pub fn unpooled(timeout: Duration) -> Self {
-        Self { client: RefCell::new(build(false)), reuse: false, timeout }
+        Self::open(false, timeout)
+    }
+
+    fn open(reuse: bool, timeout: Duration) -> Self {
+        let client = RefCell::new(build(reuse));
+        Self { client, reuse, timeout, traffic: Traffic::default() }
+    }
+
+    /// Returns the bytes that were sent and received, HTTP heads included.
+    pub fn bytes(&self) -> u64 {
+        self.traffic.bytes()
     }
 
     /// Starts a request with the client's time limit.
@@ -51,8 +63,12 @@
 
     /// Sends a request with a body.
     pub async fn send(&self, req: ClientRequest, body: Bytes) -> Result<Response, ClientError> {
+        self.traffic.add_request(&req, body.len());
         match req.send_body(body).await {
-            Ok(response) => Ok(response.into()),
+            Ok(inner) => {
+                self.traffic.add_response_head(inner.status(), inner.headers());
+                Ok(Response { inner, traffic: self.traffic.clone() })
+            }
             Err(e) => {
                 let e = ClientError::from(e);
                 self.note_failure(&e);
@@ -93,12 +109,7 @@
 /// Holds a response whose body is not read yet.
 pub struct Response {
     inner: ClientResponse,
-}
-
-impl From<ClientResponse> for Response {
-    fn from(inner: ClientResponse) -> Self {
-        Self { inner }
-    }
+    traffic: Traffic,
 }
 
 impl Response {
@@ -122,6 +133,7 @@
         let announced = self.headers().get(CONTENT_LENGTH).and_then(|v| v.to_str().ok());
         let announced: Option<usize> = announced.and_then(|text| text.parse().ok());
         let body = self.inner.timeout(within).body().limit(MAX_BODY_BYTES).await?;
+        self.traffic.add(body.len());
         match announced {
             Some(length) if length > body.len() && status != NOT_MODIFIED => {
                 Err(ClientError::Broken)
--- a/crates/cumintrail-client/src/lib.rs
+++ b/crates/cumintrail-client/src/lib.rs
@@ -15,6 +15,7 @@
 mod service;
 mod single;
 mod store;
+mod traffic;
 
 pub use answer::{AnswerEvent, AnswerStream};
 pub use engine::{Engine, HttpEngine};
--- a/crates/cumintrail-client/src/peer.rs
+++ b/crates/cumintrail-client/src/peer.rs
@@ -5,7 +5,8 @@
 
 use actix_http::Method;
 use cumintrail_wire::peer::{
-    ConfigReply, ConfigRequest, DigestMessage, DigestReply, ForwardReply, ForwardRequest,
+    ConfigReply, ConfigRequest, DigestMessage, DigestReply, ForwardReply, ForwardRequest, VmsReply,
+    VmsRequest,
 };
 use cumintrail_wire::{from_msgpack, to_msgpack};
 use serde::Serialize;
@@ -29,6 +30,8 @@
         at: SocketAddr,
         request: &ConfigRequest,
     ) -> Result<ConfigReply, ClientError>;
+    /// Asks for a newer VM list.
+    async fn vms(&self, at: SocketAddr, request: &VmsRequest) -> Result<VmsReply, ClientError>;
     /// Lets the issuer of an operation key run its call, once, on a new connection.
     async fn forward(
         &self,
@@ -55,6 +58,11 @@
         }
     }
 
+    /// Returns the bytes of control exchanges in both directions, HTTP heads included.
+    pub fn control_bytes(&self) -> u64 {
+        self.http.bytes()
+    }
+
     async fn post<Q: Serialize>(
         &self,
         at: SocketAddr,
@@ -91,6 +99,11 @@
         Ok(from_msgpack(&body)?)
     }
 
+    async fn vms(&self, at: SocketAddr, request: &VmsRequest) -> Result<VmsReply, ClientError> {
+        let body = self.post(at, "/peer/vms", request).await?;
+        Ok(from_msgpack(&body)?)
+    }
+
     async fn forward(
         &self,
         at: SocketAddr,
--- a/crates/cumintrail-client/src/platform.rs
+++ b/crates/cumintrail-client/src/platform.rs
@@ -11,6 +11,7 @@
 
 const TIMEOUT: Duration = Duration::from_millis(1_500);
 const OK: u16 = 200;
+const NOT_MODIFIED: u16 = 304;
 const NOT_FOUND: u16 = 404;
 
 /// Reads and changes rows; an error of a change may hide that it took effect.
@@ -33,6 +34,8 @@
 pub trait VmList {
     /// Reads the list.
     async fn vms(&self) -> Result<platform::VmList, ClientError>;
+    /// Reads the list unless it is still the one of number `last`.
+    async fn vms_unless(&self, last: u64) -> Result<Option<platform::VmList>, ClientError>;
 }
 
 /// Speaks to the platform from one thread.
@@ -48,6 +51,11 @@
     pub fn open(table: SocketAddr, objects: SocketAddr, vm_list: SocketAddr) -> Self {
         Self { http: HttpClient::pooled(TIMEOUT), table, objects, vm_list }
     }
+
+    /// Returns the bytes of control exchanges in both directions, HTTP heads included.
+    pub fn control_bytes(&self) -> u64 {
+        self.http.bytes()
+    }
 }
 
 impl Table for HttpPlatform {
@@ -86,4 +94,14 @@
     async fn vms(&self) -> Result<platform::VmList, ClientError> {
         self.http.exchange(Method::GET, self.vm_list, "/vms", None::<&()>).await
     }
+
+    async fn vms_unless(&self, last: u64) -> Result<Option<platform::VmList>, ClientError> {
+        let req = self.http.request(Method::GET, self.vm_list, "/vms");
+        let req = req.insert_header(("if-none-match", platform::list_tag(last)));
+        let response = self.http.send(req, Bytes::new()).await?;
+        match response.status() {
+            NOT_MODIFIED => Ok(None),
+            _ => response.json(TIMEOUT).await.map(Some),
+        }
+    }
 }
--- a/crates/cumintrail-client/src/store.rs
+++ b/crates/cumintrail-client/src/store.rs
@@ -30,6 +30,11 @@
     pub fn open() -> Self {
         Self { http: HttpClient::pooled(TIMEOUT) }
     }
+
+    /// Returns the bytes of control exchanges in both directions, HTTP heads included.
+    pub fn control_bytes(&self) -> u64 {
+        self.http.bytes()
+    }
 }
 
 impl Store for HttpStore {
--- a/crates/cumintrail-control/src/control.rs
+++ b/crates/cumintrail-control/src/control.rs
@@ -6,6 +6,7 @@
 mod description;
 mod digests;
 mod probes;
+mod reads;
 mod rollouts;
 mod state;
 mod upkeep;
@@ -24,6 +25,7 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
+use self::reads::Reads;
 use self::state::{StoreState, TargetState};
 use crate::admission::Admission;
 use crate::directory::Directory;
@@ -75,6 +77,7 @@
     retries: RetryBudget,
     /// Calls that wait out a backoff, with its end.
     backing_off: Vec<(Moment, CallKey)>,
+    reads: Option<Reads>,
     next_digest: Moment,
     last_digest: Moment,
     next_expiry: Moment,
@@ -117,6 +120,7 @@
             warmed: HashMap::new(),
             retries: RetryBudget::default(),
             backing_off: Vec::new(),
+            reads: None,
             next_digest: Moment::default(),
             last_digest: Moment::default(),
             next_expiry: Moment::default(),
@@ -156,7 +160,9 @@
             }
             Event::StoreSilent { store } => self.take_store_silence(now, store),
             Event::VmsListed { sequence, vms } => self.take_vm_list(now, sequence, &vms),
-            Event::PeerDigest(digest) => self.take_digest(now, &digest),
+            Event::VmsRead { sequence } => self.note_vms_read(now, sequence),
+            Event::HeadRead { answered } => self.note_head_read(now, answered),
+            Event::PeerDigest(digest) => self.take_digest(now, &digest, &mut actions),
             Event::PeerSilent { address } => self.membership.peer_silent(address),
             Event::LeaseRead { row } => {
                 if let Some(request) = self.rollout.lease_read(now, row.as_ref()) {
--- a/crates/cumintrail-control/src/control/digests.rs
+++ b/crates/cumintrail-control/src/control/digests.rs
@@ -36,6 +36,7 @@
             incarnation: self.identity.incarnation,
             address: Some(own),
             generation: self.generation(),
+            freshness: self.freshness(now),
             leaving: Vec::new(),
             targets: Vec::new(),
             stored: std::mem::take(&mut self.fresh_kept),
@@ -60,7 +61,8 @@
         wants
     }
 
-    pub(super) fn take_digest(&mut self, now: Moment, digest: &PeerDigest) {
+    pub(super) fn take_digest(&mut self, now: Moment, digest: &PeerDigest, actions: &mut Actions) {
+        self.hear_reads(now, digest, actions);
         for news in self.membership.take_digest(now, digest) {
             self.take_news(now, &news);
         }
--- a/crates/cumintrail-control/src/control/probes.rs
+++ b/crates/cumintrail-control/src/control/probes.rs
@@ -6,6 +6,7 @@
 use rand::Rng;
 
 use super::Control;
+use super::state::TargetState;
 use crate::membership::Liveness;
 use crate::placement::Placer;
 use crate::retry::Breaker;
@@ -13,6 +14,9 @@
 
 /// Probes missed in a row after which a target counts as silent.
 const SILENT_AFTER_MISSES: u32 = 3;
+/// How long an own answer outweighs another daemon's missed probe, in probe intervals: longer than
+/// [`TargetState::probe_intervals`] can be.
+const OWN_ANSWER_INTERVALS: u32 = 6;
 
 impl<P: Placer> Control<P> {
     /// Probes the targets that fall to this daemon; the others are heard of from peers.
@@ -32,7 +36,8 @@
             if state.next_probe > now {
                 continue;
             }
-            state.next_probe = now + interval.mul_f64(self.rng.random_range(0.9..1.1));
+            let wait = interval * state.probe_intervals();
+            state.next_probe = now + wait.mul_f64(self.rng.random_range(0.9..1.1));
             let domain = snapshot.domains.get(target.domain).map_or("", |d| d);
             if probers.is_own(target.address, domain) {
                 actions.push(Action::Probe(key));
@@ -90,10 +95,14 @@
         let Some(key) = self.target_at.get(&news.address).copied() else {
             return;
         };
-        let recent = self.identity.probe_interval * SILENT_AFTER_MISSES;
+        let recent = self.identity.probe_interval * OWN_ANSWER_INTERVALS;
         let Some(state) = self.targets.get_mut(key) else {
             return;
         };
+        if news.silent {
+            // The other prober looks at once, so that a cut between two VMs is soon told apart.
+            state.next_probe = now;
+        }
         // An own answer shows more than another daemon's missed probe.
         let answers = state.answered.is_some_and(|at| now.since(at) < recent);
         if news.silent && !answers {
@@ -140,7 +149,7 @@
 
     /// Marks a target's present run as leaving because an operator wants it.
     pub(super) fn drain_target(&mut self, now: Moment, key: TargetKey) {
-        let incarnation = self.targets.get(key).map(super::state::TargetState::incarnation);
+        let incarnation = self.targets.get(key).map(TargetState::incarnation);
         if let Some((address, incarnation)) = self.target_address(key).zip(incarnation) {
             self.note_leaving(now, address, incarnation);
         }
@@ -149,7 +158,7 @@
     pub(super) fn take_vm_list(&mut self, now: Moment, sequence: u64, vms: &[VmEntry]) {
         let (targets, target_at) = (&self.targets, &self.target_at);
         self.membership.take_list(now, sequence, vms, |address| {
-            targets.get(*target_at.get(&address)?).map(super::state::TargetState::incarnation)
+            targets.get(*target_at.get(&address)?).map(TargetState::incarnation)
         });
         self.hasten_digest(now);
     }
--- a/crates/cumintrail-control/src/control/state.rs
+++ b/crates/cumintrail-control/src/control/state.rs
@@ -6,6 +6,11 @@
 use crate::membership::Liveness;
 use crate::retry::{Breaker, RetryBudget};
 
+/// Probe intervals between two probes of a target without calls.
+const IDLE_INTERVALS: u32 = 4;
+/// Probe intervals between two probes of a target that has calls.
+const BUSY_INTERVALS: u32 = 2;
+
 /// Remembers a target.
 #[derive(Debug, Clone, Default)]
 pub struct TargetState {
@@ -45,6 +50,19 @@
         self.report.map_or(Incarnation(0), |r| r.incarnation)
     }
 
+    /// Determines the wait before the next probe, in probe intervals.
+    ///
+    /// A target that missed a probe or is loading weights is looked at most often; the load of one
+    /// without calls changes only through calls that some daemon knows of.
+    pub fn probe_intervals(&self) -> u32 {
+        match self.report {
+            _ if self.liveness != Liveness::Live || self.missed > 0 => 1,
+            Some(report) if report.loading => 1,
+            _ if self.calls() > 0 => BUSY_INTERVALS,
+            _ => IDLE_INTERVALS,
+        }
+    }
+
     /// Takes a report, splitting its load into this daemon's calls and those of others.
     ///
     /// A report lags, so the own part is known better from calls that are out.
--- a/crates/cumintrail-control/src/control/upkeep.rs
+++ b/crates/cumintrail-control/src/control/upkeep.rs
@@ -44,6 +44,7 @@
     pub(super) fn tick(&mut self, now: Moment, actions: &mut Actions) {
         self.expire_calls(now, actions);
         self.requeue_due(now);
+        self.order_reads(now, actions);
         self.order_probes(now, actions);
         self.order_listings(now, actions);
         self.start_exports(now, actions);
--- a/crates/cumintrail-control/src/event.rs
+++ b/crates/cumintrail-control/src/event.rs
@@ -119,6 +119,16 @@
         /// The VMs.
         vms: Vec<VmEntry>,
     },
+    /// A read of the VM list ended.
+    VmsRead {
+        /// The number of the list, or nothing if the platform did not answer.
+        sequence: Option<u64>,
+    },
+    /// A read of the accepted generation ended.
+    HeadRead {
+        /// Whether the platform answered and what it told is in force.
+        answered: bool,
+    },
     /// A peer sent its digest.
     PeerDigest(PeerDigest),
     /// A peer did not take a digest.
@@ -185,6 +195,15 @@
         /// The exact write to free.
         sealed: Sealed,
     },
+    /// Read the accepted generation.
+    ReadHead,
+    /// Read the VM list.
+    ReadVms,
+    /// Ask a peer for its newer VM list.
+    AskVms {
+        /// The peer's address.
+        from: SocketAddr,
+    },
     /// List a store's blocks.
     ListStore(StoreKey),
     /// Load shared material ahead: run its prompt with no answer on a target.
@@ -428,6 +447,17 @@
     pub report: Option<TargetReport>,
 }
 
+/// Tells how long ago the platform was last read by anybody, as far as the sender knows.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Freshness {
+    /// The age of the read that found the sender's generation as the accepted one.
+    pub head: Option<Duration>,
+    /// The age of the read that found the sender's VM list.
+    pub vms: Option<Duration>,
+    /// The number of that list.
+    pub vms_sequence: u64,
+}
+
 /// Holds what a daemon tells a peer; small, so that it can be sent often.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct PeerDigest {
@@ -441,6 +471,8 @@
     pub address: Option<SocketAddr>,
     /// The generation in force at the sender.
     pub generation: Generation,
+    /// What the sender knows of reads of the platform.
+    pub freshness: Freshness,
     /// Runs of targets that are leaving, as far as this peer was not told yet.
     pub leaving: Vec<LeavingRun>,
     /// What probes found, as far as this peer was not told yet.
--- a/crates/cumintrail-control/src/lib.rs
+++ b/crates/cumintrail-control/src/lib.rs
@@ -27,6 +27,6 @@
 pub use dump::{CallDump, Dump, LimitDump, PeerDump, QueueDump, StoreDump, TargetDump};
 pub use event::{
     Action, Actions, Arrival, AttemptOutcome, Dispatch, Event, Export, Fetch, FetchOutcome,
-    FetchPlan, LeavingRun, Order, OrderKind, PeerDigest, TargetNews, TargetReport, Usage, VmEntry,
-    VmRole, VmState,
+    FetchPlan, Freshness, LeavingRun, Order, OrderKind, PeerDigest, TargetNews, TargetReport,
+    Usage, VmEntry, VmRole, VmState,
 };
--- a/crates/cumintrail-control/src/membership.rs
+++ b/crates/cumintrail-control/src/membership.rs
@@ -6,6 +6,8 @@
 mod leaving;
 mod news;
 mod rendezvous;
+mod vm_book;
+mod watch;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
@@ -19,6 +21,8 @@
 use self::leaving::Leaving;
 use self::news::News;
 pub use self::rendezvous::is_winner;
+pub use self::vm_book::{VmBook, VmChanges};
+pub use self::watch::Watch;
 use crate::{PeerDigest, TargetNews, TargetReport, VmEntry, VmRole, VmState};
 
 /// Failed digests in a row after which a peer counts as silent.
@@ -37,6 +41,9 @@
 /// Stands for the lease in the rendezvous hash.
 const LEASE_PLACE: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::UNSPECIFIED), 0);
 
+/// Stands for the platform in the rendezvous hash.
+const PLATFORM_PLACE: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::UNSPECIFIED), 1);
+
 /// Tells whether a process answers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub enum Liveness {
@@ -238,6 +245,23 @@
         Probers { own, own_domain: own_domain.clone(), by_domain }
     }
 
+    /// Returns the number of the VM list that was taken last, or zero.
+    pub const fn list_sequence(&self) -> u64 {
+        self.list_sequence
+    }
+
+    /// Tells whether this daemon is one of those of its failure domain that read the platform.
+    pub fn is_platform_reader(&self, own: SocketAddr, own_domain: &Arc<str>) -> bool {
+        let near = self.peers().filter(|(address, peer)| {
+            *address != own
+                && peer.domain == *own_domain
+                && peer.liveness != Liveness::Silent
+                && !peer.leaving
+        });
+        let near: Vec<SocketAddr> = near.map(|(address, _)| address).chain([own]).collect();
+        is_winner(PLATFORM_PLACE, own, &near)
+    }
+
     /// Chooses the peers of the next digest.
     pub fn choose_peers(
         &mut self,
--- a/crates/cumintrail-daemon/src/background/config_sync.rs
+++ b/crates/cumintrail-daemon/src/background/config_sync.rs
@@ -14,7 +14,6 @@
 use cumintrail_wire::configuration::Configuration;
 use cumintrail_wire::peer::{ConfigReply, ConfigRequest};
 use futures_util::future::{join, join_all};
-use rand::Rng;
 use rand::seq::IndexedRandom;
 use snafu::Snafu;
 
@@ -34,18 +33,19 @@
     Invalid { source: Problems },
 }
 
-/// Follows the platform's head until the process ends; asks peers while it cannot be reached.
+/// Reads the platform's head when ordered, until the process ends; asks peers if that fails.
 pub async fn follow_platform(background: Rc<Background>) {
     loop {
+        background.read_head.notified().await;
         let (platform, ()) = join(sync_platform(&background), ask_peers_at_boot(&background)).await;
         note_contact(&background, &platform);
+        let answered = platform.is_ok();
+        background.shared.control.tell(Event::HeadRead { answered }).await;
         if let Err(e) = platform {
             metrics::counter!(metric::PLATFORM_ERRORS, "part" => "config").increment(1);
             log::debug!("no configuration from the platform: {e}");
             ask_known_peers(&background).await;
         }
-        let jitter = rand::rng().random_range(0.8..1.2);
-        actix_rt::time::sleep(background.shared.settings.config_poll.mul_f64(jitter)).await;
     }
 }
 
--- a/crates/cumintrail-daemon/src/background/orders.rs
+++ b/crates/cumintrail-daemon/src/background/orders.rs
@@ -10,7 +10,7 @@
 use cumintrail_wire::engine::{CacheEvents, ExportOrder};
 use cumintrail_wire::peer::DigestMessage;
 
-use super::{Background, rollout, warm};
+use super::{Background, rollout, vm_list, warm};
 use crate::metric;
 
 /// Remembers which cache events of each target were read.
@@ -45,6 +45,11 @@
         Action::Free { store, sealed } => {
             actix_rt::spawn(async move { free(&background, store, sealed).await });
         }
+        Action::ReadHead => background.read_head.notify_one(),
+        Action::ReadVms => background.read_vms.notify_one(),
+        Action::AskVms { from } => {
+            actix_rt::spawn(async move { vm_list::ask(&background, from).await });
+        }
         Action::ListStore(store) => {
             actix_rt::spawn(async move { list_store(&background, store).await });
         }
@@ -88,21 +93,28 @@
         return;
     };
     let control = &background.shared.control;
-    let report = match background.engines.report(at).await {
-        Ok(report) => report,
+    let after = cursor.last.get();
+    let answer = match background.engines.probe(at, after).await {
+        Ok(answer) => answer,
         // A plain service may have no such path; any answer shows that it is there.
         Err(e) if e.is_answer() => return control.tell(Event::TargetAnswered { target }).await,
         Err(_) => return control.tell(Event::TargetSilent { target }).await,
     };
+    let report = answer.report;
     control.tell(Event::TargetReported { target, report: report.into() }).await;
     if report.version.0 == 0 {
         return;
     }
-    if cursor.incarnation.replace(report.incarnation) != report.incarnation {
+    let is_new_run = cursor.incarnation.replace(report.incarnation) != report.incarnation;
+    if is_new_run {
         cursor.last.set(0);
     }
-    let events = background.engines.cache_events(at, cursor.last.get()).await;
-    if let Some(event) = events.ok().and_then(|events| cache_change(target, cursor, &events)) {
+    let events = match answer.cache {
+        // A new run counts its events from the start.
+        Some(events) if !is_new_run || after == 0 => Some(events),
+        _ => background.engines.cache_events(at, cursor.last.get()).await.ok(),
+    };
+    if let Some(event) = events.and_then(|events| cache_change(target, cursor, &events)) {
         control.tell(event).await;
     }
 }
--- a/crates/cumintrail-daemon/src/daemon.rs
+++ b/crates/cumintrail-daemon/src/daemon.rs
@@ -68,7 +68,8 @@
             probe_interval: settings.probe_interval,
             digest_interval: settings.digest_interval,
         };
-        let control = Control::new(identity, rand::rng().random());
+        let mut control = Control::new(identity, rand::rng().random());
+        control.watch_platform(settings.config_poll);
         let (link, inbox) = control_thread::channel(settings.control_queue);
         let (orders_tx, orders_rx) = tokio::sync::mpsc::unbounded_channel();
         let shared = Arc::new(Shared::new(settings, incarnation, operator_address, link, clock));
--- a/crates/cumintrail-daemon/src/metric.rs
+++ b/crates/cumintrail-daemon/src/metric.rs
@@ -44,6 +44,8 @@
 pub const PEERS: &str = "cumintrail_peers";
 /// Bytes sent to peers.
 pub const PEER_BYTES: &str = "cumintrail_peer_bytes_total";
+/// Bytes of control exchanges that this daemon opened, both ways, by the kind of the other end.
+pub const CONTROL_BYTES: &str = "cumintrail_control_bytes_total";
 /// Failed exchanges with the platform.
 pub const PLATFORM_ERRORS: &str = "cumintrail_platform_errors_total";
 /// Whether the last exchange with the platform was answered.
@@ -107,7 +109,7 @@
 }
 
 /// Describes all metrics.
-pub const METRICS: [Description; 26] = [
+pub const METRICS: [Description; 27] = [
     counter(CALLS, Unit::Count, "Calls by outcome").by("outcome"),
     gauge(CALLS_IN_FLIGHT, Unit::Count, "Calls that are not answered yet"),
     gauge(CALLS_WAITING, Unit::Count, "Calls that wait for a slot"),
@@ -133,6 +135,7 @@
     gauge(STORES, Unit::Count, "Declared stores by state").by("state"),
     gauge(PEERS, Unit::Count, "Known peer daemons by state").by("state"),
     counter(PEER_BYTES, Unit::Bytes, "Bytes sent to peers"),
+    counter(CONTROL_BYTES, Unit::Bytes, "Bytes of control exchanges, heads included").by("part"),
     counter(PLATFORM_ERRORS, Unit::Count, "Failed exchanges with the platform").by("part"),
     gauge(PLATFORM_REACHABLE, Unit::Count, "Whether the platform answered last"),
     counter(CONTROL_EVENTS, Unit::Count, "Events that the control thread took"),
--- a/crates/cumintrail-daemon/src/operators.rs
+++ b/crates/cumintrail-daemon/src/operators.rs
@@ -13,7 +13,7 @@
 use cumintrail_types::{Refusal, RefusalCode};
 use cumintrail_wire::operator::{Age, DrainOrder, Status};
 use cumintrail_wire::peer::{
-    ConfigReply, ConfigRequest, DigestMessage, DigestReply, ForwardRequest,
+    ConfigReply, ConfigRequest, DigestMessage, DigestReply, ForwardRequest, VmsReply, VmsRequest,
 };
 use cumintrail_wire::{from_msgpack, to_msgpack};
 use serde::Serialize;
@@ -66,6 +66,7 @@
         (Method::POST, "/operator/drain") => take_drain(shared, &mut req).await,
         (Method::POST, "/peer/digest") => take_digest(shared, &mut req).await,
         (Method::POST, "/peer/config") => answer_config(shared, &mut req).await,
+        (Method::POST, "/peer/vms") => answer_vms(shared, &mut req).await,
         (Method::POST, "/peer/forward") => run_forwarded(worker, &mut req).await,
         _ => Err(Refusal::not_run(RefusalCode::NotFound)),
     }
@@ -147,6 +148,11 @@
     packed(&config_reply(shared, asked))
 }
 
+async fn answer_vms(shared: &Shared, req: &mut Request) -> Result<Response<CallerBody>, Refusal> {
+    let asked: VmsRequest = read(shared, req).await?;
+    packed(&VmsReply::from(shared.vm_book().after(asked.after)))
+}
+
 fn packed<T: Serialize>(message: &T) -> Result<Response<CallerBody>, Refusal> {
     let body = to_msgpack(message).map_err(|_| Refusal::not_run(RefusalCode::BadRequest))?;
     Ok(Response::with_body(StatusCode::OK, CallerBody::Whole(body.into())))
--- a/crates/cumintrail-daemon/src/shared.rs
+++ b/crates/cumintrail-daemon/src/shared.rs
@@ -1,11 +1,12 @@
 //! What all threads of a daemon read.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use arc_swap::ArcSwapOption;
 use cumintrail_config::{Settings, Snapshot};
+use cumintrail_control::membership::VmBook;
 use cumintrail_control::once::KeyRing;
 use cumintrail_types::{CallKey, Generation, Incarnation, KeyChain, Moment, WeightVersion};
 use cumintrail_wire::configuration::Configuration;
@@ -62,6 +63,7 @@
     clock: Clock,
     adopted: ArcSwapOption<Adopted>,
     not_adopted: ArcSwapOption<NotAdopted>,
+    vm_book: Mutex<VmBook>,
     stopping: AtomicBool,
     next_call: AtomicU64,
     pending_outcomes: AtomicUsize,
@@ -104,6 +106,7 @@
             clock,
             adopted: ArcSwapOption::empty(),
             not_adopted: ArcSwapOption::empty(),
+            vm_book: Mutex::default(),
             stopping: AtomicBool::new(false),
             next_call: AtomicU64::new(1),
             pending_outcomes: AtomicUsize::new(0),
@@ -172,6 +175,12 @@
         self.adopted.store(Some(adopted));
     }
 
+    /// Returns the VM list as it was last read or heard.
+    pub fn vm_book(&self) -> MutexGuard<'_, VmBook> {
+        // A holder that panicked left a whole list, since lists are replaced at their end.
+        self.vm_book.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Tells whether the balancer should send calls here.
     pub fn is_ready(&self) -> bool {
         !self.is_stopping() && self.adopted.load().is_some()
--- a/crates/cumintrail-wire/src/engine.rs
+++ b/crates/cumintrail-wire/src/engine.rs
@@ -4,7 +4,9 @@
 //! - `GET /v1/streams/{call}` resumes after `Last-Event-ID`; `DELETE` cancels.
 //! - `POST /v1/import` stages a block from a store; a later `generate` names the staged ones it
 //!   accepts. `POST /v1/export` writes a block to a store.
-//! - `GET /v1/report`, `GET /v1/cache-events?after=N`, `POST /v1/orders`.
+//! - `GET /v1/report?after=N` answers a [`Probe`]; an engine that leaves its cache events out is asked
+//!   for them by `GET /v1/cache-events?after=N`.
+//! - `POST /v1/orders`.
 
 use std::net::SocketAddr;
 
@@ -163,7 +165,18 @@
     pub sealed: Option<(Digest, Bytes)>,
 }
 
-/// Answers `GET /v1/report`.
+/// Answers `GET /v1/report`: one exchange per probe, since heads are larger than reports.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Probe {
+    /// The report.
+    #[serde(flatten)]
+    pub report: Report,
+    /// The cache events after the asked number, from an engine that tells them here.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cache: Option<CacheEvents>,
+}
+
+/// Tells an engine's state and load.
 #[derive(Debug, Clone, Copy, Serialize, Deserialize)]
 pub struct Report {
     /// The run of the engine's process.
--- a/crates/cumintrail-wire/src/peer.rs
+++ b/crates/cumintrail-wire/src/peer.rs
@@ -2,6 +2,7 @@
 //!
 //! - `POST /peer/digest` takes a [`DigestMessage`].
 //! - `POST /peer/config` takes a [`ConfigRequest`] and answers a [`ConfigReply`].
+//! - `POST /peer/vms` takes a [`VmsRequest`] and answers a [`VmsReply`].
 //! - `POST /peer/forward` takes a [`ForwardRequest`] and answers a [`ForwardReply`].
 
 use std::net::SocketAddr;
@@ -9,12 +10,16 @@
 use std::time::Duration;
 
 use cumintrail_config::{Delta, Sections};
-use cumintrail_control::{LeavingRun, PeerDigest, TargetNews, TargetReport};
+use cumintrail_control::membership::VmChanges;
+use cumintrail_control::{
+    Freshness, LeavingRun, PeerDigest, TargetNews, TargetReport, VmEntry, VmRole, VmState,
+};
 use cumintrail_types::{
     Digest, Generation, Incarnation, Ran, Refusal, RefusalCode, Sealed, Tier, Tokens, WeightVersion,
 };
 use serde::{Deserialize, Serialize};
 
+use crate::platform::{ListedRole, ListedVm};
 use crate::record::{AnswerRecord, BodyRecord};
 
 /// Holds a daemon's digest; see [`PeerDigest`] for the fields.
@@ -25,6 +30,8 @@
     incarnation: Incarnation,
     address: Option<SocketAddr>,
     generation: Generation,
+    #[serde(default)]
+    freshness: FreshnessMessage,
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     leaving: Vec<LeavingMessage>,
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
@@ -43,6 +50,7 @@
             incarnation: d.incarnation,
             address: d.address,
             generation: d.generation,
+            freshness: d.freshness.into(),
             leaving: d.leaving.into_iter().map(Into::into).collect(),
             targets: d.targets.into_iter().map(Into::into).collect(),
             stored: d.stored,
@@ -59,6 +67,7 @@
             incarnation: m.incarnation,
             address: m.address,
             generation: m.generation,
+            freshness: m.freshness.into(),
             leaving: m.leaving.into_iter().map(Into::into).collect(),
             targets: m.targets.into_iter().map(Into::into).collect(),
             stored: m.stored,
@@ -67,6 +76,24 @@
     }
 }
 
+/// Holds a [`Freshness`]: milliseconds since reads of the head and the VM list, and its number.
+#[derive(Debug, Clone, Copy, Default, Serialize, Deserialize)]
+struct FreshnessMessage(Option<u32>, Option<u32>, u64);
+
+impl From<Freshness> for FreshnessMessage {
+    fn from(f: Freshness) -> Self {
+        let millis = |age: Duration| u32::try_from(age.as_millis()).unwrap_or(u32::MAX);
+        Self(f.head.map(millis), f.vms.map(millis), f.vms_sequence)
+    }
+}
+
+impl From<FreshnessMessage> for Freshness {
+    fn from(FreshnessMessage(head, vms, vms_sequence): FreshnessMessage) -> Self {
+        let age = |millis: u32| Duration::from_millis(millis.into());
+        Self { head: head.map(age), vms: vms.map(age), vms_sequence }
+    }
+}
+
 /// Holds a [`LeavingRun`] without field names: address, incarnation, seconds left.
 #[derive(Debug, Clone, Copy, Serialize, Deserialize)]
 struct LeavingMessage(SocketAddr, Incarnation, u32);
@@ -142,6 +169,60 @@
     Snapshot(SnapshotRecord),
 }
 
+/// Asks a peer for what its VM list has beyond list `after`.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+pub struct VmsRequest {
+    /// The number of the asker's list.
+    pub after: u64,
+}
+
+/// Answers with what the peer's list has beyond the asker's, or nothing.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct VmsReply(Option<VmChangesMessage>);
+
+/// Holds [`VmChanges`]: the list before, the list that results, changed entries, gone addresses.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+struct VmChangesMessage(Option<u64>, u64, Vec<VmMessage>, Vec<SocketAddr>);
+
+/// Holds a [`VmEntry`]: address, failure domain, role, whether it is leaving.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+struct VmMessage(SocketAddr, Arc<str>, ListedRole, bool);
+
+impl From<Option<VmChanges>> for VmsReply {
+    fn from(changes: Option<VmChanges>) -> Self {
+        let message = |c: VmChanges| {
+            let entries = c.changed.into_iter().map(VmMessage::from).collect();
+            VmChangesMessage(c.after, c.sequence, entries, c.removed)
+        };
+        Self(changes.map(message))
+    }
+}
+
+impl From<VmsReply> for Option<VmChanges> {
+    fn from(VmsReply(reply): VmsReply) -> Self {
+        let VmChangesMessage(after, sequence, changed, removed) = reply?;
+        let changed = changed.into_iter().map(VmEntry::from).collect();
+        Some(VmChanges { after, sequence, changed, removed })
+    }
+}
+
+impl From<VmEntry> for VmMessage {
+    fn from(vm: VmEntry) -> Self {
+        let role = match vm.role {
+            VmRole::Daemon => ListedRole::Daemon,
+            VmRole::Target => ListedRole::Target,
+            VmRole::Store => ListedRole::Store,
+        };
+        Self(vm.address, vm.domain, role, vm.state == VmState::Leaving)
+    }
+}
+
+impl From<VmMessage> for VmEntry {
+    fn from(VmMessage(address, domain, role, leaving): VmMessage) -> Self {
+        Self::from(ListedVm { address, domain: domain.to_string(), role, leaving })
+    }
+}
+
 /// Asks the issuer of an operation key to run the key's call.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct ForwardRequest {
--- a/crates/cumintrail-wire/src/platform.rs
+++ b/crates/cumintrail-wire/src/platform.rs
@@ -2,7 +2,7 @@
 //!
 //! - `POST /table` runs a transaction; `GET /table/{key}` reads a row.
 //! - `PUT` and `GET /objects/{name}`.
-//! - `GET /vms`.
+//! - `GET /vms`, whose entity tag is the list's number; `If-None-Match` spares an unchanged list.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -66,6 +66,11 @@
     pub vms: Vec<ListedVm>,
 }
 
+/// Returns the entity tag of a VM list.
+pub fn list_tag(sequence: u64) -> String {
+    format!("\"{sequence}\"")
+}
+
 /// Describes a VM.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct ListedVm {
--- a/tests/src/experiment/run.rs
+++ b/tests/src/experiment/run.rs
@@ -201,6 +201,9 @@
                 engine.queue.retain(|job| job.call != Some((call, attempt.0)));
             }
             Action::Warm { .. }
+            | Action::ReadHead
+            | Action::ReadVms
+            | Action::AskVms { .. }
             | Action::SendDigest { .. }
             | Action::Lease(_)
             | Action::Order(_) => {}
--- a/tests/src/load.rs
+++ b/tests/src/load.rs
@@ -24,7 +24,7 @@
 #[derive(Debug, Clone, Copy, Args)]
 pub struct Options {
     /// Daemon processes.
-    #[arg(long, default_value_t = 2, value_parser = clap::value_parser!(u16).range(1..=64))]
+    #[arg(long, default_value_t = 2, value_parser = clap::value_parser!(u16).range(1..=96))]
     pub daemons: u16,
     /// Seconds of rest, and as many of load.
     #[arg(long, default_value_t = 10, value_parser = clap::value_parser!(u16).range(1..=120))]
@@ -41,6 +41,9 @@
     /// Blocks that the store holds from the start.
     #[arg(long, default_value_t = 0, value_parser = clap::value_parser!(u32).range(0..=400_000))]
     pub blocks: u32,
+    /// Target VMs in the VM list besides the daemons.
+    #[arg(long, default_value_t = 0, value_parser = clap::value_parser!(u16).range(0..=4_000))]
+    pub vms: u16,
 }
 
 /// Reports why a measurement could not be made.
@@ -85,6 +88,7 @@
         accounts: options.accounts,
         targets: options.targets,
         blocks: options.blocks,
+        vms: options.vms,
         rest: Cost::between(&before, &rested),
         load: Cost::between(&rested, &loaded),
         through: served(&through),
--- a/tests/src/load/deployment.rs
+++ b/tests/src/load/deployment.rs
@@ -24,6 +24,8 @@
 const PREFILL_PER_SECOND: u32 = 10_000_000;
 const READY_LIMIT: Duration = Duration::from_secs(60);
 const ANSWER_LIMIT: Duration = Duration::from_secs(10);
+const CONTROL_BYTES: &str = "cumintrail_control_bytes_total";
+const UNUSED_PORT: u16 = 10_000;
 const PIECE_BYTES: u64 = 4 << 10;
 
 /// Runs stand-ins in this process and daemons as children.
@@ -48,6 +50,8 @@
     pub resident_bytes: u64,
     /// Bytes that all daemons sent to peers.
     pub peer_bytes: u64,
+    /// Bytes of control exchanges that all daemons opened, both ways with heads.
+    pub control_bytes: ControlBytes,
     /// Events that all control threads took.
     pub control_events: u64,
     /// Time that all control threads spent on events.
@@ -56,6 +60,29 @@
     pub table_reads: u64,
 }
 
+/// Counts bytes of control exchanges by the kind of the other end.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct ControlBytes {
+    /// Engines and services.
+    pub engines: u64,
+    /// Stores.
+    pub stores: u64,
+    /// Other daemons.
+    pub peers: u64,
+    /// The platform.
+    pub platform: u64,
+}
+
+impl ControlBytes {
+    fn add(&mut self, text: &str) {
+        let part = |part| counter(text, &format!("{CONTROL_BYTES}{{part=\"{part}\"}}"));
+        self.engines += part("engines");
+        self.stores += part("stores");
+        self.peers += part("peers");
+        self.platform += part("platform");
+    }
+}
+
 impl Deployment {
     /// Starts all parts and waits until the daemons are ready.
     pub async fn spawn(options: &Options) -> Result<Self, LoadError> {
@@ -85,7 +112,8 @@
         cumintrail_cli::apply(&access, &declared).await.map_err(ClusterError::from)?;
 
         let daemons = spawn_daemons(options, at, files.path()).map_err(ClusterError::from)?;
-        platform.list_vms(daemons.iter().enumerate().map(listed).collect());
+        let others = (0..usize::from(options.vms)).map(other_vm);
+        platform.list_vms(daemons.iter().enumerate().map(listed).chain(others).collect());
         let deployment = Self { platform, engines, _store: store, daemons, _files: files };
         deployment.wait_ready().await?;
         Ok(deployment)
@@ -122,6 +150,7 @@
             processor: Duration::ZERO,
             resident_bytes: 0,
             peer_bytes: 0,
+            control_bytes: ControlBytes::default(),
             control_events: 0,
             control_busy: Duration::ZERO,
             table_reads: self.platform.table_use().1,
@@ -133,6 +162,7 @@
             let text = metrics_of(daemon.addresses[1]).await;
             let text = text.ok_or(LoadError::NoMetrics { index })?;
             usage.peer_bytes += counter(&text, "cumintrail_peer_bytes_total");
+            usage.control_bytes.add(&text);
             usage.control_events += counter(&text, "cumintrail_control_events_total");
             let busy = counter(&text, "cumintrail_control_busy_microseconds_total");
             usage.control_busy += Duration::from_micros(busy);
@@ -178,6 +208,12 @@
     ListedVm { address, domain: domain(index), role: ListedRole::Daemon, leaving: false }
 }
 
+/// Lists a VM whose process nobody asks for anything.
+fn other_vm(index: usize) -> ListedVm {
+    let address = SocketAddr::from(([10, 0, 0, 0], UNUSED_PORT + index as u16));
+    ListedVm { address, domain: domain(index), role: ListedRole::Target, leaving: false }
+}
+
 fn declarations(
     options: &Options,
     plan: &Plan,
--- a/tests/src/load/report.rs
+++ b/tests/src/load/report.rs
@@ -26,6 +26,8 @@
     pub targets: u32,
     /// Blocks that the store held from the start.
     pub blocks: u32,
+    /// Target VMs in the VM list.
+    pub vms: u16,
     /// Cost of a daemon without calls.
     pub rest: Cost,
     /// Cost of a daemon under load.
@@ -47,12 +49,33 @@
     pub control_events_per_second: f64,
     /// Digest bytes sent to peers a second, without HTTP heads.
     pub peer_bytes_per_second: f64,
+    /// Bytes of control exchanges that a daemon opened a second, both ways with heads.
+    pub control_bytes: ControlBytesPerSecond,
     /// Table reads a second.
     pub table_reads_per_second: f64,
     /// Resident memory of the largest daemon.
     pub resident_bytes: u64,
 }
 
+/// Holds control bytes a second by the kind of the other end.
+#[derive(Debug, Clone, Copy, Serialize)]
+pub struct ControlBytesPerSecond {
+    /// Engines and services.
+    pub engines: f64,
+    /// Stores.
+    pub stores: f64,
+    /// Other daemons.
+    pub peers: f64,
+    /// The platform.
+    pub platform: f64,
+}
+
+impl ControlBytesPerSecond {
+    fn total(&self) -> f64 {
+        self.engines + self.stores + self.peers + self.platform
+    }
+}
+
 /// Holds how calls were served.
 #[derive(Debug, Clone, Serialize)]
 pub struct Served {
@@ -92,6 +115,12 @@
             control_share: share(before.control_busy, after.control_busy),
             control_events_per_second: rate(before.control_events, after.control_events),
             peer_bytes_per_second: rate(before.peer_bytes, after.peer_bytes),
+            control_bytes: ControlBytesPerSecond {
+                engines: rate(before.control_bytes.engines, after.control_bytes.engines),
+                stores: rate(before.control_bytes.stores, after.control_bytes.stores),
+                peers: rate(before.control_bytes.peers, after.control_bytes.peers),
+                platform: rate(before.control_bytes.platform, after.control_bytes.platform),
+            },
             table_reads_per_second: rate(before.table_reads, after.table_reads),
             resident_bytes: after.resident_bytes,
         }
@@ -122,8 +151,15 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         writeln!(
             f,
-            "{} daemons, {} s each, {} calls a second; extra: {} accounts, {} targets, {} blocks\n",
-            self.daemons, self.seconds, self.rate, self.accounts, self.targets, self.blocks
+            "{} daemons, {} s each, {} calls a second; extra: {} accounts, {} targets, {} blocks, \
+             {} VMs\n",
+            self.daemons,
+            self.seconds,
+            self.rate,
+            self.accounts,
+            self.targets,
+            self.blocks,
+            self.vms
         )?;
         writeln!(
             f,
@@ -141,6 +177,19 @@
                 cost.resident_bytes as f64 / f64::from(1 << 20),
             )?;
         }
+        writeln!(f, "\nCONTROL BYTES/s  ENGINES  STORES  PEERS  PLATFORM    ALL")?;
+        for (name, cost) in [("rest", &self.rest), ("load", &self.load)] {
+            let bytes = &cost.control_bytes;
+            writeln!(
+                f,
+                "{name:<15}  {:>7.0}  {:>6.0}  {:>5.0}  {:>8.0}  {:>5.0}",
+                bytes.engines,
+                bytes.stores,
+                bytes.peers,
+                bytes.platform,
+                bytes.total(),
+            )?;
+        }
         writeln!(f, "\nCALLS       WHOLE  FAILED  FIRST TOKEN ms p50/p95/p99  GAP ms p50/p95/p99")?;
         for (name, served) in [("through", &self.through), ("direct", &self.direct)] {
             writeln!(
--- a/tests/src/standins/engine.rs
+++ b/tests/src/standins/engine.rs
@@ -50,6 +50,8 @@
     pub event_lag: Duration,
     /// Every how many cache events one is lost; zero for never.
     pub event_gap_every: u64,
+    /// Whether load reports carry cache events.
+    pub events_in_reports: bool,
     /// Whether orders with an old fencing number are refused.
     pub checks_fencing: bool,
     /// The platform's weight store.
@@ -69,6 +71,7 @@
             report_lag: Duration::from_millis(200),
             event_lag: Duration::from_millis(100),
             event_gap_every: 0,
+            events_in_reports: true,
             checks_fencing: true,
             weights: None,
             bytes_per_token: 4,
@@ -132,6 +135,8 @@
     started: u64,
     generated: Vec<Generated>,
     fault: Fault,
+    /// Reads of cache events alone.
+    event_reads: u64,
 }
 
 /// Runs an engine.
@@ -172,6 +177,7 @@
             started: 0,
             generated: Vec::new(),
             fault: Fault::default(),
+            event_reads: 0,
         };
         let inner = Arc::new(Inner {
             limits,
@@ -218,6 +224,11 @@
         std::mem::take(&mut self.inner.lock().generated)
     }
 
+    /// Returns how often it was asked for cache events alone.
+    pub fn event_reads(&self) -> u64 {
+        self.inner.lock().event_reads
+    }
+
     /// Returns the orders that it followed.
     pub fn orders(&self) -> Vec<(FencingNumber, WeightVersion)> {
         self.inner.lock().orders.clone()
@@ -318,7 +329,7 @@
             Some(order) => take_order(&inner, order).await,
             None => empty(StatusCode::BAD_REQUEST),
         },
-        (Method::GET, "/v1/report") => report(&inner),
+        (Method::GET, "/v1/report") => report(&inner, &req),
         (Method::GET, "/v1/cache-events") => cache_events(&inner, &req),
         (Method::POST, "/fault") => {
             let fault = http::read(&mut req).await.unwrap_or_default();
--- a/tests/src/standins/engine/orders.rs
+++ b/tests/src/standins/engine/orders.rs
@@ -7,11 +7,11 @@
 use cumintrail_types::Digest;
 use cumintrail_wire::engine::{
     CacheEvents, EngineReason, ExportOrder, ExportReport, ImportOrder, ImportOutcome, ImportReport,
-    LoadOrder,
+    LoadOrder, Probe,
 };
 use cumintrail_wire::store::{DIGEST_HEADER, WRITE_HEADER};
 
-use super::{Inner, TRANSFER_LIMIT, content_of, refuse};
+use super::{Inner, Limits, State, TRANSFER_LIMIT, content_of, refuse};
 use crate::http::{self, Answer, json};
 
 pub(super) async fn import(inner: &Inner, order: ImportOrder) -> Answer {
@@ -72,7 +72,7 @@
     json(StatusCode::OK, &state.report())
 }
 
-pub(super) fn report(inner: &Inner) -> Answer {
+pub(super) fn report(inner: &Inner, req: &Request) -> Answer {
     let mut state = inner.lock();
     let now = Instant::now();
     let fresh = state.report();
@@ -81,16 +81,27 @@
         state.reports.pop_front();
     }
     let told = state.reports.front().map_or(fresh, |(_, report)| *report);
-    json(StatusCode::OK, &told)
+    let asked = after(req).filter(|_| inner.limits.events_in_reports);
+    let cache = asked.map(|after| events_after(&state, &inner.limits, after));
+    json(StatusCode::OK, &Probe { report: told, cache })
 }
 
 pub(super) fn cache_events(inner: &Inner, req: &Request) -> Answer {
-    let state = inner.lock();
-    let after = http::query(req, "after").and_then(|v| v.parse().ok()).unwrap_or(0);
-    let every = inner.limits.event_gap_every;
-    let told = state.events.iter().filter(|(at, _)| at.elapsed() >= inner.limits.event_lag);
+    let mut state = inner.lock();
+    state.event_reads += 1;
+    let events = events_after(&state, &inner.limits, after(req).unwrap_or(0));
+    json(StatusCode::OK, &events)
+}
+
+fn after(req: &Request) -> Option<u64> {
+    http::query(req, "after")?.parse().ok()
+}
+
+fn events_after(state: &State, limits: &Limits, after: u64) -> CacheEvents {
+    let every = limits.event_gap_every;
+    let told = state.events.iter().filter(|(at, _)| at.elapsed() >= limits.event_lag);
     let events = told.map(|(_, e)| *e).filter(|e| e.number > after);
     let events = events.filter(|e| every == 0 || e.number % every != 0).collect();
     let oldest = state.events.front().map_or(state.next_event, |(_, e)| e.number);
-    json(StatusCode::OK, &CacheEvents { incarnation: state.incarnation, oldest, events })
+    CacheEvents { incarnation: state.incarnation, oldest, events }
 }
--- a/tests/src/standins/platform.rs
+++ b/tests/src/standins/platform.rs
@@ -7,7 +7,7 @@
 
 use actix_http::{Method, Request, StatusCode};
 use bytes::Bytes;
-use cumintrail_wire::platform::{Committed, ListedVm, Row, Transaction, VmList};
+use cumintrail_wire::platform::{self, Committed, ListedVm, Row, Transaction, VmList};
 use serde::{Deserialize, Serialize};
 
 use crate::http::{self, Answer, Running, empty, json};
@@ -37,6 +37,7 @@
     loads: u32,
     writes: u64,
     reads: u64,
+    list_reads: u64,
 }
 
 /// Runs a platform.
@@ -97,6 +98,11 @@
         (state.writes, state.reads)
     }
 
+    /// Returns how often the VM list was asked for.
+    pub fn list_reads(&self) -> u64 {
+        self.lock().list_reads
+    }
+
     fn lock(&self) -> std::sync::MutexGuard<'_, State> {
         self.state.lock().expect("no holder panics")
     }
@@ -123,13 +129,14 @@
     if let Some(version) = path.strip_prefix("/weights/") {
         return load_weights(&state, version, load_ms, load_slots).await;
     }
+    let known = http::header(&req, "if-none-match");
     let body = http::body(&mut req).await;
     let writes = method != Method::GET;
     let answer = {
         let mut state = state.lock().expect("no holder panics");
         match (method, path.as_str()) {
             (Method::POST, "/table") => commit(&mut state, &body),
-            (Method::GET, "/vms") => json(StatusCode::OK, &listed(&state)),
+            (Method::GET, "/vms") => answer_list(&mut state, known.as_deref()),
             (method, path) => match (method, path.split_at_checked(7), path.split_at_checked(9)) {
                 (Method::GET, Some(("/table/", key)), _) => {
                     state.reads += 1;
@@ -183,6 +190,15 @@
     json(StatusCode::OK, &Committed { committed, found })
 }
 
+fn answer_list(state: &mut State, known: Option<&str>) -> Answer {
+    state.list_reads += 1;
+    let list = listed(state);
+    if known == Some(&*platform::list_tag(list.sequence)) {
+        return empty(StatusCode::NOT_MODIFIED);
+    }
+    json(StatusCode::OK, &list)
+}
+
 fn listed(state: &State) -> VmList {
     match state.fault.list_stuck_at {
         0 => state.lists.last().cloned().unwrap_or_default(),
--- a/tests/tests/load.rs
+++ b/tests/tests/load.rs
@@ -16,11 +16,14 @@
     let cost = &report["load"];
     assert!(cost["processor_share"].as_f64().unwrap() > 0.0, "{report}");
     assert!(cost["resident_bytes"].as_u64().unwrap() > 1 << 20, "{report}");
+    for part in ["engines", "peers", "platform"] {
+        assert!(cost["control_bytes"][part].as_f64().unwrap() > 0.0, "{report}");
+    }
     assert!(cost["peer_bytes_per_second"].as_f64().unwrap() > 0.0, "{report}");
 }
 
 #[test]
 fn sizes_are_bounded() {
-    let output = Command::new(BINARY).args(["load", "--daemons", "65"]).output().unwrap();
+    let output = Command::new(BINARY).args(["load", "--daemons", "97"]).output().unwrap();
     assert_eq!(output.status.code(), Some(2));
 }
--- a/tests/tests/membership.rs
+++ b/tests/tests/membership.rs
@@ -9,7 +9,9 @@
 use cumintrail_control::{
     Action, Control, Event, Identity, PeerDigest, TargetReport, VmEntry, VmRole, VmState,
 };
-use cumintrail_tests::cluster::{Cluster, OPERATOR_KEY, Plan, declare, domain, eventually};
+use cumintrail_tests::cluster::{
+    CALLER_KEY, Cluster, OPERATOR_KEY, Plan, declare, domain, eventually,
+};
 use cumintrail_tests::http::send;
 use cumintrail_tests::standins::engine;
 use cumintrail_types::{Generation, Incarnation, Key, Moment, TargetKey, Tokens, WeightVersion};
@@ -253,6 +255,28 @@
     assert!(net.all(|t| t.liveness == "live", 0), "silent targets are probed again");
 }
 
+#[test]
+fn idle_targets_are_probed_less_and_suspected_ones_at_once() {
+    let mut net = Net::new(8, 4);
+    let span = Duration::from_secs(20);
+    let mut count = |running: u32| {
+        net.answer = Box::new(move |_, _, _| Some(report(1, false, running)));
+        net.run(A_FEW_SECONDS);
+        net.probes.clear();
+        net.run(span);
+        net.probes[&0].len() as f64 / span.as_secs_f64()
+    };
+    let (idle, busy) = (count(0), count(3));
+    assert!((0.9..1.2).contains(&idle) && (1.8..2.4).contains(&busy), "{idle} and {busy} a second");
+
+    // From the first missed probe on, the others follow at the shortest interval.
+    net.answer = Box::new(|_, target, _| (target != 0).then(|| report(1, false, 3)));
+    net.probes.clear();
+    net.run(A_FEW_SECONDS);
+    assert!(net.all(|t| t.liveness == "silent", 0));
+    assert!(net.probes[&0].len() >= 8, "{} probes", net.probes[&0].len());
+}
+
 #[test]
 fn a_plain_service_without_reports_is_live() {
     let mut net = Net::new(2, 1);
@@ -333,3 +357,40 @@
     cluster.engines[0].set_fault(engine::Fault::default());
     assert!(!eventually(Duration::from_millis(500), || cluster.engines[0].started() > 0).await);
 }
+
+#[actix_rt::test]
+async fn a_probe_is_one_request_if_reports_carry_cache_events() {
+    for events_in_reports in [true, false] {
+        let limits = engine::Limits { events_in_reports, ..engine::Limits::default() };
+        let cluster = Cluster::spawn(&Plan { engine: limits, ..Plan::default() }).await.unwrap();
+        let engine = &cluster.engines[0];
+        let prompt = "whey ".repeat(400);
+        let body = format!(r#"{{"model":"curd","prompt":"{prompt}","max_tokens":1}}"#);
+        let bearer = format!("Bearer {CALLER_KEY}");
+        let headers = [("authorization", bearer.as_str())];
+        for daemon in &cluster.daemons {
+            let (at, post) = (daemon.caller_address(), actix_http::Method::POST);
+            let got = send(post, at, "/v1/completions", &headers, body.clone(), A_FEW_SECONDS);
+            assert_eq!(got.await.status, 200);
+        }
+        assert!(cluster_knows_blocks(&cluster).await, "cache events arrive either way");
+        assert_eq!(engine.event_reads() == 0, events_in_reports);
+    }
+}
+
+async fn cluster_knows_blocks(cluster: &Cluster) -> bool {
+    let bearer = format!("Bearer {OPERATOR_KEY}");
+    let headers = [("authorization", bearer.as_str())];
+    let at = cluster.daemons[0].operator_address();
+    let deadline = std::time::Instant::now() + A_FEW_SECONDS;
+    while std::time::Instant::now() < deadline {
+        let get = actix_http::Method::GET;
+        let got = send(get, at, "/debug/state", &headers, "", A_FEW_SECONDS).await;
+        let dump: cumintrail_control::Dump = got.json().unwrap();
+        if dump.targets.iter().any(|t| t.blocks > 0) {
+            return true;
+        }
+        actix_rt::time::sleep(STEP).await;
+    }
+    false
+}
--- /dev/null
+++ b/tests/tests/platform_reads.rs
@@ -0,0 +1,261 @@
+//! Reads of the platform: few daemons do them, and no loss of these leaves the others behind.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use cumintrail_client::{HttpPlatform, VmList};
+use cumintrail_config::{Document, Snapshot};
+use cumintrail_control::membership::VmBook;
+use cumintrail_control::{Action, Actions, Control, Event, Identity, VmEntry, VmRole, VmState};
+use cumintrail_tests::cluster::{LOOPBACK, Plan, declare, domain};
+use cumintrail_tests::standins::platform::Platform;
+use cumintrail_types::{Generation, Incarnation, Moment};
+use proptest::prelude::*;
+
+/// The time in which a change is in force everywhere.
+const IN_FORCE: Duration = Duration::from_secs(5);
+const STEP: Duration = Duration::from_millis(50);
+const READ: Duration = Duration::from_millis(1_500);
+const DAEMONS: usize = 72;
+
+fn daemon(i: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, 1, 0], 7_000 + i as u16))
+}
+
+fn target() -> SocketAddr {
+    SocketAddr::from(([10, 0, 2, 0], 7_000))
+}
+
+fn snapshot(generation: u64) -> Arc<Snapshot> {
+    let text = declare(&Plan::default(), &[target()], &[], &[]);
+    let sections = Document::parse(&"test".into(), &text).unwrap().sections;
+    Arc::new(Snapshot::build(Generation(generation), &sections, None, None).unwrap())
+}
+
+fn list(state: VmState) -> Vec<VmEntry> {
+    let entry =
+        |address, i, role, state| VmEntry { address, domain: domain(i).into(), role, state };
+    let daemons = (0..DAEMONS).map(|i| entry(daemon(i), i, VmRole::Daemon, VmState::Live));
+    daemons.chain([entry(target(), 0, VmRole::Target, state)]).collect()
+}
+
+/// What has become of a daemon.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Fate {
+    Well,
+    Dead,
+    CutFromPlatform,
+    ReadsOldList,
+}
+
+/// Daemons in virtual time, with a platform that they read.
+struct Net {
+    now: Moment,
+    daemons: Vec<Control>,
+    books: Vec<VmBook>,
+    fates: Vec<Fate>,
+    generation: u64,
+    lists: Vec<Vec<VmEntry>>,
+    reads: BTreeMap<usize, u32>,
+}
+
+impl Net {
+    fn new() -> Self {
+        let start = |i: usize| {
+            let identity = Identity {
+                vm: format!("vm-{i}").into(),
+                domain: domain(i).into(),
+                incarnation: Incarnation(1),
+                address: daemon(i),
+                probe_interval: Duration::from_millis(500),
+                digest_interval: Duration::from_secs(1),
+            };
+            let mut control = Control::new(identity, i as u64);
+            control.watch_platform(READ);
+            control
+        };
+        Self {
+            now: Moment::default(),
+            daemons: (0..DAEMONS).map(start).collect(),
+            books: (0..DAEMONS).map(|_| VmBook::default()).collect(),
+            fates: vec![Fate::Well; DAEMONS],
+            generation: 1,
+            lists: vec![list(VmState::Live)],
+            reads: BTreeMap::new(),
+        }
+    }
+
+    fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.now = self.now + STEP;
+            for i in 0..DAEMONS {
+                self.tell(i, Event::Tick);
+            }
+        }
+    }
+
+    fn tell(&mut self, i: usize, event: Event) {
+        if self.fates[i] != Fate::Dead {
+            let before = self.daemons[i].generation();
+            let actions = self.daemons[i].handle(self.now, event);
+            assert!(self.daemons[i].generation() >= before, "daemon {i} went back");
+            self.follow(i, actions);
+        }
+    }
+
+    fn follow(&mut self, i: usize, actions: Actions) {
+        for action in actions {
+            match action {
+                Action::ReadHead => self.read_head(i),
+                Action::ReadVms => self.read_vms(i),
+                Action::AskVms { from } => {
+                    let changes = self.books[index(from)].after(self.books[i].sequence());
+                    if changes.is_some_and(|changes| self.books[i].apply(changes)) {
+                        self.tell_list(i);
+                    }
+                }
+                Action::SendDigest { to, .. } if self.fates[index(to)] == Fate::Dead => {
+                    self.tell(i, Event::PeerSilent { address: to });
+                }
+                Action::SendDigest { to, digest } => {
+                    if digest.generation > self.daemons[index(to)].generation() {
+                        let newer = snapshot(digest.generation.0);
+                        self.tell(index(to), Event::Configured(newer));
+                    }
+                    self.tell(index(to), Event::PeerDigest(digest));
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn read_head(&mut self, i: usize) {
+        *self.reads.entry(i).or_default() += 1;
+        let answered = self.fates[i] != Fate::CutFromPlatform;
+        if answered && self.daemons[i].generation().0 < self.generation {
+            self.tell(i, Event::Configured(snapshot(self.generation)));
+        }
+        self.tell(i, Event::HeadRead { answered });
+    }
+
+    fn read_vms(&mut self, i: usize) {
+        let sequence = match self.fates[i] {
+            Fate::CutFromPlatform => return self.tell(i, Event::VmsRead { sequence: None }),
+            Fate::ReadsOldList => 1,
+            _ => self.lists.len(),
+        };
+        if self.books[i].take(sequence as u64, self.lists[sequence - 1].clone()) {
+            self.tell_list(i);
+        }
+        self.tell(i, Event::VmsRead { sequence: Some(sequence as u64) });
+    }
+
+    fn tell_list(&mut self, i: usize) {
+        let (sequence, vms) = (self.books[i].sequence(), self.books[i].vms());
+        self.tell(i, Event::VmsListed { sequence, vms });
+    }
+
+    /// Returns the two daemons of each failure domain that read most.
+    fn readers(&self) -> Vec<usize> {
+        let of_domain = |d: usize| {
+            let mut near: Vec<usize> = (0..DAEMONS).filter(|i| i % 4 == d).collect();
+            near.sort_by_key(|i| std::cmp::Reverse(self.reads.get(i).copied().unwrap_or(0)));
+            near.into_iter().take(2)
+        };
+        (0..4).flat_map(of_domain).collect()
+    }
+}
+
+fn index(address: SocketAddr) -> usize {
+    usize::from(address.port() - 7_000)
+}
+
+#[test]
+fn few_daemons_read_the_platform() {
+    let mut net = Net::new();
+    net.run(Duration::from_secs(10));
+    net.reads.clear();
+    net.run(Duration::from_secs(30));
+    let reads: u32 = net.reads.values().sum();
+    let by_all = DAEMONS as f64 * 30.0 / READ.as_secs_f64();
+    println!("{reads} reads of the head in 30 s; if all read, {by_all}");
+    assert!(f64::from(reads) < by_all / 3.0, "{reads} of {by_all}");
+}
+
+#[test]
+fn a_change_is_known_everywhere_in_time_whatever_happens_to_the_readers() {
+    for fate in [Fate::Well, Fate::Dead, Fate::CutFromPlatform, Fate::ReadsOldList] {
+        let mut net = Net::new();
+        net.run(Duration::from_secs(10));
+        net.reads.clear();
+        net.run(Duration::from_secs(10));
+        for reader in net.readers() {
+            net.fates[reader] = fate;
+        }
+        net.generation = 2;
+        net.lists.push(list(VmState::Leaving));
+        net.run(IN_FORCE);
+        for i in (0..DAEMONS).filter(|i| net.fates[*i] != Fate::Dead) {
+            let dump = net.daemons[i].dump(net.now);
+            assert_eq!(dump.generation, Generation(2), "daemon {i}, {fate:?}");
+            assert!(dump.targets[0].leaving, "daemon {i}, {fate:?}");
+        }
+    }
+}
+
+#[test]
+fn a_daemon_whose_read_failed_looks_until_the_platform_answers() {
+    let mut net = Net::new();
+    net.run(Duration::from_secs(10));
+    net.fates.fill(Fate::CutFromPlatform);
+    net.run(Duration::from_secs(10));
+    net.fates.fill(Fate::Well);
+    net.reads.clear();
+    net.run(READ * 2);
+    assert_eq!(net.reads.len(), DAEMONS, "each sees for itself that the platform is back");
+}
+
+#[actix_rt::test]
+async fn an_unchanged_list_is_not_sent_again() {
+    let platform = Platform::spawn(LOOPBACK, 200, 2).unwrap();
+    let at = platform.address();
+    let client = HttpPlatform::open(at, at, at);
+    platform.list_vms(Vec::new());
+    assert_eq!(client.vms_unless(0).await.unwrap().unwrap().sequence, 1);
+    assert!(client.vms_unless(1).await.unwrap().is_none());
+    platform.list_vms(Vec::new());
+    assert_eq!(client.vms_unless(1).await.unwrap().unwrap().sequence, 2);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::with_cases(64) })]
+    /// Changes lead to the same list as reading it whole, also past lists that one side missed.
+    #[test]
+    fn told_changes_make_the_whole_list(
+        lists in prop::collection::vec(prop::collection::btree_map(0..12_usize, any::<bool>(), 0..8), 1..12),
+        seen in prop::collection::vec((any::<bool>(), any::<bool>(), any::<bool>()), 12),
+    ) {
+        let (mut teller, mut learner) = (VmBook::default(), VmBook::default());
+        for ((sequence, vms), (tells, reads, asks)) in (1..).zip(&lists).zip(seen) {
+            let vms: Vec<VmEntry> = vms.iter().map(|(i, leaving)| VmEntry {
+                address: daemon(*i),
+                domain: domain(*i).into(),
+                role: VmRole::Target,
+                state: if *leaving { VmState::Leaving } else { VmState::Live },
+            }).collect();
+            if tells {
+                teller.take(sequence, vms.clone());
+            }
+            if reads {
+                learner.take(sequence, vms);
+            }
+            if let Some(changes) = teller.after(learner.sequence()).filter(|_| asks) {
+                prop_assert!(learner.apply(changes));
+                prop_assert_eq!(learner.vms(), teller.vms());
+            }
+        }
+    }
+}
