--- a/crates/cumintrail-daemon/src/callers/engine_attempt.rs
+++ b/crates/cumintrail-daemon/src/callers/engine_attempt.rs
@@ -363,9 +363,7 @@
         write_id: sealed.write_id,
     };
     let outcome = match worker.engines.import(at, &order, within).await.map(|r| r.outcome) {
-        Ok(ImportOutcome::Staged { digest, length })
-            if digest == sealed.digest && length == sealed.length =>
-        {
+        Ok(ImportOutcome::Staged { digest, length }) if sealed.matches(digest, length) => {
             FetchOutcome::Imported
         }
         Ok(ImportOutcome::Staged { .. }) => FetchOutcome::Mismatch,
--- a/crates/cumintrail-types/src/block.rs
+++ b/crates/cumintrail-types/src/block.rs
@@ -113,6 +113,13 @@
     pub length: Bytes,
 }
 
+impl Sealed {
+    /// Tells whether bytes that were read are all of the sealed ones, by their digest and length.
+    pub fn matches(&self, digest: Digest, length: Bytes) -> bool {
+        (digest, length) == (self.digest, self.length)
+    }
+}
+
 /// Derives the block keys of a prompt; see docs/DESIGN.md, "Block keys".
 ///
 /// The chain is keyed with the client account's secret, so no other account can name its blocks,
--- a/tests/src/longrun/faults.rs
+++ b/tests/src/longrun/faults.rs
@@ -166,6 +166,7 @@
             Fault::Pause(vm) => d.vms[vm].process.signal(Signal::SIGSTOP),
             Fault::Stop(vm) => d.vms[vm].process.signal(Signal::SIGTERM),
             Fault::Link(link, i, mode) => relay(d, link, i).set(mode),
+            Fault::Apart(one, other, mode) => d.set_pair(one, other, mode),
             Fault::PlatformDown => set_platform(d, |f| f.down = true),
             Fault::PlatformSlow => set_platform(d, |f| f.slow_ms = 300),
             Fault::PlatformLosesAnswers => set_platform(d, |f| f.lose_answers = true),
@@ -218,6 +219,7 @@
             // Started anew as soon as it has ended.
             Fault::Stop(vm) => self.stopping.push(Stopping { vm, since: Instant::now() }),
             Fault::Link(link, i, _) => relay(d, link, i).set(Mode::Pass),
+            Fault::Apart(one, other, _) => d.set_pair(one, other, Mode::Pass),
             Fault::PlatformDown => set_platform(d, |f| f.down = false),
             Fault::PlatformSlow => set_platform(d, |f| f.slow_ms = 0),
             Fault::PlatformLosesAnswers => set_platform(d, |f| f.lose_answers = false),
--- a/tests/src/longrun/schedule.rs
+++ b/tests/src/longrun/schedule.rs
@@ -40,6 +40,8 @@
     Pause(usize),
     /// A daemon is stopped as planned and started anew.
     Stop(usize),
+    /// Two daemons are cut off from each other alone.
+    Apart(usize, usize, Mode),
     /// A link is cut or silent.
     Link(Link, usize, Mode),
     /// The platform answers errors.
@@ -145,7 +147,7 @@
 fn draw_fault(rng: &mut StdRng) -> Fault {
     let (vm, engine, pair) =
         (rng.random_range(0..3), rng.random_range(0..3), rng.random_range(0..2));
-    match rng.random_range(0..33) {
+    match rng.random_range(0..35) {
         0..=1 => Fault::Kill(vm),
         2..=3 => Fault::Pause(vm),
         4 | 29..=31 => Fault::Stop(vm),
@@ -165,6 +167,10 @@
         26 => Fault::ServiceSlow(pair),
         27 => Fault::ServiceLosesAnswers(pair),
         28 => Fault::Swap,
+        32..=33 => {
+            let mode = [Mode::Cut, Mode::SilenceAll][rng.random_range(0..2)];
+            Fault::Apart(vm, (vm + 1) % 3, mode)
+        }
         _ => Fault::Operators,
     }
 }
--- a/tests/src/longrun/workload.rs
+++ b/tests/src/longrun/workload.rs
@@ -5,15 +5,17 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use actix_http::Method;
 use actix_rt::task::JoinHandle;
-use cumintrail_wire::caller::IDEMPOTENCY_HEADER;
+use cumintrail_wire::caller::{IDEMPOTENCY_HEADER, OperationKeyBody};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
 use super::book::{Book, ModelCall};
 use super::history::Span;
 use crate::cluster::{CALLER_KEY, OTHER_KEY};
-use crate::deployment::{ask, hold};
+use crate::deployment::{ANSWER_LIMIT, ask, hold};
+use crate::http::send;
 
 const KEYS: [&str; 2] = [CALLER_KEY, OTHER_KEY];
 const PIECES: usize = 5;
@@ -69,16 +71,34 @@
     }
 }
 
+/// Lets a daemon issue a key for one operation.
+async fn issue_key(at: SocketAddr) -> Option<String> {
+    let bearer = format!("Bearer {CALLER_KEY}");
+    let headers = [("authorization", bearer.as_str())];
+    let got = send(Method::POST, at, "/v1/operation-keys", &headers, "", ANSWER_LIMIT).await;
+    if got.status != 200 {
+        actix_rt::time::sleep(PAUSE).await;
+    }
+    got.json::<OperationKeyBody>().map(|issued| issued.key)
+}
+
 async fn hold_on(daemons: Vec<SocketAddr>, first: usize, mut rng: StdRng, book: Rc<RefCell<Book>>) {
     for n in 0.. {
         if book.borrow().stopped {
             return;
         }
         let operation = format!("hold-{first}-{n}");
-        let keyed = rng.random_bool(0.6);
-        let key = [(IDEMPOTENCY_HEADER, operation.as_str())];
-        let headers = if keyed { &key[..] } else { &[] };
-        let tries = if keyed { rng.random_range(1..=TRIES) } else { 1 };
+        let key = match rng.random_range(0..10) {
+            0..=3 => None,
+            4..=7 => Some(operation.clone()),
+            _ => match issue_key(daemons[first]).await {
+                Some(key) => Some(key),
+                None => continue,
+            },
+        };
+        let header = key.as_ref().map(|key| (IDEMPOTENCY_HEADER, key.as_str()));
+        let headers = header.as_slice();
+        let tries = if key.is_some() { rng.random_range(1..=TRIES) } else { 1 };
         for i in 0..tries {
             // Noted before the call, since an aborted caller still counts as one that tried.
             book.borrow_mut().operations.entry(operation.clone()).or_default().begun += 1;
--- a/tests/src/standins/platform.rs
+++ b/tests/src/standins/platform.rs
@@ -35,6 +35,8 @@
 #[derive(Default)]
 struct State {
     rows: BTreeMap<String, Row>,
+    /// All values that rows have had.
+    written: Vec<(String, String)>,
     objects: BTreeMap<String, Bytes>,
     lists: Vec<VmList>,
     fault: Fault,
@@ -95,6 +97,13 @@
         self.lock().rows.get(key).map(|r| r.value.clone())
     }
 
+    /// Returns all values that a row has had.
+    pub fn written(&self, key: &str) -> Vec<String> {
+        let state = self.lock();
+        let of_key = state.written.iter().filter(|(written, _)| written == key);
+        of_key.map(|(_, value)| value.clone()).collect()
+    }
+
     /// Returns the counts of table writes and reads.
     pub fn table_use(&self) -> (u64, u64) {
         let state = self.lock();
@@ -182,7 +191,10 @@
         for write in transaction.writes {
             let version = state.rows.get(&write.key).map_or(0, |r| r.version) + 1;
             match write.value {
-                Some(value) => state.rows.insert(write.key, Row { version, value }),
+                Some(value) => {
+                    state.written.push((write.key.clone(), value.clone()));
+                    state.rows.insert(write.key, Row { version, value })
+                }
                 None => state.rows.remove(&write.key),
             };
         }
--- a/tests/tests/process_rollout.rs
+++ b/tests/tests/process_rollout.rs
@@ -112,6 +112,24 @@
     assert_in_order(&deployment, "lost answers");
 }
 
+#[actix_rt::test]
+async fn daemons_that_want_the_lease_at_once_never_hold_it_under_one_number() {
+    let plan = Plan { daemons: 4, ..plan() };
+    let deployment = Deployment::spawn(BINARY, &plan).await.unwrap();
+    // All daemons have read the row before the first write of any takes effect.
+    let slow = platform::Fault { slow_ms: 400, ..platform::Fault::default() };
+    deployment.platform.set_fault(slow);
+    declare(&deployment, 2, 1).await;
+    assert!(eventually(ANSWER_LIMIT, || all_ordered(&deployment.engines, 2)).await);
+    let mut holders = std::collections::BTreeMap::new();
+    for value in deployment.platform.written(LEASE_KEY) {
+        let lease: LeaseRecord = serde_json::from_str(&value).unwrap();
+        let first = holders.entry(lease.fencing).or_insert(lease.holder.clone());
+        assert_eq!(*first, lease.holder, "two holders under number {}", lease.fencing);
+    }
+    assert!(!holders.is_empty());
+}
+
 #[actix_rt::test]
 async fn a_killed_holder_is_succeeded() {
     let mut deployment = Deployment::spawn(BINARY, &plan()).await.unwrap();
