Race for the lease among daemons that know no other

Cause: the race test stayed green without the lease row's condition, because a daemon's rank among its peers staggers the requests. Change: the daemons are cut off from each other, so that each takes itself for the first.

--- a/tests/tests/kept_blocks_differential.rs
+++ b/tests/tests/kept_blocks_differential.rs
@@ -68,9 +68,10 @@
 
 impl Reader {
     fn keys(self, prompt: &Prompt) -> Vec<BlockKey> {
-        let (secret, version) = match self.naive_key {
-            true => (b"one for all".to_vec(), WeightVersion(0)),
-            false => (vec![prompt.account; 32], WeightVersion(prompt.version)),
+        let (secret, version) = if self.naive_key {
+            (b"one for all".to_vec(), WeightVersion(0))
+        } else {
+            (vec![prompt.account; 32], WeightVersion(prompt.version))
         };
         let mut chain = KeyChain::new(&secret, "curd", "", version);
         prompt.text.iter().map(|piece| chain.next_key(&[*piece])).collect()
@@ -114,16 +115,16 @@
             match operation {
                 Operation::Keep(prompt, torn) => world.keep(prompt, *torn),
                 Operation::Free(index) => {
-                    let key = world.pick(index);
+                    let key = world.pick(*index);
                     key.and_then(|key| world.places.remove(&key));
                 }
                 Operation::Reuse(index) => {
                     let write_id = world.next_write();
-                    world.change(index, |block| {
+                    world.change(*index, |block| {
                         *block = Block { write_id, bytes: vec![write_id.0[0]; STATE_BYTES] };
                     });
                 }
-                Operation::Damage(index) => world.change(index, |block| block.bytes.fill(0)),
+                Operation::Damage(index) => world.change(*index, |block| block.bytes.fill(0)),
                 Operation::Return(prompt) => world.read(prompt),
             }
         }
@@ -135,12 +136,12 @@
         WriteId([self.writes; 16])
     }
 
-    fn pick(&self, index: &prop::sample::Index) -> Option<BlockKey> {
+    fn pick(&self, index: prop::sample::Index) -> Option<BlockKey> {
         let keys: Vec<BlockKey> = self.places.keys().copied().collect();
         (!keys.is_empty()).then(|| keys[index.index(keys.len())])
     }
 
-    fn change(&mut self, index: &prop::sample::Index, change: impl FnOnce(&mut Block)) {
+    fn change(&mut self, index: prop::sample::Index, change: impl FnOnce(&mut Block)) {
         let key = self.pick(index);
         if let Some(block) = key.and_then(|key| self.places.get_mut(&key)) {
             change(block);
--- a/tests/tests/process_rollout.rs
+++ b/tests/tests/process_rollout.rs
@@ -116,6 +116,15 @@
 async fn daemons_that_want_the_lease_at_once_never_hold_it_under_one_number() {
     let plan = Plan { daemons: 4, ..plan() };
     let deployment = Deployment::spawn(BINARY, &plan).await.unwrap();
+    // Each takes itself for the only daemon that could hold the lease.
+    deployment.vms.iter().for_each(|vm| vm.peers.set(Mode::Cut));
+    let alone = |dump: &serde_json::Value| {
+        let peers = dump["peers"].as_array().cloned().unwrap_or_default();
+        peers.len() == 3 && peers.iter().all(|p| p[1]["liveness"] == "silent")
+    };
+    for vm in 0..4 {
+        assert!(deployment.until(vm, IN_FORCE_LIMIT, alone).await);
+    }
     // All daemons have read the row before the first write of any takes effect.
     let slow = platform::Fault { slow_ms: 400, ..platform::Fault::default() };
     deployment.platform.set_fault(slow);
