--- a/tests/src/longrun.rs
+++ b/tests/src/longrun.rs
@@ -121,11 +121,12 @@
     tasks.iter().for_each(actix_rt::task::JoinHandle::abort);
 }
 
-/// The part of a daemon's dump that shows which configuration is in force.
-#[derive(Debug, Clone, Copy, Deserialize)]
+/// The part of a daemon's dump that shows which configuration is in force, and its targets.
+#[derive(Debug, Clone, Deserialize)]
 struct InForce {
     incarnation: Incarnation,
     generation: Generation,
+    targets: serde_json::Value,
 }
 
 /// Checks that no run of a daemon ever goes back to a lower generation.
@@ -143,7 +144,9 @@
                 let Ok(now) = access.get::<InForce>(at, "/debug/state").await else {
                     continue;
                 };
-                let same_run = last.filter(|last| last.incarnation == now.incarnation);
+                let seen = format!("vm {vm} run {} sees {}", now.incarnation.0, now.targets);
+                book.borrow_mut().targets_seen.insert(vm, (Instant::now(), seen));
+                let same_run = last.as_ref().filter(|last| last.incarnation == now.incarnation);
                 if let Some(last) = same_run.filter(|last| last.generation > now.generation) {
                     let (from, to) = (last.generation, now.generation);
                     book.borrow_mut().violate(format!("vm {vm} went back from {from} to {to}"));
--- a/tests/src/longrun/book.rs
+++ b/tests/src/longrun/book.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
+use std::time::Instant;
 
 use cumintrail_types::{BlockKey, Generation, Ran, WeightVersion};
 use cumintrail_wire::caller::RefusalBody;
@@ -48,6 +49,8 @@
     pub operations: BTreeMap<String, Operation>,
     /// Targets that the VM list calls leaving.
     pub leaving: Vec<SocketAddr>,
+    /// What each daemon last showed of its targets, for the report of a violation.
+    pub targets_seen: BTreeMap<usize, (Instant, String)>,
     /// The faults so far.
     pub history: History,
     /// The newest weight version.
@@ -70,6 +73,13 @@
         self.violations.push(what);
     }
 
+    /// Describes what each daemon last showed of its targets, and how long ago.
+    pub fn describe_targets(&self) -> String {
+        let seen = self.targets_seen.values();
+        let lines = seen.map(|(at, targets)| format!("{:?} ago: {targets}", at.elapsed()));
+        lines.collect::<Vec<_>>().join("; ")
+    }
+
     /// Numbers a call.
     pub fn next_unique(&mut self, account: usize) -> u64 {
         self.accounts.push(account);
--- a/tests/src/longrun/faults.rs
+++ b/tests/src/longrun/faults.rs
@@ -52,6 +52,7 @@
     stopping: Vec<Stopping>,
     version: WeightVersion,
     weight: u32,
+    started: Instant,
     /// When a daemon was last started or went on after a pause.
     disturbed: Instant,
 }
@@ -71,6 +72,7 @@
             stopping: Vec::new(),
             version: WeightVersion(1),
             weight: 1,
+            started: Instant::now(),
             disturbed: Instant::now(),
         }
     }
@@ -149,7 +151,10 @@
             match leaving.settled {
                 _ if !calm || leaving.since.elapsed() < LEAVING_LIMIT => leaving.settled = None,
                 Some(settled) if work > settled => {
-                    book.violate(format!("leaving target {i} got work {settled} to {work}"));
+                    let at = self.started.elapsed();
+                    let seen = book.describe_targets();
+                    let what = format!("leaving target {i} got work {settled} to {work} at {at:?}");
+                    book.violate(format!("{what}: {seen}"));
                     leaving.settled = Some(work);
                 }
                 Some(_) => {}
