--- a/tests/src/longrun/faults.rs
+++ b/tests/src/longrun/faults.rs
@@ -52,6 +52,7 @@
     stopping: Vec<Stopping>,
     version: WeightVersion,
     weight: u32,
+    started: Instant,
     /// When a daemon was last started or went on after a pause.
     disturbed: Instant,
 }
@@ -71,6 +72,7 @@
             stopping: Vec::new(),
             version: WeightVersion(1),
             weight: 1,
+            started: Instant::now(),
             disturbed: Instant::now(),
         }
     }
@@ -149,7 +151,10 @@
             match leaving.settled {
                 _ if !calm || leaving.since.elapsed() < LEAVING_LIMIT => leaving.settled = None,
                 Some(settled) if work > settled => {
-                    book.violate(format!("leaving target {i} got work {settled} to {work}"));
+                    let at = self.started.elapsed();
+                    let seen = book.describe_targets();
+                    let what = format!("leaving target {i} got work {settled} to {work} at {at:?}");
+                    book.violate(format!("{what}: {seen}"));
                     leaving.settled = Some(work);
                 }
                 Some(_) => {}
@@ -166,6 +171,7 @@
             Fault::Pause(vm) => d.vms[vm].process.signal(Signal::SIGSTOP),
             Fault::Stop(vm) => d.vms[vm].process.signal(Signal::SIGTERM),
             Fault::Link(link, i, mode) => relay(d, link, i).set(mode),
+            Fault::Apart(one, other, mode) => d.set_pair(one, other, mode),
             Fault::PlatformDown => set_platform(d, |f| f.down = true),
             Fault::PlatformSlow => set_platform(d, |f| f.slow_ms = 300),
             Fault::PlatformLosesAnswers => set_platform(d, |f| f.lose_answers = true),
@@ -218,6 +224,7 @@
             // Started anew as soon as it has ended.
             Fault::Stop(vm) => self.stopping.push(Stopping { vm, since: Instant::now() }),
             Fault::Link(link, i, _) => relay(d, link, i).set(Mode::Pass),
+            Fault::Apart(one, other, _) => d.set_pair(one, other, Mode::Pass),
             Fault::PlatformDown => set_platform(d, |f| f.down = false),
             Fault::PlatformSlow => set_platform(d, |f| f.slow_ms = 0),
             Fault::PlatformLosesAnswers => set_platform(d, |f| f.lose_answers = false),
