--- a/crates/cumintrail-control/src/control/stores.rs
+++ b/crates/cumintrail-control/src/control/stores.rs
@@ -100,7 +100,10 @@
         self.directory.add_kept(Kept { store, sealed, tier: Tier::Disk });
     }
 
-    /// Returns the stores that exports may go to: those whose blocks are all known, if any.
+    /// Returns the stores that exports may go to.
+    ///
+    /// That is all of them while all are known as a whole. Beyond that size only the own failure
+    /// domain's daemons know what an export adds, so it goes to a store there.
     pub(super) fn live_stores(&self) -> Vec<StoreKey> {
         let declared = self.snapshot.iter().flat_map(|s| s.stores.iter());
         let usable = declared.filter(|(key, store)| {
@@ -108,11 +111,17 @@
             live && !store.retired
         });
         let usable: Vec<StoreKey> = usable.map(|(key, _)| key).collect();
+        let known = self.directory.stores();
         let whole = |key: &StoreKey| {
-            let left_out = self.directory.stores().is_partial(*key);
-            !left_out && self.stores.get(*key).is_some_and(|s| !s.following.is_unfollowed())
+            let followed = self.stores.get(*key).is_some_and(|s| !s.following.is_unfollowed());
+            followed && !known.is_partial(*key)
         };
-        let known: Vec<StoreKey> = usable.iter().copied().filter(whole).collect();
-        if known.is_empty() { usable } else { known }
+        let whole: Vec<StoreKey> = usable.iter().copied().filter(whole).collect();
+        if whole.len() == usable.len() {
+            return usable;
+        }
+        let own = whole.iter().copied().filter(|key| !known.rank(*key).foreign).collect();
+        let preferred = [own, whole, usable].into_iter().find(|stores| !stores.is_empty());
+        preferred.unwrap_or_default()
     }
 }
--- a/crates/cumintrail-control/src/following.rs
+++ b/crates/cumintrail-control/src/following.rs
@@ -17,7 +17,7 @@
 /// The time after which a store that did not answer is asked again.
 const RETRY_INTERVAL: Duration = Duration::from_secs(3);
 /// The time between two pages, which leaves the store's link to imports.
-const PAGE_PAUSE: Duration = Duration::from_millis(250);
+const PAGE_PAUSE: Duration = Duration::from_millis(125);
 /// The time that each listed block adds to the spread of first pages over daemons.
 const SPREAD_PER_BLOCK: Duration = Duration::from_micros(100);
 /// The longest spread.
@@ -247,6 +247,8 @@
             let spread = SPREAD_PER_BLOCK.mul_f64(page.held as f64).min(MAX_SPREAD);
             self.move_to(Position::Waiting, now + spread.mul_f64(rng.random()));
         } else {
+            // What peers told of the store would not be forgotten when it is freed.
+            known.clear(store);
             self.move_to(Position::Unfollowed, now + jitter(SUMMARY_INTERVAL, rng));
         }
     }
