--- a/crates/cumintrail-client/src/config_log.rs
+++ b/crates/cumintrail-client/src/config_log.rs
@@ -131,6 +131,41 @@
     } else {
         last_snapshot
     };
+    let outcome = append(platform, proposal, generation, snapshot).await;
+    if snapshot == generation {
+        match outcome {
+            Outcome::Accepted(_) => remove_old_snapshots(platform, generation).await,
+            // Nobody will read it, as the generation is another's.
+            Outcome::Conflict => {
+                let _ = platform.remove(&snapshot_name(generation, &proposal.id)).await;
+            }
+            Outcome::Failed(_) | Outcome::Unknown(_) => {}
+        }
+    }
+    outcome
+}
+
+/// Removes the snapshots before the last two, also those that an earlier removal missed.
+///
+/// The last but one stays for a daemon that has just read the head before this one.
+async fn remove_old_snapshots<P: Table + Objects>(platform: &P, newest: Generation) {
+    let kept = newest.0.saturating_sub(2 * SNAPSHOT_EVERY);
+    let mut old = newest.0.saturating_sub(CHANGES_KEPT - SNAPSHOT_EVERY).max(1);
+    old += (newest.0 - old) % SNAPSHOT_EVERY;
+    while old <= kept {
+        if let Ok(change) = read_change(platform, Generation(old)).await {
+            let _ = platform.remove(&snapshot_name(Generation(old), &change.change)).await;
+        }
+        old += SNAPSHOT_EVERY;
+    }
+}
+
+async fn append<P: Table>(
+    platform: &P,
+    proposal: &Proposal,
+    generation: Generation,
+    snapshot: Generation,
+) -> Outcome {
     let transaction = transaction(proposal, generation, snapshot);
     let key = change_key(generation);
     let mut sent = false;
--- a/crates/cumintrail-client/src/lib.rs
+++ b/crates/cumintrail-client/src/lib.rs
@@ -12,6 +12,7 @@
 mod http;
 mod peer;
 mod platform;
+pub mod retention;
 mod service;
 mod single;
 mod store;
--- a/crates/cumintrail-client/src/platform.rs
+++ b/crates/cumintrail-client/src/platform.rs
@@ -11,6 +11,7 @@
 
 const TIMEOUT: Duration = Duration::from_millis(1_500);
 const OK: u16 = 200;
+const NO_CONTENT: u16 = 204;
 const NOT_FOUND: u16 = 404;
 
 /// Reads and changes rows; an error of a change may hide that it took effect.
@@ -27,6 +28,8 @@
     async fn put(&self, name: &str, body: Bytes) -> Result<(), ClientError>;
     /// Reads an object.
     async fn get(&self, name: &str) -> Result<Option<Bytes>, ClientError>;
+    /// Removes an object; one that is absent is no error.
+    async fn remove(&self, name: &str) -> Result<(), ClientError>;
 }
 
 /// Reads the platform's list of VMs, which may lag.
@@ -80,6 +83,14 @@
             status => Err(ClientError::Status { status }),
         }
     }
+
+    async fn remove(&self, name: &str) -> Result<(), ClientError> {
+        let req = self.http.request(Method::DELETE, self.objects, &format!("/objects/{name}"));
+        match self.http.send(req, Bytes::new()).await?.status() {
+            OK | NO_CONTENT | NOT_FOUND => Ok(()),
+            status => Err(ClientError::Status { status }),
+        }
+    }
 }
 
 impl VmList for HttpPlatform {
--- a/crates/cumintrail-control/src/once.rs
+++ b/crates/cumintrail-control/src/once.rs
@@ -2,6 +2,7 @@
 
 mod claim;
 mod operation_key;
+mod retention;
 mod used_keys;
 
 use std::time::Duration;
@@ -10,6 +11,7 @@
 
 pub use claim::{Claiming, Found, Step};
 pub use operation_key::{KeyRing, OperationKey};
+pub use retention::{Hour, SEGMENT_KEYS, SHARDS, portion};
 pub use used_keys::{End, UsedKeys};
 
 /// The wait that is named to a caller whose key is in progress.
@@ -50,6 +52,8 @@
     Released,
     /// It ran and was answered.
     Answered(A),
+    /// It ran, was answered, and is too old for its answer to be kept.
+    Expired,
 }
 
 /// Tells what to do with a keyed call.
@@ -84,6 +88,7 @@
         match found.state {
             RecordState::Claimed if found.claim == self.claim => Verdict::Run,
             RecordState::Released => Verdict::Free,
+            RecordState::Expired => Verdict::Refuse(Refusal::unknown(RefusalCode::KeyExpired)),
             _ if found.request != self.digest => {
                 Verdict::Refuse(Refusal::not_run(RefusalCode::KeyReused))
             }
--- a/crates/cumintrail-daemon/src/callers/outcomes.rs
+++ b/crates/cumintrail-daemon/src/callers/outcomes.rs
@@ -35,7 +35,7 @@
 
 /// Writes the final state of a claim.
 ///
-/// All writes demand the version that was seen and rows are never removed, so a delayed write
+/// All writes demand the version that was seen and rows are never removed, only shrunk, so a delayed write
 /// never meets the claim of another.
 pub async fn settle(records: Records, row: String, mut claim: Claim, end: End<AnswerRecord>) {
     claim.record.state = match end {
@@ -53,14 +53,14 @@
             None => records.read(&row).await,
             Some(version) => {
                 match records.write(&row, version, claim.record.clone(), urgency).await {
-                    Ok(Written::Done) => return,
+                    Ok(Written::Done) => return note(&records, &row, &claim),
                     Ok(Written::Conflict(found)) => Ok(found),
                     Ok(Written::NotSent) | Err(Lost) => Err(Lost),
                 }
             }
         };
         match found {
-            Ok(Some(found)) if found.record == claim.record => return,
+            Ok(Some(found)) if found.record == claim.record => return note(&records, &row, &claim),
             Ok(Some(found)) if found.record.claim == claim.record.claim => {
                 if claim.version.replace(found.version) == Some(found.version) {
                     urgency = Urgency::Again;
@@ -76,11 +76,18 @@
     }
 }
 
+/// Has the record shrunk once it has expired, if it holds an answer.
+fn note(records: &Records, row: &str, claim: &Claim) {
+    if let RecordState::Answered(answer) = &claim.record.state {
+        records.note_answered(row, answer);
+    }
+}
+
 /// Tells how soon the final state is written: a release lets the caller's next request run.
 fn first_urgency(claim: &Claim) -> Urgency {
     match claim.record.state {
         RecordState::Released => Urgency::Claim,
-        RecordState::Claimed | RecordState::Answered(_) => Urgency::Outcome,
+        RecordState::Claimed | RecordState::Answered(_) | RecordState::Expired => Urgency::Outcome,
     }
 }
 
--- a/crates/cumintrail-daemon/src/callers/records.rs
+++ b/crates/cumintrail-daemon/src/callers/records.rs
@@ -7,6 +7,7 @@
 use cumintrail_control::once::{Found, Record};
 use cumintrail_types::{Refusal, RefusalCode};
 use cumintrail_wire::record::{ClaimRecord, KeptAnswer};
+use cumintrail_wire::retention::AnsweredKey;
 
 use super::answer_objects::AnswerObjects;
 use crate::shared::Shared;
@@ -55,6 +56,16 @@
         let value = serde_json::to_string(&ClaimRecord::from(record)).map_err(|_| Lost)?;
         self.link.shared.table_writer.write(key, version, value, urgency).await
     }
+
+    /// Notes that a key's answer is recorded, so that it is shrunk once it has expired.
+    pub fn note_answered(&self, row: &str, answer: &KeptAnswer) {
+        let object = match answer {
+            KeptAnswer::Whole(_) => None,
+            KeptAnswer::Stored(stored) => Some(stored.object),
+        };
+        let key = AnsweredKey { row: row.to_owned(), object };
+        self.link.shared.table_writer.note_answered(key);
+    }
 }
 
 /// Refuses a call that needs the table.
--- a/crates/cumintrail-daemon/src/metric.rs
+++ b/crates/cumintrail-daemon/src/metric.rs
@@ -32,6 +32,8 @@
 pub const DROPPED_EVENTS: &str = "cumintrail_dropped_events_total";
 /// Recorded answers that were repeated under an idempotency key.
 pub const REPLAYS: &str = "cumintrail_replays_total";
+/// Records of idempotency keys that were shrunk after they had expired.
+pub const EXPIRED_RECORDS: &str = "cumintrail_expired_records_total";
 /// Calls forwarded to the issuer of their operation key, by outcome: `answered` or `lost`.
 pub const FORWARDS: &str = "cumintrail_forwards_total";
 /// The generation in force.
@@ -107,7 +109,7 @@
 }
 
 /// Describes all metrics.
-pub const METRICS: [Description; 26] = [
+pub const METRICS: [Description; 27] = [
     counter(CALLS, Unit::Count, "Calls by outcome").by("outcome"),
     gauge(CALLS_IN_FLIGHT, Unit::Count, "Calls that are not answered yet"),
     gauge(CALLS_WAITING, Unit::Count, "Calls that wait for a slot"),
@@ -125,6 +127,7 @@
     gauge(KEPT_BLOCKS, Unit::Count, "Blocks known in stores"),
     counter(RESUMES, Unit::Count, "Streams that went on over a new connection"),
     counter(REPLAYS, Unit::Count, "Recorded answers repeated under an idempotency key"),
+    counter(EXPIRED_RECORDS, Unit::Count, "Records shrunk after they had expired"),
     counter(FORWARDS, Unit::Count, "Calls forwarded to the issuer of their operation key")
         .by("outcome"),
     counter(DROPPED_EVENTS, Unit::Count, "Late, repeated or foreign answer events").by("reason"),
--- a/crates/cumintrail-daemon/src/table.rs
+++ b/crates/cumintrail-daemon/src/table.rs
@@ -1,6 +1,7 @@
 //! The way to the rows of idempotency keys in the platform's table; docs/DESIGN.md, "At most once".
 
 mod gate;
+mod index;
 mod link;
 mod writer;
 
--- a/crates/cumintrail-daemon/src/table/writer.rs
+++ b/crates/cumintrail-daemon/src/table/writer.rs
@@ -7,9 +7,11 @@
 use actix_rt::time::{Instant, sleep, sleep_until};
 use cumintrail_client::Table;
 use cumintrail_wire::platform::{Condition, Transaction, Write};
+use cumintrail_wire::retention::AnsweredKey;
 use rand::Rng;
 use tokio::sync::{Semaphore, mpsc, oneshot};
 
+use super::index::{self, Note};
 use super::link::{Lost, NoAnswer, TABLE_TIMEOUT, TableLink, Written, parse};
 use crate::shared::Shared;
 
@@ -26,6 +28,8 @@
 const AGAIN_PAUSE_MAX: Duration = Duration::from_secs(8);
 /// The pause of a daemon that is stopped, which waits for its outcomes.
 const AGAIN_PAUSE_STOPPING: Duration = Duration::from_millis(500);
+/// A planned stop is not held up by notes, which only save room.
+const FLUSH_LIMIT: Duration = Duration::from_secs(2);
 const STOP_POLL: Duration = Duration::from_millis(250);
 
 /// Tells how soon a write is sent.
@@ -54,6 +58,7 @@
     claims: mpsc::UnboundedSender<Item>,
     outcomes: mpsc::UnboundedSender<Item>,
     again: mpsc::UnboundedSender<Item>,
+    notes: mpsc::UnboundedSender<Note>,
 }
 
 impl std::fmt::Debug for Item {
@@ -81,12 +86,27 @@
         lane.send(item).map_err(|_| Lost)?;
         written.await.unwrap_or(Err(Lost))
     }
+
+    /// Notes that a key's answer is recorded, so that it is shrunk once it has expired.
+    pub fn note_answered(&self, key: AnsweredKey) {
+        // Without the index the process is at its very end, and the record just stays.
+        let _ = self.notes.send(Note::Answered(key));
+    }
+
+    /// Writes the notes that wait, for a limited time.
+    pub async fn flush_notes(&self) {
+        let (done, flushed) = oneshot::channel();
+        if self.notes.send(Note::Flush(done)).is_ok() {
+            let _ = actix_rt::time::timeout(FLUSH_LIMIT, flushed).await;
+        }
+    }
 }
 
 /// Receives the writes of all threads.
 pub struct Inbox {
     lanes: Lanes,
     again: mpsc::UnboundedReceiver<Item>,
+    notes: mpsc::UnboundedReceiver<Note>,
 }
 
 /// Holds the writes that wait for a transaction.
@@ -100,15 +120,18 @@
     let (claims, for_claims) = mpsc::unbounded_channel();
     let (outcomes, for_outcomes) = mpsc::unbounded_channel();
     let (again, for_again) = mpsc::unbounded_channel();
+    let (notes, for_notes) = mpsc::unbounded_channel();
     let lanes = Lanes { claims: for_claims, outcomes: for_outcomes };
-    (WriterLink { claims, outcomes, again }, Inbox { lanes, again: for_again })
+    let inbox = Inbox { lanes, again: for_again, notes: for_notes };
+    (WriterLink { claims, outcomes, again, notes }, inbox)
 }
 
 /// Writes until the process ends; one writer groups the claims of all threads.
 pub async fn run(shared: Arc<Shared>, inbox: Inbox) {
     let link = TableLink::open(shared);
-    futures_util::future::join(gather(link.clone(), inbox.lanes), write_again(link, inbox.again))
-        .await;
+    let claims = gather(link.clone(), inbox.lanes);
+    let again = write_again(link.clone(), inbox.again);
+    futures_util::future::join3(claims, again, index::follow(link, inbox.notes)).await;
 }
 
 /// Sends claims at once, and outcomes with them or a little later.
--- a/crates/cumintrail-wire/src/lib.rs
+++ b/crates/cumintrail-wire/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod peer;
 pub mod platform;
 pub mod record;
+pub mod retention;
 pub mod store;
 
 mod codec;
--- a/crates/cumintrail-wire/src/platform.rs
+++ b/crates/cumintrail-wire/src/platform.rs
@@ -1,7 +1,7 @@
 //! The platform's protocol: a transactional table, an object store and a VM list.
 //!
 //! - `POST /table` runs a transaction; `GET /table/{key}` reads a row.
-//! - `PUT` and `GET /objects/{name}`.
+//! - `PUT`, `GET` and `DELETE /objects/{name}`.
 //! - `GET /vms`.
 
 use std::net::SocketAddr;
--- a/crates/cumintrail-wire/src/record.rs
+++ b/crates/cumintrail-wire/src/record.rs
@@ -23,6 +23,7 @@
     Released,
     Answered(AnswerRecord),
     Stored(StoredAnswer),
+    Expired,
 }
 
 /// Holds an answer as the table keeps it: whole, or with its body in the object store.
@@ -107,6 +108,7 @@
         let state = match r.state {
             RecordState::Claimed => ClaimState::Claimed,
             RecordState::Released => ClaimState::Released,
+            RecordState::Expired => ClaimState::Expired,
             RecordState::Answered(KeptAnswer::Whole(answer)) => ClaimState::Answered(answer),
             RecordState::Answered(KeptAnswer::Stored(stored)) => ClaimState::Stored(stored),
         };
@@ -125,6 +127,7 @@
         let state = match r.state {
             ClaimState::Claimed => RecordState::Claimed,
             ClaimState::Released => RecordState::Released,
+            ClaimState::Expired => RecordState::Expired,
             ClaimState::Answered(answer) => RecordState::Answered(KeptAnswer::Whole(answer)),
             ClaimState::Stored(stored) => RecordState::Answered(KeptAnswer::Stored(stored)),
         };
@@ -148,3 +151,15 @@
 pub fn answer_name(claim: WriteId) -> String {
     format!("answers/{claim}")
 }
+
+/// Returns the row of a key whose answer has expired: it only keeps the key from running again.
+pub fn expired_row() -> String {
+    let record = Record {
+        claim: WriteId([0; 16]),
+        request: Digest::of(&[]),
+        claimed: WallMillis(0),
+        answer_by: WallMillis(0),
+        state: RecordState::Expired,
+    };
+    serde_json::to_string(&ClaimRecord::from(record)).unwrap_or_default()
+}
--- a/tests/tests/config_log.rs
+++ b/tests/tests/config_log.rs
@@ -109,6 +109,10 @@
         *self.reads.borrow_mut() += 1;
         self.exchange(|| self.objects.borrow().get(name).cloned()).await
     }
+
+    async fn remove(&self, name: &str) -> Result<(), ClientError> {
+        self.exchange(|| drop(self.objects.borrow_mut().remove(name))).await
+    }
 }
 
 /// Each change sets the section of its operator to its own id.
@@ -286,6 +290,6 @@
     };
     run_all(vec![Box::pin(read)], &[]);
     assert!(*platform.reads.borrow() <= 3 + 64, "{} reads", platform.reads.borrow());
-    assert!(platform.objects.borrow().len() <= 1_300 / 64 + 1);
+    assert!(platform.objects.borrow().len() <= 2, "old snapshots are not removed");
     assert!(platform.rows.borrow().len() <= 1_024 + 1, "the log is not trimmed");
 }
--- a/tests/tests/records.rs
+++ b/tests/tests/records.rs
@@ -1,10 +1,13 @@
 //! Records of idempotency keys: large answers, outages of the table, and what they cost it.
 
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use actix_http::Method;
 use bytes::Bytes;
+use cumintrail_client::HttpPlatform;
+use cumintrail_client::retention::sweep;
+use cumintrail_control::once::{SHARDS, WallMillis};
 use cumintrail_tests::cluster::{CALLER_KEY, Cluster, Plan, eventually};
 use cumintrail_tests::http::{Got, send};
 use cumintrail_tests::standins::{platform, service};
@@ -222,3 +225,30 @@
     assert!(slowest < Duration::from_secs(3), "{slowest:?}");
     assert!(writes < 100, "{writes} writes");
 }
+
+#[actix_rt::test]
+async fn an_expired_record_is_shrunk_and_its_key_never_runs_again() {
+    let mut cluster = Cluster::spawn(&Plan::default()).await.unwrap();
+    let [first, second] = [0, 1].map(|i| cluster.daemons[i].caller_address());
+    let body = "y".repeat(LARGE);
+    assert_eq!(keyed(first, "shrunk", &body).await.status, 200);
+    assert_eq!(repeated(second, "shrunk", &body).await.status, 200);
+    cluster.daemons.remove(0).stop().await;
+    assert!(!cluster.platform.rows("once-index/").is_empty(), "a planned stop loses its notes");
+
+    let at = cluster.platform.address();
+    let platform = HttpPlatform::open(at, at, at);
+    let start = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64;
+    let life = Duration::from_secs(86_400);
+    for hours in [0, 20, 27, 28, 29] {
+        for shard in (0..SHARDS).chain(0..1) {
+            let now = WallMillis(start + hours * 3_600_000);
+            sweep(&platform, now, life, shard).await.unwrap();
+        }
+        let gone = cluster.platform.objects("answers/").is_empty();
+        assert_eq!(gone, hours > 26, "after {hours} hours");
+    }
+    let got = keyed(second, "shrunk", &body).await;
+    assert_eq!(refusal(&got), (RefusalCode::KeyExpired, Ran::Unknown));
+    assert_eq!(runs(&cluster, &body), 1);
+}
--- /dev/null
+++ b/tests/tests/retention.rs
@@ -0,0 +1,276 @@
+//! The index of answered keys against a naive retention that removes rows, under lost answers.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use bytes::Bytes;
+use cumintrail_client::retention::{Swept, note_answered, sweep};
+use cumintrail_client::{ClientError, Objects, Table};
+use cumintrail_control::once::{Found, KeyedRequest, SHARDS, Verdict, WallMillis};
+use cumintrail_types::{Digest, RefusalCode, WriteId};
+use cumintrail_wire::platform::{Committed, Row, Transaction};
+use cumintrail_wire::record::{ClaimRecord, answer_name};
+use cumintrail_wire::retention::AnsweredKey;
+use futures_util::future::join;
+use proptest::prelude::*;
+use proptest::test_runner::{RngAlgorithm, TestRng, TestRunner};
+
+const LIFE: Duration = Duration::from_secs(4 * 3_600);
+const START_MS: u64 = 1_000 * 3_600_000;
+const MINUTE_MS: u64 = 60_000;
+/// Exchanges that others make before a delayed transaction arrives.
+const DELAY: usize = 60;
+/// The fates of an exchange besides an answer.
+const REQUEST_LOST: u8 = 1;
+const ANSWER_LOST: u8 = 2;
+const DELAYED: u8 = 3;
+
+#[derive(Debug, Clone, Copy)]
+enum Step {
+    Answer { large: bool, shard: u64 },
+    Wait { minutes: u64 },
+    Sweep { shards: (u64, u64) },
+}
+
+#[derive(Default)]
+struct Platform {
+    rows: RefCell<BTreeMap<String, Row>>,
+    objects: RefCell<BTreeMap<String, Bytes>>,
+    /// What happens to the next exchanges.
+    fates: RefCell<Vec<u8>>,
+    /// Transactions that are still on their way, with the number of the exchange that they meet.
+    delayed: RefCell<Vec<(usize, Transaction)>>,
+    exchanges: Cell<usize>,
+}
+
+impl Platform {
+    async fn exchange<T>(&self, effect: impl FnOnce() -> T) -> Result<T, ClientError> {
+        self.exchanges.set(self.exchanges.get() + 1);
+        tokio::task::yield_now().await;
+        let now = self.exchanges.get();
+        let due =
+            self.delayed.borrow_mut().extract_if(.., |(at, _)| *at <= now).collect::<Vec<_>>();
+        for (_, transaction) in due {
+            self.run(&transaction);
+        }
+        match self.fates.borrow_mut().pop().unwrap_or(0) {
+            REQUEST_LOST | DELAYED => Err(ClientError::Silent),
+            ANSWER_LOST => {
+                effect();
+                Err(ClientError::Silent)
+            }
+            _ => Ok(effect()),
+        }
+    }
+
+    fn run(&self, transaction: &Transaction) -> Committed {
+        let conditions = &transaction.conditions;
+        let committed = conditions.iter().all(|c| self.version(&c.key) == c.version);
+        for write in transaction.writes.iter().filter(|_| committed) {
+            self.write(write.key.clone(), write.value.clone());
+        }
+        Committed { committed, found: Vec::new() }
+    }
+
+    fn version(&self, key: &str) -> u64 {
+        self.rows.borrow().get(key).map_or(0, |r| r.version)
+    }
+
+    fn write(&self, key: String, value: Option<String>) {
+        let version = self.version(&key) + 1;
+        match value {
+            Some(value) => drop(self.rows.borrow_mut().insert(key, Row { version, value })),
+            None => drop(self.rows.borrow_mut().remove(&key)),
+        }
+    }
+
+    /// Judges a request with an old key at `now`; an absent row lets it run.
+    fn judge(&self, row: &str, now: WallMillis) -> Verdict<()> {
+        let request =
+            KeyedRequest { claim: WriteId([7; 16]), digest: Digest::of(b"two wheels"), life: LIFE };
+        let Some(row) = self.rows.borrow().get(row).cloned() else {
+            return Verdict::Free;
+        };
+        let record: ClaimRecord = serde_json::from_str(&row.value).unwrap();
+        let found = Found { version: row.version, record: record.into() };
+        match request.judge(now, found.record) {
+            Verdict::Replay(_) => Verdict::Replay(()),
+            Verdict::Refuse(refusal) => Verdict::Refuse(refusal),
+            Verdict::Run => Verdict::Run,
+            Verdict::Free => Verdict::Free,
+        }
+    }
+}
+
+impl Table for Platform {
+    async fn commit(&self, transaction: &Transaction) -> Result<Committed, ClientError> {
+        if self.fates.borrow().last() == Some(&DELAYED) {
+            let arrival = self.exchanges.get() + DELAY;
+            self.delayed.borrow_mut().push((arrival, transaction.clone()));
+        }
+        self.exchange(|| self.run(transaction)).await
+    }
+
+    async fn read(&self, key: &str) -> Result<Option<Row>, ClientError> {
+        self.exchange(|| self.rows.borrow().get(key).cloned()).await
+    }
+}
+
+impl Objects for Platform {
+    async fn put(&self, name: &str, body: Bytes) -> Result<(), ClientError> {
+        self.exchange(|| drop(self.objects.borrow_mut().insert(name.to_owned(), body))).await
+    }
+
+    async fn get(&self, name: &str) -> Result<Option<Bytes>, ClientError> {
+        self.exchange(|| self.objects.borrow().get(name).cloned()).await
+    }
+
+    async fn remove(&self, name: &str) -> Result<(), ClientError> {
+        self.exchange(|| drop(self.objects.borrow_mut().remove(name))).await
+    }
+}
+
+/// Follows the steps; tells the answered keys with their times and whether they were noted.
+#[derive(Default)]
+struct World {
+    platform: Platform,
+    answered: Vec<(String, WallMillis, bool)>,
+    now_ms: u64,
+}
+
+impl World {
+    fn now(&self) -> WallMillis {
+        WallMillis(START_MS + self.now_ms)
+    }
+
+    async fn answer(&mut self, large: bool, shard: u64) {
+        let id = WriteId([self.answered.len() as u8; 16]);
+        let row = format!("once/{id}");
+        let now = self.now();
+        let answer = serde_json::json!({ "status": 200, "headers": [], "body": { "text": "" } });
+        let record = serde_json::json!({
+            "claim": id, "request": Digest::of(b"two wheels"), "claimed_ms": now.0,
+            "answer_by_ms": now.0, "state": { "answered": answer },
+        });
+        self.platform.write(row.clone(), Some(record.to_string()));
+        if large {
+            self.platform.objects.borrow_mut().insert(answer_name(id), Bytes::new());
+        }
+        let key = AnsweredKey { row: row.clone(), object: large.then_some(id) };
+        let noted = note_answered(&self.platform, now, shard, &[key]).await.is_ok();
+        self.answered.push((row, now, noted));
+    }
+
+    /// Counts the keys that would run again if rows were removed once they are older than their
+    /// life, as a naive retention does.
+    fn naive_doubled(&self) -> u32 {
+        let naive = Platform { rows: self.platform.rows.clone(), ..Platform::default() };
+        let old = self.answered.iter().filter(|(_, at, _)| self.now().since(*at) >= LIFE);
+        old.for_each(|(row, ..)| naive.write(row.clone(), None));
+        let free =
+            self.answered.iter().filter(|(row, ..)| naive.judge(row, self.now()) == Verdict::Free);
+        free.count() as u32
+    }
+
+    /// Checks that no key can run again, and that no answer goes before its time.
+    fn check(&self) -> Result<(), TestCaseError> {
+        for (row, at, _) in &self.answered {
+            let verdict = self.platform.judge(row, self.now());
+            let expired = match &verdict {
+                Verdict::Replay(()) => false,
+                Verdict::Refuse(refusal) => refusal.code == RefusalCode::KeyExpired,
+                Verdict::Run | Verdict::Free => panic!("{row} runs again"),
+            };
+            prop_assert_eq!(expired, self.now().since(*at) >= LIFE, "{:?}", verdict);
+        }
+        Ok(())
+    }
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let shard = || 0..3_u64;
+    let step = prop_oneof![
+        3 => (any::<bool>(), shard()).prop_map(|(large, shard)| Step::Answer { large, shard }),
+        2 => (1..200_u64).prop_map(|minutes| Step::Wait { minutes }),
+        3 => (shard(), shard()).prop_map(|shards| Step::Sweep { shards }),
+    ];
+    prop::collection::vec(step, 1..60)
+}
+
+fn runner() -> TestRunner {
+    let config = ProptestConfig { cases: 1_000, failure_persistence: None, ..Default::default() };
+    TestRunner::new_with_rng(config, TestRng::deterministic_rng(RngAlgorithm::ChaCha))
+}
+
+#[test]
+fn no_key_runs_again_and_all_noted_answers_go_in_the_end() {
+    let system = actix_rt::System::new();
+    let fates = prop::collection::vec(prop_oneof![6 => Just(0_u8), 1 => 1..4_u8], 0..400);
+    let naive_doubled = Cell::new(0_u32);
+    let result = runner().run(&(steps(), fates), |(steps, fates)| {
+        system.block_on(async {
+            let mut world = World::default();
+            *world.platform.fates.borrow_mut() = fates;
+            for step in steps {
+                match step {
+                    Step::Answer { large, shard } => world.answer(large, shard).await,
+                    Step::Wait { minutes } => world.now_ms += minutes * MINUTE_MS,
+                    Step::Sweep { shards: (a, b) } => {
+                        let (platform, now) = (&world.platform, world.now());
+                        let one = sweep(platform, now, LIFE, a);
+                        let _ = join(one, sweep(platform, now, LIFE, b)).await;
+                    }
+                }
+                world.check()?;
+                naive_doubled.set(naive_doubled.get() + world.naive_doubled());
+            }
+            finish(&mut world).await
+        })
+    });
+    result.unwrap();
+    assert!(naive_doubled.get() > 0, "no key became old enough to run again");
+}
+
+/// Sweeps without faults until nothing is left, and checks how much each sweep does.
+async fn finish(world: &mut World) -> Result<(), TestCaseError> {
+    world.platform.fates.borrow_mut().clear();
+    world.now_ms += LIFE.as_millis() as u64 + 3 * 60 * MINUTE_MS;
+    let now = world.now();
+    let mut idle = 0;
+    for round in 0..40_000_u64 {
+        let before = world.platform.exchanges.get();
+        let swept = sweep(&world.platform, now, LIFE, round % SHARDS).await.unwrap();
+        let exchanges = world.platform.exchanges.get() - before;
+        prop_assert!(exchanges <= 3 + SHARDS as usize, "{exchanges} exchanges in one sweep");
+        idle = if swept == Swept::Nothing { idle + 1 } else { 0 };
+        if idle > 2 * DELAY {
+            break;
+        }
+    }
+    world.check()?;
+    for (row, _, noted) in world.answered.iter().filter(|(_, _, noted)| *noted) {
+        let kept = world.platform.rows.borrow()[row].value.clone();
+        prop_assert!(kept.contains("expired"), "{noted} {kept}");
+    }
+    let left = world.platform.rows.borrow().keys().filter(|k| k.starts_with("once-index/")).count();
+    prop_assert!(left <= 1, "{left} rows of the index are left");
+    Ok(())
+}
+
+#[test]
+fn a_delayed_sweep_does_not_bring_back_a_shard_that_others_have_emptied() {
+    actix_rt::System::new().block_on(async {
+        let mut world = World::default();
+        for _ in 0..3 {
+            world.answer(false, 0).await;
+        }
+        world.now_ms += LIFE.as_millis() as u64 + 3 * 60 * MINUTE_MS;
+        // The oldest hour is the one before the answers; once it is left behind, the third
+        // exchange after the reads of cursor, head and two segments is the sweep's transaction.
+        assert_eq!(sweep(&world.platform, world.now(), LIFE, 0).await.unwrap(), Swept::Advanced);
+        *world.platform.fates.borrow_mut() = vec![DELAYED, 0, 0, 0, 0];
+        assert!(sweep(&world.platform, world.now(), LIFE, 0).await.is_err());
+        finish(&mut world).await.unwrap();
+    });
+}
