--- a/crates/cumintrail-daemon/src/metric.rs
+++ b/crates/cumintrail-daemon/src/metric.rs
@@ -111,7 +111,7 @@
 }
 
 /// Describes all metrics.
-pub const METRICS: [Description; 27] = [
+pub const METRICS: [Description; 28] = [
     counter(CALLS, Unit::Count, "Calls by outcome").by("outcome"),
     gauge(CALLS_IN_FLIGHT, Unit::Count, "Calls that are not answered yet"),
     gauge(CALLS_WAITING, Unit::Count, "Calls that wait for a slot"),
