--- a/crates/cumintrail-client/src/lib.rs
+++ b/crates/cumintrail-client/src/lib.rs
@@ -16,6 +16,7 @@
 mod service;
 mod single;
 mod store;
+mod traffic;
 
 pub use answer::{AnswerEvent, AnswerStream};
 pub use engine::{Engine, HttpEngine};
