Wait for the first VM list before probing, and never read a known list again

Change: probes begin once the first read of the VM list has ended, whether answered or not. The entity tag sent is that of the known list, or of the platform's last answer while that lags.

Both tests were seen red without the change: 400 probes at once instead of none, and 109 whole lists for one change at 12 daemons instead of fewer than 12.

--- a/crates/cumintrail-control/src/control/probes.rs
+++ b/crates/cumintrail-control/src/control/probes.rs
@@ -24,7 +24,7 @@
         let Some(snapshot) = self.snapshot.clone() else {
             return;
         };
-        if self.targets.iter().all(|(_, state)| state.next_probe > now) {
+        if self.awaits_list() || self.targets.iter().all(|(_, state)| state.next_probe > now) {
             return;
         }
         let probers = self.membership.probers(self.identity.address, &self.identity.domain);
--- a/crates/cumintrail-control/src/control/reads.rs
+++ b/crates/cumintrail-control/src/control/reads.rs
@@ -41,6 +41,13 @@
         }
     }
 
+    /// Tells whether the first VM list is still awaited.
+    ///
+    /// Until then a daemon knows of no others and would probe all targets.
+    pub(super) fn awaits_list(&self) -> bool {
+        self.reads.is_some_and(|reads| reads.vms.is_pending())
+    }
+
     pub(super) fn note_head_read(&mut self, now: Moment, answered: bool) {
         if let Some(reads) = &mut self.reads {
             reads.head.note_read(now, answered);
--- a/crates/cumintrail-control/src/membership/watch.rs
+++ b/crates/cumintrail-control/src/membership/watch.rs
@@ -37,6 +37,11 @@
         self.confirmed.is_none_or(|at| now.since(at) >= limit)
     }
 
+    /// Tells whether the result is still to come: nobody is known to have read, nor to have failed.
+    pub const fn is_pending(&self) -> bool {
+        self.confirmed.is_none() && !self.failed
+    }
+
     /// Takes the end of an own read.
     pub fn note_read(&mut self, now: Moment, answered: bool) {
         self.failed = !answered;
--- a/crates/cumintrail-daemon/src/background/vm_list.rs
+++ b/crates/cumintrail-daemon/src/background/vm_list.rs
@@ -6,6 +6,7 @@
 use cumintrail_client::{Peer, VmList};
 use cumintrail_control::{Event, VmEntry, VmRole, VmState};
 use cumintrail_wire::peer::VmsRequest;
+use cumintrail_wire::platform;
 
 use super::Background;
 use crate::metric;
@@ -13,29 +14,32 @@
 /// Reads the list when ordered, until the process ends.
 pub async fn run(background: Rc<Background>) {
     tell_configured_peers(&background).await;
-    // The list that the platform told last, which may be older than the one that is known.
-    let mut last_read = 0;
+    let mut lagging = None;
     loop {
         background.read_vms.notified().await;
-        match background.platform.vms_unless(last_read).await {
-            Ok(Some(list)) => {
-                last_read = list.sequence;
-                let vms = list.vms.into_iter().map(VmEntry::from).collect();
-                let newer = background.shared.vm_book().take(last_read, vms);
-                tell_list(&background, newer).await;
-                background.shared.control.tell(Event::VmsRead { sequence: Some(last_read) }).await;
-            }
-            Ok(None) => {
-                background.shared.control.tell(Event::VmsRead { sequence: Some(last_read) }).await;
-            }
+        let known = background.shared.vm_book().sequence();
+        // A platform that lags would send its older list again and again.
+        let sequence = match background.platform.vms_unless(lagging.unwrap_or(known)).await {
+            Ok(Some(list)) => Some(take_list(&background, list).await),
+            Ok(None) => Some(lagging.unwrap_or(known)),
             Err(_) => {
                 metrics::counter!(metric::PLATFORM_ERRORS, "part" => "vm_list").increment(1);
-                background.shared.control.tell(Event::VmsRead { sequence: None }).await;
+                None
             }
-        }
+        };
+        lagging = sequence.filter(|sequence| *sequence < background.shared.vm_book().sequence());
+        background.shared.control.tell(Event::VmsRead { sequence }).await;
     }
 }
 
+/// Takes a list that was read and returns its number.
+async fn take_list(background: &Background, list: platform::VmList) -> u64 {
+    let vms = list.vms.into_iter().map(VmEntry::from).collect();
+    let newer = background.shared.vm_book().take(list.sequence, vms);
+    tell_list(background, newer).await;
+    list.sequence
+}
+
 /// Asks a peer that told of a newer list for what this daemon's lacks.
 pub async fn ask(background: &Background, from: SocketAddr) {
     if background.asking_vms.replace(true) {
--- a/tests/src/standins/platform.rs
+++ b/tests/src/standins/platform.rs
@@ -37,7 +37,7 @@
     loads: u32,
     writes: u64,
     reads: u64,
-    list_reads: u64,
+    lists_sent: u64,
 }
 
 /// Runs a platform.
@@ -98,9 +98,9 @@
         (state.writes, state.reads)
     }
 
-    /// Returns how often the VM list was asked for.
-    pub fn list_reads(&self) -> u64 {
-        self.lock().list_reads
+    /// Returns how often the whole VM list was sent.
+    pub fn lists_sent(&self) -> u64 {
+        self.lock().lists_sent
     }
 
     fn lock(&self) -> std::sync::MutexGuard<'_, State> {
@@ -191,11 +191,11 @@
 }
 
 fn answer_list(state: &mut State, known: Option<&str>) -> Answer {
-    state.list_reads += 1;
     let list = listed(state);
     if known == Some(&*platform::list_tag(list.sequence)) {
         return empty(StatusCode::NOT_MODIFIED);
     }
+    state.lists_sent += 1;
     json(StatusCode::OK, &list)
 }
 
--- a/tests/tests/platform_reads.rs
+++ b/tests/tests/platform_reads.rs
@@ -9,9 +9,10 @@
 use cumintrail_config::{Document, Snapshot};
 use cumintrail_control::membership::VmBook;
 use cumintrail_control::{Action, Actions, Control, Event, Identity, VmEntry, VmRole, VmState};
-use cumintrail_tests::cluster::{LOOPBACK, Plan, declare, domain};
-use cumintrail_tests::standins::platform::Platform;
+use cumintrail_tests::cluster::{Cluster, LOOPBACK, Plan, declare, domain};
+use cumintrail_tests::standins::platform::{Fault, Platform};
 use cumintrail_types::{Generation, Incarnation, Moment};
+use cumintrail_wire::platform::{ListedRole, ListedVm};
 use proptest::prelude::*;
 
 /// The time in which a change is in force everywhere.
@@ -29,7 +30,13 @@
 }
 
 fn snapshot(generation: u64) -> Arc<Snapshot> {
-    let text = declare(&Plan::default(), &[target()], &[], &[]);
+    snapshot_of(generation, 1)
+}
+
+fn snapshot_of(generation: u64, targets: usize) -> Arc<Snapshot> {
+    let at = |i| SocketAddr::new(target().ip(), target().port() + i as u16);
+    let addresses: Vec<SocketAddr> = (0..targets).map(at).collect();
+    let text = declare(&Plan::default(), &addresses, &[], &[]);
     let sections = Document::parse(&"test".into(), &text).unwrap().sections;
     Arc::new(Snapshot::build(Generation(generation), &sections, None, None).unwrap())
 }
@@ -218,6 +225,29 @@
     assert_eq!(net.reads.len(), DAEMONS, "each sees for itself that the platform is back");
 }
 
+/// All targets used to be probed by each new process, before it knew of any other daemon.
+#[test]
+fn a_new_daemon_probes_only_its_targets_once_it_has_the_list() {
+    const TARGETS: usize = 400;
+    let probes =
+        |actions: Actions| actions.iter().filter(|a| matches!(a, Action::Probe(_))).count();
+    for list_is_read in [true, false] {
+        let mut control = Net::new().daemons.swap_remove(0);
+        control.handle(Moment::default(), Event::Configured(snapshot_of(1, TARGETS)));
+        assert_eq!(probes(control.handle(Moment::default(), Event::Tick)), 0);
+        let sequence = list_is_read.then_some(1);
+        if list_is_read {
+            let vms = list(VmState::Live);
+            control.handle(Moment::default(), Event::VmsListed { sequence: 1, vms });
+        }
+        control.handle(Moment::default(), Event::VmsRead { sequence });
+        let sent = probes(control.handle(Moment::default(), Event::Tick));
+        // Without a list the daemon may be the only one that reaches the targets.
+        let expected = if list_is_read { 1..TARGETS / 10 } else { TARGETS..TARGETS + 1 };
+        assert!(expected.contains(&sent), "{sent} probes, list read: {list_is_read}");
+    }
+}
+
 #[actix_rt::test]
 async fn an_unchanged_list_is_not_sent_again() {
     let platform = Platform::spawn(LOOPBACK, 200, 2).unwrap();
@@ -230,6 +260,32 @@
     assert_eq!(client.vms_unless(1).await.unwrap().unwrap().sequence, 2);
 }
 
+/// A daemon that had its list from a peer used to read it whole once it read for itself.
+#[actix_rt::test]
+async fn a_list_that_is_known_from_a_peer_is_not_read_again() {
+    let cluster = Cluster::spawn(&Plan { daemons: 12, ..Plan::default() }).await.unwrap();
+    let mut vms = Vec::new();
+    for (i, daemon) in cluster.daemons.iter().enumerate() {
+        let (address, domain) = (daemon.operator_address(), domain(i));
+        vms.push(ListedVm { address, domain, role: ListedRole::Daemon, leaving: false });
+    }
+    let settle = IN_FORCE / 2;
+    actix_rt::time::sleep(settle).await;
+    let before = cluster.platform.lists_sent();
+    vms[0].leaving = true;
+    cluster.platform.list_vms(vms);
+    actix_rt::time::sleep(settle).await;
+    let sent = cluster.platform.lists_sent() - before;
+    assert!((1..12).contains(&sent), "{sent} lists for one change");
+
+    // Now each daemon looks for itself.
+    cluster.platform.set_fault(Fault { down: true, ..Fault::default() });
+    actix_rt::time::sleep(settle).await;
+    cluster.platform.set_fault(Fault::default());
+    actix_rt::time::sleep(settle).await;
+    assert_eq!(cluster.platform.lists_sent() - before, sent);
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::with_cases(64) })]
     /// Changes lead to the same list as reading it whole, also past lists that one side missed.
