--- a/crates/cumintrail-client/src/http.rs
+++ b/crates/cumintrail-client/src/http.rs
@@ -85,8 +85,11 @@
         path: &str,
         body: Option<&Q>,
     ) -> Result<A, ClientError> {
-        let req =
-            self.request(method, at, path).insert_header(("content-type", "application/json"));
+        let req = self.request(method, at, path);
+        let req = match body {
+            Some(_) => req.insert_header(("content-type", "application/json")),
+            None => req,
+        };
         let body = body.map(serde_json::to_vec).transpose().map_err(|_| ClientError::Unreadable)?;
         let response = self.send(req, body.unwrap_or_default().into()).await?;
         response.json(self.timeout).await
--- a/tests/src/load/deployment.rs
+++ b/tests/src/load/deployment.rs
@@ -1,7 +1,7 @@
 //! A deployment whose daemons are processes of their own.
 
 use std::fmt::Write as _;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
 use std::time::{Duration, Instant};
 
 use actix_http::Method;
@@ -111,9 +111,11 @@
         let access = Access::new(at, at, at, Secret::new(OPERATOR_KEY));
         cumintrail_cli::apply(&access, &declared).await.map_err(ClusterError::from)?;
 
-        let daemons = spawn_daemons(options, at, files.path()).map_err(ClusterError::from)?;
+        // The list comes first, as a platform has it when it starts a VM.
+        let ports = reserve(options.daemons.into()).map_err(ClusterError::from)?;
         let others = (0..usize::from(options.vms)).map(other_vm);
-        platform.list_vms(daemons.iter().enumerate().map(listed).chain(others).collect());
+        platform.list_vms(ports.iter().enumerate().map(listed).chain(others).collect());
+        let daemons = spawn_daemons(ports, at, files.path()).map_err(ClusterError::from)?;
         let deployment = Self { platform, engines, _store: store, daemons, _files: files };
         deployment.wait_ready().await?;
         Ok(deployment)
@@ -187,25 +189,31 @@
     samples.filter_map(|line| line.rsplit(' ').next()?.parse::<u64>().ok()).sum()
 }
 
+/// Binds free ports, which daemons bind again once they are known to the platform.
+fn reserve(count: usize) -> std::io::Result<Vec<SocketAddr>> {
+    let bound: Vec<TcpListener> =
+        (0..count).map(|_| TcpListener::bind(LOOPBACK)).collect::<Result<_, _>>()?;
+    bound.iter().map(TcpListener::local_addr).collect()
+}
+
 fn spawn_daemons(
-    options: &Options,
+    operators: Vec<SocketAddr>,
     platform: SocketAddr,
     files: &std::path::Path,
 ) -> std::io::Result<Vec<Process>> {
     let binary = std::env::current_exe()?.display().to_string();
-    let spawn = |index: usize| {
-        let text = settings_text(index, LOOPBACK, LOOPBACK, platform, &[]);
+    let spawn = |(index, operator): (usize, SocketAddr)| {
+        let text = settings_text(index, LOOPBACK, operator, platform, &[]);
         let (text, _) = text.split_once("[timing]").unwrap_or((&text, ""));
         let path = files.join(format!("vm-{index}.ini"));
         std::fs::write(&path, text)?;
         Process::daemon(&binary, &path)
     };
-    (0..usize::from(options.daemons)).map(spawn).collect()
+    operators.into_iter().enumerate().map(spawn).collect()
 }
 
-fn listed((index, daemon): (usize, &Process)) -> ListedVm {
-    let address = daemon.addresses[1];
-    ListedVm { address, domain: domain(index), role: ListedRole::Daemon, leaving: false }
+fn listed((index, address): (usize, &SocketAddr)) -> ListedVm {
+    ListedVm { address: *address, domain: domain(index), role: ListedRole::Daemon, leaving: false }
 }
 
 /// Lists a VM whose process nobody asks for anything.
