--- a/crates/cumintrail-client/src/lib.rs
+++ b/crates/cumintrail-client/src/lib.rs
@@ -12,9 +12,11 @@
 mod http;
 mod peer;
 mod platform;
+pub mod retention;
 mod service;
 mod single;
 mod store;
+mod traffic;
 
 pub use answer::{AnswerEvent, AnswerStream};
 pub use engine::{Engine, HttpEngine};
--- a/crates/cumintrail-client/src/platform.rs
+++ b/crates/cumintrail-client/src/platform.rs
@@ -11,6 +11,8 @@
 
 const TIMEOUT: Duration = Duration::from_millis(1_500);
 const OK: u16 = 200;
+const NO_CONTENT: u16 = 204;
+const NOT_MODIFIED: u16 = 304;
 const NOT_FOUND: u16 = 404;
 
 /// Reads and changes rows; an error of a change may hide that it took effect.
@@ -27,12 +29,16 @@
     async fn put(&self, name: &str, body: Bytes) -> Result<(), ClientError>;
     /// Reads an object.
     async fn get(&self, name: &str) -> Result<Option<Bytes>, ClientError>;
+    /// Removes an object; one that is absent is no error.
+    async fn remove(&self, name: &str) -> Result<(), ClientError>;
 }
 
 /// Reads the platform's list of VMs, which may lag.
 pub trait VmList {
     /// Reads the list.
     async fn vms(&self) -> Result<platform::VmList, ClientError>;
+    /// Reads the list unless it is still the one of number `last`.
+    async fn vms_unless(&self, last: u64) -> Result<Option<platform::VmList>, ClientError>;
 }
 
 /// Speaks to the platform from one thread.
@@ -48,6 +54,11 @@
     pub fn open(table: SocketAddr, objects: SocketAddr, vm_list: SocketAddr) -> Self {
         Self { http: HttpClient::pooled(TIMEOUT), table, objects, vm_list }
     }
+
+    /// Returns the bytes of control exchanges in both directions, HTTP heads included.
+    pub fn control_bytes(&self) -> u64 {
+        self.http.bytes()
+    }
 }
 
 impl Table for HttpPlatform {
@@ -80,10 +91,28 @@
             status => Err(ClientError::Status { status }),
         }
     }
+
+    async fn remove(&self, name: &str) -> Result<(), ClientError> {
+        let req = self.http.request(Method::DELETE, self.objects, &format!("/objects/{name}"));
+        match self.http.send(req, Bytes::new()).await?.status() {
+            OK | NO_CONTENT | NOT_FOUND => Ok(()),
+            status => Err(ClientError::Status { status }),
+        }
+    }
 }
 
 impl VmList for HttpPlatform {
     async fn vms(&self) -> Result<platform::VmList, ClientError> {
         self.http.exchange(Method::GET, self.vm_list, "/vms", None::<&()>).await
     }
+
+    async fn vms_unless(&self, last: u64) -> Result<Option<platform::VmList>, ClientError> {
+        let req = self.http.request(Method::GET, self.vm_list, "/vms");
+        let req = req.insert_header(("if-none-match", platform::list_tag(last)));
+        let response = self.http.send(req, Bytes::new()).await?;
+        match response.status() {
+            NOT_MODIFIED => Ok(None),
+            _ => response.json(TIMEOUT).await.map(Some),
+        }
+    }
 }
--- a/crates/cumintrail-daemon/src/metric.rs
+++ b/crates/cumintrail-daemon/src/metric.rs
@@ -34,6 +34,8 @@
 pub const DROPPED_EVENTS: &str = "cumintrail_dropped_events_total";
 /// Recorded answers that were repeated under an idempotency key.
 pub const REPLAYS: &str = "cumintrail_replays_total";
+/// Records of idempotency keys that were shrunk after they had expired.
+pub const EXPIRED_RECORDS: &str = "cumintrail_expired_records_total";
 /// Calls forwarded to the issuer of their operation key, by outcome: `answered` or `lost`.
 pub const FORWARDS: &str = "cumintrail_forwards_total";
 /// The generation in force.
@@ -46,6 +48,8 @@
 pub const PEERS: &str = "cumintrail_peers";
 /// Bytes sent to peers.
 pub const PEER_BYTES: &str = "cumintrail_peer_bytes_total";
+/// Bytes of control exchanges that this daemon opened, both ways, by the kind of the other end.
+pub const CONTROL_BYTES: &str = "cumintrail_control_bytes_total";
 /// Failed exchanges with the platform.
 pub const PLATFORM_ERRORS: &str = "cumintrail_platform_errors_total";
 /// Whether the last exchange with the platform was answered.
@@ -109,7 +113,7 @@
 }
 
 /// Describes all metrics.
-pub const METRICS: [Description; 27] = [
+pub const METRICS: [Description; 29] = [
     counter(CALLS, Unit::Count, "Calls by outcome").by("outcome"),
     gauge(CALLS_IN_FLIGHT, Unit::Count, "Calls that are not answered yet"),
     gauge(CALLS_WAITING, Unit::Count, "Calls that wait for a slot"),
@@ -128,6 +132,7 @@
     counter(STORE_READS, Unit::Count, "Reads of what stores hold by kind").by("read"),
     counter(RESUMES, Unit::Count, "Streams that went on over a new connection"),
     counter(REPLAYS, Unit::Count, "Recorded answers repeated under an idempotency key"),
+    counter(EXPIRED_RECORDS, Unit::Count, "Records shrunk after they had expired"),
     counter(FORWARDS, Unit::Count, "Calls forwarded to the issuer of their operation key")
         .by("outcome"),
     counter(DROPPED_EVENTS, Unit::Count, "Late, repeated or foreign answer events").by("reason"),
@@ -136,6 +141,7 @@
     gauge(STORES, Unit::Count, "Declared stores by state").by("state"),
     gauge(PEERS, Unit::Count, "Known peer daemons by state").by("state"),
     counter(PEER_BYTES, Unit::Bytes, "Bytes sent to peers"),
+    counter(CONTROL_BYTES, Unit::Bytes, "Bytes of control exchanges, heads included").by("part"),
     counter(PLATFORM_ERRORS, Unit::Count, "Failed exchanges with the platform").by("part"),
     gauge(PLATFORM_REACHABLE, Unit::Count, "Whether the platform answered last"),
     counter(CONTROL_EVENTS, Unit::Count, "Events that the control thread took"),
