Count imports in the wait that an account at its share may take

Cause: calls of large accounts were also sent when their imports would arrive late, behind others on the same links, and then lay before small accounts' calls on links and engines.

Change: the wait that is compared runs until the target can compute with all imports there.

--- a/crates/cumintrail-control/src/control/arrivals.rs
+++ b/crates/cumintrail-control/src/control/arrivals.rs
@@ -21,9 +21,9 @@
 ///
 /// A call is worth queueing at an engine that holds its prompt; fair queueing keeps the rest here.
 const ENGINE_QUEUE_FACTOR: u32 = 4;
-/// The wait at an engine that calls of accounts with their fair share are sent into.
+/// The wait for engine and imports that calls of accounts with their fair share are sent into.
 ///
-/// Engines serve in the order of arrival, so what one account queues there delays all others.
+/// Engines and links serve in the order of arrival, so what one account queues there delays others.
 const WAIT_AT_SHARE: Duration = Duration::from_secs(1);
 /// The longest such wait, however much a preset saves on computing.
 const LONGEST_WAIT_AT_SHARE: Duration = Duration::from_secs(10);
@@ -264,7 +264,7 @@
     }
 }
 
-/// Returns the longest wait at an engine that calls of accounts with their fair share are sent into.
+/// Returns the longest wait that calls of accounts with their fair share are sent into.
 ///
 /// The dearer computing is, the longer a call should wait for an engine that holds its prompt.
 fn longest_wait_at_share(preset: &Preset) -> Duration {
--- a/crates/cumintrail-control/src/placement.rs
+++ b/crates/cumintrail-control/src/placement.rs
@@ -75,7 +75,7 @@
     pub target: TargetKey,
     /// The weighted cost, in seconds of time to first token.
     pub cost: f64,
-    /// The expected time until the target begins with the prompt.
+    /// The expected time until the target can compute, with all imports there.
     pub wait: Duration,
     /// The expected time to first token.
     pub first_token: Duration,
@@ -181,16 +181,19 @@
 #[derive(Debug, Clone, Copy)]
 struct Price {
     cost: f64,
+    /// Seconds until the target can compute.
+    begin: f64,
     first_token: f64,
 }
 
 impl Price {
     fn new(preset: &Preset, wait: f64, transfer: f64, prefill: f64, link: f64) -> Self {
-        let first_token = wait.max(transfer) + prefill;
+        let begin = wait.max(transfer);
+        let first_token = begin + prefill;
         let cost = preset.first_token_weight * first_token
             + preset.recompute_weight * prefill
             + preset.link_weight * link;
-        Self { cost, first_token }
+        Self { cost, begin, first_token }
     }
 }
 
--- a/crates/cumintrail-control/src/placement/sources.rs
+++ b/crates/cumintrail-control/src/placement/sources.rs
@@ -145,7 +145,7 @@
         Placement {
             target: group.candidate.key,
             cost: choice.cost,
-            wait: Duration::from_secs_f64(group.wait),
+            wait: Duration::from_secs_f64(choice.price.begin),
             first_token: Duration::from_secs_f64(choice.price.first_token),
             recompute: request.prompt.saturating_sub(Tokens(to as u32 * piece)),
             plan: fetch_plan(fetches, group.wait, saved),
