--- a/crates/cumintrail-control/src/lib.rs
+++ b/crates/cumintrail-control/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod admission;
 pub mod adoption;
 pub mod directory;
+pub mod following;
 pub mod keeping;
 pub mod links;
 pub mod membership;
@@ -27,6 +28,6 @@
 pub use dump::{CallDump, Dump, LimitDump, PeerDump, QueueDump, StoreDump, TargetDump};
 pub use event::{
     Action, Actions, Arrival, AttemptOutcome, Dispatch, Event, Export, Fetch, FetchOutcome,
-    FetchPlan, LeavingRun, Order, OrderKind, PeerDigest, TargetNews, TargetReport, Usage, VmEntry,
-    VmRole, VmState,
+    FetchPlan, Freshness, LeavingRun, Order, OrderKind, PeerDigest, TargetNews, TargetReport,
+    Usage, VmEntry, VmRole, VmState,
 };
--- a/crates/cumintrail-daemon/src/background/orders.rs
+++ b/crates/cumintrail-daemon/src/background/orders.rs
@@ -5,12 +5,13 @@
 use std::rc::Rc;
 
 use cumintrail_client::{Engine, Peer, Store};
+use cumintrail_control::following::{StoreAnswer, StoreRead};
 use cumintrail_control::{Action, Event, Export, PeerDigest};
 use cumintrail_types::{Incarnation, Sealed, StoreKey, TargetKey, Tier};
 use cumintrail_wire::engine::{CacheEvents, ExportOrder};
 use cumintrail_wire::peer::DigestMessage;
 
-use super::{Background, rollout, warm};
+use super::{Background, rollout, vm_list, warm};
 use crate::metric;
 
 /// Remembers which cache events of each target were read.
@@ -45,8 +46,13 @@
         Action::Free { store, sealed } => {
             actix_rt::spawn(async move { free(&background, store, sealed).await });
         }
-        Action::ListStore(store) => {
-            actix_rt::spawn(async move { list_store(&background, store).await });
+        Action::ReadStore { store, ticket, read } => {
+            actix_rt::spawn(async move { read_store(&background, store, ticket, read).await });
+        }
+        Action::ReadHead => background.read_head.notify_one(),
+        Action::ReadVms => background.read_vms.notify_one(),
+        Action::AskVms { from } => {
+            actix_rt::spawn(async move { vm_list::ask(&background, from).await });
         }
         Action::SendDigest { to, digest } => {
             actix_rt::spawn(async move { send_digest(&background, to, digest).await });
@@ -88,21 +94,28 @@
         return;
     };
     let control = &background.shared.control;
-    let report = match background.engines.report(at).await {
-        Ok(report) => report,
+    let after = cursor.last.get();
+    let answer = match background.engines.probe(at, after).await {
+        Ok(answer) => answer,
         // A plain service may have no such path; any answer shows that it is there.
         Err(e) if e.is_answer() => return control.tell(Event::TargetAnswered { target }).await,
         Err(_) => return control.tell(Event::TargetSilent { target }).await,
     };
+    let report = answer.report;
     control.tell(Event::TargetReported { target, report: report.into() }).await;
     if report.version.0 == 0 {
         return;
     }
-    if cursor.incarnation.replace(report.incarnation) != report.incarnation {
+    let is_new_run = cursor.incarnation.replace(report.incarnation) != report.incarnation;
+    if is_new_run {
         cursor.last.set(0);
     }
-    let events = background.engines.cache_events(at, cursor.last.get()).await;
-    if let Some(event) = events.ok().and_then(|events| cache_change(target, cursor, &events)) {
+    let events = match answer.cache {
+        // A new run counts its events from the start.
+        Some(events) if !is_new_run || after == 0 => Some(events),
+        _ => background.engines.cache_events(at, cursor.last.get()).await.ok(),
+    };
+    if let Some(event) = events.and_then(|events| cache_change(target, cursor, &events)) {
         control.tell(event).await;
     }
 }
@@ -134,32 +147,40 @@
 }
 
 async fn free(background: &Background, store: StoreKey, sealed: Sealed) {
-    if let Some(at) = background.store_address(store) {
-        // A block that could not be freed shows up again in the next listing.
-        let _ = background.stores.free(at, &sealed).await;
+    let Some(at) = background.store_address(store) else {
+        return;
+    };
+    // A store that answers no has another write of the block, or none.
+    let answered = background.stores.free(at, &sealed).await;
+    if answered.is_err_and(|e| !e.is_answer()) {
+        background.shared.control.tell(Event::FreeFailed { store, sealed }).await;
     }
 }
 
-async fn list_store(background: &Background, store: StoreKey) {
+const fn name_of(read: StoreRead) -> &'static str {
+    match read {
+        StoreRead::Summary => "summary",
+        StoreRead::Listing { .. } => "listing",
+        StoreRead::Changes { .. } => "changes",
+    }
+}
+
+async fn read_store(background: &Background, store: StoreKey, ticket: u32, read: StoreRead) {
     let Some(at) = background.store_address(store) else {
         return;
     };
-    let control = &background.shared.control;
-    let mut after = None;
-    loop {
-        let Ok(page) = background.stores.list(at, after).await else {
-            control.tell(Event::StoreSilent { store }).await;
-            return;
-        };
-        let first = after.is_none();
-        after = page.blocks.last().map(|b| b.sealed.key);
-        let blocks = page.blocks.iter().map(|b| (b.sealed, b.tier)).collect();
-        let incarnation = page.incarnation;
-        control.tell(Event::StoreListed { store, incarnation, first, blocks }).await;
-        if !page.more || after.is_none() {
-            return;
-        }
-    }
+    metrics::counter!(metric::STORE_READS, "read" => name_of(read)).increment(1);
+    let stores = &background.stores;
+    let answer = match read {
+        StoreRead::Summary => stores.summary(at).await.map(StoreAnswer::from),
+        StoreRead::Listing { after } => stores.list(at, after).await.map(StoreAnswer::from),
+        StoreRead::Changes { after } => stores.changes(at, after).await.map(StoreAnswer::from),
+    };
+    let event = match answer {
+        Ok(answer) => Event::StoreAnswered { store, ticket, answer },
+        Err(_) => Event::StoreSilent { store, ticket },
+    };
+    background.shared.control.tell(event).await;
 }
 
 async fn send_digest(background: &Background, to: std::net::SocketAddr, digest: PeerDigest) {
--- a/crates/cumintrail-daemon/src/metric.rs
+++ b/crates/cumintrail-daemon/src/metric.rs
@@ -26,6 +26,8 @@
 pub const IMPORTS: &str = "cumintrail_imports_total";
 /// Blocks known in stores.
 pub const KEPT_BLOCKS: &str = "cumintrail_kept_blocks";
+/// Reads of what stores hold, by kind: `summary`, `listing` or `changes`.
+pub const STORE_READS: &str = "cumintrail_store_reads_total";
 /// Streams that went on over a new connection.
 pub const RESUMES: &str = "cumintrail_stream_resumes_total";
 /// Events that were dropped as late, repeated or foreign.
@@ -44,6 +46,8 @@
 pub const PEERS: &str = "cumintrail_peers";
 /// Bytes sent to peers.
 pub const PEER_BYTES: &str = "cumintrail_peer_bytes_total";
+/// Bytes of control exchanges that this daemon opened, both ways, by the kind of the other end.
+pub const CONTROL_BYTES: &str = "cumintrail_control_bytes_total";
 /// Failed exchanges with the platform.
 pub const PLATFORM_ERRORS: &str = "cumintrail_platform_errors_total";
 /// Whether the last exchange with the platform was answered.
@@ -107,7 +111,7 @@
 }
 
 /// Describes all metrics.
-pub const METRICS: [Description; 26] = [
+pub const METRICS: [Description; 28] = [
     counter(CALLS, Unit::Count, "Calls by outcome").by("outcome"),
     gauge(CALLS_IN_FLIGHT, Unit::Count, "Calls that are not answered yet"),
     gauge(CALLS_WAITING, Unit::Count, "Calls that wait for a slot"),
@@ -123,6 +127,7 @@
     counter(LINK_BYTES, Unit::Bytes, "Bytes imported from stores"),
     counter(IMPORTS, Unit::Count, "Blocks by outcome of their import").by("outcome"),
     gauge(KEPT_BLOCKS, Unit::Count, "Blocks known in stores"),
+    counter(STORE_READS, Unit::Count, "Reads of what stores hold by kind").by("read"),
     counter(RESUMES, Unit::Count, "Streams that went on over a new connection"),
     counter(REPLAYS, Unit::Count, "Recorded answers repeated under an idempotency key"),
     counter(FORWARDS, Unit::Count, "Calls forwarded to the issuer of their operation key")
@@ -133,6 +138,7 @@
     gauge(STORES, Unit::Count, "Declared stores by state").by("state"),
     gauge(PEERS, Unit::Count, "Known peer daemons by state").by("state"),
     counter(PEER_BYTES, Unit::Bytes, "Bytes sent to peers"),
+    counter(CONTROL_BYTES, Unit::Bytes, "Bytes of control exchanges, heads included").by("part"),
     counter(PLATFORM_ERRORS, Unit::Count, "Failed exchanges with the platform").by("part"),
     gauge(PLATFORM_REACHABLE, Unit::Count, "Whether the platform answered last"),
     counter(CONTROL_EVENTS, Unit::Count, "Events that the control thread took"),
--- a/crates/cumintrail-daemon/src/shared.rs
+++ b/crates/cumintrail-daemon/src/shared.rs
@@ -1,11 +1,12 @@
 //! What all threads of a daemon read.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use arc_swap::ArcSwapOption;
 use cumintrail_config::{Settings, Snapshot};
+use cumintrail_control::membership::VmBook;
 use cumintrail_control::once::KeyRing;
 use cumintrail_types::{CallKey, Generation, Incarnation, KeyChain, Moment, WeightVersion};
 use cumintrail_wire::configuration::Configuration;
@@ -14,6 +15,7 @@
 use crate::clock::Clock;
 use crate::contact::Contact;
 use crate::control_thread::ControlLink;
+use crate::table::{TableGate, WriterLink};
 
 /// Holds a configuration that is in force.
 #[derive(Debug)]
@@ -59,28 +61,45 @@
     pub key_ring: KeyRing,
     /// When the platform last answered.
     pub platform_contact: Contact,
+    /// Whether keyed calls may ask the table.
+    pub table_gate: TableGate,
+    /// The way to the writer of records.
+    pub table_writer: WriterLink,
     clock: Clock,
     adopted: ArcSwapOption<Adopted>,
     not_adopted: ArcSwapOption<NotAdopted>,
+    vm_book: Mutex<VmBook>,
     stopping: AtomicBool,
     next_call: AtomicU64,
     pending_outcomes: AtomicUsize,
+    pending_bytes: AtomicUsize,
 }
 
 /// Counts a call whose outcome is still to be recorded, for as long as it lives.
-pub struct PendingOutcome(Arc<Shared>);
+pub struct PendingOutcome {
+    shared: Arc<Shared>,
+    bytes: usize,
+}
 
 impl PendingOutcome {
     /// Begins to count.
     pub fn begin(shared: &Arc<Shared>) -> Self {
         shared.pending_outcomes.fetch_add(1, Ordering::AcqRel);
-        Self(shared.clone())
+        Self { shared: shared.clone(), bytes: 0 }
+    }
+
+    /// Counts the bytes of its answer, unless the process then holds more than `limit`.
+    pub fn hold(&mut self, bytes: usize, limit: usize) -> bool {
+        let held = self.shared.pending_bytes.fetch_add(bytes, Ordering::AcqRel);
+        self.bytes += bytes;
+        held + bytes <= limit
     }
 }
 
 impl Drop for PendingOutcome {
     fn drop(&mut self) {
-        self.0.pending_outcomes.fetch_sub(1, Ordering::AcqRel);
+        self.shared.pending_bytes.fetch_sub(self.bytes, Ordering::AcqRel);
+        self.shared.pending_outcomes.fetch_sub(1, Ordering::AcqRel);
     }
 }
 
@@ -91,6 +110,7 @@
         incarnation: Incarnation,
         operator_address: SocketAddr,
         control: ControlLink,
+        table_writer: WriterLink,
         clock: Clock,
     ) -> Self {
         Self {
@@ -101,12 +121,16 @@
             control,
             newer: watch::Sender::new(None),
             platform_contact: Contact::default(),
+            table_gate: TableGate::default(),
+            table_writer,
             clock,
             adopted: ArcSwapOption::empty(),
             not_adopted: ArcSwapOption::empty(),
+            vm_book: Mutex::default(),
             stopping: AtomicBool::new(false),
             next_call: AtomicU64::new(1),
             pending_outcomes: AtomicUsize::new(0),
+            pending_bytes: AtomicUsize::new(0),
         }
     }
 
@@ -172,6 +196,12 @@
         self.adopted.store(Some(adopted));
     }
 
+    /// Returns the VM list as it was last read or heard.
+    pub fn vm_book(&self) -> MutexGuard<'_, VmBook> {
+        // A holder that panicked left a whole list, since lists are replaced at their end.
+        self.vm_book.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Tells whether the balancer should send calls here.
     pub fn is_ready(&self) -> bool {
         !self.is_stopping() && self.adopted.load().is_some()
