--- a/crates/cumintrail-control/src/control.rs
+++ b/crates/cumintrail-control/src/control.rs
@@ -9,6 +9,7 @@
 mod reads;
 mod rollouts;
 mod state;
+mod stores;
 mod upkeep;
 mod warming;
 
@@ -155,10 +156,11 @@
             Event::Exported { export, sealed } => {
                 self.take_export(now, export, sealed, &mut actions);
             }
-            Event::StoreListed { store, incarnation, first, blocks } => {
-                self.take_listing(now, store, incarnation, first, &blocks);
+            Event::StoreAnswered { store, ticket, answer } => {
+                self.take_store_answer(now, store, ticket, &answer);
             }
-            Event::StoreSilent { store } => self.take_store_silence(now, store),
+            Event::StoreSilent { store, ticket } => self.take_store_silence(now, store, ticket),
+            Event::FreeFailed { store, sealed } => self.take_failed_free(store, sealed),
             Event::VmsListed { sequence, vms } => self.take_vm_list(now, sequence, &vms),
             Event::VmsRead { sequence } => self.note_vms_read(now, sequence),
             Event::HeadRead { answered } => self.note_head_read(now, answered),
