Count a leaving mark before the first report of its target

Cause: a mark names an address and a run. A daemon that is told of it by a peer before it has any report of the target, for instance since its own link to the target is cut, compared the mark with run zero and went on giving work to the target.

Ruled out: barring the address until the mark ends, which would bar a new VM on the same address for an hour; a target that answers without reports, which is told apart by its answer.

Change: while nothing was heard of a target, any marked run at its address may be the one that is there.

Before: membership::a_mark_counts_before_the_first_report_of_its_target failed, the target counted as usable. After: membership 13, platform_reads 7, process_leaving 5 passed.

--- a/crates/cumintrail-control/src/control/arrivals.rs
+++ b/crates/cumintrail-control/src/control/arrivals.rs
@@ -236,7 +236,7 @@
         let declared = self.snapshot.as_ref().and_then(|s| s.targets.get(key));
         let state = self.targets.get(key);
         declared.zip(state).is_some_and(|(target, state)| {
-            self.membership.is_leaving(target.address, state.incarnation())
+            self.membership.is_leaving(target.address, state.known_run())
         })
     }
 
--- a/crates/cumintrail-control/src/control/state.rs
+++ b/crates/cumintrail-control/src/control/state.rs
@@ -49,6 +49,14 @@
         self.report.map_or(Incarnation(0), |r| r.incarnation)
     }
 
+    /// Returns the run that is there now, if anything has been heard of the target.
+    ///
+    /// A target that answers without a report has no run of its own and counts as run zero.
+    pub fn known_run(&self) -> Option<Incarnation> {
+        let reported = self.report.map(|r| r.incarnation);
+        reported.or(self.answered.map(|_| Incarnation(0)))
+    }
+
     /// Determines the wait before the next probe, in probe intervals.
     ///
     /// A target that missed a probe or is loading weights is looked at most often. One without
--- a/crates/cumintrail-control/src/membership.rs
+++ b/crates/cumintrail-control/src/membership.rs
@@ -194,9 +194,9 @@
         new
     }
 
-    /// Tells whether a run of a target is leaving.
-    pub fn is_leaving(&self, address: SocketAddr, incarnation: Incarnation) -> bool {
-        self.leaving.contains(address, incarnation)
+    /// Tells whether a run of a target is leaving, or may be while the run is not known.
+    pub fn is_leaving(&self, address: SocketAddr, run: Option<Incarnation>) -> bool {
+        self.leaving.may_hold(address, run)
     }
 
     /// Forgets runs that have ended and peers that are gone.
--- a/crates/cumintrail-control/src/membership/leaving.rs
+++ b/crates/cumintrail-control/src/membership/leaving.rs
@@ -60,9 +60,16 @@
         self.listed.retain(|address| !gone(*address));
     }
 
-    /// Tells whether a run is leaving.
-    pub fn contains(&self, address: SocketAddr, incarnation: Incarnation) -> bool {
-        self.listed.contains(&address) || self.runs.contains_key(&(address, incarnation))
+    /// Tells whether the run at an address is leaving.
+    ///
+    /// While the run is not known, any marked one at the address may be it: a daemon can hear of
+    /// a mark before its own probes get through.
+    pub fn may_hold(&self, address: SocketAddr, run: Option<Incarnation>) -> bool {
+        let marked = match run {
+            Some(run) => self.runs.contains_key(&(address, run)),
+            None => self.runs.keys().any(|(at, _)| *at == address),
+        };
+        marked || self.listed.contains(&address)
     }
 
     /// Forgets runs that have ended long ago; a run that still answers is kept.
--- a/tests/tests/membership.rs
+++ b/tests/tests/membership.rs
@@ -226,6 +226,23 @@
     assert!(net.all(|t| !t.leaving, 0));
 }
 
+#[test]
+fn a_mark_counts_before_the_first_report_of_its_target() {
+    let mut net = Net::new(2, 1);
+    net.answer = Box::new(|_, _, _| Some(report(7, true, 0)));
+    net.run(A_FEW_SECONDS);
+    let told = net.digests.iter().map(|(_, digest)| digest).find(|d| !d.leaving.is_empty());
+    let marks = PeerDigest { targets: Vec::new(), ..told.expect("a mark travels").clone() };
+
+    // A daemon that hears of the mark while its own probes do not get through.
+    let mut late = Net::new(1, 1).daemons.remove(0);
+    late.handle(net.now, Event::PeerDigest(marks));
+    assert!(late.dump(net.now).targets[0].leaving, "a run that may be the marked one gets work");
+    let target = TargetKey::from_index(0);
+    late.handle(net.now, Event::TargetReported { target, report: report(8, false, 0) });
+    assert!(!late.dump(net.now).targets[0].leaving, "another run on the same address is barred");
+}
+
 #[test]
 fn a_target_is_silent_after_several_misses_and_not_when_one_prober_is_cut_off() {
     let mut net = Net::new(8, 4);
