Let a begun answer go on before calls that wait

Cause: a call whose engine is lost queues again at the end of its account's calls, and since accounts at their fair share are held back, a caller in the middle of an answer could wait until its deadline, which cuts the answer. Found by reading the hold-back.

Ruled out: a queue of its own for retries, which would let a failing account pass others beyond its share.

Change: a call that was sent before goes in front of its account's lane, and one whose caller has part of its answer is not held back.

Before: admission::a_begun_answer_goes_on_before_calls_that_wait failed, the call was not sent again within 1.9 s of virtual time.

--- a/crates/cumintrail-control/src/admission.rs
+++ b/crates/cumintrail-control/src/admission.rs
@@ -173,6 +173,18 @@
         self.waiting += 1;
     }
 
+    /// Lets a call wait again, before those of its account that were never sent.
+    pub fn enqueue_again(
+        &mut self,
+        kind: TargetKind,
+        account: AccountKey,
+        weight: u32,
+        call: CallKey,
+    ) {
+        self.queues.entry(kind).or_default().calls.push_again(account, weight, call);
+        self.waiting += 1;
+    }
+
     /// Lists the first waiting call of each account, in the order of fair shares.
     pub fn heads(&self, kind: TargetKind) -> impl Iterator<Item = (AccountKey, CallKey)> + '_ {
         self.queues.get(&kind).into_iter().flat_map(|queue| queue.calls.heads())
--- a/crates/cumintrail-control/src/admission/queue.rs
+++ b/crates/cumintrail-control/src/admission/queue.rs
@@ -26,14 +26,24 @@
 impl FairQueue {
     /// Appends a call to its account's lane.
     pub fn push(&mut self, account: AccountKey, weight: u32, call: CallKey) {
+        self.enter(account, weight).calls.push_back(call);
+    }
+
+    /// Puts a call that was served before in front of its account's lane.
+    pub fn push_again(&mut self, account: AccountKey, weight: u32, call: CallKey) {
+        self.enter(account, weight).calls.push_front(call);
+    }
+
+    /// Makes room for one more call in an account's lane.
+    fn enter(&mut self, account: AccountKey, weight: u32) -> &mut Lane {
         let lane = self.lanes.entry(account).or_default();
         lane.weight = weight.max(1);
         if lane.calls.is_empty() {
             lane.finish = lane.finish.max(self.clock) + VIRTUAL_SECOND / u64::from(lane.weight);
             self.order.insert((lane.finish, account));
         }
-        lane.calls.push_back(call);
         self.waiting += 1;
+        lane
     }
 
     /// Lists the first call of each account in the order in which accounts are served.
--- a/crates/cumintrail-control/src/control/arrivals.rs
+++ b/crates/cumintrail-control/src/control/arrivals.rs
@@ -103,13 +103,13 @@
         let longest_wait = longest_wait_at_share(&snapshot.preset);
         let mut held = 0;
         for (account, key) in self.admission.heads(kind) {
-            if held >= HELD_CALLS_PLACED && self.admission.has_fair_share(account) {
+            if held >= HELD_CALLS_PLACED && self.holds_back(account, key) {
                 continue;
             }
             match self.place(now, snapshot, key) {
                 Err(refusal) => return Some((account, key, Err(refusal))),
                 Ok(Some(placement))
-                    if placement.wait > longest_wait && self.holds_back(account) =>
+                    if placement.wait > longest_wait && self.holds_back(account, key) =>
                 {
                     held += 1;
                 }
@@ -120,9 +120,12 @@
         None
     }
 
-    /// Tells whether calls of an account wait here rather than at a busy target.
-    fn holds_back(&self, account: AccountKey) -> bool {
-        self.placer.holds_back() && self.admission.has_fair_share(account)
+    /// Tells whether a call waits here rather than at a busy target.
+    ///
+    /// One whose caller has part of its answer goes on at once.
+    fn holds_back(&self, account: AccountKey, key: CallKey) -> bool {
+        let begun = self.calls.get(&key).is_some_and(|call| call.pinned.is_some());
+        !begun && self.placer.holds_back() && self.admission.has_fair_share(account)
     }
 
     /// Places a waiting call; nothing if all usable targets are busy.
--- a/crates/cumintrail-control/src/control/attempts.rs
+++ b/crates/cumintrail-control/src/control/attempts.rs
@@ -96,7 +96,7 @@
         let account = call.arrival.account;
         let declared = self.snapshot.as_ref().and_then(|s| s.accounts.get(account));
         let weight = declared.map_or(1, |a| a.weight);
-        self.admission.enqueue(call.arrival.kind, account, weight, key);
+        self.admission.enqueue_again(call.arrival.kind, account, weight, key);
     }
 
     fn finish_call(
--- a/tests/tests/admission.rs
+++ b/tests/tests/admission.rs
@@ -6,7 +6,7 @@
 
 use cumintrail_config::{Document, Snapshot, TargetKind};
 use cumintrail_control::admission::{Admission, BY_NEED, FairQueue, share};
-use cumintrail_control::{Action, Arrival, Control, Event, Identity};
+use cumintrail_control::{Action, Arrival, AttemptOutcome, Control, Event, Identity};
 use cumintrail_types::{
     AccountKey, CallClass, CallKey, Digest, Generation, Incarnation, ModelKey, Moment, Ran,
     RefusalCode, ServiceKey, Tokens, WeightVersion,
@@ -286,6 +286,38 @@
     assert!(actions.iter().any(plain), "{actions:?}");
 }
 
+/// A call whose engine was lost used to queue behind all calls of its account, held back as they are.
+#[test]
+fn a_begun_answer_goes_on_before_calls_that_wait() {
+    let large = Digest::of(b"large");
+    let engine = "model = m\nfailure_domain = d\nslots = 8\nprefill_tokens_per_second = 6000";
+    let mut control = control_of(&format!(
+        "[deployment]\nfirst_preset = p\n[preset p]\n[model m]\n\
+         [account large]\nkey_digests = {large}\nconcurrency = 100\nrequests_per_second = 100\n\
+         tokens_per_second = 10000000\n\
+         [target e]\naddress = 10.0.0.1:80\n{engine}\n[target f]\naddress = 10.0.0.2:80\n{engine}\n"
+    ));
+    let mut sent = Vec::new();
+    for call in 0..20 {
+        let call = arrival(call, TargetKind::Engine(ModelKey(0)), CallClass::Model);
+        let event = Event::Arrived(Arrival { prompt: Tokens(6_000), ..call });
+        for action in control.handle(Moment(1), event) {
+            sent.extend(if let Action::Dispatch(d) = action { Some(d) } else { None });
+        }
+    }
+    assert!((2..19).contains(&sent.len()), "some calls wait");
+    let (call, attempt) = (sent[0].call, sent[0].attempt);
+    control.handle(Moment::from_millis(100), Event::FirstToken { call });
+    let outcome = AttemptOutcome::Failed { answered: Tokens(1) };
+    control.handle(Moment::from_millis(110), Event::AttemptEnded { call, attempt, outcome });
+
+    let goes_on = (120..2_000).step_by(20).any(|ms| {
+        let actions = control.handle(Moment::from_millis(ms), Event::Tick);
+        actions.iter().any(|action| matches!(action, Action::Dispatch(d) if d.call == call))
+    });
+    assert!(goes_on, "a caller waits in the middle of its answer behind calls not begun");
+}
+
 /// All calls of a large account used to be sent at once, so that others waited behind them.
 #[test]
 fn an_account_at_its_share_does_not_queue_for_long_at_engines() {
