--- a/tests/tests/process_blocks.rs
+++ b/tests/tests/process_blocks.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use actix_http::Method;
-use cumintrail_tests::cluster::{CALLER_KEY, Plan};
-use cumintrail_tests::deployment::{ANSWER_LIMIT, Deployment, Reply};
+use cumintrail_tests::cluster::{CALLER_KEY, Plan, eventually};
+use cumintrail_tests::deployment::{ANSWER_LIMIT, Deployment, Reply, ask};
 use cumintrail_tests::http::send;
 use cumintrail_tests::standins::engine::{Limits, POISON, answer_of};
 use cumintrail_tests::standins::relay::Mode;
@@ -97,20 +97,25 @@
     assert_eq!(reply.usage.unwrap().imported_tokens, 0);
 }
 
+/// Starts a call and returns once the store has begun to send a block for it.
+async fn ask_until_transfer(deployment: &Deployment) -> actix_rt::task::JoinHandle<Reply> {
+    let before = deployment.stores[0].sent_bytes();
+    let at = deployment.vms[0].callers.address();
+    let asked =
+        actix_rt::spawn(async move { ask(at, CALLER_KEY, &catalogue(), TOKENS, true).await });
+    let store = deployment.stores[0].clone();
+    let started = || store.sent_bytes() > before;
+    assert!(eventually(ANSWER_LIMIT, started).await);
+    asked
+}
+
 #[actix_rt::test]
 async fn a_store_that_dies_or_is_lost_mid_transfer_costs_no_answer() {
     for mode in [None, Some(Mode::Cut), Some(Mode::SilenceOpen), Some(Mode::SilenceAll)] {
         let mut deployment = kept().await;
         // A block takes longer than any policy waits for it, so the fault meets an open transfer.
         deployment.stores[0].set_fault(Fault { slow_factor: 1_000_000, ..Fault::default() });
-        let before = deployment.stores[0].sent_bytes();
-        let at = deployment.vms[0].callers.address();
-        let asked = actix_rt::spawn(async move {
-            cumintrail_tests::deployment::ask(at, CALLER_KEY, &catalogue(), TOKENS, true).await
-        });
-        let store = deployment.stores[0].clone();
-        let started = || store.sent_bytes() > before;
-        assert!(cumintrail_tests::cluster::eventually(ANSWER_LIMIT, started).await);
+        let asked = ask_until_transfer(&deployment).await;
         match mode {
             Some(mode) => deployment.store_links[0].set(mode),
             None => deployment.replace_store(0).await.unwrap(),
@@ -128,14 +133,7 @@
 async fn a_daemon_killed_mid_import_leaves_nothing_that_a_later_answer_uses_wrongly() {
     let mut deployment = kept().await;
     deployment.stores[0].set_fault(Fault { slow_factor: 1_000, ..Fault::default() });
-    let before = deployment.stores[0].sent_bytes();
-    let at = deployment.vms[0].callers.address();
-    let asked = actix_rt::spawn(async move {
-        cumintrail_tests::deployment::ask(at, CALLER_KEY, &catalogue(), TOKENS, true).await
-    });
-    let store = deployment.stores[0].clone();
-    let started = || store.sent_bytes() > before;
-    assert!(cumintrail_tests::cluster::eventually(ANSWER_LIMIT, started).await);
+    let asked = ask_until_transfer(&deployment).await;
     deployment.vms[0].process.kill();
     assert!(!asked.await.unwrap().whole);
     deployment.stores[0].set_fault(Fault::default());
