Scale the unseen wait of a target with its slots

The wait that the hold-back compares has 0.2 s for each call of a target, whatever its slots: 50 calls at an engine of 64 slots counted as 10 s.

Ruled out: leaving the term out of the comparison, which changes the measured flood; a longer allowed wait, which does so too.

Change: the term is 1.6 s times the used part of the slots, the same as before at the 8 slots of the experiment.

Before: admission::calls_that_an_engine_has_slots_for_are_not_held_back sent 11 of 50.

--- a/crates/cumintrail-control/src/placement.rs
+++ b/crates/cumintrail-control/src/placement.rs
@@ -16,10 +16,10 @@
 const FETCH_MARGIN: Duration = Duration::from_millis(50);
 /// A fetch is given up when it takes this many times what computing its pieces would have taken.
 const FETCH_PATIENCE: f64 = 2.0;
-/// Seconds of wait expected for each call of a target, beyond what its last report shows.
+/// Seconds of wait expected at a target with a call in each slot, beyond what its last report shows.
 ///
 /// Reports lag, so a target with more calls is likelier to be busier than it seems.
-const UNSEEN_WAIT_PER_CALL: f64 = 0.2;
+const UNSEEN_WAIT_WHEN_FULL: f64 = 1.6;
 
 /// Holds what a choice of target looks at.
 #[derive(Debug)]
@@ -63,7 +63,8 @@
     /// Returns the seconds until it begins with the prompt.
     pub fn wait(&self) -> f64 {
         let backlog = f64::from(self.backlog.0) / f64::from(self.target.prefill_per_second);
-        let unseen = f64::from(self.calls) * UNSEEN_WAIT_PER_CALL;
+        let used = f64::from(self.calls) / f64::from(self.target.slots.max(1));
+        let unseen = used * UNSEEN_WAIT_WHEN_FULL;
         backlog.max(self.slot_wait.as_secs_f64()) + unseen
     }
 }
--- a/tests/tests/admission.rs
+++ b/tests/tests/admission.rs
@@ -286,6 +286,25 @@
     assert!(actions.iter().any(plain), "{actions:?}");
 }
 
+/// The load tool at 800 calls a second found half of them refused while engines had free slots.
+#[test]
+fn calls_that_an_engine_has_slots_for_are_not_held_back() {
+    let digest = Digest::of(b"large");
+    let mut control = control_of(&format!(
+        "[deployment]\nfirst_preset = p\n[preset p]\n[model m]\n\
+         [account large]\nkey_digests = {digest}\nconcurrency = 100\nrequests_per_second = 100\n\
+         [target e]\nmodel = m\naddress = 10.0.0.1:80\nfailure_domain = d\nslots = 64\n\
+         prefill_tokens_per_second = 6000\n"
+    ));
+    let sent = (0..50).filter(|call| {
+        let call = arrival(*call, TargetKind::Engine(ModelKey(0)), CallClass::Model);
+        let event = Event::Arrived(Arrival { prompt: Tokens(10), ..call });
+        let actions = control.handle(Moment(1), event);
+        actions.iter().any(|action| matches!(action, Action::Dispatch(_)))
+    });
+    assert_eq!(sent.count(), 50);
+}
+
 /// A call whose engine was lost used to queue behind all calls of its account, held back as they are.
 #[test]
 fn a_begun_answer_goes_on_before_calls_that_wait() {
