--- a/crates/cumintrail-client/src/engine.rs
+++ b/crates/cumintrail-client/src/engine.rs
@@ -4,6 +4,8 @@
 use std::time::Duration;
 
 use actix_http::Method;
+use cumintrail_control::TargetReport;
+use cumintrail_types::{FencingNumber, WeightVersion};
 use cumintrail_wire::engine::{
     CALL_HEADER, CacheEvents, ExportOrder, ExportReport, Generate, ImportOrder, ImportReport,
     LoadOrder, Probe, Report,
@@ -171,3 +173,30 @@
         actix_rt::time::timeout(within, exchange).await.unwrap_or(Err(ClientError::Silent))
     }
 }
+
+/// Asks a target to load a weight version.
+#[derive(Debug, Clone, Copy)]
+pub struct LoadRequest<'a> {
+    /// Where it is reached.
+    pub at: SocketAddr,
+    /// The name that it must answer to.
+    pub instance: &'a str,
+    /// The model, as the target names it.
+    pub model: &'a str,
+    /// The version.
+    pub version: WeightVersion,
+    /// The number of the lease under which the request is sent.
+    pub fencing: FencingNumber,
+}
+
+/// Gives orders to targets that a registry lists.
+pub trait TargetOrders {
+    /// Orders a weight version to be loaded; each message leaves only while `may_send` allows it.
+    async fn load(
+        &self,
+        request: &LoadRequest<'_>,
+        may_send: impl Fn() -> bool,
+    ) -> Result<(), ClientError>;
+    /// Reads what a target tells of itself and of one model.
+    async fn report(&self, at: SocketAddr, model: &str) -> Result<TargetReport, ClientError>;
+}
--- a/crates/cumintrail-client/src/lib.rs
+++ b/crates/cumintrail-client/src/lib.rs
@@ -7,11 +7,14 @@
 
 mod answer;
 pub mod config_log;
+mod connection;
 mod engine;
 mod error;
+mod feed;
 mod http;
 mod peer;
 mod platform;
+mod pool;
 pub mod retention;
 mod service;
 mod single;
@@ -19,10 +22,13 @@
 mod traffic;
 
 pub use answer::{AnswerEvent, AnswerStream};
-pub use engine::{Engine, HttpEngine};
+pub use connection::Connection;
+pub use engine::{Engine, HttpEngine, LoadRequest, TargetOrders};
 pub use error::ClientError;
+pub use feed::{Feed, FeedError, FeedPage, FeedRow, FeedTable};
 pub use http::HttpClient;
 pub use peer::{HttpPeer, Peer};
 pub use platform::{HttpPlatform, Objects, Table, VmList};
-pub use service::{HttpService, Service, ServiceAnswer, ServiceCall};
+pub use pool::{Care, Pool};
+pub use service::{HttpService, Service, ServiceAnswer, ServiceCall, is_end_to_end};
 pub use store::{HttpStore, Store};
--- a/crates/cumintrail-client/src/service.rs
+++ b/crates/cumintrail-client/src/service.rs
@@ -98,6 +98,7 @@
     }
 }
 
-fn is_end_to_end(name: &HeaderName) -> bool {
+/// Tells whether a header concerns both ends, not just one connection.
+pub fn is_end_to_end(name: &HeaderName) -> bool {
     !HOP_HEADERS.contains(&name.as_str())
 }
--- a/crates/cumintrail-config/src/declarations.rs
+++ b/crates/cumintrail-config/src/declarations.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use cumintrail_types::{
-    AccountKey, Bytes, Digest, DomainKey, ModelKey, ServiceKey, Tokens, WeightVersion,
+    AccountKey, Bytes, Digest, DomainKey, ModelKey, ServiceKey, Tokens, Urgency, WeightVersion,
 };
 
 /// Holds what is declared once for the whole deployment.
@@ -24,6 +24,21 @@
     pub record_life: Duration,
     /// The longest time a call may take when it names no deadline.
     pub default_deadline: Duration,
+    /// What a caller of relayed calls may send, and how long it may take.
+    pub callers: CallerLimits,
+}
+
+/// Limits what a caller of relayed calls may send, and how long it may take or stay idle.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CallerLimits {
+    /// The longest head of a request, in bytes.
+    pub head_bytes: usize,
+    /// The longest body of a request, in bytes.
+    pub body_bytes: usize,
+    /// The time from the first byte of a request to the end of its head.
+    pub head_timeout: Duration,
+    /// The time that a connection may wait for its next request.
+    pub idle_timeout: Duration,
 }
 
 /// Declares a client account.
@@ -41,6 +56,10 @@
     pub requests_per_second: u32,
     /// Its prompt and answer tokens a second in the whole deployment.
     pub tokens_per_second: u32,
+    /// Its rank among accounts, which goes before that of a route.
+    pub urgency: Option<Urgency>,
+    /// Whether its prompt state is shared with no other account.
+    pub isolated: bool,
     /// Whether the account was removed; its key stays valid.
     pub retired: bool,
 }
@@ -80,12 +99,18 @@
 pub struct Model {
     /// Its name, as callers give it.
     pub name: Arc<str>,
+    /// The name of its weights where engines and operators use another one.
+    pub weights: Arc<str>,
     /// The weight version that new calls use.
     pub version: WeightVersion,
     /// The size of kept state per token.
     pub state_per_token: Bytes,
     /// The longest expected time between two tokens of an answer.
     pub token_gap: Duration,
+    /// The prompt and answer tokens that one engine has memory for.
+    pub memory: Tokens,
+    /// Connections that one engine takes from all callers.
+    pub connections: u32,
 }
 
 /// Declares a plain service.
@@ -97,6 +122,8 @@
     pub repeatable: Vec<Arc<str>>,
     /// The longest time a call may take.
     pub timeout: Duration,
+    /// Connections that one replica takes from all callers.
+    pub connections: u32,
 }
 
 /// Tells what a target serves.
@@ -111,8 +138,10 @@
 /// Declares a target and its traits.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Target {
-    /// Its name.
+    /// Its name, which tells runs of a replaced process apart where a registry names them.
     pub name: Arc<str>,
+    /// The name that the target itself answers to.
+    pub instance: Arc<str>,
     /// What it serves.
     pub kind: TargetKind,
     /// Where it is reached.
@@ -127,6 +156,10 @@
     pub link_per_second: Bytes,
     /// Whether it refuses orders with an old fencing number.
     pub checks_fencing: bool,
+    /// Whether it gets no new work, since a registry has it as leaving.
+    pub leaving: bool,
+    /// The weight version that a registry has for it.
+    pub version: Option<WeightVersion>,
     /// Whether the target was removed from the declarations; its key stays valid.
     pub retired: bool,
 }
--- a/crates/cumintrail-config/src/snapshot.rs
+++ b/crates/cumintrail-config/src/snapshot.rs
@@ -7,17 +7,17 @@
 
 use cumintrail_types::{
     AccountKey, Arena, Digest, DomainKey, Generation, Key, ModelKey, ServiceKey, StoreKey,
-    TargetKey,
+    TargetKey, WeightVersion,
 };
 
 use crate::reader::nearest;
 use crate::{
-    Account, Deployment, Material, Model, Preset, Problem, Problems, Section, SectionReader,
-    SectionReference, Service, Store, Target,
+    Account, Deployment, Material, Model, Preset, Problem, Problems, Routes, Section,
+    SectionReader, SectionReference, Service, Store, Target, TargetKind,
 };
 
-const KINDS: [&str; 8] =
-    ["deployment", "account", "material", "preset", "model", "service", "target", "store"];
+const KINDS: [&str; 9] =
+    ["deployment", "account", "material", "preset", "model", "service", "target", "store", "route"];
 
 /// Holds one configuration.
 ///
@@ -47,6 +47,12 @@
     pub targets: Arena<TargetKey, Target>,
     /// Stores.
     pub stores: Arena<StoreKey, Store>,
+    /// Routes of relayed calls.
+    pub routes: Arc<Routes>,
+    /// Counts changes of targets and weight versions within a generation.
+    pub revision: u64,
+    /// Changes when the set of isolated client accounts does.
+    pub isolation: u64,
     by_key_digest: HashMap<Digest, AccountKey>,
 }
 
@@ -73,6 +79,8 @@
         let targets = next.targets(previous, &mut domains, &models, &services);
         let stores = next.stores(previous, &mut domains);
         let presets = next.presets();
+        let isolation = isolation_of(&accounts);
+        let routes = Arc::new(next.routes(&models, &services));
 
         let wanted = preset.unwrap_or(&deployment.first_preset);
         let in_force = presets.iter().find(|p| &*p.name == wanted).cloned();
@@ -93,10 +101,50 @@
             services,
             targets,
             stores,
+            routes,
+            revision: 0,
+            isolation,
             by_key_digest,
         })
     }
 
+    /// Returns the same declarations with other targets, as a registry has them.
+    ///
+    /// Targets that are no longer named are retired; their keys stay valid.
+    #[must_use]
+    pub fn with_targets(&self, revision: u64, targets: Vec<Target>) -> Self {
+        let retire = |t: &mut Target| t.retired = true;
+        let targets = merge(Some(&self.targets), targets, |t| &t.name, retire);
+        Self { targets, revision, ..self.clone() }
+    }
+
+    /// Returns the key of a failure domain, which is new if nothing was declared in it.
+    pub fn domain_or_new(&mut self, name: &Arc<str>) -> DomainKey {
+        let known = self.domain(name);
+        known.unwrap_or_else(|| self.domains.push(name.clone()))
+    }
+
+    /// Returns the same declarations with the weight version of a model.
+    #[must_use]
+    pub fn with_version(&self, revision: u64, model: ModelKey, version: WeightVersion) -> Self {
+        let mut next = Self { revision, ..self.clone() };
+        if let Some(model) = next.models.get_mut(model) {
+            model.version = version;
+        }
+        next
+    }
+
+    /// Returns where the snapshot stands in the order in which snapshots follow each other.
+    pub const fn position(&self) -> (Generation, u64) {
+        (self.generation, self.revision)
+    }
+
+    /// Finds what a route's name for a model or plain service stands for.
+    pub fn kind(&self, name: &str) -> Option<TargetKind> {
+        let model = self.model(name).map(TargetKind::Engine);
+        model.or_else(|| self.service(name).map(TargetKind::Service))
+    }
+
     /// Lists the keys of each kind of section, as the readers ask for them.
     pub fn reference() -> Vec<SectionReference> {
         read::reference()
@@ -198,11 +246,28 @@
         merge(previous.map(|p| &p.stores), read, |s| &s.name, |s| s.retired = true)
     }
 
+    fn routes(
+        &mut self,
+        models: &Arena<ModelKey, Model>,
+        services: &Arena<ServiceKey, Service>,
+    ) -> Routes {
+        Routes::new(self.each("route", |name, r| read::route(name, r, models, services)))
+    }
+
     fn presets(&mut self) -> Vec<Preset> {
         self.each("preset", read::preset)
     }
 }
 
+/// Condenses the names of the isolated accounts.
+fn isolation_of(accounts: &Arena<AccountKey, Account>) -> u64 {
+    let isolated = accounts.iter().filter(|(_, a)| a.isolated && !a.retired);
+    let mut names: Vec<&str> = isolated.map(|(_, a)| &*a.name).collect();
+    names.sort_unstable();
+    let digest = Digest::of(names.join("\n").as_bytes());
+    digest.0.iter().take(8).fold(0, |number, byte| number << 8 | u64::from(*byte))
+}
+
 /// Keeps the keys of equal names, appends new ones and retires what is gone.
 fn merge<K: Key, V: Clone>(
     previous: Option<&Arena<K, V>>,
--- a/crates/cumintrail-config/src/snapshot/read.rs
+++ b/crates/cumintrail-config/src/snapshot/read.rs
@@ -4,13 +4,15 @@
 use std::sync::Arc;
 
 use cumintrail_types::{
-    AccountKey, Arena, Bytes, Digest, DomainKey, Key, ModelKey, ServiceKey, Tokens, WeightVersion,
+    AccountKey, Arena, Bytes, CallClass, Digest, DomainKey, Key, ModelKey, ServiceKey, Tokens,
+    Urgency, WeightVersion,
 };
+use smallvec::SmallVec;
 
 use crate::reader::nearest;
 use crate::{
-    Account, Deployment, Material, Model, Preset, Problems, Section, SectionReader,
-    SectionReference, Service, Store, Target, TargetKind,
+    Account, CallerLimits, Deployment, Material, Model, Preset, Problems, Route, Section,
+    SectionReader, SectionReference, Service, Split, Store, Target, TargetKind,
 };
 
 const NOWHERE: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::UNSPECIFIED), 0);
@@ -26,15 +28,24 @@
         load_slots: r.within("load_slots", 2, 1..=64) as u8,
         record_life: r.millis("record_life_ms", 86_400_000, 1_000..=2_592_000_000),
         default_deadline: r.millis("default_deadline_ms", 120_000, 100..=3_600_000),
+        callers: CallerLimits {
+            head_bytes: r.within("caller_head_bytes", 16_384, 256..=131_072) as usize,
+            body_bytes: r.within("caller_body_bytes", 4 << 20, 1_024..=256 << 20) as usize,
+            head_timeout: r.millis("caller_head_timeout_ms", 5_000, 100..=120_000),
+            idle_timeout: r.millis("caller_idle_timeout_ms", 30_000, 100..=3_600_000),
+        },
     }
 }
 
 pub(super) fn model(name: &Arc<str>, r: &mut SectionReader<'_>) -> Model {
     Model {
         name: name.clone(),
+        weights: r.text("weights").unwrap_or_else(|| name.clone()),
         version: WeightVersion(r.within("version", 1, 1..=u64::MAX)),
         state_per_token: Bytes(r.within("state_bytes_per_token", 131_072, 1..=1 << 30)),
         token_gap: r.millis("token_gap_ms", 2_000, 10..=60_000),
+        memory: Tokens(r.within("memory_tokens", 1_000_000, 1..=u64::from(u32::MAX)) as u32),
+        connections: r.within("connections", 1_024, 1..=1_000_000) as u32,
     }
 }
 
@@ -46,6 +57,7 @@
             methods => methods,
         },
         timeout: r.millis("timeout_ms", 5_000, 10..=600_000),
+        connections: r.within("connections", 1_024, 1..=1_000_000) as u32,
     }
 }
 
@@ -58,6 +70,8 @@
         concurrency: r.within("concurrency", 16, 1..=100_000) as u32,
         requests_per_second: r.within("requests_per_second", 1_000, 1..=1_000_000) as u32,
         tokens_per_second: r.within("tokens_per_second", 1_000_000, tokens) as u32,
+        urgency: r.optional::<u8>("urgency").map(Urgency),
+        isolated: r.choice("isolated", &[("no", false), ("yes", true)]),
         retired: false,
     }
 }
@@ -85,6 +99,7 @@
 ) -> Target {
     Target {
         name: name.clone(),
+        instance: name.clone(),
         kind: read_kind(r, models, services),
         address: r.required("address", NOWHERE),
         domain: read_domain(r, domains),
@@ -92,6 +107,8 @@
         prefill_per_second: r.within("prefill_tokens_per_second", 8_000, 1..=10_000_000) as u32,
         link_per_second: Bytes(r.within("link_bytes_per_second", 1_000 * MIB, 1..=u64::MAX)),
         checks_fencing: r.choice("checks_fencing", &[("no", false), ("yes", true)]),
+        leaving: false,
+        version: None,
         retired: false,
     }
 }
@@ -119,6 +136,71 @@
     }
 }
 
+pub(super) fn route(
+    name: &Arc<str>,
+    r: &mut SectionReader<'_>,
+    models: &Arena<ModelKey, Model>,
+    services: &Arena<ServiceKey, Service>,
+) -> Route {
+    let classes = [
+        ("once", CallClass::Once),
+        ("repeatable", CallClass::Repeatable),
+        ("stream", CallClass::Stream),
+        ("resumable-stream", CallClass::ResumableStream),
+    ];
+    let host: String = r.required("host", String::new());
+    let prefix: String = r.required("prefix", String::new());
+    if !prefix.starts_with('/') || !prefix.ends_with('/') {
+        let hint = "begin and end the prefix with a slash";
+        r.reject("prefix", format!("`{prefix}` is no prefix of paths"), hint);
+    }
+    Route {
+        name: name.clone(),
+        host: host.to_ascii_lowercase().into(),
+        prefix: prefix.into(),
+        class: r.choice("class", &classes),
+        timeout: r.millis("timeout_ms", 5_000, 1..=3_600_000),
+        objective: r.millis("objective_ms", 1_000, 1..=3_600_000),
+        event_gap: r.millis("event_gap_ms", 1_000, 1..=3_600_000),
+        urgency: Urgency(r.within("urgency", 5, 0..=255) as u8),
+        attempts: r.within("attempts", 1, 1..=255) as u8,
+        public: r.choice("public", &[("no", false), ("yes", true)]),
+        split: read_split(r, models, services),
+    }
+}
+
+/// Reads `NAME:WEIGHT, …`, where each name is that of a model or a plain service.
+fn read_split(
+    r: &mut SectionReader<'_>,
+    models: &Arena<ModelKey, Model>,
+    services: &Arena<ServiceKey, Service>,
+) -> SmallVec<[Split; 2]> {
+    let find = |name: &str| {
+        let model = models.iter().find(|(_, m)| &*m.name == name);
+        let service = || services.iter().find(|(_, s)| &*s.name == name);
+        let model = model.map(|(key, _)| TargetKind::Engine(key));
+        model.or_else(|| service().map(|(key, _)| TargetKind::Service(key)))
+    };
+    let mut split = SmallVec::new();
+    for part in r.list("to") {
+        let (name, weight) = part.rsplit_once(':').unwrap_or((&part, "1"));
+        match (find(name.trim()), weight.trim().parse()) {
+            (Some(kind), Ok(weight)) => split.push(Split { kind, weight }),
+            (None, _) => {
+                let hint = "declare a model or service of that name";
+                r.reject("to", format!("`{name}` names nothing that is declared"), hint);
+            }
+            (_, Err(_)) => {
+                r.reject("to", format!("`{weight}` is no weight"), "write NAME:WEIGHT, …");
+            }
+        }
+    }
+    if split.is_empty() {
+        r.reject("to", "the route leads nowhere".into(), "add `to = NAME` of a model or service");
+    }
+    split
+}
+
 /// Lets each reader read an empty section and collects what it asked for.
 pub(super) fn reference() -> Vec<SectionReference> {
     let name: Arc<str> = "NAME".into();
@@ -133,6 +215,7 @@
         keys_of("service", |r| drop(service(&name, r))),
         keys_of("target", |r| drop(target(&name, r, &mut domains, &models, &services))),
         keys_of("store", |r| drop(store(&name, r, &mut domains))),
+        keys_of("route", |r| drop(route(&name, r, &models, &services))),
     ]
 }
 
--- a/crates/cumintrail-control/src/calls.rs
+++ b/crates/cumintrail-control/src/calls.rs
@@ -33,6 +33,8 @@
     /// Prompt tokens that its current attempt is expected to compute.
     pub expected_prefill: Tokens,
     attempts: u8,
+    /// Attempts that may have run.
+    runs: u8,
     phase: Phase,
     target: Option<TargetKey>,
     version: WeightVersion,
@@ -51,6 +53,7 @@
             first_token: None,
             expected_prefill: Tokens(0),
             attempts: 0,
+            runs: 0,
             phase: Phase::Queued,
             target: None,
             version: WeightVersion(0),
@@ -79,6 +82,11 @@
         self.attempts
     }
 
+    /// Returns the number of attempts that ended and may have run.
+    pub const fn runs(&self) -> u8 {
+        self.runs
+    }
+
     /// Returns the current attempt.
     pub const fn attempt(&self) -> AttemptNumber {
         AttemptNumber(self.attempts)
@@ -137,6 +145,7 @@
     /// Notes an attempt that broke after bytes were sent.
     pub fn attempt_failed(&mut self) {
         self.failed_at.extend(self.target.take());
+        self.runs = self.runs.saturating_add(1);
         self.may_have_run = true;
         if self.phase == Phase::Sending {
             self.phase = Phase::Queued;
--- a/crates/cumintrail-control/src/control.rs
+++ b/crates/cumintrail-control/src/control.rs
@@ -18,7 +18,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cumintrail_config::Snapshot;
+use cumintrail_config::{Snapshot, TargetKind};
 use cumintrail_types::{
     Arena, CallKey, Digest, Generation, Incarnation, Moment, Sealed, StoreKey, TargetKey, Tier,
     WeightVersion,
@@ -34,7 +34,7 @@
 use crate::links::Links;
 use crate::membership::Membership;
 use crate::placement::{CheapestPlacer, Placer};
-use crate::retry::RetryBudget;
+use crate::retry::{RetryBudget, RetryPolicy};
 use crate::rollout::Rollout;
 use crate::{Actions, Call, Event};
 
@@ -75,7 +75,9 @@
     next_warming: Moment,
     /// Material that was loaded ahead, with the run and version that read it.
     warmed: HashMap<(TargetKey, Digest), (Incarnation, WeightVersion)>,
-    retries: RetryBudget,
+    retry_policy: RetryPolicy,
+    /// Retries of calls by what they need.
+    retries: HashMap<TargetKind, RetryBudget>,
     /// Calls that wait out a backoff, with its end.
     backing_off: Vec<(Moment, CallKey)>,
     reads: Option<Reads>,
@@ -88,6 +90,8 @@
     fresh_kept: Vec<(SocketAddr, Sealed, Tier)>,
     /// How long answers take after their first token, smoothed.
     answer_time: Duration,
+    /// Whether a registry tells of targets, so that they are probed only while they load.
+    has_registry: bool,
     stopping: bool,
 }
 
@@ -119,7 +123,8 @@
             next_rollout: Moment::default(),
             next_warming: Moment::default(),
             warmed: HashMap::new(),
-            retries: RetryBudget::default(),
+            retry_policy: RetryPolicy::default(),
+            retries: HashMap::new(),
             backing_off: Vec::new(),
             reads: None,
             next_digest: Moment::default(),
@@ -128,10 +133,22 @@
             target_at: HashMap::new(),
             fresh_kept: Vec::new(),
             answer_time: Duration::ZERO,
+            has_registry: false,
             stopping: false,
         }
     }
 
+    /// Takes targets as a registry has them, in place of probing them.
+    pub const fn follow_registry(&mut self) {
+        self.has_registry = true;
+    }
+
+    /// Changes how many retries may be added to calls.
+    pub fn set_retry_policy(&mut self, policy: RetryPolicy) {
+        self.retry_policy = policy;
+        self.retries.clear();
+    }
+
     /// Takes one event and returns what it orders.
     pub fn handle(&mut self, now: Moment, event: Event) -> Actions {
         let mut actions = Actions::new();
@@ -171,8 +188,8 @@
                     self.follow_rollout(now, request, &mut actions);
                 }
             }
-            Event::LeaseWritten { asked, committed } => {
-                self.rollout.lease_written(now, asked, committed);
+            Event::LeaseWritten { asked, committed, version } => {
+                self.rollout.lease_written(now, asked, committed, version);
             }
             Event::LeaseFailed => self.rollout.lease_failed(now),
             Event::OrderEnded { target, outcome } => {
--- a/crates/cumintrail-control/src/control/arrivals.rs
+++ b/crates/cumintrail-control/src/control/arrivals.rs
@@ -13,6 +13,7 @@
 use crate::admission;
 use crate::membership::Liveness;
 use crate::placement::{Candidate, Context, Placement, Placer, Request};
+use crate::retry::RetryBudget;
 use crate::{Action, Actions, Arrival, Call, Dispatch, retry};
 
 const RETRY_AFTER: Duration = Duration::from_secs(1);
@@ -32,17 +33,23 @@
 
 impl<P: Placer> Control<P> {
     pub(super) fn take_arrival(&mut self, now: Moment, arrival: Arrival, actions: &mut Actions) {
-        let call = arrival.call;
+        let (call, kind) = (arrival.call, arrival.kind);
         match self.admit(now, &arrival) {
             Ok(weight) => {
-                self.admission.enqueue(arrival.kind, arrival.account, weight, call);
+                self.admission.enqueue(kind, arrival.account, weight, call);
                 self.calls.insert(call, Call::new(arrival, now));
-                self.retries.deposit();
+                self.retries_of(kind).deposit();
             }
             Err(refusal) => actions.push(Action::Refuse { call, refusal }),
         }
     }
 
+    /// Returns the retries that calls of one kind may have.
+    pub(super) fn retries_of(&mut self, kind: TargetKind) -> &mut RetryBudget {
+        let policy = self.retry_policy;
+        self.retries.entry(kind).or_insert_with(|| RetryBudget::full(policy))
+    }
+
     fn admit(&mut self, now: Moment, arrival: &Arrival) -> Result<u32, Refusal> {
         let Some(snapshot) = &self.snapshot else {
             return Err(Refusal::not_run(RefusalCode::NotConfigured).retry_after(RETRY_AFTER));
@@ -144,6 +151,7 @@
             return Err(retry::give_up(call, RefusalCode::NoTarget));
         }
         let usable = prefer_untried(call, usable);
+        let usable = self.prefer_accepting(now, usable);
         let candidates: SmallVec<[Candidate<'_>; 32]> = usable
             .into_iter()
             .filter_map(|key| self.candidate(now, snapshot, arrival, key))
@@ -169,6 +177,13 @@
         Ok(self.placer.place(&cx, &Request { call, pieces, prompt }, &candidates))
     }
 
+    /// Leaves out targets that just refused a call, as long as there are others.
+    fn prefer_accepting(&self, now: Moment, usable: Vec<TargetKey>) -> Vec<TargetKey> {
+        let accepts = |key: &TargetKey| self.targets.get(*key).is_some_and(|s| s.avoided <= now);
+        let accepting: Vec<TargetKey> = usable.iter().copied().filter(accepts).collect();
+        if accepting.is_empty() { usable } else { accepting }
+    }
+
     /// Lists targets that may get this call, busy ones included.
     fn usable_targets<'a>(
         &'a self,
@@ -177,13 +192,15 @@
         call: &'a Call,
     ) -> impl Iterator<Item = TargetKey> + 'a {
         let declared = snapshot.targets.iter();
-        let matching = declared.filter(|(_, t)| t.kind == call.arrival.kind && !t.retired);
+        let usable = |t: &Target| t.kind == call.arrival.kind && !t.retired && !t.leaving;
+        let matching = declared.filter(move |(_, t)| usable(t));
         matching.map(|(key, _)| key).filter(move |key| {
             let Some(state) = self.targets.get(*key) else {
                 return false;
             };
             state.liveness != Liveness::Silent
                 && state.breaker.allows(now)
+                && !state.gone
                 && !self.is_leaving(*key)
                 && call.pinned.is_none_or(|version| self.version_of(*key, version) == version)
         })
@@ -231,8 +248,8 @@
 
     /// Returns the version that a target last reported, or `fallback` before its first report.
     pub(super) fn version_of(&self, key: TargetKey, fallback: WeightVersion) -> WeightVersion {
-        let report = self.targets.get(key).and_then(|t| t.report);
-        report.map(|r| r.version).filter(|v| v.0 > 0).unwrap_or(fallback)
+        let state = self.targets.get(key);
+        state.and_then(TargetState::version).unwrap_or(fallback)
     }
 
     pub(super) fn is_leaving(&self, key: TargetKey) -> bool {
--- a/crates/cumintrail-control/src/control/attempts.rs
+++ b/crates/cumintrail-control/src/control/attempts.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use cumintrail_config::TargetKind;
 use cumintrail_types::{AttemptNumber, CallClass, CallKey, Moment, Ran, RefusalCode, TargetKey};
 
 use super::Control;
@@ -11,6 +12,8 @@
 
 /// A target that did not answer for so long before a deadline counts as failing.
 const SILENCE_LIMIT: Duration = Duration::from_secs(2);
+/// How long other targets are preferred to one that refused a call: about a step of its queue.
+const REFUSAL_PAUSE: Duration = Duration::from_millis(100);
 
 impl<P: Placer> Control<P> {
     pub(super) fn take_first_token(&mut self, now: Moment, key: CallKey) {
@@ -52,7 +55,8 @@
             }
         }
         let due = now + retry::backoff(call.attempts(), &mut self.rng);
-        if retry::may_retry(call, outcome, due) && self.withdraw_retry(target) {
+        let (kind, may) = (call.arrival.kind, retry::may_retry(call, outcome, due));
+        if may && self.withdraw_retry(kind, target, outcome) {
             self.backing_off.push((due, key));
             return;
         }
@@ -69,11 +73,20 @@
     }
 
     /// Takes a retry from the daemon's budget and from that of the target that failed.
-    fn withdraw_retry(&mut self, target: TargetKey) -> bool {
-        let Some(state) = self.targets.get_mut(target) else {
-            return false;
-        };
-        state.retries.has_one() && self.retries.withdraw() && state.retries.withdraw()
+    ///
+    /// An attempt that never left loaded nobody, so its successor is no retry.
+    fn withdraw_retry(
+        &mut self,
+        kind: TargetKind,
+        target: TargetKey,
+        outcome: AttemptOutcome,
+    ) -> bool {
+        if outcome == AttemptOutcome::NotSent {
+            return true;
+        }
+        let has_one = self.targets.get(target).is_some_and(|state| state.retries.has_one());
+        let granted = has_one && self.retries_of(kind).withdraw();
+        granted && self.targets.get_mut(target).is_some_and(|state| state.retries.withdraw())
     }
 
     /// Queues calls again whose backoff is over.
@@ -145,6 +158,10 @@
             }
         }
         if let Some(state) = self.targets.get_mut(target) {
+            if let AttemptOutcome::RefusedByTarget { leaving } = outcome {
+                state.avoided = now + REFUSAL_PAUSE;
+                state.gone |= leaving && state.report.is_none();
+            }
             state.retries.deposit();
             state.breaker.judge(now, outcome.into(), &mut self.rng);
         }
--- a/crates/cumintrail-control/src/control/probes.rs
+++ b/crates/cumintrail-control/src/control/probes.rs
@@ -24,7 +24,10 @@
         let Some(snapshot) = self.snapshot.clone() else {
             return;
         };
-        if self.awaits_list() || self.targets.iter().all(|(_, state)| state.next_probe > now) {
+        if self.has_registry
+            || self.awaits_list()
+            || self.targets.iter().all(|(_, state)| state.next_probe > now)
+        {
             return;
         }
         let probers = self.membership.probers(self.identity.address, &self.identity.domain);
--- a/crates/cumintrail-control/src/control/rollouts.rs
+++ b/crates/cumintrail-control/src/control/rollouts.rs
@@ -66,10 +66,13 @@
                 key,
                 model,
                 declared: snapshot.models.get(model)?.version,
-                reported: state.report.map(|r| r.version),
+                reported: state.version(),
                 loading: state.report.is_some_and(|r| r.loading),
-                reported_at: state.reported,
-                usable: state.liveness == Liveness::Live && !self.is_leaving(key),
+                reported_at: state.versioned().map(|(_, at)| at),
+                usable: state.liveness != Liveness::Silent
+                    && !state.gone
+                    && !target.leaving
+                    && !self.is_leaving(key),
             })
         });
         view.collect()
--- a/crates/cumintrail-control/src/control/state.rs
+++ b/crates/cumintrail-control/src/control/state.rs
@@ -1,6 +1,6 @@
 //! What a daemon remembers of a target and of a store.
 
-use cumintrail_types::{Incarnation, Moment, Tokens};
+use cumintrail_types::{Incarnation, Moment, Tokens, WeightVersion};
 
 use crate::TargetReport;
 use crate::following::Following;
@@ -41,6 +41,12 @@
     pub missed: u32,
     /// When it last answered an own probe.
     pub answered: Option<Moment>,
+    /// The version that a registry has for it, and when that was learned.
+    pub listed: Option<(WeightVersion, Moment)>,
+    /// Until when other targets are preferred, since it refused a call.
+    pub avoided: Moment,
+    /// Whether another process answers at its address.
+    pub gone: bool,
 }
 
 impl TargetState {
@@ -57,6 +63,25 @@
         reported.or(self.answered.map(|_| Incarnation(0)))
     }
 
+    /// Takes the version that a registry has for the target.
+    pub fn take_listed(&mut self, now: Moment, version: Option<WeightVersion>) {
+        if version != self.listed.map(|(known, _)| known) {
+            self.listed = version.map(|version| (version, now));
+        }
+    }
+
+    /// Returns the weight version that was learned last, from a report or a registry.
+    pub fn version(&self) -> Option<WeightVersion> {
+        self.versioned().map(|(version, _)| version)
+    }
+
+    /// Returns the same with the moment at which it was learned.
+    pub fn versioned(&self) -> Option<(WeightVersion, Moment)> {
+        let reported = self.report.map(|r| r.version).filter(|v| v.0 > 0);
+        let reported = reported.map(|version| (version, self.reported.unwrap_or_default()));
+        [reported, self.listed].into_iter().flatten().max_by_key(|(_, at)| *at)
+    }
+
     /// Determines the wait before the next probe, in probe intervals.
     ///
     /// A target that missed a probe or is loading weights is looked at most often. One without
--- a/crates/cumintrail-control/src/control/upkeep.rs
+++ b/crates/cumintrail-control/src/control/upkeep.rs
@@ -22,7 +22,8 @@
         snapshot: Arc<Snapshot>,
         _actions: &mut Actions,
     ) {
-        if snapshot.generation <= self.generation() && self.snapshot.is_some() {
+        let old = self.snapshot.as_ref().map(|s| s.position());
+        if old.is_some_and(|old| snapshot.position() <= old) {
             return;
         }
         while self.targets.len() < snapshot.targets.len() {
@@ -32,12 +33,19 @@
         while self.stores.len() < snapshot.stores.len() {
             self.stores.push(StoreState::default());
         }
+        for (key, target) in snapshot.targets.iter() {
+            if let Some(state) = self.targets.get_mut(key) {
+                state.take_listed(now, target.version);
+            }
+        }
         self.rank_stores(&snapshot);
         let used = snapshot.targets.iter().filter(|(_, t)| !t.retired);
         self.target_at = used.map(|(key, target)| (target.address, key)).collect();
         self.snapshot = Some(snapshot);
         // Peers that the platform cannot reach learn the generation from the next digest.
-        self.hasten_digest(now);
+        if old.is_none_or(|(generation, _)| generation < self.generation()) {
+            self.hasten_digest(now);
+        }
     }
 
     pub(super) fn tick(&mut self, now: Moment, actions: &mut Actions) {
--- a/crates/cumintrail-control/src/event.rs
+++ b/crates/cumintrail-control/src/event.rs
@@ -7,8 +7,8 @@
 use cumintrail_config::{Snapshot, TargetKind};
 use cumintrail_types::{
     AccountKey, AttemptNumber, BlockKey, CallClass, CallKey, FencingNumber, Generation,
-    Incarnation, Moment, Refusal, Sealed, StoreKey, TargetKey, Tier, Tokens, WeightVersion,
-    WriteId,
+    Incarnation, Moment, Refusal, Sealed, StoreKey, TargetKey, Tier, Tokens, Urgency,
+    WeightVersion, WriteId,
 };
 use smallvec::SmallVec;
 
@@ -155,6 +155,8 @@
         asked: Moment,
         /// Whether the condition held.
         committed: bool,
+        /// The row's version, where it does not grow by one with each write.
+        version: Option<u64>,
     },
     /// An exchange about the lease was not answered; a write may have taken effect.
     LeaseFailed,
@@ -262,6 +264,21 @@
     pub max_answer: Tokens,
     /// When the call is given up.
     pub deadline: Moment,
+    /// What its route says of it.
+    pub terms: Terms,
+}
+
+/// Holds what a route says of a call; the default leaves everything to the daemon.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Terms {
+    /// Its rank.
+    pub urgency: Urgency,
+    /// The targets that it may run at, if the route limits them.
+    pub attempts: Option<u8>,
+    /// The prompt tokens up to and with each piece; empty for pieces of the declared length.
+    pub ends: Arc<[Tokens]>,
+    /// The time within which the answer is to begin, if the route names one.
+    pub objective: Option<Duration>,
 }
 
 /// Orders one attempt.
--- a/crates/cumintrail-control/src/lib.rs
+++ b/crates/cumintrail-control/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod membership;
 pub mod once;
 pub mod placement;
+pub mod registry;
 pub mod retry;
 pub mod rollout;
 pub mod stream;
@@ -29,5 +30,5 @@
 pub use event::{
     Action, Actions, Arrival, AttemptOutcome, Dispatch, Event, Export, Fetch, FetchOutcome,
     FetchPlan, Freshness, LeavingRun, Order, OrderKind, PeerDigest, TargetNews, TargetReport,
-    Usage, VmEntry, VmRole, VmState,
+    Terms, Usage, VmEntry, VmRole, VmState,
 };
--- a/crates/cumintrail-control/src/retry.rs
+++ b/crates/cumintrail-control/src/retry.rs
@@ -2,15 +2,15 @@
 
 use std::time::Duration;
 
-use cumintrail_types::{CallClass, Moment, Ran, Refusal, RefusalCode};
+use cumintrail_types::{Moment, Ran, Refusal, RefusalCode};
 use rand::Rng;
 
 use crate::{AttemptOutcome, Call};
 
+/// Attempts of a call whose route names no limit.
 const MAX_ATTEMPTS: u8 = 3;
-/// The calls that earn one retry.
-const CALLS_PER_RETRY: u32 = 5;
-const MAX_SAVED: u32 = 20;
+/// Attempts beyond a route's limit that may end without having run.
+const SPARE_ATTEMPTS: u8 = 2;
 const MAX_SAVED_OF_TARGET: u32 = 5;
 const BACKOFF_BASE: Duration = Duration::from_millis(20);
 const COME_BACK: Duration = Duration::from_secs(1);
@@ -18,46 +18,63 @@
 const OPEN_BASE: Duration = Duration::from_secs(1);
 const OPEN_DOUBLINGS: u32 = 5;
 
+/// Says how many retries a daemon may add to its calls; docs/DESIGN.md, "Relayed calls".
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RetryPolicy {
+    /// The calls that earn one retry.
+    pub calls_per_retry: u32,
+    /// The earned retries that can be saved up, and that a new process starts with.
+    pub saved: u32,
+}
+
+impl Default for RetryPolicy {
+    fn default() -> Self {
+        Self { calls_per_retry: 5, saved: 20 }
+    }
+}
+
 /// Limits retries to a share of calls, so that failures cause no storm.
+///
+/// In any span of time there are at most the retries that its calls earned and those saved up.
 #[derive(Debug, Clone)]
 pub struct RetryBudget {
     /// Calls that earned no retry yet.
     saved: u32,
-    cap: u32,
+    policy: RetryPolicy,
 }
 
 impl Default for RetryBudget {
     fn default() -> Self {
-        Self::full(MAX_SAVED)
+        Self::full(RetryPolicy::default())
     }
 }
 
 impl RetryBudget {
     /// Makes the budget for retries that one target's failures cause.
-    pub const fn of_target() -> Self {
-        Self::full(MAX_SAVED_OF_TARGET)
+    pub fn of_target() -> Self {
+        Self::full(RetryPolicy { saved: MAX_SAVED_OF_TARGET, ..RetryPolicy::default() })
     }
 
-    const fn full(retries: u32) -> Self {
-        let cap = retries * CALLS_PER_RETRY;
-        Self { saved: cap, cap }
+    /// Makes a budget with all that can be saved up.
+    pub const fn full(policy: RetryPolicy) -> Self {
+        Self { saved: policy.saved * policy.calls_per_retry, policy }
     }
 
     /// Notes a call, which earns a part of a retry.
     pub fn deposit(&mut self) {
-        self.saved = (self.saved + 1).min(self.cap);
+        self.saved = (self.saved + 1).min(self.policy.saved * self.policy.calls_per_retry);
     }
 
     /// Tells whether a retry is left.
     pub const fn has_one(&self) -> bool {
-        self.saved >= CALLS_PER_RETRY
+        self.saved >= self.policy.calls_per_retry
     }
 
     /// Takes one retry, if any is left.
     pub const fn withdraw(&mut self) -> bool {
         let enough = self.has_one();
         if enough {
-            self.saved -= CALLS_PER_RETRY;
+            self.saved -= self.policy.calls_per_retry;
         }
         enough
     }
@@ -68,10 +85,20 @@
     let in_time = call.arrival.deadline.since(due) > Duration::ZERO;
     let repeatable = match outcome {
         AttemptOutcome::NotSent | AttemptOutcome::RefusedByTarget { .. } => true,
-        AttemptOutcome::Failed { .. } => call.arrival.class != CallClass::Once,
+        AttemptOutcome::Failed { .. } => call.arrival.class.is_repeatable(),
         AttemptOutcome::Answered(_) | AttemptOutcome::Settled => false,
     };
-    repeatable && in_time && call.attempts() < MAX_ATTEMPTS
+    repeatable && in_time && has_attempt_left(call)
+}
+
+/// Tells whether the limit of attempts leaves one; those that did not run count less.
+fn has_attempt_left(call: &Call) -> bool {
+    match call.arrival.terms.attempts {
+        Some(limit) => {
+            call.runs() < limit && call.attempts() < limit.saturating_add(SPARE_ATTEMPTS)
+        }
+        None => call.attempts() < MAX_ATTEMPTS,
+    }
 }
 
 /// Returns the wait before the attempt after number `attempts`: it doubles, with jitter so that
@@ -84,7 +111,7 @@
 /// Refuses a call that is given up; names when to come back unless a repeat could run it twice.
 pub fn give_up(call: &Call, code: RefusalCode) -> Refusal {
     let ran = call.ran();
-    let repeatable = ran == Ran::No || call.arrival.class != CallClass::Once;
+    let repeatable = ran == Ran::No || call.arrival.class.is_repeatable();
     Refusal { code, ran, retry_after: repeatable.then_some(COME_BACK) }
 }
 
--- a/crates/cumintrail-control/src/rollout.rs
+++ b/crates/cumintrail-control/src/rollout.rs
@@ -145,8 +145,14 @@
     }
 
     /// Takes the answer to a write of the lease.
-    pub fn lease_written(&mut self, now: Moment, asked: Moment, committed: bool) {
-        self.lease.written(now, asked, committed);
+    pub fn lease_written(
+        &mut self,
+        now: Moment,
+        asked: Moment,
+        committed: bool,
+        version: Option<u64>,
+    ) {
+        self.lease.written(now, asked, committed, version);
     }
 
     /// Takes that the table did not answer.
--- a/crates/cumintrail-control/src/rollout/lease.rs
+++ b/crates/cumintrail-control/src/rollout/lease.rs
@@ -149,20 +149,23 @@
     }
 
     /// Takes the answer to a write that was sent after `asked`.
-    pub fn written(&mut self, now: Moment, asked: Moment, committed: bool) {
+    ///
+    /// `told` is the row's version where it does not grow by one with each write.
+    pub fn written(&mut self, now: Moment, asked: Moment, committed: bool, told: Option<u64>) {
         self.busy = false;
         let acquired = self.acquiring.take();
         match &mut self.state {
             State::Idle => {}
             _ if !committed => self.watch_from(now),
             State::Watching { .. } => {
-                if let Some((fencing, version)) = acquired {
+                if let Some((fencing, next)) = acquired {
+                    let version = told.unwrap_or(next);
                     self.state = State::Holding { lease: Lease { fencing, asked }, version };
                 }
             }
             State::Holding { lease, version } => {
                 lease.asked = asked;
-                *version += 1;
+                *version = told.unwrap_or(*version + 1);
             }
         }
     }
--- a/crates/cumintrail-control/tests/calls.rs
+++ b/crates/cumintrail-control/tests/calls.rs
@@ -6,7 +6,7 @@
 use cumintrail_config::{Document, Snapshot, TargetKind};
 use cumintrail_control::{
     Action, Actions, Arrival, AttemptOutcome, Control, Dispatch, Event, Identity, TargetReport,
-    Usage,
+    Terms, Usage,
 };
 use cumintrail_types::{
     AccountKey, AttemptNumber, CallClass, CallKey, Generation, Incarnation, ModelKey, Moment, Ran,
@@ -155,7 +155,7 @@
         self.calls.insert(call, truth);
         let kind = match class {
             CallClass::Model => TargetKind::Engine(ModelKey(0)),
-            CallClass::Repeatable | CallClass::Once => TargetKind::Service(ServiceKey(0)),
+            _ => TargetKind::Service(ServiceKey(0)),
         };
         self.tell(Event::Arrived(Arrival {
             call,
@@ -167,6 +167,7 @@
             prompt: Tokens(10),
             max_answer: Tokens(10),
             deadline,
+            terms: Terms::default(),
         }))
     }
 
--- a/crates/cumintrail-daemon/src/background.rs
+++ b/crates/cumintrail-daemon/src/background.rs
@@ -15,6 +15,8 @@
 use cumintrail_control::Action;
 use tokio::sync::{Notify, mpsc};
 
+pub use self::orders::send_digest;
+pub use self::rollout::{before, exchange_lease, settle_order};
 use crate::metric;
 use crate::shared::Shared;
 
--- a/crates/cumintrail-daemon/src/background/orders.rs
+++ b/crates/cumintrail-daemon/src/background/orders.rs
@@ -13,6 +13,7 @@
 
 use super::{Background, rollout, vm_list, warm};
 use crate::metric;
+use crate::shared::Shared;
 
 /// Remembers which cache events of each target were read.
 #[derive(Default)]
@@ -55,10 +56,14 @@
             actix_rt::spawn(async move { vm_list::ask(&background, from).await });
         }
         Action::SendDigest { to, digest } => {
-            actix_rt::spawn(async move { send_digest(&background, to, digest).await });
+            actix_rt::spawn(async move {
+                send_digest(&background.peers, &background.shared, to, digest).await;
+            });
         }
         Action::Lease(request) => {
-            actix_rt::spawn(async move { rollout::exchange_lease(&background, request).await });
+            actix_rt::spawn(async move {
+                rollout::exchange_lease(&background.platform, &background.shared, request).await;
+            });
         }
         Action::Order(order) => {
             actix_rt::spawn(async move { rollout::order(&background, order).await });
@@ -183,12 +188,18 @@
     background.shared.control.tell(event).await;
 }
 
-async fn send_digest(background: &Background, to: std::net::SocketAddr, digest: PeerDigest) {
+/// Sends a digest to a peer.
+pub async fn send_digest(
+    peers: &impl Peer,
+    shared: &Shared,
+    to: std::net::SocketAddr,
+    digest: PeerDigest,
+) {
     let message = DigestMessage::from(digest);
     let size = cumintrail_wire::to_msgpack(&message).map_or(0, |m| m.len());
     metrics::counter!(metric::PEER_BYTES).increment(size as u64);
-    match background.peers.digest(to, &message).await {
-        Ok(reply) => background.shared.hear_generation(reply.generation, to),
-        Err(_) => background.shared.control.tell(Event::PeerSilent { address: to }).await,
+    match peers.digest(to, &message).await {
+        Ok(reply) => shared.hear_generation(reply.generation, to),
+        Err(_) => shared.control.tell(Event::PeerSilent { address: to }).await,
     }
 }
--- a/crates/cumintrail-daemon/src/background/rollout.rs
+++ b/crates/cumintrail-daemon/src/background/rollout.rs
@@ -17,16 +17,16 @@
 use crate::shared::Shared;
 
 /// Reads or writes the lease's row.
-pub async fn exchange_lease(background: &Background, request: LeaseRequest) {
+pub async fn exchange_lease(table: &impl Table, shared: &Shared, request: LeaseRequest) {
     let event = match request {
-        LeaseRequest::Read => read(background).await,
-        LeaseRequest::Write(write) => commit(background, write).await,
+        LeaseRequest::Read => read(table).await,
+        LeaseRequest::Write(write) => commit(table, shared, write).await,
     };
-    background.shared.control.tell(event.unwrap_or(Event::LeaseFailed)).await;
+    shared.control.tell(event.unwrap_or(Event::LeaseFailed)).await;
 }
 
-async fn read(background: &Background) -> Result<Event, ClientError> {
-    let row = background.platform.read(LEASE_KEY).await?;
+async fn read(table: &impl Table) -> Result<Event, ClientError> {
+    let row = table.read(LEASE_KEY).await?;
     let row = row.map(|row| parse(&row)).transpose()?;
     Ok(Event::LeaseRead { row })
 }
@@ -37,7 +37,11 @@
     Ok(LeaseRow { version: row.version, holder, fencing, released })
 }
 
-async fn commit(background: &Background, write: LeaseWrite) -> Result<Event, ClientError> {
+async fn commit(
+    table: &impl Table,
+    shared: &Shared,
+    write: LeaseWrite,
+) -> Result<Event, ClientError> {
     let record =
         LeaseRecord { holder: write.holder, fencing: write.fencing, released: write.released };
     let value = serde_json::to_string(&record).map_err(|_| ClientError::Unreadable)?;
@@ -46,9 +50,9 @@
         writes: vec![Write { key: LEASE_KEY.into(), value: Some(value) }],
     };
     // The lease counts from before the request.
-    let asked = background.shared.now();
-    let reply = background.platform.commit(&transaction).await?;
-    Ok(Event::LeaseWritten { asked, committed: reply.committed })
+    let asked = shared.now();
+    let reply = table.commit(&transaction).await?;
+    Ok(Event::LeaseWritten { asked, committed: reply.committed, version: reply.version })
 }
 
 /// Sends an order, unless its lease may not be used any more.
@@ -66,7 +70,12 @@
     let OrderKind::Load(version) = order.kind;
     let message = LoadOrder { fencing: order.fencing, version };
     let exchange = background.engines.order(at, &message, ORDER_TIMEOUT);
-    match before(&background.shared, order.not_after, exchange).await {
+    settle_order(before(&background.shared, order.not_after, exchange).await)
+}
+
+/// Tells how an order ended.
+pub fn settle_order<T>(exchanged: Option<Result<T, ClientError>>) -> OrderOutcome {
+    match exchanged {
         // The limit may have passed between two steps, so bytes may have left.
         None => OrderOutcome::Unknown,
         Some(Ok(_)) => OrderOutcome::Followed,
@@ -82,7 +91,11 @@
 ///
 /// The clock is read before each step, so that a process that was paused between two steps sends
 /// nothing under a lease that has passed to another holder.
-async fn before<T>(shared: &Shared, limit: Moment, exchange: impl Future<Output = T>) -> Option<T> {
+pub async fn before<T>(
+    shared: &Shared,
+    limit: Moment,
+    exchange: impl Future<Output = T>,
+) -> Option<T> {
     let mut exchange = pin!(exchange);
     poll_fn(|cx| {
         if shared.now() >= limit {
--- a/crates/cumintrail-daemon/src/callers/model_call.rs
+++ b/crates/cumintrail-daemon/src/callers/model_call.rs
@@ -6,7 +6,7 @@
 
 use actix_http::{RequestHead, Response};
 use cumintrail_config::{Snapshot, TargetKind};
-use cumintrail_control::{Arrival, AttemptOutcome, Event};
+use cumintrail_control::{Arrival, AttemptOutcome, Event, Terms};
 use cumintrail_types::{
     AccountKey, BlockKey, CallClass, CallKey, Refusal, RefusalCode, Tokens, WeightVersion,
 };
@@ -54,6 +54,7 @@
         prompt: Tokens((parsed.prompt.len() as u32).div_ceil(snapshot.deployment.bytes_per_token)),
         max_answer: Tokens(max_tokens),
         deadline: now + patience,
+        terms: Terms::default(),
     };
     let overloaded = Refusal::not_run(RefusalCode::Overloaded).retry_after(COME_BACK);
     let commands = worker.shared.control.arrive(arrival).map_err(|_| overloaded)?;
--- a/crates/cumintrail-daemon/src/callers/refuse.rs
+++ b/crates/cumintrail-daemon/src/callers/refuse.rs
@@ -38,6 +38,7 @@
         RefusalCode::NotFound => "there is no such path, model or service",
         RefusalCode::MethodNotAllowed => "the path does not take this method",
         RefusalCode::TooLarge => "the request body is larger than allowed",
+        RefusalCode::HeadTooLarge => "the request head is larger than allowed",
         RefusalCode::RequestTimeout => "the request body did not arrive in time",
         RefusalCode::AccountLimit => "the client account's limit is used up",
         RefusalCode::Overloaded => "the call cannot be answered before its deadline",
--- a/crates/cumintrail-daemon/src/callers/service_run.rs
+++ b/crates/cumintrail-daemon/src/callers/service_run.rs
@@ -7,7 +7,7 @@
 use cumintrail_client::{ClientError, Service, ServiceAnswer, ServiceCall};
 use cumintrail_config::TargetKind;
 use cumintrail_control::once::{End, IN_PROGRESS_RETRY, Verdict};
-use cumintrail_control::{Arrival, AttemptOutcome, Dispatch, Event, Usage};
+use cumintrail_control::{Arrival, AttemptOutcome, Dispatch, Event, Terms, Usage};
 use cumintrail_types::{Ran, Refusal, RefusalCode, Tokens, WeightVersion};
 use cumintrail_wire::record::AnswerRecord;
 use tokio::sync::{mpsc, oneshot};
@@ -71,6 +71,7 @@
         prompt: Tokens(0),
         max_answer: Tokens(0),
         deadline: worker.shared.now() + plain.patience,
+        terms: Terms::default(),
     };
     let overloaded = Refusal::not_run(RefusalCode::Overloaded).retry_after(OVERLOADED_RETRY);
     worker.shared.control.arrive(arrival).map_err(|_| overloaded)
--- a/crates/cumintrail-daemon/src/daemon.rs
+++ b/crates/cumintrail-daemon/src/daemon.rs
@@ -23,6 +23,7 @@
 
 /// Reports that a daemon could not start.
 #[derive(Debug, Snafu)]
+#[snafu(visibility(pub(crate)))]
 pub enum SpawnError {
     /// An address cannot be listened on.
     #[snafu(display("cannot listen on {address}; check `{setting}` in the settings: {source}"))]
--- /dev/null
+++ b/crates/cumintrail-daemon/src/gateway.rs
@@ -0,0 +1,179 @@
+//! A daemon that relays calls on a platform with a change feed and a registry of targets;
+//! docs/PLATFORM.md.
+
+mod follow;
+mod orders;
+mod peers;
+mod publish;
+
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::time::Duration;
+
+use actix_rt::Arbiter;
+use actix_server::ServerHandle;
+use cumintrail_client::{Feed, Table, TargetOrders};
+use cumintrail_config::Settings;
+use cumintrail_control::registry::Change;
+use cumintrail_control::retry::RetryPolicy;
+use cumintrail_control::{Control, Event, Identity};
+use cumintrail_types::{Generation, Incarnation};
+use rand::Rng;
+use snafu::ResultExt;
+
+use crate::clock::Clock;
+use crate::daemon::{ListenSnafu, ServeSnafu, SpawnError};
+use crate::relay::{Dialect, Probe, Relay};
+use crate::shared::Shared;
+use crate::{control_thread, operators, table};
+
+pub use self::publish::OperatorChange;
+
+const DRAIN_POLL: Duration = Duration::from_millis(20);
+
+/// Translates between the product and a platform with a change feed.
+pub trait Platform: Clone + Send + 'static {
+    /// Reads tables, writes rows and sends orders, from one thread.
+    type Client: Feed + Table + TargetOrders + 'static;
+    /// Translates the heads of calls.
+    type Dialect: Dialect;
+
+    /// Makes a client for the current thread.
+    fn open(&self) -> Self::Client;
+    /// Returns the translation of heads.
+    fn dialect(&self) -> Self::Dialect;
+    /// Reads what operators wrote to a row.
+    fn operator_change(&self, key: &str, value: Option<&[u8]>) -> OperatorChange;
+    /// Reads what a target wrote of itself.
+    fn target_change(&self, key: &str, value: Option<&[u8]>) -> Change;
+}
+
+/// Says where a gateway listens and how it behaves beyond its settings.
+#[derive(Debug, Clone)]
+pub struct GatewayPlan {
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where the balancer asks whether it should send calls.
+    pub readiness: Option<SocketAddr>,
+    /// Where metrics are served without a key.
+    pub metrics: Option<SocketAddr>,
+    /// How many retries this daemon may add to its calls.
+    pub retries: RetryPolicy,
+    /// How long the process may take to stop once it is told to.
+    pub stop_limit: Duration,
+}
+
+/// Runs one entry VM's daemon on a platform.
+pub struct Gateway {
+    shared: Arc<Shared>,
+    relay: Relay,
+    server: ServerHandle,
+    arbiters: [Arbiter; 2],
+    stop_limit: Duration,
+}
+
+impl Gateway {
+    /// Starts all threads within the running actix system.
+    pub fn spawn<P: Platform>(
+        settings: Settings,
+        plan: &GatewayPlan,
+        platform: P,
+    ) -> Result<Self, SpawnError> {
+        let callers = listen(plan.callers, "callers")?;
+        let mut probes = Vec::new();
+        for (probe, at) in [(Probe::Readiness, plan.readiness), (Probe::Metrics, plan.metrics)] {
+            if let Some(at) = at {
+                probes.push((probe, listen(at, "probes")?));
+            }
+        }
+        let operators = listen(settings.operator_address, "operator_address")?;
+        let operator_address = operators.local_addr().unwrap_or(settings.operator_address);
+
+        let clock = Clock::start();
+        let incarnation = Incarnation(rand::rng().random_range(1..u64::MAX));
+        let identity = Identity {
+            vm: settings.vm.clone(),
+            domain: settings.domain.clone(),
+            incarnation,
+            address: settings.peer_address.unwrap_or(operator_address),
+            probe_interval: settings.probe_interval,
+            digest_interval: settings.digest_interval,
+        };
+        let mut control = Control::new(identity, rand::rng().random());
+        control.follow_registry();
+        control.set_retry_policy(plan.retries);
+        let (link, inbox) = control_thread::channel(settings.control_queue);
+        let (actions_tx, actions_rx) = tokio::sync::mpsc::unbounded_channel();
+        let (table_writer, _) = table::channel();
+        let shared =
+            Shared::new(settings, incarnation, operator_address, link, table_writer, clock);
+        let shared = Arc::new(shared);
+
+        let control_arbiter = Arbiter::new();
+        control_arbiter.spawn(control_thread::run(inbox, control, clock, actions_tx));
+        let background = Arbiter::new();
+        let (for_background, for_feeds) = (shared.clone(), platform.clone());
+        background.spawn_fn(move || {
+            actix_rt::spawn(orders::run(for_background, for_feeds, actions_rx));
+        });
+        let relay = Relay::spawn(callers, probes, &shared, &platform.dialect());
+        let relay = relay.context(ServeSnafu)?;
+        let server = operators::serve(operators, shared.clone()).context(ServeSnafu)?;
+        log::info!("event=start vm={} callers={}", shared.settings.vm, relay.address());
+        let (arbiters, stop_limit) = ([control_arbiter, background], plan.stop_limit);
+        Ok(Self { shared, relay, server, arbiters, stop_limit })
+    }
+
+    /// Returns where callers connect.
+    pub const fn caller_address(&self) -> SocketAddr {
+        self.relay.address()
+    }
+
+    /// Returns where operators and peers connect.
+    pub fn operator_address(&self) -> SocketAddr {
+        self.shared.operator_address
+    }
+
+    /// Returns the generation in force, or zero.
+    pub fn generation(&self) -> Generation {
+        self.shared.generation()
+    }
+
+    /// Tells whether the daemon takes calls.
+    pub fn is_ready(&self) -> bool {
+        self.shared.is_ready()
+    }
+
+    /// Stops without cutting a call: not ready first, then idle connections, then the process.
+    pub async fn stop(self) {
+        let shared = &self.shared;
+        let begun = shared.now();
+        log::info!("event=stop vm={} open_calls={}", shared.settings.vm, self.relay.open_calls());
+        shared.begin_stop();
+        let deadline = begun + self.stop_limit;
+        let grace = shared.settings.stop_grace;
+        while shared.now() < deadline
+            && (shared.now().since(begun) < grace || self.relay.open_calls() > 0)
+        {
+            actix_rt::time::sleep(DRAIN_POLL).await;
+        }
+        self.relay.close_idle();
+        shared.control.tell(Event::Stopping).await;
+        while self.relay.open_calls() > 0 && shared.now() < deadline {
+            actix_rt::time::sleep(DRAIN_POLL).await;
+        }
+        let (open, took) = (self.relay.open_calls(), shared.now().since(begun));
+        log::info!("event=stopped open_calls={open} took_ms={}", took.as_millis());
+        self.relay.stop();
+        self.server.stop(false).await;
+        for arbiter in &self.arbiters {
+            arbiter.stop();
+        }
+    }
+}
+
+fn listen(address: SocketAddr, setting: &'static str) -> Result<TcpListener, SpawnError> {
+    let bound = || -> io::Result<TcpListener> { TcpListener::bind(address) };
+    bound().context(ListenSnafu { address, setting })
+}
--- /dev/null
+++ b/crates/cumintrail-daemon/src/gateway/follow.rs
@@ -0,0 +1,106 @@
+//! Follows a table: whole first, then its changes, over outages and lost history.
+
+use std::time::Duration;
+
+use cumintrail_client::{Feed, FeedError, FeedPage, FeedTable};
+use rand::Rng;
+use tokio::sync::mpsc;
+
+use crate::metric;
+
+/// How long one request waits for changes.
+///
+/// A connection that went silent is noticed this long after it did, and the platform counts calls.
+const WAIT: Duration = Duration::from_secs(2);
+/// How long an answer may take beyond that.
+const ANSWER_LIMIT: Duration = Duration::from_millis(700);
+/// How long a whole reading may take.
+const READ_LIMIT: Duration = Duration::from_secs(2);
+/// The pause after a failed request, doubled with each further one.
+const RETRY_BASE: Duration = Duration::from_millis(100);
+const RETRY_DOUBLINGS: u32 = 3;
+/// The shortest time between two requests, so that a series of changes takes few.
+const GATHER: Duration = Duration::from_millis(150);
+
+/// Tells what was learned of a table.
+#[derive(Debug)]
+pub enum Followed {
+    /// All of its rows.
+    Whole(FeedPage),
+    /// Rows that changed.
+    Changed(FeedPage),
+    /// It did not answer.
+    Lost,
+    /// It answers again.
+    Returned,
+}
+
+/// Follows a table until nobody listens.
+pub async fn run<F: Feed>(
+    feed: &F,
+    table: FeedTable,
+    tx: mpsc::UnboundedSender<(FeedTable, Followed)>,
+) {
+    let mut version = None;
+    let mut failures = 0;
+    loop {
+        let begun = tokio::time::Instant::now();
+        let page = match version {
+            Some(after) => {
+                let changes = feed.changes(table, after, WAIT);
+                limited(changes, WAIT + ANSWER_LIMIT).await
+            }
+            None => limited(feed.read(table), READ_LIMIT).await,
+        };
+        let told = match page {
+            Ok(page) => {
+                if failures > 0 {
+                    log::info!("event=feed-returned table={table:?} failures={failures}");
+                    let _ = tx.send((table, Followed::Returned));
+                }
+                failures = 0;
+                let whole = version.is_none();
+                version = Some(page.version.max(version.unwrap_or(0)));
+                if whole { Followed::Whole(page) } else { Followed::Changed(page) }
+            }
+            Err(FeedError::HistoryLost) => {
+                log::info!("event=history-lost table={table:?} after={version:?}");
+                version = None;
+                continue;
+            }
+            Err(FeedError::Client { source }) => {
+                failures += 1;
+                metrics::counter!(metric::PLATFORM_ERRORS, "part" => "feed").increment(1);
+                if failures == 1 {
+                    log::warn!(
+                        "event=feed-lost table={table:?} version={version:?} cause=\"{source}\""
+                    );
+                }
+                Followed::Lost
+            }
+        };
+        let changed = matches!(&told, Followed::Changed(page) if !page.rows.is_empty());
+        if tx.send((table, told)).is_err() {
+            return;
+        }
+        let pause = match failures {
+            0 if changed => GATHER.saturating_sub(begun.elapsed()),
+            0 => Duration::ZERO,
+            _ => {
+                let doubled = RETRY_BASE * 2_u32.pow((failures - 1).min(RETRY_DOUBLINGS));
+                doubled.mul_f64(rand::rng().random_range(0.7..1.3))
+            }
+        };
+        actix_rt::time::sleep(pause).await;
+    }
+}
+
+async fn limited(
+    exchange: impl Future<Output = Result<FeedPage, FeedError>>,
+    limit: Duration,
+) -> Result<FeedPage, FeedError> {
+    match actix_rt::time::timeout(limit, exchange).await {
+        Ok(page) => page,
+        Err(_) => Err(FeedError::Client { source: cumintrail_client::ClientError::Silent }),
+    }
+}
--- /dev/null
+++ b/crates/cumintrail-daemon/src/gateway/orders.rs
@@ -0,0 +1,143 @@
+//! The background thread of a gateway: feeds, peers, and what the control state orders.
+
+use std::rc::Rc;
+use std::sync::Arc;
+
+use cumintrail_client::{FeedTable, HttpPeer, LoadRequest, TargetOrders};
+use cumintrail_config::{Snapshot, TargetKind};
+use cumintrail_control::{Action, Event, Order, OrderKind};
+use tokio::sync::mpsc;
+
+use super::publish::{Publisher, Update};
+use super::{Platform, follow, peers};
+use crate::background::{before, exchange_lease, send_digest, settle_order};
+use crate::metric;
+use crate::shared::Shared;
+
+struct Orders<P: Platform> {
+    shared: Arc<Shared>,
+    client: P::Client,
+    peers: Rc<HttpPeer>,
+}
+
+/// Runs until the control thread ends.
+pub async fn run<P: Platform>(
+    shared: Arc<Shared>,
+    platform: P,
+    mut actions: mpsc::UnboundedReceiver<Action>,
+) {
+    let (tx, rx) = mpsc::unbounded_channel();
+    let publisher = Publisher::new(shared.clone(), platform.clone());
+    actix_rt::spawn(publisher.run(rx));
+    for table in [FeedTable::Operator, FeedTable::Registry] {
+        actix_rt::spawn(follow_table(platform.clone(), table, tx.clone()));
+    }
+    let peers = Rc::new(HttpPeer::open(shared.settings.peer_key.expose()));
+    actix_rt::spawn(peers::follow(shared.clone(), peers.clone(), tx));
+    actix_rt::spawn(metric::upkeep());
+    let orders: Rc<Orders<P>> = Rc::new(Orders { client: platform.open(), shared, peers });
+    while let Some(action) = actions.recv().await {
+        let orders = orders.clone();
+        actix_rt::spawn(async move { orders.follow(action).await });
+    }
+}
+
+async fn follow_table<P: Platform>(
+    platform: P,
+    table: FeedTable,
+    updates: mpsc::UnboundedSender<Update>,
+) {
+    let client = platform.open();
+    let (tx, mut rx) = mpsc::unbounded_channel();
+    let following = follow::run(&client, table, tx);
+    let forwarding = async {
+        while let Some((table, followed)) = rx.recv().await {
+            if updates.send(Update::Table(table, followed)).is_err() {
+                return;
+            }
+        }
+    };
+    tokio::join!(following, forwarding);
+}
+
+impl<P: Platform> Orders<P> {
+    async fn follow(&self, action: Action) {
+        match action {
+            Action::Lease(request) => exchange_lease(&self.client, &self.shared, request).await,
+            Action::Order(order) => self.order(&order).await,
+            Action::Probe(target) => self.probe(target).await,
+            Action::SendDigest { to, digest } => {
+                send_digest(&*self.peers, &self.shared, to, digest).await;
+            }
+            // The caller's connection to the target ends with the call, and a registry and a feed
+            // stand in place of the rest.
+            Action::Cancel { .. }
+            | Action::Dispatch(_)
+            | Action::Refuse { .. }
+            | Action::Export(_)
+            | Action::Free { .. }
+            | Action::ReadStore { .. }
+            | Action::ReadHead
+            | Action::ReadVms
+            | Action::AskVms { .. }
+            | Action::Warm { .. } => {}
+        }
+    }
+
+    /// Sends an order, unless its lease may not be used any more.
+    async fn order(&self, order: &Order) {
+        let snapshot = self.shared.snapshot();
+        let request = snapshot.as_deref().and_then(|s| load_request(s, order));
+        let outcome = match request {
+            Some(request) => {
+                let loading = self.client.load(&request, || self.shared.now() < order.not_after);
+                settle_order(before(&self.shared, order.not_after, loading).await)
+            }
+            None => cumintrail_control::rollout::OrderOutcome::NotSent,
+        };
+        let target = order.target;
+        log::info!(
+            "event=order target={} kind={:?} fencing={} outcome={outcome:?}",
+            snapshot.as_deref().map_or("-", |s| name_of(s, target)),
+            order.kind,
+            order.fencing
+        );
+        self.shared.control.tell(Event::OrderEnded { target, outcome }).await;
+    }
+
+    async fn probe(&self, target: cumintrail_types::TargetKey) {
+        let snapshot = self.shared.snapshot();
+        let Some(target_of) = snapshot.as_deref().and_then(|s| s.targets.get(target)) else {
+            return;
+        };
+        let model = match target_of.kind {
+            TargetKind::Engine(model) => snapshot.as_deref().and_then(|s| s.models.get(model)),
+            TargetKind::Service(_) => None,
+        };
+        let Some(model) = model else { return };
+        // A target that does not answer is probed again while its report matters.
+        if let Ok(report) = self.client.report(target_of.address, &model.weights).await {
+            self.shared.control.tell(Event::TargetReported { target, report }).await;
+        }
+    }
+}
+
+fn name_of(snapshot: &Snapshot, target: cumintrail_types::TargetKey) -> &str {
+    snapshot.targets.get(target).map_or("-", |t| &t.name)
+}
+
+/// Names what is loaded where.
+fn load_request<'a>(snapshot: &'a Snapshot, order: &Order) -> Option<LoadRequest<'a>> {
+    let target = snapshot.targets.get(order.target)?;
+    let TargetKind::Engine(model) = target.kind else {
+        return None;
+    };
+    let OrderKind::Load(version) = order.kind;
+    Some(LoadRequest {
+        at: target.address,
+        instance: &target.instance,
+        model: &snapshot.models.get(model)?.weights,
+        version,
+        fencing: order.fencing,
+    })
+}
--- /dev/null
+++ b/crates/cumintrail-daemon/src/gateway/peers.rs
@@ -0,0 +1,63 @@
+//! Configurations from peers, for a daemon that the platform turns away.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use cumintrail_client::{HttpPeer, Peer};
+use cumintrail_types::Generation;
+use cumintrail_wire::peer::{ConfigReply, ConfigRequest};
+use tokio::sync::mpsc;
+
+use super::publish::Update;
+use crate::shared::Shared;
+
+/// The pause between two rounds of questions while no configuration is known.
+const BOOT_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Asks each peer that told of a newer generation, until the process ends.
+pub async fn follow(
+    shared: Arc<Shared>,
+    peers: Rc<HttpPeer>,
+    updates: mpsc::UnboundedSender<Update>,
+) {
+    let mut newer = shared.newer.subscribe();
+    loop {
+        let waiting = shared.generation() == Generation(0);
+        tokio::select! {
+            changed = newer.changed() => if changed.is_err() { return },
+            () = actix_rt::time::sleep(BOOT_INTERVAL), if waiting => {
+                for peer in shared.settings.peers.clone() {
+                    ask(&shared, &peers, &updates, peer).await;
+                }
+                continue;
+            }
+        }
+        let heard = *newer.borrow_and_update();
+        if let Some(heard) = heard.filter(|h| h.generation > shared.generation()) {
+            ask(&shared, &peers, &updates, heard.from).await;
+        }
+    }
+}
+
+async fn ask(
+    shared: &Shared,
+    peers: &HttpPeer,
+    updates: &mpsc::UnboundedSender<Update>,
+    from: SocketAddr,
+) {
+    let current = shared.configuration();
+    let request = ConfigRequest { after: current.generation };
+    match peers.config(from, &request).await {
+        Ok(ConfigReply::Nothing) => {}
+        Ok(reply) => {
+            let next = current.after(reply);
+            log::info!("event=configuration-heard generation={} from={from}", next.generation);
+            // The publisher ends with the process.
+            let _ = updates.send(Update::Configuration(Box::new(next)));
+        }
+        // A peer that does not answer is heard of again with its next digest.
+        Err(e) => log::debug!("event=configuration-asked from={from} outcome=failed cause=\"{e}\""),
+    }
+}
--- /dev/null
+++ b/crates/cumintrail-daemon/src/gateway/publish.rs
@@ -0,0 +1,269 @@
+//! Puts what operators declared and what the registry has in force, as one snapshot.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use cumintrail_client::{FeedPage, FeedRow, FeedTable};
+use cumintrail_config::{Snapshot, Target, TargetKind};
+use cumintrail_control::Event;
+use cumintrail_control::registry::{RowChange, TargetBook};
+use cumintrail_types::{Bytes, Generation, WeightVersion};
+use cumintrail_wire::configuration::Configuration;
+use tokio::sync::mpsc;
+
+use super::Platform;
+use super::follow::Followed;
+use crate::metric;
+use crate::shared::{Adopted, NotAdopted, Shared};
+
+/// The pause between two looks for entries that did not come back.
+const EXPIRY_INTERVAL: Duration = Duration::from_millis(250);
+/// Prompt tokens a second that an engine is taken to compute before any was measured.
+const ASSUMED_PREFILL: u32 = 100_000;
+/// What an engine's link is taken to carry, in bytes a second, where nothing tells.
+const ASSUMED_LINK: Bytes = Bytes(1 << 30);
+
+/// Tells what operators wrote.
+#[derive(Debug, Clone)]
+pub enum OperatorChange {
+    /// A whole configuration.
+    Configuration(Box<Configuration>),
+    /// The weight version that a model's engines are to have.
+    Version {
+        /// The model or models, by the names that snapshots give them.
+        model: Arc<str>,
+        /// The version.
+        version: WeightVersion,
+    },
+    /// Nothing that concerns this daemon.
+    Nothing,
+    /// Nothing that can be read; what is in force stays.
+    Unreadable {
+        /// Why.
+        reason: String,
+    },
+}
+
+/// Tells the publisher what was learned.
+#[derive(Debug)]
+pub enum Update {
+    /// A table was followed.
+    Table(FeedTable, Followed),
+    /// A peer handed on a configuration.
+    Configuration(Box<Configuration>),
+}
+
+/// Composes snapshots.
+pub struct Publisher<P> {
+    shared: Arc<Shared>,
+    platform: P,
+    declared: Option<(Arc<Snapshot>, Configuration)>,
+    versions: HashMap<Arc<str>, WeightVersion>,
+    book: TargetBook,
+    revision: u64,
+    lost: [bool; 2],
+}
+
+impl<P: Platform> Publisher<P> {
+    /// Starts with nothing known.
+    pub fn new(shared: Arc<Shared>, platform: P) -> Self {
+        Self {
+            shared,
+            platform,
+            declared: None,
+            versions: HashMap::new(),
+            book: TargetBook::default(),
+            revision: 0,
+            lost: [false; 2],
+        }
+    }
+
+    /// Takes updates until the process ends.
+    pub async fn run(mut self, mut updates: mpsc::UnboundedReceiver<Update>) {
+        let mut expiry = actix_rt::time::interval(EXPIRY_INTERVAL);
+        expiry.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            let changed = tokio::select! {
+                update = updates.recv() => match update {
+                    Some(update) => self.take(update),
+                    None => return,
+                },
+                _ = expiry.tick() => self.book.expire(self.shared.now()),
+            };
+            if changed {
+                self.publish().await;
+            }
+        }
+    }
+
+    fn take(&mut self, update: Update) -> bool {
+        match update {
+            Update::Configuration(next) => self.take_configuration(*next),
+            Update::Table(table, Followed::Lost) => self.note_contact(table, false),
+            Update::Table(table, Followed::Returned) => self.note_contact(table, true),
+            Update::Table(FeedTable::Operator, Followed::Whole(page) | Followed::Changed(page)) => {
+                page.rows.iter().fold(false, |changed, row| changed | self.take_operator(row))
+            }
+            Update::Table(FeedTable::Registry, Followed::Whole(page)) => {
+                let (version, rows) = (page.version, self.read_registry(page));
+                self.book.take_whole(self.shared.now(), version, rows)
+            }
+            Update::Table(FeedTable::Registry, Followed::Changed(page)) => {
+                let (now, rows) = (self.shared.now(), self.read_registry(page));
+                rows.into_iter().fold(false, |changed, row| changed | self.book.take(now, row))
+            }
+        }
+    }
+
+    /// Remembers whether the platform answers; entries that lapsed meanwhile get time to return.
+    fn note_contact(&mut self, table: FeedTable, answers: bool) -> bool {
+        let place = usize::from(table == FeedTable::Registry);
+        self.lost[place] = !answers;
+        let now = self.shared.now();
+        if answers && table == FeedTable::Registry {
+            self.book.store_returned(now);
+        }
+        metrics::gauge!(metric::PLATFORM_REACHABLE).set(if self.lost[place] { 0.0 } else { 1.0 });
+        self.shared.platform_contact.note(now, answers);
+        false
+    }
+
+    fn read_registry(&self, page: FeedPage) -> Vec<RowChange> {
+        let read = |row: FeedRow| {
+            let change = self.platform.target_change(&row.key, row.value.as_deref());
+            if change == cumintrail_control::registry::Change::Unreadable {
+                log::warn!(
+                    "event=registry-row key={} version={} outcome=unreadable",
+                    row.key,
+                    row.version
+                );
+            }
+            RowChange { key: row.key, version: row.version, change }
+        };
+        page.rows.into_iter().map(read).collect()
+    }
+
+    fn take_operator(&mut self, row: &FeedRow) -> bool {
+        match self.platform.operator_change(&row.key, row.value.as_deref()) {
+            OperatorChange::Configuration(next) => self.take_configuration(*next),
+            OperatorChange::Version { model, version } => {
+                let known = self.versions.entry(model.clone()).or_default();
+                let newer = version > *known;
+                if newer {
+                    log::info!(
+                        "event=version-named model={model} version={version} before={known}"
+                    );
+                    *known = version;
+                }
+                newer
+            }
+            OperatorChange::Nothing => false,
+            OperatorChange::Unreadable { reason } => {
+                log::warn!(
+                    "event=operator-row key={} version={} outcome=unreadable reason=\"{reason}\"",
+                    row.key,
+                    row.version
+                );
+                false
+            }
+        }
+    }
+
+    /// Takes a configuration unless one as new is known.
+    fn take_configuration(&mut self, next: Configuration) -> bool {
+        let known = self.declared.as_ref().map_or(Generation(0), |(s, _)| s.generation);
+        if !next.supersedes(known) {
+            return false;
+        }
+        let previous = self.shared.snapshot();
+        let previous = previous.as_deref().or(self.declared.as_ref().map(|(s, _)| &**s));
+        let built = next.sections.to_parsed().and_then(|parsed| {
+            Snapshot::build(next.generation, &parsed, Some(&next.preset), previous)
+        });
+        match built {
+            Ok(snapshot) => {
+                self.declared = Some((Arc::new(snapshot), next));
+                true
+            }
+            Err(problems) => {
+                let (generation, reason) = (next.generation, problems.to_string());
+                log::error!(
+                    "event=configuration generation={generation} outcome=rejected reason=\"{reason}\""
+                );
+                self.shared.set_not_adopted(Some(NotAdopted { generation, reason }));
+                false
+            }
+        }
+    }
+
+    /// Puts what is known in force, once operators and registry are.
+    async fn publish(&mut self) {
+        let Some((declared, configuration)) = self.declared.clone() else {
+            return;
+        };
+        if !self.book.is_known() {
+            return;
+        }
+        self.revision += 1;
+        let snapshot = Arc::new(self.compose(&declared));
+        let position = snapshot.position();
+        let in_use = snapshot.targets.iter().filter(|(_, t)| !t.retired);
+        let (targets, leaving) = in_use
+            .fold((0, 0), |(all, leaving), (_, t)| (all + 1, leaving + usize::from(t.leaving)));
+        // The control state knows new keys before any traffic thread can use them.
+        self.shared.control.tell(Event::Configured(snapshot.clone())).await;
+        log::info!(
+            "event=in-force generation={} revision={} targets={targets} leaving={leaving} routes={}",
+            position.0,
+            position.1,
+            snapshot.routes.len()
+        );
+        self.declared = Some((snapshot.clone(), configuration.clone()));
+        self.shared.adopt(Arc::new(Adopted { snapshot, configuration }));
+        self.shared.set_not_adopted(None);
+        metrics::gauge!(metric::GENERATION).set(position.0.0 as f64);
+    }
+
+    fn compose(&self, declared: &Snapshot) -> Snapshot {
+        let mut next = declared.clone();
+        for (name, version) in &self.versions {
+            let named: Vec<_> = next
+                .models
+                .iter()
+                .filter(|(_, model)| model.weights == *name && model.version < *version)
+                .map(|(key, _)| key)
+                .collect();
+            for key in named {
+                next = next.with_version(self.revision, key, *version);
+            }
+        }
+        let listed: Vec<_> =
+            self.book.targets().map(|(listed, leaving)| (listed.clone(), leaving)).collect();
+        let mut targets = Vec::with_capacity(listed.len());
+        for (listed, leaving) in listed {
+            let Some(kind) = next.kind(&listed.serves) else {
+                continue;
+            };
+            let version = match kind {
+                TargetKind::Engine(_) => listed.version,
+                TargetKind::Service(_) => None,
+            };
+            targets.push(Target {
+                name: listed.run_name(),
+                instance: listed.id.clone(),
+                kind,
+                address: listed.address,
+                domain: next.domain_or_new(&listed.domain),
+                slots: listed.slots,
+                prefill_per_second: ASSUMED_PREFILL,
+                link_per_second: ASSUMED_LINK,
+                checks_fencing: false,
+                leaving,
+                version,
+                retired: false,
+            });
+        }
+        next.with_targets(self.revision, targets)
+    }
+}
--- /dev/null
+++ b/crates/cumintrail-daemon/src/log_queue.rs
@@ -0,0 +1,57 @@
+//! Writes log lines on a thread of their own, so that a slow reader never holds up a call.
+
+use std::io::{self, Write as _};
+use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
+use std::thread;
+
+use flexi_logger::DeferredNow;
+use flexi_logger::writers::LogWriter;
+use log::Record;
+
+use crate::metric;
+
+/// Lines that may wait to be written; more are dropped and counted.
+const MAX_WAITING: usize = 2_048;
+/// Lines that are written at once.
+const BATCH: usize = 64;
+const TIME_FORMAT: &str = "%Y-%m-%dT%H:%M:%S%.3f";
+
+/// Passes lines to the thread that writes them to standard output.
+pub struct LogQueue {
+    lines: SyncSender<String>,
+}
+
+impl LogQueue {
+    /// Starts the writing thread.
+    pub fn spawn() -> io::Result<Self> {
+        let (lines, waiting) = sync_channel(MAX_WAITING);
+        thread::Builder::new().name("log".into()).spawn(move || write_lines(&waiting))?;
+        Ok(Self { lines })
+    }
+}
+
+impl LogWriter for LogQueue {
+    fn write(&self, now: &mut DeferredNow, record: &Record<'_>) -> io::Result<()> {
+        let time = now.format(TIME_FORMAT);
+        let line = format!("{time} level={} {}\n", record.level(), record.args());
+        if self.lines.try_send(line).is_err() {
+            metrics::counter!(metric::DROPPED_LINES).increment(1);
+        }
+        Ok(())
+    }
+
+    fn flush(&self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+fn write_lines(waiting: &Receiver<String>) {
+    while let Ok(first) = waiting.recv() {
+        let mut text = first;
+        for line in waiting.try_iter().take(BATCH) {
+            text.push_str(&line);
+        }
+        // Nobody is left to be told that standard output is gone.
+        let _ = io::stdout().write_all(text.as_bytes());
+    }
+}
--- a/crates/cumintrail-daemon/src/metric.rs
+++ b/crates/cumintrail-daemon/src/metric.rs
@@ -18,6 +18,12 @@
 pub const RETRIES: &str = "cumintrail_retries_total";
 /// Time from arrival to the first token, in seconds.
 pub const FIRST_TOKEN: &str = "cumintrail_first_token_seconds";
+/// Time from the head of a relayed call to the end of its answer, in seconds.
+pub const CALL_SECONDS: &str = "cumintrail_relayed_call_seconds";
+/// Answers of targets that belonged to another call.
+pub const FOREIGN_ANSWERS: &str = "cumintrail_foreign_answers_total";
+/// Log lines that were dropped, since too many waited to be written.
+pub const DROPPED_LINES: &str = "cumintrail_dropped_log_lines_total";
 /// Prompt tokens by where their state came from: `memory`, `store` or `computed`.
 pub const PROMPT_TOKENS: &str = "cumintrail_prompt_tokens_total";
 /// Bytes imported from stores.
@@ -113,7 +119,7 @@
 }
 
 /// Describes all metrics.
-pub const METRICS: [Description; 29] = [
+pub const METRICS: [Description; 32] = [
     counter(CALLS, Unit::Count, "Calls by outcome").by("outcome"),
     gauge(CALLS_IN_FLIGHT, Unit::Count, "Calls that are not answered yet"),
     gauge(CALLS_WAITING, Unit::Count, "Calls that wait for a slot"),
@@ -125,6 +131,15 @@
         label: None,
         help: "Time from arrival to the first token",
     },
+    Description {
+        name: CALL_SECONDS,
+        kind: Kind::Histogram,
+        unit: Unit::Seconds,
+        label: None,
+        help: "Time from the head of a relayed call to the end of its answer",
+    },
+    counter(FOREIGN_ANSWERS, Unit::Count, "Answers of targets that belonged to another call"),
+    counter(DROPPED_LINES, Unit::Count, "Log lines dropped, since too many waited"),
     counter(PROMPT_TOKENS, Unit::Count, "Prompt tokens by source of their state").by("source"),
     counter(LINK_BYTES, Unit::Bytes, "Bytes imported from stores"),
     counter(IMPORTS, Unit::Count, "Blocks by outcome of their import").by("outcome"),
@@ -157,9 +172,9 @@
 /// Installs the process's recorder once and returns the handle that renders it.
 pub fn install_recorder() -> &'static PrometheusHandle {
     RECORDER.get_or_init(|| {
-        let first_token = Matcher::Full(FIRST_TOKEN.into());
+        let seconds = Matcher::Suffix("_seconds".into());
         let builder = PrometheusBuilder::new()
-            .set_buckets_for_metric(first_token, &FIRST_TOKEN_BUCKETS_S)
+            .set_buckets_for_metric(seconds, &FIRST_TOKEN_BUCKETS_S)
             .expect("the list of buckets is not empty");
         let recorder = builder.build_recorder();
         let handle = recorder.handle();
--- a/crates/cumintrail-daemon/src/process.rs
+++ b/crates/cumintrail-daemon/src/process.rs
@@ -9,7 +9,8 @@
 use log::Record;
 use tokio::signal::unix::{SignalKind, signal};
 
-use crate::{Daemon, install_recorder};
+use crate::log_queue::LogQueue;
+use crate::{Daemon, Gateway, GatewayPlan, Platform, install_recorder};
 
 const EXIT_BAD_SETTINGS: u8 = 2;
 const EXIT_CANNOT_START: u8 = 3;
@@ -50,6 +51,52 @@
     actix_rt::System::new().block_on(serve(settings))
 }
 
+/// Runs a gateway until it is told to stop by `SIGTERM` or `SIGINT`.
+///
+/// Log lines go to standard output, one for each decision, and never hold up a call.
+pub fn run_gateway<P: Platform>(settings: Settings, plan: &GatewayPlan, platform: P) -> ExitCode {
+    let levels = format!("{}, {QUIET_LIBRARIES}", settings.log_level);
+    let logger = LogQueue::spawn().ok().and_then(|queue| {
+        Logger::try_with_str(levels).ok()?.log_to_writer(Box::new(queue)).start().ok()
+    });
+    if logger.is_none() {
+        eprintln!("no log lines are written: the logger could not be started");
+    }
+    install_recorder();
+    actix_rt::System::new().block_on(serve_gateway(settings, plan, platform))
+}
+
+async fn serve_gateway<P: Platform>(
+    settings: Settings,
+    plan: &GatewayPlan,
+    platform: P,
+) -> ExitCode {
+    let signals = [SignalKind::terminate(), SignalKind::interrupt(), SignalKind::hangup()];
+    let [terminate, interrupt, hangup] = signals.map(signal);
+    let (Ok(mut terminate), Ok(mut interrupt), Ok(mut hangup)) = (terminate, interrupt, hangup)
+    else {
+        eprintln!("cannot listen for signals");
+        return ExitCode::from(EXIT_CANNOT_START);
+    };
+    let gateway = match Gateway::spawn(settings, plan, platform) {
+        Ok(gateway) => gateway,
+        Err(e) => {
+            eprintln!("{e}");
+            return ExitCode::from(EXIT_CANNOT_START);
+        }
+    };
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = interrupt.recv() => break,
+            // Addresses and limits of a VM are fixed while its process runs.
+            _ = hangup.recv() => log::info!("event=reload outcome=unchanged"),
+        }
+    }
+    gateway.stop().await;
+    ExitCode::SUCCESS
+}
+
 async fn serve(settings: Settings) -> ExitCode {
     let stopped =
         signal(SignalKind::terminate()).and_then(|t| Ok((t, signal(SignalKind::interrupt())?)));
--- /dev/null
+++ b/crates/cumintrail-daemon/src/relay.rs
@@ -0,0 +1,216 @@
+//! Relayed calls: method, path, query and body reach a target unchanged, and its answer the
+//! caller; docs/DESIGN.md, "Relayed calls".
+
+mod attempt;
+mod call;
+mod caller;
+pub mod dialect;
+mod events;
+mod lines;
+mod probes;
+
+use std::cell::Cell;
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use actix_rt::Arbiter;
+use actix_rt::net::TcpStream;
+use cumintrail_client::Pool;
+use tokio::sync::watch;
+
+use self::caller::Caller;
+pub use self::dialect::{Asked, Dialect, Outgoing, OwnDialect, Part, Said};
+pub use self::probes::Probe;
+use crate::shared::Shared;
+
+/// How long a connection to a target may take to open.
+///
+/// Targets stand within a few milliseconds; a lost opening packet is sent again after a second.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// The pause between two looks for idle connections that may not be used again.
+const PRUNE_INTERVAL: Duration = Duration::from_secs(2);
+/// The pause after a connection could not be accepted, as when descriptors run out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Serves relayed calls on one address.
+pub struct Relay {
+    address: SocketAddr,
+    state: Arc<State>,
+    arbiters: Vec<Arbiter>,
+}
+
+/// Counts what the traffic threads still have to do, and tells them to end.
+#[derive(Debug)]
+struct State {
+    open_calls: AtomicUsize,
+    closing: watch::Sender<bool>,
+}
+
+/// Holds what one traffic thread needs.
+pub(crate) struct Worker<D> {
+    pub shared: Arc<Shared>,
+    pub dialect: D,
+    pub pool: Pool,
+    state: Arc<State>,
+    connections: Cell<usize>,
+}
+
+/// Counts a call as open for as long as it lives.
+pub(crate) struct OpenCall(Arc<State>);
+
+impl Drop for OpenCall {
+    fn drop(&mut self) {
+        self.0.open_calls.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+impl Relay {
+    /// Starts the traffic threads, and the answers to probes on their addresses.
+    pub fn spawn<D: Dialect>(
+        callers: TcpListener,
+        probes: Vec<(Probe, TcpListener)>,
+        shared: &Arc<Shared>,
+        dialect: &D,
+    ) -> io::Result<Self> {
+        let address = callers.local_addr()?;
+        let state = State { open_calls: AtomicUsize::new(0), closing: watch::Sender::new(false) };
+        let state = Arc::new(state);
+        callers.set_nonblocking(true)?;
+        let mut arbiters = Vec::new();
+        for _ in 0..shared.settings.workers.max(1) {
+            let listener = callers.try_clone()?;
+            let (shared, state, dialect) = (shared.clone(), state.clone(), dialect.clone());
+            let arbiter = Arbiter::new();
+            arbiter.spawn_fn(move || {
+                let worker = Worker {
+                    pool: Pool::open(CONNECT_TIMEOUT),
+                    shared,
+                    dialect,
+                    state,
+                    connections: Cell::new(0),
+                };
+                actix_rt::spawn(run(listener, Rc::new(worker)));
+            });
+            arbiters.push(arbiter);
+        }
+        for ((probe, listener), arbiter) in probes.into_iter().zip(arbiters.iter().cycle()) {
+            listener.set_nonblocking(true)?;
+            let shared = shared.clone();
+            arbiter.spawn_fn(move || {
+                actix_rt::spawn(probes::serve(listener, shared, probe));
+            });
+        }
+        Ok(Self { address, state, arbiters })
+    }
+
+    /// Returns where callers connect.
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns the calls whose answers are not written yet.
+    pub fn open_calls(&self) -> usize {
+        self.state.open_calls.load(Ordering::Acquire)
+    }
+
+    /// Closes connections as soon as they are idle, and takes no new ones.
+    pub fn close_idle(&self) {
+        self.state.closing.send_replace(true);
+    }
+
+    /// Ends the traffic threads.
+    pub fn stop(&self) {
+        for arbiter in &self.arbiters {
+            arbiter.stop();
+        }
+    }
+}
+
+impl<D: Dialect> Worker<D> {
+    /// Counts a call until the returned guard is dropped.
+    pub fn open_call(&self) -> OpenCall {
+        self.state.open_calls.fetch_add(1, Ordering::AcqRel);
+        OpenCall(self.state.clone())
+    }
+
+    /// Tells whether answers ask callers to connect anew elsewhere.
+    pub fn is_stopping(&self) -> bool {
+        self.shared.is_stopping()
+    }
+}
+
+async fn run<D: Dialect>(listener: TcpListener, worker: Rc<Worker<D>>) {
+    let listener = match tokio::net::TcpListener::from_std(listener) {
+        Ok(listener) => listener,
+        Err(e) => return log::error!("event=listen outcome=failed reason=\"{e}\""),
+    };
+    let pruned = worker.clone();
+    actix_rt::spawn(async move { prune(&pruned).await });
+    let mut closing = worker.state.closing.subscribe();
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = closing.wait_for(|closing| *closing) => return,
+        };
+        match accepted {
+            Ok((stream, _))
+                if worker.connections.get() < worker.shared.settings.max_connections =>
+            {
+                actix_rt::spawn(serve(worker.clone(), stream));
+            }
+            Ok(_) => log::warn!("event=connection outcome=refused reason=too-many"),
+            Err(e) => {
+                log::warn!("event=accept outcome=failed reason=\"{e}\"");
+                actix_rt::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Serves one connection of a caller until either side closes it.
+async fn serve<D: Dialect>(worker: Rc<Worker<D>>, stream: TcpStream) {
+    worker.connections.set(worker.connections.get() + 1);
+    let mut closing = worker.state.closing.subscribe();
+    if let Ok(mut caller) = Caller::new(stream, worker.shared.settings.stall_limit) {
+        loop {
+            let limits = worker.shared.snapshot().map(|s| s.deployment.callers);
+            let next = tokio::select! {
+                biased;
+                next = caller.next_request(limits) => next,
+                _ = closing.wait_for(|closing| *closing) => break,
+            };
+            let req = match next {
+                Ok(Some(req)) => req,
+                Ok(None) => break,
+                Err(refusal) => {
+                    call::reject(&worker, &mut caller, &refusal).await;
+                    caller.linger().await;
+                    break;
+                }
+            };
+            let open = worker.open_call();
+            let stays_open = call::answer(&worker, &mut caller, req).await;
+            drop(open);
+            if !stays_open {
+                caller.linger().await;
+                break;
+            }
+        }
+    }
+    worker.connections.set(worker.connections.get() - 1);
+}
+
+async fn prune<D: Dialect>(worker: &Worker<D>) {
+    loop {
+        actix_rt::time::sleep(PRUNE_INTERVAL).await;
+        let snapshot = worker.shared.snapshot();
+        worker.pool.prune(|at| {
+            let targets = snapshot.iter().flat_map(|s| s.targets.iter());
+            targets.into_iter().any(|(_, t)| t.address == at && !t.retired)
+        });
+    }
+}
--- /dev/null
+++ b/crates/cumintrail-daemon/src/relay/dialect.rs
@@ -0,0 +1,151 @@
+//! How relayed calls name their properties on the wire, towards callers and targets.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use actix_http::header::{AUTHORIZATION, HeaderMap, HeaderName, HeaderValue};
+use actix_http::{RequestHead, ResponseHead, StatusCode};
+use cumintrail_types::{BlockKey, Refusal, RefusalCode, Tokens, Urgency, WeightVersion};
+use smallvec::SmallVec;
+
+/// Holds what the head of a request asks for, besides its route and body.
+#[derive(Debug, Clone, Default)]
+pub struct Asked {
+    /// The name of the call, which the answer repeats.
+    pub id: Option<HeaderValue>,
+    /// How long the caller waits.
+    pub patience: Option<Duration>,
+    /// The parts of the prompt, in order; empty for other calls.
+    pub parts: SmallVec<[Part; 4]>,
+    /// The length of the prompt.
+    pub prompt: Tokens,
+    /// The longest answer asked for.
+    pub max_answer: Tokens,
+    /// The last event that the caller has of an earlier answer.
+    pub last_event: Option<u64>,
+}
+
+/// Names a part of a prompt.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Part {
+    /// The part's name; equal names stand for equal text.
+    pub name: Arc<str>,
+    /// Its length.
+    pub tokens: Tokens,
+}
+
+/// Holds what a target is told of a call besides what the caller sent.
+#[derive(Debug)]
+pub struct Outgoing<'a> {
+    /// The client account, if the route is not public.
+    pub account: Option<&'a str>,
+    /// The name that the target must answer to.
+    pub instance: &'a str,
+    /// The time that is left.
+    pub left: Duration,
+    /// Where the state of the prompt is kept apart; nothing for calls without prompt.
+    pub cache: Option<BlockKey>,
+    /// The rank of the call.
+    pub urgency: Urgency,
+    /// The weight version that the target must have, if that matters.
+    pub version: Option<WeightVersion>,
+    /// The last event that was passed on.
+    pub last_event: Option<u64>,
+}
+
+/// Tells what an answer says about the call that it answers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Said {
+    /// It answers the call.
+    Answer,
+    /// It answers another call.
+    Foreign,
+    /// The target did not run the call and never will.
+    NotRun {
+        /// Whether another process answers at the address, or this one takes no calls any more.
+        gone: bool,
+    },
+}
+
+/// Translates between calls and the heads of requests and answers.
+pub trait Dialect: Clone + Send + 'static {
+    /// Reads what a request asks for.
+    fn read(&self, head: &RequestHead) -> Result<Asked, Refusal>;
+    /// Writes what a target is told into the headers that the caller sent.
+    fn write(&self, headers: &mut HeaderMap, outgoing: &Outgoing<'_>);
+    /// Tells what an answer says, given the id of the call.
+    fn judge(&self, head: &ResponseHead, asked: &Asked, instance: &str) -> Said;
+    /// Names a refused call in its answer.
+    fn sign(&self, headers: &mut HeaderMap, asked: &Asked);
+}
+
+/// Returns the key that a caller shows.
+pub fn credential(head: &RequestHead) -> Option<&str> {
+    let value = head.headers().get(AUTHORIZATION)?.to_str().ok()?;
+    let (scheme, key) = value.split_once(' ')?;
+    scheme.eq_ignore_ascii_case("bearer").then(|| key.trim())
+}
+
+/// The headers of cumintrail's own interface; docs/OPERATIONS.md, "Relayed calls".
+#[derive(Debug, Clone, Copy, Default)]
+pub struct OwnDialect;
+
+const CALL: HeaderName = HeaderName::from_static("x-cumintrail-call");
+const DEADLINE: HeaderName = HeaderName::from_static("x-cumintrail-deadline-ms");
+const ACCOUNT: HeaderName = HeaderName::from_static("x-cumintrail-account");
+const INSTANCE: HeaderName = HeaderName::from_static("x-cumintrail-instance");
+const NOT_RUN: HeaderName = HeaderName::from_static("x-cumintrail-not-run");
+const LAST_EVENT: HeaderName = HeaderName::from_static("last-event-id");
+
+impl Dialect for OwnDialect {
+    fn read(&self, head: &RequestHead) -> Result<Asked, Refusal> {
+        let id = head.headers().get(CALL).cloned();
+        let patience = number(head.headers(), &DEADLINE)?.map(Duration::from_millis);
+        let last_event = number(head.headers(), &LAST_EVENT)?;
+        Ok(Asked { id, patience, last_event, ..Asked::default() })
+    }
+
+    fn write(&self, headers: &mut HeaderMap, outgoing: &Outgoing<'_>) {
+        headers.remove(AUTHORIZATION);
+        set(headers, ACCOUNT, outgoing.account);
+        set(headers, INSTANCE, Some(outgoing.instance));
+        set(headers, DEADLINE, Some(&outgoing.left.as_millis().to_string()));
+        if let Some(last) = outgoing.last_event {
+            set(headers, LAST_EVENT, Some(&last.to_string()));
+        }
+    }
+
+    fn judge(&self, head: &ResponseHead, asked: &Asked, instance: &str) -> Said {
+        let misdirected = head.status == StatusCode::MISDIRECTED_REQUEST;
+        let other = head.headers().get(INSTANCE).is_some_and(|name| name != instance);
+        match head.headers().get(CALL) {
+            Some(id) if asked.id.as_ref().is_some_and(|asked| asked != id) => Said::Foreign,
+            _ if misdirected => Said::NotRun { gone: other },
+            _ if head.headers().contains_key(NOT_RUN) => Said::NotRun { gone: false },
+            _ => Said::Answer,
+        }
+    }
+
+    fn sign(&self, headers: &mut HeaderMap, asked: &Asked) {
+        if let Some(id) = &asked.id {
+            headers.insert(CALL, id.clone());
+        }
+    }
+}
+
+/// Reads a header that holds a whole number.
+pub fn number(headers: &HeaderMap, name: &HeaderName) -> Result<Option<u64>, Refusal> {
+    let Some(value) = headers.get(name) else {
+        return Ok(None);
+    };
+    let parsed = value.to_str().ok().and_then(|text| text.trim().parse().ok());
+    parsed.map(Some).ok_or(Refusal::not_run(RefusalCode::BadRequest))
+}
+
+/// Sets a header, or removes what a caller sent under its name.
+pub fn set(headers: &mut HeaderMap, name: HeaderName, value: Option<&str>) {
+    match value.and_then(|text| HeaderValue::from_str(text).ok()) {
+        Some(value) => drop(headers.insert(name, value)),
+        None => drop(headers.remove(name)),
+    }
+}
--- /dev/null
+++ b/crates/cumintrail-daemon/src/relay/probes.rs
@@ -0,0 +1,51 @@
+//! Answers to the balancer's health checks and to the collector of metrics.
+
+use std::net::TcpListener;
+use std::sync::Arc;
+
+use actix_http::{Response, StatusCode};
+use actix_rt::net::TcpStream;
+use bytes::Bytes;
+
+use super::caller::Caller;
+use crate::metric;
+use crate::shared::Shared;
+
+/// Tells what an address answers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Probe {
+    /// 200 while the daemon takes calls, else 503.
+    Readiness,
+    /// All metrics as text.
+    Metrics,
+}
+
+/// Answers each request on `listener`.
+pub(super) async fn serve(listener: TcpListener, shared: Arc<Shared>, probe: Probe) {
+    let listener = match tokio::net::TcpListener::from_std(listener) {
+        Ok(listener) => listener,
+        Err(e) => return log::error!("event=listen outcome=failed reason=\"{e}\""),
+    };
+    loop {
+        if let Ok((stream, _)) = listener.accept().await {
+            let shared = shared.clone();
+            actix_rt::spawn(async move { answer(stream, &shared, probe).await });
+        }
+    }
+}
+
+async fn answer(stream: TcpStream, shared: &Shared, probe: Probe) {
+    let Ok(mut caller) = Caller::new(stream, shared.settings.stall_limit) else {
+        return;
+    };
+    while let Ok(Some(_)) = caller.next_request(None).await {
+        let (status, body) = match probe {
+            Probe::Readiness if shared.is_ready() => (StatusCode::OK, Bytes::new()),
+            Probe::Readiness => (StatusCode::SERVICE_UNAVAILABLE, Bytes::new()),
+            Probe::Metrics => (StatusCode::OK, metric::render().into()),
+        };
+        if caller.write_whole(Response::with_body(status, ()), body).await.is_err() {
+            return;
+        }
+    }
+}
--- a/crates/cumintrail-types/src/block.rs
+++ b/crates/cumintrail-types/src/block.rs
@@ -142,6 +142,11 @@
         Self { secret, previous: shorten(&hasher.finalize()) }
     }
 
+    /// Returns the name that all pieces of the chain so far lie under.
+    pub const fn root(&self) -> BlockKey {
+        self.previous
+    }
+
     /// Appends a piece of prompt text and returns the key of the state after it.
     pub fn next_key(&mut self, piece: &[u8]) -> BlockKey {
         let mut hasher = blake3::Hasher::new_keyed(&self.secret);
--- a/crates/cumintrail-types/src/call.rs
+++ b/crates/cumintrail-types/src/call.rs
@@ -31,7 +31,43 @@
     /// A call to a plain service that is safe to repeat.
     #[display("repeatable")]
     Repeatable,
-    /// A call to a plain service that must run at most once.
+    /// A call that must run at most once.
     #[display("once")]
     Once,
+    /// A streamed answer that another target can continue after the last event passed on.
+    #[display("resumable-stream")]
+    #[serde(rename = "resumable-stream")]
+    ResumableStream,
+    /// A streamed answer that nobody can continue; it runs at most once.
+    #[display("stream")]
+    Stream,
 }
+
+impl CallClass {
+    /// Tells whether a call may run again after it may have run.
+    pub const fn is_repeatable(self) -> bool {
+        matches!(self, Self::Model | Self::Repeatable | Self::ResumableStream)
+    }
+
+    /// Tells whether the answer is a series of events that are passed on as they come.
+    pub const fn is_streamed(self) -> bool {
+        matches!(self, Self::ResumableStream | Self::Stream)
+    }
+}
+
+/// Ranks calls and client accounts; a lower one goes first.
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Default,
+    Display,
+    Serialize,
+    Deserialize,
+)]
+pub struct Urgency(pub u8);
--- a/crates/cumintrail-types/src/keys.rs
+++ b/crates/cumintrail-types/src/keys.rs
@@ -33,6 +33,8 @@
     ModelKey(u16);
     /// Names a plain service.
     ServiceKey(u16);
+    /// Names a route of relayed calls.
+    RouteKey(u32);
     /// Names a store VM of kept KV cache.
     StoreKey(u16);
     /// Names a target: one model engine or one replica of a plain service.
--- a/crates/cumintrail-types/src/lib.rs
+++ b/crates/cumintrail-types/src/lib.rs
@@ -11,10 +11,10 @@
 
 pub use arena::{Arena, Key};
 pub use block::{BlockKey, Digest, KeyChain, Sealed, Tier, WriteId};
-pub use call::{AttemptNumber, CallClass, Ran};
+pub use call::{AttemptNumber, CallClass, Ran, Urgency};
 pub use keys::{
-    AccountKey, CallKey, DomainKey, FencingNumber, Generation, Incarnation, ModelKey, ServiceKey,
-    StoreKey, TargetKey, WeightVersion,
+    AccountKey, CallKey, DomainKey, FencingNumber, Generation, Incarnation, ModelKey, RouteKey,
+    ServiceKey, StoreKey, TargetKey, WeightVersion,
 };
 pub use refusal::{Refusal, RefusalCode};
 pub use time::Moment;
--- a/crates/cumintrail-types/src/refusal.rs
+++ b/crates/cumintrail-types/src/refusal.rs
@@ -26,6 +26,9 @@
     /// The body is larger than the declared limit.
     #[display("too-large")]
     TooLarge,
+    /// The head of the request is larger than the declared limit.
+    #[display("head-too-large")]
+    HeadTooLarge,
     /// The body did not arrive within the time limit.
     #[display("request-timeout")]
     RequestTimeout,
@@ -80,6 +83,7 @@
             Self::KeyExpired => 410,
             Self::TooLarge => 413,
             Self::KeyReused => 422,
+            Self::HeadTooLarge => 431,
             Self::AccountLimit => 429,
             Self::OutcomeUnknown | Self::TargetFailed => 502,
             Self::Deadline => 504,
@@ -92,12 +96,13 @@
     }
 
     /// Lists all codes, for the reference in docs/OPERATIONS.md.
-    pub const ALL: [Self; 18] = [
+    pub const ALL: [Self; 19] = [
         Self::BadRequest,
         Self::Unauthorized,
         Self::NotFound,
         Self::MethodNotAllowed,
         Self::TooLarge,
+        Self::HeadTooLarge,
         Self::RequestTimeout,
         Self::AccountLimit,
         Self::Overloaded,
--- a/crates/cumintrail-wire/src/platform.rs
+++ b/crates/cumintrail-wire/src/platform.rs
@@ -46,6 +46,9 @@
     pub committed: bool,
     /// The rows of the conditions, as they were found.
     pub found: Vec<Option<Row>>,
+    /// The version that all written rows have, where versions are counted over all rows.
+    #[serde(default)]
+    pub version: Option<u64>,
 }
 
 /// Holds a row.
--- a/tests/src/experiment/run.rs
+++ b/tests/src/experiment/run.rs
@@ -11,7 +11,7 @@
 use cumintrail_control::following::StoreRead;
 use cumintrail_control::{
     Action, Arrival, AttemptOutcome, Control, Dispatch, Event, Export, FetchOutcome, Identity,
-    Usage,
+    Terms, Usage,
 };
 use cumintrail_types::{
     AccountKey, AttemptNumber, BlockKey, CallClass, CallKey, Generation, Incarnation, Key,
@@ -183,6 +183,7 @@
             prompt: Tokens(prompt),
             max_answer: Tokens(request.answer),
             deadline: now + DEADLINE,
+            terms: Terms::default(),
         };
         self.tell(now, Event::Arrived(arrival));
     }
--- a/tests/src/standins/platform.rs
+++ b/tests/src/standins/platform.rs
@@ -243,7 +243,7 @@
             };
         }
     }
-    json(StatusCode::OK, &Committed { committed, found })
+    json(StatusCode::OK, &Committed { committed, found, version: None })
 }
 
 fn answer_list(state: &mut State, known: Option<&str>) -> Answer {
--- a/tests/tests/admission.rs
+++ b/tests/tests/admission.rs
@@ -6,7 +6,7 @@
 
 use cumintrail_config::{Document, Snapshot, TargetKind};
 use cumintrail_control::admission::{Admission, BY_NEED, FairQueue, share};
-use cumintrail_control::{Action, Arrival, AttemptOutcome, Control, Event, Identity};
+use cumintrail_control::{Action, Arrival, AttemptOutcome, Control, Event, Identity, Terms};
 use cumintrail_types::{
     AccountKey, CallClass, CallKey, Digest, Generation, Incarnation, ModelKey, Moment, Ran,
     RefusalCode, ServiceKey, Tokens, WeightVersion,
@@ -258,6 +258,7 @@
         prompt: Tokens(100),
         max_answer: Tokens(10),
         deadline: Moment::from_millis(60_000),
+        terms: Terms::default(),
     }
 }
 
--- a/tests/tests/rollout.rs
+++ b/tests/tests/rollout.rs
@@ -139,7 +139,7 @@
                 if (self.lose)(self.now) {
                     rollout.lease_failed(self.now);
                 } else {
-                    rollout.lease_written(self.now, self.now, committed);
+                    rollout.lease_written(self.now, self.now, committed, None);
                 }
             }
         }
--- a/tests/tests/stores.rs
+++ b/tests/tests/stores.rs
@@ -8,7 +8,7 @@
 use cumintrail_config::{Document, Snapshot, TargetKind};
 use cumintrail_control::following::{ChangesPage, ListingPage, StoreAnswer, StoreRead};
 use cumintrail_control::{
-    Action, Actions, Arrival, AttemptOutcome, Control, Event, Identity, TargetReport, Usage,
+    Action, Actions, Arrival, AttemptOutcome, Control, Event, Identity, TargetReport, Terms, Usage,
 };
 use cumintrail_tests::cluster::{LOOPBACK, Plan, declare};
 use cumintrail_tests::deployment::{ANSWER_LIMIT, Deployment};
@@ -153,6 +153,7 @@
         pieces,
         max_answer: Tokens(10),
         deadline: now + Duration::from_secs(60),
+        terms: Terms::default(),
     };
     daemon.handle(now, Event::Arrived(arrival))
 }
