--- a/crates/cumintrail-config/src/declarations.rs
+++ b/crates/cumintrail-config/src/declarations.rs
@@ -179,6 +179,8 @@
     pub disk_per_second: Bytes,
     /// The kept state it has room for.
     pub capacity: Bytes,
+    /// Whether it keeps parts of prompts that are freed by order only, in place of sealed blocks.
+    pub keeps_parts: bool,
     /// Whether the store was removed from the declarations; its key stays valid.
     pub retired: bool,
 }
--- a/crates/cumintrail-config/src/snapshot/read.rs
+++ b/crates/cumintrail-config/src/snapshot/read.rs
@@ -121,6 +121,7 @@
         link_per_second: Bytes(r.within("link_bytes_per_second", 1_000 * MIB, 1..=u64::MAX)),
         disk_per_second: Bytes(r.within("disk_bytes_per_second", 500 * MIB, 1..=u64::MAX)),
         capacity: Bytes(r.within("capacity_bytes", 64 << 30, 1..=u64::MAX)),
+        keeps_parts: r.choice("keeps", &[("blocks", false), ("parts", true)]),
         retired: false,
     }
 }
--- a/crates/cumintrail-control/src/calls.rs
+++ b/crates/cumintrail-control/src/calls.rs
@@ -82,6 +82,11 @@
         self.attempts
     }
 
+    /// Returns the tokens that take an engine's memory, with half of the longest answer.
+    pub const fn memory(&self) -> Tokens {
+        Tokens(self.arrival.prompt.0 + self.arrival.max_answer.0 / 2)
+    }
+
     /// Returns the number of attempts that ended and may have run.
     pub const fn runs(&self) -> u8 {
         self.runs
--- a/crates/cumintrail-control/src/control.rs
+++ b/crates/cumintrail-control/src/control.rs
@@ -5,6 +5,7 @@
 mod blocks;
 mod description;
 mod digests;
+mod managed;
 mod probes;
 mod reads;
 mod rollouts;
@@ -26,6 +27,7 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
+use self::managed::Managed;
 use self::reads::Reads;
 use self::state::{StoreState, TargetState};
 use crate::admission::Admission;
@@ -33,10 +35,11 @@
 use crate::keeping::Keeping;
 use crate::links::Links;
 use crate::membership::Membership;
+use crate::parts::Parts;
 use crate::placement::{CheapestPlacer, Placer};
 use crate::retry::{RetryBudget, RetryPolicy};
 use crate::rollout::Rollout;
-use crate::{Actions, Call, Event};
+use crate::{Actions, Call, Event, TargetLoad};
 
 /// Tells who a daemon is.
 #[derive(Debug, Clone)]
@@ -68,6 +71,10 @@
     admission: Admission,
     directory: Directory,
     links: Links,
+    parts: Parts,
+    /// What each peer last told that it has out at targets.
+    peer_loads: HashMap<SocketAddr, (Moment, Vec<TargetLoad>)>,
+    managed: Managed,
     keeping: Keeping,
     membership: Membership,
     rollout: Rollout,
@@ -117,6 +124,9 @@
             admission: Admission::new(1.0),
             directory: Directory::default(),
             links: Links::default(),
+            parts: Parts::default(),
+            peer_loads: HashMap::new(),
+            managed: Managed::default(),
             keeping: Keeping::default(),
             membership: Membership::default(),
             rollout,
@@ -139,8 +149,11 @@
     }
 
     /// Takes targets as a registry has them, in place of probing them.
-    pub const fn follow_registry(&mut self) {
+    ///
+    /// `secret` keys the names under which parts of prompts are kept.
+    pub fn follow_registry(&mut self, secret: &str) {
         self.has_registry = true;
+        self.managed.secret = secret.into();
     }
 
     /// Changes how many retries may be added to calls.
@@ -177,6 +190,8 @@
                 self.take_store_answer(now, store, ticket, &answer);
             }
             Event::StoreSilent { store, ticket } => self.take_store_silence(now, store, ticket),
+            Event::PartsHeard { store, asked, heard } => self.take_parts(now, asked, store, heard),
+            Event::PlatformAnswered { asked } => self.managed.note_answer(asked),
             Event::FreeFailed { store, sealed } => self.take_failed_free(store, sealed),
             Event::VmsListed { sequence, vms } => self.take_vm_list(now, sequence, &vms),
             Event::VmsRead { sequence } => self.note_vms_read(now, sequence),
--- a/crates/cumintrail-control/src/control/arrivals.rs
+++ b/crates/cumintrail-control/src/control/arrivals.rs
@@ -4,14 +4,15 @@
 
 use cumintrail_config::{Preset, Snapshot, Target, TargetKind};
 use cumintrail_types::{
-    AccountKey, CallKey, Moment, Refusal, RefusalCode, TargetKey, Tokens, WeightVersion,
+    AccountKey, CallKey, Moment, Ran, Refusal, RefusalCode, TargetKey, Tokens, WeightVersion,
 };
 use smallvec::SmallVec;
 
 use super::Control;
-use super::state::TargetState;
+use super::state::{Awaited, TargetState};
 use crate::admission;
 use crate::membership::Liveness;
+use crate::parts::{PartPlans, Parts};
 use crate::placement::{Candidate, Context, Placement, Placer, Request};
 use crate::retry::RetryBudget;
 use crate::{Action, Actions, Arrival, Call, Dispatch, retry};
@@ -146,6 +147,7 @@
             return Err(Refusal::not_run(RefusalCode::Deadline));
         };
         let arrival = &call.arrival;
+        let waiting = call;
         let usable: Vec<TargetKey> = self.usable_targets(now, snapshot, call).collect();
         if usable.is_empty() {
             return Err(retry::give_up(call, RefusalCode::NoTarget));
@@ -164,8 +166,10 @@
             let free = candidates.iter().filter(|c| c.free);
             return Ok(free.min_by_key(|c| c.calls).map(|c| plain_placement(c.key)));
         };
+        let parts = self.plan_parts(now, arrival);
         let cx = Context {
             now,
+            tokens_read: Parts::tokens_read(&parts),
             stores: &snapshot.stores,
             deployment: &snapshot.deployment,
             preset: &snapshot.preset,
@@ -174,12 +178,24 @@
             links: &self.links,
         };
         let Arrival { call, ref pieces, prompt, .. } = *arrival;
-        Ok(self.placer.place(&cx, &Request { call, pieces, prompt }, &candidates))
+        let (memory, objective) = (waiting.memory(), arrival.terms.objective);
+        let request = Request { call, pieces, prompt, memory, objective };
+        let Some(placement) = self.placer.place(&cx, &request, &candidates) else {
+            return Ok(None);
+        };
+        match self.placer.declines(&request, &placement) {
+            Some(after) if waiting.ran() == Ran::No => {
+                Err(Refusal::not_run(RefusalCode::Overloaded).retry_after(after))
+            }
+            _ => Ok(Some(Placement { parts, ..placement })),
+        }
     }
 
-    /// Leaves out targets that just refused a call, as long as there are others.
+    /// Leaves out targets that just refused a call or load weights, as long as there are others.
     fn prefer_accepting(&self, now: Moment, usable: Vec<TargetKey>) -> Vec<TargetKey> {
-        let accepts = |key: &TargetKey| self.targets.get(*key).is_some_and(|s| s.avoided <= now);
+        let accepts = |key: &TargetKey| {
+            self.targets.get(*key).is_some_and(|s| s.avoided <= now && !s.is_loading(now))
+        };
         let accepting: Vec<TargetKey> = usable.iter().copied().filter(accepts).collect();
         if accepting.is_empty() { usable } else { accepting }
     }
@@ -220,6 +236,11 @@
             TargetKind::Engine(_) => ENGINE_QUEUE_FACTOR,
             TargetKind::Service(_) => 1,
         };
+        let room = match arrival.kind {
+            TargetKind::Engine(model) => snapshot.models.get(model).map_or(1, |m| m.memory.0),
+            TargetKind::Service(_) => 1,
+        };
+        let per_token = 1.0 / f64::from(room.max(1));
         Some(Candidate {
             key,
             target,
@@ -228,6 +249,10 @@
             slot_wait: self.slot_wait(state, target),
             free: state.in_flight < target.slots * queue_factor,
             importable: self.version_of(key, arrival.version) == arrival.version,
+            memory: f64::from((state.memory + state.foreign_memory).0) * per_token,
+            memory_per_token: per_token,
+            pace: if state.pace > 0.0 { state.pace } else { 1.0 },
+            overdue: state.overdue(now),
         })
     }
 
@@ -270,16 +295,22 @@
         let version = call.pinned.unwrap_or(loaded);
         let attempt = call.start_attempt(target, version, now);
         call.expected_prefill = placement.recompute;
-        let account = call.arrival.account;
+        let (account, memory) = (call.arrival.account, call.memory());
         if let Some(state) = self.targets.get_mut(target) {
             state.in_flight += 1;
+            let awaited = Awaited { call: key, sent: now, expected: placement.first_token };
+            if self.has_registry {
+                state.await_first(awaited, memory);
+            }
             state.breaker.start();
             state.add_prefill(now, placement.recompute);
         }
         self.admission.add_prefill(account, placement.recompute);
         self.start_fetches(now, key, &placement.plan);
-        let Placement { plan, first_token, .. } = placement;
-        let dispatch = Dispatch { call: key, attempt, target, version, plan, first_token };
+        let Placement { plan, first_token, parts, .. } = placement;
+        // Parts are named for the version that the call arrived for.
+        let parts = if version == arrived_for { parts } else { PartPlans::default() };
+        let dispatch = Dispatch { call: key, attempt, target, version, plan, first_token, parts };
         actions.push(Action::Dispatch(dispatch));
     }
 }
@@ -311,5 +342,7 @@
         recompute: Tokens(0),
         plan: crate::FetchPlan::default(),
         link_bytes: cumintrail_types::Bytes(0),
+        parts: PartPlans::default(),
+        memory: 0.0,
     }
 }
--- a/crates/cumintrail-control/src/control/attempts.rs
+++ b/crates/cumintrail-control/src/control/attempts.rs
@@ -18,6 +18,10 @@
 impl<P: Placer> Control<P> {
     pub(super) fn take_first_token(&mut self, now: Moment, key: CallKey) {
         self.settle_backlog(now, key);
+        let target = self.calls.get(&key).and_then(Call::target);
+        if let Some(state) = target.and_then(|target| self.targets.get_mut(target)) {
+            state.take_first(now, key);
+        }
         if let Some(call) = self.calls.get_mut(&key).filter(|c| c.target().is_some()) {
             call.first_token.get_or_insert(now);
             call.start_streaming();
@@ -169,7 +173,11 @@
 
     fn release_slot(&mut self, now: Moment, key: CallKey, target: TargetKey) {
         self.settle_backlog(now, key);
+        let memory = self.calls.get(&key).map(Call::memory).unwrap_or_default();
         if let Some(state) = self.targets.get_mut(target) {
+            if self.has_registry {
+                state.settle(key, memory);
+            }
             state.in_flight = state.in_flight.saturating_sub(1);
         }
     }
--- a/crates/cumintrail-control/src/control/description.rs
+++ b/crates/cumintrail-control/src/control/description.rs
@@ -10,9 +10,10 @@
 use super::state::{StoreState, TargetState};
 use crate::dump::{liveness, millis};
 use crate::membership::Peer;
+use crate::placement::Placer;
 use crate::{Call, CallDump, Counts, Dump, LimitDump, PeerDump, QueueDump, StoreDump, TargetDump};
 
-impl Control {
+impl<P: Placer> Control<P> {
     /// Describes the whole state for operators.
     pub fn dump(&self, now: Moment) -> Dump {
         let snapshot = self.snapshot.as_deref();
--- a/crates/cumintrail-control/src/control/digests.rs
+++ b/crates/cumintrail-control/src/control/digests.rs
@@ -1,17 +1,27 @@
 //! Digests: what this daemon tells peers and takes from them.
 
+use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use cumintrail_types::Moment;
+use cumintrail_types::{Moment, WeightVersion};
 use rand::Rng;
+use rand::seq::IteratorRandom;
 
 use super::Control;
+use crate::parts::place_of;
 use crate::placement::Placer;
-use crate::{Action, Actions, PeerDigest};
+use crate::{Action, Actions, PeerDigest, TargetLoad};
 
 /// The shortest time between two digests, however much changes.
 const URGENT_GAP: Duration = Duration::from_millis(100);
+/// Peers that one digest names at most.
+const MAX_NAMED: usize = 12;
+/// How long after its last digest a peer is still named.
+const NAMED_LIFE: Duration = Duration::from_secs(5);
+/// How long after its digest the load that a peer told counts.
+const LOADS_LIFE: Duration = Duration::from_millis(1_500);
 /// Client accounts whose use one digest tells at most, the busiest first.
 const MAX_WANTS: usize = 64;
 
@@ -41,6 +51,9 @@
             targets: Vec::new(),
             stored: std::mem::take(&mut self.fresh_kept),
             wants: self.wants(),
+            versions: self.declared_versions(),
+            loads: self.own_loads(now),
+            peers: self.peers_to_name(now),
         };
         for to in self.membership.choose_peers(own, &domain, &mut self.rng) {
             let mut digest = common.clone();
@@ -49,6 +62,64 @@
         }
     }
 
+    /// Returns the weight versions that operators named, where they do so apart from declarations.
+    fn declared_versions(&self) -> Vec<(Arc<str>, WeightVersion)> {
+        let models =
+            self.snapshot.iter().filter(|_| self.has_registry).flat_map(|s| s.models.iter());
+        models.map(|(_, model)| (model.weights.clone(), model.version)).collect()
+    }
+
+    /// Returns what this daemon has out at targets that a registry lists.
+    fn own_loads(&self, now: Moment) -> Vec<TargetLoad> {
+        let snapshot = self.snapshot.as_deref().filter(|_| self.has_registry);
+        let targets = snapshot.into_iter().flat_map(|s| s.targets.iter());
+        let busy = targets.filter_map(|(key, target)| {
+            let state = self.targets.get(key).filter(|state| state.in_flight > 0)?;
+            Some(TargetLoad {
+                place: place_of(&target.name),
+                calls: state.in_flight,
+                backlog: state.own_backlog(now, target.prefill_per_second),
+                memory: state.memory,
+            })
+        });
+        busy.collect()
+    }
+
+    /// Adds up what peers have out at each target, as far as they told of late.
+    fn add_loads(&mut self, now: Moment, from: SocketAddr, loads: &[TargetLoad]) {
+        self.peer_loads.insert(from, (now, loads.to_vec()));
+        self.peer_loads.retain(|_, (at, _)| now.since(*at) < LOADS_LIFE);
+        let mut sums: HashMap<u64, TargetLoad> = HashMap::new();
+        for load in self.peer_loads.values().flat_map(|(_, loads)| loads) {
+            let sum = sums.entry(load.place).or_default();
+            sum.calls += load.calls;
+            sum.backlog += load.backlog;
+            sum.memory += load.memory;
+        }
+        let Some(snapshot) = self.snapshot.clone() else {
+            return;
+        };
+        for (key, target) in snapshot.targets.iter().filter(|(_, t)| !t.retired) {
+            let load = sums.get(&place_of(&target.name)).copied().unwrap_or_default();
+            if let Some(state) = self.targets.get_mut(key) {
+                state.take_foreign(now, load);
+            }
+        }
+    }
+
+    /// Chooses peers that were heard of late, since no list of VMs names them.
+    fn peers_to_name(&mut self, now: Moment) -> Vec<(SocketAddr, Arc<str>)> {
+        if !self.has_registry {
+            return Vec::new();
+        }
+        let fresh = self
+            .membership
+            .peers()
+            .filter(|(_, peer)| peer.heard.is_some_and(|at| now.since(at) < NAMED_LIFE));
+        let fresh = fresh.map(|(address, peer)| (address, peer.domain.clone()));
+        fresh.choose_multiple(&mut self.rng, MAX_NAMED)
+    }
+
     /// Counts the calls that each client account has here, waiting ones included.
     fn wants(&self) -> Vec<(Arc<str>, u32)> {
         let accounts = self.snapshot.iter().flat_map(|s| s.accounts.iter());
@@ -69,6 +140,9 @@
         if !digest.leaving.is_empty() {
             self.hasten_digest(now);
         }
+        if let Some(from) = digest.address.filter(|_| self.has_registry) {
+            self.add_loads(now, from, &digest.loads);
+        }
         let Some(snapshot) = self.snapshot.clone() else {
             return;
         };
--- a/crates/cumintrail-control/src/control/rollouts.rs
+++ b/crates/cumintrail-control/src/control/rollouts.rs
@@ -11,6 +11,8 @@
 use crate::rollout::{RolloutRequest, TargetView};
 use crate::{Action, Actions};
 
+/// Engines of which one loads at a time where a registry lists them.
+const TARGETS_PER_LOAD: usize = 5;
 const ROLLOUT_INTERVAL: Duration = Duration::from_millis(100);
 
 impl<P: Placer> Control<P> {
@@ -24,9 +26,14 @@
             return;
         };
         let targets: Vec<TargetView> = self.rollout_view(&snapshot);
-        let slots = usize::from(snapshot.deployment.load_slots);
+        let slots = match self.has_registry {
+            // Nothing tells how many loads slow each other down.
+            true => targets.len().div_ceil(TARGETS_PER_LOAD).max(1),
+            false => usize::from(snapshot.deployment.load_slots),
+        };
         let rank = self.membership.rank(self.identity.address);
-        let requests = self.rollout.tick(now, &targets, slots, rank);
+        let has_unused = self.has_unused_parts(now);
+        let requests = self.rollout.tick(now, &targets, slots, rank, has_unused);
         for request in requests {
             self.follow_rollout(now, request, actions);
         }
--- a/crates/cumintrail-control/src/control/state.rs
+++ b/crates/cumintrail-control/src/control/state.rs
@@ -1,14 +1,26 @@
 //! What a daemon remembers of a target and of a store.
 
-use cumintrail_types::{Incarnation, Moment, Tokens, WeightVersion};
+use std::time::Duration;
+
+use cumintrail_types::{CallKey, Incarnation, Moment, Tokens, WeightVersion};
 
-use crate::TargetReport;
 use crate::following::Following;
 use crate::membership::Liveness;
 use crate::retry::{Breaker, RetryBudget};
+use crate::{TargetLoad, TargetReport};
 
 /// Probe intervals between two probes of a target that answers.
 const LIVE_INTERVALS: u32 = 2;
+/// How long a report of loading counts: a load takes a second or two once its target is idle.
+const LOADING_LIFE: Duration = Duration::from_secs(5);
+
+/// How much one first token changes the learned pace.
+const PACE_STEP: f64 = 0.1;
+/// Bounds of the ratio that one first token teaches, since it may have met a burst.
+const FASTEST_PACE: f64 = 0.5;
+const SLOWEST_PACE: f64 = 4.0;
+/// Expected times are taken for at least this many seconds.
+const SHORTEST_EXPECTED: f64 = 0.02;
 
 /// Remembers a target.
 #[derive(Debug, Clone, Default)]
@@ -47,6 +59,27 @@
     pub avoided: Moment,
     /// Whether another process answers at its address.
     pub gone: bool,
+    /// When the load of others was last told.
+    pub foreign_at: Option<Moment>,
+    /// Tokens that take memory there for calls of others.
+    pub foreign_memory: Tokens,
+    /// Tokens that take memory there for calls of this daemon.
+    pub memory: Tokens,
+    /// Own calls without a first token: when each was sent and when that was expected.
+    pub awaited: Vec<Awaited>,
+    /// How much longer first tokens take than expected, smoothed; zero before any was seen.
+    pub pace: f64,
+}
+
+/// Remembers a call whose first token is awaited.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Awaited {
+    /// The call.
+    pub call: CallKey,
+    /// When it was sent.
+    pub sent: Moment,
+    /// The time that its first token was expected to take.
+    pub expected: Duration,
 }
 
 impl TargetState {
@@ -63,6 +96,12 @@
         reported.or(self.answered.map(|_| Incarnation(0)))
     }
 
+    /// Tells whether the target was lately reported to load weights.
+    pub fn is_loading(&self, now: Moment) -> bool {
+        let lately = self.reported.is_some_and(|at| now.since(at) < LOADING_LIFE);
+        lately && self.report.is_some_and(|report| report.loading)
+    }
+
     /// Takes the version that a registry has for the target.
     pub fn take_listed(&mut self, now: Moment, version: Option<WeightVersion>) {
         if version != self.listed.map(|(known, _)| known) {
@@ -102,6 +141,46 @@
         self.foreign_backlog = report.prefill_backlog.saturating_sub(self.backlog);
         self.report = Some(report);
         self.reported = Some(now);
+        self.foreign_at = Some(now);
+    }
+
+    /// Takes what peers told that they have out there.
+    pub fn take_foreign(&mut self, now: Moment, load: TargetLoad) {
+        self.foreign_calls = load.calls;
+        self.foreign_backlog = load.backlog;
+        self.foreign_memory = load.memory;
+        self.foreign_at = Some(now);
+    }
+
+    /// Notes a call that was sent.
+    pub fn await_first(&mut self, awaited: Awaited, memory: Tokens) {
+        self.awaited.push(awaited);
+        self.memory += memory;
+    }
+
+    /// Notes that the first token of a call arrived, and learns from the time that it took.
+    pub fn take_first(&mut self, now: Moment, call: CallKey) {
+        let Some(at) = self.awaited.iter().position(|a| a.call == call) else {
+            return;
+        };
+        let awaited = self.awaited.swap_remove(at);
+        let took = now.since(awaited.sent).as_secs_f64();
+        let ratio = took / awaited.expected.as_secs_f64().max(SHORTEST_EXPECTED);
+        let old = if self.pace > 0.0 { self.pace } else { 1.0 };
+        let learned = old + PACE_STEP * (ratio.clamp(FASTEST_PACE, SLOWEST_PACE) - old);
+        self.pace = learned;
+    }
+
+    /// Notes that a call ended, whether or not its first token arrived.
+    pub fn settle(&mut self, call: CallKey, memory: Tokens) {
+        self.awaited.retain(|a| a.call != call);
+        self.memory = self.memory.saturating_sub(memory);
+    }
+
+    /// Returns how long the first token that is most overdue is late.
+    pub fn overdue(&self, now: Moment) -> Duration {
+        let late = self.awaited.iter().map(|a| now.since(a.sent).saturating_sub(a.expected));
+        late.max().unwrap_or_default()
     }
 
     /// Returns the calls that the target probably has, own ones included.
@@ -117,10 +196,16 @@
         };
         let own = self.backlog.saturating_sub(done(self.prefill_since));
         let foreign =
-            self.reported.map_or(Tokens(0), |at| self.foreign_backlog.saturating_sub(done(at)));
+            self.foreign_at.map_or(Tokens(0), |at| self.foreign_backlog.saturating_sub(done(at)));
         own + foreign
     }
 
+    /// Returns the prompt tokens that the target probably still has to compute for this daemon.
+    pub fn own_backlog(&self, now: Moment, per_second: u32) -> Tokens {
+        let done = now.since(self.prefill_since).as_secs_f64() * f64::from(per_second);
+        self.backlog.saturating_sub(Tokens(done.min(f64::from(u32::MAX)) as u32))
+    }
+
     /// Adds the prefill of a call that was just sent.
     pub fn add_prefill(&mut self, now: Moment, tokens: Tokens) {
         if self.backlog == Tokens(0) {
--- a/crates/cumintrail-control/src/control/upkeep.rs
+++ b/crates/cumintrail-control/src/control/upkeep.rs
@@ -38,6 +38,7 @@
                 state.take_listed(now, target.version);
             }
         }
+        self.managed.take_configuration(now, &snapshot);
         self.rank_stores(&snapshot);
         let used = snapshot.targets.iter().filter(|(_, t)| !t.retired);
         self.target_at = used.map(|(key, target)| (target.address, key)).collect();
@@ -56,6 +57,7 @@
         self.order_store_reads(now, actions);
         self.start_exports(now, actions);
         self.order_rollout(now, actions);
+        self.order_frees(now, actions);
         self.order_warming(now, actions);
         self.order_digests(now, actions);
         self.expire_members(now);
--- a/crates/cumintrail-control/src/event.rs
+++ b/crates/cumintrail-control/src/event.rs
@@ -13,6 +13,7 @@
 use smallvec::SmallVec;
 
 use crate::following::{StoreAnswer, StoreRead};
+use crate::parts::{PartPlans, PartsHeard, StoredPart};
 use crate::rollout::{LeaseRequest, LeaseRow, OrderOutcome};
 
 /// The orders that one event leads to; most lead to few.
@@ -113,6 +114,20 @@
         /// The number of the read.
         ticket: u32,
     },
+    /// A managed store told what it holds or what changed there.
+    PartsHeard {
+        /// The store.
+        store: StoreKey,
+        /// When it was asked.
+        asked: Moment,
+        /// What it told.
+        heard: PartsHeard,
+    },
+    /// The platform answered a question about what operators declare.
+    PlatformAnswered {
+        /// When it was asked.
+        asked: Moment,
+    },
     /// A block may still be in its store although it was to be freed.
     FreeFailed {
         /// The store.
@@ -205,6 +220,17 @@
         /// The exact write to free.
         sealed: Sealed,
     },
+    /// Free parts of a managed store.
+    FreeParts {
+        /// The store.
+        store: StoreKey,
+        /// The run of its process that holds them.
+        epoch: u64,
+        /// The parts.
+        parts: Vec<StoredPart>,
+        /// The moment from which on the order may not be sent any more.
+        not_after: Moment,
+    },
     /// Read what a store holds.
     ReadStore {
         /// The store.
@@ -296,6 +322,8 @@
     pub plan: FetchPlan,
     /// When the first token is expected, from the order on.
     pub first_token: Duration,
+    /// What managed stores deliver and take of a prompt that is given as parts.
+    pub parts: PartPlans,
 }
 
 /// Tells which kept blocks to import before an attempt, and how long that may take.
@@ -479,6 +507,19 @@
     pub report: Option<TargetReport>,
 }
 
+/// Tells what one daemon has out at one target.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct TargetLoad {
+    /// The target, by [`crate::parts::place_of`] its name.
+    pub place: u64,
+    /// Calls that run or wait there.
+    pub calls: u32,
+    /// Prompt tokens that are still to be computed.
+    pub backlog: Tokens,
+    /// Tokens of prompts and answers that take memory.
+    pub memory: Tokens,
+}
+
 /// Tells how long ago the platform was last read by anybody, as far as the sender knows.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Freshness {
@@ -513,4 +554,10 @@
     pub stored: Vec<(SocketAddr, Sealed, Tier)>,
     /// Use of client accounts by the sender, for dividing limits: name, calls wanted.
     pub wants: Vec<(Arc<str>, u32)>,
+    /// The weight versions that the sender knows to be declared, by the name of the weights.
+    pub versions: Vec<(Arc<str>, WeightVersion)>,
+    /// What the sender has out at targets that a registry lists.
+    pub loads: Vec<TargetLoad>,
+    /// Peers that the sender heard of late, where no list names them.
+    pub peers: Vec<(SocketAddr, Arc<str>)>,
 }
--- a/crates/cumintrail-control/src/lib.rs
+++ b/crates/cumintrail-control/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod links;
 pub mod membership;
 pub mod once;
+pub mod parts;
 pub mod placement;
 pub mod registry;
 pub mod retry;
@@ -29,6 +30,6 @@
 pub use dump::{CallDump, Dump, LimitDump, PeerDump, QueueDump, StoreDump, TargetDump};
 pub use event::{
     Action, Actions, Arrival, AttemptOutcome, Dispatch, Event, Export, Fetch, FetchOutcome,
-    FetchPlan, Freshness, LeavingRun, Order, OrderKind, PeerDigest, TargetNews, TargetReport,
-    Terms, Usage, VmEntry, VmRole, VmState,
+    FetchPlan, Freshness, LeavingRun, Order, OrderKind, PeerDigest, TargetLoad, TargetNews,
+    TargetReport, Terms, Usage, VmEntry, VmRole, VmState,
 };
--- a/crates/cumintrail-control/src/membership.rs
+++ b/crates/cumintrail-control/src/membership.rs
@@ -156,6 +156,9 @@
         let Some(address) = digest.address else {
             return accepted;
         };
+        for (named, domain) in &digest.peers {
+            self.add_peer(*named, domain);
+        }
         let peer = self.add_peer(address, &digest.domain);
         if peer.incarnation != digest.incarnation {
             // A new process knows nothing of what was sent to the one before.
@@ -223,6 +226,13 @@
         self.peers.iter().map(|(address, peer)| (*address, peer))
     }
 
+    /// Tells whether half of the known peers or more were heard of since `limit`.
+    pub fn hears_most(&self, own: SocketAddr, since: Moment) -> bool {
+        let others = || self.peers().filter(|(address, _)| *address != own);
+        let heard = others().filter(|(_, p)| p.heard.is_some_and(|at| at >= since)).count();
+        heard > 0 && heard * 2 >= others().count()
+    }
+
     /// Returns how many calls of a client account all other daemons want, as far as they told.
     pub fn wanted_by_peers(&self, now: Moment, account: &str) -> u32 {
         let fresh = self.peers.values().filter(|peer| {
--- a/crates/cumintrail-control/src/placement.rs
+++ b/crates/cumintrail-control/src/placement.rs
@@ -1,5 +1,6 @@
 //! Where a call runs and which kept blocks it imports first; docs/DESIGN.md, "Placement".
 
+mod affine;
 mod sources;
 
 use std::time::Duration;
@@ -8,9 +9,11 @@
 use cumintrail_types::{Arena, BlockKey, Bytes, CallKey, Moment, StoreKey, TargetKey, Tokens};
 use smallvec::SmallVec;
 
+pub use self::affine::AffinePlacer;
 use self::sources::Sources;
 use crate::directory::Directory;
 use crate::links::Links;
+use crate::parts::PartPlans;
 use crate::{Fetch, FetchPlan};
 
 const FETCH_MARGIN: Duration = Duration::from_millis(50);
@@ -38,6 +41,8 @@
     pub directory: &'a Directory,
     /// How busy the links are.
     pub links: &'a Links,
+    /// The tokens of the prompt's parts that a managed store would deliver.
+    pub tokens_read: Tokens,
 }
 
 /// Describes a target that could run the call.
@@ -57,6 +62,14 @@
     pub free: bool,
     /// Whether blocks may be imported, which needs the version that the keys are for.
     pub importable: bool,
+    /// The part of its memory that calls take.
+    pub memory: f64,
+    /// The part of its memory that one token takes.
+    pub memory_per_token: f64,
+    /// How much longer its first tokens take than expected.
+    pub pace: f64,
+    /// How late the most overdue first token is.
+    pub overdue: Duration,
 }
 
 impl Candidate<'_> {
@@ -86,6 +99,10 @@
     pub plan: FetchPlan,
     /// The bytes that the imports take from links.
     pub link_bytes: Bytes,
+    /// What managed stores deliver and take.
+    pub parts: PartPlans,
+    /// The part of the target's memory that calls take with this one.
+    pub memory: f64,
 }
 
 /// Describes the call that is placed.
@@ -97,6 +114,10 @@
     pub pieces: &'a [BlockKey],
     /// The length of the prompt.
     pub prompt: Tokens,
+    /// Tokens of prompt and answer that will take memory.
+    pub memory: Tokens,
+    /// The time within which the answer is to begin, if the route names one.
+    pub objective: Option<Duration>,
 }
 
 /// Chooses where a call runs, so that other policies can be measured in the same control state.
@@ -109,6 +130,11 @@
         candidates: &[Candidate<'_>],
     ) -> Option<Placement>;
 
+    /// Tells when a call should come back, if sending it now would harm others more than it helps.
+    fn declines(&self, _request: &Request<'_>, _placement: &Placement) -> Option<Duration> {
+        None
+    }
+
     /// Tells whether accounts at their fair share wait here for a busy target, not at the target.
     fn holds_back(&self) -> bool {
         true
--- a/crates/cumintrail-control/src/placement/sources.rs
+++ b/crates/cumintrail-control/src/placement/sources.rs
@@ -9,6 +9,7 @@
 use crate::Fetch;
 use crate::directory::Kept;
 use crate::links::{Forecast, Load};
+use crate::parts::PartPlans;
 
 /// Names the store that each piece would come from, and prices ranges of pieces.
 #[derive(Debug)]
@@ -150,6 +151,8 @@
             recompute: request.prompt.saturating_sub(Tokens(to as u32 * piece)),
             plan: fetch_plan(fetches, group.wait, saved),
             link_bytes,
+            parts: PartPlans::default(),
+            memory: 0.0,
         }
     }
 }
--- a/crates/cumintrail-control/src/rollout.rs
+++ b/crates/cumintrail-control/src/rollout.rs
@@ -18,11 +18,16 @@
 use crate::{Order, OrderKind};
 
 /// How long a lease lasts.
-pub const LEASE: Duration = Duration::from_secs(6);
+pub const LEASE: Duration = Duration::from_millis(4_400);
 /// How long an order may take to arrive.
 pub const ORDER_TIMEOUT: Duration = Duration::from_millis(500);
 /// How long before the end of its lease a holder stops sending.
-pub const SEND_MARGIN: Duration = Duration::from_secs(2);
+///
+/// The next holder sends nothing for three seconds after the last order of the one before, also
+/// where targets do not compare fencing numbers.
+pub const SEND_MARGIN: Duration = Duration::from_millis(3_000);
+/// How long after its last order a holder keeps the lease.
+pub const QUIET_BEFORE_RELEASE: Duration = Duration::from_millis(3_500);
 /// How long after an order its target may take to report the version.
 const LOAD_LIMIT: Duration = Duration::from_secs(60);
 /// How long a target is left alone after an order that did not leave.
@@ -110,15 +115,16 @@
         targets: &[TargetView],
         slots: usize,
         rank: u32,
+        has_other_work: bool,
     ) -> SmallVec<[RolloutRequest; 4]> {
         let mut requests = SmallVec::new();
         self.settle_loads(now, targets);
-        let behind = targets.iter().any(is_behind);
+        let behind = has_other_work || targets.iter().any(is_behind);
         requests.extend(self.lease.tick(now, behind, rank).map(RolloutRequest::Lease));
         let Some(lease) = self.lease.lease() else {
             return requests;
         };
-        if !behind && self.loading.is_empty() && now.since(self.last_order) > ORDER_TIMEOUT * 2 {
+        if !behind && self.loading.is_empty() && now.since(self.last_order) > QUIET_BEFORE_RELEASE {
             requests.extend(self.lease.release().map(RolloutRequest::Lease));
             return requests;
         }
@@ -139,6 +145,11 @@
         requests
     }
 
+    /// Notes an order that another decision sends under the lease.
+    pub const fn note_order(&mut self, now: Moment) {
+        self.last_order = now;
+    }
+
     /// Takes the row of the lease as it was read.
     pub fn lease_read(&mut self, now: Moment, row: Option<&LeaseRow>) -> Option<RolloutRequest> {
         self.lease.read(now, row).map(RolloutRequest::Lease)
--- a/crates/cumintrail-control/src/rollout/lease.rs
+++ b/crates/cumintrail-control/src/rollout/lease.rs
@@ -11,7 +11,7 @@
 use super::{LEASE, Lease, takeover_wait};
 
 /// The age of a lease at which it is renewed.
-const RENEW_AFTER: Duration = Duration::from_secs(2);
+const RENEW_AFTER: Duration = Duration::from_millis(700);
 /// The time between two looks at a lease of another holder.
 const WATCH_INTERVAL: Duration = Duration::from_secs(1);
 /// The same for daemons that are far from taking over.
--- a/crates/cumintrail-control/tests/prediction.rs
+++ b/crates/cumintrail-control/tests/prediction.rs
@@ -19,6 +19,7 @@
         link_per_second: Bytes(1_000),
         disk_per_second: Bytes(500),
         capacity: Bytes(1_000_000),
+        keeps_parts: false,
         retired: false,
     }
 }
--- a/crates/cumintrail-daemon/src/background/orders.rs
+++ b/crates/cumintrail-daemon/src/background/orders.rs
@@ -80,7 +80,8 @@
         Action::Warm { target, material } => {
             actix_rt::spawn(async move { warm::warm(&background, target, material).await });
         }
-        Action::Dispatch(_) | Action::Refuse { .. } => {}
+        // Parts lie in stores of a platform with a registry only.
+        Action::Dispatch(_) | Action::Refuse { .. } | Action::FreeParts { .. } => {}
     }
 }
 
--- a/crates/cumintrail-daemon/src/control_thread.rs
+++ b/crates/cumintrail-daemon/src/control_thread.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use cumintrail_control::once::{End, OperationKey, UsedKeys, Verdict};
+use cumintrail_control::placement::Placer;
 use cumintrail_control::{Action, Arrival, AttemptOutcome, Control, Dispatch, Dump, Event};
 use cumintrail_types::{AttemptNumber, CallKey, Digest, Refusal, RefusalCode, WriteId};
 use cumintrail_wire::record::AnswerRecord;
@@ -111,9 +112,9 @@
 }
 
 /// Runs the control state until all links are gone.
-pub async fn run(
+pub async fn run<P: Placer>(
     mut inbox: ControlInbox,
-    mut control: Control,
+    mut control: Control<P>,
     clock: Clock,
     background: mpsc::UnboundedSender<Action>,
 ) {
--- a/crates/cumintrail-daemon/src/gateway.rs
+++ b/crates/cumintrail-daemon/src/gateway.rs
@@ -3,6 +3,7 @@
 
 mod follow;
 mod orders;
+mod parts;
 mod peers;
 mod publish;
 
@@ -13,8 +14,9 @@
 
 use actix_rt::Arbiter;
 use actix_server::ServerHandle;
-use cumintrail_client::{Feed, Table, TargetOrders};
+use cumintrail_client::{Feed, PartsStore, Table, TargetOrders};
 use cumintrail_config::Settings;
+use cumintrail_control::placement::AffinePlacer;
 use cumintrail_control::registry::Change;
 use cumintrail_control::retry::RetryPolicy;
 use cumintrail_control::{Control, Event, Identity};
@@ -35,7 +37,7 @@
 /// Translates between the product and a platform with a change feed.
 pub trait Platform: Clone + Send + 'static {
     /// Reads tables, writes rows and sends orders, from one thread.
-    type Client: Feed + Table + TargetOrders + 'static;
+    type Client: Feed + Table + TargetOrders + PartsStore + 'static;
     /// Translates the heads of calls.
     type Dialect: Dialect;
 
@@ -100,8 +102,8 @@
             probe_interval: settings.probe_interval,
             digest_interval: settings.digest_interval,
         };
-        let mut control = Control::new(identity, rand::rng().random());
-        control.follow_registry();
+        let mut control = Control::with_placer(identity, rand::rng().random(), AffinePlacer);
+        control.follow_registry(settings.block_secret.expose());
         control.set_retry_policy(plan.retries);
         let (link, inbox) = control_thread::channel(settings.control_queue);
         let (actions_tx, actions_rx) = tokio::sync::mpsc::unbounded_channel();
@@ -153,11 +155,8 @@
         shared.begin_stop();
         let deadline = begun + self.stop_limit;
         let grace = shared.settings.stop_grace;
-        while shared.now() < deadline
-            && (shared.now().since(begun) < grace || self.relay.open_calls() > 0)
-        {
-            actix_rt::time::sleep(DRAIN_POLL).await;
-        }
+        actix_rt::time::sleep(grace).await;
+        // The balancer sends no new connections by now; callers find idle ones closed.
         self.relay.close_idle();
         shared.control.tell(Event::Stopping).await;
         while self.relay.open_calls() > 0 && shared.now() < deadline {
--- a/crates/cumintrail-daemon/src/gateway/follow.rs
+++ b/crates/cumintrail-daemon/src/gateway/follow.rs
@@ -3,10 +3,12 @@
 use std::time::Duration;
 
 use cumintrail_client::{Feed, FeedError, FeedPage, FeedTable};
+use cumintrail_types::Moment;
 use rand::Rng;
 use tokio::sync::mpsc;
 
 use crate::metric;
+use crate::shared::Shared;
 
 /// How long one request waits for changes.
 ///
@@ -22,13 +24,13 @@
 /// The shortest time between two requests, so that a series of changes takes few.
 const GATHER: Duration = Duration::from_millis(150);
 
-/// Tells what was learned of a table.
+/// Tells what was learned of a table, with the moment at which it was asked for.
 #[derive(Debug)]
 pub enum Followed {
     /// All of its rows.
-    Whole(FeedPage),
+    Whole(FeedPage, Moment),
     /// Rows that changed.
-    Changed(FeedPage),
+    Changed(FeedPage, Moment),
     /// It did not answer.
     Lost,
     /// It answers again.
@@ -37,6 +39,7 @@
 
 /// Follows a table until nobody listens.
 pub async fn run<F: Feed>(
+    shared: &Shared,
     feed: &F,
     table: FeedTable,
     tx: mpsc::UnboundedSender<(FeedTable, Followed)>,
@@ -44,7 +47,7 @@
     let mut version = None;
     let mut failures = 0;
     loop {
-        let begun = tokio::time::Instant::now();
+        let (begun, asked) = (tokio::time::Instant::now(), shared.now());
         let page = match version {
             Some(after) => {
                 let changes = feed.changes(table, after, WAIT);
@@ -61,7 +64,7 @@
                 failures = 0;
                 let whole = version.is_none();
                 version = Some(page.version.max(version.unwrap_or(0)));
-                if whole { Followed::Whole(page) } else { Followed::Changed(page) }
+                if whole { Followed::Whole(page, asked) } else { Followed::Changed(page, asked) }
             }
             Err(FeedError::HistoryLost) => {
                 log::info!("event=history-lost table={table:?} after={version:?}");
@@ -79,7 +82,7 @@
                 Followed::Lost
             }
         };
-        let changed = matches!(&told, Followed::Changed(page) if !page.rows.is_empty());
+        let changed = matches!(&told, Followed::Changed(page, _) if !page.rows.is_empty());
         if tx.send((table, told)).is_err() {
             return;
         }
--- a/crates/cumintrail-daemon/src/gateway/orders.rs
+++ b/crates/cumintrail-daemon/src/gateway/orders.rs
@@ -3,13 +3,15 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use cumintrail_client::{FeedTable, HttpPeer, LoadRequest, TargetOrders};
+use cumintrail_client::{FeedTable, HttpPeer, LoadRequest, PartsStore, TargetOrders};
 use cumintrail_config::{Snapshot, TargetKind};
+use cumintrail_control::parts::StoredPart;
 use cumintrail_control::{Action, Event, Order, OrderKind};
+use cumintrail_types::{Moment, StoreKey};
 use tokio::sync::mpsc;
 
 use super::publish::{Publisher, Update};
-use super::{Platform, follow, peers};
+use super::{Platform, follow, parts, peers};
 use crate::background::{before, exchange_lease, send_digest, settle_order};
 use crate::metric;
 use crate::shared::Shared;
@@ -30,10 +32,11 @@
     let publisher = Publisher::new(shared.clone(), platform.clone());
     actix_rt::spawn(publisher.run(rx));
     for table in [FeedTable::Operator, FeedTable::Registry] {
-        actix_rt::spawn(follow_table(platform.clone(), table, tx.clone()));
+        actix_rt::spawn(follow_table(shared.clone(), platform.clone(), table, tx.clone()));
     }
     let peers = Rc::new(HttpPeer::open(shared.settings.peer_key.expose()));
     actix_rt::spawn(peers::follow(shared.clone(), peers.clone(), tx));
+    actix_rt::spawn(parts::follow_all(shared.clone(), platform.clone()));
     actix_rt::spawn(metric::upkeep());
     let orders: Rc<Orders<P>> = Rc::new(Orders { client: platform.open(), shared, peers });
     while let Some(action) = actions.recv().await {
@@ -43,13 +46,14 @@
 }
 
 async fn follow_table<P: Platform>(
+    shared: Arc<Shared>,
     platform: P,
     table: FeedTable,
     updates: mpsc::UnboundedSender<Update>,
 ) {
     let client = platform.open();
     let (tx, mut rx) = mpsc::unbounded_channel();
-    let following = follow::run(&client, table, tx);
+    let following = follow::run(&shared, &client, table, tx);
     let forwarding = async {
         while let Some((table, followed)) = rx.recv().await {
             if updates.send(Update::Table(table, followed)).is_err() {
@@ -69,6 +73,9 @@
             Action::SendDigest { to, digest } => {
                 send_digest(&*self.peers, &self.shared, to, digest).await;
             }
+            Action::FreeParts { store, epoch, parts, not_after } => {
+                self.free(store, epoch, &parts, not_after).await;
+            }
             // The caller's connection to the target ends with the call, and a registry and a feed
             // stand in place of the rest.
             Action::Cancel { .. }
@@ -105,6 +112,23 @@
         self.shared.control.tell(Event::OrderEnded { target, outcome }).await;
     }
 
+    /// Frees parts of a managed store, unless the lease may not be used any more.
+    async fn free(&self, store: StoreKey, epoch: u64, parts: &[StoredPart], not_after: Moment) {
+        let snapshot = self.shared.snapshot();
+        let Some(at) = snapshot.as_deref().and_then(|s| s.stores.get(store)).map(|s| s.address)
+        else {
+            return;
+        };
+        let freed = before(&self.shared, not_after, self.client.free(at, epoch, parts)).await;
+        // Parts that stay are listed again when the store's events are next read whole.
+        let outcome = match freed {
+            Some(Ok(())) => "freed",
+            Some(Err(_)) => "failed",
+            None => "lease-ended",
+        };
+        log::info!("event=free store={at} epoch={epoch} parts={} outcome={outcome}", parts.len());
+    }
+
     async fn probe(&self, target: cumintrail_types::TargetKey) {
         let snapshot = self.shared.snapshot();
         let Some(target_of) = snapshot.as_deref().and_then(|s| s.targets.get(target)) else {
--- a/crates/cumintrail-daemon/src/gateway/peers.rs
+++ b/crates/cumintrail-daemon/src/gateway/peers.rs
@@ -23,9 +23,17 @@
     updates: mpsc::UnboundedSender<Update>,
 ) {
     let mut newer = shared.newer.subscribe();
+    let mut versions = shared.versions.subscribe();
     loop {
         let waiting = shared.generation() == Generation(0);
         tokio::select! {
+            changed = versions.changed() => {
+                let heard = versions.borrow_and_update().clone();
+                if changed.is_err() || updates.send(Update::Versions(heard)).is_err() {
+                    return;
+                }
+                continue;
+            }
             changed = newer.changed() => if changed.is_err() { return },
             () = actix_rt::time::sleep(BOOT_INTERVAL), if waiting => {
                 for peer in shared.settings.peers.clone() {
--- a/crates/cumintrail-daemon/src/gateway/publish.rs
+++ b/crates/cumintrail-daemon/src/gateway/publish.rs
@@ -8,7 +8,7 @@
 use cumintrail_config::{Snapshot, Target, TargetKind};
 use cumintrail_control::Event;
 use cumintrail_control::registry::{RowChange, TargetBook};
-use cumintrail_types::{Bytes, Generation, WeightVersion};
+use cumintrail_types::{Bytes, Generation, Moment, WeightVersion};
 use cumintrail_wire::configuration::Configuration;
 use tokio::sync::mpsc;
 
@@ -52,6 +52,8 @@
     Table(FeedTable, Followed),
     /// A peer handed on a configuration.
     Configuration(Box<Configuration>),
+    /// A peer told of named weight versions.
+    Versions(Vec<(Arc<str>, WeightVersion)>),
 }
 
 /// Composes snapshots.
@@ -63,6 +65,8 @@
     book: TargetBook,
     revision: u64,
     lost: [bool; 2],
+    /// When the last question about what operators declare was asked, once it is answered.
+    answered: Option<Moment>,
 }
 
 impl<P: Platform> Publisher<P> {
@@ -76,6 +80,7 @@
             book: TargetBook::default(),
             revision: 0,
             lost: [false; 2],
+            answered: None,
         }
     }
 
@@ -94,6 +99,9 @@
             if changed {
                 self.publish().await;
             }
+            if let Some(asked) = self.answered.take() {
+                self.shared.control.tell(Event::PlatformAnswered { asked }).await;
+            }
         }
     }
 
@@ -102,14 +110,23 @@
             Update::Configuration(next) => self.take_configuration(*next),
             Update::Table(table, Followed::Lost) => self.note_contact(table, false),
             Update::Table(table, Followed::Returned) => self.note_contact(table, true),
-            Update::Table(FeedTable::Operator, Followed::Whole(page) | Followed::Changed(page)) => {
+            Update::Versions(versions) => {
+                versions.into_iter().fold(false, |changed, (model, version)| {
+                    changed | self.take_version(model, version)
+                })
+            }
+            Update::Table(
+                FeedTable::Operator,
+                Followed::Whole(page, asked) | Followed::Changed(page, asked),
+            ) => {
+                self.answered = Some(asked);
                 page.rows.iter().fold(false, |changed, row| changed | self.take_operator(row))
             }
-            Update::Table(FeedTable::Registry, Followed::Whole(page)) => {
+            Update::Table(FeedTable::Registry, Followed::Whole(page, _)) => {
                 let (version, rows) = (page.version, self.read_registry(page));
                 self.book.take_whole(self.shared.now(), version, rows)
             }
-            Update::Table(FeedTable::Registry, Followed::Changed(page)) => {
+            Update::Table(FeedTable::Registry, Followed::Changed(page, _)) => {
                 let (now, rows) = (self.shared.now(), self.read_registry(page));
                 rows.into_iter().fold(false, |changed, row| changed | self.book.take(now, row))
             }
@@ -147,17 +164,7 @@
     fn take_operator(&mut self, row: &FeedRow) -> bool {
         match self.platform.operator_change(&row.key, row.value.as_deref()) {
             OperatorChange::Configuration(next) => self.take_configuration(*next),
-            OperatorChange::Version { model, version } => {
-                let known = self.versions.entry(model.clone()).or_default();
-                let newer = version > *known;
-                if newer {
-                    log::info!(
-                        "event=version-named model={model} version={version} before={known}"
-                    );
-                    *known = version;
-                }
-                newer
-            }
+            OperatorChange::Version { model, version } => self.take_version(model, version),
             OperatorChange::Nothing => false,
             OperatorChange::Unreadable { reason } => {
                 log::warn!(
@@ -170,6 +177,17 @@
         }
     }
 
+    /// Takes a named weight version unless a newer one is known.
+    fn take_version(&mut self, model: Arc<str>, version: WeightVersion) -> bool {
+        let known = self.versions.entry(model.clone()).or_default();
+        let newer = version > *known;
+        if newer {
+            log::info!("event=version-named model={model} version={version} before={known}");
+            *known = version;
+        }
+        newer
+    }
+
     /// Takes a configuration unless one as new is known.
     fn take_configuration(&mut self, next: Configuration) -> bool {
         let known = self.declared.as_ref().map_or(Generation(0), |(s, _)| s.generation);
--- a/crates/cumintrail-daemon/src/operators.rs
+++ b/crates/cumintrail-daemon/src/operators.rs
@@ -137,6 +137,13 @@
     if let Some(from) = digest.address {
         shared.hear_generation(digest.generation, from);
     }
+    shared.versions.send_if_modified(|known| {
+        let changed = *known != digest.versions;
+        if changed {
+            known.clone_from(&digest.versions);
+        }
+        changed
+    });
     shared.control.tell(Event::PeerDigest(digest)).await;
     packed(&DigestReply { generation: shared.generation() })
 }
--- a/crates/cumintrail-daemon/src/relay/attempt.rs
+++ b/crates/cumintrail-daemon/src/relay/attempt.rs
@@ -5,9 +5,12 @@
 use actix_http::{RequestHead, Response, ResponseHead, StatusCode};
 use bytes::{Bytes, BytesMut};
 use cumintrail_client::{Care, ClientError, Connection, is_end_to_end};
+use cumintrail_control::parts::PartPlan;
 use cumintrail_control::{AttemptOutcome, Dispatch, Event, Usage};
 use cumintrail_types::{CallClass, Refusal, RefusalCode, Tokens};
 
+use smallvec::SmallVec;
+
 use super::call::{Relayed, settle};
 use super::caller::{Caller, Heard};
 use super::dialect::{Dialect, Outgoing, Said};
@@ -159,14 +162,24 @@
         }
         let has_prompt = self.call.has_prompt();
         let secret = self.worker.shared.settings.block_secret.expose();
-        let chain = has_prompt.then(|| self.call.chain(secret, self.dispatch.version));
+        let root = self.call.root(secret, self.dispatch.version).filter(|_| has_prompt);
+        let stores = &self.call.snapshot.stores;
+        let address = |key| stores.get(key).map(|store| store.address);
+        let plans = &self.dispatch.parts;
+        let read = |plan: &PartPlan| plan.read.and_then(|(key, n)| Some((address(key)?, n)));
+        let read: SmallVec<[_; 4]> = plans.parts.iter().map(read).collect();
+        let save: SmallVec<[_; 4]> =
+            plans.parts.iter().map(|plan| plan.save.and_then(address)).collect();
         let outgoing = Outgoing {
             account: self.call.account_name.as_deref(),
             instance: self.target,
             left: self.call.deadline.since(now),
-            cache: chain.map(|chain| chain.root()),
+            cache: root,
             urgency: self.call.urgency,
-            version: None,
+            version: root.map(|_| self.dispatch.version),
+            read: &read,
+            save: &save,
+            read_until: plans.read_until,
             last_event: self.call.events.last(),
         };
         self.worker.dialect.write(&mut head.headers, &outgoing);
--- a/crates/cumintrail-daemon/src/relay/call.rs
+++ b/crates/cumintrail-daemon/src/relay/call.rs
@@ -6,10 +6,11 @@
 use actix_http::{Request, Response, StatusCode};
 use bytes::{Bytes, BytesMut};
 use cumintrail_config::{Route, Snapshot, TargetKind};
+use cumintrail_control::parts::{part_key, root_of};
 use cumintrail_control::{Arrival, AttemptOutcome, Event, Terms};
 use cumintrail_types::{
-    AccountKey, BlockKey, CallClass, CallKey, Digest, KeyChain, Moment, Ran, Refusal, RefusalCode,
-    Tokens, Urgency, WeightVersion,
+    AccountKey, BlockKey, CallClass, CallKey, Digest, Moment, Ran, Refusal, RefusalCode, Tokens,
+    Urgency, WeightVersion,
 };
 use tokio::sync::mpsc;
 
@@ -26,6 +27,8 @@
 const KEPT_BODY: usize = 64 << 10;
 /// Names the client account that calls of public routes are counted for.
 pub const PUBLIC_ACCOUNT: &str = "public";
+/// Ranks of routes within one rank of accounts.
+const ROUTE_RANKS: u8 = 3;
 /// How soon a caller may come back when this daemon cannot take the call but another may.
 const ELSEWHERE: std::time::Duration = std::time::Duration::from_millis(50);
 
@@ -61,12 +64,9 @@
 }
 
 impl Relayed {
-    /// Derives the names under which the state of the prompt is kept at one weight version.
-    ///
-    /// The chain is keyed with the account where it is isolated, so that no other account can
-    /// name its state.
-    pub fn chain(&self, secret: &str, version: WeightVersion) -> KeyChain {
-        chain(&self.snapshot, self.account, self.kind, secret, version)
+    /// Returns the root of the names under which the state of the prompt is kept.
+    pub fn root(&self, secret: &str, version: WeightVersion) -> Option<BlockKey> {
+        root(&self.snapshot, self.account, self.kind, secret, version)
     }
 
     /// Tells whether the call has a prompt whose state can be kept.
@@ -142,16 +142,16 @@
     let drawn = rand::random();
     let kind = route.choose(drawn).ok_or(Refusal::not_run(RefusalCode::NoTarget))?;
     let declared = snapshot.accounts.get(account).and_then(|a| a.urgency);
-    let urgency = declared.unwrap_or(route.urgency);
+    let urgency = rank(declared, route.urgency);
     let version = match kind {
         TargetKind::Engine(model) => snapshot.models.get(model).map(|m| m.version),
         TargetKind::Service(_) => None,
     };
     let version = version.unwrap_or_default();
     let secret = shared.settings.block_secret.expose();
-    let mut chain = chain(&snapshot, account, kind, secret, version);
-    let pieces: Vec<BlockKey> =
-        asked.parts.iter().map(|part| chain.next_key(part.name.as_bytes())).collect();
+    let root = root(&snapshot, account, kind, secret, version);
+    let named = root.into_iter().flat_map(|root| asked.parts.iter().map(move |part| (root, part)));
+    let pieces: Vec<BlockKey> = named.map(|(root, part)| part_key(root, &part.name)).collect();
     let mut end = Tokens(0);
     let ends = asked.parts.iter().map(|part| {
         end += part.tokens;
@@ -202,6 +202,12 @@
     }))
 }
 
+/// Ranks a call: by its account first, if that has a rank, then by its route.
+fn rank(account: Option<Urgency>, route: Urgency) -> Urgency {
+    let route = route.0.min(ROUTE_RANKS - 1);
+    account.map_or(Urgency(route), |a| Urgency(a.0.saturating_mul(ROUTE_RANKS) + route))
+}
+
 fn find_route<'a>(snapshot: &'a Snapshot, req: &Request) -> Result<&'a Route, Refusal> {
     let host = req.head().headers().get(HOST).and_then(|v| v.to_str().ok()).unwrap_or_default();
     let found = snapshot.routes.find(host, req.path()).and_then(|key| snapshot.routes.get(key));
@@ -228,25 +234,18 @@
     }
 }
 
-/// Starts the names of a prompt's state for an account, a model and a weight version.
-fn chain(
+/// Returns the root of the names under which the state of a prompt is kept.
+fn root(
     snapshot: &Snapshot,
     account: AccountKey,
     kind: TargetKind,
     secret: &str,
     version: WeightVersion,
-) -> KeyChain {
-    let model = match kind {
-        TargetKind::Engine(model) => snapshot.models.get(model).map(|m| m.name.clone()),
+) -> Option<BlockKey> {
+    match kind {
+        TargetKind::Engine(model) => Some(root_of(secret, snapshot, account, model, version)),
         TargetKind::Service(_) => None,
-    };
-    let isolated = snapshot.accounts.get(account).filter(|a| a.isolated).map(|a| a.name.clone());
-    let wall = match isolated {
-        Some(name) => format!("{secret}\0isolated\0{name}"),
-        // Names change when the set of isolated accounts does, as one may have shared state before.
-        None => format!("{secret}\0shared\0{}", snapshot.isolation),
-    };
-    KeyChain::new(wall.as_bytes(), &model.unwrap_or_default(), "", version)
+    }
 }
 
 /// Reads the first bytes of a body; nothing if the caller left.
--- a/crates/cumintrail-daemon/src/relay/dialect.rs
+++ b/crates/cumintrail-daemon/src/relay/dialect.rs
@@ -1,5 +1,6 @@
 //! How relayed calls name their properties on the wire, towards callers and targets.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -51,6 +52,12 @@
     pub version: Option<WeightVersion>,
     /// The last event that was passed on.
     pub last_event: Option<u64>,
+    /// Where each part of the prompt is read from, and how many tokens of it.
+    pub read: &'a [Option<(SocketAddr, Tokens)>],
+    /// Where each part of the prompt is saved to.
+    pub save: &'a [Option<SocketAddr>],
+    /// The time by which reads must have ended, on the targets' clock, in milliseconds.
+    pub read_until: Option<u64>,
 }
 
 /// Tells what an answer says about the call that it answers.
--- a/crates/cumintrail-daemon/src/relay/lines.rs
+++ b/crates/cumintrail-daemon/src/relay/lines.rs
@@ -18,7 +18,7 @@
 /// Notes that a call was sent to a target.
 pub fn sent(call: &Relayed, now: Moment, dispatch: &Dispatch, target: &str, reused: bool) {
     log::info!(
-        "event=sent id={} call={} route={} account={} class={} urgency={} attempt={} target={} \
+        "event=sent id={} call={} route={} account={} class={} urgency={} attempt={} target={} prompt={} max_answer={} expected_ms={} \
          version={} generation={} revision={} reused={} age_ms={} left_ms={}",
         id(call),
         call.key,
@@ -28,6 +28,9 @@
         call.urgency,
         dispatch.attempt,
         target,
+        call.asked.prompt,
+        call.asked.max_answer,
+        dispatch.first_token.as_millis(),
         dispatch.version,
         call.snapshot.generation,
         call.snapshot.revision,
--- a/crates/cumintrail-daemon/src/shared.rs
+++ b/crates/cumintrail-daemon/src/shared.rs
@@ -57,6 +57,8 @@
     pub control: ControlLink,
     /// Wakes the configuration task when a peer has a higher generation.
     pub newer: watch::Sender<Option<Newer>>,
+    /// The weight versions that peers told of, where operators name them apart.
+    pub versions: watch::Sender<Vec<(Arc<str>, WeightVersion)>>,
     /// Issues and verifies operation keys.
     pub key_ring: KeyRing,
     /// When the platform last answered.
@@ -120,6 +122,7 @@
             operator_address,
             control,
             newer: watch::Sender::new(None),
+            versions: watch::Sender::new(Vec::new()),
             platform_contact: Contact::default(),
             table_gate: TableGate::default(),
             table_writer,
--- a/crates/cumintrail-wire/src/peer.rs
+++ b/crates/cumintrail-wire/src/peer.rs
@@ -12,7 +12,8 @@
 use cumintrail_config::{Delta, Sections};
 use cumintrail_control::membership::VmChanges;
 use cumintrail_control::{
-    Freshness, LeavingRun, PeerDigest, TargetNews, TargetReport, VmEntry, VmRole, VmState,
+    Freshness, LeavingRun, PeerDigest, TargetLoad, TargetNews, TargetReport, VmEntry, VmRole,
+    VmState,
 };
 use cumintrail_types::{
     Digest, Generation, Incarnation, Ran, Refusal, RefusalCode, Sealed, Tier, Tokens, WeightVersion,
@@ -40,6 +41,12 @@
     stored: Vec<(SocketAddr, Sealed, Tier)>,
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     wants: Vec<(Arc<str>, u32)>,
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    versions: Vec<(Arc<str>, WeightVersion)>,
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    loads: Vec<(u64, u32, u32, u32)>,
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    peers: Vec<(SocketAddr, Arc<str>)>,
 }
 
 impl From<PeerDigest> for DigestMessage {
@@ -55,6 +62,9 @@
             targets: d.targets.into_iter().map(Into::into).collect(),
             stored: d.stored,
             wants: d.wants,
+            versions: d.versions,
+            loads: d.loads.iter().map(|l| (l.place, l.calls, l.backlog.0, l.memory.0)).collect(),
+            peers: d.peers,
         }
     }
 }
@@ -72,6 +82,9 @@
             targets: m.targets.into_iter().map(Into::into).collect(),
             stored: m.stored,
             wants: m.wants,
+            versions: m.versions,
+            loads: m.loads.into_iter().map(to_load).collect(),
+            peers: m.peers,
         }
     }
 }
@@ -144,6 +157,10 @@
     }
 }
 
+fn to_load((place, calls, backlog, memory): (u64, u32, u32, u32)) -> TargetLoad {
+    TargetLoad { place, calls, backlog: Tokens(backlog), memory: Tokens(memory) }
+}
+
 /// Answers a digest, so that a sender that lags learns it from the one it told.
 #[derive(Debug, Clone, Copy, Serialize, Deserialize)]
 pub struct DigestReply {
--- a/tests/benches/decision.rs
+++ b/tests/benches/decision.rs
@@ -102,6 +102,7 @@
                 model: snapshot.models.get(ModelKey(0)).expect("the model is declared"),
                 directory: &directory,
                 links: &links,
+                tokens_read: Tokens(0),
             };
             let candidates: Vec<Candidate<'_>> = snapshot
                 .targets
@@ -114,6 +115,10 @@
                     slot_wait: Duration::ZERO,
                     free: true,
                     importable: true,
+                    memory: 0.0,
+                    memory_per_token: 0.0,
+                    pace: 1.0,
+                    overdue: Duration::ZERO,
                 })
                 .collect();
             let id = BenchmarkId::new(format!("{targets}-targets"), known);
@@ -123,7 +128,13 @@
                     next = (next + 7_919) % prompts.len();
                     let pieces = &prompts[next];
                     let prompt = Tokens(pieces.len() as u32 * PIECE + 500);
-                    let request = Request { call: CallKey(1), pieces, prompt };
+                    let request = Request {
+                        call: CallKey(1),
+                        pieces,
+                        prompt,
+                        memory: Tokens(0),
+                        objective: None,
+                    };
                     black_box(CheapestPlacer.place(&cx, &request, &candidates))
                 });
             });
--- a/tests/src/experiment/policies.rs
+++ b/tests/src/experiment/policies.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use cumintrail_control::directory::Kept;
+use cumintrail_control::parts::PartPlans;
 use cumintrail_control::placement::{
     Candidate, CheapestPlacer, Context, Placement, Placer, Request,
 };
@@ -65,6 +66,8 @@
             recompute,
             plan,
             link_bytes,
+            parts: PartPlans::default(),
+            memory: 0.0,
         })
     }
 
@@ -140,6 +143,8 @@
         recompute,
         plan,
         link_bytes,
+        parts: PartPlans::default(),
+        memory: 0.0,
     }
 }
 
--- a/tests/src/experiment/run.rs
+++ b/tests/src/experiment/run.rs
@@ -203,6 +203,7 @@
                 engine.queue.retain(|job| job.call != Some((call, attempt.0)));
             }
             Action::Warm { .. }
+            | Action::FreeParts { .. }
             | Action::ReadHead
             | Action::ReadVms
             | Action::AskVms { .. }
--- a/tests/tests/config_log.rs
+++ b/tests/tests/config_log.rs
@@ -85,7 +85,7 @@
             }
             rows.insert(write.key.clone(), Row { version, value });
         }
-        Committed { committed, found }
+        Committed { committed, found, version: None }
     }
 }
 
--- a/tests/tests/placement_differential.rs
+++ b/tests/tests/placement_differential.rs
@@ -155,6 +155,7 @@
             model,
             directory: &directory,
             links: &links,
+            tokens_read: Tokens(0),
         };
         let candidates: Vec<Candidate<'_>> = snapshot
             .targets
@@ -168,10 +169,20 @@
                 slot_wait: Duration::from_secs(case.waits[i].1),
                 free: case.usable[i].0,
                 importable: case.usable[i].1,
+                memory: 0.0,
+                memory_per_token: 0.0,
+                pace: 1.0,
+                overdue: Duration::ZERO,
             })
             .collect();
         let prompt = Tokens(PIECES as u32 * PIECE + case.rest);
-        let request = Request { call: CallKey(1), pieces: &pieces, prompt };
+        let request = Request {
+            call: CallKey(1),
+            pieces: &pieces,
+            prompt,
+            memory: Tokens(0),
+            objective: None,
+        };
         let fast = CheapestPlacer.place(&cx, &request, &candidates).map(|p| p.cost);
         let naive = brute_force(&cx, &request, &candidates);
         prop_assert_eq!(fast.is_some(), naive.is_some());
--- a/tests/tests/retention.rs
+++ b/tests/tests/retention.rs
@@ -70,7 +70,7 @@
         for write in transaction.writes.iter().filter(|_| committed) {
             self.write(write.key.clone(), write.value.clone());
         }
-        Committed { committed, found: Vec::new() }
+        Committed { committed, found: Vec::new(), version: None }
     }
 
     fn version(&self, key: &str) -> u64 {
--- a/tests/tests/rollout.rs
+++ b/tests/tests/rollout.rs
@@ -78,7 +78,7 @@
             for i in 0..self.holders.len() {
                 if self.holders[i].paused_until <= self.now {
                     let (now, view) = (self.now, self.view());
-                    let requests = self.holders[i].rollout.tick(now, &view, 2, i as u32);
+                    let requests = self.holders[i].rollout.tick(now, &view, 2, i as u32, false);
                     for request in requests {
                         self.follow(i, request);
                     }
