Drain engines before they load, and let daemons know each other

Change: seeds are told as peers; the holder drains as many engines as it loads, orders with runs going on, and confirms by probes; limit of memory 0.80.

--- a/crates/cumintrail-client/src/engine.rs
+++ b/crates/cumintrail-client/src/engine.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use actix_http::Method;
-use cumintrail_control::TargetReport;
+use cumintrail_control::{Running, TargetReport};
 use cumintrail_types::{FencingNumber, WeightVersion};
 use cumintrail_wire::engine::{
     CALL_HEADER, CacheEvents, ExportOrder, ExportReport, Generate, ImportOrder, ImportReport,
@@ -187,6 +187,8 @@
     pub version: WeightVersion,
     /// The number of the lease under which the request is sent.
     pub fencing: FencingNumber,
+    /// What becomes of calls that run.
+    pub running: Running,
 }
 
 /// Gives orders to targets that a registry lists.
--- a/crates/cumintrail-control/src/control/rollouts.rs
+++ b/crates/cumintrail-control/src/control/rollouts.rs
@@ -3,16 +3,20 @@
 use std::time::Duration;
 
 use cumintrail_config::{Snapshot, TargetKind};
-use cumintrail_types::{Moment, TargetKey};
+use cumintrail_types::{Incarnation, Moment, TargetKey, Tokens, WeightVersion};
 
 use super::Control;
 use crate::membership::Liveness;
 use crate::placement::Placer;
-use crate::rollout::{RolloutRequest, TargetView};
-use crate::{Action, Actions};
+use crate::rollout::{Pace, RolloutRequest, TargetView};
+use crate::{Action, Actions, Running, TargetReport};
 
 /// Engines of which one loads at a time where a registry lists them.
-const TARGETS_PER_LOAD: usize = 5;
+const TARGETS_PER_LOAD: usize = 6;
+/// How long an engine gets no new calls before it loads: most short answers end within.
+const DRAIN: Duration = Duration::from_millis(800);
+/// How long an order may be unconfirmed before it is given again; loads take a second or two.
+const CONFIRM_LIMIT: Duration = Duration::from_millis(3_500);
 const ROLLOUT_INTERVAL: Duration = Duration::from_millis(100);
 
 impl<P: Placer> Control<P> {
@@ -26,14 +30,19 @@
             return;
         };
         let targets: Vec<TargetView> = self.rollout_view(&snapshot);
-        let slots = match self.has_registry {
+        let pace = match self.has_registry {
             // Nothing tells how many loads slow each other down.
-            true => targets.len().div_ceil(TARGETS_PER_LOAD).max(1),
-            false => usize::from(snapshot.deployment.load_slots),
+            true => Pace {
+                slots: targets.len().div_ceil(TARGETS_PER_LOAD).max(1),
+                drain: DRAIN,
+                confirm: CONFIRM_LIMIT,
+                running: Running::Continue,
+            },
+            false => Pace::with_slots(usize::from(snapshot.deployment.load_slots)),
         };
         let rank = self.membership.rank(self.identity.address);
         let has_unused = self.has_unused_parts(now);
-        let requests = self.rollout.tick(now, &targets, slots, rank, has_unused);
+        let requests = self.rollout.tick(now, &targets, pace, rank, has_unused);
         for request in requests {
             self.follow_rollout(now, request, actions);
         }
@@ -49,9 +58,27 @@
             RolloutRequest::Lease(request) => actions.push(Action::Lease(request)),
             RolloutRequest::Order(order) => actions.push(Action::Order(order)),
             RolloutRequest::Probe(target) => self.probe_early(now, target, actions),
+            RolloutRequest::Drain(target) => self.announce_load(now, target),
         }
     }
 
+    /// Lets no new calls go to a target that is about to load, here and at peers.
+    fn announce_load(&mut self, now: Moment, target: TargetKey) {
+        let known = self.targets.get(target).and_then(|state| state.report);
+        let version = self.version_of(target, WeightVersion(0));
+        let idle = TargetReport {
+            incarnation: Incarnation(0),
+            leaving: false,
+            version,
+            loading: true,
+            running: 0,
+            waiting: 0,
+            prefill_backlog: Tokens(0),
+        };
+        let report = TargetReport { loading: true, version, ..known.unwrap_or(idle) };
+        self.take_report(now, target, report);
+    }
+
     /// Probes a target that loads, whoever probes it otherwise.
     fn probe_early(&mut self, now: Moment, target: TargetKey, actions: &mut Actions) {
         let interval = self.identity.probe_interval;
--- a/crates/cumintrail-control/src/event.rs
+++ b/crates/cumintrail-control/src/event.rs
@@ -439,10 +439,21 @@
     pub fencing: FencingNumber,
     /// What to do.
     pub kind: OrderKind,
+    /// What becomes of calls that run when the order arrives.
+    pub running: Running,
     /// The moment from which on it may not be sent any more.
     pub not_after: Moment,
 }
 
+/// Tells what becomes of calls that run when weights are loaded.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Running {
+    /// They end first.
+    Finish,
+    /// They go on with the new weights.
+    Continue,
+}
+
 /// Names the change that an order asks for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum OrderKind {
--- a/crates/cumintrail-control/src/placement/affine.rs
+++ b/crates/cumintrail-control/src/placement/affine.rs
@@ -21,7 +21,7 @@
 /// Seconds that a call costs where calls take all memory once more.
 const CROWDED: f64 = 4.0;
 /// The part of an engine's memory beyond which large calls wait for others to end.
-const MEMORY_LIMIT: f64 = 0.95;
+const MEMORY_LIMIT: f64 = 0.80;
 /// How far beyond it the smallest calls may go, since they end soon and displace little.
 const SMALL_CALLS_EXTRA: f64 = 0.35;
 /// The tokens of a call that counts as large.
--- a/crates/cumintrail-control/src/rollout.rs
+++ b/crates/cumintrail-control/src/rollout.rs
@@ -10,12 +10,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cumintrail_types::{FencingNumber, Moment, TargetKey};
+use cumintrail_types::{FencingNumber, Moment, TargetKey, WeightVersion};
 use smallvec::SmallVec;
 
 pub use self::lease::{LeaseKeeper, LeaseRequest, LeaseRow, LeaseWrite};
 pub use self::plan::{Loading, TargetView, is_behind, next_loads};
-use crate::{Order, OrderKind};
+use crate::{Order, OrderKind, Running};
 
 /// How long a lease lasts.
 pub const LEASE: Duration = Duration::from_millis(4_400);
@@ -33,6 +33,27 @@
 /// How long a target is left alone after an order that did not leave.
 const RESEND_PAUSE: Duration = Duration::from_secs(1);
 
+/// Says how fast targets are brought to another version, and what becomes of their calls.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Pace {
+    /// Targets that load at once.
+    pub slots: usize,
+    /// How long a target gets no new calls before it is ordered to load.
+    pub drain: Duration,
+    /// How long after an order its target may take to report the version.
+    pub confirm: Duration,
+    /// What becomes of calls that run when the order arrives.
+    pub running: Running,
+}
+
+impl Pace {
+    /// Lets so many targets load at once, each after its calls ended.
+    pub const fn with_slots(slots: usize) -> Self {
+        let drain = Duration::ZERO;
+        Self { slots, drain, confirm: LOAD_LIMIT, running: Running::Finish }
+    }
+}
+
 /// Holds a lease as its holder sees it on its own monotonic clock.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Lease {
@@ -83,6 +104,8 @@
     Order(Order),
     /// Ask a target for its report.
     Probe(TargetKey),
+    /// Send a target no new calls, since it is about to load.
+    Drain(TargetKey),
 }
 
 /// Brings targets to the declared weight versions while this daemon holds the lease.
@@ -90,6 +113,8 @@
 pub struct Rollout {
     lease: LeaseKeeper,
     loading: BTreeMap<TargetKey, Loading>,
+    /// Targets that get no new calls, and since when.
+    draining: BTreeMap<TargetKey, Moment>,
     last_order: Moment,
 }
 
@@ -99,6 +124,7 @@
         Self {
             lease: LeaseKeeper::new(holder),
             loading: BTreeMap::new(),
+            draining: BTreeMap::new(),
             last_order: Moment::default(),
         }
     }
@@ -113,7 +139,7 @@
         &mut self,
         now: Moment,
         targets: &[TargetView],
-        slots: usize,
+        pace: Pace,
         rank: u32,
         has_other_work: bool,
     ) -> SmallVec<[RolloutRequest; 4]> {
@@ -122,6 +148,7 @@
         let behind = has_other_work || targets.iter().any(is_behind);
         requests.extend(self.lease.tick(now, behind, rank).map(RolloutRequest::Lease));
         let Some(lease) = self.lease.lease() else {
+            self.draining.clear();
             return requests;
         };
         if !behind && self.loading.is_empty() && now.since(self.last_order) > QUIET_BEFORE_RELEASE {
@@ -130,21 +157,70 @@
         }
         requests.extend(self.loading.keys().map(|key| RolloutRequest::Probe(*key)));
         if lease.may_send(now) {
-            for target in next_loads(now, targets, &self.loading, slots) {
-                self.last_order = now;
-                let load = Loading { version: target.declared, sent: now, again: now + LOAD_LIMIT };
-                self.loading.insert(target.key, load);
-                requests.push(RolloutRequest::Order(Order {
-                    target: target.key,
-                    fencing: lease.fencing,
-                    kind: OrderKind::Load(target.declared),
-                    not_after: lease.send_until(),
-                }));
-            }
+            self.begin_drains(now, targets, pace, &mut requests);
+            self.order_drained(now, targets, pace, lease, &mut requests);
         }
         requests
     }
 
+    /// Chooses the targets that load next; as many drain as load, so that no time is lost.
+    fn begin_drains(
+        &mut self,
+        now: Moment,
+        targets: &[TargetView],
+        pace: Pace,
+        requests: &mut SmallVec<[RolloutRequest; 4]>,
+    ) {
+        let wanted = |t: &TargetView| targets.iter().any(|o| o.key == t.key && is_behind(o));
+        self.draining.retain(|key, _| targets.iter().any(|t| t.key == *key && wanted(t)));
+        let at_once = if pace.drain.is_zero() { pace.slots } else { pace.slots * 2 };
+        let held: BTreeMap<TargetKey, Loading> = self
+            .draining
+            .iter()
+            .map(|(key, since)| {
+                (*key, Loading { version: WeightVersion(0), sent: *since, again: now })
+            })
+            .chain(self.loading.iter().map(|(key, load)| (*key, *load)))
+            .collect();
+        for target in next_loads(now, targets, &held, at_once) {
+            self.draining.insert(target.key, now);
+            if !pace.drain.is_zero() {
+                requests.push(RolloutRequest::Drain(target.key));
+            }
+        }
+    }
+
+    /// Orders targets to load that have drained for long enough.
+    fn order_drained(
+        &mut self,
+        now: Moment,
+        targets: &[TargetView],
+        pace: Pace,
+        lease: Lease,
+        requests: &mut SmallVec<[RolloutRequest; 4]>,
+    ) {
+        let drained = self.draining.iter().filter(|(_, since)| now.since(**since) >= pace.drain);
+        let mut drained: Vec<(Moment, TargetKey)> = drained.map(|(key, at)| (*at, *key)).collect();
+        drained.sort_unstable();
+        let free = pace.slots.saturating_sub(self.loading.len());
+        for (_, key) in drained.into_iter().take(free) {
+            self.draining.remove(&key);
+            let Some(target) = targets.iter().find(|t| t.key == key) else {
+                continue;
+            };
+            self.last_order = now;
+            let load = Loading { version: target.declared, sent: now, again: now + pace.confirm };
+            self.loading.insert(key, load);
+            requests.push(RolloutRequest::Order(Order {
+                target: key,
+                fencing: lease.fencing,
+                kind: OrderKind::Load(target.declared),
+                running: pace.running,
+                not_after: lease.send_until(),
+            }));
+        }
+    }
+
     /// Notes an order that another decision sends under the lease.
     pub const fn note_order(&mut self, now: Moment) {
         self.last_order = now;
--- a/crates/cumintrail-control/src/rollout/lease.rs
+++ b/crates/cumintrail-control/src/rollout/lease.rs
@@ -13,11 +13,11 @@
 /// The age of a lease at which it is renewed.
 const RENEW_AFTER: Duration = Duration::from_millis(700);
 /// The time between two looks at a lease of another holder.
-const WATCH_INTERVAL: Duration = Duration::from_secs(1);
+const WATCH_INTERVAL: Duration = Duration::from_millis(600);
 /// The same for daemons that are far from taking over.
 const FAR_WATCH_INTERVAL: Duration = Duration::from_secs(10);
 /// The delay before the first look, for each daemon that is to look first.
-const RANK_DELAY: Duration = Duration::from_secs(2);
+const RANK_DELAY: Duration = Duration::from_millis(600);
 const RETRY: Duration = Duration::from_millis(500);
 const NEAR_RANKS: u32 = 3;
 
--- a/crates/cumintrail-daemon/src/background.rs
+++ b/crates/cumintrail-daemon/src/background.rs
@@ -17,6 +17,7 @@
 
 pub use self::orders::send_digest;
 pub use self::rollout::{before, exchange_lease, settle_order};
+pub use self::vm_list::tell_configured_peers;
 use crate::metric;
 use crate::shared::Shared;
 
--- a/crates/cumintrail-daemon/src/background/vm_list.rs
+++ b/crates/cumintrail-daemon/src/background/vm_list.rs
@@ -10,10 +10,11 @@
 
 use super::Background;
 use crate::metric;
+use crate::shared::Shared;
 
 /// Reads the list when ordered, until the process ends.
 pub async fn run(background: Rc<Background>) {
-    tell_configured_peers(&background).await;
+    tell_configured_peers(&background.shared).await;
     let mut lagging = None;
     loop {
         background.read_vms.notified().await;
@@ -66,13 +67,13 @@
 }
 
 /// Names the peers of the settings, which may be asked before any list is read.
-async fn tell_configured_peers(background: &Background) {
-    let known = background.shared.settings.peers.iter().map(|address| VmEntry {
+pub async fn tell_configured_peers(shared: &Shared) {
+    let known = shared.settings.peers.iter().map(|address| VmEntry {
         address: *address,
         domain: "".into(),
         role: VmRole::Daemon,
         state: VmState::Live,
     });
     let event = Event::VmsListed { sequence: 0, vms: known.collect() };
-    background.shared.control.tell(event).await;
+    shared.control.tell(event).await;
 }
--- a/crates/cumintrail-daemon/src/gateway/orders.rs
+++ b/crates/cumintrail-daemon/src/gateway/orders.rs
@@ -12,7 +12,7 @@
 
 use super::publish::{Publisher, Update};
 use super::{Platform, follow, parts, peers};
-use crate::background::{before, exchange_lease, send_digest, settle_order};
+use crate::background::{before, exchange_lease, send_digest, settle_order, tell_configured_peers};
 use crate::metric;
 use crate::shared::Shared;
 
@@ -34,6 +34,7 @@
     for table in [FeedTable::Operator, FeedTable::Registry] {
         actix_rt::spawn(follow_table(shared.clone(), platform.clone(), table, tx.clone()));
     }
+    tell_configured_peers(&shared).await;
     let peers = Rc::new(HttpPeer::open(shared.settings.peer_key.expose()));
     actix_rt::spawn(peers::follow(shared.clone(), peers.clone(), tx));
     actix_rt::spawn(parts::follow_all(shared.clone(), platform.clone()));
@@ -163,5 +164,6 @@
         model: &snapshot.models.get(model)?.weights,
         version,
         fencing: order.fencing,
+        running: order.running,
     })
 }
--- a/tests/tests/rollout.rs
+++ b/tests/tests/rollout.rs
@@ -6,7 +6,7 @@
 
 use actix_http::Method;
 use cumintrail_control::rollout::{
-    LEASE, LeaseRequest, LeaseRow, OrderOutcome, Rollout, RolloutRequest, TargetView,
+    LEASE, LeaseRequest, LeaseRow, OrderOutcome, Pace, Rollout, RolloutRequest, TargetView,
 };
 use cumintrail_control::{Order, OrderKind};
 use cumintrail_tests::cluster::{CALLER_KEY, Cluster, Plan};
@@ -78,7 +78,13 @@
             for i in 0..self.holders.len() {
                 if self.holders[i].paused_until <= self.now {
                     let (now, view) = (self.now, self.view());
-                    let requests = self.holders[i].rollout.tick(now, &view, 2, i as u32, false);
+                    let requests = self.holders[i].rollout.tick(
+                        now,
+                        &view,
+                        Pace::with_slots(2),
+                        i as u32,
+                        false,
+                    );
                     for request in requests {
                         self.follow(i, request);
                     }
@@ -113,6 +119,7 @@
 
     fn follow(&mut self, holder: usize, request: RolloutRequest) {
         match request {
+            RolloutRequest::Drain(_) => {}
             RolloutRequest::Probe(_) => {}
             RolloutRequest::Order(order) => self.order(holder, &order),
             RolloutRequest::Lease(LeaseRequest::Read) => {
