Begin no call on weights replaced for long, and let reports of loading lapse

Ruled out: the lease itself, which passed on after 4.9 s as built. A log line for each write of the lease.

--- a/crates/cumintrail-control/src/control.rs
+++ b/crates/cumintrail-control/src/control.rs
@@ -21,8 +21,8 @@
 
 use cumintrail_config::{Snapshot, TargetKind};
 use cumintrail_types::{
-    Arena, CallKey, Digest, Generation, Incarnation, Moment, Sealed, StoreKey, TargetKey, Tier,
-    WeightVersion,
+    Arena, CallKey, Digest, Generation, Incarnation, ModelKey, Moment, Sealed, StoreKey, TargetKey,
+    Tier, WeightVersion,
 };
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -97,6 +97,10 @@
     fresh_kept: Vec<(SocketAddr, Sealed, Tier)>,
     /// How long answers take after their first token, smoothed.
     answer_time: Duration,
+    /// When each weight version was first declared here, oldest first.
+    declared: HashMap<ModelKey, Vec<(WeightVersion, Moment)>>,
+    /// How long after a version was declared calls still begin on older ones.
+    replaced_limit: Option<Duration>,
     /// Whether a registry tells of targets, so that they are probed only while they load.
     has_registry: bool,
     stopping: bool,
@@ -143,6 +147,8 @@
             target_at: HashMap::new(),
             fresh_kept: Vec::new(),
             answer_time: Duration::ZERO,
+            declared: HashMap::new(),
+            replaced_limit: None,
             has_registry: false,
             stopping: false,
         }
@@ -156,6 +162,11 @@
         self.managed.secret = secret.into();
     }
 
+    /// Lets no call begin on weights that were replaced for longer than `limit`.
+    pub const fn limit_replaced(&mut self, limit: Duration) {
+        self.replaced_limit = Some(limit);
+    }
+
     /// Changes how many retries may be added to calls.
     pub fn set_retry_policy(&mut self, policy: RetryPolicy) {
         self.retry_policy = policy;
--- a/crates/cumintrail-control/src/control/arrivals.rs
+++ b/crates/cumintrail-control/src/control/arrivals.rs
@@ -149,6 +149,7 @@
         let arrival = &call.arrival;
         let waiting = call;
         let usable: Vec<TargetKey> = self.usable_targets(now, snapshot, call).collect();
+        let usable = self.leave_out_outdated(now, arrival.kind, usable);
         if usable.is_empty() {
             return Err(retry::give_up(call, RefusalCode::NoTarget));
         }
@@ -191,6 +192,21 @@
         }
     }
 
+    /// Leaves out targets on weights that were replaced too long ago.
+    ///
+    /// While the platform does not answer nobody can order loads, so there any weights are better
+    /// than no answer.
+    fn leave_out_outdated(
+        &self,
+        now: Moment,
+        kind: TargetKind,
+        usable: Vec<TargetKey>,
+    ) -> Vec<TargetKey> {
+        let current = usable.iter().copied().filter(|key| !self.is_outdated(now, *key, kind));
+        let current: Vec<TargetKey> = current.collect();
+        if current.is_empty() && !self.hears_platform(now) { usable } else { current }
+    }
+
     /// Leaves out targets that just refused a call or load weights, as long as there are others.
     fn prefer_accepting(&self, now: Moment, usable: Vec<TargetKey>) -> Vec<TargetKey> {
         let accepts = |key: &TargetKey| {
--- a/crates/cumintrail-control/src/control/managed.rs
+++ b/crates/cumintrail-control/src/control/managed.rs
@@ -96,6 +96,11 @@
         self.parts.plan(now, &self.managed.stores, &arrival.pieces, self.knows_roots(now))
     }
 
+    /// Tells whether the platform answered of late.
+    pub(super) fn hears_platform(&self, now: Moment) -> bool {
+        self.managed.answered >= now - ANSWER_LIFE
+    }
+
     /// Tells whether this daemon would know if the names of parts had changed.
     fn knows_roots(&self, now: Moment) -> bool {
         let limit = now - ANSWER_LIFE;
--- a/crates/cumintrail-control/src/control/rollouts.rs
+++ b/crates/cumintrail-control/src/control/rollouts.rs
@@ -6,6 +6,7 @@
 use cumintrail_types::{Incarnation, Moment, TargetKey, Tokens, WeightVersion};
 
 use super::Control;
+use super::state::TargetState;
 use crate::membership::Liveness;
 use crate::placement::Placer;
 use crate::rollout::{Pace, RolloutRequest, TargetView};
@@ -29,7 +30,7 @@
         let Some(snapshot) = self.snapshot.clone() else {
             return;
         };
-        let targets: Vec<TargetView> = self.rollout_view(&snapshot);
+        let targets: Vec<TargetView> = self.rollout_view(now, &snapshot);
         let pace = match self.has_registry {
             // Nothing tells how many loads slow each other down.
             true => Pace {
@@ -79,6 +80,20 @@
         self.take_report(now, target, report);
     }
 
+    /// Tells whether a target's weights were replaced so long ago that no call begins on them.
+    pub(super) fn is_outdated(&self, now: Moment, key: TargetKey, kind: TargetKind) -> bool {
+        let TargetKind::Engine(model) = kind else {
+            return false;
+        };
+        let loaded = self.targets.get(key).and_then(TargetState::version);
+        let Some((limit, loaded)) = self.replaced_limit.zip(loaded) else {
+            return false;
+        };
+        let declared = self.declared.get(&model).into_iter().flatten();
+        let replaced = declared.into_iter().find(|(version, _)| *version > loaded);
+        replaced.is_some_and(|(_, at)| now.since(*at) >= limit)
+    }
+
     /// Probes a target that loads, whoever probes it otherwise.
     fn probe_early(&mut self, now: Moment, target: TargetKey, actions: &mut Actions) {
         let interval = self.identity.probe_interval;
@@ -89,7 +104,7 @@
         actions.push(Action::Probe(target));
     }
 
-    fn rollout_view(&self, snapshot: &Snapshot) -> Vec<TargetView> {
+    fn rollout_view(&self, now: Moment, snapshot: &Snapshot) -> Vec<TargetView> {
         let engines = snapshot.targets.iter().filter(|(_, t)| !t.retired);
         let view = engines.filter_map(|(key, target)| {
             let TargetKind::Engine(model) = target.kind else {
@@ -101,7 +116,8 @@
                 model,
                 declared: snapshot.models.get(model)?.version,
                 reported: state.version(),
-                loading: state.report.is_some_and(|r| r.loading),
+                // A holder that is gone cannot tell how its loads ended.
+                loading: state.is_loading(now),
                 reported_at: state.versioned().map(|(_, at)| at),
                 usable: state.liveness != Liveness::Silent
                     && !state.gone
--- a/crates/cumintrail-control/src/control/state.rs
+++ b/crates/cumintrail-control/src/control/state.rs
@@ -12,7 +12,7 @@
 /// Probe intervals between two probes of a target that answers.
 const LIVE_INTERVALS: u32 = 2;
 /// How long a report of loading counts: a load takes a second or two once its target is idle.
-const LOADING_LIFE: Duration = Duration::from_secs(5);
+const LOADING_LIFE: Duration = Duration::from_secs(3);
 
 /// How much one first token changes the learned pace.
 const PACE_STEP: f64 = 0.1;
--- a/crates/cumintrail-daemon/src/background/rollout.rs
+++ b/crates/cumintrail-daemon/src/background/rollout.rs
@@ -51,7 +51,17 @@
     };
     // The lease counts from before the request.
     let asked = shared.now();
-    let reply = table.commit(&transaction).await?;
+    let reply = table.commit(&transaction).await;
+    let outcome = match &reply {
+        Ok(reply) if reply.committed => "written",
+        Ok(_) => "conflict",
+        Err(_) => "no-answer",
+    };
+    let (fencing, released, expected) = (write.fencing, write.released, write.expected);
+    log::info!(
+        "event=lease fencing={fencing} released={released} expected={expected} outcome={outcome}"
+    );
+    let reply = reply?;
     Ok(Event::LeaseWritten { asked, committed: reply.committed, version: reply.version })
 }
 
--- a/crates/cumintrail-daemon/src/gateway.rs
+++ b/crates/cumintrail-daemon/src/gateway.rs
@@ -62,6 +62,8 @@
     pub metrics: Option<SocketAddr>,
     /// How many retries this daemon may add to its calls.
     pub retries: RetryPolicy,
+    /// How long after a weight version was declared calls still begin on older ones.
+    pub replaced_limit: Duration,
     /// How long the process may take to stop once it is told to.
     pub stop_limit: Duration,
 }
@@ -105,6 +107,7 @@
         let mut control = Control::with_placer(identity, rand::rng().random(), AffinePlacer);
         control.follow_registry(settings.block_secret.expose());
         control.set_retry_policy(plan.retries);
+        control.limit_replaced(plan.replaced_limit);
         let (link, inbox) = control_thread::channel(settings.control_queue);
         let (actions_tx, actions_rx) = tokio::sync::mpsc::unbounded_channel();
         let (table_writer, _) = table::channel();
