--- a/crates/cumintrail-control/src/registry.rs
+++ b/crates/cumintrail-control/src/registry.rs
@@ -154,7 +154,9 @@
             return false;
         }
         let left = ended.is_some_and(|e| e.leaving) || same_run.is_some_and(|e| e.leaving);
-        let entry = Entry { leaving: listed.leaving || left, listed, presence: Presence::Listed };
+        let leaving = listed.leaving || left;
+        let listed = Listed { leaving, ..listed };
+        let entry = Entry { leaving, listed, presence: Presence::Listed };
         let changed = before.is_none_or(|old| {
             let beats = Listed { beat: entry.listed.beat, ..old.listed.clone() };
             old.presence != Presence::Listed
--- a/crates/cumintrail-daemon/src/relay.rs
+++ b/crates/cumintrail-daemon/src/relay.rs
@@ -5,7 +5,7 @@
 mod call;
 mod caller;
 pub mod dialect;
-mod events;
+pub mod events;
 mod lines;
 mod probes;
 
--- /dev/null
+++ b/crates/cumintrail-daemon/tests/events.rs
@@ -0,0 +1,77 @@
+//! Streamed answers are cut into whole events, however their bytes arrive.
+
+use cumintrail_daemon::events::Events;
+use proptest::prelude::*;
+use proptest::test_runner::{RngAlgorithm, TestRng, TestRunner};
+
+fn runner() -> TestRunner {
+    let config = ProptestConfig { cases: 500, failure_persistence: None, ..Default::default() };
+    TestRunner::new_with_rng(config, TestRng::deterministic_rng(RngAlgorithm::ChaCha))
+}
+
+fn event(id: u64) -> String {
+    format!("id: {id}\ndata: token {id}\n\n")
+}
+
+#[test]
+fn whole_events_come_out_unchanged_whatever_the_cuts() {
+    let cuts = prop::collection::vec(1_usize..40, 1..30);
+    let result = runner().run(&(1_u64..20, cuts, any::<bool>()), |(count, cuts, crlf)| {
+        let mut text: String = (1..=count).map(event).collect();
+        if crlf {
+            text = text.replace('\n', "\r\n");
+        }
+        let (mut events, mut out, mut rest) = (Events::default(), Vec::new(), text.as_bytes());
+        let mut cuts = cuts.iter().cycle();
+        while !rest.is_empty() {
+            let (now, later) = rest.split_at((*cuts.next().unwrap()).min(rest.len()));
+            rest = later;
+            if let Some(batch) = events.push(now).unwrap() {
+                out.extend_from_slice(&batch.bytes);
+                let whole = if crlf { &b"\r\n\r\n"[..] } else { b"\n\n" };
+                prop_assert!(out.ends_with(whole), "a begun event was passed on");
+            }
+        }
+        prop_assert_eq!(out, text.as_bytes());
+        prop_assert_eq!(events.last(), Some(count));
+        Ok(())
+    });
+    result.unwrap();
+}
+
+#[test]
+fn a_begun_event_of_a_broken_answer_is_dropped_and_the_next_run_goes_on() {
+    let mut events = Events::default();
+    events.push((event(1) + "id: 2\nda").as_bytes()).unwrap();
+    events.drop_partial();
+    assert_eq!(events.last(), Some(1));
+    let batch = events.push(event(2).as_bytes()).unwrap().unwrap();
+    assert_eq!(batch.bytes, event(2).as_bytes());
+}
+
+#[test]
+fn an_event_that_was_passed_on_before_is_refused() {
+    let mut events = Events::after(Some(4));
+    assert!(events.push(event(4).as_bytes()).is_err());
+    let mut events = Events::after(Some(4));
+    assert!(events.push(event(5).as_bytes()).is_ok());
+}
+
+#[test]
+fn arbitrary_bytes_neither_panic_nor_pile_up() {
+    let chunks = prop::collection::vec(prop::collection::vec(any::<u8>(), 0..200), 0..50);
+    let result = runner().run(&chunks, |chunks| {
+        let mut events = Events::default();
+        let (mut taken, mut given) = (0, 0);
+        for chunk in chunks {
+            taken += chunk.len();
+            match events.push(&chunk) {
+                Ok(batch) => given += batch.map_or(0, |b| b.bytes.len()),
+                Err(_) => return Ok(()),
+            }
+        }
+        prop_assert_eq!(given + events.take_rest().len(), taken);
+        Ok(())
+    });
+    result.unwrap();
+}
--- /dev/null
+++ b/tests/src/standins/replica.rs
@@ -0,0 +1,122 @@
+//! A target that answers relayed calls as a script says, byte by byte.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::net::{TcpListener, TcpStream};
+
+/// One step of an answer.
+#[derive(Debug, Clone)]
+pub enum Step {
+    /// Sends bytes; `{id}` stands for the call's id.
+    Send(String),
+    /// Waits.
+    Pause(Duration),
+    /// Ends the connection in the usual way.
+    Close,
+    /// Resets the connection.
+    Reset,
+}
+
+/// Answers relayed calls.
+#[derive(Debug, Clone)]
+pub struct Replica {
+    address: SocketAddr,
+    heads: Arc<Mutex<Vec<String>>>,
+    ended: Arc<Mutex<usize>>,
+}
+
+impl Replica {
+    /// Listens on a free loopback port; `answer` gets the number of the call, from zero.
+    pub async fn bind(answer: impl Fn(usize) -> Vec<Step> + 'static) -> std::io::Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let address = listener.local_addr()?;
+        let replica = Self { address, heads: Arc::default(), ended: Arc::default() };
+        let (served, answer) = (replica.clone(), std::rc::Rc::new(answer));
+        actix_rt::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let (served, answer) = (served.clone(), answer.clone());
+                actix_rt::spawn(async move {
+                    // A connection that breaks ends the script, as it does for a real target.
+                    let _ = served.serve(stream, &*answer).await;
+                    *served.ended.lock().unwrap_or_else(PoisonError::into_inner) += 1;
+                });
+            }
+        });
+        Ok(replica)
+    }
+
+    /// Returns where it listens.
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns the heads of all calls so far, with the bodies behind them.
+    pub fn calls(&self) -> Vec<String> {
+        self.heads.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Returns the number of connections that have ended.
+    pub fn ended(&self) -> usize {
+        *self.ended.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn serve(
+        &self,
+        mut stream: TcpStream,
+        answer: &impl Fn(usize) -> Vec<Step>,
+    ) -> std::io::Result<()> {
+        loop {
+            let call = read_call(&mut stream).await?;
+            let id = header(&call, "x-cumintrail-call").unwrap_or_default().to_owned();
+            let number = {
+                let mut heads = self.heads.lock().unwrap_or_else(PoisonError::into_inner);
+                heads.push(call);
+                heads.len() - 1
+            };
+            for step in answer(number) {
+                match step {
+                    Step::Send(text) => {
+                        stream.write_all(text.replace("{id}", &id).as_bytes()).await?;
+                    }
+                    Step::Pause(time) => {
+                        // A connection that the other end closes ends the work.
+                        let mut byte = [0];
+                        let closed = stream.read(&mut byte);
+                        if let Ok(read) = actix_rt::time::timeout(time, closed).await {
+                            read?;
+                            return Ok(());
+                        }
+                    }
+                    Step::Close => return Ok(()),
+                    Step::Reset => {
+                        actix_rt::time::sleep(Duration::from_millis(30)).await;
+                        return socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+                    }
+                }
+            }
+        }
+    }
+}
+
+/// Reads a head and the body that its length announces.
+async fn read_call(stream: &mut TcpStream) -> std::io::Result<String> {
+    let mut call = Vec::new();
+    while !call.ends_with(b"\r\n\r\n") {
+        call.push(stream.read_u8().await?);
+    }
+    let head = String::from_utf8_lossy(&call).into_owned();
+    let length = header(&head, "content-length").and_then(|text| text.parse().ok()).unwrap_or(0);
+    let mut body = vec![0; length];
+    stream.read_exact(&mut body).await?;
+    Ok(head + &String::from_utf8_lossy(&body))
+}
+
+/// Returns a header of a head.
+pub fn header<'a>(head: &'a str, name: &str) -> Option<&'a str> {
+    let lines = head.lines().filter_map(|line| line.split_once(':'));
+    let mut found = lines.filter(|(n, _)| n.eq_ignore_ascii_case(name));
+    found.next().map(|(_, value)| value.trim())
+}
--- /dev/null
+++ b/tests/tests/gateway.rs
@@ -0,0 +1,376 @@
+//! Relayed calls end to end: callers, a gateway, scripted targets, and a platform with a feed.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use cumintrail_config::{LogFormat, Secret, Settings};
+use cumintrail_control::retry::RetryPolicy;
+use cumintrail_daemon::{Gateway, GatewayPlan};
+use cumintrail_tests::standins::feed::FeedPlatform;
+use cumintrail_tests::standins::replica::{Replica, Step, header};
+use cumintrail_types::Digest;
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::net::TcpStream;
+
+const LIMIT: Duration = Duration::from_secs(10);
+const ANY: &str = "127.0.0.1:0";
+const KEY: &str = "caller-key-of-cheese";
+const WHOLE: &str = "HTTP/1.1 200 OK\r\nx-cumintrail-call: {id}\r\ncontent-length: 5\r\n\r\nwheel";
+const STREAM: &str =
+    "HTTP/1.1 200 OK\r\nx-cumintrail-call: {id}\r\ntransfer-encoding: chunked\r\n\r\n";
+
+fn declarations(key: &str) -> String {
+    let digest = Digest::of(key.as_bytes());
+    let route = |name: &str, class: &str, attempts: u8| {
+        format!(
+            "[route {name}]\nhost = shop.example\nprefix = /{name}/\nclass = {class}\nto = desk\n\
+             timeout_ms = 3000\nattempts = {attempts}\n"
+        )
+    };
+    let routes = [
+        route("read", "repeatable", 2),
+        route("hold", "once", 1),
+        route("flow", "stream", 1),
+        route("resume", "resumable-stream", 2),
+    ];
+    format!(
+        "[deployment]\nfirst_preset = day\ncaller_head_bytes = 2000\n[preset day]\n\
+         [account coop]\nkey_digests = {digest}\n[service desk]\n{}",
+        routes.concat()
+    )
+}
+
+fn settings() -> Settings {
+    let any: SocketAddr = ANY.parse().unwrap();
+    let key = || Secret::new("a key of sixteen bytes or more");
+    Settings {
+        vm: "vm-1".into(),
+        domain: "a".into(),
+        caller_address: any,
+        operator_address: any,
+        peer_address: None,
+        operator_key: key(),
+        peer_key: key(),
+        block_secret: key(),
+        table: any,
+        objects: any,
+        vm_list: any,
+        peers: Vec::new(),
+        max_body_bytes: 1 << 20,
+        request_timeout: LIMIT,
+        stall_limit: LIMIT,
+        max_connections: 100,
+        control_queue: 1_024,
+        workers: 1,
+        config_poll: Duration::from_secs(1),
+        probe_interval: Duration::from_millis(200),
+        digest_interval: Duration::from_secs(1),
+        stop_grace: Duration::from_millis(200),
+        drain_limit: LIMIT,
+        log_format: LogFormat::Text,
+        log_level: "info".into(),
+    }
+}
+
+struct Cluster {
+    platform: FeedPlatform,
+    gateway: Gateway,
+}
+
+impl Cluster {
+    /// Starts a gateway before these targets, which are named `t0`, `t1` and so on.
+    async fn spawn(targets: &[&Replica]) -> Self {
+        let platform = FeedPlatform::new();
+        platform.declare(1, &declarations(KEY));
+        for (i, target) in targets.iter().enumerate() {
+            platform.list(&format!("t{i}"), 1, 1, "desk", target.address(), false);
+        }
+        let cluster = Self::spawn_on(platform);
+        cluster.until(Gateway::is_ready).await;
+        cluster
+    }
+
+    fn spawn_on(platform: FeedPlatform) -> Self {
+        let plan = GatewayPlan {
+            callers: ANY.parse().unwrap(),
+            readiness: None,
+            metrics: None,
+            retries: RetryPolicy::default(),
+            replaced_limit: LIMIT,
+            stop_limit: LIMIT,
+        };
+        let gateway = Gateway::spawn(settings(), &plan, platform.clone()).unwrap();
+        Self { platform, gateway }
+    }
+
+    async fn until(&self, holds: impl Fn(&Gateway) -> bool) {
+        let wait = async {
+            while !holds(&self.gateway) {
+                actix_rt::time::sleep(Duration::from_millis(5)).await;
+            }
+        };
+        actix_rt::time::timeout(LIMIT, wait).await.expect("the gateway gets there");
+    }
+
+    async fn connect(&self) -> Caller {
+        Caller(TcpStream::connect(self.gateway.caller_address()).await.unwrap())
+    }
+
+    /// Sends a call on a connection of its own and reads until the connection ends.
+    async fn call(&self, path: &str) -> String {
+        let mut caller = self.connect().await;
+        caller.send(path, "c-1", "connection: close\r\n", "").await;
+        caller.rest().await
+    }
+}
+
+struct Caller(TcpStream);
+
+impl Caller {
+    async fn send(&mut self, path: &str, id: &str, headers: &str, body: &str) {
+        let length = body.len();
+        let text = format!(
+            "POST {path} HTTP/1.1\r\nhost: shop.example\r\nauthorization: Bearer {KEY}\r\n\
+             x-cumintrail-call: {id}\r\ncontent-length: {length}\r\n{headers}\r\n{body}"
+        );
+        self.0.write_all(text.as_bytes()).await.unwrap();
+    }
+
+    /// Reads until `end` was read.
+    async fn until(&mut self, end: &str) -> String {
+        let mut text = String::new();
+        let read = async {
+            while !text.contains(end) {
+                let byte = self.0.read_u8().await.expect("the connection stays open");
+                text.push(char::from(byte));
+            }
+        };
+        actix_rt::time::timeout(LIMIT, read).await.expect("the answer comes");
+        text
+    }
+
+    /// Reads until the connection ends; a reset ends it too.
+    async fn rest(&mut self) -> String {
+        let mut bytes = Vec::new();
+        let read = actix_rt::time::timeout(LIMIT, self.0.read_to_end(&mut bytes)).await;
+        let _reset = read.expect("the connection ends");
+        String::from_utf8(bytes).unwrap()
+    }
+}
+
+fn send(text: &str) -> Step {
+    Step::Send(text.into())
+}
+
+fn events(ids: std::ops::RangeInclusive<u64>) -> Step {
+    let chunk = |id| {
+        let event = format!("id: {id}\ndata: {id}\n\n");
+        format!("{:x}\r\n{event}\r\n", event.len())
+    };
+    Step::Send(ids.map(chunk).collect())
+}
+
+fn status(answer: &str) -> &str {
+    answer.split(' ').nth(1).unwrap_or("none")
+}
+
+#[actix_rt::test]
+async fn a_call_reaches_its_target_unchanged_but_for_what_the_system_names() {
+    let target = Replica::bind(|_| vec![send(WHOLE)]).await.unwrap();
+    let cluster = Cluster::spawn(&[&target]).await;
+    let mut caller = cluster.connect().await;
+    let headers = "x-own: kept\r\nx-cumintrail-account: forged\r\n";
+    caller.send("/hold/a%20b?q=1", "c-7", headers, "two wheels").await;
+    let answer = caller.until("wheel").await;
+    assert_eq!((status(&answer), header(&answer, "x-cumintrail-call")), ("200", Some("c-7")));
+    let call = target.calls().remove(0);
+    assert!(call.starts_with("POST /hold/a%20b?q=1 HTTP/1.1"), "{call}");
+    assert!(call.ends_with("two wheels"), "{call}");
+    assert_eq!(header(&call, "x-own"), Some("kept"));
+    assert_eq!(header(&call, "x-cumintrail-account"), Some("coop"));
+    assert_eq!(header(&call, "x-cumintrail-instance"), Some("t0"));
+    assert_eq!(header(&call, "host"), Some("shop.example"));
+    assert!(!call.contains(KEY), "the key was passed on");
+    let left: u64 = header(&call, "x-cumintrail-deadline-ms").unwrap().parse().unwrap();
+    assert!(left <= 3_000, "{left}");
+}
+
+#[actix_rt::test]
+async fn nothing_is_relayed_without_route_key_or_configuration() {
+    let target = Replica::bind(|_| vec![send(WHOLE)]).await.unwrap();
+    let cluster = Cluster::spawn_on(FeedPlatform::new());
+    assert_eq!(status(&cluster.call("/read/").await), "503");
+    assert!(!cluster.gateway.is_ready());
+    cluster.platform.declare(1, &declarations("another key"));
+    cluster.platform.list("t0", 1, 1, "desk", target.address(), false);
+    cluster.until(Gateway::is_ready).await;
+    assert_eq!(status(&cluster.call("/read/").await), "401");
+    assert_eq!(status(&cluster.call("/nowhere/").await), "404");
+    assert!(target.calls().is_empty());
+}
+
+#[actix_rt::test]
+async fn requests_that_could_hide_another_are_refused_and_closed() {
+    let target = Replica::bind(|_| vec![send(WHOLE)]).await.unwrap();
+    let cluster = Cluster::spawn(&[&target]).await;
+    let head = "POST /read/ HTTP/1.1\r\nhost: shop.example\r\n";
+    let padding = "x".repeat(2_100);
+    for (rest, expected) in [
+        ("content-length: 4\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n".to_owned(), "400"),
+        ("content-length: 4\r\ncontent-length: 5\r\n\r\nabcd".to_owned(), "400"),
+        ("host: other.example\r\n\r\n".to_owned(), "400"),
+        (format!("x-long: {padding}\r\n\r\n"), "431"),
+        ("content-length: 99999999\r\n\r\n".to_owned(), "401"),
+    ] {
+        let mut caller = cluster.connect().await;
+        caller.0.write_all(format!("{head}{rest}").as_bytes()).await.unwrap();
+        caller.0.shutdown().await.unwrap();
+        assert_eq!(status(&caller.rest().await), expected, "{rest}");
+    }
+    assert!(target.calls().is_empty());
+}
+
+#[actix_rt::test]
+async fn a_repeatable_call_goes_elsewhere_and_a_call_that_runs_once_does_not() {
+    let broken = Replica::bind(|_| vec![Step::Reset]).await.unwrap();
+    let sound = Replica::bind(|_| vec![send(WHOLE)]).await.unwrap();
+    let cluster = Cluster::spawn(&[&broken, &sound]).await;
+    let mut lost = 0;
+    for _ in 0..12 {
+        assert_eq!(status(&cluster.call("/read/").await), "200");
+        let before = broken.calls().len() + sound.calls().len();
+        let answer = cluster.call("/hold/").await;
+        assert_eq!(broken.calls().len() + sound.calls().len(), before + 1);
+        lost += usize::from(status(&answer) == "502");
+    }
+    assert!(lost > 0, "the broken target was never tried");
+}
+
+#[actix_rt::test]
+async fn a_late_second_answer_is_never_that_of_the_next_call() {
+    let late = WHOLE.replace("wheel", "whey!");
+    let target = Replica::bind(move |n| match n {
+        // The second answer bears the id of the first call and arrives while the connection rests.
+        0 => vec![send(WHOLE), Step::Pause(Duration::from_millis(30)), send(&late)],
+        _ => vec![send(WHOLE)],
+    });
+    let target = target.await.unwrap();
+    let cluster = Cluster::spawn(&[&target]).await;
+    for _ in 0..3 {
+        let answer = cluster.call("/hold/").await;
+        assert!(answer.ends_with("wheel"), "{answer}");
+        actix_rt::time::sleep(Duration::from_millis(60)).await;
+    }
+}
+
+#[actix_rt::test]
+async fn a_broken_stream_is_resumed_if_it_may_be_and_else_does_not_look_complete() {
+    let broken = || vec![send(STREAM), events(1..=2), send("9\r\nid: 3\ndat"), Step::Reset];
+    let whole = || vec![send(STREAM), events(3..=4), send("0\r\n\r\n")];
+    let target = Replica::bind(move |n| if n == 0 { broken() } else { whole() }).await.unwrap();
+    let cluster = Cluster::spawn(&[&target]).await;
+    let answer = cluster.call("/resume/").await;
+    let ids: Vec<&str> = answer.lines().filter_map(|l| l.strip_prefix("id: ")).collect();
+    assert_eq!(ids, ["1", "2", "3", "4"], "{answer}");
+    assert!(answer.ends_with("0\r\n\r\n"), "{answer}");
+    assert_eq!(header(&target.calls()[1], "last-event-id"), Some("2"));
+
+    let target = Replica::bind(move |_| broken()).await.unwrap();
+    let cluster = Cluster::spawn(&[&target]).await;
+    let answer = cluster.call("/flow/").await;
+    assert!(answer.contains("id: 2") && !answer.contains("id: 3"), "{answer}");
+    assert!(!answer.ends_with("0\r\n\r\n"), "{answer}");
+    assert_eq!(target.calls().len(), 1);
+}
+
+#[actix_rt::test]
+async fn targets_that_leave_or_vanish_get_nothing_new() {
+    let leaving = Replica::bind(|_| vec![send(WHOLE)]).await.unwrap();
+    let removed = Replica::bind(|_| vec![send(WHOLE)]).await.unwrap();
+    let stays = Replica::bind(|_| vec![send(WHOLE)]).await.unwrap();
+    let cluster = Cluster::spawn(&[&leaving, &removed, &stays]).await;
+    cluster.platform.forget_history();
+    cluster.platform.list("t0", 1, 2, "desk", leaving.address(), true);
+    cluster.platform.unlist("t1");
+    actix_rt::time::sleep(Duration::from_millis(600)).await;
+    let before = (leaving.calls().len(), removed.calls().len());
+    for _ in 0..20 {
+        assert_eq!(status(&cluster.call("/read/").await), "200");
+    }
+    assert_eq!((leaving.calls().len(), removed.calls().len()), before);
+    assert!(stays.calls().len() >= 20);
+}
+
+#[actix_rt::test]
+async fn a_revoked_key_stays_revoked_whatever_older_rows_are_read() {
+    let target = Replica::bind(|_| vec![send(WHOLE)]).await.unwrap();
+    let cluster = Cluster::spawn(&[&target]).await;
+    cluster.platform.declare(5, &declarations("another key"));
+    cluster.until(|g| g.generation().0 == 5).await;
+    assert_eq!(status(&cluster.call("/read/").await), "401");
+    cluster.platform.declare(4, &declarations(KEY));
+    cluster.platform.declare(9, "no declarations at all");
+    actix_rt::time::sleep(Duration::from_millis(500)).await;
+    assert_eq!(status(&cluster.call("/read/").await), "401");
+    assert_eq!(cluster.gateway.generation().0, 5);
+}
+
+#[actix_rt::test]
+async fn calls_go_on_while_the_platform_is_away() {
+    let target = Replica::bind(|_| vec![send(WHOLE)]).await.unwrap();
+    let cluster = Cluster::spawn(&[&target]).await;
+    cluster.platform.set_down(true);
+    actix_rt::time::sleep(Duration::from_millis(300)).await;
+    assert_eq!(status(&cluster.call("/read/").await), "200");
+    cluster.platform.declare(2, &declarations("another key"));
+    cluster.platform.set_down(false);
+    cluster.until(|g| g.generation().0 == 2).await;
+}
+
+#[actix_rt::test]
+async fn a_caller_that_leaves_ends_the_work_of_its_target() {
+    let slow = || vec![Step::Pause(LIMIT), send(WHOLE)];
+    let target = Replica::bind(move |_| slow()).await.unwrap();
+    let cluster = Cluster::spawn(&[&target]).await;
+    let mut caller = cluster.connect().await;
+    caller.send("/read/", "c-1", "", "").await;
+    let wait = async {
+        while target.calls().is_empty() {
+            actix_rt::time::sleep(Duration::from_millis(5)).await;
+        }
+        drop(caller);
+        while target.ended() == 0 {
+            actix_rt::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    let within = Duration::from_millis(500);
+    actix_rt::time::timeout(within, wait).await.expect("the connection to the target ends");
+}
+
+#[actix_rt::test]
+async fn a_stop_cuts_no_answer_and_sends_callers_elsewhere() {
+    let slow = || {
+        vec![
+            send(STREAM),
+            events(1..=1),
+            Step::Pause(Duration::from_millis(600)),
+            events(2..=2),
+            send("0\r\n\r\n"),
+        ]
+    };
+    let target = Replica::bind(move |n| if n == 0 { slow() } else { vec![send(WHOLE)] });
+    let target = target.await.unwrap();
+    let cluster = Cluster::spawn(&[&target]).await;
+    let mut streaming = cluster.connect().await;
+    let mut idle = cluster.connect().await;
+    streaming.send("/flow/", "c-1", "", "").await;
+    streaming.until("id: 1").await;
+    let stopped = actix_rt::spawn(cluster.gateway.stop());
+    actix_rt::time::sleep(Duration::from_millis(50)).await;
+    idle.send("/read/", "c-2", "", "").await;
+    let answer = idle.rest().await;
+    assert_eq!((status(&answer), header(&answer, "connection")), ("200", Some("close")));
+    let answer = streaming.rest().await;
+    assert!(answer.contains("id: 2") && answer.ends_with("0\r\n\r\n"), "{answer}");
+    actix_rt::time::timeout(LIMIT, stopped).await.expect("the stop ends").unwrap();
+}
