--- a/crates/cumintrail-control/src/control/attempts.rs
+++ b/crates/cumintrail-control/src/control/attempts.rs
@@ -154,7 +154,9 @@
     /// Notes what an attempt's end says of its target.
     fn judge_target(&mut self, now: Moment, target: TargetKey, outcome: AttemptOutcome) {
         let incarnation = self.targets.get(target).map(super::state::TargetState::incarnation);
-        if outcome == (AttemptOutcome::RefusedByTarget { leaving: true }) {
+        // A registry names runs itself, and a new one may have the address of one that is gone.
+        let is_gone = outcome == (AttemptOutcome::RefusedByTarget { leaving: true });
+        if is_gone && !self.has_registry {
             let declared = self.snapshot.as_ref().and_then(|s| s.targets.get(target));
             if let Some((declared, incarnation)) = declared.zip(incarnation) {
                 let address = declared.address;
@@ -164,7 +166,7 @@
         if let Some(state) = self.targets.get_mut(target) {
             if let AttemptOutcome::RefusedByTarget { leaving } = outcome {
                 state.avoided = now + REFUSAL_PAUSE;
-                state.gone |= leaving && state.report.is_none();
+                state.gone |= leaving && self.has_registry;
             }
             state.retries.deposit();
             state.breaker.judge(now, outcome.into(), &mut self.rng);
--- a/tests/tests/gateway.rs
+++ b/tests/tests/gateway.rs
@@ -301,6 +301,23 @@
     assert!(stays.calls().len() >= 20);
 }
 
+/// Marks of a run that was gone used to bar its address, and with it the next run there.
+#[actix_rt::test]
+async fn a_new_run_at_the_address_of_one_that_is_gone_gets_calls() {
+    let misdirected = "HTTP/1.1 421 Misdirected Request\r\nx-cumintrail-call: {id}\r\n\
+        x-cumintrail-instance: t9\r\ncontent-length: 0\r\n\r\n";
+    let target = Replica::bind(move |n| vec![send(if n == 0 { misdirected } else { WHOLE })]);
+    let target = target.await.unwrap();
+    let cluster = Cluster::spawn(&[&target]).await;
+    assert_eq!(status(&cluster.call("/hold/").await), "503");
+    assert_eq!(status(&cluster.call("/hold/").await), "503", "a run that is gone was asked again");
+    cluster.platform.unlist("t0");
+    cluster.platform.list("t9", 2, 1, "desk", target.address(), false);
+    actix_rt::time::sleep(Duration::from_millis(500)).await;
+    assert_eq!(status(&cluster.call("/hold/").await), "200");
+    assert_eq!(target.calls().len(), 2);
+}
+
 #[actix_rt::test]
 async fn a_revoked_key_stays_revoked_whatever_older_rows_are_read() {
     let target = Replica::bind(|_| vec![send(WHOLE)]).await.unwrap();
