--- a/crates/cumintrail-control/src/control/rollouts.rs
+++ b/crates/cumintrail-control/src/control/rollouts.rs
@@ -31,15 +31,15 @@
             return;
         };
         let targets: Vec<TargetView> = self.rollout_view(now, &snapshot);
-        let pace = match self.has_registry {
-            // Nothing tells how many loads slow each other down.
-            true => Pace {
+        let pace = if self.has_registry {
+            Pace {
                 slots: targets.len().div_ceil(TARGETS_PER_LOAD).max(1),
                 drain: DRAIN,
                 confirm: CONFIRM_LIMIT,
                 running: Running::Continue,
-            },
-            false => Pace::with_slots(usize::from(snapshot.deployment.load_slots)),
+            }
+        } else {
+            Pace::with_slots(usize::from(snapshot.deployment.load_slots))
         };
         let rank = self.membership.rank(self.identity.address);
         let has_unused = self.has_unused_parts(now);
--- a/crates/cumintrail-control/src/parts.rs
+++ b/crates/cumintrail-control/src/parts.rs
@@ -16,12 +16,12 @@
 use smallvec::SmallVec;
 
 /// How long what a store told may be acted upon.
-pub const KNOWLEDGE_LIFE: Duration = Duration::from_millis(2_000);
+pub const KNOWLEDGE_LIFE: Duration = Duration::from_secs(2);
 /// How long a read of a part may last from the moment at which it is planned.
 pub const READ_LIFE: Duration = Duration::from_millis(1_500);
 /// How long a store must have run before parts are saved there, or a part have gone unnamed
 /// before it is freed: whoever knows less has stopped reading by then.
-pub const SETTLING: Duration = Duration::from_millis(4_000);
+pub const SETTLING: Duration = Duration::from_secs(4);
 /// Parts that one order frees.
 const FREED_AT_ONCE: usize = 100;
 
--- a/crates/cumintrail-control/tests/registry.rs
+++ b/crates/cumintrail-control/tests/registry.rs
@@ -84,7 +84,7 @@
     book.store_returned(returned);
     book.take(returned, row("x", 2, Change::Removed));
     assert_eq!(usable(&book), ["x@7"]);
-    assert!(!book.expire(returned + Duration::from_millis(2_000)));
+    assert!(!book.expire(returned + Duration::from_secs(2)));
     assert!(book.expire(returned + AFTER_RETURN), "still missing means gone");
     assert!(usable(&book).is_empty());
 }
--- /dev/null
+++ b/crates/cumintrail-control/tests/replaced.rs
@@ -0,0 +1,116 @@
+//! Calls and replaced weights where a registry lists engines.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use cumintrail_config::{Document, Snapshot, Target, TargetKind};
+use cumintrail_control::placement::AffinePlacer;
+use cumintrail_control::{Action, Arrival, Control, Event, Identity, Terms};
+use cumintrail_types::{
+    AccountKey, Bytes, CallClass, CallKey, DomainKey, Generation, Incarnation, ModelKey, Moment,
+    Ran, TargetKey, Tokens, WeightVersion,
+};
+
+const LIMIT: Duration = Duration::from_secs(8);
+const DECLARED: &str = "[deployment]\nfirst_preset = day\n[preset day]\n[model curd]\n\
+    [account coop]\nkey_digests = 0000000000000000000000000000000000000000000000000000000000000000\nconcurrency = 1000\n";
+const NAMED: Moment = Moment::from_millis(1_000);
+const LATE: Moment = Moment::from_millis(10_000);
+
+fn engine(name: &str, version: u64) -> Target {
+    Target {
+        name: name.into(),
+        instance: name.into(),
+        kind: TargetKind::Engine(ModelKey(0)),
+        address: "10.0.0.1:80".parse().unwrap(),
+        domain: DomainKey(0),
+        slots: 64,
+        prefill_per_second: 100_000,
+        link_per_second: Bytes(1 << 30),
+        checks_fencing: false,
+        leaving: false,
+        version: Some(WeightVersion(version)),
+        retired: false,
+    }
+}
+
+/// Makes the control state of a daemon that saw version 2 named at [`NAMED`].
+fn control(first: u64, second: u64) -> Control<AffinePlacer> {
+    let identity = Identity {
+        vm: "vm-1".into(),
+        domain: "a".into(),
+        incarnation: Incarnation(1),
+        address: "127.0.0.1:1".parse().unwrap(),
+        probe_interval: Duration::from_secs(1),
+        digest_interval: Duration::from_secs(1),
+    };
+    let mut control = Control::with_placer(identity, 1, AffinePlacer);
+    control.follow_registry("a secret");
+    control.limit_replaced(LIMIT);
+    let sections = Document::parse(&"test".into(), DECLARED).unwrap().sections;
+    let declared = Snapshot::build(Generation(1), &sections, None, None).unwrap();
+    let before = declared.with_targets(1, vec![engine("e0", 1), engine("e1", 1)]);
+    let named = before.with_version(2, ModelKey(0), WeightVersion(2));
+    let after = named.with_targets(3, vec![engine("e0", first), engine("e1", second)]);
+    control.handle(Moment(0), Event::Configured(Arc::new(before)));
+    control.handle(NAMED, Event::Configured(Arc::new(named)));
+    control.handle(NAMED, Event::Configured(Arc::new(after)));
+    control
+}
+
+fn call(control: &mut Control<AffinePlacer>, now: Moment, call: u64) -> Action {
+    let arrival = Arrival {
+        call: CallKey(call),
+        account: AccountKey(0),
+        class: CallClass::Stream,
+        kind: TargetKind::Engine(ModelKey(0)),
+        version: WeightVersion(2),
+        pieces: [].into(),
+        prompt: Tokens(100),
+        max_answer: Tokens(10),
+        deadline: now + Duration::from_secs(5),
+        terms: Terms::default(),
+    };
+    let actions = control.handle(now, Event::Arrived(arrival));
+    let mut decided =
+        actions.into_iter().filter(|a| matches!(a, Action::Dispatch(_) | Action::Refuse { .. }));
+    decided.next().expect("the call is sent or refused at once")
+}
+
+fn target(action: &Action) -> Option<TargetKey> {
+    match action {
+        Action::Dispatch(dispatch) => Some(dispatch.target),
+        _ => None,
+    }
+}
+
+#[test]
+fn no_call_begins_on_weights_that_were_replaced_for_long() {
+    let mut control = control(1, 2);
+    control.handle(LATE, Event::PlatformAnswered { asked: LATE });
+    // So many that the other engine would be the better choice by far.
+    for i in 0..200 {
+        assert_eq!(target(&call(&mut control, LATE, i)), Some(TargetKey(1)));
+    }
+}
+
+#[test]
+fn replaced_weights_serve_until_the_limit() {
+    let mut control = control(1, 1);
+    let soon = NAMED + LIMIT - Duration::from_millis(1);
+    control.handle(soon, Event::PlatformAnswered { asked: soon });
+    assert!(target(&call(&mut control, soon, 1)).is_some());
+}
+
+#[test]
+fn with_old_weights_only_calls_are_refused_unless_the_platform_is_silent() {
+    let mut control = control(1, 1);
+    control.handle(LATE, Event::PlatformAnswered { asked: LATE });
+    match call(&mut control, LATE, 1) {
+        Action::Refuse { refusal, .. } => assert_eq!(refusal.ran, Ran::No),
+        other => panic!("{other:?}"),
+    }
+    // Nobody can order loads while the platform is away, so any weights are better than none.
+    let silent = LATE + Duration::from_secs(10);
+    assert!(target(&call(&mut control, silent, 2)).is_some());
+}
--- a/crates/cumintrail-daemon/src/gateway.rs
+++ b/crates/cumintrail-daemon/src/gateway.rs
@@ -82,7 +82,7 @@
     pub fn spawn<P: Platform>(
         settings: Settings,
         plan: &GatewayPlan,
-        platform: P,
+        platform: &P,
     ) -> Result<Self, SpawnError> {
         let callers = listen(plan.callers, "callers")?;
         let mut probes = Vec::new();
@@ -122,7 +122,7 @@
         background.spawn_fn(move || {
             actix_rt::spawn(orders::run(for_background, for_feeds, actions_rx));
         });
-        let relay = Relay::spawn(callers, probes, &shared, &platform.dialect());
+        let relay = Relay::spawn(&callers, probes, &shared, &platform.dialect());
         let relay = relay.context(ServeSnafu)?;
         let server = operators::serve(operators, shared.clone()).context(ServeSnafu)?;
         log::info!("event=start vm={} callers={}", shared.settings.vm, relay.address());
--- a/crates/cumintrail-daemon/src/gateway/publish.rs
+++ b/crates/cumintrail-daemon/src/gateway/publish.rs
@@ -112,7 +112,7 @@
             Update::Table(table, Followed::Returned) => self.note_contact(table, true),
             Update::Versions(versions) => {
                 versions.into_iter().fold(false, |changed, (model, version)| {
-                    changed | self.take_version(model, version)
+                    changed | self.take_version(&model, version)
                 })
             }
             Update::Table(
@@ -164,7 +164,7 @@
     fn take_operator(&mut self, row: &FeedRow) -> bool {
         match self.platform.operator_change(&row.key, row.value.as_deref()) {
             OperatorChange::Configuration(next) => self.take_configuration(*next),
-            OperatorChange::Version { model, version } => self.take_version(model, version),
+            OperatorChange::Version { model, version } => self.take_version(&model, version),
             OperatorChange::Nothing => false,
             OperatorChange::Unreadable { reason } => {
                 log::warn!(
@@ -178,7 +178,7 @@
     }
 
     /// Takes a named weight version unless a newer one is known.
-    fn take_version(&mut self, model: Arc<str>, version: WeightVersion) -> bool {
+    fn take_version(&mut self, model: &Arc<str>, version: WeightVersion) -> bool {
         let known = self.versions.entry(model.clone()).or_default();
         let newer = version > *known;
         if newer {
--- a/crates/cumintrail-daemon/src/process.rs
+++ b/crates/cumintrail-daemon/src/process.rs
@@ -54,7 +54,7 @@
 /// Runs a gateway until it is told to stop by `SIGTERM` or `SIGINT`.
 ///
 /// Log lines go to standard output, one for each decision, and never hold up a call.
-pub fn run_gateway<P: Platform>(settings: Settings, plan: &GatewayPlan, platform: P) -> ExitCode {
+pub fn run_gateway<P: Platform>(settings: Settings, plan: &GatewayPlan, platform: &P) -> ExitCode {
     let levels = format!("{}, {QUIET_LIBRARIES}", settings.log_level);
     let logger = LogQueue::spawn().ok().and_then(|queue| {
         Logger::try_with_str(levels).ok()?.log_to_writer(Box::new(queue)).start().ok()
@@ -69,7 +69,7 @@
 async fn serve_gateway<P: Platform>(
     settings: Settings,
     plan: &GatewayPlan,
-    platform: P,
+    platform: &P,
 ) -> ExitCode {
     let signals = [SignalKind::terminate(), SignalKind::interrupt(), SignalKind::hangup()];
     let [terminate, interrupt, hangup] = signals.map(signal);
--- a/crates/cumintrail-daemon/src/relay.rs
+++ b/crates/cumintrail-daemon/src/relay.rs
@@ -71,7 +71,7 @@
 impl Relay {
     /// Starts the traffic threads, and the answers to probes on their addresses.
     pub fn spawn<D: Dialect>(
-        callers: TcpListener,
+        callers: &TcpListener,
         probes: Vec<(Probe, TcpListener)>,
         shared: &Arc<Shared>,
         dialect: &D,
--- a/crates/cumintrail-daemon/src/relay/attempt.rs
+++ b/crates/cumintrail-daemon/src/relay/attempt.rs
@@ -310,9 +310,8 @@
                 Next::Ended(end) => return end,
             };
             let Some(chunk) = chunk else { break };
-            let batch = match self.call.events.push(&chunk) {
-                Ok(batch) => batch,
-                Err(_) => return self.failed(&connection, &ClientError::Unreadable),
+            let Ok(batch) = self.call.events.push(&chunk) else {
+                return self.failed(&connection, &ClientError::Unreadable);
             };
             let Some(batch) = batch else { continue };
             if !self.begin_stream(&head).await || self.write(batch.bytes).await.is_err() {
--- a/tests/tests/gateway.rs
+++ b/tests/tests/gateway.rs
@@ -99,7 +99,7 @@
             replaced_limit: LIMIT,
             stop_limit: LIMIT,
         };
-        let gateway = Gateway::spawn(settings(), &plan, platform.clone()).unwrap();
+        let gateway = Gateway::spawn(settings(), &plan, &platform).unwrap();
         Self { platform, gateway }
     }
 
