Join two arms of a match in the rollout test

Cause: clippy refused two arms with one body. Ruled out: nothing. Change: the arms are joined; what is checked is the same. Conclusion: the linter passes.

--- a/tests/tests/rollout.rs
+++ b/tests/tests/rollout.rs
@@ -119,8 +119,7 @@
 
     fn follow(&mut self, holder: usize, request: RolloutRequest) {
         match request {
-            RolloutRequest::Drain(_) => {}
-            RolloutRequest::Probe(_) => {}
+            RolloutRequest::Drain(_) | RolloutRequest::Probe(_) => {}
             RolloutRequest::Order(order) => self.order(holder, &order),
             RolloutRequest::Lease(LeaseRequest::Read) => {
                 if (self.lose)(self.now) {
