--- a/crates/cumintrail-client/src/error.rs
+++ b/crates/cumintrail-client/src/error.rs
@@ -29,6 +29,9 @@
         /// The HTTP status.
         status: u16,
     },
+    /// The response is from before the store was restored, and so does not hold any more.
+    #[snafu(display("an answer from before the store was restored"))]
+    EarlierEra,
     /// A message cannot be encoded or decoded, or violates the protocol or a size limit.
     #[snafu(display("unreadable answer"))]
     Malformed,
--- a/crates/cumintrail-client/src/peer.rs
+++ b/crates/cumintrail-client/src/peer.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use actix_http::Method;
+use cumintrail_wire::feed::{FeedReply, FeedRequest};
 use cumintrail_wire::peer::{
     ConfigReply, ConfigRequest, DigestMessage, DigestReply, ForwardReply, ForwardRequest,
     VmListReply, VmListRequest,
@@ -36,6 +37,13 @@
         at: SocketAddr,
         request: &VmListRequest,
     ) -> Result<VmListReply, ClientError>;
+    /// Requests changes of tables and lists of parts from a reader, which waits for them.
+    async fn feed(
+        &self,
+        at: SocketAddr,
+        request: &FeedRequest,
+        timeout: Duration,
+    ) -> Result<FeedReply, ClientError>;
     /// Forwards a call to the daemon that issued its operation key, once and on a new connection.
     async fn forward(
         &self,
@@ -72,13 +80,14 @@
         at: SocketAddr,
         path: &str,
         message: &Q,
+        timeout: Duration,
     ) -> Result<bytes::Bytes, ClientError> {
         let body = to_msgpack(message)?;
-        let req = self.http.request(Method::POST, at, path);
+        let req = self.http.request(Method::POST, at, path).timeout(timeout);
         let req = req.insert_header(("authorization", self.key.as_str()));
         let response = self.http.send(req, body.into()).await?;
         match response.status() {
-            OK => response.bytes(TIMEOUT).await,
+            OK => response.bytes(timeout).await,
             status => Err(ClientError::Status { status }),
         }
     }
@@ -90,7 +99,7 @@
         at: SocketAddr,
         digest: &DigestMessage,
     ) -> Result<DigestReply, ClientError> {
-        let body = self.post(at, "/peer/digest", digest).await?;
+        let body = self.post(at, "/peer/digest", digest, TIMEOUT).await?;
         Ok(from_msgpack(&body)?)
     }
 
@@ -99,7 +108,7 @@
         at: SocketAddr,
         request: &ConfigRequest,
     ) -> Result<ConfigReply, ClientError> {
-        let body = self.post(at, "/peer/config", request).await?;
+        let body = self.post(at, "/peer/config", request, TIMEOUT).await?;
         Ok(from_msgpack(&body)?)
     }
 
@@ -108,7 +117,17 @@
         at: SocketAddr,
         request: &VmListRequest,
     ) -> Result<VmListReply, ClientError> {
-        let body = self.post(at, "/peer/vms", request).await?;
+        let body = self.post(at, "/peer/vms", request, TIMEOUT).await?;
+        Ok(from_msgpack(&body)?)
+    }
+
+    async fn feed(
+        &self,
+        at: SocketAddr,
+        request: &FeedRequest,
+        timeout: Duration,
+    ) -> Result<FeedReply, ClientError> {
+        let body = self.post(at, "/peer/feed", request, timeout).await?;
         Ok(from_msgpack(&body)?)
     }
 
--- a/crates/cumintrail-client/src/platform.rs
+++ b/crates/cumintrail-client/src/platform.rs
@@ -23,6 +23,14 @@
     async fn commit(&self, transaction: &Transaction) -> Result<TransactionResponse, ClientError>;
     /// Reads a row; `None` if it does not exist.
     async fn read(&self, key: &str) -> Result<Option<Row>, ClientError>;
+    /// Returns how often the table was restored from an older copy, by the responses so far; zero
+    /// if it does not report that.
+    ///
+    /// Versions of rows are comparable only within one era. A response of an earlier era than the
+    /// known one is returned as [`ClientError::EarlierEra`].
+    fn era(&self) -> u64 {
+        0
+    }
 }
 
 /// A client of the platform's object store.
--- a/crates/cumintrail-control/src/control.rs
+++ b/crates/cumintrail-control/src/control.rs
@@ -35,6 +35,7 @@
 use crate::admission::Admission;
 use crate::directory::Directory;
 use crate::export_planner::ExportPlanner;
+use crate::feed::ReaderAssignment;
 use crate::links::Links;
 use crate::membership::Membership;
 use crate::parts::PartIndex;
@@ -58,6 +59,8 @@
     pub probe_interval: Duration,
     /// The interval between digests to peers.
     pub digest_interval: Duration,
+    /// The processor share of the VM, in thousandths of a core; zero if unknown.
+    pub processor_share: u16,
 }
 
 /// Owns all control state of one daemon and runs on one thread.
@@ -100,8 +103,14 @@
     /// The smoothed time from the first token of a response to its end.
     streaming_time: Duration,
     announced_versions: AnnouncedVersions,
-    /// The number of daemons in the last `Action::SplitStoreLimits`.
-    store_limit_daemons: usize,
+    /// The readers in the last `Action::AssignReaders`.
+    reader_assignment: ReaderAssignment,
+    /// The number of daemons, this one and silent ones included.
+    daemon_count: usize,
+    /// Whether this daemon has run long enough to know the others.
+    knows_daemons: bool,
+    /// Whether readers may be followed, rather than each daemon reading the platform.
+    may_follow: bool,
     /// Whether a registry lists the targets, so that they are probed only while they load weights.
     has_registry: bool,
     stopping: bool,
@@ -151,7 +160,10 @@
             newly_stored: Vec::new(),
             streaming_time: Duration::ZERO,
             announced_versions: AnnouncedVersions::default(),
-            store_limit_daemons: 0,
+            reader_assignment: ReaderAssignment::default(),
+            daemon_count: 1,
+            knows_daemons: false,
+            may_follow: false,
             has_registry: false,
             stopping: false,
             stop_pending: false,
@@ -166,6 +178,12 @@
         self.managed_stores.secret = secret.into();
     }
 
+    /// Lets daemons of larger failure domains follow readers of their domain, instead of each
+    /// reading the platform itself.
+    pub const fn allow_following(&mut self) {
+        self.may_follow = true;
+    }
+
     /// Sets how long after their replacement weights may still serve new calls.
     pub const fn set_outdated_limit(&mut self, limit: Duration) {
         self.announced_versions.set_limit(limit);
@@ -193,6 +211,7 @@
                 self.handle_attempt_end(now, call, attempt, outcome, &mut actions);
             }
             Event::TargetReported { target, report } => self.handle_report(now, target, report),
+            Event::TargetNoticed { target, notice } => self.handle_notice(now, target, notice),
             Event::TargetResponded { target } => self.handle_probe_response(now, target),
             Event::DrainTarget { target } => self.drain_target(now, target),
             Event::TargetSilent { target } => self.handle_missed_probe(now, target),
@@ -209,7 +228,11 @@
             Event::PartsRead { store, sent, update } => {
                 self.handle_parts(now, sent, store, update);
             }
-            Event::PlatformResponded { sent } => self.managed_stores.record_platform_response(sent),
+            Event::PartsConfirmed { stores, clock } => self.part_index.confirm(&stores, clock),
+            Event::PlatformResponded { sent, era } => {
+                self.rollout.record_era(now, era);
+                self.managed_stores.record_platform_response(sent);
+            }
             Event::FreeFailed { store, sealed } => self.handle_failed_free(store, sealed),
             Event::VmListReceived { sequence, vms } => self.handle_vm_list(now, sequence, &vms),
             Event::VmListRead { sequence } => self.handle_vms_read(now, sequence),
@@ -217,12 +240,20 @@
             Event::PeerDigest(digest) => self.handle_digest(now, &digest, &mut actions),
             Event::PeerSilent { address } => self.membership.record_failed_digest(address),
             Event::LeaseRead { .. } if self.stop_pending => self.rollout.handle_lease_failure(now),
-            Event::LeaseRead { row } => {
+            // A response from before a restore proves nothing any more.
+            Event::LeaseRead { era, .. } | Event::LeaseWritten { era, .. }
+                if era < self.rollout.era() =>
+            {
+                self.rollout.handle_lease_failure(now);
+            }
+            Event::LeaseRead { row, era } => {
+                self.rollout.record_era(now, era);
                 if let Some(request) = self.rollout.handle_lease_read(now, row.as_ref()) {
                     self.handle_rollout_request(now, request, &mut actions);
                 }
             }
-            Event::LeaseWritten { sent, committed, version } => {
+            Event::LeaseWritten { sent, committed, version, era } => {
+                self.rollout.record_era(now, era);
                 self.rollout.handle_lease_written(now, sent, committed, version);
             }
             Event::LeaseFailed => self.rollout.handle_lease_failure(now),
--- a/crates/cumintrail-control/src/control/arrivals.rs
+++ b/crates/cumintrail-control/src/control/arrivals.rs
@@ -158,6 +158,14 @@
         if usable.is_empty() {
             return Err(retry::refusal_for(call, RefusalCode::NoTarget));
         }
+        let usable = match self.exclude_quiet(now, call, usable) {
+            QuietChoice::Usable(usable) => usable,
+            QuietChoice::WaitForEnd => return Ok(None),
+            QuietChoice::Refuse(after) => {
+                let refusal = retry::refusal_for(call, RefusalCode::Overloaded);
+                return Err(refusal.retry_after(after));
+            }
+        };
         let usable = prefer_untried(call, usable);
         let usable = self.prefer_accepting(now, usable);
         let candidates: SmallVec<[Candidate<'_>; 32]> = usable
@@ -216,6 +224,24 @@
         if current.is_empty() && !self.has_recent_platform_response(now) { usable } else { current }
     }
 
+    /// Excludes targets that want no requests for now.
+    ///
+    /// If no others are left, a call waits for the first of them where it can still be served in
+    /// time, and is refused at once otherwise.
+    fn exclude_quiet(&self, now: Moment, call: &Call, usable: Vec<TargetKey>) -> QuietChoice {
+        let quiet_until = |key: &TargetKey| self.targets.get(*key).map_or(now, |s| s.quiet_until);
+        let first_end = usable.iter().map(quiet_until).min().unwrap_or(now);
+        let accepting: Vec<TargetKey> =
+            usable.into_iter().filter(|key| quiet_until(key) <= now).collect();
+        if !accepting.is_empty() {
+            return QuietChoice::Usable(accepting);
+        }
+        let arrival = &call.arrival;
+        let (wait, left) = (first_end.since(now), arrival.deadline.since(now));
+        let in_time = arrival.options.first_token_objective.unwrap_or(left).min(left) / 2;
+        if wait <= in_time { QuietChoice::WaitForEnd } else { QuietChoice::Refuse(wait) }
+    }
+
     /// Excludes targets that just refused a call or are loading weights, unless no others are left.
     fn prefer_accepting(&self, now: Moment, usable: Vec<TargetKey>) -> Vec<TargetKey> {
         let accepts = |key: &TargetKey| {
@@ -311,7 +337,8 @@
         let declared = self.snapshot.as_ref().and_then(|s| s.targets.get(key));
         let state = self.targets.get(key);
         declared.zip(state).is_some_and(|(target, state)| {
-            self.membership.is_leaving(target.address, state.current_incarnation())
+            state.announced_leaving
+                || self.membership.is_leaving(target.address, state.current_incarnation())
         })
     }
 
@@ -346,6 +373,16 @@
     }
 }
 
+/// What to do with a call, by the targets that want no requests for now.
+enum QuietChoice {
+    /// Send it to one of these targets, which accept requests.
+    Usable(Vec<TargetKey>),
+    /// Wait until the first target accepts requests again.
+    WaitForEnd,
+    /// Refuse it; the first target accepts requests again after this time.
+    Refuse(Duration),
+}
+
 /// Returns the longest expected wait at which calls of an account that has its fair share are
 /// dispatched.
 ///
--- a/crates/cumintrail-control/src/control/digests.rs
+++ b/crates/cumintrail-control/src/control/digests.rs
@@ -25,6 +25,10 @@
 const LOAD_MAX_AGE: Duration = Duration::from_millis(1_500);
 /// Maximum number of daemons that one with recently received loads stands for.
 const MAX_LOAD_SCALE: f64 = 4.0;
+/// Time from the start of a process after which it knows how many daemons there are.
+const PEER_DISCOVERY_TIME: Duration = Duration::from_secs(5);
+/// The number of daemons that is assumed until then: more than any deployment has.
+const MAX_DAEMONS: usize = 1_000;
 /// Maximum number of client accounts whose calls one digest reports, the busiest first.
 const MAX_REPORTED_ACCOUNTS: usize = 64;
 
@@ -43,7 +47,7 @@
         let interval = self.identity.digest_interval;
         self.next_digest = now + interval.mul_f64(self.rng.random_range(0.9..1.1));
         let (own, domain) = (self.identity.address, self.identity.domain.clone());
-        self.share_limits(actions);
+        self.share_limits(now, actions);
         let common = PeerDigest {
             vm: self.identity.vm.clone(),
             domain: domain.clone(),
@@ -58,7 +62,10 @@
             stored: std::mem::take(&mut self.newly_stored),
             demand: self.account_demand(),
             versions: self.version_announcements(now),
+            announced_leaving: self.announced_leaving(),
             loads: self.own_loads(now),
+            processor_share: self.identity.processor_share,
+            domain_sizes: self.membership.domain_sizes(now, own, &domain),
             peers: self.peers_to_advertise(now),
         };
         for to in self.membership.choose_peers(own, &domain, &mut self.rng) {
@@ -68,25 +75,32 @@
         }
     }
 
-    /// Divides the store limits and the retry policy of the whole deployment among the present
-    /// daemons, where a registry lists the targets.
-    fn share_limits(&mut self, actions: &mut Actions) {
-        let daemons = self.membership.usable_peer_count(self.identity.address) + 1;
-        if !self.has_registry || daemons == self.store_limit_daemons {
+    /// Divides the retry policy of the whole deployment among the present daemons and assigns the
+    /// readers of the platform, where a registry lists the targets.
+    fn share_limits(&mut self, now: Moment, actions: &mut Actions) {
+        if !self.has_registry {
             return;
         }
-        self.store_limit_daemons = daemons;
-        actions.push(Action::SplitStoreLimits { daemons });
-        self.set_retry_policy(self.retry_policy);
+        let (own, domain) = (self.identity.address, &self.identity.domain);
+        let candidate = (own, self.identity.processor_share);
+        let assignment = self.membership.assign_readers(now, candidate, domain, self.may_follow);
+        let daemons = self.membership.daemon_count(now, own, domain);
+        let knows_daemons = now.since(Moment::default()) >= PEER_DISCOVERY_TIME;
+        if (daemons, knows_daemons) != (self.daemon_count, self.knows_daemons) {
+            (self.daemon_count, self.knows_daemons) = (daemons, knows_daemons);
+            self.set_retry_policy(self.retry_policy);
+        }
+        if assignment != self.reader_assignment {
+            self.reader_assignment = assignment.clone();
+            actions.push(Action::AssignReaders(assignment));
+        }
     }
 
-    /// Returns this daemon's share of the retry policy, divided among all known daemons.
-    ///
-    /// Silent peers count, since they may be unreachable from this daemon only.
+    /// Returns this daemon's share of the retry policy, divided among all daemons.
     pub(super) fn own_retry_policy(&self) -> RetryPolicy {
-        let own = self.identity.address;
-        let others = self.membership.peers().filter(|(address, _)| *address != own);
-        self.retry_policy.per_daemon(others.count() + 1)
+        // Many daemons may start at once, each of which knows few others at first.
+        let daemons = if self.knows_daemons { self.daemon_count } else { MAX_DAEMONS };
+        self.retry_policy.per_daemon(daemons)
     }
 
     /// Returns this daemon's load on each target that a registry lists.
@@ -122,7 +136,7 @@
         let Some(snapshot) = self.snapshot.clone() else {
             return;
         };
-        let others = self.membership.usable_peer_count(self.identity.address);
+        let others = self.daemon_count.saturating_sub(1);
         let scale = others as f64 / self.peer_loads.len().max(1) as f64;
         for (key, target) in snapshot.targets.iter().filter(|(_, t)| !t.retired) {
             let load = sums.get(&name_hash(&target.name)).copied().unwrap_or_default();
@@ -177,6 +191,7 @@
             self.send_digest_soon(now);
         }
         self.record_announcements(now, &digest.versions);
+        self.record_announced_leaving(&digest.announced_leaving);
         if let Some(from) = digest.address.filter(|_| self.has_registry) {
             self.record_peer_loads(now, from, &digest.loads);
         }
--- a/crates/cumintrail-control/src/control/probes.rs
+++ b/crates/cumintrail-control/src/control/probes.rs
@@ -1,6 +1,7 @@
 //! Probes of targets: which daemon sends them and how their results are applied.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use cumintrail_types::{Incarnation, Moment, TargetKey};
 use rand::Rng;
@@ -8,10 +9,14 @@
 use super::Control;
 use super::state::TargetState;
 use crate::membership::Liveness;
+use crate::parts::name_hash;
 use crate::placement::Placer;
 use crate::retry::CircuitBreaker;
-use crate::{Action, Actions, TargetReport, TargetUpdate, VmEntry};
+use crate::{Action, Actions, TargetNotice, TargetReport, TargetUpdate, VmEntry};
 
+/// Upper limit of the time for which a target can ask for no requests; a longer one is taken for an
+/// error.
+const MAX_QUIET_PERIOD: Duration = Duration::from_secs(600);
 /// Consecutive missed probes after which a target counts as silent.
 const SILENT_AFTER_MISSES: u32 = 3;
 /// Probe intervals for which a response to an own probe outweighs updates from peers; more than
@@ -127,7 +132,10 @@
         address: SocketAddr,
         report: TargetReport,
     ) {
-        if report.leaving {
+        if report.leaving && self.has_registry {
+            let notice = TargetNotice { leaving: true, quiet_for: None };
+            self.handle_notice(now, key, notice);
+        } else if report.leaving {
             self.mark_leaving(now, address, report.incarnation);
         }
         let Some(state) = self.targets.get_mut(key) else {
@@ -152,6 +160,50 @@
         }
     }
 
+    /// Handles a notice in a response of a target.
+    ///
+    /// A registry lists the incarnations of targets, so the mark belongs to one of them. Elsewhere
+    /// it is added to those that reports cause.
+    pub(super) fn handle_notice(&mut self, now: Moment, key: TargetKey, notice: TargetNotice) {
+        let Some(state) = self.targets.get_mut(key) else {
+            return;
+        };
+        if let Some(quiet) = notice.quiet_for {
+            state.quiet_until = state.quiet_until.max(now + quiet.min(MAX_QUIET_PERIOD));
+        }
+        if !notice.leaving {
+            return;
+        }
+        if !self.has_registry {
+            self.drain_target(now, key);
+        } else if !std::mem::replace(&mut state.announced_leaving, true) {
+            self.send_digest_soon(now);
+        }
+    }
+
+    /// Returns the hashed names of targets that announced that they are leaving.
+    pub(super) fn announced_leaving(&self) -> Vec<u64> {
+        let snapshot = self.snapshot.iter().filter(|_| self.has_registry);
+        let targets = snapshot.flat_map(|s| s.targets.iter()).filter(|(_, t)| !t.retired);
+        let leaving = targets
+            .filter(|(key, _)| self.targets.get(*key).is_some_and(|state| state.announced_leaving));
+        leaving.map(|(_, target)| name_hash(&target.name)).collect()
+    }
+
+    /// Marks targets as leaving that announced it to a peer.
+    pub(super) fn record_announced_leaving(&mut self, hashes: &[u64]) {
+        let Some(snapshot) = self.snapshot.clone().filter(|_| self.has_registry) else {
+            return;
+        };
+        for (key, target) in snapshot.targets.iter().filter(|(_, t)| !t.retired) {
+            if hashes.contains(&name_hash(&target.name))
+                && let Some(state) = self.targets.get_mut(key)
+            {
+                state.announced_leaving = true;
+            }
+        }
+    }
+
     /// Marks a target's present incarnation as leaving at an operator's request.
     pub(super) fn drain_target(&mut self, now: Moment, key: TargetKey) {
         let incarnation = self.targets.get(key).map(TargetState::incarnation);
--- a/crates/cumintrail-control/src/control/rollouts.rs
+++ b/crates/cumintrail-control/src/control/rollouts.rs
@@ -115,6 +115,7 @@
                 loading: state.is_loading(now),
                 reported_at: state.version_with_time().map(|(_, at)| at),
                 usable: state.liveness != Liveness::Silent
+                    && state.quiet_until <= now
                     && !state.address_reused
                     && !target.leaving
                     && !self.is_leaving(key),
--- a/crates/cumintrail-control/src/control/state.rs
+++ b/crates/cumintrail-control/src/control/state.rs
@@ -58,6 +58,11 @@
     pub registry_version: Option<(WeightVersion, Moment)>,
     /// The time until which other targets are preferred because it refused a call.
     pub avoid_until: Moment,
+    /// Whether this incarnation announced in a response that it is leaving, to this daemon or to a
+    /// peer.
+    pub announced_leaving: bool,
+    /// The time until which it wants no requests from this daemon.
+    pub quiet_until: Moment,
     /// Whether another process responds at its address.
     pub address_reused: bool,
     /// The time of the last update of the load that is not from this daemon.
--- a/crates/cumintrail-control/src/digest.rs
+++ b/crates/cumintrail-control/src/digest.rs
@@ -114,6 +114,17 @@
     pub age: Option<Duration>,
 }
 
+/// Reports how many daemons a failure domain has.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct DomainSize {
+    /// The failure domain.
+    pub domain: Arc<str>,
+    /// Its number of daemons, silent ones included.
+    pub daemons: u32,
+    /// How long ago a daemon of the domain counted them.
+    pub age: Duration,
+}
+
 /// Identifies a digest by its sender's incarnation and clock.
 ///
 /// A digest can be delayed for as long as its receiver is suspended or disconnected. The echo in
@@ -155,8 +166,14 @@
     pub demand: Vec<(Arc<str>, u32)>,
     /// The announced weight versions that the sender knows, by the name of the weights.
     pub versions: Vec<VersionAnnouncement>,
+    /// The hashed names of targets that announced in a response that they are leaving.
+    pub announced_leaving: Vec<u64>,
     /// The sender's load on targets that a registry lists.
     pub loads: Vec<TargetLoad>,
+    /// The processor share of the sender's VM, in thousandths of a core; zero if unknown.
+    pub processor_share: u16,
+    /// The number of daemons in each failure domain, as far as the sender knows.
+    pub domain_sizes: Vec<DomainSize>,
     /// Peers that recently sent the sender a digest, with their failure domains; sent only where no
     /// VM list names them.
     pub peers: Vec<(SocketAddr, Arc<str>)>,
--- a/crates/cumintrail-control/src/event.rs
+++ b/crates/cumintrail-control/src/event.rs
@@ -12,6 +12,7 @@
 use smallvec::SmallVec;
 
 use crate::digest::{PeerDigest, VmEntry};
+use crate::feed::ReaderAssignment;
 use crate::parts::{PartPlans, PartsUpdate, StoredPart};
 use crate::rollout::{LeaseRequest, LeaseRow, OrderOutcome};
 use crate::store_sync::{StoreRead, StoreResponse};
@@ -73,6 +74,13 @@
         /// The target.
         target: TargetKey,
     },
+    /// The head of a target's response had a notice about the target.
+    TargetNoticed {
+        /// The target.
+        target: TargetKey,
+        /// The notice.
+        notice: TargetNotice,
+    },
     /// A target did not respond to a probe or refused a connection.
     TargetSilent {
         /// The target.
@@ -123,10 +131,19 @@
         /// The parts and changes that were read.
         update: PartsUpdate,
     },
+    /// A reader confirmed that the lists of parts in stores were current as of some moments.
+    PartsConfirmed {
+        /// The stores.
+        stores: Vec<(StoreKey, Moment)>,
+        /// A moment, and the milliseconds on the clock of targets and stores then.
+        clock: Option<(Moment, u64)>,
+    },
     /// The platform responded to a read of the operators' declarations.
     PlatformResponded {
         /// When the request was sent.
         sent: Moment,
+        /// The era of the platform's store.
+        era: u64,
     },
     /// A block that was to be freed may still be in its store.
     FreeFailed {
@@ -153,7 +170,7 @@
         succeeded: bool,
     },
     /// A peer sent its digest.
-    PeerDigest(PeerDigest),
+    PeerDigest(Box<PeerDigest>),
     /// A peer did not accept a digest.
     PeerSilent {
         /// The peer's address.
@@ -163,6 +180,8 @@
     LeaseRead {
         /// The row; `None` if the table has none.
         row: Option<LeaseRow>,
+        /// The era of the table.
+        era: u64,
     },
     /// The table responded to a write of the lease's row.
     LeaseWritten {
@@ -172,6 +191,8 @@
         committed: bool,
         /// The version of the row, from tables whose versions do not grow by one with each write.
         version: Option<u64>,
+        /// The era of the table in which the response was sent.
+        era: u64,
     },
     /// A read or write of the lease got no response; a write may have taken effect.
     LeaseFailed,
@@ -203,11 +224,8 @@
         /// The refusal.
         refusal: Refusal,
     },
-    /// Divide the limits of stores among the daemons.
-    SplitStoreLimits {
-        /// The number of daemons, this one included.
-        daemons: usize,
-    },
+    /// Follow these readers, or read the platform and the stores if there are none.
+    AssignReaders(ReaderAssignment),
     /// Stop an attempt whose response is no longer needed.
     Cancel {
         /// The call.
@@ -434,6 +452,15 @@
     pub prefill_backlog: Tokens,
 }
 
+/// What the head of a response says about its target, apart from the call.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct TargetNotice {
+    /// Whether this incarnation of the target accepts no new calls, for good.
+    pub leaving: bool,
+    /// How long the target wants no requests from this daemon.
+    pub quiet_for: Option<Duration>,
+}
+
 /// Orders a target to write a block to a store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Export {
--- a/crates/cumintrail-control/src/lib.rs
+++ b/crates/cumintrail-control/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod adoption;
 pub mod directory;
 pub mod export_planner;
+pub mod feed;
 pub mod links;
 pub mod membership;
 pub mod once;
@@ -29,11 +30,11 @@
 pub use control::{Control, Identity};
 pub use counts::{Counts, StateCounts};
 pub use digest::{
-    Echo, Freshness, LeavingIncarnation, PeerDigest, TargetLoad, TargetUpdate, VersionAnnouncement,
-    VmEntry, VmRole, VmState,
+    DomainSize, Echo, Freshness, LeavingIncarnation, PeerDigest, TargetLoad, TargetUpdate,
+    VersionAnnouncement, VmEntry, VmRole, VmState,
 };
 pub use dump::{CallDump, Dump, LimitDump, PeerDump, QueueDump, StoreDump, TargetDump};
 pub use event::{
     Action, Actions, Arrival, AttemptOutcome, Dispatch, Event, Export, Fetch, FetchOutcome,
-    FetchPlan, Order, OrderKind, RouteOptions, RunningCalls, TargetReport, Usage,
+    FetchPlan, Order, OrderKind, RouteOptions, RunningCalls, TargetNotice, TargetReport, Usage,
 };
--- a/crates/cumintrail-control/src/membership/rendezvous.rs
+++ b/crates/cumintrail-control/src/membership/rendezvous.rs
@@ -20,7 +20,7 @@
 /// Returns the weight of a pair.
 ///
 /// It must be equal on all daemons and in all builds, which the standard hasher does not guarantee.
-fn weight(target: SocketAddr, daemon: SocketAddr) -> u64 {
+pub fn weight(target: SocketAddr, daemon: SocketAddr) -> u64 {
     mix(mix(bits(target)) ^ bits(daemon))
 }
 
--- a/crates/cumintrail-control/src/parts.rs
+++ b/crates/cumintrail-control/src/parts.rs
@@ -118,6 +118,30 @@
     pub clock_ms: Option<u64>,
 }
 
+impl PartsUpdate {
+    /// Adds the changes of a later update; a change supersedes earlier ones of its part, so no part
+    /// is in both lists.
+    pub fn append(&mut self, later: Self) {
+        for part in later.stored {
+            self.forget(&part);
+            self.stored.push(part);
+        }
+        for part in later.removed {
+            self.forget(&part);
+            self.removed.push(part);
+        }
+        self.clock_ms = later.clock_ms.or(self.clock_ms);
+    }
+
+    fn forget(&mut self, part: &StoredPart) {
+        let is_other = |other: &StoredPart| {
+            (&other.cache_salt_text, &other.name) != (&part.cache_salt_text, &part.name)
+        };
+        self.stored.retain(is_other);
+        self.removed.retain(is_other);
+    }
+}
+
 /// Describes where one part of a prompt is read from and saved to.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct PartPlan {
@@ -195,6 +219,16 @@
         }
     }
 
+    /// Records that the lists of stores were still current as of a moment.
+    pub fn confirm(&mut self, stores: &[(StoreKey, Moment)], clock: Option<(Moment, u64)>) {
+        self.clock = clock.or(self.clock);
+        for (store, as_of) in stores {
+            if let Some(known) = self.stores.get_mut(store) {
+                known.requested = known.requested.max(*as_of);
+            }
+        }
+    }
+
     /// Returns the number of parts known in a store.
     pub fn len(&self, store: StoreKey) -> usize {
         self.stores.get(&store).map_or(0, |known| known.parts.len())
--- a/crates/cumintrail-control/src/registry.rs
+++ b/crates/cumintrail-control/src/registry.rs
@@ -60,6 +60,17 @@
     Removed,
 }
 
+/// Returns whether a change of an entry is more than a heartbeat of the same state.
+pub fn is_material(before: &EntryChange, after: &EntryChange) -> bool {
+    match (before, after) {
+        (EntryChange::Written(before), EntryChange::Written(after)) => {
+            RegistryEntry { heartbeat: after.heartbeat, ..before.clone() } != *after
+                || after.heartbeat < before.heartbeat
+        }
+        (before, after) => before != after,
+    }
+}
+
 /// Combines a change of one entry with the version of its row.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RowChange {
@@ -142,7 +153,7 @@
         match row.change {
             EntryChange::Written(listed) => self.write(now, row.key, listed),
             EntryChange::Unreadable => self.entries.get_mut(&row.key).is_some_and(|entry| {
-                std::mem::replace(&mut entry.presence, Presence::Unreadable) == Presence::Listed
+                std::mem::replace(&mut entry.presence, Presence::Unreadable) != Presence::Unreadable
             }),
             EntryChange::Removed => self.remove(now, &row.key),
         }
@@ -183,10 +194,11 @@
     fn remove(&mut self, now: Moment, key: &Arc<str>) -> bool {
         self.row_versions.remove(key);
         if now < self.return_deadline {
-            if let Some(entry) = self.entries.get_mut(key) {
-                entry.presence = Presence::Missing(self.return_deadline);
-            }
-            return false;
+            let missing = Presence::Missing(self.return_deadline);
+            let entry = self.entries.get_mut(key);
+            return entry.is_some_and(|e| {
+                !matches!(std::mem::replace(&mut e.presence, missing), Presence::Missing(_))
+            });
         }
         self.end_entry(now, key)
     }
@@ -205,9 +217,20 @@
         true
     }
 
+    /// Forgets the versions of rows, since a restored store counts them on from an older copy.
+    ///
+    /// Entries that the copy lacks get time to return, and incarnations that are leaving or have
+    /// ended stay so.
+    pub fn begin_era(&mut self, now: Moment) {
+        for version in self.row_versions.values_mut() {
+            *version = 0;
+        }
+        self.record_recovery(now);
+    }
+
     /// Records that the registry responds again after an outage.
     pub fn record_recovery(&mut self, now: Moment) {
-        self.return_deadline = now + RETURN_TIMEOUT;
+        self.return_deadline = self.return_deadline.max(now + RETURN_TIMEOUT);
     }
 
     /// Removes missing entries that did not return in time; returns whether the targets changed.
@@ -224,9 +247,25 @@
         changed
     }
 
-    /// Returns the entries that can be parsed, missing ones included, and whether each is leaving.
+    /// Returns the entries that can be parsed, and whether each is leaving.
+    ///
+    /// Missing entries are included where they outnumber the usable ones of the same model or
+    /// service. Entries lapse together if the platform's store was away; a few that are missing
+    /// after this daemon alone was cut off have left.
     pub fn targets(&self) -> impl Iterator<Item = (&RegistryEntry, bool)> {
-        let usable = self.entries.values().filter(|e| e.presence != Presence::Unreadable);
+        let mut surplus: HashMap<&Arc<str>, i32> = HashMap::new();
+        for entry in self.entries.values().filter(|entry| !entry.leaving) {
+            *surplus.entry(&entry.listed.serves).or_default() += match entry.presence {
+                Presence::Missing(_) => 1,
+                Presence::Listed => -1,
+                Presence::Unreadable => 0,
+            };
+        }
+        let usable = self.entries.values().filter(move |entry| match entry.presence {
+            Presence::Listed => true,
+            Presence::Unreadable => false,
+            Presence::Missing(_) => surplus.get(&entry.listed.serves).is_some_and(|n| *n > 0),
+        });
         usable.map(|entry| (&entry.listed, entry.leaving))
     }
 }
--- a/crates/cumintrail-control/src/rollout.rs
+++ b/crates/cumintrail-control/src/rollout.rs
@@ -262,6 +262,16 @@
         self.last_order = now;
     }
 
+    /// Returns the era of the table that is known here.
+    pub const fn era(&self) -> u64 {
+        self.lease.era()
+    }
+
+    /// Records the era of a response of the table; a higher one ends the lease.
+    pub fn record_era(&mut self, now: Moment, era: u64) {
+        self.lease.record_era(now, era);
+    }
+
     /// Handles a read of the lease's row; `None` means that the row is absent.
     pub fn handle_lease_read(
         &mut self,
--- a/crates/cumintrail-control/src/rollout/lease.rs
+++ b/crates/cumintrail-control/src/rollout/lease.rs
@@ -23,6 +23,8 @@
 const RETRY_DELAY: Duration = Duration::from_millis(500);
 /// Number of daemons, counted from rank zero, that read the row often to take the lease over.
 const CANDIDATE_RANKS: u32 = 3;
+/// Fencing numbers of one era of the table; more than any era uses.
+const FENCING_NUMBERS_PER_ERA: u64 = 1_000_000;
 
 /// Represents the lease's row in the platform's table.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -84,12 +86,61 @@
     is_request_pending: bool,
     /// The fencing number and the row version that result if the pending acquisition commits.
     pending_acquisition: Option<(FencingNumber, u64)>,
+    /// The era of the table, and when this daemon first knew of it.
+    era: u64,
+    era_since: Option<Moment>,
 }
 
 impl LeaseMachine {
     /// Creates a state machine without the lease; `holder` identifies this incarnation.
     pub const fn new(holder: Arc<str>) -> Self {
-        Self { holder, state: State::Idle, is_request_pending: false, pending_acquisition: None }
+        Self {
+            holder,
+            state: State::Idle,
+            is_request_pending: false,
+            pending_acquisition: None,
+            era: 0,
+            era_since: None,
+        }
+    }
+
+    /// Returns the era of the table that is known here.
+    pub const fn era(&self) -> u64 {
+        self.era
+    }
+
+    /// Records the era of a response; a higher one means that the table was restored from an older
+    /// copy.
+    ///
+    /// The row may then be one from before this daemon acquired the lease, and its version may be
+    /// given out again, so the daemon gives the lease up.
+    pub fn record_era(&mut self, now: Moment, era: u64) {
+        if era < self.era || self.era_since.is_some() && era == self.era {
+            return;
+        }
+        let is_restored = self.era_since.is_some();
+        (self.era, self.era_since) = (era, Some(now));
+        if is_restored {
+            self.pending_acquisition = None;
+            if !matches!(self.state, State::Idle) {
+                self.watch_from(now);
+            }
+        }
+    }
+
+    /// Returns whether a row that names no other holder proves that there is none.
+    ///
+    /// For some time after a restore, the table may have forgotten a holder that still sends orders.
+    fn proves_absence(&self, now: Moment) -> bool {
+        let is_settled = |since: Moment| now.since(since) >= takeover_delay();
+        self.era == 0 || self.era_since.is_some_and(is_settled)
+    }
+
+    /// Returns the fencing number that follows `last`; those of a later era are higher than all of
+    /// an earlier one, which the restored table may have forgotten.
+    const fn next_fencing(&self, last: u64) -> FencingNumber {
+        let first = self.era.saturating_mul(FENCING_NUMBERS_PER_ERA);
+        FencingNumber(if last > first { last } else { first } + 1)
     }
 
     /// Returns the lease, if this daemon holds it.
@@ -139,15 +190,17 @@
     /// Handles a read of the row, and returns a write if the lease may be acquired.
     pub fn handle_read(&mut self, now: Moment, row: Option<&LeaseRow>) -> Option<LeaseRequest> {
         self.is_request_pending = false;
+        let next = self.next_fencing(row.map_or(0, |row| row.fencing.0));
+        let proves_absence = self.proves_absence(now);
         let State::Watching { observed, .. } = &mut self.state else {
             return None;
         };
         let Some(row) = row else {
-            return Some(self.acquire(0, FencingNumber(1)));
+            return proves_absence.then(|| self.acquire(0, next));
         };
-        let next = FencingNumber(row.fencing.0 + 1);
+        let is_free = row.released || row.holder == self.holder;
         match *observed {
-            _ if row.released || row.holder == self.holder => Some(self.acquire(row.version, next)),
+            _ if is_free && proves_absence => Some(self.acquire(row.version, next)),
             Some(s)
                 if s.version == row.version && now.since(s.unchanged_since) >= takeover_delay() =>
             {
--- a/crates/cumintrail-control/tests/calls.rs
+++ b/crates/cumintrail-control/tests/calls.rs
@@ -71,6 +71,7 @@
             address: "127.0.0.1:9".parse().unwrap(),
             probe_interval: Duration::from_secs(3_600),
             digest_interval: Duration::from_secs(3_600),
+            processor_share: 0,
         };
         let mut control = Control::new(identity, 7);
         let document = Document::parse(&"declarations".into(), DECLARATIONS).unwrap();
--- a/crates/cumintrail-control/tests/near.rs
+++ b/crates/cumintrail-control/tests/near.rs
@@ -60,6 +60,7 @@
             address: "127.0.0.1:1".parse().unwrap(),
             probe_interval: Duration::from_secs(1),
             digest_interval: Duration::from_secs(1),
+            processor_share: 0,
         };
         let mut control = Control::with_placer(identity, 1, AffinityPlacer);
         control.follow_registry(SECRET);
@@ -82,7 +83,7 @@
     }
 
     fn platform_responds(&mut self, now: Moment) {
-        self.control.handle(now, Event::PlatformResponded { sent: now });
+        self.control.handle(now, Event::PlatformResponded { sent: now, era: 0 });
     }
 
     /// Reports to the daemon that the store has a book.
@@ -206,7 +207,7 @@
         let echo = Some(Echo { incarnation: Incarnation(1), sent: echoed });
         let vm = format!("vm-{vm}").into();
         let digest = PeerDigest { vm, address, echo, ..PeerDigest::default() };
-        daemon.control.handle(now, Event::PeerDigest(digest));
+        daemon.control.handle(now, Event::PeerDigest(Box::new(digest)));
     }
 }
 
--- a/crates/cumintrail-control/tests/registry.rs
+++ b/crates/cumintrail-control/tests/registry.rs
@@ -125,3 +125,66 @@
     let mut registry = registry(entry("x", 7, 5, false));
     assert!(!write(&mut registry, Moment(1), 2, entry("x", 7, 6, false)));
 }
+
+fn pool(count: usize) -> TargetRegistry {
+    let mut registry = TargetRegistry::default();
+    let row = |n: usize| {
+        let listed = entry(&format!("t{n}"), 7, 1, false);
+        RowChange { key: listed.id.clone(), version: 1, change: EntryChange::Written(listed) }
+    };
+    registry.apply_snapshot(Moment(0), 1, (0..count).map(row).collect());
+    registry
+}
+
+/// The daemon was cut off while three of twelve targets left; the store was never away.
+#[test]
+fn few_entries_that_a_cut_daemon_misses_have_left() {
+    let mut registry = pool(12);
+    registry.record_recovery(Moment(0));
+    for n in 0..3 {
+        registry.apply_change(Moment(1), row(&format!("t{n}"), 2 + n, EntryChange::Removed));
+    }
+    assert_eq!(usable(&registry).len(), 9);
+    assert!(!usable(&registry).iter().any(|name| ["t0@7", "t1@7", "t2@7"].contains(&&**name)));
+}
+
+/// The store was away for so long that most entries lapsed with it.
+#[test]
+fn targets_of_which_most_entries_lapsed_stay_in_use_until_they_are_due_back() {
+    let mut registry = pool(12);
+    registry.record_recovery(Moment(0));
+    for n in 0..9 {
+        registry.apply_change(Moment(1), row(&format!("t{n}"), 2 + n, EntryChange::Removed));
+    }
+    assert_eq!(usable(&registry).len(), 12);
+    // Those that come back count, and the rest is gone in time.
+    for n in 0..4 {
+        write(&mut registry, Moment(2), 20 + n, entry(&format!("t{n}"), 7, 2, false));
+    }
+    assert_eq!(usable(&registry).len(), 7);
+    registry.expire(Moment(0) + AFTER_RETURN);
+    assert_eq!(usable(&registry).len(), 7);
+}
+
+/// A restored store forgot that one target leaves, that one ended and that one joined, and counts
+/// its versions on from an older one.
+#[test]
+fn a_restored_store_brings_no_leaving_or_ended_target_back() {
+    let mut registry = pool(4);
+    write(&mut registry, Moment(1), 8, entry("t0", 7, 2, true));
+    registry.apply_change(Moment(1), row("t1", 9, EntryChange::Removed));
+    write(&mut registry, Moment(1), 10, entry("t4", 7, 1, false));
+    assert_eq!(usable(&registry), ["t2@7", "t3@7", "t4@7"]);
+    registry.begin_era(Moment(2));
+    let old = |n: usize| {
+        let listed = entry(&format!("t{n}"), 7, 1, false);
+        RowChange { key: listed.id.clone(), version: 1, change: EntryChange::Written(listed) }
+    };
+    registry.apply_snapshot(Moment(2), 5, (0..4).map(old).collect());
+    assert_eq!(usable(&registry), ["t2@7", "t3@7"], "t4 is one of few that are missing");
+    // The targets write their entries again, under versions that were used before.
+    write(&mut registry, Moment(3), 6, entry("t4", 7, 2, false));
+    write(&mut registry, Moment(3), 7, entry("t0", 7, 3, false));
+    write(&mut registry, Moment(3), 8, entry("t1", 7, 1, false));
+    assert_eq!(usable(&registry), ["t2@7", "t3@7", "t4@7"]);
+}
--- a/crates/cumintrail-control/tests/replaced.rs
+++ b/crates/cumintrail-control/tests/replaced.rs
@@ -45,6 +45,7 @@
         address: "127.0.0.1:1".parse().unwrap(),
         probe_interval: Duration::from_secs(1),
         digest_interval: Duration::from_secs(1),
+        processor_share: 0,
     };
     let mut control = Control::with_placer(identity, 1, AffinityPlacer);
     control.follow_registry("a secret");
@@ -96,7 +97,7 @@
 #[test]
 fn no_call_begins_on_weights_that_were_replaced_for_long() {
     let mut control = control(1, 2);
-    control.handle(AFTER_LIMIT, Event::PlatformResponded { sent: AFTER_LIMIT });
+    control.handle(AFTER_LIMIT, Event::PlatformResponded { sent: AFTER_LIMIT, era: 0 });
     // So many calls that placement would otherwise prefer the other engine by far.
     for i in 0..200 {
         assert_eq!(target(&call(&mut control, AFTER_LIMIT, i)), Some(TargetKey(1)));
@@ -107,7 +108,7 @@
 fn replaced_weights_serve_until_the_limit() {
     let mut control = control(1, 1);
     let soon = ANNOUNCED_AT + LIMIT - Duration::from_millis(1);
-    control.handle(soon, Event::PlatformResponded { sent: soon });
+    control.handle(soon, Event::PlatformResponded { sent: soon, era: 0 });
     assert!(target(&call(&mut control, soon, 1)).is_some());
 }
 
@@ -115,7 +116,7 @@
 fn no_call_goes_to_an_engine_where_it_would_begin_on_replaced_weights_too_late() {
     let mut control = control(1, 1);
     let first_sent = ANNOUNCED_AT + Duration::from_secs(5);
-    control.handle(first_sent, Event::PlatformResponded { sent: first_sent });
+    control.handle(first_sent, Event::PlatformResponded { sent: first_sent, era: 0 });
     let waiting = target(&call(&mut control, first_sent, 1)).unwrap();
     // Without the limit placement would avoid the other engine, which is loading.
     let other = TargetKey(1 - waiting.0);
@@ -133,14 +134,14 @@
     // The first call has waited for more than two seconds, so a further one would start after the
     // limit.
     let soon = first_sent + Duration::from_millis(2_500);
-    control.handle(soon, Event::PlatformResponded { sent: soon });
+    control.handle(soon, Event::PlatformResponded { sent: soon, era: 0 });
     assert_eq!(target(&call(&mut control, soon, 2)), Some(other));
 }
 
 #[test]
 fn with_old_weights_only_calls_are_refused_unless_the_platform_is_silent() {
     let mut control = control(1, 1);
-    control.handle(AFTER_LIMIT, Event::PlatformResponded { sent: AFTER_LIMIT });
+    control.handle(AFTER_LIMIT, Event::PlatformResponded { sent: AFTER_LIMIT, era: 0 });
     match call(&mut control, AFTER_LIMIT, 1) {
         Action::Refuse { refusal, .. } => assert_eq!(refusal.ran, Ran::No),
         other => panic!("{other:?}"),
@@ -163,7 +164,7 @@
 }
 
 fn outdated_engine_gets_calls(control: &mut Control<AffinityPlacer>, now: Moment) -> bool {
-    control.handle(now, Event::PlatformResponded { sent: now });
+    control.handle(now, Event::PlatformResponded { sent: now, era: 0 });
     (0..200).any(|i| target(&call(control, now, i)) == Some(TargetKey(0)))
 }
 
@@ -182,7 +183,7 @@
         let version = WeightVersion(2);
         let versions = vec![VersionAnnouncement { weights, version, age: Some(age) }];
         let digest = PeerDigest { vm: "vm-2".into(), versions, ..PeerDigest::default() };
-        control.handle(ANNOUNCED_AT, Event::PeerDigest(digest));
+        control.handle(ANNOUNCED_AT, Event::PeerDigest(Box::new(digest)));
         assert_eq!(
             outdated_engine_gets_calls(&mut control, later),
             serves,
--- a/crates/cumintrail-daemon/src/background/actions.rs
+++ b/crates/cumintrail-daemon/src/background/actions.rs
@@ -86,7 +86,7 @@
         Action::Dispatch(_)
         | Action::Refuse { .. }
         | Action::FreeParts { .. }
-        | Action::SplitStoreLimits { .. } => {}
+        | Action::AssignReaders(_) => {}
     }
 }
 
--- a/crates/cumintrail-daemon/src/background/rollout.rs
+++ b/crates/cumintrail-daemon/src/background/rollout.rs
@@ -28,7 +28,7 @@
 async fn read_lease(table: &impl Table) -> Result<Event, ClientError> {
     let row = table.read(LEASE_KEY).await?;
     let row = row.map(|row| parse_lease_row(&row)).transpose()?;
-    Ok(Event::LeaseRead { row })
+    Ok(Event::LeaseRead { row, era: table.era() })
 }
 
 fn parse_lease_row(row: &Row) -> Result<LeaseRow, ClientError> {
@@ -62,7 +62,8 @@
         "event=lease fencing={fencing} released={released} expected={expected} outcome={outcome}"
     );
     let reply = reply?;
-    Ok(Event::LeaseWritten { sent, committed: reply.committed, version: reply.version })
+    let (committed, version) = (reply.committed, reply.version);
+    Ok(Event::LeaseWritten { sent, committed, version, era: table.era() })
 }
 
 /// Sends an order and reports how it ended; an order past its `not_after` is no longer sent.
--- a/crates/cumintrail-daemon/src/daemon.rs
+++ b/crates/cumintrail-daemon/src/daemon.rs
@@ -67,6 +67,7 @@
             address: settings.peer_address.unwrap_or(operator_address),
             probe_interval: settings.probe_interval,
             digest_interval: settings.digest_interval,
+            processor_share: 0,
         };
         let mut control = Control::new(identity, rand::rng().random());
         control.enable_platform_reads(settings.config_poll_interval);
--- a/crates/cumintrail-daemon/src/gateway.rs
+++ b/crates/cumintrail-daemon/src/gateway.rs
@@ -2,10 +2,12 @@
 //! docs/PLATFORM.md.
 
 mod follow;
+mod follower;
 mod orders;
 mod parts;
 mod peers;
 mod publish;
+mod serve_feed;
 
 use std::io;
 use std::net::{SocketAddr, TcpListener};
@@ -30,6 +32,8 @@
 use crate::{control_thread, operators, table};
 
 pub use self::publish::OperatorChange;
+use self::publish::Update;
+pub use self::serve_feed::reply as feed_reply;
 
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -64,8 +68,13 @@
     /// The time after the announcement of a weight version during which new calls may still be sent
     /// to older ones.
     pub outdated_limit: Duration,
+    /// The time within which a change on the platform must be in force; daemons follow readers only
+    /// where that leaves enough time for it.
+    pub apply_limit: Duration,
     /// How long a planned stop waits for open calls, counted from its start.
     pub stop_limit: Duration,
+    /// The processor share of the VM, in thousandths of a core; zero if unknown.
+    pub processor_share: u16,
     /// The clock that measures leases and the age of received data.
     pub clock: Clock,
 }
@@ -108,11 +117,15 @@
             address: settings.peer_address.unwrap_or(operator_address),
             probe_interval: settings.probe_interval,
             digest_interval: settings.digest_interval,
+            processor_share: options.processor_share,
         };
         let mut control = Control::with_placer(identity, rand::rng().random(), AffinityPlacer);
         control.follow_registry(settings.block_secret.expose());
         control.set_retry_policy(options.retry_policy);
         control.set_outdated_limit(options.outdated_limit);
+        if options.apply_limit >= follower::MAX_APPLY_DELAY {
+            control.allow_following();
+        }
         let (link, inbox) = control_thread::channel(settings.control_queue);
         let (actions_tx, actions_rx) = tokio::sync::mpsc::unbounded_channel();
         let (table_writer, _) = table::channel();
--- a/crates/cumintrail-daemon/src/gateway/follow.rs
+++ b/crates/cumintrail-daemon/src/gateway/follow.rs
@@ -1,21 +1,30 @@
-//! Follows a table: reads it whole, then its changes, across outages and lost history.
+//! Follows a table on the platform: reads it whole, then its changes, across outages, lost history
+//! and restored stores.
+//!
+//! A daemon that follows a reader of its failure domain pauses here; docs/PLATFORM.md, "Readers and
+//! followers".
 
+use std::sync::Arc;
 use std::time::Duration;
 
-use cumintrail_client::{Feed, FeedError, FeedPage, FeedTable};
+use cumintrail_client::{ClientError, Feed, FeedError};
+use cumintrail_control::feed::{FeedPage, FeedPosition, FeedTable};
 use cumintrail_types::Moment;
 use rand::Rng;
 use tokio::sync::mpsc;
 
+use super::{Platform, Update};
 use crate::metric;
-use crate::shared::Shared;
+use crate::shared::{OwnReads, Shared};
 
 /// Time that one request waits for changes.
 ///
 /// A longer wait would detect a silent connection later; a shorter one would send more requests,
 /// which the platform counts.
 const LONG_POLL_WAIT: Duration = Duration::from_secs(2);
-/// Time allowed for a response beyond `LONG_POLL_WAIT`.
+/// The same for a daemon whose followers rely on the age of what it read.
+const READER_POLL_WAIT: Duration = Duration::from_millis(800);
+/// Time allowed for a response beyond the wait.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(700);
 /// Timeout of reading a whole table.
 const READ_TIMEOUT: Duration = Duration::from_secs(2);
@@ -24,11 +33,19 @@
 const MAX_RETRY_DOUBLINGS: u32 = 3;
 /// Minimum interval between requests after a change, so that a series of changes needs few of them.
 const MIN_REQUEST_INTERVAL: Duration = Duration::from_millis(150);
+/// The same for the registry at a daemon with followers, which receive a change that much later.
+const READER_REQUEST_INTERVAL: Duration = Duration::from_millis(300);
 /// Maximum number of daemons that read the registry at `MIN_REQUEST_INTERVAL`; with more of them,
 /// the interval grows in proportion to their number.
 const MAX_DAEMONS_AT_MIN_INTERVAL: f64 = 16.0;
+/// Time from the start of a process in which it reads the registry at that interval: many daemons
+/// may start at once, and each reads by itself until it knows the readers.
+const STARTUP_TIME: Duration = Duration::from_secs(5);
 /// Upper bound of the interval: daemons must receive the drain of a target well within 2 s.
 const MAX_REQUEST_INTERVAL: Duration = Duration::from_millis(600);
+/// Requests per second to a platform that does not respond, of all followers of a failure domain
+/// whose readers have no current tables either.
+const FALLBACK_REQUESTS_PER_SECOND: f64 = 10.0;
 
 /// Describes a response or failure of a table's feed; a page comes with the moment as of which it
 /// is current.
@@ -45,81 +62,143 @@
 }
 
 /// Follows a table until the receiver of `tx` is dropped.
-pub async fn run<F: Feed>(
-    shared: &Shared,
-    feed: &F,
+pub async fn run<P: Platform>(
+    shared: Arc<Shared>,
+    platform: P,
     table: FeedTable,
-    tx: mpsc::UnboundedSender<(FeedTable, FeedEvent)>,
+    tx: mpsc::UnboundedSender<Update>,
 ) {
-    let mut version = None;
-    let mut failures = 0;
-    loop {
-        let (started, sent) = (tokio::time::Instant::now(), shared.now());
-        let page = match version {
+    let client = platform.open();
+    let mut follower = TableFollower { shared, platform, table, failures: 0 };
+    let mut reads = follower.shared.own_reads.subscribe();
+    let mut resumed = false;
+    while let Ok(own_reads) = reads.wait_for(|reads| reads.tables).await.map(|reads| *reads) {
+        if resumed {
+            let spread = own_reads.domain_daemons as f64 / FALLBACK_REQUESTS_PER_SECOND;
+            let jitter = Duration::from_millis((spread * 100.0) as u64).min(READER_POLL_WAIT);
+            actix_rt::time::sleep(jitter.mul_f64(rand::rng().random())).await;
+        }
+        resumed = false;
+        let delay = match follower.read_next(&client, own_reads, &tx).await {
+            Ok(delay) => delay,
+            Err(mpsc::error::SendError(_)) => return,
+        };
+        if !delay.is_zero() {
+            actix_rt::time::sleep(delay).await;
+        }
+        if !reads.borrow().tables {
+            resumed = true;
+        }
+    }
+}
+
+struct TableFollower<P> {
+    shared: Arc<Shared>,
+    platform: P,
+    table: FeedTable,
+    failures: u32,
+}
+
+impl<P: Platform> TableFollower<P> {
+    /// Sends one request and handles its response; returns the delay before the next one.
+    async fn read_next<F: Feed>(
+        &mut self,
+        feed: &F,
+        own_reads: OwnReads,
+        tx: &mpsc::UnboundedSender<Update>,
+    ) -> Result<Duration, mpsc::error::SendError<Update>> {
+        let table = self.table;
+        let wait = if own_reads.has_followers { READER_POLL_WAIT } else { LONG_POLL_WAIT };
+        let position = self.shared.feed_log().table_position(table);
+        let (started, sent) = (tokio::time::Instant::now(), self.shared.now());
+        let page = match position {
             Some(after) => {
-                let changes = feed.changes(table, after, LONG_POLL_WAIT);
-                with_timeout(changes, LONG_POLL_WAIT + RESPONSE_MARGIN).await
+                with_timeout(feed.changes(table, after, wait), wait + RESPONSE_MARGIN).await
             }
             None => with_timeout(feed.read(table), READ_TIMEOUT).await,
         };
-        let event = match page {
-            Ok(page) => {
-                if failures > 0 {
-                    log::info!("event=feed-returned table={table:?} failures={failures}");
-                    let _ = tx.send((table, FeedEvent::Recovered));
-                }
-                failures = 0;
-                // Without changes, the store responds when the wait ends, and as of that moment.
-                let waited = version.is_some() && page.rows.is_empty();
-                let as_of = if waited { (sent + LONG_POLL_WAIT).min(shared.now()) } else { sent };
-                let is_snapshot = version.is_none();
-                version = Some(page.version.max(version.unwrap_or(0)));
-                if is_snapshot {
-                    FeedEvent::Snapshot(page, as_of)
-                } else {
-                    FeedEvent::Changes(page, as_of)
-                }
-            }
+        let page = match page {
             Err(FeedError::HistoryLost) => {
-                log::info!("event=history-lost table={table:?} after={version:?}");
-                version = None;
-                continue;
+                log::info!("event=history-lost table={table:?} position={position:?}");
+                with_timeout(feed.read(table), READ_TIMEOUT).await.map(|page| (true, page))
             }
-            Err(FeedError::Client { source }) => {
-                failures += 1;
-                metrics::counter!(metric::PLATFORM_ERRORS, "part" => "feed").increment(1);
-                if failures == 1 {
-                    log::warn!(
-                        "event=feed-lost table={table:?} version={version:?} cause=\"{source}\""
-                    );
-                }
-                FeedEvent::Failed
+            page => page.map(|page| (position.is_none(), page)),
+        };
+        let (is_snapshot, page) = match page {
+            Ok(page) => page,
+            Err(e) => {
+                self.record_failure(position, &e);
+                tx.send(Update::Table(table, FeedEvent::Failed))?;
+                return Ok(self.retry_delay(own_reads));
             }
         };
-        let changed = matches!(&event, FeedEvent::Changes(page, _) if !page.rows.is_empty());
-        if tx.send((table, event)).is_err() {
-            return;
-        }
-        let delay = match failures {
-            0 if changed => request_interval(table, shared.store_limit_daemons())
-                .saturating_sub(started.elapsed()),
-            0 => Duration::ZERO,
-            _ => {
-                let doubled = RETRY_DELAY_BASE * 2_u32.pow((failures - 1).min(MAX_RETRY_DOUBLINGS));
-                doubled.mul_f64(rand::rng().random_range(0.7..1.3))
+        if self.failures > 0 {
+            log::info!("event=feed-returned table={table:?} failures={}", self.failures);
+            if table == FeedTable::Registry {
+                self.shared.feed_log().record_registry_return(self.shared.now());
             }
+            tx.send(Update::Table(table, FeedEvent::Recovered))?;
+        }
+        self.failures = 0;
+        // Without changes, the store responds when the wait ends, and as of that moment.
+        let waited = !is_snapshot && page.rows.is_empty();
+        let as_of = if waited { (sent + wait).min(self.shared.now()) } else { sent };
+        let platform = &self.platform;
+        let is_accepted =
+            self.shared.feed_log().record_page(table, is_snapshot, &page, as_of, |row| {
+                platform.target_change(&row.key, row.value.as_deref())
+            });
+        if !is_accepted {
+            // A peer has told of a later era since the request was sent.
+            log::info!("event=feed-outdated table={table:?} position={:?}", page.position);
+            return Ok(MIN_REQUEST_INTERVAL);
+        }
+        let has_changes = is_snapshot || !page.rows.is_empty();
+        if has_changes {
+            self.shared.feed_changes.send_modify(|count| *count += 1);
+        }
+        let event = if is_snapshot {
+            FeedEvent::Snapshot(page, as_of)
+        } else {
+            FeedEvent::Changes(page, as_of)
         };
-        actix_rt::time::sleep(delay).await;
+        tx.send(Update::Table(table, event))?;
+        let is_starting = sent.since(Moment::default()) < STARTUP_TIME;
+        let interval = request_interval(table, own_reads, is_starting);
+        Ok(if has_changes { interval.saturating_sub(started.elapsed()) } else { Duration::ZERO })
+    }
+
+    fn record_failure(&mut self, position: Option<FeedPosition>, e: &FeedError) {
+        self.failures += 1;
+        metrics::counter!(metric::PLATFORM_ERRORS, "part" => "feed").increment(1);
+        if self.failures == 1 {
+            let table = self.table;
+            log::warn!("event=feed-lost table={table:?} position={position:?} cause=\"{e}\"");
+        }
+    }
+
+    /// Returns the delay after a failure; followers share a limit on requests, since they receive
+    /// the tables from their readers once these have them again.
+    fn retry_delay(&self, own_reads: OwnReads) -> Duration {
+        let doublings = (self.failures - 1).min(MAX_RETRY_DOUBLINGS);
+        let mut delay = RETRY_DELAY_BASE * 2_u32.pow(doublings);
+        if own_reads.is_follower {
+            let spread = own_reads.domain_daemons as f64 / FALLBACK_REQUESTS_PER_SECOND;
+            delay = delay.max(Duration::from_secs_f64(spread));
+        }
+        delay.mul_f64(rand::rng().random_range(0.7..1.3))
     }
 }
 
 /// Returns the minimum interval between two requests. For the registry it grows with the number of
-/// daemons: that of a large deployment changes constantly, and the platform counts requests.
-fn request_interval(table: FeedTable, daemons: usize) -> Duration {
+/// daemons that read it: that of a large deployment changes constantly, and the platform counts
+/// requests.
+fn request_interval(table: FeedTable, own_reads: OwnReads, is_starting: bool) -> Duration {
     match table {
         FeedTable::Operator => MIN_REQUEST_INTERVAL,
+        FeedTable::Registry if is_starting || own_reads.has_followers => READER_REQUEST_INTERVAL,
         FeedTable::Registry => {
-            let factor = daemons as f64 / MAX_DAEMONS_AT_MIN_INTERVAL;
+            let factor = own_reads.reader_count as f64 / MAX_DAEMONS_AT_MIN_INTERVAL;
             MIN_REQUEST_INTERVAL.mul_f64(factor.max(1.0)).min(MAX_REQUEST_INTERVAL)
         }
     }
@@ -131,6 +210,6 @@
 ) -> Result<FeedPage, FeedError> {
     match actix_rt::time::timeout(timeout, exchange).await {
         Ok(page) => page,
-        Err(_) => Err(FeedError::Client { source: cumintrail_client::ClientError::Timeout }),
+        Err(_) => Err(FeedError::Client { source: ClientError::Timeout }),
     }
 }
--- a/crates/cumintrail-daemon/src/gateway/orders.rs
+++ b/crates/cumintrail-daemon/src/gateway/orders.rs
@@ -4,15 +4,16 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use cumintrail_client::{FeedTable, HttpPeer, LoadRequest, PartsStore, TargetOrders};
+use cumintrail_client::{HttpPeer, LoadRequest, PartsStore, TargetOrders};
 use cumintrail_config::{Snapshot, TargetKind};
+use cumintrail_control::feed::{FeedTable, ReaderAssignment};
 use cumintrail_control::parts::StoredPart;
 use cumintrail_control::{Action, Event, Order, OrderKind};
 use cumintrail_types::{Moment, StoreKey};
 use tokio::sync::mpsc;
 
-use super::publish::{Publisher, Update};
-use super::{Platform, follow, parts, peers};
+use super::publish::Publisher;
+use super::{Platform, follow, follower, parts, peers};
 use crate::background::{
     exchange_lease, order_outcome, report_configured_peers, run_before, send_digest,
 };
@@ -34,11 +35,12 @@
     let (tx, rx) = mpsc::unbounded_channel();
     let publisher = Publisher::new(shared.clone(), platform.clone());
     actix_rt::spawn(publisher.run(rx));
-    for table in [FeedTable::Operator, FeedTable::Registry] {
-        actix_rt::spawn(follow_table(shared.clone(), platform.clone(), table, tx.clone()));
+    for table in FeedTable::ALL {
+        actix_rt::spawn(follow::run(shared.clone(), platform.clone(), table, tx.clone()));
     }
     report_configured_peers(&shared).await;
     let peers = Rc::new(HttpPeer::open(shared.settings.peer_key.expose()));
+    actix_rt::spawn(follower::run(shared.clone(), platform.clone(), peers.clone(), tx.clone()));
     actix_rt::spawn(peers::run(shared.clone(), peers.clone(), tx));
     actix_rt::spawn(parts::follow_all(shared.clone(), platform.clone()));
     actix_rt::spawn(metric::run_maintenance());
@@ -50,25 +52,6 @@
     }
 }
 
-async fn follow_table<P: Platform>(
-    shared: Arc<Shared>,
-    platform: P,
-    table: FeedTable,
-    updates: mpsc::UnboundedSender<Update>,
-) {
-    let client = platform.open();
-    let (tx, mut rx) = mpsc::unbounded_channel();
-    let following = follow::run(&shared, &client, table, tx);
-    let forwarding = async {
-        while let Some((table, event)) = rx.recv().await {
-            if updates.send(Update::Table(table, event)).is_err() {
-                return;
-            }
-        }
-    };
-    tokio::join!(following, forwarding);
-}
-
 impl<P: Platform> ActionRunner<P> {
     async fn run_action(&self, action: Action) {
         match action {
@@ -81,9 +64,13 @@
             Action::FreeParts { store, epoch, parts, not_after } => {
                 self.free_parts(store, epoch, &parts, not_after).await;
             }
-            Action::SplitStoreLimits { daemons } => {
-                log::info!("event=peers daemons={daemons}");
-                self.shared.set_store_limit_daemons(daemons);
+            Action::AssignReaders(assignment) => {
+                let ReaderAssignment { readers, reader_count, domain_daemons, .. } = &assignment;
+                log::info!(
+                    "event=readers followed={} all={reader_count} domain_daemons={domain_daemons}",
+                    readers.len()
+                );
+                self.shared.reader_assignment.send_replace(assignment);
             }
             // The relay closes its connection to the target when a call ends, the control thread
             // delivers dispatches and refusals, and the registry and the feeds replace the rest.
--- a/crates/cumintrail-daemon/src/gateway/parts.rs
+++ b/crates/cumintrail-daemon/src/gateway/parts.rs
@@ -1,4 +1,7 @@
 //! Follows the lists of parts in managed stores, with one task per store.
+//!
+//! A daemon that follows a reader of its failure domain pauses here; docs/PLATFORM.md, "Readers and
+//! followers".
 
 use std::cell::RefCell;
 use std::collections::HashSet;
@@ -9,10 +12,11 @@
 
 use cumintrail_client::PartsStore;
 use cumintrail_control::Event;
+use cumintrail_control::feed::StorePosition;
 use cumintrail_types::StoreKey;
 
 use super::Platform;
-use crate::shared::Shared;
+use crate::shared::{OwnReads, Shared};
 
 /// Interval between two checks for stores that are not followed yet.
 const STORE_CHECK_INTERVAL: Duration = Duration::from_millis(500);
@@ -24,16 +28,19 @@
 const WAITING_SHARE: f64 = 0.6;
 /// Minimum interval between two requests, so that a store with many changes gets few requests.
 const MIN_REQUEST_INTERVAL: Duration = Duration::from_millis(400);
-/// Interval where many daemons share the limit on waiting requests; it is shorter than the 2 s for
+/// Interval where many daemons share the limit on waiting requests; it is shorter than the time for
 /// which the control state uses an update.
 const SHARED_REQUEST_INTERVAL: Duration = Duration::from_millis(1_300);
+/// Interval of a reader: what its followers know is older by the wait of their own requests.
+const READER_REQUEST_INTERVAL: Duration = Duration::from_millis(500);
 /// Delay after a request to a store failed.
 const RETRY_DELAY: Duration = Duration::from_millis(300);
 
 /// Follows each managed store that stores parts, until the process ends.
 pub async fn follow_all<P: Platform>(shared: Arc<Shared>, platform: P) {
     let followed: Rc<RefCell<HashSet<SocketAddr>>> = Rc::default();
-    loop {
+    let mut reads = shared.own_reads.subscribe();
+    while reads.wait_for(|reads| reads.stores).await.is_ok() {
         let snapshot = shared.snapshot();
         let stores = snapshot.iter().flat_map(|s| s.stores.iter());
         for (key, store) in stores.filter(|(_, s)| s.stores_parts && !s.retired) {
@@ -51,42 +58,59 @@
     }
 }
 
-/// Follows one store until it is retired or declared at another address.
+/// Follows one store until it is retired or declared at another address, or this daemon follows a
+/// reader.
 async fn follow_store<C: PartsStore>(shared: &Shared, client: &C, store: StoreKey, at: SocketAddr) {
-    let mut position = None;
     let waiting_readers = || {
         let snapshot = shared.snapshot();
         let declared = snapshot.as_deref().and_then(|s| s.stores.get(store));
         declared.filter(|s| s.address == at && !s.retired).map(|s| s.waiting_readers)
     };
+    let mut must_list = false;
     while let Some(waiting_readers) = waiting_readers() {
-        let (wait, interval) = poll_schedule(shared.store_limit_daemons(), waiting_readers);
+        let own_reads = *shared.own_reads.borrow();
+        if !own_reads.stores {
+            return;
+        }
+        let (wait, interval) = poll_schedule(own_reads, waiting_readers);
+        let position = shared.feed_log().store_position(at).filter(|_| !must_list);
         let (sent, started) = (shared.now(), tokio::time::Instant::now());
         let page = match position {
             None => client.list(at).await,
-            Some((_, next)) => client.changes(at, next, wait).await,
+            Some(position) => client.changes(at, position.next, wait).await,
         };
         let Ok(page) = page else {
             log::debug!("event=parts store={at} outcome=silent");
             actix_rt::time::sleep(RETRY_DELAY).await;
             continue;
         };
-        let restarted = position.is_some_and(|(epoch, _)| epoch != page.update.epoch);
-        if restarted || page.lost {
+        must_list = position.is_some_and(|p| p.epoch != page.update.epoch) || page.lost;
+        if must_list {
             log::info!("event=parts store={at} epoch={} outcome=read-whole", page.update.epoch);
-            position = None;
             continue;
         }
-        position = Some((page.update.epoch, page.next));
-        shared.control.send(Event::PartsRead { store, sent, update: page.update }).await;
+        let now = shared.now();
+        // Without changes, the store responds when the wait ends, and as of that moment.
+        let is_unchanged = page.update.stored.is_empty() && page.update.removed.is_empty();
+        let waited = is_unchanged && !page.update.complete;
+        let as_of = if waited { (sent + wait).min(now) } else { sent };
+        let position = StorePosition { address: at, epoch: page.update.epoch, next: page.next };
+        shared.feed_log().record_parts(now, position, as_of, &page.update);
+        shared.control.send(Event::PartsRead { store, sent: as_of, update: page.update }).await;
         actix_rt::time::sleep(interval.saturating_sub(started.elapsed())).await;
     }
+    shared.feed_log().remove_store(at);
 }
 
 /// Returns the wait of a request and the interval between the starts of two requests, chosen so
-/// that the waiting requests of all daemons fit within a store's limit.
-fn poll_schedule(daemons: usize, waiting_readers: u32) -> (Duration, Duration) {
-    let share = f64::from(waiting_readers) * WAITING_SHARE / daemons.max(1) as f64;
+/// that the waiting requests of all daemons that read the store fit within its limit.
+fn poll_schedule(own_reads: OwnReads, waiting_readers: u32) -> (Duration, Duration) {
+    let readers = own_reads.reader_count.max(1) as f64;
+    let share = f64::from(waiting_readers) * WAITING_SHARE / readers;
+    if own_reads.has_followers {
+        let wait = READER_REQUEST_INTERVAL.mul_f64(share);
+        return (wait.clamp(MIN_LONG_POLL_WAIT, READER_REQUEST_INTERVAL), READER_REQUEST_INTERVAL);
+    }
     let wait = SHARED_REQUEST_INTERVAL.mul_f64(share).clamp(MIN_LONG_POLL_WAIT, MAX_LONG_POLL_WAIT);
     (wait, if wait == MAX_LONG_POLL_WAIT { MIN_REQUEST_INTERVAL } else { SHARED_REQUEST_INTERVAL })
 }
--- a/crates/cumintrail-daemon/src/gateway/peers.rs
+++ b/crates/cumintrail-daemon/src/gateway/peers.rs
@@ -11,7 +11,7 @@
 use cumintrail_wire::peer::{ConfigReply, ConfigRequest};
 use tokio::sync::mpsc;
 
-use super::publish::Update;
+use super::Update;
 use crate::shared::Shared;
 
 /// Interval between two rounds of requests to the configured peers while no configuration is in
--- a/crates/cumintrail-daemon/src/gateway/publish.rs
+++ b/crates/cumintrail-daemon/src/gateway/publish.rs
@@ -4,9 +4,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cumintrail_client::{FeedPage, FeedRow, FeedTable};
 use cumintrail_config::{Snapshot, Target, TargetKind};
 use cumintrail_control::Event;
+use cumintrail_control::feed::{FeedPage, FeedRow, FeedTable};
 use cumintrail_control::registry::{RowChange, TargetRegistry};
 use cumintrail_types::{Bytes, Generation, Moment, WeightVersion};
 use cumintrail_wire::configuration::Configuration;
@@ -50,6 +50,8 @@
 pub enum Update {
     /// A feed sent rows, failed or recovered.
     Table(FeedTable, FeedEvent),
+    /// The registry responded again after an outage, as a reader observed.
+    RegistryReturned(Moment),
     /// A peer sent a configuration.
     Configuration(Box<Configuration>),
     /// Peers announced weight versions.
@@ -63,12 +65,14 @@
     declared: Option<(Arc<Snapshot>, Configuration)>,
     versions: HashMap<Arc<str>, WeightVersion>,
     registry: TargetRegistry,
+    /// The era of the platform's store in which the registry was last read whole.
+    registry_era: u64,
     revision: u64,
     /// Whether the last request failed, for the operator table and for the registry.
     unreachable: [bool; 2],
-    /// The moment as of which the last page of the operator table is current, until it is reported
-    /// to the control state.
-    operator_page_as_of: Option<Moment>,
+    /// The moment as of which the last page of the operator table is current, and the era of the
+    /// platform's store, until they are reported to the control state.
+    operator_page_as_of: Option<(Moment, u64)>,
 }
 
 impl<P: Platform> Publisher<P> {
@@ -80,6 +84,7 @@
             declared: None,
             versions: HashMap::new(),
             registry: TargetRegistry::default(),
+            registry_era: 0,
             revision: 0,
             unreachable: [false; 2],
             operator_page_as_of: None,
@@ -101,8 +106,8 @@
             if changed {
                 self.publish().await;
             }
-            if let Some(sent) = self.operator_page_as_of.take() {
-                self.shared.control.send(Event::PlatformResponded { sent }).await;
+            if let Some((sent, era)) = self.operator_page_as_of.take() {
+                self.shared.control.send(Event::PlatformResponded { sent, era }).await;
             }
         }
     }
@@ -110,6 +115,10 @@
     fn handle_update(&mut self, update: Update) -> bool {
         match update {
             Update::Configuration(next) => self.apply_configuration(*next),
+            Update::RegistryReturned(at) => {
+                self.registry.record_recovery(at);
+                false
+            }
             Update::Table(table, FeedEvent::Failed) => self.record_contact(table, false),
             Update::Table(table, FeedEvent::Recovered) => self.record_contact(table, true),
             Update::Versions(versions) => {
@@ -121,12 +130,16 @@
                 FeedTable::Operator,
                 FeedEvent::Snapshot(page, as_of) | FeedEvent::Changes(page, as_of),
             ) => {
-                self.operator_page_as_of = Some(as_of);
+                self.operator_page_as_of = Some((as_of, page.position.era));
                 page.rows.iter().fold(false, |changed, row| changed | self.handle_operator_row(row))
             }
             Update::Table(FeedTable::Registry, FeedEvent::Snapshot(page, _)) => {
-                let (version, rows) = (page.version, self.parse_registry_rows(page));
-                self.registry.apply_snapshot(self.shared.now(), version, rows)
+                let (now, position) = (self.shared.now(), page.position);
+                if position.era > std::mem::replace(&mut self.registry_era, position.era) {
+                    self.registry.begin_era(now);
+                }
+                let rows = self.parse_registry_rows(page);
+                self.registry.apply_snapshot(now, position.version, rows)
             }
             Update::Table(FeedTable::Registry, FeedEvent::Changes(page, _)) => {
                 let (now, rows) = (self.shared.now(), self.parse_registry_rows(page));
--- a/crates/cumintrail-daemon/src/operators.rs
+++ b/crates/cumintrail-daemon/src/operators.rs
@@ -11,6 +11,7 @@
 use actix_server::ServerHandle;
 use cumintrail_control::{Dump, Event, PeerDigest};
 use cumintrail_types::{Refusal, RefusalCode};
+use cumintrail_wire::feed::FeedRequest;
 use cumintrail_wire::operator::{Age, DrainRequest, Status};
 use cumintrail_wire::peer::{
     ConfigReply, ConfigRequest, DigestMessage, DigestReply, ForwardRequest, VmListReply,
@@ -22,7 +23,7 @@
 use crate::callers::{ResponseBody, Worker, auth, operation_keys, refusal, request};
 use crate::endpoint::{self, EndpointLimits};
 use crate::shared::Shared;
-use crate::{degraded, metric};
+use crate::{degraded, gateway, metric};
 
 const STATUS_OK: u16 = 200;
 const STATUS_UNAVAILABLE: u16 = 503;
@@ -73,6 +74,7 @@
         (Method::POST, "/operator/drain") => handle_drain(shared, &mut req).await,
         (Method::POST, "/peer/digest") => handle_digest(shared, &mut req).await,
         (Method::POST, "/peer/config") => handle_config_request(shared, &mut req).await,
+        (Method::POST, "/peer/feed") => handle_feed_request(shared, &mut req).await,
         (Method::POST, "/peer/vms") => handle_vm_list_request(shared, &mut req).await,
         (Method::POST, "/peer/forward") => handle_forwarded_call(worker, &mut req).await,
         _ => Err(Refusal::not_run(RefusalCode::NotFound)),
@@ -158,7 +160,7 @@
         }
         changed
     });
-    shared.control.send(Event::PeerDigest(digest)).await;
+    shared.control.send(Event::PeerDigest(Box::new(digest))).await;
     msgpack_response(&DigestReply { generation: shared.generation() })
 }
 
@@ -170,6 +172,14 @@
     msgpack_response(&config_reply(shared, request))
 }
 
+async fn handle_feed_request(
+    shared: &Shared,
+    req: &mut Request,
+) -> Result<Response<ResponseBody>, Refusal> {
+    let request: FeedRequest = read_message(shared, req).await?;
+    msgpack_response(&gateway::feed_reply(shared, &request).await)
+}
+
 async fn handle_vm_list_request(
     shared: &Shared,
     req: &mut Request,
--- a/crates/cumintrail-daemon/src/relay/attempt.rs
+++ b/crates/cumintrail-daemon/src/relay/attempt.rs
@@ -6,7 +6,7 @@
 use bytes::{Bytes, BytesMut};
 use cumintrail_client::{ClientError, Connection, RetrySafety, is_end_to_end};
 use cumintrail_control::parts::PartPlan;
-use cumintrail_control::{AttemptOutcome, Dispatch, Event, Usage};
+use cumintrail_control::{AttemptOutcome, Dispatch, Event, TargetNotice, Usage};
 use cumintrail_types::{CallClass, Refusal, RefusalCode, Tokens};
 
 use smallvec::SmallVec;
@@ -128,6 +128,7 @@
             };
             let kind =
                 self.worker.dialect.classify_response(&head, &self.call.metadata, self.instance);
+            self.report_notice(&head, kind).await;
             match kind {
                 ResponseKind::Foreign if foreign_responses < MAX_FOREIGN_RESPONSES => {
                     foreign_responses += 1;
@@ -154,6 +155,18 @@
         }
     }
 
+    /// Reports what a response says about the target, unless another instance sent it.
+    async fn report_notice(&self, head: &ResponseHead, kind: ResponseKind) {
+        let notice = self.worker.dialect.target_notice(head);
+        let is_other = kind == ResponseKind::NotRun { instance_gone: true };
+        if notice == TargetNotice::default() || is_other {
+            return;
+        }
+        lines::target_notice(self.call, self.instance, notice);
+        let target = self.dispatch.target;
+        self.worker.shared.control.send(Event::TargetNoticed { target, notice }).await;
+    }
+
     /// Builds the request head for the target from the end-to-end headers of the caller.
     fn build_request_head(&self, now: cumintrail_types::Moment) -> (RequestHead, BodySize) {
         let caller_head = self.call.req.head();
--- a/crates/cumintrail-daemon/src/relay/dialect.rs
+++ b/crates/cumintrail-daemon/src/relay/dialect.rs
@@ -4,8 +4,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use actix_http::header::{AUTHORIZATION, HeaderMap, HeaderName, HeaderValue};
+use actix_http::header::{AUTHORIZATION, HeaderMap, HeaderName, HeaderValue, RETRY_AFTER};
 use actix_http::{RequestHead, ResponseHead, StatusCode};
+use cumintrail_control::TargetNotice;
 use cumintrail_types::{BlockKey, Refusal, RefusalCode, Tokens, Urgency, WeightVersion};
 use smallvec::SmallVec;
 
@@ -88,6 +89,8 @@
         metadata: &RequestMetadata,
         instance: &str,
     ) -> ResponseKind;
+    /// Reads what the head of a response says about its target, apart from the call.
+    fn target_notice(&self, head: &ResponseHead) -> TargetNotice;
     /// Writes the caller's id of a refused call into the headers of the refusal.
     fn write_call_id(&self, headers: &mut HeaderMap, metadata: &RequestMetadata);
 }
@@ -109,6 +112,7 @@
 const INSTANCE: HeaderName = HeaderName::from_static("x-cumintrail-instance");
 const NOT_RUN: HeaderName = HeaderName::from_static("x-cumintrail-not-run");
 const LAST_EVENT_ID: HeaderName = HeaderName::from_static("last-event-id");
+const LEAVING: HeaderName = HeaderName::from_static("x-cumintrail-leaving");
 
 impl HeaderDialect for NativeDialect {
     fn parse_request(&self, head: &RequestHead) -> Result<RequestMetadata, Refusal> {
@@ -148,6 +152,11 @@
         }
     }
 
+    fn target_notice(&self, head: &ResponseHead) -> TargetNotice {
+        let leaving = head.headers().get(LEAVING).is_some_and(|value| value == "1");
+        TargetNotice { leaving, quiet_for: quiet_period(head) }
+    }
+
     fn write_call_id(&self, headers: &mut HeaderMap, metadata: &RequestMetadata) {
         if let Some(id) = &metadata.id {
             headers.insert(CALL_ID, id.clone());
@@ -155,6 +164,15 @@
     }
 }
 
+/// Returns how long a target that is unavailable wants no requests, from its `Retry-After` in
+/// seconds, which may have a fraction; `None` for a date or any other text.
+pub fn quiet_period(head: &ResponseHead) -> Option<Duration> {
+    let value = head.headers().get(RETRY_AFTER)?;
+    let seconds: f64 = value.to_str().ok()?.trim().parse().ok()?;
+    let is_unavailable = head.status == StatusCode::SERVICE_UNAVAILABLE;
+    Duration::try_from_secs_f64(seconds).ok().filter(|period| is_unavailable && !period.is_zero())
+}
+
 /// Parses a header that holds an unsigned integer; `None` if the header is absent.
 pub fn integer_header(headers: &HeaderMap, name: &HeaderName) -> Result<Option<u64>, Refusal> {
     let Some(value) = headers.get(name) else {
--- a/crates/cumintrail-daemon/src/relay/lines.rs
+++ b/crates/cumintrail-daemon/src/relay/lines.rs
@@ -1,6 +1,6 @@
 //! The log lines of relayed calls: one per decision, with the values that it was based on.
 
-use cumintrail_control::{AttemptOutcome, Dispatch};
+use cumintrail_control::{AttemptOutcome, Dispatch, TargetNotice};
 use cumintrail_types::{Moment, RefusalCode};
 
 use super::call::RelayedCall;
@@ -41,6 +41,17 @@
     );
 }
 
+/// Logs what a response said about its target.
+pub fn target_notice(call: &RelayedCall, target: &str, notice: TargetNotice) {
+    log::info!(
+        "event=target-notice id={} call={} target={target} leaving={} quiet_ms={}",
+        caller_call_id(call),
+        call.key,
+        notice.leaving,
+        notice.quiet_for.unwrap_or_default().as_millis(),
+    );
+}
+
 /// Logs the end of an attempt that did not complete its call.
 pub fn attempt_ended(
     call: &RelayedCall,
--- a/crates/cumintrail-daemon/src/shared.rs
+++ b/crates/cumintrail-daemon/src/shared.rs
@@ -6,6 +6,7 @@
 
 use arc_swap::ArcSwapOption;
 use cumintrail_config::{Settings, Snapshot};
+use cumintrail_control::feed::{FeedLog, ReaderAssignment};
 use cumintrail_control::membership::VersionedVmList;
 use cumintrail_control::once::OperationKeySigner;
 use cumintrail_types::{CallKey, Clock, Generation, Incarnation, KeyChain, Moment, WeightVersion};
@@ -43,6 +44,23 @@
     pub reason: String,
 }
 
+/// What a daemon reads from the platform and the stores itself.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct OwnReads {
+    /// Whether it reads the tables.
+    pub tables: bool,
+    /// Whether it reads the lists of parts in stores.
+    pub stores: bool,
+    /// Whether it has readers to follow, even if none of them responds.
+    pub is_follower: bool,
+    /// Whether other daemons follow it.
+    pub has_followers: bool,
+    /// The number of daemons of the whole deployment that read the platform.
+    pub reader_count: usize,
+    /// The number of daemons in the failure domain.
+    pub domain_daemons: usize,
+}
+
 /// Stores the state that the threads of one daemon share.
 #[derive(Debug)]
 pub struct Shared {
@@ -59,6 +77,12 @@
     /// The weight versions in the last peer digest, where versions are announced separately from
     /// the configuration.
     pub announced_versions: watch::Sender<Vec<(Arc<str>, WeightVersion)>>,
+    /// The readers that this daemon follows.
+    pub reader_assignment: watch::Sender<ReaderAssignment>,
+    /// What this daemon reads itself.
+    pub own_reads: watch::Sender<OwnReads>,
+    /// Counts the changes of tables in the feed log; a change wakes the requests of followers.
+    pub feed_changes: watch::Sender<u64>,
     /// Issues and verifies operation keys.
     pub operation_key_signer: OperationKeySigner,
     /// When the platform last responded, and whether the last exchange failed.
@@ -75,7 +99,7 @@
     next_call_key: AtomicU64,
     pending_outcomes: AtomicUsize,
     pending_bytes: AtomicUsize,
-    store_limit_daemons: AtomicUsize,
+    feed_log: Mutex<FeedLog>,
 }
 
 /// Counts a call whose outcome is still to be recorded, until the value is dropped.
@@ -125,6 +149,15 @@
             control,
             newer_generation: watch::Sender::new(None),
             announced_versions: watch::Sender::new(Vec::new()),
+            reader_assignment: watch::Sender::new(ReaderAssignment::default()),
+            own_reads: watch::Sender::new(OwnReads {
+                tables: true,
+                stores: true,
+                reader_count: 1,
+                domain_daemons: 1,
+                ..OwnReads::default()
+            }),
+            feed_changes: watch::Sender::new(0),
             platform_contact: PlatformContact::default(),
             table_breaker: TableBreaker::default(),
             table_writer,
@@ -136,18 +169,13 @@
             next_call_key: AtomicU64::new(1),
             pending_outcomes: AtomicUsize::new(0),
             pending_bytes: AtomicUsize::new(0),
-            store_limit_daemons: AtomicUsize::new(1),
+            feed_log: Mutex::new(FeedLog::new(incarnation)),
         }
     }
 
-    /// Returns the number of daemons, this one included, among which limits of stores are divided.
-    pub fn store_limit_daemons(&self) -> usize {
-        self.store_limit_daemons.load(Ordering::Relaxed)
-    }
-
-    /// Sets the number of daemons among which limits of stores are divided.
-    pub fn set_store_limit_daemons(&self, daemons: usize) {
-        self.store_limit_daemons.store(daemons, Ordering::Relaxed);
+    /// Returns the tables and lists of parts that this daemon knows, with their recent changes.
+    pub fn feed_log(&self) -> MutexGuard<'_, FeedLog> {
+        self.feed_log.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Returns the number of calls whose outcome is still to be recorded.
--- a/crates/cumintrail-wire/src/lib.rs
+++ b/crates/cumintrail-wire/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod caller;
 pub mod configuration;
 pub mod engine;
+pub mod feed;
 pub mod operator;
 pub mod peer;
 pub mod platform;
--- a/crates/cumintrail-wire/src/peer.rs
+++ b/crates/cumintrail-wire/src/peer.rs
@@ -12,8 +12,8 @@
 use cumintrail_config::{Delta, Sections};
 use cumintrail_control::membership::VmChanges;
 use cumintrail_control::{
-    Echo, Freshness, LeavingIncarnation, PeerDigest, TargetLoad, TargetReport, TargetUpdate,
-    VersionAnnouncement, VmEntry, VmRole, VmState,
+    DomainSize, Echo, Freshness, LeavingIncarnation, PeerDigest, TargetLoad, TargetReport,
+    TargetUpdate, VersionAnnouncement, VmEntry, VmRole, VmState,
 };
 use cumintrail_types::{
     Digest, Generation, Incarnation, Moment, Ran, Refusal, RefusalCode, Sealed, Tier, Tokens,
@@ -51,6 +51,12 @@
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     loads: Vec<(u64, u32, u32, u32)>,
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    announced_leaving: Vec<u64>,
+    #[serde(default)]
+    processor_share: u16,
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    domain_sizes: Vec<(Arc<str>, u32, u32)>,
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     peers: Vec<(SocketAddr, Arc<str>)>,
 }
 
@@ -75,6 +81,13 @@
                 .iter()
                 .map(|l| (l.target_hash, l.calls, l.backlog.0, l.memory.0))
                 .collect(),
+            announced_leaving: d.announced_leaving,
+            processor_share: d.processor_share,
+            domain_sizes: d
+                .domain_sizes
+                .into_iter()
+                .map(|s| (s.domain, s.daemons, to_millis(s.age)))
+                .collect(),
             peers: d.peers,
         }
     }
@@ -97,6 +110,16 @@
             demand: m.wants,
             versions: m.versions.into_iter().map(Into::into).collect(),
             loads: m.loads.into_iter().map(to_load).collect(),
+            announced_leaving: m.announced_leaving,
+            processor_share: m.processor_share,
+            domain_sizes: m
+                .domain_sizes
+                .into_iter()
+                .map(|(domain, daemons, age)| {
+                    let age = Duration::from_millis(age.into());
+                    DomainSize { domain, daemons, age }
+                })
+                .collect(),
             peers: m.peers,
         }
     }
--- a/tests/benches/adoption.rs
+++ b/tests/benches/adoption.rs
@@ -42,6 +42,7 @@
         address: "127.0.0.1:7002".parse().expect("an address"),
         probe_interval: Duration::from_millis(500),
         digest_interval: Duration::from_secs(1),
+        processor_share: 0,
     };
     Control::new(identity, 1)
 }
--- a/tests/src/experiment/run.rs
+++ b/tests/src/experiment/run.rs
@@ -90,6 +90,7 @@
             address: SocketAddr::new(Ipv4Addr::LOCALHOST.into(), 1),
             probe_interval: PROBE_INTERVAL,
             digest_interval: Duration::from_secs(3_600),
+            processor_share: 0,
         };
         let placer = PolicyPlacer { policy, world: world.clone() };
         Self {
@@ -204,7 +205,7 @@
             }
             Action::PreloadPrompt { .. }
             | Action::FreeParts { .. }
-            | Action::SplitStoreLimits { .. }
+            | Action::AssignReaders(_)
             | Action::ReadGeneration
             | Action::ReadVmList
             | Action::GetVmList { .. }
--- a/tests/src/standins/feed.rs
+++ b/tests/src/standins/feed.rs
@@ -2,16 +2,17 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
 use cumintrail_client::{
-    ClientError, Feed, FeedError, FeedPage, FeedRow, FeedTable, LoadRequest, PartsPage, PartsStore,
-    Table, TargetOrders,
+    ClientError, Feed, FeedError, LoadRequest, PartsPage, PartsStore, Table, TargetOrders,
 };
 use cumintrail_config::{Document, Sections};
 use cumintrail_control::TargetReport;
+use cumintrail_control::feed::{FeedPage, FeedPosition, FeedRow, FeedTable};
 use cumintrail_control::parts::StoredPart;
 use cumintrail_control::registry::{EntryChange, RegistryEntry};
 use cumintrail_daemon::{NativeDialect, OperatorChange, Platform};
@@ -30,10 +31,23 @@
 #[derive(Debug, Clone, Default)]
 pub struct FeedPlatform {
     state: Arc<Mutex<State>>,
+    /// Whether the VM that uses this value is cut off from the platform.
+    cut: Arc<AtomicBool>,
+    /// Counts the requests of the VM that uses this value.
+    requests: Arc<AtomicUsize>,
+}
+
+/// The rows of a platform at some moment.
+#[derive(Debug, Clone)]
+pub struct PlatformCopy {
+    version: u64,
+    rows: BTreeMap<(u8, String), (u64, Option<Bytes>)>,
+    lease: Option<Row>,
 }
 
 #[derive(Debug, Default)]
 struct State {
+    era: u64,
     version: u64,
     rows: BTreeMap<(u8, String), (u64, Option<Bytes>)>,
     /// Change reads after an older version fail with [`FeedError::HistoryLost`].
@@ -50,6 +64,39 @@
         Self::default()
     }
 
+    /// Returns the platform as another VM reaches it.
+    #[must_use]
+    pub fn for_vm(&self) -> Self {
+        Self { state: self.state.clone(), ..Self::default() }
+    }
+
+    /// Cuts the VM that uses this value off from the platform, or connects it again.
+    pub fn set_cut(&self, is_cut: bool) {
+        self.cut.store(is_cut, Ordering::Relaxed);
+    }
+
+    /// Returns the number of feed requests of the VM that uses this value.
+    pub fn requests(&self) -> usize {
+        self.requests.load(Ordering::Relaxed)
+    }
+
+    /// Returns a copy of all rows, to restore the platform from.
+    pub fn copy(&self) -> PlatformCopy {
+        let state = self.state();
+        PlatformCopy {
+            version: state.version,
+            rows: state.rows.clone(),
+            lease: state.lease.clone(),
+        }
+    }
+
+    /// Restores the rows of a copy: versions go on from there, and the era rises.
+    pub fn restore(&self, copy: PlatformCopy) {
+        let mut state = self.state();
+        state.era += 1;
+        (state.version, state.rows, state.lease) = (copy.version, copy.rows, copy.lease);
+    }
+
     /// Writes the declarations of a generation to the operators' table.
     pub fn publish_declarations(&self, generation: u64, declarations: &str) {
         let value = format!("{generation}\n{declarations}");
@@ -113,6 +160,10 @@
         self.state().loads.clone()
     }
 
+    fn is_cut(&self) -> bool {
+        self.cut.load(Ordering::Relaxed)
+    }
+
     fn write(&self, table: FeedTable, key: &str, value: Option<Bytes>) {
         let mut state = self.state();
         state.version += 1;
@@ -133,6 +184,10 @@
 }
 
 impl State {
+    const fn position(&self) -> FeedPosition {
+        FeedPosition { era: self.era, version: self.version }
+    }
+
     fn rows_after(&self, table: FeedTable, after: u64) -> Vec<FeedRow> {
         let rows =
             self.rows.iter().filter(|((t, _), (v, _))| *t == table_index(table) && *v > after);
@@ -214,34 +269,39 @@
 
 impl Feed for FeedPlatform {
     async fn read(&self, table: FeedTable) -> Result<FeedPage, FeedError> {
+        self.requests.fetch_add(1, Ordering::Relaxed);
         let state = self.state();
-        if state.is_down {
+        if state.is_down || self.is_cut() {
             return Err(ClientError::ConnectionLost.into());
         }
         let mut rows = state.rows_after(table, 0);
         rows.retain(|row| row.value.is_some());
-        Ok(FeedPage { rows, version: state.version })
+        Ok(FeedPage { rows, position: state.position() })
     }
 
     async fn changes(
         &self,
         table: FeedTable,
-        after: u64,
+        after: FeedPosition,
         wait: Duration,
     ) -> Result<FeedPage, FeedError> {
+        self.requests.fetch_add(1, Ordering::Relaxed);
         let deadline = tokio::time::Instant::now() + wait;
         loop {
             {
                 let state = self.state();
-                let rows = state.rows_after(table, after);
-                if state.is_down {
+                let rows = state.rows_after(table, after.version);
+                if state.is_down || self.is_cut() {
                     return Err(ClientError::ConnectionLost.into());
                 }
-                if after < state.discarded_up_to {
+                if after.version > state.version {
+                    return Err(FeedError::HistoryLost);
+                }
+                if after.era != state.era || after.version < state.discarded_up_to {
                     return Err(FeedError::HistoryLost);
                 }
                 if !rows.is_empty() || tokio::time::Instant::now() >= deadline {
-                    return Ok(FeedPage { rows, version: state.version });
+                    return Ok(FeedPage { rows, position: state.position() });
                 }
             }
             actix_rt::time::sleep(POLL_INTERVAL).await;
@@ -256,7 +316,7 @@
             return Err(ClientError::Timeout);
         }
         let mut state = self.state();
-        if state.is_down {
+        if state.is_down || self.is_cut() {
             return Err(ClientError::ConnectionLost);
         }
         let found = state.lease.clone();
@@ -273,7 +333,12 @@
 
     async fn read(&self, _key: &str) -> Result<Option<Row>, ClientError> {
         let state = self.state();
-        if state.is_down { Err(ClientError::ConnectionLost) } else { Ok(state.lease.clone()) }
+        let is_reachable = !state.is_down && !self.is_cut();
+        if is_reachable { Ok(state.lease.clone()) } else { Err(ClientError::ConnectionLost) }
+    }
+
+    fn era(&self) -> u64 {
+        self.state().era
     }
 }
 
--- a/tests/tests/admission.rs
+++ b/tests/tests/admission.rs
@@ -242,6 +242,7 @@
         address: "127.0.0.1:1".parse().unwrap_or_else(|e| panic!("{e}")),
         probe_interval: Duration::from_secs(1),
         digest_interval: Duration::from_secs(1),
+        processor_share: 0,
     };
     let mut control = Control::new(identity, 1);
     control.handle(Moment(0), Event::Configured(Arc::new(snapshot(text))));
--- a/tests/tests/membership.rs
+++ b/tests/tests/membership.rs
@@ -80,6 +80,7 @@
                 address: daemon(i),
                 probe_interval: PROBE,
                 digest_interval: DIGEST,
+                processor_share: 0,
             };
             let mut control = Control::new(identity, i as u64);
             control.handle(Moment::default(), Event::Configured(snapshot.clone()));
@@ -128,7 +129,7 @@
                     return;
                 }
                 self.digests.push((from, digest.clone()));
-                self.daemons[index].handle(now, Event::PeerDigest(digest));
+                self.daemons[index].handle(now, Event::PeerDigest(Box::new(digest)));
             }
             _ => {}
         }
@@ -246,7 +247,7 @@
 
     // This daemon receives the mark before any of its own probes succeeds.
     let mut late = Net::new(1, 1).daemons.remove(0);
-    late.handle(net.now, Event::PeerDigest(marks));
+    late.handle(net.now, Event::PeerDigest(Box::new(marks)));
     assert!(
         late.dump(net.now).targets[0].leaving,
         "an incarnation that may be the marked one is used"
@@ -337,8 +338,10 @@
     let mut fresh = net.digests.last().unwrap().1.clone();
     fresh.incarnation = Incarnation(9);
     net.digests.clear();
-    net.daemons[0]
-        .handle(net.now, Event::PeerDigest(PeerDigest { address: Some(daemon(1)), ..fresh }));
+    net.daemons[0].handle(
+        net.now,
+        Event::PeerDigest(Box::new(PeerDigest { address: Some(daemon(1)), ..fresh })),
+    );
     net.run(DIGEST * 2);
     let most_marks = net.digests.iter().map(|(_, d)| d.leaving.len()).max();
     assert_eq!(most_marks, Some(0));
--- a/tests/tests/platform_reads.rs
+++ b/tests/tests/platform_reads.rs
@@ -79,6 +79,7 @@
                 address: daemon(i),
                 probe_interval: Duration::from_millis(500),
                 digest_interval: Duration::from_secs(1),
+                processor_share: 0,
             };
             let mut control = Control::new(identity, i as u64);
             control.enable_platform_reads(READ);
@@ -137,7 +138,7 @@
                         let newer = snapshot(digest.generation.0);
                         self.send(index(to), Event::Configured(newer));
                     }
-                    self.send(index(to), Event::PeerDigest(digest));
+                    self.send(index(to), Event::PeerDigest(Box::new(digest)));
                 }
                 _ => {}
             }
--- a/tests/tests/rollout.rs
+++ b/tests/tests/rollout.rs
@@ -43,6 +43,8 @@
 struct World {
     now: Moment,
     row: Option<LeaseRow>,
+    /// How often the table was restored; the first era is zero unless a test sets it.
+    era: u64,
     engines: Vec<Engine>,
     holders: Vec<Holder>,
     /// Orders that an engine accepted: time, index of the holder, fencing number.
@@ -64,6 +66,7 @@
         Self {
             now: Moment::from_millis(1_000),
             row: None,
+            era: 0,
             engines: vec![engine; engines],
             holders: (0..holders).map(holder).collect(),
             orders: Vec::new(),
@@ -128,7 +131,8 @@
                 if (self.lose)(self.now) {
                     return self.holders[holder].rollout.handle_lease_failure(self.now);
                 }
-                let row = self.row.clone();
+                let (row, now) = (self.row.clone(), self.now);
+                self.holders[holder].rollout.record_era(now, self.era);
                 let next = self.holders[holder].rollout.handle_lease_read(self.now, row.as_ref());
                 if let Some(request) = next {
                     self.follow(holder, request);
@@ -145,6 +149,7 @@
                     });
                 }
                 let rollout = &mut self.holders[holder].rollout;
+                rollout.record_era(self.now, self.era);
                 if (self.lose)(self.now) {
                     rollout.handle_lease_failure(self.now);
                 } else {
@@ -292,6 +297,46 @@
     TestRunner::new_with_rng(config, rng).run(&input, run).unwrap();
 }
 
+/// Writes of the row that a restore forgets, and the step of the restore, twice; whether targets
+/// check fencing numbers.
+type Restores = (Vec<(u32, usize)>, bool);
+
+/// A table that is restored from an older copy forgets who holds the lease and gives versions out
+/// again. Holders learn of it from their next exchange only.
+#[test]
+fn a_restored_table_makes_no_two_senders_and_numbers_only_rise() {
+    let input = (prop::collection::vec((1..120_u32, 0..6_usize), 1..4), any::<bool>());
+    let run = |(restores, checks): Restores| {
+        let mut world = World::new(40, 3, checks);
+        world.era = 1;
+        let mut copies: Vec<Option<LeaseRow>> = vec![None];
+        for step in 0..200_u32 {
+            for (_, back) in restores.iter().filter(|(at, _)| *at == step) {
+                let kept = copies.len().saturating_sub(*back).max(1);
+                copies.truncate(kept);
+                world.row = copies.last().cloned().flatten();
+                world.era += 1;
+            }
+            world.run(STEP);
+            if copies.last() != Some(&world.row) {
+                copies.push(world.row.clone());
+            }
+            let senders = world
+                .holders
+                .iter()
+                .filter(|h| h.rollout.lease().is_some_and(|l| l.may_send(world.now)));
+            assert!(senders.count() <= 1, "two holders may order at {}", world.now);
+        }
+        world.run(Duration::from_secs(160));
+        world.check();
+        assert!(world.is_done());
+        Ok(())
+    };
+    let config = Config { cases: 256, failure_persistence: None, ..Config::default() };
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[12; 32]);
+    TestRunner::new_with_rng(config, rng).run(&input, run).unwrap();
+}
+
 /// Requests a completion of a fixed prompt and returns its text.
 async fn complete(at: SocketAddr, max_tokens: usize) -> String {
     let bearer = format!("Bearer {CALLER_KEY}");
--- a/tests/tests/stores.rs
+++ b/tests/tests/stores.rs
@@ -105,6 +105,7 @@
         address: SocketAddr::from(([10, 0, 1, 0], 7_000 + index as u16)),
         probe_interval: Duration::from_secs(1),
         digest_interval: Duration::from_secs(1),
+        processor_share: 0,
     };
     Control::new(identity, index as u64)
 }
