Spread calls over equal plain targets, reset connections given up in an exchange

Causes: (1) calls to plain services went to the first of the targets with the fewest known calls, so that many daemons with few calls each chose the same one; (2) a request whose attempt was given up behind a cut link was delivered by the system seconds after the cut healed, to a target that leaves (DRAIN).

Change: equal targets are ordered by a hash of call and target; a connection that is dropped during an exchange is reset; loads told by some peers are scaled up to 16 times, as a daemon of a large deployment hears from few; the age at which followers read by themselves is 1.7 s, so that the worst sum of delays is 2.8 s.

--- a/crates/cumintrail-client/src/connection.rs
+++ b/crates/cumintrail-client/src/connection.rs
@@ -76,6 +76,19 @@
     }
 }
 
+impl Drop for Connection {
+    /// Resets a connection that is given up during an exchange.
+    ///
+    /// After a normal close, the system goes on to deliver the bytes of the request. Behind a cut
+    /// link that may be seconds later, when the target must not receive it any more.
+    fn drop(&mut self) {
+        if !matches!(self.read_state, ReadState::Complete) {
+            // The socket may be closed already, and is closed normally if this fails.
+            let _ = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO));
+        }
+    }
+}
+
 impl Connection {
     /// Connects within a time limit; a failure is always [`ClientError::NotSent`].
     pub async fn open(
--- a/crates/cumintrail-client/tests/connection.rs
+++ b/crates/cumintrail-client/tests/connection.rs
@@ -145,3 +145,30 @@
     assert_eq!(exchange(&mut connection).await.unwrap(), b"ok");
     assert_eq!(connection.reusable_for(), None);
 }
+
+/// A cut link keeps sent bytes in the sender's buffer, and delivers them once it heals unless the
+/// connection was reset.
+#[actix_rt::test]
+async fn a_connection_that_is_given_up_during_an_exchange_is_reset() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let at = listener.local_addr().unwrap();
+    for given_up in [true, false] {
+        let mut connection = Connection::open(at, TIMEOUT, ServiceConfig::default()).await.unwrap();
+        let (mut stream, _) = listener.accept().await.unwrap();
+        connection.start_exchange(RequestHead::default(), BodySize::None).unwrap();
+        let respond = async {
+            read_head(&mut stream).await;
+            if !given_up {
+                stream.write_all(COMPLETE_RESPONSE.as_bytes()).await.unwrap();
+            }
+        };
+        let read = actix_rt::time::timeout(Duration::from_millis(100), connection.read_head());
+        let (head, ()) = tokio::join!(read, respond);
+        if head.is_ok() {
+            assert_eq!(read_body(&mut connection).await.unwrap(), b"ok");
+        }
+        drop(connection);
+        let end = stream.read(&mut [0; 8]).await;
+        assert_eq!(end.is_err(), given_up, "{end:?}");
+    }
+}
--- a/crates/cumintrail-control/src/control/arrivals.rs
+++ b/crates/cumintrail-control/src/control/arrivals.rs
@@ -12,7 +12,7 @@
 use super::state::{PendingFirstToken, TargetState};
 use crate::admission;
 use crate::membership::Liveness;
-use crate::parts::{PartIndex, PartPlans};
+use crate::parts::{PartIndex, PartPlans, name_hash};
 use crate::placement::{Candidate, Context, Placement, Placer, Request};
 use crate::retry::RetryBudget;
 use crate::{Action, Actions, Arrival, Call, Dispatch, retry};
@@ -178,7 +178,8 @@
         };
         let Some(model) = model else {
             let free = candidates.iter().filter(|c| c.available);
-            return Ok(free.min_by_key(|c| c.calls).map(|c| plain_placement(c.key)));
+            let order = |c: &&Candidate<'_>| (c.calls, spread_hash(arrival.call, &c.target.name));
+            return Ok(free.min_by_key(order).map(|c| plain_placement(c.key)));
         };
         let parts = self.plan_parts(now, arrival);
         let cx = Context {
@@ -402,6 +403,14 @@
     if untried.is_empty() { usable } else { untried }
 }
 
+/// Orders targets that look equally loaded differently for each call.
+///
+/// Many daemons with few calls each would otherwise all prefer the same target.
+fn spread_hash(call: CallKey, target: &str) -> u64 {
+    let mixed = (name_hash(target) ^ call.0).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    mixed ^ (mixed >> 32)
+}
+
 /// Returns the placement of a call to a plain service, which imports nothing.
 fn plain_placement(target: TargetKey) -> Placement {
     Placement {
--- a/crates/cumintrail-control/src/control/digests.rs
+++ b/crates/cumintrail-control/src/control/digests.rs
@@ -24,7 +24,7 @@
 /// How long the loads in a peer's digest count after they were received.
 const LOAD_MAX_AGE: Duration = Duration::from_millis(1_500);
 /// Maximum number of daemons that one with recently received loads stands for.
-const MAX_LOAD_SCALE: f64 = 4.0;
+const MAX_LOAD_SCALE: f64 = 16.0;
 /// Time from the start of a process after which it knows how many daemons there are.
 const PEER_DISCOVERY_TIME: Duration = Duration::from_secs(5);
 /// The number of daemons that is assumed until then: more than any deployment has.
--- a/crates/cumintrail-control/src/feed/source.rs
+++ b/crates/cumintrail-control/src/feed/source.rs
@@ -17,7 +17,7 @@
 ///
 /// The age is the sum of the reader's own wait for changes, its minimum interval between requests
 /// and the wait of the follower's request; docs/PLATFORM.md, "Readers and followers".
-pub const MAX_FOLLOWED_AGE: Duration = Duration::from_secs(2);
+pub const MAX_FOLLOWED_AGE: Duration = Duration::from_millis(1_700);
 /// How long a reader that failed is passed over while another source is available.
 const PENALTY: Duration = Duration::from_secs(2);
 
