--- a/tests/platform-standin/src/deployment.rs
+++ b/tests/platform-standin/src/deployment.rs
@@ -17,7 +17,7 @@
 use serde_json::{Value, json};
 
 use crate::replica::{ExecutionLog, MODEL, Replica, ReplicaSpec};
-use crate::store::{OPERATOR_TABLE, RowStore};
+use crate::store::{OPERATOR_TABLE, REGISTRY_TABLE, RowStore};
 
 /// The host name of all routes.
 pub const HOST: &str = "shop.example";
@@ -172,6 +172,18 @@
         self.announce_weights();
     }
 
+    /// Writes the operators' rows again after the store was restored, and removes the entries of
+    /// replicas that have ended; replicas write their own entries at the next heartbeat.
+    pub fn write_rows_again(&self) {
+        self.store.put(OPERATOR_TABLE, "config", &self.declarations.config_row());
+        self.announce_weights();
+        for key in self.store.keys(REGISTRY_TABLE) {
+            if self.endpoints.iter().all(|endpoint| endpoint.replica.spec().id != key) {
+                self.store.remove(REGISTRY_TABLE, &key);
+            }
+        }
+    }
+
     /// Writes the row that announces the weight version.
     pub fn announce_weights(&self) {
         let key = format!("version/{MODEL}");
--- a/tests/platform-standin/src/main.rs
+++ b/tests/platform-standin/src/main.rs
@@ -40,6 +40,9 @@
         /// Duration of the fault injection, in seconds.
         #[arg(long, default_value_t = 30)]
         seconds: u64,
+        /// Also restore the platform's store from older copies.
+        #[arg(long)]
+        restores: bool,
         /// Folder for settings files and logs; those of failed seeds are not deleted.
         #[arg(long, default_value = "target/soak")]
         folder: PathBuf,
@@ -51,10 +54,10 @@
     let result = actix_rt::System::new().block_on(async {
         match command {
             Command::Stand { vms, folder } => stand(&daemon, &folder, vms).await.map(|()| true),
-            Command::Soak { seed, seeds, seconds, folder } => {
+            Command::Soak { seed, seeds, seconds, restores, folder } => {
                 let mut all_passed = true;
                 for seed in seed..seed + seeds {
-                    let plan = soak::Plan { seed, seconds, ..soak::Plan::default() };
+                    let plan = soak::Plan { seed, seconds, restores, ..soak::Plan::default() };
                     let seed_folder = folder.join(format!("seed-{seed}"));
                     std::fs::create_dir_all(&seed_folder)?;
                     let report = soak::run(&daemon, &seed_folder, plan).await?;
--- a/tests/platform-standin/src/replica.rs
+++ b/tests/platform-standin/src/replica.rs
@@ -246,6 +246,10 @@
             ("x-instance-id", self.spec.id.clone()),
             ("x-response-seal", format!("{call}.{}", self.spec.id)),
         ];
+        if self.draining_since().is_some() {
+            let leaving = HeaderName::from_static("server-leaving");
+            response.headers_mut().insert(leaving, HeaderValue::from_static("1"));
+        }
         for (name, value) in pairs {
             if let Ok(value) = HeaderValue::from_str(&value) {
                 response.headers_mut().insert(HeaderName::from_static(name), value);
--- a/tests/platform-standin/src/soak.rs
+++ b/tests/platform-standin/src/soak.rs
@@ -40,6 +40,8 @@
 const WEIGHTS_TIMEOUT: Duration = Duration::from_secs(12);
 /// Minimum time over which the fraction of served calls is measured after the faults.
 const MEASUREMENT_PERIOD: Duration = Duration::from_secs(3);
+/// Age of the copy that the store is restored from, at most.
+const MAX_COPY_AGE: Duration = Duration::from_secs(4);
 /// Fraction of calls that must be served in the measurement period.
 const MIN_SERVED_FRACTION: f64 = 0.9;
 
@@ -58,11 +60,22 @@
     pub plain_replicas: usize,
     /// Number of callers.
     pub callers: usize,
+    /// Whether the store is also restored from older copies. These faults are drawn separately, so
+    /// that the other ones of a seed stay the same.
+    pub restores: bool,
 }
 
 impl Default for Plan {
     fn default() -> Self {
-        Self { seed: 1, seconds: 30, vms: 3, engines: 4, plain_replicas: 3, callers: 24 }
+        Self {
+            seed: 1,
+            seconds: 30,
+            vms: 3,
+            engines: 4,
+            plain_replicas: 3,
+            callers: 24,
+            restores: false,
+        }
     }
 }
 
@@ -150,6 +163,8 @@
         let mut rng = StdRng::seed_from_u64(self.plan.seed);
         let started_at = Instant::now();
         let mut next_fault = started_at + Duration::from_secs(1);
+        let mut restore_rng = StdRng::seed_from_u64(!self.plan.seed);
+        let mut next_restore = started_at + Duration::from_secs(4);
         let mut balancer = Balancer::new(self.plan.vms);
         while started_at.elapsed() < Duration::from_secs(self.plan.seconds) {
             balancer.check(&self.deployment, rotation).await;
@@ -159,15 +174,31 @@
                 next_fault = Instant::now() + Duration::from_millis(rng.random_range(150..1_200));
                 let duration = Duration::from_millis(rng.random_range(300..2_500));
                 let fault = Fault::draw(&mut rng, &self.plan);
-                if !self.injected.iter().any(|i| !i.has_ended && i.fault.conflicts_with(fault)) {
-                    self.start_fault(fault, duration).await?;
-                }
+                self.start_unless_conflicting(fault, duration).await?;
+            }
+            if self.plan.restores && Instant::now() >= next_restore {
+                let pause = Duration::from_millis(restore_rng.random_range(3_000..7_000));
+                next_restore = Instant::now() + pause;
+                let duration = Duration::from_millis(restore_rng.random_range(100..1_200));
+                let copy_age = MAX_COPY_AGE.mul_f64(restore_rng.random_range(0.1..1.0));
+                self.start_unless_conflicting(Fault::RestoreStore { copy_age }, duration).await?;
             }
             sleep(TICK_INTERVAL).await;
         }
         Ok(())
     }
 
+    async fn start_unless_conflicting(
+        &mut self,
+        fault: Fault,
+        duration: Duration,
+    ) -> std::io::Result<()> {
+        if self.injected.iter().any(|i| !i.has_ended && i.fault.conflicts_with(fault)) {
+            return Ok(());
+        }
+        self.start_fault(fault, duration).await
+    }
+
     async fn start_fault(&mut self, fault: Fault, duration: Duration) -> std::io::Result<()> {
         let started_at = Instant::now();
         let mut ends_at = started_at + duration;
@@ -184,6 +215,7 @@
             Fault::SilenceStoreLink(vm) => deployment.vms[vm].store_link.set(Mode::SilenceAll),
             Fault::Store(store_fault) => deployment.store.set_fault(store_fault),
             Fault::DiscardHistory => deployment.store.discard_history(),
+            Fault::RestoreStore { .. } => deployment.store.set_fault(StoreFault::Unavailable),
             Fault::CutReplicaLink(endpoint) => deployment.endpoints[endpoint].link.set(Mode::Cut),
             Fault::SilenceReplicaLink(endpoint) => {
                 deployment.endpoints[endpoint].link.set(Mode::SilenceAll);
@@ -268,6 +300,11 @@
                 deployment.vms[vm].store_link.set(Mode::Pass);
             }
             Fault::Store(_) => deployment.store.set_fault(StoreFault::None),
+            Fault::RestoreStore { copy_age } => {
+                deployment.store.restore(copy_age);
+                deployment.store.set_fault(StoreFault::None);
+                deployment.write_rows_again();
+            }
             Fault::CutReplicaLink(endpoint) | Fault::SilenceReplicaLink(endpoint) => {
                 deployment.endpoints[endpoint].link.set(Mode::Pass);
             }
--- a/tests/platform-standin/src/soak/fault.rs
+++ b/tests/platform-standin/src/soak/fault.rs
@@ -1,5 +1,7 @@
 //! The faults that a soak injects, and which of them cannot be active together.
 
+use std::time::Duration;
+
 use rand::Rng;
 use rand::rngs::StdRng;
 
@@ -17,6 +19,10 @@
     SilenceStoreLink(usize),
     Store(StoreFault),
     DiscardHistory,
+    /// The store is unavailable, and then comes back from an older copy.
+    RestoreStore {
+        copy_age: Duration,
+    },
     CutReplicaLink(usize),
     SilenceReplicaLink(usize),
     DelayReplicaLink(usize),
@@ -71,10 +77,14 @@
     pub fn conflicts_with(self, other: Self) -> bool {
         match (self.vm().zip(other.vm()), self.endpoint().zip(other.endpoint())) {
             (Some((a, b)), _) | (_, Some((a, b))) => a == b,
-            _ => matches!((self, other), (Self::Store(_), Self::Store(_))),
+            _ => self.is_at_store() && other.is_at_store(),
         }
     }
 
+    const fn is_at_store(self) -> bool {
+        matches!(self, Self::Store(_) | Self::RestoreStore { .. })
+    }
+
     const fn vm(self) -> Option<usize> {
         match self {
             Self::KillVm(vm)
--- a/tests/platform-standin/src/store.rs
+++ b/tests/platform-standin/src/store.rs
@@ -1,10 +1,11 @@
 //! The platform's row store over HTTP: reads of tables, a change feed and conditional transactions.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
+use actix_http::header::{HeaderName, HeaderValue};
 use actix_http::{Method, Request, StatusCode};
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
@@ -21,6 +22,13 @@
 /// How long a response is withheld by [`StoreFault::Silent`] and [`StoreFault::LosesResponses`].
 const SILENT_RESPONSE_DELAY: Duration = Duration::from_secs(30);
 
+/// Minimum time between two copies of the rows.
+const COPY_INTERVAL: Duration = Duration::from_millis(250);
+/// Number of copies that are kept.
+const MAX_COPIES: usize = 20;
+/// Carries how often the store was restored from a copy.
+const ERA: HeaderName = HeaderName::from_static("store-era");
+
 /// Selects the fault that the store simulates.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum StoreFault {
@@ -44,13 +52,24 @@
 
 #[derive(Debug, Default)]
 struct State {
+    /// How often the store was restored from a copy.
+    era: u64,
     version: u64,
     rows: BTreeMap<(String, String), StoredRow>,
+    copies: VecDeque<RowsCopy>,
     /// The change feed has discarded changes up to this version.
     discarded_through: u64,
     fault: StoreFault,
 }
 
+/// The rows at some moment.
+#[derive(Debug)]
+struct RowsCopy {
+    taken_at: Instant,
+    version: u64,
+    rows: BTreeMap<(String, String), StoredRow>,
+}
+
 #[derive(Debug, Clone)]
 struct StoredRow {
     version: u64,
@@ -106,6 +125,29 @@
         state.discarded_through = state.version;
     }
 
+    /// Restores the rows of the newest copy that is older than `age`, or of the oldest one. What was
+    /// written since is gone, and versions go on from that of the copy.
+    pub fn restore(&self, age: Duration) {
+        let mut state = self.state();
+        while state.copies.len() > 1
+            && state.copies.back().is_some_and(|copy| copy.taken_at.elapsed() < age)
+        {
+            state.copies.pop_back();
+        }
+        if let Some(copy) = state.copies.pop_back() {
+            (state.version, state.rows) = (copy.version, copy.rows);
+            state.discarded_through = state.discarded_through.min(state.version);
+            state.era += 1;
+        }
+    }
+
+    /// Returns the keys of the rows of a table.
+    pub fn keys(&self, table: &str) -> Vec<String> {
+        let state = self.state();
+        let rows = state.rows.iter().filter(|((t, _), row)| t == table && row.value.is_some());
+        rows.map(|((_, key), _)| key.clone()).collect()
+    }
+
     /// Sets the fault that the store simulates.
     pub fn set_fault(&self, fault: StoreFault) {
         self.state().fault = fault;
@@ -115,7 +157,16 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    async fn handle(&self, mut req: Request) -> HttpResponse {
+    async fn handle(&self, req: Request) -> HttpResponse {
+        let response = self.respond(req).await;
+        if response.headers().contains_key(&ERA) {
+            return response;
+        }
+        let era = self.state().era;
+        with_era(response, era)
+    }
+
+    async fn respond(&self, mut req: Request) -> HttpResponse {
         let fault = self.state().fault;
         match fault {
             StoreFault::Unavailable => return empty(StatusCode::SERVICE_UNAVAILABLE),
@@ -162,7 +213,7 @@
         loop {
             {
                 let state = self.state();
-                if after < state.discarded_through {
+                if after < state.discarded_through || after > state.version {
                     return empty(StatusCode::GONE);
                 }
                 let changed =
@@ -190,8 +241,9 @@
             let rows: Vec<Value> =
                 transaction.expected.iter().filter_map(found).map(row_json).collect();
             let body = json!({ "rows": rows, "row_version": state.version });
-            return json(StatusCode::PRECONDITION_FAILED, &body);
+            return with_era(json(StatusCode::PRECONDITION_FAILED, &body), state.era);
         }
+        state.copy_rows();
         state.version += 1;
         let version = state.version;
         for entry in &transaction.put {
@@ -211,18 +263,38 @@
         let version = state.version;
         let body =
             json!({ "rows": rows, "has_more": has_more, "row_version": version, "now_ms": now });
-        json(StatusCode::OK, &body)
+        // Rows and era are read under one lock.
+        with_era(json(StatusCode::OK, &body), state.era)
     }
 }
 
 impl State {
+    /// Copies the rows before a write, if the last copy is old enough.
+    fn copy_rows(&mut self) {
+        let is_recent = |copy: &RowsCopy| copy.taken_at.elapsed() < COPY_INTERVAL;
+        if self.copies.back().is_some_and(is_recent) {
+            return;
+        }
+        let (version, rows) = (self.version, self.rows.clone());
+        self.copies.push_back(RowsCopy { taken_at: Instant::now(), version, rows });
+        if self.copies.len() > MAX_COPIES {
+            self.copies.pop_front();
+        }
+    }
+
     fn write(&mut self, table: &str, key: &str, value: Option<Vec<u8>>) {
+        self.copy_rows();
         self.version += 1;
         let row = StoredRow { version: self.version, value };
         self.rows.insert((table.into(), key.into()), row);
     }
 }
 
+fn with_era(mut response: HttpResponse, era: u64) -> HttpResponse {
+    response.headers_mut().insert(ERA, HeaderValue::from(era));
+    response
+}
+
 fn row_json(((table, key), row): (&(String, String), &StoredRow)) -> Value {
     match &row.value {
         Some(value) => json!({
