--- a/crates/cumintrail-control/src/control/digests.rs
+++ b/crates/cumintrail-control/src/control/digests.rs
@@ -25,7 +25,7 @@
 const LOAD_MAX_AGE: Duration = Duration::from_millis(1_500);
 /// Maximum number of daemons that one with recently received loads stands for.
 const MAX_LOAD_SCALE: f64 = 16.0;
-/// Time from the start of a process after which it knows how many daemons there are.
+/// Time from the start of a process after which its count of daemons is complete.
 const PEER_DISCOVERY_TIME: Duration = Duration::from_secs(5);
 /// The number of daemons that is assumed until then: more than any deployment has.
 const MAX_DAEMONS: usize = 1_000;
@@ -98,7 +98,7 @@
 
     /// Returns this daemon's share of the retry policy, divided among all daemons.
     pub(super) fn own_retry_policy(&self) -> RetryPolicy {
-        // Many daemons may start at once, each of which knows few others at first.
+        // Many daemons may start at once, and each discovers the others within this time.
         let daemons = if self.knows_daemons { self.daemon_count } else { MAX_DAEMONS };
         self.retry_policy.per_daemon(daemons)
     }
--- a/crates/cumintrail-control/src/digest.rs
+++ b/crates/cumintrail-control/src/digest.rs
@@ -172,7 +172,7 @@
     pub loads: Vec<TargetLoad>,
     /// The processor share of the sender's VM, in thousandths of a core; zero if unknown.
     pub processor_share: u16,
-    /// The number of daemons in each failure domain, as far as the sender knows.
+    /// The number of daemons in each failure domain, by the latest counts that the sender has.
     pub domain_sizes: Vec<DomainSize>,
     /// Peers that recently sent the sender a digest, with their failure domains; sent only where no
     /// VM list names them.
--- a/crates/cumintrail-control/src/event.rs
+++ b/crates/cumintrail-control/src/event.rs
@@ -452,7 +452,7 @@
     pub prefill_backlog: Tokens,
 }
 
-/// What the head of a response says about its target, apart from the call.
+/// Describes the state of a target that the head of a response carries beside that of the call.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct TargetNotice {
     /// Whether this incarnation of the target accepts no new calls, for good.
--- a/crates/cumintrail-control/src/feed/log.rs
+++ b/crates/cumintrail-control/src/feed/log.rs
@@ -1,4 +1,4 @@
-//! The tables and lists of parts that a daemon knows, with the recent changes of them.
+//! The tables and lists of parts of a daemon, with their recent changes.
 //!
 //! A reader serves followers from it. Positions are those of the platform and of the stores, so a
 //! follower may continue at another reader.
--- a/crates/cumintrail-control/tests/plain_targets.rs
+++ b/crates/cumintrail-control/tests/plain_targets.rs
@@ -54,7 +54,7 @@
     })
 }
 
-/// Each of 60 daemons has one call, and knows of no other load.
+/// Each of 60 daemons has one call and no information about other load.
 #[test]
 fn daemons_with_one_call_each_spread_them_over_equal_targets() {
     let mut calls: BTreeMap<TargetKey, u32> = BTreeMap::new();
--- a/crates/cumintrail-daemon/src/gateway/follow.rs
+++ b/crates/cumintrail-daemon/src/gateway/follow.rs
@@ -39,7 +39,7 @@
 /// the interval grows in proportion to their number.
 const MAX_DAEMONS_AT_MIN_INTERVAL: f64 = 16.0;
 /// Time from the start of a process in which it reads the registry at that interval: many daemons
-/// may start at once, and each reads by itself until it knows the readers.
+/// may start at once, and each reads by itself until readers are assigned.
 const STARTUP_TIME: Duration = Duration::from_secs(5);
 /// Upper bound of the interval: daemons must receive the drain of a target well within 2 s.
 const MAX_REQUEST_INTERVAL: Duration = Duration::from_millis(600);
@@ -149,7 +149,7 @@
                 platform.target_change(&row.key, row.value.as_deref())
             });
         if !is_accepted {
-            // A peer has told of a later era since the request was sent.
+            // An update of a later era was received after the request was sent.
             log::info!("event=feed-outdated table={table:?} position={:?}", page.position);
             return Ok(MIN_REQUEST_INTERVAL);
         }
