--- a/crates/cumintrail-control/src/membership/readers.rs
+++ b/crates/cumintrail-control/src/membership/readers.rs
@@ -25,7 +25,7 @@
 impl Membership {
     /// Assigns the readers of the platform to a daemon, given with its processor share.
     ///
-    /// In a domain with at least [`MIN_FOLLOWED_DOMAIN`] daemons, those two with the largest
+    /// In a domain with at least `MIN_FOLLOWED_DOMAIN` daemons, those two with the largest
     /// processor share are readers and the others follow them, if `may_follow` is set; elsewhere
     /// each daemon reads.
     pub fn assign_readers(
