--- a/crates/cumintrail-client/src/connection.rs
+++ b/crates/cumintrail-client/src/connection.rs
@@ -13,6 +13,7 @@
 use actix_http::{RequestHead, RequestHeadType, ResponseHead, ServiceConfig, StatusCode};
 use bytes::{Buf, Bytes, BytesMut};
 use cumintrail_types::since_boot;
+use derive_more::Display;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::io::Interest;
 use tokio::net::TcpStream;
@@ -51,12 +52,30 @@
     request_complete: bool,
     write_failed: bool,
     read_closed: bool,
+    framing: Framing,
     keep_alive: Option<Duration>,
     exchange_count: u32,
     /// Time since the VM's boot, including suspension, in which the target's timeout elapses too.
     last_used: Duration,
 }
 
+/// Describes what marks the end of a response, as log lines show it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub enum Framing {
+    /// The end of its head.
+    #[display("head")]
+    Bodiless,
+    /// A length that is known in advance.
+    #[display("length")]
+    Length,
+    /// The last chunk.
+    #[display("chunked")]
+    Chunked,
+    /// The end of the connection.
+    #[display("close")]
+    Close,
+}
+
 /// The part of a response that is read next.
 #[derive(Debug)]
 enum ReadState {
@@ -110,6 +129,7 @@
             request_complete: true,
             write_failed: false,
             read_closed: false,
+            framing: Framing::Bodiless,
             keep_alive: None,
             exchange_count: 0,
             last_used: since_boot(),
@@ -176,13 +196,18 @@
             return;
         };
         self.keep_alive = keep_alive_timeout(head);
-        self.read_state = match codec.message_type() {
-            MessageType::None if ends_at_close(head) => ReadState::UntilClosed,
-            MessageType::None => ReadState::Complete,
-            _ => ReadState::Body(BodyCodec(codec.into_payload_codec())),
+        (self.framing, self.read_state) = match codec.message_type() {
+            MessageType::None if ends_at_close(head) => (Framing::Close, ReadState::UntilClosed),
+            MessageType::None => (Framing::Bodiless, ReadState::Complete),
+            _ => (framing(head), ReadState::Body(BodyCodec(codec.into_payload_codec()))),
         };
     }
 
+    /// Returns what marks the end of the last response whose head was read.
+    pub const fn framing(&self) -> Framing {
+        self.framing
+    }
+
     /// Reads the next chunk of the response body; `None` once the body is complete.
     ///
     /// Cancel safe: a cancelled read loses no bytes and may be repeated.
@@ -293,6 +318,17 @@
     socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))
 }
 
+/// Returns the framing that the headers of a response with a body declare.
+fn framing(head: &ResponseHead) -> Framing {
+    if head.headers().contains_key(TRANSFER_ENCODING) {
+        Framing::Chunked
+    } else if head.headers().contains_key(CONTENT_LENGTH) {
+        Framing::Length
+    } else {
+        Framing::Close
+    }
+}
+
 /// Returns whether only the closing of the connection marks the end of the body.
 fn ends_at_close(head: &ResponseHead) -> bool {
     let framed = head.headers().contains_key(CONTENT_LENGTH)
--- a/crates/cumintrail-daemon/src/relay/attempt.rs
+++ b/crates/cumintrail-daemon/src/relay/attempt.rs
@@ -4,7 +4,7 @@
 use actix_http::header::{CONTENT_ENCODING, CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING};
 use actix_http::{RequestHead, Response, ResponseHead, StatusCode};
 use bytes::{Bytes, BytesMut};
-use cumintrail_client::{ClientError, Connection, RetrySafety, is_end_to_end};
+use cumintrail_client::{ClientError, Connection, Framing, RetrySafety, is_end_to_end};
 use cumintrail_control::parts::PartPlan;
 use cumintrail_control::{AttemptOutcome, Dispatch, Event, TargetNotice, Usage};
 use cumintrail_types::{CallClass, Refusal, RefusalCode, Tokens};
@@ -282,6 +282,7 @@
                 None => break,
             }
         }
+        let framing = connection.framing();
         self.worker.pool.release(connection);
         let status = head.status;
         let response = BufferedResponse { head, body: body.freeze() };
@@ -291,7 +292,7 @@
             return self
                 .record_end(AttemptOutcome::Failed { delivered: Tokens(0) }, "failure-answered");
         }
-        lines::answered(self.call, self.worker.shared.now(), self.dispatch, status.as_u16());
+        self.log_answered(status, framing);
         self.disable_keep_alive_if_needed();
         let written = write_response(self.caller, response).await;
         self.report_response(status).await;
@@ -354,6 +355,7 @@
                 return AttemptEnd::Disconnected;
             }
         }
+        self.log_answered(status, connection.framing());
         let rest = self.call.events.take_remainder();
         if !self.start_stream(&head).await {
             return AttemptEnd::Disconnected;
@@ -362,7 +364,6 @@
             return AttemptEnd::Disconnected;
         }
         self.worker.pool.release(connection);
-        lines::answered(self.call, self.worker.shared.now(), self.dispatch, status.as_u16());
         let written = self.caller.write_chunk(None).await;
         self.report_response(status).await;
         if written.is_ok() { AttemptEnd::Completed } else { AttemptEnd::Truncated }
@@ -388,6 +389,11 @@
         self.caller.queue_response_head(caller_response_head(head)).is_ok()
     }
 
+    fn log_answered(&self, status: StatusCode, framing: Framing) {
+        let now = self.worker.shared.now();
+        lines::answered(self.call, now, self.dispatch, status.as_u16(), framing);
+    }
+
     /// Closes the caller's connection after this response if the request body was not read to its
     /// end, or if a planned stop has begun.
     fn disable_keep_alive_if_needed(&mut self) {
--- a/crates/cumintrail-daemon/src/relay/events.rs
+++ b/crates/cumintrail-daemon/src/relay/events.rs
@@ -40,6 +40,11 @@
         self.last_id
     }
 
+    /// Returns the number of bytes after the last complete event.
+    pub fn remainder_len(&self) -> usize {
+        self.pending.len()
+    }
+
     /// Discards the bytes of an incomplete event, before the stream of a further attempt.
     pub fn drop_partial(&mut self) {
         self.pending.clear();
--- a/crates/cumintrail-daemon/src/relay/lines.rs
+++ b/crates/cumintrail-daemon/src/relay/lines.rs
@@ -1,5 +1,6 @@
 //! The log lines of relayed calls: one per decision, with the values that it was based on.
 
+use cumintrail_client::Framing;
 use cumintrail_control::{AttemptOutcome, Dispatch, TargetNotice};
 use cumintrail_types::{Moment, RefusalCode};
 
@@ -72,13 +73,21 @@
     );
 }
 
-/// Logs that a target responded to a call.
-pub fn answered(call: &RelayedCall, now: Moment, dispatch: &Dispatch, status: u16) {
+/// Logs that a target responded to a call, and what marked the end of its response.
+pub fn answered(
+    call: &RelayedCall,
+    now: Moment,
+    dispatch: &Dispatch,
+    status: u16,
+    framing: Framing,
+) {
     log::info!(
-        "event=answered id={} call={} attempt={} status={status} age_ms={}",
+        "event=answered id={} call={} attempt={} status={status} framing={framing} \
+         remainder_bytes={} age_ms={}",
         caller_call_id(call),
         call.key,
         dispatch.attempt,
+        call.events.remainder_len(),
         age_ms(call, now),
     );
 }
