--- a/tests/tests/gateway.rs
+++ b/tests/tests/gateway.rs
@@ -150,6 +150,40 @@
     assert_eq!(target.calls().len(), 1);
 }
 
+#[actix_rt::test]
+async fn a_stream_that_ends_inside_an_event_is_never_ended_as_complete() {
+    let unframed = "HTTP/1.1 200 OK\r\nx-cumintrail-call: {id}\r\n\r\n";
+    let counted = unframed.replace("\r\n\r\n", "\r\ncontent-length: 26\r\n\r\n");
+    let part = "id: 1\ndata: 1\n\nid: 2\ndata:";
+    let scripts = [
+        vec![send(unframed), send(part), Step::Close],
+        vec![send(&counted), send(part)],
+        vec![send(STREAM), send(&format!("1a\r\n{part}\r\n0\r\n\r\n"))],
+    ];
+    for script in scripts {
+        let broken = script.clone();
+        let whole = || vec![send(unframed), send("id: 2\ndata: 2\n\n"), Step::Close];
+        let target = Replica::bind(move |n| if n == 0 { broken.clone() } else { whole() });
+        let target = target.await.unwrap();
+        let cluster = Cluster::spawn(&[&target]).await;
+        let response = cluster.call("/resume/").await;
+        let events = response.lines().filter(|l| l.starts_with("id:") || l.starts_with("data:"));
+        let events: Vec<&str> = events.collect();
+        assert_eq!(events, ["id: 1", "data: 1", "id: 2", "data: 2"], "{script:?}: {response}");
+        assert!(response.ends_with("0\r\n\r\n"), "{script:?}: {response}");
+        assert_eq!(header(&target.calls()[1], "last-event-id"), Some("1"));
+
+        let broken = script.clone();
+        let target = Replica::bind(move |_| broken.clone()).await.unwrap();
+        let cluster = Cluster::spawn(&[&target]).await;
+        let response = cluster.call("/flow/").await;
+        assert!(response.contains("data: 1\n\n"), "{script:?}: {response}");
+        assert!(!response.contains("id: 2"), "{script:?}: {response}");
+        assert!(!response.ends_with("0\r\n\r\n"), "{script:?}: {response}");
+        assert_eq!(target.calls().len(), 1);
+    }
+}
+
 #[actix_rt::test]
 async fn targets_that_leave_or_vanish_get_nothing_new() {
     let leaving = Replica::bind(|_| vec![send(WHOLE)]).await.unwrap();
