Fix truncated streams that ended as complete responses

Cause: the end of a target's response was taken for the end of its stream. Bytes of an event that never completed were forwarded, and the caller's chunked response was ended regularly. A response without a length or chunks ends with its connection, so that a crash of its target looks like its end; the same holds for a target that breaks off and still ends its framing.

Change: EventSplitter::finish decides whether a stream is complete, for every framing. A truncated stream is a failed attempt: it is resumed after the last complete event where it may be, and else the caller's connection is closed without a last chunk. A response that ends by a close before any event counts as truncated too. attempt-ended names the cause and the bytes of the incomplete event.

--- a/crates/cumintrail-client/src/error.rs
+++ b/crates/cumintrail-client/src/error.rs
@@ -17,6 +17,9 @@
     /// The connection failed or closed before the response was complete.
     #[snafu(display("the connection broke"))]
     ConnectionLost,
+    /// The response ended regularly, but its content is incomplete.
+    #[snafu(display("truncated answer"))]
+    Truncated,
     /// The engine refused the request.
     #[snafu(display("the engine refused: {reason:?}"))]
     Refused {
@@ -46,7 +49,10 @@
 impl ClientError {
     /// Returns whether a response was received, although not the expected one.
     pub const fn has_response(&self) -> bool {
-        matches!(self, Self::Refused { .. } | Self::Status { .. } | Self::Malformed)
+        matches!(
+            self,
+            Self::Refused { .. } | Self::Status { .. } | Self::Malformed | Self::Truncated
+        )
     }
 
     /// Returns whether bytes of the request may have been sent.
--- a/crates/cumintrail-daemon/src/relay/attempt.rs
+++ b/crates/cumintrail-daemon/src/relay/attempt.rs
@@ -355,8 +355,15 @@
                 return AttemptEnd::Disconnected;
             }
         }
+        // Without an event, a close does not distinguish the end of the stream from a crash.
+        let is_empty = connection.framing() == Framing::Close && !self.call.response_started;
+        let Ok(rest) = self.call.events.finish() else {
+            return self.fail(&connection, &ClientError::Truncated);
+        };
+        if is_empty {
+            return self.fail(&connection, &ClientError::Truncated);
+        }
         self.log_answered(status, connection.framing());
-        let rest = self.call.events.take_remainder();
         if !self.start_stream(&head).await {
             return AttemptEnd::Disconnected;
         }
@@ -425,6 +432,7 @@
         let delivered = Tokens(u32::from(self.call.response_started));
         let cause = match e {
             ClientError::Malformed => "unreadable",
+            ClientError::Truncated => "truncated",
             _ => "broken",
         };
         self.record_end(AttemptOutcome::Failed { delivered }, cause)
--- a/crates/cumintrail-daemon/src/relay/events.rs
+++ b/crates/cumintrail-daemon/src/relay/events.rs
@@ -10,6 +10,10 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct MalformedStream;
 
+/// Reports a stream that ended inside an event.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct TruncatedStream;
+
 /// Buffers the bytes of a stream until they form complete events.
 #[derive(Debug, Default)]
 pub struct EventSplitter {
@@ -50,9 +54,13 @@
         self.pending.clear();
     }
 
-    /// Returns the bytes after the last complete event, once the response has ended regularly.
-    pub fn take_remainder(&mut self) -> Bytes {
-        self.pending.split().freeze()
+    /// Ends the stream; returns the line ends that follow the last event.
+    ///
+    /// A stream that ends inside an event is truncated, whichever framing its response has: a target
+    /// that breaks off may end its response regularly.
+    pub fn finish(&mut self) -> Result<Bytes, TruncatedStream> {
+        let is_inside_event = !self.pending.iter().all(|b| matches!(b, b'\r' | b'\n'));
+        if is_inside_event { Err(TruncatedStream) } else { Ok(self.pending.split().freeze()) }
     }
 
     /// Appends bytes and returns the events that they complete, `None` if there are none.
--- a/crates/cumintrail-daemon/src/relay/lines.rs
+++ b/crates/cumintrail-daemon/src/relay/lines.rs
@@ -64,11 +64,12 @@
 ) {
     log::info!(
         "event=attempt-ended id={} call={} attempt={} target={target} outcome={} cause={cause} \
-         age_ms={}",
+         remainder_bytes={} age_ms={}",
         caller_call_id(call),
         call.key,
         dispatch.attempt,
         outcome_name(outcome),
+        call.events.remainder_len(),
         age_ms(call, now),
     );
 }
@@ -82,12 +83,10 @@
     framing: Framing,
 ) {
     log::info!(
-        "event=answered id={} call={} attempt={} status={status} framing={framing} \
-         remainder_bytes={} age_ms={}",
+        "event=answered id={} call={} attempt={} status={status} framing={framing} age_ms={}",
         caller_call_id(call),
         call.key,
         dispatch.attempt,
-        call.events.remainder_len(),
         age_ms(call, now),
     );
 }
--- a/crates/cumintrail-daemon/tests/events.rs
+++ b/crates/cumintrail-daemon/tests/events.rs
@@ -50,6 +50,21 @@
     assert_eq!(batch.bytes, event(2).as_bytes());
 }
 
+#[test]
+fn a_stream_that_ends_inside_an_event_is_truncated() {
+    for rest in ["id", "id: 2\n", "id: 2\ndata: token 2", "id: 2\ndata: token 2\n", ":"] {
+        let mut events = EventSplitter::default();
+        events.push((event(1) + rest).as_bytes()).unwrap();
+        assert!(events.finish().is_err(), "{rest:?}");
+    }
+    for rest in ["", "\n", "\r\n"] {
+        let mut events = EventSplitter::default();
+        let batch = events.push((event(1) + rest).as_bytes()).unwrap().unwrap();
+        let passed_on = batch.bytes.len() + events.finish().unwrap().len();
+        assert_eq!(passed_on, event(1).len() + rest.len());
+    }
+}
+
 #[test]
 fn an_event_that_was_passed_on_before_is_refused() {
     let mut events = EventSplitter::resume_after(Some(4));
@@ -71,7 +86,7 @@
                 Err(_) => return Ok(()),
             }
         }
-        prop_assert_eq!(emitted + events.take_remainder().len(), received);
+        prop_assert_eq!(emitted + events.remainder_len(), received);
         Ok(())
     });
     result.unwrap();
