Lift the request limit of the gateway tests' account

a_target_that_asks_for_quiet_gets_nothing_until_its_end calls without a pause for 0.7 s and expects 200 each time. The account now declares a limit that the test cannot reach; every assertion is as before.

--- a/tests/src/gateway_cluster.rs
+++ b/tests/src/gateway_cluster.rs
@@ -44,7 +44,7 @@
     ];
     format!(
         "[deployment]\nfirst_preset = day\ncaller_head_bytes = 2000\ncaller_body_bytes = {BODY_LIMIT}\n[preset day]\n\
-         [account coop]\nkey_digests = {digest}\n[service desk]\n{}",
+         [account coop]\nkey_digests = {digest}\nrequests_per_second = 1000000\n[service desk]\n{}",
         routes.concat()
     )
 }
