Never join the response of a later attempt to one that has begun

What callers saw: inside a stream that was resumed at another target, the head and body of that target's failure response ("HTTP/1.1 500 ..."); a large repeatable response that broke off could be followed by a second one in the same way.

Cause: the control thread repeated an attempt by the class of its call alone, and the relay wrote any response that was no successful stream as a new one, whatever had been forwarded before.

Change: a failed attempt reports whether a further one can continue what the caller has: only a resumable stream whose last event has an id can, once a response has begun. A response of another status fails a resumed attempt. StreamChecker::output_tokens, which only filled the replaced field, is gone.

Evidence: the test the_response_of_a_later_attempt_never_begins_inside_an_earlier_one failed before, at the first of its cases; now gateway passes (16).

--- a/crates/cumintrail-control/src/event.rs
+++ b/crates/cumintrail-control/src/event.rs
@@ -406,8 +406,9 @@
     },
     /// The attempt failed after bytes were sent.
     Failed {
-        /// Output tokens already passed on to the caller.
-        delivered: Tokens,
+        /// Whether a further attempt can continue what the caller has received so far; true if
+        /// that is nothing.
+        can_continue: bool,
     },
     /// The traffic thread responded to the call itself, so no further attempt is needed.
     RespondedLocally,
--- a/crates/cumintrail-control/src/retry.rs
+++ b/crates/cumintrail-control/src/retry.rs
@@ -103,7 +103,9 @@
     let in_time = call.arrival.deadline.since(due) > Duration::ZERO;
     let repeatable = match outcome {
         AttemptOutcome::NotSent | AttemptOutcome::RefusedByTarget { .. } => true,
-        AttemptOutcome::Failed { .. } => call.arrival.class.is_repeatable(),
+        AttemptOutcome::Failed { can_continue } => {
+            can_continue && call.arrival.class.is_repeatable()
+        }
         AttemptOutcome::Completed(_) | AttemptOutcome::RespondedLocally => false,
     };
     repeatable && in_time && has_attempt_left(call)
--- a/crates/cumintrail-control/src/stream.rs
+++ b/crates/cumintrail-control/src/stream.rs
@@ -1,7 +1,5 @@
 //! Checks that a streamed response is complete and belongs to the call.
 
-use cumintrail_types::Tokens;
-
 /// Describes what to do with a received event.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum EventCheck {
@@ -64,11 +62,6 @@
         self.last_id
     }
 
-    /// Returns the number of output tokens passed on, including those of earlier attempts.
-    pub const fn output_tokens(&self) -> Tokens {
-        Tokens(self.last_id)
-    }
-
     /// Returns whether the end event was accepted.
     pub const fn is_complete(&self) -> bool {
         self.ended
--- a/crates/cumintrail-control/tests/calls.rs
+++ b/crates/cumintrail-control/tests/calls.rs
@@ -101,7 +101,7 @@
             Op::StaleEnd(index) => match self.dispatched(index) {
                 Some((call, traffic)) if traffic.attempts > 1 => {
                     let attempt = AttemptNumber(traffic.attempts as u8 - 1);
-                    let outcome = AttemptOutcome::Failed { delivered: Tokens(0) };
+                    let outcome = AttemptOutcome::Failed { can_continue: true };
                     self.handle(Event::AttemptEnded { call, attempt, outcome })
                 }
                 _ => Ok(()),
@@ -191,7 +191,7 @@
             0 => AttemptOutcome::Completed(Usage::default()),
             1 => AttemptOutcome::RefusedByTarget { leaving: false },
             2 => AttemptOutcome::RespondedLocally,
-            _ => AttemptOutcome::Failed { delivered: Tokens(0) },
+            _ => AttemptOutcome::Failed { can_continue: true },
         };
         let ended =
             matches!(outcome, AttemptOutcome::Completed(_) | AttemptOutcome::RespondedLocally);
--- a/crates/cumintrail-daemon/src/callers/engine_attempt.rs
+++ b/crates/cumintrail-daemon/src/callers/engine_attempt.rs
@@ -183,7 +183,7 @@
                 resumes = ResumeCounts::default();
             }
             if resumes.are_exhausted() {
-                return self.failed();
+                return Self::failed();
             }
             metrics::counter!(metric::STREAM_RESUMES).increment(1);
             stream = match worker
@@ -197,7 +197,7 @@
                     Some(stream)
                 }
                 // An engine that does not have the response cannot deliver it later either.
-                Err(ClientError::Refused { .. }) => return self.failed(),
+                Err(ClientError::Refused { .. }) => return Self::failed(),
                 Err(_) => {
                     resumes.unanswered += 1;
                     None
@@ -206,8 +206,8 @@
         }
     }
 
-    const fn failed(&self) -> AttemptEnd {
-        AttemptEnd::Outcome(AttemptOutcome::Failed { delivered: self.checker.output_tokens() })
+    const fn failed() -> AttemptEnd {
+        AttemptEnd::Outcome(AttemptOutcome::Failed { can_continue: true })
     }
 
     /// Imports the planned blocks and returns the import names of those that match their seals.
--- a/crates/cumintrail-daemon/src/callers/service_task.rs
+++ b/crates/cumintrail-daemon/src/callers/service_task.rs
@@ -142,7 +142,7 @@
         };
         let outcome = match &sent {
             Ok(_) => AttemptOutcome::Completed(Usage::default()),
-            Err(e) if e.may_have_arrived() => AttemptOutcome::Failed { delivered: Tokens(0) },
+            Err(e) if e.may_have_arrived() => AttemptOutcome::Failed { can_continue: true },
             Err(_) => AttemptOutcome::NotSent,
         };
         self.sent |= outcome != AttemptOutcome::NotSent;
--- a/crates/cumintrail-daemon/src/relay/attempt.rs
+++ b/crates/cumintrail-daemon/src/relay/attempt.rs
@@ -7,7 +7,7 @@
 use cumintrail_client::{ClientError, Connection, Framing, RetrySafety, is_end_to_end};
 use cumintrail_control::parts::PartPlan;
 use cumintrail_control::{AttemptOutcome, Dispatch, Event, TargetNotice, Usage};
-use cumintrail_types::{CallClass, Refusal, RefusalCode, Tokens};
+use cumintrail_types::{CallClass, Refusal, RefusalCode};
 
 use smallvec::SmallVec;
 
@@ -150,6 +150,10 @@
                 {
                     return self.stream_events(connection, head).await;
                 }
+                // A response with another status cannot continue the one that the caller receives.
+                ResponseKind::Matching if self.call.response_started => {
+                    return self.record_end(self.failed(), "failure-answered");
+                }
                 ResponseKind::Matching => return self.buffer_response(connection, head).await,
             }
         }
@@ -290,7 +294,7 @@
         if status.is_server_error() && may_repeat {
             self.call.failed_response = Some(response);
             return self
-                .record_end(AttemptOutcome::Failed { delivered: Tokens(0) }, "failure-answered");
+                .record_end(AttemptOutcome::Failed { can_continue: true }, "failure-answered");
         }
         self.log_answered(status, framing);
         self.disable_keep_alive_if_needed();
@@ -429,13 +433,20 @@
     /// Ends an attempt whose exchange failed after bytes of the call may have been sent.
     fn fail(&mut self, connection: &Connection, e: &ClientError) -> AttemptEnd {
         self.worker.pool.close_idle(connection.address());
-        let delivered = Tokens(u32::from(self.call.response_started));
         let cause = match e {
             ClientError::Malformed => "unreadable",
             ClientError::Truncated => "truncated",
             _ => "broken",
         };
-        self.record_end(AttemptOutcome::Failed { delivered }, cause)
+        self.record_end(self.failed(), cause)
+    }
+
+    /// Returns the outcome of a failed attempt, after which only a stream whose last event has an id
+    /// can be continued.
+    fn failed(&self) -> AttemptOutcome {
+        let can_resume =
+            self.call.class == CallClass::ResumableStream && self.call.events.last_id().is_some();
+        AttemptOutcome::Failed { can_continue: !self.call.response_started || can_resume }
     }
 
     fn record_end(&mut self, outcome: AttemptOutcome, cause: &str) -> AttemptEnd {
--- a/tests/src/experiment/run.rs
+++ b/tests/src/experiment/run.rs
@@ -386,7 +386,7 @@
         for index in (0..self.trace.engines).filter(|e| trace::in_domain(*e, domain)) {
             let failed_jobs = self.world.borrow_mut().engines[index].restart();
             for (call, attempt) in failed_jobs.into_iter().filter_map(|job| job.call) {
-                let outcome = AttemptOutcome::Failed { delivered: Tokens(0) };
+                let outcome = AttemptOutcome::Failed { can_continue: true };
                 let attempt = AttemptNumber(attempt);
                 self.schedule(
                     now,
--- a/tests/tests/admission.rs
+++ b/tests/tests/admission.rs
@@ -331,7 +331,7 @@
     assert!((2..19).contains(&sent.len()), "either all calls or too few were dispatched");
     let (call, attempt) = (sent[0].call, sent[0].attempt);
     control.handle(Moment::from_millis(100), Event::FirstToken { call });
-    let outcome = AttemptOutcome::Failed { delivered: Tokens(1) };
+    let outcome = AttemptOutcome::Failed { can_continue: true };
     control.handle(Moment::from_millis(110), Event::AttemptEnded { call, attempt, outcome });
 
     let resumed = (120..2_000).step_by(20).any(|ms| {
--- a/tests/tests/gateway.rs
+++ b/tests/tests/gateway.rs
@@ -184,6 +184,32 @@
     }
 }
 
+#[actix_rt::test]
+async fn the_response_of_a_later_attempt_never_begins_inside_an_earlier_one() {
+    let failed = "HTTP/1.1 500 Failed\r\nx-cumintrail-call: {id}\r\ncontent-length: 5\r\n\r\nstale";
+    let unnumbered = "data: 1\n\n";
+    let unnumbered = format!("{:x}\r\n{unnumbered}\r\n", unnumbered.len());
+    let large = "HTTP/1.1 200 OK\r\nx-cumintrail-call: {id}\r\ncontent-length: 600000\r\n\r\n";
+    let large = large.to_owned() + &"w".repeat(300_000);
+    let again = || vec![send(STREAM), events(1..=2), send("0\r\n\r\n")];
+    let cases = [
+        ("/resume/", vec![send(STREAM), events(1..=2), Step::Reset], vec![send(failed)]),
+        ("/resume/", vec![send(STREAM), send(&unnumbered), Step::Reset], again()),
+        ("/read/", vec![send(&large), Step::Reset], vec![send(WHOLE)]),
+    ];
+    for (path, first, second) in cases {
+        let target = Replica::bind(move |n| if n == 0 { first.clone() } else { second.clone() });
+        let target = target.await.unwrap();
+        let cluster = Cluster::spawn(&[&target]).await;
+        let response = cluster.call(path).await;
+        assert!(response.starts_with("HTTP/1.1 200"), "{path}: {response}");
+        let end = &response[response.len().saturating_sub(200)..];
+        assert_eq!(response.matches("HTTP/1.1").count(), 1, "{path}: {end}");
+        assert!(response.matches("data: 1\n").count() <= 1, "{path}: {end}");
+        assert!(!response.ends_with("0\r\n\r\n"), "{path}: {end}");
+    }
+}
+
 #[actix_rt::test]
 async fn targets_that_leave_or_vanish_get_nothing_new() {
     let leaving = Replica::bind(|_| vec![send(WHOLE)]).await.unwrap();
