Reset truncated responses whose end only a close would mark

What callers saw: a caller with HTTP/1.0, which gets no chunks, received a truncated stream or large response and then a normal close, which is how a complete one ends.

Cause: a cut response was ended by closing the caller's connection normally, which shows a truncation only where the last chunk is missing.

Change: a caller's connection is reset if such a response has begun and was not finished, on every path that drops the connection.

Evidence: a_truncated_response_to_an_http_1_0_caller_is_reset failed before ("ended as complete after 148 bytes"); gateway now passes (17).

--- a/crates/cumintrail-daemon/src/relay/caller.rs
+++ b/crates/cumintrail-daemon/src/relay/caller.rs
@@ -6,12 +6,13 @@
 use actix_http::body::BodySize;
 use actix_http::error::ParseError;
 use actix_http::h1::{Codec, Message, MessageType};
-use actix_http::{ConnectionType, KeepAlive, Request, Response, ServiceConfig};
+use actix_http::{ConnectionType, KeepAlive, Request, Response, ServiceConfig, Version};
 use actix_rt::net::TcpStream;
 use actix_rt::time::timeout;
 use bytes::{Bytes, BytesMut};
 use cumintrail_config::CallerLimits;
 use cumintrail_types::{Refusal, RefusalCode};
+use socket2::SockRef;
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio_util::codec::{Decoder, Encoder};
 
@@ -56,6 +57,20 @@
     /// Whether the body of the current request has not been read to its end.
     body_unread: bool,
     keep_alive: bool,
+    /// Whether the caller understands chunks, which show that a streamed response is truncated.
+    accepts_chunks: bool,
+    /// Whether a response has begun whose end only the end of the connection will mark.
+    ends_by_close: bool,
+}
+
+impl Drop for CallerConnection {
+    /// Resets the connection if a normal close would end a truncated response as a complete one.
+    fn drop(&mut self) {
+        if self.ends_by_close {
+            // The socket may be closed already, and is closed normally if this fails.
+            let _ = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO));
+        }
+    }
 }
 
 impl CallerConnection {
@@ -71,6 +86,8 @@
             stall_limit,
             body_unread: false,
             keep_alive: true,
+            accepts_chunks: true,
+            ends_by_close: false,
         })
     }
 
@@ -105,6 +122,7 @@
                 Ok(Some(Message::Item(req))) if before - self.input.len() <= limit => {
                     self.body_unread = self.codec.message_type() != MessageType::None;
                     self.keep_alive = req.head().connection_type() == ConnectionType::KeepAlive;
+                    self.accepts_chunks = req.version() >= Version::HTTP_11;
                     if req.head().expect() {
                         self.write_all(CONTINUE).await.map_err(|_| CALLER_DISCONNECTED)?;
                     }
@@ -184,6 +202,10 @@
 
     /// Queues the head of a streamed response, which is sent with the first chunk.
     pub fn queue_response_head(&mut self, mut head: Response<()>) -> io::Result<()> {
+        if !self.accepts_chunks {
+            self.disable_keep_alive();
+            self.ends_by_close = true;
+        }
         if !self.is_reusable() {
             head.head_mut().set_connection_type(ConnectionType::Close);
         }
@@ -192,13 +214,19 @@
 
     /// Writes a chunk of a streamed response; `None` ends the response.
     pub async fn write_chunk(&mut self, chunk: Option<Bytes>) -> io::Result<()> {
+        let is_end = chunk.is_none();
         self.codec.encode(Message::Chunk(chunk), &mut self.output)?;
-        self.flush().await
+        self.flush().await?;
+        self.ends_by_close &= !is_end;
+        Ok(())
     }
 
     /// Shuts down the sending side, then discards input until the caller closes the connection or
-    /// the linger timeout ends.
+    /// the linger timeout ends; a truncated response that ends by the close gets a reset instead.
     pub async fn linger(&mut self) {
+        if self.ends_by_close {
+            return;
+        }
         let read_on = async {
             if self.stream.shutdown().await.is_err() {
                 return;
--- a/tests/tests/gateway.rs
+++ b/tests/tests/gateway.rs
@@ -11,7 +11,7 @@
 use cumintrail_tests::standins::feed::FeedPlatform;
 use cumintrail_tests::standins::replica::{Replica, Step, header};
 use cumintrail_types::{Clock, since_boot};
-use tokio::io::AsyncWriteExt as _;
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 
 #[actix_rt::test]
 async fn a_call_reaches_its_target_unchanged_but_for_what_the_system_names() {
@@ -184,6 +184,28 @@
     }
 }
 
+#[actix_rt::test]
+async fn a_truncated_response_to_an_http_1_0_caller_is_reset() {
+    let broken = vec![send(STREAM), events(1..=2), Step::Reset];
+    let large = "HTTP/1.1 200 OK\r\nx-cumintrail-call: {id}\r\ncontent-length: 600000\r\n\r\n";
+    let large = large.to_owned() + &"w".repeat(300_000);
+    for (path, script) in [("/flow/", broken), ("/hold/", vec![send(&large), Step::Reset])] {
+        let target = Replica::bind(move |_| script.clone()).await.unwrap();
+        let cluster = Cluster::spawn(&[&target]).await;
+        let mut caller = cluster.connect().await.0;
+        let head = format!(
+            "POST {path} HTTP/1.0\r\nhost: shop.example\r\nauthorization: Bearer {KEY}\r\n\
+             x-cumintrail-call: c-1\r\ncontent-length: 0\r\n\r\n"
+        );
+        caller.write_all(head.as_bytes()).await.unwrap();
+        let mut response = Vec::new();
+        let read = actix_rt::time::timeout(LIMIT, caller.read_to_end(&mut response)).await;
+        let read = read.expect("the connection ends");
+        assert!(response.starts_with(b"HTTP/1.0 200"), "{path}");
+        assert!(read.is_err(), "{path}: ended as complete after {} bytes", response.len());
+    }
+}
+
 #[actix_rt::test]
 async fn the_response_of_a_later_attempt_never_begins_inside_an_earlier_one() {
     let failed = "HTTP/1.1 500 Failed\r\nx-cumintrail-call: {id}\r\ncontent-length: 5\r\n\r\nstale";
