Expect no body in responses to HEAD

What callers saw: a HEAD call waited until its deadline, since its response declares the length of a body that never follows, or none.

Cause: the connection decodes responses without regard to the method of the request.

Evidence: a_response_to_head_has_no_body_whatever_it_declares failed before (no end within 2 s); connection now passes (11).

--- a/crates/cumintrail-client/src/connection.rs
+++ b/crates/cumintrail-client/src/connection.rs
@@ -10,7 +10,7 @@
 use actix_http::body::BodySize;
 use actix_http::h1::{ClientCodec, ClientPayloadCodec, Message, MessageType};
 use actix_http::header::{CONTENT_LENGTH, HeaderName, TRANSFER_ENCODING};
-use actix_http::{RequestHead, RequestHeadType, ResponseHead, ServiceConfig, StatusCode};
+use actix_http::{Method, RequestHead, RequestHeadType, ResponseHead, ServiceConfig, StatusCode};
 use bytes::{Buf, Bytes, BytesMut};
 use cumintrail_types::since_boot;
 use derive_more::Display;
@@ -48,6 +48,8 @@
     output: BytesMut,
     encoder: ClientCodec,
     read_state: ReadState,
+    /// Whether the request is a `HEAD`, whose response has no body.
+    is_head_request: bool,
     /// Whether the whole request was queued for writing.
     request_complete: bool,
     write_failed: bool,
@@ -123,6 +125,7 @@
             address,
             encoder: ClientCodec::new(config.clone()),
             read_state: ReadState::Complete,
+            is_head_request: false,
             config,
             input: BytesMut::new(),
             output: BytesMut::new(),
@@ -149,6 +152,7 @@
     /// Starts an exchange; the request is written while [`Connection::read_head`] is awaited.
     pub fn start_exchange(&mut self, head: RequestHead, size: BodySize) -> Result<(), ClientError> {
         self.exchange_count += 1;
+        self.is_head_request = head.method == Method::HEAD;
         self.read_state = ReadState::Head(ClientCodec::new(self.config.clone()));
         self.request_complete = matches!(size, BodySize::None | BodySize::Sized(0));
         self.encoder = ClientCodec::new(self.config.clone());
@@ -197,6 +201,7 @@
         };
         self.keep_alive = keep_alive_timeout(head);
         (self.framing, self.read_state) = match codec.message_type() {
+            _ if self.is_head_request => (Framing::Bodiless, ReadState::Complete),
             MessageType::None if ends_at_close(head) => (Framing::Close, ReadState::UntilClosed),
             MessageType::None => (Framing::Bodiless, ReadState::Complete),
             _ => (framing(head), ReadState::Body(BodyCodec(codec.into_payload_codec()))),
--- a/crates/cumintrail-client/tests/connection.rs
+++ b/crates/cumintrail-client/tests/connection.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use actix_http::body::BodySize;
-use actix_http::{RequestHead, ServiceConfig};
+use actix_http::{Method, RequestHead, ServiceConfig};
 use bytes::Bytes;
 use cumintrail_client::{ClientError, Connection, ConnectionPool, RetrySafety};
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
@@ -109,6 +109,21 @@
     assert!(exchange(&mut reset).await.is_err());
 }
 
+#[actix_rt::test]
+async fn a_response_to_head_has_no_body_whatever_it_declares() {
+    for response in ["HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\n", "HTTP/1.1 200 OK\r\n\r\n"] {
+        let mut connection = open(&[response, COMPLETE_RESPONSE], false).await;
+        let mut head = RequestHead::default();
+        head.method = Method::HEAD;
+        connection.start_exchange(head, BodySize::None).unwrap();
+        connection.read_head().await.unwrap();
+        let body = actix_rt::time::timeout(TIMEOUT, read_body(&mut connection)).await;
+        assert_eq!(body.expect("no wait for a body").unwrap(), b"", "{response}");
+        assert!(connection.reusable_for().is_some());
+        assert_eq!(exchange(&mut connection).await.unwrap(), b"ok");
+    }
+}
+
 #[actix_rt::test]
 async fn bytes_that_are_no_response_are_invalid() {
     let mut connection = open(&["whey and curds\r\n\r\n"], false).await;
