Read responses that end with their connection on the service path too

What callers saw: a call to a plain service whose response has neither a length nor chunks was answered with an empty body as if complete; with HTTP/1.0 a relayed call failed.

--- a/crates/cumintrail-client/src/connection.rs
+++ b/crates/cumintrail-client/src/connection.rs
@@ -202,9 +202,12 @@
         self.keep_alive = keep_alive_timeout(head);
         (self.framing, self.read_state) = match codec.message_type() {
             _ if self.is_head_request => (Framing::Bodiless, ReadState::Complete),
-            MessageType::None if ends_at_close(head) => (Framing::Close, ReadState::UntilClosed),
+            // The library knows such responses of HTTP/1.0 only.
+            _ if ends_at_close(head) => (Framing::Close, ReadState::UntilClosed),
             MessageType::None => (Framing::Bodiless, ReadState::Complete),
-            _ => (framing(head), ReadState::Body(BodyCodec(codec.into_payload_codec()))),
+            MessageType::Payload | MessageType::Stream => {
+                (framing(head), ReadState::Body(BodyCodec(codec.into_payload_codec())))
+            }
         };
     }
 
@@ -323,15 +326,10 @@
     socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))
 }
 
-/// Returns the framing that the headers of a response with a body declare.
+/// Returns the framing of a response whose headers declare a body.
 fn framing(head: &ResponseHead) -> Framing {
-    if head.headers().contains_key(TRANSFER_ENCODING) {
-        Framing::Chunked
-    } else if head.headers().contains_key(CONTENT_LENGTH) {
-        Framing::Length
-    } else {
-        Framing::Close
-    }
+    let is_chunked = head.headers().contains_key(TRANSFER_ENCODING);
+    if is_chunked { Framing::Chunked } else { Framing::Length }
 }
 
 /// Returns whether only the closing of the connection marks the end of the body.
--- a/crates/cumintrail-client/tests/truncated.rs
+++ b/crates/cumintrail-client/tests/truncated.rs
@@ -55,3 +55,10 @@
         call(b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nheld\r\n").await;
     assert_eq!(unterminated, Err(true));
 }
+
+#[actix_rt::test]
+async fn a_body_that_ends_with_its_connection_is_read_whole() {
+    assert_eq!(call(b"HTTP/1.1 200 OK\r\n\r\nheld").await, Ok(b"held".to_vec()));
+    assert_eq!(call(b"HTTP/1.0 200 OK\r\n\r\nheld").await, Ok(b"held".to_vec()));
+    assert_eq!(call(b"HTTP/1.1 204 No Content\r\n\r\n").await, Ok(Vec::new()));
+}
