Read software versions of targets, and log them with resumed streams

The registry's entry and the target now have the version, and sent shows it with the last event of the stream and the call that the caller resumes. No decision changes.

--- a/crates/cumintrail-config/src/declarations.rs
+++ b/crates/cumintrail-config/src/declarations.rs
@@ -160,6 +160,8 @@
     pub leaving: bool,
     /// The weight version that a registry lists for it.
     pub version: Option<WeightVersion>,
+    /// The version of its software that a registry lists for it.
+    pub software: Option<Arc<str>>,
     /// Whether the target was removed from the declarations; its key stays valid.
     pub retired: bool,
 }
--- a/crates/cumintrail-config/src/snapshot/read.rs
+++ b/crates/cumintrail-config/src/snapshot/read.rs
@@ -112,6 +112,7 @@
         checks_fencing: r.choice("checks_fencing", &[("no", false), ("yes", true)]),
         leaving: false,
         version: None,
+        software: None,
         retired: false,
     }
 }
--- a/crates/cumintrail-control/src/registry.rs
+++ b/crates/cumintrail-control/src/registry.rs
@@ -34,6 +34,8 @@
     pub leaving: bool,
     /// Its weight version, if it is an engine.
     pub version: Option<WeightVersion>,
+    /// The version of its software, if the registry states it.
+    pub software: Option<Arc<str>>,
     /// Counter that the process increases with each write of the entry.
     pub heartbeat: u64,
 }
--- a/crates/cumintrail-control/tests/feed.rs
+++ b/crates/cumintrail-control/tests/feed.rs
@@ -38,6 +38,7 @@
         slots: 8,
         leaving: state == "leaving",
         version: None,
+        software: None,
         heartbeat: heartbeat.parse().unwrap(),
     })
 }
--- a/crates/cumintrail-control/tests/near.rs
+++ b/crates/cumintrail-control/tests/near.rs
@@ -41,6 +41,7 @@
         checks_fencing: false,
         leaving: false,
         version: Some(WeightVersion(1)),
+        software: None,
         retired: false,
     }
 }
--- a/crates/cumintrail-control/tests/registry.rs
+++ b/crates/cumintrail-control/tests/registry.rs
@@ -17,6 +17,7 @@
         slots: 8,
         leaving,
         version: Some(WeightVersion(1)),
+        software: None,
         heartbeat,
     }
 }
--- a/crates/cumintrail-control/tests/replaced.rs
+++ b/crates/cumintrail-control/tests/replaced.rs
@@ -33,6 +33,7 @@
         checks_fencing: false,
         leaving: false,
         version: Some(WeightVersion(version)),
+        software: None,
         retired: false,
     }
 }
--- a/crates/cumintrail-daemon/src/gateway/publish.rs
+++ b/crates/cumintrail-daemon/src/gateway/publish.rs
@@ -301,6 +301,7 @@
                 checks_fencing: false,
                 leaving,
                 version,
+                software: entry.software.clone(),
                 retired: false,
             });
         }
--- a/crates/cumintrail-daemon/src/relay/attempt.rs
+++ b/crates/cumintrail-daemon/src/relay/attempt.rs
@@ -5,6 +5,7 @@
 use actix_http::{RequestHead, Response, ResponseHead, StatusCode};
 use bytes::{Bytes, BytesMut};
 use cumintrail_client::{ClientError, Connection, Framing, RetrySafety, is_end_to_end};
+use cumintrail_config::Target;
 use cumintrail_control::parts::PartPlan;
 use cumintrail_control::{AttemptOutcome, Dispatch, Event, TargetNotice, Usage};
 use cumintrail_types::{CallClass, Refusal, RefusalCode};
@@ -55,7 +56,7 @@
     let Some(target) = snapshot.targets.get(dispatch.target) else {
         return AttemptEnd::Unsuccessful(AttemptOutcome::NotSent);
     };
-    let mut attempt = Attempt { worker, caller, call, dispatch, instance: &target.instance };
+    let mut attempt = Attempt { worker, caller, call, dispatch, target };
     let end = attempt.connect(target.address).await;
     match end {
         Ok(connection) => attempt.exchange(connection).await,
@@ -68,7 +69,7 @@
     caller: &'a mut CallerConnection,
     call: &'a mut RelayedCall,
     dispatch: &'a Dispatch,
-    instance: &'a str,
+    target: &'a Target,
 }
 
 /// Describes what happened first during a wait for the target.
@@ -106,7 +107,7 @@
             return self.record_end(AttemptOutcome::NotSent, "body-gone");
         }
         let reused = connection.has_been_used();
-        lines::sent(self.call, now, self.dispatch, self.instance, reused);
+        lines::sent(self.call, now, self.dispatch, self.target, reused);
         let (head, size) = self.build_request_head(now);
         let (has_body, body) = (size != BodySize::None, self.call.body.clone());
         let mut queued = connection.start_exchange(head, size);
@@ -126,8 +127,11 @@
                 WaitResult::Target(Err(e)) => return self.fail(&connection, &e),
                 WaitResult::Ended(end) => return end,
             };
-            let kind =
-                self.worker.dialect.classify_response(&head, &self.call.metadata, self.instance);
+            let kind = self.worker.dialect.classify_response(
+                &head,
+                &self.call.metadata,
+                &self.target.instance,
+            );
             self.report_notice(&head, kind).await;
             match kind {
                 ResponseKind::Foreign if foreign_responses < MAX_FOREIGN_RESPONSES => {
@@ -166,7 +170,7 @@
         if notice == TargetNotice::default() || is_other {
             return;
         }
-        lines::target_notice(self.call, self.instance, notice);
+        lines::target_notice(self.call, &self.target.instance, notice);
         let target = self.dispatch.target;
         self.worker.shared.control.send(Event::TargetNoticed { target, notice }).await;
     }
@@ -195,7 +199,7 @@
             plans.parts.iter().map(|plan| plan.save.and_then(address)).collect();
         let forward = ForwardMetadata {
             account: self.call.account_name.as_deref(),
-            instance: self.instance,
+            instance: &self.target.instance,
             remaining: self.call.deadline.since(now),
             cache_salt: salt,
             urgency: self.call.urgency,
@@ -452,7 +456,7 @@
     fn record_end(&mut self, outcome: AttemptOutcome, cause: &str) -> AttemptEnd {
         self.call.may_have_run |= matches!(outcome, AttemptOutcome::Failed { .. });
         let now = self.worker.shared.now();
-        lines::attempt_ended(self.call, now, self.dispatch, self.instance, outcome, cause);
+        lines::attempt_ended(self.call, now, self.dispatch, &self.target.instance, outcome, cause);
         AttemptEnd::Unsuccessful(outcome)
     }
 }
--- a/crates/cumintrail-daemon/src/relay/dialect.rs
+++ b/crates/cumintrail-daemon/src/relay/dialect.rs
@@ -25,6 +25,8 @@
     pub max_output: Tokens,
     /// The id of the last event that the caller received in an earlier response.
     pub last_event_id: Option<u64>,
+    /// The caller's id of the call whose response brought the first event of the stream.
+    pub resumes: Option<HeaderValue>,
 }
 
 /// Describes one part of a prompt.
@@ -112,6 +114,7 @@
 const INSTANCE: HeaderName = HeaderName::from_static("x-cumintrail-instance");
 const NOT_RUN: HeaderName = HeaderName::from_static("x-cumintrail-not-run");
 const LAST_EVENT_ID: HeaderName = HeaderName::from_static("last-event-id");
+const RESUMES: HeaderName = HeaderName::from_static("x-cumintrail-resumes");
 const LEAVING: HeaderName = HeaderName::from_static("x-cumintrail-leaving");
 
 impl HeaderDialect for NativeDialect {
@@ -119,7 +122,8 @@
         let id = head.headers().get(CALL_ID).cloned();
         let timeout = integer_header(head.headers(), &DEADLINE)?.map(Duration::from_millis);
         let last_event_id = integer_header(head.headers(), &LAST_EVENT_ID)?;
-        Ok(RequestMetadata { id, timeout, last_event_id, ..RequestMetadata::default() })
+        let resumes = head.headers().get(RESUMES).cloned();
+        Ok(RequestMetadata { id, timeout, last_event_id, resumes, ..RequestMetadata::default() })
     }
 
     fn write_headers(&self, headers: &mut HeaderMap, forward: &ForwardMetadata<'_>) {
--- a/crates/cumintrail-daemon/src/relay/lines.rs
+++ b/crates/cumintrail-daemon/src/relay/lines.rs
@@ -1,15 +1,21 @@
 //! The log lines of relayed calls: one per decision, with the values that it was based on.
 
+use actix_http::header::HeaderValue;
 use cumintrail_client::Framing;
+use cumintrail_config::Target;
 use cumintrail_control::{AttemptOutcome, Dispatch, TargetNotice};
 use cumintrail_types::{Moment, RefusalCode};
 
 use super::call::RelayedCall;
 
-/// Returns the call id that the caller sent, or `-` if it sent none or one with other bytes than
-/// visible ASCII.
+/// Returns the call id that the caller sent.
 fn caller_call_id(call: &RelayedCall) -> &str {
-    call.metadata.id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or("-")
+    visible(call.metadata.id.as_ref())
+}
+
+/// Returns a header's value, or `-` if it is absent or has other bytes than visible ASCII.
+fn visible(value: Option<&HeaderValue>) -> &str {
+    value.and_then(|value| value.to_str().ok()).unwrap_or("-")
 }
 
 /// Returns the milliseconds since the head of the call was read.
@@ -18,9 +24,9 @@
 }
 
 /// Logs that a call is sent to a target.
-pub fn sent(call: &RelayedCall, now: Moment, dispatch: &Dispatch, target: &str, reused: bool) {
+pub fn sent(call: &RelayedCall, now: Moment, dispatch: &Dispatch, target: &Target, reused: bool) {
     log::info!(
-        "event=sent id={} call={} route={} account={} class={} urgency={} attempt={} target={} prompt={} max_answer={} expected_ms={} \
+        "event=sent id={} call={} route={} account={} class={} urgency={} attempt={} target={} software={} after_event={} resumes={} prompt={} max_answer={} expected_ms={} \
          version={} generation={} revision={} reused={} age_ms={} left_ms={}",
         caller_call_id(call),
         call.key,
@@ -29,7 +35,10 @@
         call.class,
         call.urgency,
         dispatch.attempt,
-        target,
+        target.instance,
+        target.software.as_deref().unwrap_or("-"),
+        call.events.last_id().unwrap_or(0),
+        visible(call.metadata.resumes.as_ref()),
         call.metadata.prompt,
         call.metadata.max_output,
         dispatch.first_token.as_millis(),
--- a/tests/src/standins/feed.rs
+++ b/tests/src/standins/feed.rs
@@ -123,6 +123,12 @@
         self.write(FeedTable::Registry, id, Some(value.into()));
     }
 
+    /// Writes the registry entry of a target with a version of its software.
+    pub fn list_software(&self, id: &str, serves: &str, at: SocketAddr, software: &str) {
+        let value = format!("1 1 {serves} {at} false - {software}");
+        self.write(FeedTable::Registry, id, Some(value.into()));
+    }
+
     /// Announces the weight version that a model's engines are to load.
     pub fn announce_version(&self, model: &str, version: u64) {
         let key = format!("{VERSION_PREFIX}{model}");
@@ -241,25 +247,24 @@
         let text = String::from_utf8_lossy(value);
         let fields: Vec<&str> = text.split(' ').collect();
         let read = || {
-            let (process_start, heartbeat, serves, at, leaving, version) = match fields[..] {
-                [process_start, heartbeat, serves, at, leaving] => {
-                    (process_start, heartbeat, serves, at, leaving, None)
-                }
-                [process_start, heartbeat, serves, at, leaving, version] => {
-                    let version = WeightVersion(version.parse().ok()?);
-                    (process_start, heartbeat, serves, at, leaving, Some(version))
-                }
+            let ([process_start, heartbeat, serves, at, leaving], rest) =
+                fields.split_first_chunk::<5>()?;
+            let (version, software) = match rest {
+                [] => (None, None),
+                [version] => (Some(WeightVersion(version.parse().ok()?)), None),
+                [_, software] => (None, Some(Arc::from(*software))),
                 _ => return None,
             };
             Some(RegistryEntry {
                 id: key.into(),
                 process_start: process_start.parse().ok()?,
-                serves: serves.into(),
+                serves: (*serves).into(),
                 address: at.parse().ok()?,
                 domain: "a".into(),
                 slots: 8,
                 leaving: leaving.parse().ok()?,
                 version,
+                software,
                 heartbeat: heartbeat.parse().ok()?,
             })
         };
