--- a/tests/src/standins/replica.rs
+++ b/tests/src/standins/replica.rs
@@ -31,6 +31,19 @@
 impl Replica {
     /// Listens on a free loopback port; `script` receives the call's sequence number, from zero.
     pub async fn bind(script: impl Fn(usize) -> Vec<Step> + 'static) -> std::io::Result<Self> {
+        Self::bind_script(move |number, _| script(number)).await
+    }
+
+    /// Listens on a free loopback port; `script` receives the head of the call.
+    pub async fn bind_by_head(
+        script: impl Fn(&str) -> Vec<Step> + 'static,
+    ) -> std::io::Result<Self> {
+        Self::bind_script(move |_, head| script(head)).await
+    }
+
+    async fn bind_script(
+        script: impl Fn(usize, &str) -> Vec<Step> + 'static,
+    ) -> std::io::Result<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let address = listener.local_addr()?;
         let replica = Self { address, heads: Arc::default(), ended: Arc::default() };
@@ -66,17 +79,17 @@
     async fn serve(
         &self,
         mut stream: TcpStream,
-        script: &impl Fn(usize) -> Vec<Step>,
+        script: &impl Fn(usize, &str) -> Vec<Step>,
     ) -> std::io::Result<()> {
         loop {
             let call = read_call(&mut stream).await?;
             let id = header(&call, "x-cumintrail-call").unwrap_or_default().to_owned();
             let number = {
                 let mut heads = self.heads.lock().unwrap_or_else(PoisonError::into_inner);
-                heads.push(call);
+                heads.push(call.clone());
                 heads.len() - 1
             };
-            for step in script(number) {
+            for step in script(number, &call) {
                 match step {
                     Step::Send(text) => {
                         stream.write_all(text.replace("{id}", &id).as_bytes()).await?;
