Bind streams to the software version of the target that began them

Cause: placement knew nothing of software versions. Within one response the next attempt went to any target of the kind; a caller that resumed a stream at another daemon was placed like a new call.

Change: a resumable stream is bound to the software version of the target that sent its first event. Daemons report the versions at which streams began in their digests, while several versions are or just were in use, and drop the reports of streams that are complete. A daemon that does not know the origin refuses the call as not run (unknown-stream), unless a single version can have begun the stream.

--- a/crates/cumintrail-control/src/calls.rs
+++ b/crates/cumintrail-control/src/calls.rs
@@ -1,5 +1,7 @@
 //! The calls of one daemon and their state machine.
 
+use std::sync::Arc;
+
 use cumintrail_types::{AttemptNumber, Moment, Ran, TargetKey, Tokens, WeightVersion};
 
 use smallvec::SmallVec;
@@ -31,6 +33,8 @@
     pub dispatched: Moment,
     /// The weight version that produces the response; `None` until a token was passed on.
     pub pinned_version: Option<WeightVersion>,
+    /// The software version that produces the response; `None` while any will do.
+    pub pinned_software: Option<Arc<str>>,
     /// When the first output token arrived, in whichever attempt.
     pub first_token: Option<Moment>,
     /// Prompt tokens that the target of the current attempt is still expected to compute.
@@ -53,6 +57,7 @@
             arrived,
             dispatched: arrived,
             pinned_version: None,
+            pinned_software: None,
             first_token: None,
             expected_prefill: Tokens(0),
             attempts: 0,
@@ -65,6 +70,11 @@
         }
     }
 
+    /// Creates a queued call that may run only at a software version, if one is given.
+    pub fn pinned(arrival: Arrival, arrived: Moment, pinned_software: Option<Arc<str>>) -> Self {
+        Self { pinned_software, ..Self::new(arrival, arrived) }
+    }
+
     /// Returns the phase, which dumps show in lower case.
     pub const fn phase(&self) -> Phase {
         self.phase
--- a/crates/cumintrail-control/src/control.rs
+++ b/crates/cumintrail-control/src/control.rs
@@ -42,6 +42,7 @@
 use crate::placement::{CheapestPlacer, Placer};
 use crate::retry::{RetryBudget, RetryPolicy};
 use crate::rollout::Rollout;
+use crate::stream_origins::StreamOrigins;
 use crate::{Actions, Call, Event, TargetLoad};
 
 /// Identifies a daemon and sets its intervals.
@@ -103,6 +104,7 @@
     /// The smoothed time from the first token of a response to its end.
     streaming_time: Duration,
     announced_versions: AnnouncedVersions,
+    stream_origins: StreamOrigins,
     /// The readers in the last `Action::AssignReaders`.
     reader_assignment: ReaderAssignment,
     /// The number of daemons, this one and silent ones included.
@@ -160,6 +162,7 @@
             newly_stored: Vec::new(),
             streaming_time: Duration::ZERO,
             announced_versions: AnnouncedVersions::default(),
+            stream_origins: StreamOrigins::default(),
             reader_assignment: ReaderAssignment::default(),
             daemon_count: 1,
             knows_daemons: false,
--- a/crates/cumintrail-control/src/control/arrivals.rs
+++ b/crates/cumintrail-control/src/control/arrivals.rs
@@ -1,5 +1,6 @@
 //! Handling of calls from their arrival to the dispatch of an attempt.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use cumintrail_config::{Preset, Snapshot, Target, TargetKind};
@@ -40,16 +41,35 @@
 impl<P: Placer> Control<P> {
     pub(super) fn handle_arrival(&mut self, now: Moment, arrival: Arrival, actions: &mut Actions) {
         let (call, kind) = (arrival.call, arrival.kind);
-        match self.admit(now, &arrival) {
-            Ok(weight) => {
+        let required = self.required_software(now, &arrival);
+        match required.and_then(|software| Ok((software, self.admit(now, &arrival)?))) {
+            Ok((pinned_software, weight)) => {
                 self.admission.enqueue(kind, arrival.account, weight, call);
-                self.calls.insert(call, Call::new(arrival, now));
+                self.calls.insert(call, Call::pinned(arrival, now, pinned_software));
                 self.retry_budget(kind).deposit();
             }
             Err(refusal) => actions.push(Action::Refuse { call, refusal }),
         }
     }
 
+    /// Returns the software version that a call must run at; `None` if any will do.
+    ///
+    /// The daemon that began the stream may not have reported it yet, so the caller may try again
+    /// after its next digest.
+    fn required_software(
+        &self,
+        now: Moment,
+        arrival: &Arrival,
+    ) -> Result<Option<Arc<str>>, Refusal> {
+        let Some(snapshot) = &self.snapshot else {
+            return Ok(None);
+        };
+        let request = arrival.options.stream;
+        let required = self.stream_origins.required_version(now, arrival.kind, request, snapshot);
+        let unknown = Refusal::not_run(RefusalCode::UnknownStream);
+        required.map_err(|_| unknown.retry_after(self.identity.digest_interval))
+    }
+
     /// Returns the retry budget of one model or plain service.
     pub(super) fn retry_budget(&mut self, kind: TargetKind) -> &mut RetryBudget {
         let policy = self.own_retry_policy();
@@ -260,7 +280,13 @@
         call: &'a Call,
     ) -> impl Iterator<Item = TargetKey> + 'a {
         let declared = snapshot.targets.iter();
-        let usable = |t: &Target| t.kind == call.arrival.kind && !t.retired && !t.leaving;
+        let software = call.pinned_software.as_ref();
+        let usable = move |t: &Target| {
+            t.kind == call.arrival.kind
+                && !t.retired
+                && !t.leaving
+                && software.is_none_or(|software| t.software.as_ref() == Some(software))
+        };
         let matching = declared.filter(move |(_, t)| usable(t));
         matching.map(|(key, _)| key).filter(move |key| {
             let Some(state) = self.targets.get(*key) else {
--- a/crates/cumintrail-control/src/control/attempts.rs
+++ b/crates/cumintrail-control/src/control/attempts.rs
@@ -8,6 +8,7 @@
 use super::Control;
 use crate::placement::Placer;
 use crate::retry::HealthSignal;
+use crate::stream_origins::{StreamOrigin, StreamRequest};
 use crate::{Action, Actions, AttemptOutcome, Call, Phase, Usage, retry};
 
 /// The time without a first token after which a call's passed deadline counts as a failure of the
@@ -27,6 +28,26 @@
             call.first_token.get_or_insert(now);
             call.start_streaming();
         }
+        self.pin_software(now, key);
+    }
+
+    /// Binds a resumable stream that has begun to the software version of its target, and records
+    /// it for the daemons at which the caller may resume it.
+    fn pin_software(&mut self, now: Moment, key: CallKey) {
+        let rounds = self.origin_rounds();
+        let Some(call) = self.calls.get_mut(&key) else {
+            return;
+        };
+        let (Some(request), Some(target)) = (call.arrival.options.stream, call.target()) else {
+            return;
+        };
+        let target = self.snapshot.as_ref().and_then(|s| s.targets.get(target));
+        let Some(software) = target.and_then(|target| target.software.clone()) else {
+            return;
+        };
+        call.pinned_software.get_or_insert_with(|| software.clone());
+        let Some(stream) = request.stream() else { return };
+        self.stream_origins.record_own(now, StreamOrigin { stream, software }, rounds);
     }
 
     pub(super) fn handle_attempt_end(
@@ -128,6 +149,9 @@
         let Some(call) = self.calls.get(&key) else {
             return;
         };
+        if let Some(stream) = call.arrival.options.stream.and_then(StreamRequest::stream) {
+            self.stream_origins.record_complete(stream);
+        }
         let blocks = call.arrival.blocks.clone();
         let expected = call.arrival.version;
         let current = call.version() == expected && self.version_of(target, expected) == expected;
--- a/crates/cumintrail-control/src/control/digests.rs
+++ b/crates/cumintrail-control/src/control/digests.rs
@@ -13,6 +13,7 @@
 use crate::parts::name_hash;
 use crate::placement::Placer;
 use crate::retry::RetryPolicy;
+use crate::stream_origins::StreamOrigin;
 use crate::{Action, Actions, PeerDigest, TargetLoad};
 
 /// Minimum time between two rounds of digests, even if changes are urgent.
@@ -29,6 +30,10 @@
 const PEER_DISCOVERY_TIME: Duration = Duration::from_secs(5);
 /// The number of daemons that is assumed until then: more than any deployment has.
 const MAX_DAEMONS: usize = 1_000;
+/// Rounds of digests that contain the origin of a stream, so that a lost one does no harm.
+const ORIGIN_ROUNDS: u32 = 2;
+/// The same where a round reaches only a few of the peers in a failure domain.
+const ORIGIN_ROUNDS_SAMPLED: u32 = 12;
 /// Maximum number of client accounts whose calls one digest reports, the busiest first.
 const MAX_REPORTED_ACCOUNTS: usize = 64;
 
@@ -66,6 +71,7 @@
             loads: self.own_loads(now),
             processor_share: self.identity.processor_share,
             domain_sizes: self.membership.domain_sizes(now, own, &domain),
+            stream_origins: self.take_stream_origins(now),
             peers: self.peers_to_advertise(now),
         };
         for to in self.membership.choose_peers(own, &domain, &mut self.rng) {
@@ -75,6 +81,20 @@
         }
     }
 
+    fn take_stream_origins(&mut self, now: Moment) -> Vec<StreamOrigin> {
+        let snapshot = self.snapshot.clone();
+        snapshot.map_or_else(Vec::new, |s| self.stream_origins.take_reports(now, &s))
+    }
+
+    /// Returns in how many rounds of digests the origin of a stream is reported.
+    pub(super) fn origin_rounds(&self) -> u32 {
+        if self.membership.is_full_mesh(self.identity.address) {
+            ORIGIN_ROUNDS
+        } else {
+            ORIGIN_ROUNDS_SAMPLED
+        }
+    }
+
     /// Divides the retry policy of the whole deployment among the present daemons and assigns the
     /// readers of the platform, where a registry lists the targets.
     fn share_limits(&mut self, now: Moment, actions: &mut Actions) {
@@ -192,6 +212,7 @@
         }
         self.record_announcements(now, &digest.versions);
         self.record_announced_leaving(&digest.announced_leaving);
+        self.stream_origins.record_reported(now, &digest.stream_origins);
         if let Some(from) = digest.address.filter(|_| self.has_registry) {
             self.record_peer_loads(now, from, &digest.loads);
         }
--- a/crates/cumintrail-control/src/digest.rs
+++ b/crates/cumintrail-control/src/digest.rs
@@ -7,6 +7,7 @@
 use cumintrail_types::{Generation, Incarnation, Moment, Sealed, Tier, Tokens, WeightVersion};
 
 use crate::TargetReport;
+use crate::stream_origins::StreamOrigin;
 
 /// Names what the platform runs on a VM.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -174,6 +175,8 @@
     pub processor_share: u16,
     /// The number of daemons in each failure domain, by the latest counts that the sender has.
     pub domain_sizes: Vec<DomainSize>,
+    /// The software versions at which streams began, if several are in use.
+    pub stream_origins: Vec<StreamOrigin>,
     /// Peers that recently sent the sender a digest, with their failure domains; sent only where no
     /// VM list names them.
     pub peers: Vec<(SocketAddr, Arc<str>)>,
--- a/crates/cumintrail-control/src/event.rs
+++ b/crates/cumintrail-control/src/event.rs
@@ -16,6 +16,7 @@
 use crate::parts::{PartPlans, PartsUpdate, StoredPart};
 use crate::rollout::{LeaseRequest, LeaseRow, OrderOutcome};
 use crate::store_sync::{StoreRead, StoreResponse};
+use crate::stream_origins::StreamRequest;
 
 /// The actions that one event leads to; stored inline up to four, which covers most events.
 pub type Actions = SmallVec<[Action; 4]>;
@@ -320,7 +321,7 @@
     pub options: RouteOptions,
 }
 
-/// Collects the settings that a route gives to a call; the default sets no limits.
+/// Collects what a relayed call adds to its arrival; the default sets no limits.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct RouteOptions {
     /// Its priority class.
@@ -333,6 +334,8 @@
     pub block_ends: Arc<[Tokens]>,
     /// The objective for the time to the first token; `None` if the route sets none.
     pub first_token_objective: Option<Duration>,
+    /// The resumable stream that the call begins or continues.
+    pub stream: Option<StreamRequest>,
 }
 
 impl RouteOptions {
--- a/crates/cumintrail-control/src/lib.rs
+++ b/crates/cumintrail-control/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod rollout;
 pub mod store_sync;
 pub mod stream;
+pub mod stream_origins;
 
 mod calls;
 mod control;
--- a/crates/cumintrail-control/src/membership.rs
+++ b/crates/cumintrail-control/src/membership.rs
@@ -336,7 +336,7 @@
         let try_silent = self.rounds.is_multiple_of(SILENT_RETRY_ROUNDS);
         let others = || self.peers().filter(|(address, _)| *address != own);
         let usable = || others().filter(|(_, p)| p.liveness != Liveness::Silent);
-        if others().count() <= MAX_FULL_MESH_PEERS {
+        if self.is_full_mesh(own) {
             let all = others().filter(|(_, p)| try_silent || p.liveness != Liveness::Silent);
             return all.map(|(address, _)| address).collect();
         }
@@ -357,6 +357,11 @@
         chosen
     }
 
+    /// Returns whether each round of digests reaches all peers.
+    pub fn is_full_mesh(&self, own: SocketAddr) -> bool {
+        self.peers().filter(|(address, _)| *address != own).count() <= MAX_FULL_MESH_PEERS
+    }
+
     /// Returns this daemon's rank for holding the lease for orders; the first has rank zero.
     pub fn lease_rank(&self, own: SocketAddr) -> u32 {
         let usable = self.peers().filter(|(_, p)| p.liveness != Liveness::Silent && !p.leaving);
--- /dev/null
+++ b/crates/cumintrail-control/src/stream_origins.rs
@@ -0,0 +1,196 @@
+//! The software versions at which resumable streams began; docs/DESIGN.md, "Software versions".
+
+use std::collections::{HashMap, HashSet, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+
+use cumintrail_config::{Snapshot, TargetKind};
+use cumintrail_types::Moment;
+use derive_more::From;
+use smallvec::SmallVec;
+
+use crate::parts::name_hash;
+
+/// How long the origin of a stream, and a software version that no target has any more, are known.
+///
+/// Callers that resume a stream do so within its route's timeout, which is shorter.
+const RETENTION: Duration = Duration::from_secs(60);
+/// Maximum number of known origins; the oldest are dropped first.
+const MAX_ORIGINS: usize = 16_384;
+/// Maximum number of origins in one digest.
+const MAX_REPORTED: usize = 256;
+
+/// Identifies a stream on all daemons, by the account and the caller's id of the call whose
+/// response brought its first event.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, From)]
+pub struct StreamId(pub u64);
+
+impl StreamId {
+    /// Returns the id of a stream of a client account.
+    pub fn of(account: &str, call: &str) -> Self {
+        Self(name_hash(account).rotate_left(32) ^ name_hash(call))
+    }
+}
+
+/// Describes how a call relates to a resumable stream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StreamRequest {
+    /// The call begins this stream.
+    Begin(StreamId),
+    /// The call continues this stream; `None` if the caller did not name it.
+    Continue(Option<StreamId>),
+}
+
+impl StreamRequest {
+    /// Returns the stream, if its name is known.
+    pub const fn stream(self) -> Option<StreamId> {
+        match self {
+            Self::Begin(stream) => Some(stream),
+            Self::Continue(stream) => stream,
+        }
+    }
+}
+
+/// Reports the software version at which a stream began.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct StreamOrigin {
+    /// The stream.
+    pub stream: StreamId,
+    /// The version of the target's software.
+    pub software: Arc<str>,
+}
+
+/// Reports a stream that may have begun at one of several software versions.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct UnknownOrigin;
+
+/// An origin that is still to be reported to peers.
+#[derive(Debug, Clone)]
+struct PendingReport {
+    origin: StreamOrigin,
+    /// The number of further rounds of digests that contain it.
+    rounds: u32,
+}
+
+/// Tracks the software versions of targets and of the streams that they began.
+///
+/// Events of two software versions do not fit together, and targets do not check this.
+#[derive(Debug, Default)]
+pub struct StreamOrigins {
+    origins: HashMap<StreamId, Arc<str>>,
+    by_age: VecDeque<(Moment, StreamId)>,
+    pending: VecDeque<PendingReport>,
+    /// When each software version was last listed before the snapshot in force.
+    last_listed: HashMap<(TargetKind, Arc<str>), Moment>,
+}
+
+impl StreamOrigins {
+    /// Records the software versions that a snapshot lists, as it is replaced by another one.
+    pub fn record_replaced(&mut self, now: Moment, snapshot: &Snapshot) {
+        self.last_listed.retain(|_, at| now.since(*at) < RETENTION);
+        for (_, target) in snapshot.targets.iter().filter(|(_, t)| !t.retired) {
+            if let Some(software) = &target.software {
+                self.last_listed.insert((target.kind, software.clone()), now);
+            }
+        }
+    }
+
+    /// Records an origin that this daemon observed; peers get it in `rounds` rounds of digests.
+    pub fn record_own(&mut self, now: Moment, origin: StreamOrigin, rounds: u32) {
+        if self.insert(now, origin.clone()) {
+            self.pending.push_back(PendingReport { origin, rounds });
+        }
+    }
+
+    /// Records that the caller was sent the whole stream, so that no peer needs its origin.
+    pub fn record_complete(&mut self, stream: StreamId) {
+        self.pending.retain(|report| report.origin.stream != stream);
+    }
+
+    /// Records the origins that a peer reported.
+    pub fn record_reported(&mut self, now: Moment, origins: &[StreamOrigin]) {
+        for origin in origins {
+            self.insert(now, origin.clone());
+        }
+    }
+
+    /// Records an origin unless the stream has one; returns whether it did.
+    fn insert(&mut self, now: Moment, origin: StreamOrigin) -> bool {
+        let StreamOrigin { stream, software } = origin;
+        if self.origins.contains_key(&stream) {
+            return false;
+        }
+        let is_dropped = |(at, _): &(Moment, StreamId)| now.since(*at) >= RETENTION;
+        while self.by_age.len() >= MAX_ORIGINS || self.by_age.front().is_some_and(is_dropped) {
+            if let Some((_, oldest)) = self.by_age.pop_front() {
+                self.origins.remove(&oldest);
+            }
+        }
+        self.origins.insert(stream, software);
+        self.by_age.push_back((now, stream));
+        true
+    }
+
+    /// Returns the origins for the next round of digests.
+    ///
+    /// While each model and service has a single software version, streams need no origin. Origins
+    /// of that time stay pending, since another version may appear while the streams last.
+    pub fn take_reports(&mut self, now: Moment, snapshot: &Snapshot) -> Vec<StreamOrigin> {
+        let kinds: HashSet<TargetKind> = snapshot.targets.iter().map(|(_, t)| t.kind).collect();
+        if kinds.iter().all(|kind| self.recent_versions(now, *kind, snapshot).len() < 2) {
+            let known = &self.origins;
+            self.pending.retain(|report| known.contains_key(&report.origin.stream));
+            return Vec::new();
+        }
+        let count = self.pending.len().min(MAX_REPORTED);
+        let mut reports: Vec<PendingReport> = self.pending.drain(..count).collect();
+        let origins = reports.iter().map(|report| report.origin.clone()).collect();
+        reports.retain_mut(|report| {
+            report.rounds = report.rounds.saturating_sub(1);
+            report.rounds > 0
+        });
+        self.pending.extend(reports);
+        origins
+    }
+
+    /// Returns the software version that a call must run at; `None` if any will do.
+    pub fn required_version(
+        &self,
+        now: Moment,
+        kind: TargetKind,
+        request: Option<StreamRequest>,
+        snapshot: &Snapshot,
+    ) -> Result<Option<Arc<str>>, UnknownOrigin> {
+        let Some(StreamRequest::Continue(stream)) = request else {
+            return Ok(None);
+        };
+        if let Some(software) = stream.and_then(|stream| self.origins.get(&stream)) {
+            return Ok(Some(software.clone()));
+        }
+        let mut versions = self.recent_versions(now, kind, snapshot);
+        match versions.len() {
+            0 | 1 => Ok(versions.pop()),
+            _ => Err(UnknownOrigin),
+        }
+    }
+
+    /// Returns the distinct software versions at which a stream that goes on may have begun.
+    fn recent_versions(
+        &self,
+        now: Moment,
+        kind: TargetKind,
+        snapshot: &Snapshot,
+    ) -> SmallVec<[Arc<str>; 2]> {
+        let targets = snapshot.targets.iter().filter(|(_, t)| !t.retired && t.kind == kind);
+        let listed = targets.filter_map(|(_, t)| t.software.as_ref());
+        let earlier = self.last_listed.iter();
+        let earlier = earlier.filter(|((k, _), at)| *k == kind && now.since(**at) < RETENTION);
+        let mut versions = SmallVec::new();
+        for software in listed.chain(earlier.map(|((_, software), _)| software)) {
+            if !versions.contains(software) {
+                versions.push(software.clone());
+            }
+        }
+        versions
+    }
+}
--- a/crates/cumintrail-daemon/src/relay/call.rs
+++ b/crates/cumintrail-daemon/src/relay/call.rs
@@ -7,6 +7,7 @@
 use bytes::{Bytes, BytesMut};
 use cumintrail_config::{Route, Snapshot, TargetKind};
 use cumintrail_control::parts::{cache_salt, part_key};
+use cumintrail_control::stream_origins::{StreamId, StreamRequest};
 use cumintrail_control::{Arrival, AttemptOutcome, Event, RouteOptions};
 use cumintrail_types::{
     AccountKey, BlockKey, CallClass, CallKey, Digest, Moment, Ran, Refusal, RefusalCode, Tokens,
@@ -182,6 +183,7 @@
             cache_salt,
             block_ends: block_ends.collect(),
             first_token_objective: Some(route.latency_objective),
+            stream: stream_request(route.class, account_name.as_deref(), metadata),
         },
     };
     let overloaded =
@@ -212,6 +214,24 @@
     }))
 }
 
+/// Describes how a call relates to a resumable stream; `None` for other classes.
+fn stream_request(
+    class: CallClass,
+    account: Option<&str>,
+    metadata: &RequestMetadata,
+) -> Option<StreamRequest> {
+    let account = account.unwrap_or(PUBLIC_ACCOUNT);
+    let stream = |id: &Option<HeaderValue>| {
+        let id = id.as_ref()?.to_str().ok()?;
+        Some(StreamId::of(account, id))
+    };
+    match metadata.last_event_id {
+        _ if class != CallClass::ResumableStream => None,
+        Some(_) => Some(StreamRequest::Continue(stream(&metadata.resumes))),
+        None => stream(&metadata.id).map(StreamRequest::Begin),
+    }
+}
+
 /// Combines the urgency of the account, if it has one, with that of the route; the account's
 /// urgency takes precedence.
 fn combine_urgency(account: Option<Urgency>, route: Urgency) -> Urgency {
--- a/crates/cumintrail-types/src/refusal.rs
+++ b/crates/cumintrail-types/src/refusal.rs
@@ -41,6 +41,9 @@
     /// The model or service has no usable target.
     #[display("no-target")]
     NoTarget,
+    /// The call continues a stream of which this daemon does not know where it began.
+    #[display("unknown-stream")]
+    UnknownStream,
     /// The deadline of the call has passed.
     #[display("deadline")]
     Deadline,
@@ -89,6 +92,7 @@
             Self::Deadline => 504,
             Self::Overloaded
             | Self::NoTarget
+            | Self::UnknownStream
             | Self::Stopping
             | Self::NotConfigured
             | Self::PlatformUnavailable => 503,
@@ -96,7 +100,7 @@
     }
 
     /// All codes, for the reference in docs/OPERATIONS.md.
-    pub const ALL: [Self; 19] = [
+    pub const ALL: [Self; 20] = [
         Self::BadRequest,
         Self::Unauthorized,
         Self::NotFound,
@@ -107,6 +111,7 @@
         Self::AccountLimit,
         Self::Overloaded,
         Self::NoTarget,
+        Self::UnknownStream,
         Self::Deadline,
         Self::Stopping,
         Self::NotConfigured,
--- a/crates/cumintrail-wire/src/peer.rs
+++ b/crates/cumintrail-wire/src/peer.rs
@@ -11,6 +11,7 @@
 
 use cumintrail_config::{Delta, Sections};
 use cumintrail_control::membership::VmChanges;
+use cumintrail_control::stream_origins::StreamOrigin;
 use cumintrail_control::{
     DomainSize, Echo, Freshness, LeavingIncarnation, PeerDigest, TargetLoad, TargetReport,
     TargetUpdate, VersionAnnouncement, VmEntry, VmRole, VmState,
@@ -57,6 +58,8 @@
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     domain_sizes: Vec<(Arc<str>, u32, u32)>,
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    stream_origins: Vec<(u64, Arc<str>)>,
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     peers: Vec<(SocketAddr, Arc<str>)>,
 }
 
@@ -88,6 +91,11 @@
                 .into_iter()
                 .map(|s| (s.domain, s.daemons, to_millis(s.age)))
                 .collect(),
+            stream_origins: d
+                .stream_origins
+                .into_iter()
+                .map(|origin| (origin.stream.0, origin.software))
+                .collect(),
             peers: d.peers,
         }
     }
@@ -120,6 +128,11 @@
                     DomainSize { domain, daemons, age }
                 })
                 .collect(),
+            stream_origins: m
+                .stream_origins
+                .into_iter()
+                .map(|(stream, software)| StreamOrigin { stream: stream.into(), software })
+                .collect(),
             peers: m.peers,
         }
     }
--- a/tests/tests/gateway_versions.rs
+++ b/tests/tests/gateway_versions.rs
@@ -22,9 +22,12 @@
 /// Binds a target that sends two events, then `end`, and the rest of each stream that it resumes.
 async fn target(end: Step) -> Replica {
     let resumed = |head: &str| header(head, "last-event-id").is_some();
-    let script = move |head: &str| match resumed(head) {
-        true => vec![send(STREAM), events(3..=4), send("0\r\n\r\n")],
-        false => vec![send(STREAM), events(1..=2), end.clone()],
+    let script = move |head: &str| {
+        if resumed(head) {
+            vec![send(STREAM), events(3..=4), send("0\r\n\r\n")]
+        } else {
+            vec![send(STREAM), events(1..=2), end.clone()]
+        }
     };
     Replica::bind_by_head(script).await.unwrap()
 }
--- /dev/null
+++ b/tests/tests/stream_origins.rs
@@ -0,0 +1,186 @@
+//! Daemons report to each other at which software version streams began.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use cumintrail_config::{Document, Snapshot, Target, TargetKind};
+use cumintrail_control::stream_origins::{StreamId, StreamRequest};
+use cumintrail_control::{
+    Action, Actions, Arrival, AttemptOutcome, Control, Event, Identity, PeerDigest, RouteOptions,
+    Usage,
+};
+use cumintrail_types::{
+    AccountKey, AttemptNumber, CallClass, CallKey, Generation, Incarnation, Moment, RefusalCode,
+    ServiceKey, TargetKey, Tokens, WeightVersion,
+};
+use cumintrail_wire::peer::DigestMessage;
+use cumintrail_wire::{from_msgpack, to_msgpack};
+
+const STREAMS: u64 = 16;
+const DIGEST_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Returns a snapshot with one target for each of these software versions.
+fn snapshot(revision: u64, versions: &[&str]) -> Arc<Snapshot> {
+    let key_digest = "0".repeat(64);
+    let targets = (0..versions.len()).map(|i| {
+        format!(
+            "[target s-{i}]\nservice = desk\naddress = 127.0.0.1:{}\nfailure_domain = a\nslots = 64\n",
+            i + 1
+        )
+    });
+    let declarations = format!(
+        "[deployment]\nfirst_preset = day\n[preset day]\n[account coop]\nkey_digests = {key_digest}\n\
+         concurrency = 1000\n[service desk]\n{}",
+        targets.collect::<String>()
+    );
+    let document = Document::parse(&"declarations".into(), &declarations).unwrap();
+    let declared = Snapshot::build(Generation(1), &document.sections, None, None).unwrap();
+    let listed = declared.targets.iter().zip(versions);
+    let listed: Vec<Target> = listed
+        .map(|((_, target), software)| Target {
+            software: Some((*software).into()),
+            ..target.clone()
+        })
+        .collect();
+    declared.with_targets(revision, listed).into()
+}
+
+fn daemon(port: u16, snapshot: &Arc<Snapshot>) -> Control {
+    let identity = Identity {
+        vm: format!("vm-{port}").into(),
+        domain: "a".into(),
+        incarnation: Incarnation(port.into()),
+        address: ([127, 0, 0, 1], port).into(),
+        probe_interval: Duration::from_secs(3_600),
+        digest_interval: DIGEST_INTERVAL,
+        processor_share: 0,
+    };
+    let mut control = Control::new(identity, 7);
+    control.follow_registry("a key of sixteen bytes or more");
+    control.handle(Moment(1), Event::Configured(snapshot.clone()));
+    control
+}
+
+fn arrive(control: &mut Control, now: Moment, call: u64, stream: StreamRequest) -> Actions {
+    control.handle(
+        now,
+        Event::Arrived(Arrival {
+            call: CallKey(call),
+            account: AccountKey(0),
+            class: CallClass::ResumableStream,
+            kind: TargetKind::Service(ServiceKey(0)),
+            version: WeightVersion(0),
+            blocks: Arc::from([]),
+            prompt: Tokens(0),
+            max_output: Tokens(0),
+            deadline: now + Duration::from_secs(10),
+            options: RouteOptions { stream: Some(stream), ..RouteOptions::default() },
+        }),
+    )
+}
+
+fn stream(number: u64) -> StreamId {
+    StreamId::of("coop", &format!("call-{number}"))
+}
+
+fn dispatched(actions: &[Action]) -> Option<TargetKey> {
+    actions.iter().find_map(|action| match action {
+        Action::Dispatch(dispatch) => Some(dispatch.target),
+        _ => None,
+    })
+}
+
+fn refused(actions: &[Action]) -> Option<RefusalCode> {
+    actions.iter().find_map(|action| match action {
+        Action::Refuse { refusal, .. } => Some(refusal.code),
+        _ => None,
+    })
+}
+
+/// Starts streams at a daemon and returns the target of each.
+fn begin(control: &mut Control, now: Moment) -> Vec<TargetKey> {
+    let begin_one = |number| {
+        let actions = arrive(control, now, number, StreamRequest::Begin(stream(number)));
+        control.handle(now, Event::FirstToken { call: CallKey(number) });
+        dispatched(&actions).expect("the call is sent")
+    };
+    (0..STREAMS).map(begin_one).collect()
+}
+
+/// Lets `from` send a round of digests, of which `to` gets its own as it is encoded.
+fn exchange_digests(from: &mut Control, to: &mut Control, now: Moment) -> usize {
+    let greeting = PeerDigest {
+        vm: "vm-2".into(),
+        domain: "a".into(),
+        incarnation: Incarnation(2),
+        address: Some(([127, 0, 0, 1], 2).into()),
+        ..PeerDigest::default()
+    };
+    from.handle(now, Event::PeerDigest(Box::new(greeting)));
+    let mut origins = 0;
+    for action in from.handle(now, Event::Tick) {
+        if let Action::SendDigest { digest, .. } = action {
+            let encoded = to_msgpack(&DigestMessage::from(digest)).unwrap();
+            let decoded: DigestMessage = from_msgpack(&encoded).unwrap();
+            let digest = PeerDigest::from(decoded);
+            origins += digest.stream_origins.len();
+            to.handle(now, Event::PeerDigest(Box::new(digest)));
+        }
+    }
+    origins
+}
+
+#[test]
+fn a_stream_goes_on_at_its_software_version_after_its_daemon_is_gone() {
+    let listed = snapshot(1, &["v1", "v2"]);
+    let (mut first, mut second) = (daemon(1, &listed), daemon(2, &listed));
+    let now = Moment::from_millis(1_000);
+    let began = begin(&mut first, now);
+    assert!(began.contains(&TargetKey(0)) && began.contains(&TargetKey(1)), "{began:?}");
+    assert_eq!(exchange_digests(&mut first, &mut second, now), STREAMS as usize);
+    drop(first);
+    for (number, target) in (0..STREAMS).zip(began) {
+        let again = StreamRequest::Continue(Some(stream(number)));
+        let actions = arrive(&mut second, now, 100 + number, again);
+        assert_eq!(dispatched(&actions), Some(target), "stream {number}");
+    }
+}
+
+#[test]
+fn streams_that_began_before_another_version_appeared_are_reported_once_it_does() {
+    let before = snapshot(1, &["v1"]);
+    let (mut first, mut second) = (daemon(1, &before), daemon(2, &before));
+    let now = Moment::from_millis(1_000);
+    let began = begin(&mut first, now);
+    let usage = Usage::default();
+    let ended = Event::AttemptEnded {
+        call: CallKey(0),
+        attempt: AttemptNumber(1),
+        outcome: AttemptOutcome::Completed(usage),
+    };
+    first.handle(now, ended);
+    assert_eq!(exchange_digests(&mut first, &mut second, now), 0, "one version needs no report");
+
+    let now = Moment::from_millis(2_000);
+    let after = snapshot(2, &["v1", "v2"]);
+    for control in [&mut first, &mut second] {
+        control.handle(now, Event::Configured(after.clone()));
+    }
+    let reported = exchange_digests(&mut first, &mut second, now);
+    assert_eq!(reported, STREAMS as usize - 1, "all but the complete one");
+    let actions = arrive(&mut second, now, 100, StreamRequest::Continue(Some(stream(3))));
+    assert_eq!(dispatched(&actions), Some(began[3]));
+    let actions = arrive(&mut second, now, 101, StreamRequest::Continue(Some(stream(99))));
+    assert_eq!(refused(&actions), Some(RefusalCode::UnknownStream));
+}
+
+#[test]
+fn a_version_that_just_ended_may_still_have_begun_a_stream() {
+    let mut control = daemon(1, &snapshot(1, &["v1"]));
+    control.handle(Moment::from_millis(1_000), Event::Configured(snapshot(2, &["v2"])));
+    let unknown = StreamRequest::Continue(Some(stream(1)));
+    let actions = arrive(&mut control, Moment::from_millis(5_000), 1, unknown);
+    assert_eq!(refused(&actions), Some(RefusalCode::UnknownStream));
+    let actions = arrive(&mut control, Moment::from_millis(70_000), 2, unknown);
+    assert!(dispatched(&actions).is_some(), "{actions:?}");
+}
