Pass origins of streams on among the daemons of a large domain

Where a domain has more daemons than a round of digests reaches, the origin of a stream got to a random part of them within seconds only, and a caller that resumed the stream elsewhere was refused.

Change: each daemon of the domain passes a new origin on in one round. Digests group origins by version, and other domains get none.

--- a/crates/cumintrail-control/src/control/attempts.rs
+++ b/crates/cumintrail-control/src/control/attempts.rs
@@ -16,6 +16,8 @@
 const UNRESPONSIVE_AFTER: Duration = Duration::from_secs(2);
 /// How long other targets are preferred to one that refused a call: about one step of its queue.
 const REFUSAL_AVOIDANCE: Duration = Duration::from_millis(100);
+/// Rounds of digests that contain the origin of an own stream, so that a lost one does no harm.
+const ORIGIN_ROUNDS: u32 = 2;
 
 impl<P: Placer> Control<P> {
     pub(super) fn handle_first_token(&mut self, now: Moment, key: CallKey) {
@@ -34,7 +36,6 @@
     /// Binds a resumable stream that has begun to the software version of its target, and records
     /// it for the daemons at which the caller may resume it.
     fn pin_software(&mut self, now: Moment, key: CallKey) {
-        let rounds = self.origin_rounds();
         let Some(call) = self.calls.get_mut(&key) else {
             return;
         };
@@ -47,7 +48,7 @@
         };
         call.pinned_software.get_or_insert_with(|| software.clone());
         let Some(stream) = request.stream() else { return };
-        self.stream_origins.record_own(now, StreamOrigin { stream, software }, rounds);
+        self.stream_origins.record(now, StreamOrigin { stream, software }, ORIGIN_ROUNDS);
     }
 
     pub(super) fn handle_attempt_end(
--- a/crates/cumintrail-control/src/control/digests.rs
+++ b/crates/cumintrail-control/src/control/digests.rs
@@ -30,10 +30,8 @@
 const PEER_DISCOVERY_TIME: Duration = Duration::from_secs(5);
 /// The number of daemons that is assumed until then: more than any deployment has.
 const MAX_DAEMONS: usize = 1_000;
-/// Rounds of digests that contain the origin of a stream, so that a lost one does no harm.
-const ORIGIN_ROUNDS: u32 = 2;
-/// The same where a round reaches only a few of the peers in a failure domain.
-const ORIGIN_ROUNDS_SAMPLED: u32 = 12;
+/// Rounds of digests in which a daemon passes on the origin of a stream that a peer reported.
+const RELAYED_ORIGIN_ROUNDS: u32 = 1;
 /// Maximum number of client accounts whose calls one digest reports, the busiest first.
 const MAX_REPORTED_ACCOUNTS: usize = 64;
 
@@ -74,8 +72,12 @@
             stream_origins: self.take_stream_origins(now),
             peers: self.peers_to_advertise(now),
         };
+        let full_mesh = self.membership.is_full_mesh(own);
         for to in self.membership.choose_peers(own, &domain, &mut self.rng) {
             let mut digest = common.clone();
+            if !full_mesh && self.membership.domain_of(to) != Some(&domain) {
+                digest.stream_origins.clear();
+            }
             self.membership.fill_digest(now, to, &mut digest);
             actions.push(Action::SendDigest { to, digest });
         }
@@ -86,12 +88,16 @@
         snapshot.map_or_else(Vec::new, |s| self.stream_origins.take_reports(now, &s))
     }
 
-    /// Returns in how many rounds of digests the origin of a stream is reported.
-    pub(super) fn origin_rounds(&self) -> u32 {
-        if self.membership.is_full_mesh(self.identity.address) {
-            ORIGIN_ROUNDS
-        } else {
-            ORIGIN_ROUNDS_SAMPLED
+    /// Records the origins of streams in a peer's digest.
+    ///
+    /// Where a round of digests reaches only some of the peers, those of a failure domain pass
+    /// origins on among themselves. Callers retry within a domain, so that others need none.
+    fn record_stream_origins(&mut self, now: Moment, digest: &PeerDigest) {
+        let sampled = !self.membership.is_full_mesh(self.identity.address);
+        let passes_on = sampled && digest.domain == self.identity.domain;
+        for origin in &digest.stream_origins {
+            let rounds = if passes_on { RELAYED_ORIGIN_ROUNDS } else { 0 };
+            self.stream_origins.record(now, origin.clone(), rounds);
         }
     }
 
@@ -212,7 +218,7 @@
         }
         self.record_announcements(now, &digest.versions);
         self.record_announced_leaving(&digest.announced_leaving);
-        self.stream_origins.record_reported(now, &digest.stream_origins);
+        self.record_stream_origins(now, digest);
         if let Some(from) = digest.address.filter(|_| self.has_registry) {
             self.record_peer_loads(now, from, &digest.loads);
         }
--- a/crates/cumintrail-control/src/membership.rs
+++ b/crates/cumintrail-control/src/membership.rs
@@ -357,6 +357,11 @@
         chosen
     }
 
+    /// Returns the failure domain of a peer.
+    pub fn domain_of(&self, peer: SocketAddr) -> Option<&Arc<str>> {
+        self.peers.get(&peer).map(|state| &state.domain)
+    }
+
     /// Returns whether each round of digests reaches all peers.
     pub fn is_full_mesh(&self, own: SocketAddr) -> bool {
         self.peers().filter(|(address, _)| *address != own).count() <= MAX_FULL_MESH_PEERS
--- a/crates/cumintrail-control/src/stream_origins.rs
+++ b/crates/cumintrail-control/src/stream_origins.rs
@@ -95,9 +95,9 @@
         }
     }
 
-    /// Records an origin that this daemon observed; peers get it in `rounds` rounds of digests.
-    pub fn record_own(&mut self, now: Moment, origin: StreamOrigin, rounds: u32) {
-        if self.insert(now, origin.clone()) {
+    /// Records an origin; if it is new, peers get it in `rounds` rounds of digests.
+    pub fn record(&mut self, now: Moment, origin: StreamOrigin, rounds: u32) {
+        if self.insert(now, origin.clone()) && rounds > 0 {
             self.pending.push_back(PendingReport { origin, rounds });
         }
     }
@@ -107,13 +107,6 @@
         self.pending.retain(|report| report.origin.stream != stream);
     }
 
-    /// Records the origins that a peer reported.
-    pub fn record_reported(&mut self, now: Moment, origins: &[StreamOrigin]) {
-        for origin in origins {
-            self.insert(now, origin.clone());
-        }
-    }
-
     /// Records an origin unless the stream has one; returns whether it did.
     fn insert(&mut self, now: Moment, origin: StreamOrigin) -> bool {
         let StreamOrigin { stream, software } = origin;
--- a/crates/cumintrail-wire/src/peer.rs
+++ b/crates/cumintrail-wire/src/peer.rs
@@ -58,7 +58,7 @@
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     domain_sizes: Vec<(Arc<str>, u32, u32)>,
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    stream_origins: Vec<(u64, Arc<str>)>,
+    stream_origins: Vec<(Arc<str>, Vec<u64>)>,
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     peers: Vec<(SocketAddr, Arc<str>)>,
 }
@@ -91,11 +91,7 @@
                 .into_iter()
                 .map(|s| (s.domain, s.daemons, to_millis(s.age)))
                 .collect(),
-            stream_origins: d
-                .stream_origins
-                .into_iter()
-                .map(|origin| (origin.stream.0, origin.software))
-                .collect(),
+            stream_origins: group_by_software(d.stream_origins),
             peers: d.peers,
         }
     }
@@ -131,13 +127,30 @@
             stream_origins: m
                 .stream_origins
                 .into_iter()
-                .map(|(stream, software)| StreamOrigin { stream: stream.into(), software })
+                .flat_map(|(software, streams)| {
+                    streams.into_iter().map(move |stream| StreamOrigin {
+                        stream: stream.into(),
+                        software: software.clone(),
+                    })
+                })
                 .collect(),
             peers: m.peers,
         }
     }
 }
 
+/// Lists the streams that began at each software version.
+fn group_by_software(origins: Vec<StreamOrigin>) -> Vec<(Arc<str>, Vec<u64>)> {
+    let mut groups: Vec<(Arc<str>, Vec<u64>)> = Vec::new();
+    for StreamOrigin { stream, software } in origins {
+        match groups.iter_mut().find(|(known, _)| *known == software) {
+            Some((_, streams)) => streams.push(stream.0),
+            None => groups.push((software, vec![stream.0])),
+        }
+    }
+    groups
+}
+
 /// Encodes a [`Freshness`] without field names: milliseconds since the last read of the head,
 /// milliseconds since the last read of the VM list, sequence number of that list.
 #[derive(Debug, Clone, Copy, Default, Serialize, Deserialize)]
--- a/tests/tests/stream_origins.rs
+++ b/tests/tests/stream_origins.rs
@@ -184,3 +184,49 @@
     let actions = arrive(&mut control, Moment::from_millis(70_000), 2, unknown);
     assert!(dispatched(&actions).is_some(), "{actions:?}");
 }
+
+/// One failure domain of a large deployment: a round of digests reaches a few of its daemons.
+#[test]
+fn most_daemons_of_a_large_domain_know_a_stream_a_second_after_it_began() {
+    const DAEMONS: u16 = 49;
+    let listed = snapshot(1, &["v1", "v2"]);
+    let mut daemons: Vec<Control> = (1..=DAEMONS).map(|port| daemon(port, &listed)).collect();
+    for (own, control) in (1..=DAEMONS).zip(&mut daemons) {
+        for port in (1..=DAEMONS).filter(|port| *port != own) {
+            let greeting = PeerDigest {
+                vm: format!("vm-{port}").into(),
+                domain: "a".into(),
+                incarnation: Incarnation(port.into()),
+                address: Some(([127, 0, 0, 1], port).into()),
+                ..PeerDigest::default()
+            };
+            control.handle(Moment::from_millis(900), Event::PeerDigest(Box::new(greeting)));
+        }
+    }
+    let began = begin(&mut daemons[0], Moment::from_millis(1_000));
+    let (mut most_origins, mut millis) = (0, 1_000);
+    while millis <= 2_000 {
+        let now = Moment::from_millis(millis);
+        for from in 0..daemons.len() {
+            for action in daemons[from].handle(now, Event::Tick) {
+                let Action::SendDigest { to, digest } = action else { continue };
+                most_origins = most_origins.max(digest.stream_origins.len());
+                let to = &mut daemons[usize::from(to.port()) - 1];
+                to.handle(now, Event::PeerDigest(Box::new(digest)));
+            }
+        }
+        millis += 10;
+    }
+    let now = Moment::from_millis(millis);
+    let (mut known, mut call) = (0, 1_000);
+    for control in &mut daemons[1..] {
+        for (number, target) in (0..STREAMS).zip(&began) {
+            call += 1;
+            let again = StreamRequest::Continue(Some(stream(number)));
+            known += usize::from(dispatched(&arrive(control, now, call, again)) == Some(*target));
+        }
+    }
+    let all = (daemons.len() - 1) * STREAMS as usize;
+    assert!(known * 2 > all, "{known} of {all}");
+    assert!(most_origins <= STREAMS as usize, "origins are sent again and again");
+}
