Bound what a server that sends without end can cost a daemon

Heads were bounded by the codec already. A body of a control exchange was read up to 64 MiB, and a stream buffered an incomplete event of up to 1 MiB, on some hundred connections at a time: more than a VM with 110 MB has.

--- a/crates/cumintrail-client/src/engine.rs
+++ b/crates/cumintrail-client/src/engine.rs
@@ -14,6 +14,8 @@
 use crate::{ClientError, HttpClient, ResponseStream};
 
 const CONTROL_TIMEOUT: Duration = Duration::from_secs(1);
+/// The size limit of reports and cache events.
+const MAX_CONTROL_BYTES: usize = 8 << 20;
 const TRANSFER_TIMEOUT: Duration = Duration::from_secs(60);
 const MAX_STREAM_DURATION: Duration = Duration::from_secs(3_600);
 const OK: u16 = 200;
@@ -74,7 +76,7 @@
     pub fn open() -> Self {
         Self {
             calls: HttpClient::unpooled(TRANSFER_TIMEOUT),
-            control: HttpClient::pooled(CONTROL_TIMEOUT),
+            control: HttpClient::pooled(CONTROL_TIMEOUT).with_max_body(MAX_CONTROL_BYTES),
         }
     }
 
--- a/crates/cumintrail-client/src/http.rs
+++ b/crates/cumintrail-client/src/http.rs
@@ -27,6 +27,7 @@
     client: RefCell<Client>,
     reuse: bool,
     timeout: Duration,
+    max_body: usize,
     traffic: TrafficCounter,
 }
 
@@ -47,7 +48,17 @@
 
     fn open(reuse: bool, timeout: Duration) -> Self {
         let client = RefCell::new(build(reuse));
-        Self { client, reuse, timeout, traffic: TrafficCounter::default() }
+        let traffic = TrafficCounter::default();
+        Self { client, reuse, timeout, max_body: MAX_BODY_BYTES, traffic }
+    }
+
+    /// Sets the size in bytes from which on the body of a response is an error.
+    ///
+    /// A server that fails may send without end until the connection is closed.
+    #[must_use]
+    pub const fn with_max_body(mut self, bytes: usize) -> Self {
+        self.max_body = bytes;
+        self
     }
 
     /// Returns the number of bytes sent and received, including HTTP heads.
@@ -68,7 +79,7 @@
         match req.send_body(body).await {
             Ok(inner) => {
                 self.traffic.add_response_head(inner.status(), inner.headers());
-                Ok(Response { inner, traffic: self.traffic.clone() })
+                Ok(Response { inner, max_body: self.max_body, traffic: self.traffic.clone() })
             }
             Err(e) => {
                 let e = ClientError::from(e);
@@ -113,6 +124,7 @@
 /// A response whose body has not been read yet.
 pub struct Response {
     inner: ClientResponse,
+    max_body: usize,
     traffic: TrafficCounter,
 }
 
@@ -137,7 +149,7 @@
         let status = self.status();
         let content_length = self.headers().get(CONTENT_LENGTH).and_then(|v| v.to_str().ok());
         let content_length: Option<usize> = content_length.and_then(|text| text.parse().ok());
-        let body = self.inner.timeout(timeout).body().limit(MAX_BODY_BYTES).await?;
+        let body = self.inner.timeout(timeout).body().limit(self.max_body).await?;
         self.traffic.add(body.len());
         match content_length {
             Some(length) if length > body.len() && status != NOT_MODIFIED => {
--- a/crates/cumintrail-daemon/src/relay/events.rs
+++ b/crates/cumintrail-daemon/src/relay/events.rs
@@ -4,7 +4,10 @@
 use bytes::{Bytes, BytesMut};
 
 /// The largest incomplete event that is buffered; a stream with a larger one is refused.
-const MAX_EVENT_BYTES: usize = 1 << 20;
+///
+/// A target that fails may send without end on each of some hundred connections, and all of them
+/// together must fit into the memory of a small VM.
+const MAX_EVENT_BYTES: usize = 64 << 10;
 
 /// Reports a stream with an oversized event, or with an event id that does not increase.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/cumintrail-daemon/tests/events.rs
+++ b/crates/cumintrail-daemon/tests/events.rs
@@ -65,6 +65,15 @@
     }
 }
 
+#[test]
+fn an_event_without_end_is_refused_before_it_fills_the_memory() {
+    // Some hundred streams of one target at a time, in a tenth of a VM with 110 MB.
+    const LIMIT_BYTES: usize = 110_000_000 / 10 / 128;
+    let mut events = EventSplitter::default();
+    let refused = (0..10_000).find(|_| events.push(&[b'x'; 1_000]).is_err());
+    assert!(refused.is_some_and(|chunks| chunks * 1_000 < LIMIT_BYTES), "{refused:?}");
+}
+
 #[test]
 fn an_event_that_was_passed_on_before_is_refused() {
     let mut events = EventSplitter::resume_after(Some(4));
