--- a/tests/platform-standin/src/replica.rs
+++ b/tests/platform-standin/src/replica.rs
@@ -10,6 +10,7 @@
 use actix_http::header::{HeaderName, HeaderValue};
 use actix_http::{Request, Response, StatusCode};
 use bytes::Bytes;
+use cumintrail_control::parts::name_hash;
 use cumintrail_tests::http::{self, HttpResponse, HttpServer, header, json};
 use futures_util::stream;
 use serde::Deserialize;
@@ -22,6 +23,10 @@
 /// Number of events in a complete stream.
 pub const EVENTS_PER_STREAM: u64 = 6;
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(400);
+/// One in so many resumable streams ends inside an event, although its response ends regularly.
+const TRUNCATED_STREAM_RATIO: u64 = 16;
+/// The event inside which such a stream ends.
+const TRUNCATED_EVENT: u64 = 4;
 const EVENT_INTERVAL: Duration = Duration::from_millis(30);
 const PLAIN_CALL_DURATION: Duration = Duration::from_millis(10);
 const WEIGHT_LOAD_DURATION: Duration = Duration::from_millis(500);
@@ -283,12 +288,20 @@
             header(&req, "last-event-id").and_then(|text| text.parse().ok()).unwrap_or(0);
         let _ = http::body(&mut req).await;
         let mut response = if is_stream {
-            let events = stream::unfold(last_event_id + 1, |id| async move {
+            let is_truncated = req.path().starts_with("/resume/")
+                && last_event_id == 0
+                && name_hash(&call).is_multiple_of(TRUNCATED_STREAM_RATIO);
+            let events = stream::unfold(last_event_id + 1, move |id| async move {
                 if id > EVENTS_PER_STREAM {
                     return None;
                 }
                 actix_rt::time::sleep(EVENT_INTERVAL).await;
-                Some((Ok::<_, std::io::Error>(Bytes::from(event_text(id))), id + 1))
+                let mut event = event_text(id);
+                if is_truncated && id == TRUNCATED_EVENT {
+                    event.truncate(event.len() / 2);
+                    return Some((Ok(Bytes::from(event)), EVENTS_PER_STREAM + 1));
+                }
+                Some((Ok::<_, std::io::Error>(Bytes::from(event)), id + 1))
             });
             let body = BoxBody::new(BodyStream::new(Box::pin(events)));
             let mut response = Response::with_body(StatusCode::OK, body);
