--- a/crates/cumintrail-daemon/src/relay/attempt.rs
+++ b/crates/cumintrail-daemon/src/relay/attempt.rs
@@ -365,12 +365,10 @@
         }
         // Without an event, a close does not distinguish the end of the stream from a crash.
         let is_empty = connection.framing() == Framing::Close && !self.call.response_started;
-        let Ok(rest) = self.call.events.finish() else {
-            return self.fail(&connection, &ClientError::Truncated);
+        let rest = match self.call.events.finish() {
+            Ok(rest) if !is_empty => rest,
+            _ => return self.fail(&connection, &ClientError::Truncated),
         };
-        if is_empty {
-            return self.fail(&connection, &ClientError::Truncated);
-        }
         self.log_answered(status, connection.framing());
         if !self.start_stream(&head).await {
             return AttemptEnd::Disconnected;
--- a/tests/tests/stream_origins.rs
+++ b/tests/tests/stream_origins.rs
@@ -185,6 +185,15 @@
     assert!(dispatched(&actions).is_some(), "{actions:?}");
 }
 
+#[test]
+fn a_daemon_that_started_after_a_version_ended_does_not_resume_its_streams_at_another() {
+    // All daemons were killed together; before that, v1 had begun the stream and then left.
+    let mut restarted = daemon(1, &snapshot(2, &["v2"]));
+    let unknown = StreamRequest::Continue(Some(stream(1)));
+    let actions = arrive(&mut restarted, Moment::from_millis(500), 1, unknown);
+    assert_eq!(refused(&actions), Some(RefusalCode::UnknownStream));
+}
+
 /// One failure domain of a large deployment: a round of digests reaches a few of its daemons.
 #[test]
 fn most_daemons_of_a_large_domain_know_a_stream_a_second_after_it_began() {
