Remember software versions for as long as streams of any route can last

A stream of a route with a timeout of more than half a minute could be resumed after its version had been forgotten, a minute after the last target of that version left, and go on at another one.

Change: versions and origins are remembered for twice the longest timeout of a route, a minute at least.

Evidence: a_version_is_remembered_for_as_long_as_streams_of_a_long_route_last fails with the fixed minute and passes now.

--- a/crates/cumintrail-client/src/connection.rs
+++ b/crates/cumintrail-client/src/connection.rs
@@ -202,7 +202,7 @@
         self.keep_alive = keep_alive_timeout(head);
         (self.framing, self.read_state) = match codec.message_type() {
             _ if self.is_head_request => (Framing::Bodiless, ReadState::Complete),
-            // The library knows such responses of HTTP/1.0 only.
+            // The library supports such responses of HTTP/1.0 only.
             _ if ends_at_close(head) => (Framing::Close, ReadState::UntilClosed),
             MessageType::None => (Framing::Bodiless, ReadState::Complete),
             MessageType::Payload | MessageType::Stream => {
--- a/crates/cumintrail-config/src/routes.rs
+++ b/crates/cumintrail-config/src/routes.rs
@@ -96,6 +96,11 @@
         self.routes.get(key)
     }
 
+    /// Returns the longest timeout of a route, or zero without routes.
+    pub fn longest_timeout(&self) -> Duration {
+        self.routes.iter().map(|(_, route)| route.timeout).max().unwrap_or_default()
+    }
+
     /// Returns the number of routes.
     pub fn len(&self) -> usize {
         self.routes.len()
--- a/crates/cumintrail-control/src/control/maintenance.rs
+++ b/crates/cumintrail-control/src/control/maintenance.rs
@@ -47,9 +47,8 @@
         self.rank_stores(&snapshot);
         let used = snapshot.targets.iter().filter(|(_, t)| !t.retired);
         self.targets_by_address = used.map(|(key, target)| (target.address, key)).collect();
-        if let Some(replaced) = self.snapshot.replace(snapshot) {
-            self.stream_origins.record_replaced(now, &replaced);
-        }
+        self.stream_origins.apply_snapshot(now, &snapshot, self.snapshot.as_deref());
+        self.snapshot = Some(snapshot);
         // Peers without a connection to the platform receive the generation in the next digest.
         if old.is_none_or(|(generation, _)| generation < self.generation()) {
             self.send_digest_soon(now);
--- a/crates/cumintrail-control/src/stream_origins.rs
+++ b/crates/cumintrail-control/src/stream_origins.rs
@@ -11,10 +11,12 @@
 
 use crate::parts::name_hash;
 
-/// How long the origin of a stream, and a software version that no target has any more, are known.
-///
-/// Callers that resume a stream do so within its route's timeout, which is shorter.
-const RETENTION: Duration = Duration::from_secs(60);
+/// How long the origin of a stream, and a software version that no target has any more, are known at
+/// least.
+const MIN_RETENTION: Duration = Duration::from_secs(60);
+/// The same as a multiple of the longest timeout of a route, within which each attempt of a caller
+/// ends; a caller may resume a stream more than once.
+const RETENTION_TIMEOUTS: u32 = 2;
 /// Maximum number of known origins; the oldest are dropped first.
 const MAX_ORIGINS: usize = 16_384;
 /// Maximum number of origins in one digest.
@@ -75,8 +77,9 @@
 /// Tracks the software versions of targets and of the streams that they began.
 ///
 /// Events of two software versions do not fit together, and targets do not check this.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct StreamOrigins {
+    retention: Duration,
     origins: HashMap<StreamId, Arc<str>>,
     by_age: VecDeque<(Moment, StreamId)>,
     pending: VecDeque<PendingReport>,
@@ -84,11 +87,29 @@
     last_listed: HashMap<(TargetKind, Arc<str>), Moment>,
 }
 
+impl Default for StreamOrigins {
+    fn default() -> Self {
+        Self {
+            retention: MIN_RETENTION,
+            origins: HashMap::new(),
+            by_age: VecDeque::new(),
+            pending: VecDeque::new(),
+            last_listed: HashMap::new(),
+        }
+    }
+}
+
 impl StreamOrigins {
-    /// Records the software versions that a snapshot lists, as it is replaced by another one.
-    pub fn record_replaced(&mut self, now: Moment, snapshot: &Snapshot) {
-        self.last_listed.retain(|_, at| now.since(*at) < RETENTION);
-        for (_, target) in snapshot.targets.iter().filter(|(_, t)| !t.retired) {
+    /// Adapts the retention to the routes of a snapshot that comes into force, and records the
+    /// software versions that the one it replaces lists.
+    pub fn apply_snapshot(&mut self, now: Moment, next: &Snapshot, replaced: Option<&Snapshot>) {
+        let required = next.routes.longest_timeout() * RETENTION_TIMEOUTS;
+        // Streams of a route whose timeout was shortened go on with the longer one.
+        self.retention = self.retention.max(required);
+        let retention = self.retention;
+        self.last_listed.retain(|_, at| now.since(*at) < retention);
+        let replaced = replaced.into_iter().flat_map(|s| s.targets.iter());
+        for (_, target) in replaced.filter(|(_, t)| !t.retired) {
             if let Some(software) = &target.software {
                 self.last_listed.insert((target.kind, software.clone()), now);
             }
@@ -113,7 +134,7 @@
         if self.origins.contains_key(&stream) {
             return false;
         }
-        let is_dropped = |(at, _): &(Moment, StreamId)| now.since(*at) >= RETENTION;
+        let is_dropped = |(at, _): &(Moment, StreamId)| now.since(*at) >= self.retention;
         while self.by_age.len() >= MAX_ORIGINS || self.by_age.front().is_some_and(is_dropped) {
             if let Some((_, oldest)) = self.by_age.pop_front() {
                 self.origins.remove(&oldest);
@@ -177,7 +198,7 @@
         let targets = snapshot.targets.iter().filter(|(_, t)| !t.retired && t.kind == kind);
         let listed = targets.filter_map(|(_, t)| t.software.as_ref());
         let earlier = self.last_listed.iter();
-        let earlier = earlier.filter(|((k, _), at)| *k == kind && now.since(**at) < RETENTION);
+        let earlier = earlier.filter(|((k, _), at)| *k == kind && now.since(**at) < self.retention);
         let mut versions = SmallVec::new();
         for software in listed.chain(earlier.map(|((_, software), _)| software)) {
             if !versions.contains(software) {
--- a/tests/tests/stream_origins.rs
+++ b/tests/tests/stream_origins.rs
@@ -21,6 +21,11 @@
 
 /// Returns a snapshot with one target for each of these software versions.
 fn snapshot(revision: u64, versions: &[&str]) -> Arc<Snapshot> {
+    snapshot_with("", revision, versions)
+}
+
+/// The same with these declarations of routes.
+fn snapshot_with(routes: &str, revision: u64, versions: &[&str]) -> Arc<Snapshot> {
     let key_digest = "0".repeat(64);
     let targets = (0..versions.len()).map(|i| {
         format!(
@@ -30,7 +35,7 @@
     });
     let declarations = format!(
         "[deployment]\nfirst_preset = day\n[preset day]\n[account coop]\nkey_digests = {key_digest}\n\
-         concurrency = 1000\n[service desk]\n{}",
+         concurrency = 1000\n[service desk]\n{}{routes}",
         targets.collect::<String>()
     );
     let document = Document::parse(&"declarations".into(), &declarations).unwrap();
@@ -185,6 +190,18 @@
     assert!(dispatched(&actions).is_some(), "{actions:?}");
 }
 
+#[test]
+fn a_version_is_remembered_for_as_long_as_streams_of_a_long_route_last() {
+    let route = "[route long]\nhost = shop.example\nprefix = /long/\nclass = resumable-stream\nto = desk\n\
+                 timeout_ms = 300000\nattempts = 2\n";
+    let mut control = daemon(1, &snapshot_with(route, 1, &["v1"]));
+    let next = snapshot_with(route, 2, &["v2"]);
+    control.handle(Moment::from_millis(1_000), Event::Configured(next));
+    let unknown = StreamRequest::Continue(Some(stream(1)));
+    let actions = arrive(&mut control, Moment::from_millis(290_000), 1, unknown);
+    assert_eq!(refused(&actions), Some(RefusalCode::UnknownStream));
+}
+
 #[test]
 fn a_daemon_that_started_after_a_version_ended_does_not_resume_its_streams_at_another() {
     // All daemons were killed together; before that, v1 had begun the stream and then left.
