Log the parts of prompts, and whether a broken attempt had a response

`sent` now names the parts of the prompt, and `attempt-ended` shows as `answering` whether the head of the response had arrived.

--- a/crates/cumintrail-daemon/src/relay/attempt.rs
+++ b/crates/cumintrail-daemon/src/relay/attempt.rs
@@ -56,6 +56,7 @@
     let Some(target) = snapshot.targets.get(dispatch.target) else {
         return AttemptEnd::Unsuccessful(AttemptOutcome::NotSent);
     };
+    call.target_responded = false;
     let mut attempt = Attempt { worker, caller, call, dispatch, target };
     let end = attempt.connect(target.address).await;
     match end {
@@ -133,6 +134,7 @@
                 &self.target.instance,
             );
             self.report_notice(&head, kind).await;
+            self.call.target_responded = kind == ResponseKind::Matching;
             match kind {
                 ResponseKind::Foreign if foreign_responses < MAX_FOREIGN_RESPONSES => {
                     foreign_responses += 1;
--- a/crates/cumintrail-daemon/src/relay/call.rs
+++ b/crates/cumintrail-daemon/src/relay/call.rs
@@ -56,6 +56,8 @@
     pub body_consumed: bool,
     /// Whether a byte of the call may have reached a target that did not report it as not run.
     pub may_have_run: bool,
+    /// Whether the target of the current attempt has sent the head of its response.
+    pub target_responded: bool,
     /// Splits streamed responses into events; one splitter serves all attempts.
     pub events: EventSplitter,
     /// Whether the head of a response that is forwarded as it arrives was queued for the caller.
@@ -208,6 +210,7 @@
         body_complete,
         body_consumed: false,
         may_have_run: false,
+        target_responded: false,
         response_started: false,
         failed_response: None,
         commands,
--- a/crates/cumintrail-daemon/src/relay/lines.rs
+++ b/crates/cumintrail-daemon/src/relay/lines.rs
@@ -5,9 +5,13 @@
 use cumintrail_config::Target;
 use cumintrail_control::{AttemptOutcome, Dispatch, TargetNotice};
 use cumintrail_types::{Moment, RefusalCode};
+use smallvec::SmallVec;
 
 use super::call::RelayedCall;
 
+/// Maximum number of parts of a prompt that a line names.
+const MAX_LOGGED_PARTS: usize = 8;
+
 /// Returns the call id that the caller sent.
 fn caller_call_id(call: &RelayedCall) -> &str {
     visible(call.metadata.id.as_ref())
@@ -18,6 +22,14 @@
     value.and_then(|value| value.to_str().ok()).unwrap_or("-")
 }
 
+/// Returns the names of the first parts of the prompt, or `-` if it is not given as parts.
+fn part_names(call: &RelayedCall) -> String {
+    let parts = &call.metadata.parts;
+    let names = parts.iter().take(MAX_LOGGED_PARTS).map(|part| &*part.name);
+    let names: SmallVec<[&str; MAX_LOGGED_PARTS]> = names.collect();
+    if names.is_empty() { "-".into() } else { names.join(",") }
+}
+
 /// Returns the milliseconds since the head of the call was read.
 fn age_ms(call: &RelayedCall, now: Moment) -> u128 {
     now.since(call.arrived).as_millis()
@@ -26,7 +38,7 @@
 /// Logs that a call is sent to a target.
 pub fn sent(call: &RelayedCall, now: Moment, dispatch: &Dispatch, target: &Target, reused: bool) {
     log::info!(
-        "event=sent id={} call={} route={} account={} class={} urgency={} attempt={} target={} software={} after_event={} resumes={} prompt={} max_answer={} expected_ms={} \
+        "event=sent id={} call={} route={} account={} class={} urgency={} attempt={} target={} software={} after_event={} resumes={} parts={} prompt={} max_answer={} expected_ms={} \
          version={} generation={} revision={} reused={} age_ms={} left_ms={}",
         caller_call_id(call),
         call.key,
@@ -39,6 +51,7 @@
         target.software.as_deref().unwrap_or("-"),
         call.events.last_id().unwrap_or(0),
         visible(call.metadata.resumes.as_ref()),
+        part_names(call),
         call.metadata.prompt,
         call.metadata.max_output,
         dispatch.first_token.as_millis(),
@@ -73,11 +86,12 @@
 ) {
     log::info!(
         "event=attempt-ended id={} call={} attempt={} target={target} outcome={} cause={cause} \
-         remainder_bytes={} age_ms={}",
+         answering={} remainder_bytes={} age_ms={}",
         caller_call_id(call),
         call.key,
         dispatch.attempt,
         outcome_name(outcome),
+        call.target_responded,
         call.events.remainder_len(),
         age_ms(call, now),
     );
