--- a/tests/src/standins/replica.rs
+++ b/tests/src/standins/replica.rs
@@ -6,6 +6,7 @@
 
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
 
 /// One step of a scripted response.
 #[derive(Debug, Clone)]
@@ -18,6 +19,8 @@
     Close,
     /// Resets the connection.
     Reset,
+    /// Ends the process: all connections are reset, and new ones are refused.
+    Crash,
 }
 
 /// Responds to relayed calls by a script.
@@ -26,6 +29,7 @@
     address: SocketAddr,
     heads: Arc<Mutex<Vec<String>>>,
     ended: Arc<Mutex<usize>>,
+    crashed: watch::Sender<bool>,
 }
 
 impl Replica {
@@ -46,10 +50,17 @@
     ) -> std::io::Result<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let address = listener.local_addr()?;
-        let replica = Self { address, heads: Arc::default(), ended: Arc::default() };
+        let crashed = watch::Sender::new(false);
+        let replica = Self { address, heads: Arc::default(), ended: Arc::default(), crashed };
         let (served, script) = (replica.clone(), std::rc::Rc::new(script));
+        let mut crashed = replica.crashed.subscribe();
         actix_rt::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
+            loop {
+                let accepted = tokio::select! {
+                    accepted = listener.accept() => accepted,
+                    _ = crashed.wait_for(|crashed| *crashed) => return,
+                };
+                let Ok((stream, _)) = accepted else { return };
                 let (served, script) = (served.clone(), script.clone());
                 actix_rt::spawn(async move {
                     // A connection error ends the script, as it ends the work of a real target.
@@ -76,13 +87,39 @@
         *self.ended.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Ends the process: all connections are reset, and new ones are refused.
+    pub fn crash(&self) {
+        self.crashed.send_replace(true);
+    }
+
+    /// Returns whether the process has ended.
+    pub fn has_crashed(&self) -> bool {
+        *self.crashed.borrow()
+    }
+
     async fn serve(
         &self,
         mut stream: TcpStream,
         script: &impl Fn(usize, &str) -> Vec<Step>,
+    ) -> std::io::Result<()> {
+        let mut crashed = self.crashed.subscribe();
+        let ended = tokio::select! {
+            ended = self.serve_calls(&mut stream, script) => ended,
+            _ = crashed.wait_for(|crashed| *crashed) => Ok(()),
+        };
+        if self.has_crashed() {
+            return socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+        }
+        ended
+    }
+
+    async fn serve_calls(
+        &self,
+        stream: &mut TcpStream,
+        script: &impl Fn(usize, &str) -> Vec<Step>,
     ) -> std::io::Result<()> {
         loop {
-            let call = read_call(&mut stream).await?;
+            let call = read_call(stream).await?;
             let id = header(&call, "x-cumintrail-call").unwrap_or_default().to_owned();
             let number = {
                 let mut heads = self.heads.lock().unwrap_or_else(PoisonError::into_inner);
@@ -106,7 +143,11 @@
                     Step::Close => return Ok(()),
                     Step::Reset => {
                         actix_rt::time::sleep(Duration::from_millis(30)).await;
-                        return socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+                        return socket2::SockRef::from(&*stream).set_linger(Some(Duration::ZERO));
+                    }
+                    Step::Crash => {
+                        self.crash();
+                        return Ok(());
                     }
                 }
             }
