Quarantine content of the product's own calls too

Model calls now name the prefix blocks of their prompt but the last, calls to plain services the request; a response that broke off or is no success says so before its attempt ends. Without a registry, missed probes or a new incarnation show that the target crashed.

--- a/crates/cumintrail-control/src/control/probes.rs
+++ b/crates/cumintrail-control/src/control/probes.rs
@@ -86,7 +86,9 @@
             return;
         }
         state.liveness = Liveness::Silent;
-        self.handle_unreachable_target(now, key);
+        if !self.is_leaving(key) {
+            self.record_gone_target(now, key);
+        }
         let address = self.target_address(key);
         if address.is_some_and(|address| self.membership.record_silence(address)) {
             self.send_digest_soon(now);
--- a/crates/cumintrail-control/src/quarantine.rs
+++ b/crates/cumintrail-control/src/quarantine.rs
@@ -294,9 +294,9 @@
     ) {
         let ((target, target_hash), (account, contents)) = (target, call);
         let broken = BrokenCall { contents: contents.into(), account, sent, broken: now };
-        let is_crashed =
-            self.crashed.get(&target).is_some_and(|at| now.since(*at) < BROKEN_CALL_RETENTION);
-        if is_crashed {
+        // The key of a target may stand for its next incarnation by now.
+        let crashed = self.crashed.get(&target).copied();
+        if crashed.is_some_and(|at| sent <= at && now.since(at) < BROKEN_CALL_RETENTION) {
             return self.record_crash(now, target_hash, &[broken], report_rounds);
         }
         let calls = self.broken.entry(target).or_default();
@@ -351,8 +351,8 @@
         report_rounds: u32,
     ) {
         self.crashed.retain(|_, at| now.since(*at) < BROKEN_CALL_RETENTION);
+        self.crashed.insert(target, now);
         if !calls.is_empty() {
-            self.crashed.insert(target, now);
             self.record_crash(now, target_hash, calls, report_rounds);
         }
     }
--- a/crates/cumintrail-daemon/src/callers/engine_attempt.rs
+++ b/crates/cumintrail-daemon/src/callers/engine_attempt.rs
@@ -8,7 +8,9 @@
 use cumintrail_client::{ClientError, Engine, ResponseEvent, ResponseStream};
 use cumintrail_config::Snapshot;
 use cumintrail_control::stream::{EventCheck, StreamChecker};
-use cumintrail_control::{AttemptOutcome, Dispatch, Event, Fetch, FetchOutcome, Usage};
+use cumintrail_control::{
+    AttemptOutcome, Dispatch, Event, Fetch, FetchOutcome, ResponseEnd, Usage,
+};
 use cumintrail_types::{AccountKey, BlockKey, CallKey, Moment, Ran, StoreKey, WeightVersion};
 use cumintrail_wire::caller::{CompletionRequest, DEFAULT_MAX_TOKENS};
 use cumintrail_wire::engine::{
@@ -183,7 +185,7 @@
                 resumes = ResumeCounts::default();
             }
             if resumes.are_exhausted() {
-                return Self::failed();
+                return self.fail(worker).await;
             }
             metrics::counter!(metric::STREAM_RESUMES).increment(1);
             stream = match worker
@@ -197,7 +199,7 @@
                     Some(stream)
                 }
                 // An engine that does not have the response cannot deliver it later either.
-                Err(ClientError::Refused { .. }) => return Self::failed(),
+                Err(ClientError::Refused { .. }) => return self.fail(worker).await,
                 Err(_) => {
                     resumes.unanswered += 1;
                     None
@@ -206,7 +208,10 @@
         }
     }
 
-    const fn failed() -> AttemptEnd {
+    /// Ends an attempt whose response broke off and cannot be resumed.
+    async fn fail(&self, worker: &Worker) -> AttemptEnd {
+        let event = Event::ResponseEnded { call: self.call, end: ResponseEnd::Broken };
+        worker.shared.control.send(event).await;
         AttemptEnd::Outcome(AttemptOutcome::Failed { can_continue: true })
     }
 
--- a/crates/cumintrail-daemon/src/callers/model_call.rs
+++ b/crates/cumintrail-daemon/src/callers/model_call.rs
@@ -6,6 +6,7 @@
 
 use actix_http::{RequestHead, Response};
 use cumintrail_config::{Snapshot, TargetKind};
+use cumintrail_control::quarantine::ContentKey;
 use cumintrail_control::{Arrival, AttemptOutcome, Event, RouteOptions};
 use cumintrail_types::{
     AccountKey, BlockKey, CallClass, CallKey, Refusal, RefusalCode, Tokens, WeightVersion,
@@ -24,6 +25,8 @@
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 const EVENT_BUFFER_LEN: usize = 32;
 const MAX_OUTPUT_TOKENS: u32 = 1 << 20;
+/// Maximum number of blocks of one prompt that are suspected of a crash.
+const MAX_CONTENTS: usize = 64;
 
 /// Authenticates the caller, submits its call to the control thread and returns the response.
 pub async fn handle(
@@ -55,7 +58,7 @@
         prompt: Tokens((request.prompt.len() as u32).div_ceil(snapshot.deployment.bytes_per_token)),
         max_output: Tokens(max_tokens),
         deadline: now + timeout,
-        options: RouteOptions::default(),
+        options: RouteOptions { contents: contents(&blocks), ..RouteOptions::default() },
     };
     let overloaded = Refusal::not_run(RefusalCode::Overloaded).retry_after(RETRY_AFTER);
     let commands = worker.shared.control.submit_call(arrival).map_err(|_| overloaded)?;
@@ -75,6 +78,13 @@
     }
 }
 
+/// Returns the content under which engines may crash: the first blocks of the prompt but the last,
+/// which is its own.
+fn contents(blocks: &[BlockKey]) -> Arc<[ContentKey]> {
+    let shared = blocks.split_last().map_or(&[][..], |(_own, shared)| shared);
+    shared.iter().take(MAX_CONTENTS).map(|block| ContentKey::of_hash(&block.0)).collect()
+}
+
 /// Derives the block keys of a prompt for one weight version.
 pub fn block_keys(
     worker: &Worker,
--- a/crates/cumintrail-daemon/src/callers/service_task.rs
+++ b/crates/cumintrail-daemon/src/callers/service_task.rs
@@ -2,12 +2,16 @@
 
 use std::pin::pin;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use cumintrail_client::{ClientError, Service, ServiceCall, ServiceResponse};
 use cumintrail_config::TargetKind;
 use cumintrail_control::once::{IN_PROGRESS_RETRY_AFTER, KeyOutcome, Verdict};
-use cumintrail_control::{Arrival, AttemptOutcome, Dispatch, Event, RouteOptions, Usage};
+use cumintrail_control::quarantine::ContentKey;
+use cumintrail_control::{
+    Arrival, AttemptOutcome, Dispatch, Event, ResponseEnd, RouteOptions, Usage,
+};
 use cumintrail_types::{Ran, Refusal, RefusalCode, Tokens, WeightVersion};
 use cumintrail_wire::record::ResponseRecord;
 use tokio::sync::{mpsc, oneshot};
@@ -77,12 +81,20 @@
         prompt: Tokens(0),
         max_output: Tokens(0),
         deadline: worker.shared.now() + plain.timeout,
-        options: RouteOptions::default(),
+        options: RouteOptions { contents: contents(worker, plain), ..RouteOptions::default() },
     };
     let overloaded = Refusal::not_run(RefusalCode::Overloaded).retry_after(OVERLOADED_RETRY_AFTER);
     worker.shared.control.submit_call(arrival).map_err(|_| overloaded)
 }
 
+/// Returns the content under which targets may crash: the whole request, which a caller may repeat.
+fn contents(worker: &Worker, plain: &PlainCall) -> Arc<[ContentKey]> {
+    let snapshot = worker.shared.snapshot();
+    let service = snapshot.as_ref().and_then(|s| s.services.get(plain.service));
+    let service = service.map_or("", |service| &service.name);
+    [ContentKey::of_request(&[service.as_bytes(), &plain.digest().0])].into()
+}
+
 type ResponseSender = oneshot::Sender<Result<CallResponse, Refusal>>;
 
 /// Executes the control thread's commands until the call is completed or refused.
@@ -146,6 +158,15 @@
             Err(_) => AttemptOutcome::NotSent,
         };
         self.sent |= outcome != AttemptOutcome::NotSent;
+        let end = match &sent {
+            Ok(response) if (200..300).contains(&response.status) => None,
+            Ok(_) => Some(ResponseEnd::Inconclusive),
+            Err(_) => Some(ResponseEnd::Broken),
+        };
+        if let Some(end) = end.filter(|_| outcome != AttemptOutcome::NotSent) {
+            let event = Event::ResponseEnded { call: dispatch.call, end };
+            self.worker.shared.control.send(event).await;
+        }
         self.report_end(dispatch, outcome).await;
         let response = sent.ok()?;
         metrics::counter!(metric::CALLS, "outcome" => "answered").increment(1);
--- a/tests/tests/quarantine.rs
+++ b/tests/tests/quarantine.rs
@@ -50,8 +50,8 @@
     declared.with_targets(revision, listed).into()
 }
 
-fn daemon(port: u16) -> Control {
-    let identity = Identity {
+fn identity(port: u16) -> Identity {
+    Identity {
         vm: format!("vm-{port}").into(),
         domain: format!("d{}", port % 4).into(),
         incarnation: Incarnation(port.into()),
@@ -59,8 +59,11 @@
         probe_interval: Duration::from_secs(3_600),
         digest_interval: DIGEST_INTERVAL,
         processor_share: 0,
-    };
-    let mut control = Control::new(identity, port.into());
+    }
+}
+
+fn daemon(port: u16) -> Control {
+    let mut control = Control::new(identity(port), port.into());
     control.follow_registry("a key of sixteen bytes or more");
     control
 }
@@ -468,3 +471,33 @@
     flood(&mut fleet, 1_000, 10);
     assert_eq!(fleet.quarantined("bad"), refused, "still refused");
 }
+
+#[test]
+fn without_a_registry_a_target_that_misses_its_probes_after_a_broken_call_has_crashed() {
+    let mut fleet = Fleet::new(1);
+    fleet.daemons[0] = Control::new(identity(1), 1);
+    let listed = fleet.listed.clone();
+    fleet.daemons[0].handle(Moment(1), Event::Configured(listed));
+    flood(&mut fleet, 1_000, u64::MAX);
+    for n in 0..3 {
+        assert_eq!(fleet.quarantined("bad"), 0, "after {n} crashes");
+        fleet.call(0, 0, &["hot", "bad"], 100_000);
+        fleet.run(100);
+        let sent = fleet.sent.pop().expect("the call was sent");
+        let (call, target) = (CallKey(sent.call), sent.target);
+        let (attempt, now) = (AttemptNumber(1), fleet.moment());
+        let control = &mut fleet.daemons[0];
+        control.handle(now, Event::ResponseEnded { call, end: ResponseEnd::Broken });
+        let outcome = AttemptOutcome::Failed { can_continue: false };
+        control.handle(now, Event::AttemptEnded { call, attempt, outcome });
+        fleet.run(1_000);
+        for _ in 0..3 {
+            let now = fleet.moment();
+            fleet.daemons[0].handle(now, Event::TargetSilent { target });
+        }
+        flood(&mut fleet, 1_000, u64::MAX);
+    }
+    fleet.call(0, 0, &["hot", "bad"], 100_000);
+    assert_eq!(fleet.quarantined("bad"), 1, "{:?}", fleet.refused);
+    assert_eq!(fleet.quarantined("hot"), 1, "only with the part");
+}
