Show content in quarantine, and let operators lift it

`dump` lists the contents in quarantine with the account whose calls are refused, and `cumintrail lift CONTENT` lifts one on all daemons. A lift is recorded with its time: crashes up to it accuse the content no more, later ones do, so that a wrong lift costs no more crashes than the first quarantine did.

--- a/crates/cumintrail-cli/src/commands.rs
+++ b/crates/cumintrail-cli/src/commands.rs
@@ -14,7 +14,7 @@
 use crate::declarations::Declarations;
 use crate::errors::{UnconfirmedSnafu, UsageSnafu};
 use crate::table::Style;
-use crate::{CliError, Missing, OperatorClient, drain, dump, publish, status};
+use crate::{CliError, Missing, OperatorClient, drain, dump, lift, publish, status};
 
 const CONFIRM_POLL_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -75,6 +75,11 @@
     },
     /// Give a target or a VM no new work and tell when it is safe to stop.
     Drain(DrainArguments),
+    /// Send calls with content in quarantine to targets again.
+    Lift {
+        /// The content, as dumps and log lines show it.
+        content: String,
+    },
     /// Print the digest of an API key read from standard input.
     HashKey,
     /// Print a completion script.
@@ -209,6 +214,10 @@
             let drained = drain::drain(client, &subject.to_request(), wait).await?;
             Ok(render(format, &drained, || format!("{} is safe to stop", drained.name)))
         }
+        Command::Lift { content } => {
+            lift::lift(client, content).await?;
+            Ok(render(format, content, || format!("calls with {content} are sent again")))
+        }
         Command::Check { .. } | Command::HashKey | Command::Completions { .. } => Ok(String::new()),
     }
 }
--- a/crates/cumintrail-cli/src/dump.rs
+++ b/crates/cumintrail-cli/src/dump.rs
@@ -2,7 +2,9 @@
 
 use std::net::SocketAddr;
 
-use cumintrail_control::{CallDump, Dump, LimitDump, PeerDump, QueueDump, StoreDump, TargetDump};
+use cumintrail_control::{
+    CallDump, Dump, LimitDump, PeerDump, QuarantineDump, QueueDump, StoreDump, TargetDump,
+};
 use cumintrail_wire::operator::Age;
 use snafu::ResultExt;
 
@@ -36,6 +38,7 @@
         ("targets", targets(&dump.targets)),
         ("stores", stores(&dump.stores)),
         ("peers", peers(&dump.peers)),
+        ("contents in quarantine", quarantined(&dump.quarantined)),
     ];
     for (title, table) in tables {
         lines.push(String::new());
@@ -85,6 +88,15 @@
     table
 }
 
+fn quarantined(entries: &[QuarantineDump]) -> Table {
+    let mut table = Table::new(&["CONTENT", "ACCOUNT", ">LEFT"]);
+    for entry in entries {
+        let account = entry.account.as_deref().unwrap_or("all").to_owned();
+        table.add_row([entry.content.clone(), account, Age(entry.left_ms).to_string()]);
+    }
+    table
+}
+
 fn queues(queues: &[QueueDump]) -> Table {
     let mut table = Table::new(&["MODEL OR SERVICE", ">WAITING"]);
     for queue in queues {
--- a/crates/cumintrail-cli/src/lib.rs
+++ b/crates/cumintrail-cli/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod drain;
 pub mod dump;
 mod errors;
+mod lift;
 mod operator_client;
 mod publish;
 pub mod status;
--- a/crates/cumintrail-cli/tests/output.rs
+++ b/crates/cumintrail-cli/tests/output.rs
@@ -2,7 +2,9 @@
 
 use cumintrail_cli::status::{DaemonStatus, StatusReport};
 use cumintrail_cli::{Style, dump};
-use cumintrail_control::{CallDump, Dump, LimitDump, PeerDump, QueueDump, StoreDump, TargetDump};
+use cumintrail_control::{
+    CallDump, Dump, LimitDump, PeerDump, QuarantineDump, QueueDump, StoreDump, TargetDump,
+};
 use cumintrail_types::{Bytes, CallClass, CallKey, Generation, Incarnation, Tokens};
 use cumintrail_wire::operator::{Age, Degradation, Status};
 use insta::{assert_json_snapshot, assert_snapshot};
@@ -140,6 +142,11 @@
         stores: vec![store],
         kept_blocks: 26_000,
         peers: vec![("10.0.0.2:7002".parse().unwrap(), peer)],
+        quarantined: vec![QuarantineDump {
+            content: "00c0ffee00c0ffee".into(),
+            account: Some("kesong".into()),
+            left_ms: 480_000,
+        }],
     }
 }
 
@@ -159,6 +166,7 @@
         targets: Vec::new(),
         stores: Vec::new(),
         peers: Vec::new(),
+        quarantined: Vec::new(),
         ..state()
     };
     assert_snapshot!(dump::to_text(&idle, Style::Plain));
--- a/crates/cumintrail-control/src/control/description.rs
+++ b/crates/cumintrail-control/src/control/description.rs
@@ -10,8 +10,13 @@
 use super::state::{StoreState, TargetState};
 use crate::dump::{liveness_label, millis_between};
 use crate::membership::Peer;
+use crate::parts::name_hash;
 use crate::placement::Placer;
-use crate::{Call, CallDump, Counts, Dump, LimitDump, PeerDump, QueueDump, StoreDump, TargetDump};
+use crate::quarantine::{Quarantined, Scope};
+use crate::{
+    Call, CallDump, Counts, Dump, LimitDump, PeerDump, QuarantineDump, QueueDump, StoreDump,
+    TargetDump,
+};
 
 impl<P: Placer> Control<P> {
     /// Returns a dump of the whole state for operators.
@@ -36,6 +41,7 @@
                 .other_peers()
                 .map(|(address, peer)| (address, PeerDump::new(now, peer)))
                 .collect(),
+            quarantined: self.describe_quarantines(now),
         }
     }
 
@@ -65,6 +71,23 @@
         self.membership.peers().filter(|(address, _)| *address != self.identity.address)
     }
 
+    fn describe_quarantines(&self, now: Moment) -> Vec<QuarantineDump> {
+        let accounts = || self.snapshot.iter().flat_map(|s| s.accounts.iter());
+        let account_name = |hash: u64| {
+            let found = accounts().find(|(_, account)| name_hash(&account.name) == hash);
+            found.map_or_else(|| "-".into(), |(_, account)| account.name.clone())
+        };
+        let describe = |entry: Quarantined| QuarantineDump {
+            content: format!("{:016x}", entry.content.0),
+            account: match entry.scope {
+                Scope::Account(hash) => Some(account_name(hash)),
+                Scope::All => None,
+            },
+            left_ms: millis_between(entry.until, now),
+        };
+        self.quarantine.entries(now).map(describe).collect()
+    }
+
     fn describe_calls(&self, now: Moment) -> Vec<CallDump> {
         let mut calls: Vec<(&CallKey, &Call)> = self.calls.iter().collect();
         calls.sort_unstable_by_key(|(key, _)| **key);
--- a/crates/cumintrail-control/src/dump.rs
+++ b/crates/cumintrail-control/src/dump.rs
@@ -42,6 +42,20 @@
     pub kept_blocks: usize,
     /// The known peers, by operator address.
     pub peers: Vec<(SocketAddr, PeerDump)>,
+    /// Content in quarantine.
+    #[serde(default)]
+    pub quarantined: Vec<QuarantineDump>,
+}
+
+/// Describes content in quarantine.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct QuarantineDump {
+    /// The key of the content, in hexadecimal.
+    pub content: String,
+    /// The client account whose calls are refused; `None` for all accounts.
+    pub account: Option<Arc<str>>,
+    /// Milliseconds until the quarantine ends.
+    pub left_ms: u64,
 }
 
 /// Describes a call in flight.
--- a/crates/cumintrail-control/src/lib.rs
+++ b/crates/cumintrail-control/src/lib.rs
@@ -35,7 +35,9 @@
     DomainSize, Echo, Freshness, LeavingIncarnation, PeerDigest, TargetLoad, TargetUpdate,
     VersionAnnouncement, VmEntry, VmRole, VmState,
 };
-pub use dump::{CallDump, Dump, LimitDump, PeerDump, QueueDump, StoreDump, TargetDump};
+pub use dump::{
+    CallDump, Dump, LimitDump, PeerDump, QuarantineDump, QueueDump, StoreDump, TargetDump,
+};
 pub use event::{
     Action, Actions, Arrival, AttemptOutcome, Dispatch, Event, Export, Fetch, FetchOutcome,
     FetchPlan, Order, OrderKind, ResponseEnd, RouteOptions, RunningCalls, TargetNotice,
--- a/crates/cumintrail-control/src/quarantine.rs
+++ b/crates/cumintrail-control/src/quarantine.rs
@@ -33,6 +33,10 @@
 const MAX_REPORTED: usize = 256;
 /// Maximum number of reports that wait for a digest.
 const MAX_PENDING_REPORTS: usize = 4_096;
+/// How long it is recorded that an operator lifted a quarantine.
+const LIFT_RETENTION: Duration = Duration::from_secs(1_800);
+/// Times in reports of one lift differ by up to this.
+const CLOCK_TOLERANCE: Duration = Duration::from_secs(1);
 /// The account in records and reports that stand for all accounts.
 const ALL_ACCOUNTS: u64 = 0;
 
@@ -143,9 +147,12 @@
     /// Its time was over.
     #[display("expired")]
     Expired,
-    /// An operator or a peer lifted it.
+    /// A peer reported a complete response.
     #[display("reported")]
     Reported,
+    /// An operator lifted it.
+    #[display("operator")]
+    Operator,
 }
 
 /// Collects what daemons report to each other about crashes.
@@ -155,6 +162,8 @@
     pub crashes: Vec<ReportedCrash>,
     /// Suspected content that had a complete response.
     pub cleared: Vec<ContentKey>,
+    /// Content that an operator lifted from quarantine, and how long ago.
+    pub lifted: Vec<(ContentKey, Duration)>,
     /// Content in quarantine.
     pub quarantined: Vec<ReportedQuarantine>,
 }
@@ -213,7 +222,8 @@
 impl QuarantineReport {
     /// Returns whether there is nothing to report.
     pub fn is_empty(&self) -> bool {
-        self.crashes.is_empty() && self.cleared.is_empty() && self.quarantined.is_empty()
+        let is_any = self.crashes.is_empty() && self.cleared.is_empty();
+        is_any && self.lifted.is_empty() && self.quarantined.is_empty()
     }
 }
 
@@ -230,6 +240,7 @@
 enum PendingReport {
     Crash(Crash),
     Cleared(ContentKey),
+    Lifted(ContentKey, RecordTime),
 }
 
 /// Tracks suspected and quarantined content.
@@ -243,6 +254,8 @@
     quarantined: HashMap<ContentKey, Quarantined>,
     broken: HashMap<TargetKey, Vec<BrokenCall>>,
     crashed: HashMap<TargetKey, Moment>,
+    /// When operators lifted quarantines; crashes before that accuse the content no more.
+    lifted: HashMap<ContentKey, RecordTime>,
     pending: VecDeque<(PendingReport, u32)>,
     changes: Vec<QuarantineChange>,
     /// When crashes are weighed next; `None` until something changes.
@@ -276,11 +289,40 @@
         is_suspected
     }
 
-    /// Lifts the quarantine of content at an operator's request, on all daemons.
+    /// Lifts the quarantine of content at an operator's request; further crashes under the content
+    /// accuse it again.
     pub fn lift(&mut self, now: Moment, content: ContentKey, report_rounds: u32) {
-        self.completed.insert(now, content);
-        self.clear(content, LiftCause::Reported, report_rounds);
-        self.report(PendingReport::Cleared(content), report_rounds);
+        self.apply_lift(now, content, now.into(), report_rounds);
+    }
+
+    /// Forgets the crashes under content before an operator lifted its quarantine; returns whether
+    /// peers should know.
+    fn apply_lift(
+        &mut self,
+        now: Moment,
+        content: ContentKey,
+        at: RecordTime,
+        report_rounds: u32,
+    ) -> bool {
+        self.lifted.retain(|_, lifted| lifted.age(now) < LIFT_RETENTION);
+        if self.lifted.get(&content).is_some_and(|known| *known >= at) {
+            return false;
+        }
+        self.lifted.insert(content, at);
+        self.evidence.remove_until(content, at);
+        if self.is_lifted(now, content, self.quarantined.get(&content).map(|entry| entry.until)) {
+            self.quarantined.remove(&content);
+            self.changes.push(QuarantineChange::Lifted { content, cause: LiftCause::Operator });
+        }
+        self.report(PendingReport::Lifted(content, at), report_rounds)
+    }
+
+    /// Returns whether an operator lifted a quarantine after its last crash.
+    fn is_lifted(&self, now: Moment, content: ContentKey, until: Option<Moment>) -> bool {
+        let Some((lifted, until)) = self.lifted.get(&content).zip(until) else {
+            return false;
+        };
+        until <= now + QUARANTINE_TIME.saturating_sub(lifted.age(now))
     }
 
     /// Records that the connection of a call to a target broke.
@@ -390,7 +432,17 @@
             self.completed.insert(now, *content);
             is_urgent |= self.clear(*content, LiftCause::Reported, relay_rounds);
         }
+        for (content, age) in &report.lifted {
+            let at = RecordTime::before(now, *age);
+            let is_known =
+                self.lifted.get(content).is_some_and(|known| at <= known.after(CLOCK_TOLERANCE));
+            is_urgent |= !is_known && self.apply_lift(now, *content, at, relay_rounds);
+        }
         for crash in &report.crashes {
+            let ended = RecordTime::before(now, crash.ended_age);
+            if self.lifted.get(&crash.content).is_some_and(|lifted| ended <= *lifted) {
+                continue;
+            }
             if self.completed.contains(crash.content) {
                 is_urgent |=
                     self.report(PendingReport::Cleared(crash.content), relay_rounds.max(1));
@@ -401,6 +453,12 @@
             }
         }
         for entry in report.quarantined.iter().map(|entry| entry.received(now)) {
+            if self.is_lifted(now, entry.content, Some(entry.until)) {
+                let at = self.lifted[&entry.content];
+                is_urgent |=
+                    self.report(PendingReport::Lifted(entry.content, at), relay_rounds.max(1));
+                continue;
+            }
             if self.completed.contains(entry.content) {
                 is_urgent |=
                     self.report(PendingReport::Cleared(entry.content), relay_rounds.max(1));
@@ -423,6 +481,9 @@
                     report.crashes.push(ReportedCrash::new(now, crash));
                 }
                 PendingReport::Cleared(content) => report.cleared.push(content),
+                PendingReport::Lifted(content, at) => {
+                    report.lifted.push((content, at.age(now)));
+                }
             }
             if rounds > 1 {
                 self.pending.push_back((pending, rounds - 1));
--- a/crates/cumintrail-control/src/quarantine/evidence.rs
+++ b/crates/cumintrail-control/src/quarantine/evidence.rs
@@ -53,6 +53,12 @@
         Self(Self::from(now).0.saturating_sub(age))
     }
 
+    /// Returns the time that is `delay` later.
+    pub fn after(self, delay: Duration) -> Self {
+        let delay = i64::try_from(delay.as_micros()).unwrap_or(i64::MAX);
+        Self(self.0.saturating_add(delay))
+    }
+
     /// Returns the time from this time to `now`.
     pub fn age(self, now: Moment) -> Duration {
         let age = Self::from(now).0.saturating_sub(self.0);
@@ -118,6 +124,13 @@
         self.crashes.remove(&content).is_some()
     }
 
+    /// Removes the crashes under content up to a time.
+    pub fn remove_until(&mut self, content: ContentKey, time: RecordTime) {
+        if let Some(crashes) = self.crashes.get_mut(&content) {
+            crashes.retain(|crash| crash.ended > time);
+        }
+    }
+
     /// Returns what the crashes prove, and whether that can change only by further crashes.
     ///
     /// A crash that content in quarantine explains proves nothing against other content. Of the
--- a/crates/cumintrail-daemon/src/operators.rs
+++ b/crates/cumintrail-daemon/src/operators.rs
@@ -12,7 +12,7 @@
 use cumintrail_control::{Dump, Event, PeerDigest};
 use cumintrail_types::{Refusal, RefusalCode};
 use cumintrail_wire::feed::FeedRequest;
-use cumintrail_wire::operator::{Age, DrainRequest, Status};
+use cumintrail_wire::operator::{Age, DrainRequest, LiftRequest, Status};
 use cumintrail_wire::peer::{
     ConfigReply, ConfigRequest, DigestMessage, DigestReply, ForwardRequest, VmListReply,
     VmListRequest,
@@ -72,6 +72,7 @@
             Ok(refusal::json_response(STATUS_OK, &status(shared).await?))
         }
         (Method::POST, "/operator/drain") => handle_drain(shared, &mut req).await,
+        (Method::POST, "/operator/lift") => handle_lift(shared, &mut req).await,
         (Method::POST, "/peer/digest") => handle_digest(shared, &mut req).await,
         (Method::POST, "/peer/config") => handle_config_request(shared, &mut req).await,
         (Method::POST, "/peer/feed") => handle_feed_request(shared, &mut req).await,
@@ -143,6 +144,24 @@
     Ok(refusal::json_response(STATUS_OK, &"draining"))
 }
 
+/// Lifts the quarantine of content; `not-found` if it is not in quarantine here.
+async fn handle_lift(
+    shared: &Shared,
+    req: &mut Request,
+) -> Result<Response<ResponseBody>, Refusal> {
+    let timeout = shared.settings.request_timeout;
+    let body = request::read_body(req, MAX_DRAIN_REQUEST_BYTES, timeout).await?;
+    let request: Result<LiftRequest, _> = serde_json::from_slice(&body);
+    let request = request.map_err(|_| Refusal::not_run(RefusalCode::BadRequest))?;
+    let entries = dump(shared).await?.quarantined;
+    let entry = entries.iter().find(|entry| entry.content == *request.content);
+    let entry = entry.ok_or(Refusal::not_run(RefusalCode::NotFound))?;
+    let content = u64::from_str_radix(&entry.content, 16);
+    let content = content.map_err(|_| Refusal::not_run(RefusalCode::BadRequest))?.into();
+    shared.control.send(Event::LiftQuarantine { content }).await;
+    Ok(refusal::json_response(STATUS_OK, &"lifted"))
+}
+
 async fn handle_digest(
     shared: &Shared,
     req: &mut Request,
--- a/crates/cumintrail-wire/src/operator.rs
+++ b/crates/cumintrail-wire/src/operator.rs
@@ -47,6 +47,13 @@
     Vm(Arc<str>),
 }
 
+/// Represents the body of `POST /operator/lift`, which lifts the quarantine of content on all daemons.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LiftRequest {
+    /// The content, as dumps show it.
+    pub content: Arc<str>,
+}
+
 /// Represents a duration in milliseconds, displayed rounded down in a unit that suits its length.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Age(pub u64);
--- a/tests/tests/cli.rs
+++ b/tests/tests/cli.rs
@@ -58,6 +58,8 @@
     assert!(json(&cluster, &["completions", "bash"]).await.unwrap().is_string());
     let unknown = json(&cluster, &["drain", "--target", "engine-9"]).await.unwrap_err();
     assert_eq!(unknown.exit_code(), 2, "{unknown}");
+    let unknown = json(&cluster, &["lift", "00c0ffee00c0ffee"]).await.unwrap_err();
+    assert_eq!(unknown.exit_code(), 2, "{unknown}");
 }
 
 #[actix_rt::test]
--- a/tests/tests/quarantine.rs
+++ b/tests/tests/quarantine.rs
@@ -501,3 +501,30 @@
     assert_eq!(fleet.quarantined("bad"), 1, "{:?}", fleet.refused);
     assert_eq!(fleet.quarantined("hot"), 1, "only with the part");
 }
+
+#[test]
+fn an_operator_lifts_a_quarantine_on_all_daemons_until_targets_crash_again() {
+    let mut fleet = Fleet::new(7);
+    flood(&mut fleet, 2_000, u64::MAX);
+    fleet.crashing = Some("bad");
+    flood(&mut fleet, 3_000, 10);
+    let dump = fleet.daemons[2].dump(fleet.moment());
+    let content = ContentKey::of_part("bad");
+    assert_eq!(dump.quarantined.len(), 1, "{:?}", dump.quarantined);
+    assert_eq!(dump.quarantined[0].content, format!("{:016x}", content.0));
+
+    fleet.crashing = None;
+    let now = fleet.moment();
+    fleet.daemons[2].handle(now, Event::LiftQuarantine { content });
+    fleet.run(600);
+    let refused = fleet.quarantined("bad");
+    for daemon in 0..7 {
+        fleet.call(daemon, 0, &["hot", "s0", "bad"], 100_000);
+    }
+    assert_eq!(fleet.quarantined("bad"), refused, "refused after the lift");
+    // No response is complete, so that crashes count again.
+    fleet.sent.retain(|sent| !sent.parts.contains(&"bad"));
+    fleet.crashing = Some("bad");
+    flood(&mut fleet, 4_000, 10);
+    assert!(fleet.quarantined("bad") > refused, "not quarantined again");
+}
