Send calls with parts that crash engines in the platform's soak

The soak checks that no more than three such calls are executed later than three seconds after the fifth replica ended, by daemons without a fault of their own. Connections to a replica run through a relay that outlives it, so that daemons learn of a crash from the registry only.

--- a/tests/platform-standin/src/calls.rs
+++ b/tests/platform-standin/src/calls.rs
@@ -12,7 +12,7 @@
 use tokio::net::TcpStream;
 
 use crate::deployment::{API_KEY, HOST};
-use crate::replica::{EVENTS_PER_STREAM, event_text};
+use crate::replica::{CRASHING_PART_PREFIX, EVENTS_PER_STREAM, event_text};
 
 /// Deadline that a request states. The caller itself waits for twice as long.
 const REQUEST_DEADLINE: Duration = Duration::from_secs(3);
@@ -21,6 +21,14 @@
 const CALL_DELAY: Duration = Duration::from_millis(40);
 /// Calls that a caller sends before it opens a new connection.
 const CALLS_PER_CONNECTION: usize = 40;
+/// The parts of the prompts of sound calls.
+const SOUND_PARTS: &str = "a1:40,b2:20";
+/// Calls with a part that crashes engines come for [`CRASHING_CALLS_DURATION`] of each such period,
+/// with a new part in each.
+const CRASHING_PART_PERIOD: Duration = Duration::from_secs(12);
+const CRASHING_CALLS_DURATION: Duration = Duration::from_secs(9);
+/// Mean delay between two of these calls.
+const CRASHING_CALL_DELAY: Duration = Duration::from_millis(150);
 
 /// Kinds of calls, by whether they may be executed or resumed more than once.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -131,6 +139,44 @@
     }
 }
 
+/// Sends streamed calls with a part that crashes engines until `stop` is set, each over a connection
+/// of its own. They share their other parts with sound calls.
+pub async fn run_crashing_caller(
+    seed: u64,
+    rotation: Rotation,
+    call_log: CallLog,
+    stop: Rc<RefCell<bool>>,
+) {
+    let mut rng = StdRng::seed_from_u64(!seed);
+    let started_at = Instant::now();
+    let mut calls = 0;
+    while !*stop.borrow() {
+        actix_rt::time::sleep(CRASHING_CALL_DELAY.mul_f64(rng.random_range(0.5..1.5))).await;
+        let elapsed = started_at.elapsed().as_millis();
+        let period = elapsed / CRASHING_PART_PERIOD.as_millis();
+        if elapsed % CRASHING_PART_PERIOD.as_millis() >= CRASHING_CALLS_DURATION.as_millis() {
+            continue;
+        }
+        let chosen = {
+            let vms = rotation.borrow();
+            let index = rng.random_range(0..vms.len().max(1));
+            vms.get(index).copied()
+        };
+        calls += 1;
+        let (seed, call_log) = (format!("{seed:x}"), call_log.clone());
+        let kind = if rng.random() { CallKind::Flow } else { CallKind::Resume };
+        // The next call does not wait for the end of this one.
+        actix_rt::spawn(async move {
+            let Some((vm, address)) = chosen else { return };
+            let Ok(mut caller) = Caller::connect(vm, address).await else { return };
+            caller.parts = format!("a1:40,{CRASHING_PART_PREFIX}{period}:10,{calls:x}:10");
+            let id = format!("{seed}-crashing-{calls}");
+            let (record, _) = caller.call(kind, kind.path(), id, API_KEY).await;
+            call_log.borrow_mut().push(record);
+        });
+    }
+}
+
 /// A connection of a caller. It accepts only responses whose end is declared by a length or by
 /// chunks.
 #[derive(Debug)]
@@ -138,13 +184,15 @@
     stream: TcpStream,
     vm: usize,
     input: Vec<u8>,
+    /// The parts of the prompts of streamed calls.
+    parts: String,
 }
 
 impl Caller {
     /// Connects to the daemon of the VM at `address`.
     pub async fn connect(vm: usize, address: SocketAddr) -> std::io::Result<Self> {
         let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await??;
-        Ok(Self { stream, vm, input: Vec::new() })
+        Ok(Self { stream, vm, input: Vec::new(), parts: SOUND_PARTS.into() })
     }
 
     /// Sends one call and reads its response; also returns whether the connection can be reused.
@@ -192,7 +240,9 @@
             body.len()
         );
         if record.kind.is_stream() {
-            head.push_str("X-Token-Usage: 60,6\r\nX-Prefix-Hash: a1:40,b2:20\r\n");
+            head.push_str("X-Token-Usage: 60,6\r\nX-Prefix-Hash: ");
+            head.push_str(&self.parts);
+            head.push_str("\r\n");
         }
         self.stream.write_all(format!("{head}\r\n{body}").as_bytes()).await?;
         let head = self.read_until("\r\n\r\n").await?;
--- a/tests/platform-standin/src/main.rs
+++ b/tests/platform-standin/src/main.rs
@@ -43,6 +43,9 @@
         /// Also restore the platform's store from older copies.
         #[arg(long)]
         restores: bool,
+        /// Also send calls with parts of prompts that crash engines.
+        #[arg(long)]
+        crashing_parts: bool,
         /// Folder for settings files and logs; those of failed seeds are not deleted.
         #[arg(long, default_value = "target/soak")]
         folder: PathBuf,
@@ -54,10 +57,16 @@
     let result = actix_rt::System::new().block_on(async {
         match command {
             Command::Stand { vms, folder } => stand(&daemon, &folder, vms).await.map(|()| true),
-            Command::Soak { seed, seeds, seconds, restores, folder } => {
+            Command::Soak { seed, seeds, seconds, restores, crashing_parts, folder } => {
                 let mut all_passed = true;
                 for seed in seed..seed + seeds {
-                    let plan = soak::Plan { seed, seconds, restores, ..soak::Plan::default() };
+                    let plan = soak::Plan {
+                        seed,
+                        seconds,
+                        restores,
+                        crashing_parts,
+                        ..soak::Plan::default()
+                    };
                     let seed_folder = folder.join(format!("seed-{seed}"));
                     std::fs::create_dir_all(&seed_folder)?;
                     let report = soak::run(&daemon, &seed_folder, plan).await?;
--- a/tests/platform-standin/src/replica.rs
+++ b/tests/platform-standin/src/replica.rs
@@ -22,6 +22,8 @@
 pub const MODEL: &str = "curd";
 /// Number of events in a complete stream.
 pub const EVENTS_PER_STREAM: u64 = 6;
+/// A replica crashes once it has begun a response to a call with a part whose name begins so.
+pub const CRASHING_PART_PREFIX: &str = "dead";
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(400);
 /// One in so many resumable streams ends inside an event, although its response ends regularly.
 const TRUNCATED_STREAM_RATIO: u64 = 16;
@@ -44,6 +46,8 @@
     pub has_key: bool,
     /// Whether the replica had been draining for longer than its drain period.
     pub after_drain_period: bool,
+    /// The part of the prompt under which the replica crashed.
+    pub crashing_part: Option<String>,
 }
 
 /// The executions of all replicas by request id; clones share the log.
@@ -98,6 +102,7 @@
     heartbeats: AtomicU64,
     is_loading: AtomicBool,
     has_ended: AtomicBool,
+    has_crashed: AtomicBool,
     draining_since: Mutex<Option<Instant>>,
     started_unix_ms: u64,
 }
@@ -125,6 +130,7 @@
             heartbeats: AtomicU64::new(0),
             is_loading: AtomicBool::new(false),
             has_ended: AtomicBool::new(false),
+            has_crashed: AtomicBool::new(false),
             draining_since: Mutex::default(),
             started_unix_ms: since_epoch.as_millis() as u64,
         });
@@ -169,6 +175,11 @@
         store.put(REGISTRY_TABLE, &self.shared.spec.id, &self.shared.registry_entry(address));
     }
 
+    /// Returns whether a call crashed the replica; whoever started it then kills it.
+    pub fn has_crashed(&self) -> bool {
+        self.shared.has_crashed.load(Ordering::Relaxed)
+    }
+
     /// Stops the replica at once and closes all connections. The registry entry stays in the store.
     pub async fn kill(&self) {
         self.shared.has_ended.store(true, Ordering::Relaxed);
@@ -275,18 +286,27 @@
         let call = header(&req, "x-request-id").unwrap_or_default();
         let is_after_drain =
             self.draining_since().is_some_and(|since| since.elapsed() > self.spec.drain_period);
+        let crashing_part = header(&req, "x-prefix-hash").and_then(|parts| {
+            let mut names = parts.split(',').filter_map(|part| part.split(':').next());
+            names.find(|name| name.starts_with(CRASHING_PART_PREFIX)).map(ToOwned::to_owned)
+        });
+        let crashes = crashing_part.is_some();
         let execution = Execution {
             replica_id: self.spec.id.clone(),
             started_at: Instant::now(),
             account: header(&req, "x-tenant").unwrap_or_default(),
             has_key: header(&req, "authorization").is_some(),
             after_drain_period: is_after_drain,
+            crashing_part,
         };
         self.execution_log.record(call.clone(), execution);
         let is_stream = req.path().starts_with("/flow/") || req.path().starts_with("/resume/");
         let last_event_id: u64 =
             header(&req, "last-event-id").and_then(|text| text.parse().ok()).unwrap_or(0);
         let _ = http::body(&mut req).await;
+        if crashes {
+            self.has_crashed.store(true, Ordering::Relaxed);
+        }
         let mut response = if is_stream {
             let is_truncated = req.path().starts_with("/resume/")
                 && last_event_id == 0
@@ -295,6 +315,9 @@
                 if id > EVENTS_PER_STREAM {
                     return None;
                 }
+                if crashes && id > last_event_id + 1 {
+                    return std::future::pending().await;
+                }
                 actix_rt::time::sleep(EVENT_INTERVAL).await;
                 let mut event = event_text(id);
                 if is_truncated && id == TRUNCATED_EVENT {
--- a/tests/platform-standin/src/soak.rs
+++ b/tests/platform-standin/src/soak.rs
@@ -4,6 +4,7 @@
 mod fault;
 
 use std::cell::RefCell;
+use std::collections::HashMap;
 use std::fmt;
 use std::os::unix::process::ExitStatusExt;
 use std::path::Path;
@@ -19,6 +20,7 @@
 use self::fault::Fault;
 use crate::calls::{self, CallKind, CallLog, CallRecord, Caller, Rotation};
 use crate::deployment::{ACCOUNT, DRAIN_PERIOD, Deployment};
+use crate::replica::Execution;
 use crate::store::StoreFault;
 
 const TICK_INTERVAL: Duration = Duration::from_millis(50);
@@ -42,6 +44,12 @@
 const MEASUREMENT_PERIOD: Duration = Duration::from_secs(3);
 /// Age of the copy that the store is restored from, at most.
 const MAX_COPY_AGE: Duration = Duration::from_secs(4);
+/// Time from the crash of a replica under a call until it is replaced.
+const CRASHED_REPLICA_DOWNTIME: Duration = Duration::from_millis(1_200);
+/// Replicas that may crash under one part before its calls must reach no further ones.
+const MAX_CRASHES: usize = 5;
+/// Calls with such a part that may still be executed later than [`SETTLE_TIME`] after these crashes.
+const MAX_LATE_CRASHING_CALLS: usize = 3;
 /// Fraction of calls that must be served in the measurement period.
 const MIN_SERVED_FRACTION: f64 = 0.9;
 
@@ -63,6 +71,8 @@
     /// Whether the store is also restored from older copies. These faults are drawn separately, so
     /// that the other ones of a seed stay the same.
     pub restores: bool,
+    /// Whether calls also come with parts of prompts that crash engines.
+    pub crashing_parts: bool,
 }
 
 impl Default for Plan {
@@ -75,6 +85,7 @@
             plain_replicas: 3,
             callers: 24,
             restores: false,
+            crashing_parts: false,
         }
     }
 }
@@ -140,7 +151,15 @@
             calls::run_caller(plan.seed, number, rotation.clone(), call_log.clone(), stop.clone());
         actix_rt::spawn(caller);
     }
+    let stop_crashing = Rc::new(RefCell::new(!plan.crashing_parts));
+    actix_rt::spawn(calls::run_crashing_caller(
+        plan.seed,
+        rotation.clone(),
+        call_log.clone(),
+        stop_crashing.clone(),
+    ));
     soak.inject(&rotation).await?;
+    *stop_crashing.borrow_mut() = true;
     soak.check_recovery(&rotation, &call_log).await?;
     *stop.borrow_mut() = true;
     sleep(Duration::from_secs(4)).await;
@@ -183,11 +202,23 @@
                 let copy_age = MAX_COPY_AGE.mul_f64(restore_rng.random_range(0.1..1.0));
                 self.start_unless_conflicting(Fault::RestoreStore { copy_age }, duration).await?;
             }
+            self.kill_crashed_replicas().await?;
             sleep(TICK_INTERVAL).await;
         }
         Ok(())
     }
 
+    /// Kills the replicas that a call crashed; each is replaced after a time.
+    async fn kill_crashed_replicas(&mut self) -> std::io::Result<()> {
+        for endpoint in 0..self.deployment.endpoints.len() {
+            if self.deployment.endpoints[endpoint].replica.has_crashed() {
+                let fault = Fault::CrashReplica(endpoint);
+                self.start_unless_conflicting(fault, CRASHED_REPLICA_DOWNTIME).await?;
+            }
+        }
+        Ok(())
+    }
+
     async fn start_unless_conflicting(
         &mut self,
         fault: Fault,
@@ -340,6 +371,7 @@
             });
             let now = if is_stopping { Instant::now() } else { Instant::now() + STOP_TIMEOUT };
             self.end_due_faults(now).await?;
+            self.kill_crashed_replicas().await?;
             balancer.check(&self.deployment, rotation).await;
             sleep(TICK_INTERVAL).await;
         }
@@ -348,6 +380,8 @@
         self.deployment.declarations.extra_keys = vec![revoked.into()];
         self.deployment.publish_declarations();
         while faults_ended_at.elapsed() < RECOVERY_TIME {
+            self.kill_crashed_replicas().await?;
+            self.end_due_faults(Instant::now()).await?;
             balancer.check(&self.deployment, rotation).await;
             sleep(TICK_INTERVAL).await;
         }
@@ -416,6 +450,7 @@
     /// Checks the calls that callers recorded against the executions that replicas logged.
     fn check_calls(&mut self, records: &[CallRecord]) {
         self.violations.extend(records.iter().filter_map(CallRecord::violation));
+        self.check_crashing_parts(records);
         for record in records {
             let executions = self.deployment.execution_log.executions(&record.call_id);
             if record.kind.is_at_most_once() && executions.len() > 1 {
@@ -468,6 +503,55 @@
         }
     }
 
+    /// Checks that calls with a part that crashes replicas stop reaching them.
+    fn check_crashing_parts(&mut self, records: &[CallRecord]) {
+        let vms: HashMap<&str, usize> =
+            records.iter().map(|record| (record.call_id.as_str(), record.vm)).collect();
+        let mut by_part: HashMap<String, Vec<(String, Execution)>> = HashMap::new();
+        for (call, executions) in self.deployment.execution_log.all() {
+            for execution in executions {
+                if let Some(part) = execution.crashing_part.clone() {
+                    by_part.entry(part).or_default().push((call.clone(), execution));
+                }
+            }
+        }
+        for (part, mut executions) in by_part {
+            executions.sort_by_key(|(_, execution)| execution.started_at);
+            let mut replicas: Vec<&str> = Vec::new();
+            let mut fifth = None;
+            for (_, execution) in &executions {
+                if !replicas.contains(&execution.replica_id.as_str()) {
+                    replicas.push(&execution.replica_id);
+                    if replicas.len() == MAX_CRASHES {
+                        fifth = Some(execution.started_at);
+                    }
+                }
+            }
+            let Some(fifth) = fifth else { continue };
+            let late = executions.iter().filter(|(call, execution)| {
+                let vm = vms.get(call.as_str()).copied();
+                execution.started_at > fifth + SETTLE_TIME
+                    && vm.is_some_and(|vm| self.was_in_touch(vm, execution.started_at))
+            });
+            let late = late.count();
+            if late > MAX_LATE_CRASHING_CALLS {
+                let crashed = replicas.len();
+                self.violations.push(format!(
+                    "BUDGET: {late} calls with {part} were executed late; {crashed} replicas crashed"
+                ));
+            }
+        }
+    }
+
+    /// Returns whether no fault at a VM or at the store was active in [`SETTLE_TIME`] before `at`.
+    fn was_in_touch(&self, vm: usize, at: Instant) -> bool {
+        !self.injected.iter().any(|injected| {
+            injected.fault.affects_vm(vm)
+                && injected.started_at <= at
+                && injected.ends_at + SETTLE_TIME >= at
+        })
+    }
+
     /// Returns whether no unplanned fault was active from `from` to `until`, and earlier ones had
     /// ended more than [`SETTLE_TIME`] plus `quiet_period` before `from`.
     fn only_planned_faults(&self, from: Instant, quiet_period: Duration, until: Instant) -> bool {
--- a/tests/platform-standin/src/soak/fault.rs
+++ b/tests/platform-standin/src/soak/fault.rs
@@ -81,6 +81,11 @@
         }
     }
 
+    /// Returns whether the fault affects a VM, or the store that all VMs use.
+    pub fn affects_vm(self, vm: usize) -> bool {
+        self.vm() == Some(vm) || self.is_at_store()
+    }
+
     const fn is_at_store(self) -> bool {
         matches!(self, Self::Store(_) | Self::RestoreStore { .. })
     }
