Blame no content for targets that crash together

Cause: crashes counted one after the other, but each of them was of several targets at once, which content of one call cannot bring about. Targets whose calls break within 20 ms at one daemon now ended by a common cause; daemons report them, and their crashes accuse nothing.

--- a/crates/cumintrail-control/src/quarantine.rs
+++ b/crates/cumintrail-control/src/quarantine.rs
@@ -4,6 +4,8 @@
 //! content of each of these calls is suspected. A complete response clears content for good, since
 //! a target that crashes under some content never completes a response to it. Suspected content is
 //! quarantined once targets crashed under it one after the other while other calls were served.
+//! Targets that end at the same moment accuse nothing: their hosts, their network or an operator
+//! ended them.
 
 mod evidence;
 
@@ -27,6 +29,8 @@
 const BROKEN_CALL_RETENTION: Duration = Duration::from_secs(15);
 /// How long before a target was found unreachable calls to it may have broken.
 const UNREACHABLE_WINDOW: Duration = Duration::from_secs(2);
+/// Targets whose calls broke within this time ended by a common cause.
+const COMMON_CAUSE_WINDOW: Duration = Duration::from_millis(20);
 /// Maximum number of broken calls that are kept of one target.
 const MAX_BROKEN_CALLS: usize = 256;
 /// Maximum number of reports in one digest.
@@ -160,6 +164,8 @@
 pub struct QuarantineReport {
     /// Crashes under suspected content.
     pub crashes: Vec<ReportedCrash>,
+    /// Targets that crashed together with others, so that no content of their calls is to blame.
+    pub common_crashes: Vec<u64>,
     /// Suspected content that had a complete response.
     pub cleared: Vec<ContentKey>,
     /// Content that an operator lifted from quarantine, and how long ago.
@@ -222,8 +228,11 @@
 impl QuarantineReport {
     /// Returns whether there is nothing to report.
     pub fn is_empty(&self) -> bool {
-        let is_any = self.crashes.is_empty() && self.cleared.is_empty();
-        is_any && self.lifted.is_empty() && self.quarantined.is_empty()
+        self.crashes.is_empty()
+            && self.common_crashes.is_empty()
+            && self.cleared.is_empty()
+            && self.lifted.is_empty()
+            && self.quarantined.is_empty()
     }
 }
 
@@ -239,6 +248,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum PendingReport {
     Crash(Crash),
+    CommonCrash(u64),
     Cleared(ContentKey),
     Lifted(ContentKey, RecordTime),
 }
@@ -254,6 +264,8 @@
     quarantined: HashMap<ContentKey, Quarantined>,
     broken: HashMap<TargetKey, Vec<BrokenCall>>,
     crashed: HashMap<TargetKey, Moment>,
+    /// The hashed names of the targets that crashed last, and when their calls broke.
+    last_crashes: Vec<(u64, Moment)>,
     /// When operators lifted quarantines; crashes before that accuse the content no more.
     lifted: HashMap<ContentKey, RecordTime>,
     pending: VecDeque<(PendingReport, u32)>,
@@ -394,11 +406,30 @@
     ) {
         self.crashed.retain(|_, at| now.since(*at) < BROKEN_CALL_RETENTION);
         self.crashed.insert(target, now);
-        if !calls.is_empty() {
+        if let Some(broken) = calls.iter().map(|call| call.broken).min() {
+            self.find_common_crashes(now, target_hash, broken, report_rounds);
             self.record_crash(now, target_hash, calls, report_rounds);
         }
     }
 
+    /// Records which targets crashed at the same time as this one.
+    fn find_common_crashes(&mut self, now: Moment, target: u64, broken: Moment, rounds: u32) {
+        self.last_crashes.retain(|(_, at)| now.since(*at) < BROKEN_CALL_RETENTION);
+        let is_common = |at: Moment| at.since(broken).max(broken.since(at)) < COMMON_CAUSE_WINDOW;
+        let others =
+            self.last_crashes.iter().filter(|(other, at)| *other != target && is_common(*at));
+        let mut common: SmallVec<[u64; 4]> = others.map(|(other, _)| *other).collect();
+        self.last_crashes.push((target, broken));
+        if !common.is_empty() {
+            common.push(target);
+        }
+        for target in common {
+            if self.evidence.insert_common(now, target) {
+                self.report(PendingReport::CommonCrash(target), rounds);
+            }
+        }
+    }
+
     fn record_crash(&mut self, now: Moment, target: u64, calls: &[BrokenCall], report_rounds: u32) {
         let mut suspects = HashSet::new();
         for call in calls {
@@ -438,6 +469,11 @@
                 self.lifted.get(content).is_some_and(|known| at <= known.after(CLOCK_TOLERANCE));
             is_urgent |= !is_known && self.apply_lift(now, *content, at, relay_rounds);
         }
+        for target in &report.common_crashes {
+            if self.evidence.insert_common(now, *target) {
+                is_urgent |= self.report(PendingReport::CommonCrash(*target), relay_rounds);
+            }
+        }
         for crash in &report.crashes {
             let ended = RecordTime::before(now, crash.ended_age);
             if self.lifted.get(&crash.content).is_some_and(|lifted| ended <= *lifted) {
@@ -480,6 +516,7 @@
                 PendingReport::Crash(crash) => {
                     report.crashes.push(ReportedCrash::new(now, crash));
                 }
+                PendingReport::CommonCrash(target) => report.common_crashes.push(target),
                 PendingReport::Cleared(content) => report.cleared.push(content),
                 PendingReport::Lifted(content, at) => {
                     report.lifted.push((content, at.age(now)));
--- a/crates/cumintrail-control/src/quarantine/evidence.rs
+++ b/crates/cumintrail-control/src/quarantine/evidence.rs
@@ -16,6 +16,8 @@
 const MIN_COMPLETED: usize = 3;
 /// How long crashes are recorded.
 const CRASH_RETENTION: Duration = Duration::from_secs(1_800);
+/// How long it is recorded at least that targets crashed together.
+const COMMON_RETENTION: Duration = Duration::from_secs(60);
 /// Maximum number of suspected contents.
 const MAX_SUSPECTS: usize = 2_048;
 /// Maximum number of crashes recorded for one content; the oldest are dropped first.
@@ -85,6 +87,8 @@
 #[derive(Debug, Default)]
 pub struct Evidence {
     crashes: HashMap<ContentKey, SmallVec<[Crash; 2]>>,
+    /// The targets that crashed together with others, with the time of the record.
+    common: HashMap<u64, Moment>,
     /// When the last calls got complete responses.
     completed: VecDeque<Moment>,
 }
@@ -119,6 +123,14 @@
         true
     }
 
+    /// Records that a target crashed together with others; returns whether this is new.
+    pub fn insert_common(&mut self, now: Moment, target: u64) -> bool {
+        if self.common.len() >= MAX_SUSPECTS {
+            self.common.retain(|_, at| now.since(*at) < COMMON_RETENTION);
+        }
+        self.common.len() < MAX_SUSPECTS && self.common.insert(target, now).is_none()
+    }
+
     /// Removes the crashes under content; returns whether there were any.
     pub fn remove(&mut self, content: ContentKey) -> bool {
         self.crashes.remove(&content).is_some()
@@ -147,6 +159,7 @@
         let mut is_final = all().all(is_settled);
         let known = all().filter(|crash| quarantined(crash.content).is_some());
         let mut explained: HashSet<u64> = known.map(|crash| crash.target).collect();
+        explained.extend(self.common.keys());
         let mut verdicts = self.widened(&quarantined);
         loop {
             let mut best: SmallVec<[Verdict; 4]> = SmallVec::new();
--- a/crates/cumintrail-wire/src/peer.rs
+++ b/crates/cumintrail-wire/src/peer.rs
@@ -159,19 +159,22 @@
 }
 
 /// Encodes a [`QuarantineReport`] without field names, with times in milliseconds: crashes (content,
-/// account, target, age of the call, age of the crash), cleared contents, lifted contents (content, age of the lift), contents in quarantine
-/// (content, account or zero, time until the end).
+/// account, target, age of the call, age of the crash), targets that crashed together, cleared
+/// contents, lifted contents (content, age of the lift), contents in quarantine (content, account or
+/// zero, time until the end).
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
 struct QuarantineMessage(
     Vec<(u64, u64, u64, u32, u32)>,
     Vec<u64>,
+    Vec<u64>,
     Vec<(u64, u32)>,
     Vec<(u64, u64, u32)>,
 );
 
 impl QuarantineMessage {
     const fn is_empty(&self) -> bool {
-        self.0.is_empty() && self.1.is_empty() && self.2.is_empty() && self.3.is_empty()
+        let is_quiet = self.0.is_empty() && self.1.is_empty() && self.2.is_empty();
+        is_quiet && self.3.is_empty() && self.4.is_empty()
     }
 }
 
@@ -183,6 +186,7 @@
         let entry = |e: ReportedQuarantine| (e.content.0, e.scope.code(), to_millis(e.remaining));
         Self(
             report.crashes.into_iter().map(crash).collect(),
+            report.common_crashes,
             report.cleared.into_iter().map(|content| content.0).collect(),
             report.lifted.into_iter().map(|(content, age)| (content.0, to_millis(age))).collect(),
             report.quarantined.into_iter().map(entry).collect(),
@@ -192,7 +196,7 @@
 
 impl From<QuarantineMessage> for QuarantineReport {
     fn from(message: QuarantineMessage) -> Self {
-        let QuarantineMessage(crashes, cleared, lifted, quarantined) = message;
+        let QuarantineMessage(crashes, common_crashes, cleared, lifted, quarantined) = message;
         let millis = |millis: u32| Duration::from_millis(millis.into());
         let crash = |(content, account, target, sent, ended): (u64, u64, u64, u32, u32)| {
             let (content, sent_age, ended_age) = (content.into(), millis(sent), millis(ended));
@@ -205,6 +209,7 @@
         };
         Self {
             crashes: crashes.into_iter().map(crash).collect(),
+            common_crashes,
             cleared: cleared.into_iter().map(ContentKey::from).collect(),
             lifted: lifted
                 .into_iter()
--- a/tests/tests/quarantine.rs
+++ b/tests/tests/quarantine.rs
@@ -436,7 +436,7 @@
 
 #[test]
 fn a_part_that_crashes_targets_from_the_start_is_told_from_the_parts_around_it() {
-    for (daemons, mix) in [(7, 10), (7, 4), (9, 25), (40, 10)] {
+    for (daemons, mix) in [(7, 10), (7, 4), (7, 2), (9, 25), (40, 10)] {
         let mut fleet = Fleet::new(daemons);
         fleet.crashing = Some("bad");
         let mut n: usize = 0;
@@ -528,3 +528,24 @@
     flood(&mut fleet, 4_000, 10);
     assert!(fleet.quarantined("bad") > refused, "not quarantined again");
 }
+
+#[test]
+fn targets_that_crash_together_in_rounds_quarantine_nothing() {
+    let mut fleet = Fleet::new(7);
+    flood(&mut fleet, 1_000, u64::MAX);
+    for round in 0..8_usize {
+        for n in 0..21 {
+            // No response to these calls is ever complete, while others are served.
+            fleet.call(n % 7, (n % 2) as u32, &["hot", "slow"], 100_000);
+        }
+        flood(&mut fleet, 300, u64::MAX);
+        let running = fleet.listed.targets.iter().filter(|(_, t)| !t.retired);
+        let running: Vec<TargetKey> = running.map(|(key, _)| key).collect();
+        for n in 0..TARGETS / 2 {
+            fleet.crash(running[(round + 2 * n) % running.len()]);
+        }
+        flood(&mut fleet, 2_200, u64::MAX);
+    }
+    assert_eq!(fleet.quarantined("slow"), 0);
+    assert_eq!(fleet.quarantined("hot"), 0);
+}
