Count the served calls of peers when crashes are weighed

With 295 daemons and a call every six seconds at each, content under which targets crash was not quarantined within six seconds: 19 targets crashed and seven calls were sent later than three seconds after the fifth crash. The rule that other calls must have been served meanwhile counted those of the deciding daemon only. While crashes are recorded, digests now say when the sender's last call got a complete response, and each such peer counts once.

--- a/crates/cumintrail-control/src/control/quarantines.rs
+++ b/crates/cumintrail-control/src/control/quarantines.rs
@@ -107,7 +107,7 @@
     pub(super) fn record_quarantine_report(&mut self, now: Moment, digest: &PeerDigest) {
         let is_sampled = !self.membership.is_full_mesh(self.identity.address);
         let rounds = if is_sampled { RELAY_ROUNDS } else { 0 };
-        if self.quarantine.apply_report(now, &digest.quarantine, rounds) {
+        if self.quarantine.apply_report(now, digest.address, &digest.quarantine, rounds) {
             self.send_digest_soon(now);
         }
     }
--- a/crates/cumintrail-control/src/quarantine.rs
+++ b/crates/cumintrail-control/src/quarantine.rs
@@ -10,6 +10,7 @@
 mod evidence;
 
 use std::collections::{HashMap, HashSet, VecDeque};
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use cumintrail_types::{Moment, TargetKey};
@@ -172,6 +173,8 @@
     pub lifted: Vec<(ContentKey, Duration)>,
     /// Content in quarantine.
     pub quarantined: Vec<ReportedQuarantine>,
+    /// How long ago a call of the sender got a complete response, while crashes are recorded.
+    pub completed_age: Option<Duration>,
 }
 
 /// Reports that a target crashed while a call with some content was at it.
@@ -233,6 +236,7 @@
             && self.cleared.is_empty()
             && self.lifted.is_empty()
             && self.quarantined.is_empty()
+            && self.completed_age.is_none()
     }
 }
 
@@ -455,10 +459,14 @@
     pub fn apply_report(
         &mut self,
         now: Moment,
+        from: Option<SocketAddr>,
         report: &QuarantineReport,
         relay_rounds: u32,
     ) -> bool {
         let mut is_urgent = false;
+        if let Some((from, age)) = from.zip(report.completed_age) {
+            self.evidence.record_peer_complete(now, from, RecordTime::before(now, age));
+        }
         for content in &report.cleared {
             self.completed.insert(now, *content);
             is_urgent |= self.clear(*content, LiftCause::Reported, relay_rounds);
@@ -526,6 +534,7 @@
                 self.pending.push_back((pending, rounds - 1));
             }
         }
+        report.completed_age = self.evidence.last_completed_age(now);
         let entries = self.entries(now);
         report.quarantined = entries.map(|entry| ReportedQuarantine::new(now, entry)).collect();
         report
--- a/crates/cumintrail-control/src/quarantine/evidence.rs
+++ b/crates/cumintrail-control/src/quarantine/evidence.rs
@@ -1,6 +1,7 @@
 //! Records of crashes, and what they prove.
 
 use std::collections::{HashMap, HashSet, VecDeque};
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use cumintrail_types::Moment;
@@ -18,6 +19,10 @@
 const CRASH_RETENTION: Duration = Duration::from_secs(1_800);
 /// How long it is recorded at least that targets crashed together.
 const COMMON_RETENTION: Duration = Duration::from_secs(60);
+/// Maximum number of peers whose last complete response is recorded.
+const MAX_PEERS: usize = 1_024;
+/// How long it is recorded at least when a peer's last call got a complete response.
+const PEER_RETENTION: Duration = Duration::from_secs(60);
 /// Maximum number of suspected contents.
 const MAX_SUSPECTS: usize = 2_048;
 /// Maximum number of crashes recorded for one content; the oldest are dropped first.
@@ -91,6 +96,8 @@
     common: HashMap<u64, Moment>,
     /// When the last calls got complete responses.
     completed: VecDeque<Moment>,
+    /// When each peer's last call got a complete response.
+    peers_completed: HashMap<SocketAddr, RecordTime>,
 }
 
 impl Evidence {
@@ -102,6 +109,22 @@
         self.completed.push_back(now);
     }
 
+    /// Records when the last call of a peer got a complete response.
+    pub fn record_peer_complete(&mut self, now: Moment, peer: SocketAddr, at: RecordTime) {
+        if self.peers_completed.len() >= MAX_PEERS {
+            self.peers_completed.retain(|_, at| at.age(now) < PEER_RETENTION);
+        }
+        if self.peers_completed.len() < MAX_PEERS {
+            self.peers_completed.insert(peer, at);
+        }
+    }
+
+    /// Returns how long ago the last call got a complete response, if crashes are recorded.
+    pub fn last_completed_age(&self, now: Moment) -> Option<Duration> {
+        let last = self.completed.back().filter(|_| !self.crashes.is_empty())?;
+        Some(now.since(*last))
+    }
+
     /// Records a crash; returns whether it is the first record of this target and content.
     pub fn insert(&mut self, now: Moment, crash: Crash) -> bool {
         if self.crashes.len() >= MAX_SUSPECTS && !self.crashes.contains_key(&crash.content) {
@@ -221,8 +244,9 @@
     fn were_others_served(&self, crashes: &[Crash]) -> bool {
         let first = crashes.iter().map(|crash| crash.ended).min();
         let first = first.unwrap_or(RecordTime(0));
-        self.completed.len() >= MIN_COMPLETED
-            && self.completed.iter().all(|at| RecordTime::from(*at) >= first)
+        let own = self.completed.iter().map(|at| RecordTime::from(*at));
+        let all = own.chain(self.peers_completed.values().copied());
+        all.filter(|at| *at >= first).take(MIN_COMPLETED).count() >= MIN_COMPLETED
     }
 }
 
--- a/crates/cumintrail-wire/src/peer.rs
+++ b/crates/cumintrail-wire/src/peer.rs
@@ -161,7 +161,7 @@
 /// Encodes a [`QuarantineReport`] without field names, with times in milliseconds: crashes (content,
 /// account, target, age of the call, age of the crash), targets that crashed together, cleared
 /// contents, lifted contents (content, age of the lift), contents in quarantine (content, account or
-/// zero, time until the end).
+/// zero, time until the end), age of the last complete response.
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
 struct QuarantineMessage(
     Vec<(u64, u64, u64, u32, u32)>,
@@ -169,12 +169,13 @@
     Vec<u64>,
     Vec<(u64, u32)>,
     Vec<(u64, u64, u32)>,
+    Option<u32>,
 );
 
 impl QuarantineMessage {
     const fn is_empty(&self) -> bool {
         let is_quiet = self.0.is_empty() && self.1.is_empty() && self.2.is_empty();
-        is_quiet && self.3.is_empty() && self.4.is_empty()
+        is_quiet && self.3.is_empty() && self.4.is_empty() && self.5.is_none()
     }
 }
 
@@ -190,13 +191,15 @@
             report.cleared.into_iter().map(|content| content.0).collect(),
             report.lifted.into_iter().map(|(content, age)| (content.0, to_millis(age))).collect(),
             report.quarantined.into_iter().map(entry).collect(),
+            report.completed_age.map(to_millis),
         )
     }
 }
 
 impl From<QuarantineMessage> for QuarantineReport {
     fn from(message: QuarantineMessage) -> Self {
-        let QuarantineMessage(crashes, common_crashes, cleared, lifted, quarantined) = message;
+        let QuarantineMessage(crashes, common_crashes, cleared, lifted, quarantined, completed) =
+            message;
         let millis = |millis: u32| Duration::from_millis(millis.into());
         let crash = |(content, account, target, sent, ended): (u64, u64, u64, u32, u32)| {
             let (content, sent_age, ended_age) = (content.into(), millis(sent), millis(ended));
@@ -216,6 +219,7 @@
                 .map(|(content, age)| (content.into(), millis(age)))
                 .collect(),
             quarantined: quarantined.into_iter().map(entry).collect(),
+            completed_age: completed.map(millis),
         }
     }
 }
--- a/tests/tests/quarantine.rs
+++ b/tests/tests/quarantine.rs
@@ -338,7 +338,7 @@
 
 #[test]
 fn many_daemons_stop_sending_a_part_that_crashes_targets() {
-    let mut fleet = Fleet::new(60);
+    let mut fleet = Fleet::new(120);
     flood(&mut fleet, 2_000, u64::MAX);
     fleet.crashing = Some("bad");
     flood(&mut fleet, 6_000, 10);
