Weigh crashes against served calls to the same model or service only

Cause: a daemon that had just started, and gets no digests there, saw a part that all calls to the model share in each of four crashes. Calls to the plain service were served meanwhile, which counted as proof that only some content is to blame. Served calls are now counted for each model or service, and reported by its hashed name.

--- a/crates/cumintrail-control/src/control/attempts.rs
+++ b/crates/cumintrail-control/src/control/attempts.rs
@@ -70,8 +70,8 @@
         };
         match outcome {
             AttemptOutcome::Completed(usage) => {
-                let contents = call.arrival.options.contents.clone();
-                self.record_complete_content(now, &contents);
+                let (kind, contents) = (call.arrival.kind, call.arrival.options.contents.clone());
+                self.record_complete_content(now, kind, &contents);
                 return self.finish_call(now, key, target, usage, actions);
             }
             AttemptOutcome::RespondedLocally => return self.end_call(key),
--- a/crates/cumintrail-control/src/control/quarantines.rs
+++ b/crates/cumintrail-control/src/control/quarantines.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use cumintrail_config::Snapshot;
+use cumintrail_config::{Snapshot, TargetKind};
 use cumintrail_types::{AccountKey, CallKey, Moment, Refusal, RefusalCode, TargetKey};
 
 use super::Control;
@@ -47,10 +47,10 @@
             return;
         };
         let (contents, sent) = (call.arrival.options.contents.clone(), call.dispatched);
-        let account = call.arrival.account;
-        let account = self.account_hash(account);
+        let (account, kind) = (call.arrival.account, call.arrival.kind);
+        let (account, pool) = (self.account_hash(account), self.pool_hash(kind));
         let target = (target, self.target_hash(target));
-        self.quarantine.record_broken(now, target, (account, &contents), sent, rounds);
+        self.quarantine.record_broken(now, target, (pool, account, &contents), sent, rounds);
     }
 
     /// Records that a target does not accept connections any more.
@@ -79,9 +79,17 @@
         }
     }
 
-    pub(super) fn record_complete_content(&mut self, now: Moment, contents: &[ContentKey]) {
-        let rounds = self.own_report_rounds();
-        if self.quarantine.record_complete(now, contents, rounds) {
+    pub(super) fn record_complete_content(
+        &mut self,
+        now: Moment,
+        kind: TargetKind,
+        contents: &[ContentKey],
+    ) {
+        if contents.is_empty() {
+            return;
+        }
+        let (pool, rounds) = (self.pool_hash(kind), self.own_report_rounds());
+        if self.quarantine.record_complete(now, pool, contents, rounds) {
             self.send_digest_soon(now);
         }
     }
@@ -129,6 +137,15 @@
         if has_peers { OWN_REPORT_ROUNDS } else { 0 }
     }
 
+    fn pool_hash(&self, kind: TargetKind) -> u64 {
+        let Some(snapshot) = &self.snapshot else { return 0 };
+        let name = match kind {
+            TargetKind::Engine(model) => snapshot.models.get(model).map(|m| &m.name),
+            TargetKind::Service(service) => snapshot.services.get(service).map(|s| &s.name),
+        };
+        name.map_or(0, |name| name_hash(name))
+    }
+
     fn account_hash(&self, account: AccountKey) -> u64 {
         let declared = self.snapshot.as_ref().and_then(|s| s.accounts.get(account));
         declared.map_or(0, |account| name_hash(&account.name))
--- a/crates/cumintrail-control/src/quarantine.rs
+++ b/crates/cumintrail-control/src/quarantine.rs
@@ -7,18 +7,21 @@
 //! Targets that end at the same moment accuse nothing: their hosts, their network or an operator
 //! ended them.
 
+mod content;
 mod evidence;
+mod report;
 
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use cumintrail_types::{Moment, TargetKey};
-use derive_more::{Display, From};
+use derive_more::Display;
 use smallvec::SmallVec;
 
+pub use self::content::{ContentKey, Scope};
 use self::evidence::{CompletedContent, Crash, Evidence, RecordTime};
-use crate::parts::name_hash;
+pub use self::report::{QuarantineReport, ReportedCrash, ReportedQuarantine};
 
 /// How long content stays in quarantine after the last crash under it.
 pub const QUARANTINE_TIME: Duration = Duration::from_secs(600);
@@ -42,67 +45,6 @@
 const LIFT_RETENTION: Duration = Duration::from_secs(1_800);
 /// Times in reports of one lift differ by up to this.
 const CLOCK_TOLERANCE: Duration = Duration::from_secs(1);
-/// The account in records and reports that stand for all accounts.
-const ALL_ACCOUNTS: u64 = 0;
-
-/// Identifies content of calls on all daemons: a part of prompts, a prefix block, or a request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, From)]
-pub struct ContentKey(pub u64);
-
-impl ContentKey {
-    /// Returns the key of a part of prompts.
-    pub fn of_part(name: &str) -> Self {
-        Self(name_hash(name))
-    }
-
-    /// Returns the key of a request that has no prompt, from the texts that identify it.
-    pub fn of_request(texts: &[&[u8]]) -> Self {
-        let mut hasher = blake3::Hasher::new();
-        for text in texts {
-            hasher.update(&(text.len() as u64).to_le_bytes());
-            hasher.update(text);
-        }
-        Self::of_hash(hasher.finalize().as_bytes())
-    }
-
-    /// Returns the key that consists of the first bytes of a hash.
-    pub fn of_hash(hash: &[u8]) -> Self {
-        let mut key = [0; 8];
-        key.copy_from_slice(&hash[..8]);
-        Self(u64::from_le_bytes(key))
-    }
-}
-
-/// Limits the calls that a quarantine refuses.
-///
-/// Targets that crash under calls of one account alone prove nothing about calls of others, which
-/// may share content with them.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Scope {
-    /// Calls of the account whose name has this hash.
-    Account(u64),
-    /// Calls of all accounts.
-    All,
-}
-
-impl Scope {
-    /// Returns the scope that stands for a hashed account name, or for all accounts.
-    pub const fn of_code(code: u64) -> Self {
-        if code == ALL_ACCOUNTS { Self::All } else { Self::Account(code) }
-    }
-
-    /// Returns the number that stands for the scope in digests.
-    pub const fn code(self) -> u64 {
-        match self {
-            Self::Account(account) => account,
-            Self::All => ALL_ACCOUNTS,
-        }
-    }
-
-    fn includes(self, account: u64) -> bool {
-        self == Self::All || self == Self::Account(account)
-    }
-}
 
 /// Describes content in quarantine.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -160,90 +102,11 @@
     Operator,
 }
 
-/// Collects what daemons report to each other about crashes.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct QuarantineReport {
-    /// Crashes under suspected content.
-    pub crashes: Vec<ReportedCrash>,
-    /// Targets that crashed together with others, so that no content of their calls is to blame.
-    pub common_crashes: Vec<u64>,
-    /// Suspected content that had a complete response.
-    pub cleared: Vec<ContentKey>,
-    /// Content that an operator lifted from quarantine, and how long ago.
-    pub lifted: Vec<(ContentKey, Duration)>,
-    /// Content in quarantine.
-    pub quarantined: Vec<ReportedQuarantine>,
-    /// How long ago a call of the sender got a complete response, while crashes are recorded.
-    pub completed_age: Option<Duration>,
-}
-
-/// Reports that a target crashed while a call with some content was at it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct ReportedCrash {
-    /// The content.
-    pub content: ContentKey,
-    /// The hash of the name of the call's account.
-    pub account: u64,
-    /// The hash of the name of the target, which distinguishes its incarnations.
-    pub target: u64,
-    /// How long ago the call was sent.
-    pub sent_age: Duration,
-    /// How long ago its connection broke.
-    pub ended_age: Duration,
-}
-
-/// Reports content in quarantine.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct ReportedQuarantine {
-    /// The content.
-    pub content: ContentKey,
-    /// The calls that are refused.
-    pub scope: Scope,
-    /// The time until the quarantine ends.
-    pub remaining: Duration,
-}
-
-impl ReportedCrash {
-    fn new(now: Moment, crash: Crash) -> Self {
-        let Crash { content, account, target, sent, ended } = crash;
-        Self { content, account, target, sent_age: sent.age(now), ended_age: ended.age(now) }
-    }
-
-    fn received(self, now: Moment) -> Crash {
-        let Self { content, account, target, sent_age, ended_age } = self;
-        let (sent, ended) = (RecordTime::before(now, sent_age), RecordTime::before(now, ended_age));
-        Crash { content, account, target, sent, ended }
-    }
-}
-
-impl ReportedQuarantine {
-    const fn new(now: Moment, entry: Quarantined) -> Self {
-        let Quarantined { content, scope, until } = entry;
-        Self { content, scope, remaining: until.since(now) }
-    }
-
-    fn received(self, now: Moment) -> Quarantined {
-        let until = now + self.remaining.min(QUARANTINE_TIME);
-        Quarantined { content: self.content, scope: self.scope, until }
-    }
-}
-
-impl QuarantineReport {
-    /// Returns whether there is nothing to report.
-    pub fn is_empty(&self) -> bool {
-        self.crashes.is_empty()
-            && self.common_crashes.is_empty()
-            && self.cleared.is_empty()
-            && self.lifted.is_empty()
-            && self.quarantined.is_empty()
-            && self.completed_age.is_none()
-    }
-}
-
 /// Describes a call whose connection broke.
 #[derive(Debug, Clone)]
 struct BrokenCall {
     contents: SmallVec<[ContentKey; 4]>,
+    pool: u64,
     account: u64,
     sent: Moment,
     broken: Moment,
@@ -288,15 +151,16 @@
             })
     }
 
-    /// Records that a call with these contents got a complete response; returns whether peers
-    /// should know.
+    /// Records that a call with these contents to the model or service whose name has the hash
+    /// `pool` got a complete response; returns whether peers should know.
     pub fn record_complete(
         &mut self,
         now: Moment,
+        pool: u64,
         contents: &[ContentKey],
         report_rounds: u32,
     ) -> bool {
-        self.evidence.record_complete(now);
+        self.evidence.record_complete(now, pool);
         let mut is_suspected = false;
         for content in contents {
             self.completed.insert(now, *content);
@@ -346,12 +210,12 @@
         &mut self,
         now: Moment,
         target: (TargetKey, u64),
-        call: (u64, &[ContentKey]),
+        call: (u64, u64, &[ContentKey]),
         sent: Moment,
         report_rounds: u32,
     ) {
-        let ((target, target_hash), (account, contents)) = (target, call);
-        let broken = BrokenCall { contents: contents.into(), account, sent, broken: now };
+        let ((target, target_hash), (pool, account, contents)) = (target, call);
+        let broken = BrokenCall { contents: contents.into(), pool, account, sent, broken: now };
         // The key of a target may stand for its next incarnation by now.
         let crashed = self.crashed.get(&target).copied();
         if crashed.is_some_and(|at| sent <= at && now.since(at) < BROKEN_CALL_RETENTION) {
@@ -373,9 +237,7 @@
         target_hash: u64,
         report_rounds: u32,
     ) {
-        let mut calls = self.broken.remove(&target).unwrap_or_default();
-        calls.retain(|call| now.since(call.broken) < UNREACHABLE_WINDOW);
-        self.confirm_crash(now, (target, target_hash), &calls, report_rounds);
+        self.confirm_crash(now, (target, target_hash), UNREACHABLE_WINDOW, report_rounds);
     }
 
     /// Records that a target is gone although it did not announce that it was leaving.
@@ -386,9 +248,7 @@
         target_hash: u64,
         report_rounds: u32,
     ) {
-        let mut calls = self.broken.remove(&target).unwrap_or_default();
-        calls.retain(|call| now.since(call.broken) < BROKEN_CALL_RETENTION);
-        self.confirm_crash(now, (target, target_hash), &calls, report_rounds);
+        self.confirm_crash(now, (target, target_hash), BROKEN_CALL_RETENTION, report_rounds);
     }
 
     /// Returns the targets at which calls broke, without a known crash.
@@ -405,14 +265,16 @@
         &mut self,
         now: Moment,
         (target, target_hash): (TargetKey, u64),
-        calls: &[BrokenCall],
+        window: Duration,
         report_rounds: u32,
     ) {
+        let mut calls = self.broken.remove(&target).unwrap_or_default();
+        calls.retain(|call| now.since(call.broken) < window);
         self.crashed.retain(|_, at| now.since(*at) < BROKEN_CALL_RETENTION);
         self.crashed.insert(target, now);
         if let Some(broken) = calls.iter().map(|call| call.broken).min() {
             self.find_common_crashes(now, target_hash, broken, report_rounds);
-            self.record_crash(now, target_hash, calls, report_rounds);
+            self.record_crash(now, target_hash, &calls, report_rounds);
         }
     }
 
@@ -443,7 +305,8 @@
                 }
                 suspects.insert(*content);
                 let (account, sent, ended) = (call.account, call.sent.into(), call.broken.into());
-                let crash = Crash { content: *content, account, target, sent, ended };
+                let (content, pool) = (*content, call.pool);
+                let crash = Crash { content, pool, account, target, sent, ended };
                 if self.evidence.insert(now, crash) {
                     self.report(PendingReport::Crash(crash), report_rounds);
                     self.decide_by(now);
@@ -464,8 +327,10 @@
         relay_rounds: u32,
     ) -> bool {
         let mut is_urgent = false;
-        if let Some((from, age)) = from.zip(report.completed_age) {
-            self.evidence.record_peer_complete(now, from, RecordTime::before(now, age));
+        for (from, (pool, age)) in
+            from.iter().flat_map(|from| report.completed.iter().map(move |c| (from, c)))
+        {
+            self.evidence.record_peer_complete(now, *from, *pool, RecordTime::before(now, *age));
         }
         for content in &report.cleared {
             self.completed.insert(now, *content);
@@ -534,7 +399,7 @@
                 self.pending.push_back((pending, rounds - 1));
             }
         }
-        report.completed_age = self.evidence.last_completed_age(now);
+        report.completed = self.evidence.last_completed_ages(now);
         let entries = self.entries(now);
         report.quarantined = entries.map(|entry| ReportedQuarantine::new(now, entry)).collect();
         report
--- a/crates/cumintrail-control/src/quarantine/evidence.rs
+++ b/crates/cumintrail-control/src/quarantine/evidence.rs
@@ -19,8 +19,8 @@
 const CRASH_RETENTION: Duration = Duration::from_secs(1_800);
 /// How long it is recorded at least that targets crashed together.
 const COMMON_RETENTION: Duration = Duration::from_secs(60);
-/// Maximum number of peers whose last complete response is recorded.
-const MAX_PEERS: usize = 1_024;
+/// Maximum number of last complete responses of peers that are recorded.
+const MAX_PEERS: usize = 4_096;
 /// How long it is recorded at least when a peer's last call got a complete response.
 const PEER_RETENTION: Duration = Duration::from_secs(60);
 /// Maximum number of suspected contents.
@@ -37,6 +37,8 @@
 pub struct Crash {
     /// The content.
     pub content: ContentKey,
+    /// The hash of the name of the model or service that the call was for.
+    pub pool: u64,
     /// The hash of the name of the call's account.
     pub account: u64,
     /// The hash of the name of the target, which distinguishes its incarnations.
@@ -94,35 +96,46 @@
     crashes: HashMap<ContentKey, SmallVec<[Crash; 2]>>,
     /// The targets that crashed together with others, with the time of the record.
     common: HashMap<u64, Moment>,
-    /// When the last calls got complete responses.
-    completed: VecDeque<Moment>,
-    /// When each peer's last call got a complete response.
-    peers_completed: HashMap<SocketAddr, RecordTime>,
+    /// When the last calls to each model or service got complete responses.
+    completed: HashMap<u64, VecDeque<Moment>>,
+    /// When the last call of each peer to each of them got a complete response.
+    peers_completed: HashMap<(SocketAddr, u64), RecordTime>,
 }
 
 impl Evidence {
-    /// Records a complete response to any call.
-    pub fn record_complete(&mut self, now: Moment) {
-        if self.completed.len() >= MIN_COMPLETED {
-            self.completed.pop_front();
+    /// Records a complete response to any call to a model or service.
+    pub fn record_complete(&mut self, now: Moment, pool: u64) {
+        let completed = self.completed.entry(pool).or_default();
+        if completed.len() >= MIN_COMPLETED {
+            completed.pop_front();
         }
-        self.completed.push_back(now);
+        completed.push_back(now);
     }
 
-    /// Records when the last call of a peer got a complete response.
-    pub fn record_peer_complete(&mut self, now: Moment, peer: SocketAddr, at: RecordTime) {
+    /// Records when the last call of a peer to a model or service got a complete response.
+    pub fn record_peer_complete(
+        &mut self,
+        now: Moment,
+        peer: SocketAddr,
+        pool: u64,
+        at: RecordTime,
+    ) {
         if self.peers_completed.len() >= MAX_PEERS {
             self.peers_completed.retain(|_, at| at.age(now) < PEER_RETENTION);
         }
         if self.peers_completed.len() < MAX_PEERS {
-            self.peers_completed.insert(peer, at);
+            self.peers_completed.insert((peer, pool), at);
         }
     }
 
-    /// Returns how long ago the last call got a complete response, if crashes are recorded.
-    pub fn last_completed_age(&self, now: Moment) -> Option<Duration> {
-        let last = self.completed.back().filter(|_| !self.crashes.is_empty())?;
-        Some(now.since(*last))
+    /// Returns how long ago the last call to each model or service got a complete response, if
+    /// crashes are recorded.
+    pub fn last_completed_ages(&self, now: Moment) -> Vec<(u64, Duration)> {
+        if self.crashes.is_empty() {
+            return Vec::new();
+        }
+        let last = self.completed.iter().filter_map(|(pool, times)| Some((*pool, *times.back()?)));
+        last.map(|(pool, at)| (pool, now.since(at))).collect()
     }
 
     /// Records a crash; returns whether it is the first record of this target and content.
@@ -238,14 +251,17 @@
         verdicts
     }
 
-    /// Returns whether calls without the content were served since the first of its crashes.
+    /// Returns whether calls to the same model or service without the content were served since
+    /// the first of its crashes.
     ///
     /// Where nothing is served, targets may crash whatever they get.
     fn were_others_served(&self, crashes: &[Crash]) -> bool {
         let first = crashes.iter().map(|crash| crash.ended).min();
         let first = first.unwrap_or(RecordTime(0));
-        let own = self.completed.iter().map(|at| RecordTime::from(*at));
-        let all = own.chain(self.peers_completed.values().copied());
+        let pool = crashes.first().map_or(0, |crash| crash.pool);
+        let own = self.completed.get(&pool).into_iter().flatten().map(|at| RecordTime::from(*at));
+        let peers = self.peers_completed.iter().filter(|((_, of), _)| *of == pool);
+        let all = own.chain(peers.map(|(_, at)| *at));
         all.filter(|at| *at >= first).take(MIN_COMPLETED).count() >= MIN_COMPLETED
     }
 }
--- a/crates/cumintrail-wire/src/peer.rs
+++ b/crates/cumintrail-wire/src/peer.rs
@@ -159,30 +159,31 @@
 }
 
 /// Encodes a [`QuarantineReport`] without field names, with times in milliseconds: crashes (content,
-/// account, target, age of the call, age of the crash), targets that crashed together, cleared
-/// contents, lifted contents (content, age of the lift), contents in quarantine (content, account or
-/// zero, time until the end), age of the last complete response.
+/// model or service, account, target, age of the call, age of the crash), targets that crashed
+/// together, cleared contents, lifted contents (content, age of the lift), contents in quarantine
+/// (content, account or zero, time until the end), last complete responses (model or service, age).
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
 struct QuarantineMessage(
-    Vec<(u64, u64, u64, u32, u32)>,
+    Vec<(u64, u64, u64, u64, u32, u32)>,
     Vec<u64>,
     Vec<u64>,
     Vec<(u64, u32)>,
     Vec<(u64, u64, u32)>,
-    Option<u32>,
+    Vec<(u64, u32)>,
 );
 
 impl QuarantineMessage {
     const fn is_empty(&self) -> bool {
         let is_quiet = self.0.is_empty() && self.1.is_empty() && self.2.is_empty();
-        is_quiet && self.3.is_empty() && self.4.is_empty() && self.5.is_none()
+        is_quiet && self.3.is_empty() && self.4.is_empty() && self.5.is_empty()
     }
 }
 
 impl From<QuarantineReport> for QuarantineMessage {
     fn from(report: QuarantineReport) -> Self {
         let crash = |c: ReportedCrash| {
-            (c.content.0, c.account, c.target, to_millis(c.sent_age), to_millis(c.ended_age))
+            let (sent, ended) = (to_millis(c.sent_age), to_millis(c.ended_age));
+            (c.content.0, c.pool, c.account, c.target, sent, ended)
         };
         let entry = |e: ReportedQuarantine| (e.content.0, e.scope.code(), to_millis(e.remaining));
         Self(
@@ -191,7 +192,7 @@
             report.cleared.into_iter().map(|content| content.0).collect(),
             report.lifted.into_iter().map(|(content, age)| (content.0, to_millis(age))).collect(),
             report.quarantined.into_iter().map(entry).collect(),
-            report.completed_age.map(to_millis),
+            report.completed.into_iter().map(|(pool, age)| (pool, to_millis(age))).collect(),
         )
     }
 }
@@ -201,10 +202,11 @@
         let QuarantineMessage(crashes, common_crashes, cleared, lifted, quarantined, completed) =
             message;
         let millis = |millis: u32| Duration::from_millis(millis.into());
-        let crash = |(content, account, target, sent, ended): (u64, u64, u64, u32, u32)| {
-            let (content, sent_age, ended_age) = (content.into(), millis(sent), millis(ended));
-            ReportedCrash { content, account, target, sent_age, ended_age }
-        };
+        let crash =
+            |(content, pool, account, target, sent, ended): (u64, u64, u64, u64, u32, u32)| {
+                let (content, sent_age, ended_age) = (content.into(), millis(sent), millis(ended));
+                ReportedCrash { content, pool, account, target, sent_age, ended_age }
+            };
         let entry = |(content, scope, remaining): (u64, u64, u32)| ReportedQuarantine {
             content: content.into(),
             scope: Scope::of_code(scope),
@@ -219,7 +221,7 @@
                 .map(|(content, age)| (content.into(), millis(age)))
                 .collect(),
             quarantined: quarantined.into_iter().map(entry).collect(),
-            completed_age: completed.map(millis),
+            completed: completed.into_iter().map(|(pool, age)| (pool, millis(age))).collect(),
         }
     }
 }
