Renew a quarantine that has ended by the next crash only

The crashes of a quarantine whose time was over still weighed enough for a verdict at the next decision about other content, which logged the content as quarantined again, for no time. Verdicts whose time is over are dropped now; one further crash under the content renews the quarantine.

--- a/crates/cumintrail-control/src/quarantine.rs
+++ b/crates/cumintrail-control/src/quarantine.rs
@@ -426,7 +426,10 @@
         for verdict in verdicts {
             let (content, scope) = (verdict.content, verdict.scope);
             let until = now + QUARANTINE_TIME.saturating_sub(verdict.last_crash.age(now));
-            is_new |= self.quarantine(Quarantined { content, scope, until }, verdict.crashes);
+            // Crashes of a quarantine that has ended count again with the next one only.
+            if until > now {
+                is_new |= self.quarantine(Quarantined { content, scope, until }, verdict.crashes);
+            }
         }
         is_new
     }
--- a/crates/cumintrail-control/tests/quarantine.rs
+++ b/crates/cumintrail-control/tests/quarantine.rs
@@ -2,20 +2,23 @@
 
 use std::time::Duration;
 
-use cumintrail_control::quarantine::{ContentKey, Quarantine};
+use cumintrail_control::quarantine::{ContentKey, QUARANTINE_TIME, Quarantine, QuarantineChange};
 use cumintrail_types::{Moment, TargetKey};
 
 const ACCOUNT: u64 = 7;
 const MODEL: u64 = 1;
 const SERVICE: u64 = 2;
 
-/// Returns whether content is refused after targets crashed under it one after the other, while calls
-/// to a model or service were served.
-fn is_refused_after_crashes(served: u64) -> bool {
-    let mut quarantine = Quarantine::default();
+/// Lets targets crash under content one after the other, while calls to a model or service are
+/// served; returns the time after that.
+fn crash(
+    quarantine: &mut Quarantine,
+    mut now: Moment,
+    numbers: std::ops::Range<u32>,
+    served: u64,
+) -> Moment {
     let (hot, other) = (ContentKey::of_part("hot"), ContentKey::of_part("other"));
-    let mut now = Moment::from_millis(1_000);
-    for number in 0..6 {
+    for number in numbers {
         let target = (TargetKey(number), u64::from(number) + 100);
         let sent = now;
         now = now + Duration::from_millis(200);
@@ -27,7 +30,38 @@
         }
         quarantine.decide(now, Duration::ZERO);
     }
-    quarantine.refuses(now, ACCOUNT, &[hot])
+    now
+}
+
+fn is_refused(quarantine: &Quarantine, now: Moment) -> bool {
+    quarantine.refuses(now, ACCOUNT, &[ContentKey::of_part("hot")])
+}
+
+/// Returns whether content is refused after six crashes.
+fn is_refused_after_crashes(served: u64) -> bool {
+    let mut quarantine = Quarantine::default();
+    let now = crash(&mut quarantine, Moment::from_millis(1_000), 0..6, served);
+    is_refused(&quarantine, now)
+}
+
+#[test]
+fn a_quarantine_that_has_ended_is_renewed_by_the_next_crash_only() {
+    let mut quarantine = Quarantine::default();
+    let now = crash(&mut quarantine, Moment::from_millis(1_000), 0..3, MODEL);
+    assert!(is_refused(&quarantine, now));
+    let now = now + QUARANTINE_TIME;
+    assert!(!is_refused(&quarantine, now));
+    quarantine.take_changes();
+    let other = ContentKey::of_part("rare");
+    let target = (TargetKey(50), 150);
+    quarantine.record_broken(now, target, (MODEL, ACCOUNT, &[other]), now, 0);
+    quarantine.record_unreachable(now, target.0, target.1, 0);
+    quarantine.decide(now, Duration::ZERO);
+    let is_quarantined =
+        |change: &QuarantineChange| matches!(change, QuarantineChange::Quarantined { .. });
+    assert!(!quarantine.take_changes().iter().any(is_quarantined), "another crash renewed it");
+    let now = crash(&mut quarantine, now, 3..4, MODEL);
+    assert!(is_refused(&quarantine, now));
 }
 
 #[test]
