Let the daemons of the soak exchange digests while parts crash engines

Each VM of the stand-in has its own way to the store, and the key of peers is derived from the store's address, so that daemons never accepted each other's digests.

--- a/tests/platform-standin/src/deployment.rs
+++ b/tests/platform-standin/src/deployment.rs
@@ -94,14 +94,15 @@
 }
 
 impl Deployment {
-    /// Starts the row store, the replicas and the daemons; settings files and logs of the daemons
-    /// are written to `folder`.
+    /// Starts the row store, the replicas and the daemons, which are peers of each other if
+    /// `exchanges_digests` is set; settings files and logs of the daemons are written to `folder`.
     pub async fn spawn(
         daemon: &Path,
         folder: &Path,
         vms: usize,
         engines: usize,
         plain_replicas: usize,
+        exchanges_digests: bool,
     ) -> std::io::Result<Self> {
         let (store, running) = RowStore::bind(LOOPBACK_ANY_PORT)?;
         let mut deployment = Self {
@@ -142,7 +143,12 @@
                 log_path: folder.join(format!("vm-{index}.log")),
                 process: RefCell::default(),
             };
-            std::fs::write(&vm.settings_path, vm.settings_text(index, &control_addresses))?;
+            let mut settings = vm.settings_text(index, &control_addresses);
+            if exchanges_digests {
+                // Without it, the key of peers would differ, since each VM has its own store link.
+                settings.push_str(&format!("provider.common_address={}\n", running.address));
+            }
+            std::fs::write(&vm.settings_path, settings)?;
             vm.start(&deployment.daemon)?;
             deployment.vms.push(vm);
         }
--- a/tests/platform-standin/src/main.rs
+++ b/tests/platform-standin/src/main.rs
@@ -96,7 +96,7 @@
     vms: usize,
 ) -> std::io::Result<()> {
     std::fs::create_dir_all(folder)?;
-    let deployment = Deployment::spawn(daemon, folder, vms, 2, 2).await?;
+    let deployment = Deployment::spawn(daemon, folder, vms, 2, 2, true).await?;
     if !deployment.wait_ready().await {
         return Err(std::io::Error::other("the daemons did not become ready; see their logs"));
     }
--- a/tests/platform-standin/src/soak.rs
+++ b/tests/platform-standin/src/soak.rs
@@ -129,8 +129,11 @@
 
 /// Runs one seed. Settings files and logs of the daemons stay in `folder`.
 pub async fn run(daemon: &Path, folder: &Path, plan: Plan) -> std::io::Result<Report> {
-    let deployment =
-        Deployment::spawn(daemon, folder, plan.vms, plan.engines, plan.plain_replicas).await?;
+    let (vms, engines, plain_replicas) = (plan.vms, plan.engines, plan.plain_replicas);
+    let exchanges_digests = plan.crashing_parts;
+    let spawned =
+        Deployment::spawn(daemon, folder, vms, engines, plain_replicas, exchanges_digests);
+    let deployment = spawned.await?;
     let mut soak = Soak {
         deployment,
         plan,
