--- a/tests/platform-standin/src/deployment.rs
+++ b/tests/platform-standin/src/deployment.rs
@@ -143,11 +143,13 @@
                 log_path: folder.join(format!("vm-{index}.log")),
                 process: RefCell::default(),
             };
-            let mut settings = vm.settings_text(index, &control_addresses);
-            if exchanges_digests {
+            let settings = vm.settings_text(index, &control_addresses);
+            let settings = if exchanges_digests {
                 // Without it, the key of peers would differ, since each VM has its own store link.
-                settings.push_str(&format!("provider.common_address={}\n", running.address));
-            }
+                format!("{settings}provider.common_address={}\n", running.address)
+            } else {
+                settings
+            };
             std::fs::write(&vm.settings_path, settings)?;
             vm.start(&deployment.daemon)?;
             deployment.vms.push(vm);
