--- a/crates/cumintrail-control/src/event.rs
+++ b/crates/cumintrail-control/src/event.rs
@@ -7,7 +7,8 @@
 use cumintrail_config::{Snapshot, TargetKind};
 use cumintrail_types::{
     AccountKey, AttemptNumber, BlockKey, CallClass, CallKey, FencingNumber, Incarnation, Moment,
-    Refusal, Sealed, StoreKey, TargetKey, Tier, Tokens, Urgency, WeightVersion, WriteId,
+    Refusal, RequestRate, Sealed, StoreKey, TargetKey, Tier, Tokens, Urgency, WeightVersion,
+    WriteId,
 };
 use smallvec::SmallVec;
 
@@ -494,6 +495,20 @@
     pub leaving: bool,
     /// How long the target wants no requests from this daemon.
     pub quiet_for: Option<Duration>,
+    /// The limit of the requests that it takes from all daemons together.
+    pub limit: NamedLimit,
+}
+
+/// Describes what the head of a response says about a limit of requests.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum NamedLimit {
+    /// It names no limit.
+    #[default]
+    None,
+    /// It names this limit.
+    Rate(RequestRate),
+    /// It names a limit that is no number of requests a second.
+    Unreadable,
 }
 
 /// Orders a target to write a block to a store.
--- a/crates/cumintrail-control/src/lib.rs
+++ b/crates/cumintrail-control/src/lib.rs
@@ -40,6 +40,6 @@
 };
 pub use event::{
     Action, Actions, Arrival, AttemptOutcome, Dispatch, Event, Export, Fetch, FetchOutcome,
-    FetchPlan, Order, OrderKind, ResponseEnd, RouteOptions, RunningCalls, TargetNotice,
+    FetchPlan, NamedLimit, Order, OrderKind, ResponseEnd, RouteOptions, RunningCalls, TargetNotice,
     TargetReport, Usage,
 };
--- a/crates/cumintrail-daemon/src/relay/dialect.rs
+++ b/crates/cumintrail-daemon/src/relay/dialect.rs
@@ -6,8 +6,10 @@
 
 use actix_http::header::{AUTHORIZATION, HeaderMap, HeaderName, HeaderValue, RETRY_AFTER};
 use actix_http::{RequestHead, ResponseHead, StatusCode};
-use cumintrail_control::TargetNotice;
-use cumintrail_types::{BlockKey, Refusal, RefusalCode, Tokens, Urgency, WeightVersion};
+use cumintrail_control::{NamedLimit, TargetNotice};
+use cumintrail_types::{
+    BlockKey, Refusal, RefusalCode, RequestRate, Tokens, Urgency, WeightVersion,
+};
 use smallvec::SmallVec;
 
 /// Stores the metadata of a call that the headers of its request carry.
@@ -116,6 +118,8 @@
 const LAST_EVENT_ID: HeaderName = HeaderName::from_static("last-event-id");
 const RESUMES: HeaderName = HeaderName::from_static("x-cumintrail-resumes");
 const LEAVING: HeaderName = HeaderName::from_static("x-cumintrail-leaving");
+/// The requests a second that a target takes from all daemons together, a decimal number.
+const LIMIT: HeaderName = HeaderName::from_static("x-cumintrail-limit");
 /// Lists the prompt's parts as `name:tokens`, separated by commas.
 const PROMPT_PARTS: HeaderName = HeaderName::from_static("x-cumintrail-parts");
 
@@ -164,7 +168,8 @@
 
     fn target_notice(&self, head: &ResponseHead) -> TargetNotice {
         let leaving = head.headers().get(LEAVING).is_some_and(|value| value == "1");
-        TargetNotice { leaving, quiet_for: quiet_period(head) }
+        let limit = named_limit(head.headers(), &LIMIT);
+        TargetNotice { leaving, quiet_for: quiet_period(head), limit }
     }
 
     fn write_call_id(&self, headers: &mut HeaderMap, metadata: &RequestMetadata) {
@@ -183,6 +188,15 @@
     Duration::try_from_secs_f64(seconds).ok().filter(|period| is_unavailable && !period.is_zero())
 }
 
+/// Reads a header that names the requests a second that a target takes.
+pub fn named_limit(headers: &HeaderMap, name: &HeaderName) -> NamedLimit {
+    let Some(value) = headers.get(name) else {
+        return NamedLimit::None;
+    };
+    let rate = value.to_str().ok().and_then(RequestRate::parse);
+    rate.map_or(NamedLimit::Unreadable, NamedLimit::Rate)
+}
+
 /// Parses a list of the parts of a prompt as `name:tokens`, separated by commas.
 pub fn parse_parts(list: &HeaderValue) -> Result<SmallVec<[Part; 4]>, Refusal> {
     let parse = |part: &str| {
--- a/crates/cumintrail-types/src/lib.rs
+++ b/crates/cumintrail-types/src/lib.rs
@@ -20,4 +20,4 @@
 };
 pub use refusal::{Refusal, RefusalCode};
 pub use time::Moment;
-pub use units::{Bytes, Tokens};
+pub use units::{Bytes, RequestRate, Tokens};
--- a/crates/cumintrail-types/src/units.rs
+++ b/crates/cumintrail-types/src/units.rs
@@ -64,3 +64,22 @@
         Self(self.0.saturating_sub(other.0))
     }
 }
+
+/// Counts requests a second, in thousandths of a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Display)]
+#[display("{}.{:03}", _0 / 1_000, _0 % 1_000)]
+pub struct RequestRate(pub u32);
+
+impl RequestRate {
+    /// Parses a decimal number of requests a second; `None` for a negative number and for any other
+    /// text. A rate beyond the largest one is the largest one.
+    pub fn parse(text: &str) -> Option<Self> {
+        let rate: f64 = text.trim().parse().ok()?;
+        (rate >= 0.0).then_some(Self((rate * 1_000.0) as u32))
+    }
+
+    /// Returns the number of requests a second.
+    pub fn per_second(self) -> f64 {
+        f64::from(self.0) / 1_000.0
+    }
+}
