--- a/tests/src/gateway_cluster.rs
+++ b/tests/src/gateway_cluster.rs
@@ -153,6 +153,57 @@
     }
 }
 
+/// Gateways on one platform that exchange digests.
+pub struct Fleet {
+    /// The platform.
+    pub platform: FeedPlatform,
+    /// The gateways.
+    pub gateways: Vec<Gateway>,
+}
+
+impl Fleet {
+    /// Starts gateways in front of these targets, and waits until they are ready.
+    pub async fn spawn(gateways: usize, targets: &[(&str, &Replica)]) -> Self {
+        let platform = FeedPlatform::new();
+        platform.publish_declarations(1, &declarations(KEY));
+        for (id, target) in targets {
+            platform.list_target(id, 1, 1, "desk", target.address(), false);
+        }
+        let mut fleet = Self { platform, gateways: Vec::new() };
+        for number in 0..gateways {
+            fleet.start_gateway(number);
+        }
+        let wait = async {
+            while !fleet.gateways.iter().all(Gateway::is_ready) {
+                actix_rt::time::sleep(Duration::from_millis(5)).await;
+            }
+        };
+        actix_rt::time::timeout(LIMIT, wait).await.expect("the gateways are ready");
+        fleet
+    }
+
+    /// Starts one more gateway.
+    pub fn start_gateway(&mut self, number: usize) {
+        let seed = self.gateways.first().map(Gateway::operator_address);
+        let settings = Settings {
+            vm: format!("vm-{number}").into(),
+            peers: seed.into_iter().collect(),
+            digest_interval: Duration::from_millis(100),
+            ..settings()
+        };
+        let gateway = Gateway::spawn(settings, &options(), &self.platform.for_vm()).unwrap();
+        self.gateways.push(gateway);
+    }
+
+    /// Sends a call to a gateway on a connection of its own and reads until the connection ends.
+    pub async fn call(&self, gateway: usize, path: &str, id: &str) -> String {
+        let address = self.gateways[gateway].caller_address();
+        let mut caller = Caller(TcpStream::connect(address).await.unwrap());
+        caller.send(path, id, "connection: close\r\n", "").await;
+        caller.rest().await
+    }
+}
+
 /// A caller's connection.
 pub struct Caller(pub TcpStream);
 
