--- a/crates/cumintrail-control/src/lib.rs
+++ b/crates/cumintrail-control/src/lib.rs
@@ -27,6 +27,7 @@
 mod digest;
 mod dump;
 mod event;
+mod record_time;
 
 pub use calls::{Call, Phase};
 pub use control::{Control, Identity};
--- a/crates/cumintrail-control/src/quarantine.rs
+++ b/crates/cumintrail-control/src/quarantine.rs
@@ -20,8 +20,9 @@
 use smallvec::SmallVec;
 
 pub use self::content::{ContentKey, Scope};
-use self::evidence::{CompletedContent, Crash, Evidence, RecordTime};
+use self::evidence::{CompletedContent, Crash, Evidence};
 pub use self::report::{QuarantineReport, ReportedCrash, ReportedQuarantine};
+use crate::record_time::RecordTime;
 
 /// How long content stays in quarantine after the last crash under it.
 pub const QUARANTINE_TIME: Duration = Duration::from_secs(600);
--- a/crates/cumintrail-control/src/quarantine/evidence.rs
+++ b/crates/cumintrail-control/src/quarantine/evidence.rs
@@ -8,6 +8,7 @@
 use smallvec::SmallVec;
 
 use super::{ContentKey, Scope};
+use crate::record_time::RecordTime;
 
 /// Crashes one after the other from which content is quarantined.
 const MIN_CRASHES: usize = 3;
@@ -49,38 +50,6 @@
     pub ended: RecordTime,
 }
 
-/// Represents a time on this daemon's clock in microseconds, negative before the process started.
-///
-/// A daemon that just started learns of crashes before that.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub struct RecordTime(i64);
-
-impl RecordTime {
-    /// Returns the time that is `age` before `now`.
-    pub fn before(now: Moment, age: Duration) -> Self {
-        let age = i64::try_from(age.as_micros()).unwrap_or(i64::MAX);
-        Self(Self::from(now).0.saturating_sub(age))
-    }
-
-    /// Returns the time that is `delay` later.
-    pub fn after(self, delay: Duration) -> Self {
-        let delay = i64::try_from(delay.as_micros()).unwrap_or(i64::MAX);
-        Self(self.0.saturating_add(delay))
-    }
-
-    /// Returns the time from this time to `now`.
-    pub fn age(self, now: Moment) -> Duration {
-        let age = Self::from(now).0.saturating_sub(self.0);
-        Duration::from_micros(u64::try_from(age).unwrap_or(0))
-    }
-}
-
-impl From<Moment> for RecordTime {
-    fn from(at: Moment) -> Self {
-        Self(i64::try_from(at.0).unwrap_or(i64::MAX))
-    }
-}
-
 /// States what crashes prove about one content.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Verdict {
@@ -257,7 +226,7 @@
     /// Where nothing is served, targets may crash whatever they get.
     fn were_others_served(&self, crashes: &[Crash]) -> bool {
         let first = crashes.iter().map(|crash| crash.ended).min();
-        let first = first.unwrap_or(RecordTime(0));
+        let first = first.unwrap_or(RecordTime::default());
         let pool = crashes.first().map_or(0, |crash| crash.pool);
         let own = self.completed.get(&pool).into_iter().flatten().map(|at| RecordTime::from(*at));
         let peers = self.peers_completed.iter().filter(|((_, of), _)| *of == pool);
--- a/crates/cumintrail-control/src/quarantine/report.rs
+++ b/crates/cumintrail-control/src/quarantine/report.rs
@@ -4,8 +4,9 @@
 
 use cumintrail_types::Moment;
 
-use super::evidence::{Crash, RecordTime};
+use super::evidence::Crash;
 use super::{ContentKey, QUARANTINE_TIME, Quarantined, Scope};
+use crate::record_time::RecordTime;
 
 /// Collects what daemons report to each other about crashes.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
