--- a/crates/cumintrail-cli/src/dump.rs
+++ b/crates/cumintrail-cli/src/dump.rs
@@ -3,7 +3,8 @@
 use std::net::SocketAddr;
 
 use cumintrail_control::{
-    CallDump, Dump, LimitDump, PeerDump, QuarantineDump, QueueDump, StoreDump, TargetDump,
+    CallDump, Dump, LimitDump, LimitedTargetDump, PeerDump, QuarantineDump, QueueDump, StoreDump,
+    TargetDump,
 };
 use cumintrail_wire::operator::Age;
 use snafu::ResultExt;
@@ -39,6 +40,7 @@
         ("stores", stores(&dump.stores)),
         ("peers", peers(&dump.peers)),
         ("contents in quarantine", quarantined(&dump.quarantined)),
+        ("limited targets", limited(&dump.limited)),
     ];
     for (title, table) in tables {
         lines.push(String::new());
@@ -97,6 +99,20 @@
     table
 }
 
+fn limited(entries: &[LimitedTargetDump]) -> Table {
+    let mut table = Table::new(&["TARGET", ">LIMIT /s", ">SHARE /s", ">CREDIT", ">NAMED"]);
+    for entry in entries {
+        table.add_row([
+            entry.name.to_string(),
+            format!("{:.2}", entry.limit),
+            format!("{:.2}", entry.share),
+            format!("{:.2}", entry.credit),
+            Age(entry.age_ms).to_string(),
+        ]);
+    }
+    table
+}
+
 fn queues(queues: &[QueueDump]) -> Table {
     let mut table = Table::new(&["MODEL OR SERVICE", ">WAITING"]);
     for queue in queues {
--- a/crates/cumintrail-cli/tests/output.rs
+++ b/crates/cumintrail-cli/tests/output.rs
@@ -3,7 +3,8 @@
 use cumintrail_cli::status::{DaemonStatus, StatusReport};
 use cumintrail_cli::{Style, dump};
 use cumintrail_control::{
-    CallDump, Dump, LimitDump, PeerDump, QuarantineDump, QueueDump, StoreDump, TargetDump,
+    CallDump, Dump, LimitDump, LimitedTargetDump, PeerDump, QuarantineDump, QueueDump, StoreDump,
+    TargetDump,
 };
 use cumintrail_types::{Bytes, CallClass, CallKey, Generation, Incarnation, Tokens};
 use cumintrail_wire::operator::{Age, Degradation, Status};
@@ -147,6 +148,13 @@
             account: Some("kesong".into()),
             left_ms: 480_000,
         }],
+        limited: vec![LimitedTargetDump {
+            name: "curd-1".into(),
+            limit: 2.3,
+            share: 0.33,
+            credit: 0.5,
+            age_ms: 400,
+        }],
     }
 }
 
@@ -167,6 +175,7 @@
         stores: Vec::new(),
         peers: Vec::new(),
         quarantined: Vec::new(),
+        limited: Vec::new(),
         ..state()
     };
     assert_snapshot!(dump::to_text(&idle, Style::Plain));
--- a/crates/cumintrail-control/src/admission.rs
+++ b/crates/cumintrail-control/src/admission.rs
@@ -213,6 +213,11 @@
         Duration::from_secs_f64(queue.service_interval_s * ahead as f64)
     }
 
+    /// Estimates how many calls are served before a new one of an account.
+    pub fn calls_ahead_of(&self, kind: TargetKind, account: AccountKey, weight: u32) -> usize {
+        self.queues.get(&kind).map_or(0, |queue| queue.calls.calls_ahead_of(account, weight))
+    }
+
     /// Returns the number of waiting calls.
     pub const fn waiting(&self) -> usize {
         self.waiting
--- a/crates/cumintrail-control/src/control.rs
+++ b/crates/cumintrail-control/src/control.rs
@@ -6,6 +6,7 @@
 mod blocks;
 mod description;
 mod digests;
+mod limits;
 mod maintenance;
 mod managed;
 mod preloading;
@@ -30,6 +31,7 @@
 use rand::rngs::StdRng;
 
 use self::announced_versions::AnnouncedVersions;
+use self::limits::LimitState;
 use self::managed::ManagedStores;
 use self::reads::PlatformReads;
 use self::state::{StoreState, TargetState};
@@ -108,6 +110,7 @@
     announced_versions: AnnouncedVersions,
     stream_origins: StreamOrigins,
     quarantine: Quarantine,
+    limit_state: LimitState,
     /// The readers in the last `Action::AssignReaders`.
     reader_assignment: ReaderAssignment,
     /// The number of daemons, this one and silent ones included.
@@ -167,6 +170,7 @@
             announced_versions: AnnouncedVersions::default(),
             stream_origins: StreamOrigins::default(),
             quarantine: Quarantine::default(),
+            limit_state: LimitState::default(),
             reader_assignment: ReaderAssignment::default(),
             daemon_count: 1,
             knows_daemons: false,
@@ -222,6 +226,9 @@
             Event::LiftQuarantine { content } => self.lift_quarantine(now, content),
             Event::TargetReported { target, report } => self.handle_report(now, target, report),
             Event::TargetNoticed { target, notice } => self.handle_notice(now, target, notice),
+            Event::LimitNamed { target, limit, sent } => {
+                self.handle_named_limit(now, target, limit, sent);
+            }
             Event::TargetResponded { target } => self.handle_probe_response(now, target),
             Event::DrainTarget { target } => self.drain_target(now, target),
             Event::TargetSilent { target } => self.handle_missed_probe(now, target),
--- a/crates/cumintrail-control/src/control/arrivals.rs
+++ b/crates/cumintrail-control/src/control/arrivals.rs
@@ -41,6 +41,7 @@
 impl<P: Placer> Control<P> {
     pub(super) fn handle_arrival(&mut self, now: Moment, arrival: Arrival, actions: &mut Actions) {
         let (call, kind) = (arrival.call, arrival.kind);
+        self.record_call_rate(now, kind);
         let required = self.check_quarantine(now, &arrival);
         let required = required.and_then(|()| self.required_software(now, &arrival));
         match required.and_then(|software| Ok((software, self.admit(now, &arrival)?))) {
@@ -49,7 +50,10 @@
                 self.calls.insert(call, Call::pinned(arrival, now, pinned_software));
                 self.retry_budget(kind).deposit();
             }
-            Err(refusal) => actions.push(Action::Refuse { call, refusal }),
+            Err(refusal) => {
+                let refusal = self.delay_return(now, kind, refusal);
+                actions.push(Action::Refuse { call, refusal });
+            }
         }
     }
 
@@ -96,10 +100,11 @@
             let after = wait.saturating_sub(left).max(RETRY_AFTER);
             return Err(Refusal::not_run(RefusalCode::Overloaded).retry_after(after));
         }
+        self.check_limited_wait(now, snapshot, arrival, account.weight)?;
         let live = self.membership.peers().filter(|(_, p)| p.liveness == Liveness::Live).count();
         let wanted = self.admission.in_flight(arrival.account) + 1;
         let by_peers = self.membership.peer_demand(now, &account.name);
-        let share = admission::share(wanted, by_peers, live + 1);
+        let share = admission::share(f64::from(wanted), f64::from(by_peers), live + 1);
         self.admission.set_account_share(arrival.account, share);
         let tokens = (arrival.prompt + arrival.max_output).0;
         self.admission.admit(now, arrival.account, account, tokens)?;
@@ -117,6 +122,7 @@
                 match placed {
                     Ok(placement) => self.dispatch(now, key, placement, actions),
                     Err(refusal) => {
+                        let refusal = self.delay_return(now, kind, refusal);
                         self.end_call(key);
                         actions.push(Action::Refuse { call: key, refusal });
                     }
@@ -142,13 +148,14 @@
             }
             match self.place(now, snapshot, key) {
                 Err(refusal) => return Some((account, key, Err(refusal))),
-                Ok(Some(placement))
+                Ok(Choice::Placed(placement))
                     if placement.wait > max_wait && self.should_hold_back(account, key) =>
                 {
                     held_back += 1;
                 }
-                Ok(Some(placement)) => return Some((account, key, Ok(placement))),
-                Ok(None) => return None,
+                Ok(Choice::Placed(placement)) => return Some((account, key, Ok(*placement))),
+                Ok(Choice::Waits) if held_back < MAX_HELD_PLACEMENTS => held_back += 1,
+                Ok(Choice::Waits | Choice::AllBusy) => return None,
             }
         }
         None
@@ -162,13 +169,8 @@
         !begun && self.placer.queues_at_daemon() && self.admission.has_fair_share(account)
     }
 
-    /// Chooses a target for a waiting call; `None` if all usable targets are busy.
-    fn place(
-        &self,
-        now: Moment,
-        snapshot: &Snapshot,
-        key: CallKey,
-    ) -> Result<Option<Placement>, Refusal> {
+    /// Chooses a target for a waiting call.
+    fn place(&self, now: Moment, snapshot: &Snapshot, key: CallKey) -> Result<Choice, Refusal> {
         let Some(call) = self.calls.get(&key) else {
             return Err(Refusal::not_run(RefusalCode::Deadline));
         };
@@ -180,15 +182,20 @@
         if usable.is_empty() {
             return Err(retry::refusal_for(call, RefusalCode::NoTarget));
         }
-        let usable = match self.exclude_quiet(now, call, usable) {
-            QuietChoice::Usable(usable) => usable,
-            QuietChoice::WaitForEnd => return Ok(None),
-            QuietChoice::Refuse(after) => {
+        let accepting = match self.exclude_quiet(now, call, usable) {
+            TargetChoice::Usable(accepting) => self.exclude_spent(now, call, accepting),
+            choice => choice,
+        };
+        let usable = match accepting {
+            TargetChoice::Usable(usable) => usable,
+            TargetChoice::Wait => return Ok(Choice::Waits),
+            TargetChoice::Refuse(after) => {
                 let refusal = retry::refusal_for(call, RefusalCode::Overloaded);
                 return Err(refusal.retry_after(after));
             }
         };
         let usable = prefer_untried(call, usable);
+        let usable = self.prefer_unlimited(call, usable);
         let usable = self.prefer_accepting(now, usable);
         let candidates: SmallVec<[Candidate<'_>; 32]> = usable
             .into_iter()
@@ -200,8 +207,13 @@
         };
         let Some(model) = model else {
             let free = candidates.iter().filter(|c| c.available);
-            let order = |c: &&Candidate<'_>| (c.calls, spread_hash(arrival.call, &c.target.name));
-            return Ok(free.min_by_key(order).map(|c| plain_placement(c.key)));
+            // Credit for a limited target would be lost while others could take the next calls.
+            let is_unlimited = |key| self.targets.get(key).is_some_and(|s| s.allowance.is_none());
+            let order = |c: &&Candidate<'_>| {
+                (c.calls, is_unlimited(c.key), spread_hash(arrival.call, &c.target.name))
+            };
+            let chosen = free.min_by_key(order).map(|c| plain_placement(c.key));
+            return Ok(chosen.into());
         };
         let parts = self.plan_parts(now, arrival);
         let cx = Context {
@@ -221,13 +233,13 @@
         let shared = arrival.options.shared_tokens();
         let request = Request { call, blocks, prompt, shared, kv_tokens, objective, part_location };
         let Some(placement) = self.placer.place(&cx, &request, &candidates) else {
-            return Ok(None);
+            return Ok(Choice::AllBusy);
         };
         match self.placer.retry_after(&request, &placement) {
             Some(after) if waiting.ran() == Ran::No => {
                 Err(Refusal::not_run(RefusalCode::Overloaded).retry_after(after))
             }
-            _ => Ok(Some(Placement { parts, ..placement })),
+            _ => Ok(Some(Placement { parts, ..placement }).into()),
         }
     }
 
@@ -251,18 +263,15 @@
     ///
     /// If no others are left, a call waits for the first of them where it can still be served in
     /// time, and is refused at once otherwise.
-    fn exclude_quiet(&self, now: Moment, call: &Call, usable: Vec<TargetKey>) -> QuietChoice {
+    fn exclude_quiet(&self, now: Moment, call: &Call, usable: Vec<TargetKey>) -> TargetChoice {
         let quiet_until = |key: &TargetKey| self.targets.get(*key).map_or(now, |s| s.quiet_until);
         let first_end = usable.iter().map(quiet_until).min().unwrap_or(now);
         let accepting: Vec<TargetKey> =
             usable.into_iter().filter(|key| quiet_until(key) <= now).collect();
         if !accepting.is_empty() {
-            return QuietChoice::Usable(accepting);
+            return TargetChoice::Usable(accepting);
         }
-        let arrival = &call.arrival;
-        let (wait, left) = (first_end.since(now), arrival.deadline.since(now));
-        let in_time = arrival.options.first_token_objective.unwrap_or(left).min(left) / 2;
-        if wait <= in_time { QuietChoice::WaitForEnd } else { QuietChoice::Refuse(wait) }
+        TargetChoice::wait_or_refuse(now, &call.arrival, first_end.since(now))
     }
 
     /// Excludes targets that just refused a call or are loading weights, unless no others are left.
@@ -391,27 +400,57 @@
             }
             state.breaker.record_start();
             state.add_prefill(now, placement.recompute);
+            if let Some(allowance) = &mut state.allowance {
+                allowance.withdraw(now);
+            }
         }
+        let is_limited = self.targets.get(target).is_some_and(|state| state.allowance.is_some());
         self.admission.add_prefill(account, placement.recompute);
         self.start_fetches(now, key, &placement.plan);
         let Placement { plan, first_token, parts, .. } = placement;
         // The keys of parts are derived for the version that the call arrived for.
         let parts = if version == arrival_version { parts } else { PartPlans::default() };
-        let dispatch = Dispatch { call: key, attempt, target, version, plan, first_token, parts };
+        let dispatch =
+            Dispatch { call: key, attempt, target, version, plan, first_token, parts, is_limited };
         actions.push(Action::Dispatch(dispatch));
     }
 }
 
-/// What to do with a call, by the targets that want no requests for now.
-enum QuietChoice {
+/// What to do with a call, by the targets that accept requests now.
+pub(super) enum TargetChoice {
     /// Send it to one of these targets, which accept requests.
     Usable(Vec<TargetKey>),
     /// Wait until the first target accepts requests again.
-    WaitForEnd,
+    Wait,
     /// Refuse it; the first target accepts requests again after this time.
     Refuse(Duration),
 }
 
+impl TargetChoice {
+    /// Lets a call wait where it can still be served in time after `wait`.
+    pub(super) fn wait_or_refuse(now: Moment, arrival: &Arrival, wait: Duration) -> Self {
+        let left = arrival.deadline.since(now);
+        let in_time = arrival.options.first_token_objective.unwrap_or(left).min(left) / 2;
+        if wait <= in_time { Self::Wait } else { Self::Refuse(wait) }
+    }
+}
+
+/// What becomes of a waiting call now.
+enum Choice {
+    /// It is sent.
+    Placed(Box<Placement>),
+    /// It waits for a target of its own choice, and others may be sent.
+    Waits,
+    /// It waits, and so do all others, since all targets are busy.
+    AllBusy,
+}
+
+impl From<Option<Placement>> for Choice {
+    fn from(placement: Option<Placement>) -> Self {
+        placement.map_or(Self::AllBusy, |placement| Self::Placed(Box::new(placement)))
+    }
+}
+
 /// Returns the longest expected wait at which calls of an account that has its fair share are
 /// dispatched.
 ///
--- a/crates/cumintrail-control/src/control/attempts.rs
+++ b/crates/cumintrail-control/src/control/attempts.rs
@@ -65,6 +65,10 @@
         let Some(target) = call.target() else { return };
         self.release_slot(now, key, target);
         self.record_target_outcome(now, target, outcome);
+        let state = self.targets.get_mut(target).filter(|_| outcome == AttemptOutcome::NotSent);
+        if let Some(allowance) = state.and_then(|state| state.allowance.as_mut()) {
+            allowance.refund(now);
+        }
         let Some(call) = self.calls.get_mut(&key) else {
             return;
         };
@@ -85,7 +89,10 @@
         }
         let due = now + retry::backoff(call.attempts(), &mut self.rng);
         let (kind, may) = (call.arrival.kind, retry::may_retry(call, outcome, due));
-        if may && self.withdraw_retry(kind, target, outcome) {
+        let is_first_failure =
+            matches!(outcome, AttemptOutcome::Failed { .. }) && call.pinned_version.is_none();
+        let is_too_scarce = is_first_failure && self.is_limit_scarce(now, kind);
+        if may && !is_too_scarce && self.withdraw_retry(kind, target, outcome) {
             self.backing_off.push((due, key));
             return;
         }
--- a/crates/cumintrail-control/src/control/description.rs
+++ b/crates/cumintrail-control/src/control/description.rs
@@ -42,6 +42,7 @@
                 .map(|(address, peer)| (address, PeerDump::new(now, peer)))
                 .collect(),
             quarantined: self.describe_quarantines(now),
+            limited: snapshot.map(|s| self.describe_limited_targets(now, s)).unwrap_or_default(),
         }
     }
 
@@ -56,7 +57,11 @@
         let stores = snapshot.into_iter().flat_map(|s| s.stores.iter());
         let stores = stores.filter(|(_, s)| !s.retired);
         let stores = stores.filter_map(|(key, _)| Some(Some(self.stores.get(key)?.liveness)));
+        let (limited_targets, limit_allowance) = self.limit_counts();
         Counts {
+            limited_targets,
+            limit_allowance,
+            limit_refusals: self.limit_state.refusals,
             calls: self.calls.len(),
             waiting: self.admission.waiting(),
             stored_blocks: self.directory.stored_blocks().len(),
--- a/crates/cumintrail-control/src/control/digests.rs
+++ b/crates/cumintrail-control/src/control/digests.rs
@@ -51,6 +51,7 @@
         self.next_digest = now + interval.mul_f64(self.rng.random_range(0.9..1.1));
         let (own, domain) = (self.identity.address, self.identity.domain.clone());
         self.share_limits(now, actions);
+        self.refresh_allowances(now);
         let common = PeerDigest {
             vm: self.identity.vm.clone(),
             domain: domain.clone(),
@@ -71,6 +72,8 @@
             domain_sizes: self.membership.domain_sizes(now, own, &domain),
             stream_origins: self.take_stream_origins(now),
             quarantine: self.take_quarantine_report(now),
+            limits: self.take_limit_reports(now),
+            call_rates: self.call_rates(now),
             peers: self.peers_to_advertise(now),
         };
         let full_mesh = self.membership.is_full_mesh(own);
@@ -221,6 +224,7 @@
         self.record_announced_leaving(&digest.announced_leaving);
         self.record_stream_origins(now, digest);
         self.record_quarantine_report(now, digest);
+        self.record_limit_reports(now, digest);
         if let Some(from) = digest.address.filter(|_| self.has_registry) {
             self.record_peer_loads(now, from, &digest.loads);
         }
--- /dev/null
+++ b/crates/cumintrail-control/src/control/limits.rs
@@ -0,0 +1,350 @@
+//! Limits that targets name: what is known of them, this daemon's allowances, and calls that wait for
+//! these.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use cumintrail_config::{Snapshot, Target, TargetKind};
+use cumintrail_types::{Moment, Refusal, RefusalCode, RequestRate, TargetKey};
+use rand::Rng;
+
+use super::Control;
+use super::arrivals::TargetChoice;
+use crate::membership::Liveness;
+use crate::placement::Placer;
+use crate::target_limits::{Allowance, CallRate, ReportedLimit, Senders, TargetLimits};
+use crate::{Action, Actions, Arrival, Call, LimitedTargetDump, NamedLimit, PeerDigest};
+
+/// Rounds of digests that contain an own record of a limit, so that a lost one does no harm.
+const OWN_REPORT_ROUNDS: u32 = 2;
+/// Rounds in which a daemon passes on a record of a peer, where a round reaches only some daemons.
+const RELAY_ROUNDS: u32 = 2;
+/// Rounds of digests without one from a peer after which it counts as not heard of.
+const HEARD_ROUNDS: u32 = 6;
+/// The number of daemons that is assumed at least until others have had the time to be discovered.
+const MIN_DAEMONS_AT_START: usize = 16;
+/// The longest time after which a refused caller is asked to return.
+const MAX_RETURN_DELAY: Duration = Duration::from_secs(30);
+
+/// Records the limits of targets, and the calls by which daemons divide them.
+#[derive(Debug, Default)]
+pub(super) struct LimitState {
+    limits: TargetLimits,
+    call_rates: HashMap<TargetKind, CallRate>,
+    /// The calls a second that each peer last reported, by the hash of the model or service.
+    peer_call_rates: HashMap<SocketAddr, (Moment, Vec<(u64, RequestRate)>)>,
+    /// The time by which all callers may return that were refused because of limits.
+    next_return: HashMap<TargetKind, Moment>,
+    /// The number of calls that were refused because of limits.
+    pub(super) refusals: u64,
+}
+
+impl<P: Placer> Control<P> {
+    /// Handles what a response says about the limit of its target; `sent` is when the request that
+    /// it answers was sent.
+    pub(super) fn handle_named_limit(
+        &mut self,
+        now: Moment,
+        key: TargetKey,
+        named: NamedLimit,
+        sent: Moment,
+    ) {
+        let target = self.target_hash(key);
+        let rounds = self.limit_report_rounds(OWN_REPORT_ROUNDS);
+        let limits = &mut self.limit_state.limits;
+        let is_change = match named {
+            NamedLimit::Rate(rate) => limits.record_named(now, target, rate, rounds),
+            NamedLimit::None => limits.record_unlimited(now, target, sent, rounds),
+            NamedLimit::Unreadable => {
+                limits.record_unreadable(target);
+                false
+            }
+        };
+        if is_change {
+            self.send_digest_soon(now);
+            self.refresh_allowances(now);
+        }
+    }
+
+    /// Counts an arrival for the division of limits.
+    pub(super) fn record_call_rate(&mut self, now: Moment, kind: TargetKind) {
+        self.limit_state.call_rates.entry(kind).or_default().record(now);
+    }
+
+    pub(super) fn take_limit_reports(&mut self, now: Moment) -> Vec<ReportedLimit> {
+        self.limit_state.limits.take_reports(now)
+    }
+
+    /// Returns the calls a second that arrive here for each model and service, by the hash of its
+    /// name; only while some target has a limit.
+    pub(super) fn call_rates(&self, now: Moment) -> Vec<(u64, RequestRate)> {
+        let Some(snapshot) = self.snapshot.as_ref().filter(|_| !self.limit_state.limits.is_empty())
+        else {
+            return Vec::new();
+        };
+        let models = snapshot.models.iter().map(|(key, _)| TargetKind::Engine(key));
+        let services = snapshot.services.iter().map(|(key, _)| TargetKind::Service(key));
+        let calls = |kind: TargetKind| RequestRate::from_per_second(self.call_rate(now, kind));
+        models.chain(services).map(|kind| (self.pool_hash(kind), calls(kind))).collect()
+    }
+
+    /// Returns the calls a second that arrive here for a model or service.
+    fn call_rate(&self, now: Moment, kind: TargetKind) -> f64 {
+        let rate = self.limit_state.call_rates.get(&kind);
+        rate.map_or(0.0, |rate| rate.per_second(now))
+    }
+
+    pub(super) fn record_limit_reports(&mut self, now: Moment, digest: &PeerDigest) {
+        if let Some(address) = digest.address.filter(|_| !digest.call_rates.is_empty()) {
+            let rates = digest.call_rates.clone();
+            self.limit_state.peer_call_rates.insert(address, (now, rates));
+        }
+        let is_sampled = !self.membership.is_full_mesh(self.identity.address);
+        let rounds = if is_sampled { RELAY_ROUNDS } else { 0 };
+        let mut is_change = false;
+        for report in &digest.limits {
+            is_change |= self.limit_state.limits.apply_report(now, *report, rounds);
+        }
+        if is_change {
+            self.refresh_allowances(now);
+        }
+        if is_change && is_sampled {
+            self.send_digest_soon(now);
+        }
+    }
+
+    /// Updates this daemon's share of each limit by what is known of the other daemons.
+    pub(super) fn refresh_allowances(&mut self, now: Moment) {
+        let Some(snapshot) = self.snapshot.clone() else {
+            return;
+        };
+        let max_age = self.heard_max_age();
+        self.limit_state.peer_call_rates.retain(|_, (at, _)| now.since(*at) < max_age);
+        let mut senders: HashMap<TargetKind, Senders> = HashMap::new();
+        for (key, target) in snapshot.targets.iter().filter(|(_, t)| !t.retired) {
+            let has_none = self.targets.get(key).is_none_or(|state| state.allowance.is_none());
+            if has_none && self.limit_state.limits.is_empty() {
+                continue;
+            }
+            let Some(rate) = self.limit_state.limits.rate(self.target_hash(key)) else {
+                if let Some(state) = self.targets.get_mut(key) {
+                    state.allowance = None;
+                }
+                continue;
+            };
+            let senders =
+                senders.entry(target.kind).or_insert_with(|| self.senders(now, target.kind));
+            let share = senders.own_share(target.address, rate);
+            let credit = self.rng.random_range(0.0..1.0);
+            let Some(state) = self.targets.get_mut(key) else {
+                continue;
+            };
+            match &mut state.allowance {
+                Some(allowance) => allowance.set_share(now, share),
+                none => *none = Some(Allowance::new(now, share, credit)),
+            }
+        }
+    }
+
+    /// Forgets limits of targets that are gone.
+    pub(super) fn expire_limits(&mut self, now: Moment) {
+        let snapshot = self.snapshot.as_ref();
+        let listed = snapshot.into_iter().flat_map(|s| s.targets.iter());
+        let listed = listed.filter(|(_, target)| !target.retired);
+        let listed: Vec<u64> = listed.map(|(key, _)| self.target_hash(key)).collect();
+        self.limit_state.limits.expire(now, |target| listed.contains(&target));
+    }
+
+    pub(super) fn report_limit_changes(&mut self, actions: &mut Actions) {
+        let changes = self.limit_state.limits.take_changes();
+        actions.extend(changes.into_iter().map(Action::ReportLimit));
+    }
+
+    /// Describes the targets with a limit, for operators.
+    pub(super) fn describe_limited_targets(
+        &self,
+        now: Moment,
+        snapshot: &Snapshot,
+    ) -> Vec<LimitedTargetDump> {
+        let limited = snapshot.targets.iter().filter_map(|(key, target)| {
+            let allowance = self.targets.get(key)?.allowance?;
+            let hash = self.target_hash(key);
+            Some(LimitedTargetDump {
+                name: target.name.clone(),
+                limit: self.limit_state.limits.rate(hash)?.per_second(),
+                share: allowance.share(),
+                credit: allowance.credit_at(now),
+                age_ms: self.limit_state.limits.age(now, hash)?.as_millis() as u64,
+            })
+        });
+        limited.collect()
+    }
+
+    /// Returns the number of targets with a limit, and the sum of this daemon's shares of them.
+    pub(super) fn limit_counts(&self) -> (usize, f64) {
+        let allowances = self.targets.iter().filter_map(|(_, state)| state.allowance);
+        allowances.fold((0, 0.0), |(n, sum), allowance| (n + 1, sum + allowance.share()))
+    }
+
+    /// Excludes limited targets to which this daemon may send no request now.
+    ///
+    /// If no others are left, the call waits for the first of them where it can still be served in
+    /// time, and is refused at once otherwise.
+    pub(super) fn exclude_spent(
+        &self,
+        now: Moment,
+        call: &Call,
+        usable: Vec<TargetKey>,
+    ) -> TargetChoice {
+        let wait = |key: &TargetKey| {
+            let allowance = self.targets.get(*key).and_then(|state| state.allowance);
+            allowance.map_or(Some(Duration::ZERO), |allowance| allowance.wait(now))
+        };
+        let waits: Vec<Option<Duration>> = usable.iter().map(wait).collect();
+        if waits.iter().all(|wait| *wait == Some(Duration::ZERO)) {
+            return TargetChoice::Usable(usable);
+        }
+        let available =
+            usable.iter().zip(&waits).filter(|(_, wait)| **wait == Some(Duration::ZERO));
+        let available: Vec<TargetKey> = available.map(|(key, _)| *key).collect();
+        if !available.is_empty() {
+            return TargetChoice::Usable(available);
+        }
+        let first = waits.into_iter().flatten().min().unwrap_or(MAX_RETURN_DELAY);
+        TargetChoice::wait_or_refuse(now, &call.arrival, first)
+    }
+
+    /// Prefers targets without a limit for a further attempt, which should not use up what first
+    /// attempts could.
+    pub(super) fn prefer_unlimited(&self, call: &Call, usable: Vec<TargetKey>) -> Vec<TargetKey> {
+        if call.attempts() == 0 {
+            return usable;
+        }
+        let is_unlimited =
+            |key: &TargetKey| self.targets.get(*key).is_some_and(|state| state.allowance.is_none());
+        let unlimited: Vec<TargetKey> = usable.iter().copied().filter(is_unlimited).collect();
+        if unlimited.is_empty() { usable } else { unlimited }
+    }
+
+    /// Refuses a call at once that would have to wait too long for the allowances of its targets.
+    pub(super) fn check_limited_wait(
+        &self,
+        now: Moment,
+        snapshot: &Snapshot,
+        arrival: &Arrival,
+        weight: u32,
+    ) -> Result<(), Refusal> {
+        let Some((share, credit)) = self.limited_capacity(now, snapshot, arrival.kind) else {
+            return Ok(());
+        };
+        let ahead = self.admission.calls_ahead_of(arrival.kind, arrival.account, weight);
+        let missing = ((ahead + 1) as f64 - credit).max(0.0);
+        let wait = Duration::try_from_secs_f64(missing / share).unwrap_or(MAX_RETURN_DELAY);
+        match TargetChoice::wait_or_refuse(now, arrival, wait) {
+            TargetChoice::Refuse(after) => {
+                Err(Refusal::not_run(RefusalCode::Overloaded).retry_after(after))
+            }
+            _ => Ok(()),
+        }
+    }
+
+    /// Returns whether calls wait for the allowances of the only targets of a model or service, so
+    /// that further attempts would be at the cost of first ones.
+    pub(super) fn is_limit_scarce(&self, now: Moment, kind: TargetKind) -> bool {
+        let Some(snapshot) = &self.snapshot else {
+            return false;
+        };
+        let capacity = self.limited_capacity(now, snapshot, kind);
+        capacity.is_some_and(|(_, credit)| credit < 1.0) && self.admission.waiting_for(kind) > 0
+    }
+
+    /// Delays the return of a caller whose call was refused because of limits behind the returns of
+    /// those before.
+    pub(super) fn delay_return(
+        &mut self,
+        now: Moment,
+        kind: TargetKind,
+        refusal: Refusal,
+    ) -> Refusal {
+        let Some(snapshot) = self.snapshot.clone() else {
+            return refusal;
+        };
+        let after = refusal.retry_after.filter(|_| refusal.code == RefusalCode::Overloaded);
+        let capacity = self.limited_capacity(now, &snapshot, kind);
+        let Some((after, (share, _))) = after.zip(capacity) else {
+            return refusal;
+        };
+        self.limit_state.refusals += 1;
+        let interval = Duration::try_from_secs_f64(1.0 / share).unwrap_or(MAX_RETURN_DELAY);
+        let next = self.limit_state.next_return.entry(kind).or_default();
+        let due = (now + after).max(*next + interval);
+        let delay = due.since(now);
+        if delay > MAX_RETURN_DELAY {
+            return refusal.retry_after(MAX_RETURN_DELAY);
+        }
+        *next = due;
+        refusal.retry_after(delay)
+    }
+
+    /// Returns the sum of this daemon's shares and credits at the targets of a model or service;
+    /// `None` if one of them has no limit.
+    fn limited_capacity(
+        &self,
+        now: Moment,
+        snapshot: &Snapshot,
+        kind: TargetKind,
+    ) -> Option<(f64, f64)> {
+        if self.limit_state.limits.is_empty() {
+            return None;
+        }
+        let is_used = |(key, target): &(TargetKey, &Target)| {
+            let state = self.targets.get(*key);
+            let is_live = state.is_some_and(|state| {
+                state.liveness != Liveness::Silent && state.breaker.allows(now)
+            });
+            target.kind == kind && !target.retired && !target.leaving && is_live
+        };
+        let mut capacity = None;
+        for (key, _) in snapshot.targets.iter().filter(is_used) {
+            let allowance = self.targets.get(key).and_then(|state| state.allowance)?;
+            let (share, credit) = capacity.unwrap_or((0.0, 0.0));
+            capacity =
+                Some((share + allowance.share(), credit + allowance.credit_at(now).max(0.0)));
+        }
+        capacity
+    }
+
+    fn senders(&self, now: Moment, kind: TargetKind) -> Senders {
+        let (own, max_age) = (self.identity.address, self.heard_max_age());
+        let is_sampled = !self.membership.is_full_mesh(own);
+        let is_heard = |last: Option<Moment>| last.is_some_and(|at| now.since(at) < max_age);
+        let others = || self.membership.peers().filter(|(address, _)| *address != own);
+        let heard = others().filter(|(_, peer)| {
+            let is_usable = peer.liveness != Liveness::Silent && !peer.leaving;
+            is_heard(peer.last_received) || (is_sampled && is_usable)
+        });
+        let pool = self.pool_hash(kind);
+        let calls = |address: SocketAddr| {
+            let (_, rates) = self.limit_state.peer_call_rates.get(&address)?;
+            let calls = rates.iter().find(|(of, _)| *of == pool);
+            Some(calls.map_or(0.0, |(_, calls)| calls.per_second()))
+        };
+        let peers = heard.map(|(address, _)| (address, calls(address))).collect();
+        let known = others().count() + 1;
+        let at_start = if self.knows_daemons { 0 } else { MIN_DAEMONS_AT_START };
+        let daemons = if self.has_registry { self.daemon_count.max(at_start) } else { 0 };
+        let own_calls = self.call_rate(now, kind);
+        Senders { own, own_calls, peers, daemons: daemons.max(known) }
+    }
+
+    /// Returns the age up to which a peer's last digest shows that it hears this daemon's reports.
+    fn heard_max_age(&self) -> Duration {
+        self.identity.digest_interval * HEARD_ROUNDS
+    }
+
+    fn limit_report_rounds(&self, rounds: u32) -> u32 {
+        let own = self.identity.address;
+        if self.membership.peers().any(|(address, _)| address != own) { rounds } else { 0 }
+    }
+}
--- a/crates/cumintrail-control/src/control/maintenance.rs
+++ b/crates/cumintrail-control/src/control/maintenance.rs
@@ -50,6 +50,7 @@
         self.record_gone_targets(now, &snapshot);
         self.stream_origins.apply_snapshot(now, &snapshot, self.snapshot.as_deref());
         self.snapshot = Some(snapshot);
+        self.refresh_allowances(now);
         // Peers without a connection to the platform receive the generation in the next digest.
         if old.is_none_or(|(generation, _)| generation < self.generation()) {
             self.send_digest_soon(now);
@@ -67,6 +68,7 @@
         self.free_unused_parts(now, actions);
         self.order_preloads(now, actions);
         self.decide_quarantines(now, actions);
+        self.report_limit_changes(actions);
         self.send_digests(now, actions);
         self.expire_membership(now);
     }
@@ -76,6 +78,7 @@
             return;
         }
         self.next_expiry = now + EXPIRY_INTERVAL;
+        self.expire_limits(now);
         let (targets, target_at) = (&self.targets, &self.targets_by_address);
         self.membership.expire(now, |address| {
             let state = targets.get(*target_at.get(&address)?)?;
--- a/crates/cumintrail-control/src/control/probes.rs
+++ b/crates/cumintrail-control/src/control/probes.rs
@@ -136,7 +136,7 @@
         report: TargetReport,
     ) {
         if report.leaving && self.has_registry {
-            let notice = TargetNotice { leaving: true, ..TargetNotice::default() };
+            let notice = TargetNotice { leaving: true, quiet_for: None };
             self.handle_notice(now, key, notice);
         } else if report.leaving {
             self.mark_leaving(now, address, report.incarnation);
--- a/crates/cumintrail-control/src/control/quarantines.rs
+++ b/crates/cumintrail-control/src/control/quarantines.rs
@@ -137,7 +137,7 @@
         if has_peers { OWN_REPORT_ROUNDS } else { 0 }
     }
 
-    fn pool_hash(&self, kind: TargetKind) -> u64 {
+    pub(super) fn pool_hash(&self, kind: TargetKind) -> u64 {
         let Some(snapshot) = &self.snapshot else { return 0 };
         let name = match kind {
             TargetKind::Engine(model) => snapshot.models.get(model).map(|m| &m.name),
@@ -151,7 +151,7 @@
         declared.map_or(0, |account| name_hash(&account.name))
     }
 
-    fn target_hash(&self, target: TargetKey) -> u64 {
+    pub(super) fn target_hash(&self, target: TargetKey) -> u64 {
         let declared = self.snapshot.as_ref().and_then(|s| s.targets.get(target));
         let incarnation =
             self.targets.get(target).map_or(0, |state| state.incarnation().0).rotate_left(17);
--- a/crates/cumintrail-control/src/control/state.rs
+++ b/crates/cumintrail-control/src/control/state.rs
@@ -7,6 +7,7 @@
 use crate::membership::Liveness;
 use crate::retry::{CircuitBreaker, RetryBudget};
 use crate::store_sync::StoreSync;
+use crate::target_limits::Allowance;
 use crate::{TargetLoad, TargetReport};
 
 /// Probe intervals between two probes of a live target.
@@ -63,6 +64,8 @@
     pub announced_leaving: bool,
     /// The time until which it wants no requests from this daemon.
     pub quiet_until: Moment,
+    /// The requests that this daemon may send to it, if it named a limit.
+    pub allowance: Option<Allowance>,
     /// Whether another process responds at its address.
     pub address_reused: bool,
     /// The time of the last update of the load that is not from this daemon.
--- a/crates/cumintrail-control/src/counts.rs
+++ b/crates/cumintrail-control/src/counts.rs
@@ -3,7 +3,7 @@
 use crate::membership::Liveness;
 
 /// Counts the items that the gauges of the metrics show.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct Counts {
     /// Calls without a complete response.
     pub calls: usize,
@@ -17,6 +17,12 @@
     pub stores: StateCounts,
     /// Known peers, by state.
     pub peers: StateCounts,
+    /// Targets that named a limit of requests.
+    pub limited_targets: usize,
+    /// Requests a second that this daemon may send to them.
+    pub limit_allowance: f64,
+    /// Calls refused since the start because of such limits.
+    pub limit_refusals: u64,
 }
 
 /// Counts targets, stores or peers by state.
--- a/crates/cumintrail-control/src/digest.rs
+++ b/crates/cumintrail-control/src/digest.rs
@@ -4,11 +4,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cumintrail_types::{Generation, Incarnation, Moment, Sealed, Tier, Tokens, WeightVersion};
+use cumintrail_types::{
+    Generation, Incarnation, Moment, RequestRate, Sealed, Tier, Tokens, WeightVersion,
+};
 
 use crate::TargetReport;
 use crate::quarantine::QuarantineReport;
 use crate::stream_origins::StreamOrigin;
+use crate::target_limits::ReportedLimit;
 
 /// Names what the platform runs on a VM.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -180,6 +183,11 @@
     pub stream_origins: Vec<StreamOrigin>,
     /// Crashes of targets, and the content in quarantine for them.
     pub quarantine: QuarantineReport,
+    /// The limits of targets, those that changed at once and the others from time to time.
+    pub limits: Vec<ReportedLimit>,
+    /// The calls a second that arrive at the sender for each model and service, by the hash of its
+    /// name; only while some target has a limit.
+    pub call_rates: Vec<(u64, RequestRate)>,
     /// Peers that recently sent the sender a digest, with their failure domains; sent only where no
     /// VM list names them.
     pub peers: Vec<(SocketAddr, Arc<str>)>,
--- a/crates/cumintrail-control/src/dump.rs
+++ b/crates/cumintrail-control/src/dump.rs
@@ -45,6 +45,24 @@
     /// Content in quarantine.
     #[serde(default)]
     pub quarantined: Vec<QuarantineDump>,
+    /// Targets that named a limit of requests.
+    #[serde(default)]
+    pub limited: Vec<LimitedTargetDump>,
+}
+
+/// Describes the limit of a target and this daemon's part of it.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct LimitedTargetDump {
+    /// The target's declared name.
+    pub name: Arc<str>,
+    /// Requests a second that the target takes from all daemons together.
+    pub limit: f64,
+    /// Requests a second that this daemon sends at most.
+    pub share: f64,
+    /// The number of requests that it may send now.
+    pub credit: f64,
+    /// Milliseconds since a response last named the limit.
+    pub age_ms: u64,
 }
 
 /// Describes content in quarantine.
--- a/crates/cumintrail-control/src/event.rs
+++ b/crates/cumintrail-control/src/event.rs
@@ -19,6 +19,7 @@
 use crate::rollout::{LeaseRequest, LeaseRow, OrderOutcome};
 use crate::store_sync::{StoreRead, StoreResponse};
 use crate::stream_origins::StreamRequest;
+use crate::target_limits::LimitChange;
 
 /// The actions that one event leads to; stored inline up to four, which covers most events.
 pub type Actions = SmallVec<[Action; 4]>;
@@ -101,6 +102,16 @@
         /// The notice.
         notice: TargetNotice,
     },
+    /// The head of a target's response named a limit, or named none although the target had one when
+    /// the request was sent.
+    LimitNamed {
+        /// The target.
+        target: TargetKey,
+        /// The limit.
+        limit: NamedLimit,
+        /// When the request was sent.
+        sent: Moment,
+    },
     /// A target did not respond to a probe or refused a connection.
     TargetSilent {
         /// The target.
@@ -297,6 +308,8 @@
     },
     /// Log and count a decision about content under which targets crash.
     ReportQuarantine(QuarantineChange),
+    /// Log a change of the limit of a target.
+    ReportLimit(LimitChange),
     /// Preload shared material: run its prompt on a target without output.
     PreloadPrompt {
         /// The target.
@@ -385,6 +398,8 @@
     pub first_token: Duration,
     /// The parts of the prompt to read from managed stores and to save there.
     pub parts: PartPlans,
+    /// Whether the target has a limit of requests, which a response without one ends.
+    pub is_limited: bool,
 }
 
 /// Lists the stored blocks to import before an attempt.
@@ -495,11 +510,10 @@
     pub leaving: bool,
     /// How long the target wants no requests from this daemon.
     pub quiet_for: Option<Duration>,
-    /// The limit of the requests that it takes from all daemons together.
-    pub limit: NamedLimit,
 }
 
-/// Describes what the head of a response says about a limit of requests.
+/// Describes what the head of a response says about a limit of the requests that its target takes
+/// from all daemons together.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum NamedLimit {
     /// It names no limit.
--- a/crates/cumintrail-control/src/lib.rs
+++ b/crates/cumintrail-control/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod store_sync;
 pub mod stream;
 pub mod stream_origins;
+pub mod target_limits;
 
 mod calls;
 mod control;
@@ -37,7 +38,8 @@
     VersionAnnouncement, VmEntry, VmRole, VmState,
 };
 pub use dump::{
-    CallDump, Dump, LimitDump, PeerDump, QuarantineDump, QueueDump, StoreDump, TargetDump,
+    CallDump, Dump, LimitDump, LimitedTargetDump, PeerDump, QuarantineDump, QueueDump, StoreDump,
+    TargetDump,
 };
 pub use event::{
     Action, Actions, Arrival, AttemptOutcome, Dispatch, Event, Export, Fetch, FetchOutcome,
--- a/crates/cumintrail-control/tests/plain_targets.rs
+++ b/crates/cumintrail-control/tests/plain_targets.rs
@@ -69,10 +69,8 @@
 
 #[test]
 fn a_call_waits_for_the_end_of_a_quiet_time_only_if_it_can_still_be_served() {
-    let quiet = |millis| {
-        let quiet_for = Some(Duration::from_millis(millis));
-        TargetNotice { quiet_for, ..TargetNotice::default() }
-    };
+    let quiet =
+        |millis| TargetNotice { leaving: false, quiet_for: Some(Duration::from_millis(millis)) };
     for (millis, waits) in [(200, true), (400, false)] {
         let mut control = daemon();
         for target in (0..4).map(TargetKey) {
@@ -95,7 +93,7 @@
 #[test]
 fn a_leaving_target_gets_no_further_call() {
     let mut control = daemon();
-    let leaving = TargetNotice { leaving: true, ..TargetNotice::default() };
+    let leaving = TargetNotice { leaving: true, quiet_for: None };
     for target in (0..3).map(TargetKey) {
         control.handle(Moment(2), Event::TargetNoticed { target, notice: leaving });
     }
--- a/crates/cumintrail-daemon/src/background/actions.rs
+++ b/crates/cumintrail-daemon/src/background/actions.rs
@@ -86,6 +86,7 @@
         Action::Dispatch(_)
         | Action::Refuse { .. }
         | Action::ReportQuarantine(_)
+        | Action::ReportLimit(_)
         | Action::FreeParts { .. }
         | Action::AssignReaders(_) => {}
     }
--- a/crates/cumintrail-daemon/src/control_meter.rs
+++ b/crates/cumintrail-daemon/src/control_meter.rs
@@ -63,6 +63,9 @@
     metrics::gauge!(metric::CALLS_IN_FLIGHT).set(counts.calls as f64);
     metrics::gauge!(metric::CALLS_WAITING).set(counts.waiting as f64);
     metrics::gauge!(metric::STORED_BLOCKS).set(counts.stored_blocks as f64);
+    metrics::gauge!(metric::LIMITED_TARGETS).set(counts.limited_targets as f64);
+    metrics::gauge!(metric::LIMIT_ALLOWANCE).set(counts.limit_allowance);
+    metrics::counter!(metric::LIMIT_REFUSALS).absolute(counts.limit_refusals);
     publish_counts_by_state(metric::TARGETS, &counts.targets);
     publish_counts_by_state(metric::STORES, &counts.stores);
     publish_counts_by_state(metric::PEERS, &counts.peers);
--- a/crates/cumintrail-daemon/src/control_thread.rs
+++ b/crates/cumintrail-daemon/src/control_thread.rs
@@ -13,7 +13,7 @@
 use tokio::sync::{mpsc, oneshot};
 
 use crate::control_meter::ControlMeter;
-use crate::{metric, quarantine_lines};
+use crate::{limit_lines, metric, quarantine_lines};
 
 /// How long after its issue an operation key may be used.
 pub const OPERATION_KEY_LIFETIME: Duration = Duration::from_secs(600);
@@ -210,6 +210,7 @@
             }
         }
         Action::ReportQuarantine(change) => quarantine_lines::report(now, change),
+        Action::ReportLimit(change) => limit_lines::report(change),
         other => {
             let _ = background.send(other);
         }
--- a/crates/cumintrail-daemon/src/gateway/orders.rs
+++ b/crates/cumintrail-daemon/src/gateway/orders.rs
@@ -78,6 +78,7 @@
             | Action::Dispatch(_)
             | Action::Refuse { .. }
             | Action::ReportQuarantine(_)
+            | Action::ReportLimit(_)
             | Action::Export(_)
             | Action::Free { .. }
             | Action::ReadStore { .. }
--- a/crates/cumintrail-daemon/src/lib.rs
+++ b/crates/cumintrail-daemon/src/lib.rs
@@ -12,6 +12,7 @@
 mod degraded;
 mod endpoint;
 mod gateway;
+mod limit_lines;
 mod log_queue;
 mod metric;
 mod operators;
--- a/crates/cumintrail-daemon/src/metric.rs
+++ b/crates/cumintrail-daemon/src/metric.rs
@@ -20,6 +20,12 @@
 pub const TARGET_CRASHES: &str = "cumintrail_target_crashes_total";
 /// Decisions about content under which targets crash, by outcome: `quarantined` or `lifted`.
 pub const QUARANTINE_DECISIONS: &str = "cumintrail_quarantine_decisions_total";
+/// Targets that named a limit of requests.
+pub const LIMITED_TARGETS: &str = "cumintrail_limited_targets";
+/// Requests a second that this daemon may send to targets with a limit.
+pub const LIMIT_ALLOWANCE: &str = "cumintrail_limit_allowance";
+/// Calls that were refused because the limits of all their targets were used up.
+pub const LIMIT_REFUSALS: &str = "cumintrail_limit_refusals_total";
 /// Time from arrival to the first token, in seconds.
 pub const FIRST_TOKEN_SECONDS: &str = "cumintrail_first_token_seconds";
 /// Time from the head of a relayed call to the end of its response, in seconds.
@@ -123,7 +129,7 @@
 }
 
 /// Lists all metrics.
-pub const METRICS: [MetricDescription; 34] = [
+pub const METRICS: [MetricDescription; 37] = [
     counter(CALLS, Unit::Count, "Calls by outcome").with_label("outcome"),
     gauge(CALLS_IN_FLIGHT, Unit::Count, "Calls that are not answered yet"),
     gauge(CALLS_WAITING, Unit::Count, "Calls that wait for a slot"),
@@ -131,6 +137,9 @@
     counter(TARGET_CRASHES, Unit::Count, "Crashes of targets under calls of this daemon"),
     counter(QUARANTINE_DECISIONS, Unit::Count, "Decisions about content under which targets crash")
         .with_label("outcome"),
+    gauge(LIMITED_TARGETS, Unit::Count, "Targets that named a limit of requests"),
+    gauge(LIMIT_ALLOWANCE, Unit::Count, "Requests a second that limited targets may be sent"),
+    counter(LIMIT_REFUSALS, Unit::Count, "Calls refused because of the limits of targets"),
     MetricDescription {
         name: FIRST_TOKEN_SECONDS,
         kind: MetricKind::Histogram,
--- a/crates/cumintrail-daemon/src/relay/attempt.rs
+++ b/crates/cumintrail-daemon/src/relay/attempt.rs
@@ -7,8 +7,10 @@
 use cumintrail_client::{ClientError, Connection, Framing, RetrySafety, is_end_to_end};
 use cumintrail_config::Target;
 use cumintrail_control::parts::PartPlan;
-use cumintrail_control::{AttemptOutcome, Dispatch, Event, ResponseEnd, TargetNotice, Usage};
-use cumintrail_types::{CallClass, Refusal, RefusalCode};
+use cumintrail_control::{
+    AttemptOutcome, Dispatch, Event, NamedLimit, ResponseEnd, TargetNotice, Usage,
+};
+use cumintrail_types::{CallClass, Moment, Refusal, RefusalCode};
 
 use smallvec::SmallVec;
 
@@ -133,7 +135,7 @@
                 &self.call.metadata,
                 &self.target.instance,
             );
-            self.report_notice(&head, kind).await;
+            self.report_notice(&head, kind, now).await;
             self.call.target_responded = kind == ResponseKind::Matching;
             match kind {
                 ResponseKind::Foreign if foreign_responses < MAX_FOREIGN_RESPONSES => {
@@ -168,19 +170,28 @@
     }
 
     /// Reports what a response says about the target, unless another instance sent it.
-    async fn report_notice(&self, head: &ResponseHead, kind: ResponseKind) {
-        let notice = self.worker.dialect.target_notice(head);
-        let is_other = kind == ResponseKind::NotRun { instance_gone: true };
-        if notice == TargetNotice::default() || is_other {
+    ///
+    /// `sent` is when the request was sent.
+    async fn report_notice(&self, head: &ResponseHead, kind: ResponseKind, sent: Moment) {
+        if kind == (ResponseKind::NotRun { instance_gone: true }) {
             return;
         }
-        lines::target_notice(self.call, &self.target.instance, notice);
-        let target = self.dispatch.target;
-        self.worker.shared.control.send(Event::TargetNoticed { target, notice }).await;
+        let (target, control) = (self.dispatch.target, &self.worker.shared.control);
+        let notice = self.worker.dialect.target_notice(head);
+        if notice != TargetNotice::default() {
+            lines::target_notice(self.call, &self.target.instance, notice);
+            control.send(Event::TargetNoticed { target, notice }).await;
+        }
+        let limit = self.worker.dialect.named_limit(head);
+        let is_news = limit != NamedLimit::None || self.dispatch.is_limited;
+        // A response to an earlier request may have been written at any time.
+        if is_news && kind != ResponseKind::Foreign {
+            control.send(Event::LimitNamed { target, limit, sent }).await;
+        }
     }
 
     /// Builds the request head for the target from the end-to-end headers of the caller.
-    fn build_request_head(&self, now: cumintrail_types::Moment) -> (RequestHead, BodySize) {
+    fn build_request_head(&self, now: Moment) -> (RequestHead, BodySize) {
         let caller_head = self.call.req.head();
         let mut head = RequestHead::default();
         head.method = caller_head.method.clone();
--- a/crates/cumintrail-daemon/src/relay/dialect.rs
+++ b/crates/cumintrail-daemon/src/relay/dialect.rs
@@ -95,6 +95,8 @@
     ) -> ResponseKind;
     /// Reads what the head of a response says about its target, apart from the call.
     fn target_notice(&self, head: &ResponseHead) -> TargetNotice;
+    /// Reads the limit of requests that the head of a response names.
+    fn named_limit(&self, head: &ResponseHead) -> NamedLimit;
     /// Writes the caller's id of a refused call into the headers of the refusal.
     fn write_call_id(&self, headers: &mut HeaderMap, metadata: &RequestMetadata);
 }
@@ -168,8 +170,11 @@
 
     fn target_notice(&self, head: &ResponseHead) -> TargetNotice {
         let leaving = head.headers().get(LEAVING).is_some_and(|value| value == "1");
-        let limit = named_limit(head.headers(), &LIMIT);
-        TargetNotice { leaving, quiet_for: quiet_period(head), limit }
+        TargetNotice { leaving, quiet_for: quiet_period(head) }
+    }
+
+    fn named_limit(&self, head: &ResponseHead) -> NamedLimit {
+        named_limit(head.headers(), &LIMIT)
     }
 
     fn write_call_id(&self, headers: &mut HeaderMap, metadata: &RequestMetadata) {
--- a/crates/cumintrail-daemon/src/relay/lines.rs
+++ b/crates/cumintrail-daemon/src/relay/lines.rs
@@ -3,7 +3,7 @@
 use actix_http::header::HeaderValue;
 use cumintrail_client::Framing;
 use cumintrail_config::Target;
-use cumintrail_control::{AttemptOutcome, Dispatch, NamedLimit, TargetNotice};
+use cumintrail_control::{AttemptOutcome, Dispatch, TargetNotice};
 use cumintrail_types::{Moment, RefusalCode};
 use smallvec::SmallVec;
 
@@ -67,23 +67,14 @@
 /// Logs what a response said about its target.
 pub fn target_notice(call: &RelayedCall, target: &str, notice: TargetNotice) {
     log::info!(
-        "event=target-notice id={} call={} target={target} leaving={} quiet_ms={} limit={}",
+        "event=target-notice id={} call={} target={target} leaving={} quiet_ms={}",
         caller_call_id(call),
         call.key,
         notice.leaving,
         notice.quiet_for.unwrap_or_default().as_millis(),
-        limit_text(notice.limit),
     );
 }
 
-fn limit_text(limit: NamedLimit) -> String {
-    match limit {
-        NamedLimit::None => "-".into(),
-        NamedLimit::Rate(rate) => rate.to_string(),
-        NamedLimit::Unreadable => "unreadable".into(),
-    }
-}
-
 /// Logs the end of an attempt that did not complete its call.
 pub fn attempt_ended(
     call: &RelayedCall,
--- a/crates/cumintrail-types/src/units.rs
+++ b/crates/cumintrail-types/src/units.rs
@@ -75,7 +75,12 @@
     /// text. A rate beyond the largest one is the largest one.
     pub fn parse(text: &str) -> Option<Self> {
         let rate: f64 = text.trim().parse().ok()?;
-        (rate >= 0.0).then_some(Self((rate * 1_000.0) as u32))
+        (rate >= 0.0).then(|| Self::from_per_second(rate))
+    }
+
+    /// Returns the rate of a number of requests a second.
+    pub fn from_per_second(rate: f64) -> Self {
+        Self((rate * 1_000.0) as u32)
     }
 
     /// Returns the number of requests a second.
--- a/crates/cumintrail-wire/src/peer.rs
+++ b/crates/cumintrail-wire/src/peer.rs
@@ -15,13 +15,14 @@
     ContentKey, QuarantineReport, ReportedCrash, ReportedQuarantine, Scope,
 };
 use cumintrail_control::stream_origins::StreamOrigin;
+use cumintrail_control::target_limits::ReportedLimit;
 use cumintrail_control::{
     DomainSize, Echo, Freshness, LeavingIncarnation, PeerDigest, TargetLoad, TargetReport,
     TargetUpdate, VersionAnnouncement, VmEntry, VmRole, VmState,
 };
 use cumintrail_types::{
-    Digest, Generation, Incarnation, Moment, Ran, Refusal, RefusalCode, Sealed, Tier, Tokens,
-    WeightVersion,
+    Digest, Generation, Incarnation, Moment, Ran, Refusal, RefusalCode, RequestRate, Sealed, Tier,
+    Tokens, WeightVersion,
 };
 use serde::{Deserialize, Serialize};
 
@@ -65,6 +66,10 @@
     #[serde(default, skip_serializing_if = "QuarantineMessage::is_empty")]
     quarantine: QuarantineMessage,
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    limits: Vec<(u64, Option<u32>, u32)>,
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    call_rates: Vec<(u64, u32)>,
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     peers: Vec<(SocketAddr, Arc<str>)>,
 }
 
@@ -98,6 +103,12 @@
                 .collect(),
             stream_origins: group_by_software(d.stream_origins),
             quarantine: d.quarantine.into(),
+            limits: d
+                .limits
+                .iter()
+                .map(|l| (l.target, l.rate.map(|rate| rate.0), to_millis(l.age)))
+                .collect(),
+            call_rates: d.call_rates.into_iter().map(|(pool, rate)| (pool, rate.0)).collect(),
             peers: d.peers,
         }
     }
@@ -141,6 +152,12 @@
                 })
                 .collect(),
             quarantine: m.quarantine.into(),
+            limits: m.limits.into_iter().map(to_limit).collect(),
+            call_rates: m
+                .call_rates
+                .into_iter()
+                .map(|(pool, rate)| (pool, RequestRate(rate)))
+                .collect(),
             peers: m.peers,
         }
     }
@@ -320,6 +337,12 @@
     TargetLoad { target_hash, calls, backlog: Tokens(backlog), memory: Tokens(memory) }
 }
 
+/// Reads a limit: target, thousandths of a request a second if it did not end, age in milliseconds.
+fn to_limit((target, rate, age): (u64, Option<u32>, u32)) -> ReportedLimit {
+    let (rate, age) = (rate.map(RequestRate), Duration::from_millis(age.into()));
+    ReportedLimit { target, rate, age }
+}
+
 /// Represents the response to a digest, which shows the sender whether its generation is outdated.
 #[derive(Debug, Clone, Copy, Serialize, Deserialize)]
 pub struct DigestReply {
--- a/tests/src/experiment/run.rs
+++ b/tests/src/experiment/run.rs
@@ -207,6 +207,7 @@
             | Action::FreeParts { .. }
             | Action::AssignReaders(_)
             | Action::ReportQuarantine(_)
+            | Action::ReportLimit(_)
             | Action::ReadGeneration
             | Action::ReadVmList
             | Action::GetVmList { .. }
--- a/tests/tests/admission.rs
+++ b/tests/tests/admission.rs
@@ -111,9 +111,10 @@
     let wants = prop::collection::vec(0..100_u32, 1..40);
     let checked = runner().run(&wants, |wants| {
         let all: u32 = wants.iter().sum();
-        let sum: f64 = wants.iter().map(|own| share(*own, all - own, wants.len())).sum();
+        let sum: f64 =
+            wants.iter().map(|own| share(f64::from(*own), f64::from(all - own), wants.len())).sum();
         prop_assert!((sum - 1.0).abs() < 1e-9, "{}", sum);
-        let blind: f64 = wants.iter().map(|own| share(*own, 0, wants.len())).sum();
+        let blind: f64 = wants.iter().map(|own| share(f64::from(*own), 0.0, wants.len())).sum();
         let bound = DEMAND_FRACTION.mul_add(wants.len() as f64 - 1.0, 1.0);
         prop_assert!(blind <= bound + 1e-9, "{}", blind);
         Ok(())
