Let replicas of the platform's soak name limits of requests

Limits are drawn apart from other faults and judged as on the platform: calls of VMs in touch that had passed a response with the limit on, over any 4 s.

--- a/tests/platform-standin/src/main.rs
+++ b/tests/platform-standin/src/main.rs
@@ -46,6 +46,9 @@
         /// Also send calls with parts of prompts that crash engines.
         #[arg(long)]
         crashing_parts: bool,
+        /// Also let replicas name limits of requests.
+        #[arg(long)]
+        limits: bool,
         /// Folder for settings files and logs; those of failed seeds are not deleted.
         #[arg(long, default_value = "target/soak")]
         folder: PathBuf,
@@ -57,7 +60,7 @@
     let result = actix_rt::System::new().block_on(async {
         match command {
             Command::Stand { vms, folder } => stand(&daemon, &folder, vms).await.map(|()| true),
-            Command::Soak { seed, seeds, seconds, restores, crashing_parts, folder } => {
+            Command::Soak { seed, seeds, seconds, restores, crashing_parts, limits, folder } => {
                 let mut all_passed = true;
                 for seed in seed..seed + seeds {
                     let plan = soak::Plan {
@@ -65,6 +68,7 @@
                         seconds,
                         restores,
                         crashing_parts,
+                        limits,
                         ..soak::Plan::default()
                     };
                     let seed_folder = folder.join(format!("seed-{seed}"));
--- a/tests/platform-standin/src/replica.rs
+++ b/tests/platform-standin/src/replica.rs
@@ -48,6 +48,8 @@
     pub after_drain_period: bool,
     /// The part of the prompt under which the replica crashed.
     pub crashing_part: Option<String>,
+    /// The limit in requests a second that the replica named in its response.
+    pub limit: Option<f64>,
 }
 
 /// The executions of all replicas by request id; clones share the log.
@@ -104,6 +106,7 @@
     has_ended: AtomicBool,
     has_crashed: AtomicBool,
     draining_since: Mutex<Option<Instant>>,
+    limit: Mutex<Option<f64>>,
     started_unix_ms: u64,
 }
 
@@ -132,6 +135,7 @@
             has_ended: AtomicBool::new(false),
             has_crashed: AtomicBool::new(false),
             draining_since: Mutex::default(),
+            limit: Mutex::default(),
             started_unix_ms: since_epoch.as_millis() as u64,
         });
         let handler = shared.clone();
@@ -175,6 +179,11 @@
         store.put(REGISTRY_TABLE, &self.shared.spec.id, &self.shared.registry_entry(address));
     }
 
+    /// Sets the limit in requests a second that responses name from now on.
+    pub fn set_limit(&self, limit: Option<f64>) {
+        *self.shared.limit.lock().unwrap_or_else(PoisonError::into_inner) = limit;
+    }
+
     /// Returns whether a call crashed the replica; whoever started it then kills it.
     pub fn has_crashed(&self) -> bool {
         self.shared.has_crashed.load(Ordering::Relaxed)
@@ -192,6 +201,10 @@
         self.draining_since.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn limit(&self) -> Option<f64> {
+        *self.limit.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn registry_entry(&self, address: SocketAddr) -> serde_json::Value {
         let state = if self.draining_since().is_some() { "draining" } else { "ready" };
         let seq_no = self.heartbeats.fetch_add(1, Ordering::Relaxed);
@@ -266,6 +279,11 @@
             let leaving = HeaderName::from_static("server-leaving");
             response.headers_mut().insert(leaving, HeaderValue::from_static("1"));
         }
+        if let Some(limit) = self.limit()
+            && let Ok(value) = HeaderValue::from_str(&limit.to_string())
+        {
+            response.headers_mut().insert(HeaderName::from_static("server-limit"), value);
+        }
         for (name, value) in pairs {
             if let Ok(value) = HeaderValue::from_str(&value) {
                 response.headers_mut().insert(HeaderName::from_static(name), value);
@@ -298,6 +316,7 @@
             has_key: header(&req, "authorization").is_some(),
             after_drain_period: is_after_drain,
             crashing_part,
+            limit: self.limit(),
         };
         self.execution_log.record(call.clone(), execution);
         let is_stream = req.path().starts_with("/flow/") || req.path().starts_with("/resume/");
--- a/tests/platform-standin/src/soak.rs
+++ b/tests/platform-standin/src/soak.rs
@@ -2,6 +2,7 @@
 //! replicas against the rules.
 
 mod fault;
+mod limits;
 
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -73,6 +74,8 @@
     pub restores: bool,
     /// Whether calls also come with parts of prompts that crash engines.
     pub crashing_parts: bool,
+    /// Whether replicas also name limits of requests. These faults are drawn separately too.
+    pub limits: bool,
 }
 
 impl Default for Plan {
@@ -86,6 +89,7 @@
             callers: 24,
             restores: false,
             crashing_parts: false,
+            limits: false,
         }
     }
 }
@@ -130,7 +134,7 @@
 /// Runs one seed. Settings files and logs of the daemons stay in `folder`.
 pub async fn run(daemon: &Path, folder: &Path, plan: Plan) -> std::io::Result<Report> {
     let (vms, engines, plain_replicas) = (plan.vms, plan.engines, plan.plain_replicas);
-    let exchanges_digests = plan.crashing_parts;
+    let exchanges_digests = plan.crashing_parts || plan.limits;
     let spawned =
         Deployment::spawn(daemon, folder, vms, engines, plain_replicas, exchanges_digests);
     let deployment = spawned.await?;
@@ -187,6 +191,8 @@
         let mut next_fault = started_at + Duration::from_secs(1);
         let mut restore_rng = StdRng::seed_from_u64(!self.plan.seed);
         let mut next_restore = started_at + Duration::from_secs(4);
+        let mut limit_rng = StdRng::seed_from_u64(self.plan.seed.rotate_left(32));
+        let mut next_limit = started_at + Duration::from_secs(1);
         let mut balancer = Balancer::new(self.plan.vms);
         while started_at.elapsed() < Duration::from_secs(self.plan.seconds) {
             balancer.check(&self.deployment, rotation).await;
@@ -205,6 +211,14 @@
                 let copy_age = MAX_COPY_AGE.mul_f64(restore_rng.random_range(0.1..1.0));
                 self.start_unless_conflicting(Fault::RestoreStore { copy_age }, duration).await?;
             }
+            if self.plan.limits && Instant::now() >= next_limit {
+                let pause = Duration::from_millis(limit_rng.random_range(1_000..5_000));
+                next_limit = Instant::now() + pause;
+                let endpoint = limit_rng.random_range(0..self.deployment.endpoints.len());
+                let fault = Fault::LimitReplica(endpoint, limit_rng.random_range(3..60));
+                let duration = Duration::from_millis(limit_rng.random_range(6_000..14_000));
+                self.start_unless_conflicting(fault, duration).await?;
+            }
             self.kill_crashed_replicas().await?;
             sleep(TICK_INTERVAL).await;
         }
@@ -263,6 +277,10 @@
                 endpoint.replica.start_draining(&deployment.store, endpoint.link.address());
                 ends_at = started_at + DRAIN_PERIOD * 2;
             }
+            Fault::LimitReplica(endpoint, tenths) => {
+                let limit = f64::from(tenths) / 10.0;
+                deployment.endpoints[endpoint].replica.set_limit(Some(limit));
+            }
             Fault::AnnounceWeights => {
                 deployment.declarations.weight_version += 1;
                 deployment.announce_weights();
@@ -351,6 +369,9 @@
                 deployment.store.remove(crate::store::REGISTRY_TABLE, &old_replica.spec().id);
                 deployment.replace_replica(endpoint)?;
             }
+            Fault::LimitReplica(endpoint, _) => {
+                deployment.endpoints[endpoint].replica.set_limit(None);
+            }
             Fault::SighupVm(_)
             | Fault::DiscardHistory
             | Fault::AnnounceWeights
@@ -454,6 +475,7 @@
     fn check_calls(&mut self, records: &[CallRecord]) {
         self.violations.extend(records.iter().filter_map(CallRecord::violation));
         self.check_crashing_parts(records);
+        self.check_limits(records);
         for record in records {
             let executions = self.deployment.execution_log.executions(&record.call_id);
             if record.kind.is_at_most_once() && executions.len() > 1 {
--- a/tests/platform-standin/src/soak/fault.rs
+++ b/tests/platform-standin/src/soak/fault.rs
@@ -28,6 +28,8 @@
     DelayReplicaLink(usize),
     CrashReplica(usize),
     DrainReplica(usize),
+    /// A replica names a limit, in tenths of a request a second.
+    LimitReplica(usize, u32),
     AnnounceWeights,
     ChangeConfiguration,
 }
@@ -68,6 +70,7 @@
             Self::StopVm(_)
                 | Self::SighupVm(_)
                 | Self::DrainReplica(_)
+                | Self::LimitReplica(..)
                 | Self::AnnounceWeights
                 | Self::ChangeConfiguration
         )
@@ -75,6 +78,9 @@
 
     /// Returns whether both faults affect the same VM, the same endpoint or the store.
     pub fn conflicts_with(self, other: Self) -> bool {
+        if let (Self::LimitReplica(a, _), Self::LimitReplica(b, _)) = (self, other) {
+            return a == b;
+        }
         match (self.vm().zip(other.vm()), self.endpoint().zip(other.endpoint())) {
             (Some((a, b)), _) | (_, Some((a, b))) => a == b,
             _ => self.is_at_store() && other.is_at_store(),
