--- a/crates/cumintrail-control/src/quarantine.rs
+++ b/crates/cumintrail-control/src/quarantine.rs
@@ -20,6 +20,7 @@
 use smallvec::SmallVec;
 
 pub use self::content::{ContentKey, Scope};
+pub use self::evidence::Doubt;
 use self::evidence::{CompletedContent, Crash, Evidence};
 pub use self::report::{QuarantineReport, ReportedCrash, ReportedQuarantine};
 use crate::record_time::RecordTime;
@@ -77,6 +78,8 @@
         /// The number of crashes one after the other; zero if a peer decided.
         crashes: usize,
     },
+    /// Enough targets crashed under content, which is not quarantined nevertheless.
+    Doubted(Doubt),
     /// A quarantine ended.
     Lifted {
         /// The content.
@@ -138,6 +141,8 @@
     lifted: HashMap<ContentKey, RecordTime>,
     pending: VecDeque<(PendingReport, u32)>,
     changes: Vec<QuarantineChange>,
+    /// The last reported doubt about each content.
+    doubts: HashMap<ContentKey, Doubt>,
     /// When crashes are weighed next; `None` until something changes.
     next_decision: Option<Moment>,
 }
@@ -432,9 +437,20 @@
                 is_new |= self.quarantine(Quarantined { content, scope, until }, verdict.crashes);
             }
         }
+        self.report_doubts();
         is_new
     }
 
+    fn report_doubts(&mut self) {
+        let doubts = self.evidence.doubts(|content| self.quarantined.contains_key(&content));
+        for doubt in &doubts {
+            if self.doubts.get(&doubt.content) != Some(doubt) {
+                self.changes.push(QuarantineChange::Doubted(*doubt));
+            }
+        }
+        self.doubts = doubts.into_iter().map(|doubt| (doubt.content, doubt)).collect();
+    }
+
     /// Returns whether crashes wait to be reported, on which the decisions of peers depend.
     pub fn is_report_urgent(&self) -> bool {
         self.pending.iter().any(|(report, _)| matches!(report, PendingReport::Crash(_)))
--- a/crates/cumintrail-control/src/quarantine/evidence.rs
+++ b/crates/cumintrail-control/src/quarantine/evidence.rs
@@ -59,6 +59,21 @@
     pub last_crash: RecordTime,
 }
 
+/// States why content under which enough targets crashed is not to blame.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Doubt {
+    /// The content.
+    pub content: ContentKey,
+    /// All crashes under the content.
+    pub crashes: usize,
+    /// Those of them that neither a common cause nor other content explains.
+    pub unexplained: usize,
+    /// Those of these that are one after the other.
+    pub in_sequence: usize,
+    /// Whether enough other calls were served since the first of them.
+    pub others_served: bool,
+}
+
 /// Records crashes under content without a complete response.
 #[derive(Debug, Default)]
 pub struct Evidence {
@@ -205,6 +220,33 @@
         }
     }
 
+    /// Describes the content under which [`MIN_CRASHES`] targets or more crashed and that is not in
+    /// quarantine.
+    pub fn doubts(&self, quarantined: impl Fn(ContentKey) -> bool) -> Vec<Doubt> {
+        let blamed = || self.crashes.iter().filter(|(content, _)| quarantined(**content));
+        let explained: HashSet<u64> =
+            blamed().flat_map(|(_, crashes)| crashes.iter().map(|crash| crash.target)).collect();
+        let is_explained = |crash: &Crash| {
+            explained.contains(&crash.target) || self.common.contains_key(&crash.target)
+        };
+        let doubtful = self
+            .crashes
+            .iter()
+            .filter(|(content, crashes)| crashes.len() >= MIN_CRASHES && !quarantined(**content));
+        let doubt = |(content, crashes): (&ContentKey, &SmallVec<[Crash; 2]>)| {
+            let unexplained = crashes.iter().filter(|crash| !is_explained(crash));
+            let unexplained: SmallVec<[Crash; MAX_CRASHES]> = unexplained.copied().collect();
+            Doubt {
+                content: *content,
+                crashes: crashes.len(),
+                unexplained: unexplained.len(),
+                in_sequence: verdict(*content, &unexplained).map_or(0, |verdict| verdict.crashes),
+                others_served: self.were_others_served(&unexplained),
+            }
+        };
+        doubtful.map(doubt).collect()
+    }
+
     /// Returns verdicts on content that is quarantined for one account and now crashed a target
     /// under a call of another.
     fn widened(&self, quarantined: impl Fn(ContentKey) -> Option<Scope>) -> Vec<Verdict> {
--- a/crates/cumintrail-daemon/src/quarantine_lines.rs
+++ b/crates/cumintrail-daemon/src/quarantine_lines.rs
@@ -29,6 +29,15 @@
                 entry.until.since(now).as_millis(),
             );
         }
+        QuarantineChange::Doubted(doubt) => log::info!(
+            "event=quarantine-doubted content={:016x} crashes={} unexplained={} in_sequence={} \
+             others_served={}",
+            doubt.content.0,
+            doubt.crashes,
+            doubt.unexplained,
+            doubt.in_sequence,
+            doubt.others_served,
+        ),
         QuarantineChange::Lifted { content, cause } => {
             metrics::counter!(metric::QUARANTINE_DECISIONS, "outcome" => "lifted").increment(1);
             log::warn!("event=quarantine-lifted content={:016x} cause={cause}", content.0);
--- a/crates/cumintrail-daemon/src/relay/call.rs
+++ b/crates/cumintrail-daemon/src/relay/call.rs
@@ -66,6 +66,8 @@
     pub response_started: bool,
     /// The failure response of a target, forwarded if no further attempt is made.
     pub failed_response: Option<BufferedResponse>,
+    /// Identifies the request by what its repeats share; `None` if its body is not buffered completely.
+    pub request: Option<ContentKey>,
     pub commands: mpsc::UnboundedReceiver<Command>,
 }
 
@@ -171,6 +173,7 @@
         end
     });
     let key = shared.next_call_key();
+    let request = request_content(&req, account_name.as_deref(), &body, body_complete);
     let arrival = Arrival {
         call: key,
         account,
@@ -188,7 +191,7 @@
             block_ends: block_ends.collect(),
             first_token_objective: Some(route.latency_objective),
             stream: stream_request(route.class, account_name.as_deref(), metadata),
-            contents: contents(&req, account_name.as_deref(), metadata, &body, body_complete),
+            contents: contents(metadata, request),
         },
     };
     let overloaded =
@@ -216,31 +219,37 @@
         target_responded: false,
         response_started: false,
         failed_response: None,
+        request,
         commands,
     }))
 }
 
 /// Returns the content that a call may share with others and under which targets may crash: the
 /// parts of its prompt but the last, which is its own, or the request if it has no prompt.
-fn contents(
+fn contents(metadata: &RequestMetadata, request: Option<ContentKey>) -> Arc<[ContentKey]> {
+    match metadata.parts.split_last() {
+        Some((_own, shared)) => shared.iter().map(|part| ContentKey::of_part(&part.name)).collect(),
+        None => request.into_iter().collect(),
+    }
+}
+
+/// Returns the key of a request, whatever its id, its deadline and its other headers; `None` if its
+/// body is not buffered completely.
+fn request_content(
     req: &Request,
     account: Option<&str>,
-    metadata: &RequestMetadata,
     body: &Bytes,
     body_complete: bool,
-) -> Arc<[ContentKey]> {
-    if let Some((_own, shared)) = metadata.parts.split_last() {
-        return shared.iter().map(|part| ContentKey::of_part(&part.name)).collect();
-    }
+) -> Option<ContentKey> {
     if !body_complete {
-        return [].into();
+        return None;
     }
     let head = req.head();
     let host = head.headers().get(HOST).map_or(&[][..], HeaderValue::as_bytes);
     let account = account.unwrap_or(PUBLIC_ACCOUNT).as_bytes();
     let target = head.uri.path_and_query().map_or("", PathAndQuery::as_str).as_bytes();
     let method = head.method.as_str().as_bytes();
-    [ContentKey::of_request(&[account, host, method, target, body])].into()
+    Some(ContentKey::of_request(&[account, host, method, target, body]))
 }
 
 /// Describes how a call relates to a resumable stream; `None` for other classes.
--- a/crates/cumintrail-daemon/src/relay/lines.rs
+++ b/crates/cumintrail-daemon/src/relay/lines.rs
@@ -38,7 +38,7 @@
 /// Logs that a call is sent to a target.
 pub fn sent(call: &RelayedCall, now: Moment, dispatch: &Dispatch, target: &Target, reused: bool) {
     log::info!(
-        "event=sent id={} call={} route={} account={} class={} urgency={} attempt={} target={} software={} after_event={} resumes={} parts={} prompt={} max_answer={} expected_ms={} \
+        "event=sent id={} call={} route={} account={} class={} urgency={} attempt={} target={} software={} after_event={} resumes={} parts={} request={} prompt={} max_answer={} expected_ms={} \
          version={} generation={} revision={} reused={} age_ms={} left_ms={}",
         caller_call_id(call),
         call.key,
@@ -52,6 +52,7 @@
         call.events.last_id().unwrap_or(0),
         visible(call.metadata.resumes.as_ref()),
         part_names(call),
+        call.request.map_or_else(|| "-".into(), |key| format!("{:016x}", key.0)),
         call.metadata.prompt,
         call.metadata.max_output,
         dispatch.first_token.as_millis(),
