--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod demo;
 pub mod deployment;
 pub mod experiment;
+pub mod fleet;
 pub mod gateway_cluster;
 pub mod http;
 pub mod load;
--- a/tests/tests/target_limits.rs
+++ b/tests/tests/target_limits.rs
@@ -4,17 +4,17 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cumintrail_config::{Document, Snapshot, Target, TargetKind};
+use cumintrail_config::{Snapshot, TargetKind};
 use cumintrail_control::{
-    Action, Actions, Arrival, AttemptOutcome, Control, Event, Identity, NamedLimit, PeerDigest,
-    RouteOptions, Usage,
+    Action, Actions, Arrival, AttemptOutcome, Control, Event, NamedLimit, RouteOptions, Usage,
+};
+use cumintrail_tests::fleet::{
+    listed_targets, snapshot, start_daemon, transmit, with_new_incarnations,
 };
 use cumintrail_types::{
-    AccountKey, AttemptNumber, CallClass, CallKey, Generation, Incarnation, Moment, RefusalCode,
-    RequestRate, ServiceKey, TargetKey, Tokens, WeightVersion,
+    AccountKey, AttemptNumber, CallClass, CallKey, Moment, RefusalCode, RequestRate, ServiceKey,
+    TargetKey, Tokens, WeightVersion,
 };
-use cumintrail_wire::peer::DigestMessage;
-use cumintrail_wire::{from_msgpack, to_msgpack};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
@@ -28,53 +28,6 @@
 /// The part of a limit that must be used if there are more calls than it allows.
 const MIN_USED: f64 = 0.7;
 
-fn snapshot(revision: u64, incarnations: &[u64]) -> Arc<Snapshot> {
-    let targets = (0..incarnations.len()).map(|i| {
-        format!(
-            "[target s-{i}]\nservice = desk\naddress = 127.0.0.1:{}\nfailure_domain = a\nslots = 64\n",
-            i + 1
-        )
-    });
-    let declarations = format!(
-        "[deployment]\nfirst_preset = day\n[preset day]\n[account coop]\nkey_digests = {}\n\
-         concurrency = 100000\nrequests_per_second = 100000\n[service desk]\n{}",
-        "0".repeat(64),
-        targets.collect::<String>()
-    );
-    let document = Document::parse(&"declarations".into(), &declarations).unwrap();
-    let declared = Snapshot::build(Generation(1), &document.sections, None, None).unwrap();
-    let listed = declared.targets.iter().zip(incarnations);
-    let listed: Vec<Target> = listed
-        .map(|((_, target), n)| Target {
-            name: format!("{}@{n}", target.name).into(),
-            ..target.clone()
-        })
-        .collect();
-    declared.with_targets(revision, listed).into()
-}
-
-fn identity(port: u16, incarnation: u64) -> Identity {
-    Identity {
-        vm: format!("vm-{port}").into(),
-        domain: format!("d{}", port % 4).into(),
-        incarnation: Incarnation(incarnation),
-        address: ([127, 0, 0, 1], port).into(),
-        probe_interval: Duration::from_secs(3_600),
-        digest_interval: Duration::from_millis(250),
-        processor_share: 0,
-    }
-}
-
-fn greeting(port: u16) -> PeerDigest {
-    PeerDigest {
-        vm: format!("vm-{port}").into(),
-        domain: format!("d{}", port % 4).into(),
-        incarnation: Incarnation(port.into()),
-        address: Some(([127, 0, 0, 1], port).into()),
-        ..PeerDigest::default()
-    }
-}
-
 #[derive(Debug, Clone, Copy)]
 struct Sent {
     daemon: usize,
@@ -110,7 +63,7 @@
 
 impl Fleet {
     fn new(daemons: u16, targets: usize) -> Self {
-        let listed = snapshot(1, &vec![1; targets]);
+        let listed = snapshot(targets);
         let mut fleet = Self {
             daemons: Vec::new(),
             started: vec![0; daemons.into()],
@@ -135,13 +88,7 @@
     }
 
     fn start(&self, port: u16, incarnation: u64) -> Control {
-        let mut control = Control::new(identity(port, incarnation), incarnation);
-        control.follow_registry("a key of sixteen bytes or more");
-        control.handle(Moment(1), Event::Configured(self.listed.clone()));
-        for other in (1..=self.started.len() as u16).filter(|other| *other != port) {
-            control.handle(Moment(2), Event::PeerDigest(Box::new(greeting(other))));
-        }
-        control
+        start_daemon(port, incarnation, self.started.len() as u16, &self.listed)
     }
 
     /// Restarts a daemon, whose clock begins anew.
@@ -154,13 +101,7 @@
 
     /// Replaces a target by one under a new id, which has no limit.
     fn restart_target(&mut self, target: TargetKey) {
-        let targets = self.listed.targets.iter().filter(|(_, t)| !t.retired);
-        let next = targets.map(|(key, t)| {
-            let renewed = format!("{}@{}", &t.name[..3], self.now).into();
-            let name = if key == target { renewed } else { t.name.clone() };
-            Target { name, ..t.clone() }
-        });
-        self.listed = self.listed.with_targets(self.now, next.collect()).into();
+        self.listed = with_new_incarnations(&self.listed, self.now, &[target]);
         self.sent.retain(|sent| sent.target != target);
         for daemon in 0..self.daemons.len() {
             self.handle(daemon, Event::Configured(self.listed.clone()));
@@ -168,8 +109,7 @@
     }
 
     fn targets(&self) -> Vec<TargetKey> {
-        let listed = self.listed.targets.iter().filter(|(_, target)| !target.retired);
-        listed.map(|(key, _)| key).collect()
+        listed_targets(&self.listed)
     }
 
     /// Returns the present time on a daemon's clock.
@@ -229,9 +169,7 @@
                     if self.is_cut && (daemon < half) != (to < half) {
                         continue;
                     }
-                    let encoded = to_msgpack(&DigestMessage::from(digest)).unwrap();
-                    let decoded: DigestMessage = from_msgpack(&encoded).unwrap();
-                    self.handle(to, Event::PeerDigest(Box::new(PeerDigest::from(decoded))));
+                    self.handle(to, Event::PeerDigest(Box::new(transmit(digest))));
                 }
                 _ => {}
             }
