--- a/crates/cumintrail-control/src/control/attempts.rs
+++ b/crates/cumintrail-control/src/control/attempts.rs
@@ -74,8 +74,8 @@
         };
         match outcome {
             AttemptOutcome::Completed(usage) => {
-                let (kind, contents) = (call.arrival.kind, call.arrival.options.contents.clone());
-                self.record_complete_content(now, kind, &contents);
+                let (kind, content) = (call.arrival.kind, call.arrival.options.content.clone());
+                self.record_complete_content(now, kind, &content);
                 return self.finish_call(now, key, target, usage, actions);
             }
             AttemptOutcome::RespondedLocally => return self.end_call(key),
--- a/crates/cumintrail-control/src/control/quarantines.rs
+++ b/crates/cumintrail-control/src/control/quarantines.rs
@@ -8,7 +8,7 @@
 use super::Control;
 use crate::parts::name_hash;
 use crate::placement::Placer;
-use crate::quarantine::{ContentKey, QuarantineReport};
+use crate::quarantine::{BrokenCall, CallContent, ContentKey, QuarantineReport};
 use crate::{Action, Actions, Arrival, Call, PeerDigest, ResponseEnd};
 
 /// Rounds of digests that contain an own record, so that a lost one does no harm.
@@ -21,9 +21,9 @@
 impl<P: Placer> Control<P> {
     /// Returns the refusal of a call whose content is in quarantine.
     pub(super) fn check_quarantine(&self, now: Moment, arrival: &Arrival) -> Result<(), Refusal> {
-        let contents = &arrival.options.contents;
+        let content = &arrival.options.content;
         let account = || self.account_hash(arrival.account);
-        if contents.is_empty() || !self.quarantine.refuses(now, account(), contents) {
+        if content.is_empty() || !self.quarantine.refuses(now, account(), content) {
             return Ok(());
         }
         Err(Refusal::not_run(RefusalCode::Quarantined))
@@ -39,18 +39,20 @@
         let rounds = self.own_report_rounds();
         let Some(call) = self.calls.get_mut(&key) else { return };
         if end == ResponseEnd::Inconclusive {
-            call.arrival.options.contents = [].into();
+            call.arrival.options.content = CallContent::default();
             return;
         }
-        let Some(target) = call.target().filter(|_| !call.arrival.options.contents.is_empty())
+        let Some(target) = call.target().filter(|_| !call.arrival.options.content.is_empty())
         else {
             return;
         };
-        let (contents, sent) = (call.arrival.options.contents.clone(), call.dispatched);
+        let (content, sent) = (call.arrival.options.content.clone(), call.dispatched);
         let (account, kind) = (call.arrival.account, call.arrival.kind);
         let (account, pool) = (self.account_hash(account), self.pool_hash(kind));
+        let call = self.identity.incarnation.0.rotate_left(32) ^ key.0;
+        let broken = BrokenCall { content, call, pool, account, sent, broken: now };
         let target = (target, self.target_hash(target));
-        self.quarantine.record_broken(now, target, (pool, account, &contents), sent, rounds);
+        self.quarantine.record_broken(now, target, broken, rounds);
     }
 
     /// Records that a target does not accept connections any more.
@@ -83,13 +85,13 @@
         &mut self,
         now: Moment,
         kind: TargetKind,
-        contents: &[ContentKey],
+        content: &CallContent,
     ) {
-        if contents.is_empty() {
+        if content.is_empty() {
             return;
         }
         let (pool, rounds) = (self.pool_hash(kind), self.own_report_rounds());
-        if self.quarantine.record_complete(now, pool, contents, rounds) {
+        if self.quarantine.record_complete(now, pool, content, rounds) {
             self.send_digest_soon(now);
         }
     }
--- a/crates/cumintrail-control/src/event.rs
+++ b/crates/cumintrail-control/src/event.rs
@@ -15,7 +15,7 @@
 use crate::digest::{PeerDigest, VmEntry};
 use crate::feed::ReaderAssignment;
 use crate::parts::{PartPlans, PartsUpdate, StoredPart};
-use crate::quarantine::{ContentKey, QuarantineChange};
+use crate::quarantine::{CallContent, ContentKey, QuarantineChange};
 use crate::rollout::{LeaseRequest, LeaseRow, OrderOutcome};
 use crate::store_sync::{StoreRead, StoreResponse};
 use crate::stream_origins::StreamRequest;
@@ -370,8 +370,8 @@
     pub first_token_objective: Option<Duration>,
     /// The resumable stream that the call begins or continues.
     pub stream: Option<StreamRequest>,
-    /// The content that it may share with other calls and under which a target may crash.
-    pub contents: Arc<[ContentKey]>,
+    /// The content under which a target may crash.
+    pub content: CallContent,
 }
 
 impl RouteOptions {
--- a/crates/cumintrail-control/src/quarantine.rs
+++ b/crates/cumintrail-control/src/quarantine.rs
@@ -7,9 +7,11 @@
 //! Targets that end at the same moment accuse nothing: their hosts, their network or an operator
 //! ended them.
 
+mod call_counts;
 mod content;
 mod evidence;
 mod report;
+mod requests;
 
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
@@ -19,10 +21,13 @@
 use derive_more::Display;
 use smallvec::SmallVec;
 
-pub use self::content::{ContentKey, Scope};
-pub use self::evidence::Doubt;
-use self::evidence::{CompletedContent, Crash, Evidence};
-pub use self::report::{QuarantineReport, ReportedCrash, ReportedQuarantine};
+pub use self::call_counts::CallCounts;
+use self::call_counts::RecentCalls;
+pub use self::content::{CallContent, ContentKey, Scope};
+use self::evidence::{BlamedRequests, CompletedContent, Crash, Evidence, Verdict};
+pub use self::evidence::{Doubt, DoubtReason};
+pub use self::report::{QuarantineReport, ReportedCrash, ReportedQuarantine, ReportedTargetCrash};
+use self::requests::RequestEvidence;
 use crate::record_time::RecordTime;
 
 /// How long content stays in quarantine after the last crash under it.
@@ -108,17 +113,40 @@
 
 /// Describes a call whose connection broke.
 #[derive(Debug, Clone)]
-struct BrokenCall {
-    contents: SmallVec<[ContentKey; 4]>,
-    pool: u64,
-    account: u64,
-    sent: Moment,
-    broken: Moment,
+pub struct BrokenCall {
+    /// Its content.
+    pub content: CallContent,
+    /// A number that no other call has, on any daemon.
+    pub call: u64,
+    /// The hash of the name of its model or service.
+    pub pool: u64,
+    /// The hash of the name of its account.
+    pub account: u64,
+    /// When it was sent.
+    pub sent: Moment,
+    /// When its connection broke.
+    pub broken: Moment,
+}
+
+impl BrokenCall {
+    /// Returns the number that stands for the request, or for the call if its repeats are not
+    /// recognized.
+    fn request(&self) -> u64 {
+        self.content.request.map_or(self.call, |request| request.0)
+    }
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum PendingReport {
     Crash(Crash),
+    /// A request of an account was at a target, of a model or service, when it crashed.
+    RequestCrash {
+        target: u64,
+        pool: u64,
+        ended: RecordTime,
+        request: ContentKey,
+        account: u64,
+    },
     CommonCrash(u64),
     Cleared(ContentKey),
     Lifted(ContentKey, RecordTime),
@@ -131,7 +159,10 @@
 #[derive(Debug, Default)]
 pub struct Quarantine {
     completed: CompletedContent,
+    completed_requests: CompletedContent,
     evidence: Evidence,
+    requests: RequestEvidence,
+    recent_calls: RecentCalls,
     quarantined: HashMap<ContentKey, Quarantined>,
     broken: HashMap<TargetKey, Vec<BrokenCall>>,
     crashed: HashMap<TargetKey, Moment>,
@@ -148,33 +179,41 @@
 }
 
 impl Quarantine {
-    /// Returns whether a call with these contents is refused.
-    pub fn refuses(&self, now: Moment, account: u64, contents: &[ContentKey]) -> bool {
+    /// Returns whether a call with this content is refused.
+    pub fn refuses(&self, now: Moment, account: u64, content: &CallContent) -> bool {
         !self.quarantined.is_empty()
-            && contents.iter().any(|content| {
-                let entry = self.quarantined.get(content);
+            && content.iter().any(|content| {
+                let entry = self.quarantined.get(&content);
                 entry.is_some_and(|entry| entry.until > now && entry.scope.includes(account))
             })
     }
 
-    /// Records that a call with these contents to the model or service whose name has the hash
+    /// Records that a call with this content to the model or service whose name has the hash
     /// `pool` got a complete response; returns whether peers should know.
     pub fn record_complete(
         &mut self,
         now: Moment,
         pool: u64,
-        contents: &[ContentKey],
+        content: &CallContent,
         report_rounds: u32,
     ) -> bool {
         self.evidence.record_complete(now, pool);
+        self.recent_calls.record(now, pool, CallCounts { served: 1, broken: 0 });
+        content.shared.iter().for_each(|shared| self.completed.insert(now, *shared));
+        if let Some(request) = content.request {
+            self.completed_requests.insert(now, request);
+        }
         let mut is_suspected = false;
-        for content in contents {
-            self.completed.insert(now, *content);
-            is_suspected |= self.clear(*content, LiftCause::CompleteResponse, report_rounds);
+        for content in content.iter() {
+            is_suspected |= self.clear(content, LiftCause::CompleteResponse, report_rounds);
         }
         is_suspected
     }
 
+    fn is_completed(&self, content: ContentKey) -> bool {
+        self.completed.contains(content) || self.completed_requests.contains(content)
+    }
+
     /// Lifts the quarantine of content at an operator's request; further crashes under the content
     /// accuse it again.
     pub fn lift(&mut self, now: Moment, content: ContentKey, report_rounds: u32) {
@@ -196,6 +235,7 @@
         }
         self.lifted.insert(content, at);
         self.evidence.remove_until(content, at);
+        self.requests.remove_until(content, at);
         if self.is_lifted(now, content, self.quarantined.get(&content).map(|entry| entry.until)) {
             self.quarantined.remove(&content);
             self.changes.push(QuarantineChange::Lifted { content, cause: LiftCause::Operator });
@@ -211,26 +251,23 @@
         until <= now + QUARANTINE_TIME.saturating_sub(lifted.age(now))
     }
 
-    /// Records that the connection of a call to a target broke.
+    /// Records that the connection of a call to a target, given with the hash of its name, broke.
     pub fn record_broken(
         &mut self,
         now: Moment,
-        target: (TargetKey, u64),
-        call: (u64, u64, &[ContentKey]),
-        sent: Moment,
+        (target, target_hash): (TargetKey, u64),
+        call: BrokenCall,
         report_rounds: u32,
     ) {
-        let ((target, target_hash), (pool, account, contents)) = (target, call);
-        let broken = BrokenCall { contents: contents.into(), pool, account, sent, broken: now };
         // The key of a target may stand for its next incarnation by now.
         let crashed = self.crashed.get(&target).copied();
-        if crashed.is_some_and(|at| sent <= at && now.since(at) < BROKEN_CALL_RETENTION) {
-            return self.record_crash(now, target_hash, &[broken], report_rounds);
+        if crashed.is_some_and(|at| call.sent <= at && now.since(at) < BROKEN_CALL_RETENTION) {
+            return self.record_crash(now, target_hash, &[call], report_rounds);
         }
         let calls = self.broken.entry(target).or_default();
         calls.retain(|call| now.since(call.broken) < BROKEN_CALL_RETENTION);
         if calls.len() < MAX_BROKEN_CALLS {
-            calls.push(broken);
+            calls.push(call);
         }
     }
 
@@ -305,14 +342,25 @@
     fn record_crash(&mut self, now: Moment, target: u64, calls: &[BrokenCall], report_rounds: u32) {
         let mut suspects = HashSet::new();
         for call in calls {
-            for content in &call.contents {
-                if self.completed.contains(*content) {
+            self.recent_calls.record(now, call.pool, CallCounts { served: 0, broken: 1 });
+            let (pool, account, ended) = (call.pool, call.account, call.broken.into());
+            self.requests.insert_crash(target, pool, ended);
+            if let Some(request) = call.content.request.filter(|r| !self.is_completed(*r)) {
+                suspects.insert(request);
+                self.record_request_crash(
+                    now,
+                    (target, pool, ended),
+                    (request, account),
+                    report_rounds,
+                );
+            }
+            for content in call.content.shared.iter().copied() {
+                if self.completed.contains(content) {
                     continue;
                 }
-                suspects.insert(*content);
-                let (account, sent, ended) = (call.account, call.sent.into(), call.broken.into());
-                let (content, pool) = (*content, call.pool);
-                let crash = Crash { content, pool, account, target, sent, ended };
+                suspects.insert(content);
+                let (request, sent) = (call.request(), call.sent.into());
+                let crash = Crash { content, pool, account, target, request, sent, ended };
                 if self.evidence.insert(now, crash) {
                     self.report(PendingReport::Crash(crash), report_rounds);
                     self.decide_by(now);
@@ -323,6 +371,22 @@
         self.changes.push(QuarantineChange::Crashed { target, calls, suspects });
     }
 
+    /// Records that a request was at a target when it crashed; returns whether peers should get that.
+    fn record_request_crash(
+        &mut self,
+        now: Moment,
+        (target, pool, ended): (u64, u64, RecordTime),
+        (request, account): (ContentKey, u64),
+        rounds: u32,
+    ) -> bool {
+        if !self.requests.insert_request(target, request, account) {
+            return false;
+        }
+        self.decide_by(now);
+        let crash = PendingReport::RequestCrash { target, pool, ended, request, account };
+        self.report(crash, rounds)
+    }
+
     /// Applies a peer's report; what is new in it is passed on in `relay_rounds` rounds of digests.
     /// Returns whether peers should soon get something.
     pub fn apply_report(
@@ -338,6 +402,9 @@
         {
             self.evidence.record_peer_complete(now, *from, *pool, RecordTime::before(now, *age));
         }
+        if let Some(from) = from.filter(|_| !report.recent_calls.is_empty()) {
+            self.recent_calls.record_peer(now, from, report.recent_calls.clone());
+        }
         for content in &report.cleared {
             self.completed.insert(now, *content);
             is_urgent |= self.clear(*content, LiftCause::Reported, relay_rounds);
@@ -367,6 +434,9 @@
                 self.decide_by(now);
             }
         }
+        for crash in &report.target_crashes {
+            is_urgent |= self.apply_target_crash(now, crash, relay_rounds);
+        }
         for entry in report.quarantined.iter().map(|entry| entry.received(now)) {
             if self.is_lifted(now, entry.content, Some(entry.until)) {
                 let at = self.lifted[&entry.content];
@@ -374,7 +444,7 @@
                     self.report(PendingReport::Lifted(entry.content, at), relay_rounds.max(1));
                 continue;
             }
-            if self.completed.contains(entry.content) {
+            if self.is_completed(entry.content) {
                 is_urgent |=
                     self.report(PendingReport::Cleared(entry.content), relay_rounds.max(1));
             } else {
@@ -384,6 +454,32 @@
         is_urgent
     }
 
+    fn apply_target_crash(
+        &mut self,
+        now: Moment,
+        crash: &ReportedTargetCrash,
+        relay_rounds: u32,
+    ) -> bool {
+        let (target, pool) = (crash.target, crash.pool);
+        let ended = RecordTime::before(now, crash.ended_age);
+        self.requests.insert_crash(target, pool, ended);
+        let mut is_urgent = false;
+        for (request, account) in &crash.requests {
+            let is_lifted = self.lifted.get(request).is_some_and(|lifted| ended <= *lifted);
+            is_urgent |= match *request {
+                _ if is_lifted => false,
+                request if self.is_completed(request) => {
+                    self.report(PendingReport::Cleared(request), relay_rounds.max(1))
+                }
+                request => {
+                    let crash = (target, pool, ended);
+                    self.record_request_crash(now, crash, (request, *account), relay_rounds)
+                }
+            };
+        }
+        is_urgent
+    }
+
     /// Returns the reports for the next round of digests.
     pub fn take_reports(&mut self, now: Moment) -> QuarantineReport {
         let count = self.pending.len().min(MAX_REPORTED);
@@ -395,6 +491,12 @@
                 PendingReport::Crash(crash) => {
                     report.crashes.push(ReportedCrash::new(now, crash));
                 }
+                PendingReport::RequestCrash { request, .. } if self.is_completed(request) => {
+                    continue;
+                }
+                PendingReport::RequestCrash { target, pool, ended, request, account } => {
+                    report.add_request(now, (target, pool, ended), (request, account));
+                }
                 PendingReport::CommonCrash(target) => report.common_crashes.push(target),
                 PendingReport::Cleared(content) => report.cleared.push(content),
                 PendingReport::Lifted(content, at) => {
@@ -405,7 +507,10 @@
                 self.pending.push_back((pending, rounds - 1));
             }
         }
-        report.completed = self.evidence.last_completed_ages(now);
+        if !self.evidence.is_empty() || !self.requests.is_empty() {
+            report.completed = self.evidence.last_completed_ages(now);
+            report.recent_calls = self.recent_calls.own(now);
+        }
         let entries = self.entries(now);
         report.quarantined = entries.map(|entry| ReportedQuarantine::new(now, entry)).collect();
         report
@@ -425,10 +530,35 @@
             self.quarantined.remove(&content);
             self.changes.push(QuarantineChange::Lifted { content, cause: LiftCause::Expired });
         }
-        let (verdicts, is_final) = self.evidence.weigh(now, settle_time, |content| {
-            self.quarantined.get(&content).map(|entry| entry.scope)
-        });
+        self.requests.expire(now);
+        let mut explained = self.evidence.crashed_under(|c| self.quarantined.contains_key(&c));
+        for content in self.quarantined.keys() {
+            explained.extend(self.requests.targets(*content));
+        }
+        let is_blamed = |content| self.quarantined.contains_key(&content);
+        let recent_calls = |pool| self.recent_calls.all(now, pool);
+        let (verdicts, mut doubts, is_request_final) =
+            self.requests.weigh(now, settle_time, &explained, is_blamed, recent_calls);
+        is_new |= self.apply_verdicts(now, verdicts);
+
+        let mut blamed = BlamedRequests::default();
+        for content in self.quarantined.keys() {
+            blamed.insert(*content, self.requests.targets(*content));
+        }
+        let scope_of = |content| self.quarantined.get(&content).map(|entry| entry.scope);
+        let (verdicts, is_final) = self.evidence.weigh(now, settle_time, scope_of, &blamed);
+        is_new |= self.apply_verdicts(now, verdicts);
+        let is_final = is_final && is_request_final;
         self.next_decision = (!is_final).then_some(now + DECISION_INTERVAL);
+
+        let scope_of = |content| self.quarantined.get(&content).map(|entry| entry.scope);
+        doubts.extend(self.evidence.doubts(scope_of, &blamed));
+        self.report_doubts(doubts);
+        is_new
+    }
+
+    fn apply_verdicts(&mut self, now: Moment, verdicts: Vec<Verdict>) -> bool {
+        let mut is_new = false;
         for verdict in verdicts {
             let (content, scope) = (verdict.content, verdict.scope);
             let until = now + QUARANTINE_TIME.saturating_sub(verdict.last_crash.age(now));
@@ -437,12 +567,10 @@
                 is_new |= self.quarantine(Quarantined { content, scope, until }, verdict.crashes);
             }
         }
-        self.report_doubts();
         is_new
     }
 
-    fn report_doubts(&mut self) {
-        let doubts = self.evidence.doubts(|content| self.quarantined.contains_key(&content));
+    fn report_doubts(&mut self, doubts: Vec<Doubt>) {
         for doubt in &doubts {
             if self.doubts.get(&doubt.content) != Some(doubt) {
                 self.changes.push(QuarantineChange::Doubted(*doubt));
@@ -453,7 +581,10 @@
 
     /// Returns whether crashes wait to be reported, on which the decisions of peers depend.
     pub fn is_report_urgent(&self) -> bool {
-        self.pending.iter().any(|(report, _)| matches!(report, PendingReport::Crash(_)))
+        let is_crash = |report: &PendingReport| {
+            matches!(report, PendingReport::Crash(_) | PendingReport::RequestCrash { .. })
+        };
+        self.pending.iter().any(|(report, _)| is_crash(report))
     }
 
     /// Returns the content in quarantine.
@@ -489,7 +620,7 @@
 
     /// Removes suspicions of content; returns whether there were any, which is then reported.
     fn clear(&mut self, content: ContentKey, cause: LiftCause, report_rounds: u32) -> bool {
-        let was_suspected = self.evidence.remove(content);
+        let was_suspected = self.evidence.remove(content) | self.requests.remove(content);
         let was_quarantined = self.quarantined.remove(&content).is_some();
         if was_quarantined {
             self.changes.push(QuarantineChange::Lifted { content, cause });
--- a/crates/cumintrail-control/src/quarantine/content.rs
+++ b/crates/cumintrail-control/src/quarantine/content.rs
@@ -1,5 +1,7 @@
 //! Content of calls, and whose calls with it are refused.
 
+use std::sync::Arc;
+
 use derive_more::From;
 
 use crate::parts::name_hash;
@@ -17,8 +19,8 @@
         Self(name_hash(name))
     }
 
-    /// Returns the key of a request that has no prompt, from the texts that identify it.
-    pub fn of_request(texts: &[&[u8]]) -> Self {
+    /// Returns the key of a request, from the texts that identify it.
+    pub fn of_request<'a>(texts: impl IntoIterator<Item = &'a [u8]>) -> Self {
         let mut hasher = blake3::Hasher::new();
         for text in texts {
             hasher.update(&(text.len() as u64).to_le_bytes());
@@ -35,6 +37,28 @@
     }
 }
 
+/// Names the content of a call under which a target may crash.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct CallContent {
+    /// What it may share with calls of other callers: the parts or the prefix blocks of its prompt but
+    /// the last, which is its own.
+    pub shared: Arc<[ContentKey]>,
+    /// The whole request, which it shares with its repeats; `None` if they are not recognized.
+    pub request: Option<ContentKey>,
+}
+
+impl CallContent {
+    /// Returns all content.
+    pub fn iter(&self) -> impl Iterator<Item = ContentKey> {
+        self.shared.iter().copied().chain(self.request)
+    }
+
+    /// Returns whether no content is known.
+    pub fn is_empty(&self) -> bool {
+        self.shared.is_empty() && self.request.is_none()
+    }
+}
+
 /// Limits the calls that a quarantine refuses.
 ///
 /// Targets that crash under calls of one account alone prove nothing about calls of others, which
--- a/crates/cumintrail-control/src/quarantine/evidence.rs
+++ b/crates/cumintrail-control/src/quarantine/evidence.rs
@@ -5,13 +5,14 @@
 use std::time::Duration;
 
 use cumintrail_types::Moment;
+use derive_more::Display;
 use smallvec::SmallVec;
 
 use super::{ContentKey, Scope};
 use crate::record_time::RecordTime;
 
 /// Crashes one after the other from which content is quarantined.
-const MIN_CRASHES: usize = 3;
+pub(super) const MIN_CRASHES: usize = 3;
 /// The same for several contents of equal suspicion, of which some may be sound.
 const MIN_CRASHES_IF_TIED: usize = 4;
 /// Complete responses since the first of these crashes, without which all content looks alike.
@@ -44,6 +45,9 @@
     pub account: u64,
     /// The hash of the name of the target, which distinguishes its incarnations.
     pub target: u64,
+    /// The request with the content, or another number for each call whose repeats are not
+    /// recognized.
+    pub request: u64,
     /// When the call was sent.
     pub sent: RecordTime,
     /// When its connection broke.
@@ -68,10 +72,31 @@
     pub crashes: usize,
     /// Those of them that neither a common cause nor other content explains.
     pub unexplained: usize,
-    /// Those of these that are one after the other.
-    pub in_sequence: usize,
-    /// Whether enough other calls were served since the first of them.
-    pub others_served: bool,
+    /// Why these do not prove enough.
+    pub reason: DoubtReason,
+}
+
+/// Names why content under which enough targets crashed is not to blame.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub enum DoubtReason {
+    /// A common cause or other content explains too many of the crashes.
+    #[display("explained")]
+    Explained,
+    /// Calls with the content were at the targets at the same time.
+    #[display("overlapping")]
+    Overlapping,
+    /// All crashes came under the same request, which may be to blame itself.
+    #[display("one-request")]
+    OneRequest,
+    /// Too few other calls were served since the first crash.
+    #[display("none-served")]
+    NoneServed,
+    /// Too many calls without the content were at targets that crashed, or too few were served.
+    #[display("others-crashed")]
+    OthersCrashed,
+    /// Other content was in as many crashes.
+    #[display("tied")]
+    Tied,
 }
 
 /// Records crashes under content without a complete response.
@@ -112,16 +137,17 @@
         }
     }
 
-    /// Returns how long ago the last call to each model or service got a complete response, if
-    /// crashes are recorded.
+    /// Returns how long ago the last call to each model or service got a complete response.
     pub fn last_completed_ages(&self, now: Moment) -> Vec<(u64, Duration)> {
-        if self.crashes.is_empty() {
-            return Vec::new();
-        }
         let last = self.completed.iter().filter_map(|(pool, times)| Some((*pool, *times.back()?)));
         last.map(|(pool, at)| (pool, now.since(at))).collect()
     }
 
+    /// Returns whether no crash is recorded.
+    pub fn is_empty(&self) -> bool {
+        self.crashes.is_empty()
+    }
+
     /// Records a crash; returns whether it is the first record of this target and content.
     pub fn insert(&mut self, now: Moment, crash: Crash) -> bool {
         if self.crashes.len() >= MAX_SUSPECTS && !self.crashes.contains_key(&crash.content) {
@@ -167,19 +193,19 @@
     ///
     /// A crash that content in quarantine explains proves nothing against other content. Of the
     /// rest, the content with most crashes is to blame first. `quarantined` returns the scope of
-    /// content in quarantine.
+    /// content in quarantine, and `blamed` lists the requests in quarantine at each target that
+    /// crashed.
     pub fn weigh(
         &self,
         now: Moment,
         settle_time: Duration,
         quarantined: impl Fn(ContentKey) -> Option<Scope>,
+        blamed: &BlamedRequests,
     ) -> (Vec<Verdict>, bool) {
         let is_settled = |crash: &Crash| crash.ended.age(now) >= settle_time;
         let all = || self.crashes.values().flatten();
         let mut is_final = all().all(is_settled);
-        let known = all().filter(|crash| quarantined(crash.content).is_some());
-        let mut explained: HashSet<u64> = known.map(|crash| crash.target).collect();
-        explained.extend(self.common.keys());
+        let mut explained = self.explained(&quarantined);
         let mut verdicts = self.widened(&quarantined);
         loop {
             let mut best: SmallVec<[Verdict; 4]> = SmallVec::new();
@@ -190,13 +216,14 @@
                     is_settled(crash)
                         && crash.ended.age(now) < CRASH_RETENTION
                         && !explained.contains(&crash.target)
+                        && !blamed.explain(crash)
                 });
                 let unexplained: SmallVec<[Crash; MAX_CRASHES]> = unexplained.copied().collect();
                 let Some(verdict) = verdict(*content, &unexplained).filter(|_| !is_decided) else {
                     continue;
                 };
                 let most = best.first().map_or(MIN_CRASHES, |verdict| verdict.crashes);
-                if verdict.crashes < most {
+                if verdict.crashes < most || is_one_request(&unexplained) {
                     continue;
                 }
                 if !self.were_others_served(&unexplained) {
@@ -220,29 +247,45 @@
         }
     }
 
+    /// Returns the targets whose crashes content in quarantine or a common cause explains.
+    fn explained(&self, quarantined: impl Fn(ContentKey) -> Option<Scope>) -> HashSet<u64> {
+        let mut explained = self.crashed_under(|content| quarantined(content).is_some());
+        explained.extend(self.common.keys());
+        explained
+    }
+
+    /// Returns the targets that crashed under some content.
+    pub fn crashed_under(&self, is_content: impl Fn(ContentKey) -> bool) -> HashSet<u64> {
+        let crashes = self.crashes.iter().filter(|(content, _)| is_content(**content));
+        crashes.flat_map(|(_, crashes)| crashes.iter().map(|crash| crash.target)).collect()
+    }
+
     /// Describes the content under which [`MIN_CRASHES`] targets or more crashed and that is not in
     /// quarantine.
-    pub fn doubts(&self, quarantined: impl Fn(ContentKey) -> bool) -> Vec<Doubt> {
-        let blamed = || self.crashes.iter().filter(|(content, _)| quarantined(**content));
-        let explained: HashSet<u64> =
-            blamed().flat_map(|(_, crashes)| crashes.iter().map(|crash| crash.target)).collect();
-        let is_explained = |crash: &Crash| {
-            explained.contains(&crash.target) || self.common.contains_key(&crash.target)
-        };
-        let doubtful = self
-            .crashes
-            .iter()
-            .filter(|(content, crashes)| crashes.len() >= MIN_CRASHES && !quarantined(**content));
+    pub fn doubts(
+        &self,
+        quarantined: impl Fn(ContentKey) -> Option<Scope>,
+        blamed: &BlamedRequests,
+    ) -> Vec<Doubt> {
+        let explained = self.explained(&quarantined);
+        let doubtful = self.crashes.iter().filter(|(content, crashes)| {
+            crashes.len() >= MIN_CRASHES && quarantined(**content).is_none()
+        });
         let doubt = |(content, crashes): (&ContentKey, &SmallVec<[Crash; 2]>)| {
-            let unexplained = crashes.iter().filter(|crash| !is_explained(crash));
+            let unexplained = crashes
+                .iter()
+                .filter(|crash| !explained.contains(&crash.target) && !blamed.explain(crash));
             let unexplained: SmallVec<[Crash; MAX_CRASHES]> = unexplained.copied().collect();
-            Doubt {
-                content: *content,
-                crashes: crashes.len(),
-                unexplained: unexplained.len(),
-                in_sequence: verdict(*content, &unexplained).map_or(0, |verdict| verdict.crashes),
-                others_served: self.were_others_served(&unexplained),
-            }
+            let in_sequence = verdict(*content, &unexplained).map_or(0, |verdict| verdict.crashes);
+            let reason = match unexplained.len() {
+                0..MIN_CRASHES => DoubtReason::Explained,
+                _ if in_sequence < MIN_CRASHES => DoubtReason::Overlapping,
+                _ if is_one_request(&unexplained) => DoubtReason::OneRequest,
+                _ if !self.were_others_served(&unexplained) => DoubtReason::NoneServed,
+                _ => DoubtReason::Tied,
+            };
+            let (crashes, unexplained) = (crashes.len(), unexplained.len());
+            Doubt { content: *content, crashes, unexplained, reason }
         };
         doubtful.map(doubt).collect()
     }
@@ -277,6 +320,31 @@
     }
 }
 
+/// Returns whether all crashes came under the same request.
+fn is_one_request(crashes: &[Crash]) -> bool {
+    crashes.windows(2).all(|pair| pair[0].request == pair[1].request)
+}
+
+/// The requests in quarantine at targets that crashed.
+#[derive(Debug, Default)]
+pub struct BlamedRequests(HashMap<u64, SmallVec<[u64; 2]>>);
+
+impl BlamedRequests {
+    /// Adds a request and the targets that crashed under it.
+    pub fn insert(&mut self, request: ContentKey, targets: &[u64]) {
+        for target in targets {
+            self.0.entry(*target).or_default().push(request.0);
+        }
+    }
+
+    /// Returns whether a crash under some content is explained by another request than the one with
+    /// the content, which may be to blame for its content.
+    fn explain(&self, crash: &Crash) -> bool {
+        let requests = self.0.get(&crash.target);
+        requests.is_some_and(|requests| requests.iter().any(|request| *request != crash.request))
+    }
+}
+
 /// Returns a verdict with the number of crashes one after the other: calls that were at targets at
 /// the same time may have ended by one cause.
 fn verdict(content: ContentKey, crashes: &[Crash]) -> Option<Verdict> {
--- a/crates/cumintrail-control/src/quarantine/report.rs
+++ b/crates/cumintrail-control/src/quarantine/report.rs
@@ -5,14 +5,16 @@
 use cumintrail_types::Moment;
 
 use super::evidence::Crash;
-use super::{ContentKey, QUARANTINE_TIME, Quarantined, Scope};
+use super::{CallCounts, ContentKey, QUARANTINE_TIME, Quarantined, Scope};
 use crate::record_time::RecordTime;
 
 /// Collects what daemons report to each other about crashes.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct QuarantineReport {
-    /// Crashes under suspected content.
+    /// Crashes under suspected content that several requests may share.
     pub crashes: Vec<ReportedCrash>,
+    /// Crashes with the requests that were at the targets.
+    pub target_crashes: Vec<ReportedTargetCrash>,
     /// Targets that crashed together with others, so that no content of their calls is to blame.
     pub common_crashes: Vec<u64>,
     /// Suspected content that had a complete response.
@@ -24,6 +26,9 @@
     /// How long ago the sender's last call to each model or service, by the hash of its name, got
     /// a complete response; only while crashes are recorded.
     pub completed: Vec<(u64, Duration)>,
+    /// The sender's recent calls to each model or service, by the hash of its name; only while
+    /// crashes are recorded.
+    pub recent_calls: Vec<(u64, CallCounts)>,
 }
 
 /// Reports that a target crashed while a call with some content was at it.
@@ -37,12 +42,28 @@
     pub account: u64,
     /// The hash of the name of the target, which distinguishes its incarnations.
     pub target: u64,
+    /// The request with the content, or another number for each call whose repeats are not
+    /// recognized.
+    pub request: u64,
     /// How long ago the call was sent.
     pub sent_age: Duration,
     /// How long ago its connection broke.
     pub ended_age: Duration,
 }
 
+/// Reports that a target crashed, with requests that were there.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ReportedTargetCrash {
+    /// The hash of the name of the target, which distinguishes its incarnations.
+    pub target: u64,
+    /// The hash of the name of its model or service.
+    pub pool: u64,
+    /// How long ago its calls broke.
+    pub ended_age: Duration,
+    /// The requests, with the hash of the name of their account.
+    pub requests: Vec<(ContentKey, u64)>,
+}
+
 /// Reports content in quarantine.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ReportedQuarantine {
@@ -56,15 +77,15 @@
 
 impl ReportedCrash {
     pub(super) fn new(now: Moment, crash: Crash) -> Self {
-        let Crash { content, pool, account, target, sent, ended } = crash;
+        let Crash { content, pool, account, target, request, sent, ended } = crash;
         let (sent_age, ended_age) = (sent.age(now), ended.age(now));
-        Self { content, pool, account, target, sent_age, ended_age }
+        Self { content, pool, account, target, request, sent_age, ended_age }
     }
 
     pub(super) fn received(self, now: Moment) -> Crash {
-        let Self { content, pool, account, target, sent_age, ended_age } = self;
+        let Self { content, pool, account, target, request, sent_age, ended_age } = self;
         let (sent, ended) = (RecordTime::before(now, sent_age), RecordTime::before(now, ended_age));
-        Crash { content, pool, account, target, sent, ended }
+        Crash { content, pool, account, target, request, sent, ended }
     }
 }
 
@@ -81,13 +102,29 @@
 }
 
 impl QuarantineReport {
+    /// Adds a request of an account that was at a target when it crashed.
+    pub(super) fn add_request(
+        &mut self,
+        now: Moment,
+        (target, pool, ended): (u64, u64, RecordTime),
+        request: (ContentKey, u64),
+    ) {
+        if let Some(crash) = self.target_crashes.iter_mut().find(|crash| crash.target == target) {
+            return crash.requests.push(request);
+        }
+        let (ended_age, requests) = (ended.age(now), vec![request]);
+        self.target_crashes.push(ReportedTargetCrash { target, pool, ended_age, requests });
+    }
+
     /// Returns whether there is nothing to report.
     pub fn is_empty(&self) -> bool {
         self.crashes.is_empty()
+            && self.target_crashes.is_empty()
             && self.common_crashes.is_empty()
             && self.cleared.is_empty()
             && self.lifted.is_empty()
             && self.quarantined.is_empty()
             && self.completed.is_empty()
+            && self.recent_calls.is_empty()
     }
 }
--- a/crates/cumintrail-control/tests/quarantine.rs
+++ b/crates/cumintrail-control/tests/quarantine.rs
@@ -2,13 +2,25 @@
 
 use std::time::Duration;
 
-use cumintrail_control::quarantine::{ContentKey, QUARANTINE_TIME, Quarantine, QuarantineChange};
+use cumintrail_control::quarantine::{
+    BrokenCall, CallContent, ContentKey, QUARANTINE_TIME, Quarantine, QuarantineChange,
+};
 use cumintrail_types::{Moment, TargetKey};
 
 const ACCOUNT: u64 = 7;
 const MODEL: u64 = 1;
 const SERVICE: u64 = 2;
 
+fn with_part(part: ContentKey) -> CallContent {
+    CallContent { shared: [part].into(), request: None }
+}
+
+/// Returns a call with a part whose connection broke.
+fn broken(part: ContentKey, call: u64, sent: Moment, broken: Moment) -> BrokenCall {
+    let content = with_part(part);
+    BrokenCall { content, call, pool: MODEL, account: ACCOUNT, sent, broken }
+}
+
 /// Lets targets crash under content one after the other, while calls to a model or service are
 /// served; returns the time after that.
 fn crash(
@@ -22,11 +34,11 @@
         let target = (TargetKey(number), u64::from(number) + 100);
         let sent = now;
         now = now + Duration::from_millis(200);
-        quarantine.record_broken(now, target, (MODEL, ACCOUNT, &[hot]), sent, 0);
+        quarantine.record_broken(now, target, broken(hot, u64::from(number), sent, now), 0);
         quarantine.record_unreachable(now, target.0, target.1, 0);
         for _ in 0..3 {
             now = now + Duration::from_millis(100);
-            quarantine.record_complete(now, served, &[other], 0);
+            quarantine.record_complete(now, served, &with_part(other), 0);
         }
         quarantine.decide(now, Duration::ZERO);
     }
@@ -34,7 +46,7 @@
 }
 
 fn is_refused(quarantine: &Quarantine, now: Moment) -> bool {
-    quarantine.refuses(now, ACCOUNT, &[ContentKey::of_part("hot")])
+    quarantine.refuses(now, ACCOUNT, &with_part(ContentKey::of_part("hot")))
 }
 
 /// Returns whether content is refused after six crashes.
@@ -54,7 +66,7 @@
     quarantine.take_changes();
     let other = ContentKey::of_part("rare");
     let target = (TargetKey(50), 150);
-    quarantine.record_broken(now, target, (MODEL, ACCOUNT, &[other]), now, 0);
+    quarantine.record_broken(now, target, broken(other, 1_000, now, now), 0);
     quarantine.record_unreachable(now, target.0, target.1, 0);
     quarantine.decide(now, Duration::ZERO);
     let is_quarantined =
--- a/crates/cumintrail-daemon/src/callers/model_call.rs
+++ b/crates/cumintrail-daemon/src/callers/model_call.rs
@@ -6,7 +6,7 @@
 
 use actix_http::{RequestHead, Response};
 use cumintrail_config::{Snapshot, TargetKind};
-use cumintrail_control::quarantine::ContentKey;
+use cumintrail_control::quarantine::{CallContent, ContentKey};
 use cumintrail_control::{Arrival, AttemptOutcome, Event, RouteOptions};
 use cumintrail_types::{
     AccountKey, BlockKey, CallClass, CallKey, Refusal, RefusalCode, Tokens, WeightVersion,
@@ -26,7 +26,7 @@
 const EVENT_BUFFER_LEN: usize = 32;
 const MAX_OUTPUT_TOKENS: u32 = 1 << 20;
 /// Maximum number of blocks of one prompt that are suspected of a crash.
-const MAX_CONTENTS: usize = 64;
+const MAX_SHARED_CONTENT: usize = 64;
 
 /// Authenticates the caller, submits its call to the control thread and returns the response.
 pub async fn handle(
@@ -58,7 +58,10 @@
         prompt: Tokens((request.prompt.len() as u32).div_ceil(snapshot.deployment.bytes_per_token)),
         max_output: Tokens(max_tokens),
         deadline: now + timeout,
-        options: RouteOptions { contents: contents(&blocks), ..RouteOptions::default() },
+        options: RouteOptions {
+            content: content(&snapshot, account, &request, &blocks),
+            ..RouteOptions::default()
+        },
     };
     let overloaded = Refusal::not_run(RefusalCode::Overloaded).retry_after(RETRY_AFTER);
     let commands = worker.shared.control.submit_call(arrival).map_err(|_| overloaded)?;
@@ -79,10 +82,23 @@
 }
 
 /// Returns the content under which engines may crash: the first blocks of the prompt but the last,
-/// which is its own.
-fn contents(blocks: &[BlockKey]) -> Arc<[ContentKey]> {
+/// which is its own, and the request.
+fn content(
+    snapshot: &Snapshot,
+    account: AccountKey,
+    request: &CompletionRequest,
+    blocks: &[BlockKey],
+) -> CallContent {
     let shared = blocks.split_last().map_or(&[][..], |(_own, shared)| shared);
-    shared.iter().take(MAX_CONTENTS).map(|block| ContentKey::of_hash(&block.0)).collect()
+    let shared = shared.iter().take(MAX_SHARED_CONTENT);
+    let account = snapshot.accounts.get(account).map_or("", |account| &account.name);
+    let max_tokens = request.max_tokens.unwrap_or(DEFAULT_MAX_TOKENS).to_le_bytes();
+    let (model, prompt) = (request.model.as_bytes(), request.prompt.as_bytes());
+    let texts = [account.as_bytes(), model, prompt, &max_tokens[..]];
+    CallContent {
+        shared: shared.map(|block| ContentKey::of_hash(&block.0)).collect(),
+        request: Some(ContentKey::of_request(texts)),
+    }
 }
 
 /// Derives the block keys of a prompt for one weight version.
--- a/crates/cumintrail-daemon/src/callers/service_task.rs
+++ b/crates/cumintrail-daemon/src/callers/service_task.rs
@@ -2,13 +2,12 @@
 
 use std::pin::pin;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
 use cumintrail_client::{ClientError, Service, ServiceCall, ServiceResponse};
 use cumintrail_config::TargetKind;
 use cumintrail_control::once::{IN_PROGRESS_RETRY_AFTER, KeyOutcome, Verdict};
-use cumintrail_control::quarantine::ContentKey;
+use cumintrail_control::quarantine::{CallContent, ContentKey};
 use cumintrail_control::{
     Arrival, AttemptOutcome, Dispatch, Event, ResponseEnd, RouteOptions, Usage,
 };
@@ -81,18 +80,19 @@
         prompt: Tokens(0),
         max_output: Tokens(0),
         deadline: worker.shared.now() + plain.timeout,
-        options: RouteOptions { contents: contents(worker, plain), ..RouteOptions::default() },
+        options: RouteOptions { content: content(worker, plain), ..RouteOptions::default() },
     };
     let overloaded = Refusal::not_run(RefusalCode::Overloaded).retry_after(OVERLOADED_RETRY_AFTER);
     worker.shared.control.submit_call(arrival).map_err(|_| overloaded)
 }
 
 /// Returns the content under which targets may crash: the whole request, which a caller may repeat.
-fn contents(worker: &Worker, plain: &PlainCall) -> Arc<[ContentKey]> {
+fn content(worker: &Worker, plain: &PlainCall) -> CallContent {
     let snapshot = worker.shared.snapshot();
     let service = snapshot.as_ref().and_then(|s| s.services.get(plain.service));
     let service = service.map_or("", |service| &service.name);
-    [ContentKey::of_request(&[service.as_bytes(), &plain.digest().0])].into()
+    let request = ContentKey::of_request([service.as_bytes(), &plain.digest().0]);
+    CallContent { shared: [].into(), request: Some(request) }
 }
 
 type ResponseSender = oneshot::Sender<Result<CallResponse, Refusal>>;
--- a/crates/cumintrail-daemon/src/quarantine_lines.rs
+++ b/crates/cumintrail-daemon/src/quarantine_lines.rs
@@ -30,13 +30,11 @@
             );
         }
         QuarantineChange::Doubted(doubt) => log::info!(
-            "event=quarantine-doubted content={:016x} crashes={} unexplained={} in_sequence={} \
-             others_served={}",
+            "event=quarantine-doubted content={:016x} crashes={} unexplained={} reason={}",
             doubt.content.0,
             doubt.crashes,
             doubt.unexplained,
-            doubt.in_sequence,
-            doubt.others_served,
+            doubt.reason,
         ),
         QuarantineChange::Lifted { content, cause } => {
             metrics::counter!(metric::QUARANTINE_DECISIONS, "outcome" => "lifted").increment(1);
--- a/crates/cumintrail-daemon/src/relay/call.rs
+++ b/crates/cumintrail-daemon/src/relay/call.rs
@@ -8,7 +8,7 @@
 use bytes::{Bytes, BytesMut};
 use cumintrail_config::{Route, Snapshot, TargetKind};
 use cumintrail_control::parts::{cache_salt, part_key};
-use cumintrail_control::quarantine::ContentKey;
+use cumintrail_control::quarantine::{CallContent, ContentKey};
 use cumintrail_control::stream_origins::{StreamId, StreamRequest};
 use cumintrail_control::{Arrival, AttemptOutcome, Event, RouteOptions};
 use cumintrail_types::{
@@ -173,7 +173,7 @@
         end
     });
     let key = shared.next_call_key();
-    let request = request_content(&req, account_name.as_deref(), &body, body_complete);
+    let request = request_content(&req, account_name.as_deref(), metadata, &body, body_complete);
     let arrival = Arrival {
         call: key,
         account,
@@ -191,7 +191,7 @@
             block_ends: block_ends.collect(),
             first_token_objective: Some(route.latency_objective),
             stream: stream_request(route.class, account_name.as_deref(), metadata),
-            contents: contents(metadata, request),
+            content: content(metadata, request),
         },
     };
     let overloaded =
@@ -224,20 +224,20 @@
     }))
 }
 
-/// Returns the content that a call may share with others and under which targets may crash: the
-/// parts of its prompt but the last, which is its own, or the request if it has no prompt.
-fn contents(metadata: &RequestMetadata, request: Option<ContentKey>) -> Arc<[ContentKey]> {
-    match metadata.parts.split_last() {
-        Some((_own, shared)) => shared.iter().map(|part| ContentKey::of_part(&part.name)).collect(),
-        None => request.into_iter().collect(),
-    }
+/// Returns the content under which targets may crash: the parts of the prompt but the last, which is
+/// its own, and the request.
+fn content(metadata: &RequestMetadata, request: Option<ContentKey>) -> CallContent {
+    let shared = metadata.parts.split_last().map_or(&[][..], |(_own, shared)| shared);
+    let shared = shared.iter().map(|part| ContentKey::of_part(&part.name)).collect();
+    CallContent { shared, request }
 }
 
-/// Returns the key of a request, whatever its id, its deadline and its other headers; `None` if its
-/// body is not buffered completely.
+/// Returns the key of a request by its account, path, prompt and body, whatever its other headers;
+/// `None` if its body is not buffered completely.
 fn request_content(
     req: &Request,
     account: Option<&str>,
+    metadata: &RequestMetadata,
     body: &Bytes,
     body_complete: bool,
 ) -> Option<ContentKey> {
@@ -249,7 +249,9 @@
     let account = account.unwrap_or(PUBLIC_ACCOUNT).as_bytes();
     let target = head.uri.path_and_query().map_or("", PathAndQuery::as_str).as_bytes();
     let method = head.method.as_str().as_bytes();
-    Some(ContentKey::of_request(&[account, host, method, target, body]))
+    let parts = metadata.parts.iter().map(|part| part.name.as_bytes());
+    let texts = [account, host, method, target, body].into_iter().chain(parts);
+    Some(ContentKey::of_request(texts))
 }
 
 /// Describes how a call relates to a resumable stream; `None` for other classes.
--- a/crates/cumintrail-wire/src/peer.rs
+++ b/crates/cumintrail-wire/src/peer.rs
@@ -12,7 +12,8 @@
 use cumintrail_config::{Delta, Sections};
 use cumintrail_control::membership::VmChanges;
 use cumintrail_control::quarantine::{
-    ContentKey, QuarantineReport, ReportedCrash, ReportedQuarantine, Scope,
+    CallCounts, ContentKey, QuarantineReport, ReportedCrash, ReportedQuarantine,
+    ReportedTargetCrash, Scope,
 };
 use cumintrail_control::stream_origins::StreamOrigin;
 use cumintrail_control::target_limits::ReportedLimit;
@@ -65,6 +66,14 @@
     stream_origins: Vec<(Arc<str>, Vec<u64>)>,
     #[serde(default, skip_serializing_if = "QuarantineMessage::is_empty")]
     quarantine: QuarantineMessage,
+    /// The request of each crash in `quarantine`, in the same order.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    crash_requests: Vec<u64>,
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    target_crashes: Vec<TargetCrashMessage>,
+    /// Model or service, recent calls that were served, and those that crashes ended.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    recent_calls: Vec<(u64, u32, u32)>,
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     limits: Vec<(u64, Option<u32>, u32)>,
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
@@ -102,6 +111,19 @@
                 .map(|s| (s.domain, s.daemons, to_millis(s.age)))
                 .collect(),
             stream_origins: group_by_software(d.stream_origins),
+            crash_requests: d.quarantine.crashes.iter().map(|crash| crash.request).collect(),
+            target_crashes: d
+                .quarantine
+                .target_crashes
+                .iter()
+                .map(TargetCrashMessage::from)
+                .collect(),
+            recent_calls: d
+                .quarantine
+                .recent_calls
+                .iter()
+                .map(|(pool, counts)| (*pool, counts.served, counts.broken))
+                .collect(),
             quarantine: d.quarantine.into(),
             limits: d
                 .limits
@@ -116,6 +138,18 @@
 
 impl From<DigestMessage> for PeerDigest {
     fn from(m: DigestMessage) -> Self {
+        let mut quarantine = QuarantineReport::from(m.quarantine);
+        // Without the list, each crash counts as that of another request.
+        let requests = m.crash_requests.into_iter().map(Some).chain(std::iter::repeat(None));
+        for (crash, request) in quarantine.crashes.iter_mut().zip(requests) {
+            crash.request = request.unwrap_or(crash.target);
+        }
+        quarantine.target_crashes = m.target_crashes.into_iter().map(Into::into).collect();
+        quarantine.recent_calls = m
+            .recent_calls
+            .into_iter()
+            .map(|(pool, served, broken)| (pool, CallCounts { served, broken }))
+            .collect();
         Self {
             vm: m.vm,
             domain: m.domain,
@@ -151,7 +185,7 @@
                     })
                 })
                 .collect(),
-            quarantine: m.quarantine.into(),
+            quarantine,
             limits: m.limits.into_iter().map(to_limit).collect(),
             call_rates: m
                 .call_rates
@@ -222,7 +256,8 @@
         let crash =
             |(content, pool, account, target, sent, ended): (u64, u64, u64, u64, u32, u32)| {
                 let (content, sent_age, ended_age) = (content.into(), millis(sent), millis(ended));
-                ReportedCrash { content, pool, account, target, sent_age, ended_age }
+                let request = 0;
+                ReportedCrash { content, pool, account, target, request, sent_age, ended_age }
             };
         let entry = |(content, scope, remaining): (u64, u64, u32)| ReportedQuarantine {
             content: content.into(),
@@ -239,10 +274,32 @@
                 .collect(),
             quarantined: quarantined.into_iter().map(entry).collect(),
             completed: completed.into_iter().map(|(pool, age)| (pool, millis(age))).collect(),
+            target_crashes: Vec::new(),
+            recent_calls: Vec::new(),
         }
     }
 }
 
+/// Encodes a [`ReportedTargetCrash`] without field names: target, model or service, age in
+/// milliseconds, requests with their accounts.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+struct TargetCrashMessage(u64, u64, u32, Vec<(u64, u64)>);
+
+impl From<&ReportedTargetCrash> for TargetCrashMessage {
+    fn from(crash: &ReportedTargetCrash) -> Self {
+        let requests = crash.requests.iter().map(|(request, account)| (request.0, *account));
+        Self(crash.target, crash.pool, to_millis(crash.ended_age), requests.collect())
+    }
+}
+
+impl From<TargetCrashMessage> for ReportedTargetCrash {
+    fn from(TargetCrashMessage(target, pool, age, requests): TargetCrashMessage) -> Self {
+        let requests = requests.into_iter().map(|(request, account)| (request.into(), account));
+        let ended_age = Duration::from_millis(age.into());
+        Self { target, pool, ended_age, requests: requests.collect() }
+    }
+}
+
 /// Encodes a [`Freshness`] without field names: milliseconds since the last read of the head,
 /// milliseconds since the last read of the VM list, sequence number of that list.
 #[derive(Debug, Clone, Copy, Default, Serialize, Deserialize)]
--- a/tests/tests/quarantine.rs
+++ b/tests/tests/quarantine.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use cumintrail_config::{Document, Snapshot, Target, TargetKind};
-use cumintrail_control::quarantine::ContentKey;
+use cumintrail_control::quarantine::{CallContent, ContentKey};
 use cumintrail_control::{
     Action, Actions, Arrival, AttemptOutcome, Control, Event, Identity, PeerDigest, ResponseEnd,
     RouteOptions, Usage,
@@ -144,7 +144,10 @@
             max_output: Tokens(0),
             deadline: self.moment() + Duration::from_secs(10),
             options: RouteOptions {
-                contents: parts.iter().map(|part| ContentKey::of_part(part)).collect(),
+                content: CallContent {
+                    shared: parts.iter().map(|part| ContentKey::of_part(part)).collect(),
+                    request: None,
+                },
                 ..RouteOptions::default()
             },
         };
--- a/tests/tests/quarantined_requests.rs
+++ b/tests/tests/quarantined_requests.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use cumintrail_config::{Snapshot, TargetKind};
-use cumintrail_control::quarantine::ContentKey;
+use cumintrail_control::quarantine::{CallContent, ContentKey};
 use cumintrail_control::{
     Action, Actions, Arrival, AttemptOutcome, Control, Event, PeerDigest, ResponseEnd,
     RouteOptions, Usage,
@@ -114,7 +114,8 @@
     deadline: Duration::from_millis(600),
 };
 
-/// The index of the request under which targets crash.
+/// Requests with lower indexes crash targets.
+const FIRST_SOUND: u64 = 10;
 const CRASHING: u64 = 0;
 
 struct Fleet {
@@ -129,9 +130,9 @@
     requests: BTreeMap<CallKey, (usize, u64, u8)>,
     next: u64,
     rng: StdRng,
-    /// When the crashing request reached targets, and when these crashed under it.
-    delivered: Vec<u64>,
-    crashes: Vec<u64>,
+    /// When crashing requests reached targets, and when these crashed under them.
+    delivered: Vec<(u64, u64)>,
+    crashes: Vec<(u64, u64)>,
     served: usize,
     refused: Vec<(u64, RefusalCode, Ran)>,
     /// Whether the targets crash under each request.
@@ -152,7 +153,7 @@
             dead: Vec::new(),
             sent: BTreeMap::new(),
             requests: BTreeMap::new(),
-            next: 0,
+            next: FIRST_SOUND,
             rng: StdRng::seed_from_u64(plan.seed),
             delivered: Vec::new(),
             crashes: Vec::new(),
@@ -190,8 +191,8 @@
                     let sent = Sent { daemon, attempt: dispatch.attempt, target, request };
                     self.sent.insert(call, sent);
                     let least = self.plan.run_ms / 3;
-                    let time = if request == CRASHING {
-                        self.delivered.push(self.now);
+                    let time = if request < FIRST_SOUND {
+                        self.delivered.push((self.now, request));
                         self.rng.random_range(least..=self.plan.run_ms)
                     } else {
                         self.rng.random_range(self.plan.sound_ms / 8..=self.plan.sound_ms)
@@ -230,8 +231,10 @@
         self.after(restart, Happening::Restart(target));
         let broken = self.sent.iter().filter(|(_, sent)| sent.target == target);
         let broken: Vec<(CallKey, Sent)> = broken.map(|(call, sent)| (*call, *sent)).collect();
-        if broken.iter().any(|(_, sent)| sent.request == CRASHING) {
-            self.crashes.push(self.now);
+        for request in 0..FIRST_SOUND {
+            if broken.iter().any(|(_, sent)| sent.request == request) {
+                self.crashes.push((self.now, request));
+            }
         }
         for (call, Sent { daemon, attempt, .. }) in broken {
             self.sent.remove(&call);
@@ -260,7 +263,10 @@
             deadline: Moment::from_millis(self.now) + self.plan.deadline,
             options: RouteOptions {
                 max_attempts: Some(max_attempts),
-                contents: [ContentKey(1_000_000 + request)].into(),
+                content: CallContent {
+                    request: Some(ContentKey(1_000_000 + request)),
+                    ..CallContent::default()
+                },
                 ..RouteOptions::default()
             },
         };
@@ -281,7 +287,7 @@
                 else {
                     return;
                 };
-                if sent.request == CRASHING || self.is_broken {
+                if sent.request < FIRST_SOUND || self.is_broken {
                     return self.crash(target);
                 }
                 self.sent.remove(&call);
@@ -347,32 +353,31 @@
         }
     }
 
-    /// Schedules repeats of the crashing request for some time.
-    fn schedule_crashing(&mut self, millis: u64) {
+    /// Schedules repeats of a crashing request for some time.
+    fn schedule_crashing(&mut self, request: u64, millis: u64) {
         let mut at = 300;
         while at < millis {
             for _ in 0..self.plan.copies {
                 let daemon = self.rng.random_range(0..self.daemons.len());
                 let jitter = self.rng.random_range(0..60);
-                let happening = Happening::Request { daemon, request: CRASHING, retries: 1 };
-                self.after(at + jitter, happening);
+                self.after(at + jitter, Happening::Request { daemon, request, retries: 1 });
             }
             at += self.rng.random_range(self.plan.repeat_ms / 4..=self.plan.repeat_ms);
         }
     }
 
-    /// Requests that reached targets later than [`CONTACT_MS`] after the third crash.
-    fn late(&self) -> usize {
-        let third = self.crashes.get(2).map_or(u64::MAX, |at| at + CONTACT_MS);
-        self.delivered.iter().filter(|at| **at > third).count()
+    /// How often a crashing request reached targets later than [`CONTACT_MS`] after its third crash.
+    fn late(&self, request: u64) -> usize {
+        let crashes = self.crashes.iter().filter(|(_, of)| *of == request);
+        let third = crashes.map(|(at, _)| at + CONTACT_MS).nth(2).unwrap_or(u64::MAX);
+        self.delivered.iter().filter(|(at, of)| *of == request && *at > third).count()
     }
 
     /// Sound requests that were refused as quarantined.
     fn wronged(&self) -> usize {
-        let wronged = self
-            .refused
-            .iter()
-            .filter(|(request, code, _)| *request != CRASHING && *code == RefusalCode::Quarantined);
+        let wronged = self.refused.iter().filter(|(request, code, _)| {
+            *request >= FIRST_SOUND && *code == RefusalCode::Quarantined
+        });
         wronged.count()
     }
 }
@@ -381,7 +386,7 @@
     let mut fleet = Fleet::new(plan);
     fleet.schedule_sound(14_000);
     fleet.run(1_000);
-    fleet.schedule_crashing(12_000);
+    fleet.schedule_crashing(CRASHING, 12_000);
     fleet.run(13_000);
     fleet
 }
@@ -394,7 +399,7 @@
     for (plan, seed) in plans.into_iter().flat_map(|plan| (0..SEEDS).map(move |seed| (plan, seed)))
     {
         let fleet = flood(Plan { seed, ..plan });
-        let (late, wronged) = (fleet.late(), fleet.wronged());
+        let (late, wronged) = (fleet.late(CRASHING), fleet.wronged());
         count += 1;
         if late > MOST_LATER || wronged > 0 {
             failed.push(format!("{late} late, {wronged} wronged: {:?}", fleet.plan));
@@ -421,6 +426,49 @@
     assert_stopped([4, 12].map(|targets| Plan { targets, ..plan }));
 }
 
+#[test]
+fn a_request_that_crashes_targets_from_the_start_stops_reaching_them() {
+    for (targets, seed) in [2, 4].into_iter().flat_map(|t| (0..SEEDS).map(move |seed| (t, seed))) {
+        let mut fleet = Fleet::new(Plan { targets, seed, ..PLAN });
+        fleet.schedule_sound(12_000);
+        fleet.schedule_crashing(CRASHING, 12_000);
+        fleet.run(14_000);
+        let late = fleet.late(CRASHING);
+        assert!(late <= MOST_LATER, "{targets} targets, seed {seed}: {late} late");
+    }
+}
+
+#[test]
+fn two_requests_that_crash_targets_stop_reaching_them() {
+    for (gap, seed) in [0, 5_000].into_iter().flat_map(|g| (0..SEEDS).map(move |seed| (g, seed))) {
+        let mut fleet = Fleet::new(Plan { targets: 12, seed, ..PLAN });
+        fleet.schedule_sound(20_000);
+        fleet.run(1_000);
+        fleet.schedule_crashing(CRASHING, 14_000);
+        fleet.run(gap);
+        fleet.schedule_crashing(CRASHING + 1, 12_000);
+        fleet.run(18_000 - gap);
+        let late = [fleet.late(CRASHING), fleet.late(CRASHING + 1)];
+        assert!(late.iter().all(|n| *n <= MOST_LATER), "gap {gap}, seed {seed}: {late:?} late");
+    }
+}
+
+#[test]
+fn a_request_is_blamed_although_targets_also_crash_by_themselves() {
+    for seed in 0..SEEDS {
+        let mut fleet = Fleet::new(Plan { targets: 12, seed, ..PLAN });
+        fleet.schedule_sound(20_000);
+        fleet.run(1_000);
+        fleet.happen(Happening::Herd);
+        fleet.run(4_500);
+        fleet.schedule_crashing(CRASHING, 12_000);
+        fleet.after(2_000, Happening::Crash(3));
+        fleet.run(14_000);
+        let late = fleet.late(CRASHING);
+        assert!(late <= MOST_LATER, "seed {seed}: {late} late");
+    }
+}
+
 /// Long streams, whose callers repeat them at once and often.
 const STREAMS: Plan = Plan {
     targets: 12,
@@ -479,3 +527,18 @@
         assert_eq!(fleet.wronged(), 0, "{targets} targets, seed {seed}");
     }
 }
+
+#[test]
+fn a_service_that_breaks_later_quarantines_one_request_at_most() {
+    for seed in 0..10 {
+        let mut fleet = Fleet::new(Plan { targets: 4, restart_ms: 500, seed, ..STREAMS });
+        fleet.schedule_sound(16_000);
+        fleet.run(4_000);
+        fleet.is_broken = true;
+        fleet.run(12_000);
+        let wronged = fleet.refused.iter().filter(|(_, code, _)| *code == RefusalCode::Quarantined);
+        let wronged: std::collections::BTreeSet<u64> =
+            wronged.map(|(request, ..)| *request).collect();
+        assert!(wronged.len() <= 1, "seed {seed}: {wronged:?}");
+    }
+}
