Repeat requests that crash replicas in the platform's soak

Each period another request, of each kind in turn, at random VMs under new ids; repeats may overlap. Judged as on the platform, from three seconds after the third crash on.

--- a/tests/platform-standin/src/calls.rs
+++ b/tests/platform-standin/src/calls.rs
@@ -12,7 +12,7 @@
 use tokio::net::TcpStream;
 
 use crate::deployment::{API_KEY, HOST};
-use crate::replica::{CRASHING_PART_PREFIX, EVENTS_PER_STREAM, event_text};
+use crate::replica::{CRASHING_PART_PREFIX, CRASHING_QUERY_PREFIX, EVENTS_PER_STREAM, event_text};
 
 /// Deadline that a request states. The caller itself waits for twice as long.
 const REQUEST_DEADLINE: Duration = Duration::from_secs(3);
@@ -29,6 +29,8 @@
 const CRASHING_CALLS_DURATION: Duration = Duration::from_secs(9);
 /// Mean delay between two of these calls.
 const CRASHING_CALL_DELAY: Duration = Duration::from_millis(150);
+/// Mean delay between two repeats of a request that crashes replicas; two of them may overlap.
+const CRASHING_REPEAT_DELAY: Duration = Duration::from_millis(350);
 
 /// Kinds of calls, by whether they may be executed or resumed more than once.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -177,6 +179,44 @@
     }
 }
 
+/// Repeats a request that crashes replicas until `stop` is set, at random VMs, under a new id each time
+/// and over a connection of its own. Each [`CRASHING_PART_PERIOD`] has another request.
+pub async fn run_crashing_repeater(
+    seed: u64,
+    rotation: Rotation,
+    call_log: CallLog,
+    stop: Rc<RefCell<bool>>,
+) {
+    let mut rng = StdRng::seed_from_u64(seed.rotate_left(16));
+    let started_at = Instant::now();
+    let mut repeats = 0;
+    while !*stop.borrow() {
+        let delay = CRASHING_REPEAT_DELAY.mul_f64(rng.random_range(0.0..2.0));
+        actix_rt::time::sleep(delay).await;
+        let elapsed = started_at.elapsed().as_millis();
+        let period = elapsed / CRASHING_PART_PERIOD.as_millis();
+        if elapsed % CRASHING_PART_PERIOD.as_millis() >= CRASHING_CALLS_DURATION.as_millis() {
+            continue;
+        }
+        let chosen = {
+            let vms = rotation.borrow();
+            let index = rng.random_range(0..vms.len().max(1));
+            vms.get(index).copied()
+        };
+        repeats += 1;
+        let call_log = call_log.clone();
+        let kind = CallKind::ALL[(seed as usize + period as usize) % CallKind::ALL.len()];
+        let path = format!("{}?{CRASHING_QUERY_PREFIX}{period}", kind.path());
+        let id = format!("{seed:x}-repeated-{repeats}");
+        actix_rt::spawn(async move {
+            let Some((vm, address)) = chosen else { return };
+            let Ok(mut caller) = Caller::connect(vm, address).await else { return };
+            let (record, _) = caller.call(kind, &path, id, API_KEY).await;
+            call_log.borrow_mut().push(record);
+        });
+    }
+}
+
 /// A connection of a caller. It accepts only responses whose end is declared by a length or by
 /// chunks.
 #[derive(Debug)]
--- a/tests/platform-standin/src/main.rs
+++ b/tests/platform-standin/src/main.rs
@@ -40,34 +40,47 @@
         /// Duration of the fault injection, in seconds.
         #[arg(long, default_value_t = 30)]
         seconds: u64,
-        /// Also restore the platform's store from older copies.
-        #[arg(long)]
-        restores: bool,
-        /// Also send calls with parts of prompts that crash engines.
-        #[arg(long)]
-        crashing_parts: bool,
-        /// Also let replicas name limits of requests.
-        #[arg(long)]
-        limits: bool,
+        #[command(flatten)]
+        options: SoakOptions,
         /// Folder for settings files and logs; those of failed seeds are not deleted.
         #[arg(long, default_value = "target/soak")]
         folder: PathBuf,
     },
 }
 
+/// Selects what a soak injects beside its usual faults.
+#[derive(Debug, Clone, Copy, clap::Args)]
+struct SoakOptions {
+    /// Also restore the platform's store from older copies.
+    #[arg(long)]
+    restores: bool,
+    /// Also send calls with parts of prompts that crash engines.
+    #[arg(long)]
+    crashing_parts: bool,
+    /// Also repeat requests that crash replicas.
+    #[arg(long)]
+    crashing_requests: bool,
+    /// Also let replicas name limits of requests.
+    #[arg(long)]
+    limits: bool,
+}
+
 fn main() -> ExitCode {
     let Arguments { daemon, command } = Arguments::parse();
     let result = actix_rt::System::new().block_on(async {
         match command {
             Command::Stand { vms, folder } => stand(&daemon, &folder, vms).await.map(|()| true),
-            Command::Soak { seed, seeds, seconds, restores, crashing_parts, limits, folder } => {
+            Command::Soak { seed, seeds, seconds, options, folder } => {
                 let mut all_passed = true;
                 for seed in seed..seed + seeds {
+                    let SoakOptions { restores, crashing_parts, crashing_requests, limits } =
+                        options;
                     let plan = soak::Plan {
                         seed,
                         seconds,
                         restores,
                         crashing_parts,
+                        crashing_requests,
                         limits,
                         ..soak::Plan::default()
                     };
--- a/tests/platform-standin/src/replica.rs
+++ b/tests/platform-standin/src/replica.rs
@@ -24,6 +24,8 @@
 pub const EVENTS_PER_STREAM: u64 = 6;
 /// A replica crashes once it has begun a response to a call with a part whose name begins so.
 pub const CRASHING_PART_PREFIX: &str = "dead";
+/// A replica crashes once it has begun to execute a request whose query begins so.
+pub const CRASHING_QUERY_PREFIX: &str = "dead";
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(400);
 /// One in so many resumable streams ends inside an event, although its response ends regularly.
 const TRUNCATED_STREAM_RATIO: u64 = 16;
@@ -46,12 +48,21 @@
     pub has_key: bool,
     /// Whether the replica had been draining for longer than its drain period.
     pub after_drain_period: bool,
-    /// The part of the prompt under which the replica crashed.
-    pub crashing_part: Option<String>,
+    /// The part of the prompt, or the query, under which the replica crashed.
+    pub crashing_content: Option<CrashingContent>,
     /// The limit in requests a second that the replica named in its response.
     pub limit: Option<f64>,
 }
 
+/// Names the content under which a replica crashed.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub enum CrashingContent {
+    /// A part of the prompt, which requests that are not alike share.
+    Part(String),
+    /// The request, by its path and query.
+    Request(String),
+}
+
 /// The executions of all replicas by request id; clones share the log.
 #[derive(Debug, Clone, Default)]
 pub struct ExecutionLog(Arc<Mutex<HashMap<String, Vec<Execution>>>>);
@@ -308,14 +319,18 @@
             let mut names = parts.split(',').filter_map(|part| part.split(':').next());
             names.find(|name| name.starts_with(CRASHING_PART_PREFIX)).map(ToOwned::to_owned)
         });
-        let crashes = crashing_part.is_some();
+        let uri = req.uri();
+        let is_crashing = uri.query().is_some_and(|q| q.starts_with(CRASHING_QUERY_PREFIX));
+        let crashing_request = is_crashing.then(|| CrashingContent::Request(uri.to_string()));
+        let crashing_content = crashing_request.or(crashing_part.map(CrashingContent::Part));
+        let crashes = crashing_content.is_some();
         let execution = Execution {
             replica_id: self.spec.id.clone(),
             started_at: Instant::now(),
             account: header(&req, "x-tenant").unwrap_or_default(),
             has_key: header(&req, "authorization").is_some(),
             after_drain_period: is_after_drain,
-            crashing_part,
+            crashing_content,
             limit: self.limit(),
         };
         self.execution_log.record(call.clone(), execution);
@@ -351,6 +366,9 @@
             response.headers_mut().insert(actix_http::header::CONTENT_TYPE, kind);
             response
         } else {
+            if crashes {
+                return std::future::pending().await;
+            }
             actix_rt::time::sleep(PLAIN_CALL_DURATION).await;
             let body = format!("{call} from {}", self.spec.id);
             Response::with_body(StatusCode::OK, BoxBody::new(body))
--- a/tests/platform-standin/src/soak.rs
+++ b/tests/platform-standin/src/soak.rs
@@ -21,7 +21,7 @@
 use self::fault::Fault;
 use crate::calls::{self, CallKind, CallLog, CallRecord, Caller, Rotation};
 use crate::deployment::{ACCOUNT, DRAIN_PERIOD, Deployment};
-use crate::replica::Execution;
+use crate::replica::{CrashingContent, Execution};
 use crate::store::StoreFault;
 
 const TICK_INTERVAL: Duration = Duration::from_millis(50);
@@ -49,7 +49,9 @@
 const CRASHED_REPLICA_DOWNTIME: Duration = Duration::from_millis(1_200);
 /// Replicas that may crash under one part before its calls must reach no further ones.
 const MAX_CRASHES: usize = 5;
-/// Calls with such a part that may still be executed later than [`SETTLE_TIME`] after these crashes.
+/// The same for one request.
+const MAX_CRASHES_UNDER_REQUEST: usize = 3;
+/// Calls with such content that may still be executed later than [`SETTLE_TIME`] after these crashes.
 const MAX_LATE_CRASHING_CALLS: usize = 3;
 /// Fraction of calls that must be served in the measurement period.
 const MIN_SERVED_FRACTION: f64 = 0.9;
@@ -74,6 +76,8 @@
     pub restores: bool,
     /// Whether calls also come with parts of prompts that crash engines.
     pub crashing_parts: bool,
+    /// Whether requests that crash replicas also come again and again.
+    pub crashing_requests: bool,
     /// Whether replicas also name limits of requests. These faults are drawn separately too.
     pub limits: bool,
 }
@@ -89,6 +93,7 @@
             callers: 24,
             restores: false,
             crashing_parts: false,
+            crashing_requests: false,
             limits: false,
         }
     }
@@ -134,7 +139,7 @@
 /// Runs one seed. Settings files and logs of the daemons stay in `folder`.
 pub async fn run(daemon: &Path, folder: &Path, plan: Plan) -> std::io::Result<Report> {
     let (vms, engines, plain_replicas) = (plan.vms, plan.engines, plan.plain_replicas);
-    let exchanges_digests = plan.crashing_parts || plan.limits;
+    let exchanges_digests = plan.crashing_parts || plan.crashing_requests || plan.limits;
     let spawned =
         Deployment::spawn(daemon, folder, vms, engines, plain_replicas, exchanges_digests);
     let deployment = spawned.await?;
@@ -165,8 +170,16 @@
         call_log.clone(),
         stop_crashing.clone(),
     ));
+    let stop_repeats = Rc::new(RefCell::new(!plan.crashing_requests));
+    actix_rt::spawn(calls::run_crashing_repeater(
+        plan.seed,
+        rotation.clone(),
+        call_log.clone(),
+        stop_repeats.clone(),
+    ));
     soak.inject(&rotation).await?;
     *stop_crashing.borrow_mut() = true;
+    *stop_repeats.borrow_mut() = true;
     soak.check_recovery(&rotation, &call_log).await?;
     *stop.borrow_mut() = true;
     sleep(Duration::from_secs(4)).await;
@@ -474,7 +487,7 @@
     /// Checks the calls that callers recorded against the executions that replicas logged.
     fn check_calls(&mut self, records: &[CallRecord]) {
         self.violations.extend(records.iter().filter_map(CallRecord::violation));
-        self.check_crashing_parts(records);
+        self.check_crashing_content(records);
         self.check_limits(records);
         for record in records {
             let executions = self.deployment.execution_log.executions(&record.call_id);
@@ -528,41 +541,45 @@
         }
     }
 
-    /// Checks that calls with a part that crashes replicas stop reaching them.
-    fn check_crashing_parts(&mut self, records: &[CallRecord]) {
+    /// Checks that calls with content that crashes replicas stop reaching them.
+    fn check_crashing_content(&mut self, records: &[CallRecord]) {
         let vms: HashMap<&str, usize> =
             records.iter().map(|record| (record.call_id.as_str(), record.vm)).collect();
-        let mut by_part: HashMap<String, Vec<(String, Execution)>> = HashMap::new();
+        let mut by_content: HashMap<CrashingContent, Vec<(String, Execution)>> = HashMap::new();
         for (call, executions) in self.deployment.execution_log.all() {
             for execution in executions {
-                if let Some(part) = execution.crashing_part.clone() {
-                    by_part.entry(part).or_default().push((call.clone(), execution));
+                if let Some(content) = execution.crashing_content.clone() {
+                    by_content.entry(content).or_default().push((call.clone(), execution));
                 }
             }
         }
-        for (part, mut executions) in by_part {
+        for (content, mut executions) in by_content {
             executions.sort_by_key(|(_, execution)| execution.started_at);
+            let max_crashes = match content {
+                CrashingContent::Part(_) => MAX_CRASHES,
+                CrashingContent::Request(_) => MAX_CRASHES_UNDER_REQUEST,
+            };
             let mut replicas: Vec<&str> = Vec::new();
-            let mut fifth = None;
+            let mut last = None;
             for (_, execution) in &executions {
                 if !replicas.contains(&execution.replica_id.as_str()) {
                     replicas.push(&execution.replica_id);
-                    if replicas.len() == MAX_CRASHES {
-                        fifth = Some(execution.started_at);
+                    if replicas.len() == max_crashes {
+                        last = Some(execution.started_at);
                     }
                 }
             }
-            let Some(fifth) = fifth else { continue };
+            let Some(last) = last else { continue };
             let late = executions.iter().filter(|(call, execution)| {
                 let vm = vms.get(call.as_str()).copied();
-                execution.started_at > fifth + SETTLE_TIME
+                execution.started_at > last + SETTLE_TIME
                     && vm.is_some_and(|vm| self.was_in_touch(vm, execution.started_at))
             });
             let late = late.count();
             if late > MAX_LATE_CRASHING_CALLS {
                 let crashed = replicas.len();
                 self.violations.push(format!(
-                    "BUDGET: {late} calls with {part} were executed late; {crashed} replicas crashed"
+                    "BUDGET: {late} calls with {content:?} were executed late; {crashed} replicas crashed"
                 ));
             }
         }
