Weigh a request against the crashes that it was not in

Cause: the calls that a crash ended beside the request counted as calls that crash anyway. Only other crashes count now, and a second estimate, the rate of these in the time for which the request ran, keeps long streams from being blamed by chance.

--- a/crates/cumintrail-control/src/control/quarantines.rs
+++ b/crates/cumintrail-control/src/control/quarantines.rs
@@ -104,7 +104,10 @@
     }
 
     pub(super) fn decide_quarantines(&mut self, now: Moment, actions: &mut Actions) {
-        if self.quarantine.decide(now, self.settle_time()) || self.quarantine.is_report_urgent() {
+        let (settle_time, snapshot) = (self.settle_time(), self.snapshot.clone());
+        let target_count = |pool| snapshot.as_deref().map_or(0, |s| target_count(s, pool));
+        let is_new = self.quarantine.decide(now, settle_time, target_count);
+        if is_new || self.quarantine.is_report_urgent() {
             self.send_digest_soon(now);
         }
         actions.extend(self.quarantine.take_changes().into_iter().map(Action::ReportQuarantine));
@@ -160,3 +163,16 @@
         declared.map_or(0, |target| name_hash(&target.name)) ^ incarnation
     }
 }
+
+/// Returns the number of targets of the model or service whose name has a hash.
+fn target_count(snapshot: &Snapshot, pool: u64) -> usize {
+    let is_in_pool = |kind: TargetKind| {
+        let name = match kind {
+            TargetKind::Engine(model) => snapshot.models.get(model).map(|m| &m.name),
+            TargetKind::Service(service) => snapshot.services.get(service).map(|s| &s.name),
+        };
+        name.is_some_and(|name| name_hash(name) == pool)
+    };
+    let listed = snapshot.targets.iter().filter(|(_, target)| !target.retired);
+    listed.filter(|(_, target)| is_in_pool(target.kind)).count()
+}
--- a/crates/cumintrail-control/src/quarantine.rs
+++ b/crates/cumintrail-control/src/quarantine.rs
@@ -7,11 +7,11 @@
 //! Targets that end at the same moment accuse nothing: their hosts, their network or an operator
 //! ended them.
 
-mod call_counts;
 mod content;
 mod evidence;
 mod report;
 mod requests;
+mod served_calls;
 
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
@@ -21,13 +21,12 @@
 use derive_more::Display;
 use smallvec::SmallVec;
 
-pub use self::call_counts::CallCounts;
-use self::call_counts::RecentCalls;
 pub use self::content::{CallContent, ContentKey, Scope};
 use self::evidence::{BlamedRequests, CompletedContent, Crash, Evidence, Verdict};
 pub use self::evidence::{Doubt, DoubtReason};
 pub use self::report::{QuarantineReport, ReportedCrash, ReportedQuarantine, ReportedTargetCrash};
-use self::requests::RequestEvidence;
+use self::requests::{PoolState, RequestEvidence};
+use self::served_calls::ServedCalls;
 use crate::record_time::RecordTime;
 
 /// How long content stays in quarantine after the last crash under it.
@@ -139,6 +138,13 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum PendingReport {
     Crash(Crash),
+    /// A target of a model or service crashed and ended this many calls of this daemon.
+    TargetCrash {
+        target: u64,
+        pool: u64,
+        ended: RecordTime,
+        broken: u32,
+    },
     /// A request of an account was at a target, of a model or service, when it crashed.
     RequestCrash {
         target: u64,
@@ -146,6 +152,7 @@
         ended: RecordTime,
         request: ContentKey,
         account: u64,
+        ran: Duration,
     },
     CommonCrash(u64),
     Cleared(ContentKey),
@@ -162,7 +169,7 @@
     completed_requests: CompletedContent,
     evidence: Evidence,
     requests: RequestEvidence,
-    recent_calls: RecentCalls,
+    served_calls: ServedCalls,
     quarantined: HashMap<ContentKey, Quarantined>,
     broken: HashMap<TargetKey, Vec<BrokenCall>>,
     crashed: HashMap<TargetKey, Moment>,
@@ -198,7 +205,7 @@
         report_rounds: u32,
     ) -> bool {
         self.evidence.record_complete(now, pool);
-        self.recent_calls.record(now, pool, CallCounts { served: 1, broken: 0 });
+        self.served_calls.record(now, pool);
         content.shared.iter().for_each(|shared| self.completed.insert(now, *shared));
         if let Some(request) = content.request {
             self.completed_requests.insert(now, request);
@@ -341,18 +348,17 @@
 
     fn record_crash(&mut self, now: Moment, target: u64, calls: &[BrokenCall], report_rounds: u32) {
         let mut suspects = HashSet::new();
+        if let Some(first) = calls.first() {
+            let (pool, ended, broken) = (first.pool, first.broken.into(), calls.len() as u32);
+            self.requests.insert_crash((target, pool, ended), Some((None, broken)));
+            self.report(PendingReport::TargetCrash { target, pool, ended, broken }, report_rounds);
+        }
         for call in calls {
-            self.recent_calls.record(now, call.pool, CallCounts { served: 0, broken: 1 });
             let (pool, account, ended) = (call.pool, call.account, call.broken.into());
-            self.requests.insert_crash(target, pool, ended);
             if let Some(request) = call.content.request.filter(|r| !self.is_completed(*r)) {
                 suspects.insert(request);
-                self.record_request_crash(
-                    now,
-                    (target, pool, ended),
-                    (request, account),
-                    report_rounds,
-                );
+                let (crash, ran) = ((target, pool, ended), call.broken.since(call.sent));
+                self.record_request_crash(now, crash, (request, account), ran, report_rounds);
             }
             for content in call.content.shared.iter().copied() {
                 if self.completed.contains(content) {
@@ -377,13 +383,14 @@
         now: Moment,
         (target, pool, ended): (u64, u64, RecordTime),
         (request, account): (ContentKey, u64),
+        ran: Duration,
         rounds: u32,
     ) -> bool {
-        if !self.requests.insert_request(target, request, account) {
+        if !self.requests.insert_request(target, (request, account), ran) {
             return false;
         }
         self.decide_by(now);
-        let crash = PendingReport::RequestCrash { target, pool, ended, request, account };
+        let crash = PendingReport::RequestCrash { target, pool, ended, request, account, ran };
         self.report(crash, rounds)
     }
 
@@ -402,8 +409,8 @@
         {
             self.evidence.record_peer_complete(now, *from, *pool, RecordTime::before(now, *age));
         }
-        if let Some(from) = from.filter(|_| !report.recent_calls.is_empty()) {
-            self.recent_calls.record_peer(now, from, report.recent_calls.clone());
+        if let Some(from) = from.filter(|_| !report.served_calls.is_empty()) {
+            self.served_calls.record_peer(now, from, report.served_calls.clone());
         }
         for content in &report.cleared {
             self.completed.insert(now, *content);
@@ -435,7 +442,7 @@
             }
         }
         for crash in &report.target_crashes {
-            is_urgent |= self.apply_target_crash(now, crash, relay_rounds);
+            is_urgent |= self.apply_target_crash(now, from, crash, relay_rounds);
         }
         for entry in report.quarantined.iter().map(|entry| entry.received(now)) {
             if self.is_lifted(now, entry.content, Some(entry.until)) {
@@ -457,14 +464,16 @@
     fn apply_target_crash(
         &mut self,
         now: Moment,
+        from: Option<SocketAddr>,
         crash: &ReportedTargetCrash,
         relay_rounds: u32,
     ) -> bool {
         let (target, pool) = (crash.target, crash.pool);
         let ended = RecordTime::before(now, crash.ended_age);
-        self.requests.insert_crash(target, pool, ended);
+        let broken = crash.broken.map(|calls| (from, calls)).filter(|_| from.is_some());
+        self.requests.insert_crash((target, pool, ended), broken);
         let mut is_urgent = false;
-        for (request, account) in &crash.requests {
+        for (request, account, ran) in &crash.requests {
             let is_lifted = self.lifted.get(request).is_some_and(|lifted| ended <= *lifted);
             is_urgent |= match *request {
                 _ if is_lifted => false,
@@ -473,7 +482,8 @@
                 }
                 request => {
                     let crash = (target, pool, ended);
-                    self.record_request_crash(now, crash, (request, *account), relay_rounds)
+                    let request = (request, *account);
+                    self.record_request_crash(now, crash, request, *ran, relay_rounds)
                 }
             };
         }
@@ -494,8 +504,12 @@
                 PendingReport::RequestCrash { request, .. } if self.is_completed(request) => {
                     continue;
                 }
-                PendingReport::RequestCrash { target, pool, ended, request, account } => {
-                    report.add_request(now, (target, pool, ended), (request, account));
+                PendingReport::RequestCrash { target, pool, ended, request, account, ran } => {
+                    let crash = report.target_crash(now, (target, pool, ended));
+                    crash.requests.push((request, account, ran));
+                }
+                PendingReport::TargetCrash { target, pool, ended, broken } => {
+                    report.target_crash(now, (target, pool, ended)).broken = Some(broken);
                 }
                 PendingReport::CommonCrash(target) => report.common_crashes.push(target),
                 PendingReport::Cleared(content) => report.cleared.push(content),
@@ -509,7 +523,7 @@
         }
         if !self.evidence.is_empty() || !self.requests.is_empty() {
             report.completed = self.evidence.last_completed_ages(now);
-            report.recent_calls = self.recent_calls.own(now);
+            report.served_calls = self.served_calls.own(now);
         }
         let entries = self.entries(now);
         report.quarantined = entries.map(|entry| ReportedQuarantine::new(now, entry)).collect();
@@ -517,9 +531,14 @@
     }
 
     /// Weighs the crashes if something changed; `settle_time` is the time after which the records
-    /// of all daemons about a crash are expected to be here. Returns whether content was
-    /// quarantined.
-    pub fn decide(&mut self, now: Moment, settle_time: Duration) -> bool {
+    /// of all daemons about a crash are expected to be here, and `target_count` returns the number of
+    /// targets of a model or service. Returns whether content was quarantined.
+    pub fn decide(
+        &mut self,
+        now: Moment,
+        settle_time: Duration,
+        target_count: impl Fn(u64) -> usize,
+    ) -> bool {
         if self.next_decision.is_none_or(|at| at > now) {
             return false;
         }
@@ -536,9 +555,12 @@
             explained.extend(self.requests.targets(*content));
         }
         let is_blamed = |content| self.quarantined.contains_key(&content);
-        let recent_calls = |pool| self.recent_calls.all(now, pool);
+        let state = |pool| {
+            let (served, targets) = (self.served_calls.all(now, pool), target_count(pool));
+            PoolState { served, targets }
+        };
         let (verdicts, mut doubts, is_request_final) =
-            self.requests.weigh(now, settle_time, &explained, is_blamed, recent_calls);
+            self.requests.weigh(now, settle_time, &explained, is_blamed, state);
         is_new |= self.apply_verdicts(now, verdicts);
 
         let mut blamed = BlamedRequests::default();
--- a/crates/cumintrail-control/src/quarantine/evidence.rs
+++ b/crates/cumintrail-control/src/quarantine/evidence.rs
@@ -331,9 +331,9 @@
 
 impl BlamedRequests {
     /// Adds a request and the targets that crashed under it.
-    pub fn insert(&mut self, request: ContentKey, targets: &[u64]) {
+    pub fn insert(&mut self, request: ContentKey, targets: impl Iterator<Item = u64>) {
         for target in targets {
-            self.0.entry(*target).or_default().push(request.0);
+            self.0.entry(target).or_default().push(request.0);
         }
     }
 
--- a/crates/cumintrail-control/src/quarantine/report.rs
+++ b/crates/cumintrail-control/src/quarantine/report.rs
@@ -5,7 +5,7 @@
 use cumintrail_types::Moment;
 
 use super::evidence::Crash;
-use super::{CallCounts, ContentKey, QUARANTINE_TIME, Quarantined, Scope};
+use super::{ContentKey, QUARANTINE_TIME, Quarantined, Scope};
 use crate::record_time::RecordTime;
 
 /// Collects what daemons report to each other about crashes.
@@ -26,9 +26,9 @@
     /// How long ago the sender's last call to each model or service, by the hash of its name, got
     /// a complete response; only while crashes are recorded.
     pub completed: Vec<(u64, Duration)>,
-    /// The sender's recent calls to each model or service, by the hash of its name; only while
-    /// crashes are recorded.
-    pub recent_calls: Vec<(u64, CallCounts)>,
+    /// The number of calls to each model or service, by the hash of its name, that the sender lately
+    /// served; only while crashes are recorded.
+    pub served_calls: Vec<(u64, u32)>,
 }
 
 /// Reports that a target crashed while a call with some content was at it.
@@ -60,8 +60,10 @@
     pub pool: u64,
     /// How long ago its calls broke.
     pub ended_age: Duration,
-    /// The requests, with the hash of the name of their account.
-    pub requests: Vec<(ContentKey, u64)>,
+    /// How many calls of the sender it ended; `None` in a report that is passed on.
+    pub broken: Option<u32>,
+    /// The requests, with the hash of the name of their account and how long they had been there.
+    pub requests: Vec<(ContentKey, u64, Duration)>,
 }
 
 /// Reports content in quarantine.
@@ -102,18 +104,20 @@
 }
 
 impl QuarantineReport {
-    /// Adds a request of an account that was at a target when it crashed.
-    pub(super) fn add_request(
+    /// Returns the report of a target's crash, which it adds if there is none.
+    pub(super) fn target_crash(
         &mut self,
         now: Moment,
         (target, pool, ended): (u64, u64, RecordTime),
-        request: (ContentKey, u64),
-    ) {
-        if let Some(crash) = self.target_crashes.iter_mut().find(|crash| crash.target == target) {
-            return crash.requests.push(request);
-        }
-        let (ended_age, requests) = (ended.age(now), vec![request]);
-        self.target_crashes.push(ReportedTargetCrash { target, pool, ended_age, requests });
+    ) -> &mut ReportedTargetCrash {
+        let known = self.target_crashes.iter().position(|crash| crash.target == target);
+        let index = known.unwrap_or_else(|| {
+            let (ended_age, broken, requests) = (ended.age(now), None, Vec::new());
+            let crash = ReportedTargetCrash { target, pool, ended_age, broken, requests };
+            self.target_crashes.push(crash);
+            self.target_crashes.len() - 1
+        });
+        &mut self.target_crashes[index]
     }
 
     /// Returns whether there is nothing to report.
@@ -125,6 +129,6 @@
             && self.lifted.is_empty()
             && self.quarantined.is_empty()
             && self.completed.is_empty()
-            && self.recent_calls.is_empty()
+            && self.served_calls.is_empty()
     }
 }
--- a/crates/cumintrail-control/tests/quarantine.rs
+++ b/crates/cumintrail-control/tests/quarantine.rs
@@ -40,7 +40,7 @@
             now = now + Duration::from_millis(100);
             quarantine.record_complete(now, served, &with_part(other), 0);
         }
-        quarantine.decide(now, Duration::ZERO);
+        quarantine.decide(now, Duration::ZERO, |_| 12);
     }
     now
 }
@@ -68,7 +68,7 @@
     let target = (TargetKey(50), 150);
     quarantine.record_broken(now, target, broken(other, 1_000, now, now), 0);
     quarantine.record_unreachable(now, target.0, target.1, 0);
-    quarantine.decide(now, Duration::ZERO);
+    quarantine.decide(now, Duration::ZERO, |_| 12);
     let is_quarantined =
         |change: &QuarantineChange| matches!(change, QuarantineChange::Quarantined { .. });
     assert!(!quarantine.take_changes().iter().any(is_quarantined), "another crash renewed it");
--- a/crates/cumintrail-wire/src/peer.rs
+++ b/crates/cumintrail-wire/src/peer.rs
@@ -12,8 +12,7 @@
 use cumintrail_config::{Delta, Sections};
 use cumintrail_control::membership::VmChanges;
 use cumintrail_control::quarantine::{
-    CallCounts, ContentKey, QuarantineReport, ReportedCrash, ReportedQuarantine,
-    ReportedTargetCrash, Scope,
+    ContentKey, QuarantineReport, ReportedCrash, ReportedQuarantine, ReportedTargetCrash, Scope,
 };
 use cumintrail_control::stream_origins::StreamOrigin;
 use cumintrail_control::target_limits::ReportedLimit;
@@ -71,9 +70,8 @@
     crash_requests: Vec<u64>,
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     target_crashes: Vec<TargetCrashMessage>,
-    /// Model or service, recent calls that were served, and those that crashes ended.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    recent_calls: Vec<(u64, u32, u32)>,
+    served_calls: Vec<(u64, u32)>,
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     limits: Vec<(u64, Option<u32>, u32)>,
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
@@ -118,12 +116,7 @@
                 .iter()
                 .map(TargetCrashMessage::from)
                 .collect(),
-            recent_calls: d
-                .quarantine
-                .recent_calls
-                .iter()
-                .map(|(pool, counts)| (*pool, counts.served, counts.broken))
-                .collect(),
+            served_calls: d.quarantine.served_calls.clone(),
             quarantine: d.quarantine.into(),
             limits: d
                 .limits
@@ -145,11 +138,7 @@
             crash.request = request.unwrap_or(crash.target);
         }
         quarantine.target_crashes = m.target_crashes.into_iter().map(Into::into).collect();
-        quarantine.recent_calls = m
-            .recent_calls
-            .into_iter()
-            .map(|(pool, served, broken)| (pool, CallCounts { served, broken }))
-            .collect();
+        quarantine.served_calls = m.served_calls;
         Self {
             vm: m.vm,
             domain: m.domain,
@@ -275,28 +264,34 @@
             quarantined: quarantined.into_iter().map(entry).collect(),
             completed: completed.into_iter().map(|(pool, age)| (pool, millis(age))).collect(),
             target_crashes: Vec::new(),
-            recent_calls: Vec::new(),
+            served_calls: Vec::new(),
         }
     }
 }
 
 /// Encodes a [`ReportedTargetCrash`] without field names: target, model or service, age in
-/// milliseconds, requests with their accounts.
+/// milliseconds, calls of the sender, requests with their accounts and the milliseconds there.
 #[derive(Debug, Clone, Serialize, Deserialize)]
-struct TargetCrashMessage(u64, u64, u32, Vec<(u64, u64)>);
+struct TargetCrashMessage(u64, u64, u32, Option<u32>, Vec<(u64, u64, u32)>);
 
 impl From<&ReportedTargetCrash> for TargetCrashMessage {
     fn from(crash: &ReportedTargetCrash) -> Self {
-        let requests = crash.requests.iter().map(|(request, account)| (request.0, *account));
-        Self(crash.target, crash.pool, to_millis(crash.ended_age), requests.collect())
+        let requests = crash
+            .requests
+            .iter()
+            .map(|(request, account, ran)| (request.0, *account, to_millis(*ran)));
+        let age = to_millis(crash.ended_age);
+        Self(crash.target, crash.pool, age, crash.broken, requests.collect())
     }
 }
 
 impl From<TargetCrashMessage> for ReportedTargetCrash {
-    fn from(TargetCrashMessage(target, pool, age, requests): TargetCrashMessage) -> Self {
-        let requests = requests.into_iter().map(|(request, account)| (request.into(), account));
+    fn from(TargetCrashMessage(target, pool, age, broken, requests): TargetCrashMessage) -> Self {
+        let requests = requests.into_iter().map(|(request, account, ran)| {
+            (request.into(), account, Duration::from_millis(ran.into()))
+        });
         let ended_age = Duration::from_millis(age.into());
-        Self { target, pool, ended_age, requests: requests.collect() }
+        Self { target, pool, ended_age, broken, requests: requests.collect() }
     }
 }
 
