Record recent software versions for daemons that start after one ended

Cause: a daemon knew which versions had lately ended only from what it had seen itself. One that started after the last target of a version had left sent a stream of that version, whose origin no peer knew any more, to the version that was left.

Change: the daemon of lease rank zero keeps a row of the platform with the versions of each model and service that has or lately had several. A gateway is ready once the first read has ended, whatever its outcome.

The red test is unchanged but for the name of its set-up; the other tests of stream_origins start from a daemon that has read an empty row, and expect what they expected before. The stand-in of the platform keeps the daemons' rows by key.

--- a/crates/cumintrail-control/src/control.rs
+++ b/crates/cumintrail-control/src/control.rs
@@ -14,6 +14,7 @@
 mod quarantines;
 mod reads;
 mod rollouts;
+mod software;
 mod state;
 mod stores;
 
@@ -46,6 +47,7 @@
 use crate::quarantine::Quarantine;
 use crate::retry::{RetryBudget, RetryPolicy};
 use crate::rollout::Rollout;
+use crate::software_history::SoftwareHistory;
 use crate::stream_origins::StreamOrigins;
 use crate::{Actions, Call, Event, TargetLoad};
 
@@ -109,6 +111,7 @@
     streaming_time: Duration,
     announced_versions: AnnouncedVersions,
     stream_origins: StreamOrigins,
+    software_history: SoftwareHistory,
     quarantine: Quarantine,
     limit_state: LimitState,
     /// The readers in the last `Action::AssignReaders`.
@@ -169,6 +172,7 @@
             streaming_time: Duration::ZERO,
             announced_versions: AnnouncedVersions::default(),
             stream_origins: StreamOrigins::default(),
+            software_history: SoftwareHistory::default(),
             quarantine: Quarantine::default(),
             limit_state: LimitState::default(),
             reader_assignment: ReaderAssignment::default(),
@@ -273,6 +277,10 @@
                 self.rollout.record_era(now, era);
                 self.rollout.handle_lease_written(now, sent, committed, version);
             }
+            Event::SoftwareHistoryRead(row) => self.handle_software_history(now, row),
+            Event::SoftwareHistoryWritten { row_version } => {
+                self.software_history.handle_written(row_version);
+            }
             Event::LeaseFailed => self.rollout.handle_lease_failure(now),
             Event::OrderEnded { target, outcome } => {
                 self.rollout.handle_order_end(now, target, outcome);
--- a/crates/cumintrail-control/src/control/arrivals.rs
+++ b/crates/cumintrail-control/src/control/arrivals.rs
@@ -1,6 +1,5 @@
 //! Handling of calls from their arrival to the dispatch of an attempt.
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use cumintrail_config::{Preset, Snapshot, Target, TargetKind};
@@ -57,24 +56,6 @@
         }
     }
 
-    /// Returns the software version that a call must run at; `None` if any will do.
-    ///
-    /// The daemon that began the stream may not have reported it yet, so the caller may try again
-    /// after its next digest.
-    fn required_software(
-        &self,
-        now: Moment,
-        arrival: &Arrival,
-    ) -> Result<Option<Arc<str>>, Refusal> {
-        let Some(snapshot) = &self.snapshot else {
-            return Ok(None);
-        };
-        let request = arrival.options.stream;
-        let required = self.stream_origins.required_version(now, arrival.kind, request, snapshot);
-        let unknown = Refusal::not_run(RefusalCode::UnknownStream);
-        required.map_err(|_| unknown.retry_after(self.identity.digest_interval))
-    }
-
     /// Returns the retry budget of one model or plain service.
     pub(super) fn retry_budget(&mut self, kind: TargetKind) -> &mut RetryBudget {
         let policy = self.own_retry_policy();
--- a/crates/cumintrail-control/src/control/maintenance.rs
+++ b/crates/cumintrail-control/src/control/maintenance.rs
@@ -65,6 +65,7 @@
         self.start_store_reads(now, actions);
         self.start_exports(now, actions);
         self.tick_rollout(now, actions);
+        self.update_software_history(now, actions);
         self.free_unused_parts(now, actions);
         self.order_preloads(now, actions);
         self.decide_quarantines(now, actions);
--- /dev/null
+++ b/crates/cumintrail-control/src/control/software.rs
@@ -0,0 +1,77 @@
+//! The record of recent software versions, and the versions at which streams may be resumed.
+
+use std::sync::Arc;
+
+use cumintrail_config::TargetKind;
+use cumintrail_types::{Moment, Refusal, RefusalCode};
+
+use super::Control;
+use crate::placement::Placer;
+use crate::software_history::{HistoryRow, PoolVersion};
+use crate::{Action, Actions, Arrival};
+
+impl<P: Placer> Control<P> {
+    /// Returns the software version that a call must run at; `None` if any will do.
+    ///
+    /// The daemon that began the stream may not have reported it yet, so the caller may try again
+    /// after its next digest.
+    pub(super) fn required_software(
+        &self,
+        now: Moment,
+        arrival: &Arrival,
+    ) -> Result<Option<Arc<str>>, Refusal> {
+        let Some(snapshot) = &self.snapshot else {
+            return Ok(None);
+        };
+        let request = arrival.options.stream;
+        let knows_history = !self.has_registry || self.software_history.is_known();
+        let origins = &self.stream_origins;
+        let required =
+            origins.required_version(now, arrival.kind, request, snapshot, knows_history);
+        let unknown = Refusal::not_run(RefusalCode::UnknownStream);
+        required.map_err(|_| unknown.retry_after(self.identity.digest_interval))
+    }
+
+    /// Reads the record of recent software versions once, and lets one daemon keep it up to date.
+    pub(super) fn update_software_history(&mut self, now: Moment, actions: &mut Actions) {
+        if !self.has_registry || self.snapshot.is_none() {
+            return;
+        }
+        let is_writer = self.membership.lease_rank(self.identity.address) == 0;
+        let recent = if is_writer { self.several_versions(now) } else { Vec::new() };
+        let request = self.software_history.next_request(now, &recent, is_writer);
+        actions.extend(request.map(Action::SoftwareHistory));
+    }
+
+    /// Returns the recent versions of the models and services that have or lately had several.
+    fn several_versions(&self, now: Moment) -> Vec<PoolVersion> {
+        let Some(snapshot) = &self.snapshot else {
+            return Vec::new();
+        };
+        let models = snapshot.models.iter().map(|(key, _)| TargetKind::Engine(key));
+        let kinds = models.chain(snapshot.services.iter().map(|(k, _)| TargetKind::Service(k)));
+        let mut several = Vec::new();
+        for kind in kinds {
+            let versions = self.stream_origins.recent_versions(now, kind, snapshot);
+            if versions.len() > 1 {
+                several.extend(versions.into_iter().map(|version| (self.pool_hash(kind), version)));
+            }
+        }
+        several.sort_unstable();
+        several
+    }
+
+    pub(super) fn handle_software_history(&mut self, now: Moment, row: HistoryRow) {
+        if let Some(snapshot) = self.snapshot.clone() {
+            let models = snapshot.models.iter().map(|(key, _)| TargetKind::Engine(key));
+            let kinds = models.chain(snapshot.services.iter().map(|(k, _)| TargetKind::Service(k)));
+            for kind in kinds {
+                let pool = self.pool_hash(kind);
+                for (_, version) in row.versions.iter().filter(|(of, _)| *of == pool) {
+                    self.stream_origins.record_history(now, kind, version.clone());
+                }
+            }
+        }
+        self.software_history.handle_read(row);
+    }
+}
--- a/crates/cumintrail-control/src/event.rs
+++ b/crates/cumintrail-control/src/event.rs
@@ -17,6 +17,7 @@
 use crate::parts::{PartPlans, PartsUpdate, StoredPart};
 use crate::quarantine::{CallContent, ContentKey, QuarantineChange};
 use crate::rollout::{LeaseRequest, LeaseRow, OrderOutcome};
+use crate::software_history::{HistoryRequest, HistoryRow};
 use crate::store_sync::{StoreRead, StoreResponse};
 use crate::stream_origins::StreamRequest;
 use crate::target_limits::LimitChange;
@@ -227,6 +228,14 @@
     },
     /// A read or write of the lease got no response; a write may have taken effect.
     LeaseFailed,
+    /// The row of recent software versions was read.
+    SoftwareHistoryRead(HistoryRow),
+    /// A write of that row ended.
+    SoftwareHistoryWritten {
+        /// The version that it gave the row; `None` if another daemon wrote it before, or if the
+        /// outcome is unknown.
+        row_version: Option<u64>,
+    },
     /// An order to a target ended.
     OrderEnded {
         /// The target.
@@ -319,6 +328,8 @@
     },
     /// Read or write the row of the lease under which orders are sent.
     Lease(LeaseRequest),
+    /// Read or write the row of recent software versions.
+    SoftwareHistory(HistoryRequest),
     /// Send an order to a target.
     Order(Order),
     /// Send a digest to a peer.
--- a/crates/cumintrail-control/src/lib.rs
+++ b/crates/cumintrail-control/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod registry;
 pub mod retry;
 pub mod rollout;
+pub mod software_history;
 pub mod store_sync;
 pub mod stream;
 pub mod stream_origins;
--- a/crates/cumintrail-control/src/stream_origins.rs
+++ b/crates/cumintrail-control/src/stream_origins.rs
@@ -168,12 +168,16 @@
     }
 
     /// Returns the software version that a call must run at; `None` if any will do.
+    ///
+    /// Unless `knows_history` is set, a stream of unknown origin may have begun at a version that
+    /// ended before this daemon started.
     pub fn required_version(
         &self,
         now: Moment,
         kind: TargetKind,
         request: Option<StreamRequest>,
         snapshot: &Snapshot,
+        knows_history: bool,
     ) -> Result<Option<Arc<str>>, UnknownOrigin> {
         let Some(StreamRequest::Continue(stream)) = request else {
             return Ok(None);
@@ -183,13 +187,18 @@
         }
         let mut versions = self.recent_versions(now, kind, snapshot);
         match versions.len() {
-            0 | 1 => Ok(versions.pop()),
+            0 | 1 if knows_history => Ok(versions.pop()),
             _ => Err(UnknownOrigin),
         }
     }
 
+    /// Records versions of a model or service that it lately had, by a record of another daemon.
+    pub fn record_history(&mut self, now: Moment, kind: TargetKind, software: Arc<str>) {
+        self.last_listed.insert((kind, software), now);
+    }
+
     /// Returns the distinct software versions at which a stream that goes on may have begun.
-    fn recent_versions(
+    pub fn recent_versions(
         &self,
         now: Moment,
         kind: TargetKind,
--- a/crates/cumintrail-daemon/src/background.rs
+++ b/crates/cumintrail-daemon/src/background.rs
@@ -4,6 +4,7 @@
 mod actions;
 mod config_sync;
 mod rollout;
+mod software;
 mod vm_list;
 mod warm;
 
@@ -18,6 +19,7 @@
 
 pub use self::actions::send_digest;
 pub use self::rollout::{exchange_lease, order_outcome, run_before};
+pub use self::software::exchange_history;
 pub use self::vm_list::report_configured_peers;
 use crate::metric;
 use crate::shared::Shared;
--- a/crates/cumintrail-daemon/src/gateway.rs
+++ b/crates/cumintrail-daemon/src/gateway.rs
@@ -132,6 +132,7 @@
         let shared =
             Shared::new(settings, incarnation, operator_address, link, table_writer, clock);
         let shared = Arc::new(shared);
+        shared.await_software_history(true);
 
         let control_arbiter = Arbiter::new();
         control_arbiter.spawn(control_thread::run(inbox, control, clock, actions_tx));
--- a/crates/cumintrail-daemon/src/gateway/orders.rs
+++ b/crates/cumintrail-daemon/src/gateway/orders.rs
@@ -15,7 +15,8 @@
 use super::publish::Publisher;
 use super::{Platform, follow, follower, parts, peers};
 use crate::background::{
-    exchange_lease, order_outcome, report_configured_peers, run_before, send_digest,
+    exchange_history, exchange_lease, order_outcome, report_configured_peers, run_before,
+    send_digest,
 };
 use crate::metric;
 use crate::shared::Shared;
@@ -56,6 +57,9 @@
     async fn run_action(&self, action: Action) {
         match action {
             Action::Lease(request) => exchange_lease(&self.client, &self.shared, request).await,
+            Action::SoftwareHistory(request) => {
+                exchange_history(&self.client, &self.shared, request).await;
+            }
             Action::Order(order) => self.send_order(&order).await,
             Action::Probe(target) => self.probe_target(target).await,
             Action::SendDigest { to, digest } => {
--- a/crates/cumintrail-daemon/src/shared.rs
+++ b/crates/cumintrail-daemon/src/shared.rs
@@ -96,6 +96,8 @@
     adoption_failure: ArcSwapOption<AdoptionFailure>,
     vm_list: Mutex<VersionedVmList>,
     stopping: AtomicBool,
+    /// Whether the record of recent software versions is still to be read for the first time.
+    awaits_software_history: AtomicBool,
     next_call_key: AtomicU64,
     pending_outcomes: AtomicUsize,
     pending_bytes: AtomicUsize,
@@ -166,6 +168,7 @@
             adoption_failure: ArcSwapOption::empty(),
             vm_list: Mutex::default(),
             stopping: AtomicBool::new(false),
+            awaits_software_history: AtomicBool::new(false),
             next_call_key: AtomicU64::new(1),
             pending_outcomes: AtomicUsize::new(0),
             pending_bytes: AtomicUsize::new(0),
@@ -251,7 +254,14 @@
 
     /// Returns whether the load balancer should send calls to this daemon.
     pub fn is_ready(&self) -> bool {
-        !self.is_stopping() && self.adopted.load().is_some()
+        let awaits_history = self.awaits_software_history.load(Ordering::Acquire);
+        !self.is_stopping() && self.adopted.load().is_some() && !awaits_history
+    }
+
+    /// Sets whether readiness waits for the first read of the record of recent software versions,
+    /// without which resumed streams are refused.
+    pub fn await_software_history(&self, awaits: bool) {
+        self.awaits_software_history.store(awaits, Ordering::Release);
     }
 
     /// Returns whether a planned stop has begun.
--- a/crates/cumintrail-wire/src/platform.rs
+++ b/crates/cumintrail-wire/src/platform.rs
@@ -114,6 +114,17 @@
     }
 }
 
+/// The key of the row that stores the recent software versions of targets.
+pub const SOFTWARE_HISTORY_KEY: &str = "software/recent";
+
+/// Represents the row [`SOFTWARE_HISTORY_KEY`]: models and services by the hash of their name, with
+/// their versions.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct SoftwareHistoryRecord {
+    /// The versions of the models and services that have or lately had several.
+    pub versions: Vec<(u64, Arc<str>)>,
+}
+
 /// The key of the row that stores the lease under which orders to targets are sent.
 pub const LEASE_KEY: &str = "lease/rollout";
 
--- a/tests/src/experiment/run.rs
+++ b/tests/src/experiment/run.rs
@@ -208,6 +208,7 @@
             | Action::AssignReaders(_)
             | Action::ReportQuarantine(_)
             | Action::ReportLimit(_)
+            | Action::SoftwareHistory(_)
             | Action::ReadGeneration
             | Action::ReadVmList
             | Action::GetVmList { .. }
--- a/tests/src/standins/feed.rs
+++ b/tests/src/standins/feed.rs
@@ -19,7 +19,7 @@
 use cumintrail_types::{Generation, WeightVersion};
 use cumintrail_wire::configuration::Configuration;
 use cumintrail_wire::peer::SnapshotRecord;
-use cumintrail_wire::platform::{Row, Transaction, TransactionResponse};
+use cumintrail_wire::platform::{LEASE_KEY, Row, Transaction, TransactionResponse};
 
 /// Prefix of the keys of rows that announce weight versions.
 const VERSION_PREFIX: &str = "version/";
@@ -27,7 +27,7 @@
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(1_500);
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
 
-/// Stores the rows of the operators' table, of the registry and of the lease.
+/// Stores the rows of the operators' table, of the registry and of the daemons.
 #[derive(Debug, Clone, Default)]
 pub struct FeedPlatform {
     state: Arc<Mutex<State>>,
@@ -42,7 +42,7 @@
 pub struct PlatformCopy {
     version: u64,
     rows: BTreeMap<(u8, String), (u64, Option<Bytes>)>,
-    lease: Option<Row>,
+    daemon_rows: BTreeMap<String, Row>,
 }
 
 #[derive(Debug, Default)]
@@ -54,7 +54,8 @@
     discarded_up_to: u64,
     is_down: bool,
     is_silent: bool,
-    lease: Option<Row>,
+    rows_unreadable: bool,
+    daemon_rows: BTreeMap<String, Row>,
     loads: Vec<SocketAddr>,
 }
 
@@ -86,7 +87,7 @@
         PlatformCopy {
             version: state.version,
             rows: state.rows.clone(),
-            lease: state.lease.clone(),
+            daemon_rows: state.daemon_rows.clone(),
         }
     }
 
@@ -94,7 +95,8 @@
     pub fn restore(&self, copy: PlatformCopy) {
         let mut state = self.state();
         state.era += 1;
-        (state.version, state.rows, state.lease) = (copy.version, copy.rows, copy.lease);
+        (state.version, state.rows, state.daemon_rows) =
+            (copy.version, copy.rows, copy.daemon_rows);
     }
 
     /// Writes the declarations of a generation to the operators' table.
@@ -156,9 +158,19 @@
         self.state().is_silent = is_silent;
     }
 
+    /// Sets whether reads of the daemons' rows fail.
+    pub fn set_rows_unreadable(&self, are_unreadable: bool) {
+        self.state().rows_unreadable = are_unreadable;
+    }
+
+    /// Returns a row that the daemons wrote, if there is one.
+    pub fn row(&self, key: &str) -> Option<Row> {
+        self.state().daemon_rows.get(key).cloned()
+    }
+
     /// Returns the lease row if there is one.
     pub fn lease(&self) -> Option<Row> {
-        self.state().lease.clone()
+        self.row(LEASE_KEY)
     }
 
     /// Returns the addresses of the targets that received load orders, in order of receipt.
@@ -324,22 +336,33 @@
         if state.is_down || self.is_cut() {
             return Err(ClientError::ConnectionLost);
         }
-        let found = state.lease.clone();
-        let version = found.as_ref().map_or(0, |row| row.version);
-        if transaction.conditions.iter().any(|condition| condition.version != version) {
-            return Ok(TransactionResponse { committed: false, found: vec![found], version: None });
+        let conditions = transaction.conditions.iter();
+        let found: Vec<Option<Row>> =
+            conditions.map(|c| state.daemon_rows.get(&*c.key).cloned()).collect();
+        let mut compared = transaction.conditions.iter().zip(&found);
+        if compared.any(|(c, row)| c.version != row.as_ref().map_or(0, |row| row.version)) {
+            return Ok(TransactionResponse { committed: false, found, version: None });
         }
         state.version += 1;
         let version = state.version;
-        let value = transaction.writes.iter().find_map(|write| write.value.clone());
-        state.lease = value.map(|value| Row { version, value });
+        for write in &transaction.writes {
+            let key = write.key.clone();
+            match &write.value {
+                Some(value) => {
+                    state.daemon_rows.insert(key, Row { version, value: value.clone() });
+                }
+                None => drop(state.daemon_rows.remove(&key)),
+            }
+        }
         Ok(TransactionResponse { committed: true, found: Vec::new(), version: Some(version) })
     }
 
-    async fn read(&self, _key: &str) -> Result<Option<Row>, ClientError> {
+    async fn read(&self, key: &str) -> Result<Option<Row>, ClientError> {
         let state = self.state();
-        let is_reachable = !state.is_down && !self.is_cut();
-        if is_reachable { Ok(state.lease.clone()) } else { Err(ClientError::ConnectionLost) }
+        if state.is_down || state.rows_unreadable || self.is_cut() {
+            return Err(ClientError::ConnectionLost);
+        }
+        Ok(state.daemon_rows.get(key).cloned())
     }
 
     fn era(&self) -> u64 {
--- a/tests/tests/gateway_versions.rs
+++ b/tests/tests/gateway_versions.rs
@@ -1,9 +1,12 @@
 //! Streams go on only at the software version of the target that began them.
 
+use std::time::{Duration, Instant};
+
 use cumintrail_daemon::Gateway;
 use cumintrail_tests::gateway_cluster::{Cluster, KEY, STREAM, declarations, events, send, status};
 use cumintrail_tests::standins::feed::FeedPlatform;
 use cumintrail_tests::standins::replica::{Replica, Step, header};
+use cumintrail_wire::platform::SOFTWARE_HISTORY_KEY;
 
 const CALLS: usize = 12;
 
@@ -19,6 +22,13 @@
     cluster
 }
 
+/// Starts a gateway on a platform that others have used.
+async fn spawn_again(platform: &FeedPlatform) -> Cluster {
+    let cluster = Cluster::spawn_on(platform.clone());
+    cluster.until(Gateway::is_ready).await;
+    cluster
+}
+
 /// Binds a target that sends two events, then `end`, and the rest of each stream that it resumes.
 async fn target(end: Step) -> Replica {
     let resumed = |head: &str| header(head, "last-event-id").is_some();
@@ -61,7 +71,7 @@
 
 #[actix_rt::test]
 async fn a_caller_that_resumes_a_stream_gets_the_rest_from_its_software_version() {
-    let pause = Step::Pause(std::time::Duration::from_secs(5));
+    let pause = Step::Pause(Duration::from_secs(5));
     let (old, new) = (target(pause.clone()).await, target(pause).await);
     let cluster = spawn(&[(&old, "v1"), (&new, "v2")]).await;
     for i in 0..CALLS {
@@ -104,3 +114,56 @@
     let response = caller.rest().await;
     assert!(response.contains("id: 4") && response.ends_with("0\r\n\r\n"), "{response}");
 }
+
+#[actix_rt::test]
+async fn a_gateway_that_starts_after_a_version_ended_refuses_streams_that_it_may_have_begun() {
+    let (old, new) = (target(Step::Reset).await, target(Step::Reset).await);
+    let before = spawn(&[(&old, "v1"), (&new, "v2")]).await;
+    let platform = before.platform.clone();
+    let written = async {
+        while platform.row(SOFTWARE_HISTORY_KEY).is_none() {
+            actix_rt::time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    actix_rt::time::timeout(Duration::from_secs(5), written).await.expect("versions are recorded");
+    drop(before);
+    platform.remove_target("t0");
+
+    let cluster = spawn_again(&platform).await;
+    let mut caller = cluster.connect().await;
+    let headers = "connection: close\r\nlast-event-id: 2\r\nx-cumintrail-resumes: of-v1\r\n";
+    caller.send("/resume/", "c-1", headers, "").await;
+    let response = caller.rest().await;
+    assert_eq!(status(&response), "503", "{response}");
+    assert!(response.contains("unknown-stream"), "{response}");
+    assert!(new.calls().is_empty());
+}
+
+#[actix_rt::test]
+async fn a_gateway_that_cannot_read_the_recent_versions_serves_all_but_resumed_streams() {
+    let only = target(Step::Pause(Duration::from_millis(10))).await;
+    let platform = FeedPlatform::new();
+    platform.publish_declarations(1, &declarations(KEY));
+    platform.list_software("t0", "desk", only.address(), "v1");
+    platform.set_rows_unreadable(true);
+    let cluster = spawn_again(&platform).await;
+    let resume = "connection: close\r\nlast-event-id: 2\r\nx-cumintrail-resumes: c-0\r\n";
+    let mut caller = cluster.connect().await;
+    caller.send("/resume/", "c-1", resume, "").await;
+    assert_eq!(status(&caller.rest().await), "503");
+    let mut caller = cluster.connect().await;
+    caller.send("/resume/", "c-2", "connection: close\r\n", "").await;
+    assert_eq!(status(&caller.until("data: 2\n\n").await), "200");
+
+    platform.set_rows_unreadable(false);
+    let deadline = Instant::now() + Duration::from_secs(5);
+    loop {
+        let mut caller = cluster.connect().await;
+        caller.send("/resume/", "c-1", resume, "").await;
+        if status(&caller.rest().await) == "200" {
+            break;
+        }
+        assert!(Instant::now() < deadline, "the row is not read again");
+        actix_rt::time::sleep(Duration::from_millis(100)).await;
+    }
+}
--- a/tests/tests/stream_origins.rs
+++ b/tests/tests/stream_origins.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use cumintrail_config::{Document, Snapshot, Target, TargetKind};
+use cumintrail_control::software_history::{HistoryRequest, HistoryRow};
 use cumintrail_control::stream_origins::{StreamId, StreamRequest};
 use cumintrail_control::{
     Action, Actions, Arrival, AttemptOutcome, Control, Event, Identity, PeerDigest, RouteOptions,
@@ -50,7 +51,15 @@
     declared.with_targets(revision, listed).into()
 }
 
+/// Returns a daemon that has read the record of recent software versions, which lists none.
 fn daemon(port: u16, snapshot: &Arc<Snapshot>) -> Control {
+    let mut control = started_daemon(port, snapshot);
+    control.handle(Moment(2), Event::SoftwareHistoryRead(HistoryRow::default()));
+    control
+}
+
+/// Returns a daemon that has only the declarations and the registry's entries.
+fn started_daemon(port: u16, snapshot: &Arc<Snapshot>) -> Control {
     let identity = Identity {
         vm: format!("vm-{port}").into(),
         domain: "a".into(),
@@ -205,12 +214,72 @@
 #[test]
 fn a_daemon_that_started_after_a_version_ended_does_not_resume_its_streams_at_another() {
     // All daemons were killed together; before that, v1 had begun the stream and then left.
-    let mut restarted = daemon(1, &snapshot(2, &["v2"]));
+    let mut restarted = started_daemon(1, &snapshot(2, &["v2"]));
     let unknown = StreamRequest::Continue(Some(stream(1)));
     let actions = arrive(&mut restarted, Moment::from_millis(500), 1, unknown);
     assert_eq!(refused(&actions), Some(RefusalCode::UnknownStream));
 }
 
+#[test]
+fn a_record_of_recent_versions_outlives_all_daemons() {
+    // A daemon sees two versions and records them, then all daemons are killed and v1 leaves.
+    let mut before = daemon(1, &snapshot(1, &["v1", "v2"]));
+    let row = written_row(&mut before, Moment::from_millis(100)).expect("the versions are written");
+    assert_eq!(row.versions.len(), 2, "{row:?}");
+    drop(before);
+
+    let mut restarted = started_daemon(2, &snapshot(2, &["v2"]));
+    let actions = restarted.handle(Moment::from_millis(500), Event::Tick);
+    let reads = |action: &Action| matches!(action, Action::SoftwareHistory(HistoryRequest::Read));
+    assert!(actions.iter().any(reads), "{actions:?}");
+    let row = HistoryRow { row_version: 1, ..row };
+    restarted.handle(Moment::from_millis(510), Event::SoftwareHistoryRead(row));
+    let unknown = StreamRequest::Continue(Some(stream(1)));
+    let actions = arrive(&mut restarted, Moment::from_millis(520), 1, unknown);
+    assert_eq!(refused(&actions), Some(RefusalCode::UnknownStream));
+
+    // Streams of v1 have ended by then, and the record is emptied.
+    let now = Moment::from_millis(70_000);
+    let row = written_row(&mut restarted, now).expect("the record is emptied");
+    assert_eq!((row.row_version, row.versions.len()), (1, 0), "{row:?}");
+    let actions = arrive(&mut restarted, now, 2, unknown);
+    assert!(dispatched(&actions).is_some(), "{actions:?}");
+}
+
+#[test]
+fn a_stream_goes_on_as_soon_as_the_record_was_read_that_lists_one_version() {
+    let mut restarted = started_daemon(1, &snapshot(2, &["v2"]));
+    let now = Moment::from_millis(500);
+    restarted.handle(now, Event::Tick);
+    restarted.handle(now, Event::SoftwareHistoryRead(HistoryRow::default()));
+    assert_eq!(written_row(&mut restarted, Moment::from_millis(2_000)), None);
+    let unknown = StreamRequest::Continue(Some(stream(1)));
+    let actions = arrive(&mut restarted, now, 1, unknown);
+    assert!(dispatched(&actions).is_some(), "{actions:?}");
+}
+
+#[test]
+fn a_record_that_another_daemon_wrote_is_read_again_before_it_is_written() {
+    let mut control = daemon(1, &snapshot(1, &["v1", "v2"]));
+    let first = written_row(&mut control, Moment::from_millis(100)).expect("a write");
+    control.handle(Moment::from_millis(110), Event::SoftwareHistoryWritten { row_version: None });
+    let actions = control.handle(Moment::from_millis(1_200), Event::Tick);
+    let reads = |action: &Action| matches!(action, Action::SoftwareHistory(HistoryRequest::Read));
+    assert!(actions.iter().any(reads), "{actions:?}");
+    let other = HistoryRow { row_version: 7, versions: Vec::new() };
+    control.handle(Moment::from_millis(1_210), Event::SoftwareHistoryRead(other));
+    let again = written_row(&mut control, Moment::from_millis(2_300)).expect("a write");
+    assert_eq!(again, HistoryRow { row_version: 7, ..first });
+}
+
+/// Returns the record of recent software versions that a daemon writes at its next tick.
+fn written_row(control: &mut Control, now: Moment) -> Option<HistoryRow> {
+    control.handle(now, Event::Tick).into_iter().find_map(|action| match action {
+        Action::SoftwareHistory(HistoryRequest::Write(row)) => Some(row),
+        _ => None,
+    })
+}
+
 /// One failure domain of a large deployment: a round of digests reaches a few of its daemons.
 #[test]
 fn most_daemons_of_a_large_domain_know_a_stream_a_second_after_it_began() {
