--- a/tests/platform-standin/src/calls.rs
+++ b/tests/platform-standin/src/calls.rs
@@ -180,7 +180,7 @@
 }
 
 /// Repeats a request that crashes replicas until `stop` is set, at random VMs, under a new id each time
-/// and over a connection of its own. Each [`CRASHING_PART_PERIOD`] has another request.
+/// and over a connection of its own. Each `CRASHING_PART_PERIOD` has another request.
 pub async fn run_crashing_repeater(
     seed: u64,
     rotation: Rotation,
