Use credit that is left when a share of a limit ends

Cause: found while reading the diff. A call whose targets all have limits was refused on arrival if this daemon's shares were zero, since the wait was computed as zero calls over a share of zero, although the credit from before was enough.

Change: no wait is computed if the credit covers the calls ahead.

--- a/crates/cumintrail-control/src/control/limits.rs
+++ b/crates/cumintrail-control/src/control/limits.rs
@@ -239,7 +239,10 @@
             return Ok(());
         };
         let ahead = self.admission.calls_ahead_of(arrival.kind, arrival.account, weight);
-        let missing = ((ahead + 1) as f64 - credit).max(0.0);
+        let missing = (ahead + 1) as f64 - credit;
+        if missing <= 0.0 {
+            return Ok(());
+        }
         let wait = Duration::try_from_secs_f64(missing / share).unwrap_or(MAX_RETURN_DELAY);
         match TargetChoice::wait_or_refuse(now, arrival, wait) {
             TargetChoice::Refuse(after) => {
--- a/tests/tests/target_limits.rs
+++ b/tests/tests/target_limits.rs
@@ -408,3 +408,27 @@
     fleet.run(2_000, 7, 10.0);
     assert!(fleet.refused.is_empty());
 }
+
+#[test]
+fn credit_from_before_a_share_ended_is_used() {
+    let mut fleet = Fleet::new(30, 2);
+    fleet.run(2_000, 30, 1.0);
+    fleet.limit(2, 2.3, 30, 1.0);
+    // The shares of daemons whose callers have gone end, and others get them.
+    fleet.run(20_000, 8, 2.0);
+    let has_credit = |daemon: &usize| {
+        let limited = fleet.daemons[*daemon].dump(fleet.clock(*daemon)).limited;
+        limited.iter().any(|target| target.credit >= 1.0)
+    };
+    let with_credit = (8..30).filter(has_credit).count();
+    assert!(with_credit > 0, "no daemon has credit");
+    let (since, refused, served) = (fleet.now, fleet.refused.len(), fleet.served);
+    for daemon in 8..30 {
+        fleet.call(daemon);
+    }
+    fleet.run(100, 0, 0.0);
+    let (refused, served) = (fleet.refused.len() - refused, fleet.served - served);
+    println!("{with_credit} have credit, {served} served, {refused} refused");
+    assert!(served >= with_credit, "{with_credit} have credit, {served} served");
+    fleet.assert_kept(2.3, since, "credit without a share");
+}
