Reuse no connection of which a keep-alive probe may be unanswered

Behind a cut link a request went out on a connection that had been idle for two seconds, with a keep-alive probe already unanswered. The system ended the connection 0.4 to 0.5 s later. That is no reset, so that the request was delivered when the link had healed.

Change: an idle connection is reused for at most the time after which the first keep-alive probe is sent, one second. New connections to a target that a cut link hides fail before anything is sent.

--- a/crates/cumintrail-client/src/connection.rs
+++ b/crates/cumintrail-client/src/connection.rs
@@ -27,7 +27,7 @@
 /// packet losses.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// The delay before the first keep-alive probe of an idle connection, and between probes.
-const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
+pub(crate) const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 /// Unanswered keep-alive probes after which the system closes a connection.
 const KEEPALIVE_PROBES: u32 = 2;
 /// The keep-alive timeout that is assumed for a target that announces none.
--- a/crates/cumintrail-client/src/pool.rs
+++ b/crates/cumintrail-client/src/pool.rs
@@ -7,6 +7,7 @@
 
 use actix_http::ServiceConfig;
 
+use crate::connection::KEEPALIVE_INTERVAL;
 use crate::{ClientError, Connection};
 
 /// Fraction of a target's keep-alive timeout during which an idle connection may be reused.
@@ -16,6 +17,11 @@
 const REUSE_FRACTION: f64 = 0.6;
 /// The same fraction for calls that run at most once, which are lost on a closing connection.
 const REUSE_FRACTION_AT_MOST_ONCE: f64 = 0.35;
+/// The idle time from which a connection is not reused.
+///
+/// From then on a keep-alive probe may be unanswered. The system would end the connection soon after a
+/// request was sent on it, which is no reset, and a cut link delivers the request once it heals.
+const MAX_REUSE_IDLE: Duration = KEEPALIVE_INTERVAL;
 const MAX_IDLE_PER_TARGET: usize = 32;
 
 /// States whether a call may be sent again, which limits the idle time of a reused connection.
@@ -65,7 +71,7 @@
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(&at)?;
         while let Some(IdleConnection { mut connection, keep_alive }) = connections.pop() {
-            if connection.idle_time() >= keep_alive.mul_f64(fraction) {
+            if connection.idle_time() >= reuse_limit(keep_alive, fraction) {
                 // The connections below it in the stack have been idle for longer.
                 connections.clear();
                 return None;
@@ -95,7 +101,7 @@
     pub fn prune(&self, is_target: impl Fn(SocketAddr) -> bool) {
         self.idle.borrow_mut().retain(|at, connections| {
             connections.retain(|idle| {
-                idle.connection.idle_time() < idle.keep_alive.mul_f64(REUSE_FRACTION)
+                idle.connection.idle_time() < reuse_limit(idle.keep_alive, REUSE_FRACTION)
             });
             !connections.is_empty() && is_target(*at)
         });
@@ -106,3 +112,8 @@
         self.idle.borrow_mut().remove(&at);
     }
 }
+
+/// Returns the idle time from which a connection is not reused, by the target's keep-alive timeout.
+fn reuse_limit(keep_alive: Duration, fraction: f64) -> Duration {
+    keep_alive.mul_f64(fraction).min(MAX_REUSE_IDLE)
+}
--- a/crates/cumintrail-client/tests/connection.rs
+++ b/crates/cumintrail-client/tests/connection.rs
@@ -187,3 +187,24 @@
         assert_eq!(end.is_err(), given_up, "{end:?}");
     }
 }
+
+#[actix_rt::test]
+async fn a_connection_that_may_have_an_unanswered_keep_alive_probe_is_not_reused() {
+    for (idle, is_reused) in
+        [(Duration::from_millis(200), true), (Duration::from_millis(1_050), false)]
+    {
+        let at = target(
+            vec![COMPLETE_RESPONSE.replace("\r\n\r\n", "\r\nkeep-alive: timeout=60\r\n\r\n"); 2],
+            false,
+        )
+        .await;
+        let pool = ConnectionPool::open(TIMEOUT);
+        let mut connection = pool.acquire(at, RetrySafety::Retryable).await.unwrap();
+        exchange(&mut connection).await.unwrap();
+        pool.release(connection);
+        actix_rt::time::sleep(idle).await;
+        let connection = pool.acquire(at, RetrySafety::Retryable).await;
+        let has_been_used = connection.is_ok_and(|connection| connection.has_been_used());
+        assert_eq!(has_been_used, is_reused, "after {idle:?}");
+    }
+}
