--- a/crates/cumintrail-control/src/quarantine.rs
+++ b/crates/cumintrail-control/src/quarantine.rs
@@ -2,28 +2,30 @@
 //!
 //! A target that crashes ends all calls at it, and only some content of one of them is to blame. The
 //! content of each of these calls is suspected. A complete response clears content for good, since
-//! a target that crashes under some content never completes a response to it. Suspected content is
-//! quarantined once targets crashed under it one after the other while other calls were served.
-//! Targets that end at the same moment accuse nothing: their hosts, their network or an operator
-//! ended them.
+//! a target that crashes under some content never completes a response to it. A part of prompts is
+//! quarantined once targets crashed under it one after the other while other calls were served, and a
+//! whole request by the chance that a sound one would be in as many crashes. Targets that end at the
+//! same moment accuse no part: their hosts, their network or an operator ended them.
 
+mod change;
 mod content;
 mod evidence;
+mod exchange;
 mod report;
 mod requests;
 mod served_calls;
 
 use std::collections::{HashMap, HashSet, VecDeque};
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use cumintrail_types::{Moment, TargetKey};
-use derive_more::Display;
 use smallvec::SmallVec;
 
+pub use self::change::{LiftCause, QuarantineChange};
 pub use self::content::{CallContent, ContentKey, Scope};
 use self::evidence::{BlamedRequests, CompletedContent, Crash, Evidence, Verdict};
 pub use self::evidence::{Doubt, DoubtReason};
+use self::exchange::PendingReport;
 pub use self::report::{QuarantineReport, ReportedCrash, ReportedQuarantine, ReportedTargetCrash};
 use self::requests::{PoolState, RequestEvidence};
 use self::served_calls::ServedCalls;
@@ -43,14 +45,8 @@
 const COMMON_CAUSE_WINDOW: Duration = Duration::from_millis(20);
 /// Maximum number of broken calls that are kept of one target.
 const MAX_BROKEN_CALLS: usize = 256;
-/// Maximum number of reports in one digest.
-const MAX_REPORTED: usize = 256;
-/// Maximum number of reports that wait for a digest.
-const MAX_PENDING_REPORTS: usize = 4_096;
 /// How long it is recorded that an operator lifted a quarantine.
 const LIFT_RETENTION: Duration = Duration::from_secs(1_800);
-/// Times in reports of one lift differ by up to this.
-const CLOCK_TOLERANCE: Duration = Duration::from_secs(1);
 
 /// Describes content in quarantine.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -63,53 +59,6 @@
     pub until: Moment,
 }
 
-/// Describes a decision about content, for logs and metrics.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum QuarantineChange {
-    /// A target crashed under calls.
-    Crashed {
-        /// The hash of the target's name.
-        target: u64,
-        /// The number of calls of this daemon that the crash ended.
-        calls: usize,
-        /// The number of contents of these calls that no complete response has cleared.
-        suspects: usize,
-    },
-    /// Content was quarantined.
-    Quarantined {
-        /// The content and the calls that are refused.
-        entry: Quarantined,
-        /// The number of crashes one after the other; zero if a peer decided.
-        crashes: usize,
-    },
-    /// Enough targets crashed under content, which is not quarantined nevertheless.
-    Doubted(Doubt),
-    /// A quarantine ended.
-    Lifted {
-        /// The content.
-        content: ContentKey,
-        /// Why it ended.
-        cause: LiftCause,
-    },
-}
-
-/// Names why a quarantine ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
-pub enum LiftCause {
-    /// A call with the content got a complete response.
-    #[display("complete-response")]
-    CompleteResponse,
-    /// Its time was over.
-    #[display("expired")]
-    Expired,
-    /// A peer reported a complete response.
-    #[display("reported")]
-    Reported,
-    /// An operator lifted it.
-    #[display("operator")]
-    Operator,
-}
-
 /// Describes a call whose connection broke.
 #[derive(Debug, Clone)]
 pub struct BrokenCall {
@@ -135,30 +84,6 @@
     }
 }
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum PendingReport {
-    Crash(Crash),
-    /// A target of a model or service crashed and ended this many calls of this daemon.
-    TargetCrash {
-        target: u64,
-        pool: u64,
-        ended: RecordTime,
-        broken: u32,
-    },
-    /// A request of an account was at a target, of a model or service, when it crashed.
-    RequestCrash {
-        target: u64,
-        pool: u64,
-        ended: RecordTime,
-        request: ContentKey,
-        account: u64,
-        ran: Duration,
-    },
-    CommonCrash(u64),
-    Cleared(ContentKey),
-    Lifted(ContentKey, RecordTime),
-}
-
 /// Tracks suspected and quarantined content.
 ///
 /// Records of crashes and of complete responses merge in any order, and a complete response
@@ -394,142 +319,6 @@
         self.report(crash, rounds)
     }
 
-    /// Applies a peer's report; what is new in it is passed on in `relay_rounds` rounds of digests.
-    /// Returns whether peers should soon get something.
-    pub fn apply_report(
-        &mut self,
-        now: Moment,
-        from: Option<SocketAddr>,
-        report: &QuarantineReport,
-        relay_rounds: u32,
-    ) -> bool {
-        let mut is_urgent = false;
-        for (from, (pool, age)) in
-            from.iter().flat_map(|from| report.completed.iter().map(move |c| (from, c)))
-        {
-            self.evidence.record_peer_complete(now, *from, *pool, RecordTime::before(now, *age));
-        }
-        if let Some(from) = from.filter(|_| !report.served_calls.is_empty()) {
-            self.served_calls.record_peer(now, from, report.served_calls.clone());
-        }
-        for content in &report.cleared {
-            self.completed.insert(now, *content);
-            is_urgent |= self.clear(*content, LiftCause::Reported, relay_rounds);
-        }
-        for (content, age) in &report.lifted {
-            let at = RecordTime::before(now, *age);
-            let is_known =
-                self.lifted.get(content).is_some_and(|known| at <= known.after(CLOCK_TOLERANCE));
-            is_urgent |= !is_known && self.apply_lift(now, *content, at, relay_rounds);
-        }
-        for target in &report.common_crashes {
-            if self.evidence.insert_common(now, *target) {
-                is_urgent |= self.report(PendingReport::CommonCrash(*target), relay_rounds);
-            }
-        }
-        for crash in &report.crashes {
-            let ended = RecordTime::before(now, crash.ended_age);
-            if self.lifted.get(&crash.content).is_some_and(|lifted| ended <= *lifted) {
-                continue;
-            }
-            if self.completed.contains(crash.content) {
-                is_urgent |=
-                    self.report(PendingReport::Cleared(crash.content), relay_rounds.max(1));
-            } else if self.evidence.insert(now, crash.received(now)) {
-                let crash = crash.received(now);
-                is_urgent |= self.report(PendingReport::Crash(crash), relay_rounds);
-                self.decide_by(now);
-            }
-        }
-        for crash in &report.target_crashes {
-            is_urgent |= self.apply_target_crash(now, from, crash, relay_rounds);
-        }
-        for entry in report.quarantined.iter().map(|entry| entry.received(now)) {
-            if self.is_lifted(now, entry.content, Some(entry.until)) {
-                let at = self.lifted[&entry.content];
-                is_urgent |=
-                    self.report(PendingReport::Lifted(entry.content, at), relay_rounds.max(1));
-                continue;
-            }
-            if self.is_completed(entry.content) {
-                is_urgent |=
-                    self.report(PendingReport::Cleared(entry.content), relay_rounds.max(1));
-            } else {
-                is_urgent |= self.quarantine(entry, 0);
-            }
-        }
-        is_urgent
-    }
-
-    fn apply_target_crash(
-        &mut self,
-        now: Moment,
-        from: Option<SocketAddr>,
-        crash: &ReportedTargetCrash,
-        relay_rounds: u32,
-    ) -> bool {
-        let (target, pool) = (crash.target, crash.pool);
-        let ended = RecordTime::before(now, crash.ended_age);
-        let broken = crash.broken.map(|calls| (from, calls)).filter(|_| from.is_some());
-        self.requests.insert_crash((target, pool, ended), broken);
-        let mut is_urgent = false;
-        for (request, account, ran) in &crash.requests {
-            let is_lifted = self.lifted.get(request).is_some_and(|lifted| ended <= *lifted);
-            is_urgent |= match *request {
-                _ if is_lifted => false,
-                request if self.is_completed(request) => {
-                    self.report(PendingReport::Cleared(request), relay_rounds.max(1))
-                }
-                request => {
-                    let crash = (target, pool, ended);
-                    let request = (request, *account);
-                    self.record_request_crash(now, crash, request, *ran, relay_rounds)
-                }
-            };
-        }
-        is_urgent
-    }
-
-    /// Returns the reports for the next round of digests.
-    pub fn take_reports(&mut self, now: Moment) -> QuarantineReport {
-        let count = self.pending.len().min(MAX_REPORTED);
-        let mut report = QuarantineReport::default();
-        for _ in 0..count {
-            let Some((pending, rounds)) = self.pending.pop_front() else { break };
-            match pending {
-                PendingReport::Crash(crash) if self.completed.contains(crash.content) => continue,
-                PendingReport::Crash(crash) => {
-                    report.crashes.push(ReportedCrash::new(now, crash));
-                }
-                PendingReport::RequestCrash { request, .. } if self.is_completed(request) => {
-                    continue;
-                }
-                PendingReport::RequestCrash { target, pool, ended, request, account, ran } => {
-                    let crash = report.target_crash(now, (target, pool, ended));
-                    crash.requests.push((request, account, ran));
-                }
-                PendingReport::TargetCrash { target, pool, ended, broken } => {
-                    report.target_crash(now, (target, pool, ended)).broken = Some(broken);
-                }
-                PendingReport::CommonCrash(target) => report.common_crashes.push(target),
-                PendingReport::Cleared(content) => report.cleared.push(content),
-                PendingReport::Lifted(content, at) => {
-                    report.lifted.push((content, at.age(now)));
-                }
-            }
-            if rounds > 1 {
-                self.pending.push_back((pending, rounds - 1));
-            }
-        }
-        if !self.evidence.is_empty() || !self.requests.is_empty() {
-            report.completed = self.evidence.last_completed_ages(now);
-            report.served_calls = self.served_calls.own(now);
-        }
-        let entries = self.entries(now);
-        report.quarantined = entries.map(|entry| ReportedQuarantine::new(now, entry)).collect();
-        report
-    }
-
     /// Weighs the crashes if something changed; `settle_time` is the time after which the records
     /// of all daemons about a crash are expected to be here, and `target_count` returns the number of
     /// targets of a model or service. Returns whether content was quarantined.
@@ -601,14 +390,6 @@
         self.doubts = doubts.into_iter().map(|doubt| (doubt.content, doubt)).collect();
     }
 
-    /// Returns whether crashes wait to be reported, on which the decisions of peers depend.
-    pub fn is_report_urgent(&self) -> bool {
-        let is_crash = |report: &PendingReport| {
-            matches!(report, PendingReport::Crash(_) | PendingReport::RequestCrash { .. })
-        };
-        self.pending.iter().any(|(report, _)| is_crash(report))
-    }
-
     /// Returns the content in quarantine.
     pub fn entries(&self, now: Moment) -> impl Iterator<Item = Quarantined> {
         self.quarantined.values().filter(move |entry| entry.until > now).copied()
@@ -651,16 +432,6 @@
             && self.report(PendingReport::Cleared(content), report_rounds)
     }
 
-    /// Adds a report unless it is pending; returns whether it was added.
-    fn report(&mut self, report: PendingReport, rounds: u32) -> bool {
-        let is_known = self.pending.iter().any(|(pending, _)| *pending == report);
-        if is_known || rounds == 0 || self.pending.len() >= MAX_PENDING_REPORTS {
-            return false;
-        }
-        self.pending.push_back((report, rounds));
-        true
-    }
-
     fn decide_by(&mut self, now: Moment) {
         self.next_decision = Some(self.next_decision.map_or(now, |at| at.min(now)));
     }
--- a/crates/cumintrail-control/src/quarantine/served_calls.rs
+++ b/crates/cumintrail-control/src/quarantine/served_calls.rs
@@ -44,7 +44,7 @@
         self.own.keys().map(|pool| (*pool, self.own_of(now, *pool))).collect()
     }
 
-    /// Returns the count for one model or service, with those of peers that are heard of.
+    /// Returns the count for one model or service, with the recent reports of peers.
     pub fn all(&self, now: Moment, pool: u64) -> u32 {
         let heard = self.peers.values().filter(|(at, _)| now.since(*at) < PEER_RETENTION);
         let counts = heard.flat_map(|(_, counts)| counts).filter(|(of, _)| *of == pool);
