--- a/crates/cumintrail-control/src/event.rs
+++ b/crates/cumintrail-control/src/event.rs
@@ -1,25 +1,33 @@
 //! The events that a daemon passes to its control state and the actions that it gets back.
 
+mod call;
+mod target;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use cumintrail_config::{Snapshot, TargetKind};
+use cumintrail_config::Snapshot;
 use cumintrail_types::{
-    AccountKey, AttemptNumber, BlockKey, CallClass, CallKey, FencingNumber, Incarnation, Moment,
-    Refusal, RequestRate, Sealed, StoreKey, TargetKey, Tier, Tokens, Urgency, WeightVersion,
-    WriteId,
+    AttemptNumber, BlockKey, CallKey, Incarnation, Moment, Refusal, Sealed, StoreKey, TargetKey,
+    Tier,
 };
 use smallvec::SmallVec;
 
+pub use self::call::{
+    Arrival, AttemptOutcome, Dispatch, Fetch, FetchOutcome, FetchPlan, ResponseEnd, RouteOptions,
+    Usage,
+};
+pub use self::target::{
+    Export, NamedLimit, Order, OrderKind, RunningCalls, TargetNotice, TargetReport,
+};
 use crate::digest::{PeerDigest, VmEntry};
 use crate::feed::ReaderAssignment;
-use crate::parts::{PartPlans, PartsUpdate, StoredPart};
-use crate::quarantine::{CallContent, ContentKey, QuarantineChange};
+use crate::parts::{PartsUpdate, StoredPart};
+use crate::quarantine::{ContentKey, QuarantineChange};
 use crate::rollout::{LeaseRequest, LeaseRow, OrderOutcome};
 use crate::software_history::{HistoryRequest, HistoryRow};
 use crate::store_sync::{StoreRead, StoreResponse};
-use crate::stream_origins::StreamRequest;
 use crate::target_limits::LimitChange;
 
 /// The actions that one event leads to; stored inline up to four, which covers most events.
@@ -340,242 +348,3 @@
         digest: PeerDigest,
     },
 }
-
-/// Describes a call that arrived.
-#[derive(Debug, Clone)]
-pub struct Arrival {
-    /// The call.
-    pub call: CallKey,
-    /// The client account that the call counts against.
-    pub account: AccountKey,
-    /// The class of the call, which determines whether it may be repeated.
-    pub class: CallClass,
-    /// The model or plain service that it needs.
-    pub kind: TargetKind,
-    /// The weight version that `blocks` were computed for.
-    pub version: WeightVersion,
-    /// The keys of the prompt's full blocks or of its parts, in order.
-    pub blocks: Arc<[BlockKey]>,
-    /// The length of the prompt.
-    pub prompt: Tokens,
-    /// The requested limit of output tokens.
-    pub max_output: Tokens,
-    /// When the call is refused if it has not completed.
-    pub deadline: Moment,
-    /// The options of its route.
-    pub options: RouteOptions,
-}
-
-/// Collects what a relayed call adds to its arrival; the default sets no limits.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct RouteOptions {
-    /// Its priority class.
-    pub urgency: Urgency,
-    /// The limit of attempts that may have run; `None` for the daemon's own limit of attempts.
-    pub max_attempts: Option<u8>,
-    /// The cache salt of its parts; `None` for a prompt that is not given as parts.
-    pub cache_salt: Option<BlockKey>,
-    /// The prompt tokens up to the end of each block; empty for blocks of the declared length.
-    pub block_ends: Arc<[Tokens]>,
-    /// The objective for the time to the first token; `None` if the route sets none.
-    pub first_token_objective: Option<Duration>,
-    /// The resumable stream that the call begins or continues.
-    pub stream: Option<StreamRequest>,
-    /// The content under which a target may crash.
-    pub content: CallContent,
-}
-
-impl RouteOptions {
-    /// Returns the length of all parts but the last, which are those shared with other prompts.
-    pub fn shared_tokens(&self) -> Tokens {
-        self.block_ends.len().checked_sub(2).map_or(Tokens(0), |last| self.block_ends[last])
-    }
-}
-
-/// Describes one attempt to run.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Dispatch {
-    /// The call.
-    pub call: CallKey,
-    /// The attempt.
-    pub attempt: AttemptNumber,
-    /// Where to run it.
-    pub target: TargetKey,
-    /// The weight version that the call is pinned to.
-    pub version: WeightVersion,
-    /// What to import first.
-    pub plan: FetchPlan,
-    /// The expected time from the dispatch to the first token.
-    pub first_token: Duration,
-    /// The parts of the prompt to read from managed stores and to save there.
-    pub parts: PartPlans,
-    /// Whether the target has a limit of requests, which a response without one ends.
-    pub is_limited: bool,
-}
-
-/// Lists the stored blocks to import before an attempt.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct FetchPlan {
-    /// The blocks, in prompt order.
-    pub fetches: SmallVec<[Fetch; 4]>,
-    /// The time after which blocks that are not imported yet are recomputed.
-    pub timeout: Duration,
-}
-
-/// Names one block to import.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Fetch {
-    /// The store to read from.
-    pub store: StoreKey,
-    /// The exact write to read.
-    pub sealed: Sealed,
-}
-
-/// Describes how a fetch ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum FetchOutcome {
-    /// The engine staged the block, and its content digest matches the seal.
-    Imported,
-    /// The store no longer has that write of the block.
-    Missing,
-    /// The bytes do not match the seal.
-    Mismatch,
-    /// The fetch failed or ran out of time.
-    Failed,
-}
-
-/// Describes how an attempt ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum AttemptOutcome {
-    /// No byte of the call left this daemon.
-    NotSent,
-    /// The response is complete.
-    Completed(Usage),
-    /// The target refused the call and reported that it did not run it.
-    RefusedByTarget {
-        /// Whether it refuses because it is leaving.
-        leaving: bool,
-    },
-    /// The attempt failed after bytes were sent.
-    Failed {
-        /// Whether a further attempt can continue what the caller has received so far; true if
-        /// that is nothing.
-        can_continue: bool,
-    },
-    /// The traffic thread responded to the call itself, so no further attempt is needed.
-    RespondedLocally,
-}
-
-/// Describes what the end of a response shows about its content, if it is not plainly complete.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum ResponseEnd {
-    /// The connection broke before the end.
-    Broken,
-    /// The response is no success, or a crash would have ended it alike.
-    Inconclusive,
-}
-
-/// Counts the tokens of a call, by how their state was obtained.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct Usage {
-    /// Tokens of the prompt.
-    pub prompt: Tokens,
-    /// Prompt tokens whose state was cached in the engine's memory.
-    pub cached: Tokens,
-    /// Prompt tokens whose state was imported for this call.
-    pub imported: Tokens,
-    /// Output tokens.
-    pub output: Tokens,
-}
-
-impl Usage {
-    /// Returns the prompt tokens that were neither cached nor imported.
-    pub const fn recomputed(&self) -> Tokens {
-        self.prompt.saturating_sub(self.cached).saturating_sub(self.imported)
-    }
-}
-
-/// Describes the state that a target reports.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct TargetReport {
-    /// The incarnation of its process.
-    pub incarnation: Incarnation,
-    /// Whether it accepts no new calls, for good.
-    pub leaving: bool,
-    /// The weight version that new calls run on; zero for plain services.
-    pub version: WeightVersion,
-    /// Whether weights are being loaded.
-    pub loading: bool,
-    /// Calls running.
-    pub running: u32,
-    /// Calls waiting.
-    pub waiting: u32,
-    /// Prompt tokens still to compute for the waiting and running calls.
-    pub prefill_backlog: Tokens,
-}
-
-/// Describes the state of a target that the head of a response carries beside that of the call.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct TargetNotice {
-    /// Whether this incarnation of the target accepts no new calls, for good.
-    pub leaving: bool,
-    /// How long the target wants no requests from this daemon.
-    pub quiet_for: Option<Duration>,
-}
-
-/// Describes what the head of a response says about a limit of the requests that its target takes
-/// from all daemons together.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub enum NamedLimit {
-    /// It names no limit.
-    #[default]
-    None,
-    /// It names this limit.
-    Rate(RequestRate),
-    /// It names a limit that is no number of requests a second.
-    Unreadable,
-}
-
-/// Orders a target to write a block to a store.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Export {
-    /// The target that has the block cached.
-    pub target: TargetKey,
-    /// The store to write to.
-    pub store: StoreKey,
-    /// The block.
-    pub key: BlockKey,
-    /// The id of this write.
-    pub write_id: WriteId,
-}
-
-/// Describes an order that changes what a target has loaded.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Order {
-    /// The target.
-    pub target: TargetKey,
-    /// The fencing number of the lease under which the order is sent.
-    pub fencing: FencingNumber,
-    /// What to do.
-    pub kind: OrderKind,
-    /// How to treat calls that are running when the order arrives.
-    pub running_calls: RunningCalls,
-    /// The moment from which it must no longer be sent.
-    pub not_after: Moment,
-}
-
-/// Selects how running calls are treated when weights are loaded.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum RunningCalls {
-    /// Running calls finish before the load.
-    Finish,
-    /// Running calls continue on the new weights.
-    Continue,
-}
-
-/// Describes the change that an order requests.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum OrderKind {
-    /// Load a weight version and use it for new calls.
-    Load(WeightVersion),
-}
