--- a/crates/cumintrail-config/src/snapshot.rs
+++ b/crates/cumintrail-config/src/snapshot.rs
@@ -58,6 +58,12 @@
 }
 
 impl Snapshot {
+    /// Returns the models and plain services.
+    pub fn kinds(&self) -> impl Iterator<Item = TargetKind> {
+        let models = self.models.iter().map(|(key, _)| TargetKind::Engine(key));
+        models.chain(self.services.iter().map(|(key, _)| TargetKind::Service(key)))
+    }
+
     /// Builds and checks a configuration from its sections.
     ///
     /// `preset` names the preset in force; if it is `None`, the deployment's first preset is used.
--- a/crates/cumintrail-control/src/control/limits.rs
+++ b/crates/cumintrail-control/src/control/limits.rs
@@ -83,10 +83,8 @@
         else {
             return Vec::new();
         };
-        let models = snapshot.models.iter().map(|(key, _)| TargetKind::Engine(key));
-        let services = snapshot.services.iter().map(|(key, _)| TargetKind::Service(key));
         let calls = |kind: TargetKind| RequestRate::from_per_second(self.call_rate(now, kind));
-        models.chain(services).map(|kind| (self.pool_hash(kind), calls(kind))).collect()
+        snapshot.kinds().map(|kind| (self.pool_hash(kind), calls(kind))).collect()
     }
 
     /// Returns the calls a second that arrive here for a model or service.
--- a/crates/cumintrail-control/src/control/software.rs
+++ b/crates/cumintrail-control/src/control/software.rs
@@ -2,7 +2,6 @@
 
 use std::sync::Arc;
 
-use cumintrail_config::TargetKind;
 use cumintrail_types::{Moment, Refusal, RefusalCode};
 
 use super::Control;
@@ -48,10 +47,8 @@
         let Some(snapshot) = &self.snapshot else {
             return Vec::new();
         };
-        let models = snapshot.models.iter().map(|(key, _)| TargetKind::Engine(key));
-        let kinds = models.chain(snapshot.services.iter().map(|(k, _)| TargetKind::Service(k)));
         let mut several = Vec::new();
-        for kind in kinds {
+        for kind in snapshot.kinds() {
             let versions = self.stream_origins.recent_versions(now, kind, snapshot);
             if versions.len() > 1 {
                 several.extend(versions.into_iter().map(|version| (self.pool_hash(kind), version)));
@@ -63,9 +60,7 @@
 
     pub(super) fn handle_software_history(&mut self, now: Moment, row: HistoryRow) {
         if let Some(snapshot) = self.snapshot.clone() {
-            let models = snapshot.models.iter().map(|(key, _)| TargetKind::Engine(key));
-            let kinds = models.chain(snapshot.services.iter().map(|(k, _)| TargetKind::Service(k)));
-            for kind in kinds {
+            for kind in snapshot.kinds() {
                 let pool = self.pool_hash(kind);
                 for (_, version) in row.versions.iter().filter(|(of, _)| *of == pool) {
                     self.stream_origins.record_history(now, kind, version.clone());
