--- a/tests/src/fleet.rs
+++ b/tests/src/fleet.rs
@@ -15,13 +15,14 @@
 /// Returns a snapshot of two client accounts and a service `desk` with this number of targets, which
 /// have no limits that matter here.
 pub fn snapshot(targets: usize) -> Arc<Snapshot> {
+    snapshot_with_limits(targets, "concurrency = 100000\nrequests_per_second = 100000\n")
+}
+
+/// Returns the same with these limits of each account.
+pub fn snapshot_with_limits(targets: usize, limits: &str) -> Arc<Snapshot> {
     let digest = |n: u8| n.to_string().repeat(64);
-    let account = |name: &str, n: u8| {
-        format!(
-            "[account {name}]\nkey_digests = {}\nconcurrency = 100000\nrequests_per_second = 100000\n",
-            digest(n)
-        )
-    };
+    let account =
+        |name: &str, n: u8| format!("[account {name}]\nkey_digests = {}\n{limits}", digest(n));
     let target = |i: usize| {
         format!(
             "[target s-{i}]\nservice = desk\naddress = 127.0.0.1:{}\nfailure_domain = a\nslots = 64\n",
