Write a damaged record of recent software versions anew

Found in reading the diff: a row that cannot be read failed each read, so that streams of unknown origin would have been refused until an operator removed it. Now it counts as one more version of everything for as long as versions are remembered, and the next write replaces it.

Measured: a_damaged_record_holds_up_unknown_streams_for_a_time_and_is_written_anew; on the code before, the daemon had no way to write the row before it had read it.

--- a/crates/cumintrail-control/src/control.rs
+++ b/crates/cumintrail-control/src/control.rs
@@ -278,6 +278,9 @@
                 self.rollout.handle_lease_written(now, sent, committed, version);
             }
             Event::SoftwareHistoryRead(row) => self.handle_software_history(now, row),
+            Event::SoftwareHistoryDamaged { row_version } => {
+                self.handle_damaged_history(now, row_version);
+            }
             Event::SoftwareHistoryWritten { row_version } => {
                 self.software_history.handle_written(row_version);
             }
--- a/crates/cumintrail-control/src/control/software.rs
+++ b/crates/cumintrail-control/src/control/software.rs
@@ -9,6 +9,9 @@
 use crate::software_history::{HistoryRow, PoolVersion};
 use crate::{Action, Actions, Arrival};
 
+/// Stands for a version that a damaged row may have listed; no target has it.
+const UNKNOWN_VERSION: &str = "";
+
 impl<P: Placer> Control<P> {
     /// Returns the software version that a call must run at; `None` if any will do.
     ///
@@ -69,4 +72,13 @@
         }
         self.software_history.handle_read(row);
     }
+
+    /// Handles a row that cannot be read: it may have listed another version of anything, and is
+    /// written anew.
+    pub(super) fn handle_damaged_history(&mut self, now: Moment, row_version: u64) {
+        for kind in self.snapshot.iter().flat_map(|snapshot| snapshot.kinds()) {
+            self.stream_origins.record_history(now, kind, Arc::from(UNKNOWN_VERSION));
+        }
+        self.software_history.handle_read(HistoryRow { row_version, versions: Vec::new() });
+    }
 }
--- a/crates/cumintrail-control/src/event.rs
+++ b/crates/cumintrail-control/src/event.rs
@@ -238,6 +238,11 @@
     LeaseFailed,
     /// The row of recent software versions was read.
     SoftwareHistoryRead(HistoryRow),
+    /// That row has content that cannot be read.
+    SoftwareHistoryDamaged {
+        /// Its version.
+        row_version: u64,
+    },
     /// A write of that row ended.
     SoftwareHistoryWritten {
         /// The version that it gave the row; `None` if another daemon wrote it before, or if the
--- a/crates/cumintrail-daemon/src/background/software.rs
+++ b/crates/cumintrail-daemon/src/background/software.rs
@@ -12,14 +12,8 @@
 /// Reads or writes the row and sends the result to the control state.
 pub async fn exchange_history(table: &impl Table, shared: &Shared, request: HistoryRequest) {
     let event = match request {
-        HistoryRequest::Read => match read(table).await {
-            Ok(row) => {
-                let (versions, row_version) = (row.versions.len(), row.row_version);
-                log::info!(
-                    "event=software-history outcome=read versions={versions} row={row_version}"
-                );
-                Some(Event::SoftwareHistoryRead(row))
-            }
+        HistoryRequest::Read => match table.read(SOFTWARE_HISTORY_KEY).await {
+            Ok(row) => Some(read_event(row)),
             // It is read again after an interval.
             Err(e) => {
                 log::warn!("event=software-history outcome=failed reason=\"{e}\"");
@@ -41,15 +35,25 @@
     shared.await_software_history(false);
 }
 
-async fn read(table: &impl Table) -> Result<HistoryRow, ClientError> {
-    let row = table.read(SOFTWARE_HISTORY_KEY).await?;
-    row.map_or_else(|| Ok(HistoryRow::default()), |row| parse(&row))
-}
-
-fn parse(row: &Row) -> Result<HistoryRow, ClientError> {
-    let record: Result<SoftwareHistoryRecord, _> = serde_json::from_str(&row.value);
-    let SoftwareHistoryRecord { versions } = record.map_err(|_| ClientError::Malformed)?;
-    Ok(HistoryRow { row_version: row.version, versions })
+fn read_event(row: Option<Row>) -> Event {
+    let Some(Row { version: row_version, value }) = row else {
+        log::info!("event=software-history outcome=none");
+        return Event::SoftwareHistoryRead(HistoryRow::default());
+    };
+    match serde_json::from_str(&value) {
+        Ok(SoftwareHistoryRecord { versions }) => {
+            let count = versions.len();
+            log::info!("event=software-history outcome=read versions={count} row={row_version}");
+            Event::SoftwareHistoryRead(HistoryRow { row_version, versions })
+        }
+        Err(e) => {
+            log::warn!(
+                "event=software-history outcome=damaged row={row_version} reason=\"{e}\" \
+                 hint=\"resumed streams of unknown origin are refused for a minute or more\""
+            );
+            Event::SoftwareHistoryDamaged { row_version }
+        }
+    }
 }
 
 /// Writes the row; returns its new version, or `None` if another daemon wrote it before.
--- a/tests/tests/stream_origins.rs
+++ b/tests/tests/stream_origins.rs
@@ -272,6 +272,26 @@
     assert_eq!(again, HistoryRow { row_version: 7, ..first });
 }
 
+#[test]
+fn a_damaged_record_holds_up_unknown_streams_for_a_time_and_is_written_anew() {
+    let mut restarted = started_daemon(1, &snapshot(2, &["v2"]));
+    restarted.handle(Moment::from_millis(500), Event::Tick);
+    let damaged = Event::SoftwareHistoryDamaged { row_version: 4 };
+    restarted.handle(Moment::from_millis(510), damaged);
+    let unknown = StreamRequest::Continue(Some(stream(1)));
+    let actions = arrive(&mut restarted, Moment::from_millis(520), 1, unknown);
+    assert_eq!(refused(&actions), Some(RefusalCode::UnknownStream));
+    let row = written_row(&mut restarted, Moment::from_millis(2_000)).expect("it is written");
+    assert_eq!((row.row_version, row.versions.is_empty()), (4, false), "{row:?}");
+    let written = Event::SoftwareHistoryWritten { row_version: Some(5) };
+    restarted.handle(Moment::from_millis(2_010), written);
+
+    let now = Moment::from_millis(71_000);
+    let row = written_row(&mut restarted, now).expect("the record is emptied");
+    assert_eq!((row.row_version, row.versions.len()), (5, 0), "{row:?}");
+    assert!(dispatched(&arrive(&mut restarted, now, 2, unknown)).is_some());
+}
+
 /// Returns the record of recent software versions that a daemon writes at its next tick.
 fn written_row(control: &mut Control, now: Moment) -> Option<HistoryRow> {
     control.handle(now, Event::Tick).into_iter().find_map(|action| match action {
