Record recent software versions again after the store was restored

Found in reading the diff: a platform's store that is restored from an older copy may lack the row's last versions, and the daemon that keeps the row would not have noticed until they changed. It reads the row again in each new era of the store and writes what is missing.

Measured: a_store_that_was_restored_gets_the_record_of_recent_versions_again, red with the new read taken out.

--- a/crates/cumintrail-control/src/control/software.rs
+++ b/crates/cumintrail-control/src/control/software.rs
@@ -41,7 +41,8 @@
         }
         let is_writer = self.membership.lease_rank(self.identity.address) == 0;
         let recent = if is_writer { self.several_versions(now) } else { Vec::new() };
-        let request = self.software_history.next_request(now, &recent, is_writer);
+        let era = self.rollout.era();
+        let request = self.software_history.next_request(now, era, &recent, is_writer);
         actions.extend(request.map(Action::SoftwareHistory));
     }
 
--- a/crates/cumintrail-control/src/software_history.rs
+++ b/crates/cumintrail-control/src/software_history.rs
@@ -40,6 +40,8 @@
     /// The row as last read or written; `None` if it has to be read.
     row: Option<HistoryRow>,
     pending: Option<HistoryRow>,
+    /// The era of the platform's store in which the row was read or written.
+    era: u64,
     next_request: Moment,
 }
 
@@ -50,16 +52,21 @@
     }
 
     /// Returns the next access to the row, if one is due: it is read once, and written by one daemon
-    /// when the recent versions differ from it.
+    /// when the recent versions differ from it. That daemon reads it again in a new `era` of the
+    /// platform's store, which may have been restored from a copy without the last versions.
     pub fn next_request(
         &mut self,
         now: Moment,
+        era: u64,
         recent: &[PoolVersion],
         is_writer: bool,
     ) -> Option<HistoryRequest> {
         if self.next_request > now {
             return None;
         }
+        if is_writer && era > self.era {
+            (self.row, self.era) = (None, era);
+        }
         let request = match &self.row {
             None => HistoryRequest::Read,
             Some(row) if is_writer && row.versions != recent => {
--- a/tests/tests/stream_origins.rs
+++ b/tests/tests/stream_origins.rs
@@ -292,6 +292,23 @@
     assert!(dispatched(&arrive(&mut restarted, now, 2, unknown)).is_some());
 }
 
+#[test]
+fn a_store_that_was_restored_gets_the_record_of_recent_versions_again() {
+    let mut control = daemon(1, &snapshot(1, &["v1", "v2"]));
+    let first = written_row(&mut control, Moment::from_millis(100)).expect("a write");
+    let written = Event::SoftwareHistoryWritten { row_version: Some(9) };
+    control.handle(Moment::from_millis(110), written);
+    assert_eq!(written_row(&mut control, Moment::from_millis(1_200)), None);
+    control.handle(Moment::from_millis(1_300), Event::LeaseRead { row: None, era: 2 });
+    let actions = control.handle(Moment::from_millis(2_300), Event::Tick);
+    let reads = |action: &Action| matches!(action, Action::SoftwareHistory(HistoryRequest::Read));
+    assert!(actions.iter().any(reads), "{actions:?}");
+    let restored = Event::SoftwareHistoryRead(HistoryRow::default());
+    control.handle(Moment::from_millis(2_310), restored);
+    let again = written_row(&mut control, Moment::from_millis(3_400)).expect("a write");
+    assert_eq!(again, HistoryRow { row_version: 0, ..first });
+}
+
 /// Returns the record of recent software versions that a daemon writes at its next tick.
 fn written_row(control: &mut Control, now: Moment) -> Option<HistoryRow> {
     control.handle(now, Event::Tick).into_iter().find_map(|action| match action {
