--- a/review/standin/streams.rs
+++ b/review/standin/streams.rs
@@ -95,7 +95,7 @@
         })
         .collect();
     thread::sleep(ms(1_000));
-    let rounds = if turned_away { 1 } else { 5 };
+    let rounds = if turned_away { 1 } else { 9 };
     for round in 0..rounds {
         if turned_away && base::trouble() {
             record.line("the store does not respond to daemons 4 and 5");
