--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -3,6 +3,7 @@
 
 mod base;
 mod engine;
+mod killed_engine;
 mod long_request;
 mod repeated_bytes;
 mod second_refusal;
@@ -17,6 +18,12 @@
         eprintln!("usage: rig CASE FOLDER");
         return ExitCode::from(2);
     };
+    if let ("engine", Some(port)) = (case.as_str(), arguments.get(3)) {
+        return match killed_engine::serve_engine(folder, port) {
+            Ok(_) => ExitCode::SUCCESS,
+            Err(_) => ExitCode::from(2),
+        };
+    }
     let work = std::env::temp_dir().join(format!("review-{case}-{}", std::process::id()));
     let outcome = std::fs::create_dir_all(&work).and_then(|()| run(case, Path::new(folder), &work));
     if std::env::var_os("KEEP").is_none() {
@@ -42,6 +49,7 @@
         "long-request" => long_request::run(&record, work),
         "lost-origins" => streams::run(&record, work, false),
         "two-versions" => streams::run(&record, work, true),
+        "killed-engine" => killed_engine::run(&record, work),
         "repeated-bytes" => repeated_bytes::run(&record, work),
         "second-refusal" => second_refusal::run(&record, work),
         _ => Err(std::io::Error::other("no such case")),
--- a/review/standin/streams.rs
+++ b/review/standin/streams.rs
@@ -66,17 +66,21 @@
     let mut daemons = Vec::new();
     let mut links = Vec::new();
     for index in 0..DAEMONS {
-        let link = Link::open((std::net::Ipv4Addr::LOCALHOST, 0).into(), at)?;
+        // Only daemons that are turned away need a link of their own to the store.
+        let link = match turned_away {
+            true => Some(Link::open((std::net::Ipv4Addr::LOCALHOST, 0).into(), at)?),
+            false => None,
+        };
         let plan = DaemonPlan {
             index,
             ip: controls[index].ip(),
             control: controls[index],
             seeds: controls[..3].to_vec(),
-            store: link.at,
-            common_store: Some(at),
+            store: link.as_ref().map_or(at, |link| link.at),
+            common_store: link.as_ref().map(|_| at),
         };
         daemons.push(Daemon::start(work, &plan)?);
-        links.push(link);
+        links.extend(link);
     }
     if !daemons.iter().all(Daemon::wait_ready) {
         return Err(io::Error::other("a daemon did not become ready"));
