--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -3,6 +3,7 @@
 
 mod base;
 mod engine;
+mod extra_bytes;
 mod killed_engine;
 mod long_request;
 mod repeated_bytes;
@@ -49,6 +50,7 @@
         "long-request" => long_request::run(&record, work),
         "lost-origins" => streams::run(&record, work, false),
         "two-versions" => streams::run(&record, work, true),
+        "extra-bytes" => extra_bytes::run(&record, work),
         "killed-engine" => killed_engine::run(&record, work),
         "repeated-bytes" => repeated_bytes::run(&record, work),
         "second-refusal" => second_refusal::run(&record, work),
