Forward the rest of a long request body whenever its connection has room

Cause: wait_for_head decided once whether the rest of the body is wanted, when the buffered start had just filled the connection's output, and waited for the response with that decision. The output was then written by read_head, and nothing asked again. Evidence: the targets got the buffered start or a little more; bodies of 60,000 bytes passed, of 70,000 never.

Waits for the response now end also when there is room for more of the request, and the rest is forwarded during the response as well, since a target may respond early. The rest counts against the size limit, which only the start did before.

--- a/crates/cumintrail-client/src/connection.rs
+++ b/crates/cumintrail-client/src/connection.rs
@@ -88,6 +88,17 @@
     Complete,
 }
 
+/// The next part of a response body.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum BodyPart {
+    /// Bytes of the body.
+    Chunk(Bytes),
+    /// The body is complete.
+    End,
+    /// Nothing has arrived yet.
+    Pending,
+}
+
 /// Wraps the library's body decoder, which does not implement `Debug`.
 struct BodyCodec(ClientPayloadCodec);
 
@@ -177,6 +188,32 @@
     ///
     /// Cancel safe: a cancelled read loses no bytes and may be repeated.
     pub async fn read_head(&mut self) -> Result<ResponseHead, ClientError> {
+        loop {
+            match self.decode_head()? {
+                Some(head) => return Ok(head),
+                None => self.transfer_ready_bytes().await?,
+            }
+        }
+    }
+
+    /// Reads the head of the next response; if `wants_room` is set, returns `None` as soon as a chunk
+    /// of the request body may be queued.
+    ///
+    /// Cancel safe, like [`Connection::read_head`].
+    pub async fn read_head_or_room(
+        &mut self,
+        wants_room: bool,
+    ) -> Result<Option<ResponseHead>, ClientError> {
+        loop {
+            match self.decode_head()? {
+                None if wants_room && self.can_queue_body() => return Ok(None),
+                None => self.transfer_ready_bytes().await?,
+                head => return Ok(head),
+            }
+        }
+    }
+
+    fn decode_head(&mut self) -> Result<Option<ResponseHead>, ClientError> {
         loop {
             let ReadState::Head(codec) = &mut self.read_state else {
                 return Err(ClientError::ConnectionLost);
@@ -185,10 +222,10 @@
                 Ok(Some(head)) if head.status == StatusCode::CONTINUE => {}
                 Ok(Some(head)) => {
                     self.start_body(&head);
-                    return Ok(head);
+                    return Ok(Some(head));
                 }
                 Ok(None) if self.read_closed => return Err(ClientError::ConnectionLost),
-                Ok(None) => self.transfer_ready_bytes().await?,
+                Ok(None) => return Ok(None),
                 Err(_) => return Err(ClientError::Malformed),
             }
         }
@@ -221,30 +258,53 @@
     /// Cancel safe: a cancelled read loses no bytes and may be repeated.
     pub async fn read_chunk(&mut self) -> Result<Option<Bytes>, ClientError> {
         loop {
-            match &mut self.read_state {
-                ReadState::Complete => return Ok(None),
-                ReadState::Head(_) => return Err(ClientError::ConnectionLost),
-                ReadState::UntilClosed if !self.input.is_empty() => {
-                    return Ok(Some(self.input.split().freeze()));
+            match self.decode_chunk()? {
+                BodyPart::Chunk(chunk) => return Ok(Some(chunk)),
+                BodyPart::End => return Ok(None),
+                BodyPart::Pending => self.transfer_ready_bytes().await?,
+            }
+        }
+    }
+
+    /// Reads the next part of the response body; if `wants_room` is set, returns
+    /// [`BodyPart::Pending`] as soon as a chunk of the request body may be queued.
+    ///
+    /// Cancel safe, like [`Connection::read_chunk`].
+    pub async fn read_chunk_or_room(&mut self, wants_room: bool) -> Result<BodyPart, ClientError> {
+        loop {
+            match self.decode_chunk()? {
+                BodyPart::Pending if wants_room && self.can_queue_body() => {
+                    return Ok(BodyPart::Pending);
                 }
-                ReadState::UntilClosed if self.read_closed => {
-                    self.keep_alive = None;
+                BodyPart::Pending => self.transfer_ready_bytes().await?,
+                part => return Ok(part),
+            }
+        }
+    }
+
+    fn decode_chunk(&mut self) -> Result<BodyPart, ClientError> {
+        match &mut self.read_state {
+            ReadState::Complete => Ok(BodyPart::End),
+            ReadState::Head(_) => Err(ClientError::ConnectionLost),
+            ReadState::UntilClosed if !self.input.is_empty() => {
+                Ok(BodyPart::Chunk(self.input.split().freeze()))
+            }
+            ReadState::UntilClosed if self.read_closed => {
+                self.keep_alive = None;
+                self.read_state = ReadState::Complete;
+                Ok(BodyPart::End)
+            }
+            ReadState::UntilClosed => Ok(BodyPart::Pending),
+            ReadState::Body(codec) => match codec.0.decode(&mut self.input) {
+                Ok(Some(Some(chunk))) => Ok(BodyPart::Chunk(chunk)),
+                Ok(Some(None)) => {
                     self.read_state = ReadState::Complete;
-                    return Ok(None);
+                    Ok(BodyPart::End)
                 }
-                ReadState::UntilClosed => {}
-                ReadState::Body(codec) => match codec.0.decode(&mut self.input) {
-                    Ok(Some(Some(chunk))) => return Ok(Some(chunk)),
-                    Ok(Some(None)) => {
-                        self.read_state = ReadState::Complete;
-                        return Ok(None);
-                    }
-                    Ok(None) if self.read_closed => return Err(ClientError::ConnectionLost),
-                    Ok(None) => {}
-                    Err(_) => return Err(ClientError::Malformed),
-                },
-            }
-            self.transfer_ready_bytes().await?;
+                Ok(None) if self.read_closed => Err(ClientError::ConnectionLost),
+                Ok(None) => Ok(BodyPart::Pending),
+                Err(_) => Err(ClientError::Malformed),
+            },
         }
     }
 
--- a/crates/cumintrail-daemon/src/relay/attempt.rs
+++ b/crates/cumintrail-daemon/src/relay/attempt.rs
@@ -4,7 +4,7 @@
 use actix_http::header::{CONTENT_ENCODING, CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING};
 use actix_http::{RequestHead, Response, ResponseHead, StatusCode};
 use bytes::{Bytes, BytesMut};
-use cumintrail_client::{ClientError, Connection, Framing, RetrySafety, is_end_to_end};
+use cumintrail_client::{BodyPart, ClientError, Connection, Framing, RetrySafety, is_end_to_end};
 use cumintrail_config::Target;
 use cumintrail_control::parts::PartPlan;
 use cumintrail_control::{
@@ -37,6 +37,8 @@
     Truncated,
     /// The control thread refused the call.
     Refused(Refusal),
+    /// The caller's body turned out to be larger than allowed after its start was forwarded.
+    TooLarge,
     /// The attempt did not complete the call; the control thread decides on a further attempt.
     Unsuccessful(AttemptOutcome),
 }
@@ -238,13 +240,17 @@
     /// Waits for the head of the response, and forwards the rest of the body in the meantime.
     async fn wait_for_head(&mut self, connection: &mut Connection) -> WaitResult<ResponseHead> {
         loop {
-            let wants_body = self.caller.has_unread_body() && connection.can_queue_body();
+            let has_room = connection.can_queue_body();
+            let wants_room = self.caller.has_unread_body() && !has_room;
             tokio::select! {
                 biased;
-                head = connection.read_head() => return WaitResult::Target(head),
+                head = connection.read_head_or_room(wants_room) => match head.transpose() {
+                    Some(head) => return WaitResult::Target(head),
+                    None => continue,
+                },
                 refusal = next_refusal(&mut self.call.commands) =>
                     return self.end_as_refused(refusal),
-                input = self.caller.next_input(wants_body) => {
+                input = self.caller.next_input(has_room) => {
                     if let Some(end) = self.forward_body(connection, input).await {
                         return WaitResult::Ended(end);
                     }
@@ -266,11 +272,18 @@
         input: CallerInput,
     ) -> Option<AttemptEnd> {
         let queued = match input {
+            CallerInput::Chunk(chunk) if chunk.len() > self.call.body_allowance => {
+                return Some(AttemptEnd::TooLarge);
+            }
             CallerInput::Chunk(chunk) => {
                 self.call.body_consumed = true;
+                self.call.body_allowance -= chunk.len();
                 connection.queue_body(Some(chunk))
             }
-            CallerInput::BodyEnd => connection.queue_body(None),
+            CallerInput::BodyEnd => {
+                self.call.body_complete = !self.call.body_consumed;
+                connection.queue_body(None)
+            }
             CallerInput::Closed | CallerInput::Malformed => return Some(AttemptEnd::Disconnected),
         };
         match queued {
@@ -435,12 +448,28 @@
         }
     }
 
+    /// Waits for the next chunk of the response. A target may respond before it has read the whole
+    /// request, so the rest of its body is forwarded in the meantime.
     async fn wait_for_chunk(&mut self, connection: &mut Connection) -> WaitResult<Option<Bytes>> {
-        tokio::select! {
-            biased;
-            chunk = connection.read_chunk() => WaitResult::Target(chunk),
-            refusal = next_refusal(&mut self.call.commands) => self.end_as_refused(refusal),
-            _ = self.caller.next_input(false) => WaitResult::Ended(AttemptEnd::Disconnected),
+        loop {
+            let has_room = connection.can_queue_body();
+            let wants_room = self.caller.has_unread_body() && !has_room;
+            tokio::select! {
+                biased;
+                part = connection.read_chunk_or_room(wants_room) => match part {
+                    Ok(BodyPart::Chunk(chunk)) => return WaitResult::Target(Ok(Some(chunk))),
+                    Ok(BodyPart::End) => return WaitResult::Target(Ok(None)),
+                    Ok(BodyPart::Pending) => continue,
+                    Err(e) => return WaitResult::Target(Err(e)),
+                },
+                refusal = next_refusal(&mut self.call.commands) =>
+                    return self.end_as_refused(refusal),
+                input = self.caller.next_input(has_room) => {
+                    if let Some(end) = self.forward_body(connection, input).await {
+                        return WaitResult::Ended(end);
+                    }
+                }
+            }
         }
     }
 
--- a/crates/cumintrail-daemon/src/relay/call.rs
+++ b/crates/cumintrail-daemon/src/relay/call.rs
@@ -56,6 +56,8 @@
     pub body_complete: bool,
     /// Whether body bytes after `body` were forwarded, so that no further attempt can be made.
     pub body_consumed: bool,
+    /// The bytes of body after `body` that the caller may still send.
+    pub body_allowance: usize,
     /// Whether a byte of the call may have reached a target that did not report it as not run.
     pub may_have_run: bool,
     /// Whether the target of the current attempt has sent the head of its response.
@@ -173,6 +175,7 @@
         end
     });
     let key = shared.next_call_key();
+    let body_allowance = limits.body_bytes - body.len();
     let request = request_content(&req, account_name.as_deref(), metadata, &body, body_complete);
     let arrival = Arrival {
         call: key,
@@ -215,6 +218,7 @@
         body,
         body_complete,
         body_consumed: false,
+        body_allowance,
         may_have_run: false,
         target_responded: false,
         response_started: false,
@@ -372,6 +376,12 @@
                     AttemptEnd::Disconnected => return abandon_call(worker, call).await,
                     AttemptEnd::Truncated => return false,
                     AttemptEnd::Refused(refusal) => refusal,
+                    AttemptEnd::TooLarge => {
+                        let event = Event::CallerDisconnected { call: call.key };
+                        worker.shared.control.send(event).await;
+                        caller.disable_keep_alive();
+                        Refusal::not_run(RefusalCode::TooLarge)
+                    }
                     AttemptEnd::Unsuccessful(outcome) => {
                         let (call, attempt) = (call.key, dispatch.attempt);
                         let event = Event::AttemptEnded { call, attempt, outcome };
