Pass on complete events that arrive together with malformed bytes

Cause: EventSplitter::push returned an error for an event id that does not increase, or an oversized event, and with it dropped the complete events before it in the same read. Its last id had already moved past them, so the stream was resumed after events that the caller never got. Evidence: in the gateway's test the second attempt was sent with Last-Event-Id 4, and the caller got events 5 and 6 of six.

A push now returns the complete events whether or not malformed bytes follow, and the relay passes them on before the attempt fails.

Both new tests failed before: the gateway's test as above, the splitter's by the type of the result. The property test accounts for all bytes of refused streams now, which it left out.

--- a/crates/cumintrail-daemon/src/relay/attempt.rs
+++ b/crates/cumintrail-daemon/src/relay/attempt.rs
@@ -387,12 +387,13 @@
                 WaitResult::Ended(end) => return end,
             };
             let Some(chunk) = chunk else { break };
-            let Ok(batch) = self.call.events.push(&chunk) else {
-                return self.fail(&connection, &ClientError::Malformed).await;
-            };
-            let Some(batch) = batch else { continue };
-            if !self.start_stream(&head).await || self.write_events(batch.bytes).await.is_err() {
-                return AttemptEnd::Disconnected;
+            let batch = self.call.events.push(&chunk);
+            let is_passed_on = batch.count == 0
+                || self.start_stream(&head).await && self.write_events(batch.bytes).await.is_ok();
+            match batch.rest {
+                _ if !is_passed_on => return AttemptEnd::Disconnected,
+                Err(_) => return self.fail(&connection, &ClientError::Malformed).await,
+                Ok(()) => {}
             }
         }
         // Without an event, a close does not distinguish the end of the stream from a crash.
--- a/crates/cumintrail-daemon/src/relay/events.rs
+++ b/crates/cumintrail-daemon/src/relay/events.rs
@@ -32,6 +32,8 @@
     pub bytes: Bytes,
     /// The number of events.
     pub count: usize,
+    /// Whether the bytes after the events can still continue the stream.
+    pub rest: Result<(), MalformedStream>,
 }
 
 impl EventSplitter {
@@ -66,29 +68,32 @@
         if is_inside_event { Err(TruncatedStream) } else { Ok(self.pending.split().freeze()) }
     }
 
-    /// Appends bytes and returns the events that they complete, `None` if there are none.
+    /// Appends bytes and returns the events that they complete.
     ///
     /// An event id that is not greater than the last one is an error: the event belongs to another
-    /// execution of the call.
-    pub fn push(&mut self, bytes: &[u8]) -> Result<Option<EventBatch>, MalformedStream> {
+    /// execution of the call. The events before it are returned all the same, since the stream is
+    /// resumed after them.
+    pub fn push(&mut self, bytes: &[u8]) -> EventBatch {
         // An empty line may begin in the last bytes of the pending data.
         let mut searched = self.pending.len().saturating_sub(3);
         self.pending.extend_from_slice(bytes);
-        let (mut end, mut begin, mut count) = (0, 0, 0);
+        let (mut end, mut count, mut rest) = (0, 0, Ok(()));
         while let Some(length) = event_end(&self.pending[searched..]) {
-            end = searched + length;
-            if let Some(id) = event_id(&self.pending[begin..end]) {
-                if self.last_id.is_some_and(|last| id <= last) {
-                    return Err(MalformedStream);
+            let next = searched + length;
+            match event_id(&self.pending[end..next]) {
+                Some(id) if self.last_id.is_some_and(|last| id <= last) => {
+                    rest = Err(MalformedStream);
+                    break;
                 }
-                self.last_id = Some(id);
+                Some(id) => self.last_id = Some(id),
+                None => {}
             }
-            (begin, searched, count) = (end, end, count + 1);
+            (end, searched, count) = (next, next, count + 1);
         }
         if self.pending.len() - end > MAX_EVENT_BYTES {
-            return Err(MalformedStream);
+            rest = Err(MalformedStream);
         }
-        Ok((end > 0).then(|| EventBatch { bytes: self.pending.split_to(end).freeze(), count }))
+        EventBatch { bytes: self.pending.split_to(end).freeze(), count, rest }
     }
 }
 
--- a/crates/cumintrail-daemon/tests/events.rs
+++ b/crates/cumintrail-daemon/tests/events.rs
@@ -27,7 +27,9 @@
         while !rest.is_empty() {
             let (now, later) = rest.split_at((*cuts.next().unwrap()).min(rest.len()));
             rest = later;
-            if let Some(batch) = events.push(now).unwrap() {
+            let batch = events.push(now);
+            prop_assert!(batch.rest.is_ok());
+            if batch.count > 0 {
                 out.extend_from_slice(&batch.bytes);
                 let empty_line = if crlf { &b"\r\n\r\n"[..] } else { b"\n\n" };
                 prop_assert!(out.ends_with(empty_line), "a partial event was emitted");
@@ -43,10 +45,10 @@
 #[test]
 fn a_partial_event_of_a_broken_response_is_dropped_and_the_next_attempt_continues() {
     let mut events = EventSplitter::default();
-    events.push((event(1) + "id: 2\nda").as_bytes()).unwrap();
+    assert!(events.push((event(1) + "id: 2\nda").as_bytes()).rest.is_ok());
     events.drop_partial();
     assert_eq!(events.last_id(), Some(1));
-    let batch = events.push(event(2).as_bytes()).unwrap().unwrap();
+    let batch = events.push(event(2).as_bytes());
     assert_eq!(batch.bytes, event(2).as_bytes());
 }
 
@@ -54,12 +56,13 @@
 fn a_stream_that_ends_inside_an_event_is_truncated() {
     for rest in ["id", "id: 2\n", "id: 2\ndata: token 2", "id: 2\ndata: token 2\n", ":"] {
         let mut events = EventSplitter::default();
-        events.push((event(1) + rest).as_bytes()).unwrap();
+        assert!(events.push((event(1) + rest).as_bytes()).rest.is_ok());
         assert!(events.finish().is_err(), "{rest:?}");
     }
     for rest in ["", "\n", "\r\n"] {
         let mut events = EventSplitter::default();
-        let batch = events.push((event(1) + rest).as_bytes()).unwrap().unwrap();
+        let batch = events.push((event(1) + rest).as_bytes());
+        assert!(batch.rest.is_ok());
         let passed_on = batch.bytes.len() + events.finish().unwrap().len();
         assert_eq!(passed_on, event(1).len() + rest.len());
     }
@@ -70,16 +73,38 @@
     // Some hundred streams of one target at a time, in a tenth of a VM with 110 MB.
     const LIMIT_BYTES: usize = 110_000_000 / 10 / 128;
     let mut events = EventSplitter::default();
-    let refused = (0..10_000).find(|_| events.push(&[b'x'; 1_000]).is_err());
+    let refused = (0..10_000).find(|_| events.push(&[b'x'; 1_000]).rest.is_err());
     assert!(refused.is_some_and(|chunks| chunks * 1_000 < LIMIT_BYTES), "{refused:?}");
 }
 
 #[test]
 fn an_event_that_was_passed_on_before_is_refused() {
     let mut events = EventSplitter::resume_after(Some(4));
-    assert!(events.push(event(4).as_bytes()).is_err());
+    let batch = events.push(event(4).as_bytes());
+    assert!(batch.rest.is_err() && batch.bytes.is_empty());
     let mut events = EventSplitter::resume_after(Some(4));
-    assert!(events.push(event(5).as_bytes()).is_ok());
+    assert!(events.push(event(5).as_bytes()).rest.is_ok());
+}
+
+/// Guards against events that count as received although they never left the splitter.
+#[test]
+fn complete_events_before_a_malformed_one_are_passed_on() {
+    let repeated = event(1);
+    let oversized = "x".repeat(100_000);
+    for malformed in [repeated, oversized] {
+        for known in [None, Some(4)] {
+            let first = known.unwrap_or(0) + 1;
+            let sound = event(first) + &event(first + 1);
+            let mut events = EventSplitter::resume_after(known);
+            let batch = events.push((sound.clone() + &malformed).as_bytes());
+            assert_eq!(batch.bytes, sound.as_bytes());
+            assert!(batch.rest.is_err());
+            assert_eq!(events.last_id(), Some(first + 1));
+            events.drop_partial();
+            let next = event(first + 2);
+            assert_eq!(events.push(next.as_bytes()).bytes, next.as_bytes());
+        }
+    }
 }
 
 #[test]
@@ -90,9 +115,10 @@
         let (mut received, mut emitted) = (0, 0);
         for chunk in chunks {
             received += chunk.len();
-            match events.push(&chunk) {
-                Ok(batch) => emitted += batch.map_or(0, |b| b.bytes.len()),
-                Err(_) => return Ok(()),
+            let batch = events.push(&chunk);
+            emitted += batch.bytes.len();
+            if batch.rest.is_err() {
+                break;
             }
         }
         prop_assert_eq!(emitted + events.remainder_len(), received);
--- a/tests/tests/gateway.rs
+++ b/tests/tests/gateway.rs
@@ -184,6 +184,34 @@
     }
 }
 
+/// Guards against a gap in a resumed stream: events in one read with malformed bytes were dropped.
+#[actix_rt::test]
+async fn events_before_malformed_bytes_reach_the_caller_before_the_stream_is_resumed() {
+    let event = |id: u64| format!("id: {id}\ndata: {id}\n\n");
+    let chunk = |text: String| send(&format!("{:x}\r\n{text}\r\n", text.len()));
+    let malformed = [event(1).repeat(4), "x".repeat(100_000)];
+    for malformed in &malformed {
+        for begun in [0, 2] {
+            let start: String = (1..=begun).map(event).collect();
+            let rest: String = (begun + 1..=4).map(event).collect::<String>() + malformed;
+            let mut broken = vec![send(STREAM)];
+            if !start.is_empty() {
+                broken.extend([chunk(start), Step::Pause(Duration::from_millis(30))]);
+            }
+            broken.extend([chunk(rest), Step::Pause(LIMIT)]);
+            let whole = || vec![send(STREAM), events(5..=6), send("0\r\n\r\n")];
+            let target = Replica::bind(move |n| if n == 0 { broken.clone() } else { whole() });
+            let target = target.await.unwrap();
+            let cluster = Cluster::spawn(&[&target]).await;
+            let response = cluster.call("/resume/").await;
+            let ids: Vec<&str> = response.lines().filter_map(|l| l.strip_prefix("id: ")).collect();
+            assert_eq!(ids, ["1", "2", "3", "4", "5", "6"], "{response}");
+            assert!(response.ends_with("0\r\n\r\n"), "{response}");
+            assert_eq!(header(&target.calls()[1], "last-event-id"), Some("4"));
+        }
+    }
+}
+
 #[actix_rt::test]
 async fn a_truncated_response_to_an_http_1_0_caller_is_reset() {
     let broken = vec![send(STREAM), events(1..=2), Step::Reset];
