Send each attempt of a call on a connection that had none of it before

Cause: after a refusal the connection went back to the pool, and the next attempt of the same call took it. A late copy of the refusal has the id of the call, so it passed for the answer to that attempt. Evidence: in the new test the target runs the call on the connection that it had refused it on, and the call is sent again (TWICE).

A call remembers the connections that had an attempt of it, and the pool leaves them out, so id and connection together identify the attempt. Other calls still reuse the connection, and skip a copy by its id.

a_second_copy_of_a_refusal_does_not_answer_the_next_attempt failed before: the call ran twice.

--- a/crates/cumintrail-client/src/connection.rs
+++ b/crates/cumintrail-client/src/connection.rs
@@ -5,6 +5,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use actix_http::body::BodySize;
@@ -38,9 +39,21 @@
 /// The body length up to which a response to another call is skipped.
 const MAX_DISCARDED_BYTES: usize = 256 << 10;
 
+/// Identifies a connection for as long as the process runs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ConnectionId(u64);
+
+impl ConnectionId {
+    fn next() -> Self {
+        static NEXT: AtomicU64 = AtomicU64::new(0);
+        Self(NEXT.fetch_add(1, Ordering::Relaxed))
+    }
+}
+
 /// An HTTP/1.1 connection that carries one exchange with a target at a time.
 #[derive(Debug)]
 pub struct Connection {
+    id: ConnectionId,
     stream: TcpStream,
     address: SocketAddr,
     config: ServiceConfig,
@@ -132,6 +145,7 @@
         let stream = connected.ok().and_then(Result::ok).ok_or(ClientError::NotSent)?;
         configure_socket(&stream).map_err(|_| ClientError::NotSent)?;
         Ok(Self {
+            id: ConnectionId::next(),
             stream,
             address,
             encoder: ClientCodec::new(config.clone()),
@@ -150,6 +164,11 @@
         })
     }
 
+    /// Returns the identity of the connection.
+    pub const fn id(&self) -> ConnectionId {
+        self.id
+    }
+
     /// Returns the target's address.
     pub const fn address(&self) -> SocketAddr {
         self.address
--- a/crates/cumintrail-client/src/lib.rs
+++ b/crates/cumintrail-client/src/lib.rs
@@ -21,7 +21,7 @@
 mod store;
 mod traffic;
 
-pub use connection::{BodyPart, Connection, Framing};
+pub use connection::{BodyPart, Connection, ConnectionId, Framing};
 pub use engine::{Engine, HttpEngine, LoadRequest, TargetOrders};
 pub use error::ClientError;
 pub use feed::{Feed, FeedError};
--- a/crates/cumintrail-client/src/pool.rs
+++ b/crates/cumintrail-client/src/pool.rs
@@ -8,7 +8,7 @@
 use actix_http::ServiceConfig;
 
 use crate::connection::KEEPALIVE_INTERVAL;
-use crate::{ClientError, Connection};
+use crate::{ClientError, Connection, ConnectionId};
 
 /// Fraction of a target's keep-alive timeout during which an idle connection may be reused.
 ///
@@ -52,28 +52,39 @@
     }
 
     /// Takes the most recently used idle connection to a target, or opens a new one.
+    ///
+    /// The connections in `carried` had an attempt of the same call. They are not taken, since a late
+    /// copy of that attempt's response would bear the id of the call and pass for the next response.
     pub async fn acquire(
         &self,
         at: SocketAddr,
         retry_safety: RetrySafety,
+        carried: &[ConnectionId],
     ) -> Result<Connection, ClientError> {
-        if let Some(connection) = self.take_idle(at, retry_safety) {
+        if let Some(connection) = self.take_idle(at, retry_safety, carried) {
             return Ok(connection);
         }
         Connection::open(at, self.connect_timeout, self.config.clone()).await
     }
 
-    fn take_idle(&self, at: SocketAddr, retry_safety: RetrySafety) -> Option<Connection> {
+    fn take_idle(
+        &self,
+        at: SocketAddr,
+        retry_safety: RetrySafety,
+        carried: &[ConnectionId],
+    ) -> Option<Connection> {
         let fraction = match retry_safety {
             RetrySafety::Retryable => REUSE_FRACTION,
             RetrySafety::AtMostOnce => REUSE_FRACTION_AT_MOST_ONCE,
         };
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(&at)?;
-        while let Some(IdleConnection { mut connection, keep_alive }) = connections.pop() {
+        let may_carry = |idle: &IdleConnection| !carried.contains(&idle.connection.id());
+        while let Some(found) = connections.iter().rposition(may_carry) {
+            let IdleConnection { mut connection, keep_alive } = connections.remove(found);
             if connection.idle_time() >= reuse_limit(keep_alive, fraction) {
                 // The connections below it in the stack have been idle for longer.
-                connections.clear();
+                connections.drain(..found);
                 return None;
             }
             if connection.is_open_without_input() {
--- a/crates/cumintrail-daemon/src/relay/attempt.rs
+++ b/crates/cumintrail-daemon/src/relay/attempt.rs
@@ -88,7 +88,7 @@
         let at_most_once = !self.call.class.is_repeatable();
         let retry_safety =
             if at_most_once { RetrySafety::AtMostOnce } else { RetrySafety::Retryable };
-        let connection = self.worker.pool.acquire(at, retry_safety);
+        let connection = self.worker.pool.acquire(at, retry_safety, &self.call.carried_by);
         let connection = tokio::select! {
             biased;
             connection = connection => connection,
@@ -112,6 +112,7 @@
             return self.record_end(AttemptOutcome::NotSent, "body-gone");
         }
         let reused = connection.has_been_used();
+        self.call.carried_by.push(connection.id());
         lines::sent(self.call, now, self.dispatch, self.target, reused);
         let (head, size) = self.build_request_head(now);
         let (has_body, body) = (size != BodySize::None, self.call.body.clone());
--- a/crates/cumintrail-daemon/src/relay/call.rs
+++ b/crates/cumintrail-daemon/src/relay/call.rs
@@ -6,6 +6,7 @@
 use actix_http::uri::PathAndQuery;
 use actix_http::{Request, Response, StatusCode};
 use bytes::{Bytes, BytesMut};
+use cumintrail_client::ConnectionId;
 use cumintrail_config::{Route, Snapshot, TargetKind};
 use cumintrail_control::parts::{cache_salt, part_key};
 use cumintrail_control::quarantine::{CallContent, ContentKey};
@@ -15,6 +16,7 @@
     AccountKey, BlockKey, CallClass, CallKey, Digest, Moment, Ran, Refusal, RefusalCode, Tokens,
     Urgency, WeightVersion,
 };
+use smallvec::SmallVec;
 use tokio::sync::mpsc;
 
 use super::attempt::{self, AttemptEnd};
@@ -58,6 +60,8 @@
     pub body_consumed: bool,
     /// The bytes of body after `body` that the caller may still send.
     pub body_allowance: usize,
+    /// The connections that had an attempt of the call.
+    pub carried_by: SmallVec<[ConnectionId; 2]>,
     /// Whether a byte of the call may have reached a target that did not report it as not run.
     pub may_have_run: bool,
     /// Whether the target of the current attempt has sent the head of its response.
@@ -219,6 +223,7 @@
         body_complete,
         body_consumed: false,
         body_allowance,
+        carried_by: SmallVec::new(),
         may_have_run: false,
         target_responded: false,
         response_started: false,
--- /dev/null
+++ b/tests/tests/gateway_promises.rs
@@ -0,0 +1,80 @@
+//! A refusal that says a call did not run is true, whatever targets send at the wrong time.
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use cumintrail_daemon::Gateway;
+use cumintrail_tests::gateway_cluster::{Cluster, KEY, WHOLE, declarations, status};
+use cumintrail_tests::standins::feed::FeedPlatform;
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::net::TcpListener;
+
+const NOT_RUN: &str = "HTTP/1.1 503 Service Unavailable\r\nx-cumintrail-call: {id}\r\n\
+    x-cumintrail-not-run: 1\r\ncontent-length: 0\r\n\r\n";
+
+/// Counts the calls that a target ran.
+type Runs = Rc<Cell<usize>>;
+
+/// Starts a target that sends `responses(connection, call)` to the calls of each connection, both
+/// counted from zero; a call that gets [`WHOLE`] has run.
+async fn spawn_target(
+    responses: impl Fn(usize, usize) -> Vec<String> + Clone + 'static,
+) -> (SocketAddr, Runs) {
+    let runs = Runs::default();
+    let counted = runs.clone();
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let at = listener.local_addr().unwrap();
+    actix_rt::spawn(async move {
+        for connection in 0.. {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let (responses, runs) = (responses.clone(), counted.clone());
+            actix_rt::spawn(async move {
+                for call in 0.. {
+                    let mut head = Vec::new();
+                    while !head.ends_with(b"\r\n\r\n") {
+                        let Ok(byte) = stream.read_u8().await else { return };
+                        head.push(byte);
+                    }
+                    for response in responses(connection, call) {
+                        runs.set(runs.get() + usize::from(response == WHOLE));
+                        if stream
+                            .write_all(response.replace("{id}", "c-1").as_bytes())
+                            .await
+                            .is_err()
+                        {
+                            return;
+                        }
+                    }
+                }
+            });
+        }
+    });
+    (at, runs)
+}
+
+async fn spawn(target: SocketAddr) -> Cluster {
+    let platform = FeedPlatform::new();
+    platform.publish_declarations(1, &declarations(KEY));
+    platform.list_target("t0", 1, 1, "desk", target, false);
+    let cluster = Cluster::spawn_on(platform);
+    cluster.until(Gateway::is_ready).await;
+    cluster
+}
+
+/// Guards against a late copy of a refusal that passes for the answer to the next attempt.
+#[actix_rt::test]
+async fn a_second_copy_of_a_refusal_does_not_answer_the_next_attempt() {
+    let (target, runs) = spawn_target(|connection, call| match (connection, call) {
+        (0, 0) => vec![NOT_RUN.to_owned()],
+        (0, 1) => vec![NOT_RUN.to_owned(), WHOLE.to_owned()],
+        _ => vec![WHOLE.to_owned()],
+    })
+    .await;
+    let cluster = spawn(target).await;
+    for number in 1..=3 {
+        let response = cluster.call("/hold/").await;
+        assert_eq!(status(&response), "200", "{response}");
+        assert_eq!(runs.get(), number, "a call ran twice");
+    }
+}
