Take a response for a call's only if it bears the call's id

Cause: a response without any id counted as the call's own. Bytes behind an earlier response, which bear no id, arrive where the next response is expected. Evidence: in the new test the next call was sent again after such a refusal and ran twice.

Targets repeat the id of a call in each response, so a response without it is skipped like one with another id, and a log line names it.

responses_without_the_id_of_a_call_do_not_answer_it failed before: a call ran twice.

--- a/crates/cumintrail-daemon/src/relay/attempt.rs
+++ b/crates/cumintrail-daemon/src/relay/attempt.rs
@@ -144,6 +144,7 @@
                 ResponseKind::Foreign if foreign_responses < MAX_FOREIGN_RESPONSES => {
                     foreign_responses += 1;
                     metrics::counter!(metric::FOREIGN_RESPONSES).increment(1);
+                    lines::foreign_response(self.call, &self.target.instance, head.status);
                     if let Err(e) = connection.skip_response().await {
                         return self.fail(&connection, &e).await;
                     }
--- a/crates/cumintrail-daemon/src/relay/dialect.rs
+++ b/crates/cumintrail-daemon/src/relay/dialect.rs
@@ -157,9 +157,7 @@
         let misdirected = head.status == StatusCode::MISDIRECTED_REQUEST;
         let other_instance = head.headers().get(INSTANCE).is_some_and(|name| name != instance);
         match head.headers().get(CALL_ID) {
-            Some(id) if metadata.id.as_ref().is_some_and(|expected| expected != id) => {
-                ResponseKind::Foreign
-            }
+            id if metadata.id.is_some() && metadata.id.as_ref() != id => ResponseKind::Foreign,
             _ if misdirected => ResponseKind::NotRun { instance_gone: other_instance },
             _ if head.headers().contains_key(NOT_RUN) => {
                 ResponseKind::NotRun { instance_gone: false }
--- a/crates/cumintrail-daemon/src/relay/lines.rs
+++ b/crates/cumintrail-daemon/src/relay/lines.rs
@@ -1,5 +1,6 @@
 //! The log lines of relayed calls: one per decision, with the values that it was based on.
 
+use actix_http::StatusCode;
 use actix_http::header::HeaderValue;
 use cumintrail_client::Framing;
 use cumintrail_config::Target;
@@ -76,6 +77,16 @@
     );
 }
 
+/// Logs that a response is skipped because it does not bear the call's id.
+pub fn foreign_response(call: &RelayedCall, target: &str, status: StatusCode) {
+    log::info!(
+        "event=foreign-response id={} call={} target={target} status={}",
+        caller_call_id(call),
+        call.key,
+        status.as_u16(),
+    );
+}
+
 /// Logs the end of an attempt that did not complete its call.
 pub fn attempt_ended(
     call: &RelayedCall,
--- a/tests/tests/gateway_promises.rs
+++ b/tests/tests/gateway_promises.rs
@@ -78,3 +78,22 @@
         assert_eq!(runs.get(), number, "a call ran twice");
     }
 }
+
+/// Guards against bytes behind an earlier response that pass for the answer to the next call.
+#[actix_rt::test]
+async fn responses_without_the_id_of_a_call_do_not_answer_it() {
+    for extra in [NOT_RUN, WHOLE] {
+        let extra = extra.replace("x-cumintrail-call: {id}\r\n", "").replace("wheel", "whey!");
+        let (target, runs) = spawn_target(move |_, call| match call {
+            0 => vec![WHOLE.to_owned()],
+            _ => vec![extra.clone(), WHOLE.to_owned()],
+        })
+        .await;
+        let cluster = spawn(target).await;
+        for number in 1..=3 {
+            let response = cluster.call("/hold/").await;
+            assert!(response.ends_with("wheel"), "{response}");
+            assert_eq!(runs.get(), number, "a call ran twice");
+        }
+    }
+}
