Never pass on a status that promises more than the target said

A caller of a payment got a target's own 503, 429 or 408 as it was.

Cause: the relay told apart only refusals that say a call has not run, and passed on every other response of the call unchanged, whatever its status means to the caller. Evidence: the new test's target answers such a status without the mark, and the caller got 503 with its Retry-After.

Such a response is a failed attempt, after which a call may have run: it is sent again where it may be, and answered 502 otherwise.

a_target_that_does_not_say_that_a_call_has_not_run_is_not_quoted_so failed before: 503 where 502 is right.

--- a/crates/cumintrail-daemon/src/relay/attempt.rs
+++ b/crates/cumintrail-daemon/src/relay/attempt.rs
@@ -159,6 +159,11 @@
                     let outcome = AttemptOutcome::RefusedByTarget { leaving: instance_gone };
                     return self.record_end(outcome, "target");
                 }
+                // The target may have run the call, and the caller would take the status as the
+                // promise that it has not.
+                ResponseKind::Matching if promises_not_run(head.status) => {
+                    return self.record_end(self.failed(), "unproven-refusal");
+                }
                 ResponseKind::Matching
                     if self.call.class.is_streamed() && head.status.is_success() =>
                 {
@@ -523,6 +528,17 @@
     }
 }
 
+/// Returns whether callers take a status as the promise that the call has not run and never will.
+const fn promises_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
 /// Forwards a buffered response to the caller.
 pub(super) async fn write_response(
     caller: &mut CallerConnection,
--- a/tests/tests/gateway_promises.rs
+++ b/tests/tests/gateway_promises.rs
@@ -97,3 +97,19 @@
         }
     }
 }
+
+/// Guards against a status that promises that a call has not run, when its target did not say so.
+#[actix_rt::test]
+async fn a_target_that_does_not_say_that_a_call_has_not_run_is_not_quoted_so() {
+    for name in ["503 Service Unavailable", "429 Too Many Requests", "408 Request Timeout"] {
+        let failed = format!(
+            "HTTP/1.1 {name}\r\nx-cumintrail-call: {{id}}\r\nretry-after: 1\r\n\
+             content-length: 5\r\n\r\nstale"
+        );
+        let (target, _) = spawn_target(move |_, _| vec![failed.clone()]).await;
+        let cluster = spawn(target).await;
+        let response = cluster.call("/hold/").await;
+        assert_eq!(status(&response), "502", "{response}");
+        assert!(!response.contains("retry-after") && !response.contains("stale"), "{response}");
+    }
+}
