Check that a target lives before a response without length counts as complete

Cause: the end of the connection marks the end of such a response. The system of a killed process closes its connections normally, as a target does that is done. Evidence: the new test's target ends its process between two events, and the caller's response ended with its last chunk.

Before such an end counts, the daemon opens a connection to the target. If it is refused, or closed again while the process ends, the response is truncated: a stream is resumed or cut, another call is sent again or answered 502. A sound target pays one connection for each response without length or chunks, and nothing for others.

--- a/crates/cumintrail-daemon/src/relay.rs
+++ b/crates/cumintrail-daemon/src/relay.rs
@@ -36,6 +36,8 @@
 ///
 /// Targets are a few milliseconds away; a lost SYN is retransmitted after one second.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// The time within which the system closes all sockets of a process that ends.
+const EXIT_TIME: Duration = Duration::from_millis(20);
 /// The interval at which idle connections that must not be reused are closed.
 const PRUNE_INTERVAL: Duration = Duration::from_secs(2);
 /// The delay after a failed `accept`, for example when no file descriptors are available.
@@ -154,8 +156,7 @@
         }
         let (shared, checked) = (self.shared.clone(), self.checked.clone());
         actix_rt::spawn(async move {
-            let opened = actix_rt::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(at)).await;
-            if !matches!(opened, Ok(Ok(_))) {
+            if connect(at).await.is_none() {
                 shared.control.send(Event::TargetUnreachable { target }).await;
             }
             checked.borrow_mut().remove(&target);
@@ -168,6 +169,20 @@
     }
 }
 
+async fn connect(at: SocketAddr) -> Option<TcpStream> {
+    actix_rt::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(at)).await.ok()?.ok()
+}
+
+/// Returns whether a target accepts a connection and keeps it.
+///
+/// The system of a process that ends may still accept connections for a moment, and resets them then.
+async fn accepts_connections(at: SocketAddr) -> bool {
+    let Some(stream) = connect(at).await else { return false };
+    let mut byte = [0];
+    let closed = actix_rt::time::timeout(EXIT_TIME, stream.peek(&mut byte)).await;
+    closed.is_err()
+}
+
 async fn accept_connections<D: HeaderDialect>(listener: TcpListener, worker: Rc<Worker<D>>) {
     let listener = match tokio::net::TcpListener::from_std(listener) {
         Ok(listener) => listener,
--- a/crates/cumintrail-daemon/src/relay/attempt.rs
+++ b/crates/cumintrail-daemon/src/relay/attempt.rs
@@ -17,7 +17,7 @@
 use super::call::{RelayedCall, report_attempt_end};
 use super::caller::{CallerConnection, CallerInput};
 use super::dialect::{ForwardMetadata, HeaderDialect, ResponseKind};
-use super::{Worker, lines};
+use super::{Worker, accepts_connections, lines};
 use crate::control_thread::Command;
 use crate::metric;
 
@@ -328,6 +328,9 @@
                 None => break,
             }
         }
+        if self.is_cut_off(&connection).await {
+            return self.fail(&connection, &ClientError::Truncated).await;
+        }
         let framing = connection.framing();
         self.worker.pool.release(connection);
         let status = head.status;
@@ -369,6 +372,9 @@
                 WaitResult::Ended(end) => return end,
             };
         }
+        if self.is_cut_off(&connection).await {
+            return self.fail(&connection, &ClientError::Truncated).await;
+        }
         let framing = connection.framing();
         self.worker.pool.release(connection);
         let written = self.caller.write_chunk(None).await;
@@ -406,7 +412,7 @@
         // Without an event, a close does not distinguish the end of the stream from a crash.
         let is_empty = connection.framing() == Framing::Close && !self.call.response_started;
         let rest = match self.call.events.finish() {
-            Ok(rest) if !is_empty => rest,
+            Ok(rest) if !is_empty && !self.is_cut_off(&connection).await => rest,
             _ => return self.fail(&connection, &ClientError::Truncated).await,
         };
         self.log_answered(status, connection.framing());
@@ -423,6 +429,12 @@
         if written.is_ok() { AttemptEnd::Completed } else { AttemptEnd::Truncated }
     }
 
+    /// Returns whether a response that ended with its connection was cut off by the end of its
+    /// target's process, whose system closes connections like a target that is done.
+    async fn is_cut_off(&self, connection: &Connection) -> bool {
+        connection.framing() == Framing::Close && !accepts_connections(connection.address()).await
+    }
+
     async fn write_events(&mut self, bytes: Bytes) -> std::io::Result<()> {
         self.caller.write_chunk(Some(bytes)).await
     }
--- a/tests/src/standins/replica.rs
+++ b/tests/src/standins/replica.rs
@@ -21,6 +21,15 @@
     Reset,
     /// Ends the process: all connections are reset, and new ones are refused.
     Crash,
+    /// Kills the process: its system closes all connections normally, and new ones are refused.
+    Kill,
+}
+
+/// How the process of a replica has ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Exit {
+    Crashed,
+    Killed,
 }
 
 /// Responds to relayed calls by a script.
@@ -29,7 +38,7 @@
     address: SocketAddr,
     heads: Arc<Mutex<Vec<String>>>,
     ended: Arc<Mutex<usize>>,
-    crashed: watch::Sender<bool>,
+    exit: watch::Sender<Option<Exit>>,
 }
 
 impl Replica {
@@ -50,15 +59,15 @@
     ) -> std::io::Result<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let address = listener.local_addr()?;
-        let crashed = watch::Sender::new(false);
-        let replica = Self { address, heads: Arc::default(), ended: Arc::default(), crashed };
+        let exit = watch::Sender::new(None);
+        let replica = Self { address, heads: Arc::default(), ended: Arc::default(), exit };
         let (served, script) = (replica.clone(), std::rc::Rc::new(script));
-        let mut crashed = replica.crashed.subscribe();
+        let mut exit = replica.exit.subscribe();
         actix_rt::spawn(async move {
             loop {
                 let accepted = tokio::select! {
                     accepted = listener.accept() => accepted,
-                    _ = crashed.wait_for(|crashed| *crashed) => return,
+                    _ = exit.wait_for(Option::is_some) => return,
                 };
                 let Ok((stream, _)) = accepted else { return };
                 let (served, script) = (served.clone(), script.clone());
@@ -89,12 +98,12 @@
 
     /// Ends the process: all connections are reset, and new ones are refused.
     pub fn crash(&self) {
-        self.crashed.send_replace(true);
+        self.exit.send_replace(Some(Exit::Crashed));
     }
 
     /// Returns whether the process has ended.
     pub fn has_crashed(&self) -> bool {
-        *self.crashed.borrow()
+        *self.exit.borrow() == Some(Exit::Crashed)
     }
 
     async fn serve(
@@ -102,10 +111,10 @@
         mut stream: TcpStream,
         script: &impl Fn(usize, &str) -> Vec<Step>,
     ) -> std::io::Result<()> {
-        let mut crashed = self.crashed.subscribe();
+        let mut exit = self.exit.subscribe();
         let ended = tokio::select! {
             ended = self.serve_calls(&mut stream, script) => ended,
-            _ = crashed.wait_for(|crashed| *crashed) => Ok(()),
+            _ = exit.wait_for(Option::is_some) => Ok(()),
         };
         if self.has_crashed() {
             return socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO));
@@ -149,6 +158,10 @@
                         self.crash();
                         return Ok(());
                     }
+                    Step::Kill => {
+                        self.exit.send_replace(Some(Exit::Killed));
+                        return Ok(());
+                    }
                 }
             }
         }
--- a/tests/tests/gateway.rs
+++ b/tests/tests/gateway.rs
@@ -1,6 +1,8 @@
 //! Tests relayed calls end to end: callers, a gateway, scripted targets, and a platform with
 //! a change feed.
 
+use std::cell::Cell;
+use std::rc::Rc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
@@ -212,6 +214,47 @@
     }
 }
 
+/// Guards against the close by the system of a killed target that passes for the end of a response.
+#[actix_rt::test]
+async fn a_response_without_length_of_a_killed_target_is_never_ended_as_complete() {
+    let unframed = "HTTP/1.1 200 OK\r\nx-cumintrail-call: {id}\r\n\r\n";
+    let event = |id: u64| format!("id: {id}\ndata: {id}\n\n");
+    let stream = [event(1), event(2)].concat();
+    let large = "w".repeat(300_000);
+    let cases = [
+        ("/resume/", &stream, true),
+        ("/flow/", &stream, false),
+        ("/hold/", &"whe".to_owned(), false),
+        ("/read/", &"whe".to_owned(), true),
+        ("/hold/", &large, false),
+    ];
+    for (path, start, continues) in cases {
+        let (mut targets, killed) = (Vec::new(), Rc::new(Cell::new(false)));
+        for _ in 0..2 {
+            let (start, killed) = (send(start), killed.clone());
+            let script = move |head: &str| match header(head, "last-event-id") {
+                Some(_) => vec![send(STREAM), events(3..=4), send("0\r\n\r\n")],
+                None if killed.replace(true) => vec![send(WHOLE)],
+                None => {
+                    let pause = Step::Pause(Duration::from_millis(20));
+                    vec![send(unframed), start.clone(), pause, Step::Kill]
+                }
+            };
+            targets.push(Replica::bind_by_head(script).await.unwrap());
+        }
+        let cluster = Cluster::spawn(&[&targets[0], &targets[1]]).await;
+        let response = cluster.call(path).await;
+        let end = &response[response.len().saturating_sub(200)..];
+        let is_whole = match path {
+            "/resume/" => end.contains("id: 4\n") && end.ends_with("0\r\n\r\n"),
+            "/read/" => end.ends_with("wheel"),
+            "/hold/" if start.len() < 100 => status(&response) != "502",
+            _ => end.ends_with("0\r\n\r\n"),
+        };
+        assert_eq!(is_whole, continues, "{path}: {end}");
+    }
+}
+
 #[actix_rt::test]
 async fn a_truncated_response_to_an_http_1_0_caller_is_reset() {
     let broken = vec![send(STREAM), events(1..=2), Step::Reset];
