Take the end of an unframed response after a failed write for a reset

Cause: the write of the request consumes the socket's error of a reset, and the read that follows sees a regular end. Evidence: the new test's target resets the connection during the request, and the response was complete.

After a failed write such an end is a lost connection.

--- a/crates/cumintrail-client/src/connection.rs
+++ b/crates/cumintrail-client/src/connection.rs
@@ -308,6 +308,10 @@
             ReadState::UntilClosed if !self.input.is_empty() => {
                 Ok(BodyPart::Chunk(self.input.split().freeze()))
             }
+            // A failed write consumes the error of a reset, after which a read sees an end.
+            ReadState::UntilClosed if self.read_closed && self.write_failed => {
+                Err(ClientError::ConnectionLost)
+            }
             ReadState::UntilClosed if self.read_closed => {
                 self.keep_alive = None;
                 self.read_state = ReadState::Complete;
--- a/crates/cumintrail-client/tests/connection.rs
+++ b/crates/cumintrail-client/tests/connection.rs
@@ -109,6 +109,28 @@
     assert!(exchange(&mut reset).await.is_err());
 }
 
+/// Guards against a reset whose error the write of the request consumes.
+#[actix_rt::test]
+async fn a_reset_during_the_request_does_not_end_a_response_without_length() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let at = listener.local_addr().unwrap();
+    actix_rt::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        read_head(&mut stream).await;
+        stream.write_all(b"HTTP/1.1 200 OK\r\n\r\nok").await.unwrap();
+        actix_rt::time::sleep(Duration::from_millis(50)).await;
+        socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO)).unwrap();
+    });
+    let mut connection = Connection::open(at, TIMEOUT, ServiceConfig::default()).await.unwrap();
+    let mut head = RequestHead::default();
+    head.method = Method::POST;
+    let length = 32 << 20;
+    connection.start_exchange(head, BodySize::Sized(length)).unwrap();
+    connection.queue_body(Some(Bytes::from(vec![b'x'; length as usize]))).unwrap();
+    connection.read_head().await.unwrap();
+    assert!(read_body(&mut connection).await.is_err(), "the response counts as complete");
+}
+
 #[actix_rt::test]
 async fn a_response_to_head_has_no_body_whatever_it_declares() {
     for response in ["HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\n", "HTTP/1.1 200 OK\r\n\r\n"] {
