--- a/tests/src/standins.rs
+++ b/tests/src/standins.rs
@@ -2,6 +2,7 @@
 
 pub mod engine;
 pub mod feed;
+pub mod path;
 pub mod platform;
 pub mod relay;
 pub mod replica;
--- a/tests/src/standins/feed.rs
+++ b/tests/src/standins/feed.rs
@@ -35,6 +35,8 @@
     cut: Arc<AtomicBool>,
     /// Counts the requests of the VM that uses this value.
     requests: Arc<AtomicUsize>,
+    /// The paths on which the VM that uses this value reaches targets, by the targets' addresses.
+    paths: Arc<BTreeMap<SocketAddr, SocketAddr>>,
 }
 
 /// The rows of a platform at some moment.
@@ -71,6 +73,12 @@
         Self { state: self.state.clone(), ..Self::default() }
     }
 
+    /// Returns the platform as another VM reaches it, which reaches targets on these paths.
+    #[must_use]
+    pub fn for_vm_with_paths(&self, paths: BTreeMap<SocketAddr, SocketAddr>) -> Self {
+        Self { paths: Arc::new(paths), ..self.for_vm() }
+    }
+
     /// Cuts the VM that uses this value off from the platform, or connects it again.
     pub fn set_cut(&self, is_cut: bool) {
         self.cut.store(is_cut, Ordering::Relaxed);
@@ -267,11 +275,12 @@
                 [_, software] => (None, Some(Arc::from(*software))),
                 _ => return None,
             };
+            let listed: SocketAddr = at.parse().ok()?;
             Some(RegistryEntry {
                 id: key.into(),
                 process_start: process_start.parse().ok()?,
                 serves: (*serves).into(),
-                address: at.parse().ok()?,
+                address: self.paths.get(&listed).copied().unwrap_or(listed),
                 domain: "a".into(),
                 slots: 8,
                 leaving: leaving.parse().ok()?,
