--- a/crates/cumintrail-control/src/calls.rs
+++ b/crates/cumintrail-control/src/calls.rs
@@ -1,5 +1,6 @@
 //! The calls of one daemon and their state machine.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use cumintrail_types::{AttemptNumber, Moment, Ran, TargetKey, Tokens, WeightVersion};
@@ -47,6 +48,9 @@
     version: WeightVersion,
     may_have_run: bool,
     failed_targets: SmallVec<[TargetKey; 2]>,
+    /// The peer that handles the current attempt.
+    peer: Option<SocketAddr>,
+    tried_peers: SmallVec<[SocketAddr; 2]>,
 }
 
 impl Call {
@@ -67,6 +71,8 @@
             version: WeightVersion(0),
             may_have_run: false,
             failed_targets: SmallVec::new(),
+            peer: None,
+            tried_peers: SmallVec::new(),
         }
     }
 
@@ -130,7 +136,7 @@
     ) -> AttemptNumber {
         self.attempts = self.attempts.saturating_add(1);
         self.version = version;
-        self.target = Some(target);
+        (self.target, self.peer) = (Some(target), None);
         self.dispatched = now;
         if self.phase == Phase::Queued {
             self.phase = Phase::Sending;
@@ -138,6 +144,28 @@
         self.attempt()
     }
 
+    /// Records that a peer gets the call; from now on bytes may be sent to it.
+    pub fn start_detour(&mut self, peer: SocketAddr, now: Moment) -> AttemptNumber {
+        self.attempts = self.attempts.saturating_add(1);
+        (self.target, self.peer) = (None, Some(peer));
+        self.tried_peers.push(peer);
+        self.dispatched = now;
+        if self.phase == Phase::Queued {
+            self.phase = Phase::Sending;
+        }
+        self.attempt()
+    }
+
+    /// Returns whether a peer handles the current attempt.
+    pub const fn is_detoured(&self) -> bool {
+        self.peer.is_some()
+    }
+
+    /// Returns the peers that got the call.
+    pub fn tried_peers(&self) -> &[SocketAddr] {
+        &self.tried_peers
+    }
+
     /// Records that an output token was passed on to the caller.
     ///
     /// The rest of the response must come from the weight version that the attempt was dispatched
@@ -155,6 +183,7 @@
 
     /// Records that the current attempt did not run: nothing was sent, or the target refused it.
     pub fn record_unexecuted_attempt(&mut self) {
+        self.peer = None;
         self.failed_targets.extend(self.target.take());
         if self.phase == Phase::Sending {
             self.phase = Phase::Queued;
@@ -163,6 +192,7 @@
 
     /// Records that the current attempt failed after bytes were sent, so that it may have run.
     pub fn record_failed_attempt(&mut self) {
+        self.peer = None;
         self.failed_targets.extend(self.target.take());
         self.possible_executions = self.possible_executions.saturating_add(1);
         self.may_have_run = true;
--- a/crates/cumintrail-control/src/control.rs
+++ b/crates/cumintrail-control/src/control.rs
@@ -5,6 +5,7 @@
 mod attempts;
 mod blocks;
 mod description;
+mod detours;
 mod digests;
 mod limits;
 mod maintenance;
@@ -45,6 +46,7 @@
 use crate::parts::PartIndex;
 use crate::placement::{CheapestPlacer, Placer};
 use crate::quarantine::Quarantine;
+use crate::reach::Reach;
 use crate::retry::{RetryBudget, RetryPolicy};
 use crate::rollout::Rollout;
 use crate::software_history::SoftwareHistory;
@@ -113,6 +115,10 @@
     stream_origins: StreamOrigins,
     software_history: SoftwareHistory,
     quarantine: Quarantine,
+    /// Whether this daemon reaches the targets of each model and plain service.
+    reach: HashMap<TargetKind, Reach>,
+    /// The port on which this daemon handles calls of its peers; zero for none.
+    detour_port: u16,
     limit_state: LimitState,
     /// The readers in the last `Action::AssignReaders`.
     reader_assignment: ReaderAssignment,
@@ -174,6 +180,8 @@
             stream_origins: StreamOrigins::default(),
             software_history: SoftwareHistory::default(),
             quarantine: Quarantine::default(),
+            reach: HashMap::new(),
+            detour_port: 0,
             limit_state: LimitState::default(),
             reader_assignment: ReaderAssignment::default(),
             daemon_count: 1,
@@ -226,7 +234,12 @@
                 self.handle_attempt_end(now, call, attempt, outcome, &mut actions);
             }
             Event::ResponseEnded { call, end } => self.handle_response_end(now, call, end),
-            Event::TargetUnreachable { target } => self.handle_unreachable_target(now, target),
+            Event::TargetUnreachable { target } => {
+                self.handle_unreachable_target(now, target, &mut actions);
+            }
+            Event::ReachChecked { kind, reached } => {
+                self.handle_reach(now, kind, reached, &mut actions);
+            }
             Event::LiftQuarantine { content } => self.lift_quarantine(now, content),
             Event::TargetReported { target, report } => self.handle_report(now, target, report),
             Event::TargetNoticed { target, notice } => self.handle_notice(now, target, notice),
--- a/crates/cumintrail-control/src/control/arrivals.rs
+++ b/crates/cumintrail-control/src/control/arrivals.rs
@@ -1,5 +1,6 @@
 //! Handling of calls from their arrival to the dispatch of an attempt.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use cumintrail_config::{Preset, Snapshot, Target, TargetKind};
@@ -101,7 +102,8 @@
             while let Some((account, key, placed)) = self.next_decision(now, &snapshot, kind) {
                 self.admission.serve(now, kind, account);
                 match placed {
-                    Ok(placement) => self.dispatch(now, key, placement, actions),
+                    Ok(Way::Target(placement)) => self.dispatch(now, key, *placement, actions),
+                    Ok(Way::Peer(peer)) => self.start_detour(now, key, peer, actions),
                     Err(refusal) => {
                         let refusal = self.delay_return(now, kind, refusal);
                         self.end_call(key);
@@ -120,7 +122,7 @@
         now: Moment,
         snapshot: &Snapshot,
         kind: TargetKind,
-    ) -> Option<(AccountKey, CallKey, Result<Placement, Refusal>)> {
+    ) -> Option<(AccountKey, CallKey, Result<Way, Refusal>)> {
         let max_wait = max_wait_at_fair_share(&snapshot.preset);
         let mut held_back = 0;
         for (account, key) in self.admission.heads(kind) {
@@ -134,7 +136,10 @@
                 {
                     held_back += 1;
                 }
-                Ok(Choice::Placed(placement)) => return Some((account, key, Ok(*placement))),
+                Ok(Choice::Placed(placement)) => {
+                    return Some((account, key, Ok(Way::Target(placement))));
+                }
+                Ok(Choice::Detour(peer)) => return Some((account, key, Ok(Way::Peer(peer)))),
                 Ok(Choice::Waits) if held_back < MAX_HELD_PLACEMENTS => held_back += 1,
                 Ok(Choice::Waits | Choice::AllBusy) => return None,
             }
@@ -156,6 +161,9 @@
             return Err(Refusal::not_run(RefusalCode::Deadline));
         };
         self.check_waiting(now, call)?;
+        if let Some(peer) = self.choose_helper(now, call) {
+            return Ok(Choice::Detour(peer));
+        }
         let arrival = &call.arrival;
         let waiting = call;
         let usable: Vec<TargetKey> = self.usable_targets(now, snapshot, call).collect();
@@ -393,7 +401,7 @@
         let parts = if version == arrival_version { parts } else { PartPlans::default() };
         let dispatch =
             Dispatch { call: key, attempt, target, version, plan, first_token, parts, is_limited };
-        actions.push(Action::Dispatch(dispatch));
+        actions.push(Action::Dispatch(Box::new(dispatch)));
     }
 }
 
@@ -416,10 +424,20 @@
     }
 }
 
+/// Where a call is sent.
+enum Way {
+    /// To a target.
+    Target(Box<Placement>),
+    /// To a peer, which sends it to a target.
+    Peer(SocketAddr),
+}
+
 /// What becomes of a waiting call now.
 enum Choice {
     /// It is sent.
     Placed(Box<Placement>),
+    /// A peer handles it.
+    Detour(SocketAddr),
     /// It waits for a target of its own choice, and others may be sent.
     Waits,
     /// It waits, and so do all others, since all targets are busy.
--- a/crates/cumintrail-control/src/control/attempts.rs
+++ b/crates/cumintrail-control/src/control/attempts.rs
@@ -62,10 +62,16 @@
         let Some(call) = self.calls.get(&key).filter(|c| c.attempt() == attempt) else {
             return;
         };
+        if call.is_detoured() {
+            return self.handle_detour_end(now, key, outcome, actions);
+        }
         let Some(target) = call.target() else { return };
         self.release_slot(now, key, target);
         self.record_target_outcome(now, target, outcome);
-        let state = self.targets.get_mut(target).filter(|_| outcome == AttemptOutcome::NotSent);
+        if outcome == AttemptOutcome::NoConnection {
+            self.record_no_connection(now, target, actions);
+        }
+        let state = self.targets.get_mut(target).filter(|_| was_not_sent(outcome));
         if let Some(allowance) = state.and_then(|state| state.allowance.as_mut()) {
             allowance.refund(now);
         }
@@ -79,7 +85,9 @@
                 return self.finish_call(now, key, target, usage, actions);
             }
             AttemptOutcome::RespondedLocally => return self.end_call(key),
-            AttemptOutcome::NotSent | AttemptOutcome::RefusedByTarget { .. } => {
+            AttemptOutcome::NotSent
+            | AttemptOutcome::NoConnection
+            | AttemptOutcome::RefusedByTarget { .. } => {
                 call.record_unexecuted_attempt();
             }
             AttemptOutcome::Failed { .. } => {
@@ -117,7 +125,7 @@
         target: TargetKey,
         outcome: AttemptOutcome,
     ) -> bool {
-        if outcome == AttemptOutcome::NotSent {
+        if was_not_sent(outcome) {
             return true;
         }
         let has_one = self.targets.get(target).is_some_and(|state| state.retry_budget.has_retry());
@@ -286,6 +294,11 @@
     }
 }
 
+/// Returns whether an attempt loaded no target, since nothing was sent.
+const fn was_not_sent(outcome: AttemptOutcome) -> bool {
+    matches!(outcome, AttemptOutcome::NotSent | AttemptOutcome::NoConnection)
+}
+
 /// Orders an engine to cancel the attempt of a model call; plain services have no cancel request.
 fn push_cancel(call: &Call, target: TargetKey, actions: &mut Actions) {
     if call.arrival.class == CallClass::Model {
--- a/crates/cumintrail-control/src/control/digests.rs
+++ b/crates/cumintrail-control/src/control/digests.rs
@@ -75,6 +75,8 @@
             limits: self.take_limit_reports(now),
             call_rates: self.call_rates(now),
             peers: self.peers_to_advertise(now),
+            detour_port: self.detour_port,
+            partitioned: self.partitioned_pools(),
         };
         let full_mesh = self.membership.is_full_mesh(own);
         for to in self.membership.choose_peers(own, &domain, &mut self.rng) {
@@ -83,7 +85,7 @@
                 digest.stream_origins.clear();
             }
             self.membership.fill_digest(now, to, &mut digest);
-            actions.push(Action::SendDigest { to, digest });
+            actions.push(Action::SendDigest { to, digest: Box::new(digest) });
         }
     }
 
--- a/crates/cumintrail-control/src/control/maintenance.rs
+++ b/crates/cumintrail-control/src/control/maintenance.rs
@@ -68,6 +68,7 @@
         self.update_software_history(now, actions);
         self.free_unused_parts(now, actions);
         self.order_preloads(now, actions);
+        self.check_reaches(now, actions);
         self.decide_quarantines(now, actions);
         self.report_limit_changes(actions);
         self.send_digests(now, actions);
--- a/crates/cumintrail-control/src/control/quarantines.rs
+++ b/crates/cumintrail-control/src/control/quarantines.rs
@@ -1,5 +1,6 @@
 //! Suspicion of content under which targets crash, and refusal of calls with it.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use cumintrail_config::{Snapshot, TargetKind};
@@ -56,7 +57,7 @@
     }
 
     /// Records that a target does not accept connections any more.
-    pub(super) fn handle_unreachable_target(&mut self, now: Moment, target: TargetKey) {
+    pub(super) fn record_unreachable_target(&mut self, now: Moment, target: TargetKey) {
         if !self.is_leaving(target) {
             let (hash, rounds) = (self.target_hash(target), self.own_report_rounds());
             self.quarantine.record_unreachable(now, target, hash, rounds);
@@ -143,12 +144,15 @@
     }
 
     pub(super) fn pool_hash(&self, kind: TargetKind) -> u64 {
-        let Some(snapshot) = &self.snapshot else { return 0 };
-        let name = match kind {
+        self.pool_name(kind).map_or(0, |name| name_hash(name))
+    }
+
+    pub(super) fn pool_name(&self, kind: TargetKind) -> Option<&Arc<str>> {
+        let snapshot = self.snapshot.as_ref()?;
+        match kind {
             TargetKind::Engine(model) => snapshot.models.get(model).map(|m| &m.name),
             TargetKind::Service(service) => snapshot.services.get(service).map(|s| &s.name),
-        };
-        name.map_or(0, |name| name_hash(name))
+        }
     }
 
     fn account_hash(&self, account: AccountKey) -> u64 {
--- a/crates/cumintrail-control/src/digest.rs
+++ b/crates/cumintrail-control/src/digest.rs
@@ -191,4 +191,9 @@
     /// Peers that recently sent the sender a digest, with their failure domains; sent only where no
     /// VM list names them.
     pub peers: Vec<(SocketAddr, Arc<str>)>,
+    /// The port on which the sender handles calls of its peers, at the host of its operator address;
+    /// zero if it handles none.
+    pub detour_port: u16,
+    /// The models and services of which the sender reaches no target, by the hash of their names.
+    pub partitioned: Vec<u64>,
 }
--- a/crates/cumintrail-control/src/event.rs
+++ b/crates/cumintrail-control/src/event.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cumintrail_config::Snapshot;
+use cumintrail_config::{Snapshot, TargetKind};
 use cumintrail_types::{
     AttemptNumber, BlockKey, CallKey, Incarnation, Moment, Refusal, Sealed, StoreKey, TargetKey,
     Tier,
@@ -15,8 +15,8 @@
 use smallvec::SmallVec;
 
 pub use self::call::{
-    Arrival, AttemptOutcome, Dispatch, Fetch, FetchOutcome, FetchPlan, ResponseEnd, RouteOptions,
-    Usage,
+    Arrival, AttemptOutcome, Detour, Dispatch, Fetch, FetchOutcome, FetchPlan, ResponseEnd,
+    RouteOptions, Usage,
 };
 pub use self::target::{
     Export, NamedLimit, Order, OrderKind, RunningCalls, TargetNotice, TargetReport,
@@ -25,6 +25,7 @@
 use crate::feed::ReaderAssignment;
 use crate::parts::{PartsUpdate, StoredPart};
 use crate::quarantine::{ContentKey, QuarantineChange};
+use crate::reach::{CheckedTargets, ReachChange};
 use crate::rollout::{LeaseRequest, LeaseRow, OrderOutcome};
 use crate::software_history::{HistoryRequest, HistoryRow};
 use crate::store_sync::{StoreRead, StoreResponse};
@@ -82,6 +83,13 @@
         /// The target.
         target: TargetKey,
     },
+    /// A check whether targets accept connections ended.
+    ReachChecked {
+        /// The model or plain service of the targets.
+        kind: TargetKind,
+        /// Whether any of them did.
+        reached: bool,
+    },
     /// An operator requested that calls with some content be sent to targets again.
     LiftQuarantine {
         /// The content.
@@ -269,7 +277,24 @@
 #[derive(Debug, Clone)]
 pub enum Action {
     /// Run an attempt of a call.
-    Dispatch(Dispatch),
+    Dispatch(Box<Dispatch>),
+    /// Send a call to a peer.
+    Detour(Detour),
+    /// Check whether any of these targets accepts a connection.
+    CheckReach {
+        /// Their model or plain service.
+        kind: TargetKind,
+        /// The targets.
+        targets: CheckedTargets,
+    },
+    /// Log that this daemon is partitioned from all targets of a model or service, or reaches one
+    /// again.
+    ReportReach {
+        /// The name of the model or service.
+        name: Arc<str>,
+        /// The change.
+        change: ReachChange,
+    },
     /// Respond to a call with a refusal.
     Refuse {
         /// The call.
@@ -350,6 +375,6 @@
         /// The peer's operator address.
         to: SocketAddr,
         /// The digest.
-        digest: PeerDigest,
+        digest: Box<PeerDigest>,
     },
 }
--- a/crates/cumintrail-control/src/event/call.rs
+++ b/crates/cumintrail-control/src/event/call.rs
@@ -1,5 +1,6 @@
 //! What events and actions state about calls and their attempts.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -56,6 +57,8 @@
     pub stream: Option<StreamRequest>,
     /// The content under which a target may crash.
     pub content: CallContent,
+    /// Whether a peer sent the call, so that no further peer gets it.
+    pub is_detour: bool,
 }
 
 impl RouteOptions {
@@ -86,6 +89,17 @@
     pub is_limited: bool,
 }
 
+/// Describes an attempt that a peer makes for a daemon that reaches no target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Detour {
+    /// The call.
+    pub call: CallKey,
+    /// The attempt.
+    pub attempt: AttemptNumber,
+    /// The address on which the peer handles calls of other daemons.
+    pub peer: SocketAddr,
+}
+
 /// Lists the stored blocks to import before an attempt.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct FetchPlan {
@@ -122,6 +136,8 @@
 pub enum AttemptOutcome {
     /// No byte of the call left this daemon.
     NotSent,
+    /// No connection could be opened, so that no byte of the call left this daemon.
+    NoConnection,
     /// The response is complete.
     Completed(Usage),
     /// The target refused the call and reported that it did not run it.
--- a/crates/cumintrail-control/src/lib.rs
+++ b/crates/cumintrail-control/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod parts;
 pub mod placement;
 pub mod quarantine;
+pub mod reach;
 pub mod registry;
 pub mod retry;
 pub mod rollout;
@@ -43,7 +44,7 @@
     TargetDump,
 };
 pub use event::{
-    Action, Actions, Arrival, AttemptOutcome, Dispatch, Event, Export, Fetch, FetchOutcome,
+    Action, Actions, Arrival, AttemptOutcome, Detour, Dispatch, Event, Export, Fetch, FetchOutcome,
     FetchPlan, NamedLimit, Order, OrderKind, ResponseEnd, RouteOptions, RunningCalls, TargetNotice,
     TargetReport, Usage,
 };
--- a/crates/cumintrail-control/src/membership.rs
+++ b/crates/cumintrail-control/src/membership.rs
@@ -83,6 +83,10 @@
     pub leaving: bool,
     /// The calls per client account that it last reported.
     pub demand: Vec<(Arc<str>, u32)>,
+    /// The port on which it handles calls of its peers; zero for none.
+    pub detour_port: u16,
+    /// The models and services of which it reaches no target, by the hash of their names.
+    pub partitioned: Vec<u64>,
     /// Whether the last VM list contains it; the settings count as the list before the first.
     listed: bool,
     /// Consecutive failed digests.
@@ -188,6 +192,8 @@
         peer.last_received = Some(now);
         peer.to_echo = Some(Echo { incarnation: digest.incarnation, sent: digest.sent });
         peer.processor_share = digest.processor_share;
+        peer.detour_port = digest.detour_port;
+        peer.partitioned.clone_from(&digest.partitioned);
         peer.demand.clone_from(&digest.demand);
         (peer.liveness, peer.failures) = (Liveness::Live, 0);
         accepted
--- a/crates/cumintrail-control/src/retry.rs
+++ b/crates/cumintrail-control/src/retry.rs
@@ -102,7 +102,9 @@
 pub fn may_retry(call: &Call, outcome: AttemptOutcome, due: Moment) -> bool {
     let in_time = call.arrival.deadline.since(due) > Duration::ZERO;
     let repeatable = match outcome {
-        AttemptOutcome::NotSent | AttemptOutcome::RefusedByTarget { .. } => true,
+        AttemptOutcome::NotSent
+        | AttemptOutcome::NoConnection
+        | AttemptOutcome::RefusedByTarget { .. } => true,
         AttemptOutcome::Failed { can_continue } => {
             can_continue && call.arrival.class.is_repeatable()
         }
@@ -156,7 +158,9 @@
     fn from(outcome: AttemptOutcome) -> Self {
         match outcome {
             AttemptOutcome::Completed(_) => Self::Success,
-            AttemptOutcome::NotSent | AttemptOutcome::Failed { .. } => Self::Failure,
+            AttemptOutcome::NotSent
+            | AttemptOutcome::NoConnection
+            | AttemptOutcome::Failed { .. } => Self::Failure,
             AttemptOutcome::RefusedByTarget { .. } | AttemptOutcome::RespondedLocally => {
                 Self::Inconclusive
             }
--- a/crates/cumintrail-control/tests/calls.rs
+++ b/crates/cumintrail-control/tests/calls.rs
@@ -218,7 +218,7 @@
                     prop_assert_eq!(dispatch.version, pinned, "new weights within a response");
                     traffic.attempts += 1;
                     prop_assert!(traffic.attempts <= MAX_ATTEMPTS);
-                    traffic.dispatched = Some(dispatch);
+                    traffic.dispatched = Some(*dispatch);
                 }
                 Action::Refuse { call, refusal } => {
                     let traffic = self.calls.get_mut(&call).unwrap();
--- a/crates/cumintrail-control/tests/near.rs
+++ b/crates/cumintrail-control/tests/near.rs
@@ -146,7 +146,7 @@
         };
         for action in self.control.handle(now, Event::Arrived(arrival)) {
             if let Action::Dispatch(dispatch) = action {
-                return dispatch;
+                return *dispatch;
             }
         }
         panic!("the call is not sent");
--- a/crates/cumintrail-daemon/src/background/actions.rs
+++ b/crates/cumintrail-daemon/src/background/actions.rs
@@ -57,7 +57,7 @@
         }
         Action::SendDigest { to, digest } => {
             actix_rt::spawn(async move {
-                send_digest(&background.peers, &background.shared, to, digest).await;
+                send_digest(&background.peers, &background.shared, to, *digest).await;
             });
         }
         Action::Lease(request) => {
@@ -84,6 +84,9 @@
         }
         // Parts are stored only in stores of a platform with a target registry.
         Action::Dispatch(_)
+        | Action::Detour(_)
+        | Action::CheckReach { .. }
+        | Action::ReportReach { .. }
         | Action::Refuse { .. }
         | Action::ReportQuarantine(_)
         | Action::ReportLimit(_)
--- a/crates/cumintrail-daemon/src/callers/model_call.rs
+++ b/crates/cumintrail-daemon/src/callers/model_call.rs
@@ -137,7 +137,8 @@
                 let _ = tx.send(CallEvent::Refused(refusal)).await;
                 return;
             }
-            None => return,
+            // Only relayed calls take detours.
+            Some(Command::Detour(_)) | None => return,
         };
         let ended = tokio::select! {
             ended = engine_call.attempt(&worker, &snapshot, &dispatch, &tx) => ended,
--- a/crates/cumintrail-daemon/src/control_thread.rs
+++ b/crates/cumintrail-daemon/src/control_thread.rs
@@ -5,7 +5,8 @@
 
 use cumintrail_control::once::{KeyOutcome, OperationKey, UsedKeys, Verdict};
 use cumintrail_control::placement::Placer;
-use cumintrail_control::{Action, Arrival, AttemptOutcome, Control, Dispatch, Dump, Event};
+use cumintrail_control::reach::ReachChange;
+use cumintrail_control::{Action, Arrival, AttemptOutcome, Control, Detour, Dispatch, Dump, Event};
 use cumintrail_types::{
     AttemptNumber, CallKey, Clock, Digest, Moment, Refusal, RefusalCode, WriteId,
 };
@@ -25,6 +26,8 @@
 pub enum Command {
     /// Run an attempt.
     Dispatch(Box<Dispatch>),
+    /// Send the call to a peer.
+    Detour(Detour),
     /// Respond to the caller with a refusal.
     Refuse(Refusal),
 }
@@ -175,6 +178,22 @@
     }
 }
 
+/// Logs and counts that this daemon is partitioned from all targets of a model or service, or reaches
+/// one again.
+fn report_reach(name: &str, change: ReachChange) {
+    let partitioned = metrics::gauge!(metric::PARTITIONED, "serves" => name.to_owned());
+    match change {
+        ReachChange::Partitioned { failed_targets } => {
+            partitioned.set(1.0);
+            log::warn!("event=partitioned from={name} failed_targets={failed_targets}");
+        }
+        ReachChange::Restored { after } => {
+            partitioned.set(0.0);
+            log::info!("event=restored to={name} after_ms={}", after.as_millis());
+        }
+    }
+}
+
 /// Returns the call that needs no further commands after `event`.
 fn ended_call(event: &Event) -> Option<CallKey> {
     match event {
@@ -201,7 +220,13 @@
             }
             // If the task has ended, its event is already in the queue or on the way to it.
             if let Some(commands) = calls.get(&dispatch.call) {
-                let _ = commands.send(Command::Dispatch(Box::new(dispatch)));
+                let _ = commands.send(Command::Dispatch(dispatch));
+            }
+        }
+        Action::Detour(detour) => {
+            metrics::counter!(metric::DETOURS).increment(1);
+            if let Some(commands) = calls.get(&detour.call) {
+                let _ = commands.send(Command::Detour(detour));
             }
         }
         Action::Refuse { call, refusal } => {
@@ -211,6 +236,7 @@
         }
         Action::ReportQuarantine(change) => quarantine_lines::report(now, change),
         Action::ReportLimit(change) => limit_lines::report(change),
+        Action::ReportReach { name, change } => report_reach(&name, change),
         other => {
             let _ = background.send(other);
         }
--- a/crates/cumintrail-daemon/src/gateway.rs
+++ b/crates/cumintrail-daemon/src/gateway.rs
@@ -7,6 +7,7 @@
 mod parts;
 mod peers;
 mod publish;
+mod reach;
 mod serve_feed;
 
 use std::io;
@@ -27,7 +28,7 @@
 use snafu::ResultExt;
 
 use crate::daemon::{ListenSnafu, ServeSnafu, SpawnError};
-use crate::relay::{HeaderDialect, MonitoringEndpoint, Relay};
+use crate::relay::{HeaderDialect, Listeners, MonitoringEndpoint, Relay};
 use crate::shared::Shared;
 use crate::{control_thread, operators, table};
 
@@ -63,6 +64,8 @@
     pub readiness_address: Option<SocketAddr>,
     /// The address on which metrics are served without a key.
     pub metrics_address: Option<SocketAddr>,
+    /// The address on which this daemon handles calls of peers that reach no target.
+    pub detour_address: Option<SocketAddr>,
     /// The limit on retries that this daemon adds to its calls.
     pub retry_policy: RetryPolicy,
     /// The time after the announcement of a weight version during which new calls may still be sent
@@ -105,6 +108,7 @@
                 monitoring_listeners.push((endpoint, listen(at, "probes")?));
             }
         }
+        let detours = options.detour_address.map(|at| listen(at, "detours")).transpose()?;
         let operators = listen(settings.operator_address, "operator_address")?;
         let operator_address = operators.local_addr().unwrap_or(settings.operator_address);
 
@@ -121,6 +125,8 @@
         };
         let mut control = Control::with_placer(identity, rand::rng().random(), AffinityPlacer);
         control.follow_registry(settings.block_secret.expose());
+        let detour_port = detours.as_ref().and_then(|l| l.local_addr().ok()).map(|at| at.port());
+        control.set_detour_port(detour_port.unwrap_or_default());
         control.set_retry_policy(options.retry_policy);
         control.set_outdated_limit(options.outdated_limit);
         if options.apply_limit >= follower::MAX_APPLY_DELAY {
@@ -141,7 +147,8 @@
         background.spawn_fn(move || {
             actix_rt::spawn(orders::run(for_background, for_feeds, actions_rx));
         });
-        let relay = Relay::spawn(&callers, monitoring_listeners, &shared, &platform.dialect());
+        let listeners = Listeners { callers, detours, monitoring: monitoring_listeners };
+        let relay = Relay::spawn(listeners, &shared, &platform.dialect());
         let relay = relay.context(ServeSnafu)?;
         let server = operators::serve(operators, shared.clone()).context(ServeSnafu)?;
         log::info!("event=start vm={} callers={}", shared.settings.vm, relay.address());
--- a/crates/cumintrail-daemon/src/gateway/orders.rs
+++ b/crates/cumintrail-daemon/src/gateway/orders.rs
@@ -13,6 +13,7 @@
 use tokio::sync::mpsc;
 
 use super::publish::Publisher;
+use super::reach::check_reach;
 use super::{Platform, follow, follower, parts, peers};
 use crate::background::{
     exchange_history, exchange_lease, order_outcome, report_configured_peers, run_before,
@@ -61,9 +62,12 @@
                 exchange_history(&self.client, &self.shared, request).await;
             }
             Action::Order(order) => self.send_order(&order).await,
+            Action::CheckReach { kind, targets } => {
+                check_reach(&self.shared, kind, &targets).await;
+            }
             Action::Probe(target) => self.probe_target(target).await,
             Action::SendDigest { to, digest } => {
-                send_digest(&*self.peers, &self.shared, to, digest).await;
+                send_digest(&*self.peers, &self.shared, to, *digest).await;
             }
             Action::FreeParts { store, epoch, parts, not_after } => {
                 self.free_parts(store, epoch, &parts, not_after).await;
@@ -80,6 +84,8 @@
             // delivers dispatches, refusals and decisions, and the registry and the feeds replace the rest.
             Action::Cancel { .. }
             | Action::Dispatch(_)
+            | Action::Detour(_)
+            | Action::ReportReach { .. }
             | Action::Refuse { .. }
             | Action::ReportQuarantine(_)
             | Action::ReportLimit(_)
--- a/crates/cumintrail-daemon/src/metric.rs
+++ b/crates/cumintrail-daemon/src/metric.rs
@@ -16,6 +16,10 @@
 pub const CALLS_WAITING: &str = "cumintrail_calls_waiting";
 /// Attempts of calls, not counting the first of each call.
 pub const RETRIES: &str = "cumintrail_retries_total";
+/// Calls sent to peers because this daemon reaches no target.
+pub const DETOURS: &str = "cumintrail_detours_total";
+/// Whether this daemon is partitioned from all targets of a model or service: one if it is.
+pub const PARTITIONED: &str = "cumintrail_partitioned";
 /// Crashes of targets under calls of this daemon.
 pub const TARGET_CRASHES: &str = "cumintrail_target_crashes_total";
 /// Decisions about content under which targets crash, by outcome: `quarantined` or `lifted`.
--- a/crates/cumintrail-daemon/src/relay.rs
+++ b/crates/cumintrail-daemon/src/relay.rs
@@ -4,10 +4,12 @@
 mod attempt;
 mod call;
 mod caller;
+mod detour;
 pub mod dialect;
 pub mod events;
 mod lines;
 mod probes;
+mod reachable;
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashSet;
@@ -25,19 +27,15 @@
 use cumintrail_types::TargetKey;
 use tokio::sync::watch;
 
-use self::caller::CallerConnection;
+use self::caller::{CallerConnection, Source};
 pub use self::dialect::{
     ForwardMetadata, HeaderDialect, NativeDialect, Part, RequestMetadata, ResponseKind,
 };
 pub use self::probes::MonitoringEndpoint;
+use self::reachable::CONNECT_TIMEOUT;
+pub(crate) use self::reachable::connect;
 use crate::shared::Shared;
 
-/// The timeout for opening a connection to a target.
-///
-/// Targets are a few milliseconds away; a lost SYN is retransmitted after one second.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
-/// The time within which the system closes all sockets of a process that ends.
-const EXIT_TIME: Duration = Duration::from_millis(20);
 /// The interval at which idle connections that must not be reused are closed.
 const PRUNE_INTERVAL: Duration = Duration::from_secs(2);
 /// The delay after a failed `accept`, for example when no file descriptors are available.
@@ -50,6 +48,16 @@
     arbiters: Vec<Arbiter>,
 }
 
+/// The listeners of a relay.
+pub struct Listeners {
+    /// Accepts connections of callers.
+    pub callers: TcpListener,
+    /// Accepts connections of peers that reach no target.
+    pub detours: Option<TcpListener>,
+    /// Accept connections of the balancer and of monitoring.
+    pub monitoring: Vec<(MonitoringEndpoint, TcpListener)>,
+}
+
 /// Counts the open calls of all traffic threads, and signals these threads to stop accepting
 /// connections and to close idle ones.
 #[derive(Debug)]
@@ -81,19 +89,21 @@
 impl Relay {
     /// Starts the traffic threads, which also serve the monitoring endpoints.
     pub fn spawn<D: HeaderDialect>(
-        callers: &TcpListener,
-        monitoring: Vec<(MonitoringEndpoint, TcpListener)>,
+        listeners: Listeners,
         shared: &Arc<Shared>,
         dialect: &D,
     ) -> io::Result<Self> {
+        let Listeners { callers, detours, monitoring } = listeners;
         let address = callers.local_addr()?;
         let state =
             RelayState { open_calls: AtomicUsize::new(0), closing: watch::Sender::new(false) };
         let state = Arc::new(state);
         callers.set_nonblocking(true)?;
+        detours.as_ref().map_or(Ok(()), |listener| listener.set_nonblocking(true))?;
         let mut arbiters = Vec::new();
         for _ in 0..shared.settings.workers.max(1) {
             let listener = callers.try_clone()?;
+            let detours = detours.as_ref().map(TcpListener::try_clone).transpose()?;
             let (shared, state, dialect) = (shared.clone(), state.clone(), dialect.clone());
             let arbiter = Arbiter::new();
             arbiter.spawn_fn(move || {
@@ -105,7 +115,13 @@
                     connections: Cell::new(0),
                     checked: Rc::default(),
                 };
-                actix_rt::spawn(accept_connections(listener, Rc::new(worker)));
+                let worker = Rc::new(worker);
+                let pruning = worker.clone();
+                actix_rt::spawn(async move { prune_connections(&pruning).await });
+                if let Some(detours) = detours {
+                    actix_rt::spawn(accept_connections(detours, worker.clone(), Source::Peer));
+                }
+                actix_rt::spawn(accept_connections(listener, worker, Source::Caller));
             });
             arbiters.push(arbiter);
         }
@@ -169,27 +185,15 @@
     }
 }
 
-async fn connect(at: SocketAddr) -> Option<TcpStream> {
-    actix_rt::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(at)).await.ok()?.ok()
-}
-
-/// Returns whether a target accepts a connection and keeps it.
-///
-/// The system of a process that ends may still accept connections for a moment, and resets them then.
-async fn accepts_connections(at: SocketAddr) -> bool {
-    let Some(stream) = connect(at).await else { return false };
-    let mut byte = [0];
-    let closed = actix_rt::time::timeout(EXIT_TIME, stream.peek(&mut byte)).await;
-    closed.is_err()
-}
-
-async fn accept_connections<D: HeaderDialect>(listener: TcpListener, worker: Rc<Worker<D>>) {
+async fn accept_connections<D: HeaderDialect>(
+    listener: TcpListener,
+    worker: Rc<Worker<D>>,
+    source: Source,
+) {
     let listener = match tokio::net::TcpListener::from_std(listener) {
         Ok(listener) => listener,
         Err(e) => return log::error!("event=listen outcome=failed reason=\"{e}\""),
     };
-    let pruning = worker.clone();
-    actix_rt::spawn(async move { prune_connections(&pruning).await });
     let mut closing = worker.state.closing.subscribe();
     loop {
         let accepted = tokio::select! {
@@ -200,7 +204,7 @@
             Ok((stream, _))
                 if worker.connections.get() < worker.shared.settings.max_connections =>
             {
-                actix_rt::spawn(serve_connection(worker.clone(), stream));
+                actix_rt::spawn(serve_connection(worker.clone(), stream, source));
             }
             Ok(_) => log::warn!("event=connection outcome=refused reason=too-many"),
             Err(e) => {
@@ -212,10 +216,15 @@
 }
 
 /// Serves the requests of one caller connection until either side closes it.
-async fn serve_connection<D: HeaderDialect>(worker: Rc<Worker<D>>, stream: TcpStream) {
+async fn serve_connection<D: HeaderDialect>(
+    worker: Rc<Worker<D>>,
+    stream: TcpStream,
+    source: Source,
+) {
     worker.connections.set(worker.connections.get() + 1);
     let mut closing = worker.state.closing.subscribe();
-    if let Ok(mut caller) = CallerConnection::new(stream, worker.shared.settings.stall_limit) {
+    let stall_limit = worker.shared.settings.stall_limit;
+    if let Ok(mut caller) = CallerConnection::new(stream, source, stall_limit) {
         loop {
             let limits = worker.shared.snapshot().map(|s| s.deployment.callers);
             let next = tokio::select! {
--- a/crates/cumintrail-daemon/src/relay/attempt.rs
+++ b/crates/cumintrail-daemon/src/relay/attempt.rs
@@ -1,5 +1,8 @@
 //! One attempt of a relayed call: the HTTP exchange with one target.
 
+use std::net::SocketAddr;
+use std::sync::Arc;
+
 use actix_http::body::BodySize;
 use actix_http::header::{CONTENT_ENCODING, CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING};
 use actix_http::{RequestHead, Response, ResponseHead, StatusCode};
@@ -8,16 +11,17 @@
 use cumintrail_config::Target;
 use cumintrail_control::parts::PartPlan;
 use cumintrail_control::{
-    AttemptOutcome, Dispatch, Event, NamedLimit, ResponseEnd, TargetNotice, Usage,
+    AttemptOutcome, Detour, Dispatch, Event, NamedLimit, ResponseEnd, TargetNotice, Usage,
 };
-use cumintrail_types::{CallClass, Moment, Refusal, RefusalCode};
+use cumintrail_types::{AttemptNumber, CallClass, Moment, Refusal, RefusalCode, TargetKey};
 
 use smallvec::SmallVec;
 
 use super::call::{RelayedCall, report_attempt_end};
 use super::caller::{CallerConnection, CallerInput};
 use super::dialect::{ForwardMetadata, HeaderDialect, ResponseKind};
-use super::{Worker, accepts_connections, lines};
+use super::reachable::accepts_connections;
+use super::{Worker, detour, lines};
 use crate::control_thread::Command;
 use crate::metric;
 
@@ -46,6 +50,7 @@
 /// Stores a complete response of a target until it is forwarded.
 pub(super) struct BufferedResponse {
     head: ResponseHead,
+    target: Arc<str>,
     body: Bytes,
 }
 
@@ -60,21 +65,43 @@
     let Some(target) = snapshot.targets.get(dispatch.target) else {
         return AttemptEnd::Unsuccessful(AttemptOutcome::NotSent);
     };
-    call.target_responded = false;
-    let mut attempt = Attempt { worker, caller, call, dispatch, target };
-    let end = attempt.connect(target.address).await;
-    match end {
-        Ok(connection) => attempt.exchange(connection).await,
-        Err(end) => end,
-    }
+    let (number, name) = (dispatch.attempt, target.instance.clone());
+    let destination = Destination::Target { dispatch, target };
+    let attempt = Attempt { worker, caller, call, number, name, destination };
+    attempt.run(target.address).await
+}
+
+/// Runs one attempt through the peer that the control thread chose.
+pub(super) async fn run_detour<D: HeaderDialect>(
+    worker: &Worker<D>,
+    caller: &mut CallerConnection,
+    call: &mut RelayedCall,
+    detour: Detour,
+) -> AttemptEnd {
+    let (number, name) = (detour.attempt, format!("peer-{}", detour.peer).into());
+    let attempt = Attempt { worker, caller, call, number, name, destination: Destination::Peer };
+    attempt.run(detour.peer).await
 }
 
 struct Attempt<'a, D> {
     worker: &'a Worker<D>,
     caller: &'a mut CallerConnection,
     call: &'a mut RelayedCall,
-    dispatch: &'a Dispatch,
-    target: &'a Target,
+    number: AttemptNumber,
+    /// The instance name of the target, or a name for the peer.
+    name: Arc<str>,
+    destination: Destination<'a>,
+}
+
+/// What an attempt is sent to.
+#[derive(Clone, Copy)]
+enum Destination<'a> {
+    Target {
+        dispatch: &'a Dispatch,
+        target: &'a Target,
+    },
+    /// A peer, which handles the call like that of a caller.
+    Peer,
 }
 
 /// Describes what happened first during a wait for the target.
@@ -84,7 +111,15 @@
 }
 
 impl<D: HeaderDialect> Attempt<'_, D> {
-    async fn connect(&mut self, at: std::net::SocketAddr) -> Result<Connection, AttemptEnd> {
+    async fn run(mut self, at: SocketAddr) -> AttemptEnd {
+        self.call.target_responded = false;
+        match self.connect(at).await {
+            Ok(connection) => self.exchange(connection).await,
+            Err(end) => end,
+        }
+    }
+
+    async fn connect(&mut self, at: SocketAddr) -> Result<Connection, AttemptEnd> {
         let at_most_once = !self.call.class.is_repeatable();
         let retry_safety =
             if at_most_once { RetrySafety::AtMostOnce } else { RetrySafety::Retryable };
@@ -98,7 +133,7 @@
         };
         connection.map_err(|_| {
             self.worker.pool.close_idle(at);
-            self.record_end(AttemptOutcome::NotSent, "no-connection")
+            self.record_end(AttemptOutcome::NoConnection, "no-connection")
         })
     }
 
@@ -113,8 +148,17 @@
         }
         let reused = connection.has_been_used();
         self.call.carried_by.push(connection.id());
-        lines::sent(self.call, now, self.dispatch, self.target, reused);
-        let (head, size) = self.build_request_head(now);
+        let head = match self.destination {
+            Destination::Target { dispatch, target } => {
+                lines::sent(self.call, now, dispatch, target, reused);
+                self.build_request_head(now, dispatch, target)
+            }
+            Destination::Peer => {
+                lines::detoured(self.call, now, self.number, &self.name, reused);
+                detour::request_head(&self.worker.dialect, self.call, now)
+            }
+        };
+        let size = body_size(self.call.req.head());
         let (has_body, body) = (size != BodySize::None, self.call.body.clone());
         let mut queued = connection.start_exchange(head, size);
         if has_body && queued.is_ok() {
@@ -133,18 +177,22 @@
                 WaitResult::Target(Err(e)) => return self.fail(&connection, &e).await,
                 WaitResult::Ended(end) => return end,
             };
-            let kind = self.worker.dialect.classify_response(
-                &head,
-                &self.call.metadata,
-                &self.target.instance,
-            );
+            let dialect = &self.worker.dialect;
+            let kind = dialect.classify_response(&head, &self.call.metadata, &self.name);
             self.report_notice(&head, kind, now).await;
             self.call.target_responded = kind == ResponseKind::Matching;
             match kind {
+                ResponseKind::Matching if self.is_detour() && detour::is_unable(&head) => {
+                    if self.finish_exchange(&mut connection).await {
+                        self.worker.pool.release(connection);
+                    }
+                    let outcome = AttemptOutcome::RefusedByTarget { leaving: false };
+                    return self.record_end(outcome, "peer");
+                }
                 ResponseKind::Foreign if foreign_responses < MAX_FOREIGN_RESPONSES => {
                     foreign_responses += 1;
                     metrics::counter!(metric::FOREIGN_RESPONSES).increment(1);
-                    lines::foreign_response(self.call, &self.target.instance, head.status);
+                    lines::foreign_response(self.call, &self.name, head.status);
                     if let Err(e) = connection.skip_response().await {
                         return self.fail(&connection, &e).await;
                     }
@@ -161,7 +209,7 @@
                 }
                 // The target may have run the call, and the caller would take the status as the
                 // promise that it has not.
-                ResponseKind::Matching if promises_not_run(head.status) => {
+                ResponseKind::Matching if !self.is_detour() && promises_not_run(head.status) => {
                     return self.record_end(self.failed(), "unproven-refusal");
                 }
                 ResponseKind::Matching
@@ -185,63 +233,67 @@
         if kind == (ResponseKind::NotRun { instance_gone: true }) {
             return;
         }
-        let (target, control) = (self.dispatch.target, &self.worker.shared.control);
+        let (target, is_limited) = match self.destination {
+            Destination::Target { dispatch, .. } => (dispatch.target, dispatch.is_limited),
+            Destination::Peer => match self.named_target(head) {
+                Some(target) => (target, false),
+                None => return,
+            },
+        };
+        let control = &self.worker.shared.control;
         let notice = self.worker.dialect.target_notice(head);
         if notice != TargetNotice::default() {
-            lines::target_notice(self.call, &self.target.instance, notice);
+            lines::target_notice(self.call, &self.name, notice);
             control.send(Event::TargetNoticed { target, notice }).await;
         }
         let limit = self.worker.dialect.named_limit(head);
-        let is_news = limit != NamedLimit::None || self.dispatch.is_limited;
+        let is_news = limit != NamedLimit::None || is_limited;
         // A response to an earlier request may have been written at any time.
         if is_news && kind != ResponseKind::Foreign {
             control.send(Event::LimitNamed { target, limit, sent }).await;
         }
     }
 
+    /// Returns the target of a response that a peer passes on.
+    fn named_target(&self, head: &ResponseHead) -> Option<TargetKey> {
+        let name = detour::target_name(head)?;
+        let targets = self.call.snapshot.targets.iter();
+        let mut named = targets.filter(|(_, t)| !t.retired && *t.instance == *name);
+        named.next().map(|(key, _)| key)
+    }
+
+    /// Returns whether a peer handles the attempt.
+    const fn is_detour(&self) -> bool {
+        matches!(self.destination, Destination::Peer)
+    }
+
     /// Builds the request head for the target from the end-to-end headers of the caller.
-    fn build_request_head(&self, now: Moment) -> (RequestHead, BodySize) {
-        let caller_head = self.call.req.head();
-        let mut head = RequestHead::default();
-        head.method = caller_head.method.clone();
-        head.uri = caller_head.uri.clone();
-        for (name, value) in &caller_head.headers {
-            let is_host = *name == actix_http::header::HOST;
-            if is_host || is_end_to_end(name) {
-                head.headers.append(name.clone(), value.clone());
-            }
-        }
+    fn build_request_head(&self, now: Moment, dispatch: &Dispatch, target: &Target) -> RequestHead {
+        let mut head = end_to_end_head(self.call.req.head());
         let has_prompt = self.call.has_prompt_parts();
         let secret = self.worker.shared.settings.block_secret.expose();
-        let salt = self.call.cache_salt(secret, self.dispatch.version).filter(|_| has_prompt);
+        let salt = self.call.cache_salt(secret, dispatch.version).filter(|_| has_prompt);
         let stores = &self.call.snapshot.stores;
         let address = |key| stores.get(key).map(|store| store.address);
-        let plans = &self.dispatch.parts;
+        let plans = &dispatch.parts;
         let read = |plan: &PartPlan| plan.read.and_then(|(key, n)| Some((address(key)?, n)));
         let read: SmallVec<[_; 4]> = plans.parts.iter().map(read).collect();
         let save: SmallVec<[_; 4]> =
             plans.parts.iter().map(|plan| plan.save.and_then(address)).collect();
         let forward = ForwardMetadata {
             account: self.call.account_name.as_deref(),
-            instance: &self.target.instance,
+            instance: &target.instance,
             remaining: self.call.deadline.since(now),
             cache_salt: salt,
             urgency: self.call.urgency,
-            version: salt.map(|_| self.dispatch.version),
+            version: salt.map(|_| dispatch.version),
             read: &read,
             save: &save,
             read_until: plans.read_until,
             last_event_id: self.call.events.last_id(),
         };
         self.worker.dialect.write_headers(&mut head.headers, &forward);
-        let length =
-            caller_head.headers.get(CONTENT_LENGTH).and_then(|v| v.to_str().ok()?.parse().ok());
-        let size = match length {
-            _ if caller_head.headers.contains_key(TRANSFER_ENCODING) => BodySize::Stream,
-            Some(length) => BodySize::Sized(length),
-            None => BodySize::None,
-        };
-        (head, size)
+        head
     }
 
     /// Waits for the head of the response, and forwards the rest of the body in the meantime.
@@ -251,10 +303,11 @@
             let wants_room = self.caller.has_unread_body() && !has_room;
             tokio::select! {
                 biased;
-                head = connection.read_head_or_room(wants_room) => match head.transpose() {
-                    Some(head) => return WaitResult::Target(head),
-                    None => continue,
-                },
+                head = connection.read_head_or_room(wants_room) => {
+                    if let Some(head) = head.transpose() {
+                        return WaitResult::Target(head);
+                    }
+                }
                 refusal = next_refusal(&mut self.call.commands) =>
                     return self.end_as_refused(refusal),
                 input = self.caller.next_input(has_room) => {
@@ -334,8 +387,11 @@
         let framing = connection.framing();
         self.worker.pool.release(connection);
         let status = head.status;
-        let response = BufferedResponse { head, body: body.freeze() };
-        let may_repeat = self.call.class == CallClass::Repeatable && !self.call.body_consumed;
+        let response = BufferedResponse { head, target: self.name.clone(), body: body.freeze() };
+        // A peer has made all attempts that the call may have.
+        let may_repeat = self.call.class == CallClass::Repeatable
+            && !self.call.body_consumed
+            && !self.is_detour();
         if status.is_server_error() && may_repeat {
             self.call.failed_response = Some(response);
             return self
@@ -359,7 +415,8 @@
         self.disable_keep_alive_if_needed();
         self.call.response_started = true;
         let mut next = Some(first);
-        if self.caller.queue_response_head(caller_response_head(&head)).is_err() {
+        let caller_head = caller_response_head(&head, self.caller, &self.name);
+        if self.caller.queue_response_head(caller_head).is_err() {
             return AttemptEnd::Disconnected;
         }
         while let Some(chunk) = next {
@@ -452,12 +509,13 @@
             .record(now.since(self.call.arrived).as_secs_f64());
         self.worker.shared.control.send(Event::FirstToken { call: self.call.key }).await;
         self.disable_keep_alive_if_needed();
-        self.caller.queue_response_head(caller_response_head(head)).is_ok()
+        let caller_head = caller_response_head(head, self.caller, &self.name);
+        self.caller.queue_response_head(caller_head).is_ok()
     }
 
     fn log_answered(&self, status: StatusCode, framing: Framing) {
         let now = self.worker.shared.now();
-        lines::answered(self.call, now, self.dispatch, status.as_u16(), framing);
+        lines::answered(self.call, now, self.number, status.as_u16(), framing);
     }
 
     /// Closes the caller's connection after this response if the request body was not read to its
@@ -479,7 +537,7 @@
                 part = connection.read_chunk_or_room(wants_room) => match part {
                     Ok(BodyPart::Chunk(chunk)) => return WaitResult::Target(Ok(Some(chunk))),
                     Ok(BodyPart::End) => return WaitResult::Target(Ok(None)),
-                    Ok(BodyPart::Pending) => continue,
+                    Ok(BodyPart::Pending) => {}
                     Err(e) => return WaitResult::Target(Err(e)),
                 },
                 refusal = next_refusal(&mut self.call.commands) =>
@@ -501,7 +559,7 @@
         let outcome = if status.is_success() { "answered" } else { "answered-with-failure" };
         metrics::counter!(metric::CALLS, "outcome" => outcome).increment(1);
         let usage = Usage { prompt: self.call.metadata.prompt, ..Usage::default() };
-        report_attempt_end(self.worker, self.call, self.dispatch, AttemptOutcome::Completed(usage))
+        report_attempt_end(self.worker, self.call, self.number, AttemptOutcome::Completed(usage))
             .await;
     }
 
@@ -512,9 +570,11 @@
     /// Ends an attempt whose exchange failed after bytes of the call may have been sent.
     async fn fail(&mut self, connection: &Connection, e: &ClientError) -> AttemptEnd {
         self.worker.pool.close_idle(connection.address());
-        if !matches!(e, ClientError::Malformed) {
+        if let (Destination::Target { dispatch, .. }, false) =
+            (self.destination, matches!(e, ClientError::Malformed))
+        {
             self.report_response_end(ResponseEnd::Broken).await;
-            self.worker.check_target(self.dispatch.target, connection.address());
+            self.worker.check_target(dispatch.target, connection.address());
         }
         let cause = match e {
             ClientError::Malformed => "unreadable",
@@ -535,7 +595,7 @@
     fn record_end(&mut self, outcome: AttemptOutcome, cause: &str) -> AttemptEnd {
         self.call.may_have_run |= matches!(outcome, AttemptOutcome::Failed { .. });
         let now = self.worker.shared.now();
-        lines::attempt_ended(self.call, now, self.dispatch, &self.target.instance, outcome, cause);
+        lines::attempt_ended(self.call, now, self.number, &self.name, outcome, cause);
         AttemptEnd::Unsuccessful(outcome)
     }
 }
@@ -556,16 +616,51 @@
     caller: &mut CallerConnection,
     response: BufferedResponse,
 ) -> std::io::Result<()> {
-    caller.write_response(caller_response_head(&response.head), response.body).await
+    let head = caller_response_head(&response.head, caller, &response.target);
+    caller.write_response(head, response.body).await
+}
+
+/// Copies the method, the target and the end-to-end headers of a request.
+pub(super) fn end_to_end_head(caller_head: &RequestHead) -> RequestHead {
+    let mut head = RequestHead::default();
+    head.method = caller_head.method.clone();
+    head.uri = caller_head.uri.clone();
+    for (name, value) in &caller_head.headers {
+        let is_host = *name == actix_http::header::HOST;
+        if is_host || is_end_to_end(name) {
+            head.headers.append(name.clone(), value.clone());
+        }
+    }
+    detour::remove_headers(&mut head.headers);
+    head
 }
 
-/// Builds the response head for the caller from the end-to-end headers of the target.
-fn caller_response_head(head: &ResponseHead) -> Response<()> {
+/// Returns the size of the body that a request declares.
+fn body_size(head: &RequestHead) -> BodySize {
+    let length = head.headers.get(CONTENT_LENGTH).and_then(|v| v.to_str().ok()?.parse().ok());
+    match length {
+        _ if head.headers.contains_key(TRANSFER_ENCODING) => BodySize::Stream,
+        Some(length) => BodySize::Sized(length),
+        None => BodySize::None,
+    }
+}
+
+/// Builds the response head for the caller from the end-to-end headers of the target; a peer also
+/// gets the target's name.
+fn caller_response_head(
+    head: &ResponseHead,
+    caller: &CallerConnection,
+    target: &str,
+) -> Response<()> {
     let mut res = Response::with_body(head.status, ());
     let headers: &mut HeaderMap = res.headers_mut();
     for (name, value) in head.headers().iter().filter(|(name, _)| is_end_to_end(name)) {
         headers.append(name.clone(), value.clone());
     }
+    detour::remove_headers(headers);
+    if caller.is_peer() {
+        detour::write_target_name(headers, target);
+    }
     res
 }
 
@@ -575,6 +670,8 @@
         Some(Command::Refuse(refusal)) => refusal,
         // The control thread dispatches no second attempt during one, and keeps the command channel
         // open until the call ends.
-        Some(Command::Dispatch(_)) | None => Refusal::unknown(RefusalCode::TargetFailed),
+        Some(Command::Dispatch(_) | Command::Detour(_)) | None => {
+            Refusal::unknown(RefusalCode::TargetFailed)
+        }
     }
 }
--- a/crates/cumintrail-daemon/src/relay/call.rs
+++ b/crates/cumintrail-daemon/src/relay/call.rs
@@ -13,8 +13,8 @@
 use cumintrail_control::stream_origins::{StreamId, StreamRequest};
 use cumintrail_control::{Arrival, AttemptOutcome, Event, RouteOptions};
 use cumintrail_types::{
-    AccountKey, BlockKey, CallClass, CallKey, Digest, Moment, Ran, Refusal, RefusalCode, Tokens,
-    Urgency, WeightVersion,
+    AccountKey, AttemptNumber, BlockKey, CallClass, CallKey, Digest, Moment, Ran, Refusal,
+    RefusalCode, Tokens, Urgency, WeightVersion,
 };
 use smallvec::SmallVec;
 use tokio::sync::mpsc;
@@ -23,8 +23,7 @@
 use super::caller::{CallerConnection, CallerInput};
 use super::dialect::{HeaderDialect, RequestMetadata, bearer_token};
 use super::events::EventSplitter;
-use super::lines;
-use super::{Worker, attempt::BufferedResponse};
+use super::{Worker, attempt::BufferedResponse, detour, lines};
 use crate::control_thread::Command;
 use crate::metric;
 
@@ -139,6 +138,10 @@
     let not_configured =
         Refusal::not_run(RefusalCode::NotConfigured).retry_after(OTHER_DAEMON_RETRY_AFTER);
     let snapshot = shared.snapshot().ok_or(not_configured)?;
+    // The caller may know a configuration that is in force at its own daemon already.
+    if caller.is_peer() && detour::sender_generation(req.head()) > Some(snapshot.generation) {
+        return Err(Refusal::not_run(RefusalCode::NotConfigured));
+    }
     let route = find_route(&snapshot, &req)?;
     let (account, account_name) = find_account(&snapshot, route, &req)?;
     let limits = snapshot.deployment.callers;
@@ -199,6 +202,7 @@
             first_token_objective: Some(route.latency_objective),
             stream: stream_request(route.class, account_name.as_deref(), metadata),
             content: content(metadata, request),
+            is_detour: caller.is_peer(),
         },
     };
     let overloaded =
@@ -374,30 +378,38 @@
                 return abandon_call(worker, call).await;
             }
         };
-        let refusal = match command {
+        let (attempt, end) = match command {
             Some(Command::Dispatch(dispatch)) => {
-                match attempt::run(worker, caller, call, &dispatch).await {
-                    AttemptEnd::Completed => return caller.is_reusable(),
-                    AttemptEnd::Disconnected => return abandon_call(worker, call).await,
-                    AttemptEnd::Truncated => return false,
-                    AttemptEnd::Refused(refusal) => refusal,
-                    AttemptEnd::TooLarge => {
-                        let event = Event::CallerDisconnected { call: call.key };
-                        worker.shared.control.send(event).await;
-                        caller.disable_keep_alive();
-                        Refusal::not_run(RefusalCode::TooLarge)
-                    }
-                    AttemptEnd::Unsuccessful(outcome) => {
-                        let (call, attempt) = (call.key, dispatch.attempt);
-                        let event = Event::AttemptEnded { call, attempt, outcome };
-                        worker.shared.control.send(event).await;
-                        continue;
-                    }
-                }
+                (dispatch.attempt, attempt::run(worker, caller, call, &dispatch).await)
+            }
+            Some(Command::Detour(detour)) => {
+                (detour.attempt, attempt::run_detour(worker, caller, call, detour).await)
+            }
+            Some(Command::Refuse(refusal)) => {
+                return end_refused_call(worker, caller, call, refusal).await;
             }
-            Some(Command::Refuse(refusal)) => refusal,
             // The control thread, which stops last, has stopped, so no further command follows.
-            None => Refusal::not_run(RefusalCode::Stopping).retry_after(OTHER_DAEMON_RETRY_AFTER),
+            None => {
+                let refusal = Refusal::not_run(RefusalCode::Stopping);
+                let refusal = refusal.retry_after(OTHER_DAEMON_RETRY_AFTER);
+                return end_refused_call(worker, caller, call, refusal).await;
+            }
+        };
+        let refusal = match end {
+            AttemptEnd::Completed => return caller.is_reusable(),
+            AttemptEnd::Disconnected => return abandon_call(worker, call).await,
+            AttemptEnd::Truncated => return false,
+            AttemptEnd::Refused(refusal) => refusal,
+            AttemptEnd::TooLarge => {
+                let event = Event::CallerDisconnected { call: call.key };
+                worker.shared.control.send(event).await;
+                caller.disable_keep_alive();
+                Refusal::not_run(RefusalCode::TooLarge)
+            }
+            AttemptEnd::Unsuccessful(outcome) => {
+                report_attempt_end(worker, call, attempt, outcome).await;
+                continue;
+            }
         };
         return end_refused_call(worker, caller, call, refusal).await;
     }
@@ -460,6 +472,9 @@
     let headers: &mut HeaderMap = head.headers_mut();
     headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
     worker.dialect.write_call_id(headers, metadata);
+    if caller.is_peer() {
+        detour::write_refusal_code(headers, &code);
+    }
     if let Some(after) = refusal.retry_after.filter(|_| refusal.ran == Ran::No)
         && let Ok(value) = HeaderValue::from_str(&format!("{:.3}", after.as_secs_f64()))
     {
@@ -474,9 +489,8 @@
 pub(super) async fn report_attempt_end<D: HeaderDialect>(
     worker: &Worker<D>,
     call: &RelayedCall,
-    dispatch: &cumintrail_control::Dispatch,
+    attempt: AttemptNumber,
     outcome: AttemptOutcome,
 ) {
-    let attempt = dispatch.attempt;
     worker.shared.control.send(Event::AttemptEnded { call: call.key, attempt, outcome }).await;
 }
--- a/crates/cumintrail-daemon/src/relay/caller.rs
+++ b/crates/cumintrail-daemon/src/relay/caller.rs
@@ -47,9 +47,19 @@
     Malformed,
 }
 
+/// Names what sends requests on a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Source {
+    /// A caller.
+    Caller,
+    /// A peer that reaches no target, for its callers.
+    Peer,
+}
+
 /// Reads requests from one connection and writes the responses.
 pub struct CallerConnection {
     stream: TcpStream,
+    source: Source,
     codec: Codec,
     input: BytesMut,
     output: BytesMut,
@@ -75,11 +85,12 @@
 
 impl CallerConnection {
     /// Wraps an accepted connection; each write may stall for `stall_limit` at most.
-    pub fn new(stream: TcpStream, stall_limit: Duration) -> io::Result<Self> {
+    pub fn new(stream: TcpStream, source: Source, stall_limit: Duration) -> io::Result<Self> {
         stream.set_nodelay(true)?;
         let config = ServiceConfig::new(KeepAlive::Os, Duration::ZERO, Duration::ZERO, false, None);
         Ok(Self {
             stream,
+            source,
             codec: Codec::new(config),
             input: BytesMut::new(),
             output: BytesMut::new(),
@@ -143,6 +154,11 @@
         }
     }
 
+    /// Returns whether a peer sends the requests.
+    pub fn is_peer(&self) -> bool {
+        self.source == Source::Peer
+    }
+
     /// Returns whether the body of the current request has not been read to its end.
     pub const fn has_unread_body(&self) -> bool {
         self.body_unread
--- a/crates/cumintrail-daemon/src/relay/dialect.rs
+++ b/crates/cumintrail-daemon/src/relay/dialect.rs
@@ -86,6 +86,8 @@
     fn parse_request(&self, head: &RequestHead) -> Result<RequestMetadata, Refusal>;
     /// Adds the metadata for the target to the headers of a forwarded request.
     fn write_headers(&self, headers: &mut HeaderMap, forward: &ForwardMetadata<'_>);
+    /// Writes how long the caller still waits, for a daemon that handles the call.
+    fn write_deadline(&self, headers: &mut HeaderMap, remaining: Duration);
     /// Relates the head of a response to the call with `metadata` that was sent to `instance`.
     fn classify_response(
         &self,
@@ -142,12 +144,16 @@
         headers.remove(AUTHORIZATION);
         set_or_remove(headers, ACCOUNT, forward.account);
         set_or_remove(headers, INSTANCE, Some(forward.instance));
-        set_or_remove(headers, DEADLINE, Some(&forward.remaining.as_millis().to_string()));
+        self.write_deadline(headers, forward.remaining);
         if let Some(last) = forward.last_event_id {
             set_or_remove(headers, LAST_EVENT_ID, Some(&last.to_string()));
         }
     }
 
+    fn write_deadline(&self, headers: &mut HeaderMap, remaining: Duration) {
+        set_or_remove(headers, DEADLINE, Some(&remaining.as_millis().to_string()));
+    }
+
     fn classify_response(
         &self,
         head: &ResponseHead,
--- a/crates/cumintrail-daemon/src/relay/lines.rs
+++ b/crates/cumintrail-daemon/src/relay/lines.rs
@@ -5,7 +5,7 @@
 use cumintrail_client::Framing;
 use cumintrail_config::Target;
 use cumintrail_control::{AttemptOutcome, Dispatch, TargetNotice};
-use cumintrail_types::{Moment, RefusalCode};
+use cumintrail_types::{AttemptNumber, Moment, RefusalCode};
 use smallvec::SmallVec;
 
 use super::call::RelayedCall;
@@ -66,6 +66,19 @@
     );
 }
 
+/// Logs that a call is sent to a peer, since this daemon reaches no target.
+pub fn detoured(call: &RelayedCall, now: Moment, attempt: AttemptNumber, peer: &str, reused: bool) {
+    log::info!(
+        "event=detoured id={} call={} route={} class={} attempt={attempt} to={peer} reused={reused} age_ms={} left_ms={}",
+        caller_call_id(call),
+        call.key,
+        call.route,
+        call.class,
+        age_ms(call, now),
+        call.deadline.since(now).as_millis(),
+    );
+}
+
 /// Logs what a response said about its target.
 pub fn target_notice(call: &RelayedCall, target: &str, notice: TargetNotice) {
     log::info!(
@@ -91,17 +104,16 @@
 pub fn attempt_ended(
     call: &RelayedCall,
     now: Moment,
-    dispatch: &Dispatch,
+    attempt: AttemptNumber,
     target: &str,
     outcome: AttemptOutcome,
     cause: &str,
 ) {
     log::info!(
-        "event=attempt-ended id={} call={} attempt={} target={target} outcome={} cause={cause} \
+        "event=attempt-ended id={} call={} attempt={attempt} target={target} outcome={} cause={cause} \
          answering={} remainder_bytes={} age_ms={}",
         caller_call_id(call),
         call.key,
-        dispatch.attempt,
         outcome_name(outcome),
         call.target_responded,
         call.events.remainder_len(),
@@ -113,15 +125,14 @@
 pub fn answered(
     call: &RelayedCall,
     now: Moment,
-    dispatch: &Dispatch,
+    attempt: AttemptNumber,
     status: u16,
     framing: Framing,
 ) {
     log::info!(
-        "event=answered id={} call={} attempt={} status={status} framing={framing} age_ms={}",
+        "event=answered id={} call={} attempt={attempt} status={status} framing={framing} age_ms={}",
         caller_call_id(call),
         call.key,
-        dispatch.attempt,
         age_ms(call, now),
     );
 }
@@ -146,7 +157,7 @@
 
 const fn outcome_name(outcome: AttemptOutcome) -> &'static str {
     match outcome {
-        AttemptOutcome::NotSent => "not-sent",
+        AttemptOutcome::NotSent | AttemptOutcome::NoConnection => "not-sent",
         AttemptOutcome::Completed(_) => "answered",
         AttemptOutcome::RefusedByTarget { leaving: false } => "refused",
         AttemptOutcome::RefusedByTarget { leaving: true } => "gone",
--- a/crates/cumintrail-daemon/src/relay/probes.rs
+++ b/crates/cumintrail-daemon/src/relay/probes.rs
@@ -7,7 +7,7 @@
 use actix_rt::net::TcpStream;
 use bytes::Bytes;
 
-use super::caller::CallerConnection;
+use super::caller::{CallerConnection, Source};
 use crate::metric;
 use crate::shared::Shared;
 
@@ -39,7 +39,8 @@
 }
 
 async fn respond(stream: TcpStream, shared: &Shared, endpoint: MonitoringEndpoint) {
-    let Ok(mut caller) = CallerConnection::new(stream, shared.settings.stall_limit) else {
+    let Ok(mut caller) = CallerConnection::new(stream, Source::Caller, shared.settings.stall_limit)
+    else {
         return;
     };
     while let Ok(Some(_)) = caller.next_request(None).await {
--- a/crates/cumintrail-wire/src/peer.rs
+++ b/crates/cumintrail-wire/src/peer.rs
@@ -79,6 +79,10 @@
     call_rates: Vec<(u64, u32)>,
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     peers: Vec<(SocketAddr, Arc<str>)>,
+    #[serde(default)]
+    detour_port: u16,
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    partitioned: Vec<u64>,
 }
 
 impl From<PeerDigest> for DigestMessage {
@@ -126,6 +130,8 @@
                 .collect(),
             call_rates: d.call_rates.into_iter().map(|(pool, rate)| (pool, rate.0)).collect(),
             peers: d.peers,
+            detour_port: d.detour_port,
+            partitioned: d.partitioned,
         }
     }
 }
@@ -183,6 +189,8 @@
                 .map(|(pool, rate)| (pool, RequestRate(rate)))
                 .collect(),
             peers: m.peers,
+            detour_port: m.detour_port,
+            partitioned: m.partitioned,
         }
     }
 }
--- a/tests/src/experiment/run.rs
+++ b/tests/src/experiment/run.rs
@@ -208,6 +208,9 @@
             | Action::AssignReaders(_)
             | Action::ReportQuarantine(_)
             | Action::ReportLimit(_)
+            | Action::Detour(_)
+            | Action::CheckReach { .. }
+            | Action::ReportReach { .. }
             | Action::SoftwareHistory(_)
             | Action::ReadGeneration
             | Action::ReadVmList
--- a/tests/src/gateway_cluster.rs
+++ b/tests/src/gateway_cluster.rs
@@ -55,6 +55,7 @@
         caller_address: ANY.parse().unwrap(),
         readiness_address: None,
         metrics_address: None,
+        detour_address: Some(ANY.parse().unwrap()),
         retry_policy: RetryPolicy::default(),
         outdated_limit: LIMIT,
         stop_limit: LIMIT,
--- a/tests/src/standins/path.rs
+++ b/tests/src/standins/path.rs
@@ -110,17 +110,14 @@
 
 async fn forward(mut near: TcpStream, to: SocketAddr, mut state: watch::Receiver<PathState>) {
     let Ok(mut far) = TcpStream::connect(to).await else { return };
-    loop {
-        tokio::select! {
-            _ = tokio::io::copy_bidirectional(&mut near, &mut far) => return,
-            _ = state.wait_for(|s| matches!(s, PathState::Hung | PathState::Refused)) => {}
-        }
-        if *state.borrow() == PathState::Refused {
-            let _ = socket2::SockRef::from(&near).set_linger(Some(Duration::ZERO));
-            return;
-        }
-        // A connection that hung is of no use any more.
-        let _ = state.wait_for(|s| *s != PathState::Hung).await;
+    tokio::select! {
+        _ = tokio::io::copy_bidirectional(&mut near, &mut far) => return,
+        _ = state.wait_for(|s| matches!(s, PathState::Hung | PathState::Refused)) => {}
+    }
+    if *state.borrow() == PathState::Refused {
+        let _ = socket2::SockRef::from(&near).set_linger(Some(Duration::ZERO));
         return;
     }
+    // A connection that hung is of no use any more.
+    let _ = state.wait_for(|s| *s != PathState::Hung).await;
 }
--- a/tests/tests/account_limits.rs
+++ b/tests/tests/account_limits.rs
@@ -39,7 +39,7 @@
                     let to = usize::from(to.port()) - 1;
                     let crosses = (daemon < DAEMONS / 2) != (to < DAEMONS / 2);
                     if !(self.is_cut && crosses) {
-                        self.handle(to, Event::PeerDigest(Box::new(transmit(digest))));
+                        self.handle(to, Event::PeerDigest(Box::new(transmit(*digest))));
                     }
                 }
                 _ => {}
--- a/tests/tests/membership.rs
+++ b/tests/tests/membership.rs
@@ -128,8 +128,8 @@
                     self.daemons[from].handle(now, Event::PeerSilent { address: to });
                     return;
                 }
-                self.digests.push((from, digest.clone()));
-                self.daemons[index].handle(now, Event::PeerDigest(Box::new(digest)));
+                self.digests.push((from, (*digest).clone()));
+                self.daemons[index].handle(now, Event::PeerDigest(digest));
             }
             _ => {}
         }
--- a/tests/tests/platform_reads.rs
+++ b/tests/tests/platform_reads.rs
@@ -138,7 +138,7 @@
                         let newer = snapshot(digest.generation.0);
                         self.send(index(to), Event::Configured(newer));
                     }
-                    self.send(index(to), Event::PeerDigest(Box::new(digest)));
+                    self.send(index(to), Event::PeerDigest(digest));
                 }
                 _ => {}
             }
--- a/tests/tests/quarantine.rs
+++ b/tests/tests/quarantine.rs
@@ -185,8 +185,15 @@
                     let has_delay = refusal.retry_after.is_some();
                     self.refused.push((parts.to_vec(), refusal.code, refusal.ran, has_delay));
                 }
+                Action::CheckReach { kind, targets } => {
+                    let reached = targets.iter().any(|target| !self.dead.contains(target));
+                    let checked = Event::ReachChecked { kind, reached };
+                    let now = self.moment();
+                    let actions = self.daemons[from].handle(now, checked);
+                    self.apply(from, parts, millis, actions);
+                }
                 Action::SendDigest { to, digest } => {
-                    let encoded = to_msgpack(&DigestMessage::from(digest)).unwrap();
+                    let encoded = to_msgpack(&DigestMessage::from(*digest)).unwrap();
                     let decoded: DigestMessage = from_msgpack(&encoded).unwrap();
                     let to = usize::from(to.port()) - 1;
                     if let Some(daemon) = self.daemons.get_mut(to) {
--- a/tests/tests/quarantined_requests.rs
+++ b/tests/tests/quarantined_requests.rs
@@ -210,9 +210,13 @@
                         self.after(2, Happening::Request { daemon, request, retries });
                     }
                 }
+                Action::CheckReach { kind, targets } => {
+                    let reached = targets.iter().any(|target| !self.dead.contains(target));
+                    self.handle(daemon, Event::ReachChecked { kind, reached });
+                }
                 Action::SendDigest { to, digest } => {
                     let (to, number) = (usize::from(to.port()) - 1, self.digests.len());
-                    self.digests.push(transmit(digest));
+                    self.digests.push(transmit(*digest));
                     let delay = self.rng.random_range(2..25);
                     self.after(delay, Happening::Digest { to, number });
                 }
--- a/tests/tests/stream_origins.rs
+++ b/tests/tests/stream_origins.rs
@@ -134,7 +134,7 @@
     let mut origins = 0;
     for action in from.handle(now, Event::Tick) {
         if let Action::SendDigest { digest, .. } = action {
-            let encoded = to_msgpack(&DigestMessage::from(digest)).unwrap();
+            let encoded = to_msgpack(&DigestMessage::from(*digest)).unwrap();
             let decoded: DigestMessage = from_msgpack(&encoded).unwrap();
             let digest = PeerDigest::from(decoded);
             origins += digest.stream_origins.len();
@@ -344,7 +344,7 @@
                 let Action::SendDigest { to, digest } = action else { continue };
                 most_origins = most_origins.max(digest.stream_origins.len());
                 let to = &mut daemons[usize::from(to.port()) - 1];
-                to.handle(now, Event::PeerDigest(Box::new(digest)));
+                to.handle(now, Event::PeerDigest(digest));
             }
         }
         millis += 10;
--- a/tests/tests/target_limits.rs
+++ b/tests/tests/target_limits.rs
@@ -169,7 +169,7 @@
                     if self.is_cut && (daemon < half) != (to < half) {
                         continue;
                     }
-                    self.handle(to, Event::PeerDigest(Box::new(transmit(digest))));
+                    self.handle(to, Event::PeerDigest(Box::new(transmit(*digest))));
                 }
                 _ => {}
             }
