Resume streams of unknown origin only while the registry is current

Cause: a stream of unknown origin was resumed at the only version that the daemon knew, however old that knowledge was.

Such streams are refused at once unless the registry was confirmed within a second, and digests name software versions where there are several, so that a daemon which the platform turns away learns of them from its peers.

Both new tests fail with the new logic taken out.

--- a/crates/cumintrail-control/src/control.rs
+++ b/crates/cumintrail-control/src/control.rs
@@ -114,6 +114,8 @@
     announced_versions: AnnouncedVersions,
     stream_origins: StreamOrigins,
     software_history: SoftwareHistory,
+    /// Until when the registry's entries count as current; `None` before their first confirmation.
+    registry_current_until: Option<Moment>,
     quarantine: Quarantine,
     /// Whether this daemon reaches the targets of each model and plain service.
     reach: HashMap<TargetKind, Reach>,
@@ -179,6 +181,7 @@
             announced_versions: AnnouncedVersions::default(),
             stream_origins: StreamOrigins::default(),
             software_history: SoftwareHistory::default(),
+            registry_current_until: None,
             quarantine: Quarantine::default(),
             reach: HashMap::new(),
             detour_port: 0,
@@ -267,6 +270,10 @@
                 self.rollout.record_era(now, era);
                 self.managed_stores.record_platform_response(sent);
             }
+            Event::RegistryConfirmed { as_of, max_age } => {
+                self.registry_current_until =
+                    self.registry_current_until.max(Some(as_of + max_age));
+            }
             Event::FreeFailed { store, sealed } => self.handle_failed_free(store, sealed),
             Event::VmListReceived { sequence, vms } => self.handle_vm_list(now, sequence, &vms),
             Event::VmListRead { sequence } => self.handle_vms_read(now, sequence),
--- a/crates/cumintrail-control/src/control/digests.rs
+++ b/crates/cumintrail-control/src/control/digests.rs
@@ -71,6 +71,7 @@
             processor_share: self.identity.processor_share,
             domain_sizes: self.membership.domain_sizes(now, own, &domain),
             stream_origins: self.take_stream_origins(now),
+            software: self.reported_software(now),
             quarantine: self.take_quarantine_report(now),
             limits: self.take_limit_reports(now),
             call_rates: self.call_rates(now),
@@ -225,6 +226,7 @@
         self.record_announcements(now, &digest.versions);
         self.record_announced_leaving(&digest.announced_leaving);
         self.record_stream_origins(now, digest);
+        self.record_reported_software(now, digest);
         self.record_quarantine_report(now, digest);
         self.record_limit_reports(now, digest);
         if let Some(from) = digest.address.filter(|_| self.has_registry) {
--- a/crates/cumintrail-control/src/control/software.rs
+++ b/crates/cumintrail-control/src/control/software.rs
@@ -7,7 +7,7 @@
 use super::Control;
 use crate::placement::Placer;
 use crate::software_history::{HistoryRow, PoolVersion};
-use crate::{Action, Actions, Arrival};
+use crate::{Action, Actions, Arrival, PeerDigest};
 
 /// Stands for a version that a damaged row may have listed; no target has it.
 const UNKNOWN_VERSION: &str = "";
@@ -26,7 +26,9 @@
             return Ok(None);
         };
         let request = arrival.options.stream;
-        let knows_history = !self.has_registry || self.software_history.is_known();
+        // A daemon whose entries are outdated may not know the version at which a stream began.
+        let is_current = self.registry_current_until.is_none_or(|until| now < until);
+        let knows_history = !self.has_registry || (self.software_history.is_known() && is_current);
         let origins = &self.stream_origins;
         let required =
             origins.required_version(now, arrival.kind, request, snapshot, knows_history);
@@ -62,6 +64,24 @@
         several
     }
 
+    /// Returns the software versions for a digest, where several are or lately were in use.
+    pub(super) fn reported_software(&self, now: Moment) -> Vec<PoolVersion> {
+        if self.has_registry { self.several_versions(now) } else { Vec::new() }
+    }
+
+    /// Records the versions that a peer knows, since the platform may serve only some daemons.
+    pub(super) fn record_reported_software(&mut self, now: Moment, digest: &PeerDigest) {
+        let Some(snapshot) = self.snapshot.clone().filter(|_| !digest.software.is_empty()) else {
+            return;
+        };
+        for kind in snapshot.kinds() {
+            let pool = self.pool_hash(kind);
+            for (_, version) in digest.software.iter().filter(|(of, _)| *of == pool) {
+                self.stream_origins.record_reported(now, kind, version);
+            }
+        }
+    }
+
     pub(super) fn handle_software_history(&mut self, now: Moment, row: HistoryRow) {
         if let Some(snapshot) = self.snapshot.clone() {
             for kind in snapshot.kinds() {
--- a/crates/cumintrail-control/src/digest.rs
+++ b/crates/cumintrail-control/src/digest.rs
@@ -10,6 +10,7 @@
 
 use crate::TargetReport;
 use crate::quarantine::QuarantineReport;
+use crate::software_history::PoolVersion;
 use crate::stream_origins::StreamOrigin;
 use crate::target_limits::ReportedLimit;
 
@@ -181,6 +182,9 @@
     pub domain_sizes: Vec<DomainSize>,
     /// The software versions at which streams began, if several are in use.
     pub stream_origins: Vec<StreamOrigin>,
+    /// The software versions of the models and services that have or lately had several, by the hash
+    /// of their names.
+    pub software: Vec<PoolVersion>,
     /// Crashes of targets, and the content in quarantine for them.
     pub quarantine: QuarantineReport,
     /// The limits of targets, those that changed at once and the others from time to time.
--- a/crates/cumintrail-control/src/event.rs
+++ b/crates/cumintrail-control/src/event.rs
@@ -193,6 +193,13 @@
         /// The era of the platform's store.
         era: u64,
     },
+    /// The registry's entries were confirmed.
+    RegistryConfirmed {
+        /// The moment as of which they are current.
+        as_of: Moment,
+        /// How long after that moment they still count as current.
+        max_age: Duration,
+    },
     /// A block that was to be freed may still be in its store.
     FreeFailed {
         /// The store.
--- a/crates/cumintrail-control/src/stream_origins.rs
+++ b/crates/cumintrail-control/src/stream_origins.rs
@@ -197,6 +197,12 @@
         self.last_listed.insert((kind, software), now);
     }
 
+    /// Records a version that a peer reports, unless this daemon knows it. Daemons would remind each
+    /// other of it for ever otherwise.
+    pub fn record_reported(&mut self, now: Moment, kind: TargetKind, software: &Arc<str>) {
+        self.last_listed.entry((kind, software.clone())).or_insert(now);
+    }
+
     /// Returns the distinct software versions at which a stream that goes on may have begun.
     pub fn recent_versions(
         &self,
--- a/crates/cumintrail-daemon/src/gateway/follow.rs
+++ b/crates/cumintrail-daemon/src/gateway/follow.rs
@@ -22,7 +22,8 @@
 /// A longer wait would detect a silent connection later; a shorter one would send more requests,
 /// which the platform counts.
 const LONG_POLL_WAIT: Duration = Duration::from_secs(2);
-/// The same for a daemon whose followers rely on the age of what it read.
+/// The same where the age of what was read matters: for the registry, and for a daemon that others
+/// follow.
 const READER_POLL_WAIT: Duration = Duration::from_millis(800);
 /// Time allowed for a response beyond the wait.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(700);
@@ -108,7 +109,9 @@
         tx: &mpsc::UnboundedSender<Update>,
     ) -> Result<Duration, mpsc::error::SendError<Update>> {
         let table = self.table;
-        let wait = if own_reads.has_followers { READER_POLL_WAIT } else { LONG_POLL_WAIT };
+        // Entries of the registry change with each heartbeat, so that short waits cost no requests.
+        let needs_age = own_reads.has_followers || table == FeedTable::Registry;
+        let wait = if needs_age { READER_POLL_WAIT } else { LONG_POLL_WAIT };
         let position = self.shared.feed_log().table_position(table);
         let (started, sent) = (tokio::time::Instant::now(), self.shared.now());
         let page = match position {
--- a/crates/cumintrail-daemon/src/gateway/publish.rs
+++ b/crates/cumintrail-daemon/src/gateway/publish.rs
@@ -6,7 +6,7 @@
 
 use cumintrail_config::{Snapshot, Target, TargetKind};
 use cumintrail_control::Event;
-use cumintrail_control::feed::{FeedPage, FeedRow, FeedTable};
+use cumintrail_control::feed::{FeedPage, FeedRow, FeedTable, MAX_FOLLOWED_AGE};
 use cumintrail_control::registry::{RowChange, TargetRegistry};
 use cumintrail_types::{Bytes, Generation, Moment, WeightVersion};
 use cumintrail_wire::configuration::Configuration;
@@ -19,6 +19,9 @@
 
 /// Interval between two checks for registry entries that did not return in time.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(250);
+/// How long the registry's entries count as current at a daemon that reads them itself: its requests
+/// take less than that unless the platform does not respond.
+const MAX_REGISTRY_AGE: Duration = Duration::from_secs(1);
 /// Prefill speed that is assumed for an engine before its speed was measured.
 const ASSUMED_PREFILL_TOKENS_PER_SECOND: u32 = 100_000;
 /// Link bandwidth that is assumed for a target, since registry entries do not state it.
@@ -73,6 +76,8 @@
     /// The moment as of which the last page of the operator table is current, and the era of the
     /// platform's store, until they are reported to the control state.
     operator_page_as_of: Option<(Moment, u64)>,
+    /// The same moment for the registry.
+    registry_as_of: Option<Moment>,
 }
 
 impl<P: Platform> Publisher<P> {
@@ -88,6 +93,7 @@
             revision: 0,
             unreachable: [false; 2],
             operator_page_as_of: None,
+            registry_as_of: None,
         }
     }
 
@@ -109,6 +115,11 @@
             if let Some((sent, era)) = self.operator_page_as_of.take() {
                 self.shared.control.send(Event::PlatformResponded { sent, era }).await;
             }
+            if let Some(as_of) = self.registry_as_of.take() {
+                let follows = self.shared.own_reads.borrow().is_follower;
+                let max_age = if follows { MAX_FOLLOWED_AGE } else { MAX_REGISTRY_AGE };
+                self.shared.control.send(Event::RegistryConfirmed { as_of, max_age }).await;
+            }
         }
     }
 
@@ -133,7 +144,8 @@
                 self.operator_page_as_of = Some((as_of, page.position.era));
                 page.rows.iter().fold(false, |changed, row| changed | self.handle_operator_row(row))
             }
-            Update::Table(FeedTable::Registry, FeedEvent::Snapshot(page, _)) => {
+            Update::Table(FeedTable::Registry, FeedEvent::Snapshot(page, as_of)) => {
+                self.registry_as_of = Some(as_of);
                 let (now, position) = (self.shared.now(), page.position);
                 if position.era > std::mem::replace(&mut self.registry_era, position.era) {
                     self.registry.begin_era(now);
@@ -141,7 +153,8 @@
                 let rows = self.parse_registry_rows(page);
                 self.registry.apply_snapshot(now, position.version, rows)
             }
-            Update::Table(FeedTable::Registry, FeedEvent::Changes(page, _)) => {
+            Update::Table(FeedTable::Registry, FeedEvent::Changes(page, as_of)) => {
+                self.registry_as_of = Some(as_of);
                 let (now, rows) = (self.shared.now(), self.parse_registry_rows(page));
                 rows.into_iter()
                     .fold(false, |changed, row| changed | self.registry.apply_change(now, row))
--- a/crates/cumintrail-wire/src/peer.rs
+++ b/crates/cumintrail-wire/src/peer.rs
@@ -64,6 +64,8 @@
     domain_sizes: Vec<(Arc<str>, u32, u32)>,
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     stream_origins: Vec<(Arc<str>, Vec<u64>)>,
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    software: Vec<(u64, Arc<str>)>,
     #[serde(default, skip_serializing_if = "QuarantineMessage::is_empty")]
     quarantine: QuarantineMessage,
     /// The request of each crash in `quarantine`, in the same order.
@@ -114,6 +116,7 @@
                 .map(|s| (s.domain, s.daemons, to_millis(s.age)))
                 .collect(),
             stream_origins: group_by_software(d.stream_origins),
+            software: d.software,
             crash_requests: d.quarantine.crashes.iter().map(|crash| crash.request).collect(),
             target_crashes: d
                 .quarantine
@@ -181,6 +184,7 @@
                     })
                 })
                 .collect(),
+            software: m.software,
             quarantine,
             limits: m.limits.into_iter().map(to_limit).collect(),
             call_rates: m
--- a/tests/tests/stream_origins.rs
+++ b/tests/tests/stream_origins.rs
@@ -220,6 +220,36 @@
     assert_eq!(refused(&actions), Some(RefusalCode::UnknownStream));
 }
 
+/// Guards against a daemon that is out of step and resumes streams at the one version that it knows.
+#[test]
+fn a_daemon_with_outdated_entries_does_not_resume_streams_of_unknown_origin() {
+    let mut control = daemon(1, &snapshot(1, &["v1"]));
+    let as_of = Moment::from_millis(1_000);
+    let max_age = Duration::from_secs(1);
+    control.handle(as_of, Event::RegistryConfirmed { as_of, max_age });
+    let again = StreamRequest::Continue(Some(stream(1)));
+    let actions = arrive(&mut control, Moment::from_millis(1_900), 1, again);
+    assert_eq!(dispatched(&actions), Some(TargetKey(0)));
+    let actions = arrive(&mut control, Moment::from_millis(2_100), 2, again);
+    assert_eq!(refused(&actions), Some(RefusalCode::UnknownStream));
+    // New streams begin all the same.
+    let begin = StreamRequest::Begin(stream(2));
+    let actions = arrive(&mut control, Moment::from_millis(2_100), 3, begin);
+    assert_eq!(dispatched(&actions), Some(TargetKey(0)));
+}
+
+/// Guards against a daemon that the platform turns away, while its peers know another version.
+#[test]
+fn a_version_that_a_peer_knows_may_have_begun_a_stream() {
+    let mut first = daemon(1, &snapshot(1, &["v1", "v2"]));
+    let mut second = daemon(2, &snapshot(1, &["v1"]));
+    let now = Moment::from_millis(1_000);
+    exchange_digests(&mut first, &mut second, now);
+    let again = StreamRequest::Continue(Some(stream(1)));
+    let actions = arrive(&mut second, now, 1, again);
+    assert_eq!(refused(&actions), Some(RefusalCode::UnknownStream));
+}
+
 #[test]
 fn a_record_of_recent_versions_outlives_all_daemons() {
     // A daemon sees two versions and records them, then all daemons are killed and v1 leaves.
