--- a/crates/cumintrail-daemon/src/metric.rs
+++ b/crates/cumintrail-daemon/src/metric.rs
@@ -133,11 +133,14 @@
 }
 
 /// Lists all metrics.
-pub const METRICS: [MetricDescription; 37] = [
+pub const METRICS: [MetricDescription; 39] = [
     counter(CALLS, Unit::Count, "Calls by outcome").with_label("outcome"),
     gauge(CALLS_IN_FLIGHT, Unit::Count, "Calls that are not answered yet"),
     gauge(CALLS_WAITING, Unit::Count, "Calls that wait for a slot"),
     counter(RETRIES, Unit::Count, "Attempts after the first of a call"),
+    counter(DETOURS, Unit::Count, "Calls sent to peers because no target is reached"),
+    gauge(PARTITIONED, Unit::Count, "Whether no target of a model or service is reached")
+        .with_label("serves"),
     counter(TARGET_CRASHES, Unit::Count, "Crashes of targets under calls of this daemon"),
     counter(QUARANTINE_DECISIONS, Unit::Count, "Decisions about content under which targets crash")
         .with_label("outcome"),
