Spread detours by the hash that spreads calls over targets

The choice of a peer had a hash of its own beside spread_hash, which does the same for targets. No other change of behaviour; detours.rs passes.

--- a/crates/cumintrail-control/src/control/arrivals.rs
+++ b/crates/cumintrail-control/src/control/arrivals.rs
@@ -469,11 +469,11 @@
     if untried.is_empty() { usable } else { untried }
 }
 
-/// Orders targets that look equally loaded differently for each call.
+/// Orders targets or peers that look equally loaded differently for each call.
 ///
-/// Many daemons with few calls each would otherwise all prefer the same target.
-fn spread_hash(call: CallKey, target: &str) -> u64 {
-    let mixed = (name_hash(target) ^ call.0).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+/// Many daemons with few calls each would otherwise all prefer the same one.
+pub(super) fn spread_hash(call: CallKey, name: &str) -> u64 {
+    let mixed = (name_hash(name) ^ call.0).wrapping_mul(0x9e37_79b9_7f4a_7c15);
     mixed ^ (mixed >> 32)
 }
 
--- a/crates/cumintrail-control/src/control/detours.rs
+++ b/crates/cumintrail-control/src/control/detours.rs
@@ -9,8 +9,8 @@
 use smallvec::SmallVec;
 
 use super::Control;
+use super::arrivals::spread_hash;
 use crate::membership::{Liveness, Peer};
-use crate::parts::name_hash;
 use crate::placement::Placer;
 use crate::reach::{Reach, ReachChange};
 use crate::retry::CircuitBreaker;
@@ -163,11 +163,8 @@
         let usable = helpers.into_iter().filter(|(address, peer)| {
             (!only_near || is_near(&peer.domain)) && !call.tried_peers().contains(address)
         });
-        let rank =
-            |peer: &str| name_hash(peer) ^ call.arrival.call.0.wrapping_mul(0x9e37_79b9_7f4a_7c15);
-        let best =
-            usable.min_by_key(|(_, peer)| rank(&peer.vm).wrapping_mul(0xff51_afd7_ed55_8ccd));
-        best.map(|(address, _)| address)
+        let helper = usable.min_by_key(|(_, peer)| spread_hash(call.arrival.call, &peer.vm));
+        helper.map(|(address, _)| address)
     }
 
     pub(super) fn start_detour(
