Log what the check of a response that ends with its connection found

The logs could not say why a short response was ended as complete: nothing told whether the target had kept, closed or refused the connection that the check opens. unframed-end now has that, and the last event of the stream.

--- a/crates/cumintrail-daemon/src/relay/attempt.rs
+++ b/crates/cumintrail-daemon/src/relay/attempt.rs
@@ -21,7 +21,7 @@
 use super::caller::{CallerConnection, CallerInput};
 use super::dialect::{ForwardMetadata, HeaderDialect, ResponseKind};
 use super::interrupt::{Interrupt, next_interrupt};
-use super::reachable::accepts_connections;
+use super::reachable::{Reachability, check_reachability};
 use super::{Worker, detour, lines};
 use crate::metric;
 
@@ -507,7 +507,12 @@
     /// Returns whether a response that ended with its connection was cut off by the end of its
     /// target's process, whose system closes connections like a target that is done.
     async fn is_cut_off(&self, connection: &Connection) -> bool {
-        connection.framing() == Framing::Close && !accepts_connections(connection.address()).await
+        if connection.framing() != Framing::Close {
+            return false;
+        }
+        let found = check_reachability(connection.address()).await;
+        lines::unframed_end(self.call, self.number, &self.name, found);
+        found != Reachability::Kept
     }
 
     async fn write_events(&mut self, bytes: Bytes) -> std::io::Result<()> {
--- a/crates/cumintrail-daemon/src/relay/lines.rs
+++ b/crates/cumintrail-daemon/src/relay/lines.rs
@@ -9,6 +9,7 @@
 use smallvec::SmallVec;
 
 use super::call::RelayedCall;
+use super::reachable::Reachability;
 
 /// Maximum number of parts of a prompt that a line names.
 const MAX_LOGGED_PARTS: usize = 8;
@@ -100,6 +101,16 @@
     );
 }
 
+/// Logs what a check of the target found when a response ended with its connection.
+pub fn unframed_end(call: &RelayedCall, attempt: AttemptNumber, target: &str, found: Reachability) {
+    log::info!(
+        "event=unframed-end id={} call={} attempt={attempt} target={target} connection={found} last_event={}",
+        caller_call_id(call),
+        call.key,
+        call.events.last_id().unwrap_or(0),
+    );
+}
+
 /// Logs the end of an attempt that did not complete its call.
 pub fn attempt_ended(
     call: &RelayedCall,
--- a/crates/cumintrail-daemon/src/relay/reachable.rs
+++ b/crates/cumintrail-daemon/src/relay/reachable.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use actix_rt::net::TcpStream;
+use derive_more::Display;
 
 /// The timeout for opening a connection to a target.
 ///
@@ -17,12 +18,28 @@
     actix_rt::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(at)).await.ok()?.ok()
 }
 
-/// Returns whether a target accepts a connection and keeps it.
+/// What a target did with a new connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub enum Reachability {
+    /// It accepted the connection and kept it.
+    #[display("kept")]
+    Kept,
+    /// It accepted the connection and closed it.
+    #[display("closed")]
+    Closed,
+    /// It did not accept the connection.
+    #[display("refused")]
+    Refused,
+}
+
+/// Checks whether a target accepts a connection and keeps it.
 ///
 /// The system of a process that ends may still accept connections for a moment, and resets them then.
-pub async fn accepts_connections(at: SocketAddr) -> bool {
-    let Some(stream) = connect(at).await else { return false };
+pub async fn check_reachability(at: SocketAddr) -> Reachability {
+    let Some(stream) = connect(at).await else { return Reachability::Refused };
     let mut byte = [0];
-    let closed = actix_rt::time::timeout(EXIT_TIME, stream.peek(&mut byte)).await;
-    closed.is_err()
+    match actix_rt::time::timeout(EXIT_TIME, stream.peek(&mut byte)).await {
+        Ok(_) => Reachability::Closed,
+        Err(_) => Reachability::Kept,
+    }
 }
