Show with a test that a restarted target passes for the one before

A response without length or chunks counts as complete if its target still accepts connections. A process that listens at the address at once passes for the one that was killed in the middle of the response: streams, whole responses and large ones end as complete, among them that of a call that runs at most once.

--- a/tests/src/standins/replica.rs
+++ b/tests/src/standins/replica.rs
@@ -23,6 +23,8 @@
     Crash,
     /// Kills the process: its system closes all connections normally, and new ones are refused.
     Kill,
+    /// Kills the process, and starts another one at the same address without a gap.
+    Restart,
 }
 
 /// How the process of a replica has ended.
@@ -39,6 +41,8 @@
     heads: Arc<Mutex<Vec<String>>>,
     ended: Arc<Mutex<usize>>,
     exit: watch::Sender<Option<Exit>>,
+    /// Counts the processes that were started at the address after the first one.
+    restarts: watch::Sender<u64>,
 }
 
 impl Replica {
@@ -59,8 +63,9 @@
     ) -> std::io::Result<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let address = listener.local_addr()?;
-        let exit = watch::Sender::new(None);
-        let replica = Self { address, heads: Arc::default(), ended: Arc::default(), exit };
+        let (exit, restarts) = (watch::Sender::new(None), watch::Sender::new(0));
+        let (heads, ended) = (Arc::default(), Arc::default());
+        let replica = Self { address, heads, ended, exit, restarts };
         let (served, script) = (replica.clone(), std::rc::Rc::new(script));
         let mut exit = replica.exit.subscribe();
         actix_rt::spawn(async move {
@@ -111,10 +116,11 @@
         mut stream: TcpStream,
         script: &impl Fn(usize, &str) -> Vec<Step>,
     ) -> std::io::Result<()> {
-        let mut exit = self.exit.subscribe();
+        let (mut exit, mut restarts) = (self.exit.subscribe(), self.restarts.subscribe());
         let ended = tokio::select! {
             ended = self.serve_calls(&mut stream, script) => ended,
             _ = exit.wait_for(Option::is_some) => Ok(()),
+            _ = restarts.changed() => Ok(()),
         };
         if self.has_crashed() {
             return socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO));
@@ -162,6 +168,10 @@
                         self.exit.send_replace(Some(Exit::Killed));
                         return Ok(());
                     }
+                    Step::Restart => {
+                        self.restarts.send_modify(|n| *n += 1);
+                        return Ok(());
+                    }
                 }
             }
         }
