Split the relayed attempt, its response and the state of a call

relay/attempt.rs had 690 lines and depended on call.rs and lines.rs, which depended on it. The state of a call and its heads are modules of their own now, and the response of an attempt is a child module, so that state, lines, attempt and call depend on each other in this order only. No change of behavior.

--- a/crates/cumintrail-daemon/src/relay.rs
+++ b/crates/cumintrail-daemon/src/relay.rs
@@ -9,10 +9,12 @@
 mod detour;
 pub mod dialect;
 pub mod events;
+mod heads;
 mod interrupt;
 mod lines;
 mod probes;
 mod reachable;
+mod relayed_call;
 
 use std::cell::RefCell;
 use std::collections::HashSet;
--- a/crates/cumintrail-daemon/src/relay/attempt.rs
+++ b/crates/cumintrail-daemon/src/relay/attempt.rs
@@ -1,32 +1,29 @@
 //! One attempt of a relayed call: the HTTP exchange with one target.
 
+mod response;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 use actix_http::body::BodySize;
-use actix_http::header::{CONTENT_ENCODING, CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING};
-use actix_http::{RequestHead, Response, ResponseHead, StatusCode};
-use bytes::{Bytes, BytesMut};
-use cumintrail_client::{BodyPart, ClientError, Connection, Framing, RetrySafety, is_end_to_end};
+use actix_http::{RequestHead, ResponseHead, StatusCode};
+use cumintrail_client::{ClientError, Connection, RetrySafety};
 use cumintrail_config::Target;
 use cumintrail_control::parts::PartPlan;
 use cumintrail_control::{
-    AttemptOutcome, Detour, Dispatch, Event, NamedLimit, ResponseEnd, TargetNotice, Usage,
+    AttemptOutcome, Detour, Dispatch, Event, NamedLimit, ResponseEnd, TargetNotice,
 };
 use cumintrail_types::{AttemptNumber, CallClass, Moment, Refusal, TargetKey};
-
 use smallvec::SmallVec;
 
-use super::call::{RelayedCall, report_attempt_end};
 use super::caller::{CallerConnection, CallerInput};
 use super::dialect::{ForwardMetadata, HeaderDialect, ResponseKind};
+use super::heads::{body_size, end_to_end_head};
 use super::interrupt::{Interrupt, next_interrupt};
-use super::reachable::{Reachability, check_reachability};
+use super::relayed_call::RelayedCall;
 use super::{Worker, detour, lines};
 use crate::metric;
 
-/// The largest response that is buffered completely; a larger one is forwarded as it arrives.
-const MAX_BUFFERED_RESPONSE_BYTES: usize = 256 << 10;
 /// The most responses to other calls that are skipped in one exchange.
 const MAX_FOREIGN_RESPONSES: usize = 2;
 
@@ -47,13 +44,6 @@
     Unsuccessful(AttemptOutcome),
 }
 
-/// Stores a complete response of a target until it is forwarded.
-pub(super) struct BufferedResponse {
-    head: ResponseHead,
-    target: Arc<str>,
-    body: Bytes,
-}
-
 /// Runs one attempt on the target that the control thread chose.
 pub(super) async fn run<D: HeaderDialect>(
     worker: &Worker<D>,
@@ -373,219 +363,6 @@
             && !self.caller.has_unread_body()
     }
 
-    /// Reads a response completely, then forwards it.
-    async fn buffer_response(
-        &mut self,
-        mut connection: Connection,
-        head: ResponseHead,
-    ) -> AttemptEnd {
-        let mut body = BytesMut::new();
-        loop {
-            let chunk = match self.wait_for_chunk(&mut connection).await {
-                WaitResult::Target(Ok(chunk)) => chunk,
-                WaitResult::Target(Err(e)) => return self.fail(&connection, &e).await,
-                WaitResult::Ended(end) => return end,
-            };
-            match chunk {
-                Some(chunk) if body.len() + chunk.len() > MAX_BUFFERED_RESPONSE_BYTES => {
-                    body.extend_from_slice(&chunk);
-                    return self.forward_unbuffered(connection, head, body.freeze()).await;
-                }
-                Some(chunk) => {
-                    body.extend_from_slice(&chunk);
-                    // A call that its target responds to is not refused for what it holds.
-                    let _ = self.caller.hold_buffer(self.call.body.len() + body.len());
-                }
-                None => break,
-            }
-        }
-        if self.is_cut_off(&connection).await {
-            return self.fail(&connection, &ClientError::Truncated).await;
-        }
-        let framing = connection.framing();
-        self.worker.pool.release(connection);
-        let status = head.status;
-        let response = BufferedResponse { head, target: self.name.clone(), body: body.freeze() };
-        // A peer has made all attempts that the call may have.
-        let may_repeat = self.call.class == CallClass::Repeatable
-            && !self.call.body_consumed
-            && !self.is_detour();
-        if status.is_server_error() && may_repeat {
-            self.call.failed_response = Some(response);
-            return self
-                .record_end(AttemptOutcome::Failed { can_continue: true }, "failure-answered");
-        }
-        self.log_answered(status, framing);
-        self.disable_keep_alive_if_needed();
-        let written = write_response(self.caller, response).await;
-        self.report_response(status, framing).await;
-        if written.is_ok() { AttemptEnd::Completed } else { AttemptEnd::Truncated }
-    }
-
-    /// Forwards a response that is too large to be buffered, beginning with its bytes in `first`.
-    async fn forward_unbuffered(
-        &mut self,
-        mut connection: Connection,
-        head: ResponseHead,
-        first: Bytes,
-    ) -> AttemptEnd {
-        let status = head.status;
-        self.disable_keep_alive_if_needed();
-        self.call.response_started = true;
-        let mut next = Some(first);
-        let caller_head = caller_response_head(&head, self.caller, &self.name);
-        if self.caller.queue_response_head(caller_head).is_err() {
-            return AttemptEnd::Disconnected;
-        }
-        while let Some(chunk) = next {
-            if self.caller.write_chunk(Some(chunk)).await.is_err() {
-                return AttemptEnd::Disconnected;
-            }
-            next = match self.wait_for_chunk(&mut connection).await {
-                WaitResult::Target(Ok(chunk)) => chunk,
-                WaitResult::Target(Err(e)) => return self.fail(&connection, &e).await,
-                WaitResult::Ended(end) => return end,
-            };
-        }
-        if self.is_cut_off(&connection).await {
-            return self.fail(&connection, &ClientError::Truncated).await;
-        }
-        let framing = connection.framing();
-        self.worker.pool.release(connection);
-        let written = self.caller.write_chunk(None).await;
-        self.report_response(status, framing).await;
-        if written.is_ok() { AttemptEnd::Completed } else { AttemptEnd::Truncated }
-    }
-
-    /// Forwards a streamed response in batches of complete events.
-    async fn stream_events(
-        &mut self,
-        mut connection: Connection,
-        head: ResponseHead,
-    ) -> AttemptEnd {
-        let status = head.status;
-        if head.headers().contains_key(CONTENT_ENCODING) {
-            return self.fail(&connection, &ClientError::Malformed).await;
-        }
-        self.call.events.drop_partial();
-        loop {
-            let chunk = match self.wait_for_chunk(&mut connection).await {
-                WaitResult::Target(Ok(chunk)) => chunk,
-                WaitResult::Target(Err(e)) => return self.fail(&connection, &e).await,
-                WaitResult::Ended(end) => return end,
-            };
-            let Some(chunk) = chunk else { break };
-            let batch = self.call.events.push(&chunk);
-            let is_passed_on = batch.count == 0
-                || self.start_stream(&head).await && self.write_events(batch.bytes).await.is_ok();
-            match batch.rest {
-                _ if !is_passed_on => return AttemptEnd::Disconnected,
-                Err(_) => return self.fail(&connection, &ClientError::Malformed).await,
-                Ok(()) => {}
-            }
-        }
-        // Without an event, a close does not distinguish the end of the stream from a crash.
-        let is_empty = connection.framing() == Framing::Close && !self.call.response_started;
-        let rest = match self.call.events.finish() {
-            Ok(rest) if !is_empty && !self.is_cut_off(&connection).await => rest,
-            _ => return self.fail(&connection, &ClientError::Truncated).await,
-        };
-        self.log_answered(status, connection.framing());
-        if !self.start_stream(&head).await {
-            return AttemptEnd::Disconnected;
-        }
-        if !rest.is_empty() && self.write_events(rest).await.is_err() {
-            return AttemptEnd::Disconnected;
-        }
-        let framing = connection.framing();
-        self.worker.pool.release(connection);
-        let written = self.caller.write_chunk(None).await;
-        self.report_response(status, framing).await;
-        if written.is_ok() { AttemptEnd::Completed } else { AttemptEnd::Truncated }
-    }
-
-    /// Returns whether a response that ended with its connection was cut off by the end of its
-    /// target's process, whose system closes connections like a target that is done.
-    async fn is_cut_off(&self, connection: &Connection) -> bool {
-        if connection.framing() != Framing::Close {
-            return false;
-        }
-        let found = check_reachability(connection.address()).await;
-        lines::unframed_end(self.call, self.number, &self.name, found);
-        found != Reachability::Kept
-    }
-
-    async fn write_events(&mut self, bytes: Bytes) -> std::io::Result<()> {
-        self.caller.write_chunk(Some(bytes)).await
-    }
-
-    /// Queues the head of the response before its first event, unless an earlier attempt did;
-    /// returns whether this succeeded.
-    async fn start_stream(&mut self, head: &ResponseHead) -> bool {
-        if self.call.response_started {
-            return true;
-        }
-        self.call.response_started = true;
-        self.call.may_have_run = true;
-        let now = self.worker.shared.now();
-        metrics::histogram!(metric::FIRST_TOKEN_SECONDS)
-            .record(now.since(self.call.arrived).as_secs_f64());
-        self.worker.shared.control.send(Event::FirstToken { call: self.call.key }).await;
-        self.disable_keep_alive_if_needed();
-        let caller_head = caller_response_head(head, self.caller, &self.name);
-        self.caller.queue_response_head(caller_head).is_ok()
-    }
-
-    fn log_answered(&self, status: StatusCode, framing: Framing) {
-        let now = self.worker.shared.now();
-        lines::answered(self.call, now, self.number, status.as_u16(), framing);
-    }
-
-    /// Closes the caller's connection after this response if the request body was not read to its
-    /// end, or if a planned stop has begun.
-    fn disable_keep_alive_if_needed(&mut self) {
-        if self.caller.has_unread_body() || self.worker.is_stopping() {
-            self.caller.disable_keep_alive();
-        }
-    }
-
-    /// Waits for the next chunk of the response. A target may respond before it has read the whole
-    /// request, so the rest of its body is forwarded in the meantime.
-    async fn wait_for_chunk(&mut self, connection: &mut Connection) -> WaitResult<Option<Bytes>> {
-        loop {
-            let has_room = connection.can_queue_body();
-            let wants_room = self.caller.has_unread_body() && !has_room;
-            tokio::select! {
-                biased;
-                part = connection.read_chunk_or_room(wants_room) => match part {
-                    Ok(BodyPart::Chunk(chunk)) => return WaitResult::Target(Ok(Some(chunk))),
-                    Ok(BodyPart::End) => return WaitResult::Target(Ok(None)),
-                    Ok(BodyPart::Pending) => {}
-                    Err(e) => return WaitResult::Target(Err(e)),
-                },
-                interrupt = next_interrupt(&mut self.call.commands, self.number) =>
-                    return WaitResult::Ended(self.interrupt(interrupt)),
-                input = self.caller.next_input(has_room) => {
-                    if let Some(end) = self.forward_body(connection, input).await {
-                        return WaitResult::Ended(end);
-                    }
-                }
-            }
-        }
-    }
-
-    async fn report_response(&mut self, status: StatusCode, framing: Framing) {
-        // A crash can look like the end of a response that ends with its connection.
-        if !status.is_success() || framing == Framing::Close {
-            self.report_response_end(ResponseEnd::Inconclusive).await;
-        }
-        let outcome = if status.is_success() { "answered" } else { "answered-with-failure" };
-        metrics::counter!(metric::CALLS, "outcome" => outcome).increment(1);
-        let usage = Usage { prompt: self.call.metadata.prompt, ..Usage::default() };
-        report_attempt_end(self.worker, self.call, self.number, AttemptOutcome::Completed(usage))
-            .await;
-    }
-
     async fn report_response_end(&self, end: ResponseEnd) {
         self.worker.shared.control.send(Event::ResponseEnded { call: self.call.key, end }).await;
     }
@@ -633,56 +410,3 @@
             | StatusCode::SERVICE_UNAVAILABLE
     )
 }
-
-/// Forwards a buffered response to the caller.
-pub(super) async fn write_response(
-    caller: &mut CallerConnection,
-    response: BufferedResponse,
-) -> std::io::Result<()> {
-    let head = caller_response_head(&response.head, caller, &response.target);
-    caller.write_response(head, response.body).await
-}
-
-/// Copies the method, the target and the end-to-end headers of a request.
-pub(super) fn end_to_end_head(caller_head: &RequestHead) -> RequestHead {
-    let mut head = RequestHead::default();
-    head.method = caller_head.method.clone();
-    head.uri = caller_head.uri.clone();
-    for (name, value) in &caller_head.headers {
-        let is_host = *name == actix_http::header::HOST;
-        if is_host || is_end_to_end(name) {
-            head.headers.append(name.clone(), value.clone());
-        }
-    }
-    detour::remove_headers(&mut head.headers);
-    head
-}
-
-/// Returns the size of the body that a request declares.
-fn body_size(head: &RequestHead) -> BodySize {
-    let length = head.headers.get(CONTENT_LENGTH).and_then(|v| v.to_str().ok()?.parse().ok());
-    match length {
-        _ if head.headers.contains_key(TRANSFER_ENCODING) => BodySize::Stream,
-        Some(length) => BodySize::Sized(length),
-        None => BodySize::None,
-    }
-}
-
-/// Builds the response head for the caller from the end-to-end headers of the target; a peer also
-/// gets the target's name.
-fn caller_response_head(
-    head: &ResponseHead,
-    caller: &CallerConnection,
-    target: &str,
-) -> Response<()> {
-    let mut res = Response::with_body(head.status, ());
-    let headers: &mut HeaderMap = res.headers_mut();
-    for (name, value) in head.headers().iter().filter(|(name, _)| is_end_to_end(name)) {
-        headers.append(name.clone(), value.clone());
-    }
-    detour::remove_headers(headers);
-    if caller.is_peer() {
-        detour::write_target_name(headers, target);
-    }
-    res
-}
--- a/crates/cumintrail-daemon/src/relay/call.rs
+++ b/crates/cumintrail-daemon/src/relay/call.rs
@@ -4,20 +4,15 @@
 
 use actix_http::header::{CONTENT_TYPE, HOST, HeaderMap, HeaderValue, RETRY_AFTER};
 use actix_http::{Request, Response, StatusCode};
-use bytes::Bytes;
-use cumintrail_client::ConnectionId;
 use cumintrail_config::{Route, Snapshot, TargetKind};
 use cumintrail_control::home_regions::AllowedRegions;
-use cumintrail_control::parts::{cache_salt, part_key};
-use cumintrail_control::quarantine::ContentKey;
+use cumintrail_control::parts::part_key;
 use cumintrail_control::stream_origins::{StreamId, StreamRequest};
-use cumintrail_control::{Arrival, AttemptOutcome, Event, RouteOptions};
+use cumintrail_control::{Arrival, Event, RouteOptions};
 use cumintrail_types::{
-    AccountKey, AttemptNumber, BlockKey, CallClass, CallKey, Digest, Moment, Ran, Refusal,
-    RefusalCode, Tokens, Urgency, WeightVersion,
+    AccountKey, BlockKey, CallClass, Digest, Ran, Refusal, RefusalCode, Tokens, Urgency,
 };
 use smallvec::SmallVec;
-use tokio::sync::mpsc;
 
 use super::attempt::{self, AttemptEnd};
 use super::body::read_body;
@@ -25,7 +20,8 @@
 use super::content::{content, request_content};
 use super::dialect::{HeaderDialect, RequestMetadata, bearer_token};
 use super::events::EventSplitter;
-use super::{Worker, attempt::BufferedResponse, detour, lines};
+use super::relayed_call::{RelayedCall, engine_cache_salt, report_attempt_end, write_response};
+use super::{Worker, detour, lines};
 use crate::control_thread::Command;
 use crate::metric;
 
@@ -35,60 +31,6 @@
 pub(super) const OTHER_DAEMON_RETRY_AFTER: std::time::Duration =
     std::time::Duration::from_millis(50);
 
-/// Stores the state of a call whose request head was accepted.
-pub(super) struct RelayedCall {
-    pub key: CallKey,
-    pub metadata: RequestMetadata,
-    pub req: Request,
-    pub snapshot: Arc<Snapshot>,
-    pub account: AccountKey,
-    pub account_name: Option<Arc<str>>,
-    /// The regions to which the call is restricted; `None` for no restriction.
-    pub allowed_regions: Option<AllowedRegions>,
-    pub class: CallClass,
-    pub kind: TargetKind,
-    pub route: Arc<str>,
-    pub urgency: Urgency,
-    pub arrived: Moment,
-    pub deadline: Moment,
-    /// The buffered start of the body, which every attempt sends.
-    pub body: Bytes,
-    /// Whether `body` is the complete body.
-    pub body_complete: bool,
-    /// Whether body bytes after `body` were forwarded, so that no further attempt can be made.
-    pub body_consumed: bool,
-    /// The bytes of body after `body` that the caller may still send.
-    pub body_allowance: usize,
-    /// The connections that had an attempt of the call.
-    pub carried_by: SmallVec<[ConnectionId; 2]>,
-    /// Whether a byte of the call may have reached a target that did not report it as not run.
-    pub may_have_run: bool,
-    /// Whether the target of the current attempt has sent the head of its response.
-    pub target_responded: bool,
-    /// Splits streamed responses into events; one splitter serves all attempts.
-    pub events: EventSplitter,
-    /// Whether the head of a response that is forwarded as it arrives was queued for the caller.
-    pub response_started: bool,
-    /// The failure response of a target, forwarded if no further attempt is made.
-    pub failed_response: Option<BufferedResponse>,
-    /// Identifies the request by what its repeats share; `None` if its body is not buffered completely.
-    pub request: Option<ContentKey>,
-    pub commands: mpsc::UnboundedReceiver<Command>,
-}
-
-impl RelayedCall {
-    /// Returns the cache salt of the prompt for a weight version; `None` for services.
-    pub fn cache_salt(&self, secret: &str, version: WeightVersion) -> Option<BlockKey> {
-        let regions = self.allowed_regions.as_ref();
-        engine_cache_salt(&self.snapshot, self.account, self.kind, secret, version, regions)
-    }
-
-    /// Returns whether the prompt has parts, whose state can be stored.
-    pub fn has_prompt_parts(&self) -> bool {
-        !self.metadata.parts.is_empty()
-    }
-}
-
 /// Handles a request; returns whether the connection can be reused.
 pub(super) async fn handle_request<D: HeaderDialect>(
     worker: &Worker<D>,
@@ -291,23 +233,6 @@
     }
 }
 
-/// Returns the cache salt of prompts for a target kind; `None` for services.
-fn engine_cache_salt(
-    snapshot: &Snapshot,
-    account: AccountKey,
-    kind: TargetKind,
-    secret: &str,
-    version: WeightVersion,
-    regions: Option<&AllowedRegions>,
-) -> Option<BlockKey> {
-    match kind {
-        TargetKind::Engine(model) => {
-            Some(cache_salt(secret, snapshot, account, model, version, regions))
-        }
-        TargetKind::Service(_) => None,
-    }
-}
-
 /// Executes the commands of the control thread until the call ends; returns whether the connection
 /// can be reused.
 async fn run_call<D: HeaderDialect>(
@@ -377,7 +302,7 @@
     }
     if let Some(failure) = call.failed_response.take() {
         lines::ended(call, worker.shared.now(), "failure-passed-on", refusal.code);
-        return attempt::write_response(caller, failure).await.is_ok() && caller.is_reusable();
+        return write_response(caller, failure).await.is_ok() && caller.is_reusable();
     }
     if !call.body_complete {
         caller.disable_keep_alive();
@@ -432,13 +357,3 @@
     let body = format!("{{\"code\":\"{code}\",\"ran\":\"{ran}\"}}");
     caller.write_response(head, body.into()).await.is_ok() && caller.is_reusable()
 }
-
-/// Reports the outcome of an attempt to the control thread.
-pub(super) async fn report_attempt_end<D: HeaderDialect>(
-    worker: &Worker<D>,
-    call: &RelayedCall,
-    attempt: AttemptNumber,
-    outcome: AttemptOutcome,
-) {
-    worker.shared.control.send(Event::AttemptEnded { call: call.key, attempt, outcome }).await;
-}
--- a/crates/cumintrail-daemon/src/relay/detour.rs
+++ b/crates/cumintrail-daemon/src/relay/detour.rs
@@ -5,9 +5,9 @@
 use actix_http::{RequestHead, ResponseHead};
 use cumintrail_types::{Generation, Moment, RefusalCode};
 
-use super::attempt::end_to_end_head;
-use super::call::RelayedCall;
 use super::dialect::HeaderDialect;
+use super::heads::end_to_end_head;
+use super::relayed_call::RelayedCall;
 
 /// The generation in force at the daemon that the caller is connected to.
 const GENERATION: HeaderName = HeaderName::from_static("x-cumintrail-generation");
--- a/crates/cumintrail-daemon/src/relay/lines.rs
+++ b/crates/cumintrail-daemon/src/relay/lines.rs
@@ -8,8 +8,8 @@
 use cumintrail_types::{AttemptNumber, Moment, RefusalCode};
 use smallvec::SmallVec;
 
-use super::call::RelayedCall;
 use super::reachable::Reachability;
+use super::relayed_call::RelayedCall;
 
 /// Maximum number of parts of a prompt that a line names.
 const MAX_LOGGED_PARTS: usize = 8;
