Tell the end of a response from the end of its target's process

Callers got streams, whole responses and large ones that ended short and looked complete, those of calls that run at most once among them. A response without length or chunks ends with its connection, and so does the connection of a killed process. The check asked whether the address accepts a connection after that, so that a process which listens there again in time passed for the one before; a daemon that is suspended while its target is replaced always came too late.

An idle connection to the target now stays open while such a response is read. The system of a killed process closes both. The end by close counts if the idle connection was open at the same time as that of the response, and still is. A later connection is asked only where a short response ended before the idle connection was open; from then on the idle connection is opened with the request.

--- a/crates/cumintrail-client/src/connection.rs
+++ b/crates/cumintrail-client/src/connection.rs
@@ -67,6 +67,8 @@
     request_complete: bool,
     write_failed: bool,
     read_closed: bool,
+    /// Whether [`Connection::awaits_bytes`] met a reset.
+    was_reset: bool,
     framing: Framing,
     keep_alive: Option<Duration>,
     exchange_count: u32,
@@ -157,6 +159,7 @@
             request_complete: true,
             write_failed: false,
             read_closed: false,
+            was_reset: false,
             framing: Framing::Bodiless,
             keep_alive: None,
             exchange_count: 0,
@@ -309,7 +312,7 @@
                 Ok(BodyPart::Chunk(self.input.split().freeze()))
             }
             // A failed write consumes the error of a reset, after which a read sees an end.
-            ReadState::UntilClosed if self.read_closed && self.write_failed => {
+            ReadState::UntilClosed if self.read_closed && (self.write_failed || self.was_reset) => {
                 Err(ClientError::ConnectionLost)
             }
             ReadState::UntilClosed if self.read_closed => {
@@ -360,6 +363,24 @@
         matches!(read, Err(e) if e.kind() == io::ErrorKind::WouldBlock)
     }
 
+    /// Returns whether the connection is open and everything that the target sent on it was read.
+    ///
+    /// Bytes that have arrived are read for the exchange in progress.
+    pub fn awaits_bytes(&mut self) -> bool {
+        if !self.input.is_empty() || self.read_closed {
+            return false;
+        }
+        self.input.reserve(READ_SIZE_BYTES);
+        match self.stream.try_read_buf(&mut self.input) {
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => return true,
+            Ok(0) => self.read_closed = true,
+            Ok(_) => {}
+            // Later reads return the end of the input.
+            Err(_) => (self.read_closed, self.was_reset) = (true, true),
+        }
+        false
+    }
+
     /// Records the end of an exchange and frees the buffers.
     pub fn mark_idle(&mut self) {
         self.last_used = since_boot();
@@ -400,7 +421,7 @@
 }
 
 /// Disables Nagle's algorithm and lets the system close a connection to an unreachable target.
-fn configure_socket(stream: &TcpStream) -> io::Result<()> {
+pub(crate) fn configure_socket(stream: &TcpStream) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
     let probes =
--- a/crates/cumintrail-daemon/src/relay.rs
+++ b/crates/cumintrail-daemon/src/relay.rs
@@ -27,7 +27,7 @@
 
 use actix_rt::Arbiter;
 use actix_rt::net::TcpStream;
-use cumintrail_client::ConnectionPool;
+use cumintrail_client::{ConnectionPool, ProcessWatches};
 use cumintrail_control::Event;
 use cumintrail_types::TargetKey;
 use tokio::sync::watch;
@@ -78,6 +78,7 @@
     pub shared: Arc<Shared>,
     pub dialect: D,
     pub pool: ConnectionPool,
+    pub processes: ProcessWatches,
     state: Arc<RelayState>,
     held: Arc<HeldAccount>,
     /// The targets that are being checked for a crash.
@@ -118,6 +119,7 @@
             arbiter.spawn_fn(move || {
                 let worker = Worker {
                     pool: ConnectionPool::open(CONNECT_TIMEOUT),
+                    processes: ProcessWatches::open(CONNECT_TIMEOUT),
                     shared,
                     dialect,
                     state,
@@ -266,9 +268,11 @@
         actix_rt::time::sleep(PRUNE_INTERVAL).await;
         worker.held.report();
         let snapshot = worker.shared.snapshot();
-        worker.pool.prune(|at| {
-            let targets = snapshot.iter().flat_map(|s| s.targets.iter());
-            targets.into_iter().any(|(_, t)| t.address == at && !t.retired)
-        });
+        let is_target = |at| {
+            let mut targets = snapshot.iter().flat_map(|s| s.targets.iter());
+            targets.any(|(_, t)| t.address == at && !t.retired)
+        };
+        worker.pool.prune(is_target);
+        worker.processes.prune(is_target);
     }
 }
--- a/crates/cumintrail-daemon/src/relay/attempt.rs
+++ b/crates/cumintrail-daemon/src/relay/attempt.rs
@@ -7,7 +7,9 @@
 
 use actix_http::body::BodySize;
 use actix_http::{RequestHead, ResponseHead, StatusCode};
-use cumintrail_client::{ClientError, Connection, RetrySafety};
+use cumintrail_client::{
+    ClientError, Connection, Framing, ProcessEvidence, RetrySafety, evidence_changed,
+};
 use cumintrail_config::Target;
 use cumintrail_control::parts::PartPlan;
 use cumintrail_control::{
@@ -57,7 +59,8 @@
     };
     let (number, name) = (dispatch.attempt, target.instance.clone());
     let destination = Destination::Target { dispatch, target };
-    let attempt = Attempt { worker, caller, call, number, name, destination };
+    let evidence = worker.processes.expect(target.address);
+    let attempt = Attempt { worker, caller, call, number, name, destination, evidence };
     attempt.run(target.address).await
 }
 
@@ -69,7 +72,8 @@
     detour: Detour,
 ) -> AttemptEnd {
     let (number, name) = (detour.attempt, format!("peer-{}", detour.peer).into());
-    let attempt = Attempt { worker, caller, call, number, name, destination: Destination::Peer };
+    let (destination, evidence) = (Destination::Peer, None);
+    let attempt = Attempt { worker, caller, call, number, name, destination, evidence };
     attempt.run(detour.peer).await
 }
 
@@ -81,6 +85,8 @@
     /// The instance name of the target, or a name for the peer.
     name: Arc<str>,
     destination: Destination<'a>,
+    /// Evidence of the target's process, if its response may end with its connection.
+    evidence: Option<ProcessEvidence>,
 }
 
 /// What an attempt is sent to.
@@ -170,6 +176,7 @@
                 WaitResult::Target(Err(e)) => return self.fail(&connection, &e).await,
                 WaitResult::Ended(end) => return end,
             };
+            self.watch_process(&connection);
             let dialect = &self.worker.dialect;
             let kind = dialect.classify_response(&head, &self.call.metadata, &self.name);
             self.report_notice(&head, kind, now).await;
@@ -298,6 +305,7 @@
         loop {
             let has_room = connection.can_queue_body();
             let wants_room = self.caller.has_unread_body() && !has_room;
+            self.observe_process(connection);
             tokio::select! {
                 biased;
                 head = connection.read_head_or_room(wants_room) => {
@@ -307,6 +315,7 @@
                 }
                 interrupt = next_interrupt(&mut self.call.commands, self.number) =>
                     return WaitResult::Ended(self.interrupt(interrupt)),
+                () = evidence_changed(&mut self.evidence) => {}
                 input = self.caller.next_input(has_room) => {
                     if let Some(end) = self.forward_body(connection, input).await {
                         return WaitResult::Ended(end);
@@ -316,6 +325,25 @@
         }
     }
 
+    /// Watches the target's process if its response ends with its connection.
+    fn watch_process(&mut self, connection: &Connection) {
+        let (at, processes) = (connection.address(), &self.worker.processes);
+        match (connection.framing(), &self.evidence) {
+            (Framing::Close, None) => self.evidence = Some(processes.watch(at)),
+            (Framing::Close, Some(_)) | (_, None) => {}
+            (_, Some(_)) => {
+                processes.forget(at);
+                self.evidence = None;
+            }
+        }
+    }
+
+    fn observe_process(&mut self, connection: &mut Connection) {
+        if let Some(evidence) = &mut self.evidence {
+            evidence.observe(connection);
+        }
+    }
+
     /// Ends an attempt on order of the control thread; the target may have run the call.
     fn interrupt(&mut self, interrupt: Interrupt) -> AttemptEnd {
         match interrupt {
--- a/crates/cumintrail-daemon/src/relay/attempt/response.rs
+++ b/crates/cumintrail-daemon/src/relay/attempt/response.rs
@@ -3,7 +3,7 @@
 use actix_http::header::CONTENT_ENCODING;
 use actix_http::{ResponseHead, StatusCode};
 use bytes::{Bytes, BytesMut};
-use cumintrail_client::{BodyPart, ClientError, Connection, Framing};
+use cumintrail_client::{BodyPart, ClientError, Connection, Framing, evidence_changed};
 use cumintrail_control::{AttemptOutcome, Event, ResponseEnd, Usage};
 use cumintrail_types::CallClass;
 
@@ -13,7 +13,6 @@
 use crate::relay::heads::caller_response_head;
 use crate::relay::interrupt::next_interrupt;
 use crate::relay::lines;
-use crate::relay::reachable::{Reachability, check_reachability};
 use crate::relay::relayed_call::{BufferedResponse, report_attempt_end, write_response};
 
 /// The largest response that is buffered completely; a larger one is forwarded as it arrives.
@@ -46,7 +45,7 @@
                 None => break,
             }
         }
-        if self.is_cut_off(&connection).await {
+        if self.is_cut_off().await {
             return self.fail(&connection, &ClientError::Truncated).await;
         }
         let framing = connection.framing();
@@ -94,7 +93,7 @@
                 WaitResult::Ended(end) => return end,
             };
         }
-        if self.is_cut_off(&connection).await {
+        if self.is_cut_off().await {
             return self.fail(&connection, &ClientError::Truncated).await;
         }
         let framing = connection.framing();
@@ -134,7 +133,7 @@
         // Without an event, a close does not distinguish the end of the stream from a crash.
         let is_empty = connection.framing() == Framing::Close && !self.call.response_started;
         let rest = match self.call.events.finish() {
-            Ok(rest) if !is_empty && !self.is_cut_off(&connection).await => rest,
+            Ok(rest) if !is_empty && !self.is_cut_off().await => rest,
             _ => return self.fail(&connection, &ClientError::Truncated).await,
         };
         self.log_answered(status, connection.framing());
@@ -153,13 +152,11 @@
 
     /// Returns whether a response that ended with its connection was cut off by the end of its
     /// target's process, whose system closes connections like a target that is done.
-    async fn is_cut_off(&self, connection: &Connection) -> bool {
-        if connection.framing() != Framing::Close {
-            return false;
-        }
-        let found = check_reachability(connection.address()).await;
-        lines::unframed_end(self.call, self.number, &self.name, found);
-        found != Reachability::Kept
+    async fn is_cut_off(&mut self) -> bool {
+        let Some(evidence) = self.evidence.take() else { return false };
+        let process = evidence.process_state().await;
+        lines::unframed_end(self.call, self.number, &self.name, process);
+        !process.completes_response()
     }
 
     async fn write_events(&mut self, bytes: Bytes) -> std::io::Result<()> {
@@ -202,6 +199,7 @@
         loop {
             let has_room = connection.can_queue_body();
             let wants_room = self.caller.has_unread_body() && !has_room;
+            self.observe_process(connection);
             tokio::select! {
                 biased;
                 part = connection.read_chunk_or_room(wants_room) => match part {
@@ -212,6 +210,7 @@
                 },
                 interrupt = next_interrupt(&mut self.call.commands, self.number) =>
                     return WaitResult::Ended(self.interrupt(interrupt)),
+                () = evidence_changed(&mut self.evidence) => {}
                 input = self.caller.next_input(has_room) => {
                     if let Some(end) = self.forward_body(connection, input).await {
                         return WaitResult::Ended(end);
--- a/crates/cumintrail-daemon/src/relay/lines.rs
+++ b/crates/cumintrail-daemon/src/relay/lines.rs
@@ -2,13 +2,12 @@
 
 use actix_http::StatusCode;
 use actix_http::header::HeaderValue;
-use cumintrail_client::Framing;
+use cumintrail_client::{Framing, ProcessState};
 use cumintrail_config::Target;
 use cumintrail_control::{AttemptOutcome, Dispatch, TargetNotice};
 use cumintrail_types::{AttemptNumber, Moment, RefusalCode};
 use smallvec::SmallVec;
 
-use super::reachable::Reachability;
 use super::relayed_call::RelayedCall;
 
 /// Maximum number of parts of a prompt that a line names.
@@ -101,10 +100,15 @@
     );
 }
 
-/// Logs what a check of the target found when a response ended with its connection.
-pub fn unframed_end(call: &RelayedCall, attempt: AttemptNumber, target: &str, found: Reachability) {
+/// Logs what is known of the process whose response ended with its connection.
+pub fn unframed_end(
+    call: &RelayedCall,
+    attempt: AttemptNumber,
+    target: &str,
+    process: ProcessState,
+) {
     log::info!(
-        "event=unframed-end id={} call={} attempt={attempt} target={target} connection={found} last_event={}",
+        "event=unframed-end id={} call={} attempt={attempt} target={target} process={process} last_event={}",
         caller_call_id(call),
         call.key,
         call.events.last_id().unwrap_or(0),
--- a/tests/src/standins/replica.rs
+++ b/tests/src/standins/replica.rs
@@ -25,6 +25,8 @@
     Kill,
     /// Kills the process, and starts another one at the same address without a gap.
     Restart,
+    /// Closes all connections that have no call.
+    CloseIdle,
 }
 
 /// How the process of a replica has ended.
@@ -43,6 +45,8 @@
     exit: watch::Sender<Option<Exit>>,
     /// Counts the processes that were started at the address after the first one.
     restarts: watch::Sender<u64>,
+    /// Counts the times at which connections without a call were closed.
+    idle_closes: watch::Sender<u64>,
 }
 
 impl Replica {
@@ -63,9 +67,10 @@
     ) -> std::io::Result<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let address = listener.local_addr()?;
-        let (exit, restarts) = (watch::Sender::new(None), watch::Sender::new(0));
         let (heads, ended) = (Arc::default(), Arc::default());
-        let replica = Self { address, heads, ended, exit, restarts };
+        let exit = watch::Sender::new(None);
+        let (restarts, idle_closes) = (watch::Sender::new(0), watch::Sender::new(0));
+        let replica = Self { address, heads, ended, exit, restarts, idle_closes };
         let (served, script) = (replica.clone(), std::rc::Rc::new(script));
         let mut exit = replica.exit.subscribe();
         actix_rt::spawn(async move {
@@ -133,8 +138,13 @@
         stream: &mut TcpStream,
         script: &impl Fn(usize, &str) -> Vec<Step>,
     ) -> std::io::Result<()> {
+        let mut idle_closes = self.idle_closes.subscribe();
         loop {
-            let call = read_call(stream).await?;
+            idle_closes.mark_unchanged();
+            let call = tokio::select! {
+                call = read_call(stream) => call?,
+                _ = idle_closes.changed() => return Ok(()),
+            };
             let id = header(&call, "x-cumintrail-call").unwrap_or_default().to_owned();
             let number = {
                 let mut heads = self.heads.lock().unwrap_or_else(PoisonError::into_inner);
@@ -172,6 +182,7 @@
                         self.restarts.send_modify(|n| *n += 1);
                         return Ok(());
                     }
+                    Step::CloseIdle => self.idle_closes.send_modify(|n| *n += 1),
                 }
             }
         }
