Check the process of a plain service whose response ends by close

Callers of the product's own interface got a short body as complete, and it was recorded as the outcome of calls that run at most once: the client of plain services took every end of a connection for the end of the body. It observes the service's process like the relay now.

--- a/crates/cumintrail-client/src/single_use.rs
+++ b/crates/cumintrail-client/src/single_use.rs
@@ -11,7 +11,10 @@
 use actix_http::{ConnectionType, Method, RequestHead, ResponseHead, ServiceConfig};
 use bytes::{Bytes, BytesMut};
 
-use crate::{ClientError, Connection};
+use crate::{
+    ClientError, Connection, Framing, ProcessEvidence, ProcessState, ProcessWatches,
+    evidence_changed,
+};
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 const MAX_BODY_BYTES: usize = 64 << 20;
@@ -27,7 +30,8 @@
 ) -> Result<(ResponseHead, Bytes), ClientError> {
     let config = ServiceConfig::default();
     let connection = Connection::open(at, CONNECT_TIMEOUT.min(timeout), config).await?;
-    let exchange = send_and_read(connection, with_connection_close(head, at), body);
+    let processes = ProcessWatches::open(CONNECT_TIMEOUT.min(timeout));
+    let exchange = send_and_read(connection, with_connection_close(head, at), body, &processes);
     actix_rt::time::timeout(timeout, exchange).await.unwrap_or(Err(ClientError::Timeout))
 }
 
@@ -44,6 +48,7 @@
     mut connection: Connection,
     head: RequestHead,
     body: Bytes,
+    processes: &ProcessWatches,
 ) -> Result<(ResponseHead, Bytes), ClientError> {
     let bodiless = body.is_empty() && matches!(head.method, Method::GET | Method::HEAD);
     let size = if bodiless { BodySize::None } else { BodySize::Sized(body.len() as u64) };
@@ -53,12 +58,39 @@
         connection.queue_body(None)?;
     }
     let head = connection.read_head().await?;
+    let ends_by_close = connection.framing() == Framing::Close;
+    let mut evidence = ends_by_close.then(|| processes.watch(connection.address()));
     let mut body = BytesMut::new();
-    while let Some(chunk) = connection.read_chunk().await? {
+    while let Some(chunk) = read_chunk(&mut connection, &mut evidence).await? {
         if body.len() + chunk.len() > MAX_BODY_BYTES {
             return Err(ClientError::Malformed);
         }
         body.extend_from_slice(&chunk);
     }
-    Ok((head, body.freeze()))
+    let process = match evidence {
+        Some(evidence) => evidence.process_state().await,
+        None => ProcessState::Running,
+    };
+    if process.completes_response() {
+        Ok((head, body.freeze()))
+    } else {
+        Err(ClientError::ConnectionLost)
+    }
+}
+
+/// Reads the next chunk of a response, and observes the process that sends it meanwhile.
+async fn read_chunk(
+    connection: &mut Connection,
+    evidence: &mut Option<ProcessEvidence>,
+) -> Result<Option<Bytes>, ClientError> {
+    loop {
+        if let Some(evidence) = evidence {
+            evidence.observe(connection);
+        }
+        tokio::select! {
+            biased;
+            chunk = connection.read_chunk() => return chunk,
+            () = evidence_changed(evidence) => {}
+        }
+    }
 }
