Reset responses to HTTP/1.0 callers if the daemon is killed

An HTTP/1.0 caller of a streamed response took what it had got for complete when its daemon was killed: the system closed the connection normally, since the reset was only set when the connection was dropped. The socket is told to reset from the head of such a response to its last byte. The test, with a gateway in a process of its own, failed before.

--- a/crates/cumintrail-daemon/src/relay/caller.rs
+++ b/crates/cumintrail-daemon/src/relay/caller.rs
@@ -83,16 +83,6 @@
     ends_by_close: bool,
 }
 
-impl Drop for CallerConnection {
-    /// Resets the connection if a normal close would end a truncated response as a complete one.
-    fn drop(&mut self) {
-        if self.ends_by_close {
-            // The socket may be closed already, and is closed normally if this fails.
-            let _ = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO));
-        }
-    }
-}
-
 impl CallerConnection {
     /// Wraps an accepted connection. Within each `stall_limit`, the caller has to send
     /// [`MIN_PROGRESS_BYTES`] of a body that is awaited, and to accept as many of a response.
@@ -280,6 +270,9 @@
         if !self.accepts_chunks {
             self.disable_keep_alive();
             self.ends_by_close = true;
+            // Until the response is complete, the system resets the connection, also if the process
+            // is killed; a normal close would end a truncated response as a complete one.
+            SockRef::from(&self.stream).set_linger(Some(Duration::ZERO))?;
         }
         if !self.is_reusable() {
             head.head_mut().set_connection_type(ConnectionType::Close);
@@ -292,7 +285,10 @@
         let is_end = chunk.is_none();
         self.codec.encode(Message::Chunk(chunk), &mut self.output)?;
         self.flush().await?;
-        self.ends_by_close &= !is_end;
+        if self.ends_by_close && is_end {
+            self.ends_by_close = false;
+            SockRef::from(&self.stream).set_linger(None)?;
+        }
         Ok(())
     }
 
