Send streamed responses to HTTP/1.0 callers without chunks

An HTTP/1.0 caller of a streamed or large response got chunk sizes between the events, under HTTP/1.0 and transfer-encoding: chunked, which it does not know. The encoder is told not to write chunks. The test failed before.

--- a/crates/cumintrail-daemon/src/relay/caller.rs
+++ b/crates/cumintrail-daemon/src/relay/caller.rs
@@ -273,6 +273,7 @@
             // Until the response is complete, the system resets the connection, also if the process
             // is killed; a normal close would end a truncated response as a complete one.
             SockRef::from(&self.stream).set_linger(Some(Duration::ZERO))?;
+            head.head_mut().no_chunking(true);
         }
         if !self.is_reusable() {
             head.head_mut().set_connection_type(ConnectionType::Close);
--- a/tests/tests/gateway_http_1_0.rs
+++ b/tests/tests/gateway_http_1_0.rs
@@ -53,3 +53,19 @@
     let end = timeout(Duration::from_secs(5), caller.read_to_end(&mut response)).await.unwrap();
     assert!(end.is_err(), "{}", String::from_utf8_lossy(&response));
 }
+
+/// Guards against chunks in a response to a caller of HTTP/1.0, which takes them for the body.
+#[actix_rt::test]
+async fn a_streamed_response_to_an_http_1_0_caller_has_no_chunks() {
+    let script = [send(STREAM), events(1..=2), send("0\r\n\r\n")];
+    let target = Replica::bind(move |_| script.to_vec()).await.unwrap();
+    let cluster = Cluster::spawn(&[&target]).await;
+    let mut caller = cluster.connect().await;
+    let request = format!(
+        "POST /flow/ HTTP/1.0\r\nhost: shop.example\r\nauthorization: Bearer {KEY}\r\n\
+         x-cumintrail-call: c-1\r\ncontent-length: 0\r\n\r\n"
+    );
+    caller.0.write_all(request.as_bytes()).await.unwrap();
+    let response = caller.rest().await;
+    assert!(response.ends_with("\r\n\r\nid: 1\ndata: 1\n\nid: 2\ndata: 2\n\n"), "{response}");
+}
