Resume a stream only if its last event has an id

A resumable stream that broke after an event without an id was resumed after the last one with an id, so that the event without came twice. The test failed before.

--- a/crates/cumintrail-daemon/src/relay/attempt.rs
+++ b/crates/cumintrail-daemon/src/relay/attempt.rs
@@ -420,7 +420,7 @@
     /// can be continued.
     fn failed(&self) -> AttemptOutcome {
         let can_resume =
-            self.call.class == CallClass::ResumableStream && self.call.events.last_id().is_some();
+            self.call.class == CallClass::ResumableStream && self.call.events.can_resume();
         AttemptOutcome::Failed { can_continue: !self.call.response_started || can_resume }
     }
 
--- a/crates/cumintrail-daemon/src/relay/events.rs
+++ b/crates/cumintrail-daemon/src/relay/events.rs
@@ -23,6 +23,8 @@
     pending: BytesMut,
     /// The id of the last complete event that has one.
     last_id: Option<u64>,
+    /// Whether events without an id came after that one.
+    has_unnumbered: bool,
 }
 
 /// Stores consecutive complete events.
@@ -40,7 +42,7 @@
     /// Creates a splitter for a stream that continues after the event with the id `last_id`;
     /// `None` for a stream from its start.
     pub fn resume_after(last_id: Option<u64>) -> Self {
-        Self { pending: BytesMut::new(), last_id }
+        Self { last_id, ..Self::default() }
     }
 
     /// Returns the id of the last complete event that has one; before it, the id that the stream
@@ -49,6 +51,11 @@
         self.last_id
     }
 
+    /// Returns whether the stream can be resumed after its last complete event, which needs an id.
+    pub const fn can_resume(&self) -> bool {
+        self.last_id.is_some() && !self.has_unnumbered
+    }
+
     /// Returns the number of bytes after the last complete event.
     pub fn remainder_len(&self) -> usize {
         self.pending.len()
@@ -85,8 +92,8 @@
                     rest = Err(MalformedStream);
                     break;
                 }
-                Some(id) => self.last_id = Some(id),
-                None => {}
+                Some(id) => (self.last_id, self.has_unnumbered) = (Some(id), false),
+                None => self.has_unnumbered = true,
             }
             (end, searched, count) = (next, next, count + 1);
         }
--- a/tests/tests/gateway_broken_responses.rs
+++ b/tests/tests/gateway_broken_responses.rs
@@ -1,5 +1,7 @@
 //! Responses that break off in their head, and errors that follow a stream that has begun.
 
+use std::time::Duration;
+
 use cumintrail_tests::gateway_cluster::{Cluster, STREAM, WHOLE, events, send, status};
 use cumintrail_tests::standins::replica::{Replica, Step};
 
@@ -74,3 +76,16 @@
         }
     }
 }
+
+/// Guards against events without an id that come twice where a stream is resumed.
+#[actix_rt::test]
+async fn a_resumed_stream_does_not_repeat_an_event_without_id() {
+    let event = "data: plain\n\n";
+    let plain = send(&format!("{:x}\r\n{event}\r\n", event.len()));
+    let pause = Step::Pause(Duration::from_millis(30));
+    let first = [send(STREAM), events(1..=1), plain.clone(), pause, Step::Close];
+    let then = [send(STREAM), plain, events(2..=3), send("0\r\n\r\n")];
+    let (response, _) = call("/resume/", &first, &then).await;
+    assert_eq!(response.matches("data: plain").count(), 1, "{response}");
+    assert!(!response.ends_with("0\r\n\r\n"), "{response}");
+}
