--- a/tests/tests/gateway_restarts.rs
+++ b/tests/tests/gateway_restarts.rs
@@ -16,7 +16,8 @@
 
 /// Returns the events with these ids, without chunks.
 fn plain_events(ids: std::ops::RangeInclusive<u64>) -> String {
-    ids.map(|id| format!("id: {id}\ndata: {id}\n\n")).collect()
+    let events: Vec<String> = ids.map(|id| format!("id: {id}\ndata: {id}\n\n")).collect();
+    events.concat()
 }
 
 /// Starts two targets; the one that is called first sends `begun` and is restarted, and whatever is
