Check the bytes of calls between targets with faulty responses and callers

`cumintrail-platform-standin wire` draws a script from a seed: responses with a length, in chunks or ended by a close; cut, reset or with their target's process killed at any byte; copies, responses without an id, refusals, failures and early responses; callers of all kinds that leave and take streams up again; daemons that are suspended and restarted. It runs the script with real daemons and judges MIXED, ORDER, UNASKED, TWICE and REFUSED by the bytes on both sides.

--- a/tests/platform-standin/src/calls.rs
+++ b/tests/platform-standin/src/calls.rs
@@ -46,7 +46,8 @@
 }
 
 impl CallKind {
-    const ALL: [Self; 4] = [Self::Read, Self::Hold, Self::Flow, Self::Resume];
+    /// All kinds.
+    pub const ALL: [Self; 4] = [Self::Read, Self::Hold, Self::Flow, Self::Resume];
 
     /// Returns the path prefix of the route for this kind of call.
     pub const fn path(self) -> &'static str {
@@ -63,7 +64,8 @@
         matches!(self, Self::Hold | Self::Flow)
     }
 
-    const fn is_stream(self) -> bool {
+    /// Returns whether the response is a stream of events.
+    pub const fn is_stream(self) -> bool {
         matches!(self, Self::Flow | Self::Resume)
     }
 }
--- a/tests/platform-standin/src/lib.rs
+++ b/tests/platform-standin/src/lib.rs
@@ -6,3 +6,4 @@
 pub mod replica;
 pub mod soak;
 pub mod store;
+pub mod wire;
--- a/tests/platform-standin/src/main.rs
+++ b/tests/platform-standin/src/main.rs
@@ -5,7 +5,7 @@
 
 use clap::{Parser, Subcommand};
 use cumintrail_platform_standin::deployment::{API_KEY, Deployment, HOST};
-use cumintrail_platform_standin::soak;
+use cumintrail_platform_standin::{soak, wire};
 
 /// Stands in for the Kesong Puti platform on loopback.
 #[derive(Debug, Parser)]
@@ -46,6 +46,29 @@
         #[arg(long, default_value = "target/soak")]
         folder: PathBuf,
     },
+    /// Run daemons between targets with faulty responses and callers, and check the bytes of each
+    /// call.
+    Wire {
+        /// Seed of the script; the first one if several seeds are run.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Number of consecutive seeds to run, one after the other.
+        #[arg(long, default_value_t = 1)]
+        seeds: u64,
+        /// Duration of each script, in seconds.
+        #[arg(long, default_value_t = 10)]
+        seconds: u64,
+        /// Reset connections where the script kills a target.
+        #[arg(long)]
+        without_kills: bool,
+        /// Print the scripts instead of running them.
+        #[arg(long)]
+        print: bool,
+        /// Folder for settings files, logs and records of calls; those of failed seeds are not
+        /// deleted.
+        #[arg(long, default_value = "target/wire")]
+        folder: PathBuf,
+    },
 }
 
 /// Selects what a soak injects beside its usual faults.
@@ -95,6 +118,28 @@
                 }
                 Ok::<_, std::io::Error>(all_passed)
             }
+            Command::Wire { seed, seeds, seconds, without_kills, print, folder } => {
+                let mut all_passed = true;
+                for seed in seed..seed + seeds {
+                    let mut script = wire::Script::draw(seed, seconds);
+                    if without_kills {
+                        script = script.without_kills();
+                    }
+                    if print {
+                        println!("{script:#?}");
+                        continue;
+                    }
+                    let seed_folder = folder.join(format!("seed-{seed}"));
+                    std::fs::create_dir_all(&seed_folder)?;
+                    let report = wire::run(&daemon, &seed_folder, script).await?;
+                    println!("{report}");
+                    all_passed &= report.findings.is_empty();
+                    if report.findings.is_empty() {
+                        std::fs::remove_dir_all(&seed_folder)?;
+                    }
+                }
+                Ok(all_passed)
+            }
         }
     });
     match result {
--- /dev/null
+++ b/tests/platform-standin/src/wire.rs
@@ -0,0 +1,120 @@
+//! A checker of the wire: runs real daemons between targets that play a script of faulty responses
+//! and callers of all kinds, and judges each call by the bytes that both sides saw.
+
+mod caller;
+mod http;
+mod judge;
+mod script;
+mod scripted_target;
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::path::Path;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use actix_rt::time::sleep;
+use nix::sys::signal::Signal;
+
+pub use self::judge::{Attempt, Ending, Finding, Log, Rule, Try, event_text, judge};
+use self::script::Disturbance;
+pub use self::script::{Framing, Script};
+use self::scripted_target::Target;
+use crate::deployment::{Deployment, MODEL_SERVICE, PLAIN_SERVICE};
+
+const TARGETS_PER_SERVICE: usize = 2;
+/// How long calls in progress may go on after the last one has begun.
+const END_TIME: Duration = Duration::from_secs(4);
+
+/// The log that targets and callers of a run write to.
+type SharedLog = Rc<RefCell<Log>>;
+
+/// What a run showed.
+#[derive(Debug, derive_more::Display)]
+#[display(
+    "seed {seed}: {calls} calls, {complete} complete, {broken} broken, {refused} refused; \
+     steps {steps:?}{}", findings.concat()
+)]
+pub struct Report {
+    /// The seed of the script.
+    pub seed: u64,
+    /// Number of requests that callers sent.
+    pub calls: usize,
+    /// Number of successes that ended as complete.
+    pub complete: usize,
+    /// Number of responses that did not end as complete, without those of callers that left.
+    pub broken: usize,
+    /// Number of responses with status 429 or 503.
+    pub refused: usize,
+    /// Number of steps of each kind that targets and daemons went through.
+    pub steps: BTreeMap<&'static str, usize>,
+    /// The broken rules, each with the call's id and the steps of its exchange.
+    pub findings: Vec<String>,
+}
+
+/// Runs one script. Settings files and logs of the daemons stay in `folder`.
+pub async fn run(daemon: &Path, folder: &Path, script: Script) -> std::io::Result<Report> {
+    let mut deployment = Deployment::spawn(daemon, folder, script::VMS, 0, 0, true).await?;
+    deployment.declarations.max_body_bytes = Some(script::MAX_BODY_BYTES as u64);
+    deployment.publish_declarations();
+    let (script, log) = (Rc::new(script), SharedLog::default());
+    for number in 0..2 * TARGETS_PER_SERVICE {
+        let service = [MODEL_SERVICE, PLAIN_SERVICE][number % 2];
+        let (store, script) = (deployment.store.clone(), script.clone());
+        Target::spawn(format!("t-{number}"), service, store, script, log.clone())?;
+    }
+    if !deployment.wait_ready().await {
+        return Err(std::io::Error::other("the daemons did not become ready; see their logs"));
+    }
+    let started_at = Instant::now();
+    let until = started_at + Duration::from_secs(script.seconds);
+    let addresses: Vec<_> = deployment.vms.iter().map(|vm| vm.caller_address).collect();
+    let lanes = (0..script.lanes.len()).map(|lane| {
+        let (script, log) = (script.clone(), log.clone());
+        actix_rt::spawn(caller::run_lane(lane, script, addresses.clone(), log, until))
+    });
+    let lanes: Vec<_> = lanes.collect();
+    for (at_ms, disturbance) in &script.disturbances {
+        let at = started_at + Duration::from_millis(*at_ms);
+        sleep(at.saturating_duration_since(Instant::now())).await;
+        log.borrow_mut().count(disturbance.name());
+        match *disturbance {
+            Disturbance::Suspend { vm, ms } => {
+                deployment.vms[vm].signal(Signal::SIGSTOP);
+                sleep(Duration::from_millis(ms)).await;
+                deployment.vms[vm].signal(Signal::SIGCONT);
+            }
+            Disturbance::Restart { vm } => deployment.restart_vm_with(vm, "")?,
+        }
+    }
+    for lane in lanes {
+        let rest = (until + END_TIME * 2).saturating_duration_since(Instant::now());
+        let _ = actix_rt::time::timeout(rest, lane).await;
+    }
+    // Requests that run after a refusal are late.
+    sleep(Duration::from_millis(500)).await;
+    let log = log.take();
+    let report = report(&script, &log);
+    std::fs::write(folder.join("report.txt"), report.to_string())?;
+    std::fs::write(folder.join("calls.txt"), log.to_string())?;
+    Ok(report)
+}
+
+fn report(script: &Script, log: &Log) -> Report {
+    let findings = judge(log).into_iter().map(|finding| {
+        let exchange = script.exchange(finding.exchange);
+        let attempts = log.attempts.iter().filter(|a| a.exchange == finding.exchange);
+        let attempts: Vec<String> = attempts.map(|attempt| format!("\n    {attempt}")).collect();
+        format!("\n  {finding}\n    {exchange:?}{}", attempts.concat())
+    });
+    let count = |filter: &dyn Fn(&Try) -> bool| log.tries.iter().filter(|t| filter(t)).count();
+    Report {
+        seed: script.seed,
+        calls: log.tries.len(),
+        complete: count(&|t| t.status == 200 && t.ending == Ending::Complete),
+        broken: count(&|t| t.ending == Ending::Broken),
+        refused: count(&|t| matches!(t.status, 429 | 503)),
+        steps: log.steps.clone(),
+        findings: findings.collect(),
+    }
+}
