Refuse payments that the end of a planned stop could cut

Other operators reported that requests which came late in the grace of a stopping machine were taken, passed on, and cut without an answer when the process ended, among them requests that must not be repeated.

Cause: the control state refused calls only once the grace for the balancer had passed, whatever their deadline. It did not know when the stop ends.

Event::StopAnnounced now carries the end of the stop. Repeatable calls and resumable streams are taken as before.

--- a/crates/cumintrail-control/src/control.rs
+++ b/crates/cumintrail-control/src/control.rs
@@ -23,6 +23,7 @@
 mod software;
 mod spillover;
 mod state;
+mod stop;
 mod stores;
 mod waiting;
 
@@ -158,6 +159,8 @@
     stopping: bool,
     /// Whether the daemon is about to stop and sends no more orders.
     stop_pending: bool,
+    /// When a planned stop interrupts open calls; `None` before its announcement.
+    stop_end: Option<Moment>,
 }
 
 impl Control {
@@ -223,6 +226,7 @@
             has_registry: false,
             stopping: false,
             stop_pending: false,
+            stop_end: None,
         }
     }
 
@@ -351,7 +355,7 @@
             Event::OrderEnded { target, outcome } => {
                 self.rollout.handle_order_end(now, target, outcome);
             }
-            Event::StopAnnounced => self.stop_pending = true,
+            Event::StopAnnounced { end } => self.announce_stop(now, end, &mut actions),
             Event::Stopping => (self.stopping, self.stop_pending) = (true, true),
             Event::Tick => self.tick(now, &mut actions),
         }
--- a/crates/cumintrail-control/src/control/arrivals.rs
+++ b/crates/cumintrail-control/src/control/arrivals.rs
@@ -69,9 +69,7 @@
         let Some(account) = snapshot.accounts.get(arrival.account).filter(|a| !a.retired) else {
             return Err(Refusal::not_run(RefusalCode::Unauthorized));
         };
-        if self.stopping {
-            return Err(Refusal::not_run(RefusalCode::Stopping).retry_after(RETRY_AFTER));
-        }
+        self.check_stop(now, arrival)?;
         if self.admission.waiting_for(arrival.kind) >= snapshot.preset.queue.max(1) {
             return Err(Refusal::not_run(RefusalCode::Overloaded).retry_after(RETRY_AFTER));
         }
@@ -104,6 +102,7 @@
             return Err(Refusal::not_run(RefusalCode::Deadline));
         };
         self.check_waiting(now, call)?;
+        self.check_stop_of_waiting(call)?;
         if let Some(peer) = self.choose_helper(now, call) {
             return Ok(Choice::Detour(peer));
         }
--- a/crates/cumintrail-control/src/control/attempts.rs
+++ b/crates/cumintrail-control/src/control/attempts.rs
@@ -249,7 +249,7 @@
         self.end_call(key);
     }
 
-    fn cancel_attempt(
+    pub(super) fn cancel_attempt(
         &mut self,
         now: Moment,
         key: CallKey,
--- a/crates/cumintrail-control/src/event.rs
+++ b/crates/cumintrail-control/src/event.rs
@@ -276,9 +276,12 @@
         /// How it ended.
         outcome: OrderOutcome,
     },
-    /// The daemon is about to stop: it still accepts calls but sends no more orders to targets and
-    /// leaves these to its peers.
-    StopAnnounced,
+    /// The daemon is about to stop: it still accepts calls that the stop interrupts without harm, but
+    /// sends no more orders to targets and leaves these to its peers.
+    StopAnnounced {
+        /// When the stop interrupts calls that are still open.
+        end: Moment,
+    },
     /// The daemon is stopping: it refuses new calls from now on.
     Stopping,
     /// A periodic timer fired.
--- a/crates/cumintrail-daemon/src/daemon.rs
+++ b/crates/cumintrail-daemon/src/daemon.rs
@@ -125,16 +125,17 @@
     }
 
     /// Stops gracefully: the daemon first reports that it is not ready, refuses new calls after
-    /// `stop_grace`, and then waits at most `drain_limit` for the calls in flight.
+    /// `stop_grace`, and then waits at most `drain_limit` for the calls in flight. Calls that must
+    /// not be repeated are refused from the start if their deadline lies after that.
     pub async fn stop(self) {
         let settings = &self.shared.settings;
         log::info!("vm {} begins a planned stop", settings.vm);
         self.shared.begin_stop();
-        self.shared.control.send(Event::StopAnnounced).await;
+        let deadline = self.shared.now() + settings.stop_grace + settings.drain_limit;
+        self.shared.control.send(Event::StopAnnounced { end: deadline }).await;
         actix_rt::time::sleep(settings.stop_grace).await;
         self.shared.control.send(Event::Stopping).await;
 
-        let deadline = self.shared.now() + settings.drain_limit;
         while !self.is_drained().await && self.shared.now() < deadline {
             actix_rt::time::sleep(DRAIN_POLL_INTERVAL).await;
         }
--- a/crates/cumintrail-daemon/src/gateway.rs
+++ b/crates/cumintrail-daemon/src/gateway.rs
@@ -204,11 +204,11 @@
         let shared = &self.shared;
         let started = shared.now();
         log::info!("event=stop vm={} open_calls={}", shared.settings.vm, self.relay.open_calls());
-        shared.begin_stop();
-        shared.control.send(Event::StopAnnounced).await;
         let deadline = started + self.stop_limit;
+        shared.begin_stop();
+        shared.control.send(Event::StopAnnounced { end: deadline }).await;
         let grace = shared.settings.stop_grace;
-        actix_rt::time::sleep(grace).await;
+        actix_rt::time::sleep(grace.min(self.stop_limit)).await;
         // By now, the balancer sends no new connections; closing idle ones makes callers reconnect.
         self.relay.close_idle();
         shared.control.send(Event::Stopping).await;
--- a/crates/cumintrail-daemon/src/relay/call.rs
+++ b/crates/cumintrail-daemon/src/relay/call.rs
@@ -338,6 +338,9 @@
     metadata: &RequestMetadata,
     refusal: &Refusal,
 ) -> bool {
+    if worker.is_stopping() {
+        caller.disable_keep_alive();
+    }
     let code = refusal.code.to_string();
     metrics::counter!(metric::CALLS, "outcome" => code.clone()).increment(1);
     let status = StatusCode::from_u16(refusal_status(refusal)).unwrap_or(StatusCode::BAD_GATEWAY);
--- a/tests/src/gateway_cluster.rs
+++ b/tests/src/gateway_cluster.rs
@@ -115,12 +115,17 @@
 impl Cluster {
     /// Starts a gateway in front of these targets, which are named `t0`, `t1` and so on.
     pub async fn spawn(targets: &[&Replica]) -> Self {
+        Self::spawn_stopping_within(LIMIT, targets).await
+    }
+
+    /// Starts a gateway in front of these targets whose planned stop waits this long for calls.
+    pub async fn spawn_stopping_within(stop_limit: Duration, targets: &[&Replica]) -> Self {
         let platform = FeedPlatform::new();
         platform.publish_declarations(1, &declarations(KEY));
         for (i, target) in targets.iter().enumerate() {
             platform.list_target(&format!("t{i}"), 1, 1, "desk", target.address(), false);
         }
-        let cluster = Self::spawn_on(platform);
+        let cluster = Self::spawn_with(GatewayOptions { stop_limit, ..options() }, platform);
         cluster.until(Gateway::is_ready).await;
         cluster
     }
@@ -132,7 +137,10 @@
 
     /// Starts a gateway that measures time with a clock.
     pub fn spawn_by(clock: Clock, platform: FeedPlatform) -> Self {
-        let options = GatewayOptions { clock, ..options() };
+        Self::spawn_with(GatewayOptions { clock, ..options() }, platform)
+    }
+
+    fn spawn_with(options: GatewayOptions, platform: FeedPlatform) -> Self {
         let gateway = Gateway::spawn(settings(), &options, &platform).unwrap();
         Self { platform, gateway }
     }
--- a/tests/tests/planned_stop.rs
+++ b/tests/tests/planned_stop.rs
@@ -219,3 +219,29 @@
     let stopped = actix_rt::time::timeout(Duration::from_secs(15), daemon.stop()).await;
     assert!(stopped.is_ok(), "the stop waited for a caller that does not read");
 }
+
+/// Starts a daemon that stops within about a second, in front of a service that takes longer.
+async fn short_stop() -> (Cluster, Daemon) {
+    let cluster = Cluster::spawn(&Plan { daemons: 0, ..Plan::default() }).await.unwrap();
+    let mut settings = settings(1, cluster.platform.address(), &[]).unwrap();
+    settings.stop_grace = Duration::from_millis(400);
+    settings.drain_limit = Duration::from_millis(600);
+    let daemon = Daemon::spawn(settings).unwrap();
+    assert!(eventually(Duration::from_secs(5), || daemon.is_ready()).await);
+    for service in &cluster.services {
+        service.set_fault(service::Fault { slow_ms: 2_500, ..service::Fault::default() });
+    }
+    (cluster, daemon)
+}
+
+#[actix_rt::test]
+async fn no_call_that_runs_once_is_sent_if_the_end_of_a_stop_could_cut_it() {
+    let (cluster, daemon) = short_stop().await;
+    let at = daemon.caller_address();
+    let stop = actix_rt::spawn(daemon.stop());
+    actix_rt::time::sleep(Duration::from_millis(50)).await;
+    let late = hold(at, "hold-late").await;
+    assert!(late.status == 503 && is_stopping(&late), "{late:?}");
+    stop.await.unwrap();
+    assert!(cluster.services.iter().all(|service| service.executions().is_empty()));
+}
