Answer the calls that the end of a planned stop interrupts

Callers whose calls were still open when a stopping machine reached its limit saw their connection close without an answer, and could not tell whether the call had run.

Cause: at the limit, the gateway stopped its traffic threads, which dropped the open calls.

At the end of the stop the control state now refuses all open calls, as at a deadline: 503 (not run) for those that wait, 502 (may have run) for those that were sent. Calls whose bodies are still being read are refused by the traffic thread. Responses that have begun are cut as before. `event=stopped` has the new field `interrupted`.

The daemon of the product's own interface refuses open calls at `drain_limit` as well; before, the graceful stop of its server went on waiting for them.

The tests of gateway_stop got a longer grace, since kept connections are closed at its end.

--- a/crates/cumintrail-control/src/control.rs
+++ b/crates/cumintrail-control/src/control.rs
@@ -159,7 +159,7 @@
     stopping: bool,
     /// Whether the daemon is about to stop and sends no more orders.
     stop_pending: bool,
-    /// When a planned stop interrupts open calls; `None` before its announcement.
+    /// When a planned stop ends, which ends all calls; `None` before its announcement.
     stop_end: Option<Moment>,
 }
 
--- a/crates/cumintrail-control/src/control/stop.rs
+++ b/crates/cumintrail-control/src/control/stop.rs
@@ -34,10 +34,12 @@
         if self.may_outlast_stop(&call.arrival) { Err(stop_refusal(call)) } else { Ok(()) }
     }
 
-    /// Refuses waiting calls that a planned stop could interrupt.
+    /// Refuses waiting calls that a planned stop could interrupt, and all calls at its end.
     pub(super) fn refuse_for_stop(&mut self, now: Moment, actions: &mut Actions) {
-        let is_refused =
-            |call: &Call| call.phase() == Phase::Queued && self.may_outlast_stop(&call.arrival);
+        let Some(end) = self.stop_end else { return };
+        let is_refused = |call: &Call| {
+            end <= now || call.phase() == Phase::Queued && self.may_outlast_stop(&call.arrival)
+        };
         let refused = self.calls.iter().filter(|(_, call)| is_refused(call));
         let refused: Vec<(CallKey, Refusal)> =
             refused.map(|(key, call)| (*key, stop_refusal(call))).collect();
--- a/crates/cumintrail-control/src/event.rs
+++ b/crates/cumintrail-control/src/event.rs
@@ -279,7 +279,7 @@
     /// The daemon is about to stop: it still accepts calls that the stop interrupts without harm, but
     /// sends no more orders to targets and leaves these to its peers.
     StopAnnounced {
-        /// When the stop interrupts calls that are still open.
+        /// When calls that are still open are refused.
         end: Moment,
     },
     /// The daemon is stopping: it refuses new calls from now on.
--- a/crates/cumintrail-control/tests/planned_stop.rs
+++ b/crates/cumintrail-control/tests/planned_stop.rs
@@ -153,3 +153,26 @@
         assert_eq!(control.calls_in_flight(), 0);
     }
 }
+
+#[test]
+fn no_call_is_left_without_an_answer_at_the_end_of_a_stop() {
+    let mut control = daemon();
+    for (number, class) in AT_MOST_ONCE.into_iter().chain(REPEATABLE).enumerate() {
+        assert!(is_sent(&arrive(&mut control, number as u64, class, AFTER_END)));
+    }
+    quiet_targets(&mut control, 2, 5_500);
+    assert!(arrive(&mut control, 4, CallClass::Repeatable, AFTER_END).is_empty());
+    announce_stop(&mut control);
+    control.handle(Moment::from_millis(2_300), Event::Stopping);
+    quiet_targets(&mut control, 5_000, 2_500);
+    let early = control.handle(BEFORE_END, Event::Tick);
+    assert!(refusals(&early).is_empty(), "{early:?}");
+
+    let refused = refusals(&control.handle(END, Event::Tick));
+    let ran: Vec<Ran> = refused.iter().map(|(_, refusal)| refusal.ran).collect();
+    let unknown = [Ran::Unknown; 4];
+    assert_eq!(ran, [&unknown[..], &[Ran::No]].concat());
+    assert!(refused.iter().all(|(_, refusal)| refusal.code == RefusalCode::Stopping));
+    assert_eq!(control.calls_in_flight(), 0);
+    assert_not_run(&arrive(&mut control, 5, CallClass::Repeatable, AFTER_END), 5);
+}
--- a/crates/cumintrail-daemon/src/daemon.rs
+++ b/crates/cumintrail-daemon/src/daemon.rs
@@ -126,7 +126,8 @@
 
     /// Stops gracefully: the daemon first reports that it is not ready, refuses new calls after
     /// `stop_grace`, and then waits at most `drain_limit` for the calls in flight. Calls that must
-    /// not be repeated are refused from the start if their deadline lies after that.
+    /// not be repeated are refused from the start if their deadline lies after that, and calls that
+    /// are open then are refused.
     pub async fn stop(self) {
         let settings = &self.shared.settings;
         log::info!("vm {} begins a planned stop", settings.vm);
@@ -136,6 +137,8 @@
         actix_rt::time::sleep(settings.stop_grace).await;
         self.shared.control.send(Event::Stopping).await;
 
+        // The control thread refuses the calls that are open at the deadline.
+        let deadline = deadline + FINAL_REFUSAL_PERIOD;
         while !self.is_drained().await && self.shared.now() < deadline {
             actix_rt::time::sleep(DRAIN_POLL_INTERVAL).await;
         }
--- a/crates/cumintrail-daemon/src/gateway.rs
+++ b/crates/cumintrail-daemon/src/gateway.rs
@@ -25,7 +25,7 @@
 use cumintrail_control::registry::EntryChange;
 use cumintrail_control::retry::RetryPolicy;
 use cumintrail_control::{Control, Event, Identity};
-use cumintrail_types::{Clock, Generation, Incarnation};
+use cumintrail_types::{Clock, Generation, Incarnation, Moment};
 use rand::Rng;
 use snafu::ResultExt;
 
@@ -40,6 +40,8 @@
 pub use self::serve_feed::reply as feed_reply;
 
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// The time for the responses to calls that the end of a planned stop interrupts.
+const FINAL_RESPONSE_PERIOD: Duration = Duration::from_millis(300);
 
 /// Adapts the daemon to a platform with a change feed.
 pub trait Platform: Clone + Send + 'static {
@@ -82,7 +84,8 @@
     /// The time within which a change on the platform must be in force; daemons follow readers only
     /// where that leaves enough time for it.
     pub apply_limit: Duration,
-    /// How long a planned stop waits for open calls, counted from its start.
+    /// How long a planned stop waits for open calls, counted from its start; calls that are open then
+    /// are refused.
     pub stop_limit: Duration,
     /// The regions of failure domains, to which calls may be restricted.
     pub regions: Regions,
@@ -199,7 +202,7 @@
     }
 
     /// Performs a planned stop: reports that it is not ready, waits for the balancer, closes idle
-    /// connections, and ends once no call is open or `stop_limit` has passed.
+    /// connections, and ends once no call is open. Calls that are open after `stop_limit` are refused.
     pub async fn stop(self) {
         let shared = &self.shared;
         let started = shared.now();
@@ -212,17 +215,27 @@
         // By now, the balancer sends no new connections; closing idle ones makes callers reconnect.
         self.relay.close_idle();
         shared.control.send(Event::Stopping).await;
-        while self.relay.open_calls() > 0 && shared.now() < deadline {
-            actix_rt::time::sleep(DRAIN_POLL_INTERVAL).await;
-        }
+        self.await_calls(deadline).await;
+        let interrupted = self.relay.open_calls();
+        // The control thread refuses the calls that were sent or wait to be.
+        self.relay.end_calls();
+        self.await_calls(deadline + FINAL_RESPONSE_PERIOD).await;
         let (open, took) = (self.relay.open_calls(), shared.now().since(started));
-        log::info!("event=stopped open_calls={open} took_ms={}", took.as_millis());
+        let took = took.as_millis();
+        log::info!("event=stopped interrupted={interrupted} open_calls={open} took_ms={took}");
         self.relay.stop();
         self.server.stop(false).await;
         for arbiter in &self.arbiters {
             arbiter.stop();
         }
     }
+
+    /// Waits until no call is open, at most until `end`.
+    async fn await_calls(&self, end: Moment) {
+        while self.relay.open_calls() > 0 && self.shared.now() < end {
+            actix_rt::time::sleep(DRAIN_POLL_INTERVAL).await;
+        }
+    }
 }
 
 fn listen(address: SocketAddr, setting: &'static str) -> Result<TcpListener, SpawnError> {
--- a/crates/cumintrail-daemon/src/relay.rs
+++ b/crates/cumintrail-daemon/src/relay.rs
@@ -65,12 +65,21 @@
     pub monitoring: Vec<(MonitoringEndpoint, TcpListener)>,
 }
 
-/// Counts the open calls of all traffic threads, and signals these threads to stop accepting
-/// connections and to close idle ones.
+/// Counts the open calls of all traffic threads, and tells these threads how far a planned stop is.
 #[derive(Debug)]
 struct RelayState {
     open_calls: AtomicUsize,
-    closing: watch::Sender<bool>,
+    stop: watch::Sender<StopPhase>,
+}
+
+/// What a planned stop requires of the traffic threads.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum StopPhase {
+    Serving,
+    /// Accept no connections, and close each open one once it has no call.
+    CloseIdle,
+    /// Refuse calls whose bodies are still being read.
+    EndCalls,
 }
 
 /// Stores the state of one traffic thread.
@@ -104,9 +113,8 @@
     ) -> io::Result<Self> {
         let Listeners { callers, detours, monitoring } = listeners;
         let address = callers.local_addr()?;
-        let state =
-            RelayState { open_calls: AtomicUsize::new(0), closing: watch::Sender::new(false) };
-        let state = Arc::new(state);
+        let stop = watch::Sender::new(StopPhase::Serving);
+        let state = Arc::new(RelayState { open_calls: AtomicUsize::new(0), stop });
         callers.set_nonblocking(true)?;
         detours.as_ref().map_or(Ok(()), |listener| listener.set_nonblocking(true))?;
         let mut arbiters = Vec::new();
@@ -158,7 +166,12 @@
 
     /// Stops accepting connections, and closes each open one once it has no call.
     pub fn close_idle(&self) {
-        self.state.closing.send_replace(true);
+        self.state.stop.send_replace(StopPhase::CloseIdle);
+    }
+
+    /// Refuses the calls that were not submitted to the control thread yet.
+    pub fn end_calls(&self) {
+        self.state.stop.send_replace(StopPhase::EndCalls);
     }
 
     /// Stops the traffic threads.
@@ -194,6 +207,18 @@
     pub fn is_stopping(&self) -> bool {
         self.shared.is_stopping()
     }
+
+    /// Waits until a planned stop refuses the calls that are still open.
+    pub async fn calls_ended(&self) {
+        self.state.reached(StopPhase::EndCalls).await;
+    }
+}
+
+impl RelayState {
+    async fn reached(&self, phase: StopPhase) {
+        // The sender lives as long as `self`.
+        let _ = self.stop.subscribe().wait_for(|at| *at >= phase).await;
+    }
 }
 
 async fn accept_connections<D: HeaderDialect>(
@@ -205,11 +230,10 @@
         Ok(listener) => listener,
         Err(e) => return log::error!("event=listen outcome=failed reason=\"{e}\""),
     };
-    let mut closing = worker.state.closing.subscribe();
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            _ = closing.wait_for(|closing| *closing) => return,
+            () = worker.state.reached(StopPhase::CloseIdle) => return,
         };
         match accepted {
             Ok((stream, _)) => {
@@ -233,7 +257,6 @@
     stream: TcpStream,
     held: HeldConnection,
 ) {
-    let mut closing = worker.state.closing.subscribe();
     let stall_limit = worker.shared.settings.stall_limit;
     if let Ok(mut caller) = CallerConnection::new(stream, held, stall_limit) {
         loop {
@@ -241,7 +264,7 @@
             let next = tokio::select! {
                 biased;
                 next = caller.next_request(limits) => next,
-                _ = closing.wait_for(|closing| *closing) => break,
+                () = worker.state.reached(StopPhase::CloseIdle) => break,
             };
             let req = match next {
                 Ok(Some(req)) => req,
@@ -254,8 +277,9 @@
             };
             let open = worker.open_call();
             let reusable = call::handle_request(&worker, &mut caller, req).await;
-            drop(open);
             if !reusable {
+                // The response could still be lost while input of the caller is unread.
+                let _open = caller.has_unread_body().then_some(open);
                 caller.linger().await;
                 break;
             }
--- a/crates/cumintrail-daemon/src/relay/call.rs
+++ b/crates/cumintrail-daemon/src/relay/call.rs
@@ -97,7 +97,14 @@
     let timeout = metadata.timeout.map_or(route.timeout, |t| t.min(route.timeout));
     let deadline = arrived + timeout;
     let read = read_body(caller, limits.body_bytes);
-    let Ok(read) = actix_rt::time::timeout(timeout, read).await else {
+    let read = tokio::select! {
+        read = actix_rt::time::timeout(timeout, read) => read,
+        () = worker.calls_ended() => {
+            let refusal = Refusal::not_run(RefusalCode::Stopping);
+            return Err(refusal.retry_after(OTHER_DAEMON_RETRY_AFTER));
+        }
+    };
+    let Ok(read) = read else {
         caller.disable_keep_alive();
         return Err(Refusal::not_run(RefusalCode::RequestTimeout));
     };
--- a/tests/src/gateway_cluster.rs
+++ b/tests/src/gateway_cluster.rs
@@ -115,17 +115,27 @@
 impl Cluster {
     /// Starts a gateway in front of these targets, which are named `t0`, `t1` and so on.
     pub async fn spawn(targets: &[&Replica]) -> Self {
-        Self::spawn_stopping_within(LIMIT, targets).await
+        Self::spawn_in_front(settings(), options(), targets).await
     }
 
-    /// Starts a gateway in front of these targets whose planned stop waits this long for calls.
+    /// Starts a gateway in front of these targets whose planned stop waits this long for calls, half
+    /// of it as grace for the balancer.
     pub async fn spawn_stopping_within(stop_limit: Duration, targets: &[&Replica]) -> Self {
+        let settings = Settings { stop_grace: stop_limit / 2, ..settings() };
+        Self::spawn_in_front(settings, GatewayOptions { stop_limit, ..options() }, targets).await
+    }
+
+    async fn spawn_in_front(
+        settings: Settings,
+        options: GatewayOptions,
+        targets: &[&Replica],
+    ) -> Self {
         let platform = FeedPlatform::new();
         platform.publish_declarations(1, &declarations(KEY));
         for (i, target) in targets.iter().enumerate() {
             platform.list_target(&format!("t{i}"), 1, 1, "desk", target.address(), false);
         }
-        let cluster = Self::spawn_with(GatewayOptions { stop_limit, ..options() }, platform);
+        let cluster = Self::spawn_with(settings, &options, platform);
         cluster.until(Gateway::is_ready).await;
         cluster
     }
@@ -137,11 +147,11 @@
 
     /// Starts a gateway that measures time with a clock.
     pub fn spawn_by(clock: Clock, platform: FeedPlatform) -> Self {
-        Self::spawn_with(GatewayOptions { clock, ..options() }, platform)
+        Self::spawn_with(settings(), &GatewayOptions { clock, ..options() }, platform)
     }
 
-    fn spawn_with(options: GatewayOptions, platform: FeedPlatform) -> Self {
-        let gateway = Gateway::spawn(settings(), &options, &platform).unwrap();
+    fn spawn_with(settings: Settings, options: &GatewayOptions, platform: FeedPlatform) -> Self {
+        let gateway = Gateway::spawn(settings, options, &platform).unwrap();
         Self { platform, gateway }
     }
 
--- a/tests/tests/gateway_stop.rs
+++ b/tests/tests/gateway_stop.rs
@@ -2,11 +2,14 @@
 
 use std::time::Duration;
 
-use cumintrail_tests::gateway_cluster::{Caller, Cluster, LIMIT, WHOLE, send, status};
+use cumintrail_tests::gateway_cluster::{
+    Caller, Cluster, LIMIT, STREAM, WHOLE, events, send, status,
+};
 use cumintrail_tests::standins::replica::{Replica, Step, header};
+use tokio::io::AsyncWriteExt as _;
 
 /// The time after which the stopping gateway ends calls that are still open.
-const STOP_LIMIT: Duration = Duration::from_millis(1_200);
+const STOP_LIMIT: Duration = Duration::from_secs(2);
 /// Longer than a stop takes, and shorter than the timeout of the routes.
 const SLOW: Duration = Duration::from_millis(2_500);
 /// Time between two steps of a test that happen in this order.
@@ -38,6 +41,11 @@
     assert!(after.is_some_and(|seconds| seconds <= 0.1), "{response}");
 }
 
+fn assert_may_have_run(response: &str) {
+    assert_eq!(status(response), "502", "{response}");
+    assert!(response.contains(r#""code":"stopping","ran":"unknown""#), "{response}");
+}
+
 async fn stop(cluster: Cluster) -> impl Future<Output = ()> {
     let stopped = actix_rt::spawn(cluster.gateway.stop());
     actix_rt::time::sleep(STEP).await;
@@ -95,6 +103,40 @@
     assert!(refused > 0, "all calls were sent at once");
 }
 
+#[actix_rt::test]
+async fn calls_that_the_end_of_a_stop_interrupts_are_answered() {
+    let target = slow_target().await;
+    let cluster = Cluster::spawn_stopping_within(STOP_LIMIT, &[&target]).await;
+    let [mut payment, mut read, mut incomplete] = keep_connections(&cluster).await;
+    payment.send("/hold/", "c-1", "", "").await;
+    read.send("/read/", "c-2", "", "").await;
+    let head = "POST /read/ HTTP/1.1\r\nhost: shop.example\r\nauthorization: Bearer \
+                caller-key-of-cheese\r\nx-cumintrail-call: c-3\r\ncontent-length: 9\r\n\r\nhalf";
+    incomplete.0.write_all(head.as_bytes()).await.unwrap();
+    actix_rt::time::sleep(STEP).await;
+    assert_eq!(target.calls().len(), 2);
+    let stopped = stop(cluster).await;
+    assert_may_have_run(&payment.rest().await);
+    assert_may_have_run(&read.rest().await);
+    assert_not_run(&incomplete.rest().await);
+    stopped.await;
+}
+
+#[actix_rt::test]
+async fn a_stream_that_the_end_of_a_stop_interrupts_does_not_look_complete() {
+    let steps = || vec![send(STREAM), events(1..=1), Step::Pause(SLOW), send("0\r\n\r\n")];
+    let target = Replica::bind(move |_| steps()).await.unwrap();
+    let cluster = Cluster::spawn_stopping_within(STOP_LIMIT, &[&target]).await;
+    let mut caller = cluster.connect().await;
+    caller.send("/flow/", "c-1", "", "").await;
+    let begun = caller.until("id: 1").await;
+    let stopped = stop(cluster).await;
+    let rest = caller.rest().await;
+    assert_eq!(status(&begun), "200");
+    assert!(!rest.contains("0\r\n\r\n") && !rest.contains("HTTP/1.1"), "{rest}");
+    stopped.await;
+}
+
 #[actix_rt::test]
 async fn repeatable_calls_are_served_while_a_stop_begins() {
     let target = Replica::bind(|_| vec![send(WHOLE)]).await.unwrap();
--- a/tests/tests/planned_stop.rs
+++ b/tests/tests/planned_stop.rs
@@ -245,3 +245,18 @@
     stop.await.unwrap();
     assert!(cluster.services.iter().all(|service| service.executions().is_empty()));
 }
+
+#[actix_rt::test]
+async fn a_call_that_is_open_at_the_end_of_a_stop_is_answered() {
+    let (cluster, daemon) = short_stop().await;
+    let at = daemon.caller_address();
+    let (written, _) = cluster.platform.table_use();
+    let calling = actix_rt::spawn(async move { hold(at, "hold-open").await });
+    // The claim is written before the service runs the call.
+    assert!(eventually(LIMIT, || cluster.platform.table_use().0 > written).await);
+    actix_rt::time::sleep(Duration::from_millis(100)).await;
+    daemon.stop().await;
+    let open = calling.await.unwrap();
+    let refusal = open.json::<RefusalBody>().map(|body| body.error.ran);
+    assert_eq!((refusal, open.is_complete), (Some(Ran::Unknown), true), "{open:?}");
+}
