Bound what a target sends that is neither head nor content

Callers saw no response, beyond the deadline of their call: a target that sent interim responses, a chunk extension, digits of a chunk size or trailers without end kept the attempt reading for good. Such bytes are decoded and dropped, so no limit of size applied, and reads that are always ready hid the order of the control thread to end the attempt.

A connection now counts these bytes since the start of the exchange or the last content, and the response is malformed beyond 64 KiB.

--- a/crates/cumintrail-client/src/connection.rs
+++ b/crates/cumintrail-client/src/connection.rs
@@ -38,6 +38,10 @@
 const MAX_OUTPUT_BUFFER_BYTES: usize = 64 << 10;
 /// The body length up to which a response to another call is skipped.
 const MAX_DISCARDED_BYTES: usize = 256 << 10;
+/// The bytes of interim responses, or of framing without content in between, from which a response
+/// is malformed. They are not kept, but a target that sends them without end would keep its caller
+/// waiting and this process busy.
+const MAX_OVERHEAD_BYTES: usize = 64 << 10;
 
 /// Identifies a connection for as long as the process runs.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -70,6 +74,8 @@
     /// Whether [`Connection::awaits_bytes`] met a reset.
     was_reset: bool,
     framing: Framing,
+    /// The bytes received since the exchange or the last content began that are no content.
+    overhead: usize,
     keep_alive: Option<Duration>,
     exchange_count: u32,
     /// Time since the VM's boot, including suspension, in which the target's timeout elapses too.
@@ -161,6 +167,7 @@
             read_closed: false,
             was_reset: false,
             framing: Framing::Bodiless,
+            overhead: 0,
             keep_alive: None,
             exchange_count: 0,
             last_used: since_boot(),
@@ -185,6 +192,7 @@
     /// Starts an exchange; the request is written while [`Connection::read_head`] is awaited.
     pub fn start_exchange(&mut self, head: RequestHead, size: BodySize) -> Result<(), ClientError> {
         self.exchange_count += 1;
+        self.overhead = 0;
         self.is_head_request = head.method == Method::HEAD;
         self.read_state = ReadState::Head(ClientCodec::new(self.config.clone()));
         self.request_complete = matches!(size, BodySize::None | BodySize::Sized(0));
@@ -240,8 +248,11 @@
             let ReadState::Head(codec) = &mut self.read_state else {
                 return Err(ClientError::ConnectionLost);
             };
+            let before = self.input.len();
             match codec.decode(&mut self.input) {
-                Ok(Some(head)) if head.status == StatusCode::CONTINUE => {}
+                Ok(Some(head)) if head.status == StatusCode::CONTINUE => {
+                    self.count_overhead(before)?;
+                }
                 Ok(Some(head)) => {
                     self.start_body(&head);
                     return Ok(Some(head));
@@ -304,7 +315,14 @@
         }
     }
 
+    /// Counts the bytes that were decoded since the input had `before` bytes.
+    fn count_overhead(&mut self, before: usize) -> Result<(), ClientError> {
+        self.overhead += before - self.input.len();
+        if self.overhead > MAX_OVERHEAD_BYTES { Err(ClientError::Malformed) } else { Ok(()) }
+    }
+
     fn decode_chunk(&mut self) -> Result<BodyPart, ClientError> {
+        let before = self.input.len();
         match &mut self.read_state {
             ReadState::Complete => Ok(BodyPart::End),
             ReadState::Head(_) => Err(ClientError::ConnectionLost),
@@ -322,13 +340,16 @@
             }
             ReadState::UntilClosed => Ok(BodyPart::Pending),
             ReadState::Body(codec) => match codec.0.decode(&mut self.input) {
-                Ok(Some(Some(chunk))) => Ok(BodyPart::Chunk(chunk)),
+                Ok(Some(Some(chunk))) => {
+                    self.overhead = 0;
+                    Ok(BodyPart::Chunk(chunk))
+                }
                 Ok(Some(None)) => {
                     self.read_state = ReadState::Complete;
                     Ok(BodyPart::End)
                 }
                 Ok(None) if self.read_closed => Err(ClientError::ConnectionLost),
-                Ok(None) => Ok(BodyPart::Pending),
+                Ok(None) => self.count_overhead(before).map(|()| BodyPart::Pending),
                 Err(_) => Err(ClientError::Malformed),
             },
         }
--- a/crates/cumintrail-client/tests/endless.rs
+++ b/crates/cumintrail-client/tests/endless.rs
@@ -57,6 +57,26 @@
     }
 }
 
+/// Guards against parts of a chunked body that are no content and are read until the peer closes.
+#[actix_rt::test]
+async fn framing_without_content_is_malformed() {
+    const CHUNKED: &str = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+    for (start, again) in [("1;", "x"), ("0", "0"), ("0\r\nx", "x"), ("0\r\n", "x-name: value\r\n")]
+    {
+        let (at, sent) = endless(format!("{CHUNKED}{start}").leak(), again).await;
+        let read = async {
+            let mut connection = Connection::open(at, TIMEOUT, ServiceConfig::default()).await?;
+            connection.start_exchange(RequestHead::default(), BodySize::None)?;
+            connection.read_head().await?;
+            connection.read_chunk().await
+        };
+        let read = actix_rt::time::timeout(TIMEOUT, read).await;
+        let read = read.unwrap_or_else(|_| panic!("{start:?}: no end"));
+        assert!(matches!(read, Err(ClientError::Malformed)), "{start:?}: {read:?}");
+        assert!(sent.load(Ordering::Relaxed) < SOCKET_BUFFERS, "{start:?}");
+    }
+}
+
 #[actix_rt::test]
 async fn a_body_without_end_is_cut_off_at_the_limit() {
     const LIMIT: usize = 256 << 10;
