End a call at its deadline whatever its target sends or holds back

Callers got no response if a target refused a call, or answered another one, and held back the body of that response: the attempt read it without listening to the control thread, which ends a call at its deadline. The refusal's caller was not retried elsewhere either. A stream without end outlived its deadline too while its caller read it, since a read that is always ready was polled first.

A refusal is acted on at once; its connection is reused if its body has arrived, else closed. The response to another call is read like any other, with the orders of the control thread. Once a response has begun, orders come before its chunks, and they do not share the task's budget of operations.

--- a/crates/cumintrail-client/src/connection.rs
+++ b/crates/cumintrail-client/src/connection.rs
@@ -36,8 +36,8 @@
 const READ_SIZE_BYTES: usize = 16 << 10;
 /// The fill level of the output buffer from which no further body chunk is queued.
 const MAX_OUTPUT_BUFFER_BYTES: usize = 64 << 10;
-/// The body length up to which a response to another call is skipped.
-const MAX_DISCARDED_BYTES: usize = 256 << 10;
+/// The body length up to which a response that is not wanted is read.
+pub const MAX_DISCARDED_BYTES: usize = 256 << 10;
 /// The bytes of interim responses, or of framing without content in between, from which a response
 /// is malformed. They are not kept, but a target that sends them without end would keep its caller
 /// waiting and this process busy.
@@ -355,14 +355,22 @@
         }
     }
 
-    /// Discards the body of a response to another call and prepares to read the next response.
-    pub async fn skip_response(&mut self) -> Result<(), ClientError> {
+    /// Prepares to read the next response, after one to another call was read completely.
+    pub fn expect_response(&mut self) {
+        self.read_state = ReadState::Head(ClientCodec::new(self.config.clone()));
+    }
+
+    /// Discards what has arrived of the response; returns whether that is all of it.
+    pub fn discard_arrived(&mut self) -> bool {
         let mut remaining = MAX_DISCARDED_BYTES;
-        while let Some(chunk) = self.read_chunk().await? {
-            remaining = remaining.checked_sub(chunk.len()).ok_or(ClientError::Malformed)?;
+        loop {
+            match self.decode_chunk() {
+                Ok(BodyPart::End) => return true,
+                Ok(BodyPart::Chunk(chunk)) if chunk.len() <= remaining => remaining -= chunk.len(),
+                Ok(BodyPart::Pending) if self.receive().is_some_and(|read| read > 0) => {}
+                Ok(BodyPart::Chunk(_) | BodyPart::Pending) | Err(_) => return false,
+            }
         }
-        self.read_state = ReadState::Head(ClientCodec::new(self.config.clone()));
-        Ok(())
     }
 
     /// Returns how long the idle connection may be reused; `None` if it must be closed.
@@ -391,15 +399,21 @@
         if !self.input.is_empty() || self.read_closed {
             return false;
         }
+        self.receive().is_none()
+    }
+
+    /// Reads what has arrived and returns its size, zero for the end of the input; `None` if nothing
+    /// has arrived.
+    fn receive(&mut self) -> Option<usize> {
         self.input.reserve(READ_SIZE_BYTES);
         match self.stream.try_read_buf(&mut self.input) {
-            Err(e) if e.kind() == io::ErrorKind::WouldBlock => return true,
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => return None,
             Ok(0) => self.read_closed = true,
-            Ok(_) => {}
+            Ok(read) => return Some(read),
             // Later reads return the end of the input.
             Err(_) => (self.read_closed, self.was_reset) = (true, true),
         }
-        false
+        Some(0)
     }
 
     /// Records the end of an exchange and frees the buffers.
--- a/crates/cumintrail-client/src/lib.rs
+++ b/crates/cumintrail-client/src/lib.rs
@@ -22,7 +22,7 @@
 mod store;
 mod traffic;
 
-pub use connection::{BodyPart, Connection, ConnectionId, Framing};
+pub use connection::{BodyPart, Connection, ConnectionId, Framing, MAX_DISCARDED_BYTES};
 pub use engine::{Engine, HttpEngine, LoadRequest, TargetOrders};
 pub use error::ClientError;
 pub use feed::{Feed, FeedError};
--- a/crates/cumintrail-client/tests/connection.rs
+++ b/crates/cumintrail-client/tests/connection.rs
@@ -82,7 +82,8 @@
             .await;
     connection.start_exchange(RequestHead::default(), BodySize::None).unwrap();
     connection.read_head().await.unwrap();
-    connection.skip_response().await.unwrap();
+    read_body(&mut connection).await.unwrap();
+    connection.expect_response();
     connection.read_head().await.unwrap();
     assert_eq!(read_body(&mut connection).await.unwrap(), b"OK");
 }
--- a/crates/cumintrail-daemon/src/relay/attempt.rs
+++ b/crates/cumintrail-daemon/src/relay/attempt.rs
@@ -8,7 +8,8 @@
 use actix_http::body::BodySize;
 use actix_http::{RequestHead, ResponseHead, StatusCode};
 use cumintrail_client::{
-    ClientError, Connection, Framing, ProcessEvidence, RetrySafety, evidence_changed,
+    ClientError, Connection, Framing, MAX_DISCARDED_BYTES, ProcessEvidence, RetrySafety,
+    evidence_changed,
 };
 use cumintrail_config::Target;
 use cumintrail_control::parts::PartPlan;
@@ -183,9 +184,7 @@
             self.call.target_responded = kind == ResponseKind::Matching;
             match kind {
                 ResponseKind::Matching if self.is_detour() && detour::is_unable(&head) => {
-                    if self.finish_exchange(&mut connection).await {
-                        self.worker.pool.release(connection);
-                    }
+                    self.end_refused_exchange(connection);
                     let outcome = AttemptOutcome::RefusedByTarget { leaving: false };
                     return self.record_end(outcome, "peer");
                 }
@@ -193,17 +192,17 @@
                     foreign_responses += 1;
                     metrics::counter!(metric::FOREIGN_RESPONSES).increment(1);
                     lines::foreign_response(self.call, &self.name, head.status);
-                    if let Err(e) = connection.skip_response().await {
-                        return self.fail(&connection, &e).await;
+                    match self.skip_response(&mut connection).await {
+                        WaitResult::Target(Ok(())) => {}
+                        WaitResult::Target(Err(e)) => return self.fail(&connection, &e).await,
+                        WaitResult::Ended(end) => return end,
                     }
                 }
                 ResponseKind::Foreign => {
                     return self.fail(&connection, &ClientError::Malformed).await;
                 }
                 ResponseKind::NotRun { instance_gone } => {
-                    if self.finish_exchange(&mut connection).await {
-                        self.worker.pool.release(connection);
-                    }
+                    self.end_refused_exchange(connection);
                     let outcome = AttemptOutcome::RefusedByTarget { leaving: instance_gone };
                     return self.record_end(outcome, "target");
                 }
@@ -384,11 +383,33 @@
         }
     }
 
-    /// Reads one chunk of the response; returns whether that succeeded and the caller's body was
-    /// read to its end, both of which reuse of the connection requires.
-    async fn finish_exchange(&mut self, connection: &mut Connection) -> bool {
-        matches!(connection.read_chunk().await, Ok(None | Some(_)))
-            && !self.caller.has_unread_body()
+    /// Discards the response to another call that this connection had before.
+    async fn skip_response(&mut self, connection: &mut Connection) -> WaitResult<()> {
+        let mut remaining = MAX_DISCARDED_BYTES;
+        loop {
+            match self.wait_for_chunk(connection).await {
+                WaitResult::Target(Ok(Some(chunk))) if chunk.len() <= remaining => {
+                    remaining -= chunk.len();
+                }
+                WaitResult::Target(Ok(Some(_))) => {
+                    return WaitResult::Target(Err(ClientError::Malformed));
+                }
+                WaitResult::Target(Ok(None)) => {
+                    connection.expect_response();
+                    return WaitResult::Target(Ok(()));
+                }
+                WaitResult::Target(Err(e)) => return WaitResult::Target(Err(e)),
+                WaitResult::Ended(end) => return WaitResult::Ended(end),
+            }
+        }
+    }
+
+    /// Releases the connection after a refusal if its body has arrived and the caller's body was read
+    /// to its end, both of which reuse requires. The call goes on without waiting for either.
+    fn end_refused_exchange(&self, mut connection: Connection) {
+        if connection.discard_arrived() && !self.caller.has_unread_body() {
+            self.worker.pool.release(connection);
+        }
     }
 
     async fn report_response_end(&self, end: ResponseEnd) {
--- a/crates/cumintrail-daemon/src/relay/attempt/response.rs
+++ b/crates/cumintrail-daemon/src/relay/attempt/response.rs
@@ -6,6 +6,7 @@
 use cumintrail_client::{BodyPart, ClientError, Connection, Framing, evidence_changed};
 use cumintrail_control::{AttemptOutcome, Event, ResponseEnd, Usage};
 use cumintrail_types::CallClass;
+use futures_util::FutureExt as _;
 
 use super::{Attempt, AttemptEnd, WaitResult};
 use crate::metric;
@@ -195,7 +196,17 @@
 
     /// Waits for the next chunk of the response. A target may respond before it has read the whole
     /// request, so the rest of its body is forwarded in the meantime.
-    async fn wait_for_chunk(&mut self, connection: &mut Connection) -> WaitResult<Option<Bytes>> {
+    pub(super) async fn wait_for_chunk(
+        &mut self,
+        connection: &mut Connection,
+    ) -> WaitResult<Option<Bytes>> {
+        // Chunks that are always ready must not keep a response beyond its deadline.
+        if self.call.response_started
+            && let Some(interrupt) =
+                next_interrupt(&mut self.call.commands, self.number).now_or_never()
+        {
+            return WaitResult::Ended(self.interrupt(interrupt));
+        }
         loop {
             let has_room = connection.can_queue_body();
             let wants_room = self.caller.has_unread_body() && !has_room;
--- a/crates/cumintrail-daemon/src/relay/interrupt.rs
+++ b/crates/cumintrail-daemon/src/relay/interrupt.rs
@@ -2,6 +2,7 @@
 
 use cumintrail_types::{AttemptNumber, Refusal, RefusalCode};
 use tokio::sync::mpsc;
+use tokio::task::unconstrained;
 
 use crate::control_thread::Command;
 
@@ -19,7 +20,8 @@
     number: AttemptNumber,
 ) -> Interrupt {
     loop {
-        match commands.recv().await {
+        // Reads that are always ready use up the task's budget, and must not hide an order.
+        match unconstrained(commands.recv()).await {
             Some(Command::Abandon(attempt)) if attempt == number => return Interrupt::Abandoned,
             // That attempt ended before the command arrived.
             Some(Command::Abandon(_)) => {}
--- a/tests/src/standins/replica.rs
+++ b/tests/src/standins/replica.rs
@@ -8,11 +8,16 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
+/// The size of one write of bytes that are sent without end.
+const REPEATED_BYTES: usize = 64 << 10;
+
 /// One step of a scripted response.
 #[derive(Debug, Clone)]
 pub enum Step {
     /// Sends bytes; `{id}` is replaced with the call's id.
     Send(String),
+    /// Sends bytes again and again until the peer closes the connection.
+    Repeat(String),
     /// Waits; a close or bytes from the peer meanwhile end the script.
     Pause(Duration),
     /// Closes the connection normally.
@@ -156,6 +161,12 @@
                     Step::Send(text) => {
                         stream.write_all(text.replace("{id}", &id).as_bytes()).await?;
                     }
+                    Step::Repeat(text) => {
+                        let block = text.repeat((REPEATED_BYTES / text.len()).max(1));
+                        loop {
+                            stream.write_all(block.as_bytes()).await?;
+                        }
+                    }
                     Step::Pause(time) => {
                         // A close by the peer ends the work.
                         let mut byte = [0];
