Give incomplete responses of targets a budget of the VM's memory

Each response had a limit (128 KiB of head, 256 KiB of buffered body, 64 KiB of event), but all together had none: what waits for a target is not closed by the account of what callers hold.

ResponseBudget counts them in the process: an eighth of limits.memory_mb, beyond which each response holds only its share, the budget over the number of calls. A body that has no room is passed on as it arrives; a head or an event is malformed.

--- a/crates/cumintrail-client/src/connection.rs
+++ b/crates/cumintrail-client/src/connection.rs
@@ -20,7 +20,7 @@
 use tokio::net::TcpStream;
 use tokio_util::codec::{Decoder, Encoder};
 
-use crate::ClientError;
+use crate::{ClientError, HeldBytes};
 
 /// The time that sent bytes may stay unacknowledged before the other end counts as unreachable.
 ///
@@ -62,6 +62,8 @@
     address: SocketAddr,
     config: ServiceConfig,
     input: BytesMut,
+    /// Counts an incomplete head as held.
+    held: Option<HeldBytes>,
     output: BytesMut,
     encoder: ClientCodec,
     read_state: ReadState,
@@ -161,6 +163,7 @@
             is_head_request: false,
             config,
             input: BytesMut::new(),
+            held: None,
             output: BytesMut::new(),
             request_complete: true,
             write_failed: false,
@@ -189,6 +192,13 @@
         self.exchange_count > 0
     }
 
+    /// Counts incomplete heads of responses as held; a head for which there is no room is malformed.
+    #[must_use]
+    pub fn with_held_bytes(mut self, held: HeldBytes) -> Self {
+        self.held = Some(held);
+        self
+    }
+
     /// Starts an exchange; the request is written while [`Connection::read_head`] is awaited.
     pub fn start_exchange(&mut self, head: RequestHead, size: BodySize) -> Result<(), ClientError> {
         self.exchange_count += 1;
@@ -255,15 +265,21 @@
                 }
                 Ok(Some(head)) => {
                     self.start_body(&head);
+                    self.hold(0)?;
                     return Ok(Some(head));
                 }
                 Ok(None) if self.read_closed => return Err(ClientError::ConnectionLost),
-                Ok(None) => return Ok(None),
+                Ok(None) => return self.hold(self.input.len()).map(|()| None),
                 Err(_) => return Err(ClientError::Malformed),
             }
         }
     }
 
+    fn hold(&mut self, bytes: usize) -> Result<(), ClientError> {
+        let has_room = self.held.as_mut().is_none_or(|held| held.hold(bytes));
+        if has_room { Ok(()) } else { Err(ClientError::Malformed) }
+    }
+
     fn start_body(&mut self, head: &ResponseHead) {
         let ReadState::Head(codec) = std::mem::replace(&mut self.read_state, ReadState::Complete)
         else {
--- a/crates/cumintrail-client/src/pool.rs
+++ b/crates/cumintrail-client/src/pool.rs
@@ -3,12 +3,13 @@
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use actix_http::ServiceConfig;
 
 use crate::connection::KEEPALIVE_INTERVAL;
-use crate::{ClientError, Connection, ConnectionId};
+use crate::{ClientError, Connection, ConnectionId, HeldBytes, ResponseBudget};
 
 /// Fraction of a target's keep-alive timeout during which an idle connection may be reused.
 ///
@@ -37,6 +38,7 @@
 pub struct ConnectionPool {
     config: ServiceConfig,
     connect_timeout: Duration,
+    responses: Arc<ResponseBudget>,
     idle: RefCell<HashMap<SocketAddr, Vec<IdleConnection>>>,
 }
 
@@ -46,9 +48,15 @@
 }
 
 impl ConnectionPool {
-    /// Creates an empty pool for the current thread.
-    pub fn open(connect_timeout: Duration) -> Self {
-        Self { config: ServiceConfig::default(), connect_timeout, idle: RefCell::default() }
+    /// Creates an empty pool for the current thread, whose responses share a budget.
+    pub fn open(connect_timeout: Duration, responses: Arc<ResponseBudget>) -> Self {
+        let config = ServiceConfig::default();
+        Self { config, connect_timeout, responses, idle: RefCell::default() }
+    }
+
+    /// Registers a response with the budget, for what is held of it outside its connection.
+    pub fn hold_response(&self) -> HeldBytes {
+        self.responses.open()
     }
 
     /// Takes the most recently used idle connection to a target, or opens a new one.
@@ -64,7 +72,8 @@
         if let Some(connection) = self.take_idle(at, retry_safety, carried) {
             return Ok(connection);
         }
-        Connection::open(at, self.connect_timeout, self.config.clone()).await
+        let connection = Connection::open(at, self.connect_timeout, self.config.clone()).await?;
+        Ok(connection.with_held_bytes(self.responses.open()))
     }
 
     fn take_idle(
--- a/crates/cumintrail-client/tests/connection.rs
+++ b/crates/cumintrail-client/tests/connection.rs
@@ -7,7 +7,7 @@
 use actix_http::body::BodySize;
 use actix_http::{Method, RequestHead, ServiceConfig};
 use bytes::Bytes;
-use cumintrail_client::{ClientError, Connection, ConnectionPool, RetrySafety};
+use cumintrail_client::{ClientError, Connection, ConnectionPool, ResponseBudget, RetrySafety};
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::{TcpListener, TcpStream};
 
@@ -165,7 +165,7 @@
 
 #[actix_rt::test]
 async fn a_connection_that_closed_while_idle_is_not_taken_from_the_pool() {
-    let pool = ConnectionPool::open(TIMEOUT);
+    let pool = ConnectionPool::open(TIMEOUT, ResponseBudget::new(1 << 20, 1 << 20));
     let at = target(vec![COMPLETE_RESPONSE.into()], false).await;
     let mut connection = pool.acquire(at, RetrySafety::AtMostOnce, &[]).await.unwrap();
     assert_eq!(exchange(&mut connection).await.unwrap(), b"ok");
@@ -224,7 +224,7 @@
             false,
         )
         .await;
-        let pool = ConnectionPool::open(TIMEOUT);
+        let pool = ConnectionPool::open(TIMEOUT, ResponseBudget::new(1 << 20, 1 << 20));
         let mut connection = pool.acquire(at, RetrySafety::Retryable, &[]).await.unwrap();
         exchange(&mut connection).await.unwrap();
         pool.release(connection);
--- a/crates/cumintrail-client/tests/endless.rs
+++ b/crates/cumintrail-client/tests/endless.rs
@@ -8,7 +8,7 @@
 
 use actix_http::body::BodySize;
 use actix_http::{Method, RequestHead, ServiceConfig};
-use cumintrail_client::{ClientError, Connection, HttpClient};
+use cumintrail_client::{ClientError, Connection, HttpClient, ResponseBudget};
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::TcpListener;
 
@@ -93,3 +93,22 @@
         assert!(sent < LIMIT + SOCKET_BUFFERS, "{start:?}: {sent} bytes were read");
     }
 }
+
+/// Guards against responses that are within their own limits, but hold too much together.
+#[test]
+fn responses_beyond_the_budget_hold_only_their_share() {
+    const LIMIT: usize = 1_000;
+    const SHARE: usize = 10;
+    let budget = ResponseBudget::new(LIMIT, SHARE);
+    let mut large = budget.open();
+    assert!(large.hold(LIMIT));
+    let mut small: Vec<_> = (0..LIMIT / SHARE).map(|_| budget.open()).collect();
+    assert!(small.iter_mut().all(|held| held.hold(SHARE)));
+    assert!(!budget.open().hold(SHARE + 1), "more than its share");
+    assert!(!large.hold(LIMIT), "the small ones hold as much again");
+    drop(small);
+    assert!(large.hold(LIMIT), "the small ones were released");
+    drop(large);
+    assert!(budget.open().hold(LIMIT), "the large one was released");
+    assert!(budget.open().hold(LIMIT), "a dropped refused one holds nothing");
+}
--- a/crates/cumintrail-daemon/src/held/limits.rs
+++ b/crates/cumintrail-daemon/src/held/limits.rs
@@ -5,6 +5,11 @@
 /// The divisor of the VM's memory that gives the budget. The rest is for the process's own state, for
 /// connections to targets and peers, and for what the allocator does not reuse.
 const MEMORY_DIVISOR: usize = 4;
+/// The divisor of the VM's memory that gives the budget of incomplete responses, which may use up
+/// twice as much.
+const RESPONSE_DIVISOR: usize = 8;
+/// The smallest share of a response, which a head with many fields fits into.
+const MIN_RESPONSE_SHARE: usize = 4 << 10;
 /// The smallest budget: a few requests whose bodies and responses are buffered.
 const MIN_BUDGET_BYTES: usize = 4 << 20;
 /// The smallest number of connections of a port.
@@ -51,6 +56,10 @@
 pub struct HeldLimits {
     /// The bytes of heads, bodies, unread responses and connections.
     pub bytes: usize,
+    /// The bytes that incomplete responses of targets may hold together.
+    pub response_bytes: usize,
+    /// The bytes that a response may hold beyond that.
+    pub response_share: usize,
     /// The connections of a port, by [`Port`].
     connections: [usize; Port::COUNT],
 }
@@ -70,7 +79,11 @@
             Port::Detours | Port::Control => sockets / 8,
             Port::Readiness | Port::Metrics => monitoring,
         });
+        let response_bytes = (memory_bytes / RESPONSE_DIVISOR).max(MIN_BUDGET_BYTES / 2);
+        let calls = connections[Port::Callers as usize] + connections[Port::Detours as usize];
         Self {
+            response_bytes,
+            response_share: (response_bytes / calls.max(1)).max(MIN_RESPONSE_SHARE),
             bytes: (memory_bytes / MEMORY_DIVISOR).max(MIN_BUDGET_BYTES),
             connections: connections.map(|limit| limit.max(MIN_CONNECTIONS)),
         }
--- a/crates/cumintrail-daemon/src/relay.rs
+++ b/crates/cumintrail-daemon/src/relay.rs
@@ -27,7 +27,7 @@
 
 use actix_rt::Arbiter;
 use actix_rt::net::TcpStream;
-use cumintrail_client::{ConnectionPool, ProcessWatches};
+use cumintrail_client::{ConnectionPool, ProcessWatches, ResponseBudget};
 use cumintrail_control::Event;
 use cumintrail_types::TargetKey;
 use tokio::sync::watch;
@@ -109,16 +109,18 @@
         let state = Arc::new(state);
         callers.set_nonblocking(true)?;
         detours.as_ref().map_or(Ok(()), |listener| listener.set_nonblocking(true))?;
+        let limits = held.limits();
+        let responses = ResponseBudget::new(limits.response_bytes, limits.response_share);
         let mut arbiters = Vec::new();
         for _ in 0..shared.settings.workers.max(1) {
             let listener = callers.try_clone()?;
             let detours = detours.as_ref().map(TcpListener::try_clone).transpose()?;
             let (shared, state, dialect) = (shared.clone(), state.clone(), dialect.clone());
-            let held = held.clone();
+            let (held, responses) = (held.clone(), responses.clone());
             let arbiter = Arbiter::new();
             arbiter.spawn_fn(move || {
                 let worker = Worker {
-                    pool: ConnectionPool::open(CONNECT_TIMEOUT),
+                    pool: ConnectionPool::open(CONNECT_TIMEOUT, responses),
                     processes: ProcessWatches::open(CONNECT_TIMEOUT),
                     shared,
                     dialect,
--- a/crates/cumintrail-daemon/src/relay/attempt/response.rs
+++ b/crates/cumintrail-daemon/src/relay/attempt/response.rs
@@ -26,7 +26,7 @@
         mut connection: Connection,
         head: ResponseHead,
     ) -> AttemptEnd {
-        let mut body = BytesMut::new();
+        let (mut body, mut room) = (BytesMut::new(), self.worker.pool.hold_response());
         loop {
             let chunk = match self.wait_for_chunk(&mut connection).await {
                 WaitResult::Target(Ok(chunk)) => chunk,
@@ -34,7 +34,11 @@
                 WaitResult::Ended(end) => return end,
             };
             match chunk {
-                Some(chunk) if body.len() + chunk.len() > MAX_BUFFERED_RESPONSE_BYTES => {
+                Some(chunk)
+                    if body.len() + chunk.len() > MAX_BUFFERED_RESPONSE_BYTES
+                        || !room.hold(body.len() + chunk.len()) =>
+                {
+                    drop(room);
                     body.extend_from_slice(&chunk);
                     return self.forward_unbuffered(connection, head, body.freeze()).await;
                 }
@@ -52,7 +56,8 @@
         let framing = connection.framing();
         self.worker.pool.release(connection);
         let status = head.status;
-        let response = BufferedResponse { head, target: self.name.clone(), body: body.freeze() };
+        let (target, body) = (self.name.clone(), body.freeze());
+        let response = BufferedResponse { head, target, body, _held: room };
         // A peer has made all attempts that the call may have.
         let may_repeat = self.call.class == CallClass::Repeatable
             && !self.call.body_consumed
@@ -115,6 +120,7 @@
             return self.fail(&connection, &ClientError::Malformed).await;
         }
         self.call.events.drop_partial();
+        let mut room = self.worker.pool.hold_response();
         loop {
             let chunk = match self.wait_for_chunk(&mut connection).await {
                 WaitResult::Target(Ok(chunk)) => chunk,
@@ -125,10 +131,11 @@
             let batch = self.call.events.push(&chunk);
             let is_passed_on = batch.count == 0
                 || self.start_stream(&head).await && self.write_events(batch.bytes).await.is_ok();
+            let has_room = room.hold(self.call.events.remainder_len());
             match batch.rest {
                 _ if !is_passed_on => return AttemptEnd::Disconnected,
-                Err(_) => return self.fail(&connection, &ClientError::Malformed).await,
-                Ok(()) => {}
+                Ok(()) if has_room => {}
+                _ => return self.fail(&connection, &ClientError::Malformed).await,
             }
         }
         // Without an event, a close does not distinguish the end of the stream from a crash.
--- a/crates/cumintrail-daemon/src/relay/relayed_call.rs
+++ b/crates/cumintrail-daemon/src/relay/relayed_call.rs
@@ -4,7 +4,7 @@
 
 use actix_http::{Request, ResponseHead};
 use bytes::Bytes;
-use cumintrail_client::ConnectionId;
+use cumintrail_client::{ConnectionId, HeldBytes};
 use cumintrail_config::{Snapshot, TargetKind};
 use cumintrail_control::home_regions::AllowedRegions;
 use cumintrail_control::parts::cache_salt;
@@ -82,6 +82,8 @@
     pub head: ResponseHead,
     pub target: Arc<str>,
     pub body: Bytes,
+    /// Counts the body as held.
+    pub _held: HeldBytes,
 }
 
 /// Forwards a buffered response to the caller.
--- a/tests/platform-standin/src/deployment.rs
+++ b/tests/platform-standin/src/deployment.rs
@@ -261,6 +261,7 @@
         let mut routes = vec![
             route("read", "/read/", "safe", PLAIN_SERVICE, &json!({})),
             route("hold", "/hold/", "unsafe", PLAIN_SERVICE, &single_attempt),
+            route("pour", "/pour/", "streaming", PLAIN_SERVICE, &single_attempt),
             route("flow", "/flow/", "streaming", MODEL_SERVICE, &single_attempt),
             route("resume", "/resume/", "streaming", MODEL_SERVICE, &json!({ "resumable": true })),
         ];
