--- a/crates/cumintrail-client/src/connection.rs
+++ b/crates/cumintrail-client/src/connection.rs
@@ -21,7 +21,7 @@
 use tokio::net::TcpStream;
 use tokio_util::codec::{Decoder, Encoder};
 
-use crate::ClientError;
+use crate::{ClientError, HeldBytes};
 
 /// The time that sent bytes may stay unacknowledged before the other end counts as unreachable.
 ///
@@ -37,8 +37,12 @@
 const READ_SIZE_BYTES: usize = 16 << 10;
 /// The fill level of the output buffer from which no further body chunk is queued.
 const MAX_OUTPUT_BUFFER_BYTES: usize = 64 << 10;
-/// The body length up to which a response to another call is skipped.
-const MAX_DISCARDED_BYTES: usize = 256 << 10;
+/// The body length up to which a response that is not wanted is read.
+pub const MAX_DISCARDED_BYTES: usize = 256 << 10;
+/// The bytes of interim responses, or of framing without content in between, from which a response
+/// is malformed. They are not kept, but a target that sends them without end would keep its caller
+/// waiting and this process busy.
+const MAX_OVERHEAD_BYTES: usize = 64 << 10;
 
 /// Identifies a connection for as long as the process runs.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -59,6 +63,8 @@
     address: SocketAddr,
     config: ServiceConfig,
     input: BytesMut,
+    /// Counts an incomplete head as held.
+    held: Option<HeldBytes>,
     output: BytesMut,
     encoder: ClientCodec,
     read_state: ReadState,
@@ -71,6 +77,8 @@
     /// Whether [`Connection::awaits_bytes`] met a reset, after which a read sees an end.
     was_reset: bool,
     framing: Framing,
+    /// The bytes received since the exchange or the last content began that are no content.
+    overhead: usize,
     keep_alive: Option<Duration>,
     exchange_count: u32,
     /// Time since the VM's boot, including suspension, in which the target's timeout elapses too.
@@ -156,12 +164,14 @@
             is_head_request: false,
             config,
             input: BytesMut::new(),
+            held: None,
             output: BytesMut::new(),
             request_complete: true,
             write_failed: false,
             read_closed: false,
             was_reset: false,
             framing: Framing::Bodiless,
+            overhead: 0,
             keep_alive: None,
             exchange_count: 0,
             last_used: since_boot(),
@@ -183,9 +193,17 @@
         self.exchange_count > 0
     }
 
+    /// Counts incomplete heads of responses as held; a head for which there is no room is malformed.
+    #[must_use]
+    pub fn with_held_bytes(mut self, held: HeldBytes) -> Self {
+        self.held = Some(held);
+        self
+    }
+
     /// Starts an exchange; the request is written while [`Connection::read_head`] is awaited.
     pub fn start_exchange(&mut self, head: RequestHead, size: BodySize) -> Result<(), ClientError> {
         self.exchange_count += 1;
+        self.overhead = 0;
         self.is_head_request = head.method == Method::HEAD;
         self.read_state = ReadState::Head(ClientCodec::new(self.config.clone()));
         self.request_complete = matches!(size, BodySize::None | BodySize::Sized(0));
@@ -241,19 +259,28 @@
             let ReadState::Head(codec) = &mut self.read_state else {
                 return Err(ClientError::ConnectionLost);
             };
+            let before = self.input.len();
             match codec.decode(&mut self.input) {
-                Ok(Some(head)) if head.status == StatusCode::CONTINUE => {}
+                Ok(Some(head)) if head.status == StatusCode::CONTINUE => {
+                    self.count_overhead(before)?;
+                }
                 Ok(Some(head)) => {
                     self.start_body(&head);
+                    self.hold(0)?;
                     return Ok(Some(head));
                 }
                 Ok(None) if self.read_closed => return Err(ClientError::ConnectionLost),
-                Ok(None) => return Ok(None),
+                Ok(None) => return self.hold(self.input.len()).map(|()| None),
                 Err(_) => return Err(ClientError::Malformed),
             }
         }
     }
 
+    fn hold(&mut self, bytes: usize) -> Result<(), ClientError> {
+        let has_room = self.held.as_mut().is_none_or(|held| held.hold(bytes));
+        if has_room { Ok(()) } else { Err(ClientError::Malformed) }
+    }
+
     fn start_body(&mut self, head: &ResponseHead) {
         let ReadState::Head(codec) = std::mem::replace(&mut self.read_state, ReadState::Complete)
         else {
@@ -305,7 +332,14 @@
         }
     }
 
+    /// Counts the bytes that were decoded since the input had `before` bytes.
+    fn count_overhead(&mut self, before: usize) -> Result<(), ClientError> {
+        self.overhead += before - self.input.len();
+        if self.overhead > MAX_OVERHEAD_BYTES { Err(ClientError::Malformed) } else { Ok(()) }
+    }
+
     fn decode_chunk(&mut self) -> Result<BodyPart, ClientError> {
+        let before = self.input.len();
         match &mut self.read_state {
             ReadState::Complete => Ok(BodyPart::End),
             ReadState::Head(_) => Err(ClientError::ConnectionLost),
@@ -323,26 +357,37 @@
             }
             ReadState::UntilClosed => Ok(BodyPart::Pending),
             ReadState::Body(codec) => match codec.0.decode(&mut self.input) {
-                Ok(Some(Some(chunk))) => Ok(BodyPart::Chunk(chunk)),
+                Ok(Some(Some(chunk))) => {
+                    self.overhead = 0;
+                    Ok(BodyPart::Chunk(chunk))
+                }
                 Ok(Some(None)) => {
                     self.read_state = ReadState::Complete;
                     Ok(BodyPart::End)
                 }
                 Ok(None) if self.read_closed => Err(ClientError::ConnectionLost),
-                Ok(None) => Ok(BodyPart::Pending),
+                Ok(None) => self.count_overhead(before).map(|()| BodyPart::Pending),
                 Err(_) => Err(ClientError::Malformed),
             },
         }
     }
 
-    /// Discards the body of a response to another call and prepares to read the next response.
-    pub async fn skip_response(&mut self) -> Result<(), ClientError> {
+    /// Prepares to read the next response, after one to another call was read completely.
+    pub fn expect_response(&mut self) {
+        self.read_state = ReadState::Head(ClientCodec::new(self.config.clone()));
+    }
+
+    /// Discards what has arrived of the response; returns whether that is all of it.
+    pub fn discard_arrived(&mut self) -> bool {
         let mut remaining = MAX_DISCARDED_BYTES;
-        while let Some(chunk) = self.read_chunk().await? {
-            remaining = remaining.checked_sub(chunk.len()).ok_or(ClientError::Malformed)?;
+        loop {
+            match self.decode_chunk() {
+                Ok(BodyPart::End) => return true,
+                Ok(BodyPart::Chunk(chunk)) if chunk.len() <= remaining => remaining -= chunk.len(),
+                Ok(BodyPart::Pending) if self.receive().is_some_and(|read| read > 0) => {}
+                Ok(BodyPart::Chunk(_) | BodyPart::Pending) | Err(_) => return false,
+            }
         }
-        self.read_state = ReadState::Head(ClientCodec::new(self.config.clone()));
-        Ok(())
     }
 
     /// Returns how long the idle connection may be reused; `None` if it must be closed.
@@ -379,6 +424,20 @@
         }
     }
 
+    /// Reads what has arrived and returns its size, zero for the end of the input; `None` if nothing
+    /// has arrived.
+    fn receive(&mut self) -> Option<usize> {
+        self.input.reserve(READ_SIZE_BYTES);
+        match self.stream.try_read_buf(&mut self.input) {
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => return None,
+            Ok(0) => self.read_closed = true,
+            Ok(read) => return Some(read),
+            // Later reads return the end of the input.
+            Err(_) => (self.read_closed, self.was_reset) = (true, true),
+        }
+        Some(0)
+    }
+
     /// Records the end of an exchange and frees the buffers.
     pub fn mark_idle(&mut self) {
         self.last_used = since_boot();
--- a/crates/cumintrail-client/tests/endless.rs
+++ b/crates/cumintrail-client/tests/endless.rs
@@ -8,7 +8,7 @@
 
 use actix_http::body::BodySize;
 use actix_http::{Method, RequestHead, ServiceConfig};
-use cumintrail_client::{ClientError, Connection, HttpClient};
+use cumintrail_client::{ClientError, Connection, HttpClient, ResponseBudget};
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::TcpListener;
 
@@ -57,6 +57,26 @@
     }
 }
 
+/// Guards against parts of a chunked body that are no content and are read until the peer closes.
+#[actix_rt::test]
+async fn framing_without_content_is_malformed() {
+    const CHUNKED: &str = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+    for (start, again) in [("1;", "x"), ("0", "0"), ("0\r\nx", "x"), ("0\r\n", "x-name: value\r\n")]
+    {
+        let (at, sent) = endless(format!("{CHUNKED}{start}").leak(), again).await;
+        let read = async {
+            let mut connection = Connection::open(at, TIMEOUT, ServiceConfig::default()).await?;
+            connection.start_exchange(RequestHead::default(), BodySize::None)?;
+            connection.read_head().await?;
+            connection.read_chunk().await
+        };
+        let read = actix_rt::time::timeout(TIMEOUT, read).await;
+        let read = read.unwrap_or_else(|_| panic!("{start:?}: no end"));
+        assert!(matches!(read, Err(ClientError::Malformed)), "{start:?}: {read:?}");
+        assert!(sent.load(Ordering::Relaxed) < SOCKET_BUFFERS, "{start:?}");
+    }
+}
+
 #[actix_rt::test]
 async fn a_body_without_end_is_cut_off_at_the_limit() {
     const LIMIT: usize = 256 << 10;
@@ -73,3 +93,22 @@
         assert!(sent < LIMIT + SOCKET_BUFFERS, "{start:?}: {sent} bytes were read");
     }
 }
+
+/// Guards against responses that are within their own limits, but hold too much together.
+#[test]
+fn responses_beyond_the_budget_hold_only_their_share() {
+    const LIMIT: usize = 1_000;
+    const SHARE: usize = 10;
+    let budget = ResponseBudget::new(LIMIT, SHARE);
+    let mut large = budget.open();
+    assert!(large.hold(LIMIT));
+    let mut small: Vec<_> = (0..LIMIT / SHARE).map(|_| budget.open()).collect();
+    assert!(small.iter_mut().all(|held| held.hold(SHARE)));
+    assert!(!budget.open().hold(SHARE + 1), "more than its share");
+    assert!(!large.hold(LIMIT), "the small ones hold as much again");
+    drop(small);
+    assert!(large.hold(LIMIT), "the small ones were released");
+    drop(large);
+    assert!(budget.open().hold(LIMIT), "the large one was released");
+    assert!(budget.open().hold(LIMIT), "a dropped refused one holds nothing");
+}
