Open an idle connection at once when a request wants one

A target that was killed again within 50 ms had its idle connection opened after 200 ms only, and requests in that time had no evidence. A request now ends the delay.

--- a/crates/cumintrail-client/src/process_watch.rs
+++ b/crates/cumintrail-client/src/process_watch.rs
@@ -13,10 +13,10 @@
 use std::time::Duration;
 
 use actix_rt::task::JoinHandle;
-use actix_rt::time::{Instant, sleep, timeout};
+use actix_rt::time::{Instant, timeout};
 use derive_more::Display;
 use tokio::net::TcpStream;
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 use crate::Connection;
 use crate::connection::configure_socket;
@@ -71,6 +71,8 @@
 #[derive(Debug)]
 struct ProcessWatch {
     state: watch::Receiver<IdleConnection>,
+    /// Ends the delay before the connection is opened again.
+    wanted: Rc<Notify>,
     task: JoinHandle<()>,
 }
 
@@ -78,8 +80,9 @@
     fn spawn(at: SocketAddr, connect_timeout: Duration) -> Self {
         let closed = IdleConnection::Closed { since: Instant::now(), last: 0 };
         let (tx, state) = watch::channel(closed);
-        let task = actix_rt::spawn(keep_open(at, connect_timeout, tx));
-        Self { state, task }
+        let wanted = Rc::new(Notify::new());
+        let task = actix_rt::spawn(keep_open(at, connect_timeout, tx, wanted.clone()));
+        Self { state, wanted, task }
     }
 }
 
@@ -93,6 +96,7 @@
     at: SocketAddr,
     connect_timeout: Duration,
     state: watch::Sender<IdleConnection>,
+    wanted: Rc<Notify>,
 ) {
     let [shortest, longest] = REOPEN_DELAYS;
     let (mut delay, mut last) = (shortest, 0);
@@ -109,8 +113,9 @@
                 continue;
             }
         }
-        sleep(delay).await;
-        delay = (2 * delay).min(longest);
+        if timeout(delay, wanted.notified()).await.is_err() {
+            delay = (2 * delay).min(longest);
+        }
     }
 }
 
@@ -159,12 +164,16 @@
         let known = watches.entry(at).or_default();
         known.is_used = true;
         let spawn = || Rc::new(ProcessWatch::spawn(at, self.connect_timeout));
+        let is_new = known.watch.is_none();
         let watch = known.watch.get_or_insert_with(spawn).clone();
         let state = watch.state.clone();
         let closed_before = match *state.borrow() {
             IdleConnection::Closed { last, .. } => last,
             IdleConnection::Open(number) => number - 1,
         };
+        if !is_new && matches!(*state.borrow(), IdleConnection::Closed { .. }) {
+            watch.wanted.notify_one();
+        }
         ProcessEvidence {
             at,
             connect_timeout: self.connect_timeout,
