Keep watching a target's process after a response to another call

A response that belongs to another call and has a length came first, and the daemon dropped its evidence of the target's process, so that the unframed response after it was checked by the address only.

--- a/crates/cumintrail-daemon/src/relay/attempt.rs
+++ b/crates/cumintrail-daemon/src/relay/attempt.rs
@@ -334,10 +334,9 @@
         let (processes, at) = (&self.worker.processes, connection.address());
         let ends_by_close = connection.framing() == Framing::Close;
         processes.record(at, ends_by_close);
-        match &self.evidence {
-            None if ends_by_close => self.evidence = Some(processes.watch(at)),
-            Some(_) if !ends_by_close => self.evidence = None,
-            _ => {}
+        // The response to another call, which may come first, says nothing about the one after it.
+        if ends_by_close && self.evidence.is_none() {
+            self.evidence = Some(processes.watch(at));
         }
     }
 
--- a/crates/cumintrail-daemon/src/relay/attempt/response.rs
+++ b/crates/cumintrail-daemon/src/relay/attempt/response.rs
@@ -50,7 +50,7 @@
                 None => break,
             }
         }
-        if self.is_cut_off().await {
+        if self.is_cut_off(&connection).await {
             return self.fail(&connection, &ClientError::Truncated).await;
         }
         let framing = connection.framing();
@@ -99,7 +99,7 @@
                 WaitResult::Ended(end) => return end,
             };
         }
-        if self.is_cut_off().await {
+        if self.is_cut_off(&connection).await {
             return self.fail(&connection, &ClientError::Truncated).await;
         }
         let framing = connection.framing();
@@ -141,7 +141,7 @@
         // Without an event, a close does not distinguish the end of the stream from a crash.
         let is_empty = connection.framing() == Framing::Close && !self.call.response_started;
         let rest = match self.call.events.finish() {
-            Ok(rest) if !is_empty && !self.is_cut_off().await => rest,
+            Ok(rest) if !is_empty && !self.is_cut_off(&connection).await => rest,
             _ => return self.fail(&connection, &ClientError::Truncated).await,
         };
         self.log_answered(status, connection.framing());
@@ -160,7 +160,10 @@
 
     /// Returns whether a response that ended with its connection was cut off by the end of its
     /// target's process, whose system closes connections like a target that is done.
-    async fn is_cut_off(&mut self) -> bool {
+    async fn is_cut_off(&mut self, connection: &Connection) -> bool {
+        if connection.framing() != Framing::Close {
+            return false;
+        }
         let Some(evidence) = self.evidence.take() else { return false };
         let process = evidence.process_state().await;
         lines::unframed_end(self.call, self.number, &self.name, process);
--- a/tests/tests/gateway_unframed.rs
+++ b/tests/tests/gateway_unframed.rs
@@ -67,6 +67,18 @@
     assert!(wrong.is_empty(), "{wrong:#?}");
 }
 
+/// Guards against a response to another call, with a length, that ends the watch of the process.
+#[actix_rt::test]
+async fn a_foreign_response_does_not_end_the_watch_of_its_target() {
+    let foreign = "HTTP/1.1 200 OK\r\nx-cumintrail-call: other\r\ncontent-length: 2\r\n\r\nno";
+    let short = format!("{foreign}{UNFRAMED}{TWO_EVENTS}");
+    let target = Replica::bind(move |_| vec![pause(30), send(&short), Step::Restart]);
+    let target = target.await.unwrap();
+    let cluster = Cluster::spawn(&[&target]).await;
+    let response = cluster.call("/flow/").await;
+    assert!(!response.ends_with(LAST_CHUNK), "{response}");
+}
+
 /// When a target closes connections that have no call.
 #[derive(Clone, Copy)]
 enum IdleClose {
