--- a/tests/tests/gateway_restarts.rs
+++ b/tests/tests/gateway_restarts.rs
@@ -77,16 +77,17 @@
     };
     let whole = || vec![send(UNFRAMED), send("wheel"), Step::Close];
     let target = Replica::bind_by_head(move |head| match head.split(' ').nth(1) {
-        Some("/flow/") => stream(),
-        Some("/resume/") => interrupted(),
+        Some("/flow/" | "/resume/") => stream(),
+        Some("/flow/idle" | "/resume/idle") => interrupted(),
         _ => whole(),
     });
     let target = target.await.unwrap();
     let cluster = Cluster::spawn(&[&target]).await;
-    for path in ["/flow/", "/resume/", "/hold/", "/read/"].repeat(3) {
+    let paths = ["/flow/", "/resume/", "/flow/idle", "/resume/idle", "/hold/", "/read/"];
+    for path in paths.repeat(3) {
         let response = cluster.call(path).await;
-        let end = if path.len() > 6 || path == "/flow/" { "0\r\n\r\n" } else { "wheel" };
+        let end = if matches!(path, "/hold/" | "/read/") { "wheel" } else { "0\r\n\r\n" };
         assert!(response.ends_with(end), "{path}: {response}");
     }
-    assert_eq!(target.calls().len(), 12, "a complete response was repeated");
+    assert_eq!(target.calls().len(), 18, "a complete response was repeated");
 }
