--- a/crates/cumintrail-daemon/src/relay/attempt/response.rs
+++ b/crates/cumintrail-daemon/src/relay/attempt/response.rs
@@ -165,8 +165,9 @@
             return false;
         }
         let Some(evidence) = self.evidence.take() else { return false };
+        let left = self.call.deadline.since(self.worker.shared.now());
         let process = evidence.process_state().await;
-        lines::unframed_end(self.call, self.number, &self.name, process);
+        lines::unframed_end(self.call, self.number, &self.name, process, left);
         !process.completes_response()
     }
 
--- a/crates/cumintrail-daemon/src/relay/lines.rs
+++ b/crates/cumintrail-daemon/src/relay/lines.rs
@@ -1,5 +1,7 @@
 //! The log lines of relayed calls: one per decision, with the values that it was based on.
 
+use std::time::Duration;
+
 use actix_http::StatusCode;
 use actix_http::header::HeaderValue;
 use cumintrail_client::{Framing, ProcessState};
@@ -100,18 +102,22 @@
     );
 }
 
-/// Logs what is known of the process whose response ended with its connection.
+/// Logs what is known of the process whose response ended with its connection, and the time that was
+/// left until the deadline.
 pub fn unframed_end(
     call: &RelayedCall,
     attempt: AttemptNumber,
     target: &str,
     process: ProcessState,
+    left: Duration,
 ) {
     log::info!(
-        "event=unframed-end id={} call={} attempt={attempt} target={target} process={process} last_event={}",
+        "event=unframed-end id={} call={} attempt={attempt} target={target} process={process} last_event={} \
+         left_ms={}",
         caller_call_id(call),
         call.key,
         call.events.last_id().unwrap_or(0),
+        left.as_millis(),
     );
 }
 
