Do not take a target's stop at the deadline for the end of its response

What callers saw: a response without length or chunks that its target stops at the deadline of the call ended as complete, short, a stream between two events as well as a whole response.

Cause: targets receive the time that is left in whole milliseconds and stop when it is over. One that closes the connection then looks like one that is done, its process lives on, and the daemon's own timer, which ticks every 20 ms, comes later. So the end by close counted.

Change: no end by close counts from 5 ms before the deadline on. The attempt then waits for the control thread, which ends the call at its deadline, so that no further attempt is made for a call without time.

--- a/crates/cumintrail-daemon/src/relay/attempt/response.rs
+++ b/crates/cumintrail-daemon/src/relay/attempt/response.rs
@@ -1,5 +1,7 @@
 //! Forwards a target's response to the caller: buffered, as it arrives, or in batches of events.
 
+use std::time::Duration;
+
 use actix_http::header::CONTENT_ENCODING;
 use actix_http::{ResponseHead, StatusCode};
 use bytes::{Bytes, BytesMut};
@@ -18,6 +20,11 @@
 
 /// The largest response that is buffered completely; a larger one is forwarded as it arrives.
 const MAX_BUFFERED_RESPONSE_BYTES: usize = 256 << 10;
+/// How long before a call's deadline a target may stop to work on it.
+///
+/// Targets receive the time that is left in whole milliseconds, and measure it with timers of their
+/// own.
+const STOP_TOLERANCE: Duration = Duration::from_millis(5);
 
 impl<D: HeaderDialect> Attempt<'_, D> {
     /// Reads a response completely, then forwards it.
@@ -50,8 +57,8 @@
                 None => break,
             }
         }
-        if self.is_cut_off(&connection).await {
-            return self.fail(&connection, &ClientError::Truncated).await;
+        if let Some(end) = self.check_end(&connection).await {
+            return end;
         }
         let framing = connection.framing();
         self.worker.pool.release(connection);
@@ -99,8 +106,8 @@
                 WaitResult::Ended(end) => return end,
             };
         }
-        if self.is_cut_off(&connection).await {
-            return self.fail(&connection, &ClientError::Truncated).await;
+        if let Some(end) = self.check_end(&connection).await {
+            return end;
         }
         let framing = connection.framing();
         self.worker.pool.release(connection);
@@ -141,9 +148,12 @@
         // Without an event, a close does not distinguish the end of the stream from a crash.
         let is_empty = connection.framing() == Framing::Close && !self.call.response_started;
         let rest = match self.call.events.finish() {
-            Ok(rest) if !is_empty && !self.is_cut_off(&connection).await => rest,
+            Ok(rest) if !is_empty => rest,
             _ => return self.fail(&connection, &ClientError::Truncated).await,
         };
+        if let Some(end) = self.check_end(&connection).await {
+            return end;
+        }
         self.log_answered(status, connection.framing());
         if !self.start_stream(&head).await {
             return AttemptEnd::Disconnected;
@@ -158,17 +168,26 @@
         if written.is_ok() { AttemptEnd::Completed } else { AttemptEnd::Truncated }
     }
 
-    /// Returns whether a response that ended with its connection was cut off by the end of its
-    /// target's process, whose system closes connections like a target that is done.
-    async fn is_cut_off(&mut self, connection: &Connection) -> bool {
+    /// Returns the end of the attempt if its response, which ended with its connection, counts as cut
+    /// off: a target that stops, and the system of one that ends, close connections like a target
+    /// that is done.
+    async fn check_end(&mut self, connection: &Connection) -> Option<AttemptEnd> {
         if connection.framing() != Framing::Close {
-            return false;
+            return None;
         }
-        let Some(evidence) = self.evidence.take() else { return false };
         let left = self.call.deadline.since(self.worker.shared.now());
-        let process = evidence.process_state().await;
-        lines::unframed_end(self.call, self.number, &self.name, process, left);
-        !process.completes_response()
+        if left <= STOP_TOLERANCE {
+            lines::unframed_end(self.call, self.number, &self.name, None, left);
+            // The control thread refuses the call at its deadline.
+            let interrupt = next_interrupt(&mut self.call.commands, self.number).await;
+            return Some(self.interrupt(interrupt));
+        }
+        let process = self.evidence.take()?.process_state().await;
+        lines::unframed_end(self.call, self.number, &self.name, Some(process), left);
+        if process.completes_response() {
+            return None;
+        }
+        Some(self.fail(connection, &ClientError::Truncated).await)
     }
 
     async fn write_events(&mut self, bytes: Bytes) -> std::io::Result<()> {
--- a/crates/cumintrail-daemon/src/relay/lines.rs
+++ b/crates/cumintrail-daemon/src/relay/lines.rs
@@ -108,9 +108,10 @@
     call: &RelayedCall,
     attempt: AttemptNumber,
     target: &str,
-    process: ProcessState,
+    process: Option<ProcessState>,
     left: Duration,
 ) {
+    let process = process.map_or("not-checked".into(), |process| process.to_string());
     log::info!(
         "event=unframed-end id={} call={} attempt={attempt} target={target} process={process} last_event={} \
          left_ms={}",
--- a/tests/tests/gateway_unframed.rs
+++ b/tests/tests/gateway_unframed.rs
@@ -79,6 +79,27 @@
     assert!(!response.ends_with(LAST_CHUNK), "{response}");
 }
 
+/// Guards against a target whose stop at the deadline of a call passes for the end of its response.
+#[actix_rt::test]
+async fn a_response_that_its_target_stops_at_the_deadline_is_not_complete() {
+    let target = Replica::bind_by_head(move |head| {
+        let left = header(head, "x-cumintrail-deadline-ms").and_then(|ms| ms.parse().ok());
+        let begun = if head.contains(" /hold/") { "wheel" } else { TWO_EVENTS };
+        vec![send(UNFRAMED), send(begun), pause(left.expect("a deadline")), Step::Close]
+    });
+    let target = target.await.unwrap();
+    let cluster = Cluster::spawn(&[&target]).await;
+    for (number, path) in ["/flow/", "/resume/", "/hold/"].into_iter().enumerate() {
+        let mut caller = cluster.connect().await;
+        let headers = "connection: close\r\nx-cumintrail-deadline-ms: 300\r\n";
+        caller.send(path, &format!("c-{number}"), headers, "").await;
+        let response = caller.rest().await;
+        let is_success = response.starts_with("HTTP/1.1 200");
+        let is_whole = response.ends_with(LAST_CHUNK) || response.ends_with("\r\n\r\nwheel");
+        assert!(!is_success || !is_whole, "{path}: {response}");
+    }
+}
+
 /// When a target closes connections that have no call.
 #[derive(Clone, Copy)]
 enum IdleClose {
