Do not take the last chunk at the deadline for the end of a stream

What callers saw: a stream in chunks that its target stops at the deadline of the call ended as complete, short. An engine whose loop ends when the time is over lets its HTTP library write the last chunk.

Cause: only an end by close was held against the deadline.

Change: no end of a stream in chunks counts from 5 ms before the deadline on, like an end by close. Other responses in chunks do, so that a target's own 504 is passed on. The decision has a log line of its own, end-at-deadline, instead of the value not-checked of a process.

--- a/crates/cumintrail-daemon/src/relay/attempt.rs
+++ b/crates/cumintrail-daemon/src/relay/attempt.rs
@@ -4,6 +4,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use actix_http::body::BodySize;
 use actix_http::{RequestHead, ResponseHead, StatusCode};
@@ -29,6 +30,11 @@
 
 /// The most responses to other calls that are skipped in one exchange.
 const MAX_FOREIGN_RESPONSES: usize = 2;
+/// How long before a call's deadline a target may stop to work on it.
+///
+/// Targets receive the time that is left in whole milliseconds, and measure it with timers of their
+/// own.
+const STOP_TOLERANCE: Duration = Duration::from_millis(5);
 
 /// Describes how an attempt ended.
 pub(super) enum AttemptEnd {
@@ -357,6 +363,19 @@
         }
     }
 
+    /// Returns the end of the attempt if its exchange ended at the deadline of the call, at which
+    /// targets stop.
+    async fn check_deadline(&mut self) -> Option<AttemptEnd> {
+        let left = self.call.deadline.since(self.worker.shared.now());
+        if left > STOP_TOLERANCE {
+            return None;
+        }
+        lines::end_at_deadline(self.call, self.number, &self.name, left);
+        // The control thread refuses the call at its deadline.
+        let interrupt = next_interrupt(&mut self.call.commands, self.number).await;
+        Some(self.interrupt(interrupt))
+    }
+
     /// Forwards input from the caller; returns the end of the attempt if it cannot continue.
     async fn forward_body(
         &mut self,
--- a/crates/cumintrail-daemon/src/relay/attempt/response.rs
+++ b/crates/cumintrail-daemon/src/relay/attempt/response.rs
@@ -1,7 +1,5 @@
 //! Forwards a target's response to the caller: buffered, as it arrives, or in batches of events.
 
-use std::time::Duration;
-
 use actix_http::header::CONTENT_ENCODING;
 use actix_http::{ResponseHead, StatusCode};
 use bytes::{Bytes, BytesMut};
@@ -20,11 +18,6 @@
 
 /// The largest response that is buffered completely; a larger one is forwarded as it arrives.
 const MAX_BUFFERED_RESPONSE_BYTES: usize = 256 << 10;
-/// How long before a call's deadline a target may stop to work on it.
-///
-/// Targets receive the time that is left in whole milliseconds, and measure it with timers of their
-/// own.
-const STOP_TOLERANCE: Duration = Duration::from_millis(5);
 
 impl<D: HeaderDialect> Attempt<'_, D> {
     /// Reads a response completely, then forwards it.
@@ -151,7 +144,12 @@
             Ok(rest) if !is_empty => rest,
             _ => return self.fail(&connection, &ClientError::Truncated).await,
         };
-        if let Some(end) = self.check_end(&connection).await {
+        let end = match connection.framing() {
+            // A target that stops may write the last chunk.
+            Framing::Chunked => self.check_deadline().await,
+            _ => self.check_end(&connection).await,
+        };
+        if let Some(end) = end {
             return end;
         }
         self.log_answered(status, connection.framing());
@@ -175,15 +173,12 @@
         if connection.framing() != Framing::Close {
             return None;
         }
-        let left = self.call.deadline.since(self.worker.shared.now());
-        if left <= STOP_TOLERANCE {
-            lines::unframed_end(self.call, self.number, &self.name, None, left);
-            // The control thread refuses the call at its deadline.
-            let interrupt = next_interrupt(&mut self.call.commands, self.number).await;
-            return Some(self.interrupt(interrupt));
+        if let Some(end) = self.check_deadline().await {
+            return Some(end);
         }
+        let left = self.call.deadline.since(self.worker.shared.now());
         let process = self.evidence.take()?.process_state().await;
-        lines::unframed_end(self.call, self.number, &self.name, Some(process), left);
+        lines::unframed_end(self.call, self.number, &self.name, process, left);
         if process.completes_response() {
             return None;
         }
--- a/crates/cumintrail-daemon/src/relay/lines.rs
+++ b/crates/cumintrail-daemon/src/relay/lines.rs
@@ -102,16 +102,26 @@
     );
 }
 
+/// Logs that a response ended at the deadline of its call, and does not count as complete.
+pub fn end_at_deadline(call: &RelayedCall, attempt: AttemptNumber, target: &str, left: Duration) {
+    log::info!(
+        "event=end-at-deadline id={} call={} attempt={attempt} target={target} last_event={} left_ms={}",
+        caller_call_id(call),
+        call.key,
+        call.events.last_id().unwrap_or(0),
+        left.as_millis(),
+    );
+}
+
 /// Logs what is known of the process whose response ended with its connection, and the time that was
 /// left until the deadline.
 pub fn unframed_end(
     call: &RelayedCall,
     attempt: AttemptNumber,
     target: &str,
-    process: Option<ProcessState>,
+    process: ProcessState,
     left: Duration,
 ) {
-    let process = process.map_or("not-checked".into(), |process| process.to_string());
     log::info!(
         "event=unframed-end id={} call={} attempt={attempt} target={target} process={process} last_event={} \
          left_ms={}",
--- a/tests/tests/gateway_unframed.rs
+++ b/tests/tests/gateway_unframed.rs
@@ -8,7 +8,7 @@
 
 use actix_rt::time::{sleep, timeout};
 use cumintrail_daemon::Gateway;
-use cumintrail_tests::gateway_cluster::{Cluster, KEY, WHOLE, declarations, send};
+use cumintrail_tests::gateway_cluster::{Cluster, KEY, STREAM, WHOLE, declarations, send};
 use cumintrail_tests::standins::feed::FeedPlatform;
 use cumintrail_tests::standins::replica::{Replica, Step, header};
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
@@ -100,6 +100,26 @@
     }
 }
 
+/// Guards against a target that stops a stream at the deadline and writes its last chunk.
+#[actix_rt::test]
+async fn a_chunked_stream_that_its_target_stops_at_the_deadline_is_not_complete() {
+    let chunk = format!("{:x}\r\n{TWO_EVENTS}\r\n", TWO_EVENTS.len());
+    let target = Replica::bind_by_head(move |head| {
+        let left = header(head, "x-cumintrail-deadline-ms").and_then(|ms| ms.parse().ok());
+        vec![send(STREAM), send(&chunk), pause(left.expect("a deadline")), send(LAST_CHUNK)]
+    });
+    let target = target.await.unwrap();
+    let cluster = Cluster::spawn(&[&target]).await;
+    for (number, path) in ["/flow/", "/resume/"].into_iter().enumerate() {
+        let mut caller = cluster.connect().await;
+        let headers = "connection: close\r\nx-cumintrail-deadline-ms: 300\r\n";
+        caller.send(path, &format!("c-{number}"), headers, "").await;
+        let response = caller.rest().await;
+        assert!(response.contains(TWO_EVENTS), "{path}: {response}");
+        assert!(!response.ends_with(LAST_CHUNK), "{path}: {response}");
+    }
+}
+
 /// When a target closes connections that have no call.
 #[derive(Clone, Copy)]
 enum IdleClose {
