Do not continue a stream that broke at a peer with another run

What callers saw: a stream that began at one peer went on with the events of another run, from its start, through the next peer.

Cause: a call that passes through a peer was tried again after its first events like one at a target of this daemon. The request to the next peer has the caller's headers, so it names neither the last event nor the call at which the stream began, and the next run counts as the rest of the stream if its ids are larger. If the partition had ended, the next attempt went to a target of any software version, since the version at which a peer began the stream is not known here.

The second part, another software version, was found by reading and has no test.

Change: a stream that breaks at a peer after its first event is cut. Its caller resumes it at any daemon, with the last event that it has.

--- a/crates/cumintrail-daemon/src/relay/attempt.rs
+++ b/crates/cumintrail-daemon/src/relay/attempt.rs
@@ -437,10 +437,12 @@
     }
 
     /// Returns the outcome of a failed attempt, after which only a stream whose last event has an id
-    /// can be continued.
+    /// can be continued. One that a peer began is left to its caller to resume, because this daemon
+    /// does not know at which software version it began.
     fn failed(&self) -> AttemptOutcome {
-        let can_resume =
-            self.call.class == CallClass::ResumableStream && self.call.events.can_resume();
+        let can_resume = self.call.class == CallClass::ResumableStream
+            && self.call.events.can_resume()
+            && !self.is_detour();
         AttemptOutcome::Failed { can_continue: !self.call.response_started || can_resume }
     }
 
--- a/tests/tests/detours.rs
+++ b/tests/tests/detours.rs
@@ -1,6 +1,8 @@
 //! Callers of a daemon that is partitioned from all targets are served through its peers.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use cumintrail_config::Settings;
@@ -26,12 +28,12 @@
 }
 
 impl Deployment {
-    async fn spawn(gateways: usize) -> Self {
+    async fn spawn(gateways: usize, respond: impl Fn(&str) -> Vec<Step> + Clone + 'static) -> Self {
         let platform = FeedPlatform::new();
         platform.publish_declarations(1, &declarations(KEY));
         let (mut targets, mut paths) = (Vec::new(), Vec::new());
         for number in 0..4 {
-            let target = Replica::bind_by_head(respond).await.unwrap();
+            let target = Replica::bind_by_head(respond.clone()).await.unwrap();
             paths.push(Path::spawn(target.address()).unwrap());
             platform.list_target(&format!("t{number}"), 1, 1, "desk", target.address(), false);
             targets.push(target);
@@ -123,7 +125,7 @@
 #[actix_rt::test]
 async fn callers_of_a_partitioned_daemon_are_served_through_its_peers() {
     for state in [PathState::Refused, PathState::Hung, PathState::NewRefused] {
-        let deployment = Deployment::spawn(3).await;
+        let deployment = Deployment::spawn(3, respond).await;
         assert_eq!(status(&deployment.call("/hold/", "before").await), "200");
         deployment.set_paths(state);
         deployment.call_for(CONTACT_TIME).await;
@@ -153,3 +155,34 @@
         assert!(deployment.carried() > before, "{state:?}: calls still go through peers");
     }
 }
+
+/// Guards against a stream that begins at one peer and goes on with another run at the next one.
+#[actix_rt::test]
+async fn a_stream_that_breaks_at_a_peer_is_not_continued_with_another_run() {
+    let runs = Rc::new(Cell::new(0));
+    let script = {
+        let runs = runs.clone();
+        move |head: &str| match header(head, "last-event-id") {
+            _ if !head.contains(" /resume/") => respond(head),
+            Some(_) => vec![Step::Reset],
+            None => {
+                runs.set(runs.get() + 1);
+                let first = 100 * runs.get();
+                let pause = Step::Pause(Duration::from_millis(100));
+                vec![send(STREAM), events(first..=first + 1), pause, Step::Reset]
+            }
+        }
+    };
+    let deployment = Deployment::spawn(3, script).await;
+    deployment.set_paths(PathState::Refused);
+    deployment.call_for(CONTACT_TIME).await;
+    for number in 0..4 {
+        let response = deployment.call("/resume/", &format!("stream-{number}")).await;
+        let ids: Vec<u64> =
+            response.lines().filter_map(|l| l.strip_prefix("id: ")?.parse().ok()).collect();
+        assert_eq!(ids.len(), 2, "{response}");
+        assert_eq!(ids[0] + 1, ids[1], "{response}");
+        assert!(!response.ends_with("0\r\n\r\n"), "{response}");
+    }
+    assert_eq!(runs.get(), 4, "a stream ran again from its start");
+}
