Do not end a resumed stream at a close before its first event

What callers saw: a resumable stream ended as complete after the events of its first target, although the next one sent no further event.

Cause: the end by close of a response without events counts as a crash, but only before the caller had any event. Where a stream is resumed, a target that closes the connection right after its head ended the whole stream, as long as its process lives.

Change: whether a response has events is counted for each attempt. Such an attempt has failed like one of a stream that has not begun.

--- a/crates/cumintrail-daemon/src/relay/attempt/response.rs
+++ b/crates/cumintrail-daemon/src/relay/attempt/response.rs
@@ -127,7 +127,7 @@
             return self.fail(&connection, &ClientError::Malformed).await;
         }
         self.call.events.drop_partial();
-        let mut room = self.worker.pool.hold_response();
+        let (mut room, mut has_events) = (self.worker.pool.hold_response(), false);
         loop {
             let chunk = match self.wait_for_chunk(&mut connection).await {
                 WaitResult::Target(Ok(chunk)) => chunk,
@@ -136,6 +136,7 @@
             };
             let Some(chunk) = chunk else { break };
             let batch = self.call.events.push(&chunk);
+            has_events |= batch.count > 0;
             let is_passed_on = batch.count == 0
                 || self.start_stream(&head).await && self.write_events(batch.bytes).await.is_ok();
             let has_room = room.hold(self.call.events.remainder_len());
@@ -145,8 +146,9 @@
                 _ => return self.fail(&connection, &ClientError::Malformed).await,
             }
         }
-        // Without an event, a close does not distinguish the end of the stream from a crash.
-        let is_empty = connection.framing() == Framing::Close && !self.call.response_started;
+        // Without an event, a close does not distinguish the end of the stream from a crash, also
+        // where the stream is resumed.
+        let is_empty = connection.framing() == Framing::Close && !has_events;
         let rest = match self.call.events.finish() {
             Ok(rest) if !is_empty => rest,
             _ => return self.fail(&connection, &ClientError::Truncated).await,
--- a/tests/tests/gateway_broken_responses.rs
+++ b/tests/tests/gateway_broken_responses.rs
@@ -89,3 +89,18 @@
     assert_eq!(response.matches("data: plain").count(), 1, "{response}");
     assert!(!response.ends_with("0\r\n\r\n"), "{response}");
 }
+
+/// Guards against a stream that ends as complete because the target that resumes it closes the
+/// connection before its first event.
+#[actix_rt::test]
+async fn a_resumed_response_that_ends_by_close_before_its_first_event_does_not_end_the_stream() {
+    let head = "HTTP/1.1 200 OK\r\nx-cumintrail-call: {id}\r\n\r\n";
+    let pause = Step::Pause(Duration::from_millis(30));
+    let begun = [send(STREAM), events(1..=2), Step::Close];
+    for rest in ["", "\n"] {
+        let then = [send(head), send(rest), pause.clone(), Step::Close];
+        let (response, attempts) = call("/resume/", &begun, &then).await;
+        assert!(attempts >= 2, "{rest:?}: the stream was not resumed");
+        assert!(!response.ends_with("0\r\n\r\n"), "{rest:?}: ended as complete: {response}");
+    }
+}
