Forward a streamed response without body without chunks

What callers saw: after a 204 on a streaming route, the next response on the connection began with a last chunk, five bytes that belong to none.

Cause: the head of a 204 declares no chunks, but its end was written as that of a chunked stream.

Change: a 204 is forwarded as a whole response, and does not count as the rest of a stream that has begun.

--- a/crates/cumintrail-daemon/src/relay/attempt.rs
+++ b/crates/cumintrail-daemon/src/relay/attempt.rs
@@ -220,8 +220,11 @@
                 {
                     return self.record_end(self.failed(), "unproven-refusal");
                 }
+                // A response that must not have a body cannot be forwarded in chunks.
                 ResponseKind::Matching
-                    if self.call.class.is_streamed() && head.status.is_success() =>
+                    if self.call.class.is_streamed()
+                        && head.status.is_success()
+                        && head.status != StatusCode::NO_CONTENT =>
                 {
                     return self.stream_events(connection, head).await;
                 }
--- a/tests/tests/gateway_broken_responses.rs
+++ b/tests/tests/gateway_broken_responses.rs
@@ -104,3 +104,20 @@
         assert!(!response.ends_with("0\r\n\r\n"), "{rest:?}: ended as complete: {response}");
     }
 }
+
+/// Guards against the last chunk of a response without a body, which garbles the next response.
+#[actix_rt::test]
+async fn nothing_follows_the_head_of_a_streamed_response_without_body() {
+    let empty = "HTTP/1.1 204 No Content\r\nx-cumintrail-call: {id}\r\n\r\n";
+    let script = move |n| vec![send(if n == 0 { empty } else { WHOLE })];
+    for path in ["/flow/", "/resume/"] {
+        let target = Replica::bind(script).await.unwrap();
+        let cluster = Cluster::spawn(&[&target]).await;
+        let mut caller = cluster.connect().await;
+        caller.send(path, "c-1", "", "").await;
+        assert_eq!(status(&caller.until("\r\n\r\n").await), "204", "{path}");
+        caller.send("/hold/", "c-2", "connection: close\r\n", "").await;
+        let next = caller.rest().await;
+        assert!(next.starts_with("HTTP/1.1 200"), "{path}: {next}");
+    }
+}
