Read event ids and line ends like the callers of a stream

What callers saw: where an event has two id lines, or lines that end with a carriage return only, a resumed stream could repeat events, because it was resumed after another event than the last one that the caller has. A stream with carriage returns only was not passed on at all. A comment after the last event kept a broken stream from being resumed.

Cause: the splitter knew line feeds only, read the first id, took a byte order mark for a part of the first line, and took comments and empty lines for events without an id.

Evidence: the new test failed before (id 1 instead of 2 for an event with two), and the property test failed once it drew carriage returns (nothing passed on). Both pass now, with the text cut at each byte.

Change: lines end as the standard of server-sent events says, the last id of an event counts, and comments are passed on but are no events.

--- a/crates/cumintrail-daemon/src/relay/attempt/response.rs
+++ b/crates/cumintrail-daemon/src/relay/attempt/response.rs
@@ -137,7 +137,7 @@
             let Some(chunk) = chunk else { break };
             let batch = self.call.events.push(&chunk);
             has_events |= batch.count > 0;
-            let is_passed_on = batch.count == 0
+            let is_passed_on = batch.bytes.is_empty()
                 || self.start_stream(&head).await && self.write_events(batch.bytes).await.is_ok();
             let has_room = room.hold(self.call.events.remainder_len());
             match batch.rest {
--- a/crates/cumintrail-daemon/src/relay/events.rs
+++ b/crates/cumintrail-daemon/src/relay/events.rs
@@ -9,6 +9,9 @@
 /// together must fit into the memory of a small VM.
 const MAX_EVENT_BYTES: usize = 64 << 10;
 
+/// May stand at the start of a stream, and is no part of its first line.
+const BYTE_ORDER_MARK: &[u8] = "\u{feff}".as_bytes();
+
 /// Reports a stream with an oversized event, or with an event id that does not increase.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct MalformedStream;
@@ -32,7 +35,7 @@
 pub struct EventBatch {
     /// The bytes of the events, unchanged.
     pub bytes: Bytes,
-    /// The number of events.
+    /// The number of events, without comments and empty lines.
     pub count: usize,
     /// Whether the bytes after the events can still continue the stream.
     pub rest: Result<(), MalformedStream>,
@@ -92,10 +95,18 @@
                     rest = Err(MalformedStream);
                     break;
                 }
-                Some(id) => (self.last_id, self.has_unnumbered) = (Some(id), false),
-                None => self.has_unnumbered = true,
+                Some(id) => {
+                    (self.last_id, self.has_unnumbered) = (Some(id), false);
+                    count += 1;
+                }
+                // Callers drop comments, so a repeated one does no harm.
+                None if is_comment(&self.pending[end..next]) => {}
+                None => {
+                    self.has_unnumbered = true;
+                    count += 1;
+                }
             }
-            (end, searched, count) = (next, next, count + 1);
+            (end, searched) = (next, next);
         }
         if self.pending.len() - end > MAX_EVENT_BYTES {
             rest = Err(MalformedStream);
@@ -105,18 +116,31 @@
 }
 
 /// Returns the offset after the first empty line, which ends an event.
+///
+/// A line may end with a line feed, a carriage return or both.
 fn event_end(bytes: &[u8]) -> Option<usize> {
-    let newlines = bytes.iter().enumerate().filter(|(_, b)| **b == b'\n').map(|(at, _)| at);
-    let mut ends = newlines.filter_map(|at| match bytes.get(at + 1..) {
-        Some([b'\n', ..]) => Some(at + 2),
-        Some([b'\r', b'\n', ..]) => Some(at + 3),
+    let line_ends = bytes.iter().enumerate().filter(|(_, b)| matches!(b, b'\n' | b'\r'));
+    let mut ends = line_ends.filter_map(|(at, _)| match bytes[at..] {
+        [b'\n', b'\r', b'\n', ..] => Some(at + 3),
+        // At the end of the bytes, a line feed may follow the carriage return.
+        [b'\n', b'\n', ..] | [b'\r', b'\r', ..] | [b'\n', b'\r', _, ..] => Some(at + 2),
         _ => None,
     });
     ends.next()
 }
 
+fn lines(event: &[u8]) -> impl Iterator<Item = &[u8]> {
+    let event = event.strip_prefix(BYTE_ORDER_MARK).unwrap_or(event);
+    event.split(|b| matches!(b, b'\n' | b'\r'))
+}
+
+/// Returns whether an event has no fields.
+fn is_comment(event: &[u8]) -> bool {
+    lines(event).all(|line| matches!(line, [] | [b':', ..]))
+}
+
+/// Returns the id of an event; like callers, it reads the last of several.
 fn event_id(event: &[u8]) -> Option<u64> {
-    let lines = event.split(|b| *b == b'\n');
-    let mut ids = lines.filter_map(|line| line.strip_prefix(b"id:"));
-    std::str::from_utf8(ids.next()?).ok()?.trim().parse().ok()
+    let id = lines(event).filter_map(|line| line.strip_prefix(b"id:")).last()?;
+    std::str::from_utf8(id).ok()?.trim().parse().ok()
 }
--- a/crates/cumintrail-daemon/tests/events.rs
+++ b/crates/cumintrail-daemon/tests/events.rs
@@ -16,11 +16,10 @@
 #[test]
 fn whole_events_come_out_unchanged_whatever_the_cuts() {
     let cuts = prop::collection::vec(1_usize..40, 1..30);
-    let result = runner().run(&(1_u64..20, cuts, any::<bool>()), |(count, cuts, crlf)| {
-        let mut text: String = (1..=count).map(event).collect();
-        if crlf {
-            text = text.replace('\n', "\r\n");
-        }
+    let line_end = prop::sample::select(vec!["\n", "\r\n", "\r"]);
+    let result = runner().run(&(1_u64..20, cuts, line_end), |(count, cuts, line_end)| {
+        let text: String = (1..=count).map(event).collect();
+        let text = text.replace('\n', line_end);
         let (mut events, mut out, mut rest) =
             (EventSplitter::default(), Vec::new(), text.as_bytes());
         let mut cuts = cuts.iter().cycle();
@@ -31,8 +30,8 @@
             prop_assert!(batch.rest.is_ok());
             if batch.count > 0 {
                 out.extend_from_slice(&batch.bytes);
-                let empty_line = if crlf { &b"\r\n\r\n"[..] } else { b"\n\n" };
-                prop_assert!(out.ends_with(empty_line), "a partial event was emitted");
+                let empty_line = line_end.repeat(2);
+                prop_assert!(out.ends_with(empty_line.as_bytes()), "a partial event was emitted");
             }
         }
         prop_assert_eq!(out, text.as_bytes());
@@ -42,6 +41,37 @@
     result.unwrap();
 }
 
+/// Guards against a stream that is resumed after another event than the last one that its caller has.
+#[test]
+fn the_id_of_an_event_is_the_one_that_callers_read() {
+    let cases = [
+        ("id: 1\nid: 2\ndata: a\n\n", 2, 1),
+        ("\u{feff}id: 1\ndata: a\n\n", 1, 1),
+        ("id:1\rdata: a\r\rid: 2\ndata: b\n\n", 2, 2),
+        ("id: 1\ndata: a\r\rid: 2\rdata: b\r\r", 2, 2),
+        ("id: 1\r\ndata: a\n\r\nid: 2\ndata: b\r\n\n", 2, 2),
+        ("id: 1\ndata: a\n\n: comment\n\n", 1, 1),
+        ("id: 1\ndata: a\n\n\n\n", 1, 1),
+    ];
+    for (text, last, count) in cases {
+        for at in 0..text.len() {
+            let mut events = EventSplitter::default();
+            let batches = [&text.as_bytes()[..at], &text.as_bytes()[at..]].map(|b| events.push(b));
+            let bytes: Vec<u8> = batches.iter().flat_map(|batch| batch.bytes.to_vec()).collect();
+            assert_eq!(bytes, text.as_bytes(), "{text:?} at {at}");
+            assert_eq!(batches.iter().map(|batch| batch.count).sum::<usize>(), count, "{text:?}");
+            assert_eq!(events.last_id(), Some(last), "{text:?} at {at}");
+            assert!(events.can_resume(), "{text:?} at {at}");
+        }
+    }
+    let too_large = "18446744073709551616";
+    for id in ["", "x", "-1", "2\0", "2.5", too_large] {
+        let mut events = EventSplitter::default();
+        events.push((event(1) + &format!("id: {id}\ndata: a\n\n")).as_bytes());
+        assert!(!events.can_resume(), "{id:?}");
+    }
+}
+
 #[test]
 fn a_partial_event_of_a_broken_response_is_dropped_and_the_next_attempt_continues() {
     let mut events = EventSplitter::default();
