Do not bind a stream to the version of an entry that its process replaced

Callers could get events of two software versions in one stream: a target that started again under its id and address with other software accepts calls before its new entry is read. A stream that began there was bound to the version of the old entry, and resumed, here or by its caller at another daemon, at another target of that version.

Cause: the version of a stream was that of the entry in force at its first event. An exchange that goes on while the registry lists a later process at the same address belongs to that process, since the system of the earlier one has broken its own.

Change: when such an entry with other software comes into force, streams in progress at the replaced target, and those whose first event comes later, belong to an unknown version. They are not resumed where they break. An unknown origin replaces a known one and is reported to peers again. A target that starts again with the same software changes nothing.

--- a/crates/cumintrail-control/src/control/attempts.rs
+++ b/crates/cumintrail-control/src/control/attempts.rs
@@ -8,7 +8,7 @@
 use super::Control;
 use crate::placement::Placer;
 use crate::retry::HealthSignal;
-use crate::stream_origins::{StreamOrigin, StreamRequest};
+use crate::stream_origins::StreamRequest;
 use crate::{Action, Actions, AttemptOutcome, Call, Phase, Usage, retry};
 
 /// The time without a first token after which a call's passed deadline counts as a failure of the
@@ -16,8 +16,6 @@
 const UNRESPONSIVE_AFTER: Duration = Duration::from_secs(2);
 /// How long other targets are preferred to one that refused a call: about one step of its queue.
 const REFUSAL_AVOIDANCE: Duration = Duration::from_millis(100);
-/// Rounds of digests that contain the origin of an own stream, so that a lost one does no harm.
-const ORIGIN_ROUNDS: u32 = 2;
 
 impl<P: Placer> Control<P> {
     pub(super) fn handle_first_token(&mut self, now: Moment, key: CallKey) {
@@ -34,24 +32,6 @@
         self.pin_software(now, key);
     }
 
-    /// Binds a resumable stream that has begun to the software version of its target, and records
-    /// it for the daemons at which the caller may resume it.
-    fn pin_software(&mut self, now: Moment, key: CallKey) {
-        let Some(call) = self.calls.get_mut(&key) else {
-            return;
-        };
-        let (Some(request), Some(target)) = (call.arrival.options.stream, call.target()) else {
-            return;
-        };
-        let target = self.snapshot.as_ref().and_then(|s| s.targets.get(target));
-        let Some(software) = target.and_then(|target| target.software.clone()) else {
-            return;
-        };
-        call.pinned_software.get_or_insert_with(|| software.clone());
-        let Some(stream) = request.stream() else { return };
-        self.stream_origins.record(now, StreamOrigin { stream, software }, ORIGIN_ROUNDS);
-    }
-
     pub(super) fn handle_attempt_end(
         &mut self,
         now: Moment,
--- a/crates/cumintrail-control/src/control/software.rs
+++ b/crates/cumintrail-control/src/control/software.rs
@@ -2,15 +2,17 @@
 
 use std::sync::Arc;
 
-use cumintrail_types::{Moment, Refusal, RefusalCode};
+use cumintrail_config::Snapshot;
+use cumintrail_types::{CallKey, Moment, Refusal, RefusalCode, TargetKey};
 
 use super::Control;
 use crate::placement::Placer;
 use crate::software_history::{HistoryRow, PoolVersion};
-use crate::{Action, Actions, Arrival, PeerDigest};
+use crate::stream_origins::{StreamOrigin, UNKNOWN_VERSION};
+use crate::{Action, Actions, Arrival, Call, PeerDigest};
 
-/// Stands for a version that a damaged row may have listed; no target has it.
-const UNKNOWN_VERSION: &str = "";
+/// Rounds of digests that contain the origin of an own stream, so that a lost one does no harm.
+const ORIGIN_ROUNDS: u32 = 2;
 
 impl<P: Placer> Control<P> {
     /// Returns the software version that a call must run at; `None` if any will do.
@@ -36,6 +38,57 @@
         required.map_err(|_| unknown.retry_after(self.identity.digest_interval))
     }
 
+    /// Binds a resumable stream that has begun to the software version of its target, and records
+    /// it for the daemons at which the caller may resume it.
+    pub(super) fn pin_software(&mut self, now: Moment, key: CallKey) {
+        let Some(target) = self.calls.get(&key).and_then(Call::target) else {
+            return;
+        };
+        let Some(snapshot) = &self.snapshot else { return };
+        let Some(software) = snapshot.targets.get(target).and_then(|t| t.software.clone()) else {
+            return;
+        };
+        let is_known = !is_replaced(snapshot, target);
+        self.bind_stream(now, key, if is_known { software } else { UNKNOWN_VERSION.into() });
+    }
+
+    /// Takes back the software versions of the streams that processes send which are listed only
+    /// now: their targets had started again under their id when the streams began.
+    ///
+    /// The system of a process that ended has broken its exchanges, so those that still go on belong
+    /// to the process that took its place.
+    pub(super) fn doubt_software(&mut self, now: Moment, before: Option<&Snapshot>) {
+        let Some((before, snapshot)) = before.zip(self.snapshot.clone()) else {
+            return;
+        };
+        let replaced = |target| {
+            before.targets.get(target).is_some_and(|t| !t.retired && t.software.is_some())
+                && is_replaced(&snapshot, target)
+        };
+        let streams = self.calls.iter().filter(|(_, call)| {
+            call.pinned_software.is_some() && call.target().is_some_and(replaced)
+        });
+        let streams: Vec<CallKey> = streams.map(|(key, _)| *key).collect();
+        for key in streams {
+            self.bind_stream(now, key, UNKNOWN_VERSION.into());
+        }
+    }
+
+    fn bind_stream(&mut self, now: Moment, key: CallKey, software: Arc<str>) {
+        let Some(call) = self.calls.get_mut(&key) else {
+            return;
+        };
+        let Some(request) = call.arrival.options.stream else {
+            return;
+        };
+        if call.pinned_software.is_none() || *software == *UNKNOWN_VERSION {
+            call.pinned_software = Some(software.clone());
+        }
+        if let Some(stream) = request.stream() {
+            self.stream_origins.record(now, StreamOrigin { stream, software }, ORIGIN_ROUNDS);
+        }
+    }
+
     /// Reads the record of recent software versions once, and lets one daemon keep it up to date.
     pub(super) fn update_software_history(&mut self, now: Moment, actions: &mut Actions) {
         if !self.has_registry || self.snapshot.is_none() {
@@ -103,3 +156,15 @@
         self.software_history.handle_read(HistoryRow { row_version, versions: Vec::new() });
     }
 }
+
+/// Returns whether a target's address belongs to a later process with the same id and other software.
+fn is_replaced(snapshot: &Snapshot, target: TargetKey) -> bool {
+    let Some(target) = snapshot.targets.get(target).filter(|target| target.retired) else {
+        return false;
+    };
+    let mut listed = snapshot.targets.iter().filter(|(_, t)| !t.retired);
+    listed.any(|(_, t)| {
+        (&t.instance, t.address) == (&target.instance, target.address)
+            && t.software != target.software
+    })
+}
--- a/crates/cumintrail-control/src/stream_origins.rs
+++ b/crates/cumintrail-control/src/stream_origins.rs
@@ -22,6 +22,10 @@
 /// Maximum number of origins in one digest.
 const MAX_REPORTED: usize = 256;
 
+/// Stands for a version that is not known; no target has it, so that its streams end where they
+/// break.
+pub const UNKNOWN_VERSION: &str = "";
+
 /// Identifies a stream on all daemons, by the account and the caller's id of the call whose
 /// response brought its first event.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, From)]
@@ -129,10 +133,16 @@
     }
 
     /// Records an origin unless the stream has one; returns whether it did.
+    ///
+    /// An unknown origin replaces a known one, which turned out to be doubtful.
     fn insert(&mut self, now: Moment, origin: StreamOrigin) -> bool {
         let StreamOrigin { stream, software } = origin;
-        if self.origins.contains_key(&stream) {
-            return false;
+        if let Some(known) = self.origins.get_mut(&stream) {
+            let is_doubted = *software == *UNKNOWN_VERSION && *known != software;
+            if is_doubted {
+                *known = software;
+            }
+            return is_doubted;
         }
         let is_dropped = |(at, _): &(Moment, StreamId)| now.since(*at) >= self.retention;
         while self.by_age.len() >= MAX_ORIGINS || self.by_age.front().is_some_and(is_dropped) {
--- /dev/null
+++ b/crates/cumintrail-control/tests/restarted_software.rs
@@ -0,0 +1,225 @@
+//! Targets that start again under their id with other software, while the entry that their earlier
+//! process wrote is still the last one read.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use cumintrail_config::{Document, Snapshot, Target, TargetKind};
+use cumintrail_control::software_history::HistoryRow;
+use cumintrail_control::stream_origins::{StreamId, StreamRequest};
+use cumintrail_control::{
+    Action, Actions, Arrival, AttemptOutcome, Control, Event, Identity, PeerDigest, ResponseEnd,
+    RouteOptions,
+};
+use cumintrail_types::{
+    AccountKey, AttemptNumber, Bytes, CallClass, CallKey, DomainKey, Generation, Incarnation,
+    Moment, ServiceKey, Tokens, WeightVersion,
+};
+
+const DECLARED: &str = "[deployment]\nfirst_preset = day\n[preset day]\n[service desk]\n\
+    [account coop]\nkey_digests = 0000000000000000000000000000000000000000000000000000000000000000\nconcurrency = 1000\n";
+const DIGEST_INTERVAL: Duration = Duration::from_millis(250);
+
+/// The id, the start of the process and the software version of a target.
+type Listed = (&'static str, u64, &'static str);
+
+const OLD: Listed = ("t0", 1, "v1");
+const RESTARTED: Listed = ("t0", 2, "v2");
+const OTHER: Listed = ("t1", 1, "v1");
+
+fn target(position: usize, (id, process_start, software): Listed) -> Target {
+    // A target keeps its address when it starts again.
+    let port = id.as_bytes()[1];
+    Target {
+        name: format!("{id}@{process_start}").into(),
+        instance: id.into(),
+        kind: TargetKind::Service(ServiceKey(0)),
+        address: ([10, 0, 0, port], 80).into(),
+        domain: DomainKey(0),
+        slots: 64 + position as u32,
+        prefill_tokens_per_second: 100_000,
+        link_bytes_per_second: Bytes(1 << 30),
+        checks_fencing: false,
+        cold_until: None,
+        leaving: false,
+        version: None,
+        software: Some(software.into()),
+        retired: false,
+    }
+}
+
+struct Daemon {
+    control: Control,
+    snapshot: Snapshot,
+    now: Moment,
+}
+
+impl Daemon {
+    fn start(port: u16, listed: &[Listed]) -> Self {
+        let identity = Identity {
+            vm: format!("vm-{port}").into(),
+            domain: "a".into(),
+            incarnation: Incarnation(port.into()),
+            address: ([127, 0, 0, 1], port).into(),
+            probe_interval: Duration::from_secs(3_600),
+            digest_interval: DIGEST_INTERVAL,
+            processor_share: 0,
+        };
+        let mut control = Control::new(identity, 7);
+        control.follow_registry("a key of sixteen bytes or more");
+        let sections = Document::parse(&"test".into(), DECLARED).unwrap().sections;
+        let snapshot = Snapshot::build(Generation(1), &sections, None, None).unwrap();
+        let mut daemon = Self { control, snapshot, now: Moment::from_millis(1_000) };
+        daemon.list(1, listed);
+        daemon.control.handle(daemon.now, Event::SoftwareHistoryRead(HistoryRow::default()));
+        daemon
+    }
+
+    /// Puts these entries of the registry in force; targets keep their keys.
+    fn list(&mut self, revision: u64, listed: &[Listed]) {
+        let targets = listed.iter().enumerate().map(|(i, entry)| target(i, *entry)).collect();
+        self.snapshot = self.snapshot.with_targets(revision, targets);
+        self.control.handle(self.now, Event::Configured(Arc::new(self.snapshot.clone())));
+    }
+
+    fn wait(&mut self, millis: u64) -> Actions {
+        self.now = self.now + Duration::from_millis(millis);
+        self.control.handle(self.now, Event::Tick)
+    }
+
+    fn arrive(&mut self, call: u64, stream: StreamRequest) -> Option<&'static str> {
+        let arrival = Arrival {
+            call: CallKey(call),
+            account: AccountKey(0),
+            class: CallClass::ResumableStream,
+            kind: TargetKind::Service(ServiceKey(0)),
+            version: WeightVersion(0),
+            blocks: Arc::from([]),
+            prompt: Tokens(0),
+            max_output: Tokens(0),
+            deadline: self.now + Duration::from_secs(20),
+            options: RouteOptions { stream: Some(stream), ..RouteOptions::default() },
+        };
+        let actions = self.control.handle(self.now, Event::Arrived(arrival));
+        self.sent_to(&actions)
+    }
+
+    /// Begins a stream, and returns the target that sends its first event.
+    fn begin(&mut self, call: u64) -> Option<&'static str> {
+        let target = self.arrive(call, StreamRequest::Begin(stream(call)));
+        self.send_event(call);
+        target
+    }
+
+    fn send_event(&mut self, call: u64) {
+        self.control.handle(self.now, Event::FirstToken { call: CallKey(call) });
+    }
+
+    /// Breaks the connection of a call's attempt, and returns where it is sent next.
+    fn break_off(&mut self, call: u64, attempt: u8) -> Option<&'static str> {
+        let (key, attempt) = (CallKey(call), AttemptNumber(attempt));
+        let broken = Event::ResponseEnded { call: key, end: ResponseEnd::Broken };
+        self.control.handle(self.now, broken);
+        let outcome = AttemptOutcome::Failed { can_continue: true };
+        let ended = Event::AttemptEnded { call: key, attempt, outcome };
+        let actions = self.control.handle(self.now, ended);
+        let next = self.sent_to(&actions);
+        let actions = self.wait(100);
+        next.or_else(|| self.sent_to(&actions))
+    }
+
+    /// Takes up a stream with a new call, and returns the target that it is sent to.
+    fn take_up(&mut self, call: u64, began: u64) -> Option<&'static str> {
+        self.arrive(call, StreamRequest::Continue(Some(stream(began))))
+    }
+
+    /// Returns the id of the target that a call is sent to.
+    fn sent_to(&self, actions: &[Action]) -> Option<&'static str> {
+        let key = actions.iter().find_map(|action| match action {
+            Action::Dispatch(dispatch) => Some(dispatch.target),
+            _ => None,
+        })?;
+        let target = self.snapshot.targets.get(key)?;
+        ["t0", "t1", "t2"].into_iter().find(|id| **id == *target.instance)
+    }
+
+    /// Sends a round of digests to another daemon.
+    fn report_to(&mut self, other: &mut Self) {
+        let greeting = PeerDigest {
+            vm: "vm-2".into(),
+            domain: "a".into(),
+            incarnation: Incarnation(2),
+            address: Some(([127, 0, 0, 1], 2).into()),
+            ..PeerDigest::default()
+        };
+        self.control.handle(self.now, Event::PeerDigest(Box::new(greeting)));
+        for action in self.wait(500) {
+            if let Action::SendDigest { digest, .. } = action {
+                other.control.handle(other.now, Event::PeerDigest(digest));
+            }
+        }
+    }
+}
+
+fn stream(number: u64) -> StreamId {
+    StreamId::of("coop", &format!("call-{number}"))
+}
+
+#[test]
+fn a_broken_stream_is_resumed_at_once_at_another_target_of_its_version() {
+    let mut daemon = Daemon::start(1, &[OLD, OTHER]);
+    let began = daemon.begin(1).unwrap();
+    let next = daemon.break_off(1, 1).unwrap();
+    assert_ne!(began, next);
+}
+
+#[test]
+fn a_stream_is_in_progress_while_the_process_that_sends_it_is_listed_with_another_version() {
+    let (mut daemon, mut peer) = (Daemon::start(1, &[OLD]), Daemon::start(2, &[OLD]));
+    // The earlier process ended while this daemon had no exchange with it.
+    assert_eq!(daemon.begin(1), Some("t0"));
+    for daemon in [&mut daemon, &mut peer] {
+        daemon.list(2, &[RESTARTED, OTHER]);
+    }
+    daemon.report_to(&mut peer);
+    assert_eq!(daemon.break_off(1, 1), None);
+    assert_eq!(daemon.take_up(2, 1), None);
+    assert_eq!(peer.take_up(3, 1), None, "peers learn that the version is unknown");
+}
+
+#[test]
+fn the_first_event_arrives_after_the_process_that_sends_it_was_listed() {
+    let mut daemon = Daemon::start(1, &[OLD]);
+    assert_eq!(daemon.arrive(1, StreamRequest::Begin(stream(1))), Some("t0"));
+    daemon.list(2, &[RESTARTED, OTHER]);
+    daemon.send_event(1);
+    assert_eq!(daemon.break_off(1, 1), None);
+    assert_eq!(daemon.take_up(2, 1), None);
+}
+
+#[test]
+fn a_stream_of_a_process_that_is_listed_late_with_the_same_version_is_resumed() {
+    let mut daemon = Daemon::start(1, &[OLD]);
+    daemon.begin(1);
+    daemon.list(2, &[("t0", 2, "v1"), OTHER, ("t2", 1, "v2")]);
+    assert!(daemon.break_off(1, 1).is_some());
+    assert!(daemon.take_up(2, 1).is_some());
+}
+
+#[test]
+fn a_stream_stays_bound_to_its_version_while_the_entry_of_its_target_is_gone() {
+    let mut daemon = Daemon::start(1, &[OLD]);
+    daemon.begin(1);
+    daemon.list(2, &[("t2", 1, "v2")]);
+    daemon.list(3, &[OLD, ("t2", 1, "v2")]);
+    assert_eq!(daemon.take_up(2, 1), Some("t0"), "its key is the same again");
+}
+
+#[test]
+fn a_stream_that_is_taken_up_twice_goes_on_at_its_version() {
+    let mut daemon = Daemon::start(1, &[OTHER, ("t0", 1, "v2")]);
+    let began = daemon.begin(1);
+    for call in 2..8 {
+        assert_eq!(daemon.take_up(call, 1), began);
+    }
+}
