Ask who listens at the address before an end by close counts

What callers saw: a stream, or a whole response of a call that runs once, of a target that stops was ended as complete although its last part was missing.

Cause: a server that stops closes its idle connections first and its last responses with its exit. If a successor listens at the address by then, the closed idle connection says "closed by choice", and both the idle connection that was opened again and the address that accepts connections are those of the successor.

Evidence: a_response_that_a_leaving_target_cuts_is_not_complete_if_its_successor_listens failed before on all of /flow/, /resume/ and /hold/.

Fix: only an idle connection that was opened before any was closed still shows that the process runs. In all other cases the process at the address gets a request that runs nothing and names the instance that may respond; a response of another instance, or none within a second, is no end. Targets that check no instance name keep the rule that the address decides, and so do plain services on the product's own interface.

Cost: one connection with one request for each response that ends by close after an idle connection was closed or without one. Where the address was asked before, it replaces the connection that showed whether the address accepts. Nothing where the first idle connection is open still, or responses have a length or chunks.

--- a/crates/cumintrail-client/src/process_watch.rs
+++ b/crates/cumintrail-client/src/process_watch.rs
@@ -12,14 +12,17 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use actix_http::body::BodySize;
+use actix_http::{RequestHead, ResponseHead, ServiceConfig};
 use actix_rt::task::JoinHandle;
 use actix_rt::time::{Instant, timeout};
 use derive_more::Display;
 use tokio::net::TcpStream;
 use tokio::sync::{Notify, watch};
 
-use crate::Connection;
 use crate::connection::configure_socket;
+use crate::single_use::with_connection_close;
+use crate::{ClientError, Connection};
 
 /// The time within which the system closes all sockets of a process that ends.
 const EXIT_TIME: Duration = Duration::from_millis(20);
@@ -47,6 +50,9 @@
     /// Nothing is known of the process; its address closes connections or accepts none.
     #[display("unreachable")]
     Unreachable,
+    /// Another process listens at the address.
+    #[display("replaced")]
+    Replaced,
 }
 
 impl ProcessState {
@@ -56,6 +62,17 @@
     }
 }
 
+/// What the idle connection says of the process that sent a response.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Observed {
+    State(ProcessState),
+    /// The address accepts connections.
+    Accepting,
+    /// The process has closed idle connections by choice.
+    ClosesIdle,
+    Nothing,
+}
+
 /// The state of a watch's idle connection; connections are numbered from 1.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum IdleConnection {
@@ -254,30 +271,70 @@
 
     /// Returns what is known of the process after its response ended with the connection.
     pub async fn process_state(mut self) -> ProcessState {
+        match self.observed_state().await {
+            Observed::State(state) => state,
+            Observed::Accepting => ProcessState::Accepting,
+            Observed::ClosesIdle => match connect(self.at, self.connect_timeout).await {
+                Some(_) => ProcessState::Accepting,
+                None => ProcessState::Unreachable,
+            },
+            Observed::Nothing => check_address(self.at, self.connect_timeout).await,
+        }
+    }
+
+    /// Returns what is known of the process, like [`ProcessEvidence::process_state`]. Where its address
+    /// decides, the process that accepts connections there has to respond to `request` within `limit`,
+    /// and must not be another one by the head of its response.
+    pub async fn confirmed_state(
+        mut self,
+        request: RequestHead,
+        limit: Duration,
+        is_other: impl FnOnce(&ResponseHead) -> bool,
+    ) -> ProcessState {
+        if let Observed::State(state) = self.observed_state().await {
+            return state;
+        }
+        match timeout(limit, self.ask(request)).await {
+            Ok(Ok(head)) if is_other(&head) => ProcessState::Replaced,
+            Ok(Ok(_)) => ProcessState::Accepting,
+            _ => ProcessState::Unreachable,
+        }
+    }
+
+    async fn observed_state(&mut self) -> Observed {
         let Some(number) = self.seen else {
             let current = *self.state.borrow();
             return match current {
                 // The connection came and went while nothing was observed.
                 IdleConnection::Closed { last, .. } if last > self.closed_before => {
-                    ProcessState::Ended
+                    Observed::State(ProcessState::Ended)
                 }
-                _ => check_address(self.at, self.connect_timeout).await,
+                _ => Observed::Nothing,
             };
         };
         let closed = self.state.wait_for(|state| *state != IdleConnection::Open(number));
         let current = timeout(EXIT_TIME, closed).await.map(|closed| closed.map(|state| *state));
         match current {
-            Err(_) => ProcessState::Running,
+            // The listener of a process that stops may have passed to another one before a connection
+            // was opened again.
+            Err(_) if number > self.closed_before + 1 => Observed::Accepting,
+            Err(_) => Observed::State(ProcessState::Running),
             // The process closes idle connections, so that only a refused one says that it has ended.
             Ok(Ok(IdleConnection::Closed { since, .. })) if self.was_open_after(since) => {
-                match connect(self.at, self.connect_timeout).await {
-                    Some(_) => ProcessState::Accepting,
-                    None => ProcessState::Unreachable,
-                }
+                Observed::ClosesIdle
             }
-            Ok(_) => ProcessState::Ended,
+            Ok(_) => Observed::State(ProcessState::Ended),
         }
     }
+
+    /// Sends a request on a new connection and reads the head of its response.
+    async fn ask(&self, request: RequestHead) -> Result<ResponseHead, ClientError> {
+        let config = ServiceConfig::default();
+        let mut connection = Connection::open(self.at, self.connect_timeout, config).await?;
+        let request = with_connection_close(request, self.at);
+        connection.start_exchange(request, BodySize::None)?;
+        connection.read_head().await
+    }
 }
 
 /// Waits until the idle connection of the evidence is opened or closed; without evidence, forever.
--- a/crates/cumintrail-client/src/single_use.rs
+++ b/crates/cumintrail-client/src/single_use.rs
@@ -35,11 +35,17 @@
     actix_rt::time::timeout(timeout, exchange).await.unwrap_or(Err(ClientError::Timeout))
 }
 
-/// Adds the `host` header and `connection: close` to a request head.
-fn with_connection_close(mut head: RequestHead, at: SocketAddr) -> RequestHead {
+/// Adds the `host` header to a request head.
+pub(crate) fn with_host(mut head: RequestHead, at: SocketAddr) -> RequestHead {
     if let Ok(host) = HeaderValue::from_str(&at.to_string()) {
         head.headers.insert(HOST, host);
     }
+    head
+}
+
+/// Adds the `host` header and `connection: close` to a request head.
+pub(crate) fn with_connection_close(head: RequestHead, at: SocketAddr) -> RequestHead {
+    let mut head = with_host(head, at);
     head.set_connection_type(ConnectionType::Close);
     head
 }
--- a/crates/cumintrail-daemon/src/relay/attempt/response.rs
+++ b/crates/cumintrail-daemon/src/relay/attempt/response.rs
@@ -25,6 +25,8 @@
 /// Targets receive the time that is left in whole milliseconds, and measure it with timers of their
 /// own.
 const STOP_TOLERANCE: Duration = Duration::from_millis(5);
+/// The timeout for the response to an identity check, with time to repeat two lost packets.
+const IDENTITY_TIMEOUT: Duration = Duration::from_secs(1);
 
 impl<D: HeaderDialect> Attempt<'_, D> {
     /// Reads a response completely, then forwards it.
@@ -182,7 +184,12 @@
             let interrupt = next_interrupt(&mut self.call.commands, self.number).await;
             return Some(self.interrupt(interrupt));
         }
-        let process = self.evidence.take()?.process_state().await;
+        let evidence = self.evidence.take()?;
+        let dialect = &self.worker.dialect;
+        let request = dialect.identity_request(&self.name);
+        let is_other = |head: &ResponseHead| dialect.is_other_instance(head, &self.name);
+        let limit = left.min(IDENTITY_TIMEOUT);
+        let process = evidence.confirmed_state(request, limit, is_other).await;
         lines::unframed_end(self.call, self.number, &self.name, Some(process), left);
         if process.completes_response() {
             return None;
--- a/crates/cumintrail-daemon/src/relay/dialect.rs
+++ b/crates/cumintrail-daemon/src/relay/dialect.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use actix_http::header::{AUTHORIZATION, HeaderMap, HeaderName, HeaderValue, RETRY_AFTER};
-use actix_http::{RequestHead, ResponseHead, StatusCode};
+use actix_http::{Method, RequestHead, ResponseHead, StatusCode, Uri};
 use cumintrail_control::{NamedLimit, TargetNotice};
 use cumintrail_types::{
     BlockKey, Refusal, RefusalCode, RequestRate, Tokens, Urgency, WeightVersion,
@@ -99,6 +99,11 @@
     fn target_notice(&self, head: &ResponseHead) -> TargetNotice;
     /// Reads the limit of requests that the head of a response names.
     fn named_limit(&self, head: &ResponseHead) -> NamedLimit;
+    /// Builds a request that every target answers without running anything, and that another
+    /// instance than `instance` refuses.
+    fn identity_request(&self, instance: &str) -> RequestHead;
+    /// Returns whether another instance sent the response to an identity request.
+    fn is_other_instance(&self, head: &ResponseHead, instance: &str) -> bool;
     /// Writes the caller's id of a refused call into the headers of the refusal.
     fn write_call_id(&self, headers: &mut HeaderMap, metadata: &RequestMetadata);
 }
@@ -181,6 +186,14 @@
         named_limit(head.headers(), &LIMIT)
     }
 
+    fn identity_request(&self, instance: &str) -> RequestHead {
+        identity_request(Method::OPTIONS, "*", INSTANCE, instance)
+    }
+
+    fn is_other_instance(&self, head: &ResponseHead, instance: &str) -> bool {
+        is_other_instance(head, &INSTANCE, instance)
+    }
+
     fn write_call_id(&self, headers: &mut HeaderMap, metadata: &RequestMetadata) {
         if let Some(id) = &metadata.id {
             headers.insert(CALL_ID, id.clone());
@@ -188,6 +201,25 @@
     }
 }
 
+/// Builds a request without a body that names the instance that may respond.
+pub fn identity_request(
+    method: Method,
+    path: &'static str,
+    name: HeaderName,
+    instance: &str,
+) -> RequestHead {
+    let mut head = RequestHead::default();
+    (head.method, head.uri) = (method, Uri::from_static(path));
+    set_or_remove(&mut head.headers, name, Some(instance));
+    head
+}
+
+/// Returns whether a response is the refusal of another instance, or `name` has another one's name.
+pub fn is_other_instance(head: &ResponseHead, name: &HeaderName, instance: &str) -> bool {
+    let names_other = head.headers().get(name).is_some_and(|value| value != instance);
+    names_other || head.status == StatusCode::MISDIRECTED_REQUEST
+}
+
 /// Returns how long a target that is unavailable wants no requests, from its `Retry-After` in
 /// seconds, which may have a fraction; `None` for a date or any other text.
 pub fn quiet_period(head: &ResponseHead) -> Option<Duration> {
--- a/tests/src/standins/replica.rs
+++ b/tests/src/standins/replica.rs
@@ -32,6 +32,9 @@
     Restart,
     /// Closes all connections that have no call.
     CloseIdle,
+    /// Begins a graceful stop while another process, with another instance name, listens at the
+    /// address: connections without a call are closed, and the calls go on.
+    HandOver,
 }
 
 /// How the process of a replica has ended.
@@ -52,6 +55,7 @@
     restarts: watch::Sender<u64>,
     /// Counts the times at which connections without a call were closed.
     idle_closes: watch::Sender<u64>,
+    has_successor: watch::Sender<bool>,
 }
 
 impl Replica {
@@ -75,7 +79,8 @@
         let (heads, ended) = (Arc::default(), Arc::default());
         let exit = watch::Sender::new(None);
         let (restarts, idle_closes) = (watch::Sender::new(0), watch::Sender::new(0));
-        let replica = Self { address, heads, ended, exit, restarts, idle_closes };
+        let has_successor = watch::Sender::new(false);
+        let replica = Self { address, heads, ended, exit, restarts, idle_closes, has_successor };
         let (served, script) = (replica.clone(), std::rc::Rc::new(script));
         let mut exit = replica.exit.subscribe();
         actix_rt::spawn(async move {
@@ -126,6 +131,9 @@
         mut stream: TcpStream,
         script: &impl Fn(usize, &str) -> Vec<Step>,
     ) -> std::io::Result<()> {
+        if *self.has_successor.borrow() {
+            return serve_successor(&mut stream).await;
+        }
         let (mut exit, mut restarts) = (self.exit.subscribe(), self.restarts.subscribe());
         let ended = tokio::select! {
             ended = self.serve_calls(&mut stream, script) => ended,
@@ -150,6 +158,10 @@
                 call = read_call(stream) => call?,
                 _ = idle_closes.changed() => return Ok(()),
             };
+            if call.starts_with("OPTIONS * ") {
+                stream.write_all(b"HTTP/1.1 204 No Content\r\n\r\n").await?;
+                continue;
+            }
             let id = header(&call, "x-cumintrail-call").unwrap_or_default().to_owned();
             let number = {
                 let mut heads = self.heads.lock().unwrap_or_else(PoisonError::into_inner);
@@ -194,12 +206,26 @@
                         return Ok(());
                     }
                     Step::CloseIdle => self.idle_closes.send_modify(|n| *n += 1),
+                    Step::HandOver => {
+                        self.has_successor.send_replace(true);
+                        self.idle_closes.send_modify(|n| *n += 1);
+                    }
                 }
             }
         }
     }
 }
 
+/// Responds to all requests that they were meant for another instance.
+async fn serve_successor(stream: &mut TcpStream) -> std::io::Result<()> {
+    const MISDIRECTED: &str = "HTTP/1.1 421 Misdirected Request\r\n\
+        x-cumintrail-instance: successor\r\ncontent-length: 0\r\n\r\n";
+    loop {
+        read_call(stream).await?;
+        stream.write_all(MISDIRECTED.as_bytes()).await?;
+    }
+}
+
 /// Reads a request head and a body of the length in its `content-length`.
 async fn read_call(stream: &mut TcpStream) -> std::io::Result<String> {
     let mut call = Vec::new();
--- a/tests/tests/gateway_unframed.rs
+++ b/tests/tests/gateway_unframed.rs
@@ -100,6 +100,24 @@
     }
 }
 
+/// Guards against a successor at the address that vouches for the last response of a leaving target.
+#[actix_rt::test]
+async fn a_response_that_a_leaving_target_cuts_is_not_complete_if_its_successor_listens() {
+    let mut wrong = Vec::new();
+    for path in ["/flow/", "/resume/", "/hold/"] {
+        let begun = if path == "/hold/" { "wheel" } else { TWO_EVENTS };
+        let left = [pause(100), Step::HandOver, pause(100), Step::Close];
+        let script = [&[send(UNFRAMED), send(begun)][..], &left].concat();
+        let target = Replica::bind(move |_| script.clone()).await.unwrap();
+        let cluster = Cluster::spawn(&[&target]).await;
+        let response = cluster.call(path).await;
+        if response.ends_with(LAST_CHUNK) || response.ends_with("\r\n\r\nwheel") {
+            wrong.push((path, response));
+        }
+    }
+    assert!(wrong.is_empty(), "{wrong:#?}");
+}
+
 /// When a target closes connections that have no call.
 #[derive(Clone, Copy)]
 enum IdleClose {
