--- a/crates/cumintrail-daemon/src/relay/attempt/response.rs
+++ b/crates/cumintrail-daemon/src/relay/attempt/response.rs
@@ -1,5 +1,7 @@
 //! Forwards a target's response to the caller: buffered, as it arrives, or in batches of events.
 
+use std::time::Duration;
+
 use actix_http::header::CONTENT_ENCODING;
 use actix_http::{ResponseHead, StatusCode};
 use bytes::{Bytes, BytesMut};
@@ -18,6 +20,8 @@
 
 /// The largest response that is buffered completely; a larger one is forwarded as it arrives.
 const MAX_BUFFERED_RESPONSE_BYTES: usize = 256 << 10;
+/// The timeout for the response to an identity check, with time to repeat two lost packets.
+const IDENTITY_TIMEOUT: Duration = Duration::from_secs(1);
 
 impl<D: HeaderDialect> Attempt<'_, D> {
     /// Reads a response completely, then forwards it.
@@ -179,7 +183,12 @@
             return Some(end);
         }
         let left = self.call.deadline.since(self.worker.shared.now());
-        let process = self.evidence.take()?.process_state().await;
+        let evidence = self.evidence.take()?;
+        let dialect = &self.worker.dialect;
+        let request = dialect.identity_request(&self.name);
+        let is_other = |head: &ResponseHead| dialect.is_other_instance(head, &self.name);
+        let limit = left.min(IDENTITY_TIMEOUT);
+        let process = evidence.confirmed_state(request, limit, is_other).await;
         lines::unframed_end(self.call, self.number, &self.name, process, left);
         if process.completes_response() {
             return None;
