Replace targets in the checker of the wire

The checker killed processes of targets and started them again under the same id at the same address, and nothing else. Targets now also leave: with an entry that says so for a while, or that is removed at once; their successor has another id or the same, and another address or the same. The old process accepts requests for some time after the notice, closes its idle connections and its listener, goes on with its responses and exits, before they have ended if the script says so. Targets respond 421 if another instance is expected, and say in their responses that they leave.

The changes of a seed are drawn from generators of their own, so that calls, responses and faults of a seed stay as they were.

--- a/tests/platform-standin/src/main.rs
+++ b/tests/platform-standin/src/main.rs
@@ -61,6 +61,9 @@
         /// Reset connections where the script kills a target.
         #[arg(long)]
         without_kills: bool,
+        /// Leave targets and daemons of the deployment as they are at the start.
+        #[arg(long)]
+        without_changes: bool,
         /// Print the scripts instead of running them.
         #[arg(long)]
         print: bool,
@@ -118,13 +121,24 @@
                 }
                 Ok::<_, std::io::Error>(all_passed)
             }
-            Command::Wire { seed, seeds, seconds, without_kills, print, folder } => {
+            Command::Wire {
+                seed,
+                seeds,
+                seconds,
+                without_kills,
+                without_changes,
+                print,
+                folder,
+            } => {
                 let mut all_passed = true;
                 for seed in seed..seed + seeds {
                     let mut script = wire::Script::draw(seed, seconds);
                     if without_kills {
                         script = script.without_kills();
                     }
+                    if without_changes {
+                        script = script.without_changes();
+                    }
                     if print {
                         println!("{script:#?}");
                         continue;
--- a/tests/platform-standin/src/wire.rs
+++ b/tests/platform-standin/src/wire.rs
@@ -19,10 +19,9 @@
 pub use self::judge::{Attempt, Ending, Finding, Log, Rule, Try, event_text, judge};
 use self::script::Disturbance;
 pub use self::script::{Framing, Script};
-use self::scripted_target::Target;
+use self::scripted_target::Place;
 use crate::deployment::{Deployment, MODEL_SERVICE, PLAIN_SERVICE};
 
-const TARGETS_PER_SERVICE: usize = 2;
 /// How long calls in progress may go on after the last one has begun.
 const END_TIME: Duration = Duration::from_secs(4);
 
@@ -58,11 +57,11 @@
     deployment.declarations.max_body_bytes = Some(script::MAX_BODY_BYTES as u64);
     deployment.publish_declarations();
     let (script, log) = (Rc::new(script), SharedLog::default());
-    for number in 0..2 * TARGETS_PER_SERVICE {
+    let places = (0..2 * script.changes.targets_per_service).map(|number| {
         let service = [MODEL_SERVICE, PLAIN_SERVICE][number % 2];
-        let (store, script) = (deployment.store.clone(), script.clone());
-        Target::spawn(format!("t-{number}"), service, store, script, log.clone())?;
-    }
+        Place::spawn(number, service, deployment.store.clone(), script.clone(), log.clone())
+    });
+    let places = places.collect::<std::io::Result<Vec<_>>>()?;
     if !deployment.wait_ready().await {
         return Err(std::io::Error::other("the daemons did not become ready; see their logs"));
     }
@@ -74,6 +73,14 @@
         actix_rt::spawn(caller::run_lane(lane, script, addresses.clone(), log, until))
     });
     let lanes: Vec<_> = lanes.collect();
+    for (at_ms, replacement) in &script.changes.replacements {
+        let at = started_at + Duration::from_millis(*at_ms);
+        let (place, replacement) = (places[replacement.target].clone(), *replacement);
+        actix_rt::spawn(async move {
+            sleep(at.saturating_duration_since(Instant::now())).await;
+            place.replace(replacement).await
+        });
+    }
     for (at_ms, disturbance) in &script.disturbances {
         let at = started_at + Duration::from_millis(*at_ms);
         sleep(at.saturating_duration_since(Instant::now())).await;
--- a/tests/platform-standin/src/wire/script.rs
+++ b/tests/platform-standin/src/wire/script.rs
@@ -1,12 +1,16 @@
 //! The script of a run, drawn from a seed: what callers send, how targets respond to each attempt,
 //! and what happens to the daemons.
 
+mod changes;
+
 use rand::rngs::StdRng;
 use rand::seq::IndexedRandom as _;
 use rand::{Rng, SeedableRng};
 
 use crate::calls::CallKind;
 
+pub(super) use self::changes::{Changes, Notice, Replacement};
+
 /// Number of daemons.
 pub const VMS: usize = 2;
 /// The largest body of a request.
@@ -28,6 +32,8 @@
     pub(super) lanes: Vec<Vec<Exchange>>,
     /// What happens to the daemons, by the time in milliseconds since the start.
     pub(super) disturbances: Vec<(u64, Disturbance)>,
+    /// What changes in the deployment.
+    pub(super) changes: Changes,
 }
 
 /// A request with the tries that take its stream up again.
@@ -138,7 +144,15 @@
             disturbances.push((at_ms, disturbance));
             at_ms += rng.random_range(200..1_000);
         }
-        Self { seed, seconds, lanes, disturbances }
+        let changes = Changes::draw(seed, seconds);
+        Self { seed, seconds, lanes, disturbances, changes }
+    }
+
+    /// Leaves the deployment as it is at the start.
+    #[must_use]
+    pub fn without_changes(mut self) -> Self {
+        self.changes = Changes::default();
+        self
     }
 
     /// Replaces kills of targets with resets.
--- /dev/null
+++ b/tests/platform-standin/src/wire/script/changes.rs
@@ -0,0 +1,85 @@
+//! Planned changes of a deployment, drawn apart from the rest of the script: calls, responses and
+//! faults of a seed stay the same without them.
+
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+/// Number of targets of each service if nothing changes.
+const STEADY_TARGETS: usize = 2;
+
+/// What changes in the deployment while calls run.
+#[derive(Debug)]
+pub struct Changes {
+    /// Number of targets of each service.
+    pub targets_per_service: usize,
+    /// Replaced targets, by the time in milliseconds since the start.
+    pub replacements: Vec<(u64, Replacement)>,
+}
+
+/// The replacement of a target's process by one that starts anew.
+#[derive(Debug, Clone, Copy)]
+pub struct Replacement {
+    /// The index of the target.
+    pub target: usize,
+    pub keeps_id: bool,
+    pub keeps_address: bool,
+    pub notice: Notice,
+    /// For how long the old process accepts requests after the notice, in milliseconds.
+    pub serves_ms: u64,
+    /// For how long its last responses may then go on, in milliseconds. Those that have not ended
+    /// are cut off by its exit.
+    pub exits_after_ms: u64,
+}
+
+/// How the registry shows that a target leaves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Notice {
+    /// Its entry says so, and its responses too.
+    Draining,
+    /// Its entry is removed.
+    Removed,
+}
+
+impl Default for Changes {
+    fn default() -> Self {
+        Self { targets_per_service: STEADY_TARGETS, replacements: Vec::new() }
+    }
+}
+
+impl Changes {
+    pub(super) fn draw(seed: u64, seconds: u64) -> Self {
+        let mut rng = StdRng::seed_from_u64(!seed);
+        let targets_per_service = rng.random_range(2..=4);
+        let mut replacements = Vec::new();
+        let mut at_ms = 200;
+        while at_ms < seconds * 1000 {
+            let target = rng.random_range(0..2 * targets_per_service);
+            replacements.push((at_ms, Replacement::draw(&mut rng, target)));
+            at_ms += rng.random_range(100..700);
+        }
+        Self { targets_per_service, replacements }
+    }
+}
+
+impl Replacement {
+    fn draw(rng: &mut StdRng, target: usize) -> Self {
+        Self {
+            target,
+            keeps_id: rng.random_bool(0.3),
+            keeps_address: rng.random(),
+            notice: if rng.random_bool(0.6) { Notice::Draining } else { Notice::Removed },
+            serves_ms: if rng.random() { rng.random_range(0..300) } else { 2_000 },
+            exits_after_ms: rng.random_range(0..400),
+        }
+    }
+
+    /// The name of the step in reports.
+    pub const fn name(&self) -> &'static str {
+        match (self.keeps_id, self.keeps_address) {
+            (true, true) => "target restarted",
+            (true, false) => "target restarted elsewhere",
+            (false, true) => "successor at the same address",
+            (false, false) => "successor elsewhere",
+        }
+    }
+}
--- a/tests/platform-standin/src/wire/scripted_target.rs
+++ b/tests/platform-standin/src/wire/scripted_target.rs
@@ -1,68 +1,92 @@
 //! Targets that play the script. The process of a target is a set of tasks, sockets and a listener
 //! that end at once.
 
+mod process;
 mod response;
 
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::net::SocketAddr;
-use std::rc::{Rc, Weak};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::rc::Rc;
+use std::time::Duration;
 
 use actix_rt::time::sleep;
 use serde_json::{Value, json};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 use tokio::sync::watch;
 
+use self::process::Process;
 use self::response::Played;
 use super::SharedLog;
 use super::http::{BodyEnd, Connection, body_end, header, write_all};
-use super::script::Script;
+use super::script::{Notice, Replacement, Script};
 use crate::deployment::MODEL_SERVICE;
 use crate::replica::MODEL;
 use crate::store::{REGISTRY_TABLE, RowStore};
 
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(400);
 
-/// A target at an address of its own, whose processes follow each other under one id.
-pub struct Target {
-    id: String,
+/// A place in a service, which targets fill one after the other.
+pub struct Place {
+    number: usize,
     service: &'static str,
-    address: SocketAddr,
     store: RowStore,
     script: Rc<Script>,
     log: SharedLog,
+    /// How many targets have filled the place.
+    targets: Cell<usize>,
+    current: RefCell<Option<Rc<Target>>>,
+}
+
+/// A target at an address of its own, whose processes follow each other under one id.
+struct Target {
+    id: String,
+    place: Rc<Place>,
+    address: SocketAddr,
+    stage: Cell<Stage>,
     process: RefCell<Option<Process>>,
     heartbeats: Cell<u64>,
 }
 
-/// A process of a target.
-struct Process {
-    /// The Unix millisecond of its start.
-    born: u64,
-    listener: Rc<TcpListener>,
-    connections: Vec<Weak<TcpStream>>,
-    /// Its tasks end when this is dropped.
-    exit: watch::Sender<()>,
+/// Where a target is between its start and its exit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Stage {
+    Serving,
+    /// Its entry says that it leaves.
+    Draining,
+    /// Its entry is removed, or belongs to a successor.
+    Unlisted,
 }
 
-impl Target {
+impl Place {
     /// Starts a target, which registers itself in the store.
     pub fn spawn(
-        id: String,
+        number: usize,
         service: &'static str,
         store: RowStore,
         script: Rc<Script>,
         log: SharedLog,
-    ) -> io::Result<()> {
-        let listener = std::net::TcpListener::bind("127.0.0.1:0")?;
-        let address = listener.local_addr()?;
-        let (process, heartbeats) = (RefCell::default(), Cell::new(0));
-        let target =
-            Rc::new(Self { id, service, address, store, script, log, process, heartbeats });
+    ) -> io::Result<Rc<Self>> {
+        let (targets, current) = (Cell::new(0), RefCell::default());
+        let place = Rc::new(Self { number, service, store, script, log, targets, current });
+        place.fill(format!("t-{number}"), std::net::TcpListener::bind("127.0.0.1:0")?)?;
+        Ok(place)
+    }
+
+    fn fill(self: &Rc<Self>, id: String, listener: std::net::TcpListener) -> io::Result<()> {
+        self.targets.set(self.targets.get() + 1);
+        let target = Rc::new(Target {
+            id,
+            place: self.clone(),
+            address: listener.local_addr()?,
+            stage: Cell::new(Stage::Serving),
+            process: RefCell::default(),
+            heartbeats: Cell::new(0),
+        });
         target.start(listener)?;
+        *self.current.borrow_mut() = Some(target.clone());
         actix_rt::spawn(async move {
-            loop {
+            while target.stage.get() != Stage::Unlisted {
                 target.register();
                 sleep(HEARTBEAT_INTERVAL).await;
             }
@@ -70,18 +94,48 @@
         Ok(())
     }
 
+    /// Replaces the target; does nothing while it is being replaced already.
+    pub async fn replace(self: Rc<Self>, replacement: Replacement) -> io::Result<()> {
+        let Some(old) = self.current.borrow().clone() else { return Ok(()) };
+        if old.stage.get() != Stage::Serving {
+            return Ok(());
+        }
+        self.log.borrow_mut().count(replacement.name());
+        old.give_notice(replacement.notice);
+        let Replacement { keeps_id, keeps_address, .. } = replacement;
+        let id = if keeps_id {
+            old.id.clone()
+        } else {
+            format!("t-{}-{}", self.number, self.targets.get())
+        };
+        let starts_first = !keeps_id && !keeps_address;
+        if starts_first {
+            self.fill(id.clone(), std::net::TcpListener::bind("127.0.0.1:0")?)?;
+        }
+        sleep(Duration::from_millis(replacement.serves_ms)).await;
+        old.stop_accepting();
+        if keeps_id {
+            old.stage.set(Stage::Unlisted);
+        }
+        if !starts_first {
+            let address =
+                if keeps_address { old.address } else { SocketAddr::from(([127, 0, 0, 1], 0)) };
+            self.fill(id, bind_when_free(address).await)?;
+        }
+        old.finish(Duration::from_millis(replacement.exits_after_ms)).await;
+        if old.stage.replace(Stage::Unlisted) == Stage::Draining {
+            self.store.remove(REGISTRY_TABLE, &old.id);
+        }
+        Ok(())
+    }
+}
+
+impl Target {
     /// Starts a process.
     fn start(self: &Rc<Self>, listener: std::net::TcpListener) -> io::Result<()> {
         listener.set_nonblocking(true)?;
         let listener = Rc::new(TcpListener::from_std(listener)?);
-        let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        let (exit, exited) = watch::channel(());
-        let process = Process {
-            born: born.as_millis() as u64,
-            listener: listener.clone(),
-            connections: Vec::new(),
-            exit,
-        };
+        let (process, exited) = Process::new(listener.clone());
         *self.process.borrow_mut() = Some(process);
         let target = self.clone();
         actix_rt::spawn(async move {
@@ -89,22 +143,21 @@
             loop {
                 let accepted = tokio::select! {
                     biased;
-                    _ = exit.changed() => return,
+                    () = process::ended(&mut exit) => return,
                     accepted = listener.accept() => accepted,
                 };
                 let Ok((stream, _)) = accepted else { return };
                 let mut connection = Connection::new(stream);
                 if let Some(process) = &mut *target.process.borrow_mut() {
-                    process.connections.retain(|known| known.strong_count() > 0);
-                    process.connections.push(Rc::downgrade(&connection.stream));
+                    process.add(&connection);
                 }
-                let (target, mut exit) = (target.clone(), exited.clone());
+                let (target, mut exit, closing) = (target.clone(), exited.clone(), exited.clone());
                 actix_rt::spawn(async move {
                     tokio::select! {
                         biased;
-                        _ = exit.changed() => {}
+                        () = process::ended(&mut exit) => {}
                         // A connection error ends the work of a target.
-                        _ = target.serve(&mut connection) => {}
+                        _ = target.serve(&mut connection, closing) => {}
                     }
                 });
             }
@@ -114,25 +167,20 @@
     }
 
     /// Ends the process as a kill does: all of its sockets are closed before anything else runs.
-    /// The next one listens after `downtime`.
+    /// The next one listens after `downtime`, unless the target leaves.
     fn kill(self: &Rc<Self>, downtime: Duration) {
         let Some(process) = self.process.take() else { return };
-        let Process { listener, connections, exit, .. } = process;
-        for connection in connections.iter().filter_map(Weak::upgrade) {
-            // Fails only if the peer has closed the connection.
-            let _ = socket2::SockRef::from(&*connection).shutdown(std::net::Shutdown::Both);
+        process.exit();
+        if self.stage.get() != Stage::Serving {
+            return;
         }
-        drop(exit);
-        // Stops listening although the task that accepts connections still holds the socket.
-        let _ = socket2::SockRef::from(&*listener).shutdown(std::net::Shutdown::Both);
-        drop(listener);
         if downtime.is_zero() && self.restart().is_ok() {
             return;
         }
         let target = self.clone();
         actix_rt::spawn(async move {
             sleep(downtime).await;
-            while target.restart().is_err() {
+            while target.stage.get() == Stage::Serving && target.restart().is_err() {
                 sleep(Duration::from_millis(1)).await;
             }
         });
@@ -142,8 +190,42 @@
         self.start(std::net::TcpListener::bind(self.address)?)
     }
 
+    fn give_notice(&self, notice: Notice) {
+        match notice {
+            Notice::Draining => {
+                self.stage.set(Stage::Draining);
+                self.register();
+            }
+            Notice::Removed => {
+                self.stage.set(Stage::Unlisted);
+                self.place.store.remove(REGISTRY_TABLE, &self.id);
+            }
+        }
+    }
+
+    /// Closes the listener and the connections without a request.
+    fn stop_accepting(&self) {
+        if let Some(process) = &*self.process.borrow() {
+            process.stop_accepting();
+        }
+    }
+
+    /// Ends the process once all of its responses have ended, at the latest after `limit`.
+    async fn finish(&self, limit: Duration) {
+        let is_idle = || self.process.borrow().as_ref().is_none_or(Process::is_idle);
+        let idle = async {
+            while !is_idle() {
+                sleep(Duration::from_millis(2)).await;
+            }
+        };
+        let _ = actix_rt::time::timeout(limit, idle).await;
+        if let Some(process) = self.process.take() {
+            process.exit();
+        }
+    }
+
     fn born(&self) -> u64 {
-        self.process.borrow().as_ref().map_or(0, |process| process.born)
+        self.process.borrow().as_ref().map_or(0, Process::born)
     }
 
     fn register(&self) {
@@ -151,15 +233,16 @@
             return;
         }
         self.heartbeats.set(self.heartbeats.get() + 1);
+        let state = if self.stage.get() == Stage::Serving { "ready" } else { "draining" };
         let mut entry = json!({
-            "service": self.service, "address": self.address.to_string(), "zone": "laguna",
-            "version": "v1", "slots": 64, "state": "ready", "cold_remaining_ms": 0,
+            "service": self.place.service, "address": self.address.to_string(), "zone": "laguna",
+            "version": "v1", "slots": 64, "state": state, "cold_remaining_ms": 0,
             "seq_no": self.heartbeats.get(), "born": self.born(),
         });
-        if self.service == MODEL_SERVICE {
+        if self.place.service == MODEL_SERVICE {
             entry["models"] = models();
         }
-        self.store.put(REGISTRY_TABLE, &self.id, &entry);
+        self.place.store.put(REGISTRY_TABLE, &self.id, &entry);
     }
 
     fn report(&self) -> Value {
@@ -170,11 +253,23 @@
     }
 
     /// Serves the requests on a connection.
-    async fn serve(self: &Rc<Self>, connection: &mut Connection) -> io::Result<()> {
+    async fn serve(
+        self: &Rc<Self>,
+        connection: &mut Connection,
+        mut closing: watch::Receiver<bool>,
+    ) -> io::Result<()> {
         loop {
-            let head = connection.read_head().await?;
+            let head = tokio::select! {
+                biased;
+                head = connection.read_head() => head?,
+                _ = closing.wait_for(|is_closing| *is_closing) => return Ok(()),
+            };
+            let expected = header(&head, "x-expect-instance");
             let (status, body) = match header(&head, "x-request-id") {
                 _ if head.starts_with("GET /report") => ("200 OK", self.report().to_string()),
+                Some(_) if expected.is_some_and(|id| id != self.id) => {
+                    ("421 Misdirected Request\r\nX-Not-Executed: 1", String::new())
+                }
                 Some(id) if head.contains("?exchange=") => {
                     match self.respond(connection, &head, id).await? {
                         Played::Sent => continue,
@@ -184,13 +279,32 @@
                 _ => ("404 Not Found", String::new()),
             };
             connection.read_body(body_end(&head, BodyEnd::Length(0)), &mut Vec::new()).await?;
+            let echo = header(&head, "x-request-id");
+            let echo = echo.map_or_else(String::new, |id| format!("X-Request-Id: {id}\r\n"));
             let response = format!(
-                "HTTP/1.1 {status}\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
+                "HTTP/1.1 {status}\r\n{echo}{}Content-Type: application/json\r\n\
+                 Content-Length: {}\r\n\r\n{body}",
+                self.leaving_header(),
                 body.len()
             );
             write_all(&connection.stream, response.as_bytes()).await?;
         }
     }
+
+    /// Returns the header by which a target says that it leaves.
+    fn leaving_header(&self) -> &'static str {
+        if self.stage.get() == Stage::Draining { "Server-Leaving: 1\r\n" } else { "" }
+    }
+}
+
+/// Binds an address that another process may hold for a moment.
+async fn bind_when_free(address: SocketAddr) -> std::net::TcpListener {
+    loop {
+        match std::net::TcpListener::bind(address) {
+            Ok(listener) => return listener,
+            Err(_) => sleep(Duration::from_millis(1)).await,
+        }
+    }
 }
 
 fn models() -> Value {
--- a/tests/platform-standin/src/wire/scripted_target/response.rs
+++ b/tests/platform-standin/src/wire/scripted_target/response.rs
@@ -34,9 +34,10 @@
         let target_of = head.split(' ').nth(1).unwrap_or_default();
         let number = target_of.split_once("?exchange=").and_then(|(_, number)| number.parse().ok());
         let number: usize = number.ok_or(io::ErrorKind::InvalidData)?;
-        let exchange = self.script.exchange(number);
-        let attempt_index = self.log.borrow().attempts.len();
-        let earlier = self.log.borrow().attempts.iter().filter(|a| a.exchange == number).count();
+        let exchange = self.place.script.exchange(number);
+        let attempt_index = self.place.log.borrow().attempts.len();
+        let earlier =
+            self.place.log.borrow().attempts.iter().filter(|a| a.exchange == number).count();
         let response = exchange.responses.get(earlier).copied().unwrap_or(Response::FAULTLESS);
         let seal = format!("{id}.{}.{}.{earlier}", self.id, self.born());
         let after = header(head, "last-event-id").and_then(|text| text.parse().ok()).unwrap_or(0);
@@ -47,8 +48,8 @@
             _ => (200, "OK"),
         };
         let step = response.fault.name();
-        self.log.borrow_mut().count(step);
-        self.log.borrow_mut().attempts.push(Attempt {
+        self.place.log.borrow_mut().count(step);
+        self.place.log.borrow_mut().attempts.push(Attempt {
             exchange: number,
             id: id.into(),
             seal: seal.clone(),
@@ -70,7 +71,9 @@
         } else {
             format!("X-Response-Seal: {seal}")
         };
-        let text = format!("HTTP/1.1 {status} {reason}\r\nX-Request-Id: {id}\r\n{origin}\r\n");
+        let leaving = self.leaving_header();
+        let text =
+            format!("HTTP/1.1 {status} {reason}\r\nX-Request-Id: {id}\r\n{leaving}{origin}\r\n");
         let segments = encode(&text, &parts, response.framing);
         let played = self.play(connection, &segments, &response, attempt_index).await?;
         if matches!(played, Played::Sent) && response.is_early {
@@ -146,7 +149,7 @@
     }
 
     fn with(&self, attempt: usize, change: impl FnOnce(&mut Attempt)) {
-        change(&mut self.log.borrow_mut().attempts[attempt]);
+        change(&mut self.place.log.borrow_mut().attempts[attempt]);
     }
 }
 
