Let targets stop responses at their deadlines in the checker of the wire

A target stops its work at the time that it received and closes the connection, here after a drawn number of pieces: with neither a length nor chunks, that looks like the end of the response. Some exchanges state a deadline of 60 to 500 ms for it. These stops have random numbers of their own, so that a steady script stays as it was; `draw_steady` takes the place of `without_changes`. Records of calls also say when targets and daemons change, to the millisecond.

--- a/tests/platform-standin/src/main.rs
+++ b/tests/platform-standin/src/main.rs
@@ -132,13 +132,14 @@
             } => {
                 let mut all_passed = true;
                 for seed in seed..seed + seeds {
-                    let mut script = wire::Script::draw(seed, seconds);
+                    let mut script = if without_changes {
+                        wire::Script::draw_steady(seed, seconds)
+                    } else {
+                        wire::Script::draw(seed, seconds)
+                    };
                     if without_kills {
                         script = script.without_kills();
                     }
-                    if without_changes {
-                        script = script.without_changes();
-                    }
                     if print {
                         println!("{script:#?}");
                         continue;
--- a/tests/platform-standin/src/wire.rs
+++ b/tests/platform-standin/src/wire.rs
@@ -85,6 +85,7 @@
         let at = started_at + Duration::from_millis(*at_ms);
         sleep(at.saturating_duration_since(Instant::now())).await;
         log.borrow_mut().count(disturbance.name());
+        log.borrow_mut().note(format!("{disturbance:?}"));
         match *disturbance {
             Disturbance::Suspend { vm, ms } => {
                 deployment.vms[vm].signal(Signal::SIGSTOP);
--- a/tests/platform-standin/src/wire/caller.rs
+++ b/tests/platform-standin/src/wire/caller.rs
@@ -11,12 +11,12 @@
 use super::SharedLog;
 use super::http::{BodyEnd, Connection, body_end, header, write_all};
 use super::judge::{Ending, Try};
-use super::script::{Exchange, Script};
+use super::script::{DEADLINE_MS, Exchange, Script};
 use crate::calls::CallKind;
 use crate::deployment::{API_KEY, HOST};
 
-/// The deadline that requests state. The caller itself waits for twice as long.
-const DEADLINE: Duration = Duration::from_secs(2);
+/// How long callers wait for the end of a response.
+const PATIENCE: Duration = Duration::from_millis(2 * DEADLINE_MS);
 /// Requests that take a broken stream up again.
 const MAX_RESUMPTIONS: usize = 3;
 const RESUMPTION_DELAY: Duration = Duration::from_millis(20);
@@ -125,7 +125,7 @@
     async fn run(&mut self, stream: &StreamState) -> bool {
         let head = self.head(stream);
         let leaves_after = self.exchange.leaves_after_ms.map(Duration::from_millis);
-        let limit = leaves_after.unwrap_or(DEADLINE * 2);
+        let limit = leaves_after.unwrap_or(PATIENCE);
         let body = request_body(self.exchange, self.number);
         let sender = self.connection.stream.clone();
         let in_chunks = self.exchange.in_chunks;
@@ -188,7 +188,7 @@
              {prompt}{origin}{end}\r\n\r\n",
             exchange.kind.path(),
             record.id,
-            DEADLINE.as_millis(),
+            exchange.deadline_ms,
         )
     }
 
--- a/tests/platform-standin/src/wire/judge.rs
+++ b/tests/platform-standin/src/wire/judge.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::fmt::{self, Display, Formatter};
+use std::time::{SystemTime, UNIX_EPOCH};
 
 use derive_more::Display;
 
@@ -63,7 +64,8 @@
     /// How much of the body was written to the connection.
     pub sent: usize,
     /// The length of the body at which the target ended the response properly, or the whole length
-    /// once that was sent. Nobody can tell the close by a living target from such an end.
+    /// once that was sent. Nobody can tell the close by a living target from such an end, unless
+    /// the target stops at its deadline.
     pub end: Option<usize>,
     /// The step that the target plays.
     pub step: &'static str,
@@ -119,12 +121,19 @@
     pub tries: Vec<Try>,
     /// How often each kind of step was played.
     pub steps: BTreeMap<&'static str, usize>,
+    /// What changed in the deployment, with the Unix time in milliseconds.
+    pub changes: Vec<(u128, String)>,
 }
 
 impl Log {
     pub(super) fn count(&mut self, step: &'static str) {
         *self.steps.entry(step).or_default() += 1;
     }
+
+    pub(super) fn note(&mut self, change: String) {
+        let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        self.changes.push((now.as_millis(), change));
+    }
 }
 
 impl Display for Log {
@@ -135,7 +144,7 @@
                 writeln!(f, "    {attempt}")?;
             }
         }
-        Ok(())
+        self.changes.iter().try_for_each(|(at, change)| writeln!(f, "{at} {change}"))
     }
 }
 
--- a/tests/platform-standin/src/wire/script.rs
+++ b/tests/platform-standin/src/wire/script.rs
@@ -16,6 +16,8 @@
 /// The largest body of a request.
 pub const MAX_BODY_BYTES: usize = 400_000;
 const LANES: usize = 16;
+/// The deadline that requests state, unless a target is to stop at it.
+pub const DEADLINE_MS: u64 = 2_000;
 /// More exchanges than a lane has time for.
 const EXCHANGES_PER_SECOND: u64 = 40;
 /// Responses that are drawn for an exchange; further attempts get a faultless one.
@@ -47,6 +49,8 @@
     /// Whether the request's body comes in chunks.
     pub in_chunks: bool,
     pub on_new_connection: bool,
+    /// The deadline that the requests state, in milliseconds.
+    pub deadline_ms: u64,
     /// When the caller closes its connection, in milliseconds since the request.
     pub leaves_after_ms: Option<u64>,
     /// Number of events of the stream, or of lines of a plain response.
@@ -101,6 +105,11 @@
     Copy {
         after_ms: u64,
     },
+    /// The target writes a number of segments, and closes the connection at the deadline that it
+    /// received.
+    StopAtDeadline {
+        after: usize,
+    },
     /// A response without the call's id comes before that of the call, or after it.
     Stray {
         is_first: bool,
@@ -122,6 +131,14 @@
 impl Script {
     /// Draws a script.
     pub fn draw(seed: u64, seconds: u64) -> Self {
+        let mut script = Self::draw_steady(seed, seconds);
+        script.changes = Changes::draw(seed, seconds);
+        script.draw_deadline_stops();
+        script
+    }
+
+    /// Draws a script whose targets ignore deadlines, for a deployment that stays as it is.
+    pub fn draw_steady(seed: u64, seconds: u64) -> Self {
         let mut rng = StdRng::seed_from_u64(seed);
         let exchanges = seconds * EXCHANGES_PER_SECOND;
         // In half of the scripts, all responses end with their connections.
@@ -144,15 +161,23 @@
             disturbances.push((at_ms, disturbance));
             at_ms += rng.random_range(200..1_000);
         }
-        let changes = Changes::draw(seed, seconds);
-        Self { seed, seconds, lanes, disturbances, changes }
+        Self { seed, seconds, lanes, disturbances, changes: Changes::default() }
     }
 
-    /// Leaves the deployment as it is at the start.
-    #[must_use]
-    pub fn without_changes(mut self) -> Self {
-        self.changes = Changes::default();
-        self
+    /// Lets targets stop some responses at their deadlines.
+    fn draw_deadline_stops(&mut self) {
+        let mut rng = changes::generator(self.seed, changes::Part::Deadlines);
+        for exchange in self.lanes.iter_mut().flatten() {
+            if !rng.random_bool(0.06) {
+                continue;
+            }
+            exchange.deadline_ms = rng.random_range(60..500);
+            exchange.leaves_after_ms = None;
+            let after = rng.random_range(0..=exchange.pieces);
+            let framing = if rng.random() { Framing::Close } else { exchange.responses[0].framing };
+            exchange.responses[0] =
+                Response { framing, fault: Fault::StopAtDeadline { after }, ..Response::FAULTLESS };
+        }
     }
 
     /// Replaces kills of targets with resets.
@@ -188,6 +213,7 @@
             body_bytes,
             in_chunks: body_bytes > 0 && rng.random(),
             on_new_connection: rng.random_bool(0.2),
+            deadline_ms: DEADLINE_MS,
             leaves_after_ms: leaves.then(|| rng.random_range(1..200)),
             pieces,
             responses: (0..DRAWN_RESPONSES)
@@ -243,6 +269,7 @@
             Self::Kill { downtime_ms: 0, .. } => "killed, back at once",
             Self::Kill { .. } => "killed, back later",
             Self::Copy { .. } => "copy",
+            Self::StopAtDeadline { .. } => "stopped at the deadline",
             Self::Stray { .. } => "stray response",
             Self::Refuse(_) => "refusal",
             Self::Fail => "failure",
--- a/tests/platform-standin/src/wire/script/changes.rs
+++ b/tests/platform-standin/src/wire/script/changes.rs
@@ -46,9 +46,21 @@
     }
 }
 
+/// The parts of a script that have random numbers of their own.
+#[derive(Debug, Clone, Copy)]
+pub enum Part {
+    Replacements = 1,
+    Deadlines = 2,
+}
+
+/// Returns the random numbers of a part.
+pub fn generator(seed: u64, part: Part) -> StdRng {
+    StdRng::seed_from_u64(seed ^ (part as u64) << 48)
+}
+
 impl Changes {
     pub(super) fn draw(seed: u64, seconds: u64) -> Self {
-        let mut rng = StdRng::seed_from_u64(!seed);
+        let mut rng = generator(seed, Part::Replacements);
         let targets_per_service = rng.random_range(2..=4);
         let mut replacements = Vec::new();
         let mut at_ms = 200;
--- a/tests/platform-standin/src/wire/scripted_target.rs
+++ b/tests/platform-standin/src/wire/scripted_target.rs
@@ -84,6 +84,7 @@
             heartbeats: Cell::new(0),
         });
         target.start(listener)?;
+        self.note(&target.id, &format!("listens at {}, born {}", target.address, target.born()));
         *self.current.borrow_mut() = Some(target.clone());
         actix_rt::spawn(async move {
             while target.stage.get() != Stage::Unlisted {
@@ -94,6 +95,10 @@
         Ok(())
     }
 
+    fn note(&self, id: &str, what: &str) {
+        self.log.borrow_mut().note(format!("{id} {what}"));
+    }
+
     /// Replaces the target; does nothing while it is being replaced already.
     pub async fn replace(self: Rc<Self>, replacement: Replacement) -> io::Result<()> {
         let Some(old) = self.current.borrow().clone() else { return Ok(()) };
@@ -101,6 +106,7 @@
             return Ok(());
         }
         self.log.borrow_mut().count(replacement.name());
+        self.note(&old.id, "gives notice");
         old.give_notice(replacement.notice);
         let Replacement { keeps_id, keeps_address, .. } = replacement;
         let id = if keeps_id {
@@ -113,6 +119,7 @@
             self.fill(id.clone(), std::net::TcpListener::bind("127.0.0.1:0")?)?;
         }
         sleep(Duration::from_millis(replacement.serves_ms)).await;
+        self.note(&old.id, "closes its listener and idle connections");
         old.stop_accepting();
         if keeps_id {
             old.stage.set(Stage::Unlisted);
@@ -122,7 +129,10 @@
                 if keeps_address { old.address } else { SocketAddr::from(([127, 0, 0, 1], 0)) };
             self.fill(id, bind_when_free(address).await)?;
         }
+        // A successor may have the id already.
+        let born = old.born();
         old.finish(Duration::from_millis(replacement.exits_after_ms)).await;
+        self.note(&old.id, &format!("exits, born {born}"));
         if old.stage.replace(Stage::Unlisted) == Stage::Draining {
             self.store.remove(REGISTRY_TABLE, &old.id);
         }
--- a/tests/platform-standin/src/wire/scripted_target/response.rs
+++ b/tests/platform-standin/src/wire/scripted_target/response.rs
@@ -2,7 +2,7 @@
 
 use std::io;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use actix_rt::time::sleep;
 
@@ -10,7 +10,7 @@
 use crate::wire::caller::request_body;
 use crate::wire::http::{BodyEnd, Connection, body_end, header, write_all};
 use crate::wire::judge::{Attempt, event_text};
-use crate::wire::script::{Exchange, Fault, Framing, Position, Response};
+use crate::wire::script::{DEADLINE_MS, Exchange, Fault, Framing, Position, Response};
 
 /// Bytes in a line of a plain response. Some responses cross the buffers of daemons.
 const LINE_BYTES: [usize; 3] = [40, 3_000, 30_000];
@@ -35,6 +35,8 @@
         let number = target_of.split_once("?exchange=").and_then(|(_, number)| number.parse().ok());
         let number: usize = number.ok_or(io::ErrorKind::InvalidData)?;
         let exchange = self.place.script.exchange(number);
+        let left_ms = header(head, "x-request-deadline").and_then(|text| text.parse().ok());
+        let deadline = Instant::now() + Duration::from_millis(left_ms.unwrap_or(DEADLINE_MS));
         let attempt_index = self.place.log.borrow().attempts.len();
         let earlier =
             self.place.log.borrow().attempts.iter().filter(|a| a.exchange == number).count();
@@ -75,7 +77,7 @@
         let text =
             format!("HTTP/1.1 {status} {reason}\r\nX-Request-Id: {id}\r\n{leaving}{origin}\r\n");
         let segments = encode(&text, &parts, response.framing);
-        let played = self.play(connection, &segments, &response, attempt_index).await?;
+        let played = self.play(connection, &segments, &response, deadline, attempt_index).await?;
         if matches!(played, Played::Sent) && response.is_early {
             connection.read_body(end, &mut body).await?;
         }
@@ -92,6 +94,7 @@
         connection: &Connection,
         segments: &[(String, usize)],
         response: &Response,
+        deadline: Instant,
         attempt: usize,
     ) -> io::Result<Played> {
         let stream = &connection.stream;
@@ -102,6 +105,7 @@
         }
         let stop = match response.fault {
             Fault::Cut(at) | Fault::Reset(at) | Fault::Kill { at, .. } => Some(at),
+            Fault::StopAtDeadline { after } => Some(Position { segment: after, thousandths: 0 }),
             _ => None,
         };
         let stop = stop.map(|at| Position { segment: at.segment.min(segments.len()), ..at });
@@ -138,6 +142,10 @@
                 }
                 return Ok(Played::Closed);
             }
+            Fault::StopAtDeadline { .. } => {
+                sleep(deadline.saturating_duration_since(Instant::now())).await;
+                return Ok(Played::Closed);
+            }
             Fault::Copy { after_ms } => {
                 sleep(Duration::from_millis(after_ms)).await;
                 write_all(stream, copy.as_bytes()).await?;
