Let software versions differ in the checker of the wire

In two thirds of the scripts, targets of two software versions serve side by side, and each process that starts, under a new id or the one that its place had, may have the other version: one in ten or three in ten do. A caller that takes a stream up goes on at another daemon if one refuses it. The judge counts the streams whose events come from two versions, in one response or over the requests of a caller; more than two are findings, as rule ORDER says, and the report shows their number. Versions have random numbers of their own, so that the rest of each script stays as it was.

--- a/tests/platform-standin/src/wire.rs
+++ b/tests/platform-standin/src/wire.rs
@@ -16,7 +16,9 @@
 use actix_rt::time::sleep;
 use nix::sys::signal::Signal;
 
-pub use self::judge::{Attempt, Ending, Finding, Log, Rule, Try, event_text, judge};
+pub use self::judge::{
+    Attempt, Ending, Finding, Log, Rule, Try, event_text, joined_versions, judge,
+};
 use self::script::Disturbance;
 pub use self::script::{Framing, Script};
 use self::scripted_target::Place;
@@ -31,8 +33,8 @@
 /// What a run showed.
 #[derive(Debug, derive_more::Display)]
 #[display(
-    "seed {seed}: {calls} calls, {complete} complete, {broken} broken, {refused} refused; \
-     steps {steps:?}{}", findings.concat()
+    "seed {seed}: {calls} calls, {complete} complete, {broken} broken, {refused} refused, \
+     {joined} of two versions; steps {steps:?}{}", findings.concat()
 )]
 pub struct Report {
     /// The seed of the script.
@@ -45,6 +47,8 @@
     pub broken: usize,
     /// Number of responses with status 429 or 503.
     pub refused: usize,
+    /// Number of streams with events of two software versions.
+    pub joined: usize,
     /// Number of steps of each kind that targets and daemons went through.
     pub steps: BTreeMap<&'static str, usize>,
     /// The broken rules, each with the call's id and the steps of its exchange.
@@ -122,6 +126,7 @@
         complete: count(&|t| t.status == 200 && t.ending == Ending::Complete),
         broken: count(&|t| t.ending == Ending::Broken),
         refused: count(&|t| matches!(t.status, 429 | 503)),
+        joined: joined_versions(log).len(),
         steps: log.steps.clone(),
         findings: findings.collect(),
     }
--- a/tests/platform-standin/src/wire/caller.rs
+++ b/tests/platform-standin/src/wire/caller.rs
@@ -102,8 +102,12 @@
     fn observe(&mut self, record: &Try) -> bool {
         let text = String::from_utf8_lossy(&record.body);
         let events = text.matches("\n\n").count();
-        if record.kind != CallKind::Resume || !matches!(record.status, 0 | 200) {
-            return false;
+        match record.status {
+            _ if record.kind != CallKind::Resume => return false,
+            // Another daemon may know the origin of the stream.
+            503 if self.last > 0 => return true,
+            0 | 200 => {}
+            _ => return false,
         }
         if events > 0 {
             self.first.get_or_insert_with(|| record.id.clone());
--- a/tests/platform-standin/src/wire/judge.rs
+++ b/tests/platform-standin/src/wire/judge.rs
@@ -41,7 +41,7 @@
 /// What a target saw of a request and sent in response.
 #[derive(Debug, Clone, Default, Display)]
 #[display(
-    "{seal} responds {status}, has_run={has_run}, sent {sent} of {} bytes, end={end:?}, {step}",
+    "{seal} (v{software}) responds {status}, has_run={has_run}, sent {sent} of {} bytes, end={end:?}, {step}",
     body.len()
 )]
 pub struct Attempt {
@@ -57,6 +57,8 @@
     pub has_run: bool,
     /// Whether the request's body was not that of the caller.
     pub has_other_body: bool,
+    /// The version of the target's software.
+    pub software: u8,
     /// The event after which the daemon asks the stream to begin.
     pub after: usize,
     /// The whole body of the response.
@@ -153,13 +155,38 @@
     format!("id: {id}\ndata: piece {id} of {seal}\n\n")
 }
 
+/// Streams of a run that may hold events of two software versions.
+const MAX_JOINED_VERSIONS: usize = 2;
+
+/// Returns the streams that hold events of two software versions of their service, in one response
+/// or over the requests that take them up again.
+pub fn joined_versions(log: &Log) -> Vec<Finding> {
+    let mut streams: BTreeMap<usize, Vec<&Try>> = BTreeMap::new();
+    for call in log.tries.iter().filter(|call| call.kind.is_stream() && call.status == 200) {
+        streams.entry(call.exchange).or_default().push(call);
+    }
+    let joined = streams.into_iter().filter_map(|(exchange, calls)| {
+        let runs = || log.attempts.iter().filter(|attempt| attempt.exchange == exchange);
+        let text: String = calls.iter().map(|call| String::from_utf8_lossy(&call.body)).collect();
+        let events = text.split_inclusive("\n\n").filter(|event| event.ends_with("\n\n"));
+        let origins = events.filter_map(|event| runs().find(|run| run.body.contains(event)));
+        let versions: Vec<u8> = origins.map(|run| run.software).collect();
+        let is_joined = versions.windows(2).any(|pair| pair[0] != pair[1]);
+        let what = format!("events of software versions {versions:?}");
+        let id = calls[0].id.clone();
+        is_joined.then_some(Finding { rule: Rule::Order, id, exchange, what })
+    });
+    joined.collect()
+}
+
 /// Returns the rules that the log breaks.
 pub fn judge(log: &Log) -> Vec<Finding> {
     let mut attempts: HashMap<&str, Vec<&Attempt>> = HashMap::new();
     for attempt in &log.attempts {
         attempts.entry(&attempt.id).or_default().push(attempt);
     }
-    let mut findings = Vec::new();
+    let joined = joined_versions(log);
+    let mut findings = if joined.len() > MAX_JOINED_VERSIONS { joined } else { Vec::new() };
     for call in &log.tries {
         let attempts = attempts.get(call.id.as_str()).map_or(&[][..], Vec::as_slice);
         let broken = [
--- a/tests/platform-standin/src/wire/script/changes.rs
+++ b/tests/platform-standin/src/wire/script/changes.rs
@@ -2,10 +2,13 @@
 //! faults of a seed stay the same without them.
 
 use rand::rngs::StdRng;
+use rand::seq::IndexedRandom as _;
 use rand::{Rng, SeedableRng};
 
 /// Number of targets of each service if nothing changes.
 const STEADY_TARGETS: usize = 2;
+/// Processes of a place whose software versions are drawn; they are taken in turn.
+const DRAWN_VERSIONS: usize = 50;
 
 /// What changes in the deployment while calls run.
 #[derive(Debug)]
@@ -14,6 +17,8 @@
     pub targets_per_service: usize,
     /// Replaced targets, by the time in milliseconds since the start.
     pub replacements: Vec<(u64, Replacement)>,
+    /// The software versions of the processes that follow each other in each target's place.
+    software: Vec<Vec<u8>>,
 }
 
 /// The replacement of a target's process by one that starts anew.
@@ -42,7 +47,7 @@
 
 impl Default for Changes {
     fn default() -> Self {
-        Self { targets_per_service: STEADY_TARGETS, replacements: Vec::new() }
+        Self { targets_per_service: STEADY_TARGETS, replacements: Vec::new(), software: Vec::new() }
     }
 }
 
@@ -51,6 +56,7 @@
 pub enum Part {
     Replacements = 1,
     Deadlines = 2,
+    Software = 3,
 }
 
 /// Returns the random numbers of a part.
@@ -69,7 +75,26 @@
             replacements.push((at_ms, Replacement::draw(&mut rng, target)));
             at_ms += rng.random_range(100..700);
         }
-        Self { targets_per_service, replacements }
+        let mut rng = generator(seed, Part::Software);
+        // In a third of the scripts, all targets have the same software.
+        let change = *[0.0, 0.1, 0.3].choose(&mut rng).unwrap_or(&0.0);
+        let software = (0..2 * targets_per_service).map(|target| {
+            let mut version = if change > 0.0 && target % 4 >= 2 { 2 } else { 1 };
+            let next = || {
+                let current = version;
+                if rng.random_bool(change) {
+                    version = 3 - version;
+                }
+                current
+            };
+            std::iter::repeat_with(next).take(DRAWN_VERSIONS).collect()
+        });
+        Self { targets_per_service, replacements, software: software.collect() }
+    }
+
+    /// Returns the software version of a target's process.
+    pub fn software(&self, target: usize, process: usize) -> u8 {
+        self.software.get(target).map_or(1, |versions| versions[process % versions.len()])
     }
 }
 
--- a/tests/platform-standin/src/wire/scripted_target.rs
+++ b/tests/platform-standin/src/wire/scripted_target.rs
@@ -35,6 +35,8 @@
     log: SharedLog,
     /// How many targets have filled the place.
     targets: Cell<usize>,
+    /// How many processes have filled it.
+    processes: Cell<usize>,
     current: RefCell<Option<Rc<Target>>>,
 }
 
@@ -67,8 +69,9 @@
         script: Rc<Script>,
         log: SharedLog,
     ) -> io::Result<Rc<Self>> {
-        let (targets, current) = (Cell::new(0), RefCell::default());
-        let place = Rc::new(Self { number, service, store, script, log, targets, current });
+        let (targets, processes, current) = (Cell::new(0), Cell::new(0), RefCell::default());
+        let place =
+            Rc::new(Self { number, service, store, script, log, targets, processes, current });
         place.fill(format!("t-{number}"), std::net::TcpListener::bind("127.0.0.1:0")?)?;
         Ok(place)
     }
@@ -84,7 +87,9 @@
             heartbeats: Cell::new(0),
         });
         target.start(listener)?;
-        self.note(&target.id, &format!("listens at {}, born {}", target.address, target.born()));
+        let Target { id, address, .. } = &*target;
+        let (born, software) = (target.born(), target.software());
+        self.note(id, &format!("listens at {address}, born {born}, software v{software}"));
         *self.current.borrow_mut() = Some(target.clone());
         actix_rt::spawn(async move {
             while target.stage.get() != Stage::Unlisted {
@@ -145,7 +150,9 @@
     fn start(self: &Rc<Self>, listener: std::net::TcpListener) -> io::Result<()> {
         listener.set_nonblocking(true)?;
         let listener = Rc::new(TcpListener::from_std(listener)?);
-        let (process, exited) = Process::new(listener.clone());
+        let Place { number, script, processes, .. } = &*self.place;
+        let software = script.changes.software(*number, processes.replace(processes.get() + 1));
+        let (process, exited) = Process::new(listener.clone(), software);
         *self.process.borrow_mut() = Some(process);
         let target = self.clone();
         actix_rt::spawn(async move {
@@ -238,6 +245,10 @@
         self.process.borrow().as_ref().map_or(0, Process::born)
     }
 
+    fn software(&self) -> u8 {
+        self.process.borrow().as_ref().map_or(0, Process::software)
+    }
+
     fn register(&self) {
         if self.process.borrow().is_none() {
             return;
@@ -246,7 +257,7 @@
         let state = if self.stage.get() == Stage::Serving { "ready" } else { "draining" };
         let mut entry = json!({
             "service": self.place.service, "address": self.address.to_string(), "zone": "laguna",
-            "version": "v1", "slots": 64, "state": state, "cold_remaining_ms": 0,
+            "version": format!("v{}", self.software()), "slots": 64, "state": state, "cold_remaining_ms": 0,
             "seq_no": self.heartbeats.get(), "born": self.born(),
         });
         if self.place.service == MODEL_SERVICE {
--- a/tests/platform-standin/src/wire/scripted_target/process.rs
+++ b/tests/platform-standin/src/wire/scripted_target/process.rs
@@ -13,6 +13,8 @@
 pub struct Process {
     /// The Unix millisecond of its start.
     born: u64,
+    /// The version of its software.
+    software: u8,
     listener: Rc<TcpListener>,
     connections: Vec<Weak<TcpStream>>,
     /// Whether it stops to accept requests. Its tasks end when this is dropped.
@@ -21,17 +23,21 @@
 
 impl Process {
     /// Returns a process and what its tasks watch; see [`ended`].
-    pub fn new(listener: Rc<TcpListener>) -> (Self, watch::Receiver<bool>) {
+    pub fn new(listener: Rc<TcpListener>, software: u8) -> (Self, watch::Receiver<bool>) {
         let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let (is_closing, receiver) = watch::channel(false);
         let born = born.as_millis() as u64;
-        (Self { born, listener, connections: Vec::new(), is_closing }, receiver)
+        (Self { born, software, listener, connections: Vec::new(), is_closing }, receiver)
     }
 
     pub const fn born(&self) -> u64 {
         self.born
     }
 
+    pub const fn software(&self) -> u8 {
+        self.software
+    }
+
     pub fn add(&mut self, connection: &Connection) {
         self.connections.retain(|known| known.strong_count() > 0);
         self.connections.push(Rc::downgrade(&connection.stream));
--- a/tests/platform-standin/src/wire/scripted_target/response.rs
+++ b/tests/platform-standin/src/wire/scripted_target/response.rs
@@ -57,6 +57,7 @@
             seal: seal.clone(),
             status,
             after,
+            software: self.software(),
             body: parts.concat(),
             step,
             ..Attempt::default()
--- a/tests/platform-standin/tests/wire_judge.rs
+++ b/tests/platform-standin/tests/wire_judge.rs
@@ -2,7 +2,7 @@
 
 use cumintrail_platform_standin::calls::CallKind;
 use cumintrail_platform_standin::wire::{
-    Attempt, Ending, Log, Rule, Script, Try, event_text, judge,
+    Attempt, Ending, Log, Rule, Script, Try, event_text, joined_versions, judge,
 };
 
 /// Returns the rules that a log with one call breaks.
@@ -132,6 +132,49 @@
     assert_eq!(broken(rest, vec![run("b", 4, 4)]), []);
 }
 
+/// A log of streams, each of which a run of the first version began and one of `software` ended.
+fn taken_up(streams: usize, software: u8, in_one_response: bool) -> Log {
+    let mut log = Log::default();
+    for exchange in 0..streams {
+        let name = |run: usize| format!("{exchange}-{run}");
+        let (first, second) = (name(0), name(usize::from(!in_one_response)));
+        let began = Attempt { exchange, id: first.clone(), software: 1, ..run(&first, 0, 2) };
+        let rest = name(2);
+        log.attempts.extend([
+            began,
+            Attempt { exchange, id: second.clone(), software, ..run(&rest, 2, 4) },
+        ]);
+        let stream = |id: &str, after, seal: &str, body: String| {
+            let (id, response_id) = (id.to_owned(), Some(id.to_owned()));
+            let call = call(CallKind::Resume, seal, body);
+            Try { exchange, id, response_id, after, ..call }
+        };
+        if in_one_response {
+            let text = events(&first, 0, 2) + &events(&rest, 2, 4);
+            log.tries.push(stream(&first, 0, &first, text));
+        } else {
+            let text = events(&first, 0, 2);
+            let broken = Try { ending: Ending::Broken, ..stream(&first, 0, &first, text) };
+            log.tries.extend([broken, stream(&second, 2, &rest, events(&rest, 2, 4))]);
+        }
+    }
+    log
+}
+
+#[test]
+fn more_than_two_streams_of_two_software_versions_are_found() {
+    for in_one_response in [false, true] {
+        let rules = |streams, software| {
+            let log = taken_up(streams, software, in_one_response);
+            let found = judge(&log).into_iter().map(|finding| finding.rule);
+            (joined_versions(&log).len(), found.collect::<Vec<_>>())
+        };
+        assert_eq!(rules(3, 2), (3, vec![Rule::Order; 3]));
+        assert_eq!(rules(2, 2), (2, vec![]));
+        assert_eq!(rules(3, 1), (0, vec![]));
+    }
+}
+
 #[test]
 fn calls_that_run_again_or_are_refused_after_they_ran_are_found() {
     let again = || vec![attempt("a", "x".into()), attempt("b", "x".into())];
