Stop daemons in the checker of the wire

Operators stop a daemon with SIGTERM some times in a script, and start it again a drawn time after it has exited, while calls, replaced targets, suspended and killed daemons go on. A daemon that runs 9 s after SIGTERM (bounds.grace_s is 8) breaks DRAIN, and one that ends by itself is reported.

--- /dev/null
+++ b/tests/platform-standin/src/wire/daemons.rs
@@ -0,0 +1,114 @@
+//! The daemons of a run, and what happens to them.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use actix_rt::time::sleep;
+use nix::sys::signal::Signal;
+
+use super::SharedLog;
+use super::script::{Disturbance, Operation};
+use crate::deployment::Deployment;
+
+/// How long a daemon may run after `SIGTERM`; the settings files state a second less.
+const STOP_LIMIT: Duration = Duration::from_secs(9);
+const EXIT_CHECK_INTERVAL: Duration = Duration::from_millis(5);
+
+/// The daemons of a deployment.
+pub struct Daemons {
+    deployment: RefCell<Deployment>,
+    log: SharedLog,
+    /// Which daemons operators have stopped and not started again.
+    stopped: Vec<Cell<bool>>,
+}
+
+impl Daemons {
+    pub fn new(deployment: Deployment, log: SharedLog) -> Self {
+        let stopped = deployment.vms.iter().map(|_| Cell::default()).collect();
+        Self { deployment: RefCell::new(deployment), log, stopped }
+    }
+
+    /// Disturbs a daemon. One that has been stopped is left alone.
+    pub async fn disturb(&self, disturbance: Disturbance) -> std::io::Result<()> {
+        let (Disturbance::Suspend { vm, .. } | Disturbance::Restart { vm }) = disturbance;
+        self.check_exit(vm);
+        if !self.runs(vm) {
+            return Ok(());
+        }
+        self.log.borrow_mut().count(disturbance.name());
+        self.log.borrow_mut().note(format!("{disturbance:?}"));
+        match disturbance {
+            Disturbance::Suspend { vm, ms } => {
+                let pid = self.signal(vm, Signal::SIGSTOP);
+                sleep(Duration::from_millis(ms)).await;
+                if self.pid(vm) == pid {
+                    self.signal(vm, Signal::SIGCONT);
+                }
+                Ok(())
+            }
+            Disturbance::Restart { vm } => self.deployment.borrow().restart_vm_with(vm, ""),
+        }
+    }
+
+    /// Carries out an operation, unless its daemon has been stopped.
+    pub async fn operate(self: Rc<Self>, operation: Operation) -> std::io::Result<()> {
+        let Operation::Stop { vm, downtime_ms } = operation;
+        if !self.runs(vm) || self.stopped[vm].get() {
+            return Ok(());
+        }
+        self.log.borrow_mut().count(operation.name());
+        self.log.borrow_mut().note(format!("{operation:?}"));
+        self.stop(vm, Duration::from_millis(downtime_ms)).await
+    }
+
+    /// Stops a daemon and starts it after its exit and a time, unless another one runs by then.
+    async fn stop(&self, vm: usize, downtime: Duration) -> std::io::Result<()> {
+        self.stopped[vm].set(true);
+        let pid = self.signal(vm, Signal::SIGTERM);
+        let signaled_at = Instant::now();
+        while self.pid(vm) == pid && self.runs(vm) {
+            if signaled_at.elapsed() > STOP_LIMIT {
+                self.log.borrow_mut().fault(format!("DRAIN: VM {vm} runs long after SIGTERM"));
+                self.signal(vm, Signal::SIGKILL);
+            }
+            sleep(EXIT_CHECK_INTERVAL).await;
+        }
+        if self.pid(vm) == pid {
+            self.log.borrow_mut().note(format!("VM {vm} exits"));
+            sleep(downtime).await;
+        }
+        let started = if self.runs(vm) { Ok(()) } else { self.deployment.borrow().start_vm(vm) };
+        self.log.borrow_mut().note(format!("VM {vm} starts"));
+        self.stopped[vm].set(false);
+        started
+    }
+
+    /// Records the daemons that have ended by themselves.
+    pub fn check_exits(&self) {
+        (0..self.stopped.len()).for_each(|vm| self.check_exit(vm));
+    }
+
+    fn check_exit(&self, vm: usize) {
+        if !self.stopped[vm].get() && !self.runs(vm) {
+            let status = self.deployment.borrow().vms[vm].exit_status();
+            self.log.borrow_mut().fault(format!("EXIT: VM {vm} ended by itself: {status:?}"));
+        }
+    }
+
+    fn runs(&self, vm: usize) -> bool {
+        !self.deployment.borrow().vms[vm].has_ended()
+    }
+
+    fn pid(&self, vm: usize) -> Option<u32> {
+        self.deployment.borrow().vms[vm].pid()
+    }
+
+    /// Sends a signal to a process that has not been waited for, and returns its id.
+    fn signal(&self, vm: usize, signal: Signal) -> Option<u32> {
+        if self.runs(vm) {
+            self.deployment.borrow().vms[vm].signal(signal);
+        }
+        self.pid(vm)
+    }
+}
--- a/tests/platform-standin/src/wire/judge.rs
+++ b/tests/platform-standin/src/wire/judge.rs
@@ -125,6 +125,8 @@
     pub steps: BTreeMap<&'static str, usize>,
     /// What changed in the deployment, with the Unix time in milliseconds.
     pub changes: Vec<(u128, String)>,
+    /// What daemons did wrong, each with the rule.
+    pub faults: Vec<String>,
 }
 
 impl Log {
@@ -132,6 +134,11 @@
         *self.steps.entry(step).or_default() += 1;
     }
 
+    pub(super) fn fault(&mut self, fault: String) {
+        self.note(fault.clone());
+        self.faults.push(fault);
+    }
+
     pub(super) fn note(&mut self, change: String) {
         let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         self.changes.push((now.as_millis(), change));
