Change routes and settings in the checker of the wire

Operators also write a daemon's settings file with another heartbeat interval and send SIGHUP, and declare other routes and API keys, while streams run; stops of daemons are a quarter of the operations, which come some three times as often as before, since each calls for little.

--- a/tests/platform-standin/src/wire.rs
+++ b/tests/platform-standin/src/wire.rs
@@ -77,7 +77,7 @@
         actix_rt::spawn(caller::run_lane(lane, script, addresses.clone(), log, until))
     });
     let lanes: Vec<_> = lanes.collect();
-    let daemons = Rc::new(Daemons::new(deployment, log.clone()));
+    let daemons = Rc::new(Daemons::new(deployment, folder, log.clone()));
     for (at_ms, replacement) in script.changes.replacements.iter().copied() {
         let place = places[replacement.target].clone();
         actix_rt::spawn(async move {
--- a/tests/platform-standin/src/wire/daemons.rs
+++ b/tests/platform-standin/src/wire/daemons.rs
@@ -1,6 +1,7 @@
 //! The daemons of a run, and what happens to them.
 
 use std::cell::{Cell, RefCell};
+use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -18,15 +19,17 @@
 /// The daemons of a deployment.
 pub struct Daemons {
     deployment: RefCell<Deployment>,
+    folder: PathBuf,
     log: SharedLog,
     /// Which daemons operators have stopped and not started again.
     stopped: Vec<Cell<bool>>,
 }
 
 impl Daemons {
-    pub fn new(deployment: Deployment, log: SharedLog) -> Self {
+    /// Takes the daemons whose settings files are in `folder`.
+    pub fn new(deployment: Deployment, folder: &Path, log: SharedLog) -> Self {
         let stopped = deployment.vms.iter().map(|_| Cell::default()).collect();
-        Self { deployment: RefCell::new(deployment), log, stopped }
+        Self { deployment: RefCell::new(deployment), folder: folder.to_owned(), log, stopped }
     }
 
     /// Disturbs a daemon. One that has been stopped is left alone.
@@ -53,13 +56,39 @@
 
     /// Carries out an operation, unless its daemon has been stopped.
     pub async fn operate(self: Rc<Self>, operation: Operation) -> std::io::Result<()> {
-        let Operation::Stop { vm, downtime_ms } = operation;
-        if !self.runs(vm) || self.stopped[vm].get() {
-            return Ok(());
+        match operation {
+            Operation::Stop { vm, .. } | Operation::Reload { vm, .. }
+                if !self.runs(vm) || self.stopped[vm].get() =>
+            {
+                return Ok(());
+            }
+            _ => {}
         }
         self.log.borrow_mut().count(operation.name());
         self.log.borrow_mut().note(format!("{operation:?}"));
-        self.stop(vm, Duration::from_millis(downtime_ms)).await
+        match operation {
+            Operation::Stop { vm, downtime_ms } => {
+                self.stop(vm, Duration::from_millis(downtime_ms)).await?;
+            }
+            Operation::Reload { vm, heartbeat_ms } => {
+                let path = self.folder.join(format!("vm-{vm}.conf"));
+                let settings = std::fs::read_to_string(&path)?;
+                let lines = settings.lines().map(|line| match line.split_once('=') {
+                    Some(("heartbeat_ms", _)) => format!("heartbeat_ms={heartbeat_ms}\n"),
+                    _ => format!("{line}\n"),
+                });
+                std::fs::write(&path, lines.collect::<String>())?;
+                self.signal(vm, Signal::SIGHUP);
+            }
+            Operation::Declare { number } => {
+                let mut deployment = self.deployment.borrow_mut();
+                let declarations = &mut deployment.declarations;
+                declarations.extra_prefixes = (0..number).map(|n| format!("/extra-{n}/")).collect();
+                declarations.extra_keys = vec![format!("key-under-{number}-and-no-longer")];
+                deployment.publish_declarations();
+            }
+        }
+        Ok(())
     }
 
     /// Stops a daemon and starts it after its exit and a time, unless another one runs by then.
--- a/tests/platform-standin/src/wire/script/changes.rs
+++ b/tests/platform-standin/src/wire/script/changes.rs
@@ -45,6 +45,10 @@
 pub enum Operation {
     /// Stops a daemon with `SIGTERM`, and starts it some time after it has exited.
     Stop { vm: usize, downtime_ms: u64 },
+    /// Writes a daemon's settings file with another heartbeat interval, and sends `SIGHUP`.
+    Reload { vm: usize, heartbeat_ms: u64 },
+    /// Declares other routes and API keys beside those that stay.
+    Declare { number: u64 },
 }
 
 /// How the registry shows that a target leaves.
@@ -112,7 +116,7 @@
         let mut at_ms = 400;
         while at_ms < seconds * 1000 {
             operations.push((at_ms, Operation::draw(&mut rng)));
-            at_ms += rng.random_range(300..2_000);
+            at_ms += rng.random_range(100..700);
         }
         Self { targets_per_service, replacements, operations, software }
     }
@@ -126,13 +130,19 @@
 impl Operation {
     fn draw(rng: &mut StdRng) -> Self {
         let vm = rng.random_range(0..VMS);
-        Self::Stop { vm, downtime_ms: rng.random_range(0..400) }
+        match rng.random_range(0..4) {
+            0 => Self::Stop { vm, downtime_ms: rng.random_range(0..400) },
+            1 | 2 => Self::Reload { vm, heartbeat_ms: rng.random_range(200..800) },
+            _ => Self::Declare { number: rng.random_range(0..5) },
+        }
     }
 
     /// The name of the step in reports.
     pub const fn name(&self) -> &'static str {
         match self {
             Self::Stop { .. } => "daemon stopped",
+            Self::Reload { .. } => "settings changed",
+            Self::Declare { .. } => "routes changed",
         }
     }
 }
