--- a/tests/platform-standin/src/wire.rs
+++ b/tests/platform-standin/src/wire.rs
@@ -2,6 +2,7 @@
 //! and callers of all kinds, and judges each call by the bytes that both sides saw.
 
 mod caller;
+mod daemons;
 mod http;
 mod judge;
 mod script;
@@ -14,15 +15,15 @@
 use std::time::{Duration, Instant};
 
 use actix_rt::time::sleep;
-use nix::sys::signal::Signal;
 
-pub use self::judge::{Attempt, Ending, Finding, Log, Rule, Try, event_text, judge};
-use self::script::Disturbance;
+use self::daemons::Daemons;
+pub use self::judge::{
+    Attempt, Ending, Finding, Log, Rule, Try, event_text, joined_versions, judge,
+};
 pub use self::script::{Framing, Script};
-use self::scripted_target::Target;
+use self::scripted_target::Place;
 use crate::deployment::{Deployment, MODEL_SERVICE, PLAIN_SERVICE};
 
-const TARGETS_PER_SERVICE: usize = 2;
 /// How long calls in progress may go on after the last one has begun.
 const END_TIME: Duration = Duration::from_secs(4);
 
@@ -32,8 +33,8 @@
 /// What a run showed.
 #[derive(Debug, derive_more::Display)]
 #[display(
-    "seed {seed}: {calls} calls, {complete} complete, {broken} broken, {refused} refused; \
-     steps {steps:?}{}", findings.concat()
+    "seed {seed}: {calls} calls, {complete} complete, {broken} broken, {refused} refused, \
+     {joined} of two versions; steps {steps:?}{}", findings.concat()
 )]
 pub struct Report {
     /// The seed of the script.
@@ -46,6 +47,8 @@
     pub broken: usize,
     /// Number of responses with status 429 or 503.
     pub refused: usize,
+    /// Number of streams with events of two software versions.
+    pub joined: usize,
     /// Number of steps of each kind that targets and daemons went through.
     pub steps: BTreeMap<&'static str, usize>,
     /// The broken rules, each with the call's id and the steps of its exchange.
@@ -58,11 +61,11 @@
     deployment.declarations.max_body_bytes = Some(script::MAX_BODY_BYTES as u64);
     deployment.publish_declarations();
     let (script, log) = (Rc::new(script), SharedLog::default());
-    for number in 0..2 * TARGETS_PER_SERVICE {
+    let places = (0..2 * script.changes.targets_per_service).map(|number| {
         let service = [MODEL_SERVICE, PLAIN_SERVICE][number % 2];
-        let (store, script) = (deployment.store.clone(), script.clone());
-        Target::spawn(format!("t-{number}"), service, store, script, log.clone())?;
-    }
+        Place::spawn(number, service, deployment.store.clone(), script.clone(), log.clone())
+    });
+    let places = places.collect::<std::io::Result<Vec<_>>>()?;
     if !deployment.wait_ready().await {
         return Err(std::io::Error::other("the daemons did not become ready; see their logs"));
     }
@@ -74,18 +77,27 @@
         actix_rt::spawn(caller::run_lane(lane, script, addresses.clone(), log, until))
     });
     let lanes: Vec<_> = lanes.collect();
-    for (at_ms, disturbance) in &script.disturbances {
-        let at = started_at + Duration::from_millis(*at_ms);
-        sleep(at.saturating_duration_since(Instant::now())).await;
-        log.borrow_mut().count(disturbance.name());
-        match *disturbance {
-            Disturbance::Suspend { vm, ms } => {
-                deployment.vms[vm].signal(Signal::SIGSTOP);
-                sleep(Duration::from_millis(ms)).await;
-                deployment.vms[vm].signal(Signal::SIGCONT);
+    let daemons = Rc::new(Daemons::new(deployment, folder, log.clone()));
+    for (at_ms, replacement) in script.changes.replacements.iter().copied() {
+        let place = places[replacement.target].clone();
+        actix_rt::spawn(async move {
+            sleep_until(started_at, at_ms).await;
+            place.replace(replacement).await
+        });
+    }
+    for (at_ms, operation) in script.changes.operations.iter().copied() {
+        let daemons = Rc::downgrade(&daemons);
+        actix_rt::spawn(async move {
+            sleep_until(started_at, at_ms).await;
+            match daemons.upgrade() {
+                Some(daemons) => daemons.operate(operation).await,
+                None => Ok(()),
             }
-            Disturbance::Restart { vm } => deployment.restart_vm_with(vm, "")?,
-        }
+        });
+    }
+    for (at_ms, disturbance) in &script.disturbances {
+        sleep_until(started_at, *at_ms).await;
+        daemons.disturb(*disturbance).await?;
     }
     for lane in lanes {
         let rest = (until + END_TIME * 2).saturating_duration_since(Instant::now());
@@ -93,6 +105,7 @@
     }
     // Requests that run after a refusal are late.
     sleep(Duration::from_millis(500)).await;
+    daemons.check_exits();
     let log = log.take();
     let report = report(&script, &log);
     std::fs::write(folder.join("report.txt"), report.to_string())?;
@@ -100,6 +113,11 @@
     Ok(report)
 }
 
+async fn sleep_until(start: Instant, at_ms: u64) {
+    let at = start + Duration::from_millis(at_ms);
+    sleep(at.saturating_duration_since(Instant::now())).await;
+}
+
 fn report(script: &Script, log: &Log) -> Report {
     let findings = judge(log).into_iter().map(|finding| {
         let exchange = script.exchange(finding.exchange);
@@ -107,6 +125,7 @@
         let attempts: Vec<String> = attempts.map(|attempt| format!("\n    {attempt}")).collect();
         format!("\n  {finding}\n    {exchange:?}{}", attempts.concat())
     });
+    let faults = log.faults.iter().map(|fault| format!("\n  {fault}"));
     let count = |filter: &dyn Fn(&Try) -> bool| log.tries.iter().filter(|t| filter(t)).count();
     Report {
         seed: script.seed,
@@ -114,7 +133,8 @@
         complete: count(&|t| t.status == 200 && t.ending == Ending::Complete),
         broken: count(&|t| t.ending == Ending::Broken),
         refused: count(&|t| matches!(t.status, 429 | 503)),
+        joined: joined_versions(log).len(),
         steps: log.steps.clone(),
-        findings: findings.collect(),
+        findings: findings.chain(faults).collect(),
     }
 }
--- /dev/null
+++ b/tests/platform-standin/src/wire/script/changes.rs
@@ -0,0 +1,171 @@
+//! Planned changes of a deployment, drawn apart from the rest of the script: calls, responses and
+//! faults of a seed stay the same without them.
+
+use rand::rngs::StdRng;
+use rand::seq::IndexedRandom as _;
+use rand::{Rng, SeedableRng};
+
+use super::VMS;
+
+/// Number of targets of each service if nothing changes.
+const STEADY_TARGETS: usize = 2;
+/// Processes of a place whose software versions are drawn; they are taken in turn.
+const DRAWN_VERSIONS: usize = 50;
+
+/// What changes in the deployment while calls run.
+#[derive(Debug)]
+pub struct Changes {
+    /// Number of targets of each service.
+    pub targets_per_service: usize,
+    /// Replaced targets, by the time in milliseconds since the start.
+    pub replacements: Vec<(u64, Replacement)>,
+    /// What operators do, by the time in milliseconds since the start.
+    pub operations: Vec<(u64, Operation)>,
+    /// The software versions of the processes that follow each other in each target's place.
+    software: Vec<Vec<u8>>,
+}
+
+/// The replacement of a target's process by one that starts anew.
+#[derive(Debug, Clone, Copy)]
+pub struct Replacement {
+    /// The index of the target.
+    pub target: usize,
+    pub keeps_id: bool,
+    pub keeps_address: bool,
+    pub notice: Notice,
+    /// For how long the old process accepts requests after the notice, in milliseconds.
+    pub serves_ms: u64,
+    /// For how long its last responses may then go on, in milliseconds. Those that have not ended
+    /// are cut off by its exit.
+    pub exits_after_ms: u64,
+}
+
+/// What an operator does on purpose.
+#[derive(Debug, Clone, Copy)]
+pub enum Operation {
+    /// Stops a daemon with `SIGTERM`, and starts it some time after it has exited.
+    Stop { vm: usize, downtime_ms: u64 },
+    /// Writes a daemon's settings file with another heartbeat interval, and sends `SIGHUP`.
+    Reload { vm: usize, heartbeat_ms: u64 },
+    /// Declares other routes and API keys beside those that stay.
+    Declare { number: u64 },
+}
+
+/// How the registry shows that a target leaves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Notice {
+    /// Its entry says so, and its responses too.
+    Draining,
+    /// Its entry is removed.
+    Removed,
+}
+
+impl Default for Changes {
+    fn default() -> Self {
+        Self {
+            targets_per_service: STEADY_TARGETS,
+            replacements: Vec::new(),
+            operations: Vec::new(),
+            software: Vec::new(),
+        }
+    }
+}
+
+/// The parts of a script that have random numbers of their own.
+#[derive(Debug, Clone, Copy)]
+pub enum Part {
+    Replacements = 1,
+    Deadlines = 2,
+    Software = 3,
+    Operations = 4,
+}
+
+/// Returns the random numbers of a part.
+pub fn generator(seed: u64, part: Part) -> StdRng {
+    StdRng::seed_from_u64(seed ^ (part as u64) << 48)
+}
+
+impl Changes {
+    pub(super) fn draw(seed: u64, seconds: u64) -> Self {
+        let mut rng = generator(seed, Part::Replacements);
+        let targets_per_service = rng.random_range(3..=5);
+        let mut replacements = Vec::new();
+        let mut at_ms = 200;
+        while at_ms < seconds * 1000 {
+            let target = rng.random_range(0..2 * targets_per_service);
+            replacements.push((at_ms, Replacement::draw(&mut rng, target)));
+            at_ms += rng.random_range(100..700);
+        }
+        let mut rng = generator(seed, Part::Software);
+        // In a third of the scripts, all targets have the same software.
+        let change = *[0.0, 0.1, 0.3].choose(&mut rng).unwrap_or(&0.0);
+        let software = (0..2 * targets_per_service).map(|target| {
+            let mut version = if change > 0.0 && target % 4 >= 2 { 2 } else { 1 };
+            let next = || {
+                let current = version;
+                if rng.random_bool(change) {
+                    version = 3 - version;
+                }
+                current
+            };
+            std::iter::repeat_with(next).take(DRAWN_VERSIONS).collect()
+        });
+        let software = software.collect();
+        let mut rng = generator(seed, Part::Operations);
+        let mut operations = Vec::new();
+        let mut at_ms = 400;
+        while at_ms < seconds * 1000 {
+            operations.push((at_ms, Operation::draw(&mut rng)));
+            at_ms += rng.random_range(100..700);
+        }
+        Self { targets_per_service, replacements, operations, software }
+    }
+
+    /// Returns the software version of a target's process.
+    pub fn software(&self, target: usize, process: usize) -> u8 {
+        self.software.get(target).map_or(1, |versions| versions[process % versions.len()])
+    }
+}
+
+impl Operation {
+    fn draw(rng: &mut StdRng) -> Self {
+        let vm = rng.random_range(0..VMS);
+        match rng.random_range(0..4) {
+            0 => Self::Stop { vm, downtime_ms: rng.random_range(0..400) },
+            1 | 2 => Self::Reload { vm, heartbeat_ms: rng.random_range(200..800) },
+            _ => Self::Declare { number: rng.random_range(0..5) },
+        }
+    }
+
+    /// The name of the step in reports.
+    pub const fn name(&self) -> &'static str {
+        match self {
+            Self::Stop { .. } => "daemon stopped",
+            Self::Reload { .. } => "settings changed",
+            Self::Declare { .. } => "routes changed",
+        }
+    }
+}
+
+impl Replacement {
+    fn draw(rng: &mut StdRng, target: usize) -> Self {
+        Self {
+            target,
+            keeps_id: rng.random_bool(0.3),
+            keeps_address: rng.random(),
+            notice: if rng.random_bool(0.6) { Notice::Draining } else { Notice::Removed },
+            serves_ms: if rng.random_bool(0.7) { rng.random_range(0..300) } else { 2_000 },
+            exits_after_ms: rng.random_range(0..400),
+        }
+    }
+
+    /// The name of the step in reports.
+    pub const fn name(&self) -> &'static str {
+        match (self.keeps_id, self.keeps_address) {
+            (true, true) => "target restarted",
+            (true, false) => "target restarted elsewhere",
+            (false, true) => "successor at the same address",
+            (false, false) => "successor elsewhere",
+        }
+    }
+}
--- a/tests/platform-standin/src/wire/scripted_target/response.rs
+++ b/tests/platform-standin/src/wire/scripted_target/response.rs
@@ -2,7 +2,7 @@
 
 use std::io;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use actix_rt::time::sleep;
 
@@ -10,7 +10,7 @@
 use crate::wire::caller::request_body;
 use crate::wire::http::{BodyEnd, Connection, body_end, header, write_all};
 use crate::wire::judge::{Attempt, event_text};
-use crate::wire::script::{Exchange, Fault, Framing, Position, Response};
+use crate::wire::script::{DEADLINE_MS, Exchange, Fault, Framing, Position, Response};
 
 /// Bytes in a line of a plain response. Some responses cross the buffers of daemons.
 const LINE_BYTES: [usize; 3] = [40, 3_000, 30_000];
@@ -34,9 +34,12 @@
         let target_of = head.split(' ').nth(1).unwrap_or_default();
         let number = target_of.split_once("?exchange=").and_then(|(_, number)| number.parse().ok());
         let number: usize = number.ok_or(io::ErrorKind::InvalidData)?;
-        let exchange = self.script.exchange(number);
-        let attempt_index = self.log.borrow().attempts.len();
-        let earlier = self.log.borrow().attempts.iter().filter(|a| a.exchange == number).count();
+        let exchange = self.place.script.exchange(number);
+        let left_ms = header(head, "x-request-deadline").and_then(|text| text.parse().ok());
+        let deadline = Instant::now() + Duration::from_millis(left_ms.unwrap_or(DEADLINE_MS));
+        let attempt_index = self.place.log.borrow().attempts.len();
+        let earlier =
+            self.place.log.borrow().attempts.iter().filter(|a| a.exchange == number).count();
         let response = exchange.responses.get(earlier).copied().unwrap_or(Response::FAULTLESS);
         let seal = format!("{id}.{}.{}.{earlier}", self.id, self.born());
         let after = header(head, "last-event-id").and_then(|text| text.parse().ok()).unwrap_or(0);
@@ -47,13 +50,14 @@
             _ => (200, "OK"),
         };
         let step = response.fault.name();
-        self.log.borrow_mut().count(step);
-        self.log.borrow_mut().attempts.push(Attempt {
+        self.place.log.borrow_mut().count(step);
+        self.place.log.borrow_mut().attempts.push(Attempt {
             exchange: number,
             id: id.into(),
             seal: seal.clone(),
             status,
             after,
+            software: self.software(),
             body: parts.concat(),
             step,
             ..Attempt::default()
@@ -70,9 +74,11 @@
         } else {
             format!("X-Response-Seal: {seal}")
         };
-        let text = format!("HTTP/1.1 {status} {reason}\r\nX-Request-Id: {id}\r\n{origin}\r\n");
+        let leaving = self.leaving_header();
+        let text =
+            format!("HTTP/1.1 {status} {reason}\r\nX-Request-Id: {id}\r\n{leaving}{origin}\r\n");
         let segments = encode(&text, &parts, response.framing);
-        let played = self.play(connection, &segments, &response, attempt_index).await?;
+        let played = self.play(connection, &segments, &response, deadline, attempt_index).await?;
         if matches!(played, Played::Sent) && response.is_early {
             connection.read_body(end, &mut body).await?;
         }
@@ -89,6 +95,7 @@
         connection: &Connection,
         segments: &[(String, usize)],
         response: &Response,
+        deadline: Instant,
         attempt: usize,
     ) -> io::Result<Played> {
         let stream = &connection.stream;
@@ -99,6 +106,7 @@
         }
         let stop = match response.fault {
             Fault::Cut(at) | Fault::Reset(at) | Fault::Kill { at, .. } => Some(at),
+            Fault::StopAtDeadline { after } => Some(Position { segment: after, thousandths: 0 }),
             _ => None,
         };
         let stop = stop.map(|at| Position { segment: at.segment.min(segments.len()), ..at });
@@ -135,6 +143,10 @@
                 }
                 return Ok(Played::Closed);
             }
+            Fault::StopAtDeadline { .. } => {
+                sleep(deadline.saturating_duration_since(Instant::now())).await;
+                return Ok(Played::Closed);
+            }
             Fault::Copy { after_ms } => {
                 sleep(Duration::from_millis(after_ms)).await;
                 write_all(stream, copy.as_bytes()).await?;
@@ -146,7 +158,7 @@
     }
 
     fn with(&self, attempt: usize, change: impl FnOnce(&mut Attempt)) {
-        change(&mut self.log.borrow_mut().attempts[attempt]);
+        change(&mut self.place.log.borrow_mut().attempts[attempt]);
     }
 }
 
