Do not count a target's stop at the deadline as its failure

What callers saw: a sound target whose calls run out of time got no more calls, and others for it were refused with 503.

Cause: the daemon's own timer, after which a call at its deadline says nothing of the target, ticks every 20 ms, so the close of the target came first and counted as a failed attempt. Three in a row open its breaker.

Change: an exchange that breaks from 5 ms before the deadline on waits for the control thread like one whose response ends then. The target is not probed, keeps its idle connections, and adds nothing to the evidence of content that crashes targets. Callers get 504 instead of 502.

--- a/crates/cumintrail-daemon/src/relay/attempt.rs
+++ b/crates/cumintrail-daemon/src/relay/attempt.rs
@@ -440,10 +440,12 @@
 
     /// Ends an attempt whose exchange failed after bytes of the call may have been sent.
     async fn fail(&mut self, connection: &Connection, e: &ClientError) -> AttemptEnd {
+        let is_broken = !matches!(e, ClientError::Malformed);
+        if is_broken && let Some(end) = self.check_deadline().await {
+            return end;
+        }
         self.worker.pool.close_idle(connection.address());
-        if let (Destination::Target { dispatch, .. }, false) =
-            (self.destination, matches!(e, ClientError::Malformed))
-        {
+        if let (Destination::Target { dispatch, .. }, true) = (self.destination, is_broken) {
             self.report_response_end(ResponseEnd::Broken).await;
             self.worker.check_target(dispatch.target, connection.address());
         }
--- a/crates/cumintrail-daemon/src/relay/lines.rs
+++ b/crates/cumintrail-daemon/src/relay/lines.rs
@@ -102,7 +102,7 @@
     );
 }
 
-/// Logs that a response ended at the deadline of its call, and does not count as complete.
+/// Logs that a response ended or broke at the deadline of its call, at which targets stop.
 pub fn end_at_deadline(call: &RelayedCall, attempt: AttemptNumber, target: &str, left: Duration) {
     log::info!(
         "event=end-at-deadline id={} call={} attempt={attempt} target={target} last_event={} left_ms={}",
--- a/tests/tests/gateway_unframed.rs
+++ b/tests/tests/gateway_unframed.rs
@@ -120,6 +120,33 @@
     }
 }
 
+/// Guards against a target that gets no more calls because it stops those whose time is over.
+#[actix_rt::test]
+async fn a_target_that_stops_calls_at_their_deadline_does_not_count_as_failing() {
+    let inside_event = format!("{UNFRAMED}id: 1\ndata");
+    for begun in ["", STREAM, UNFRAMED, &inside_event] {
+        let begun = begun.to_owned();
+        let target = Replica::bind_by_head(move |head| {
+            let left = header(head, "x-cumintrail-deadline-ms").and_then(|ms| ms.parse().ok());
+            if head.contains(" /read/") {
+                return vec![send(WHOLE)];
+            }
+            vec![send(&begun), pause(left.expect("a deadline")), Step::Close]
+        });
+        let target = target.await.unwrap();
+        let cluster = Cluster::spawn(&[&target]).await;
+        for number in 0..4 {
+            let mut caller = cluster.connect().await;
+            let headers = "connection: close\r\nx-cumintrail-deadline-ms: 100\r\n";
+            caller.send("/flow/", &format!("c-{number}"), headers, "").await;
+            let response = caller.rest().await;
+            assert!(response.starts_with("HTTP/1.1 504"), "call {number}: {response}");
+        }
+        let response = cluster.call("/read/").await;
+        assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+    }
+}
+
 /// When a target closes connections that have no call.
 #[derive(Clone, Copy)]
 enum IdleClose {
