Do not drop a response body that the library does not see

What callers saw: a stream, or a whole response, that is empty and ends as complete, where the target's head has `Transfer-Encoding: identity`, or offers an upgrade beside its length.

Cause: the HTTP library reports no body for such heads, and the connection took that for the end of the response.

Change: an identity encoding says nothing of the length, so the body ends with the connection. A declared length without a body is malformed.

--- a/crates/cumintrail-client/src/connection.rs
+++ b/crates/cumintrail-client/src/connection.rs
@@ -265,7 +265,7 @@
                     self.count_overhead(before)?;
                 }
                 Ok(Some(head)) => {
-                    self.start_body(&head);
+                    self.start_body(&head)?;
                     self.hold(0)?;
                     return Ok(Some(head));
                 }
@@ -281,21 +281,27 @@
         if has_room { Ok(()) } else { Err(ClientError::Malformed) }
     }
 
-    fn start_body(&mut self, head: &ResponseHead) {
+    fn start_body(&mut self, head: &ResponseHead) -> Result<(), ClientError> {
         let ReadState::Head(codec) = std::mem::replace(&mut self.read_state, ReadState::Complete)
         else {
-            return;
+            return Ok(());
         };
         self.keep_alive = keep_alive_timeout(head);
         (self.framing, self.read_state) = match codec.message_type() {
             _ if self.is_head_request => (Framing::Bodiless, ReadState::Complete),
             // The library supports such responses of HTTP/1.0 only.
             _ if ends_at_close(head) => (Framing::Close, ReadState::UntilClosed),
+            // The library drops the length of a response that offers an upgrade.
+            MessageType::None if declares_body(head) => {
+                self.read_state = ReadState::Head(codec);
+                return Err(ClientError::Malformed);
+            }
             MessageType::None => (Framing::Bodiless, ReadState::Complete),
             MessageType::Payload | MessageType::Stream => {
                 (framing(head), ReadState::Body(BodyCodec(codec.into_payload_codec())))
             }
         };
+        Ok(())
     }
 
     /// Returns what marks the end of the last response whose head was read.
@@ -495,10 +501,20 @@
 
 /// Returns whether only the closing of the connection marks the end of the body.
 fn ends_at_close(head: &ResponseHead) -> bool {
-    let framed = head.headers().contains_key(CONTENT_LENGTH)
-        || head.headers().contains_key(TRANSFER_ENCODING);
-    let bodiless = head.status == StatusCode::NO_CONTENT || head.status == StatusCode::NOT_MODIFIED;
-    !framed && !bodiless && !head.status.is_informational()
+    let encoding = head.headers().get(TRANSFER_ENCODING);
+    let encoded = encoding.is_some_and(|value| !value.as_bytes().eq_ignore_ascii_case(b"identity"));
+    let framed = head.headers().contains_key(CONTENT_LENGTH) || encoded;
+    !framed && may_have_body(head) && !head.status.is_informational()
+}
+
+/// Returns whether the head declares a body that is not empty.
+fn declares_body(head: &ResponseHead) -> bool {
+    let length = head.headers().get(CONTENT_LENGTH);
+    may_have_body(head) && length.is_some_and(|length| length.as_bytes().iter().any(|b| *b != b'0'))
+}
+
+fn may_have_body(head: &ResponseHead) -> bool {
+    head.status != StatusCode::NO_CONTENT && head.status != StatusCode::NOT_MODIFIED
 }
 
 /// Returns the target's keep-alive timeout; `None` if it closes the connection after the response.
--- a/crates/cumintrail-client/tests/connection.rs
+++ b/crates/cumintrail-client/tests/connection.rs
@@ -110,6 +110,17 @@
     assert!(exchange(&mut reset).await.is_err());
 }
 
+/// Guards against a response that counts as complete and empty although a body follows its head.
+#[actix_rt::test]
+async fn a_body_that_the_head_does_not_frame_is_not_dropped() {
+    let identity = "HTTP/1.1 200 OK\r\ntransfer-encoding: identity\r\n\r\nok";
+    assert_eq!(exchange(&mut open(&[identity], false).await).await.unwrap(), b"ok");
+    assert!(exchange(&mut open(&[identity], true).await).await.is_err());
+    let upgrade = "HTTP/1.1 200 OK\r\nupgrade: websocket\r\ncontent-length: 2\r\n\r\nok";
+    let body = exchange(&mut open(&[upgrade], false).await).await;
+    assert!(body.as_deref().is_ok_and(|body| body == b"ok") || body.is_err(), "{body:?}");
+}
+
 /// Guards against a reset whose error the write of the request consumes.
 #[actix_rt::test]
 async fn a_reset_during_the_request_does_not_end_a_response_without_length() {
