Ask on the idle connection whether the process of a response runs

What callers saw: a response without length of a killed target ended as complete if the end of the idle connection was lost on the network and repeated later than that of the response.

Cause: an idle connection without an end for 20 ms counted as one of a running process. A missing end is no evidence.

Fix: after the end of the response, the identity request goes out on the idle connection. Whoever answers runs after the end.

Cost: one request without a slot for each response that ends by close, on the connection that is open anyway; the 20 ms wait is gone. Nothing for responses with a length or chunks. A target that closes its connections after such a request has one more connection opened for each.

--- a/crates/cumintrail-client/src/connection.rs
+++ b/crates/cumintrail-client/src/connection.rs
@@ -409,6 +409,13 @@
         matches!(read, Err(e) if e.kind() == io::ErrorKind::WouldBlock)
     }
 
+    /// Waits until the target closes the idle connection or sends bytes that no request asked for.
+    ///
+    /// Cancel safe.
+    pub async fn idle_end(&mut self) {
+        while self.stream.readable().await.is_ok() && self.is_open_without_input() {}
+    }
+
     /// Returns whether the target has not closed the connection and everything that it sent was read.
     ///
     /// Behind unread bytes, the system of a target that has ended may still have more to send.
--- a/crates/cumintrail-client/src/process_watch.rs
+++ b/crates/cumintrail-client/src/process_watch.rs
@@ -18,17 +18,19 @@
 use actix_rt::time::{Instant, timeout};
 use derive_more::Display;
 use tokio::net::TcpStream;
-use tokio::sync::{Notify, watch};
+use tokio::sync::{Notify, mpsc, oneshot, watch};
 
 use crate::connection::configure_socket;
-use crate::single_use::with_connection_close;
-use crate::{ClientError, Connection};
+use crate::single_use::{with_connection_close, with_host};
+use crate::{ClientError, Connection, Framing, MAX_DISCARDED_BYTES};
 
 /// The time within which the system closes all sockets of a process that ends.
 const EXIT_TIME: Duration = Duration::from_millis(20);
 /// The shortest and the longest delay before an idle connection is opened again that failed or was
 /// closed at once.
 const REOPEN_DELAYS: [Duration; 2] = [Duration::from_millis(200), Duration::from_secs(1)];
+/// How long the rest of a response on an idle connection may take.
+const MAX_BODY_TIME: Duration = Duration::from_millis(200);
 /// The time from which on a closed connection was not closed at once.
 const MIN_IDLE_TIME: Duration = Duration::from_millis(50);
 
@@ -90,6 +92,7 @@
     state: watch::Receiver<IdleConnection>,
     /// Ends the delay before the connection is opened again.
     wanted: Rc<Notify>,
+    requests: mpsc::UnboundedSender<IdleRequest>,
     task: JoinHandle<()>,
 }
 
@@ -98,11 +101,21 @@
         let closed = IdleConnection::Closed { since: Instant::now(), last: 0 };
         let (tx, state) = watch::channel(closed);
         let wanted = Rc::new(Notify::new());
-        let task = actix_rt::spawn(keep_open(at, connect_timeout, tx, wanted.clone()));
-        Self { state, wanted, task }
+        let (requests, queue) = mpsc::unbounded_channel();
+        let task = actix_rt::spawn(keep_open(at, connect_timeout, tx, wanted.clone(), queue));
+        Self { state, wanted, requests, task }
     }
 }
 
+/// A request on an idle connection, which shows that its process runs.
+#[derive(Debug)]
+struct IdleRequest {
+    /// The idle connection.
+    number: u64,
+    head: RequestHead,
+    response: oneshot::Sender<ResponseHead>,
+}
+
 impl Drop for ProcessWatch {
     fn drop(&mut self) {
         self.task.abort();
@@ -114,16 +127,17 @@
     connect_timeout: Duration,
     state: watch::Sender<IdleConnection>,
     wanted: Rc<Notify>,
+    mut requests: mpsc::UnboundedReceiver<IdleRequest>,
 ) {
     let [shortest, longest] = REOPEN_DELAYS;
     let (mut delay, mut last) = (shortest, 0);
     loop {
         let started = Instant::now();
-        if let Some(stream) = connect(at, connect_timeout).await {
+        let config = ServiceConfig::default();
+        if let Ok(connection) = Connection::open(at, connect_timeout, config).await {
             last += 1;
             state.send_replace(IdleConnection::Open(last));
-            // A target sends nothing on a connection without a request, and closes it at will.
-            let _ = stream.readable().await;
+            send_requests(connection, last, &mut requests).await;
             state.send_replace(IdleConnection::Closed { since: Instant::now(), last });
             if started.elapsed() >= MIN_IDLE_TIME {
                 delay = shortest;
@@ -136,6 +150,56 @@
     }
 }
 
+/// Sends the requests for an idle connection, one after the other, until the connection ends.
+async fn send_requests(
+    mut connection: Connection,
+    number: u64,
+    requests: &mut mpsc::UnboundedReceiver<IdleRequest>,
+) {
+    loop {
+        let mut request = tokio::select! {
+            biased;
+            // A target sends nothing on a connection without a request, and closes it at will.
+            () = connection.idle_end() => return,
+            Some(request) = requests.recv() => request,
+        };
+        if request.number != number || request.response.is_closed() {
+            continue;
+        }
+        let head = with_host(request.head, connection.address());
+        if connection.start_exchange(head, BodySize::None).is_err() {
+            return;
+        }
+        let head = tokio::select! {
+            head = connection.read_head() => head,
+            () = request.response.closed() => return,
+        };
+        let Ok(head) = head else { return };
+        let _ = request.response.send(head);
+        if connection.framing() == Framing::Close
+            || timeout(MAX_BODY_TIME, read_rest(&mut connection)).await != Ok(true)
+        {
+            return;
+        }
+    }
+}
+
+/// Reads the rest of a response; returns whether its connection can be used again.
+async fn read_rest(connection: &mut Connection) -> bool {
+    let mut remaining = MAX_DISCARDED_BYTES;
+    while let Ok(chunk) = connection.read_chunk().await {
+        match chunk {
+            Some(chunk) if chunk.len() <= remaining => remaining -= chunk.len(),
+            Some(_) => return false,
+            None => {
+                connection.mark_idle();
+                return connection.reusable_for().is_some();
+            }
+        }
+    }
+    false
+}
+
 async fn connect(at: SocketAddr, connect_timeout: Duration) -> Option<TcpStream> {
     let stream = timeout(connect_timeout, TcpStream::connect(at)).await.ok()?.ok()?;
     configure_socket(&stream).ok()?;
@@ -198,7 +262,7 @@
             closed_before,
             seen: None,
             open_at: None,
-            _watch: watch,
+            watch,
         }
     }
 
@@ -234,7 +298,7 @@
     seen: Option<u64>,
     /// When the connection of the response was last seen to be open, with nothing left to read.
     open_at: Option<Instant>,
-    _watch: Rc<ProcessWatch>,
+    watch: Rc<ProcessWatch>,
 }
 
 impl ProcessEvidence {
@@ -282,22 +346,53 @@
         }
     }
 
-    /// Returns what is known of the process, like [`ProcessEvidence::process_state`]. Where its address
-    /// decides, the process that accepts connections there has to respond to `request` within `limit`,
-    /// and must not be another one by the head of its response.
+    /// Returns what is known of the process that responds to `request` within `limit`, on the idle
+    /// connection or else at the address, and is not another one by the head of its response.
+    ///
+    /// The end of the idle connection may be lost on the network, and arrive later than that of the
+    /// response. A process that has ended never responds.
     pub async fn confirmed_state(
         mut self,
         request: RequestHead,
         limit: Duration,
         is_other: impl FnOnce(&ResponseHead) -> bool,
     ) -> ProcessState {
-        if let Observed::State(state) = self.observed_state().await {
-            return state;
+        let current = *self.state.borrow();
+        let (response, responding, silent) = match current {
+            IdleConnection::Open(number) if self.seen == Some(number) => {
+                let responding = if number > self.closed_before + 1 {
+                    ProcessState::Accepting
+                } else {
+                    ProcessState::Running
+                };
+                let response = timeout(limit, self.ask_idle(number, request)).await;
+                (response.ok().flatten(), responding, ProcessState::Ended)
+            }
+            _ => {
+                if let Observed::State(state) = self.observed_state().await {
+                    return state;
+                }
+                let response = timeout(limit, self.ask_address(request)).await;
+                let silent = ProcessState::Unreachable;
+                (response.ok().and_then(Result::ok), ProcessState::Accepting, silent)
+            }
+        };
+        match response {
+            Some(head) if is_other(&head) => ProcessState::Replaced,
+            Some(_) => responding,
+            None => silent,
         }
-        match timeout(limit, self.ask(request)).await {
-            Ok(Ok(head)) if is_other(&head) => ProcessState::Replaced,
-            Ok(Ok(_)) => ProcessState::Accepting,
-            _ => ProcessState::Unreachable,
+    }
+
+    /// Sends a request on an idle connection and returns the head of its response; `None` if the
+    /// connection ends before it.
+    async fn ask_idle(&mut self, number: u64, head: RequestHead) -> Option<ResponseHead> {
+        let (response, responded) = oneshot::channel();
+        self.watch.requests.send(IdleRequest { number, head, response }).ok()?;
+        tokio::select! {
+            biased;
+            head = responded => head.ok(),
+            _ = self.state.wait_for(|state| *state != IdleConnection::Open(number)) => None,
         }
     }
 
@@ -328,7 +423,7 @@
     }
 
     /// Sends a request on a new connection and reads the head of its response.
-    async fn ask(&self, request: RequestHead) -> Result<ResponseHead, ClientError> {
+    async fn ask_address(&self, request: RequestHead) -> Result<ResponseHead, ClientError> {
         let config = ServiceConfig::default();
         let mut connection = Connection::open(self.at, self.connect_timeout, config).await?;
         let request = with_connection_close(request, self.at);
--- a/tests/tests/gateway_unframed.rs
+++ b/tests/tests/gateway_unframed.rs
@@ -125,6 +125,8 @@
     After(Duration),
     /// As soon as it has accepted them.
     AtOnce,
+    /// This long after it was killed at the end of its first response; it responds to nothing then.
+    AfterKill(Duration),
 }
 
 /// A target whose first response ends with its connection; the target listens throughout.
@@ -152,8 +154,10 @@
                     (closes.clone(), responded_tx.clone(), body.clone());
                 actix_rt::spawn(async move {
                     let mut idle_end = closes.subscribe();
+                    let mut killed = responded_tx.subscribe();
+                    let is_old = !*killed.borrow_and_update();
                     let head = match idle {
-                        IdleClose::After(_) => tokio::select! {
+                        IdleClose::After(_) | IdleClose::AfterKill(_) => tokio::select! {
                             head = read_head(&mut stream) => head,
                             _ = idle_end.changed() => None,
                         },
@@ -163,6 +167,10 @@
                         }
                     };
                     let Some(head) = head else { return };
+                    if matches!(idle, IdleClose::AfterKill(_)) && is_old && *killed.borrow() {
+                        let _ = idle_end.changed().await;
+                        return;
+                    }
                     let id = header(&head, "x-cumintrail-call").unwrap_or_default();
                     let head = UNFRAMED.replace("{id}", id);
                     let _ = stream.write_all(head.as_bytes()).await;
@@ -171,7 +179,7 @@
                     sleep(Duration::from_millis(30)).await;
                     drop(stream);
                     responded_tx.send_replace(true);
-                    if let IdleClose::After(delay) = idle {
+                    if let IdleClose::After(delay) | IdleClose::AfterKill(delay) = idle {
                         sleep(delay).await;
                         closes.send_replace(());
                     }
@@ -203,7 +211,7 @@
 #[actix_rt::test]
 async fn a_killed_target_whose_connections_end_one_after_another_does_not_count_as_running() {
     // The least time after which Linux repeats a lost packet.
-    let retransmission = IdleClose::After(Duration::from_millis(200));
+    let retransmission = IdleClose::AfterKill(Duration::from_millis(200));
     let target = Target::bind(TWO_EVENTS.into(), Duration::from_millis(100), retransmission).await;
     let cluster = target.cluster().await;
     let response = cluster.call("/flow/").await;
