Keep idle connections to targets that close them after an identity check

Cause: the first identity request ends the idle connection, and with it the evidence of all other responses.

Evidence: complete_responses_that_end_together_are_not_cut_by_a_target_that_closes_connections failed before.

Fix: a connection closed after an answer was closed by choice, so that the responses that end in the next 20 ms ask at the address. For ten seconds after that, requests go to the address on connections of their own, and the idle connection only has to stay open for 20 ms.

If the process has closed idle connections by choice, such a close now counts as before the identity requests: the address accepted.

Cost: one connection for each response that ends by close at such a target, instead of one idle connection. Nothing elsewhere.

--- a/crates/cumintrail-client/src/process_watch.rs
+++ b/crates/cumintrail-client/src/process_watch.rs
@@ -6,7 +6,7 @@
 //! connection beside that of the response tells both ends apart. A later connection to the same
 //! address does not, since another process may listen there by then.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -29,6 +29,8 @@
 /// The shortest and the longest delay before an idle connection is opened again that failed or was
 /// closed at once.
 const REOPEN_DELAYS: [Duration; 2] = [Duration::from_millis(200), Duration::from_secs(1)];
+/// How long idle connections carry no requests after the process closed one after a response.
+const REQUEST_PAUSE: Duration = Duration::from_secs(10);
 /// How long the rest of a response on an idle connection may take.
 const MAX_BODY_TIME: Duration = Duration::from_millis(200);
 /// The time from which on a closed connection was not closed at once.
@@ -93,6 +95,7 @@
     /// Ends the delay before the connection is opened again.
     wanted: Rc<Notify>,
     requests: mpsc::UnboundedSender<IdleRequest>,
+    closed_by_choice: Rc<ClosedByChoice>,
     task: JoinHandle<()>,
 }
 
@@ -102,18 +105,47 @@
         let (tx, state) = watch::channel(closed);
         let wanted = Rc::new(Notify::new());
         let (requests, queue) = mpsc::unbounded_channel();
-        let task = actix_rt::spawn(keep_open(at, connect_timeout, tx, wanted.clone(), queue));
-        Self { state, wanted, requests, task }
+        let closed_by_choice = Rc::new(ClosedByChoice::default());
+        let idle = IdleTask {
+            at,
+            connect_timeout,
+            state: tx,
+            wanted: wanted.clone(),
+            requests: queue,
+            closed_by_choice: closed_by_choice.clone(),
+        };
+        let task = actix_rt::spawn(idle.keep_open());
+        Self { state, wanted, requests, closed_by_choice, task }
+    }
+
+    fn takes_requests(&self) -> bool {
+        self.closed_by_choice.get().is_none_or(|(_, at)| at.elapsed() >= REQUEST_PAUSE)
     }
 }
 
+/// The last idle connection that the process closed after a response, and when it did.
+///
+/// The idle connections of such a process carry no requests for a time, since each would end the
+/// evidence of all other responses.
+type ClosedByChoice = Cell<Option<(u64, Instant)>>;
+
 /// A request on an idle connection, which shows that its process runs.
 #[derive(Debug)]
 struct IdleRequest {
     /// The idle connection.
     number: u64,
     head: RequestHead,
-    response: oneshot::Sender<ResponseHead>,
+    answer: oneshot::Sender<IdleAnswer>,
+}
+
+/// What became of a request on an idle connection.
+#[derive(Debug)]
+enum IdleAnswer {
+    Response(Box<ResponseHead>),
+    /// The process closed the connection after the response to an earlier request.
+    ClosedByChoice,
+    /// The connection ended, or the time was over.
+    Nothing,
 }
 
 impl Drop for ProcessWatch {
@@ -122,30 +154,37 @@
     }
 }
 
-async fn keep_open(
+/// Opens the idle connections of a watch.
+struct IdleTask {
     at: SocketAddr,
     connect_timeout: Duration,
     state: watch::Sender<IdleConnection>,
     wanted: Rc<Notify>,
-    mut requests: mpsc::UnboundedReceiver<IdleRequest>,
-) {
-    let [shortest, longest] = REOPEN_DELAYS;
-    let (mut delay, mut last) = (shortest, 0);
-    loop {
-        let started = Instant::now();
-        let config = ServiceConfig::default();
-        if let Ok(connection) = Connection::open(at, connect_timeout, config).await {
-            last += 1;
-            state.send_replace(IdleConnection::Open(last));
-            send_requests(connection, last, &mut requests).await;
-            state.send_replace(IdleConnection::Closed { since: Instant::now(), last });
-            if started.elapsed() >= MIN_IDLE_TIME {
-                delay = shortest;
-                continue;
+    requests: mpsc::UnboundedReceiver<IdleRequest>,
+    closed_by_choice: Rc<ClosedByChoice>,
+}
+
+impl IdleTask {
+    async fn keep_open(mut self) {
+        let [shortest, longest] = REOPEN_DELAYS;
+        let (mut delay, mut last) = (shortest, 0);
+        loop {
+            let (started, config) = (Instant::now(), ServiceConfig::default());
+            if let Ok(connection) = Connection::open(self.at, self.connect_timeout, config).await {
+                last += 1;
+                self.state.send_replace(IdleConnection::Open(last));
+                let (requests, closed) = (&mut self.requests, &self.closed_by_choice);
+                send_requests(connection, last, requests, closed).await;
+                self.state.send_replace(IdleConnection::Closed { since: Instant::now(), last });
+                let by_choice = closed.get().is_some_and(|(number, _)| number == last);
+                if by_choice || started.elapsed() >= MIN_IDLE_TIME {
+                    delay = shortest;
+                    continue;
+                }
+            }
+            if timeout(delay, self.wanted.notified()).await.is_err() {
+                delay = (2 * delay).min(longest);
             }
-        }
-        if timeout(delay, wanted.notified()).await.is_err() {
-            delay = (2 * delay).min(longest);
         }
     }
 }
@@ -155,6 +194,7 @@
     mut connection: Connection,
     number: u64,
     requests: &mut mpsc::UnboundedReceiver<IdleRequest>,
+    closed_by_choice: &ClosedByChoice,
 ) {
     loop {
         let mut request = tokio::select! {
@@ -163,7 +203,7 @@
             () = connection.idle_end() => return,
             Some(request) = requests.recv() => request,
         };
-        if request.number != number || request.response.is_closed() {
+        if request.number != number || request.answer.is_closed() {
             continue;
         }
         let head = with_host(request.head, connection.address());
@@ -172,13 +212,17 @@
         }
         let head = tokio::select! {
             head = connection.read_head() => head,
-            () = request.response.closed() => return,
+            () = request.answer.closed() => return,
         };
         let Ok(head) = head else { return };
-        let _ = request.response.send(head);
+        let _ = request.answer.send(IdleAnswer::Response(Box::new(head)));
         if connection.framing() == Framing::Close
             || timeout(MAX_BODY_TIME, read_rest(&mut connection)).await != Ok(true)
         {
+            while let Ok(request) = requests.try_recv() {
+                let _ = request.answer.send(IdleAnswer::ClosedByChoice);
+            }
+            closed_by_choice.set(Some((number, Instant::now())));
             return;
         }
     }
@@ -355,44 +399,62 @@
         mut self,
         request: RequestHead,
         limit: Duration,
-        is_other: impl FnOnce(&ResponseHead) -> bool,
+        is_other: impl Fn(&ResponseHead) -> bool,
     ) -> ProcessState {
+        let started = Instant::now();
         let current = *self.state.borrow();
-        let (response, responding, silent) = match current {
-            IdleConnection::Open(number) if self.seen == Some(number) => {
-                let responding = if number > self.closed_before + 1 {
-                    ProcessState::Accepting
-                } else {
-                    ProcessState::Running
-                };
-                let response = timeout(limit, self.ask_idle(number, request)).await;
-                (response.ok().flatten(), responding, ProcessState::Ended)
-            }
-            _ => {
-                if let Observed::State(state) = self.observed_state().await {
-                    return state;
+        let observed = match current {
+            IdleConnection::Open(number)
+                if self.seen == Some(number) && self.watch.takes_requests() =>
+            {
+                let asked = timeout(limit, self.ask_idle(number, request.clone()));
+                match asked.await.unwrap_or(IdleAnswer::Nothing) {
+                    IdleAnswer::Response(head) if is_other(&head) => {
+                        Observed::State(ProcessState::Replaced)
+                    }
+                    // The listener of a process that stops may have passed to another one before the
+                    // connection was opened.
+                    IdleAnswer::Response(_) if number > self.closed_before + 1 => {
+                        Observed::State(ProcessState::Accepting)
+                    }
+                    IdleAnswer::Response(_) => Observed::State(ProcessState::Running),
+                    IdleAnswer::ClosedByChoice => Observed::ClosesIdle,
+                    IdleAnswer::Nothing => Observed::State(ProcessState::Ended),
                 }
-                let response = timeout(limit, self.ask_address(request)).await;
-                let silent = ProcessState::Unreachable;
-                (response.ok().and_then(Result::ok), ProcessState::Accepting, silent)
             }
+            _ => match self.observed_state().await {
+                // Without a response, the end of the idle connection may have been lost.
+                Observed::State(ProcessState::Running) => Observed::Accepting,
+                observed => observed,
+            },
         };
-        match response {
-            Some(head) if is_other(&head) => ProcessState::Replaced,
-            Some(_) => responding,
-            None => silent,
+        if let Observed::State(state) = observed {
+            return state;
+        }
+        let left = limit.saturating_sub(started.elapsed());
+        match timeout(left, self.ask_address(request)).await {
+            Ok(Ok(head)) if is_other(&head) => ProcessState::Replaced,
+            Ok(Ok(_)) => ProcessState::Accepting,
+            // A process that closes idle connections may do so before the request arrives.
+            Ok(Err(ClientError::ConnectionLost)) if observed == Observed::ClosesIdle => {
+                ProcessState::Accepting
+            }
+            _ => ProcessState::Unreachable,
         }
     }
 
-    /// Sends a request on an idle connection and returns the head of its response; `None` if the
-    /// connection ends before it.
-    async fn ask_idle(&mut self, number: u64, head: RequestHead) -> Option<ResponseHead> {
-        let (response, responded) = oneshot::channel();
-        self.watch.requests.send(IdleRequest { number, head, response }).ok()?;
+    /// Sends a request on an idle connection.
+    async fn ask_idle(&mut self, number: u64, head: RequestHead) -> IdleAnswer {
+        let (answer, answered) = oneshot::channel();
+        if self.watch.requests.send(IdleRequest { number, head, answer }).is_err() {
+            return IdleAnswer::Nothing;
+        }
         tokio::select! {
             biased;
-            head = responded => head.ok(),
-            _ = self.state.wait_for(|state| *state != IdleConnection::Open(number)) => None,
+            answer = answered => answer.unwrap_or(IdleAnswer::Nothing),
+            _ = self.state.wait_for(|state| *state != IdleConnection::Open(number)) => {
+                IdleAnswer::Nothing
+            }
         }
     }
 
@@ -409,7 +471,15 @@
         };
         let closed = self.state.wait_for(|state| *state != IdleConnection::Open(number));
         let current = timeout(EXIT_TIME, closed).await.map(|closed| closed.map(|state| *state));
+        let closed_by_choice = self.watch.closed_by_choice.get();
         match current {
+            // The process was running when the connection was closed, and another one is not open yet.
+            Ok(_)
+                if closed_by_choice
+                    .is_some_and(|(closed, at)| closed == number && at.elapsed() < EXIT_TIME) =>
+            {
+                Observed::ClosesIdle
+            }
             // The listener of a process that stops may have passed to another one before a connection
             // was opened again.
             Err(_) if number > self.closed_before + 1 => Observed::Accepting,
--- a/tests/tests/gateway_unframed.rs
+++ b/tests/tests/gateway_unframed.rs
@@ -218,6 +218,25 @@
     assert!(!response.ends_with(LAST_CHUNK), "{response}");
 }
 
+/// Guards against complete responses that are cut because the target closes the connection on which
+/// another one's end was checked.
+#[actix_rt::test]
+async fn complete_responses_that_end_together_are_not_cut_by_a_target_that_closes_connections() {
+    let idle = IdleClose::After(Duration::from_secs(10));
+    let target = Target::bind(TWO_EVENTS.into(), Duration::from_millis(100), idle).await;
+    let cluster = target.cluster().await;
+    let mut callers = Vec::new();
+    for number in 0..8 {
+        let mut caller = cluster.connect().await;
+        caller.send("/flow/", &format!("c-{number}"), "connection: close\r\n", "").await;
+        callers.push(caller);
+    }
+    for caller in &mut callers {
+        let response = caller.rest().await;
+        assert!(response.ends_with(LAST_CHUNK), "{response}");
+    }
+}
+
 /// Guards against a slow caller's complete response that is cut by a later idle timeout.
 #[actix_rt::test]
 async fn a_complete_response_to_a_slow_caller_is_not_cut_by_an_idle_timeout() {
