Skip interim responses of all kinds

What callers saw: an interim response such as 103 in place of the response, if the call has no id. The response itself could then come when another call was on the connection.

Cause: only `100 Continue` was skipped.

Evidence: the new test failed before (an empty body after 102) and passes now. That the response reached another call was not shown.

Change: every informational response but 101 is skipped.

--- a/crates/cumintrail-client/src/connection.rs
+++ b/crates/cumintrail-client/src/connection.rs
@@ -225,7 +225,7 @@
         self.output.len() < MAX_OUTPUT_BUFFER_BYTES && !self.write_failed
     }
 
-    /// Reads the head of the next response, skipping `100 Continue`.
+    /// Reads the head of the next response, skipping interim responses.
     ///
     /// Cancel safe: a cancelled read loses no bytes and may be repeated.
     pub async fn read_head(&mut self) -> Result<ResponseHead, ClientError> {
@@ -261,9 +261,7 @@
             };
             let before = self.input.len();
             match codec.decode(&mut self.input) {
-                Ok(Some(head)) if head.status == StatusCode::CONTINUE => {
-                    self.count_overhead(before)?;
-                }
+                Ok(Some(head)) if is_interim(&head) => self.count_overhead(before)?,
                 Ok(Some(head)) => {
                     self.start_body(&head)?;
                     self.hold(0)?;
@@ -499,6 +497,11 @@
     if is_chunked { Framing::Chunked } else { Framing::Length }
 }
 
+/// Returns whether another response to the same request follows.
+fn is_interim(head: &ResponseHead) -> bool {
+    head.status.is_informational() && head.status != StatusCode::SWITCHING_PROTOCOLS
+}
+
 /// Returns whether only the closing of the connection marks the end of the body.
 fn ends_at_close(head: &ResponseHead) -> bool {
     let encoding = head.headers().get(TRANSFER_ENCODING);
--- a/crates/cumintrail-client/tests/connection.rs
+++ b/crates/cumintrail-client/tests/connection.rs
@@ -121,6 +121,16 @@
     assert!(body.as_deref().is_ok_and(|body| body == b"ok") || body.is_err(), "{body:?}");
 }
 
+/// Guards against an interim response that passes for the response of the call.
+#[actix_rt::test]
+async fn interim_responses_come_before_the_response() {
+    for interim in ["100 Continue", "102 Processing", "103 Early Hints"] {
+        let response = format!("HTTP/1.1 {interim}\r\nlink: a\r\n\r\n{COMPLETE_RESPONSE}");
+        let mut connection = open(&[&response], false).await;
+        assert_eq!(exchange(&mut connection).await.unwrap(), b"ok", "{interim}");
+    }
+}
+
 /// Guards against a reset whose error the write of the request consumes.
 #[actix_rt::test]
 async fn a_reset_during_the_request_does_not_end_a_response_without_length() {
