Do not resume a stream at a target whose process may have been replaced

Callers could get events of two software versions in one stream: a target breaks under a stream and starts again under its id with other software. Until its new entry is read, the stream was resumed there by the old entry, and the target accepts it, since its id is the expected one. Streams that began there meanwhile were bound to the old version.

Cause: the entry is older than the break, and nothing held that against it.

Change: a broken or refused connection puts the target's process in doubt (process_doubt). Streams do not go on there, and prefer other targets to begin at; those that begin all the same are bound once the doubt ends, and belong to an unknown version if they break before. The doubt ends if a stream that had begun before the break completes later (the system of a process that ends breaks all its connections), or once the registry, as read a heartbeat after the address accepted a connection, lists the same process. A broken stream waits for that outside the queue, where it would hold up the other calls of its account.

Cost: resumes that were safe are refused or wait. With another sound target of the version, a stream goes on there at once as before.

Open: a daemon that saw no break still sends streams on by the entry that it has, and a stream that began and ended at a process before that was listed, without a break seen here, stays bound to the old version.

--- a/crates/cumintrail-control/src/control.rs
+++ b/crates/cumintrail-control/src/control.rs
@@ -127,6 +127,8 @@
     announced_versions: AnnouncedVersions,
     stream_origins: StreamOrigins,
     software_history: SoftwareHistory,
+    /// The interval at which targets write their entries of the registry.
+    heartbeat_interval: Duration,
     /// Until when the registry's entries count as current; `None` before their first confirmation.
     registry_current_until: Option<Moment>,
     quarantine: Quarantine,
@@ -207,6 +209,7 @@
             announced_versions: AnnouncedVersions::default(),
             stream_origins: StreamOrigins::default(),
             software_history: SoftwareHistory::default(),
+            heartbeat_interval: Duration::ZERO,
             registry_current_until: None,
             quarantine: Quarantine::default(),
             reach: HashMap::new(),
@@ -254,6 +257,11 @@
         self.announced_versions.set_limit(limit);
     }
 
+    /// Sets the interval at which targets write their entries of the registry.
+    pub const fn set_heartbeat_interval(&mut self, interval: Duration) {
+        self.heartbeat_interval = interval;
+    }
+
     /// Limits the requests that cold targets get; without a tolerance they are not limited.
     pub const fn set_cold_tolerance(&mut self, tolerance: Option<ColdTolerance>) {
         self.cold_tolerance = tolerance;
@@ -281,7 +289,9 @@
                 self.handle_attempt_end(now, call, attempt, outcome, &mut actions);
             }
             Event::ResponseEnded { call, end } => self.handle_response_end(now, call, end),
+            Event::TargetAccepts { target } => self.record_accepted(now, target, now),
             Event::TargetUnreachable { target } => {
+                self.doubt_process(now, target);
                 self.handle_unreachable_target(now, target, &mut actions);
             }
             Event::ReachChecked { scope, reached } => {
@@ -320,6 +330,7 @@
             Event::RegistryConfirmed { as_of, max_age } => {
                 self.registry_current_until =
                     self.registry_current_until.max(Some(as_of + max_age));
+                self.confirm_processes(now, as_of);
             }
             Event::FreeFailed { store, sealed } => self.handle_failed_free(store, sealed),
             Event::VmListReceived { sequence, vms } => self.handle_vm_list(now, sequence, &vms),
--- a/crates/cumintrail-control/src/control/arrivals.rs
+++ b/crates/cumintrail-control/src/control/arrivals.rs
@@ -113,6 +113,7 @@
         if usable.is_empty() {
             return Err(retry::refusal_for(call, RefusalCode::NoTarget));
         }
+        let usable = self.exclude_doubtful(call, usable)?;
         let accepting = match self.exclude_quiet(now, call, usable) {
             TargetChoice::Usable(accepting) => self.exclude_spent(now, call, accepting),
             choice => choice,
@@ -206,7 +207,7 @@
     }
 
     /// Returns the targets that may get this call, busy ones included.
-    fn usable_targets<'a>(
+    pub(super) fn usable_targets<'a>(
         &'a self,
         now: Moment,
         snapshot: &'a Snapshot,
--- a/crates/cumintrail-control/src/control/attempts.rs
+++ b/crates/cumintrail-control/src/control/attempts.rs
@@ -14,6 +14,9 @@
 /// The time without a first token after which a call's passed deadline counts as a failure of the
 /// target.
 const UNRESPONSIVE_AFTER: Duration = Duration::from_secs(2);
+/// The interval at which a broken stream that waits for its target's process is tried again; it does
+/// not wait in the queue, where it would precede other calls.
+const PROCESS_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// How long other targets are preferred to one that refused a call: about one step of its queue.
 const REFUSAL_AVOIDANCE: Duration = Duration::from_millis(100);
 
@@ -49,6 +52,7 @@
         let Some(target) = call.target() else { return };
         self.release_slot(now, key, target);
         self.record_target_outcome(now, target, outcome);
+        self.record_process_evidence(now, key, target, outcome);
         if outcome == AttemptOutcome::NoConnection {
             self.record_no_connection(now, target, actions);
         }
@@ -123,7 +127,11 @@
             !is_due
         });
         for key in due {
-            self.requeue(key);
+            if self.awaits_process(now, key) {
+                self.backing_off.push((now + PROCESS_CHECK_INTERVAL, key));
+            } else {
+                self.requeue(key);
+            }
         }
     }
 
@@ -236,6 +244,7 @@
         health: HealthSignal,
         actions: &mut Actions,
     ) {
+        self.bind_doubtful_stream(now, key);
         let Some(call) = self.calls.get(&key) else {
             return;
         };
--- a/crates/cumintrail-control/src/control/software.rs
+++ b/crates/cumintrail-control/src/control/software.rs
@@ -9,7 +9,7 @@
 use crate::placement::Placer;
 use crate::software_history::{HistoryRow, PoolVersion};
 use crate::stream_origins::{StreamOrigin, UNKNOWN_VERSION};
-use crate::{Action, Actions, Arrival, Call, PeerDigest};
+use crate::{Action, Actions, Arrival, AttemptOutcome, Call, PeerDigest, Phase, retry};
 
 /// Rounds of digests that contain the origin of an own stream, so that a lost one does no harm.
 const ORIGIN_ROUNDS: u32 = 2;
@@ -48,8 +48,140 @@
         let Some(software) = snapshot.targets.get(target).and_then(|t| t.software.clone()) else {
             return;
         };
-        let is_known = !is_replaced(snapshot, target);
-        self.bind_stream(now, key, if is_known { software } else { UNKNOWN_VERSION.into() });
+        match self.targets.get(target) {
+            _ if is_replaced(snapshot, target) => {
+                self.bind_stream(now, key, UNKNOWN_VERSION.into());
+            }
+            // It is bound when the doubt ends, or when it breaks.
+            Some(state) if state.doubt.exists() => {
+                self.record_accepted(now, target, self.dispatched(key));
+            }
+            _ => self.bind_stream(now, key, software),
+        }
+    }
+
+    /// Records that the process at a target's address may have ended, and another one taken its place.
+    pub(super) fn doubt_process(&mut self, now: Moment, target: TargetKey) {
+        if let Some(state) = self.targets.get_mut(target).filter(|_| self.has_registry) {
+            state.doubt.record_break(now);
+        }
+    }
+
+    /// Records that a target accepted a connection, at the earliest at `sent`.
+    pub(super) fn record_accepted(&mut self, now: Moment, target: TargetKey, sent: Moment) {
+        if let Some(state) = self.targets.get_mut(target) {
+            state.doubt.record_accepted(now, sent);
+        }
+    }
+
+    /// Records what the end of an attempt says about the process at the target's address.
+    pub(super) fn record_process_evidence(
+        &mut self,
+        now: Moment,
+        key: CallKey,
+        target: TargetKey,
+        outcome: AttemptOutcome,
+    ) {
+        let sent = self.dispatched(key);
+        match outcome {
+            AttemptOutcome::Completed(_) => {
+                let call = self.calls.get(&key).filter(|call| call.attempts() == 1);
+                if let (Some(event), Some(state)) =
+                    (call.and_then(|call| call.first_token), self.targets.get_mut(target))
+                {
+                    state.doubt.record_complete(now, event);
+                }
+                self.record_accepted(now, target, sent);
+            }
+            AttemptOutcome::RefusedByTarget { .. } => self.record_accepted(now, target, sent),
+            AttemptOutcome::NoConnection => self.doubt_process(now, target),
+            AttemptOutcome::Failed { .. } => self.bind_doubtful_stream(now, key),
+            AttemptOutcome::NotSent | AttemptOutcome::RespondedLocally => {}
+        }
+    }
+
+    /// Ends doubts about processes that the registry lists, as of a moment, as before, and binds the
+    /// streams that began meanwhile.
+    pub(super) fn confirm_processes(&mut self, now: Moment, as_of: Moment) {
+        let Some(snapshot) = self.snapshot.clone() else {
+            return;
+        };
+        let interval = self.heartbeat_interval;
+        let confirmed = self.targets.iter_mut().filter_map(|(key, state)| {
+            let is_listed = snapshot.targets.get(key).is_some_and(|target| !target.retired);
+            (is_listed && state.doubt.record_listed(as_of, interval)).then_some(key)
+        });
+        let confirmed: Vec<TargetKey> = confirmed.collect();
+        let is_unbound = |call: &Call| {
+            call.phase() == Phase::Streaming
+                && call.pinned_software.is_none()
+                && call.target().is_some_and(|target| confirmed.contains(&target))
+        };
+        let unbound = self.calls.iter().filter(|(_, call)| is_unbound(call));
+        let unbound: Vec<CallKey> = unbound.map(|(key, _)| *key).collect();
+        for key in unbound {
+            self.pin_software(now, key);
+        }
+    }
+
+    /// Binds a stream to an unknown version if it breaks before its target's process is known.
+    pub(super) fn bind_doubtful_stream(&mut self, now: Moment, key: CallKey) {
+        let is_unbound = self.calls.get(&key).is_some_and(|call| {
+            call.phase() == Phase::Streaming
+                && call.pinned_software.is_none()
+                && call.target().is_some_and(|target| self.lists_software(target))
+        });
+        if is_unbound {
+            self.bind_stream(now, key, UNKNOWN_VERSION.into());
+        }
+    }
+
+    /// Excludes targets whose process may have been replaced by one with other software.
+    ///
+    /// A stream that goes on needs a process whose version is known. One that begins can be resumed
+    /// only if it is.
+    pub(super) fn exclude_doubtful(
+        &self,
+        call: &Call,
+        mut usable: Vec<TargetKey>,
+    ) -> Result<Vec<TargetKey>, Refusal> {
+        let is_doubtful = |key: &TargetKey| self.is_doubtful(*key);
+        if call.arrival.options.stream.is_none() || usable.iter().all(is_doubtful) {
+            return match call.pinned_software {
+                Some(_) if usable.iter().any(is_doubtful) => {
+                    let refusal = retry::refusal_for(call, RefusalCode::UnknownStream);
+                    Err(refusal.retry_after(self.identity.digest_interval))
+                }
+                _ => Ok(usable),
+            };
+        }
+        usable.retain(|key| !self.is_doubtful(*key));
+        Ok(usable)
+    }
+
+    /// Returns whether a stream can go on only at targets that another process may have replaced.
+    pub(super) fn awaits_process(&self, now: Moment, key: CallKey) -> bool {
+        let (Some(snapshot), Some(call)) = (&self.snapshot, self.calls.get(&key)) else {
+            return false;
+        };
+        let mut usable = self.usable_targets(now, snapshot, call).peekable();
+        call.pinned_software.is_some()
+            && usable.peek().is_some()
+            && usable.all(|target| self.is_doubtful(target))
+    }
+
+    fn is_doubtful(&self, target: TargetKey) -> bool {
+        self.lists_software(target)
+            && self.targets.get(target).is_some_and(|state| state.doubt.exists())
+    }
+
+    fn lists_software(&self, target: TargetKey) -> bool {
+        let target = self.snapshot.as_ref().and_then(|s| s.targets.get(target));
+        target.is_some_and(|target| target.software.is_some())
+    }
+
+    fn dispatched(&self, key: CallKey) -> Moment {
+        self.calls.get(&key).map(|call| call.dispatched).unwrap_or_default()
     }
 
     /// Takes back the software versions of the streams that processes send which are listed only
@@ -66,7 +198,8 @@
                 && is_replaced(&snapshot, target)
         };
         let streams = self.calls.iter().filter(|(_, call)| {
-            call.pinned_software.is_some() && call.target().is_some_and(replaced)
+            let has_begun = call.pinned_software.is_some() || call.phase() == Phase::Streaming;
+            has_begun && call.target().is_some_and(replaced)
         });
         let streams: Vec<CallKey> = streams.map(|(key, _)| *key).collect();
         for key in streams {
--- a/crates/cumintrail-control/src/event.rs
+++ b/crates/cumintrail-control/src/event.rs
@@ -81,6 +81,11 @@
         /// What it showed.
         end: ResponseEnd,
     },
+    /// A target accepted and kept a connection after the connection of a call broke.
+    TargetAccepts {
+        /// The target.
+        target: TargetKey,
+    },
     /// A target accepted no connection after the connection of a call broke.
     TargetUnreachable {
         /// The target.
--- a/crates/cumintrail-control/src/lib.rs
+++ b/crates/cumintrail-control/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod once;
 pub mod parts;
 pub mod placement;
+pub mod process_doubt;
 pub mod quarantine;
 pub mod reach;
 pub mod registry;
--- a/crates/cumintrail-control/tests/restarted_software.rs
+++ b/crates/cumintrail-control/tests/restarted_software.rs
@@ -9,15 +9,16 @@
 use cumintrail_control::stream_origins::{StreamId, StreamRequest};
 use cumintrail_control::{
     Action, Actions, Arrival, AttemptOutcome, Control, Event, Identity, PeerDigest, ResponseEnd,
-    RouteOptions,
+    RouteOptions, Usage,
 };
 use cumintrail_types::{
     AccountKey, AttemptNumber, Bytes, CallClass, CallKey, DomainKey, Generation, Incarnation,
-    Moment, ServiceKey, Tokens, WeightVersion,
+    Moment, ServiceKey, TargetKey, Tokens, WeightVersion,
 };
 
 const DECLARED: &str = "[deployment]\nfirst_preset = day\n[preset day]\n[service desk]\n\
     [account coop]\nkey_digests = 0000000000000000000000000000000000000000000000000000000000000000\nconcurrency = 1000\n";
+const HEARTBEAT: Duration = Duration::from_millis(1_200);
 const DIGEST_INTERVAL: Duration = Duration::from_millis(250);
 
 /// The id, the start of the process and the software version of a target.
@@ -67,6 +68,7 @@
         };
         let mut control = Control::new(identity, 7);
         control.follow_registry("a key of sixteen bytes or more");
+        control.set_heartbeat_interval(HEARTBEAT);
         let sections = Document::parse(&"test".into(), DECLARED).unwrap().sections;
         let snapshot = Snapshot::build(Generation(1), &sections, None, None).unwrap();
         let mut daemon = Self { control, snapshot, now: Moment::from_millis(1_000) };
@@ -82,6 +84,11 @@
         self.control.handle(self.now, Event::Configured(Arc::new(self.snapshot.clone())));
     }
 
+    fn confirm(&mut self) {
+        let confirmed = Event::RegistryConfirmed { as_of: self.now, max_age: HEARTBEAT };
+        self.control.handle(self.now, confirmed);
+    }
+
     fn wait(&mut self, millis: u64) -> Actions {
         self.now = self.now + Duration::from_millis(millis);
         self.control.handle(self.now, Event::Tick)
@@ -165,6 +172,16 @@
     StreamId::of("coop", &format!("call-{number}"))
 }
 
+#[test]
+fn a_broken_stream_is_not_resumed_at_a_process_that_took_its_targets_place() {
+    let mut daemon = Daemon::start(1, &[OLD]);
+    assert_eq!(daemon.begin(1), Some("t0"));
+    assert_eq!(daemon.break_off(1, 1), None, "the entry is older than the break");
+    assert_eq!(daemon.take_up(2, 1), None);
+    daemon.list(2, &[RESTARTED]);
+    assert_eq!(daemon.take_up(3, 1), None);
+}
+
 #[test]
 fn a_broken_stream_is_resumed_at_once_at_another_target_of_its_version() {
     let mut daemon = Daemon::start(1, &[OLD, OTHER]);
@@ -173,6 +190,52 @@
     assert_ne!(began, next);
 }
 
+#[test]
+fn a_broken_stream_goes_on_once_the_registry_lists_the_process_that_accepts_connections() {
+    let mut daemon = Daemon::start(1, &[OLD]);
+    daemon.begin(1);
+    assert_eq!(daemon.break_off(1, 1), None);
+    let target = TargetKey(0);
+    daemon.control.handle(daemon.now, Event::TargetAccepts { target });
+    assert_eq!(daemon.begin(2), Some("t0"), "other calls do not wait");
+    daemon.confirm();
+    let actions = daemon.wait(HEARTBEAT.as_millis() as u64 - 1);
+    assert_eq!(daemon.sent_to(&actions), None, "a new process may not have written its entry");
+    daemon.confirm();
+    daemon.wait(1);
+    daemon.confirm();
+    let actions = daemon.wait(100);
+    assert_eq!(daemon.sent_to(&actions), Some("t0"));
+    assert_eq!(daemon.break_off(2, 1), None);
+    daemon.list(2, &[OLD, OTHER]);
+    assert_eq!(daemon.take_up(3, 2), Some("t1"), "it was bound when the doubt ended");
+}
+
+#[test]
+fn a_broken_stream_goes_on_at_once_if_another_one_shows_that_the_process_runs() {
+    let mut daemon = Daemon::start(1, &[OLD]);
+    daemon.begin(1);
+    daemon.begin(2);
+    daemon.wait(10);
+    assert_eq!(daemon.break_off(1, 1), None);
+    let outcome = AttemptOutcome::Completed(Usage::default());
+    let ended = Event::AttemptEnded { call: CallKey(2), attempt: AttemptNumber(1), outcome };
+    daemon.control.handle(daemon.now, ended);
+    let actions = daemon.wait(100);
+    assert_eq!(daemon.sent_to(&actions), Some("t0"));
+}
+
+#[test]
+fn a_stream_that_begins_at_a_process_that_is_not_listed_yet_is_resumed_at_no_listed_version() {
+    let mut daemon = Daemon::start(1, &[OLD]);
+    daemon.begin(1);
+    daemon.break_off(1, 1);
+    assert_eq!(daemon.begin(2), Some("t0"), "new streams begin all the same");
+    daemon.list(2, &[RESTARTED, OTHER]);
+    assert_eq!(daemon.take_up(3, 2), None);
+    assert_eq!(daemon.take_up(4, 1), Some("t1"), "this one began before the break");
+}
+
 #[test]
 fn a_stream_is_in_progress_while_the_process_that_sends_it_is_listed_with_another_version() {
     let (mut daemon, mut peer) = (Daemon::start(1, &[OLD]), Daemon::start(2, &[OLD]));
--- a/crates/cumintrail-daemon/src/gateway.rs
+++ b/crates/cumintrail-daemon/src/gateway.rs
@@ -79,6 +79,8 @@
     /// The time after the announcement of a weight version during which new calls may still be sent
     /// to older ones.
     pub outdated_limit: Duration,
+    /// The interval at which targets write their entries of the registry.
+    pub heartbeat_interval: Duration,
     /// Whether calls leave failure domains in which no target is reached.
     pub domain_failover: bool,
     /// The time within which a change on the platform must be in force; daemons follow readers only
@@ -145,6 +147,7 @@
         control.set_retry_policy(options.retry_policy);
         control.set_cold_tolerance(options.cold_tolerance);
         control.set_outdated_limit(options.outdated_limit);
+        control.set_heartbeat_interval(options.heartbeat_interval);
         if options.domain_failover {
             control.fail_over_domains();
         }
--- a/crates/cumintrail-daemon/src/relay.rs
+++ b/crates/cumintrail-daemon/src/relay.rs
@@ -47,6 +47,8 @@
 const PRUNE_INTERVAL: Duration = Duration::from_secs(2);
 /// The delay after a failed `accept`, for example when no file descriptors are available.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+/// The time within which the system closes all sockets of a process that ends.
+const EXIT_TIME: Duration = Duration::from_millis(20);
 
 /// Serves relayed calls on one address with a fixed number of traffic threads.
 pub struct Relay {
@@ -198,8 +200,16 @@
         }
         let (shared, checked) = (self.shared.clone(), self.checked.clone());
         actix_rt::spawn(async move {
-            if connect(at).await.is_none() {
-                shared.control.send(Event::TargetUnreachable { target }).await;
+            let event = match connect(at).await {
+                None => Some(Event::TargetUnreachable { target }),
+                // The system of a process that ends may accept connections until it closes them.
+                Some(stream) => actix_rt::time::timeout(EXIT_TIME, stream.readable())
+                    .await
+                    .is_err()
+                    .then_some(Event::TargetAccepts { target }),
+            };
+            if let Some(event) = event {
+                shared.control.send(event).await;
             }
             checked.borrow_mut().remove(&target);
         });
--- a/tests/src/gateway_cluster.rs
+++ b/tests/src/gateway_cluster.rs
@@ -61,6 +61,7 @@
         retry_policy: RetryPolicy::default(),
         cold_tolerance: None,
         outdated_limit: LIMIT,
+        heartbeat_interval: Duration::from_millis(400),
         domain_failover: false,
         stop_limit: LIMIT,
         apply_limit: Duration::from_secs(2),
