Reach targets through links in the checker of the wire

In half of the scripts, daemons reach targets through a relay on loopback, whose connections are cut with resets, slowed, silenced for a time and reset then, or half-closed towards the target. A reset stays a reset.

--- a/tests/platform-standin/src/wire.rs
+++ b/tests/platform-standin/src/wire.rs
@@ -5,6 +5,7 @@
 mod daemons;
 mod http;
 mod judge;
+mod link;
 mod script;
 mod scripted_target;
 
@@ -85,6 +86,13 @@
             place.replace(replacement).await
         });
     }
+    for (at_ms, target, fault) in script.changes.link_faults.iter().copied() {
+        let place = places[target].clone();
+        actix_rt::spawn(async move {
+            sleep_until(started_at, at_ms).await;
+            place.disturb_link(fault).await;
+        });
+    }
     for (at_ms, operation) in script.changes.operations.iter().copied() {
         let daemons = Rc::downgrade(&daemons);
         actix_rt::spawn(async move {
--- a/tests/platform-standin/src/wire/script.rs
+++ b/tests/platform-standin/src/wire/script.rs
@@ -9,7 +9,7 @@
 
 use crate::calls::CallKind;
 
-pub(super) use self::changes::{Changes, Notice, Operation, Replacement};
+pub(super) use self::changes::{Changes, LinkFault, Notice, Operation, Replacement};
 
 /// Number of daemons.
 pub const VMS: usize = 2;
--- a/tests/platform-standin/src/wire/script/changes.rs
+++ b/tests/platform-standin/src/wire/script/changes.rs
@@ -21,6 +21,10 @@
     pub replacements: Vec<(u64, Replacement)>,
     /// What operators do, by the time in milliseconds since the start.
     pub operations: Vec<(u64, Operation)>,
+    /// Whether daemons reach targets through links.
+    pub has_links: bool,
+    /// What happens to the links of targets, by the time in milliseconds since the start.
+    pub link_faults: Vec<(u64, usize, LinkFault)>,
     /// The software versions of the processes that follow each other in each target's place.
     software: Vec<Vec<u8>>,
 }
@@ -51,6 +55,20 @@
     Declare { number: u64 },
 }
 
+/// What happens to the link of a target.
+#[derive(Debug, Clone, Copy)]
+pub enum LinkFault {
+    /// Connections are reset, and new ones too.
+    Cut { ms: u64 },
+    /// Bytes and ends arrive late.
+    Slow { ms: u64, delay_ms: u64 },
+    /// Nothing more comes from the target on connections that are open, until they are reset: the
+    /// system of the link would answer keep-alive probes for ever.
+    Silent { ms: u64 },
+    /// The direction towards the target ends on connections that are open.
+    HalfClosed,
+}
+
 /// How the registry shows that a target leaves.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Notice {
@@ -66,6 +84,8 @@
             targets_per_service: STEADY_TARGETS,
             replacements: Vec::new(),
             operations: Vec::new(),
+            has_links: false,
+            link_faults: Vec::new(),
             software: Vec::new(),
         }
     }
@@ -78,6 +98,7 @@
     Deadlines = 2,
     Software = 3,
     Operations = 4,
+    Links = 5,
 }
 
 /// Returns the random numbers of a part.
@@ -118,7 +139,16 @@
             operations.push((at_ms, Operation::draw(&mut rng)));
             at_ms += rng.random_range(100..700);
         }
-        Self { targets_per_service, replacements, operations, software }
+        let mut rng = generator(seed, Part::Links);
+        let has_links = rng.random();
+        let mut link_faults = Vec::new();
+        let mut at_ms = 300;
+        while has_links && at_ms < seconds * 1000 {
+            let target = rng.random_range(0..2 * targets_per_service);
+            link_faults.push((at_ms, target, LinkFault::draw(&mut rng)));
+            at_ms += rng.random_range(100..700);
+        }
+        Self { targets_per_service, replacements, operations, has_links, link_faults, software }
     }
 
     /// Returns the software version of a target's process.
@@ -147,6 +177,35 @@
     }
 }
 
+impl LinkFault {
+    fn draw(rng: &mut StdRng) -> Self {
+        let ms = rng.random_range(0..400);
+        match rng.random_range(0..4) {
+            0 => Self::Cut { ms },
+            1 => Self::Slow { ms, delay_ms: rng.random_range(5..200) },
+            2 => Self::Silent { ms },
+            _ => Self::HalfClosed,
+        }
+    }
+
+    pub const fn duration_ms(self) -> u64 {
+        match self {
+            Self::Cut { ms } | Self::Slow { ms, .. } | Self::Silent { ms } => ms,
+            Self::HalfClosed => 0,
+        }
+    }
+
+    /// The name of the step in reports.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Cut { .. } => "link cut",
+            Self::Slow { .. } => "link slowed",
+            Self::Silent { .. } => "link silent",
+            Self::HalfClosed => "link half-closed",
+        }
+    }
+}
+
 impl Replacement {
     fn draw(rng: &mut StdRng, target: usize) -> Self {
         Self {
--- a/tests/platform-standin/src/wire/scripted_target.rs
+++ b/tests/platform-standin/src/wire/scripted_target.rs
@@ -6,7 +6,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::io;
-use std::net::SocketAddr;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -19,11 +19,16 @@
 use self::response::Played;
 use super::SharedLog;
 use super::http::{BodyEnd, Connection, body_end, header, write_all};
-use super::script::{Notice, Replacement, Script};
+use super::link::Link;
+use super::script::{LinkFault, Notice, Replacement, Script};
 use crate::deployment::MODEL_SERVICE;
 use crate::replica::MODEL;
 use crate::store::{REGISTRY_TABLE, RowStore};
 
+const ANY_PORT: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+/// Behind a link, the ends of a process's connections arrive some milliseconds apart, and no process
+/// starts that soon.
+const MIN_DOWNTIME_BEHIND_LINK: Duration = Duration::from_millis(60);
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(400);
 
 /// A place in a service, which targets fill one after the other.
@@ -44,7 +49,10 @@
 struct Target {
     id: String,
     place: Rc<Place>,
+    /// The address in its entry.
     address: SocketAddr,
+    /// The link that has the address, if daemons reach the target through one.
+    link: Option<Rc<Link>>,
     stage: Cell<Stage>,
     process: RefCell<Option<Process>>,
     heartbeats: Cell<u64>,
@@ -72,16 +80,29 @@
         let (targets, processes, current) = (Cell::new(0), Cell::new(0), RefCell::default());
         let place =
             Rc::new(Self { number, service, store, script, log, targets, processes, current });
-        place.fill(format!("t-{number}"), std::net::TcpListener::bind("127.0.0.1:0")?)?;
+        place.fill(format!("t-{number}"), std::net::TcpListener::bind(ANY_PORT)?, None)?;
         Ok(place)
     }
 
-    fn fill(self: &Rc<Self>, id: String, listener: std::net::TcpListener) -> io::Result<()> {
+    /// Starts a target behind a link, the one of its predecessor or a new one, if the script has
+    /// links.
+    fn fill(
+        self: &Rc<Self>,
+        id: String,
+        listener: std::net::TcpListener,
+        link: Option<Rc<Link>>,
+    ) -> io::Result<()> {
         self.targets.set(self.targets.get() + 1);
+        let listens_at = listener.local_addr()?;
+        let link = match link {
+            None if self.script.changes.has_links => Some(Link::new()?),
+            link => link,
+        };
         let target = Rc::new(Target {
             id,
             place: self.clone(),
-            address: listener.local_addr()?,
+            address: link.as_ref().map_or(listens_at, |link| link.address),
+            link,
             stage: Cell::new(Stage::Serving),
             process: RefCell::default(),
             heartbeats: Cell::new(0),
@@ -104,6 +125,18 @@
         self.log.borrow_mut().note(format!("{id} {what}"));
     }
 
+    /// Plays a fault on the link of the target.
+    pub async fn disturb_link(self: Rc<Self>, fault: LinkFault) {
+        let target = self.current.borrow().clone();
+        if let Some(target) = target
+            && let Some(link) = &target.link
+        {
+            self.log.borrow_mut().count(fault.name());
+            self.note(&target.id, &format!("{fault:?}"));
+            link.play(fault).await;
+        }
+    }
+
     /// Replaces the target; does nothing while it is being replaced already.
     pub async fn replace(self: Rc<Self>, replacement: Replacement) -> io::Result<()> {
         let Some(old) = self.current.borrow().clone() else { return Ok(()) };
@@ -121,7 +154,7 @@
         };
         let starts_first = !keeps_id && !keeps_address;
         if starts_first {
-            self.fill(id.clone(), std::net::TcpListener::bind("127.0.0.1:0")?)?;
+            self.fill(id.clone(), std::net::TcpListener::bind(ANY_PORT)?, None)?;
         }
         sleep(Duration::from_millis(replacement.serves_ms)).await;
         self.note(&old.id, "closes its listener and idle connections");
@@ -130,9 +163,12 @@
             old.stage.set(Stage::Unlisted);
         }
         if !starts_first {
-            let address =
-                if keeps_address { old.address } else { SocketAddr::from(([127, 0, 0, 1], 0)) };
-            self.fill(id, bind_when_free(address).await)?;
+            let (address, link) = if keeps_address {
+                (old.own_address(), old.link.clone())
+            } else {
+                (ANY_PORT, None)
+            };
+            self.fill(id, bind_when_free(address).await, link)?;
         }
         // A successor may have the id already.
         let born = old.born();
@@ -148,6 +184,9 @@
 impl Target {
     /// Starts a process.
     fn start(self: &Rc<Self>, listener: std::net::TcpListener) -> io::Result<()> {
+        if let Some(link) = &self.link {
+            link.attach(listener.local_addr()?)?;
+        }
         listener.set_nonblocking(true)?;
         let listener = Rc::new(TcpListener::from_std(listener)?);
         let Place { number, script, processes, .. } = &*self.place;
@@ -187,10 +226,18 @@
     /// The next one listens after `downtime`, unless the target leaves.
     fn kill(self: &Rc<Self>, downtime: Duration) {
         let Some(process) = self.process.take() else { return };
+        // A successor may have the link already.
+        if let Some(link) = self.link.as_ref().filter(|_| !process.is_closing()) {
+            link.detach();
+        }
         process.exit();
         if self.stage.get() != Stage::Serving {
             return;
         }
+        let downtime = match self.link {
+            Some(_) => downtime.max(MIN_DOWNTIME_BEHIND_LINK),
+            None => downtime,
+        };
         if downtime.is_zero() && self.restart().is_ok() {
             return;
         }
@@ -204,7 +251,12 @@
     }
 
     fn restart(self: &Rc<Self>) -> io::Result<()> {
-        self.start(std::net::TcpListener::bind(self.address)?)
+        self.start(std::net::TcpListener::bind(self.own_address())?)
+    }
+
+    /// Returns the address that a process of the target binds.
+    fn own_address(&self) -> SocketAddr {
+        if self.link.is_some() { ANY_PORT } else { self.address }
     }
 
     fn give_notice(&self, notice: Notice) {
@@ -224,6 +276,7 @@
     fn stop_accepting(&self) {
         if let Some(process) = &*self.process.borrow() {
             process.stop_accepting();
+            self.link.iter().for_each(|link| link.detach());
         }
     }
 
--- a/tests/platform-standin/src/wire/scripted_target/process.rs
+++ b/tests/platform-standin/src/wire/scripted_target/process.rs
@@ -48,6 +48,11 @@
         self.connections.iter().all(|connection| connection.strong_count() == 0)
     }
 
+    /// Returns whether it has stopped to accept requests.
+    pub fn is_closing(&self) -> bool {
+        *self.is_closing.borrow()
+    }
+
     /// Closes the listener and lets connections end after their responses.
     pub fn stop_accepting(&self) {
         // Stops listening although the task that accepts connections still holds the socket.
