Run three to six daemons in the checker of the wire

The number of daemons is drawn from the seed, and so is the daemon of each request and disturbance. A steady script keeps its two.

--- a/tests/platform-standin/src/wire.rs
+++ b/tests/platform-standin/src/wire.rs
@@ -58,7 +58,7 @@
 
 /// Runs one script. Settings files and logs of the daemons stay in `folder`.
 pub async fn run(daemon: &Path, folder: &Path, script: Script) -> std::io::Result<Report> {
-    let mut deployment = Deployment::spawn(daemon, folder, script::VMS, 0, 0, true).await?;
+    let mut deployment = Deployment::spawn(daemon, folder, script.changes.vms, 0, 0, true).await?;
     deployment.declarations.max_body_bytes = Some(script::MAX_BODY_BYTES as u64);
     deployment.publish_declarations();
     let (script, log) = (Rc::new(script), SharedLog::default());
--- a/tests/platform-standin/src/wire/script.rs
+++ b/tests/platform-standin/src/wire/script.rs
@@ -11,8 +11,8 @@
 
 pub(super) use self::changes::{Changes, LinkFault, Notice, Operation, Replacement};
 
-/// Number of daemons.
-pub const VMS: usize = 2;
+/// Number of daemons in a deployment that stays as it is.
+const STEADY_VMS: usize = 2;
 /// The largest body of a request.
 pub const MAX_BODY_BYTES: usize = 400_000;
 const LANES: usize = 16;
@@ -134,9 +134,23 @@
         let mut script = Self::draw_steady(seed, seconds);
         script.changes = Changes::draw(seed, seconds);
         script.draw_deadline_stops();
+        script.spread();
         script
     }
 
+    /// Spreads requests and disturbances over all daemons.
+    fn spread(&mut self) {
+        let mut rng = changes::generator(self.seed, changes::Part::Vms);
+        let vms = self.changes.vms;
+        for exchange in self.lanes.iter_mut().flatten() {
+            exchange.vm = rng.random_range(0..vms);
+        }
+        for (_, disturbance) in &mut self.disturbances {
+            let (Disturbance::Suspend { vm, .. } | Disturbance::Restart { vm }) = disturbance;
+            *vm = rng.random_range(0..vms);
+        }
+    }
+
     /// Draws a script whose targets ignore deadlines, for a deployment that stays as it is.
     pub fn draw_steady(seed: u64, seconds: u64) -> Self {
         let mut rng = StdRng::seed_from_u64(seed);
@@ -153,7 +167,7 @@
         let mut disturbances = Vec::new();
         let mut at_ms = 300;
         while at_ms < seconds * 1000 {
-            let vm = rng.random_range(0..VMS);
+            let vm = rng.random_range(0..STEADY_VMS);
             let disturbance = match rng.random_range(0..12) {
                 0 => Disturbance::Restart { vm },
                 _ => Disturbance::Suspend { vm, ms: rng.random_range(50..300) },
@@ -208,7 +222,7 @@
         let leaves = rng.random_bool(0.06);
         Self {
             kind,
-            vm: rng.random_range(0..VMS),
+            vm: rng.random_range(0..STEADY_VMS),
             delay_ms: rng.random_range(0..60),
             body_bytes,
             in_chunks: body_bytes > 0 && rng.random(),
--- a/tests/platform-standin/src/wire/script/changes.rs
+++ b/tests/platform-standin/src/wire/script/changes.rs
@@ -5,7 +5,7 @@
 use rand::seq::IndexedRandom as _;
 use rand::{Rng, SeedableRng};
 
-use super::VMS;
+use super::STEADY_VMS;
 
 /// Number of targets of each service if nothing changes.
 const STEADY_TARGETS: usize = 2;
@@ -15,6 +15,8 @@
 /// What changes in the deployment while calls run.
 #[derive(Debug)]
 pub struct Changes {
+    /// Number of daemons.
+    pub vms: usize,
     /// Number of targets of each service.
     pub targets_per_service: usize,
     /// Replaced targets, by the time in milliseconds since the start.
@@ -81,6 +83,7 @@
 impl Default for Changes {
     fn default() -> Self {
         Self {
+            vms: STEADY_VMS,
             targets_per_service: STEADY_TARGETS,
             replacements: Vec::new(),
             operations: Vec::new(),
@@ -99,6 +102,7 @@
     Software = 3,
     Operations = 4,
     Links = 5,
+    Vms = 6,
 }
 
 /// Returns the random numbers of a part.
@@ -133,10 +137,11 @@
         });
         let software = software.collect();
         let mut rng = generator(seed, Part::Operations);
+        let vms = rng.random_range(3..=6);
         let mut operations = Vec::new();
         let mut at_ms = 400;
         while at_ms < seconds * 1000 {
-            operations.push((at_ms, Operation::draw(&mut rng)));
+            operations.push((at_ms, Operation::draw(&mut rng, vms)));
             at_ms += rng.random_range(100..700);
         }
         let mut rng = generator(seed, Part::Links);
@@ -148,7 +153,15 @@
             link_faults.push((at_ms, target, LinkFault::draw(&mut rng)));
             at_ms += rng.random_range(100..700);
         }
-        Self { targets_per_service, replacements, operations, has_links, link_faults, software }
+        Self {
+            vms,
+            targets_per_service,
+            replacements,
+            operations,
+            has_links,
+            link_faults,
+            software,
+        }
     }
 
     /// Returns the software version of a target's process.
@@ -158,8 +171,8 @@
 }
 
 impl Operation {
-    fn draw(rng: &mut StdRng) -> Self {
-        let vm = rng.random_range(0..VMS);
+    fn draw(rng: &mut StdRng, vms: usize) -> Self {
+        let vm = rng.random_range(0..vms);
         match rng.random_range(0..4) {
             0 => Self::Stop { vm, downtime_ms: rng.random_range(0..400) },
             1 | 2 => Self::Reload { vm, heartbeat_ms: rng.random_range(200..800) },
