Write settings files at once in the checker of the wire

Daemons that end by themselves are started again after they have been reported, so that each exit counts once.

--- a/tests/platform-standin/src/wire.rs
+++ b/tests/platform-standin/src/wire.rs
@@ -113,7 +113,7 @@
     }
     // Requests that run after a refusal are late.
     sleep(Duration::from_millis(500)).await;
-    daemons.check_exits();
+    daemons.check_exits()?;
     let log = log.take();
     let report = report(&script, &log);
     std::fs::write(folder.join("report.txt"), report.to_string())?;
--- a/tests/platform-standin/src/wire/daemons.rs
+++ b/tests/platform-standin/src/wire/daemons.rs
@@ -35,7 +35,7 @@
     /// Disturbs a daemon. One that has been stopped is left alone.
     pub async fn disturb(&self, disturbance: Disturbance) -> std::io::Result<()> {
         let (Disturbance::Suspend { vm, .. } | Disturbance::Restart { vm }) = disturbance;
-        self.check_exit(vm);
+        self.check_exit(vm)?;
         if !self.runs(vm) {
             return Ok(());
         }
@@ -77,7 +77,10 @@
                     Some(("heartbeat_ms", _)) => format!("heartbeat_ms={heartbeat_ms}\n"),
                     _ => format!("{line}\n"),
                 });
-                std::fs::write(&path, lines.collect::<String>())?;
+                let written = path.with_extension("new");
+                std::fs::write(&written, lines.collect::<String>())?;
+                // A daemon that starts reads either the old file or the new one.
+                std::fs::rename(written, path)?;
                 self.signal(vm, Signal::SIGHUP);
             }
             Operation::Declare { number } => {
@@ -113,16 +116,18 @@
         started
     }
 
-    /// Records the daemons that have ended by themselves.
-    pub fn check_exits(&self) {
-        (0..self.stopped.len()).for_each(|vm| self.check_exit(vm));
+    /// Records the daemons that have ended by themselves, and starts them again.
+    pub fn check_exits(&self) -> std::io::Result<()> {
+        (0..self.stopped.len()).try_for_each(|vm| self.check_exit(vm))
     }
 
-    fn check_exit(&self, vm: usize) {
+    fn check_exit(&self, vm: usize) -> std::io::Result<()> {
         if !self.stopped[vm].get() && !self.runs(vm) {
             let status = self.deployment.borrow().vms[vm].exit_status();
             self.log.borrow_mut().fault(format!("EXIT: VM {vm} ended by itself: {status:?}"));
+            self.deployment.borrow().start_vm(vm)?;
         }
+        Ok(())
     }
 
     fn runs(&self, vm: usize) -> bool {
