--- a/tests/platform-standin/src/wire.rs
+++ b/tests/platform-standin/src/wire.rs
@@ -5,6 +5,7 @@
 mod daemons;
 mod http;
 mod judge;
+mod link;
 mod script;
 mod scripted_target;
 
@@ -57,7 +58,7 @@
 
 /// Runs one script. Settings files and logs of the daemons stay in `folder`.
 pub async fn run(daemon: &Path, folder: &Path, script: Script) -> std::io::Result<Report> {
-    let mut deployment = Deployment::spawn(daemon, folder, script::VMS, 0, 0, true).await?;
+    let mut deployment = Deployment::spawn(daemon, folder, script.changes.vms, 0, 0, true).await?;
     deployment.declarations.max_body_bytes = Some(script::MAX_BODY_BYTES as u64);
     deployment.publish_declarations();
     let (script, log) = (Rc::new(script), SharedLog::default());
@@ -85,6 +86,13 @@
             place.replace(replacement).await
         });
     }
+    for (at_ms, target, fault) in script.changes.link_faults.iter().copied() {
+        let place = places[target].clone();
+        actix_rt::spawn(async move {
+            sleep_until(started_at, at_ms).await;
+            place.disturb_link(fault).await;
+        });
+    }
     for (at_ms, operation) in script.changes.operations.iter().copied() {
         let daemons = Rc::downgrade(&daemons);
         actix_rt::spawn(async move {
@@ -105,7 +113,7 @@
     }
     // Requests that run after a refusal are late.
     sleep(Duration::from_millis(500)).await;
-    daemons.check_exits();
+    daemons.check_exits()?;
     let log = log.take();
     let report = report(&script, &log);
     std::fs::write(folder.join("report.txt"), report.to_string())?;
