Do not end the evidence of all responses with one identity request

No test shows either.

The request may now take 3 s, and one that nobody waits for any more is read to its end. It still ends with the deadline of the call.

--- a/crates/cumintrail-client/src/lib.rs
+++ b/crates/cumintrail-client/src/lib.rs
@@ -32,7 +32,9 @@
 pub use peer::{HttpPeer, Peer};
 pub use platform::{HttpPlatform, ObjectStore, Table, VmListReader};
 pub use pool::{ConnectionPool, RetrySafety};
-pub use process_watch::{ProcessEvidence, ProcessState, ProcessWatches, evidence_changed};
+pub use process_watch::{
+    IDENTITY_TIMEOUT, ProcessEvidence, ProcessState, ProcessWatches, evidence_changed,
+};
 pub use response_budget::{HeldBytes, ResponseBudget};
 pub use response_stream::{ResponseEvent, ResponseStream};
 pub use service::{HttpService, Service, ServiceCall, ServiceResponse, is_end_to_end};
--- a/crates/cumintrail-client/src/process_watch.rs
+++ b/crates/cumintrail-client/src/process_watch.rs
@@ -31,6 +31,9 @@
 const REOPEN_DELAYS: [Duration; 2] = [Duration::from_millis(200), Duration::from_secs(1)];
 /// How long idle connections carry no requests after the process closed one after a response.
 const REQUEST_PAUSE: Duration = Duration::from_secs(10);
+/// How long the head of the response to an identity request may take: a process that runs may be
+/// silent for a second or so.
+pub const IDENTITY_TIMEOUT: Duration = Duration::from_secs(3);
 /// How long the rest of a response on an idle connection may take.
 const MAX_BODY_TIME: Duration = Duration::from_millis(200);
 /// The time from which on a closed connection was not closed at once.
@@ -197,7 +200,7 @@
     closed_by_choice: &ClosedByChoice,
 ) {
     loop {
-        let mut request = tokio::select! {
+        let request = tokio::select! {
             biased;
             // A target sends nothing on a connection without a request, and closes it at will.
             () = connection.idle_end() => return,
@@ -210,11 +213,8 @@
         if connection.start_exchange(head, BodySize::None).is_err() {
             return;
         }
-        let head = tokio::select! {
-            head = connection.read_head() => head,
-            () = request.answer.closed() => return,
-        };
-        let Ok(head) = head else { return };
+        // Other responses may need the connection although the time for this one is over.
+        let Ok(Ok(head)) = timeout(IDENTITY_TIMEOUT, connection.read_head()).await else { return };
         let _ = request.answer.send(IdleAnswer::Response(Box::new(head)));
         if connection.framing() == Framing::Close
             || timeout(MAX_BODY_TIME, read_rest(&mut connection)).await != Ok(true)
--- a/crates/cumintrail-daemon/src/relay/attempt/response.rs
+++ b/crates/cumintrail-daemon/src/relay/attempt/response.rs
@@ -1,11 +1,11 @@
 //! Forwards a target's response to the caller: buffered, as it arrives, or in batches of events.
 
-use std::time::Duration;
-
 use actix_http::header::CONTENT_ENCODING;
 use actix_http::{ResponseHead, StatusCode};
 use bytes::{Bytes, BytesMut};
-use cumintrail_client::{BodyPart, ClientError, Connection, Framing, evidence_changed};
+use cumintrail_client::{
+    BodyPart, ClientError, Connection, Framing, IDENTITY_TIMEOUT, evidence_changed,
+};
 use cumintrail_control::{AttemptOutcome, Event, ResponseEnd, Usage};
 use cumintrail_types::CallClass;
 use futures_util::FutureExt as _;
@@ -20,8 +20,6 @@
 
 /// The largest response that is buffered completely; a larger one is forwarded as it arrives.
 const MAX_BUFFERED_RESPONSE_BYTES: usize = 256 << 10;
-/// The timeout for the response to an identity check, with time to repeat two lost packets.
-const IDENTITY_TIMEOUT: Duration = Duration::from_secs(1);
 
 impl<D: HeaderDialect> Attempt<'_, D> {
     /// Reads a response completely, then forwards it.
