Do not let a process vouch for a response from before its start

What callers saw: a response without length that was cut by the exit or a kill of its target's process ended as complete while a successor under the same id listened at its address.

Cause: the identity check went by the instance's name, and a target may start again under the name that it had. The platform's reports do not name it either.

Change: the dialect sees the whole response to the identity request. On the platform, a report whose process started after the call was sent is that of another process. Clocks of machines may differ; a process that started within that difference may be taken for the one before, or a complete response of it be cut.

--- a/crates/cumintrail-client/src/process_watch.rs
+++ b/crates/cumintrail-client/src/process_watch.rs
@@ -16,13 +16,14 @@
 use actix_http::{RequestHead, ResponseHead, ServiceConfig};
 use actix_rt::task::JoinHandle;
 use actix_rt::time::{Instant, timeout};
+use bytes::{Bytes, BytesMut};
 use derive_more::Display;
 use tokio::net::TcpStream;
 use tokio::sync::{Notify, mpsc, oneshot, watch};
 
 use crate::connection::configure_socket;
 use crate::single_use::{with_connection_close, with_host};
-use crate::{ClientError, Connection, Framing, MAX_DISCARDED_BYTES};
+use crate::{ClientError, Connection, MAX_DISCARDED_BYTES};
 
 /// The time within which the system closes all sockets of a process that ends.
 const EXIT_TIME: Duration = Duration::from_millis(20);
@@ -31,11 +32,10 @@
 const REOPEN_DELAYS: [Duration; 2] = [Duration::from_millis(200), Duration::from_secs(1)];
 /// How long idle connections carry no requests after the process closed one after a response.
 const REQUEST_PAUSE: Duration = Duration::from_secs(10);
-/// How long the head of the response to an identity request may take: a process that runs may be
-/// silent for a second or so.
-pub const IDENTITY_TIMEOUT: Duration = Duration::from_secs(3);
-/// How long the rest of a response on an idle connection may take.
+/// How long the body of the response to an identity request may take.
 const MAX_BODY_TIME: Duration = Duration::from_millis(200);
+/// How long the head of that response may take: a process that runs may be silent for a second or so.
+pub const IDENTITY_TIMEOUT: Duration = Duration::from_secs(3);
 /// The time from which on a closed connection was not closed at once.
 const MIN_IDLE_TIME: Duration = Duration::from_millis(50);
 
@@ -144,7 +144,7 @@
 /// What became of a request on an idle connection.
 #[derive(Debug)]
 enum IdleAnswer {
-    Response(Box<ResponseHead>),
+    Response(Box<ResponseHead>, Bytes),
     /// The process closed the connection after the response to an earlier request.
     ClosedByChoice,
     /// The connection ended, or the time was over.
@@ -215,10 +215,9 @@
         }
         // Other responses may need the connection although the time for this one is over.
         let Ok(Ok(head)) = timeout(IDENTITY_TIMEOUT, connection.read_head()).await else { return };
-        let _ = request.answer.send(IdleAnswer::Response(Box::new(head)));
-        if connection.framing() == Framing::Close
-            || timeout(MAX_BODY_TIME, read_rest(&mut connection)).await != Ok(true)
-        {
+        let (body, is_reusable) = read_body(&mut connection).await;
+        let _ = request.answer.send(IdleAnswer::Response(Box::new(head), body));
+        if !is_reusable {
             while let Ok(request) = requests.try_recv() {
                 let _ = request.answer.send(IdleAnswer::ClosedByChoice);
             }
@@ -228,20 +227,22 @@
     }
 }
 
-/// Reads the rest of a response; returns whether its connection can be used again.
-async fn read_rest(connection: &mut Connection) -> bool {
-    let mut remaining = MAX_DISCARDED_BYTES;
-    while let Ok(chunk) = connection.read_chunk().await {
-        match chunk {
-            Some(chunk) if chunk.len() <= remaining => remaining -= chunk.len(),
-            Some(_) => return false,
-            None => {
-                connection.mark_idle();
-                return connection.reusable_for().is_some();
+/// Reads the body of a response as far as it comes in time; returns also whether its connection can
+/// be used again.
+async fn read_body(connection: &mut Connection) -> (Bytes, bool) {
+    let mut body = BytesMut::new();
+    let read = async {
+        while let Ok(Some(chunk)) = connection.read_chunk().await {
+            if body.len() + chunk.len() > MAX_DISCARDED_BYTES {
+                return;
             }
+            body.extend_from_slice(&chunk);
         }
-    }
-    false
+    };
+    let in_time = timeout(MAX_BODY_TIME, read).await.is_ok();
+    let is_reusable = in_time && connection.reusable_for().is_some();
+    connection.mark_idle();
+    (body.freeze(), is_reusable)
 }
 
 async fn connect(at: SocketAddr, connect_timeout: Duration) -> Option<TcpStream> {
@@ -391,7 +392,7 @@
     }
 
     /// Returns what is known of the process that responds to `request` within `limit`, on the idle
-    /// connection or else at the address, and is not another one by the head of its response.
+    /// connection or else at the address, and is not another one by its response.
     ///
     /// The end of the idle connection may be lost on the network, and arrive later than that of the
     /// response. A process that has ended never responds.
@@ -399,7 +400,7 @@
         mut self,
         request: RequestHead,
         limit: Duration,
-        is_other: impl Fn(&ResponseHead) -> bool,
+        is_other: impl Fn(&ResponseHead, &[u8]) -> bool,
     ) -> ProcessState {
         let started = Instant::now();
         let current = *self.state.borrow();
@@ -409,15 +410,15 @@
             {
                 let asked = timeout(limit, self.ask_idle(number, request.clone()));
                 match asked.await.unwrap_or(IdleAnswer::Nothing) {
-                    IdleAnswer::Response(head) if is_other(&head) => {
+                    IdleAnswer::Response(head, body) if is_other(&head, &body) => {
                         Observed::State(ProcessState::Replaced)
                     }
                     // The listener of a process that stops may have passed to another one before the
                     // connection was opened.
-                    IdleAnswer::Response(_) if number > self.closed_before + 1 => {
+                    IdleAnswer::Response(..) if number > self.closed_before + 1 => {
                         Observed::State(ProcessState::Accepting)
                     }
-                    IdleAnswer::Response(_) => Observed::State(ProcessState::Running),
+                    IdleAnswer::Response(..) => Observed::State(ProcessState::Running),
                     IdleAnswer::ClosedByChoice => Observed::ClosesIdle,
                     IdleAnswer::Nothing => Observed::State(ProcessState::Ended),
                 }
@@ -433,7 +434,7 @@
         }
         let left = limit.saturating_sub(started.elapsed());
         match timeout(left, self.ask_address(request)).await {
-            Ok(Ok(head)) if is_other(&head) => ProcessState::Replaced,
+            Ok(Ok((head, body))) if is_other(&head, &body) => ProcessState::Replaced,
             Ok(Ok(_)) => ProcessState::Accepting,
             // A process that closes idle connections may do so before the request arrives.
             Ok(Err(ClientError::ConnectionLost)) if observed == Observed::ClosesIdle => {
@@ -492,13 +493,18 @@
         }
     }
 
-    /// Sends a request on a new connection and reads the head of its response.
-    async fn ask_address(&self, request: RequestHead) -> Result<ResponseHead, ClientError> {
+    /// Sends a request on a new connection and reads its response.
+    async fn ask_address(
+        &self,
+        request: RequestHead,
+    ) -> Result<(ResponseHead, Bytes), ClientError> {
         let config = ServiceConfig::default();
         let mut connection = Connection::open(self.at, self.connect_timeout, config).await?;
         let request = with_connection_close(request, self.at);
         connection.start_exchange(request, BodySize::None)?;
-        connection.read_head().await
+        let head = connection.read_head().await?;
+        let (body, _) = read_body(&mut connection).await;
+        Ok((head, body))
     }
 }
 
--- a/crates/cumintrail-daemon/src/relay/attempt.rs
+++ b/crates/cumintrail-daemon/src/relay/attempt.rs
@@ -67,7 +67,8 @@
     let (number, name) = (dispatch.attempt, target.instance.clone());
     let destination = Destination::Target { dispatch, target };
     let evidence = worker.processes.expect(target.address);
-    let attempt = Attempt { worker, caller, call, number, name, destination, evidence };
+    let started = worker.shared.now();
+    let attempt = Attempt { worker, caller, call, number, name, destination, evidence, started };
     attempt.run(target.address).await
 }
 
@@ -80,7 +81,8 @@
 ) -> AttemptEnd {
     let (number, name) = (detour.attempt, format!("peer-{}", detour.peer).into());
     let (destination, evidence) = (Destination::Peer, None);
-    let attempt = Attempt { worker, caller, call, number, name, destination, evidence };
+    let started = worker.shared.now();
+    let attempt = Attempt { worker, caller, call, number, name, destination, evidence, started };
     attempt.run(detour.peer).await
 }
 
@@ -94,6 +96,8 @@
     destination: Destination<'a>,
     /// Evidence of the target's process, if its response may end with its connection.
     evidence: Option<ProcessEvidence>,
+    /// A moment before the request was sent.
+    started: Moment,
 }
 
 /// What an attempt is sent to.
--- a/crates/cumintrail-daemon/src/relay/attempt/response.rs
+++ b/crates/cumintrail-daemon/src/relay/attempt/response.rs
@@ -6,11 +6,13 @@
 use cumintrail_client::{
     BodyPart, ClientError, Connection, Framing, IDENTITY_TIMEOUT, evidence_changed,
 };
+use cumintrail_control::once::UnixMillis;
 use cumintrail_control::{AttemptOutcome, Event, ResponseEnd, Usage};
 use cumintrail_types::CallClass;
 use futures_util::FutureExt as _;
 
 use super::{Attempt, AttemptEnd, WaitResult};
+use crate::clock::unix_millis;
 use crate::metric;
 use crate::relay::dialect::HeaderDialect;
 use crate::relay::heads::caller_response_head;
@@ -184,7 +186,11 @@
         let evidence = self.evidence.take()?;
         let dialect = &self.worker.dialect;
         let request = dialect.identity_request(&self.name);
-        let is_other = |head: &ResponseHead| dialect.is_other_instance(head, &self.name);
+        let since_start = self.worker.shared.now().since(self.started);
+        let sent = UnixMillis(unix_millis().0.saturating_sub(since_start.as_millis() as u64));
+        let is_other = |head: &ResponseHead, body: &[u8]| {
+            dialect.is_other_process(head, body, &self.name, sent)
+        };
         let limit = left.min(IDENTITY_TIMEOUT);
         let process = evidence.confirmed_state(request, limit, is_other).await;
         lines::unframed_end(self.call, self.number, &self.name, process, left);
--- a/crates/cumintrail-daemon/src/relay/dialect.rs
+++ b/crates/cumintrail-daemon/src/relay/dialect.rs
@@ -6,6 +6,7 @@
 
 use actix_http::header::{AUTHORIZATION, HeaderMap, HeaderName, HeaderValue, RETRY_AFTER};
 use actix_http::{Method, RequestHead, ResponseHead, StatusCode, Uri};
+use cumintrail_control::once::UnixMillis;
 use cumintrail_control::{NamedLimit, TargetNotice};
 use cumintrail_types::{
     BlockKey, Refusal, RefusalCode, RequestRate, Tokens, Urgency, WeightVersion,
@@ -102,8 +103,15 @@
     /// Builds a request that every target answers without running anything, and that another
     /// instance than `instance` refuses.
     fn identity_request(&self, instance: &str) -> RequestHead;
-    /// Returns whether another instance sent the response to an identity request.
-    fn is_other_instance(&self, head: &ResponseHead, instance: &str) -> bool;
+    /// Returns whether another process than the one of `instance` that received a call at `sent`
+    /// responded to an identity request.
+    fn is_other_process(
+        &self,
+        head: &ResponseHead,
+        body: &[u8],
+        instance: &str,
+        sent: UnixMillis,
+    ) -> bool;
     /// Writes the caller's id of a refused call into the headers of the refusal.
     fn write_call_id(&self, headers: &mut HeaderMap, metadata: &RequestMetadata);
 }
@@ -190,7 +198,13 @@
         identity_request(Method::OPTIONS, "*", INSTANCE, instance)
     }
 
-    fn is_other_instance(&self, head: &ResponseHead, instance: &str) -> bool {
+    fn is_other_process(
+        &self,
+        head: &ResponseHead,
+        _: &[u8],
+        instance: &str,
+        _: UnixMillis,
+    ) -> bool {
         is_other_instance(head, &INSTANCE, instance)
     }
 
