--- a/crates/cumintrail-client/src/process_watch.rs
+++ b/crates/cumintrail-client/src/process_watch.rs
@@ -3,8 +3,9 @@
 //!
 //! A response without length or chunks ends with its connection, and so does the connection of a
 //! process that is killed. The system closes all connections of such a process, so an idle
-//! connection beside that of the response tells both ends apart. A later connection to the same
-//! address does not, since another process may listen there by then.
+//! connection beside that of the response tells both ends apart: a process that has ended does not
+//! answer an identity request on it. Whoever answers on a later connection to the same address may
+//! be another process, which its answer may show.
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
--- a/crates/cumintrail-daemon/src/relay/attempt.rs
+++ b/crates/cumintrail-daemon/src/relay/attempt.rs
@@ -30,7 +30,7 @@
 
 /// The most responses to other calls that are skipped in one exchange.
 const MAX_FOREIGN_RESPONSES: usize = 2;
-/// How long before a call's deadline a target may stop to work on it.
+/// How long before a call's deadline a target may stop working on it.
 ///
 /// Targets receive the time that is left in whole milliseconds, and measure it with timers of their
 /// own.
