--- a/crates/cumintrail-client/src/connection.rs
+++ b/crates/cumintrail-client/src/connection.rs
@@ -413,7 +413,7 @@
         matches!(read, Err(e) if e.kind() == io::ErrorKind::WouldBlock)
     }
 
-    /// Waits until the target closes the idle connection or sends bytes that no request asked for.
+    /// Waits until the target closes the idle connection or sends unsolicited bytes.
     ///
     /// Cancel safe.
     pub async fn idle_end(&mut self) {
--- a/crates/cumintrail-client/src/process_watch.rs
+++ b/crates/cumintrail-client/src/process_watch.rs
@@ -3,7 +3,7 @@
 //!
 //! A response without length or chunks ends with its connection, and so does the connection of a
 //! process that is killed. The system closes all connections of such a process, so an idle
-//! connection beside that of the response tells both ends apart: a process that has ended does not
+//! connection beside that of the response distinguishes the two: a process that has ended does not
 //! answer an identity request on it. Whoever answers on a later connection to the same address may
 //! be another process, which its answer may show.
 
@@ -70,7 +70,7 @@
     }
 }
 
-/// What the idle connection says of the process that sent a response.
+/// What the idle connection shows about the process that sent a response.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Observed {
     State(ProcessState),
--- a/crates/cumintrail-control/src/control/software.rs
+++ b/crates/cumintrail-control/src/control/software.rs
@@ -74,7 +74,7 @@
         }
     }
 
-    /// Records what the end of an attempt says about the process at the target's address.
+    /// Records what the end of an attempt shows about the process at the target's address.
     pub(super) fn record_process_evidence(
         &mut self,
         now: Moment,
--- a/tests/platform-standin/src/wire/judge.rs
+++ b/tests/platform-standin/src/wire/judge.rs
@@ -66,7 +66,7 @@
     /// How much of the body was written to the connection.
     pub sent: usize,
     /// The length of the body at which the target ended the response properly, or the whole length
-    /// once that was sent. Nobody can tell the close by a living target from such an end, unless
+    /// once that was sent. The close by a running target is indistinguishable from such an end, unless
     /// the target stops at its deadline.
     pub end: Option<usize>,
     /// The step that the target plays.
--- a/tests/platform-standin/src/wire/script/changes.rs
+++ b/tests/platform-standin/src/wire/script/changes.rs
@@ -74,7 +74,7 @@
 /// How the registry shows that a target leaves.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Notice {
-    /// Its entry says so, and its responses too.
+    /// Its entry is marked as draining, and its responses carry the header.
     Draining,
     /// Its entry is removed.
     Removed,
--- a/tests/platform-standin/src/wire/scripted_target.rs
+++ b/tests/platform-standin/src/wire/scripted_target.rs
@@ -59,7 +59,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Stage {
     Serving,
-    /// Its entry says that it leaves.
+    /// Its entry is marked as draining.
     Draining,
     /// Its entry is removed, or belongs to a successor.
     Unlisted,
--- a/tests/tests/gateway_links.rs
+++ b/tests/tests/gateway_links.rs
@@ -29,7 +29,7 @@
     unreachable: Duration,
 }
 
-/// Forwards connections to a target, and accepts them whether the target lives or not.
+/// Forwards connections to a target, and accepts them whether the target is running or not.
 async fn proxy(to: SocketAddr, delays: Delays) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let at = listener.local_addr().unwrap();
