Log which process a call is sent to, and read the process start of identity responses

`event=sent` could not tell a stale registry entry (hypothesis 1) from a connection that outlives its entry (hypothesis 2): it now has `process=`, the incarnation that the entry names, and `connected_ms=`, the age of the connection.

Nothing decides by it yet.

--- a/crates/cumintrail-client/src/connection.rs
+++ b/crates/cumintrail-client/src/connection.rs
@@ -81,6 +81,8 @@
     overhead: usize,
     keep_alive: Option<Duration>,
     exchange_count: u32,
+    /// When the connection was opened, in time since the VM's boot.
+    opened: Duration,
     /// Time since the VM's boot, including suspension, in which the target's timeout elapses too.
     last_used: Duration,
 }
@@ -174,6 +176,7 @@
             overhead: 0,
             keep_alive: None,
             exchange_count: 0,
+            opened: since_boot(),
             last_used: since_boot(),
         })
     }
@@ -193,6 +196,11 @@
         self.exchange_count > 0
     }
 
+    /// Returns the time since the connection was opened.
+    pub fn age(&self) -> Duration {
+        since_boot().saturating_sub(self.opened)
+    }
+
     /// Counts incomplete heads of responses as held; a head for which there is no room is malformed.
     #[must_use]
     pub fn with_held_bytes(mut self, held: HeldBytes) -> Self {
--- a/crates/cumintrail-control/src/registry.rs
+++ b/crates/cumintrail-control/src/registry.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use cumintrail_config::Target;
 use cumintrail_types::{Moment, WeightVersion};
 
 /// How long entries that expired during an outage may take to return after it.
@@ -49,14 +50,27 @@
 }
 
 impl RegistryEntry {
-    /// Returns a name that distinguishes the incarnations of one id: the id followed by the process
-    /// start, or the id alone if the start is unknown.
+    /// Returns a name that distinguishes the incarnations of one id.
     pub fn incarnation_name(&self) -> Arc<str> {
-        match self.process_start {
-            0 => self.id.clone(),
-            process_start => format!("{}@{process_start}", self.id).into(),
-        }
+        incarnation_name(&self.id, self.process_start)
+    }
+}
+
+/// Returns the id followed by the start of the process, or the id alone if the start is unknown.
+fn incarnation_name(id: &Arc<str>, process_start: u64) -> Arc<str> {
+    match process_start {
+        0 => id.clone(),
+        process_start => format!("{id}@{process_start}").into(),
+    }
+}
+
+/// Returns the name that a process with this start has as an incarnation of a target's id; that of
+/// the target itself if its start is unknown.
+pub fn process_name(target: &Target, process_start: u64) -> Arc<str> {
+    if target.name == target.instance {
+        return target.name.clone();
     }
+    incarnation_name(&target.instance, process_start)
 }
 
 /// Describes a change of an entry.
--- a/crates/cumintrail-daemon/src/relay/attempt.rs
+++ b/crates/cumintrail-daemon/src/relay/attempt.rs
@@ -161,14 +161,14 @@
         if self.call.body_consumed {
             return self.record_end(AttemptOutcome::NotSent, "body-gone");
         }
-        let reused = connection.has_been_used();
         self.call.carried_by.push(connection.id());
         let head = match self.destination {
             Destination::Target { dispatch, target } => {
-                lines::sent(self.call, now, dispatch, target, reused);
+                lines::sent(self.call, now, dispatch, target, &connection);
                 self.build_request_head(now, dispatch, target)
             }
             Destination::Peer => {
+                let reused = connection.has_been_used();
                 lines::detoured(self.call, now, self.number, &self.name, reused);
                 detour::request_head(&self.worker.dialect, self.call, now)
             }
--- a/crates/cumintrail-daemon/src/relay/dialect.rs
+++ b/crates/cumintrail-daemon/src/relay/dialect.rs
@@ -112,6 +112,9 @@
         instance: &str,
         sent: UnixMillis,
     ) -> bool;
+    /// Returns the start of the process that responded to an identity request, as the registry lists
+    /// it, if the response states it.
+    fn process_start(&self, head: &ResponseHead, body: &[u8]) -> Option<u64>;
     /// Writes the caller's id of a refused call into the headers of the refusal.
     fn write_call_id(&self, headers: &mut HeaderMap, metadata: &RequestMetadata);
 }
@@ -137,6 +140,8 @@
 const LEAVING: HeaderName = HeaderName::from_static("x-cumintrail-leaving");
 /// The requests a second that a target takes from all daemons together, a decimal number.
 const LIMIT: HeaderName = HeaderName::from_static("x-cumintrail-limit");
+/// The start of the target's process, a number that is higher for a later process of one name.
+const PROCESS_START: HeaderName = HeaderName::from_static("x-cumintrail-process-start");
 /// Lists the prompt's parts as `name:tokens`, separated by commas.
 const PROMPT_PARTS: HeaderName = HeaderName::from_static("x-cumintrail-parts");
 
@@ -208,6 +213,10 @@
         is_other_instance(head, &INSTANCE, instance)
     }
 
+    fn process_start(&self, head: &ResponseHead, _: &[u8]) -> Option<u64> {
+        integer_header(head.headers(), &PROCESS_START).ok().flatten()
+    }
+
     fn write_call_id(&self, headers: &mut HeaderMap, metadata: &RequestMetadata) {
         if let Some(id) = &metadata.id {
             headers.insert(CALL_ID, id.clone());
--- a/crates/cumintrail-daemon/src/relay/lines.rs
+++ b/crates/cumintrail-daemon/src/relay/lines.rs
@@ -4,7 +4,7 @@
 
 use actix_http::StatusCode;
 use actix_http::header::HeaderValue;
-use cumintrail_client::{Framing, ProcessState};
+use cumintrail_client::{Connection, Framing, ProcessState};
 use cumintrail_config::Target;
 use cumintrail_control::{AttemptOutcome, Dispatch, TargetNotice};
 use cumintrail_types::{AttemptNumber, Moment, RefusalCode};
@@ -39,10 +39,16 @@
 }
 
 /// Logs that a call is sent to a target.
-pub fn sent(call: &RelayedCall, now: Moment, dispatch: &Dispatch, target: &Target, reused: bool) {
+pub fn sent(
+    call: &RelayedCall,
+    now: Moment,
+    dispatch: &Dispatch,
+    target: &Target,
+    connection: &Connection,
+) {
     log::info!(
-        "event=sent id={} call={} route={} account={} class={} urgency={} attempt={} target={} software={} after_event={} resumes={} parts={} request={} prompt={} max_answer={} expected_ms={} \
-         version={} generation={} revision={} reused={} age_ms={} left_ms={}",
+        "event=sent id={} call={} route={} account={} class={} urgency={} attempt={} target={} process={} software={} after_event={} resumes={} parts={} request={} prompt={} max_answer={} expected_ms={} \
+         version={} generation={} revision={} reused={} connected_ms={} age_ms={} left_ms={}",
         caller_call_id(call),
         call.key,
         call.route,
@@ -51,6 +57,7 @@
         call.urgency,
         dispatch.attempt,
         target.instance,
+        target.name,
         target.software.as_deref().unwrap_or("-"),
         call.events.last_id().unwrap_or(0),
         visible(call.metadata.resumes.as_ref()),
@@ -62,7 +69,8 @@
         dispatch.version,
         call.snapshot.generation,
         call.snapshot.revision,
-        reused,
+        connection.has_been_used(),
+        connection.age().as_millis(),
         age_ms(call, now),
         call.deadline.since(now).as_millis(),
     );
--- a/tests/src/standins/replica.rs
+++ b/tests/src/standins/replica.rs
@@ -126,6 +126,12 @@
         *self.exit.borrow() == Some(Exit::Crashed)
     }
 
+    /// Returns what the registry of a stand-in lists as the start of the first process, raised by one
+    /// for each later one.
+    fn process_start(&self) -> u64 {
+        1 + *self.restarts.borrow()
+    }
+
     async fn serve(
         &self,
         mut stream: TcpStream,
@@ -159,7 +165,11 @@
                 _ = idle_closes.changed() => return Ok(()),
             };
             if call.starts_with("OPTIONS * ") {
-                stream.write_all(b"HTTP/1.1 204 No Content\r\n\r\n").await?;
+                let start = self.process_start();
+                let head = format!(
+                    "HTTP/1.1 204 No Content\r\nx-cumintrail-process-start: {start}\r\n\r\n"
+                );
+                stream.write_all(head.as_bytes()).await?;
                 continue;
             }
             let id = header(&call, "x-cumintrail-call").unwrap_or_default().to_owned();
