Add failing tests of streams whose targets have a later process than the registry lists

The stand-in of a target can be restarted by a test, states the start of its process, and sends at once what it writes: on a connection that was used before, a second write waited for a delayed acknowledgement, and the reset of a script overtook it. The calls and assertions of other tests are unchanged.

--- a/tests/src/standins/feed.rs
+++ b/tests/src/standins/feed.rs
@@ -137,7 +137,19 @@
 
     /// Writes the registry entry of a target with a version of its software.
     pub fn list_software(&self, id: &str, serves: &str, at: SocketAddr, software: &str) {
-        let value = format!("1 1 {serves} {at} false - {software}");
+        self.list_process(id, 1, serves, at, software);
+    }
+
+    /// Writes the registry entry of a target's process with a version of its software.
+    pub fn list_process(
+        &self,
+        id: &str,
+        process_start: u64,
+        serves: &str,
+        at: SocketAddr,
+        software: &str,
+    ) {
+        let value = format!("{process_start} 1 {serves} {at} false - {software}");
         self.write(FeedTable::Registry, id, Some(value.into()));
     }
 
--- a/tests/src/standins/replica.rs
+++ b/tests/src/standins/replica.rs
@@ -90,6 +90,8 @@
                     _ = exit.wait_for(Option::is_some) => return,
                 };
                 let Ok((stream, _)) = accepted else { return };
+                // On a reused connection, a second write would wait for a delayed acknowledgement.
+                let _ = stream.set_nodelay(true);
                 let (served, script) = (served.clone(), script.clone());
                 actix_rt::spawn(async move {
                     // A connection error ends the script, as it ends the work of a real target.
@@ -121,6 +123,11 @@
         self.exit.send_replace(Some(Exit::Crashed));
     }
 
+    /// Kills the process, and starts another one at the same address without a gap.
+    pub fn restart(&self) {
+        self.restarts.send_modify(|n| *n += 1);
+    }
+
     /// Returns whether the process has ended.
     pub fn has_crashed(&self) -> bool {
         *self.exit.borrow() == Some(Exit::Crashed)
@@ -212,7 +219,7 @@
                         return Ok(());
                     }
                     Step::Restart => {
-                        self.restarts.send_modify(|n| *n += 1);
+                        self.restart();
                         return Ok(());
                     }
                     Step::CloseIdle => self.idle_closes.send_modify(|n| *n += 1),
--- /dev/null
+++ b/tests/tests/gateway_processes.rs
@@ -0,0 +1,70 @@
+//! Streams and the processes that send them, where the registry's entry of a target is still that of
+//! an earlier process with other software.
+
+use std::time::Duration;
+
+use actix_rt::time::sleep;
+use cumintrail_daemon::Gateway;
+use cumintrail_tests::gateway_cluster::{Caller, Cluster, KEY, STREAM, declarations, events, send};
+use cumintrail_tests::standins::feed::FeedPlatform;
+use cumintrail_tests::standins::replica::{Replica, Step, header};
+
+/// Returns a target that sends two events and is cut off 300 ms later, and the rest of streams that
+/// go on.
+async fn breaking_target(end: Step) -> Replica {
+    let target = Replica::bind_by_head(move |head| match header(head, "last-event-id") {
+        Some(_) => vec![send(STREAM), events(3..=4), send("0\r\n\r\n")],
+        None => {
+            let pause = Step::Pause(Duration::from_millis(300));
+            vec![send(STREAM), events(1..=2), pause, end.clone()]
+        }
+    });
+    target.await.unwrap()
+}
+
+/// Starts a stream at a target that is listed alone, and then lists another one with the same software.
+async fn begin(began: &Replica, other: &Replica) -> (Cluster, Caller) {
+    let platform = FeedPlatform::new();
+    platform.publish_declarations(1, &declarations(KEY));
+    platform.list_software("t0", "desk", began.address(), "v1");
+    let cluster = Cluster::spawn_on(platform);
+    cluster.until(Gateway::is_ready).await;
+    let mut caller = cluster.connect().await;
+    caller.send("/resume/", "c-1", "connection: close\r\n", "").await;
+    caller.until("id: 2\n").await;
+    cluster.platform.list_software("t1", "desk", other.address(), "v1");
+    (cluster, caller)
+}
+
+/// Guards against a stream that goes on at a process whose entry is still that of an earlier one.
+#[actix_rt::test]
+async fn a_stream_goes_on_only_at_the_process_that_the_registry_lists() {
+    let (began, other) = (breaking_target(Step::Reset).await, breaking_target(Step::Reset).await);
+    other.restart();
+    let (_cluster, mut caller) = begin(&began, &other).await;
+    caller.rest().await;
+    assert!(other.calls().is_empty(), "{:?}", other.calls());
+}
+
+/// Guards against a stream that counts as one of the software that the entry of its target still
+/// lists, although a later process sent its events.
+#[actix_rt::test]
+async fn a_stream_of_a_process_that_is_not_listed_yet_does_not_go_on_at_the_listed_software() {
+    let (began, other) = (breaking_target(Step::Crash).await, breaking_target(Step::Reset).await);
+    began.restart();
+    let (cluster, mut caller) = begin(&began, &other).await;
+    sleep(Duration::from_millis(350)).await;
+    cluster.platform.list_process("t0", 2, "desk", began.address(), "v2");
+    caller.rest().await;
+    assert!(other.calls().is_empty(), "{:?}", other.calls());
+}
+
+/// Guards against a stream that is cut although its process is the listed one and still runs.
+#[actix_rt::test]
+async fn a_stream_whose_connection_breaks_goes_on_at_a_target_with_the_software_of_its_process() {
+    let (began, other) = (breaking_target(Step::Reset).await, breaking_target(Step::Reset).await);
+    let (_cluster, mut caller) = begin(&began, &other).await;
+    let rest = caller.rest().await;
+    assert!(rest.contains("id: 4\n"), "{rest}");
+    assert_eq!(other.calls().len(), 1);
+}
