Take the software version of a stream from the process that sent its events

The class is evidence that belongs to something else: the version of an entry was taken for that of a process.

A connection leads to one process for as long as it exists. Streams go on only after an identity request on the connection that they use stated the start of the listed process, and one that begins while several versions are in use, or the registry is not current, is bound to the process so identified. Other streams are settled by the registry as of a heartbeat after their connection was opened, or by the listed process if it still responds after a break. Connections are pooled by process. `process_doubt` and `Control::doubt_software` are gone: this replaces both.

Tests of restarted_software.rs that changed, each with the claim that it keeps: streams resumed at once now began on a connection that the registry has confirmed (`settle`), since the entry alone proves nothing on a new one; the wait for a process is counted from the connection instead of the break; a stream that completes no longer vouches for others, the listed process that responds does; a stream that breaks twice goes on at the listed process, which the traffic thread identifies. Five tests are new.

--- a/crates/cumintrail-client/src/connection.rs
+++ b/crates/cumintrail-client/src/connection.rs
@@ -6,6 +6,7 @@
 use std::io;
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
@@ -81,6 +82,10 @@
     overhead: usize,
     keep_alive: Option<Duration>,
     exchange_count: u32,
+    /// The name of the process that it was opened for.
+    listed: Option<Arc<str>>,
+    /// The name of the process that responded to an identity request on it.
+    process: Option<Arc<str>>,
     /// When the connection was opened, in time since the VM's boot.
     opened: Duration,
     /// Time since the VM's boot, including suspension, in which the target's timeout elapses too.
@@ -176,6 +181,8 @@
             overhead: 0,
             keep_alive: None,
             exchange_count: 0,
+            listed: None,
+            process: None,
             opened: since_boot(),
             last_used: since_boot(),
         })
@@ -201,6 +208,28 @@
         since_boot().saturating_sub(self.opened)
     }
 
+    /// Records the name of the process that the connection is opened for.
+    #[must_use]
+    pub fn opened_for(mut self, listed: Arc<str>) -> Self {
+        self.listed = Some(listed);
+        self
+    }
+
+    /// Returns the name of the process that the connection was opened for.
+    pub const fn listed(&self) -> Option<&Arc<str>> {
+        self.listed.as_ref()
+    }
+
+    /// Returns the name of the process that the connection leads to, once it is known.
+    pub const fn process(&self) -> Option<&Arc<str>> {
+        self.process.as_ref()
+    }
+
+    /// Records the name of the process that the connection leads to.
+    pub fn set_process(&mut self, process: Arc<str>) {
+        self.process = Some(process);
+    }
+
     /// Counts incomplete heads of responses as held; a head for which there is no room is malformed.
     #[must_use]
     pub fn with_held_bytes(mut self, held: HeldBytes) -> Self {
--- a/crates/cumintrail-client/src/pool.rs
+++ b/crates/cumintrail-client/src/pool.rs
@@ -61,24 +61,29 @@
 
     /// Takes the most recently used idle connection to a target, or opens a new one.
     ///
+    /// Connections that were opened for another process at the address than `listed` are not taken:
+    /// that process may go on to serve them.
+    ///
     /// The connections in `carried` had an attempt of the same call. They are not taken, since a late
     /// copy of that attempt's response would bear the id of the call and pass for the next response.
     pub async fn acquire(
         &self,
         at: SocketAddr,
+        listed: &Arc<str>,
         retry_safety: RetrySafety,
         carried: &[ConnectionId],
     ) -> Result<Connection, ClientError> {
-        if let Some(connection) = self.take_idle(at, retry_safety, carried) {
+        if let Some(connection) = self.take_idle(at, listed, retry_safety, carried) {
             return Ok(connection);
         }
         let connection = Connection::open(at, self.connect_timeout, self.config.clone()).await?;
-        Ok(connection.with_held_bytes(self.responses.open()))
+        Ok(connection.opened_for(listed.clone()).with_held_bytes(self.responses.open()))
     }
 
     fn take_idle(
         &self,
         at: SocketAddr,
+        listed: &Arc<str>,
         retry_safety: RetrySafety,
         carried: &[ConnectionId],
     ) -> Option<Connection> {
@@ -88,6 +93,7 @@
         };
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(&at)?;
+        connections.retain(|idle| idle.connection.listed() == Some(listed));
         let may_carry = |idle: &IdleConnection| !carried.contains(&idle.connection.id());
         while let Some(found) = connections.iter().rposition(may_carry) {
             let IdleConnection { mut connection, keep_alive } = connections.remove(found);
--- a/crates/cumintrail-client/src/process_watch.rs
+++ b/crates/cumintrail-client/src/process_watch.rs
@@ -17,14 +17,15 @@
 use actix_http::{RequestHead, ResponseHead, ServiceConfig};
 use actix_rt::task::JoinHandle;
 use actix_rt::time::{Instant, timeout};
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use derive_more::Display;
 use tokio::net::TcpStream;
 use tokio::sync::{Notify, mpsc, oneshot, watch};
 
 use crate::connection::configure_socket;
-use crate::single_use::{with_connection_close, with_host};
-use crate::{ClientError, Connection, MAX_DISCARDED_BYTES};
+use crate::identity::{Identity, identify, read_body};
+use crate::single_use::with_connection_close;
+use crate::{ClientError, Connection};
 
 /// The time within which the system closes all sockets of a process that ends.
 const EXIT_TIME: Duration = Duration::from_millis(20);
@@ -33,8 +34,6 @@
 const REOPEN_DELAYS: [Duration; 2] = [Duration::from_millis(200), Duration::from_secs(1)];
 /// How long idle connections carry no requests after the process closed one after a response.
 const REQUEST_PAUSE: Duration = Duration::from_secs(10);
-/// How long the body of the response to an identity request may take.
-const MAX_BODY_TIME: Duration = Duration::from_millis(200);
 /// How long the head of that response may take: a process that runs may be silent for a second or so.
 pub const IDENTITY_TIMEOUT: Duration = Duration::from_secs(3);
 /// The time from which on a closed connection was not closed at once.
@@ -210,13 +209,9 @@
         if request.number != number || request.answer.is_closed() {
             continue;
         }
-        let head = with_host(request.head, connection.address());
-        if connection.start_exchange(head, BodySize::None).is_err() {
-            return;
-        }
         // Other responses may need the connection although the time for this one is over.
-        let Ok(Ok(head)) = timeout(IDENTITY_TIMEOUT, connection.read_head()).await else { return };
-        let (body, is_reusable) = read_body(&mut connection).await;
+        let asked = identify(&mut connection, request.head, IDENTITY_TIMEOUT).await;
+        let Ok(Identity { head, body, is_reusable }) = asked else { return };
         let _ = request.answer.send(IdleAnswer::Response(Box::new(head), body));
         if !is_reusable {
             while let Ok(request) = requests.try_recv() {
@@ -228,24 +223,6 @@
     }
 }
 
-/// Reads the body of a response as far as it comes in time; returns also whether its connection can
-/// be used again.
-async fn read_body(connection: &mut Connection) -> (Bytes, bool) {
-    let mut body = BytesMut::new();
-    let read = async {
-        while let Ok(Some(chunk)) = connection.read_chunk().await {
-            if body.len() + chunk.len() > MAX_DISCARDED_BYTES {
-                return;
-            }
-            body.extend_from_slice(&chunk);
-        }
-    };
-    let in_time = timeout(MAX_BODY_TIME, read).await.is_ok();
-    let is_reusable = in_time && connection.reusable_for().is_some();
-    connection.mark_idle();
-    (body.freeze(), is_reusable)
-}
-
 async fn connect(at: SocketAddr, connect_timeout: Duration) -> Option<TcpStream> {
     let stream = timeout(connect_timeout, TcpStream::connect(at)).await.ok()?.ok()?;
     configure_socket(&stream).ok()?;
--- a/crates/cumintrail-control/src/control.rs
+++ b/crates/cumintrail-control/src/control.rs
@@ -64,6 +64,7 @@
 use crate::rollout::Rollout;
 use crate::software_history::SoftwareHistory;
 use crate::stream_origins::StreamOrigins;
+use crate::unsettled_streams::UnsettledStreams;
 use crate::{Actions, Call, Event, TargetLoad};
 
 /// Identifies a daemon and sets its intervals.
@@ -129,6 +130,9 @@
     software_history: SoftwareHistory,
     /// The interval at which targets write their entries of the registry.
     heartbeat_interval: Duration,
+    unsettled_streams: UnsettledStreams,
+    /// When the registry's entries were last current.
+    registry_as_of: Moment,
     /// Until when the registry's entries count as current; `None` before their first confirmation.
     registry_current_until: Option<Moment>,
     quarantine: Quarantine,
@@ -210,6 +214,8 @@
             stream_origins: StreamOrigins::default(),
             software_history: SoftwareHistory::default(),
             heartbeat_interval: Duration::ZERO,
+            unsettled_streams: UnsettledStreams::default(),
+            registry_as_of: Moment::default(),
             registry_current_until: None,
             quarantine: Quarantine::default(),
             reach: HashMap::new(),
@@ -284,14 +290,16 @@
             Event::FetchesEnded { call, target, outcomes, .. } => {
                 self.handle_fetches(now, call, target, &outcomes);
             }
+            Event::StreamSourceKnown { call, source } => self.record_source(call, source),
             Event::FirstToken { call } => self.handle_first_token(now, call),
             Event::AttemptEnded { call, attempt, outcome } => {
                 self.handle_attempt_end(now, call, attempt, outcome, &mut actions);
             }
             Event::ResponseEnded { call, end } => self.handle_response_end(now, call, end),
-            Event::TargetAccepts { target } => self.record_accepted(now, target, now),
+            Event::ProcessIdentified { target, process } => {
+                self.handle_process(now, target, &process);
+            }
             Event::TargetUnreachable { target } => {
-                self.doubt_process(now, target);
                 self.handle_unreachable_target(now, target, &mut actions);
             }
             Event::ReachChecked { scope, reached } => {
@@ -328,9 +336,7 @@
                 self.handle_evacuation_page(now, &page, &mut actions);
             }
             Event::RegistryConfirmed { as_of, max_age } => {
-                self.registry_current_until =
-                    self.registry_current_until.max(Some(as_of + max_age));
-                self.confirm_processes(now, as_of);
+                self.confirm_registry(now, as_of, max_age);
             }
             Event::FreeFailed { store, sealed } => self.handle_failed_free(store, sealed),
             Event::VmListReceived { sequence, vms } => self.handle_vm_list(now, sequence, &vms),
--- a/crates/cumintrail-control/src/control/arrivals.rs
+++ b/crates/cumintrail-control/src/control/arrivals.rs
@@ -113,7 +113,6 @@
         if usable.is_empty() {
             return Err(retry::refusal_for(call, RefusalCode::NoTarget));
         }
-        let usable = self.exclude_doubtful(call, usable)?;
         let accepting = match self.exclude_quiet(now, call, usable) {
             TargetChoice::Usable(accepting) => self.exclude_spent(now, call, accepting),
             choice => choice,
@@ -346,8 +345,19 @@
         let Placement { plan, first_token, parts, .. } = placement;
         // The keys of parts are derived for the version that the call arrived for.
         let parts = if version == arrival_version { parts } else { PartPlans::default() };
-        let dispatch =
-            Dispatch { call: key, attempt, target, version, plan, first_token, parts, is_limited };
+        let must_identify =
+            self.calls.get(&key).is_some_and(|call| self.must_identify(now, call, target));
+        let dispatch = Dispatch {
+            call: key,
+            attempt,
+            target,
+            version,
+            plan,
+            first_token,
+            parts,
+            is_limited,
+            must_identify,
+        };
         actions.push(Action::Dispatch(Box::new(dispatch)));
     }
 }
--- a/crates/cumintrail-control/src/control/attempts.rs
+++ b/crates/cumintrail-control/src/control/attempts.rs
@@ -52,7 +52,6 @@
         let Some(target) = call.target() else { return };
         self.release_slot(now, key, target);
         self.record_target_outcome(now, target, outcome);
-        self.record_process_evidence(now, key, target, outcome);
         if outcome == AttemptOutcome::NoConnection {
             self.record_no_connection(now, target, actions);
         }
@@ -72,6 +71,7 @@
             AttemptOutcome::RespondedLocally => return self.end_call(key),
             AttemptOutcome::NotSent
             | AttemptOutcome::NoConnection
+            | AttemptOutcome::OtherProcess
             | AttemptOutcome::RefusedByTarget { .. } => {
                 call.record_unexecuted_attempt();
             }
@@ -127,7 +127,7 @@
             !is_due
         });
         for key in due {
-            if self.awaits_process(now, key) {
+            if self.awaits_process(key) {
                 self.backing_off.push((now + PROCESS_CHECK_INTERVAL, key));
             } else {
                 self.requeue(key);
@@ -158,6 +158,7 @@
         };
         if let Some(stream) = call.arrival.options.stream.and_then(StreamRequest::stream) {
             self.stream_origins.record_complete(stream);
+            self.unsettled_streams.remove(stream);
         }
         let blocks = call.arrival.blocks.clone();
         let expected = call.arrival.version;
@@ -198,9 +199,13 @@
             }
         }
         if let Some(state) = self.targets.get_mut(target) {
-            if let AttemptOutcome::RefusedByTarget { leaving } = outcome {
-                state.avoid_until = now + REFUSAL_AVOIDANCE;
-                state.address_reused |= leaving && self.has_registry;
+            match outcome {
+                AttemptOutcome::RefusedByTarget { leaving } => {
+                    state.avoid_until = now + REFUSAL_AVOIDANCE;
+                    state.address_reused |= leaving && self.has_registry;
+                }
+                AttemptOutcome::OtherProcess => state.avoid_until = now + REFUSAL_AVOIDANCE,
+                _ => {}
             }
             state.retry_budget.deposit();
             state.breaker.record_end(now, outcome.into(), &mut self.rng);
@@ -244,7 +249,6 @@
         health: HealthSignal,
         actions: &mut Actions,
     ) {
-        self.bind_doubtful_stream(now, key);
         let Some(call) = self.calls.get(&key) else {
             return;
         };
@@ -295,7 +299,10 @@
 
 /// Returns whether an attempt loaded no target, since nothing was sent.
 const fn was_not_sent(outcome: AttemptOutcome) -> bool {
-    matches!(outcome, AttemptOutcome::NotSent | AttemptOutcome::NoConnection)
+    matches!(
+        outcome,
+        AttemptOutcome::NotSent | AttemptOutcome::NoConnection | AttemptOutcome::OtherProcess
+    )
 }
 
 /// Orders an engine to cancel the attempt of a model call; plain services have no cancel request.
--- a/crates/cumintrail-control/src/control/maintenance.rs
+++ b/crates/cumintrail-control/src/control/maintenance.rs
@@ -52,8 +52,8 @@
         self.record_gone_targets(now, &snapshot);
         self.stream_origins.apply_snapshot(now, &snapshot, self.snapshot.as_deref());
         self.shortage.apply_snapshot(&snapshot);
-        let replaced = self.snapshot.replace(snapshot);
-        self.doubt_software(now, replaced.as_deref());
+        self.snapshot = Some(snapshot);
+        self.settle_streams(now);
         self.find_evacuated_domains();
         self.refresh_allowances(now);
         // Peers without a connection to the platform receive the generation in the next digest.
--- a/crates/cumintrail-control/src/control/quarantines.rs
+++ b/crates/cumintrail-control/src/control/quarantines.rs
@@ -38,11 +38,6 @@
 
     pub(super) fn handle_response_end(&mut self, now: Moment, key: CallKey, end: ResponseEnd) {
         let rounds = self.own_report_rounds();
-        if let (Some(target), ResponseEnd::Broken) =
-            (self.calls.get(&key).and_then(Call::target), end)
-        {
-            self.doubt_process(now, target);
-        }
         let Some(call) = self.calls.get_mut(&key) else { return };
         if end == ResponseEnd::Inconclusive {
             call.arrival.options.content = CallContent::default();
--- a/crates/cumintrail-control/src/control/software.rs
+++ b/crates/cumintrail-control/src/control/software.rs
@@ -1,15 +1,16 @@
 //! The record of recent software versions, and the versions at which streams may be resumed.
 
 use std::sync::Arc;
+use std::time::Duration;
 
-use cumintrail_config::Snapshot;
 use cumintrail_types::{CallKey, Moment, Refusal, RefusalCode, TargetKey};
 
 use super::Control;
 use crate::placement::Placer;
 use crate::software_history::{HistoryRow, PoolVersion};
-use crate::stream_origins::{StreamOrigin, UNKNOWN_VERSION};
-use crate::{Action, Actions, Arrival, AttemptOutcome, Call, PeerDigest, Phase, retry};
+use crate::stream_origins::{StreamId, StreamOrigin, StreamRequest, UNKNOWN_VERSION};
+use crate::unsettled_streams::{StreamSource, UnsettledStream};
+use crate::{Action, Actions, Arrival, Call, PeerDigest, Phase};
 
 /// Rounds of digests that contain the origin of an own stream, so that a lost one does no harm.
 const ORIGIN_ROUNDS: u32 = 2;
@@ -32,179 +33,116 @@
         let is_current = self.registry_current_until.is_none_or(|until| now < until);
         let knows_history = !self.has_registry || (self.software_history.is_known() && is_current);
         let origins = &self.stream_origins;
+        let unknown =
+            Refusal::not_run(RefusalCode::UnknownStream).retry_after(self.identity.digest_interval);
+        let goes_on = matches!(request, Some(StreamRequest::Continue(_)));
+        let stream = request.and_then(StreamRequest::stream).filter(|_| goes_on);
+        if stream.is_some_and(|stream| self.unsettled_streams.contains(stream)) {
+            return Err(unknown);
+        }
         let required =
             origins.required_version(now, arrival.kind, request, snapshot, knows_history);
-        let unknown = Refusal::not_run(RefusalCode::UnknownStream);
-        required.map_err(|_| unknown.retry_after(self.identity.digest_interval))
+        required.map_err(|_| unknown)
     }
 
-    /// Binds a resumable stream that has begun to the software version of its target, and records
-    /// it for the daemons at which the caller may resume it.
-    pub(super) fn pin_software(&mut self, now: Moment, key: CallKey) {
-        let Some(target) = self.calls.get(&key).and_then(Call::target) else {
-            return;
-        };
-        let Some(snapshot) = &self.snapshot else { return };
-        let Some(software) = snapshot.targets.get(target).and_then(|t| t.software.clone()) else {
-            return;
-        };
-        match self.targets.get(target) {
-            _ if is_replaced(snapshot, target) => {
-                self.bind_stream(now, key, UNKNOWN_VERSION.into());
-            }
-            // It is bound when the doubt ends, or when it breaks.
-            Some(state) if state.doubt.exists() => {
-                self.record_accepted(now, target, self.dispatched(key));
-            }
-            _ => self.bind_stream(now, key, software),
+    /// Records which process sends the response of a call, before its first event.
+    pub(super) fn record_source(&mut self, key: CallKey, source: StreamSource) {
+        if let Some(call) = self.calls.get_mut(&key) {
+            call.source = Some(source);
         }
     }
 
-    /// Records that the process at a target's address may have ended, and another one taken its place.
-    pub(super) fn doubt_process(&mut self, now: Moment, target: TargetKey) {
-        if let Some(state) = self.targets.get_mut(target).filter(|_| self.has_registry) {
-            state.doubt.record_break(now);
+    /// Binds a resumable stream that has begun to the software version of the process that sent its
+    /// first event, and records it for the daemons at which the caller may resume it.
+    ///
+    /// A target that states no process is taken for the one that is listed.
+    pub(super) fn pin_software(&mut self, now: Moment, key: CallKey) {
+        let Some(call) = self.calls.get_mut(&key) else { return };
+        let (source, target) = (call.source.take(), call.target());
+        let stream = call.arrival.options.stream.and_then(StreamRequest::stream);
+        let (Some(target), None) = (target, &call.pinned_software) else { return };
+        let Some(software) = self.listed_software(target) else { return };
+        match source.zip(stream) {
+            Some((source, stream)) => {
+                let unsettled = UnsettledStream { call: key, target, source, began: now };
+                if !self.unsettled_streams.add(stream, unsettled) {
+                    self.bind_stream(now, key, UNKNOWN_VERSION.into());
+                }
+                self.settle_streams(now);
+            }
+            None => self.bind_stream(now, key, software),
         }
     }
 
-    /// Records that a target accepted a connection, at the earliest at `sent`.
-    pub(super) fn record_accepted(&mut self, now: Moment, target: TargetKey, sent: Moment) {
-        if let Some(state) = self.targets.get_mut(target) {
-            state.doubt.record_accepted(now, sent);
-        }
+    /// Records that the registry's entries are current as of a moment.
+    pub(super) fn confirm_registry(&mut self, now: Moment, as_of: Moment, max_age: Duration) {
+        self.registry_current_until = self.registry_current_until.max(Some(as_of + max_age));
+        self.registry_as_of = self.registry_as_of.max(as_of);
+        self.settle_streams(now);
     }
 
-    /// Records what the end of an attempt shows about the process at the target's address.
-    pub(super) fn record_process_evidence(
-        &mut self,
-        now: Moment,
-        key: CallKey,
-        target: TargetKey,
-        outcome: AttemptOutcome,
-    ) {
-        let sent = self.dispatched(key);
-        match outcome {
-            AttemptOutcome::Completed(_) => {
-                let call = self.calls.get(&key).filter(|call| call.attempts() == 1);
-                if let (Some(event), Some(state)) =
-                    (call.and_then(|call| call.first_token), self.targets.get_mut(target))
-                {
-                    state.doubt.record_complete(now, event);
-                }
-                self.record_accepted(now, target, sent);
-            }
-            AttemptOutcome::RefusedByTarget { .. } => self.record_accepted(now, target, sent),
-            AttemptOutcome::NoConnection => self.doubt_process(now, target),
-            AttemptOutcome::Failed { .. } => self.bind_doubtful_stream(now, key),
-            AttemptOutcome::NotSent | AttemptOutcome::RespondedLocally => {}
-        }
+    /// Binds the streams whose process is known by now.
+    pub(super) fn settle_streams(&mut self, now: Moment) {
+        let Some(snapshot) = &self.snapshot else { return };
+        let (as_of, interval) = (self.registry_as_of, self.heartbeat_interval);
+        let software = |unsettled: &UnsettledStream| unsettled.software(snapshot, as_of, interval);
+        let settled = self.unsettled_streams.settle(software);
+        self.bind_settled(now, settled);
     }
 
-    /// Ends doubts about processes that the registry lists, as of a moment, as before, and binds the
-    /// streams that began meanwhile.
-    pub(super) fn confirm_processes(&mut self, now: Moment, as_of: Moment) {
-        let Some(snapshot) = self.snapshot.clone() else {
+    /// Binds the streams of a target by the process that responds at its address after one of its
+    /// connections broke.
+    ///
+    /// The listed process had written its entry before the connections were opened. If it still
+    /// responds, no other one has accepted them.
+    pub(super) fn handle_process(&mut self, now: Moment, target: TargetKey, process: &str) {
+        let Some(snapshot) = &self.snapshot else { return };
+        let Some(listed) = snapshot.targets.get(target).filter(|t| *t.name == *process) else {
             return;
         };
-        let interval = self.heartbeat_interval;
-        let confirmed = self.targets.iter_mut().filter_map(|(key, state)| {
-            let is_listed = snapshot.targets.get(key).is_some_and(|target| !target.retired);
-            (is_listed && state.doubt.record_listed(as_of, interval)).then_some(key)
-        });
-        let confirmed: Vec<TargetKey> = confirmed.collect();
-        let is_unbound = |call: &Call| {
-            call.phase() == Phase::Streaming
-                && call.pinned_software.is_none()
-                && call.target().is_some_and(|target| confirmed.contains(&target))
-        };
-        let unbound = self.calls.iter().filter(|(_, call)| is_unbound(call));
-        let unbound: Vec<CallKey> = unbound.map(|(key, _)| *key).collect();
-        for key in unbound {
-            self.pin_software(now, key);
-        }
+        let settled = self
+            .unsettled_streams
+            .settle(|unsettled| listed.software.clone().filter(|_| unsettled.target == target));
+        self.bind_settled(now, settled);
     }
 
-    /// Binds a stream to an unknown version if it breaks before its target's process is known.
-    pub(super) fn bind_doubtful_stream(&mut self, now: Moment, key: CallKey) {
-        let is_unbound = self.calls.get(&key).is_some_and(|call| {
-            call.phase() == Phase::Streaming
-                && call.pinned_software.is_none()
-                && call.target().is_some_and(|target| self.lists_software(target))
-        });
-        if is_unbound {
-            self.bind_stream(now, key, UNKNOWN_VERSION.into());
+    fn bind_settled(&mut self, now: Moment, settled: Vec<(StreamId, UnsettledStream, Arc<str>)>) {
+        for (stream, UnsettledStream { call, .. }, software) in settled {
+            if let Some(call) = self.calls.get_mut(&call) {
+                call.pinned_software.get_or_insert_with(|| software.clone());
+            }
+            self.stream_origins.record(now, StreamOrigin { stream, software }, ORIGIN_ROUNDS);
         }
     }
 
-    /// Excludes targets whose process may have been replaced by one with other software.
-    ///
-    /// A stream that goes on needs a process whose version is known. One that begins can be resumed
-    /// only if it is.
-    pub(super) fn exclude_doubtful(
-        &self,
-        call: &Call,
-        mut usable: Vec<TargetKey>,
-    ) -> Result<Vec<TargetKey>, Refusal> {
-        let is_doubtful = |key: &TargetKey| self.is_doubtful(*key);
-        if call.arrival.options.stream.is_none() || usable.iter().all(is_doubtful) {
-            return match call.pinned_software {
-                Some(_) if usable.iter().any(is_doubtful) => {
-                    let refusal = retry::refusal_for(call, RefusalCode::UnknownStream);
-                    Err(refusal.retry_after(self.identity.digest_interval))
-                }
-                _ => Ok(usable),
-            };
-        }
-        usable.retain(|key| !self.is_doubtful(*key));
-        Ok(usable)
+    /// Returns whether a stream that goes on waits until the process that sent its first events is
+    /// known.
+    pub(super) fn awaits_process(&self, key: CallKey) -> bool {
+        let call = self.calls.get(&key).filter(|call| call.phase() == Phase::Streaming);
+        let stream = call.and_then(|call| call.arrival.options.stream?.stream());
+        stream.is_some_and(|stream| self.unsettled_streams.contains(stream))
     }
 
-    /// Returns whether a stream can go on only at targets that another process may have replaced.
-    pub(super) fn awaits_process(&self, now: Moment, key: CallKey) -> bool {
-        let (Some(snapshot), Some(call)) = (&self.snapshot, self.calls.get(&key)) else {
+    /// Returns whether the process that a call is sent to must be identified on the connection first.
+    ///
+    /// A stream that goes on fits only the listed software. One that begins while several versions
+    /// are in use may be taken up at another daemon before the registry settles its version.
+    pub(super) fn must_identify(&self, now: Moment, call: &Call, target: TargetKey) -> bool {
+        let (Some(snapshot), Some(request)) = (&self.snapshot, call.arrival.options.stream) else {
             return false;
         };
-        let mut usable = self.usable_targets(now, snapshot, call).peekable();
-        call.pinned_software.is_some()
-            && usable.peek().is_some()
-            && usable.all(|target| self.is_doubtful(target))
-    }
-
-    fn is_doubtful(&self, target: TargetKey) -> bool {
-        self.lists_software(target)
-            && self.targets.get(target).is_some_and(|state| state.doubt.exists())
-    }
-
-    fn lists_software(&self, target: TargetKey) -> bool {
-        let target = self.snapshot.as_ref().and_then(|s| s.targets.get(target));
-        target.is_some_and(|target| target.software.is_some())
+        let goes_on = matches!(request, StreamRequest::Continue(_));
+        let kind = call.arrival.kind;
+        let is_current = self.registry_current_until.is_none_or(|until| now < until);
+        self.listed_software(target).is_some()
+            && (goes_on
+                || call.phase() == Phase::Streaming
+                || !is_current
+                || self.stream_origins.recent_versions(now, kind, snapshot).len() > 1)
     }
 
-    fn dispatched(&self, key: CallKey) -> Moment {
-        self.calls.get(&key).map(|call| call.dispatched).unwrap_or_default()
-    }
-
-    /// Takes back the software versions of the streams that processes send which are listed only
-    /// now: their targets had started again under their id when the streams began.
-    ///
-    /// The system of a process that ended has broken its exchanges, so those that still go on belong
-    /// to the process that took its place.
-    pub(super) fn doubt_software(&mut self, now: Moment, before: Option<&Snapshot>) {
-        let Some((before, snapshot)) = before.zip(self.snapshot.clone()) else {
-            return;
-        };
-        let replaced = |target| {
-            before.targets.get(target).is_some_and(|t| !t.retired && t.software.is_some())
-                && is_replaced(&snapshot, target)
-        };
-        let streams = self.calls.iter().filter(|(_, call)| {
-            let has_begun = call.pinned_software.is_some() || call.phase() == Phase::Streaming;
-            has_begun && call.target().is_some_and(replaced)
-        });
-        let streams: Vec<CallKey> = streams.map(|(key, _)| *key).collect();
-        for key in streams {
-            self.bind_stream(now, key, UNKNOWN_VERSION.into());
-        }
+    fn listed_software(&self, target: TargetKey) -> Option<Arc<str>> {
+        self.snapshot.as_ref()?.targets.get(target)?.software.clone()
     }
 
     fn bind_stream(&mut self, now: Moment, key: CallKey, software: Arc<str>) {
@@ -289,15 +227,3 @@
         self.software_history.handle_read(HistoryRow { row_version, versions: Vec::new() });
     }
 }
-
-/// Returns whether a target's address belongs to a later process with the same id and other software.
-fn is_replaced(snapshot: &Snapshot, target: TargetKey) -> bool {
-    let Some(target) = snapshot.targets.get(target).filter(|target| target.retired) else {
-        return false;
-    };
-    let mut listed = snapshot.targets.iter().filter(|(_, t)| !t.retired);
-    listed.any(|(_, t)| {
-        (&t.instance, t.address) == (&target.instance, target.address)
-            && t.software != target.software
-    })
-}
--- a/crates/cumintrail-control/src/control/state.rs
+++ b/crates/cumintrail-control/src/control/state.rs
@@ -5,7 +5,6 @@
 use cumintrail_types::{CallKey, Incarnation, Moment, Tokens, WeightVersion};
 
 use crate::membership::Liveness;
-use crate::process_doubt::ProcessDoubt;
 use crate::retry::{CircuitBreaker, RetryBudget};
 use crate::store_sync::StoreSync;
 use crate::target_limits::Allowance;
@@ -71,8 +70,6 @@
     pub cold_until: Option<Moment>,
     /// Whether it is sent requests at this daemon's share of what a cold target takes.
     pub is_cold: bool,
-    /// Whether a process that is not listed yet may have taken its place.
-    pub doubt: ProcessDoubt,
     /// Whether another process responds at its address.
     pub address_reused: bool,
     /// The time of the last update of the load that is not from this daemon.
--- a/crates/cumintrail-control/src/event.rs
+++ b/crates/cumintrail-control/src/event.rs
@@ -33,6 +33,7 @@
 use crate::spill::SpillChange;
 use crate::store_sync::{StoreRead, StoreResponse};
 use crate::target_limits::LimitChange;
+use crate::unsettled_streams::StreamSource;
 
 /// The actions that one event leads to; stored inline up to four, which covers most events.
 pub type Actions = SmallVec<[Action; 4]>;
@@ -60,6 +61,13 @@
         /// The time from the start of the fetches to the end of the last one.
         elapsed: Duration,
     },
+    /// The first event of a resumable stream is about to be passed on.
+    StreamSourceKnown {
+        /// The call.
+        call: CallKey,
+        /// What is known of the process that sent it.
+        source: StreamSource,
+    },
     /// The first token of a response arrived.
     FirstToken {
         /// The call.
@@ -81,10 +89,13 @@
         /// What it showed.
         end: ResponseEnd,
     },
-    /// A target accepted and kept a connection after the connection of a call broke.
-    TargetAccepts {
+    /// A process responded to an identity request at the address of a target after the connection of a
+    /// call broke.
+    ProcessIdentified {
         /// The target.
         target: TargetKey,
+        /// The name of the process.
+        process: Arc<str>,
     },
     /// A target accepted no connection after the connection of a call broke.
     TargetUnreachable {
--- a/crates/cumintrail-control/src/event/call.rs
+++ b/crates/cumintrail-control/src/event/call.rs
@@ -92,6 +92,9 @@
     pub parts: PartPlans,
     /// Whether the target has a limit of requests, which a response without one ends.
     pub is_limited: bool,
+    /// Whether the process at the other end of the connection must be identified before the call is
+    /// sent.
+    pub must_identify: bool,
 }
 
 /// Describes an attempt that a peer makes for a daemon that reaches no target.
@@ -143,6 +146,9 @@
     NotSent,
     /// No connection could be opened, so that no byte of the call left this daemon.
     NoConnection,
+    /// Another process than the listed one responds at the target's address, so that no byte of the
+    /// call left this daemon.
+    OtherProcess,
     /// The response is complete.
     Completed(Usage),
     /// The target refused the call and reported that it did not run it.
--- a/crates/cumintrail-control/src/lib.rs
+++ b/crates/cumintrail-control/src/lib.rs
@@ -16,7 +16,6 @@
 pub mod once;
 pub mod parts;
 pub mod placement;
-pub mod process_doubt;
 pub mod quarantine;
 pub mod reach;
 pub mod registry;
@@ -29,6 +28,7 @@
 pub mod stream;
 pub mod stream_origins;
 pub mod target_limits;
+pub mod unsettled_streams;
 
 mod calls;
 mod control;
--- a/crates/cumintrail-control/src/retry.rs
+++ b/crates/cumintrail-control/src/retry.rs
@@ -104,6 +104,7 @@
     let repeatable = match outcome {
         AttemptOutcome::NotSent
         | AttemptOutcome::NoConnection
+        | AttemptOutcome::OtherProcess
         | AttemptOutcome::RefusedByTarget { .. } => true,
         AttemptOutcome::Failed { can_continue } => {
             can_continue && call.arrival.class.is_repeatable()
@@ -161,9 +162,9 @@
             AttemptOutcome::NotSent
             | AttemptOutcome::NoConnection
             | AttemptOutcome::Failed { .. } => Self::Failure,
-            AttemptOutcome::RefusedByTarget { .. } | AttemptOutcome::RespondedLocally => {
-                Self::Inconclusive
-            }
+            AttemptOutcome::OtherProcess
+            | AttemptOutcome::RefusedByTarget { .. }
+            | AttemptOutcome::RespondedLocally => Self::Inconclusive,
         }
     }
 }
--- a/crates/cumintrail-control/tests/restarted_software.rs
+++ b/crates/cumintrail-control/tests/restarted_software.rs
@@ -7,9 +7,10 @@
 use cumintrail_config::{Document, Snapshot, Target, TargetKind};
 use cumintrail_control::software_history::HistoryRow;
 use cumintrail_control::stream_origins::{StreamId, StreamRequest};
+use cumintrail_control::unsettled_streams::StreamSource;
 use cumintrail_control::{
     Action, Actions, Arrival, AttemptOutcome, Control, Event, Identity, PeerDigest, ResponseEnd,
-    RouteOptions, Usage,
+    RouteOptions,
 };
 use cumintrail_types::{
     AccountKey, AttemptNumber, Bytes, CallClass, CallKey, DomainKey, Generation, Incarnation,
@@ -95,6 +96,11 @@
     }
 
     fn arrive(&mut self, call: u64, stream: StreamRequest) -> Option<&'static str> {
+        let actions = self.arrival_actions(call, stream);
+        self.sent_to(&actions)
+    }
+
+    fn arrival_actions(&mut self, call: u64, stream: StreamRequest) -> Actions {
         let arrival = Arrival {
             call: CallKey(call),
             account: AccountKey(0),
@@ -107,11 +113,10 @@
             deadline: self.now + Duration::from_secs(20),
             options: RouteOptions { stream: Some(stream), ..RouteOptions::default() },
         };
-        let actions = self.control.handle(self.now, Event::Arrived(arrival));
-        self.sent_to(&actions)
+        self.control.handle(self.now, Event::Arrived(arrival))
     }
 
-    /// Begins a stream, and returns the target that sends its first event.
+    /// Begins a stream on a new connection, and returns the target that sends its first event.
     fn begin(&mut self, call: u64) -> Option<&'static str> {
         let target = self.arrive(call, StreamRequest::Begin(stream(call)));
         self.send_event(call);
@@ -119,7 +124,35 @@
     }
 
     fn send_event(&mut self, call: u64) {
-        self.control.handle(self.now, Event::FirstToken { call: CallKey(call) });
+        self.send_event_from(call, StreamSource::Accepted(self.now));
+    }
+
+    fn send_event_from(&mut self, call: u64, source: StreamSource) {
+        let call = CallKey(call);
+        self.control.handle(self.now, Event::StreamSourceKnown { call, source });
+        self.control.handle(self.now, Event::FirstToken { call });
+    }
+
+    /// Waits until another process at the address of a connection would have written its entry.
+    fn settle(&mut self) {
+        self.wait(HEARTBEAT.as_millis() as u64);
+        self.confirm();
+    }
+
+    /// Reports the process that responds at the address of a target.
+    fn identify(&mut self, target: usize, (id, process_start, _): Listed) {
+        let process = format!("{id}@{process_start}").into();
+        let target = TargetKey(target as u32);
+        self.control.handle(self.now, Event::ProcessIdentified { target, process });
+    }
+
+    /// Returns whether the process that a new call is sent to must be identified first.
+    fn must_identify(&mut self, call: u64, stream: StreamRequest) -> Option<bool> {
+        let actions = self.arrival_actions(call, stream);
+        actions.iter().find_map(|action| match action {
+            Action::Dispatch(dispatch) => Some(dispatch.must_identify),
+            _ => None,
+        })
     }
 
     /// Breaks the connection of a call's attempt, and returns where it is sent next.
@@ -186,54 +219,105 @@
 fn a_broken_stream_is_resumed_at_once_at_another_target_of_its_version() {
     let mut daemon = Daemon::start(1, &[OLD, OTHER]);
     let began = daemon.begin(1).unwrap();
+    daemon.settle();
     let next = daemon.break_off(1, 1).unwrap();
     assert_ne!(began, next);
 }
 
 #[test]
-fn a_broken_stream_goes_on_once_the_registry_lists_the_process_that_accepts_connections() {
+fn a_broken_stream_goes_on_once_the_registry_lists_the_process_that_accepted_its_connection() {
     let mut daemon = Daemon::start(1, &[OLD]);
     daemon.begin(1);
     assert_eq!(daemon.break_off(1, 1), None);
-    let target = TargetKey(0);
-    daemon.control.handle(daemon.now, Event::TargetAccepts { target });
     assert_eq!(daemon.begin(2), Some("t0"), "other calls do not wait");
     daemon.confirm();
-    let actions = daemon.wait(HEARTBEAT.as_millis() as u64 - 1);
-    assert_eq!(daemon.sent_to(&actions), None, "a new process may not have written its entry");
+    let actions = daemon.wait(HEARTBEAT.as_millis() as u64 - 101);
+    assert_eq!(daemon.sent_to(&actions), None);
     daemon.confirm();
-    daemon.wait(1);
+    let actions = daemon.wait(1);
+    assert_eq!(daemon.sent_to(&actions), None, "a new process may not have written its entry");
     daemon.confirm();
     let actions = daemon.wait(100);
     assert_eq!(daemon.sent_to(&actions), Some("t0"));
-    assert_eq!(daemon.break_off(2, 1), None);
+    daemon.settle();
     daemon.list(2, &[OLD, OTHER]);
-    assert_eq!(daemon.take_up(3, 2), Some("t1"), "it was bound when the doubt ended");
+    assert_eq!(daemon.break_off(2, 1), Some("t1"));
+}
+
+#[test]
+fn a_broken_stream_goes_on_at_once_if_the_listed_process_still_responds() {
+    let mut daemon = Daemon::start(1, &[OLD, OTHER]);
+    let began = daemon.begin(1).unwrap();
+    assert_eq!(daemon.break_off(1, 1), None);
+    let (position, process) = if began == "t0" { (0, OLD) } else { (1, OTHER) };
+    daemon.identify(position, process);
+    let actions = daemon.wait(100);
+    assert!(daemon.sent_to(&actions).is_some_and(|next| next != began));
 }
 
 #[test]
-fn a_broken_stream_goes_on_at_once_if_another_one_shows_that_the_process_runs() {
+fn a_later_process_that_responds_does_not_vouch_for_the_stream_of_an_earlier_one() {
     let mut daemon = Daemon::start(1, &[OLD]);
     daemon.begin(1);
-    daemon.begin(2);
-    daemon.wait(10);
     assert_eq!(daemon.break_off(1, 1), None);
-    let outcome = AttemptOutcome::Completed(Usage::default());
-    let ended = Event::AttemptEnded { call: CallKey(2), attempt: AttemptNumber(1), outcome };
-    daemon.control.handle(daemon.now, ended);
+    daemon.identify(0, RESTARTED);
     let actions = daemon.wait(100);
-    assert_eq!(daemon.sent_to(&actions), Some("t0"));
+    assert_eq!(daemon.sent_to(&actions), None);
 }
 
 #[test]
 fn a_stream_that_begins_at_a_process_that_is_not_listed_yet_is_resumed_at_no_listed_version() {
     let mut daemon = Daemon::start(1, &[OLD]);
     daemon.begin(1);
-    daemon.break_off(1, 1);
-    assert_eq!(daemon.begin(2), Some("t0"), "new streams begin all the same");
+    daemon.settle();
+    assert_eq!(daemon.begin(2), Some("t0"));
+    assert_eq!(daemon.break_off(2, 1), None);
     daemon.list(2, &[RESTARTED, OTHER]);
     assert_eq!(daemon.take_up(3, 2), None);
-    assert_eq!(daemon.take_up(4, 1), Some("t1"), "this one began before the break");
+    assert_eq!(daemon.take_up(4, 1), Some("t1"), "the entry was current when this one began");
+}
+
+#[test]
+fn a_stream_of_an_identified_process_goes_on_at_the_software_that_it_is_listed_with() {
+    let listed = [OLD, ("t2", 1, "v2")];
+    let mut daemon = Daemon::start(1, &listed);
+    let began = daemon.arrive(1, StreamRequest::Begin(stream(1)));
+    let (process, listed) = match began {
+        Some("t0") => ("t0@2", [("t0", 2, "v2"), OTHER]),
+        _ => ("t2@2", [("t2", 2, "v1"), ("t1", 1, "v2")]),
+    };
+    daemon.send_event_from(1, StreamSource::Process(process.into()));
+    assert_eq!(daemon.break_off(1, 1), None, "the process is not listed yet");
+    daemon.list(2, &listed);
+    let actions = daemon.wait(100);
+    assert_eq!(daemon.sent_to(&actions), began, "at the process of that name");
+}
+
+#[test]
+fn the_process_is_identified_before_a_stream_goes_on_and_while_several_versions_are_in_use() {
+    let mut daemon = Daemon::start(1, &[OLD]);
+    let begin = |number| StreamRequest::Begin(stream(number));
+    assert_eq!(daemon.must_identify(1, begin(1)), Some(false));
+    daemon.send_event(1);
+    daemon.settle();
+    let go_on = StreamRequest::Continue(Some(stream(1)));
+    assert_eq!(daemon.must_identify(2, go_on), Some(true));
+    daemon.list(2, &[OLD, ("t2", 1, "v2")]);
+    assert_eq!(daemon.must_identify(3, begin(3)), Some(true));
+}
+
+#[test]
+fn peers_learn_the_software_of_a_stream_whose_caller_left_before_it_was_settled() {
+    let listed = [OLD, OTHER, ("t2", 1, "v2")];
+    let (mut daemon, mut peer) = (Daemon::start(1, &listed), Daemon::start(2, &listed));
+    let began = daemon.begin(1).unwrap();
+    daemon.control.handle(daemon.now, Event::CallerDisconnected { call: CallKey(1) });
+    daemon.report_to(&mut peer);
+    assert_eq!(peer.take_up(2, 1), None);
+    daemon.settle();
+    daemon.report_to(&mut peer);
+    let next = peer.take_up(3, 1);
+    assert!(next.is_some_and(|next| (next == "t2") == (began == "t2")), "{began}, {next:?}");
 }
 
 #[test]
@@ -265,6 +349,7 @@
     let mut daemon = Daemon::start(1, &[OLD]);
     daemon.begin(1);
     daemon.list(2, &[("t0", 2, "v1"), OTHER, ("t2", 1, "v2")]);
+    daemon.settle();
     assert!(daemon.break_off(1, 1).is_some());
     assert!(daemon.take_up(2, 1).is_some());
 }
@@ -273,6 +358,7 @@
 fn a_stream_stays_bound_to_its_version_while_the_entry_of_its_target_is_gone() {
     let mut daemon = Daemon::start(1, &[OLD]);
     daemon.begin(1);
+    daemon.settle();
     daemon.list(2, &[("t2", 1, "v2")]);
     daemon.list(3, &[OLD, ("t2", 1, "v2")]);
     assert_eq!(daemon.take_up(2, 1), Some("t0"), "its key is the same again");
@@ -282,6 +368,7 @@
 fn a_stream_that_is_taken_up_twice_goes_on_at_its_version() {
     let mut daemon = Daemon::start(1, &[OTHER, ("t0", 1, "v2")]);
     let began = daemon.begin(1);
+    daemon.settle();
     for call in 2..8 {
         assert_eq!(daemon.take_up(call, 1), began);
     }
--- a/crates/cumintrail-daemon/src/relay.rs
+++ b/crates/cumintrail-daemon/src/relay.rs
@@ -25,13 +25,16 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
+use actix_http::ServiceConfig;
 use actix_rt::Arbiter;
 use actix_rt::net::TcpStream;
-use cumintrail_client::{ConnectionPool, ProcessWatches, ResponseBudget};
+use cumintrail_client::{Connection, ConnectionPool, ProcessWatches, ResponseBudget};
+use cumintrail_config::Target;
 use cumintrail_control::Event;
 use cumintrail_types::TargetKey;
 use tokio::sync::watch;
 
+use self::attempt::process_of;
 use self::caller::CallerConnection;
 pub use self::dialect::{
     ForwardMetadata, HeaderDialect, NativeDialect, Part, RequestMetadata, ResponseKind,
@@ -47,8 +50,6 @@
 const PRUNE_INTERVAL: Duration = Duration::from_secs(2);
 /// The delay after a failed `accept`, for example when no file descriptors are available.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
-/// The time within which the system closes all sockets of a process that ends.
-const EXIT_TIME: Duration = Duration::from_millis(20);
 
 /// Serves relayed calls on one address with a fixed number of traffic threads.
 pub struct Relay {
@@ -193,25 +194,29 @@
         OpenCallGuard(self.state.clone())
     }
 
-    /// Checks whether a target still accepts connections after one to it broke.
-    pub fn check_target(&self, target: TargetKey, at: SocketAddr) {
-        if !self.checked.borrow_mut().insert(target) {
+    /// Checks whether a target still accepts connections after one to it broke, and which process
+    /// does if the registry lists software versions.
+    pub fn check_target(&self, key: TargetKey, target: &Target) {
+        if !self.checked.borrow_mut().insert(key) {
             return;
         }
         let (shared, checked) = (self.shared.clone(), self.checked.clone());
+        let (dialect, target) = (self.dialect.clone(), target.clone());
         actix_rt::spawn(async move {
-            let event = match connect(at).await {
-                None => Some(Event::TargetUnreachable { target }),
-                // The system of a process that ends may accept connections until it closes them.
-                Some(stream) => actix_rt::time::timeout(EXIT_TIME, stream.readable())
+            let config = ServiceConfig::default();
+            let event = match Connection::open(target.address, CONNECT_TIMEOUT, config).await {
+                Err(_) => Some(Event::TargetUnreachable { target: key }),
+                Ok(_) if target.software.is_none() => None,
+                Ok(mut connection) => process_of(&dialect, &target, &mut connection)
                     .await
-                    .is_err()
-                    .then_some(Event::TargetAccepts { target }),
+                    .ok()
+                    .flatten()
+                    .map(|process| Event::ProcessIdentified { target: key, process }),
             };
             if let Some(event) = event {
                 shared.control.send(event).await;
             }
-            checked.borrow_mut().remove(&target);
+            checked.borrow_mut().remove(&key);
         });
     }
 
--- a/crates/cumintrail-daemon/src/relay/attempt.rs
+++ b/crates/cumintrail-daemon/src/relay/attempt.rs
@@ -1,5 +1,6 @@
 //! One attempt of a relayed call: the HTTP exchange with one target.
 
+mod identity;
 mod response;
 
 use std::net::SocketAddr;
@@ -20,6 +21,7 @@
 use cumintrail_types::{AttemptNumber, CallClass, Moment, Refusal, TargetKey};
 use smallvec::SmallVec;
 
+pub(super) use self::identity::process_of;
 use super::caller::{CallerConnection, CallerInput};
 use super::dialect::{ForwardMetadata, HeaderDialect, ResponseKind};
 use super::heads::{body_size, end_to_end_head};
@@ -125,7 +127,10 @@
                 if let Some(evidence) = &mut self.evidence {
                     evidence.opened().await;
                 }
-                self.exchange(connection).await
+                match self.check_process(connection).await {
+                    Ok(connection) => self.exchange(connection).await,
+                    Err(end) => end,
+                }
             }
             Err(end) => end,
         }
@@ -135,15 +140,17 @@
         let at_most_once = !self.call.class.is_repeatable();
         let retry_safety =
             if at_most_once { RetrySafety::AtMostOnce } else { RetrySafety::Retryable };
-        let connection = self.worker.pool.acquire(at, retry_safety, &self.call.carried_by);
+        let listed = match self.destination {
+            Destination::Target { target, .. } => &target.name,
+            Destination::Peer => &self.name,
+        };
+        let carried = &self.call.carried_by;
+        let connection = self.worker.pool.acquire(at, listed, retry_safety, carried);
         let connection = tokio::select! {
             biased;
             connection = connection => connection,
-            interrupt = next_interrupt(&mut self.call.commands, self.number) => match interrupt {
-                Interrupt::Refused(refusal) => return Err(AttemptEnd::Refused(refusal)),
-                Interrupt::Abandoned =>
-                    return Err(self.record_end(AttemptOutcome::NoConnection, "domain-unreached")),
-            },
+            interrupt = next_interrupt(&mut self.call.commands, self.number) =>
+                return Err(self.interrupt_unsent(interrupt)),
             _ = self.caller.next_input(false) => return Err(AttemptEnd::Disconnected),
         };
         connection.map_err(|_| {
@@ -359,6 +366,16 @@
         }
     }
 
+    /// Ends an attempt on order of the control thread before anything of the call was sent.
+    fn interrupt_unsent(&mut self, interrupt: Interrupt) -> AttemptEnd {
+        match interrupt {
+            Interrupt::Refused(refusal) => AttemptEnd::Refused(refusal),
+            Interrupt::Abandoned => {
+                self.record_end(AttemptOutcome::NoConnection, "domain-unreached")
+            }
+        }
+    }
+
     /// Ends an attempt on order of the control thread; the target may have run the call.
     fn interrupt(&mut self, interrupt: Interrupt) -> AttemptEnd {
         match interrupt {
@@ -452,9 +469,9 @@
             return end;
         }
         self.worker.pool.close_idle(connection.address());
-        if let (Destination::Target { dispatch, .. }, true) = (self.destination, is_broken) {
+        if let (Destination::Target { dispatch, target }, true) = (self.destination, is_broken) {
             self.report_response_end(ResponseEnd::Broken).await;
-            self.worker.check_target(dispatch.target, connection.address());
+            self.worker.check_target(dispatch.target, target);
         }
         let cause = match e {
             ClientError::Malformed => "unreadable",
--- a/crates/cumintrail-daemon/src/relay/attempt/response.rs
+++ b/crates/cumintrail-daemon/src/relay/attempt/response.rs
@@ -135,7 +135,8 @@
             let batch = self.call.events.push(&chunk);
             has_events |= batch.count > 0;
             let is_passed_on = batch.bytes.is_empty()
-                || self.start_stream(&head).await && self.write_events(batch.bytes).await.is_ok();
+                || self.start_stream(&head, &connection).await
+                    && self.write_events(batch.bytes).await.is_ok();
             let has_room = room.hold(self.call.events.remainder_len());
             match batch.rest {
                 _ if !is_passed_on => return AttemptEnd::Disconnected,
@@ -159,7 +160,7 @@
             return end;
         }
         self.log_answered(status, connection.framing());
-        if !self.start_stream(&head).await {
+        if !self.start_stream(&head, &connection).await {
             return AttemptEnd::Disconnected;
         }
         if !rest.is_empty() && self.write_events(rest).await.is_err() {
@@ -206,7 +207,7 @@
 
     /// Queues the head of the response before its first event, unless an earlier attempt did;
     /// returns whether this succeeded.
-    async fn start_stream(&mut self, head: &ResponseHead) -> bool {
+    async fn start_stream(&mut self, head: &ResponseHead, connection: &Connection) -> bool {
         if self.call.response_started {
             return true;
         }
@@ -215,6 +216,7 @@
         let now = self.worker.shared.now();
         metrics::histogram!(metric::FIRST_TOKEN_SECONDS)
             .record(now.since(self.call.arrived).as_secs_f64());
+        self.report_source(connection).await;
         self.worker.shared.control.send(Event::FirstToken { call: self.call.key }).await;
         self.disable_keep_alive_if_needed();
         let caller_head = caller_response_head(head, self.caller, &self.name);
--- a/tests/tests/gateway_processes.rs
+++ b/tests/tests/gateway_processes.rs
@@ -12,12 +12,12 @@
 /// Returns a target that sends two events and is cut off 300 ms later, and the rest of streams that
 /// go on.
 async fn breaking_target(end: Step) -> Replica {
-    let target = Replica::bind_by_head(move |head| match header(head, "last-event-id") {
-        Some(_) => vec![send(STREAM), events(3..=4), send("0\r\n\r\n")],
-        None => {
-            let pause = Step::Pause(Duration::from_millis(300));
-            vec![send(STREAM), events(1..=2), pause, end.clone()]
+    let target = Replica::bind_by_head(move |head| {
+        if header(head, "last-event-id").is_some() {
+            return vec![send(STREAM), events(3..=4), send("0\r\n\r\n")];
         }
+        let pause = Step::Pause(Duration::from_millis(300));
+        vec![send(STREAM), events(1..=2), pause, end.clone()]
     });
     target.await.unwrap()
 }
