--- a/tests/src/standins/replica.rs
+++ b/tests/src/standins/replica.rs
@@ -90,6 +90,8 @@
                     _ = exit.wait_for(Option::is_some) => return,
                 };
                 let Ok((stream, _)) = accepted else { return };
+                // On a reused connection, a second write would wait for a delayed acknowledgement.
+                let _ = stream.set_nodelay(true);
                 let (served, script) = (served.clone(), script.clone());
                 actix_rt::spawn(async move {
                     // A connection error ends the script, as it ends the work of a real target.
@@ -121,11 +123,22 @@
         self.exit.send_replace(Some(Exit::Crashed));
     }
 
+    /// Kills the process, and starts another one at the same address without a gap.
+    pub fn restart(&self) {
+        self.restarts.send_modify(|n| *n += 1);
+    }
+
     /// Returns whether the process has ended.
     pub fn has_crashed(&self) -> bool {
         *self.exit.borrow() == Some(Exit::Crashed)
     }
 
+    /// Returns what the registry of a stand-in lists as the start of the first process, raised by one
+    /// for each later one.
+    fn process_start(&self) -> u64 {
+        1 + *self.restarts.borrow()
+    }
+
     async fn serve(
         &self,
         mut stream: TcpStream,
@@ -159,7 +172,11 @@
                 _ = idle_closes.changed() => return Ok(()),
             };
             if call.starts_with("OPTIONS * ") {
-                stream.write_all(b"HTTP/1.1 204 No Content\r\n\r\n").await?;
+                let start = self.process_start();
+                let head = format!(
+                    "HTTP/1.1 204 No Content\r\nx-cumintrail-process-start: {start}\r\n\r\n"
+                );
+                stream.write_all(head.as_bytes()).await?;
                 continue;
             }
             let id = header(&call, "x-cumintrail-call").unwrap_or_default().to_owned();
@@ -202,7 +219,7 @@
                         return Ok(());
                     }
                     Step::Restart => {
-                        self.restarts.send_modify(|n| *n += 1);
+                        self.restart();
                         return Ok(());
                     }
                     Step::CloseIdle => self.idle_closes.send_modify(|n| *n += 1),
