Identify the process of each connection on which a stream begins

The version of a stream that began on a connection younger than a heartbeat was settled afterwards, by what the registry listed then. A reviewer who had not seen the work showed how that can still mix versions: the later process ends before it writes its entry, or starts while the platform's store is away, or its caller goes to a daemon that lists one version only (the last one remains). All of it comes from inferring the process instead of asking it.

Each connection is identified once, before the first resumable stream on it, and the stream belongs to that process. What settled streams by time and by responses after a break is gone. Also from the review: a stream that finds another process at its last target waits for the new entry, as before, instead of using up its attempts; an identity request without a response is repeated on a new connection, and counts neither against the target's health nor the retry budget; a response that states no start does not let a stream go on where the registry lists one; connections of two processes at one address do not close each other.

--- a/crates/cumintrail-client/src/pool.rs
+++ b/crates/cumintrail-client/src/pool.rs
@@ -93,8 +93,9 @@
         };
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(&at)?;
-        connections.retain(|idle| idle.connection.listed() == Some(listed));
-        let may_carry = |idle: &IdleConnection| !carried.contains(&idle.connection.id());
+        let may_carry = |idle: &IdleConnection| {
+            idle.connection.listed() == Some(listed) && !carried.contains(&idle.connection.id())
+        };
         while let Some(found) = connections.iter().rposition(may_carry) {
             let IdleConnection { mut connection, keep_alive } = connections.remove(found);
             if connection.idle_time() >= reuse_limit(keep_alive, fraction) {
--- a/crates/cumintrail-control/src/calls.rs
+++ b/crates/cumintrail-control/src/calls.rs
@@ -9,7 +9,6 @@
 
 use crate::Arrival;
 use crate::admission::Flow;
-use crate::unsettled_streams::StreamSource;
 
 /// Describes the progress of a call.
 ///
@@ -38,8 +37,8 @@
     pub pinned_version: Option<WeightVersion>,
     /// The software version that produces the response; `None` while any will do.
     pub pinned_software: Option<Arc<str>>,
-    /// What is known of the process that sends the response of the current attempt.
-    pub source: Option<StreamSource>,
+    /// The name of the process that sends the response of the current attempt, if it was identified.
+    pub process: Option<Arc<str>>,
     /// When the first output token arrived, in whichever attempt.
     pub first_token: Option<Moment>,
     /// Prompt tokens that the target of the current attempt is still expected to compute.
@@ -72,7 +71,7 @@
             dispatched: arrived,
             pinned_version: None,
             pinned_software: None,
-            source: None,
+            process: None,
             first_token: None,
             expected_prefill: Tokens(0),
             queue_urgency: Urgency::default(),
--- a/crates/cumintrail-control/src/control.rs
+++ b/crates/cumintrail-control/src/control.rs
@@ -290,15 +290,12 @@
             Event::FetchesEnded { call, target, outcomes, .. } => {
                 self.handle_fetches(now, call, target, &outcomes);
             }
-            Event::StreamSourceKnown { call, source } => self.record_source(call, source),
+            Event::ProcessIdentified { call, process } => self.record_process(call, process),
             Event::FirstToken { call } => self.handle_first_token(now, call),
             Event::AttemptEnded { call, attempt, outcome } => {
                 self.handle_attempt_end(now, call, attempt, outcome, &mut actions);
             }
             Event::ResponseEnded { call, end } => self.handle_response_end(now, call, end),
-            Event::ProcessIdentified { target, process } => {
-                self.handle_process(now, target, &process);
-            }
             Event::TargetUnreachable { target } => {
                 self.handle_unreachable_target(now, target, &mut actions);
             }
--- a/crates/cumintrail-control/src/control/arrivals.rs
+++ b/crates/cumintrail-control/src/control/arrivals.rs
@@ -113,6 +113,7 @@
         if usable.is_empty() {
             return Err(retry::refusal_for(call, RefusalCode::NoTarget));
         }
+        let usable = self.exclude_replaced(call, usable)?;
         let accepting = match self.exclude_quiet(now, call, usable) {
             TargetChoice::Usable(accepting) => self.exclude_spent(now, call, accepting),
             choice => choice,
@@ -346,7 +347,7 @@
         // The keys of parts are derived for the version that the call arrived for.
         let parts = if version == arrival_version { parts } else { PartPlans::default() };
         let must_identify =
-            self.calls.get(&key).is_some_and(|call| self.must_identify(now, call, target));
+            self.calls.get(&key).is_some_and(|call| self.must_identify(call, target));
         let dispatch = Dispatch {
             call: key,
             attempt,
--- a/crates/cumintrail-control/src/control/attempts.rs
+++ b/crates/cumintrail-control/src/control/attempts.rs
@@ -71,7 +71,7 @@
             AttemptOutcome::RespondedLocally => return self.end_call(key),
             AttemptOutcome::NotSent
             | AttemptOutcome::NoConnection
-            | AttemptOutcome::OtherProcess
+            | AttemptOutcome::Unidentified { .. }
             | AttemptOutcome::RefusedByTarget { .. } => {
                 call.record_unexecuted_attempt();
             }
@@ -127,7 +127,7 @@
             !is_due
         });
         for key in due {
-            if self.awaits_process(key) {
+            if self.awaits_entry(now, key) {
                 self.backing_off.push((now + PROCESS_CHECK_INTERVAL, key));
             } else {
                 self.requeue(key);
@@ -204,7 +204,10 @@
                     state.avoid_until = now + REFUSAL_AVOIDANCE;
                     state.address_reused |= leaving && self.has_registry;
                 }
-                AttemptOutcome::OtherProcess => state.avoid_until = now + REFUSAL_AVOIDANCE,
+                AttemptOutcome::Unidentified { is_replaced } => {
+                    state.avoid_until = now + REFUSAL_AVOIDANCE;
+                    state.is_replaced |= is_replaced;
+                }
                 _ => {}
             }
             state.retry_budget.deposit();
@@ -301,7 +304,9 @@
 const fn was_not_sent(outcome: AttemptOutcome) -> bool {
     matches!(
         outcome,
-        AttemptOutcome::NotSent | AttemptOutcome::NoConnection | AttemptOutcome::OtherProcess
+        AttemptOutcome::NotSent
+            | AttemptOutcome::NoConnection
+            | AttemptOutcome::Unidentified { .. }
     )
 }
 
--- a/crates/cumintrail-control/src/control/detours.rs
+++ b/crates/cumintrail-control/src/control/detours.rs
@@ -213,7 +213,7 @@
             AttemptOutcome::Failed { .. } => call.record_failed_attempt(),
             AttemptOutcome::NotSent
             | AttemptOutcome::NoConnection
-            | AttemptOutcome::OtherProcess
+            | AttemptOutcome::Unidentified { .. }
             | AttemptOutcome::RefusedByTarget { .. } => call.record_unexecuted_attempt(),
         }
         if retry::may_retry(call, outcome, now) {
--- a/crates/cumintrail-control/src/control/software.rs
+++ b/crates/cumintrail-control/src/control/software.rs
@@ -9,8 +9,8 @@
 use crate::placement::Placer;
 use crate::software_history::{HistoryRow, PoolVersion};
 use crate::stream_origins::{StreamId, StreamOrigin, StreamRequest, UNKNOWN_VERSION};
-use crate::unsettled_streams::{StreamSource, UnsettledStream};
-use crate::{Action, Actions, Arrival, Call, PeerDigest, Phase};
+use crate::unsettled_streams::UnsettledStream;
+use crate::{Action, Actions, Arrival, Call, PeerDigest, Phase, retry};
 
 /// Rounds of digests that contain the origin of an own stream, so that a lost one does no harm.
 const ORIGIN_ROUNDS: u32 = 2;
@@ -46,9 +46,9 @@
     }
 
     /// Records which process sends the response of a call, before its first event.
-    pub(super) fn record_source(&mut self, key: CallKey, source: StreamSource) {
+    pub(super) fn record_process(&mut self, key: CallKey, process: Arc<str>) {
         if let Some(call) = self.calls.get_mut(&key) {
-            call.source = Some(source);
+            call.process = Some(process);
         }
     }
 
@@ -57,20 +57,24 @@
     ///
     /// A target that states no process is taken for the one that is listed.
     pub(super) fn pin_software(&mut self, now: Moment, key: CallKey) {
-        let Some(call) = self.calls.get_mut(&key) else { return };
-        let (source, target) = (call.source.take(), call.target());
+        let Some((snapshot, call)) = self.snapshot.as_ref().zip(self.calls.get_mut(&key)) else {
+            return;
+        };
         let stream = call.arrival.options.stream.and_then(StreamRequest::stream);
-        let (Some(target), None) = (target, &call.pinned_software) else { return };
-        let Some(software) = self.listed_software(target) else { return };
-        match source.zip(stream) {
-            Some((source, stream)) => {
-                let unsettled = UnsettledStream { call: key, target, source, began: now };
-                if !self.unsettled_streams.add(stream, unsettled) {
-                    self.bind_stream(now, key, UNKNOWN_VERSION.into());
-                }
-                self.settle_streams(now);
-            }
-            None => self.bind_stream(now, key, software),
+        let (process, listed) = (call.process.take(), call.target());
+        let listed = listed.and_then(|target| snapshot.targets.get(target));
+        let (Some(target), None) = (listed, &call.pinned_software) else { return };
+        let Some(software) = target.software.clone() else { return };
+        let process = process.filter(|process| *process != target.name);
+        let Some((process, stream)) = process.zip(stream) else {
+            return self.bind_stream(now, key, software);
+        };
+        let unsettled = UnsettledStream { call: key, process, began: now };
+        let (as_of, interval) = (self.registry_as_of, self.heartbeat_interval);
+        match unsettled.software(snapshot, as_of, interval) {
+            Some(software) => self.bind_stream(now, key, software),
+            None if self.unsettled_streams.add(stream, unsettled) => {}
+            None => self.bind_stream(now, key, UNKNOWN_VERSION.into()),
         }
     }
 
@@ -90,22 +94,6 @@
         self.bind_settled(now, settled);
     }
 
-    /// Binds the streams of a target by the process that responds at its address after one of its
-    /// connections broke.
-    ///
-    /// The listed process had written its entry before the connections were opened. If it still
-    /// responds, no other one has accepted them.
-    pub(super) fn handle_process(&mut self, now: Moment, target: TargetKey, process: &str) {
-        let Some(snapshot) = &self.snapshot else { return };
-        let Some(listed) = snapshot.targets.get(target).filter(|t| *t.name == *process) else {
-            return;
-        };
-        let settled = self
-            .unsettled_streams
-            .settle(|unsettled| listed.software.clone().filter(|_| unsettled.target == target));
-        self.bind_settled(now, settled);
-    }
-
     fn bind_settled(&mut self, now: Moment, settled: Vec<(StreamId, UnsettledStream, Arc<str>)>) {
         for (stream, UnsettledStream { call, .. }, software) in settled {
             if let Some(call) = self.calls.get_mut(&call) {
@@ -115,34 +103,48 @@
         }
     }
 
-    /// Returns whether a stream that goes on waits until the process that sent its first events is
-    /// known.
-    pub(super) fn awaits_process(&self, key: CallKey) -> bool {
-        let call = self.calls.get(&key).filter(|call| call.phase() == Phase::Streaming);
-        let stream = call.and_then(|call| call.arrival.options.stream?.stream());
-        stream.is_some_and(|stream| self.unsettled_streams.contains(stream))
-    }
-
-    /// Returns whether the process that a call is sent to must be identified on the connection first.
-    ///
-    /// A stream that goes on fits only the listed software. One that begins while several versions
-    /// are in use may be taken up at another daemon before the registry settles its version.
-    pub(super) fn must_identify(&self, now: Moment, call: &Call, target: TargetKey) -> bool {
-        let (Some(snapshot), Some(request)) = (&self.snapshot, call.arrival.options.stream) else {
+    /// Returns whether a stream that goes on waits, for the entry of the process that sent its first
+    /// events or for the entries of those that took the place of all targets of its version.
+    pub(super) fn awaits_entry(&self, now: Moment, key: CallKey) -> bool {
+        let (Some(snapshot), Some(call)) = (&self.snapshot, self.calls.get(&key)) else {
             return false;
         };
-        let goes_on = matches!(request, StreamRequest::Continue(_));
-        let kind = call.arrival.kind;
-        let is_current = self.registry_current_until.is_none_or(|until| now < until);
-        self.listed_software(target).is_some()
-            && (goes_on
-                || call.phase() == Phase::Streaming
-                || !is_current
-                || self.stream_origins.recent_versions(now, kind, snapshot).len() > 1)
+        let stream = call.arrival.options.stream.and_then(StreamRequest::stream);
+        let has_begun = call.phase() == Phase::Streaming;
+        if has_begun && stream.is_some_and(|stream| self.unsettled_streams.contains(stream)) {
+            return true;
+        }
+        let mut usable = self.usable_targets(now, snapshot, call).peekable();
+        call.pinned_software.is_some()
+            && usable.peek().is_some()
+            && usable.all(|target| self.is_replaced(target))
+    }
+
+    /// Excludes targets whose place another process has taken, for calls that go on at a version.
+    pub(super) fn exclude_replaced(
+        &self,
+        call: &Call,
+        mut usable: Vec<TargetKey>,
+    ) -> Result<Vec<TargetKey>, Refusal> {
+        if call.pinned_software.is_some() {
+            usable.retain(|target| !self.is_replaced(*target));
+        }
+        if usable.is_empty() {
+            let refusal = retry::refusal_for(call, RefusalCode::UnknownStream);
+            return Err(refusal.retry_after(self.identity.digest_interval));
+        }
+        Ok(usable)
+    }
+
+    fn is_replaced(&self, target: TargetKey) -> bool {
+        self.targets.get(target).is_some_and(|state| state.is_replaced)
     }
 
-    fn listed_software(&self, target: TargetKey) -> Option<Arc<str>> {
-        self.snapshot.as_ref()?.targets.get(target)?.software.clone()
+    /// Returns whether the process that a call is sent to must be identified on the connection first:
+    /// an entry of the registry may be that of an earlier one with other software.
+    pub(super) fn must_identify(&self, call: &Call, target: TargetKey) -> bool {
+        let target = self.snapshot.as_ref().and_then(|snapshot| snapshot.targets.get(target));
+        call.arrival.options.stream.is_some() && target.is_some_and(|t| t.software.is_some())
     }
 
     fn bind_stream(&mut self, now: Moment, key: CallKey, software: Arc<str>) {
--- a/crates/cumintrail-control/src/control/state.rs
+++ b/crates/cumintrail-control/src/control/state.rs
@@ -70,6 +70,8 @@
     pub cold_until: Option<Moment>,
     /// Whether it is sent requests at this daemon's share of what a cold target takes.
     pub is_cold: bool,
+    /// Whether a later process with its id has taken its place.
+    pub is_replaced: bool,
     /// Whether another process responds at its address.
     pub address_reused: bool,
     /// The time of the last update of the load that is not from this daemon.
--- a/crates/cumintrail-control/src/event.rs
+++ b/crates/cumintrail-control/src/event.rs
@@ -33,7 +33,6 @@
 use crate::spill::SpillChange;
 use crate::store_sync::{StoreRead, StoreResponse};
 use crate::target_limits::LimitChange;
-use crate::unsettled_streams::StreamSource;
 
 /// The actions that one event leads to; stored inline up to four, which covers most events.
 pub type Actions = SmallVec<[Action; 4]>;
@@ -62,11 +61,11 @@
         elapsed: Duration,
     },
     /// The first event of a resumable stream is about to be passed on.
-    StreamSourceKnown {
+    ProcessIdentified {
         /// The call.
         call: CallKey,
-        /// What is known of the process that sent it.
-        source: StreamSource,
+        /// The name of the process that sent it.
+        process: Arc<str>,
     },
     /// The first token of a response arrived.
     FirstToken {
@@ -89,14 +88,6 @@
         /// What it showed.
         end: ResponseEnd,
     },
-    /// A process responded to an identity request at the address of a target after the connection of a
-    /// call broke.
-    ProcessIdentified {
-        /// The target.
-        target: TargetKey,
-        /// The name of the process.
-        process: Arc<str>,
-    },
     /// A target accepted no connection after the connection of a call broke.
     TargetUnreachable {
         /// The target.
--- a/crates/cumintrail-control/src/event/call.rs
+++ b/crates/cumintrail-control/src/event/call.rs
@@ -146,9 +146,12 @@
     NotSent,
     /// No connection could be opened, so that no byte of the call left this daemon.
     NoConnection,
-    /// Another process than the listed one responds at the target's address, so that no byte of the
+    /// The process at the target's address is not known to be the listed one, so that no byte of the
     /// call left this daemon.
-    OtherProcess,
+    Unidentified {
+        /// Whether it is known to be another one.
+        is_replaced: bool,
+    },
     /// The response is complete.
     Completed(Usage),
     /// The target refused the call and reported that it did not run it.
--- a/crates/cumintrail-control/src/retry.rs
+++ b/crates/cumintrail-control/src/retry.rs
@@ -104,7 +104,7 @@
     let repeatable = match outcome {
         AttemptOutcome::NotSent
         | AttemptOutcome::NoConnection
-        | AttemptOutcome::OtherProcess
+        | AttemptOutcome::Unidentified { .. }
         | AttemptOutcome::RefusedByTarget { .. } => true,
         AttemptOutcome::Failed { can_continue } => {
             can_continue && call.arrival.class.is_repeatable()
@@ -162,7 +162,7 @@
             AttemptOutcome::NotSent
             | AttemptOutcome::NoConnection
             | AttemptOutcome::Failed { .. } => Self::Failure,
-            AttemptOutcome::OtherProcess
+            AttemptOutcome::Unidentified { .. }
             | AttemptOutcome::RefusedByTarget { .. }
             | AttemptOutcome::RespondedLocally => Self::Inconclusive,
         }
--- a/crates/cumintrail-control/src/unsettled_streams.rs
+++ b/crates/cumintrail-control/src/unsettled_streams.rs
@@ -1,81 +1,47 @@
-//! Streams whose first event came from a process that is not known for certain yet;
-//! docs/DESIGN.md, "Software versions".
+//! Streams whose process is not listed yet; docs/DESIGN.md, "Software versions".
 
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
-use cumintrail_config::{Snapshot, Target};
-use cumintrail_types::{CallKey, Moment, TargetKey};
+use cumintrail_config::Snapshot;
+use cumintrail_types::{CallKey, Moment};
 
 use crate::stream_origins::{StreamId, UNKNOWN_VERSION};
 
 /// Maximum number of unsettled streams.
 const MAX_UNSETTLED: usize = 16_384;
 
-/// States what is known of the process that a connection leads to.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum StreamSource {
-    /// Its name, by a response to an identity request on the connection.
-    Process(Arc<str>),
-    /// When it accepted the connection at the address of the target, at the latest.
-    Accepted(Moment),
-}
-
-/// A stream whose software version is not settled yet.
+/// A stream whose software version is not known yet.
 #[derive(Debug, Clone)]
 pub struct UnsettledStream {
     /// The call whose response brought the first event.
     pub call: CallKey,
-    /// The target that the call was sent to.
-    pub target: TargetKey,
-    /// What is known of the process that responded.
-    pub source: StreamSource,
-    /// When the first event arrived.
+    /// The name of the process that sent it.
+    pub process: Arc<str>,
+    /// When it arrived.
     pub began: Moment,
 }
 
 impl UnsettledStream {
-    /// Returns the software version of the process that sent the first event, [`UNKNOWN_VERSION`] if
-    /// it will not be known, and `None` if it may still be.
+    /// Returns the software version of the process, [`UNKNOWN_VERSION`] if it will not be known, and
+    /// `None` if it may still be.
     ///
-    /// A process with other software that took the target's place would have written its entry
-    /// within a heartbeat of accepting a connection.
+    /// A process writes its entry within a heartbeat of its start, unless it ends before.
     pub fn software(
         &self,
         snapshot: &Snapshot,
         registry_as_of: Moment,
         heartbeat_interval: Duration,
     ) -> Option<Arc<str>> {
-        let target = snapshot.targets.get(self.target)?;
-        let listed = target.software.clone()?;
-        let unknown = Arc::from(UNKNOWN_VERSION);
-        match &self.source {
-            StreamSource::Process(name) if *name == target.name => Some(listed),
-            StreamSource::Process(name) => {
-                let mut targets = snapshot.targets.iter().map(|(_, target)| target);
-                let process = targets.find(|t| t.name == *name);
-                let software = process.and_then(|process| process.software.clone());
-                let is_late = registry_as_of >= self.began + heartbeat_interval;
-                software.or_else(|| is_late.then_some(unknown))
-            }
-            StreamSource::Accepted(_) if is_replaced(snapshot, target) => Some(unknown),
-            StreamSource::Accepted(at) => {
-                (registry_as_of >= *at + heartbeat_interval).then_some(listed)
-            }
-        }
+        let mut targets = snapshot.targets.iter().map(|(_, target)| target);
+        let listed = targets.find(|target| target.name == self.process);
+        let is_late = registry_as_of >= self.began + heartbeat_interval;
+        let unknown = || is_late.then(|| Arc::from(UNKNOWN_VERSION));
+        listed.and_then(|target| target.software.clone()).or_else(unknown)
     }
 }
 
-/// Returns whether a target's address belongs to a later process with the same id and other software.
-fn is_replaced(snapshot: &Snapshot, target: &Target) -> bool {
-    let mut listed = snapshot.targets.iter().filter(|(_, t)| target.retired && !t.retired);
-    listed.any(|(_, t)| {
-        (&t.instance, t.address) == (&target.instance, target.address)
-            && t.software != target.software
-    })
-}
-
 /// Holds the unsettled streams of a daemon, in progress or not: their callers may take them up.
 #[derive(Debug, Default)]
 pub struct UnsettledStreams {
--- a/crates/cumintrail-daemon/src/relay.rs
+++ b/crates/cumintrail-daemon/src/relay.rs
@@ -25,16 +25,13 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
-use actix_http::ServiceConfig;
 use actix_rt::Arbiter;
 use actix_rt::net::TcpStream;
-use cumintrail_client::{Connection, ConnectionPool, ProcessWatches, ResponseBudget};
-use cumintrail_config::Target;
+use cumintrail_client::{ConnectionPool, ProcessWatches, ResponseBudget};
 use cumintrail_control::Event;
 use cumintrail_types::TargetKey;
 use tokio::sync::watch;
 
-use self::attempt::process_of;
 use self::caller::CallerConnection;
 pub use self::dialect::{
     ForwardMetadata, HeaderDialect, NativeDialect, Part, RequestMetadata, ResponseKind,
@@ -194,29 +191,17 @@
         OpenCallGuard(self.state.clone())
     }
 
-    /// Checks whether a target still accepts connections after one to it broke, and which process
-    /// does if the registry lists software versions.
-    pub fn check_target(&self, key: TargetKey, target: &Target) {
-        if !self.checked.borrow_mut().insert(key) {
+    /// Checks whether a target still accepts connections after one to it broke.
+    pub fn check_target(&self, target: TargetKey, at: SocketAddr) {
+        if !self.checked.borrow_mut().insert(target) {
             return;
         }
         let (shared, checked) = (self.shared.clone(), self.checked.clone());
-        let (dialect, target) = (self.dialect.clone(), target.clone());
         actix_rt::spawn(async move {
-            let config = ServiceConfig::default();
-            let event = match Connection::open(target.address, CONNECT_TIMEOUT, config).await {
-                Err(_) => Some(Event::TargetUnreachable { target: key }),
-                Ok(_) if target.software.is_none() => None,
-                Ok(mut connection) => process_of(&dialect, &target, &mut connection)
-                    .await
-                    .ok()
-                    .flatten()
-                    .map(|process| Event::ProcessIdentified { target: key, process }),
-            };
-            if let Some(event) = event {
-                shared.control.send(event).await;
+            if connect(at).await.is_none() {
+                shared.control.send(Event::TargetUnreachable { target }).await;
             }
-            checked.borrow_mut().remove(&key);
+            checked.borrow_mut().remove(&target);
         });
     }
 
--- a/crates/cumintrail-daemon/src/relay/attempt.rs
+++ b/crates/cumintrail-daemon/src/relay/attempt.rs
@@ -21,7 +21,6 @@
 use cumintrail_types::{AttemptNumber, CallClass, Moment, Refusal, TargetKey};
 use smallvec::SmallVec;
 
-pub(super) use self::identity::process_of;
 use super::caller::{CallerConnection, CallerInput};
 use super::dialect::{ForwardMetadata, HeaderDialect, ResponseKind};
 use super::heads::{body_size, end_to_end_head};
@@ -469,9 +468,9 @@
             return end;
         }
         self.worker.pool.close_idle(connection.address());
-        if let (Destination::Target { dispatch, target }, true) = (self.destination, is_broken) {
+        if let (Destination::Target { dispatch, .. }, true) = (self.destination, is_broken) {
             self.report_response_end(ResponseEnd::Broken).await;
-            self.worker.check_target(dispatch.target, target);
+            self.worker.check_target(dispatch.target, connection.address());
         }
         let cause = match e {
             ClientError::Malformed => "unreadable",
--- a/crates/cumintrail-daemon/src/relay/attempt/response.rs
+++ b/crates/cumintrail-daemon/src/relay/attempt/response.rs
@@ -216,7 +216,7 @@
         let now = self.worker.shared.now();
         metrics::histogram!(metric::FIRST_TOKEN_SECONDS)
             .record(now.since(self.call.arrived).as_secs_f64());
-        self.report_source(connection).await;
+        self.report_process(connection).await;
         self.worker.shared.control.send(Event::FirstToken { call: self.call.key }).await;
         self.disable_keep_alive_if_needed();
         let caller_head = caller_response_head(head, self.caller, &self.name);
--- a/crates/cumintrail-daemon/src/relay/lines.rs
+++ b/crates/cumintrail-daemon/src/relay/lines.rs
@@ -197,9 +197,9 @@
 
 const fn outcome_name(outcome: AttemptOutcome) -> &'static str {
     match outcome {
-        AttemptOutcome::NotSent | AttemptOutcome::NoConnection | AttemptOutcome::OtherProcess => {
-            "not-sent"
-        }
+        AttemptOutcome::NotSent
+        | AttemptOutcome::NoConnection
+        | AttemptOutcome::Unidentified { .. } => "not-sent",
         AttemptOutcome::Completed(_) => "answered",
         AttemptOutcome::RefusedByTarget { leaving: false } => "refused",
         AttemptOutcome::RefusedByTarget { leaving: true } => "gone",
