Ask the listed process after a response that ends with its connection

Callers got a short response without length as complete if the idle connection of a killed target ended 10 ms before that of the response and its address went on to accept connections. Slow callers got a complete one of 5 MB cut if its target closed an idle connection meanwhile.

The end of an idle connection is circumstantial: what it says depends on the order in which two connections end, and on when the caller reads.

If the registry lists the start of a target's process, the end of such a response now counts if an identity request afterwards is answered with that start, or with the one that the connection of the response had stated. It goes out on a pooled connection or a new one, and is repeated once on a new one if that one ends or the answer states no start. Another start, another instance, a response without a start or none within 3 s: not complete. No idle connection is opened beside the exchanges with these targets. Targets without a listed start keep the watch, and with it both faults. The comparison of a process's start with the clock of the daemon (`is_other_process`) is gone.

Tests: - The raw target of `gateway_unframed` stated no start although the registry listed one. It now states it, a killed one's successor a higher one, and closes the connection after it; its tests run with a listed start and without one, so that the watch stays covered. The slow caller's test runs with a listed start, as before. - `a_caller_that_pauses_does_not_hide_the_restart_of_its_target` closed its idle connections at once to look like a killed target. It now is one, as the others are: old connections answer nothing, new ones are those of the successor. All assertions are unchanged. - New: a target that does not state its listed start does not count. - `a_process_that_started_after_a_call_was_sent_did_not_respond_to_it` tested `is_other_process`. Its replacement reads the same responses, and checks the stated start itself, where a response without one passed.

--- a/crates/cumintrail-client/src/identity.rs
+++ b/crates/cumintrail-client/src/identity.rs
@@ -42,7 +42,7 @@
 
 /// Reads the body of a response as far as it comes in time; returns also whether its connection can
 /// be used again.
-pub(crate) async fn read_body(connection: &mut Connection) -> (Bytes, bool) {
+async fn read_body(connection: &mut Connection) -> (Bytes, bool) {
     let mut body = BytesMut::new();
     let read = async {
         while let Ok(Some(chunk)) = connection.read_chunk().await {
--- a/crates/cumintrail-client/src/pool.rs
+++ b/crates/cumintrail-client/src/pool.rs
@@ -76,6 +76,15 @@
         if let Some(connection) = self.take_idle(at, listed, retry_safety, carried) {
             return Ok(connection);
         }
+        self.open_connection(at, listed).await
+    }
+
+    /// Opens a new connection to a target, whose process is `listed`.
+    pub async fn open_connection(
+        &self,
+        at: SocketAddr,
+        listed: &Arc<str>,
+    ) -> Result<Connection, ClientError> {
         let connection = Connection::open(at, self.connect_timeout, self.config.clone()).await?;
         Ok(connection.opened_for(listed.clone()).with_held_bytes(self.responses.open()))
     }
--- a/crates/cumintrail-client/src/process_watch.rs
+++ b/crates/cumintrail-client/src/process_watch.rs
@@ -17,13 +17,12 @@
 use actix_http::{RequestHead, ResponseHead, ServiceConfig};
 use actix_rt::task::JoinHandle;
 use actix_rt::time::{Instant, timeout};
-use bytes::Bytes;
 use derive_more::Display;
 use tokio::net::TcpStream;
 use tokio::sync::{Notify, mpsc, oneshot, watch};
 
 use crate::connection::configure_socket;
-use crate::identity::{Identity, identify, read_body};
+use crate::identity::{Identity, identify};
 use crate::single_use::with_connection_close;
 use crate::{ClientError, Connection};
 
@@ -57,6 +56,9 @@
     /// Nothing is known of the process; its address closes connections or accepts none.
     #[display("unreachable")]
     Unreachable,
+    /// The response to an identity request does not state which process sent it.
+    #[display("unidentified")]
+    Unidentified,
     /// Another process listens at the address.
     #[display("replaced")]
     Replaced,
@@ -144,7 +146,7 @@
 /// What became of a request on an idle connection.
 #[derive(Debug)]
 enum IdleAnswer {
-    Response(Box<ResponseHead>, Bytes),
+    Response(Box<ResponseHead>),
     /// The process closed the connection after the response to an earlier request.
     ClosedByChoice,
     /// The connection ended, or the time was over.
@@ -211,8 +213,8 @@
         }
         // Other responses may need the connection although the time for this one is over.
         let asked = identify(&mut connection, request.head, IDENTITY_TIMEOUT).await;
-        let Ok(Identity { head, body, is_reusable }) = asked else { return };
-        let _ = request.answer.send(IdleAnswer::Response(Box::new(head), body));
+        let Ok(Identity { head, is_reusable, .. }) = asked else { return };
+        let _ = request.answer.send(IdleAnswer::Response(Box::new(head)));
         if !is_reusable {
             while let Ok(request) = requests.try_recv() {
                 let _ = request.answer.send(IdleAnswer::ClosedByChoice);
@@ -378,7 +380,7 @@
         mut self,
         request: RequestHead,
         limit: Duration,
-        is_other: impl Fn(&ResponseHead, &[u8]) -> bool,
+        is_other: impl Fn(&ResponseHead) -> bool,
     ) -> ProcessState {
         let started = Instant::now();
         let current = *self.state.borrow();
@@ -388,15 +390,15 @@
             {
                 let asked = timeout(limit, self.ask_idle(number, request.clone()));
                 match asked.await.unwrap_or(IdleAnswer::Nothing) {
-                    IdleAnswer::Response(head, body) if is_other(&head, &body) => {
+                    IdleAnswer::Response(head) if is_other(&head) => {
                         Observed::State(ProcessState::Replaced)
                     }
                     // The listener of a process that stops may have passed to another one before the
                     // connection was opened.
-                    IdleAnswer::Response(..) if number > self.closed_before + 1 => {
+                    IdleAnswer::Response(_) if number > self.closed_before + 1 => {
                         Observed::State(ProcessState::Accepting)
                     }
-                    IdleAnswer::Response(..) => Observed::State(ProcessState::Running),
+                    IdleAnswer::Response(_) => Observed::State(ProcessState::Running),
                     IdleAnswer::ClosedByChoice => Observed::ClosesIdle,
                     IdleAnswer::Nothing => Observed::State(ProcessState::Ended),
                 }
@@ -412,7 +414,7 @@
         }
         let left = limit.saturating_sub(started.elapsed());
         match timeout(left, self.ask_address(request)).await {
-            Ok(Ok((head, body))) if is_other(&head, &body) => ProcessState::Replaced,
+            Ok(Ok(head)) if is_other(&head) => ProcessState::Replaced,
             Ok(Ok(_)) => ProcessState::Accepting,
             // A process that closes idle connections may do so before the request arrives.
             Ok(Err(ClientError::ConnectionLost)) if observed == Observed::ClosesIdle => {
@@ -471,18 +473,13 @@
         }
     }
 
-    /// Sends a request on a new connection and reads its response.
-    async fn ask_address(
-        &self,
-        request: RequestHead,
-    ) -> Result<(ResponseHead, Bytes), ClientError> {
+    /// Sends a request on a new connection and reads the head of its response.
+    async fn ask_address(&self, request: RequestHead) -> Result<ResponseHead, ClientError> {
         let config = ServiceConfig::default();
         let mut connection = Connection::open(self.at, self.connect_timeout, config).await?;
         let request = with_connection_close(request, self.at);
         connection.start_exchange(request, BodySize::None)?;
-        let head = connection.read_head().await?;
-        let (body, _) = read_body(&mut connection).await;
-        Ok((head, body))
+        connection.read_head().await
     }
 }
 
--- a/crates/cumintrail-daemon/src/relay/attempt.rs
+++ b/crates/cumintrail-daemon/src/relay/attempt.rs
@@ -1,18 +1,15 @@
 //! One attempt of a relayed call: the HTTP exchange with one target.
 
+mod end_by_close;
 mod identity;
 mod response;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
 
 use actix_http::body::BodySize;
 use actix_http::{RequestHead, ResponseHead, StatusCode};
-use cumintrail_client::{
-    ClientError, Connection, Framing, MAX_DISCARDED_BYTES, ProcessEvidence, RetrySafety,
-    evidence_changed,
-};
+use cumintrail_client::{ClientError, Connection, ProcessEvidence, RetrySafety, evidence_changed};
 use cumintrail_config::Target;
 use cumintrail_control::parts::PartPlan;
 use cumintrail_control::{
@@ -32,11 +29,6 @@
 
 /// The most responses to other calls that are skipped in one exchange.
 const MAX_FOREIGN_RESPONSES: usize = 2;
-/// How long before a call's deadline a target may stop working on it.
-///
-/// Targets receive the time that is left in whole milliseconds, and measure it with timers of their
-/// own.
-const STOP_TOLERANCE: Duration = Duration::from_millis(5);
 
 /// Describes how an attempt ended.
 pub(super) enum AttemptEnd {
@@ -68,9 +60,9 @@
     };
     let (number, name) = (dispatch.attempt, target.instance.clone());
     let destination = Destination::Target { dispatch, target };
-    let evidence = worker.processes.expect(target.address);
-    let started = worker.shared.now();
-    let attempt = Attempt { worker, caller, call, number, name, destination, evidence, started };
+    let is_watched = destination.identifiable().is_none();
+    let evidence = is_watched.then(|| worker.processes.expect(target.address)).flatten();
+    let attempt = Attempt { worker, caller, call, number, name, destination, evidence };
     attempt.run(target.address).await
 }
 
@@ -83,8 +75,7 @@
 ) -> AttemptEnd {
     let (number, name) = (detour.attempt, format!("peer-{}", detour.peer).into());
     let (destination, evidence) = (Destination::Peer, None);
-    let started = worker.shared.now();
-    let attempt = Attempt { worker, caller, call, number, name, destination, evidence, started };
+    let attempt = Attempt { worker, caller, call, number, name, destination, evidence };
     attempt.run(detour.peer).await
 }
 
@@ -96,10 +87,9 @@
     /// The instance name of the target, or a name for the peer.
     name: Arc<str>,
     destination: Destination<'a>,
-    /// Evidence of the target's process, if its response may end with its connection.
+    /// Evidence of the target's process, if its start is unknown and its response may end with its
+    /// connection.
     evidence: Option<ProcessEvidence>,
-    /// A moment before the request was sent.
-    started: Moment,
 }
 
 /// What an attempt is sent to.
@@ -349,23 +339,6 @@
         }
     }
 
-    /// Watches the target's process if its response ends with its connection.
-    fn watch_process(&mut self, connection: &Connection) {
-        let (processes, at) = (&self.worker.processes, connection.address());
-        let ends_by_close = connection.framing() == Framing::Close;
-        processes.record(at, ends_by_close);
-        // The response to another call, which may come first, says nothing about the one after it.
-        if ends_by_close && self.evidence.is_none() {
-            self.evidence = Some(processes.watch(at));
-        }
-    }
-
-    fn observe_process(&mut self, connection: &mut Connection) {
-        if let Some(evidence) = &mut self.evidence {
-            evidence.observe(connection);
-        }
-    }
-
     /// Ends an attempt on order of the control thread before anything of the call was sent.
     fn interrupt_unsent(&mut self, interrupt: Interrupt) -> AttemptEnd {
         match interrupt {
@@ -387,19 +360,6 @@
         }
     }
 
-    /// Returns the end of the attempt if its exchange ended at the deadline of the call, at which
-    /// targets stop.
-    async fn check_deadline(&mut self) -> Option<AttemptEnd> {
-        let left = self.call.deadline.since(self.worker.shared.now());
-        if left > STOP_TOLERANCE {
-            return None;
-        }
-        lines::end_at_deadline(self.call, self.number, &self.name, left);
-        // The control thread refuses the call at its deadline.
-        let interrupt = next_interrupt(&mut self.call.commands, self.number).await;
-        Some(self.interrupt(interrupt))
-    }
-
     /// Forwards input from the caller; returns the end of the attempt if it cannot continue.
     async fn forward_body(
         &mut self,
@@ -429,27 +389,6 @@
         }
     }
 
-    /// Discards the response to another call that this connection had before.
-    async fn skip_response(&mut self, connection: &mut Connection) -> WaitResult<()> {
-        let mut remaining = MAX_DISCARDED_BYTES;
-        loop {
-            match self.wait_for_chunk(connection).await {
-                WaitResult::Target(Ok(Some(chunk))) if chunk.len() <= remaining => {
-                    remaining -= chunk.len();
-                }
-                WaitResult::Target(Ok(Some(_))) => {
-                    return WaitResult::Target(Err(ClientError::Malformed));
-                }
-                WaitResult::Target(Ok(None)) => {
-                    connection.expect_response();
-                    return WaitResult::Target(Ok(()));
-                }
-                WaitResult::Target(Err(e)) => return WaitResult::Target(Err(e)),
-                WaitResult::Ended(end) => return WaitResult::Ended(end),
-            }
-        }
-    }
-
     /// Releases the connection after a refusal if its body has arrived and the caller's body was read
     /// to its end, both of which reuse requires. The call goes on without waiting for either.
     fn end_refused_exchange(&self, mut connection: Connection) {
--- a/crates/cumintrail-daemon/src/relay/attempt/response.rs
+++ b/crates/cumintrail-daemon/src/relay/attempt/response.rs
@@ -4,15 +4,13 @@
 use actix_http::{ResponseHead, StatusCode};
 use bytes::{Bytes, BytesMut};
 use cumintrail_client::{
-    BodyPart, ClientError, Connection, Framing, IDENTITY_TIMEOUT, evidence_changed,
+    BodyPart, ClientError, Connection, Framing, MAX_DISCARDED_BYTES, evidence_changed,
 };
-use cumintrail_control::once::UnixMillis;
 use cumintrail_control::{AttemptOutcome, Event, ResponseEnd, Usage};
 use cumintrail_types::CallClass;
 use futures_util::FutureExt as _;
 
 use super::{Attempt, AttemptEnd, WaitResult};
-use crate::clock::unix_millis;
 use crate::metric;
 use crate::relay::dialect::HeaderDialect;
 use crate::relay::heads::caller_response_head;
@@ -173,34 +171,6 @@
         if written.is_ok() { AttemptEnd::Completed } else { AttemptEnd::Truncated }
     }
 
-    /// Returns the end of the attempt if its response, which ended with its connection, counts as cut
-    /// off: a target that stops, and the system of one that ends, close connections like a target
-    /// that is done.
-    async fn check_end(&mut self, connection: &Connection) -> Option<AttemptEnd> {
-        if connection.framing() != Framing::Close {
-            return None;
-        }
-        if let Some(end) = self.check_deadline().await {
-            return Some(end);
-        }
-        let left = self.call.deadline.since(self.worker.shared.now());
-        let evidence = self.evidence.take()?;
-        let dialect = &self.worker.dialect;
-        let request = dialect.identity_request(&self.name);
-        let since_start = self.worker.shared.now().since(self.started);
-        let sent = UnixMillis(unix_millis().0.saturating_sub(since_start.as_millis() as u64));
-        let is_other = |head: &ResponseHead, body: &[u8]| {
-            dialect.is_other_process(head, body, &self.name, sent)
-        };
-        let limit = left.min(IDENTITY_TIMEOUT);
-        let process = evidence.confirmed_state(request, limit, is_other).await;
-        lines::unframed_end(self.call, self.number, &self.name, process, left);
-        if process.completes_response() {
-            return None;
-        }
-        Some(self.fail(connection, &ClientError::Truncated).await)
-    }
-
     async fn write_events(&mut self, bytes: Bytes) -> std::io::Result<()> {
         self.caller.write_chunk(Some(bytes)).await
     }
@@ -273,6 +243,27 @@
         }
     }
 
+    /// Discards the response to another call that this connection had before.
+    pub(super) async fn skip_response(&mut self, connection: &mut Connection) -> WaitResult<()> {
+        let mut remaining = MAX_DISCARDED_BYTES;
+        loop {
+            match self.wait_for_chunk(connection).await {
+                WaitResult::Target(Ok(Some(chunk))) if chunk.len() <= remaining => {
+                    remaining -= chunk.len();
+                }
+                WaitResult::Target(Ok(Some(_))) => {
+                    return WaitResult::Target(Err(ClientError::Malformed));
+                }
+                WaitResult::Target(Ok(None)) => {
+                    connection.expect_response();
+                    return WaitResult::Target(Ok(()));
+                }
+                WaitResult::Target(Err(e)) => return WaitResult::Target(Err(e)),
+                WaitResult::Ended(end) => return WaitResult::Ended(end),
+            }
+        }
+    }
+
     async fn report_response(&mut self, status: StatusCode, framing: Framing) {
         // A crash can look like the end of a response that ends with its connection.
         if !status.is_success() || framing == Framing::Close {
--- a/crates/cumintrail-daemon/src/relay/dialect.rs
+++ b/crates/cumintrail-daemon/src/relay/dialect.rs
@@ -6,7 +6,6 @@
 
 use actix_http::header::{AUTHORIZATION, HeaderMap, HeaderName, HeaderValue, RETRY_AFTER};
 use actix_http::{Method, RequestHead, ResponseHead, StatusCode, Uri};
-use cumintrail_control::once::UnixMillis;
 use cumintrail_control::{NamedLimit, TargetNotice};
 use cumintrail_types::{
     BlockKey, Refusal, RefusalCode, RequestRate, Tokens, Urgency, WeightVersion,
@@ -103,15 +102,8 @@
     /// Builds a request that every target answers without running anything, and that another
     /// instance than `instance` refuses.
     fn identity_request(&self, instance: &str) -> RequestHead;
-    /// Returns whether another process than the one of `instance` that received a call at `sent`
-    /// responded to an identity request.
-    fn is_other_process(
-        &self,
-        head: &ResponseHead,
-        body: &[u8],
-        instance: &str,
-        sent: UnixMillis,
-    ) -> bool;
+    /// Returns whether another instance than `instance` responded to an identity request.
+    fn is_other_instance(&self, head: &ResponseHead, instance: &str) -> bool;
     /// Returns the start of the process that responded to an identity request, as the registry lists
     /// it, if the response states it.
     fn process_start(&self, head: &ResponseHead, body: &[u8]) -> Option<u64>;
@@ -203,13 +195,7 @@
         identity_request(Method::OPTIONS, "*", INSTANCE, instance)
     }
 
-    fn is_other_process(
-        &self,
-        head: &ResponseHead,
-        _: &[u8],
-        instance: &str,
-        _: UnixMillis,
-    ) -> bool {
+    fn is_other_instance(&self, head: &ResponseHead, instance: &str) -> bool {
         is_other_instance(head, &INSTANCE, instance)
     }
 
--- a/tests/tests/gateway_unframed.rs
+++ b/tests/tests/gateway_unframed.rs
@@ -188,16 +188,21 @@
     AfterKill(Duration),
 }
 
-/// A target whose first response ends with its connection; the target listens throughout.
+/// The starts of its process that the registry lists for a target: unknown, and known.
+const STARTS: [u64; 2] = [0, 1];
+
+/// A target whose first response ends with its connection; the target listens throughout, and closes
+/// each connection after an identity request. It states its start there if the registry lists it.
 struct Target {
     address: SocketAddr,
+    start: u64,
     accepted: Rc<Cell<usize>>,
     /// Becomes true when the target has closed the connection of its first response.
     responded: watch::Receiver<bool>,
 }
 
 impl Target {
-    async fn bind(body: String, lasts: Duration, idle: IdleClose) -> Self {
+    async fn bind(body: String, lasts: Duration, idle: IdleClose, start: u64) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
         let accepted = Rc::new(Cell::new(0));
@@ -230,6 +235,12 @@
                         let _ = idle_end.changed().await;
                         return;
                     }
+                    if head.starts_with("OPTIONS * ") && start > 0 {
+                        let is_successor = matches!(idle, IdleClose::AfterKill(_)) && !is_old;
+                        let response = identity(start + u64::from(is_successor));
+                        let _ = stream.write_all(response.as_bytes()).await;
+                        return;
+                    }
                     let id = header(&head, "x-cumintrail-call").unwrap_or_default();
                     let head = UNFRAMED.replace("{id}", id);
                     let _ = stream.write_all(head.as_bytes()).await;
@@ -245,19 +256,24 @@
                 });
             }
         });
-        Self { address, accepted, responded }
+        Self { address, start, accepted, responded }
     }
 
     async fn cluster(&self) -> Cluster {
         let platform = FeedPlatform::new();
         platform.publish_declarations(1, &declarations(KEY));
-        platform.list_target("t0", 1, 1, "desk", self.address, false);
+        platform.list_target("t0", self.start, 1, "desk", self.address, false);
         let cluster = Cluster::spawn_on(platform);
         cluster.until(Gateway::is_ready).await;
         cluster
     }
 }
 
+/// Returns the response to an identity request, of a process that started at `start`.
+fn identity(start: u64) -> String {
+    format!("HTTP/1.1 204 No Content\r\nx-cumintrail-process-start: {start}\r\n\r\n")
+}
+
 async fn read_head(stream: &mut TcpStream) -> Option<String> {
     let mut head = Vec::new();
     while !head.ends_with(b"\r\n\r\n") {
@@ -269,11 +285,27 @@
 /// Guards against a lost packet that ends an idle connection later than that of the response.
 #[actix_rt::test]
 async fn a_killed_target_whose_connections_end_one_after_another_does_not_count_as_running() {
-    // The least time after which Linux repeats a lost packet.
-    let retransmission = IdleClose::AfterKill(Duration::from_millis(200));
-    let target = Target::bind(TWO_EVENTS.into(), Duration::from_millis(100), retransmission).await;
+    for start in STARTS {
+        // The least time after which Linux repeats a lost packet.
+        let retransmission = IdleClose::AfterKill(Duration::from_millis(200));
+        let target =
+            Target::bind(TWO_EVENTS.into(), Duration::from_millis(100), retransmission, start)
+                .await;
+        let cluster = target.cluster().await;
+        let response = cluster.call("/flow/").await;
+        assert!(!response.ends_with(LAST_CHUNK), "{start}: {response}");
+    }
+}
+
+/// Guards against an answer that does not say which process sent it, but vouches for the response.
+#[actix_rt::test]
+async fn a_target_that_does_not_state_its_listed_start_does_not_count_as_running() {
+    let idle = IdleClose::After(Duration::from_secs(10));
+    let mut target = Target::bind(TWO_EVENTS.into(), Duration::from_millis(100), idle, 0).await;
+    target.start = 1;
     let cluster = target.cluster().await;
     let response = cluster.call("/flow/").await;
+    assert!(response.contains(TWO_EVENTS), "{response}");
     assert!(!response.ends_with(LAST_CHUNK), "{response}");
 }
 
@@ -281,18 +313,20 @@
 /// another one's end was checked.
 #[actix_rt::test]
 async fn complete_responses_that_end_together_are_not_cut_by_a_target_that_closes_connections() {
-    let idle = IdleClose::After(Duration::from_secs(10));
-    let target = Target::bind(TWO_EVENTS.into(), Duration::from_millis(100), idle).await;
-    let cluster = target.cluster().await;
-    let mut callers = Vec::new();
-    for number in 0..8 {
-        let mut caller = cluster.connect().await;
-        caller.send("/flow/", &format!("c-{number}"), "connection: close\r\n", "").await;
-        callers.push(caller);
-    }
-    for caller in &mut callers {
-        let response = caller.rest().await;
-        assert!(response.ends_with(LAST_CHUNK), "{response}");
+    for start in STARTS {
+        let idle = IdleClose::After(Duration::from_secs(10));
+        let target = Target::bind(TWO_EVENTS.into(), Duration::from_millis(100), idle, start).await;
+        let cluster = target.cluster().await;
+        let mut callers = Vec::new();
+        for number in 0..8 {
+            let mut caller = cluster.connect().await;
+            caller.send("/flow/", &format!("c-{number}"), "connection: close\r\n", "").await;
+            callers.push(caller);
+        }
+        for caller in &mut callers {
+            let response = caller.rest().await;
+            assert!(response.ends_with(LAST_CHUNK), "{start}: {response}");
+        }
     }
 }
 
@@ -301,7 +335,7 @@
 async fn a_complete_response_to_a_slow_caller_is_not_cut_by_an_idle_timeout() {
     let body = "w".repeat(5 << 20);
     let idle = IdleClose::After(Duration::from_millis(300));
-    let mut target = Target::bind(body, Duration::from_millis(100), idle).await;
+    let mut target = Target::bind(body, Duration::from_millis(100), idle, 1).await;
     let cluster = target.cluster().await;
     let mut caller = cluster.connect().await;
     caller.send("/hold/", "c-1", "connection: close\r\n", "").await;
@@ -316,37 +350,45 @@
 /// Guards against a slow caller that hides the restart of its target.
 #[actix_rt::test]
 async fn a_caller_that_pauses_does_not_hide_the_restart_of_its_target() {
-    let body = "w".repeat(5 << 20);
-    let lasts = Duration::from_millis(100);
-    let mut target = Target::bind(body, lasts, IdleClose::After(Duration::ZERO)).await;
-    let cluster = target.cluster().await;
-    let mut caller = cluster.connect().await;
-    caller.send("/hold/", "c-1", "connection: close\r\n", "").await;
-    let responded = target.responded.wait_for(|responded| *responded);
-    timeout(Duration::from_secs(5), responded).await.expect("the buffers hold it").unwrap();
-    sleep(Duration::from_millis(600)).await;
-    let response = caller.rest().await;
-    let end = &response[response.len() - 20..];
-    assert!(!end.ends_with(LAST_CHUNK), "{} bytes: {end}", response.len());
+    for start in STARTS {
+        let body = "w".repeat(5 << 20);
+        let lasts = Duration::from_millis(100);
+        let mut target =
+            Target::bind(body, lasts, IdleClose::AfterKill(Duration::ZERO), start).await;
+        let cluster = target.cluster().await;
+        let mut caller = cluster.connect().await;
+        caller.send("/hold/", "c-1", "connection: close\r\n", "").await;
+        let responded = target.responded.wait_for(|responded| *responded);
+        timeout(Duration::from_secs(5), responded).await.expect("the buffers hold it").unwrap();
+        sleep(Duration::from_millis(600)).await;
+        let response = caller.rest().await;
+        let end = &response[response.len() - 20..];
+        assert!(!end.ends_with(LAST_CHUNK), "{start}: {} bytes: {end}", response.len());
+    }
 }
 
 /// Guards against idle connections that are opened again and again at a target which closes them.
 #[actix_rt::test]
 async fn a_target_without_room_for_idle_connections_is_not_flooded_with_them() {
-    let target = Target::bind(TWO_EVENTS.into(), Duration::from_secs(2), IdleClose::AtOnce).await;
-    let cluster = target.cluster().await;
-    let before = target.accepted.get();
-    let response = cluster.call("/flow/").await;
-    let opened = target.accepted.get() - before;
-    assert!(opened <= 6, "{opened} connections for one response: {response}");
+    for start in STARTS {
+        let target =
+            Target::bind(TWO_EVENTS.into(), Duration::from_secs(2), IdleClose::AtOnce, start).await;
+        let cluster = target.cluster().await;
+        let before = target.accepted.get();
+        let response = cluster.call("/flow/").await;
+        let opened = target.accepted.get() - before;
+        assert!(opened <= 6, "{opened} connections for one response: {start}: {response}");
+    }
 }
 
 /// Guards against complete responses that are cut because their target closes other connections.
 #[actix_rt::test]
 async fn a_complete_response_of_a_target_without_room_for_idle_connections_is_not_cut() {
-    let lasts = Duration::from_millis(300);
-    let target = Target::bind(TWO_EVENTS.into(), lasts, IdleClose::AtOnce).await;
-    let cluster = target.cluster().await;
-    let response = cluster.call("/flow/").await;
-    assert!(response.ends_with(LAST_CHUNK), "{response}");
+    for start in STARTS {
+        let lasts = Duration::from_millis(300);
+        let target = Target::bind(TWO_EVENTS.into(), lasts, IdleClose::AtOnce, start).await;
+        let cluster = target.cluster().await;
+        let response = cluster.call("/flow/").await;
+        assert!(response.ends_with(LAST_CHUNK), "{start}: {response}");
+    }
 }
