Log the code with which a peer refused a call

A partitioned daemon logged that a peer could not handle a call, but not why: it is stopping, it has an older generation, or it reaches no target either. event=attempt-ended has the field code= of the refusal, and - without one. It builds; no test reads the line.

--- a/crates/cumintrail-daemon/src/relay/attempt.rs
+++ b/crates/cumintrail-daemon/src/relay/attempt.rs
@@ -208,7 +208,7 @@
                 ResponseKind::Matching if self.is_detour() && detour::is_unable(&head) => {
                     self.end_refused_exchange(connection);
                     let outcome = AttemptOutcome::RefusedByTarget { leaving: false };
-                    return self.record_end(outcome, "peer");
+                    return self.record_end_with_code(outcome, "peer", detour::refusal_code(&head));
                 }
                 ResponseKind::Foreign if foreign_responses < MAX_FOREIGN_RESPONSES => {
                     foreign_responses += 1;
@@ -492,9 +492,19 @@
     }
 
     fn record_end(&mut self, outcome: AttemptOutcome, cause: &str) -> AttemptEnd {
+        self.record_end_with_code(outcome, cause, None)
+    }
+
+    /// Records the end of an attempt; `code` is that of a peer's refusal.
+    fn record_end_with_code(
+        &mut self,
+        outcome: AttemptOutcome,
+        cause: &str,
+        code: Option<&str>,
+    ) -> AttemptEnd {
         self.call.may_have_run |= matches!(outcome, AttemptOutcome::Failed { .. });
         let now = self.worker.shared.now();
-        lines::attempt_ended(self.call, now, self.number, &self.name, outcome, cause);
+        lines::attempt_ended(self.call, now, self.number, &self.name, outcome, cause, code);
         AttemptEnd::Unsuccessful(outcome)
     }
 }
--- a/crates/cumintrail-daemon/src/relay/detour.rs
+++ b/crates/cumintrail-daemon/src/relay/detour.rs
@@ -41,9 +41,14 @@
 /// Returns whether a response is the refusal of a peer that cannot handle calls, while another may.
 pub fn is_unable(head: &ResponseHead) -> bool {
     let codes = [RefusalCode::Stopping, RefusalCode::NotConfigured, RefusalCode::NoTarget];
-    let refusal = head.headers().get(REFUSAL).and_then(|value| value.to_str().ok());
     let is_promise = head.status == actix_http::StatusCode::SERVICE_UNAVAILABLE;
-    is_promise && refusal.is_some_and(|refusal| codes.iter().any(|c| c.to_string() == refusal))
+    is_promise
+        && refusal_code(head).is_some_and(|refusal| codes.iter().any(|c| c.to_string() == refusal))
+}
+
+/// Returns the code with which a peer itself refused a call.
+pub fn refusal_code(head: &ResponseHead) -> Option<&str> {
+    head.headers().get(REFUSAL)?.to_str().ok()
 }
 
 /// Names the target of a response that is passed on to a peer.
--- a/crates/cumintrail-daemon/src/relay/lines.rs
+++ b/crates/cumintrail-daemon/src/relay/lines.rs
@@ -148,13 +148,15 @@
     target: &str,
     outcome: AttemptOutcome,
     cause: &str,
+    code: Option<&str>,
 ) {
     log::info!(
         "event=attempt-ended id={} call={} attempt={attempt} target={target} outcome={} cause={cause} \
-         answering={} remainder_bytes={} age_ms={}",
+         code={} answering={} remainder_bytes={} age_ms={}",
         caller_call_id(call),
         call.key,
         outcome_name(outcome),
+        code.unwrap_or("-"),
         call.target_responded,
         call.events.remainder_len(),
         age_ms(call, now),
