Add a failing test of a quiet daemon that reaches no target

A call of 600 ms waits 300 ms for its first connection and ends while it waits for its second one, so it shows one failed target. If calls come more than a second apart, that failure has lapsed before the next one, the daemon never checks whether it is partitioned, and none of its calls takes a detour.

--- a/crates/cumintrail-control/tests/domain_reach.rs
+++ b/crates/cumintrail-control/tests/domain_reach.rs
@@ -62,6 +62,16 @@
 
     /// Sends a call and returns it with its target.
     fn send(&mut self, now: Moment, class: CallClass) -> (CallKey, TargetKey) {
+        self.send_within(now, class, Duration::from_secs(10))
+    }
+
+    /// Sends a call whose deadline is `time` from now.
+    fn send_within(
+        &mut self,
+        now: Moment,
+        class: CallClass,
+        time: Duration,
+    ) -> (CallKey, TargetKey) {
         self.calls += 1;
         let call = CallKey(self.calls);
         let arrival = Arrival {
@@ -73,7 +83,7 @@
             blocks: Vec::new().into(),
             prompt: Tokens(0),
             max_output: Tokens(0),
-            deadline: now + Duration::from_secs(10),
+            deadline: now + time,
             options: RouteOptions { max_attempts: Some(2), ..RouteOptions::default() },
         };
         let actions = self.control.handle(now, Event::Arrived(arrival));
@@ -237,3 +247,25 @@
     let far = daemon.domain("far");
     assert!(daemon.lose_two(START, far).is_empty());
 }
+
+/// Guards against a daemon with few calls that never doubts its network, because each call ends while
+/// it waits for its second connection.
+#[test]
+fn a_daemon_with_few_calls_doubts_its_network() {
+    let mut daemon = Daemon::start(false);
+    let mut failed = Vec::new();
+    let mut is_checked = false;
+    for number in 0..3 {
+        let now = START + number * Duration::from_millis(1_300);
+        let time = Duration::from_millis(600);
+        let (call, target) = daemon.send_within(now, CallClass::Once, time);
+        failed.push(target);
+        let actions = daemon.fail_to_connect(now + Duration::from_millis(300), call);
+        is_checked |= actions.iter().any(|action| matches!(action, Action::CheckReach { .. }));
+        daemon.control.handle(now + Duration::from_millis(330), Event::Tick);
+        daemon.control.handle(now + time, Event::Tick);
+    }
+    failed.dedup();
+    assert!(failed.len() > 1, "the calls are sent to one target");
+    assert!(is_checked, "two targets accepted no connection, and no other was checked");
+}
