Let a daemon with few calls find out that it is partitioned

Callers of a daemon with little traffic that had lost its links to the targets were served by none of its peers. A call of 600 ms waits 300 ms for each connection, so it shows one failed target and ends during its second attempt. A failed connection counted for one second; with calls further apart, the daemon never saw two failed targets and never checked whether it was partitioned.

A failed connection now counts for five seconds, until a check reaches a target. Targets are left out of checks for one second after a failure as before, so that targets that are back are checked.

--- a/crates/cumintrail-control/src/reach.rs
+++ b/crates/cumintrail-control/src/reach.rs
@@ -15,8 +15,13 @@
 
 /// Distinct targets that accept no connection from which on a daemon doubts its own network.
 const DOUBTFUL_FAILURES: usize = 2;
-/// How long a failed connection counts.
-const FAILURE_MAX_AGE: Duration = Duration::from_secs(1);
+/// How long a failed connection counts, unless a check reaches a target.
+///
+/// A call that ends while its second connection is opened shows one failed target only, so that the
+/// next one may come from a later call.
+const FAILURE_MAX_AGE: Duration = Duration::from_secs(5);
+/// How long a target that accepted no connection is left out of checks.
+const UNCHECKED_AFTER_FAILURE: Duration = Duration::from_secs(1);
 /// Targets to which a check opens connections.
 const CHECKED_TARGETS: usize = 3;
 /// The time between the ends of two checks, or between a check and the next doubt.
@@ -96,7 +101,10 @@
         if targets.is_empty() || !(is_doubtful || self.is_partitioned()) {
             return None;
         }
-        let has_failed = |target: &TargetKey| self.failures.iter().any(|(t, _)| t == target);
+        let has_failed = |target: &TargetKey| {
+            let mut failures = self.failures.iter();
+            failures.any(|(t, at)| t == target && now.since(*at) < UNCHECKED_AFTER_FAILURE)
+        };
         let others = targets.iter().copied().filter(|target| !has_failed(target));
         let mut checked = others.choose_multiple(rng, CHECKED_TARGETS);
         if checked.is_empty() {
