--- a/tests/tests/gateway_processes.rs
+++ b/tests/tests/gateway_processes.rs
@@ -1,13 +1,19 @@
 //! Streams and the processes that send them, where the registry's entry of a target is still that of
 //! an earlier process with other software.
 
+use std::cell::RefCell;
+use std::rc::Rc;
 use std::time::Duration;
 
 use actix_rt::time::sleep;
 use cumintrail_daemon::Gateway;
-use cumintrail_tests::gateway_cluster::{Caller, Cluster, KEY, STREAM, declarations, events, send};
+use cumintrail_tests::gateway_cluster::{
+    Caller, Cluster, KEY, STREAM, WHOLE, declarations, events, send,
+};
 use cumintrail_tests::standins::feed::FeedPlatform;
 use cumintrail_tests::standins::replica::{Replica, Step, header};
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::net::{TcpListener, TcpStream};
 
 /// Returns a target that sends two events and is cut off 300 ms later, and the rest of streams that
 /// go on.
@@ -68,3 +74,55 @@
     assert!(rest.contains("id: 4\n"), "{rest}");
     assert_eq!(other.calls().len(), 1);
 }
+
+/// The methods of the requests on a connection.
+type Methods = Rc<RefCell<Vec<String>>>;
+
+/// Serves a connection, and notes the methods of its requests.
+async fn note_methods(mut stream: TcpStream, methods: Methods) {
+    loop {
+        let mut head = Vec::new();
+        while !head.ends_with(b"\r\n\r\n") {
+            match stream.read_u8().await {
+                Ok(byte) => head.push(byte),
+                Err(_) => return,
+            }
+        }
+        let head = String::from_utf8(head).unwrap();
+        methods.borrow_mut().extend(head.split(' ').next().map(str::to_owned));
+        let response = if head.starts_with("OPTIONS ") {
+            "HTTP/1.1 204 No Content\r\nx-cumintrail-process-start: 1\r\n\r\n".to_owned()
+        } else {
+            let id = header(&head, "x-cumintrail-call").unwrap_or_default();
+            WHOLE.replace("{id}", id)
+        };
+        stream.write_all(response.as_bytes()).await.unwrap();
+    }
+}
+
+/// Guards against a late response to an earlier call that passes for that of an identity request.
+#[actix_rt::test]
+async fn a_process_is_identified_on_a_connection_without_an_earlier_exchange() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let platform = FeedPlatform::new();
+    platform.publish_declarations(1, &declarations(KEY));
+    platform.list_software("t0", "desk", listener.local_addr().unwrap(), "v1");
+    let connections: Rc<RefCell<Vec<Methods>>> = Rc::default();
+    let accepted = connections.clone();
+    actix_rt::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let methods = Methods::default();
+            accepted.borrow_mut().push(methods.clone());
+            actix_rt::spawn(note_methods(stream, methods));
+        }
+    });
+    let cluster = Cluster::spawn_on(platform);
+    cluster.until(Gateway::is_ready).await;
+    for path in ["/read/", "/read/", "/resume/", "/resume/"] {
+        cluster.call(path).await;
+    }
+    let connections = connections.borrow();
+    let methods: Vec<_> = connections.iter().map(|methods| methods.borrow().join(" ")).collect();
+    assert!(methods.iter().any(|m| m.starts_with("OPTIONS POST")), "{methods:?}");
+    assert!(methods.iter().all(|m| !m.contains("POST OPTIONS")), "{methods:?}");
+}
