Acknowledge the bytes of a response at once

A target that does not disable Nagle's algorithm holds back what follows the head for as long, and loses it if it resets the connection meanwhile. Every reused connection had this; identified ones have it from their first call on.

The system is told to acknowledge at once whenever a request was written. `a_broken_stream_is_resumed_at_its_software_version_only` failed without it ("no stream was resumed"); the stand-in no longer disables Nagle's algorithm, which had hidden it.

--- a/crates/cumintrail-client/src/connection.rs
+++ b/crates/cumintrail-client/src/connection.rs
@@ -497,6 +497,15 @@
         since_boot().saturating_sub(self.last_used)
     }
 
+    /// Makes the system acknowledge the bytes of a response as they arrive.
+    ///
+    /// A target that does not disable Nagle's algorithm sends the rest of a response only when its
+    /// start is acknowledged, and loses it if it resets the connection before.
+    fn acknowledge_at_once(&self) {
+        // Without it, the response is later.
+        let _ = SockRef::from(&self.stream).set_tcp_quickack(true);
+    }
+
     /// Waits until the socket is readable or, with output pending, writable; then transfers bytes.
     async fn transfer_ready_bytes(&mut self) -> Result<(), ClientError> {
         let has_output = !self.output.is_empty() && !self.write_failed;
@@ -505,7 +514,10 @@
         let ready = self.stream.ready(interest).await.map_err(|_| ClientError::ConnectionLost)?;
         if has_output && ready.is_writable() {
             match self.stream.try_write(&self.output) {
-                Ok(written) => self.output.advance(written),
+                Ok(written) => {
+                    self.output.advance(written);
+                    self.acknowledge_at_once();
+                }
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
                 // The target may have responded before the end of the request body; that response
                 // is read first.
--- a/tests/src/standins/replica.rs
+++ b/tests/src/standins/replica.rs
@@ -90,8 +90,6 @@
                     _ = exit.wait_for(Option::is_some) => return,
                 };
                 let Ok((stream, _)) = accepted else { return };
-                // On a reused connection, a second write would wait for a delayed acknowledgement.
-                let _ = stream.set_nodelay(true);
                 let (served, script) = (served.clone(), script.clone());
                 actix_rt::spawn(async move {
                     // A connection error ends the script, as it ends the work of a real target.
