Let streams begin at targets whose process cannot be identified

Streams take idle connections to the listed process only; an unidentified one was taken, found wanting and put back as if it had been used. A target that does not answer for a second counts as failing, and is not asked twice; the 421 of another instance at a reused address is handled as such. The origin of a stream that goes on is reported again, and a completed stream stays unsettled until its process is listed. `event=sent` has `listed=` beside `process=`, which is the process of the connection now.

--- a/crates/cumintrail-client/src/pool.rs
+++ b/crates/cumintrail-client/src/pool.rs
@@ -62,7 +62,8 @@
     /// Takes the most recently used idle connection to a target, or opens a new one.
     ///
     /// Connections that were opened for another process at the address than `listed` are not taken:
-    /// that process may go on to serve them.
+    /// that process may go on to serve them. With `identified`, only those are taken that lead to
+    /// `listed` for certain.
     ///
     /// The connections in `carried` had an attempt of the same call. They are not taken, since a late
     /// copy of that attempt's response would bear the id of the call and pass for the next response.
@@ -70,10 +71,11 @@
         &self,
         at: SocketAddr,
         listed: &Arc<str>,
+        identified: bool,
         retry_safety: RetrySafety,
         carried: &[ConnectionId],
     ) -> Result<Connection, ClientError> {
-        if let Some(connection) = self.take_idle(at, listed, retry_safety, carried) {
+        if let Some(connection) = self.take_idle(at, listed, identified, retry_safety, carried) {
             return Ok(connection);
         }
         self.open_connection(at, listed).await
@@ -93,6 +95,7 @@
         &self,
         at: SocketAddr,
         listed: &Arc<str>,
+        identified: bool,
         retry_safety: RetrySafety,
         carried: &[ConnectionId],
     ) -> Option<Connection> {
@@ -103,7 +106,9 @@
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(&at)?;
         let may_carry = |idle: &IdleConnection| {
-            idle.connection.listed() == Some(listed) && !carried.contains(&idle.connection.id())
+            idle.connection.listed() == Some(listed)
+                && (!identified || idle.connection.process() == Some(listed))
+                && !carried.contains(&idle.connection.id())
         };
         while let Some(found) = connections.iter().rposition(may_carry) {
             let IdleConnection { mut connection, keep_alive } = connections.remove(found);
--- a/crates/cumintrail-client/tests/connection.rs
+++ b/crates/cumintrail-client/tests/connection.rs
@@ -189,13 +189,13 @@
     let pool = ConnectionPool::open(TIMEOUT, ResponseBudget::new(1 << 20, 1 << 20));
     let at = target(vec![COMPLETE_RESPONSE.into()], false).await;
     let mut connection =
-        pool.acquire(at, &"t0".into(), RetrySafety::AtMostOnce, &[]).await.unwrap();
+        pool.acquire(at, &"t0".into(), false, RetrySafety::AtMostOnce, &[]).await.unwrap();
     assert_eq!(exchange(&mut connection).await.unwrap(), b"ok");
     pool.release(connection);
     actix_rt::time::sleep(Duration::from_millis(100)).await;
     // The target no longer listens, so only the closed connection could have been returned.
     assert!(matches!(
-        pool.acquire(at, &"t0".into(), RetrySafety::Retryable, &[]).await,
+        pool.acquire(at, &"t0".into(), false, RetrySafety::Retryable, &[]).await,
         Err(ClientError::NotSent)
     ));
 }
@@ -248,11 +248,11 @@
         .await;
         let pool = ConnectionPool::open(TIMEOUT, ResponseBudget::new(1 << 20, 1 << 20));
         let mut connection =
-            pool.acquire(at, &"t0".into(), RetrySafety::Retryable, &[]).await.unwrap();
+            pool.acquire(at, &"t0".into(), false, RetrySafety::Retryable, &[]).await.unwrap();
         exchange(&mut connection).await.unwrap();
         pool.release(connection);
         actix_rt::time::sleep(idle).await;
-        let connection = pool.acquire(at, &"t0".into(), RetrySafety::Retryable, &[]).await;
+        let connection = pool.acquire(at, &"t0".into(), false, RetrySafety::Retryable, &[]).await;
         let has_been_used = connection.is_ok_and(|connection| connection.has_been_used());
         assert_eq!(has_been_used, is_reused, "after {idle:?}");
     }
--- a/crates/cumintrail-control/src/control/attempts.rs
+++ b/crates/cumintrail-control/src/control/attempts.rs
@@ -14,9 +14,9 @@
 /// The time without a first token after which a call's passed deadline counts as a failure of the
 /// target.
 const UNRESPONSIVE_AFTER: Duration = Duration::from_secs(2);
-/// The interval at which a broken stream that waits for its target's process is tried again; it does
-/// not wait in the queue, where it would precede other calls.
-const PROCESS_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+/// The interval at which a broken stream that waits for an entry of the registry is tried again; it
+/// does not wait in the queue, where it would precede other calls.
+const ENTRY_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// How long other targets are preferred to one that refused a call: about one step of its queue.
 const REFUSAL_AVOIDANCE: Duration = Duration::from_millis(100);
 
@@ -128,7 +128,7 @@
         });
         for key in due {
             if self.awaits_entry(now, key) {
-                self.backing_off.push((now + PROCESS_CHECK_INTERVAL, key));
+                self.backing_off.push((now + ENTRY_CHECK_INTERVAL, key));
             } else {
                 self.requeue(key);
             }
@@ -158,7 +158,6 @@
         };
         if let Some(stream) = call.arrival.options.stream.and_then(StreamRequest::stream) {
             self.stream_origins.record_complete(stream);
-            self.unsettled_streams.remove(stream);
         }
         let blocks = call.arrival.blocks.clone();
         let expected = call.arrival.version;
--- a/crates/cumintrail-control/src/control/software.rs
+++ b/crates/cumintrail-control/src/control/software.rs
@@ -35,9 +35,9 @@
         let origins = &self.stream_origins;
         let unknown =
             Refusal::not_run(RefusalCode::UnknownStream).retry_after(self.identity.digest_interval);
-        let goes_on = matches!(request, Some(StreamRequest::Continue(_)));
-        let stream = request.and_then(StreamRequest::stream).filter(|_| goes_on);
-        if stream.is_some_and(|stream| self.unsettled_streams.contains(stream)) {
+        if let Some(StreamRequest::Continue(Some(stream))) = request
+            && self.unsettled_streams.contains(stream)
+        {
             return Err(unknown);
         }
         let required =
@@ -55,7 +55,7 @@
     /// Binds a resumable stream that has begun to the software version of the process that sent its
     /// first event, and records it for the daemons at which the caller may resume it.
     ///
-    /// A target that states no process is taken for the one that is listed.
+    /// Where the process need not be identified, it is taken for the listed one.
     pub(super) fn pin_software(&mut self, now: Moment, key: CallKey) {
         let Some((snapshot, call)) = self.snapshot.as_ref().zip(self.calls.get_mut(&key)) else {
             return;
@@ -63,7 +63,11 @@
         let stream = call.arrival.options.stream.and_then(StreamRequest::stream);
         let (process, listed) = (call.process.take(), call.target());
         let listed = listed.and_then(|target| snapshot.targets.get(target));
-        let (Some(target), None) = (listed, &call.pinned_software) else { return };
+        // The origin of a stream that goes on is reported again.
+        if let Some(software) = call.pinned_software.clone() {
+            return self.bind_stream(now, key, software);
+        }
+        let Some(target) = listed else { return };
         let Some(software) = target.software.clone() else { return };
         let process = process.filter(|process| *process != target.name);
         let Some((process, stream)) = process.zip(stream) else {
@@ -154,9 +158,7 @@
         let Some(request) = call.arrival.options.stream else {
             return;
         };
-        if call.pinned_software.is_none() || *software == *UNKNOWN_VERSION {
-            call.pinned_software = Some(software.clone());
-        }
+        call.pinned_software.get_or_insert_with(|| software.clone());
         if let Some(stream) = request.stream() {
             self.stream_origins.record(now, StreamOrigin { stream, software }, ORIGIN_ROUNDS);
         }
--- a/crates/cumintrail-control/src/unsettled_streams.rs
+++ b/crates/cumintrail-control/src/unsettled_streams.rs
@@ -63,11 +63,6 @@
         self.streams.contains_key(&stream)
     }
 
-    /// Removes a stream that its caller has received as a whole.
-    pub fn remove(&mut self, stream: StreamId) {
-        self.streams.remove(&stream);
-    }
-
     /// Removes the streams for which `software` returns a version, and returns them with it.
     pub fn settle(
         &mut self,
--- a/crates/cumintrail-daemon/src/relay/attempt.rs
+++ b/crates/cumintrail-daemon/src/relay/attempt.rs
@@ -129,12 +129,12 @@
         let at_most_once = !self.call.class.is_repeatable();
         let retry_safety =
             if at_most_once { RetrySafety::AtMostOnce } else { RetrySafety::Retryable };
-        let listed = match self.destination {
-            Destination::Target { target, .. } => &target.name,
-            Destination::Peer => &self.name,
+        let (listed, identified) = match self.destination {
+            Destination::Target { dispatch, target } => (&target.name, dispatch.must_identify),
+            Destination::Peer => (&self.name, false),
         };
         let carried = &self.call.carried_by;
-        let connection = self.worker.pool.acquire(at, listed, retry_safety, carried);
+        let connection = self.worker.pool.acquire(at, listed, identified, retry_safety, carried);
         let connection = tokio::select! {
             biased;
             connection = connection => connection,
--- a/crates/cumintrail-daemon/src/relay/attempt/end_by_close.rs
+++ b/crates/cumintrail-daemon/src/relay/attempt/end_by_close.rs
@@ -70,7 +70,7 @@
         // The entry of the listed process was read before the connection was opened.
         let process = response.process().unwrap_or(&target.name);
         let carried = &self.call.carried_by;
-        let pooled = pool.acquire(at, &target.name, RetrySafety::Retryable, carried).await;
+        let pooled = pool.acquire(at, &target.name, false, RetrySafety::Retryable, carried).await;
         match self.responding_process(pooled, target, process).await {
             // The target may have closed the connection before the request arrived, and a late
             // response to another call may have come first.
--- a/crates/cumintrail-daemon/src/relay/attempt/identity.rs
+++ b/crates/cumintrail-daemon/src/relay/attempt/identity.rs
@@ -12,37 +12,47 @@
 use crate::relay::dialect::HeaderDialect;
 use crate::relay::interrupt::next_interrupt;
 
-/// How long the head of the response to an identity request may take before the call goes elsewhere.
-const IDENTITY_TIMEOUT: Duration = Duration::from_secs(1);
+/// How long a target may take to answer an identity request before the call goes elsewhere.
+const MAX_IDENTIFICATION_TIME: Duration = Duration::from_secs(1);
 
-/// Returns the name of the process that a connection to a target leads to; the target's instance if
-/// its response to an identity request does not state it.
-async fn process_of<D: HeaderDialect>(
+/// What the response to an identity request shows.
+enum Responder {
+    /// The name of the process that the connection leads to.
+    Process(Arc<str>),
+    /// The process is not known, or the connection cannot be used after the response.
+    Unknown,
+    /// Another instance has the target's address.
+    OtherInstance,
+}
+
+async fn ask<D: HeaderDialect>(
     dialect: &D,
     target: &Target,
     connection: &mut Connection,
-) -> Result<Arc<str>, ClientError> {
+) -> Result<Responder, ClientError> {
     if let Some(process) = connection.process() {
-        return Ok(process.clone());
+        return Ok(Responder::Process(process.clone()));
     }
     let request = dialect.identity_request(&target.instance);
     let Identity { head, body, is_reusable } =
-        identify(connection, request, IDENTITY_TIMEOUT).await?;
-    if !is_reusable {
-        return Err(ClientError::ConnectionLost);
+        identify(connection, request, MAX_IDENTIFICATION_TIME).await?;
+    if dialect.is_other_instance(&head, &target.instance) {
+        return Ok(Responder::OtherInstance);
     }
-    let start = dialect.process_start(&head, &body);
-    let process = start.map_or(target.instance.clone(), |start| process_name(target, start));
-    connection.set_process(process.clone());
-    Ok(process)
+    let stated = dialect.process_start(&head, &body).map(|start| process_name(target, start));
+    let is_nameless = target.name == target.instance;
+    let process = stated.or_else(|| is_nameless.then(|| target.name.clone()));
+    Ok(process.filter(|_| is_reusable).map_or(Responder::Unknown, |process| {
+        connection.set_process(process.clone());
+        Responder::Process(process)
+    }))
 }
 
 impl<D: HeaderDialect> Attempt<'_, D> {
     /// Identifies the process that the connection leads to, if the control thread demands it.
     ///
-    /// A stream goes on only at the listed process: the software of another one is not known. After an
-    /// exchange, a late response to another call could pass for the one to the identity request, so
-    /// that it goes out on a new connection.
+    /// A stream goes on only at the listed process: the software of another one is not known. One that
+    /// begins at a process that cannot be identified is not resumed.
     pub(super) async fn check_process(
         &mut self,
         mut connection: Connection,
@@ -51,23 +61,34 @@
             Destination::Target { dispatch, target } if dispatch.must_identify => target,
             _ => return Ok(connection),
         };
-        if connection.process().is_none() && connection.has_been_used() {
-            self.worker.pool.release(connection);
-            connection = self.open_connection(target).await?;
-        }
-        let mut process = self.identify(target, &mut connection).await?;
-        if process.is_err() {
+        let mut responder = self.identify_responder(target, &mut connection).await?;
+        if matches!(responder, Err(ClientError::ConnectionLost)) {
             connection = self.open_connection(target).await?;
-            process = self.identify(target, &mut connection).await?;
+            responder = self.identify_responder(target, &mut connection).await?;
         }
         let goes_on = self.call.events.last_id().is_some();
-        let (is_replaced, cause) = match process {
-            Ok(process) if process == target.name || !goes_on => return Ok(connection),
-            Ok(process) if process != target.instance => (true, "other-process"),
-            Ok(_) | Err(_) => (false, "unidentified"),
+        let (outcome, cause) = match responder {
+            Ok(Responder::Process(process)) if process == target.name || !goes_on => {
+                return Ok(connection);
+            }
+            Ok(Responder::Process(_)) => {
+                self.worker.pool.release(connection);
+                (AttemptOutcome::Unidentified { is_replaced: true }, "other-process")
+            }
+            Ok(Responder::OtherInstance) => {
+                (AttemptOutcome::RefusedByTarget { leaving: true }, "other-instance")
+            }
+            Err(ClientError::Timeout) => (AttemptOutcome::NotSent, "unidentified"),
+            Ok(Responder::Unknown) | Err(_) if goes_on => {
+                (AttemptOutcome::Unidentified { is_replaced: false }, "unidentified")
+            }
+            Ok(Responder::Unknown) | Err(_) => {
+                let mut connection = self.open_connection(target).await?;
+                connection.set_process(target.instance.clone());
+                return Ok(connection);
+            }
         };
-        self.worker.pool.release(connection);
-        Err(self.record_end(AttemptOutcome::Unidentified { is_replaced }, cause))
+        Err(self.record_end(outcome, cause))
     }
 
     async fn open_connection(&mut self, target: &Target) -> Result<Connection, AttemptEnd> {
@@ -82,14 +103,14 @@
         }
     }
 
-    async fn identify(
+    async fn identify_responder(
         &mut self,
         target: &Target,
         connection: &mut Connection,
-    ) -> Result<Result<Arc<str>, ClientError>, AttemptEnd> {
+    ) -> Result<Result<Responder, ClientError>, AttemptEnd> {
         tokio::select! {
             biased;
-            process = process_of(&self.worker.dialect, target, connection) => Ok(process),
+            responder = ask(&self.worker.dialect, target, connection) => Ok(responder),
             interrupt = next_interrupt(&mut self.call.commands, self.number) =>
                 Err(self.interrupt_unsent(interrupt)),
             _ = self.caller.next_input(false) => Err(AttemptEnd::Disconnected),
--- a/crates/cumintrail-daemon/src/relay/lines.rs
+++ b/crates/cumintrail-daemon/src/relay/lines.rs
@@ -47,7 +47,7 @@
     connection: &Connection,
 ) {
     log::info!(
-        "event=sent id={} call={} route={} account={} class={} urgency={} attempt={} target={} process={} software={} after_event={} resumes={} parts={} request={} prompt={} max_answer={} expected_ms={} \
+        "event=sent id={} call={} route={} account={} class={} urgency={} attempt={} target={} listed={} process={} software={} after_event={} resumes={} parts={} request={} prompt={} max_answer={} expected_ms={} \
          version={} generation={} revision={} reused={} connected_ms={} age_ms={} left_ms={}",
         caller_call_id(call),
         call.key,
@@ -58,6 +58,7 @@
         dispatch.attempt,
         target.instance,
         target.name,
+        connection.process().map_or("-", |process| process),
         target.software.as_deref().unwrap_or("-"),
         call.events.last_id().unwrap_or(0),
         visible(call.metadata.resumes.as_ref()),
--- a/tests/tests/gateway_processes.rs
+++ b/tests/tests/gateway_processes.rs
@@ -7,9 +7,7 @@
 
 use actix_rt::time::sleep;
 use cumintrail_daemon::Gateway;
-use cumintrail_tests::gateway_cluster::{
-    Caller, Cluster, KEY, STREAM, WHOLE, declarations, events, send,
-};
+use cumintrail_tests::gateway_cluster::{Caller, Cluster, KEY, STREAM, declarations, events, send};
 use cumintrail_tests::standins::feed::FeedPlatform;
 use cumintrail_tests::standins::replica::{Replica, Step, header};
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
@@ -78,8 +76,39 @@
 /// The methods of the requests on a connection.
 type Methods = Rc<RefCell<Vec<String>>>;
 
-/// Serves a connection, and notes the methods of its requests.
-async fn note_methods(mut stream: TcpStream, methods: Methods) {
+/// The response to an identity request, after which the connection can be used.
+const IDENTITY: &str = "HTTP/1.1 204 No Content\r\nx-cumintrail-process-start: 1\r\n\r\n";
+
+/// A target that streams one event in response to each call, and answers identity requests.
+struct Target {
+    cluster: Cluster,
+    /// The connections that it accepted.
+    connections: Rc<RefCell<Vec<Methods>>>,
+}
+
+impl Target {
+    /// Starts a target that answers identity requests with `identity`, and a gateway in front of it.
+    async fn spawn(identity: &'static str) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let platform = FeedPlatform::new();
+        platform.publish_declarations(1, &declarations(KEY));
+        platform.list_software("t0", "desk", listener.local_addr().unwrap(), "v1");
+        let connections: Rc<RefCell<Vec<Methods>>> = Rc::default();
+        let accepted = connections.clone();
+        actix_rt::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let methods = Methods::default();
+                accepted.borrow_mut().push(methods.clone());
+                actix_rt::spawn(serve(stream, methods, identity));
+            }
+        });
+        let cluster = Cluster::spawn_on(platform);
+        cluster.until(Gateway::is_ready).await;
+        Self { cluster, connections }
+    }
+}
+
+async fn serve(mut stream: TcpStream, methods: Methods, identity: &str) {
     loop {
         let mut head = Vec::new();
         while !head.ends_with(b"\r\n\r\n") {
@@ -90,39 +119,41 @@
         }
         let head = String::from_utf8(head).unwrap();
         methods.borrow_mut().extend(head.split(' ').next().map(str::to_owned));
-        let response = if head.starts_with("OPTIONS ") {
-            "HTTP/1.1 204 No Content\r\nx-cumintrail-process-start: 1\r\n\r\n".to_owned()
+        let is_identity = head.starts_with("OPTIONS ");
+        let id = header(&head, "x-cumintrail-call").unwrap_or_default();
+        let response = if is_identity {
+            identity.to_owned()
         } else {
-            let id = header(&head, "x-cumintrail-call").unwrap_or_default();
-            WHOLE.replace("{id}", id)
+            format!("{STREAM}f\r\nid: 1\ndata: 1\n\n\r\n0\r\n\r\n").replace("{id}", id)
         };
         stream.write_all(response.as_bytes()).await.unwrap();
+        if is_identity && identity.contains("connection: close") {
+            return;
+        }
     }
 }
 
 /// Guards against a late response to an earlier call that passes for that of an identity request.
 #[actix_rt::test]
 async fn a_process_is_identified_on_a_connection_without_an_earlier_exchange() {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let platform = FeedPlatform::new();
-    platform.publish_declarations(1, &declarations(KEY));
-    platform.list_software("t0", "desk", listener.local_addr().unwrap(), "v1");
-    let connections: Rc<RefCell<Vec<Methods>>> = Rc::default();
-    let accepted = connections.clone();
-    actix_rt::spawn(async move {
-        while let Ok((stream, _)) = listener.accept().await {
-            let methods = Methods::default();
-            accepted.borrow_mut().push(methods.clone());
-            actix_rt::spawn(note_methods(stream, methods));
-        }
-    });
-    let cluster = Cluster::spawn_on(platform);
-    cluster.until(Gateway::is_ready).await;
+    let target = Target::spawn(IDENTITY).await;
     for path in ["/read/", "/read/", "/resume/", "/resume/"] {
-        cluster.call(path).await;
+        target.cluster.call(path).await;
     }
-    let connections = connections.borrow();
+    let connections = target.connections.borrow();
     let methods: Vec<_> = connections.iter().map(|methods| methods.borrow().join(" ")).collect();
-    assert!(methods.iter().any(|m| m.starts_with("OPTIONS POST")), "{methods:?}");
+    assert!(methods.iter().any(|m| m.starts_with("OPTIONS POST POST")), "{methods:?}");
     assert!(methods.iter().all(|m| !m.contains("POST OPTIONS")), "{methods:?}");
 }
+
+/// Guards against a target that gets no streams because its process cannot be identified.
+#[actix_rt::test]
+async fn a_stream_begins_at_a_target_whose_process_cannot_be_identified() {
+    let closes =
+        "HTTP/1.1 204 No Content\r\nx-cumintrail-process-start: 1\r\nconnection: close\r\n\r\n";
+    for identity in [closes, "HTTP/1.1 204 No Content\r\n\r\n", "HTTP/1.1 404 Not Found\r\n\r\n"] {
+        let target = Target::spawn(identity).await;
+        let response = target.cluster.call("/resume/").await;
+        assert!(response.ends_with("id: 1\ndata: 1\n\n\r\n0\r\n\r\n"), "{identity}: {response}");
+    }
+}
