--- a/crates/cumintrail-control/tests/restarted_software.rs
+++ b/crates/cumintrail-control/tests/restarted_software.rs
@@ -313,6 +313,17 @@
     assert_eq!(peer.take_up(3, 1), Some("t0"));
 }
 
+/// Guards against a stream of the first process of a version that goes on at the only listed one.
+#[test]
+fn a_peer_that_lists_one_version_does_not_resume_a_stream_of_an_unlisted_process() {
+    let listed = [OLD, OTHER];
+    let (mut daemon, mut peer) = (Daemon::start(1, &listed), Daemon::start(2, &listed));
+    let began = daemon.arrive(1, StreamRequest::Begin(stream(1))).unwrap();
+    daemon.send_event(1, &format!("{began}@2"));
+    daemon.report_to(&mut peer);
+    assert_eq!(peer.take_up(2, 1), None);
+}
+
 #[test]
 fn a_stream_of_a_process_that_is_listed_late_with_the_same_version_is_resumed() {
     let mut daemon = Daemon::start(1, &[OLD]);
