--- a/crates/cumintrail-daemon/src/relay/attempt/end_by_close.rs
+++ b/crates/cumintrail-daemon/src/relay/attempt/end_by_close.rs
@@ -1,5 +1,4 @@
-//! Tells the end of a response from the end of the process that sent it; docs/DESIGN.md, "Relayed
-//! calls".
+//! Distinguishes the end of a response from the end of its process; docs/DESIGN.md, "Relayed calls".
 
 use std::time::Duration;
 
@@ -134,7 +133,7 @@
         let (processes, at) = (&self.worker.processes, connection.address());
         let ends_by_close = connection.framing() == Framing::Close;
         processes.record(at, ends_by_close);
-        // The response to another call, which may come first, says nothing about the one after it.
+        // A response to another call may come first, and may end in another way than the one after it.
         if ends_by_close && self.evidence.is_none() {
             self.evidence = Some(processes.watch(at));
         }
