Log on what evidence a stream goes on at a software version

Cause: the log did not distinguish a stream that goes on at the version that its first daemon recorded from one that goes on at the only listed version. Change: the line of each attempt has `origin=`: recorded, only-version, or - for calls that begin. Measured: nothing; no decision changes.

--- a/crates/cumintrail-control/src/calls.rs
+++ b/crates/cumintrail-control/src/calls.rs
@@ -9,6 +9,7 @@
 
 use crate::Arrival;
 use crate::admission::Flow;
+use crate::stream_origins::OriginEvidence;
 
 /// Describes the progress of a call.
 ///
@@ -37,6 +38,8 @@
     pub pinned_version: Option<WeightVersion>,
     /// The software version that produces the response; `None` while any will do.
     pub pinned_software: Option<Arc<str>>,
+    /// The evidence for the software version that the call had to run at when it arrived.
+    pub origin: OriginEvidence,
     /// The name of the process that sends the response of the current attempt, if it was identified.
     pub process: Option<Arc<str>>,
     /// When the first output token arrived, in whichever attempt.
@@ -71,6 +74,7 @@
             dispatched: arrived,
             pinned_version: None,
             pinned_software: None,
+            origin: OriginEvidence::None,
             process: None,
             first_token: None,
             expected_prefill: Tokens(0),
@@ -89,11 +93,6 @@
         }
     }
 
-    /// Creates a queued call that may run only at a software version, if one is given.
-    pub fn pinned(arrival: Arrival, arrived: Moment, pinned_software: Option<Arc<str>>) -> Self {
-        Self { pinned_software, ..Self::new(arrival, arrived) }
-    }
-
     /// Returns the phase, which dumps show in lower case.
     pub const fn phase(&self) -> Phase {
         self.phase
--- a/crates/cumintrail-control/src/control/arrivals.rs
+++ b/crates/cumintrail-control/src/control/arrivals.rs
@@ -17,6 +17,7 @@
 use crate::parts::{PartIndex, PartPlans, name_hash};
 use crate::placement::{Candidate, Context, Placement, Placer, Request};
 use crate::retry::RetryBudget;
+use crate::stream_origins::OriginEvidence;
 use crate::{Action, Actions, Arrival, Call, Dispatch, retry};
 
 const RETRY_AFTER: Duration = Duration::from_secs(1);
@@ -35,7 +36,7 @@
         let required = self.check_quarantine(now, &arrival);
         let required = required.and_then(|()| self.required_software(now, &arrival));
         match required.and_then(|software| Ok((software, self.admit(now, &arrival)?))) {
-            Ok((pinned_software, weight)) => {
+            Ok(((pinned_software, origin), weight)) => {
                 let flow = self.flow_of(&arrival);
                 let returned = self.has_returned(now, &arrival);
                 // A call that returns after its refusal precedes newer ones.
@@ -44,7 +45,8 @@
                 } else {
                     self.admission.enqueue(kind, flow, weight, call);
                 }
-                let mut queued = Call::pinned(arrival, now, pinned_software);
+                let mut queued = Call::new(arrival, now);
+                (queued.pinned_software, queued.origin) = (pinned_software, origin);
                 (queued.queue_urgency, queued.returned) = (flow.urgency, returned);
                 self.calls.insert(call, queued);
                 self.retry_budget(kind).deposit();
@@ -346,8 +348,9 @@
         let Placement { plan, first_token, parts, .. } = placement;
         // The keys of parts are derived for the version that the call arrived for.
         let parts = if version == arrival_version { parts } else { PartPlans::default() };
-        let must_identify =
-            self.calls.get(&key).is_some_and(|call| self.must_identify(call, target));
+        let call = self.calls.get(&key);
+        let must_identify = call.is_some_and(|call| self.must_identify(call, target));
+        let origin = call.map_or(OriginEvidence::None, |call| call.origin);
         let dispatch = Dispatch {
             call: key,
             attempt,
@@ -358,6 +361,7 @@
             parts,
             is_limited,
             must_identify,
+            origin,
         };
         actions.push(Action::Dispatch(Box::new(dispatch)));
     }
--- a/crates/cumintrail-control/src/control/software.rs
+++ b/crates/cumintrail-control/src/control/software.rs
@@ -8,7 +8,9 @@
 use super::Control;
 use crate::placement::Placer;
 use crate::software_history::{HistoryRow, PoolVersion};
-use crate::stream_origins::{StreamId, StreamOrigin, StreamRequest, UNKNOWN_VERSION};
+use crate::stream_origins::{
+    RequiredSoftware, StreamId, StreamOrigin, StreamRequest, UNKNOWN_VERSION,
+};
 use crate::unsettled_streams::UnsettledStream;
 use crate::{Action, Actions, Arrival, Call, PeerDigest, Phase, retry};
 
@@ -16,7 +18,7 @@
 const ORIGIN_ROUNDS: u32 = 2;
 
 impl<P: Placer> Control<P> {
-    /// Returns the software version that a call must run at; `None` if any will do.
+    /// Returns the software version that a call must run at, and the evidence for it.
     ///
     /// The daemon that began the stream may not have reported it yet, so the caller may try again
     /// after its next digest.
@@ -24,9 +26,9 @@
         &self,
         now: Moment,
         arrival: &Arrival,
-    ) -> Result<Option<Arc<str>>, Refusal> {
+    ) -> Result<RequiredSoftware, Refusal> {
         let Some(snapshot) = &self.snapshot else {
-            return Ok(None);
+            return Ok(RequiredSoftware::default());
         };
         let request = arrival.options.stream;
         // A daemon whose entries are outdated may not know the version at which a stream began.
--- a/crates/cumintrail-control/src/event/call.rs
+++ b/crates/cumintrail-control/src/event/call.rs
@@ -14,7 +14,7 @@
 use crate::home_regions::AllowedRegions;
 use crate::parts::PartPlans;
 use crate::quarantine::CallContent;
-use crate::stream_origins::StreamRequest;
+use crate::stream_origins::{OriginEvidence, StreamRequest};
 
 /// Describes a call that arrived.
 #[derive(Debug, Clone)]
@@ -95,6 +95,8 @@
     /// Whether the process at the other end of the connection must be identified before the call is
     /// sent.
     pub must_identify: bool,
+    /// The evidence for the software version that the call goes on at.
+    pub origin: OriginEvidence,
 }
 
 /// Describes an attempt that a peer makes for a daemon that reaches no target.
--- a/crates/cumintrail-control/src/stream_origins.rs
+++ b/crates/cumintrail-control/src/stream_origins.rs
@@ -6,7 +6,7 @@
 
 use cumintrail_config::{Snapshot, TargetKind};
 use cumintrail_types::Moment;
-use derive_more::From;
+use derive_more::{Display, From};
 use smallvec::SmallVec;
 
 use crate::parts::name_hash;
@@ -70,6 +70,24 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct UnknownOrigin;
 
+/// Names the evidence for the software version that a call must run at.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Display)]
+pub enum OriginEvidence {
+    /// The call begins a stream or none, so that any version will do.
+    #[default]
+    #[display("-")]
+    None,
+    /// The daemon at which the stream began recorded its version.
+    #[display("recorded")]
+    Recorded,
+    /// No other version is or lately was listed.
+    #[display("only-version")]
+    OnlyVersion,
+}
+
+/// The software version that a call must run at, `None` if any will do, and the evidence for it.
+pub type RequiredSoftware = (Option<Arc<str>>, OriginEvidence);
+
 /// An origin that is still to be reported to peers.
 #[derive(Debug, Clone)]
 struct PendingReport {
@@ -177,7 +195,7 @@
         origins
     }
 
-    /// Returns the software version that a call must run at; `None` if any will do.
+    /// Returns the software version that a call must run at.
     ///
     /// Unless `knows_history` is set, a stream of unknown origin may have begun at a version that
     /// ended before this daemon started.
@@ -188,16 +206,16 @@
         request: Option<StreamRequest>,
         snapshot: &Snapshot,
         knows_history: bool,
-    ) -> Result<Option<Arc<str>>, UnknownOrigin> {
+    ) -> Result<RequiredSoftware, UnknownOrigin> {
         let Some(StreamRequest::Continue(stream)) = request else {
-            return Ok(None);
+            return Ok((None, OriginEvidence::None));
         };
         if let Some(software) = stream.and_then(|stream| self.origins.get(&stream)) {
-            return Ok(Some(software.clone()));
+            return Ok((Some(software.clone()), OriginEvidence::Recorded));
         }
         let mut versions = self.recent_versions(now, kind, snapshot);
         match versions.len() {
-            0 | 1 if knows_history => Ok(versions.pop()),
+            0 | 1 if knows_history => Ok((versions.pop(), OriginEvidence::OnlyVersion)),
             _ => Err(UnknownOrigin),
         }
     }
--- a/crates/cumintrail-daemon/src/relay/lines.rs
+++ b/crates/cumintrail-daemon/src/relay/lines.rs
@@ -47,7 +47,7 @@
     connection: &Connection,
 ) {
     log::info!(
-        "event=sent id={} call={} route={} account={} class={} urgency={} attempt={} target={} listed={} process={} software={} after_event={} resumes={} parts={} request={} prompt={} max_answer={} expected_ms={} \
+        "event=sent id={} call={} route={} account={} class={} urgency={} attempt={} target={} listed={} process={} software={} after_event={} resumes={} origin={} parts={} request={} prompt={} max_answer={} expected_ms={} \
          version={} generation={} revision={} reused={} connected_ms={} age_ms={} left_ms={}",
         caller_call_id(call),
         call.key,
@@ -62,6 +62,7 @@
         target.software.as_deref().unwrap_or("-"),
         call.events.last_id().unwrap_or(0),
         visible(call.metadata.resumes.as_ref()),
+        dispatch.origin,
         part_names(call),
         call.request.map_or_else(|| "-".into(), |key| format!("{:016x}", key.0)),
         call.metadata.prompt,
