Do not resume a stream of unknown origin while an unlisted process may have begun it

Callers saw one stream with events of two software versions: the first process of a new version serves before its entry is read, and a caller that takes its stream up at another daemon was sent on at the only listed version.

Cause: the peer took the absence of a second version in its entries, which follow processes by a heartbeat, for evidence that there is none. Peers were told of origins while several versions were listed only, and of an unlisted process never.

Change: origins are reported while one version is listed, too; a stream of a process that is not listed yet is reported as one of an unknown version at once, which the version replaces when it is listed; a stream without a report waits outside the queue until the registry was read as of a heartbeat after the call arrived, and is refused at once if its deadline comes first or the entries become outdated.

--- a/crates/cumintrail-control/src/control.rs
+++ b/crates/cumintrail-control/src/control.rs
@@ -25,6 +25,7 @@
 mod state;
 mod stop;
 mod stores;
+mod unknown_origins;
 mod waiting;
 
 use std::collections::HashMap;
--- a/crates/cumintrail-control/src/control/arrivals.rs
+++ b/crates/cumintrail-control/src/control/arrivals.rs
@@ -34,13 +34,15 @@
         self.record_call_rate(now, kind);
         self.record_service_arrival(now, &arrival);
         let required = self.check_quarantine(now, &arrival);
-        let required = required.and_then(|()| self.required_software(now, &arrival));
+        let required = required.and_then(|()| self.required_software_in_time(now, &arrival));
         match required.and_then(|software| Ok((software, self.admit(now, &arrival)?))) {
             Ok(((pinned_software, origin), weight)) => {
                 let flow = self.flow_of(&arrival);
                 let returned = self.has_returned(now, &arrival);
+                if self.may_be_unlisted(origin, now) {
+                    self.wait_for_entries(now, call);
                 // A call that returns after its refusal precedes newer ones.
-                if returned {
+                } else if returned {
                     self.admission.requeue(kind, flow, weight, call);
                 } else {
                     self.admission.enqueue(kind, flow, weight, call);
--- a/crates/cumintrail-control/src/control/attempts.rs
+++ b/crates/cumintrail-control/src/control/attempts.rs
@@ -14,9 +14,6 @@
 /// The time without a first token after which a call's passed deadline counts as a failure of the
 /// target.
 const UNRESPONSIVE_AFTER: Duration = Duration::from_secs(2);
-/// The interval at which a broken stream that waits for an entry of the registry is tried again; it
-/// does not wait in the queue, where it would precede other calls.
-const ENTRY_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// How long other targets are preferred to one that refused a call: about one step of its queue.
 const REFUSAL_AVOIDANCE: Duration = Duration::from_millis(100);
 
@@ -118,8 +115,8 @@
         granted && self.targets.get_mut(target).is_some_and(|state| state.retry_budget.withdraw())
     }
 
-    /// Queues the calls again whose backoff has ended.
-    pub(super) fn requeue_due(&mut self, now: Moment) {
+    /// Queues the calls again whose backoff has ended, unless they wait for entries of the registry.
+    pub(super) fn requeue_due(&mut self, now: Moment, actions: &mut Actions) {
         let mut due = Vec::new();
         self.backing_off.retain(|(at, key)| {
             let is_due = *at <= now;
@@ -127,10 +124,13 @@
             !is_due
         });
         for key in due {
-            if self.awaits_entry(now, key) {
-                self.backing_off.push((now + ENTRY_CHECK_INTERVAL, key));
-            } else {
-                self.requeue(key);
+            match self.settle_origin(now, key) {
+                Ok(true) if !self.awaits_entry(now, key) => self.requeue(key),
+                Ok(_) => self.wait_for_entries(now, key),
+                Err(refusal) => {
+                    self.end_call(key);
+                    actions.push(Action::Refuse { call: key, refusal });
+                }
             }
         }
     }
--- a/crates/cumintrail-control/src/control/detours.rs
+++ b/crates/cumintrail-control/src/control/detours.rs
@@ -218,7 +218,7 @@
         }
         if retry::may_retry(call, outcome, now) {
             self.backing_off.push((now, key));
-            return self.requeue_due(now);
+            return self.requeue_due(now, actions);
         }
         let refusal = retry::refusal_for(call, RefusalCode::TargetFailed);
         self.end_call(key);
--- a/crates/cumintrail-control/src/control/digests.rs
+++ b/crates/cumintrail-control/src/control/digests.rs
@@ -13,7 +13,6 @@
 use crate::parts::name_hash;
 use crate::placement::Placer;
 use crate::retry::RetryPolicy;
-use crate::stream_origins::StreamOrigin;
 use crate::{Action, Actions, PeerDigest, TargetLoad};
 
 /// Minimum time between two rounds of digests, even if changes are urgent.
@@ -70,7 +69,7 @@
             loads: self.own_loads(now),
             processor_share: self.identity.processor_share,
             domain_sizes: self.membership.domain_sizes(now, own, &domain),
-            stream_origins: self.take_stream_origins(now),
+            stream_origins: self.stream_origins.take_reports(),
             software: self.reported_software(now),
             quarantine: self.take_quarantine_report(now),
             limits: self.take_limit_reports(now),
@@ -93,11 +92,6 @@
         }
     }
 
-    fn take_stream_origins(&mut self, now: Moment) -> Vec<StreamOrigin> {
-        let snapshot = self.snapshot.clone();
-        snapshot.map_or_else(Vec::new, |s| self.stream_origins.take_reports(now, &s))
-    }
-
     /// Records the origins of streams in a peer's digest.
     ///
     /// Where a round of digests reaches only some of the peers, those of a failure domain pass
--- a/crates/cumintrail-control/src/control/software.rs
+++ b/crates/cumintrail-control/src/control/software.rs
@@ -26,25 +26,28 @@
         &self,
         now: Moment,
         arrival: &Arrival,
+        is_current: bool,
     ) -> Result<RequiredSoftware, Refusal> {
         let Some(snapshot) = &self.snapshot else {
             return Ok(RequiredSoftware::default());
         };
         let request = arrival.options.stream;
         // A daemon whose entries are outdated may not know the version at which a stream began.
-        let is_current = self.registry_current_until.is_none_or(|until| now < until);
         let knows_history = !self.has_registry || (self.software_history.is_known() && is_current);
         let origins = &self.stream_origins;
-        let unknown =
-            Refusal::not_run(RefusalCode::UnknownStream).retry_after(self.identity.digest_interval);
         if let Some(StreamRequest::Continue(Some(stream))) = request
             && self.unsettled_streams.contains(stream)
         {
-            return Err(unknown);
+            return Err(self.unknown_stream());
         }
         let required =
             origins.required_version(now, arrival.kind, request, snapshot, knows_history);
-        required.map_err(|_| unknown)
+        required.map_err(|_| self.unknown_stream())
+    }
+
+    /// Returns the refusal of a call whose stream may have begun at one of several versions.
+    pub(super) fn unknown_stream(&self) -> Refusal {
+        Refusal::not_run(RefusalCode::UnknownStream).retry_after(self.identity.digest_interval)
     }
 
     /// Records which process sends the response of a call, before its first event.
@@ -79,7 +82,11 @@
         let (as_of, interval) = (self.registry_as_of, self.heartbeat_interval);
         match unsettled.software(snapshot, as_of, interval) {
             Some(software) => self.bind_stream(now, key, software),
-            None if self.unsettled_streams.add(stream, unsettled) => {}
+            // Its caller may take it up elsewhere before the process is listed.
+            None if self.unsettled_streams.add(stream, unsettled) => {
+                let origin = StreamOrigin { stream, software: UNKNOWN_VERSION.into() };
+                self.stream_origins.record(now, origin, ORIGIN_ROUNDS);
+            }
             None => self.bind_stream(now, key, UNKNOWN_VERSION.into()),
         }
     }
--- /dev/null
+++ b/crates/cumintrail-control/src/control/unknown_origins.rs
@@ -0,0 +1,74 @@
+//! Calls that go on with a stream whose origin no daemon reported; docs/DESIGN.md, "Software versions".
+
+use std::time::Duration;
+
+use cumintrail_types::{CallKey, Moment, Refusal};
+
+use super::Control;
+use crate::placement::Placer;
+use crate::stream_origins::{OriginEvidence, RequiredSoftware};
+use crate::{Arrival, Call};
+
+/// The interval at which a call that waits for entries of the registry is looked at again; it does
+/// not wait in the queue, where it would precede other calls.
+const ENTRY_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+/// How many heartbeats after its arrival a call is refused if the registry was not read since.
+const MAX_AWAITED_HEARTBEATS: u32 = 2;
+
+impl<P: Placer> Control<P> {
+    /// Returns the software version that a call must run at, unless the entries that would confirm it
+    /// come after the call's deadline.
+    pub(super) fn required_software_in_time(
+        &self,
+        now: Moment,
+        arrival: &Arrival,
+    ) -> Result<RequiredSoftware, Refusal> {
+        let is_current = self.registry_current_until.is_none_or(|until| now < until);
+        let required = self.required_software(now, arrival, is_current)?;
+        let is_late = arrival.deadline <= now + self.heartbeat_interval;
+        if is_late && self.may_be_unlisted(required.1, now) {
+            return Err(self.unknown_stream());
+        }
+        Ok(required)
+    }
+
+    /// Returns whether a process that is not listed yet may have begun the stream of a call that goes
+    /// on at the only listed version.
+    ///
+    /// A process writes its entry within a heartbeat of its start. Entries that were read a heartbeat
+    /// after the call arrived therefore list each process whose events its caller has.
+    pub(super) fn may_be_unlisted(&self, origin: OriginEvidence, arrived: Moment) -> bool {
+        self.has_registry
+            && origin == OriginEvidence::OnlyVersion
+            && self.registry_current_until.is_some()
+            && self.registry_as_of < arrived + self.heartbeat_interval
+    }
+
+    /// Lets a call wait outside the queue until the registry was read again.
+    pub(super) fn wait_for_entries(&mut self, now: Moment, key: CallKey) {
+        self.backing_off.push((now + ENTRY_CHECK_INTERVAL, key));
+    }
+
+    /// Determines the version of a stream whose origin was not known when its call arrived; returns
+    /// whether the call may be sent.
+    pub(super) fn settle_origin(&mut self, now: Moment, key: CallKey) -> Result<bool, Refusal> {
+        let is_first = |call: &&Call| call.attempts() == 0;
+        let Some(call) = self.calls.get(&key).filter(is_first) else {
+            return Ok(true);
+        };
+        if call.origin != OriginEvidence::OnlyVersion {
+            return Ok(true);
+        }
+        // Entries that settle the origin are current as of a later moment than those of its arrival.
+        let (software, origin) = self.required_software(now, &call.arrival, true)?;
+        let is_settled = !self.may_be_unlisted(origin, call.arrived);
+        let given_up_at = call.arrived + self.heartbeat_interval * MAX_AWAITED_HEARTBEATS;
+        if !is_settled && now >= given_up_at {
+            return Err(self.unknown_stream());
+        }
+        if let Some(call) = self.calls.get_mut(&key) {
+            (call.pinned_software, call.origin) = (software, origin);
+        }
+        Ok(is_settled)
+    }
+}
--- a/crates/cumintrail-control/src/digest.rs
+++ b/crates/cumintrail-control/src/digest.rs
@@ -182,7 +182,7 @@
     pub processor_share: u16,
     /// The number of daemons in each failure domain, by the latest counts that the sender has.
     pub domain_sizes: Vec<DomainSize>,
-    /// The software versions at which streams began, if several are in use.
+    /// The software versions at which streams began, unknown ones included.
     pub stream_origins: Vec<StreamOrigin>,
     /// The software versions of the models and services that have or lately had several, by the hash
     /// of their names.
--- a/crates/cumintrail-control/src/stream_origins.rs
+++ b/crates/cumintrail-control/src/stream_origins.rs
@@ -1,6 +1,6 @@
 //! The software versions at which resumable streams began; docs/DESIGN.md, "Software versions".
 
-use std::collections::{HashMap, HashSet, VecDeque};
+use std::collections::{HashMap, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -150,17 +150,17 @@
         self.pending.retain(|report| report.origin.stream != stream);
     }
 
-    /// Records an origin unless the stream has one; returns whether it did.
+    /// Records an origin unless the stream has a known one; returns whether it did.
     ///
-    /// An unknown origin replaces a known one, which turned out to be doubtful.
+    /// The version of a process that is listed late replaces an unknown one.
     fn insert(&mut self, now: Moment, origin: StreamOrigin) -> bool {
         let StreamOrigin { stream, software } = origin;
         if let Some(known) = self.origins.get_mut(&stream) {
-            let is_doubted = *software == *UNKNOWN_VERSION && *known != software;
-            if is_doubted {
+            let is_news = **known == *UNKNOWN_VERSION && *known != software;
+            if is_news {
                 *known = software;
             }
-            return is_doubted;
+            return is_news;
         }
         let is_dropped = |(at, _): &(Moment, StreamId)| now.since(*at) >= self.retention;
         while self.by_age.len() >= MAX_ORIGINS || self.by_age.front().is_some_and(is_dropped) {
@@ -175,15 +175,9 @@
 
     /// Returns the origins for the next round of digests.
     ///
-    /// While each model and service has a single software version, streams need no origin. Origins
-    /// of that time stay pending, since another version may appear while the streams last.
-    pub fn take_reports(&mut self, now: Moment, snapshot: &Snapshot) -> Vec<StreamOrigin> {
-        let kinds: HashSet<TargetKind> = snapshot.targets.iter().map(|(_, t)| t.kind).collect();
-        if kinds.iter().all(|kind| self.recent_versions(now, *kind, snapshot).len() < 2) {
-            let known = &self.origins;
-            self.pending.retain(|report| known.contains_key(&report.origin.stream));
-            return Vec::new();
-        }
+    /// They are reported while a single software version is listed, too: this daemon may be killed
+    /// before the entry of the first process of another one is read.
+    pub fn take_reports(&mut self) -> Vec<StreamOrigin> {
         let count = self.pending.len().min(MAX_REPORTED);
         let mut reports: Vec<PendingReport> = self.pending.drain(..count).collect();
         let origins = reports.iter().map(|report| report.origin.clone()).collect();
@@ -210,13 +204,15 @@
         let Some(StreamRequest::Continue(stream)) = request else {
             return Ok((None, OriginEvidence::None));
         };
-        if let Some(software) = stream.and_then(|stream| self.origins.get(&stream)) {
-            return Ok((Some(software.clone()), OriginEvidence::Recorded));
-        }
+        let recorded = stream.and_then(|stream| self.origins.get(&stream));
         let mut versions = self.recent_versions(now, kind, snapshot);
-        match versions.len() {
-            0 | 1 if knows_history => Ok((versions.pop(), OriginEvidence::OnlyVersion)),
-            _ => Err(UnknownOrigin),
+        match recorded {
+            Some(software) if **software == *UNKNOWN_VERSION => Err(UnknownOrigin),
+            Some(software) => Ok((Some(software.clone()), OriginEvidence::Recorded)),
+            None if versions.len() < 2 && knows_history => {
+                Ok((versions.pop(), OriginEvidence::OnlyVersion))
+            }
+            None => Err(UnknownOrigin),
         }
     }
 
