Wait for the next entries only where each process has an id of its own

Cause: the wait covered processes that start again under an id before they write their entry. Where the registry lists no starts, each process has an id of its own, and calls reach it by its entry only; a newer read than the call's arrival lists it.

Change: a heartbeat is added to the arrival only if a target of the model or service has a listed start.

Measured: the new test failed before (it waited for a heartbeat).

--- a/crates/cumintrail-control/src/control/arrivals.rs
+++ b/crates/cumintrail-control/src/control/arrivals.rs
@@ -39,7 +39,7 @@
             Ok(((pinned_software, origin), weight)) => {
                 let flow = self.flow_of(&arrival);
                 let returned = self.has_returned(now, &arrival);
-                if self.may_be_unlisted(origin, now) {
+                if self.may_be_unlisted(origin, kind, now) {
                     self.wait_for_entries(now, call);
                 // A call that returns after its refusal precedes newer ones.
                 } else if returned {
--- a/crates/cumintrail-control/src/control/unknown_origins.rs
+++ b/crates/cumintrail-control/src/control/unknown_origins.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use cumintrail_config::TargetKind;
 use cumintrail_types::{CallKey, Moment, Refusal};
 
 use super::Control;
@@ -25,23 +26,36 @@
     ) -> Result<RequiredSoftware, Refusal> {
         let is_current = self.registry_current_until.is_none_or(|until| now < until);
         let required = self.required_software(now, arrival, is_current)?;
-        let is_late = arrival.deadline <= now + self.heartbeat_interval;
-        if is_late && self.may_be_unlisted(required.1, now) {
+        let entries_from = now + self.longest_unlisted(arrival.kind);
+        if arrival.deadline <= entries_from && self.may_be_unlisted(required.1, arrival.kind, now) {
             return Err(self.unknown_stream());
         }
         Ok(required)
     }
 
-    /// Returns whether a process that is not listed yet may have begun the stream of a call that goes
-    /// on at the only listed version.
-    ///
-    /// A process writes its entry within a heartbeat of its start. Entries that were read a heartbeat
-    /// after the call arrived therefore list each process whose events its caller has.
-    pub(super) fn may_be_unlisted(&self, origin: OriginEvidence, arrived: Moment) -> bool {
+    /// Returns whether a process that these entries do not list yet may have begun the stream of a
+    /// call that goes on at the only listed version.
+    pub(super) fn may_be_unlisted(
+        &self,
+        origin: OriginEvidence,
+        kind: TargetKind,
+        arrived: Moment,
+    ) -> bool {
         self.has_registry
             && origin == OriginEvidence::OnlyVersion
             && self.registry_current_until.is_some()
-            && self.registry_as_of < arrived + self.heartbeat_interval
+            && self.registry_as_of < arrived + self.longest_unlisted(kind)
+    }
+
+    /// Returns for how long a process may send events before its entry is written.
+    ///
+    /// One that has the id and the address of an earlier process writes its entry within a heartbeat of
+    /// its start. Where each process has an id of its own, calls reach it by its entry only.
+    fn longest_unlisted(&self, kind: TargetKind) -> Duration {
+        let targets = self.snapshot.iter().flat_map(|snapshot| snapshot.targets.iter());
+        let mut used = targets.filter(|(_, target)| target.kind == kind && !target.retired);
+        let keeps_ids = used.any(|(_, target)| target.name != target.instance);
+        if keeps_ids { self.heartbeat_interval } else { Duration::ZERO }
     }
 
     /// Lets a call wait outside the queue until the registry was read again.
@@ -52,16 +66,14 @@
     /// Determines the version of a stream whose origin was not known when its call arrived; returns
     /// whether the call may be sent.
     pub(super) fn settle_origin(&mut self, now: Moment, key: CallKey) -> Result<bool, Refusal> {
-        let is_first = |call: &&Call| call.attempts() == 0;
-        let Some(call) = self.calls.get(&key).filter(is_first) else {
+        let waits =
+            |call: &&Call| call.attempts() == 0 && call.origin == OriginEvidence::OnlyVersion;
+        let Some(call) = self.calls.get(&key).filter(waits) else {
             return Ok(true);
         };
-        if call.origin != OriginEvidence::OnlyVersion {
-            return Ok(true);
-        }
         // Entries that settle the origin are current as of a later moment than those of its arrival.
         let (software, origin) = self.required_software(now, &call.arrival, true)?;
-        let is_settled = !self.may_be_unlisted(origin, call.arrived);
+        let is_settled = !self.may_be_unlisted(origin, call.arrival.kind, call.arrived);
         let given_up_at = call.arrived + self.heartbeat_interval * MAX_AWAITED_HEARTBEATS;
         if !is_settled && now >= given_up_at {
             return Err(self.unknown_stream());
--- a/crates/cumintrail-control/tests/restarted_software.rs
+++ b/crates/cumintrail-control/tests/restarted_software.rs
@@ -26,13 +26,15 @@
 
 const OLD: Listed = ("t0", 1, "v1");
 const RESTARTED: Listed = ("t0", 2, "v2");
+/// The registry lists no start of this one, which never starts again under its id.
+const NAMELESS: Listed = ("t2", 0, "v1");
 const OTHER: Listed = ("t1", 1, "v1");
 
 fn target(position: usize, (id, process_start, software): Listed) -> Target {
     // A target keeps its address when it starts again.
     let port = id.as_bytes()[1];
     Target {
-        name: format!("{id}@{process_start}").into(),
+        name: if process_start == 0 { id.into() } else { format!("{id}@{process_start}").into() },
         instance: id.into(),
         kind: TargetKind::Service(ServiceKey(0)),
         address: ([10, 0, 0, port], 80).into(),
@@ -392,6 +394,17 @@
     assert_eq!(refused(&actions), Some(RefusalCode::UnknownStream));
 }
 
+#[test]
+fn a_stream_of_unknown_origin_waits_for_the_next_entries_where_each_process_has_its_own_id() {
+    let mut peer = Daemon::start(2, &[NAMELESS]);
+    peer.confirm();
+    peer.wait(100);
+    assert_eq!(peer.take_up(2, 1), None, "a process may be listed since the last read");
+    peer.confirm();
+    let actions = peer.wait(100);
+    assert_eq!(peer.sent_to(&actions), Some("t2"));
+}
+
 #[test]
 fn a_stream_goes_on_at_once_at_a_peer_that_its_daemon_reported_it_to() {
     let (mut daemon, mut peer) = (Daemon::start(1, &[OLD]), Daemon::start(2, &[OLD]));
