Bound the wait for entries by the age up to which they are current

Cause: the wait ended two heartbeats after the arrival, 0.8 s there, but the pending request of the registry may take 0.8 s before the next one begins.

Change: the wait ends twice the age up to which entries are current after the first moment whose entries would settle the origin.

--- a/crates/cumintrail-control/src/control.rs
+++ b/crates/cumintrail-control/src/control.rs
@@ -136,6 +136,8 @@
     registry_as_of: Moment,
     /// Until when the registry's entries count as current; `None` before their first confirmation.
     registry_current_until: Option<Moment>,
+    /// How long its entries are current without a further confirmation.
+    registry_max_age: Duration,
     quarantine: Quarantine,
     /// Whether this daemon reaches the targets of each scope in which connections failed.
     reach: HashMap<ReachScope, Reach>,
@@ -218,6 +220,7 @@
             unsettled_streams: UnsettledStreams::default(),
             registry_as_of: Moment::default(),
             registry_current_until: None,
+            registry_max_age: Duration::ZERO,
             quarantine: Quarantine::default(),
             reach: HashMap::new(),
             domain_failover: false,
--- a/crates/cumintrail-control/src/control/software.rs
+++ b/crates/cumintrail-control/src/control/software.rs
@@ -95,6 +95,7 @@
     pub(super) fn confirm_registry(&mut self, now: Moment, as_of: Moment, max_age: Duration) {
         self.registry_current_until = self.registry_current_until.max(Some(as_of + max_age));
         self.registry_as_of = self.registry_as_of.max(as_of);
+        self.registry_max_age = max_age;
         self.settle_streams(now);
     }
 
--- a/crates/cumintrail-control/src/control/unknown_origins.rs
+++ b/crates/cumintrail-control/src/control/unknown_origins.rs
@@ -13,8 +13,10 @@
 /// The interval at which a call that waits for entries of the registry is looked at again; it does
 /// not wait in the queue, where it would precede other calls.
 const ENTRY_CHECK_INTERVAL: Duration = Duration::from_millis(50);
-/// How many heartbeats after its arrival a call is refused if the registry was not read since.
-const MAX_AWAITED_HEARTBEATS: u32 = 2;
+/// How many times the age up to which entries are current a call waits for newer ones.
+///
+/// A request of the registry that was pending when the call arrived may have to end first.
+const MAX_AWAITED_READS: u32 = 2;
 
 impl<P: Placer> Control<P> {
     /// Returns the software version that a call must run at, unless the entries that would confirm it
@@ -74,8 +76,8 @@
         // Entries that settle the origin are current as of a later moment than those of its arrival.
         let (software, origin) = self.required_software(now, &call.arrival, true)?;
         let is_settled = !self.may_be_unlisted(origin, call.arrival.kind, call.arrived);
-        let given_up_at = call.arrived + self.heartbeat_interval * MAX_AWAITED_HEARTBEATS;
-        if !is_settled && now >= given_up_at {
+        let entries_from = call.arrived + self.longest_unlisted(call.arrival.kind);
+        if !is_settled && now >= entries_from + self.registry_max_age * MAX_AWAITED_READS {
             return Err(self.unknown_stream());
         }
         if let Some(call) = self.calls.get_mut(&key) {
