Fail an attempt that resumes a stream of consecutive ids after a later event

Cause: an event id only had to increase. A target that resumed a stream after another event than the one in `Last-Event-Id` passed for one that went on after it.

Change: the first id of a resumed response must follow the last one by one if the ids so far in this call were consecutive over at least two distances. Otherwise the attempt fails like one whose id does not increase: a further attempt goes on after the last event, or the response is cut so that the caller sees it. Both have `cause=out-of-order` instead of `unreadable`.

Why only there: the protocol lets ids increase by any step. A jump within one response of a target proves nothing, and after any jump the ids of the stream count as increasing only, as before. One distance shows no regularity, so that a stream that breaks after one or two events goes on as before. A wrong verdict costs an attempt or a cut, and the caller takes the stream up. There the first id is accepted: no id before it is known here, the caller knows the id that it asked for, and a wrong verdict would keep the rest from it at every try. Holding the first event back until later ones show the distance would make it late for each service whose ids are not consecutive. What follows that event counts as evidence for further attempts of the call, as does the distance from the id that the caller named.

No existing test is changed.

--- a/crates/cumintrail-daemon/src/relay/attempt/response.rs
+++ b/crates/cumintrail-daemon/src/relay/attempt/response.rs
@@ -13,6 +13,7 @@
 use super::{Attempt, AttemptEnd, WaitResult};
 use crate::metric;
 use crate::relay::dialect::HeaderDialect;
+use crate::relay::events::MalformedStream;
 use crate::relay::heads::caller_response_head;
 use crate::relay::interrupt::next_interrupt;
 use crate::relay::lines;
@@ -139,6 +140,9 @@
             match batch.rest {
                 _ if !is_passed_on => return AttemptEnd::Disconnected,
                 Ok(()) if has_room => {}
+                Err(MalformedStream::OutOfOrder) => {
+                    return self.fail_unusable(&connection, "out-of-order");
+                }
                 _ => return self.fail(&connection, &ClientError::Malformed).await,
             }
         }
--- a/crates/cumintrail-daemon/src/relay/events.rs
+++ b/crates/cumintrail-daemon/src/relay/events.rs
@@ -12,9 +12,18 @@
 /// May stand at the start of a stream, and is no part of its first line.
 const BYTE_ORDER_MARK: &[u8] = "\u{feff}".as_bytes();
 
-/// Reports a stream with an oversized event, or with an event id that does not increase.
+/// The distances of one between ids that show that the ids of a stream are consecutive; a single
+/// distance shows no regularity.
+const MIN_CONSECUTIVE_STEPS: u32 = 2;
+
+/// Reports a stream that cannot go on in the response that it was read from.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct MalformedStream;
+pub enum MalformedStream {
+    /// An event exceeds the limit.
+    Oversized,
+    /// An event id does not increase, or a resumed stream of consecutive ids lacks an event.
+    OutOfOrder,
+}
 
 /// Reports a stream that ended inside an event.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -28,6 +37,12 @@
     last_id: Option<u64>,
     /// Whether events without an id came after that one.
     has_unnumbered: bool,
+    /// The number of ids so far that follow the one before them by one.
+    consecutive_steps: u32,
+    /// Whether an id followed the one before it by more than one, so that ids need only increase.
+    has_jumped: bool,
+    /// Whether the next id is the first one of a further response.
+    is_resumed: bool,
 }
 
 /// Stores consecutive complete events.
@@ -45,7 +60,7 @@
     /// Creates a splitter for a stream that continues after the event with the id `last_id`;
     /// `None` for a stream from its start.
     pub fn resume_after(last_id: Option<u64>) -> Self {
-        Self { last_id, ..Self::default() }
+        Self { last_id, is_resumed: last_id.is_some(), ..Self::default() }
     }
 
     /// Returns the id of the last complete event that has one; before it, the id that the stream
@@ -64,9 +79,11 @@
         self.pending.len()
     }
 
-    /// Discards the bytes of an incomplete event, before the stream of a further attempt.
+    /// Discards the bytes of an incomplete event, before the stream of a further attempt, which goes
+    /// on after the last complete one.
     pub fn drop_partial(&mut self) {
         self.pending.clear();
+        self.is_resumed = self.last_id.is_some();
     }
 
     /// Ends the stream; returns the line ends that follow the last event.
@@ -81,8 +98,9 @@
     /// Appends bytes and returns the events that they complete.
     ///
     /// An event id that is not greater than the last one is an error: the event belongs to another
-    /// execution of the call. The events before it are returned all the same, since the stream is
-    /// resumed after them.
+    /// execution of the call. So is one that leaves out ids where a response goes on, if the ids of
+    /// the stream have been consecutive: the target resumed it after another event. The events before
+    /// it are returned all the same, since the stream is resumed after them.
     pub fn push(&mut self, bytes: &[u8]) -> EventBatch {
         // An empty line may begin in the last bytes of the pending data.
         let mut searched = self.pending.len().saturating_sub(3);
@@ -91,14 +109,11 @@
         while let Some(length) = event_end(&self.pending[searched..]) {
             let next = searched + length;
             match event_id(&self.pending[end..next]) {
-                Some(id) if self.last_id.is_some_and(|last| id <= last) => {
-                    rest = Err(MalformedStream);
+                Some(id) if !self.accept_id(id) => {
+                    rest = Err(MalformedStream::OutOfOrder);
                     break;
                 }
-                Some(id) => {
-                    (self.last_id, self.has_unnumbered) = (Some(id), false);
-                    count += 1;
-                }
+                Some(_) => count += 1,
                 // Callers drop comments, so a repeated one does no harm.
                 None if is_comment(&self.pending[end..next]) => {}
                 None => {
@@ -109,10 +124,26 @@
             (end, searched) = (next, next);
         }
         if self.pending.len() - end > MAX_EVENT_BYTES {
-            rest = Err(MalformedStream);
+            rest = Err(MalformedStream::Oversized);
         }
         EventBatch { bytes: self.pending.split_to(end).freeze(), count, rest }
     }
+
+    /// Records the id of the next event unless it shows that the event is not the next one.
+    const fn accept_id(&mut self, id: u64) -> bool {
+        let is_consecutive = !self.has_jumped && self.consecutive_steps >= MIN_CONSECUTIVE_STEPS;
+        match self.last_id {
+            Some(last) if id <= last => return false,
+            Some(last) if id == last + 1 => {
+                self.consecutive_steps = self.consecutive_steps.saturating_add(1);
+            }
+            Some(_) if self.is_resumed && is_consecutive => return false,
+            Some(_) => self.has_jumped = true,
+            None => {}
+        }
+        (self.last_id, self.has_unnumbered, self.is_resumed) = (Some(id), false, false);
+        true
+    }
 }
 
 /// Returns the offset after the first empty line, which ends an event.
--- a/crates/cumintrail-daemon/tests/events.rs
+++ b/crates/cumintrail-daemon/tests/events.rs
@@ -137,6 +137,83 @@
     }
 }
 
+/// Returns whether the events with these ids are passed on, where a further response begins at each
+/// `None`, and whether the stream is refused at the last of them.
+fn goes_on(taken_up_after: Option<u64>, ids: &[Option<u64>]) -> bool {
+    let mut events = EventSplitter::resume_after(taken_up_after);
+    let (last, before) = ids.split_last().unwrap();
+    for id in before {
+        match id {
+            None => events.drop_partial(),
+            Some(id) => assert!(events.push(event(*id).as_bytes()).rest.is_ok(), "{ids:?}: {id}"),
+        }
+    }
+    let (last_id, text) = (events.last_id(), event(last.unwrap()));
+    let batch = events.push(text.as_bytes());
+    let (bytes, last_id) = match batch.rest {
+        Ok(()) => (text.as_str(), *last),
+        Err(_) => ("", last_id),
+    };
+    assert_eq!((batch.bytes.as_ref(), events.last_id()), (bytes.as_bytes(), last_id), "{ids:?}");
+    batch.rest.is_ok()
+}
+
+/// Guards against a stream that is resumed after another event than the one asked for, so that its
+/// caller lacks events.
+#[test]
+fn a_resumed_stream_of_consecutive_ids_does_not_skip_an_event() {
+    let resumed = None;
+    let cases: [(Option<u64>, &[Option<u64>]); 5] = [
+        (None, &[Some(1), Some(2), Some(3), resumed, Some(5)]),
+        (None, &[Some(7), Some(8), Some(9), resumed, Some(100)]),
+        (None, &[Some(1), Some(2), resumed, Some(3), resumed, Some(5)]),
+        (None, &[Some(1), resumed, Some(2), resumed, Some(3), resumed, Some(5)]),
+        (Some(4), &[resumed, Some(5), Some(6), resumed, Some(8)]),
+    ];
+    for (taken_up_after, ids) in cases {
+        assert!(!goes_on(taken_up_after, ids), "{ids:?} after {taken_up_after:?}");
+        let (_, before) = ids.split_last().unwrap();
+        let next = before.iter().rev().find_map(|id| *id).unwrap() + 1;
+        let sound = [before, &[Some(next)]].concat();
+        assert!(goes_on(taken_up_after, &sound), "{sound:?} after {taken_up_after:?}");
+    }
+}
+
+/// Guards against refused streams of services whose ids only increase.
+#[test]
+fn a_resumed_stream_whose_ids_need_not_be_consecutive_goes_on() {
+    let resumed = None;
+    let cases: [(Option<u64>, &[Option<u64>]); 8] = [
+        (None, &[Some(10), Some(20), Some(30), resumed, Some(50)]),
+        (None, &[Some(1), Some(2), Some(3), Some(5), resumed, Some(8)]),
+        (None, &[Some(1), Some(3), Some(4), Some(5), Some(6), resumed, Some(8)]),
+        // Within one response, the target alone knows which id is next.
+        (None, &[Some(1), Some(2), Some(3), Some(5)]),
+        (None, &[Some(1), Some(2), Some(3), resumed, Some(4), Some(6)]),
+        // One distance between ids shows no regularity.
+        (None, &[Some(1), resumed, Some(3)]),
+        (None, &[Some(1), Some(2), resumed, Some(4)]),
+        (Some(4), &[resumed, Some(6), Some(7), Some(8), Some(9), resumed, Some(11)]),
+    ];
+    for (taken_up_after, ids) in cases {
+        assert!(goes_on(taken_up_after, ids), "{ids:?} after {taken_up_after:?}");
+    }
+}
+
+#[test]
+fn what_precedes_the_first_id_of_a_resumed_stream_hides_no_missing_event() {
+    for prefix in [": comment\n\n", "\n", "data: plain\n\n"] {
+        let mut events = EventSplitter::default();
+        events.push((1..=3).map(event).collect::<String>().as_bytes());
+        events.drop_partial();
+        let text = prefix.to_owned() + &event(5);
+        let batches: Vec<_> = text.bytes().map(|byte| events.push(&[byte])).collect();
+        let passed_on: Vec<u8> = batches.iter().flat_map(|batch| batch.bytes.to_vec()).collect();
+        assert_eq!(String::from_utf8_lossy(&passed_on).trim(), prefix.trim());
+        assert!(batches.iter().any(|batch| batch.rest.is_err()), "{prefix:?}");
+    }
+}
+
 #[test]
 fn arbitrary_bytes_neither_panic_nor_pile_up() {
     let chunks = prop::collection::vec(prop::collection::vec(any::<u8>(), 0..200), 0..50);
--- a/tests/platform-standin/tests/wire_judge.rs
+++ b/tests/platform-standin/tests/wire_judge.rs
@@ -132,6 +132,19 @@
     assert_eq!(broken(rest, vec![run("b", 4, 4)]), []);
 }
 
+#[test]
+fn an_event_that_is_missing_where_a_stream_goes_on_is_found() {
+    let in_one_response = call(CallKind::Resume, "a", events("a", 0, 3) + &events("b", 4, 6));
+    let taken_up = Try { after: 3, ..call(CallKind::Resume, "b", events("b", 4, 6)) };
+    for call in [in_one_response, taken_up] {
+        let rest = Attempt { body: events("b", 4, 6), ..run("b", 3, 4) };
+        let cut = Try { ending: Ending::Broken, ..call.clone() };
+        for call in [call, cut] {
+            assert_eq!(broken(call, vec![run("a", 0, 3), rest.clone()]), [Rule::Order]);
+        }
+    }
+}
+
 /// A log of streams, each of which a run of the first version began and one of `software` ended.
 fn taken_up(streams: usize, software: u8, in_one_response: bool) -> Log {
     let mut log = Log::default();
--- a/tests/tests/gateway_broken_responses.rs
+++ b/tests/tests/gateway_broken_responses.rs
@@ -2,7 +2,11 @@
 
 use std::time::Duration;
 
-use cumintrail_tests::gateway_cluster::{Cluster, STREAM, WHOLE, events, send, status};
+use cumintrail_daemon::Gateway;
+use cumintrail_tests::gateway_cluster::{
+    Cluster, KEY, LIMIT, STREAM, WHOLE, declarations, events, send, status,
+};
+use cumintrail_tests::standins::feed::FeedPlatform;
 use cumintrail_tests::standins::replica::{Replica, Step};
 
 const PATHS: [&str; 4] = ["/read/", "/hold/", "/flow/", "/resume/"];
@@ -18,6 +22,11 @@
     (response, target.calls().len())
 }
 
+/// Returns the ids of the events in a response.
+fn ids(response: &str) -> Vec<u64> {
+    response.lines().filter_map(|line| line.strip_prefix("id: ")?.parse().ok()).collect()
+}
+
 /// Guards against a response that ended inside its head and counts as a success.
 #[actix_rt::test]
 async fn a_response_that_ends_inside_its_head_is_no_success() {
@@ -77,6 +86,71 @@
     }
 }
 
+/// Guards against a gap in a stream whose next target goes on after another event than the one
+/// asked for, which the caller of a single response cannot tell from a stream of such ids.
+#[actix_rt::test]
+async fn a_resumed_stream_does_not_skip_an_event() {
+    let rest = |first: u64| vec![send(STREAM), events(first..=first + 1), send("0\r\n\r\n")];
+    for attempts in [2, 3] {
+        let begun = || vec![send(STREAM), events(1..=3), Step::Close];
+        let target = Replica::bind(move |n| match n {
+            0 => begun(),
+            1 => rest(5),
+            _ => rest(4),
+        });
+        let target = target.await.unwrap();
+        let platform = FeedPlatform::new();
+        let declared = declarations(KEY).replace("attempts = 2", &format!("attempts = {attempts}"));
+        platform.publish_declarations(1, &declared);
+        platform.list_target("t0", 1, 1, "desk", target.address(), false);
+        let cluster = Cluster::spawn_on(platform);
+        cluster.until(Gateway::is_ready).await;
+
+        let response = cluster.call("/resume/").await;
+        let is_whole = attempts == 3;
+        let expected: &[u64] = if is_whole { &[1, 2, 3, 4, 5] } else { &[1, 2, 3] };
+        assert_eq!(ids(&response), expected, "{response}");
+        assert_eq!(response.ends_with("0\r\n\r\n"), is_whole, "{response}");
+        let calls = target.calls();
+        assert!(calls.len() <= attempts, "{} attempts", calls.len());
+        assert!(calls[1..].iter().all(|call| call.contains("last-event-id: 3\r\n")), "{calls:?}");
+    }
+}
+
+/// Guards against streams that cannot be resumed because their ids only increase.
+#[actix_rt::test]
+async fn a_stream_whose_ids_are_not_consecutive_is_resumed() {
+    let begun = [send(STREAM), events(1..=3), events(6..=6), Step::Close];
+    let then = [send(STREAM), events(8..=9), send("0\r\n\r\n")];
+    let (response, attempts) = call("/resume/", &begun, &then).await;
+    assert_eq!((ids(&response), attempts), (vec![1, 2, 3, 6, 8, 9], 2), "{response}");
+    assert!(response.ends_with("0\r\n\r\n"), "{response}");
+}
+
+/// Guards against a caller that takes a stream up and never gets the rest: it knows the id that it
+/// asked for, and the ids before it are unknown here.
+#[actix_rt::test]
+async fn a_caller_that_takes_a_stream_up_gets_what_the_target_sends() {
+    let begun = || vec![send(STREAM), events(1..=6), Step::Pause(LIMIT)];
+    let rest = || vec![send(STREAM), events(8..=9), send("0\r\n\r\n")];
+    let target = Replica::bind(move |n| if n == 0 { begun() } else { rest() }).await.unwrap();
+    let platform = FeedPlatform::new();
+    platform.publish_declarations(1, &declarations(KEY));
+    platform.list_software("t0", "desk", target.address(), "v1");
+    let cluster = Cluster::spawn_on(platform);
+    cluster.until(Gateway::is_ready).await;
+    let mut caller = cluster.connect().await;
+    caller.send("/resume/", "c-1", "", "").await;
+    caller.until("data: 6\n\n").await;
+    drop(caller);
+    let mut caller = cluster.connect().await;
+    let headers = "connection: close\r\nlast-event-id: 6\r\nx-cumintrail-resumes: c-1\r\n";
+    caller.send("/resume/", "c-2", headers, "").await;
+    let response = caller.rest().await;
+    assert_eq!(ids(&response), [8, 9], "{response}");
+    assert!(response.ends_with("0\r\n\r\n"), "{response}");
+}
+
 /// Guards against events without an id that come twice where a stream is resumed.
 #[actix_rt::test]
 async fn a_resumed_stream_does_not_repeat_an_event_without_id() {
