Bind a stream whose call has no id to the software version of its process

Cause: a call without an id, or with one that is no visible ASCII, had no `StreamRequest` at all. Its connection was not identified, its first event bound it to no version, and a further attempt went to any target.

Change: `StreamRequest::Begin` holds the stream's name, if it has one. A stream without one is identified and bound like all others; it is neither recorded for peers nor for a later entry, since its caller cannot name it. If its process is not listed at its first event, it is bound to an unknown version and ends where it breaks. A caller that takes it up names no stream, and waits or is refused as before.

Tests that begin streams wrap the name in `Some`; nothing that they check is changed.

--- a/crates/cumintrail-control/src/control/software.rs
+++ b/crates/cumintrail-control/src/control/software.rs
@@ -74,20 +74,19 @@
         }
         let Some(target) = listed else { return };
         let Some(software) = target.software.clone() else { return };
-        let process = process.filter(|process| *process != target.name);
-        let Some((process, stream)) = process.zip(stream) else {
+        let Some(process) = process.filter(|process| *process != target.name) else {
             return self.bind_stream(now, key, software);
         };
         let unsettled = UnsettledStream { call: key, process, began: now };
         let (as_of, interval) = (self.registry_as_of, self.heartbeat_interval);
-        match unsettled.software(snapshot, as_of, interval) {
-            Some(software) => self.bind_stream(now, key, software),
+        match (unsettled.software(snapshot, as_of, interval), stream) {
+            (Some(software), _) => self.bind_stream(now, key, software),
             // Its caller may take it up elsewhere before the process is listed.
-            None if self.unsettled_streams.add(stream, unsettled) => {
+            (None, Some(stream)) if self.unsettled_streams.add(stream, unsettled) => {
                 let origin = StreamOrigin { stream, software: UNKNOWN_VERSION.into() };
                 self.stream_origins.record(now, origin, ORIGIN_ROUNDS);
             }
-            None => self.bind_stream(now, key, UNKNOWN_VERSION.into()),
+            (None, _) => self.bind_stream(now, key, UNKNOWN_VERSION.into()),
         }
     }
 
--- a/crates/cumintrail-control/src/stream_origins.rs
+++ b/crates/cumintrail-control/src/stream_origins.rs
@@ -41,18 +41,17 @@
 /// Describes how a call relates to a resumable stream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum StreamRequest {
-    /// The call begins this stream.
-    Begin(StreamId),
+    /// The call begins this stream; `None` if it has no name by which its caller could take it up.
+    Begin(Option<StreamId>),
     /// The call continues this stream; `None` if the caller did not name it.
     Continue(Option<StreamId>),
 }
 
 impl StreamRequest {
-    /// Returns the stream, if its name is known.
+    /// Returns the stream, if it has a name that is known.
     pub const fn stream(self) -> Option<StreamId> {
         match self {
-            Self::Begin(stream) => Some(stream),
-            Self::Continue(stream) => stream,
+            Self::Begin(stream) | Self::Continue(stream) => stream,
         }
     }
 }
--- a/crates/cumintrail-control/tests/restarted_software.rs
+++ b/crates/cumintrail-control/tests/restarted_software.rs
@@ -134,7 +134,7 @@
 
     /// Begins a stream at the listed process of a target, and returns the target.
     fn begin(&mut self, call: u64) -> Option<&'static str> {
-        let target = self.arrive(call, StreamRequest::Begin(stream(call)))?;
+        let target = self.arrive(call, StreamRequest::Begin(Some(stream(call))))?;
         let listed = |t: &Target| *t.instance == *target && !t.retired;
         let (_, process) = self.snapshot.targets.iter().find(|(_, t)| listed(t))?;
         let process = process.name.clone();
@@ -144,7 +144,7 @@
 
     /// Begins a stream at this process, and returns the target that it was sent to.
     fn begin_at(&mut self, call: u64, process: &str) -> Option<&'static str> {
-        let target = self.arrive(call, StreamRequest::Begin(stream(call)));
+        let target = self.arrive(call, StreamRequest::Begin(Some(stream(call))));
         self.send_event(call, process);
         target
     }
@@ -237,7 +237,8 @@
 fn the_process_of_a_target_with_software_is_identified_before_a_stream() {
     let mut daemon = Daemon::start(1, &[OLD]);
     daemon.begin(1);
-    let requests = [StreamRequest::Begin(stream(2)), StreamRequest::Continue(Some(stream(1)))];
+    let requests =
+        [StreamRequest::Begin(Some(stream(2))), StreamRequest::Continue(Some(stream(1)))];
     for (call, request) in (2..).zip(requests) {
         let actions = daemon.arrival_actions(call, request);
         let is_identified = |action: &Action| match action {
@@ -316,7 +317,7 @@
 fn the_first_event_arrives_after_the_process_that_sends_it_was_listed() {
     for (process, next) in [("t0@1", "t1"), ("t0@2", "t0")] {
         let mut daemon = Daemon::start(1, &[OLD]);
-        assert_eq!(daemon.arrive(1, StreamRequest::Begin(stream(1))), Some("t0"));
+        assert_eq!(daemon.arrive(1, StreamRequest::Begin(Some(stream(1)))), Some("t0"));
         daemon.list(2, &[RESTARTED, OTHER]);
         daemon.send_event(1, process);
         assert_eq!(daemon.break_off(1, 1), Some(next));
@@ -324,6 +325,35 @@
     }
 }
 
+/// Guards against streams that are bound to no software version because their calls have no id.
+#[test]
+fn a_stream_without_a_name_goes_on_at_the_software_of_its_process_only() {
+    for (process, is_listed_before, next) in [
+        ("t0@1", false, Some("t1")),
+        ("t0@1", true, Some("t1")),
+        ("t0@2", true, Some("t0")),
+        // No later entry could be related to the stream, so that it ends where it breaks.
+        ("t0@2", false, None),
+    ] {
+        let mut daemon = Daemon::start(1, &[OLD]);
+        let actions = daemon.arrival_actions(1, StreamRequest::Begin(None));
+        assert_eq!(daemon.sent_to(&actions), Some("t0"));
+        let is_identified = |action: &Action| match action {
+            Action::Dispatch(dispatch) => dispatch.must_identify,
+            _ => false,
+        };
+        assert!(actions.iter().any(is_identified));
+        if !is_listed_before {
+            daemon.send_event(1, process);
+        }
+        daemon.list(2, &[RESTARTED, OTHER]);
+        if is_listed_before {
+            daemon.send_event(1, process);
+        }
+        assert_eq!(daemon.break_off(1, 1), next, "{process}, listed before: {is_listed_before}");
+    }
+}
+
 #[test]
 fn peers_learn_the_software_of_a_stream_whose_caller_left_before_its_process_was_listed() {
     let (mut daemon, mut peer) = (Daemon::start(1, &[OLD]), Daemon::start(2, &[OLD]));
@@ -342,7 +372,7 @@
 fn a_peer_that_lists_one_version_does_not_resume_a_stream_of_an_unlisted_process() {
     let listed = [OLD, OTHER];
     let (mut daemon, mut peer) = (Daemon::start(1, &listed), Daemon::start(2, &listed));
-    let began = daemon.arrive(1, StreamRequest::Begin(stream(1))).unwrap();
+    let began = daemon.arrive(1, StreamRequest::Begin(Some(stream(1)))).unwrap();
     daemon.send_event(1, &format!("{began}@2"));
     daemon.report_to(&mut peer);
     assert_eq!(peer.take_up(2, 1), None);
@@ -353,7 +383,7 @@
 fn peers_learn_of_a_stream_whose_process_is_never_listed_while_one_version_is() {
     let listed = [OLD, OTHER];
     let (mut daemon, mut peer) = (Daemon::start(1, &listed), Daemon::start(2, &listed));
-    let began = daemon.arrive(1, StreamRequest::Begin(stream(1))).unwrap();
+    let began = daemon.arrive(1, StreamRequest::Begin(Some(stream(1)))).unwrap();
     daemon.send_event(1, &format!("{began}@2"));
     for daemon in [&mut daemon, &mut peer] {
         daemon.wait(2 * HEARTBEAT.as_millis() as u64);
--- a/crates/cumintrail-control/tests/shortage_resumed.rs
+++ b/crates/cumintrail-control/tests/shortage_resumed.rs
@@ -130,7 +130,7 @@
 #[test]
 fn resumed_streams_are_sent_at_once_where_new_patient_calls_are_held_back() {
     let mut daemon = Daemon::start();
-    let new = daemon.sent_at_once(|number| StreamRequest::Begin(stream(number)));
+    let new = daemon.sent_at_once(|number| StreamRequest::Begin(Some(stream(number))));
     assert!(new < CALLS, "capacity is not scarce in this test");
     let resumed = daemon.sent_at_once(|_| StreamRequest::Continue(None));
     assert_eq!(resumed, CALLS);
--- a/crates/cumintrail-daemon/src/relay/call.rs
+++ b/crates/cumintrail-daemon/src/relay/call.rs
@@ -209,7 +209,7 @@
     match metadata.last_event_id {
         _ if class != CallClass::ResumableStream => None,
         Some(_) => Some(StreamRequest::Continue(stream(&metadata.resumes))),
-        None => stream(&metadata.id).map(StreamRequest::Begin),
+        None => Some(StreamRequest::Begin(stream(&metadata.id))),
     }
 }
 
--- a/tests/tests/gateway_versions.rs
+++ b/tests/tests/gateway_versions.rs
@@ -7,6 +7,7 @@
 use cumintrail_tests::standins::feed::FeedPlatform;
 use cumintrail_tests::standins::replica::{Replica, Step, header};
 use cumintrail_wire::platform::SOFTWARE_HISTORY_KEY;
+use tokio::io::AsyncWriteExt as _;
 
 const CALLS: usize = 12;
 
@@ -69,6 +70,37 @@
     assert!(resumed > 0, "no stream was resumed");
 }
 
+/// Guards against a stream that is bound to no software version because its caller's call has no id.
+#[actix_rt::test]
+async fn a_broken_stream_without_an_id_is_resumed_at_its_software_version_only() {
+    let (old, new) = (target(Step::Reset).await, target(Step::Reset).await);
+    let cluster = spawn(&[(&old, "v1"), (&new, "v2")]).await;
+    for i in 0..CALLS {
+        let mut caller = cluster.connect().await;
+        let text = format!(
+            "POST /resume/{i}/ HTTP/1.1\r\nhost: shop.example\r\nauthorization: Bearer {KEY}\r\n\
+             connection: close\r\ncontent-length: 0\r\n\r\n"
+        );
+        caller.0.write_all(text.as_bytes()).await.unwrap();
+        let response = caller.rest().await;
+        assert!(response.contains("id: 2"), "{response}");
+    }
+    let mut resumed = 0;
+    for target in [&old, &new] {
+        let calls = target.calls();
+        let path = |head: &String| head.split(' ').nth(1).unwrap_or_default().to_owned();
+        let is_resumed = |head: &&String| header(head, "last-event-id").is_some();
+        let began: Vec<String> = calls.iter().filter(|head| !is_resumed(head)).map(path).collect();
+        let again: Vec<String> = calls.iter().filter(is_resumed).map(path).collect();
+        resumed += again.len();
+        assert!(
+            again.iter().all(|path| began.contains(path)),
+            "began {began:?}, resumed {again:?}"
+        );
+    }
+    assert!(resumed > 0, "no stream was resumed");
+}
+
 #[actix_rt::test]
 async fn a_caller_that_resumes_a_stream_gets_the_rest_from_its_software_version() {
     let pause = Step::Pause(Duration::from_secs(5));
--- a/tests/tests/stream_origins.rs
+++ b/tests/tests/stream_origins.rs
@@ -114,7 +114,7 @@
 /// Starts streams at a daemon and returns the target of each.
 fn begin(control: &mut Control, now: Moment) -> Vec<TargetKey> {
     let begin_one = |number| {
-        let actions = arrive(control, now, number, StreamRequest::Begin(stream(number)));
+        let actions = arrive(control, now, number, StreamRequest::Begin(Some(stream(number))));
         control.handle(now, Event::FirstToken { call: CallKey(number) });
         dispatched(&actions).expect("the call is sent")
     };
@@ -240,7 +240,7 @@
     let actions = arrive(&mut control, Moment::from_millis(3_000), 2, again);
     assert_eq!(refused(&actions), Some(RefusalCode::UnknownStream));
     // New streams begin all the same.
-    let begin = StreamRequest::Begin(stream(2));
+    let begin = StreamRequest::Begin(Some(stream(2)));
     let actions = arrive(&mut control, Moment::from_millis(3_000), 3, begin);
     assert_eq!(dispatched(&actions), Some(TargetKey(0)));
 }
