--- a/crates/cumintrail-daemon/src/relay/attempt.rs
+++ b/crates/cumintrail-daemon/src/relay/attempt.rs
@@ -402,25 +402,20 @@
 
     /// Ends an attempt whose exchange failed after bytes of the call may have been sent.
     async fn fail(&mut self, connection: &Connection, e: &ClientError) -> AttemptEnd {
-        let cause = match e {
-            ClientError::Malformed => return self.fail_unusable(connection, "unreadable"),
-            ClientError::Truncated => "truncated",
-            _ => "broken",
-        };
-        if let Some(end) = self.check_deadline().await {
+        let is_broken = !matches!(e, ClientError::Malformed);
+        if is_broken && let Some(end) = self.check_deadline().await {
             return end;
         }
         self.worker.pool.close_idle(connection.address());
-        if let Destination::Target { dispatch, .. } = self.destination {
+        if let (Destination::Target { dispatch, .. }, true) = (self.destination, is_broken) {
             self.report_response_end(ResponseEnd::Broken).await;
             self.worker.check_target(dispatch.target, connection.address());
         }
-        self.record_end(self.failed(), cause)
-    }
-
-    /// Ends an attempt whose response cannot be used, although its connection is sound.
-    fn fail_unusable(&mut self, connection: &Connection, cause: &str) -> AttemptEnd {
-        self.worker.pool.close_idle(connection.address());
+        let cause = match e {
+            ClientError::Malformed => "unreadable",
+            ClientError::Truncated => "truncated",
+            _ => "broken",
+        };
         self.record_end(self.failed(), cause)
     }
 
--- a/crates/cumintrail-daemon/src/relay/attempt/response.rs
+++ b/crates/cumintrail-daemon/src/relay/attempt/response.rs
@@ -141,7 +141,8 @@
                 _ if !is_passed_on => return AttemptEnd::Disconnected,
                 Ok(()) if has_room => {}
                 Err(MalformedStream::OutOfOrder) => {
-                    return self.fail_unusable(&connection, "out-of-order");
+                    self.worker.pool.close_idle(connection.address());
+                    return self.record_end(self.failed(), "out-of-order");
                 }
                 _ => return self.fail(&connection, &ClientError::Malformed).await,
             }
