Keep origins pending while no peer would get them

A caller took up a stream at a peer that had just met its daemon, and waited or went on at the only listed version.

Cause: each round of digests used up a report, also rounds that reached no peer which gets origins. Found by the review of the wait for entries.

Change: reports are taken only if a peer that is not silent gets them.

Measured: origins_stay_pending_while_no_peer_would_get_them failed before and passes.

--- a/crates/cumintrail-control/src/control/digests.rs
+++ b/crates/cumintrail-control/src/control/digests.rs
@@ -10,9 +10,11 @@
 use rand::seq::IteratorRandom;
 
 use super::Control;
+use crate::membership::Liveness;
 use crate::parts::name_hash;
 use crate::placement::Placer;
 use crate::retry::RetryPolicy;
+use crate::stream_origins::StreamOrigin;
 use crate::{Action, Actions, PeerDigest, TargetLoad};
 
 /// Minimum time between two rounds of digests, even if changes are urgent.
@@ -51,6 +53,8 @@
         let (own, domain) = (self.identity.address, self.identity.domain.clone());
         self.share_limits(now, actions);
         self.refresh_allowances(now);
+        let full_mesh = self.membership.is_full_mesh(own);
+        let gets_origins = |of_peer: &Arc<str>| full_mesh || *of_peer == domain;
         let common = PeerDigest {
             vm: self.identity.vm.clone(),
             domain: domain.clone(),
@@ -69,7 +73,7 @@
             loads: self.own_loads(now),
             processor_share: self.identity.processor_share,
             domain_sizes: self.membership.domain_sizes(now, own, &domain),
-            stream_origins: self.stream_origins.take_reports(),
+            stream_origins: self.take_stream_origins(own, gets_origins),
             software: self.reported_software(now),
             quarantine: self.take_quarantine_report(now),
             limits: self.take_limit_reports(now),
@@ -81,10 +85,9 @@
             partitioned: self.partitioned_pools(),
             evacuations: self.evacuation_reports(now),
         };
-        let full_mesh = self.membership.is_full_mesh(own);
         for to in self.membership.choose_peers(own, &domain, &mut self.rng) {
             let mut digest = common.clone();
-            if !full_mesh && self.membership.domain_of(to) != Some(&domain) {
+            if !self.membership.domain_of(to).is_some_and(gets_origins) {
                 digest.stream_origins.clear();
             }
             self.membership.fill_digest(now, to, &mut digest);
@@ -92,6 +95,21 @@
         }
     }
 
+    /// Takes the origins of streams for a round of digests; they stay pending while no peer would get
+    /// them.
+    fn take_stream_origins(
+        &mut self,
+        own: SocketAddr,
+        gets_origins: impl Fn(&Arc<str>) -> bool,
+    ) -> Vec<StreamOrigin> {
+        let others = self.membership.peers().filter(|(address, _)| *address != own);
+        let mut usable = others.filter(|(_, peer)| peer.liveness != Liveness::Silent);
+        if usable.any(|(_, peer)| gets_origins(&peer.domain)) {
+            return self.stream_origins.take_reports();
+        }
+        Vec::new()
+    }
+
     /// Records the origins of streams in a peer's digest.
     ///
     /// Where a round of digests reaches only some of the peers, those of a failure domain pass
--- a/crates/cumintrail-control/tests/restarted_software.rs
+++ b/crates/cumintrail-control/tests/restarted_software.rs
@@ -435,6 +435,18 @@
     assert_eq!(peer.sent_to(&actions), Some("t2"));
 }
 
+#[test]
+fn origins_stay_pending_while_no_peer_would_get_them() {
+    let (mut daemon, mut peer) = (Daemon::start(1, &[OLD]), Daemon::start(2, &[OLD]));
+    daemon.begin(1);
+    for _ in 0..4 {
+        daemon.wait(500);
+    }
+    peer.confirm();
+    daemon.report_to(&mut peer);
+    assert_eq!(peer.take_up(2, 1), Some("t0"));
+}
+
 #[test]
 fn a_stream_goes_on_at_once_at_a_peer_that_its_daemon_reported_it_to() {
     let (mut daemon, mut peer) = (Daemon::start(1, &[OLD]), Daemon::start(2, &[OLD]));
