Queue calls that waited for entries in the order of their arrival

Callers whose calls waited together were sent in reverse order, before calls that had come earlier; where the registry was read slowly, they were refused.

Cause: calls were requeued like retries, each at the head of the queue, and given up after a fixed time, whatever was read in the meantime. A call whose only target has another process waited for its entry until its deadline, which is meant for calls that have begun.

Change: such calls are queued like those that arrive, and refused once the entries are twice as old as current ones may be.

--- a/crates/cumintrail-control/src/control/attempts.rs
+++ b/crates/cumintrail-control/src/control/attempts.rs
@@ -6,6 +6,7 @@
 use cumintrail_types::{AttemptNumber, CallClass, CallKey, Moment, Ran, RefusalCode, TargetKey};
 
 use super::Control;
+use super::unknown_origins::Origin;
 use crate::placement::Placer;
 use crate::retry::HealthSignal;
 use crate::stream_origins::StreamRequest;
@@ -125,7 +126,8 @@
         });
         for key in due {
             match self.settle_origin(now, key) {
-                Ok(true) if !self.awaits_entry(now, key) => self.requeue(key),
+                Ok(Origin::SettledNow) => self.enqueue(key),
+                Ok(Origin::Settled) if !self.awaits_entry(now, key) => self.requeue(key),
                 Ok(_) => self.wait_for_entries(now, key),
                 Err(refusal) => {
                     self.end_call(key);
@@ -135,16 +137,32 @@
         }
     }
 
+    /// Queues a call before those that wait for their first attempt.
     fn requeue(&mut self, key: CallKey) {
         let Some(call) = self.calls.get(&key) else {
             return;
         };
-        let account = call.arrival.account;
-        let declared = self.snapshot.as_ref().and_then(|s| s.accounts.get(account));
-        let weight = declared.map_or(1, |a| a.weight);
+        let weight = self.account_weight(call);
         self.admission.requeue(call.arrival.kind, call.flow(), weight, key);
     }
 
+    /// Queues a call whose origin was settled like one that arrives.
+    fn enqueue(&mut self, key: CallKey) {
+        let Some(call) = self.calls.get(&key) else {
+            return;
+        };
+        if call.returned {
+            return self.requeue(key);
+        }
+        let weight = self.account_weight(call);
+        self.admission.enqueue(call.arrival.kind, call.flow(), weight, key);
+    }
+
+    fn account_weight(&self, call: &Call) -> u32 {
+        let declared = self.snapshot.as_ref().and_then(|s| s.accounts.get(call.arrival.account));
+        declared.map_or(1, |a| a.weight)
+    }
+
     fn finish_call(
         &mut self,
         now: Moment,
--- a/crates/cumintrail-control/src/control/unknown_origins.rs
+++ b/crates/cumintrail-control/src/control/unknown_origins.rs
@@ -13,10 +13,20 @@
 /// The interval at which a call that waits for entries of the registry is looked at again; it does
 /// not wait in the queue, where it would precede other calls.
 const ENTRY_CHECK_INTERVAL: Duration = Duration::from_millis(50);
-/// How many times the age up to which entries are current a call waits for newer ones.
-///
-/// A request of the registry that was pending when the call arrived may have to end first.
-const MAX_AWAITED_READS: u32 = 2;
+/// How many times the age up to which entries are current they may have before a call no longer
+/// waits for newer ones.
+const MAX_STALE_AGES: u32 = 2;
+
+/// Whether the version of a stream that a call goes on with is known.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Origin {
+    /// The call did not wait for it.
+    Settled,
+    /// The call waited for it until now.
+    SettledNow,
+    /// The call waits for newer entries.
+    Awaited,
+}
 
 impl<P: Placer> Control<P> {
     /// Returns the software version that a call must run at, unless the entries that would confirm it
@@ -65,24 +75,23 @@
         self.backing_off.push((now + ENTRY_CHECK_INTERVAL, key));
     }
 
-    /// Determines the version of a stream whose origin was not known when its call arrived; returns
-    /// whether the call may be sent.
-    pub(super) fn settle_origin(&mut self, now: Moment, key: CallKey) -> Result<bool, Refusal> {
+    /// Determines the version of a stream whose origin was not known when its call arrived.
+    pub(super) fn settle_origin(&mut self, now: Moment, key: CallKey) -> Result<Origin, Refusal> {
         let waits =
             |call: &&Call| call.attempts() == 0 && call.origin == OriginEvidence::OnlyVersion;
         let Some(call) = self.calls.get(&key).filter(waits) else {
-            return Ok(true);
+            return Ok(Origin::Settled);
         };
         // Entries that settle the origin are current as of a later moment than those of its arrival.
         let (software, origin) = self.required_software(now, &call.arrival, true)?;
-        let is_settled = !self.may_be_unlisted(origin, call.arrival.kind, call.arrived);
-        let entries_from = call.arrived + self.longest_unlisted(call.arrival.kind);
-        if !is_settled && now >= entries_from + self.registry_max_age * MAX_AWAITED_READS {
+        let is_awaited = self.may_be_unlisted(origin, call.arrival.kind, call.arrived);
+        let no_longer_awaited = self.registry_as_of + self.registry_max_age * MAX_STALE_AGES;
+        if is_awaited && now >= no_longer_awaited {
             return Err(self.unknown_stream());
         }
         if let Some(call) = self.calls.get_mut(&key) {
             (call.pinned_software, call.origin) = (software, origin);
         }
-        Ok(is_settled)
+        Ok(if is_awaited { Origin::Awaited } else { Origin::SettledNow })
     }
 }
--- a/crates/cumintrail-control/tests/restarted_software.rs
+++ b/crates/cumintrail-control/tests/restarted_software.rs
@@ -435,6 +435,41 @@
     assert_eq!(peer.sent_to(&actions), Some("t2"));
 }
 
+#[test]
+fn calls_that_waited_for_entries_are_sent_in_the_order_of_their_arrival() {
+    let mut peer = Daemon::start(2, &[OLD]);
+    peer.confirm();
+    for call in 2..6 {
+        assert_eq!(peer.take_up(call, 1), None);
+    }
+    peer.wait(HEARTBEAT.as_millis() as u64);
+    peer.confirm();
+    let sent = peer.wait(100).into_iter().filter_map(|action| match action {
+        Action::Dispatch(dispatch) => Some(dispatch.call.0),
+        _ => None,
+    });
+    assert_eq!(sent.collect::<Vec<_>>(), [2, 3, 4, 5]);
+}
+
+#[test]
+fn a_call_waits_for_entries_that_are_read_slowly() {
+    let mut peer = Daemon::start(2, &[OLD]);
+    let (age, max_age) = (Duration::from_millis(1_200), Duration::from_millis(1_700));
+    peer.now = peer.now + age;
+    let mut sent = None;
+    for round in 0..6 {
+        let as_of = Moment(peer.now.0 - age.as_micros() as u64);
+        peer.control.handle(peer.now, Event::RegistryConfirmed { as_of, max_age });
+        if round == 0 {
+            assert_eq!(peer.take_up(2, 1), None);
+        }
+        let actions = peer.wait(500);
+        assert_eq!(refused(&actions), None, "round {round}");
+        sent = sent.or(peer.sent_to(&actions));
+    }
+    assert_eq!(sent, Some("t0"));
+}
+
 #[test]
 fn origins_stay_pending_while_no_peer_would_get_them() {
     let (mut daemon, mut peer) = (Daemon::start(1, &[OLD]), Daemon::start(2, &[OLD]));
