Do not report a version that was concluded as one that was observed

A caller who took up a stream at the daemon that had observed its process was sent to another software version.

Cause: a daemon that went on at the only listed version recorded and reported that version like an observed one, and the daemon that began the stream kept it when the process was listed with another. A caller that names no stream was sent on at the only listed version also by a daemon that saw an unlisted process.

Change: concluded versions are not reported, an observed one prevails, and streams without a name are refused while streams of an unlisted process are unsettled. A report of the unknown version is dropped when the version is known, and pending reports are bounded.

Measured: what_a_peer_concluded_does_not_replace_the_version_of_the_process_that_began_a_stream and a_stream_without_a_name_is_not_resumed_while_an_unlisted_process_sends_streams failed before and pass; all 25 tests of restarted_software pass.

--- a/crates/cumintrail-control/src/control/software.rs
+++ b/crates/cumintrail-control/src/control/software.rs
@@ -9,7 +9,7 @@
 use crate::placement::Placer;
 use crate::software_history::{HistoryRow, PoolVersion};
 use crate::stream_origins::{
-    RequiredSoftware, StreamId, StreamOrigin, StreamRequest, UNKNOWN_VERSION,
+    OriginEvidence, RequiredSoftware, StreamId, StreamOrigin, StreamRequest, UNKNOWN_VERSION,
 };
 use crate::unsettled_streams::UnsettledStream;
 use crate::{Action, Actions, Arrival, Call, PeerDigest, Phase, retry};
@@ -35,9 +35,13 @@
         // A daemon whose entries are outdated may not know the version at which a stream began.
         let knows_history = !self.has_registry || (self.software_history.is_known() && is_current);
         let origins = &self.stream_origins;
-        if let Some(StreamRequest::Continue(Some(stream))) = request
-            && self.unsettled_streams.contains(stream)
-        {
+        let is_unsettled = match request {
+            Some(StreamRequest::Continue(Some(stream))) => self.unsettled_streams.contains(stream),
+            // It may be any of them.
+            Some(StreamRequest::Continue(None)) => !self.unsettled_streams.is_empty(),
+            _ => false,
+        };
+        if is_unsettled {
             return Err(self.unknown_stream());
         }
         let required =
@@ -85,6 +89,7 @@
             (None, Some(stream)) if self.unsettled_streams.add(stream, unsettled) => {
                 let origin = StreamOrigin { stream, software: UNKNOWN_VERSION.into() };
                 self.stream_origins.record(now, origin, ORIGIN_ROUNDS);
+                self.send_digest_soon(now);
             }
             (None, _) => self.bind_stream(now, key, UNKNOWN_VERSION.into()),
         }
@@ -112,7 +117,7 @@
             if let Some(call) = self.calls.get_mut(&call) {
                 call.pinned_software.get_or_insert_with(|| software.clone());
             }
-            self.stream_origins.record(now, StreamOrigin { stream, software }, ORIGIN_ROUNDS);
+            self.stream_origins.settle(now, StreamOrigin { stream, software }, ORIGIN_ROUNDS);
         }
     }
 
@@ -168,8 +173,10 @@
             return;
         };
         call.pinned_software.get_or_insert_with(|| software.clone());
+        // The only listed version was concluded from entries, not observed at the stream's process.
+        let rounds = if call.origin == OriginEvidence::OnlyVersion { 0 } else { ORIGIN_ROUNDS };
         if let Some(stream) = request.stream() {
-            self.stream_origins.record(now, StreamOrigin { stream, software }, ORIGIN_ROUNDS);
+            self.stream_origins.record(now, StreamOrigin { stream, software }, rounds);
         }
     }
 
--- a/crates/cumintrail-control/src/stream_origins.rs
+++ b/crates/cumintrail-control/src/stream_origins.rs
@@ -139,11 +139,34 @@
 
     /// Records an origin; if it is new, peers get it in `rounds` rounds of digests.
     pub fn record(&mut self, now: Moment, origin: StreamOrigin, rounds: u32) {
-        if self.insert(now, origin.clone()) && rounds > 0 {
-            self.pending.push_back(PendingReport { origin, rounds });
+        if self.insert(now, origin.clone()) {
+            self.report(origin, rounds);
         }
     }
 
+    /// Records the origin of a stream that began at this daemon, once its process is listed; it
+    /// prevails over what peers reported.
+    pub fn settle(&mut self, now: Moment, origin: StreamOrigin, rounds: u32) {
+        let StreamOrigin { stream, software } = origin.clone();
+        if self.insert(now, origin.clone())
+            || self.origins.insert(stream, software.clone()) != Some(software)
+        {
+            self.report(origin, rounds);
+        }
+    }
+
+    fn report(&mut self, origin: StreamOrigin, rounds: u32) {
+        if rounds == 0 {
+            return;
+        }
+        // A report of the unknown version that precedes it is of no use any more.
+        self.pending.retain(|report| report.origin.stream != origin.stream);
+        if self.pending.len() >= MAX_ORIGINS {
+            self.pending.pop_front();
+        }
+        self.pending.push_back(PendingReport { origin, rounds });
+    }
+
     /// Records that the caller was sent the whole stream, so that no peer needs its origin.
     pub fn record_complete(&mut self, stream: StreamId) {
         self.pending.retain(|report| report.origin.stream != stream);
--- a/crates/cumintrail-control/src/unsettled_streams.rs
+++ b/crates/cumintrail-control/src/unsettled_streams.rs
@@ -58,6 +58,11 @@
         has_room
     }
 
+    /// Returns whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.streams.is_empty()
+    }
+
     /// Returns whether a stream is unsettled.
     pub fn contains(&self, stream: StreamId) -> bool {
         self.streams.contains_key(&stream)
--- a/crates/cumintrail-control/tests/restarted_software.rs
+++ b/crates/cumintrail-control/tests/restarted_software.rs
@@ -6,7 +6,7 @@
 
 use cumintrail_config::{Document, Snapshot, Target, TargetKind};
 use cumintrail_control::software_history::HistoryRow;
-use cumintrail_control::stream_origins::{StreamId, StreamRequest};
+use cumintrail_control::stream_origins::{StreamId, StreamOrigin, StreamRequest};
 use cumintrail_control::{
     Action, Actions, Arrival, AttemptOutcome, Control, Event, Identity, PeerDigest, ResponseEnd,
     RouteOptions,
@@ -470,6 +470,19 @@
     assert_eq!(sent, Some("t0"));
 }
 
+#[test]
+fn what_a_peer_concluded_does_not_replace_the_version_of_the_process_that_began_a_stream() {
+    let mut daemon = Daemon::start(1, &[OLD, OTHER]);
+    let began = daemon.arrive(1, StreamRequest::Begin(Some(stream(1)))).unwrap();
+    daemon.send_event(1, &format!("{began}@2"));
+    let concluded = StreamOrigin { stream: stream(1), software: "v1".into() };
+    let digest = PeerDigest { stream_origins: vec![concluded], ..PeerDigest::default() };
+    daemon.control.handle(daemon.now, Event::PeerDigest(Box::new(digest)));
+    let restarted = |(id, ..): Listed| if id == began { (id, 2, "v2") } else { (id, 1, "v1") };
+    daemon.list(2, &[restarted(OLD), restarted(OTHER)]);
+    assert_eq!(daemon.take_up(2, 1), Some(began));
+}
+
 #[test]
 fn origins_stay_pending_while_no_peer_would_get_them() {
     let (mut daemon, mut peer) = (Daemon::start(1, &[OLD]), Daemon::start(2, &[OLD]));
@@ -482,6 +495,14 @@
     assert_eq!(peer.take_up(2, 1), Some("t0"));
 }
 
+#[test]
+fn a_stream_without_a_name_is_not_resumed_while_an_unlisted_process_sends_streams() {
+    let mut daemon = Daemon::start(1, &[OLD, OTHER]);
+    daemon.begin_at(1, "t0@2");
+    let actions = daemon.arrival_actions(2, StreamRequest::Continue(None));
+    assert_eq!(refused(&actions), Some(RefusalCode::UnknownStream));
+}
+
 #[test]
 fn a_stream_goes_on_at_once_at_a_peer_that_its_daemon_reported_it_to() {
     let (mut daemon, mut peer) = (Daemon::start(1, &[OLD]), Daemon::start(2, &[OLD]));
