Count the streams that callers of the wire's checker take up again

A run without streams of two versions shows little if no stream was taken up, or if all of them were refused. The report has both counts now; two logs show them.

--- a/tests/platform-standin/src/wire.rs
+++ b/tests/platform-standin/src/wire.rs
@@ -19,7 +19,7 @@
 
 use self::daemons::Daemons;
 pub use self::judge::{
-    Attempt, Ending, Finding, Log, Rule, Try, event_text, joined_versions, judge,
+    Attempt, Ending, Finding, Log, Rule, Try, event_text, joined_versions, judge, resumed_streams,
 };
 pub use self::script::{Framing, Script};
 use self::scripted_target::Place;
@@ -35,7 +35,8 @@
 #[derive(Debug, derive_more::Display)]
 #[display(
     "seed {seed}: {calls} calls, {complete} complete, {broken} broken, {refused} refused, \
-     {joined} of two versions; steps {steps:?}{}", findings.concat()
+     {joined} of two versions, {resumed} taken up, {went_on} of them went on; \
+     steps {steps:?}{}", findings.concat()
 )]
 pub struct Report {
     /// The seed of the script.
@@ -50,6 +51,10 @@
     pub refused: usize,
     /// Number of streams with events of two software versions.
     pub joined: usize,
+    /// Number of streams that callers took up again.
+    pub resumed: usize,
+    /// Number of these that went on with an event at least.
+    pub went_on: usize,
     /// Number of steps of each kind that targets and daemons went through.
     pub steps: BTreeMap<&'static str, usize>,
     /// The broken rules, each with the call's id and the steps of its exchange.
@@ -135,6 +140,7 @@
     });
     let faults = log.faults.iter().map(|fault| format!("\n  {fault}"));
     let count = |filter: &dyn Fn(&Try) -> bool| log.tries.iter().filter(|t| filter(t)).count();
+    let (resumed, went_on) = resumed_streams(log);
     Report {
         seed: script.seed,
         calls: log.tries.len(),
@@ -142,6 +148,8 @@
         broken: count(&|t| t.ending == Ending::Broken),
         refused: count(&|t| matches!(t.status, 429 | 503)),
         joined: joined_versions(log).len(),
+        resumed,
+        went_on,
         steps: log.steps.clone(),
         findings: findings.chain(faults).collect(),
     }
--- a/tests/platform-standin/src/wire/judge.rs
+++ b/tests/platform-standin/src/wire/judge.rs
@@ -186,6 +186,16 @@
     joined.collect()
 }
 
+/// Returns how many streams callers took up again, and how many of these went on.
+pub fn resumed_streams(log: &Log) -> (usize, usize) {
+    let mut streams: BTreeMap<usize, bool> = BTreeMap::new();
+    for call in log.tries.iter().filter(|call| call.after > 0) {
+        let has_events = call.status == 200 && call.body.ends_with(b"\n\n");
+        *streams.entry(call.exchange).or_default() |= has_events;
+    }
+    (streams.len(), streams.into_values().filter(|went_on| *went_on).count())
+}
+
 /// Returns the rules that the log breaks.
 pub fn judge(log: &Log) -> Vec<Finding> {
     let mut attempts: HashMap<&str, Vec<&Attempt>> = HashMap::new();
--- a/tests/platform-standin/tests/wire_judge.rs
+++ b/tests/platform-standin/tests/wire_judge.rs
@@ -2,7 +2,7 @@
 
 use cumintrail_platform_standin::calls::CallKind;
 use cumintrail_platform_standin::wire::{
-    Attempt, Ending, Log, Rule, Script, Try, event_text, joined_versions, judge,
+    Attempt, Ending, Log, Rule, Script, Try, event_text, joined_versions, judge, resumed_streams,
 };
 
 /// Returns the rules that a log with one call breaks.
@@ -161,6 +161,17 @@
     log
 }
 
+#[test]
+fn streams_that_are_taken_up_again_are_counted() {
+    assert_eq!(resumed_streams(&taken_up(2, 1, true)), (0, 0));
+    let mut log = taken_up(2, 1, false);
+    assert_eq!(resumed_streams(&log), (2, 2));
+    if let Some(last) = log.tries.last_mut() {
+        *last = Try { after: 2, exchange: 1, ..refused(CallKind::Resume) };
+    }
+    assert_eq!(resumed_streams(&log), (2, 1));
+}
+
 #[test]
 fn more_than_two_streams_of_two_software_versions_are_found() {
     for in_one_response in [false, true] {
