Play releases of software that no entry names yet

The checker of the wire had two versions from the start, and never played that moment.

Change: scripts in which all targets have one version, and single ones start again with further versions, under their ids and addresses or not, and write their first entry up to 350 ms later. Daemons are killed, stopped and suspended right then, and callers leave streams to take them up elsewhere. One stream of two versions is a finding there. `--releases` selects these scripts, and with `--withdrawn` new processes also end before they write an entry, or soon after. The judge takes the permitted number of such streams, two as before in the other scripts.

--- a/tests/platform-standin/src/main.rs
+++ b/tests/platform-standin/src/main.rs
@@ -64,6 +64,13 @@
         /// Leave targets and daemons of the deployment as they are at the start.
         #[arg(long)]
         without_changes: bool,
+        /// Let software versions appear that no entry of the registry names yet; seeds have other
+        /// scripts with it.
+        #[arg(long, conflicts_with_all = ["without_changes", "without_kills"])]
+        releases: bool,
+        /// Also let processes of new versions end before they write an entry, or soon after it.
+        #[arg(long, requires = "releases")]
+        withdrawn: bool,
         /// Print the scripts instead of running them.
         #[arg(long)]
         print: bool,
@@ -127,6 +134,8 @@
                 seconds,
                 without_kills,
                 without_changes,
+                releases,
+                withdrawn,
                 print,
                 folder,
             } => {
@@ -134,6 +143,8 @@
                 for seed in seed..seed + seeds {
                     let mut script = if without_changes {
                         wire::Script::draw_steady(seed, seconds)
+                    } else if releases {
+                        wire::Script::draw_releases(seed, seconds, withdrawn)
                     } else {
                         wire::Script::draw(seed, seconds)
                     };
--- a/tests/platform-standin/src/wire.rs
+++ b/tests/platform-standin/src/wire.rs
@@ -132,7 +132,7 @@
 }
 
 fn report(script: &Script, log: &Log) -> Report {
-    let findings = judge(log).into_iter().map(|finding| {
+    let findings = judge(log, script.max_joined_versions).into_iter().map(|finding| {
         let exchange = script.exchange(finding.exchange);
         let attempts = log.attempts.iter().filter(|a| a.exchange == finding.exchange);
         let attempts: Vec<String> = attempts.map(|attempt| format!("\n    {attempt}")).collect();
--- a/tests/platform-standin/src/wire/caller.rs
+++ b/tests/platform-standin/src/wire/caller.rs
@@ -58,11 +58,14 @@
                 continue;
             };
             let id = format!("{:x}-{number}-{resumption}", script.seed);
-            let mut call =
-                Call { exchange, number, connection, record: stream.begin(id, exchange, number) };
+            let moves = resumption < exchange.moves;
+            let leaves_after = exchange.leaves_after_ms.filter(|_| moves || exchange.moves == 0);
+            let record = stream.begin(id, exchange, number);
+            let leaves_after = leaves_after.map(Duration::from_millis);
+            let mut call = Call { exchange, number, connection, leaves_after, record };
             let is_reusable = call.run(&stream).await;
             let record = call.record;
-            let goes_on = stream.observe(&record);
+            let goes_on = stream.observe(&record) || (moves && record.ending == Ending::Left);
             kept = is_reusable.then_some((vm, call.connection));
             log.borrow_mut().tries.push(record);
             if !goes_on {
@@ -121,6 +124,8 @@
     exchange: &'a Exchange,
     number: usize,
     connection: Connection,
+    /// When the caller closes the connection.
+    leaves_after: Option<Duration>,
     record: Try,
 }
 
@@ -128,8 +133,7 @@
     /// Sends the request and reads the response; returns whether the connection can be used again.
     async fn run(&mut self, stream: &StreamState) -> bool {
         let head = self.head(stream);
-        let leaves_after = self.exchange.leaves_after_ms.map(Duration::from_millis);
-        let limit = leaves_after.unwrap_or(PATIENCE);
+        let limit = self.leaves_after.unwrap_or(PATIENCE);
         let body = request_body(self.exchange, self.number);
         let sender = self.connection.stream.clone();
         let in_chunks = self.exchange.in_chunks;
@@ -155,7 +159,7 @@
                 false
             }
             Err(_) => {
-                if leaves_after.is_some() {
+                if self.leaves_after.is_some() {
                     self.record.ending = Ending::Left;
                 }
                 false
--- a/tests/platform-standin/src/wire/judge.rs
+++ b/tests/platform-standin/src/wire/judge.rs
@@ -162,9 +162,6 @@
     format!("id: {id}\ndata: piece {id} of {seal}\n\n")
 }
 
-/// Streams of a run that may hold events of two software versions.
-const MAX_JOINED_VERSIONS: usize = 2;
-
 /// Returns the streams that hold events of two software versions of their service, in one response
 /// or over the requests that take them up again.
 pub fn joined_versions(log: &Log) -> Vec<Finding> {
@@ -196,14 +193,15 @@
     (streams.len(), streams.into_values().filter(|went_on| *went_on).count())
 }
 
-/// Returns the rules that the log breaks.
-pub fn judge(log: &Log) -> Vec<Finding> {
+/// Returns the rules that the log breaks, if so many streams may hold events of two software
+/// versions.
+pub fn judge(log: &Log, max_joined_versions: usize) -> Vec<Finding> {
     let mut attempts: HashMap<&str, Vec<&Attempt>> = HashMap::new();
     for attempt in &log.attempts {
         attempts.entry(&attempt.id).or_default().push(attempt);
     }
     let joined = joined_versions(log);
-    let mut findings = if joined.len() > MAX_JOINED_VERSIONS { joined } else { Vec::new() };
+    let mut findings = if joined.len() > max_joined_versions { joined } else { Vec::new() };
     for call in &log.tries {
         let attempts = attempts.get(call.id.as_str()).map_or(&[][..], Vec::as_slice);
         let broken = [
--- a/tests/platform-standin/src/wire/script.rs
+++ b/tests/platform-standin/src/wire/script.rs
@@ -2,6 +2,7 @@
 //! and what happens to the daemons.
 
 mod changes;
+mod releases;
 
 use rand::rngs::StdRng;
 use rand::seq::IndexedRandom as _;
@@ -9,13 +10,15 @@
 
 use crate::calls::CallKind;
 
-pub(super) use self::changes::{Changes, LinkFault, Notice, Operation, Replacement};
+pub(super) use self::changes::{Changes, LinkFault, Notice, Operation, Release, Replacement};
 
 /// Number of daemons in a deployment that stays as it is.
 const STEADY_VMS: usize = 2;
 /// The largest body of a request.
 pub const MAX_BODY_BYTES: usize = 400_000;
 const LANES: usize = 16;
+/// Streams of a run that may hold events of two software versions.
+const MAX_JOINED_VERSIONS: usize = 2;
 /// The deadline that requests state, unless a target is to stop at it.
 pub const DEADLINE_MS: u64 = 2_000;
 /// More exchanges than a lane has time for.
@@ -36,6 +39,8 @@
     pub(super) disturbances: Vec<(u64, Disturbance)>,
     /// What changes in the deployment.
     pub(super) changes: Changes,
+    /// How many streams may hold events of two software versions.
+    pub(super) max_joined_versions: usize,
 }
 
 /// A request with the tries that take its stream up again.
@@ -53,6 +58,8 @@
     pub deadline_ms: u64,
     /// When the caller closes its connection, in milliseconds since the request.
     pub leaves_after_ms: Option<u64>,
+    /// How many times the caller then takes its stream up at another daemon.
+    pub moves: usize,
     /// Number of events of the stream, or of lines of a plain response.
     pub pieces: usize,
     /// The responses of targets to the attempts of the exchange, in the order of arrival.
@@ -176,7 +183,14 @@
             disturbances.push((at_ms, disturbance));
             at_ms += rng.random_range(200..1_000);
         }
-        Self { seed, seconds, lanes, disturbances, changes: Changes::default() }
+        Self {
+            seed,
+            seconds,
+            lanes,
+            disturbances,
+            changes: Changes::default(),
+            max_joined_versions: MAX_JOINED_VERSIONS,
+        }
     }
 
     /// Lets targets stop some responses at their deadlines.
@@ -233,6 +247,7 @@
             on_new_connection: rng.random_bool(0.2),
             deadline_ms: DEADLINE_MS,
             leaves_after_ms: leaves.then(|| rng.random_range(1..200)),
+            moves: 0,
             pieces,
             responses: (0..DRAWN_RESPONSES)
                 .map(|_| Response::draw(rng, pieces, framings))
--- a/tests/platform-standin/src/wire/script/changes.rs
+++ b/tests/platform-standin/src/wire/script/changes.rs
@@ -28,7 +28,7 @@
     /// What happens to the links of targets, by the time in milliseconds since the start.
     pub link_faults: Vec<(u64, usize, LinkFault)>,
     /// The software versions of the processes that follow each other in each target's place.
-    software: Vec<Vec<u8>>,
+    pub(super) software: Vec<Vec<u8>>,
 }
 
 /// The replacement of a target's process by one that starts anew.
@@ -44,6 +44,18 @@
     /// For how long its last responses may then go on, in milliseconds. Those that have not ended
     /// are cut off by its exit.
     pub exits_after_ms: u64,
+    /// The software of the new process and of those after it, if it differs from what is drawn for
+    /// the place.
+    pub release: Option<Release>,
+}
+
+/// The software of a process that starts, and its way into the registry.
+#[derive(Debug, Clone, Copy)]
+pub struct Release {
+    pub software: u8,
+    /// The time from the start of the process to its first entry, in milliseconds; `None` if it
+    /// writes none.
+    pub entry_after_ms: Option<u64>,
 }
 
 /// What an operator does on purpose.
@@ -78,6 +90,8 @@
     Draining,
     /// Its entry is removed.
     Removed,
+    /// Its entry stays until the next process with its id writes one.
+    None,
 }
 
 impl Default for Changes {
@@ -220,7 +234,7 @@
 }
 
 impl Replacement {
-    fn draw(rng: &mut StdRng, target: usize) -> Self {
+    pub(super) fn draw(rng: &mut StdRng, target: usize) -> Self {
         Self {
             target,
             keeps_id: rng.random_bool(0.3),
@@ -228,11 +242,15 @@
             notice: if rng.random_bool(0.6) { Notice::Draining } else { Notice::Removed },
             serves_ms: if rng.random_bool(0.7) { rng.random_range(0..300) } else { 2_000 },
             exits_after_ms: rng.random_range(0..400),
+            release: None,
         }
     }
 
     /// The name of the step in reports.
     pub const fn name(&self) -> &'static str {
+        if matches!(self.release, Some(Release { entry_after_ms: None, .. })) {
+            return "target restarted without an entry";
+        }
         match (self.keeps_id, self.keeps_address) {
             (true, true) => "target restarted",
             (true, false) => "target restarted elsewhere",
--- a/tests/platform-standin/src/wire/scripted_target.rs
+++ b/tests/platform-standin/src/wire/scripted_target.rs
@@ -20,7 +20,7 @@
 use super::SharedLog;
 use super::http::{BodyEnd, Connection, body_end, header, write_all};
 use super::link::Link;
-use super::script::{LinkFault, Notice, Replacement, Script};
+use super::script::{LinkFault, Notice, Release, Replacement, Script};
 use crate::deployment::MODEL_SERVICE;
 use crate::replica::MODEL;
 use crate::store::{REGISTRY_TABLE, RowStore};
@@ -39,6 +39,8 @@
     targets: Cell<usize>,
     /// How many processes have filled it.
     processes: Cell<usize>,
+    /// The software of the current release, if it is not the one that the script draws.
+    software: Cell<Option<u8>>,
     current: RefCell<Option<Rc<Target>>>,
 }
 
@@ -51,6 +53,8 @@
     /// The link that has the address, if daemons reach the target through one.
     link: Option<Rc<Link>>,
     stage: Cell<Stage>,
+    /// Whether it has written an entry.
+    is_registered: Cell<bool>,
     process: RefCell<Option<Process>>,
     heartbeats: Cell<u64>,
 }
@@ -74,20 +78,30 @@
         script: Rc<Script>,
         log: SharedLog,
     ) -> io::Result<Rc<Self>> {
-        let (targets, processes, current) = (Cell::new(0), Cell::new(0), RefCell::default());
-        let place =
-            Rc::new(Self { number, service, store, script, log, targets, processes, current });
-        place.fill(format!("t-{number}"), std::net::TcpListener::bind(ANY_PORT)?, None)?;
+        let place = Rc::new(Self {
+            number,
+            service,
+            store,
+            script,
+            log,
+            targets: Cell::default(),
+            processes: Cell::default(),
+            software: Cell::default(),
+            current: RefCell::default(),
+        });
+        let listener = std::net::TcpListener::bind(ANY_PORT)?;
+        place.fill(format!("t-{number}"), listener, None, Some(0))?;
         Ok(place)
     }
 
     /// Starts a target behind a link, the one of its predecessor or a new one, if the script has
-    /// links.
+    /// links. The target writes its first entry after `entry_after_ms`.
     fn fill(
         self: &Rc<Self>,
         id: String,
         listener: std::net::TcpListener,
         link: Option<Rc<Link>>,
+        entry_after_ms: Option<u64>,
     ) -> io::Result<()> {
         self.targets.set(self.targets.get() + 1);
         let listens_at = listener.local_addr()?;
@@ -101,6 +115,7 @@
             address: link.as_ref().map_or(listens_at, |link| link.address),
             link,
             stage: Cell::new(Stage::Serving),
+            is_registered: Cell::new(entry_after_ms == Some(0)),
             process: RefCell::default(),
             heartbeats: Cell::new(0),
         });
@@ -109,7 +124,12 @@
         let (born, software) = (target.born(), target.software());
         self.note(id, &format!("listens at {address}, born {born}, software v{software}"));
         *self.current.borrow_mut() = Some(target.clone());
+        let Some(entry_after_ms) = entry_after_ms else { return Ok(()) };
         actix_rt::spawn(async move {
+            sleep(Duration::from_millis(entry_after_ms)).await;
+            if !target.is_registered.replace(true) && target.stage.get() != Stage::Unlisted {
+                target.place.note(&target.id, "writes its first entry");
+            }
             while target.stage.get() != Stage::Unlisted {
                 target.register();
                 sleep(HEARTBEAT_INTERVAL).await;
@@ -143,7 +163,11 @@
         self.log.borrow_mut().count(replacement.name());
         self.note(&old.id, "gives notice");
         old.give_notice(replacement.notice);
-        let Replacement { keeps_id, keeps_address, .. } = replacement;
+        let Replacement { keeps_id, keeps_address, release, .. } = replacement;
+        let entry_after_ms = release.map_or(Some(0), |release| release.entry_after_ms);
+        if let Some(Release { software, .. }) = release {
+            self.software.set(Some(software));
+        }
         let id = if keeps_id {
             old.id.clone()
         } else {
@@ -151,7 +175,8 @@
         };
         let starts_first = !keeps_id && !keeps_address;
         if starts_first {
-            self.fill(id.clone(), std::net::TcpListener::bind(ANY_PORT)?, None)?;
+            let listener = std::net::TcpListener::bind(ANY_PORT)?;
+            self.fill(id.clone(), listener, None, entry_after_ms)?;
         }
         sleep(Duration::from_millis(replacement.serves_ms)).await;
         self.note(&old.id, "closes its listener and idle connections");
@@ -165,7 +190,7 @@
             } else {
                 (ANY_PORT, None)
             };
-            self.fill(id, bind_when_free(address).await, link)?;
+            self.fill(id, bind_when_free(address).await, link, entry_after_ms)?;
         }
         // A successor may have the id already.
         let born = old.born();
@@ -186,8 +211,9 @@
         }
         listener.set_nonblocking(true)?;
         let listener = Rc::new(TcpListener::from_std(listener)?);
-        let Place { number, script, processes, .. } = &*self.place;
-        let software = script.changes.software(*number, processes.replace(processes.get() + 1));
+        let Place { number, script, processes, software, .. } = &*self.place;
+        let drawn = script.changes.software(*number, processes.replace(processes.get() + 1));
+        let software = software.get().unwrap_or(drawn);
         let (process, exited) = Process::new(listener.clone(), software);
         *self.process.borrow_mut() = Some(process);
         let target = self.clone();
@@ -262,6 +288,7 @@
                 self.stage.set(Stage::Unlisted);
                 self.place.store.remove(REGISTRY_TABLE, &self.id);
             }
+            Notice::None => {}
         }
     }
 
@@ -296,7 +323,7 @@
     }
 
     fn register(&self) {
-        if self.process.borrow().is_none() {
+        if self.process.borrow().is_none() || !self.is_registered.get() {
             return;
         }
         self.heartbeats.set(self.heartbeats.get() + 1);
--- a/tests/platform-standin/tests/wire_judge.rs
+++ b/tests/platform-standin/tests/wire_judge.rs
@@ -8,7 +8,7 @@
 /// Returns the rules that a log with one call breaks.
 fn broken(call: Try, attempts: Vec<Attempt>) -> Vec<Rule> {
     let log = Log { attempts, tries: vec![call], ..Log::default() };
-    judge(&log).into_iter().map(|finding| finding.rule).collect()
+    judge(&log, 2).into_iter().map(|finding| finding.rule).collect()
 }
 
 /// An attempt with a whole response.
@@ -161,6 +161,16 @@
     log
 }
 
+#[test]
+fn any_stream_of_two_software_versions_is_found_where_none_is_permitted() {
+    let rules = |software| {
+        let found = judge(&taken_up(1, software, false), 0).into_iter();
+        found.map(|finding| finding.rule).collect::<Vec<_>>()
+    };
+    assert_eq!(rules(2), [Rule::Order]);
+    assert_eq!(rules(1), []);
+}
+
 #[test]
 fn streams_that_are_taken_up_again_are_counted() {
     assert_eq!(resumed_streams(&taken_up(2, 1, true)), (0, 0));
@@ -177,7 +187,7 @@
     for in_one_response in [false, true] {
         let rules = |streams, software| {
             let log = taken_up(streams, software, in_one_response);
-            let found = judge(&log).into_iter().map(|finding| finding.rule);
+            let found = judge(&log, 2).into_iter().map(|finding| finding.rule);
             (joined_versions(&log).len(), found.collect::<Vec<_>>())
         };
         assert_eq!(rules(3, 2), (3, vec![Rule::Order; 3]));
