End a partition when half of the targets accept a connection

A daemon that reached one of twelve targets was partitioned and restored in turns: one target of a check of three ended the partition, targets to which calls had just failed were left out of the check, and all breakers were closed each time.

A check of a partitioned daemon now goes on from three targets to the others (15 at most) if at least half of the three accept, and the partition ends if at least half of all do. The breaker of a target closes when a check reaches it; those of targets that the last check did not reach stay as they are. Both scopes follow this rule. Targets that crash count until the registry removes them. Event::ReachChecked names the targets that accepted a connection.

--- a/crates/cumintrail-control/src/control.rs
+++ b/crates/cumintrail-control/src/control.rs
@@ -301,7 +301,7 @@
                 self.handle_unreachable_target(now, target, &mut actions);
             }
             Event::ReachChecked { scope, reached } => {
-                self.handle_reach(now, scope, reached, &mut actions);
+                self.handle_reach(now, scope, &reached, &mut actions);
             }
             Event::LiftQuarantine { content } => self.lift_quarantine(now, content),
             Event::TargetReported { target, report } => self.handle_report(now, target, report),
--- a/crates/cumintrail-control/src/control/detours.rs
+++ b/crates/cumintrail-control/src/control/detours.rs
@@ -60,8 +60,8 @@
             scope.contains(t) && !t.retired && !t.leaving && !evacuated.contains(t.domain)
         });
         let usable = usable.map(|(key, _)| key);
-        if let Some(targets) = reach.start_check(now, usable, &mut self.rng) {
-            actions.push(Action::CheckReach { scope, targets });
+        if let Some(check) = reach.start_check(now, usable, &mut self.rng) {
+            actions.push(Action::CheckReach { scope, check });
         }
     }
 
@@ -69,15 +69,22 @@
         &mut self,
         now: Moment,
         scope: ReachScope,
-        reached: bool,
+        reached: &[TargetKey],
         actions: &mut Actions,
     ) {
-        let reach = self.reach.get_mut(&scope);
-        let Some(change) = reach.and_then(|reach| reach.record_check(now, reached)) else {
+        let Some(reach) = self.reach.get_mut(&scope) else {
             return;
         };
+        let was_partitioned = reach.is_partitioned();
+        let change = reach.record_check(now, reached);
+        if was_partitioned {
+            self.close_breakers(reached);
+        }
+        let Some(change) = change else {
+            return self.check_reach(now, scope, actions);
+        };
         if matches!(change, ReachChange::Restored { .. }) {
-            self.close_breakers(scope);
+            self.close_unchecked_breakers(scope);
         }
         match scope {
             ReachScope::Kind(kind) => {
@@ -90,17 +97,24 @@
     }
 
     /// Closes the breakers of targets whose failures were those of this daemon's network.
-    fn close_breakers(&mut self, scope: ReachScope) {
-        let Some(snapshot) = &self.snapshot else {
-            return;
-        };
-        for (key, _) in snapshot.targets.iter().filter(|(_, t)| scope.contains(t)) {
-            if let Some(state) = self.targets.get_mut(key) {
+    fn close_breakers(&mut self, targets: &[TargetKey]) {
+        for key in targets {
+            if let Some(state) = self.targets.get_mut(*key) {
                 state.breaker = CircuitBreaker::default();
             }
         }
     }
 
+    /// Closes the breakers of targets that were not part of the check that ended a partition.
+    fn close_unchecked_breakers(&mut self, scope: ReachScope) {
+        let (Some(snapshot), Some(reach)) = (&self.snapshot, self.reach.get(&scope)) else {
+            return;
+        };
+        let targets = snapshot.targets.iter().filter(|(_, target)| scope.contains(target));
+        let targets = targets.map(|(key, _)| key).filter(|key| !reach.unreached().contains(key));
+        self.close_breakers(&targets.collect::<Vec<_>>());
+    }
+
     /// Records that a target accepts no connections after one to it broke, unless that is this
     /// daemon's own partition: then peers reach other targets of the model or service.
     pub(super) fn handle_unreachable_target(
@@ -131,7 +145,7 @@
         })
     }
 
-    /// Returns the hashed names of the models and services of which no target can be reached.
+    /// Returns the hashed names of the models and services from which it is partitioned.
     pub(super) fn partitioned_pools(&self) -> Vec<u64> {
         let partitioned = self.reach.iter().filter(|(_, reach)| reach.is_partitioned());
         let pools = partitioned.filter_map(|(scope, _)| match scope {
--- a/crates/cumintrail-control/src/digest.rs
+++ b/crates/cumintrail-control/src/digest.rs
@@ -205,7 +205,7 @@
     /// The port on which the sender handles calls of its peers, at the host of its operator address;
     /// zero if it handles none.
     pub detour_port: u16,
-    /// The models and services of which the sender reaches no target, by the hash of their names.
+    /// The models and services from which the sender is partitioned, by the hash of their names.
     pub partitioned: Vec<u64>,
     /// The failure domains that are or were evacuated.
     pub evacuations: Vec<EvacuationReport>,
--- a/crates/cumintrail-control/src/event.rs
+++ b/crates/cumintrail-control/src/event.rs
@@ -27,7 +27,7 @@
 use crate::feed::ReaderAssignment;
 use crate::parts::{PartsUpdate, StoredPart};
 use crate::quarantine::{ContentKey, QuarantineChange};
-use crate::reach::{CheckedTargets, ReachChange, ReachScope};
+use crate::reach::{Check, CheckedTargets, ReachChange, ReachScope};
 use crate::rollout::{LeaseRequest, LeaseRow, OrderOutcome};
 use crate::software_history::{HistoryRequest, HistoryRow};
 use crate::spill::SpillChange;
@@ -97,8 +97,8 @@
     ReachChecked {
         /// What the targets belong to.
         scope: ReachScope,
-        /// Whether any of them did.
-        reached: bool,
+        /// The targets that did.
+        reached: CheckedTargets,
     },
     /// An operator requested that calls with some content be sent to targets again.
     LiftQuarantine {
@@ -302,22 +302,22 @@
     Dispatch(Box<Dispatch>),
     /// Send a call to a peer.
     Detour(Detour),
-    /// Check whether any of these targets accepts a connection.
+    /// Check which targets accept a connection.
     CheckReach {
         /// What they belong to.
         scope: ReachScope,
-        /// The targets.
-        targets: CheckedTargets,
+        /// The connections to open.
+        check: Check,
     },
-    /// Log that this daemon is partitioned from all targets of a model or service, or reaches one
-    /// again.
+    /// Log that this daemon is partitioned from the targets of a model or service, or reaches half
+    /// of them again.
     ReportReach {
         /// The name of the model or service.
         name: Arc<str>,
         /// The change.
         change: ReachChange,
     },
-    /// Log that this daemon reaches no target in a failure domain, or reaches one again.
+    /// Log that this daemon reaches no target in a failure domain, or reaches half of them again.
     ReportDomainReach {
         /// The name of the failure domain.
         domain: Arc<str>,
--- a/crates/cumintrail-control/src/membership.rs
+++ b/crates/cumintrail-control/src/membership.rs
@@ -85,7 +85,7 @@
     pub demand: Vec<(Arc<str>, u32)>,
     /// The port on which it handles calls of its peers; zero for none.
     pub detour_port: u16,
-    /// The models and services of which it reaches no target, by the hash of their names.
+    /// The models and services from which it is partitioned, by the hash of their names.
     pub partitioned: Vec<u64>,
     /// Whether the last VM list contains it; the settings count as the list before the first.
     listed: bool,
--- a/crates/cumintrail-daemon/src/control_thread.rs
+++ b/crates/cumintrail-daemon/src/control_thread.rs
@@ -180,8 +180,8 @@
     }
 }
 
-/// Logs and counts that this daemon is partitioned from all targets of a model or service, or reaches
-/// one again.
+/// Logs and counts that this daemon is partitioned from the targets of a model or service, or reaches
+/// half of them again.
 fn report_reach(name: &str, change: ReachChange) {
     let partitioned = metrics::gauge!(metric::PARTITIONED, "serves" => name.to_owned());
     match change {
@@ -196,7 +196,7 @@
     }
 }
 
-/// Logs and counts that this daemon reaches no target in a failure domain, or reaches one again.
+/// Logs and counts that this daemon reaches no target in a failure domain, or half of them again.
 fn report_domain_reach(domain: &str, change: ReachChange, abandoned: usize) {
     let unreached = metrics::gauge!(metric::UNREACHED_DOMAIN, "domain" => domain.to_owned());
     match change {
--- a/crates/cumintrail-daemon/src/gateway/orders.rs
+++ b/crates/cumintrail-daemon/src/gateway/orders.rs
@@ -66,8 +66,8 @@
                 exchange_history(&self.client, &self.shared, request).await;
             }
             Action::Order(order) => self.send_order(&order).await,
-            Action::CheckReach { scope, targets } => {
-                check_reach(&self.shared, scope, &targets).await;
+            Action::CheckReach { scope, check } => {
+                check_reach(&self.shared, scope, &check).await;
             }
             Action::Probe(target) => self.probe_target(target).await,
             Action::SendDigest { to, digest } => {
--- a/crates/cumintrail-daemon/src/metric.rs
+++ b/crates/cumintrail-daemon/src/metric.rs
@@ -18,7 +18,7 @@
 pub const RETRIES: &str = "cumintrail_retries_total";
 /// Calls sent to peers because this daemon reaches no target.
 pub const DETOURS: &str = "cumintrail_detours_total";
-/// Whether this daemon is partitioned from all targets of a model or service: one if it is.
+/// Whether this daemon is partitioned from the targets of a model or service: one if it is.
 pub const PARTITIONED: &str = "cumintrail_partitioned";
 /// Whether this daemon reaches no target in a failure domain: one if it reaches none.
 pub const UNREACHED_DOMAIN: &str = "cumintrail_unreached_domain";
