Ask for the process before calls to targets that end responses by close

Since, an unframed response counts only if the listed process answers afterwards. Complete ones of a process whose entry was not read yet were cut: the entry names the process before.

Cause: the check after the end compared with the entry, unless the stream was resumable.

Change: `ResponseEnds` records, per address, whether a response has ended with its connection. A call to such a target uses an idle connection whose process is known; if there is none, an identity request on a connection of its own comes first, and the call goes out on a new one. The end is compared with that process, too. The call waits for at most a quarter of its time and 1 s; without an answer it is sent as before, and the target is not asked for ten seconds. Nothing is asked of targets whose responses have a length or chunks. `ProcessWatches` leaves the record to `ResponseEnds`.

The call does not follow on the connection with the identity request.

Measured: `a_complete_response_of_a_process_that_is_not_listed_yet_is_not_cut` failed before and passes.

--- a/crates/cumintrail-client/src/connection.rs
+++ b/crates/cumintrail-client/src/connection.rs
@@ -86,6 +86,8 @@
     listed: Option<Arc<str>>,
     /// The name of the process that responded to an identity request on it.
     process: Option<Arc<str>>,
+    /// The name of the process that responded at its address before it was opened.
+    earlier_process: Option<Arc<str>>,
     /// When the connection was opened, in time since the VM's boot.
     opened: Duration,
     /// Time since the VM's boot, including suspension, in which the target's timeout elapses too.
@@ -183,6 +185,7 @@
             exchange_count: 0,
             listed: None,
             process: None,
+            earlier_process: None,
             opened: since_boot(),
             last_used: since_boot(),
         })
@@ -230,6 +233,22 @@
         self.process = Some(process);
     }
 
+    /// Records the name of the process that responded to an identity request at the address before the
+    /// connection was opened.
+    #[must_use]
+    pub fn opened_after(mut self, process: Arc<str>) -> Self {
+        self.earlier_process = Some(process);
+        self
+    }
+
+    /// Returns the name of the process that responded at the address before the connection was opened,
+    /// if one was asked.
+    ///
+    /// The connection leads to it, unless it has ended since.
+    pub const fn earlier_process(&self) -> Option<&Arc<str>> {
+        self.earlier_process.as_ref()
+    }
+
     /// Counts incomplete heads of responses as held; a head for which there is no room is malformed.
     #[must_use]
     pub fn with_held_bytes(mut self, held: HeldBytes) -> Self {
--- a/crates/cumintrail-client/src/lib.rs
+++ b/crates/cumintrail-client/src/lib.rs
@@ -17,6 +17,7 @@
 mod pool;
 mod process_watch;
 mod response_budget;
+mod response_ends;
 mod response_stream;
 pub mod retention;
 mod service;
@@ -33,11 +34,12 @@
 pub use parts::{PartsPage, PartsStore};
 pub use peer::{HttpPeer, Peer};
 pub use platform::{HttpPlatform, ObjectStore, Table, VmListReader};
-pub use pool::{ConnectionPool, RetrySafety};
+pub use pool::{ConnectionPool, ProcessDemand, RetrySafety};
 pub use process_watch::{
     IDENTITY_TIMEOUT, ProcessEvidence, ProcessState, ProcessWatches, evidence_changed,
 };
 pub use response_budget::{HeldBytes, ResponseBudget};
+pub use response_ends::ResponseEnds;
 pub use response_stream::{ResponseEvent, ResponseStream};
 pub use service::{HttpService, Service, ServiceCall, ServiceResponse, is_end_to_end};
 pub use store::{HttpStore, Store};
--- a/crates/cumintrail-client/src/pool.rs
+++ b/crates/cumintrail-client/src/pool.rs
@@ -34,6 +34,17 @@
     AtMostOnce,
 }
 
+/// States what must be known of the process that an idle connection leads to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ProcessDemand {
+    /// Nothing.
+    None,
+    /// That it runs if the process does that responded before the connection was opened, or on it.
+    Asked,
+    /// That it is the listed one.
+    Listed,
+}
+
 /// Stores idle connections to targets for reuse.
 pub struct ConnectionPool {
     config: ServiceConfig,
@@ -62,8 +73,8 @@
     /// Takes the most recently used idle connection to a target, or opens a new one.
     ///
     /// Connections that were opened for another process at the address than `listed` are not taken:
-    /// that process may go on to serve them. With `identified`, only those are taken that lead to
-    /// `listed` for certain.
+    /// that process may go on to serve them. Only those are taken that meet `demand`; a new connection
+    /// does not meet any.
     ///
     /// The connections in `carried` had an attempt of the same call. They are not taken, since a late
     /// copy of that attempt's response would bear the id of the call and pass for the next response.
@@ -71,11 +82,11 @@
         &self,
         at: SocketAddr,
         listed: &Arc<str>,
-        identified: bool,
+        demand: ProcessDemand,
         retry_safety: RetrySafety,
         carried: &[ConnectionId],
     ) -> Result<Connection, ClientError> {
-        if let Some(connection) = self.take_idle(at, listed, identified, retry_safety, carried) {
+        if let Some(connection) = self.take_idle(at, listed, demand, retry_safety, carried) {
             return Ok(connection);
         }
         self.open_connection(at, listed).await
@@ -95,7 +106,7 @@
         &self,
         at: SocketAddr,
         listed: &Arc<str>,
-        identified: bool,
+        demand: ProcessDemand,
         retry_safety: RetrySafety,
         carried: &[ConnectionId],
     ) -> Option<Connection> {
@@ -107,7 +118,7 @@
         let connections = idle.get_mut(&at)?;
         let may_carry = |idle: &IdleConnection| {
             idle.connection.listed() == Some(listed)
-                && (!identified || idle.connection.process() == Some(listed))
+                && demand.is_met_by(&idle.connection)
                 && !carried.contains(&idle.connection.id())
         };
         while let Some(found) = connections.iter().rposition(may_carry) {
@@ -154,6 +165,18 @@
     }
 }
 
+impl ProcessDemand {
+    /// Returns whether a connection to the listed process meets the demand.
+    fn is_met_by(self, connection: &Connection) -> bool {
+        let process = connection.process();
+        match self {
+            Self::None => true,
+            Self::Asked => process.or(connection.earlier_process()).is_some(),
+            Self::Listed => process.is_some() && process == connection.listed(),
+        }
+    }
+}
+
 /// Returns the idle time from which a connection is not reused, by the target's keep-alive timeout.
 fn reuse_limit(keep_alive: Duration, fraction: f64) -> Duration {
     keep_alive.mul_f64(fraction).min(MAX_REUSE_IDLE)
--- a/crates/cumintrail-client/src/process_watch.rs
+++ b/crates/cumintrail-client/src/process_watch.rs
@@ -242,9 +242,6 @@
 struct WatchedAddress {
     /// `None` while no response is expected that needs it.
     watch: Option<Rc<ProcessWatch>>,
-    /// Whether a response of the address has ended with its connection; `None` before the first
-    /// response.
-    ends_by_close: Option<bool>,
     /// Whether the watch was used since the last [`ProcessWatches::prune`].
     is_used: bool,
 }
@@ -255,16 +252,9 @@
         Self { connect_timeout, watches: RefCell::default() }
     }
 
-    /// Returns evidence of the process at an address, unless all its responses on this thread have
-    /// had a length or chunks.
+    /// Returns evidence of the process at an address.
     ///
     /// Evidence from before a response covers short ones, whose end may arrive with their head.
-    pub fn expect(&self, at: SocketAddr) -> Option<ProcessEvidence> {
-        let ends_by_close = self.watches.borrow().get(&at).and_then(|known| known.ends_by_close);
-        (ends_by_close != Some(false)).then(|| self.watch(at))
-    }
-
-    /// Returns evidence of the process at an address.
     pub fn watch(&self, at: SocketAddr) -> ProcessEvidence {
         let mut watches = self.watches.borrow_mut();
         let known = watches.entry(at).or_default();
@@ -291,13 +281,6 @@
         }
     }
 
-    /// Records whether a response of an address ends with its connection.
-    pub fn record(&self, at: SocketAddr, ends_by_close: bool) {
-        let mut watches = self.watches.borrow_mut();
-        let known = watches.entry(at).or_default();
-        known.ends_by_close = Some(ends_by_close || known.ends_by_close == Some(true));
-    }
-
     /// Ends watches that were not used since the last call, and forgets the addresses for which
     /// `is_target` returns false.
     pub fn prune(&self, is_target: impl Fn(SocketAddr) -> bool) {
--- a/crates/cumintrail-client/tests/connection.rs
+++ b/crates/cumintrail-client/tests/connection.rs
@@ -7,7 +7,9 @@
 use actix_http::body::BodySize;
 use actix_http::{Method, RequestHead, ServiceConfig};
 use bytes::Bytes;
-use cumintrail_client::{ClientError, Connection, ConnectionPool, ResponseBudget, RetrySafety};
+use cumintrail_client::{
+    ClientError, Connection, ConnectionPool, ProcessDemand, ResponseBudget, RetrySafety,
+};
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::{TcpListener, TcpStream};
 
@@ -188,14 +190,16 @@
 async fn a_connection_that_closed_while_idle_is_not_taken_from_the_pool() {
     let pool = ConnectionPool::open(TIMEOUT, ResponseBudget::new(1 << 20, 1 << 20));
     let at = target(vec![COMPLETE_RESPONSE.into()], false).await;
-    let mut connection =
-        pool.acquire(at, &"t0".into(), false, RetrySafety::AtMostOnce, &[]).await.unwrap();
+    let mut connection = pool
+        .acquire(at, &"t0".into(), ProcessDemand::None, RetrySafety::AtMostOnce, &[])
+        .await
+        .unwrap();
     assert_eq!(exchange(&mut connection).await.unwrap(), b"ok");
     pool.release(connection);
     actix_rt::time::sleep(Duration::from_millis(100)).await;
     // The target no longer listens, so only the closed connection could have been returned.
     assert!(matches!(
-        pool.acquire(at, &"t0".into(), false, RetrySafety::Retryable, &[]).await,
+        pool.acquire(at, &"t0".into(), ProcessDemand::None, RetrySafety::Retryable, &[]).await,
         Err(ClientError::NotSent)
     ));
 }
@@ -247,12 +251,15 @@
         )
         .await;
         let pool = ConnectionPool::open(TIMEOUT, ResponseBudget::new(1 << 20, 1 << 20));
-        let mut connection =
-            pool.acquire(at, &"t0".into(), false, RetrySafety::Retryable, &[]).await.unwrap();
+        let mut connection = pool
+            .acquire(at, &"t0".into(), ProcessDemand::None, RetrySafety::Retryable, &[])
+            .await
+            .unwrap();
         exchange(&mut connection).await.unwrap();
         pool.release(connection);
         actix_rt::time::sleep(idle).await;
-        let connection = pool.acquire(at, &"t0".into(), false, RetrySafety::Retryable, &[]).await;
+        let connection =
+            pool.acquire(at, &"t0".into(), ProcessDemand::None, RetrySafety::Retryable, &[]).await;
         let has_been_used = connection.is_ok_and(|connection| connection.has_been_used());
         assert_eq!(has_been_used, is_reused, "after {idle:?}");
     }
--- a/crates/cumintrail-daemon/src/relay.rs
+++ b/crates/cumintrail-daemon/src/relay.rs
@@ -27,7 +27,7 @@
 
 use actix_rt::Arbiter;
 use actix_rt::net::TcpStream;
-use cumintrail_client::{ConnectionPool, ProcessWatches, ResponseBudget};
+use cumintrail_client::{ConnectionPool, ProcessWatches, ResponseBudget, ResponseEnds};
 use cumintrail_control::Event;
 use cumintrail_types::TargetKey;
 use tokio::sync::watch;
@@ -88,6 +88,7 @@
     pub dialect: D,
     pub pool: ConnectionPool,
     pub processes: ProcessWatches,
+    pub ends: RefCell<ResponseEnds>,
     state: Arc<RelayState>,
     held: Arc<HeldAccount>,
     /// The targets that are being checked for a crash.
@@ -130,6 +131,7 @@
                 let worker = Worker {
                     pool: ConnectionPool::open(CONNECT_TIMEOUT, responses),
                     processes: ProcessWatches::open(CONNECT_TIMEOUT),
+                    ends: RefCell::default(),
                     shared,
                     dialect,
                     state,
@@ -300,5 +302,6 @@
         };
         worker.pool.prune(is_target);
         worker.processes.prune(is_target);
+        worker.ends.borrow_mut().prune(is_target);
     }
 }
--- a/crates/cumintrail-daemon/src/relay/attempt.rs
+++ b/crates/cumintrail-daemon/src/relay/attempt.rs
@@ -59,8 +59,9 @@
     };
     let (number, name) = (dispatch.attempt, target.instance.clone());
     let destination = Destination::Target { dispatch, target };
-    let is_watched = destination.identifiable().is_none();
-    let evidence = is_watched.then(|| worker.processes.expect(target.address)).flatten();
+    let is_watched =
+        destination.identifiable().is_none() && !worker.ends.borrow().are_framed(target.address);
+    let evidence = is_watched.then(|| worker.processes.watch(target.address));
     let attempt = Attempt { worker, caller, call, number, name, destination, evidence };
     attempt.run(target.address).await
 }
@@ -129,12 +130,10 @@
         let at_most_once = !self.call.class.is_repeatable();
         let retry_safety =
             if at_most_once { RetrySafety::AtMostOnce } else { RetrySafety::Retryable };
-        let (listed, identified) = match self.destination {
-            Destination::Target { dispatch, target } => (&target.name, dispatch.must_identify),
-            Destination::Peer => (&self.name, false),
-        };
+        let demand = self.process_demand();
+        let listed = self.destination.listed_process(&self.name);
         let carried = &self.call.carried_by;
-        let connection = self.worker.pool.acquire(at, listed, identified, retry_safety, carried);
+        let connection = self.worker.pool.acquire(at, listed, demand, retry_safety, carried);
         let connection = tokio::select! {
             biased;
             connection = connection => connection,
--- a/crates/cumintrail-daemon/src/relay/attempt/end_by_close.rs
+++ b/crates/cumintrail-daemon/src/relay/attempt/end_by_close.rs
@@ -1,12 +1,13 @@
 //! Distinguishes the end of a response from the end of its process; docs/DESIGN.md, "Relayed calls".
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use actix_http::ResponseHead;
 use actix_rt::time::timeout;
 use cumintrail_client::{
-    ClientError, Connection, Framing, IDENTITY_TIMEOUT, Identity, ProcessState, RetrySafety,
-    identify,
+    ClientError, Connection, Framing, IDENTITY_TIMEOUT, Identity, ProcessDemand, ProcessState,
+    RetrySafety, identify,
 };
 use cumintrail_config::Target;
 use cumintrail_control::registry::process_name;
@@ -66,27 +67,32 @@
     /// that does has ended its response by choice.
     async fn process_state(&self, response: &Connection, target: &Target) -> ProcessState {
         let (pool, at) = (&self.worker.pool, response.address());
-        // The entry of the listed process was read before the connection was opened.
-        let process = response.process().unwrap_or(&target.name);
+        // A process that responds now, and did or was listed before the connection was opened, ran in
+        // between.
+        let processes = match response.process() {
+            Some(process) => [Some(process), None],
+            None => [Some(&target.name), response.earlier_process()],
+        };
+        let (demand, retry_safety) = (ProcessDemand::None, RetrySafety::Retryable);
         let carried = &self.call.carried_by;
-        let pooled = pool.acquire(at, &target.name, false, RetrySafety::Retryable, carried).await;
-        match self.responding_process(pooled, target, process).await {
+        let pooled = pool.acquire(at, &target.name, demand, retry_safety, carried).await;
+        match self.responding_process(pooled, target, &processes).await {
             // The target may have closed the connection before the request arrived, and a late
             // response to another call may have come first.
             ProcessState::Unreachable | ProcessState::Unidentified => {
                 let opened = pool.open_connection(at, &target.name).await;
-                self.responding_process(opened, target, process).await
+                self.responding_process(opened, target, &processes).await
             }
             state => state,
         }
     }
 
-    /// Compares the process that responds to an identity request on a connection with `process`.
+    /// Compares the process that responds to an identity request on a connection with `processes`.
     async fn responding_process(
         &self,
         connection: Result<Connection, ClientError>,
         target: &Target,
-        process: &str,
+        processes: &[Option<&Arc<str>>],
     ) -> ProcessState {
         let Ok(mut connection) = connection else { return ProcessState::Unreachable };
         let dialect = &self.worker.dialect;
@@ -100,7 +106,7 @@
         }
         match dialect.process_start(&head, &body).map(|start| process_name(target, start)) {
             None => ProcessState::Unidentified,
-            Some(responding) if *responding != *process => ProcessState::Replaced,
+            Some(responding) if !processes.contains(&Some(&responding)) => ProcessState::Replaced,
             Some(responding) => {
                 connection.set_process(responding);
                 if is_reusable {
@@ -124,18 +130,15 @@
         Some(self.interrupt(interrupt))
     }
 
-    /// Watches the target's process if its response ends with its connection and nothing else can
-    /// identify the process.
+    /// Records how a response ends, and watches the target's process if it ends with its connection
+    /// and nothing else can identify the process.
     pub(super) fn watch_process(&mut self, connection: &Connection) {
-        if self.destination.identifiable().is_some() {
-            return;
-        }
-        let (processes, at) = (&self.worker.processes, connection.address());
+        let (worker, at) = (self.worker, connection.address());
         let ends_by_close = connection.framing() == Framing::Close;
-        processes.record(at, ends_by_close);
+        worker.ends.borrow_mut().record(at, ends_by_close);
         // A response to another call may come first, and may end in another way than the one after it.
-        if ends_by_close && self.evidence.is_none() {
-            self.evidence = Some(processes.watch(at));
+        if ends_by_close && self.evidence.is_none() && self.destination.identifiable().is_none() {
+            self.evidence = Some(worker.processes.watch(at));
         }
     }
 
--- a/crates/cumintrail-daemon/src/relay/attempt/identity.rs
+++ b/crates/cumintrail-daemon/src/relay/attempt/identity.rs
@@ -1,9 +1,10 @@
-//! Which process a connection leads to; docs/DESIGN.md, "Software versions".
+//! Which process a connection leads to; docs/DESIGN.md, "The end of a response" and "Software
+//! versions".
 
 use std::sync::Arc;
 use std::time::Duration;
 
-use cumintrail_client::{ClientError, Connection, Identity, identify};
+use cumintrail_client::{ClientError, Connection, Identity, ProcessDemand, identify};
 use cumintrail_config::Target;
 use cumintrail_control::registry::process_name;
 use cumintrail_control::{AttemptOutcome, Event};
@@ -14,12 +15,17 @@
 
 /// How long a target may take to answer an identity request before the call goes elsewhere.
 const MAX_IDENTIFICATION_TIME: Duration = Duration::from_secs(1);
+/// The part of its remaining time that a call waits for an identity request without which it could be
+/// sent too.
+const IDENTIFICATION_FRACTION: u32 = 4;
 
 /// What the response to an identity request shows.
 enum Responder {
     /// The name of the process that the connection leads to.
     Process(Arc<str>),
-    /// The process is not known, or the connection cannot be used after the response.
+    /// The same of a connection that cannot be used after the response.
+    Closing(Arc<str>),
+    /// The process is not known.
     Unknown,
     /// Another instance has the target's address.
     OtherInstance,
@@ -29,43 +35,119 @@
     dialect: &D,
     target: &Target,
     connection: &mut Connection,
+    limit: Duration,
 ) -> Result<Responder, ClientError> {
     if let Some(process) = connection.process() {
         return Ok(Responder::Process(process.clone()));
     }
     let request = dialect.identity_request(&target.instance);
-    let Identity { head, body, is_reusable } =
-        identify(connection, request, MAX_IDENTIFICATION_TIME).await?;
+    let Identity { head, body, is_reusable } = identify(connection, request, limit).await?;
     if dialect.is_other_instance(&head, &target.instance) {
         return Ok(Responder::OtherInstance);
     }
     let stated = dialect.process_start(&head, &body).map(|start| process_name(target, start));
     let is_nameless = target.name == target.instance;
     let process = stated.or_else(|| is_nameless.then(|| target.name.clone()));
-    Ok(process.filter(|_| is_reusable).map_or(Responder::Unknown, |process| {
-        connection.set_process(process.clone());
-        Responder::Process(process)
-    }))
+    Ok(match process {
+        Some(process) if is_reusable => {
+            connection.set_process(process.clone());
+            Responder::Process(process)
+        }
+        Some(process) => Responder::Closing(process),
+        None => Responder::Unknown,
+    })
+}
+
+impl<'a> Destination<'a> {
+    /// Returns the name of the listed process, or that of a peer.
+    pub(super) const fn listed_process(self, peer: &'a Arc<str>) -> &'a Arc<str> {
+        match self {
+            Self::Target { target, .. } => &target.name,
+            Self::Peer => peer,
+        }
+    }
 }
 
 impl<D: HeaderDialect> Attempt<'_, D> {
-    /// Identifies the process that the connection leads to, if the control thread demands it.
+    /// Returns what the attempt demands of connections that were used before.
+    pub(super) fn process_demand(&self) -> ProcessDemand {
+        let now = self.worker.shared.now();
+        match self.destination {
+            Destination::Target { dispatch, .. } if dispatch.must_identify => ProcessDemand::Listed,
+            Destination::Target { target, .. }
+                if self.destination.identifiable().is_some()
+                    && self.worker.ends.borrow().need_process(now, target.address) =>
+            {
+                ProcessDemand::Asked
+            }
+            _ => ProcessDemand::None,
+        }
+    }
+
+    /// Identifies the process that the connection leads to, if the control thread demands it or the
+    /// response may end with the connection.
+    pub(super) async fn check_process(
+        &mut self,
+        connection: Connection,
+    ) -> Result<Connection, AttemptEnd> {
+        match (self.destination, self.process_demand()) {
+            (Destination::Target { target, .. }, ProcessDemand::Listed) => {
+                self.check_stream_process(target, connection).await
+            }
+            (Destination::Target { target, .. }, ProcessDemand::Asked) => {
+                self.ask_process(target, connection).await
+            }
+            _ => Ok(connection),
+        }
+    }
+
+    /// Asks which process responds at the address of a target, and opens a connection afterwards.
+    ///
+    /// The call is not sent on the connection with the identity request, which the target may be about
+    /// to close. Another call can use it once it has been idle without being closed.
+    async fn ask_process(
+        &mut self,
+        target: &Target,
+        connection: Connection,
+    ) -> Result<Connection, AttemptEnd> {
+        if connection.has_been_used() {
+            return Ok(connection);
+        }
+        let now = self.worker.shared.now();
+        let limit = self.call.deadline.since(now) / IDENTIFICATION_FRACTION;
+        let limit = limit.min(MAX_IDENTIFICATION_TIME);
+        let (connection, responder) = self.identify_responder(target, connection, limit).await?;
+        match responder {
+            Ok(Responder::Process(process)) => {
+                self.worker.pool.release(connection);
+                Ok(self.open_connection(target).await?.opened_after(process))
+            }
+            Ok(Responder::Closing(process)) => {
+                Ok(self.open_connection(target).await?.opened_after(process))
+            }
+            Ok(Responder::OtherInstance) => {
+                let outcome = AttemptOutcome::RefusedByTarget { leaving: true };
+                Err(self.record_end(outcome, "other-instance"))
+            }
+            Ok(Responder::Unknown) | Err(_) => {
+                let now = self.worker.shared.now();
+                self.worker.ends.borrow_mut().record_unidentified(now, target.address);
+                self.open_connection(target).await
+            }
+        }
+    }
+
+    /// Identifies the process that the connection of a stream leads to.
     ///
     /// A stream goes on only at the listed process: the software of another one is not known. One that
     /// begins at a process that cannot be identified is not resumed.
-    pub(super) async fn check_process(
+    async fn check_stream_process(
         &mut self,
-        mut connection: Connection,
+        target: &Target,
+        connection: Connection,
     ) -> Result<Connection, AttemptEnd> {
-        let target = match self.destination {
-            Destination::Target { dispatch, target } if dispatch.must_identify => target,
-            _ => return Ok(connection),
-        };
-        let mut responder = self.identify_responder(target, &mut connection).await?;
-        if matches!(responder, Err(ClientError::ConnectionLost)) {
-            connection = self.open_connection(target).await?;
-            responder = self.identify_responder(target, &mut connection).await?;
-        }
+        let limit = MAX_IDENTIFICATION_TIME;
+        let (connection, responder) = self.identify_responder(target, connection, limit).await?;
         let goes_on = self.call.events.last_id().is_some();
         let (outcome, cause) = match responder {
             Ok(Responder::Process(process)) if process == target.name || !goes_on => {
@@ -79,10 +161,10 @@
                 (AttemptOutcome::RefusedByTarget { leaving: true }, "other-instance")
             }
             Err(ClientError::Timeout) => (AttemptOutcome::NotSent, "unidentified"),
-            Ok(Responder::Unknown) | Err(_) if goes_on => {
+            Ok(Responder::Closing(_) | Responder::Unknown) | Err(_) if goes_on => {
                 (AttemptOutcome::Unidentified { is_replaced: false }, "unidentified")
             }
-            Ok(Responder::Unknown) | Err(_) => {
+            Ok(Responder::Closing(_) | Responder::Unknown) | Err(_) => {
                 let mut connection = self.open_connection(target).await?;
                 connection.set_process(target.instance.clone());
                 return Ok(connection);
@@ -103,14 +185,30 @@
         }
     }
 
+    /// Asks for the process on a connection, and once more on a new one if it ends before the response.
     async fn identify_responder(
+        &mut self,
+        target: &Target,
+        mut connection: Connection,
+        limit: Duration,
+    ) -> Result<(Connection, Result<Responder, ClientError>), AttemptEnd> {
+        let mut responder = self.ask_on(target, &mut connection, limit).await?;
+        if matches!(responder, Err(ClientError::ConnectionLost)) {
+            connection = self.open_connection(target).await?;
+            responder = self.ask_on(target, &mut connection, limit).await?;
+        }
+        Ok((connection, responder))
+    }
+
+    async fn ask_on(
         &mut self,
         target: &Target,
         connection: &mut Connection,
+        limit: Duration,
     ) -> Result<Result<Responder, ClientError>, AttemptEnd> {
         tokio::select! {
             biased;
-            responder = ask(&self.worker.dialect, target, connection) => Ok(responder),
+            responder = ask(&self.worker.dialect, target, connection, limit) => Ok(responder),
             interrupt = next_interrupt(&mut self.call.commands, self.number) =>
                 Err(self.interrupt_unsent(interrupt)),
             _ = self.caller.next_input(false) => Err(AttemptEnd::Disconnected),
--- a/tests/tests/gateway_processes.rs
+++ b/tests/tests/gateway_processes.rs
@@ -79,7 +79,11 @@
 /// The response to an identity request, after which the connection can be used.
 const IDENTITY: &str = "HTTP/1.1 204 No Content\r\nx-cumintrail-process-start: 1\r\n\r\n";
 
-/// A target that streams one event in response to each call, and answers identity requests.
+/// A response that ends with its connection.
+const UNFRAMED: &str = "HTTP/1.1 200 OK\r\nx-cumintrail-call: {id}\r\n\r\nwheel";
+
+/// A target that streams one event in response to each call, and answers identity requests. On the
+/// route `/hold/`, its responses end with their connections.
 struct Target {
     cluster: Cluster,
     /// The connections that it accepted.
@@ -88,6 +92,7 @@
 
 impl Target {
     /// Starts a target that answers identity requests with `identity`, and a gateway in front of it.
+    /// An empty one stands for no answer.
     async fn spawn(identity: &'static str) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let platform = FeedPlatform::new();
@@ -120,14 +125,17 @@
         let head = String::from_utf8(head).unwrap();
         methods.borrow_mut().extend(head.split(' ').next().map(str::to_owned));
         let is_identity = head.starts_with("OPTIONS ");
+        let is_unframed = head.contains(" /hold/");
         let id = header(&head, "x-cumintrail-call").unwrap_or_default();
         let response = if is_identity {
             identity.to_owned()
+        } else if is_unframed {
+            UNFRAMED.replace("{id}", id)
         } else {
             format!("{STREAM}f\r\nid: 1\ndata: 1\n\n\r\n0\r\n\r\n").replace("{id}", id)
         };
         stream.write_all(response.as_bytes()).await.unwrap();
-        if is_identity && identity.contains("connection: close") {
+        if is_unframed || is_identity && identity.contains("connection: close") {
             return;
         }
     }
@@ -157,3 +165,35 @@
         assert!(response.ends_with("id: 1\ndata: 1\n\n\r\n0\r\n\r\n"), "{identity}: {response}");
     }
 }
+
+/// Guards against calls that are lost, or sent behind an identity request without an answer, at a
+/// target whose process cannot be identified.
+#[actix_rt::test]
+async fn a_call_is_sent_once_to_a_target_whose_process_cannot_be_identified() {
+    for identity in ["", "HTTP/1.1 204 No Content\r\n\r\n", "HTTP/1.1 404 Not Found\r\n\r\n"] {
+        let target = Target::spawn(identity).await;
+        for _ in 0..3 {
+            let mut caller = target.cluster.connect().await;
+            let headers = "connection: close\r\nx-cumintrail-deadline-ms: 800\r\n";
+            caller.send("/hold/", "c-1", headers, "").await;
+            caller.rest().await;
+        }
+        let connections = target.connections.borrow();
+        let methods: Vec<_> = connections.iter().map(|m| m.borrow().join(" ")).collect();
+        let calls = methods.iter().filter(|m| m.contains("POST")).count();
+        assert_eq!(calls, 3, "{identity}: {methods:?}");
+        assert!(methods.iter().all(|m| !m.contains("OPTIONS POST")), "{identity}: {methods:?}");
+    }
+}
+
+/// Guards against identity requests that nothing needs.
+#[actix_rt::test]
+async fn a_target_whose_responses_do_not_end_by_close_is_not_asked_for_its_process() {
+    let target = Target::spawn(IDENTITY).await;
+    for path in ["/read/", "/flow/", "/read/"] {
+        target.cluster.call(path).await;
+    }
+    let connections = target.connections.borrow();
+    let methods: Vec<_> = connections.iter().map(|m| m.borrow().join(" ")).collect();
+    assert!(methods.iter().all(|m| !m.contains("OPTIONS")), "{methods:?}");
+}
--- a/tests/tests/gateway_unframed.rs
+++ b/tests/tests/gateway_unframed.rs
@@ -151,6 +151,60 @@
     assert!(wrong.is_empty(), "{wrong:#?}");
 }
 
+/// Guards against complete responses that are cut because a target restarted, and its entry is still
+/// that of the process before.
+#[actix_rt::test]
+async fn a_complete_response_of_a_process_that_is_not_listed_yet_is_not_cut() {
+    for path in ["/read/", "/hold/", "/flow/"] {
+        let body = if path == "/flow/" { TWO_EVENTS } else { "wheel" };
+        let script = [send(UNFRAMED), send(body), pause(30), Step::Close];
+        let target = Replica::bind(move |_| script.to_vec()).await.unwrap();
+        let cluster = Cluster::spawn(&[&target]).await;
+        let is_complete = |response: &str| match path {
+            "/flow/" => response.ends_with(LAST_CHUNK),
+            _ => response.ends_with("\r\n\r\nwheel"),
+        };
+        let listed = cluster.call(path).await;
+        assert!(is_complete(&listed), "{path}: {listed}");
+        target.restart();
+        for call in 0..2 {
+            let response = cluster.call(path).await;
+            assert!(is_complete(&response), "{path}, call {call}: {response}");
+        }
+        assert_eq!(target.calls().len(), 3, "{path}");
+    }
+}
+
+/// Guards against a restart between the identification of a process and the end of its response.
+#[actix_rt::test]
+async fn a_response_that_ends_with_an_unlisted_process_is_not_complete() {
+    let target = Replica::bind(move |number| {
+        let end = if number == 1 { Step::Restart } else { Step::Close };
+        vec![send(UNFRAMED), send(TWO_EVENTS), pause(30), end]
+    });
+    let target = target.await.unwrap();
+    let cluster = Cluster::spawn(&[&target]).await;
+    let listed = cluster.call("/flow/").await;
+    assert!(listed.ends_with(LAST_CHUNK), "{listed}");
+    target.restart();
+    let response = cluster.call("/flow/").await;
+    assert!(response.contains(TWO_EVENTS), "{response}");
+    assert!(!response.ends_with(LAST_CHUNK), "{response}");
+}
+
+/// Guards against calls that are lost at a target which closes the connection on which it was asked
+/// for its process, without a word in its response.
+#[actix_rt::test]
+async fn calls_to_a_target_that_closes_each_connection_are_not_lost() {
+    let idle = IdleClose::After(Duration::from_secs(10));
+    let target = Target::bind("wheel".into(), Duration::ZERO, idle, 1).await;
+    let cluster = target.cluster().await;
+    for call in 0..4 {
+        let response = cluster.call("/hold/").await;
+        assert!(response.ends_with("\r\n\r\nwheel"), "call {call}: {response}");
+    }
+}
+
 /// Guards against a target that gets no more calls because it stops those whose time is over.
 #[actix_rt::test]
 async fn a_target_that_stops_calls_at_their_deadline_does_not_count_as_failing() {
