Check the end of streams at targets that close identified connections

A complete unframed stream on a resumable route was cut if its target closes the connection on which it states its process.

Cause: the stream goes out on a new connection, which has the name of the instance in place of that of a process; the check after the end compared the process that responds with that name.

Change: such a connection is compared with the listed process, and with the one that responded before it was opened. The stream stays one of an unknown software version.

Measured: `a_complete_stream_of_a_target_that_closes_identified_connections_is_not_cut` failed before and passes. Not run with the checker of the wire.

--- a/crates/cumintrail-daemon/src/relay/attempt/end_by_close.rs
+++ b/crates/cumintrail-daemon/src/relay/attempt/end_by_close.rs
@@ -69,7 +69,8 @@
         let (pool, at) = (&self.worker.pool, response.address());
         // A process that responds now, and did or was listed before the connection was opened, ran in
         // between.
-        let processes = match response.process() {
+        let identified = response.process().filter(|process| **process != target.instance);
+        let processes = match identified {
             Some(process) => [Some(process), None],
             None => [Some(&target.name), response.earlier_process()],
         };
--- a/crates/cumintrail-daemon/src/relay/attempt/identity.rs
+++ b/crates/cumintrail-daemon/src/relay/attempt/identity.rs
@@ -164,10 +164,13 @@
             Ok(Responder::Closing(_) | Responder::Unknown) | Err(_) if goes_on => {
                 (AttemptOutcome::Unidentified { is_replaced: false }, "unidentified")
             }
-            Ok(Responder::Closing(_) | Responder::Unknown) | Err(_) => {
+            responder => {
                 let mut connection = self.open_connection(target).await?;
                 connection.set_process(target.instance.clone());
-                return Ok(connection);
+                return Ok(match responder {
+                    Ok(Responder::Closing(process)) => connection.opened_after(process),
+                    _ => connection,
+                });
             }
         };
         Err(self.record_end(outcome, cause))
--- a/tests/tests/gateway_processes.rs
+++ b/tests/tests/gateway_processes.rs
@@ -79,11 +79,15 @@
 /// The response to an identity request, after which the connection can be used.
 const IDENTITY: &str = "HTTP/1.1 204 No Content\r\nx-cumintrail-process-start: 1\r\n\r\n";
 
+/// The same of a target that closes the connection.
+const CLOSING_IDENTITY: &str =
+    "HTTP/1.1 204 No Content\r\nx-cumintrail-process-start: 1\r\nconnection: close\r\n\r\n";
+
 /// A response that ends with its connection.
-const UNFRAMED: &str = "HTTP/1.1 200 OK\r\nx-cumintrail-call: {id}\r\n\r\nwheel";
+const UNFRAMED: &str = "HTTP/1.1 200 OK\r\nx-cumintrail-call: {id}\r\n\r\nid: 1\ndata: 1\n\n";
 
-/// A target that streams one event in response to each call, and answers identity requests. On the
-/// route `/hold/`, its responses end with their connections.
+/// A target that streams one event in response to each call, and answers identity requests. Responses
+/// to calls whose path contains `/hold/` or ends in `unframed` end with their connections.
 struct Target {
     cluster: Cluster,
     /// The connections that it accepted.
@@ -125,7 +129,7 @@
         let head = String::from_utf8(head).unwrap();
         methods.borrow_mut().extend(head.split(' ').next().map(str::to_owned));
         let is_identity = head.starts_with("OPTIONS ");
-        let is_unframed = head.contains(" /hold/");
+        let is_unframed = head.contains(" /hold/") || head.contains("/unframed ");
         let id = header(&head, "x-cumintrail-call").unwrap_or_default();
         let response = if is_identity {
             identity.to_owned()
@@ -157,9 +161,9 @@
 /// Guards against a target that gets no streams because its process cannot be identified.
 #[actix_rt::test]
 async fn a_stream_begins_at_a_target_whose_process_cannot_be_identified() {
-    let closes =
-        "HTTP/1.1 204 No Content\r\nx-cumintrail-process-start: 1\r\nconnection: close\r\n\r\n";
-    for identity in [closes, "HTTP/1.1 204 No Content\r\n\r\n", "HTTP/1.1 404 Not Found\r\n\r\n"] {
+    for identity in
+        [CLOSING_IDENTITY, "HTTP/1.1 204 No Content\r\n\r\n", "HTTP/1.1 404 Not Found\r\n\r\n"]
+    {
         let target = Target::spawn(identity).await;
         let response = target.cluster.call("/resume/").await;
         assert!(response.ends_with("id: 1\ndata: 1\n\n\r\n0\r\n\r\n"), "{identity}: {response}");
@@ -186,6 +190,17 @@
     }
 }
 
+/// Guards against complete streams that are cut because their target closes the connection on which
+/// it states its process.
+#[actix_rt::test]
+async fn a_complete_stream_of_a_target_that_closes_identified_connections_is_not_cut() {
+    let target = Target::spawn(CLOSING_IDENTITY).await;
+    for call in 0..2 {
+        let response = target.cluster.call("/resume/unframed").await;
+        assert!(response.ends_with("0\r\n\r\n"), "call {call}: {response}");
+    }
+}
+
 /// Guards against identity requests that nothing needs.
 #[actix_rt::test]
 async fn a_target_whose_responses_do_not_end_by_close_is_not_asked_for_its_process() {
