--- a/tests/platform-standin/src/main.rs
+++ b/tests/platform-standin/src/main.rs
@@ -68,7 +68,7 @@
         /// scripts with it.
         #[arg(long, conflicts_with_all = ["without_changes", "without_kills"])]
         releases: bool,
-        /// Also let processes of new versions end before they write an entry, or soon after it.
+        /// Also let processes of new versions end before they write an entry.
         #[arg(long, requires = "releases")]
         withdrawn: bool,
         /// Print the scripts instead of running them.
