Count the version of a process that was never listed as a recent one

A caller who took up a stream at a daemon that had just started was sent on at the only listed version, although the other daemons refused the stream.

Cause: the process that began the stream ended before it wrote its entry. Its unknown origin was reported twice, and daemons that start later got neither report. The report was dropped, too, when the response was written out although the caller had left.

Change: when a process is not listed in time, the unknown version counts as a recent version of its model or service, like that of a record which cannot be read, and reaches all daemons with the versions in digests. Reports of unknown origins outlast the end of the response.

--- a/crates/cumintrail-control/src/control/software.rs
+++ b/crates/cumintrail-control/src/control/software.rs
@@ -81,7 +81,8 @@
         let Some(process) = process.filter(|process| *process != target.name) else {
             return self.bind_stream(now, key, software);
         };
-        let unsettled = UnsettledStream { call: key, process, began: now };
+        let kind = call.arrival.kind;
+        let unsettled = UnsettledStream { call: key, kind, process, began: now };
         let (as_of, interval) = (self.registry_as_of, self.heartbeat_interval);
         match (unsettled.software(snapshot, as_of, interval), stream) {
             (Some(software), _) => self.bind_stream(now, key, software),
@@ -113,7 +114,11 @@
     }
 
     fn bind_settled(&mut self, now: Moment, settled: Vec<(StreamId, UnsettledStream, Arc<str>)>) {
-        for (stream, UnsettledStream { call, .. }, software) in settled {
+        for (stream, UnsettledStream { call, kind, .. }, software) in settled {
+            if *software == *UNKNOWN_VERSION {
+                // Daemons without the report may not take the listed version for the only one.
+                self.stream_origins.record_history(now, kind, software.clone());
+            }
             if let Some(call) = self.calls.get_mut(&call) {
                 call.pinned_software.get_or_insert_with(|| software.clone());
             }
--- a/crates/cumintrail-control/src/stream_origins.rs
+++ b/crates/cumintrail-control/src/stream_origins.rs
@@ -169,7 +169,11 @@
 
     /// Records that the caller was sent the whole stream, so that no peer needs its origin.
     pub fn record_complete(&mut self, stream: StreamId) {
-        self.pending.retain(|report| report.origin.stream != stream);
+        let is_needed = |origin: &StreamOrigin| {
+            // Its caller may have left before it received the last event.
+            origin.stream != stream || *origin.software == *UNKNOWN_VERSION
+        };
+        self.pending.retain(|report| is_needed(&report.origin));
     }
 
     /// Records an origin unless the stream has a known one; returns whether it did.
--- a/crates/cumintrail-control/src/unsettled_streams.rs
+++ b/crates/cumintrail-control/src/unsettled_streams.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cumintrail_config::Snapshot;
+use cumintrail_config::{Snapshot, TargetKind};
 use cumintrail_types::{CallKey, Moment};
 
 use crate::stream_origins::{StreamId, UNKNOWN_VERSION};
@@ -17,6 +17,8 @@
 pub struct UnsettledStream {
     /// The call whose response brought the first event.
     pub call: CallKey,
+    /// The model or service of the call.
+    pub kind: TargetKind,
     /// The name of the process that sent it.
     pub process: Arc<str>,
     /// When it arrived.
--- a/crates/cumintrail-control/tests/restarted_software.rs
+++ b/crates/cumintrail-control/tests/restarted_software.rs
@@ -503,6 +503,26 @@
     assert_eq!(refused(&actions), Some(RefusalCode::UnknownStream));
 }
 
+/// Guards against a daemon that starts after the reports of a stream whose process ended unlisted.
+#[test]
+fn daemons_that_start_do_not_resume_streams_of_a_process_that_was_never_listed() {
+    let (mut daemon, mut started) =
+        (Daemon::start(1, &[OLD, OTHER]), Daemon::start(3, &[OLD, OTHER]));
+    let began = daemon.arrive(1, StreamRequest::Begin(Some(stream(1)))).unwrap();
+    daemon.send_event(1, &format!("{began}@2"));
+    for _ in 0..3 {
+        daemon.report_to(&mut Daemon::start(2, &[OLD, OTHER]));
+    }
+    daemon.wait(2 * HEARTBEAT.as_millis() as u64);
+    daemon.confirm();
+    for _ in 0..3 {
+        daemon.report_to(&mut Daemon::start(2, &[OLD, OTHER]));
+    }
+    daemon.report_to(&mut started);
+    let actions = started.arrival_actions(2, StreamRequest::Continue(Some(stream(1))));
+    assert_eq!(refused(&actions), Some(RefusalCode::UnknownStream));
+}
+
 #[test]
 fn a_stream_goes_on_at_once_at_a_peer_that_its_daemon_reported_it_to() {
     let (mut daemon, mut peer) = (Daemon::start(1, &[OLD]), Daemon::start(2, &[OLD]));
