--- a/crates/cumintrail-control/src/control/arrivals.rs
+++ b/crates/cumintrail-control/src/control/arrivals.rs
@@ -39,13 +39,13 @@
             Ok(((pinned_software, origin), weight)) => {
                 let flow = self.flow_of(&arrival);
                 let returned = self.has_returned(now, &arrival);
-                if self.may_be_unlisted(origin, kind, now) {
-                    self.wait_for_entries(now, call);
-                // A call that returns after its refusal precedes newer ones.
-                } else if returned {
-                    self.admission.requeue(kind, flow, weight, call);
-                } else {
-                    self.admission.enqueue(kind, flow, weight, call);
+                match returned {
+                    _ if self.may_be_unlisted(origin, kind, now) => {
+                        self.wait_for_entries(now, call);
+                    }
+                    // A call that returns after its refusal precedes newer ones.
+                    true => self.admission.requeue(kind, flow, weight, call),
+                    false => self.admission.enqueue(kind, flow, weight, call),
                 }
                 let mut queued = Call::new(arrival, now);
                 (queued.pinned_software, queued.origin) = (pinned_software, origin);
--- a/crates/cumintrail-control/src/control/attempts.rs
+++ b/crates/cumintrail-control/src/control/attempts.rs
@@ -6,7 +6,7 @@
 use cumintrail_types::{AttemptNumber, CallClass, CallKey, Moment, Ran, RefusalCode, TargetKey};
 
 use super::Control;
-use super::unknown_origins::Origin;
+use super::unknown_origins::OriginState;
 use crate::placement::Placer;
 use crate::retry::HealthSignal;
 use crate::stream_origins::StreamRequest;
@@ -126,8 +126,8 @@
         });
         for key in due {
             match self.settle_origin(now, key) {
-                Ok(Origin::SettledNow) => self.enqueue(key),
-                Ok(Origin::Settled) if !self.awaits_entry(now, key) => self.requeue(key),
+                Ok(OriginState::SettledNow) => self.enqueue(key),
+                Ok(OriginState::Settled) if !self.awaits_entry(now, key) => self.requeue(key),
                 Ok(_) => self.wait_for_entries(now, key),
                 Err(refusal) => {
                     self.end_call(key);
--- a/crates/cumintrail-control/src/control/unknown_origins.rs
+++ b/crates/cumintrail-control/src/control/unknown_origins.rs
@@ -17,9 +17,9 @@
 /// waits for newer ones.
 const MAX_STALE_AGES: u32 = 2;
 
-/// Whether the version of a stream that a call goes on with is known.
+/// States whether the version of the stream that a call goes on with is known.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum Origin {
+pub(super) enum OriginState {
     /// The call did not wait for it.
     Settled,
     /// The call waited for it until now.
@@ -76,11 +76,15 @@
     }
 
     /// Determines the version of a stream whose origin was not known when its call arrived.
-    pub(super) fn settle_origin(&mut self, now: Moment, key: CallKey) -> Result<Origin, Refusal> {
+    pub(super) fn settle_origin(
+        &mut self,
+        now: Moment,
+        key: CallKey,
+    ) -> Result<OriginState, Refusal> {
         let waits =
             |call: &&Call| call.attempts() == 0 && call.origin == OriginEvidence::OnlyVersion;
         let Some(call) = self.calls.get(&key).filter(waits) else {
-            return Ok(Origin::Settled);
+            return Ok(OriginState::Settled);
         };
         // Entries that settle the origin are current as of a later moment than those of its arrival.
         let (software, origin) = self.required_software(now, &call.arrival, true)?;
@@ -92,6 +96,6 @@
         if let Some(call) = self.calls.get_mut(&key) {
             (call.pinned_software, call.origin) = (software, origin);
         }
-        Ok(if is_awaited { Origin::Awaited } else { Origin::SettledNow })
+        Ok(if is_awaited { OriginState::Awaited } else { OriginState::SettledNow })
     }
 }
--- a/crates/cumintrail-control/src/stream_origins.rs
+++ b/crates/cumintrail-control/src/stream_origins.rs
@@ -147,10 +147,9 @@
     /// Records the origin of a stream that began at this daemon, once its process is listed; it
     /// prevails over what peers reported.
     pub fn settle(&mut self, now: Moment, origin: StreamOrigin, rounds: u32) {
-        let StreamOrigin { stream, software } = origin.clone();
-        if self.insert(now, origin.clone())
-            || self.origins.insert(stream, software.clone()) != Some(software)
-        {
+        let is_new = self.insert(now, origin.clone());
+        let replaced = self.origins.insert(origin.stream, origin.software.clone());
+        if is_new || replaced.as_ref() != Some(&origin.software) {
             self.report(origin, rounds);
         }
     }
