--- a/tests/platform-standin/src/store.rs
+++ b/tests/platform-standin/src/store.rs
@@ -22,6 +22,10 @@
 /// How long a response is withheld by [`StoreFault::Silent`] and [`StoreFault::LosesResponses`].
 const SILENT_RESPONSE_DELAY: Duration = Duration::from_secs(30);
 
+/// Maximum number of rows in a response of `/rows-get`.
+const MAX_PAGE_ROWS: usize = 500;
+/// Maximum length of the name of a table and of a key, in bytes.
+const MAX_NAME_BYTES: usize = 200;
 /// Minimum time between two copies of the rows.
 const COPY_INTERVAL: Duration = Duration::from_millis(250);
 /// Number of copies that are kept.
@@ -50,7 +54,7 @@
     started: Instant,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct State {
     /// How often the store was restored from a copy.
     era: u64,
@@ -60,6 +64,21 @@
     /// The change feed has discarded changes up to this version.
     discarded_through: u64,
     fault: StoreFault,
+    max_page_rows: usize,
+}
+
+impl Default for State {
+    fn default() -> Self {
+        Self {
+            era: 0,
+            version: 0,
+            rows: BTreeMap::new(),
+            copies: VecDeque::new(),
+            discarded_through: 0,
+            fault: StoreFault::None,
+            max_page_rows: MAX_PAGE_ROWS,
+        }
+    }
 }
 
 /// The rows at some moment.
@@ -111,7 +130,12 @@
 
     /// Writes a row without a condition, on behalf of operators and replicas.
     pub fn put(&self, table: &str, key: &str, value: &Value) {
-        self.state().write(table, key, Some(value.to_string().into_bytes()));
+        self.put_bytes(table, key, value.to_string().into_bytes());
+    }
+
+    /// Writes a row whose value need not be JSON, without a condition.
+    pub fn put_bytes(&self, table: &str, key: &str, value: Vec<u8>) {
+        self.state().write(table, key, Some(value));
     }
 
     /// Removes a row without a condition.
@@ -153,6 +177,11 @@
         self.state().fault = fault;
     }
 
+    /// Sets the maximum number of rows in a response of `/rows-get`.
+    pub fn set_max_page_rows(&self, rows: usize) {
+        self.state().max_page_rows = rows.min(MAX_PAGE_ROWS);
+    }
+
     fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -193,10 +222,13 @@
     }
 
     fn get_rows(&self, req: &Request) -> HttpResponse {
-        let text = |name| query(req, name).unwrap_or_default().replace("%00", "\0");
+        let text = |name| query(req, name).unwrap_or_default();
         let (table, from, to) = (text("table"), text("from"), text("to"));
-        let limit = text("limit").parse().unwrap_or(usize::MAX);
+        if [&table, &from, &to].iter().any(|text| text.len() > MAX_NAME_BYTES) {
+            return empty(StatusCode::BAD_REQUEST);
+        }
         let state = self.state();
+        let limit = text("limit").parse().unwrap_or(usize::MAX).min(state.max_page_rows);
         let in_range = |key: &str| key >= from.as_str() && (to.is_empty() || key < to.as_str());
         let all = state.rows.iter();
         let mut matching =
--- a/tests/src/http.rs
+++ b/tests/src/http.rs
@@ -90,10 +90,10 @@
     Response::with_body(status, BoxBody::new(Bytes::new()))
 }
 
-/// Returns the value of a query parameter, without percent-decoding.
+/// Returns the value of a query parameter, decoded as servers usually do: `+` means a blank.
 pub fn query(req: &Request, name: &str) -> Option<String> {
-    let pairs = req.uri().query()?.split('&');
-    pairs.filter_map(|p| p.split_once('=')).find(|(k, _)| *k == name).map(|(_, v)| v.to_owned())
+    let mut pairs = form_urlencoded::parse(req.uri().query()?.as_bytes());
+    pairs.find(|(key, _)| key == name).map(|(_, value)| value.into_owned())
 }
 
 /// Returns the value of a header if it is text.
