--- a/tests/platform-standin/src/deployment.rs
+++ b/tests/platform-standin/src/deployment.rs
@@ -347,6 +347,12 @@
         }
     }
 
+    /// Returns what the daemon's processes have logged so far.
+    pub fn log(&self) -> String {
+        let log = std::fs::read(&self.log_path).unwrap_or_default();
+        String::from_utf8_lossy(&log).into_owned()
+    }
+
     /// Returns the id of the daemon's process; `None` if there is none.
     pub fn pid(&self) -> Option<u32> {
         self.process.borrow().as_ref().map(Child::id)
