Leave out rows of a part of the platform's tables

With one row per target's id in another part of the registry, which stated that the target is leaving, no call was served any more.

Cause: requests for changes name a table, not a part, and the part of a row was not read. Reads of the whole table ask for the rows without a part, so that a restart hid the fault.

Change: rows of a part are left out of each page. A response can thus be empty before its wait has ended; it then counts as of the request, and the minimum interval between requests applies.

Red before: `rows_of_a_part_name_no_target` (all calls 503), and with the rows left out alone `writes_of_other_parts_do_not_speed_up_reads` (46 requests, 36 allowed). Both green; so are `followers`, `gateway`, `gateway_notices`, `platform_reads` and the soak.

--- a/crates/cumintrail-daemon/src/gateway/follow.rs
+++ b/crates/cumintrail-daemon/src/gateway/follow.rs
@@ -129,8 +129,10 @@
             }
             tx.send(Update::Table(table, FeedEvent::Recovered))?;
         }
-        // Without changes, the store responds when the wait ends, and as of that moment.
-        let waited = !is_snapshot && page.rows.is_empty();
+        let has_changes = is_snapshot || !page.rows.is_empty();
+        // Without changes, the store responds when the wait ends, and as of that moment. A response
+        // without rows comes earlier if only rows that do not concern daemons changed.
+        let waited = !has_changes && started.elapsed() >= request.wait;
         let as_of = if waited { (sent + request.wait).min(self.shared.now()) } else { sent };
         let platform = &self.platform;
         let is_accepted =
@@ -142,7 +144,6 @@
             log::info!("event=feed-outdated table={table:?} position={:?}", page.position);
             return Ok(self.schedule.record_outdated());
         }
-        let has_changes = is_snapshot || !page.rows.is_empty();
         if has_changes {
             self.shared.feed_changes.send_modify(|count| *count += 1);
         }
@@ -153,7 +154,7 @@
         };
         tx.send(Update::Table(table, event))?;
         let uptime = sent.since(Moment::default());
-        let interval = self.schedule.record_response(own_reads, has_changes, uptime);
+        let interval = self.schedule.record_response(own_reads, !waited, uptime);
         Ok(interval.saturating_sub(started.elapsed()))
     }
 
--- a/tests/platform-standin/src/store.rs
+++ b/tests/platform-standin/src/store.rs
@@ -59,12 +59,14 @@
     /// How often the store was restored from a copy.
     era: u64,
     version: u64,
-    rows: BTreeMap<(String, String), StoredRow>,
+    rows: BTreeMap<RowName, StoredRow>,
     copies: VecDeque<RowsCopy>,
     /// The change feed has discarded changes up to this version.
     discarded_through: u64,
     fault: StoreFault,
     max_page_rows: usize,
+    /// The number of requests for changes, by table.
+    feed_requests: BTreeMap<String, usize>,
 }
 
 impl Default for State {
@@ -77,6 +79,7 @@
             discarded_through: 0,
             fault: StoreFault::None,
             max_page_rows: MAX_PAGE_ROWS,
+            feed_requests: BTreeMap::new(),
         }
     }
 }
@@ -86,7 +89,15 @@
 struct RowsCopy {
     taken_at: Instant,
     version: u64,
-    rows: BTreeMap<(String, String), StoredRow>,
+    rows: BTreeMap<RowName, StoredRow>,
+}
+
+/// Identifies a row; the rows of a table and a part are in the order of their keys.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+struct RowName {
+    table: String,
+    part: String,
+    key: String,
 }
 
 #[derive(Debug, Clone)]
@@ -109,6 +120,8 @@
 #[derive(Debug, Deserialize)]
 struct TransactionEntry {
     table: String,
+    #[serde(default)]
+    part: String,
     key: String,
     #[serde(default)]
     row_version: u64,
@@ -116,6 +129,18 @@
     value: String,
 }
 
+impl RowName {
+    fn without_part(table: &str, key: &str) -> Self {
+        Self { table: table.into(), part: String::new(), key: key.into() }
+    }
+}
+
+impl TransactionEntry {
+    fn name(&self) -> RowName {
+        RowName { table: self.table.clone(), part: self.part.clone(), key: self.key.clone() }
+    }
+}
+
 impl RowStore {
     /// Starts the HTTP server at `address`; port 0 selects a free port.
     pub fn bind(address: SocketAddr) -> std::io::Result<(Self, HttpServer)> {
@@ -135,12 +160,18 @@
 
     /// Writes a row whose value need not be JSON, without a condition.
     pub fn put_bytes(&self, table: &str, key: &str, value: Vec<u8>) {
-        self.state().write(table, key, Some(value));
+        self.state().write(RowName::without_part(table, key), Some(value));
+    }
+
+    /// Writes a row of a part of a table without a condition.
+    pub fn put_in_part(&self, table: &str, part: &str, key: &str, value: &Value) {
+        let name = RowName { part: part.into(), ..RowName::without_part(table, key) };
+        self.state().write(name, Some(value.to_string().into_bytes()));
     }
 
     /// Removes a row without a condition.
     pub fn remove(&self, table: &str, key: &str) {
-        self.state().write(table, key, None);
+        self.state().write(RowName::without_part(table, key), None);
     }
 
     /// Discards the history of changes; the feed then responds with 410 to older versions.
@@ -165,11 +196,13 @@
         }
     }
 
-    /// Returns the keys of the rows of a table.
+    /// Returns the keys of the rows of a table without a part.
     pub fn keys(&self, table: &str) -> Vec<String> {
         let state = self.state();
-        let rows = state.rows.iter().filter(|((t, _), row)| t == table && row.value.is_some());
-        rows.map(|((_, key), _)| key.clone()).collect()
+        let rows = state.rows.iter().filter(|(name, row)| {
+            name.table == table && name.part.is_empty() && row.value.is_some()
+        });
+        rows.map(|(name, _)| name.key.clone()).collect()
     }
 
     /// Sets the fault that the store simulates.
@@ -182,6 +215,11 @@
         self.state().max_page_rows = rows.min(MAX_PAGE_ROWS);
     }
 
+    /// Returns the number of requests for changes of a table so far.
+    pub fn feed_requests(&self, table: &str) -> usize {
+        self.state().feed_requests.get(table).copied().unwrap_or_default()
+    }
+
     fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -223,16 +261,17 @@
 
     fn get_rows(&self, req: &Request) -> HttpResponse {
         let text = |name| query(req, name).unwrap_or_default();
-        let (table, from, to) = (text("table"), text("from"), text("to"));
-        if [&table, &from, &to].iter().any(|text| text.len() > MAX_NAME_BYTES) {
+        let [table, part, from, to] = ["table", "part", "from", "to"].map(text);
+        if [&table, &part, &from, &to].iter().any(|text| text.len() > MAX_NAME_BYTES) {
             return empty(StatusCode::BAD_REQUEST);
         }
         let state = self.state();
         let limit = text("limit").parse().unwrap_or(usize::MAX).min(state.max_page_rows);
         let in_range = |key: &str| key >= from.as_str() && (to.is_empty() || key < to.as_str());
         let all = state.rows.iter();
-        let mut matching =
-            all.filter(|((t, key), row)| *t == table && row.value.is_some() && in_range(key));
+        let mut matching = all.filter(|(name, row)| {
+            name.table == table && name.part == part && row.value.is_some() && in_range(&name.key)
+        });
         let rows: Vec<Value> = matching.by_ref().take(limit).map(row_json).collect();
         self.page_response(&state, &rows, matching.next().is_some())
     }
@@ -242,6 +281,7 @@
         let table = query(req, "table").unwrap_or_default();
         let (after, wait) = (number("after"), Duration::from_millis(number("wait_ms")));
         let started = Instant::now();
+        *self.state().feed_requests.entry(table.clone()).or_default() += 1;
         loop {
             {
                 let state = self.state();
@@ -249,7 +289,7 @@
                     return empty(StatusCode::GONE);
                 }
                 let changed =
-                    state.rows.iter().filter(|((t, _), row)| *t == table && row.version > after);
+                    state.rows.iter().filter(|(n, row)| n.table == table && row.version > after);
                 let mut changed: Vec<_> = changed.collect();
                 changed.sort_by_key(|(_, row)| row.version);
                 if !changed.is_empty() || started.elapsed() >= wait {
@@ -263,9 +303,7 @@
 
     fn commit(&self, transaction: &TransactionRequest) -> HttpResponse {
         let mut state = self.state();
-        let found = |entry: &TransactionEntry| {
-            state.rows.get_key_value(&(entry.table.clone(), entry.key.clone()))
-        };
+        let found = |entry: &TransactionEntry| state.rows.get_key_value(&entry.name());
         let version = |entry: &TransactionEntry| {
             found(entry).filter(|(_, row)| row.value.is_some()).map_or(0, |(_, row)| row.version)
         };
@@ -281,11 +319,11 @@
         for entry in &transaction.put {
             let value = STANDARD.decode(&entry.value).unwrap_or_default();
             let row = StoredRow { version, value: Some(value) };
-            state.rows.insert((entry.table.clone(), entry.key.clone()), row);
+            state.rows.insert(entry.name(), row);
         }
         for entry in &transaction.remove {
             let row = StoredRow { version, value: None };
-            state.rows.insert((entry.table.clone(), entry.key.clone()), row);
+            state.rows.insert(entry.name(), row);
         }
         self.page_response(&state, &[], false)
     }
@@ -314,11 +352,11 @@
         }
     }
 
-    fn write(&mut self, table: &str, key: &str, value: Option<Vec<u8>>) {
+    fn write(&mut self, name: RowName, value: Option<Vec<u8>>) {
         self.copy_rows();
         self.version += 1;
         let row = StoredRow { version: self.version, value };
-        self.rows.insert((table.into(), key.into()), row);
+        self.rows.insert(name, row);
     }
 }
 
@@ -327,14 +365,15 @@
     response
 }
 
-fn row_json(((table, key), row): (&(String, String), &StoredRow)) -> Value {
+fn row_json((RowName { table, part, key }, row): (&RowName, &StoredRow)) -> Value {
     match &row.value {
         Some(value) => json!({
-            "table": table, "part": "", "key": key, "row_version": row.version,
+            "table": table, "part": part, "key": key, "row_version": row.version,
             "value": STANDARD.encode(value),
         }),
         None => json!({
-            "table": table, "part": "", "key": key, "row_version": row.version, "tombstone": true,
+            "table": table, "part": part, "key": key, "row_version": row.version,
+            "tombstone": true,
         }),
     }
 }
