Quote texts of other processes in log lines

A key of the registry with a line break began a log line of its own, once for each write of its row, and a blank or quote in a key, an id of a target or a header of a caller could pass for further fields.

Change: `LogText` quotes and escapes such a text and cuts it after 200 characters; usual names are written as before. The queue of log lines escapes control characters, which also covers texts within errors of parsers.

--- a/crates/cumintrail-daemon/src/control_thread.rs
+++ b/crates/cumintrail-daemon/src/control_thread.rs
@@ -8,7 +8,7 @@
 use cumintrail_control::reach::ReachChange;
 use cumintrail_control::{Action, Arrival, AttemptOutcome, Control, Detour, Dispatch, Dump, Event};
 use cumintrail_types::{
-    AttemptNumber, CallKey, Clock, Digest, Moment, Refusal, RefusalCode, WriteId,
+    AttemptNumber, CallKey, Clock, Digest, LogText, Moment, Refusal, RefusalCode, WriteId,
 };
 use cumintrail_wire::record::ResponseRecord;
 use tokio::sync::{mpsc, oneshot};
@@ -199,6 +199,7 @@
 /// Logs and counts that this daemon reaches no target in a failure domain, or half of them again.
 fn report_domain_reach(domain: &str, change: ReachChange, abandoned: usize) {
     let unreached = metrics::gauge!(metric::UNREACHED_DOMAIN, "domain" => domain.to_owned());
+    let domain = LogText(domain);
     match change {
         ReachChange::Partitioned { failed_targets } => {
             unreached.set(1.0);
--- a/crates/cumintrail-daemon/src/gateway/orders.rs
+++ b/crates/cumintrail-daemon/src/gateway/orders.rs
@@ -10,7 +10,7 @@
 use cumintrail_control::feed::{FeedTable, ReaderAssignment};
 use cumintrail_control::parts::StoredPart;
 use cumintrail_control::{Action, Event, Order, OrderKind};
-use cumintrail_types::{Moment, StoreKey};
+use cumintrail_types::{LogText, Moment, StoreKey};
 use tokio::sync::mpsc;
 
 use super::publish::Publisher;
@@ -123,7 +123,7 @@
         let target = order.target;
         log::info!(
             "event=order target={} kind={:?} fencing={} outcome={outcome:?}",
-            snapshot.as_deref().map_or("-", |s| target_name(s, target)),
+            LogText(snapshot.as_deref().map_or("-", |s| target_name(s, target))),
             order.kind,
             order.fencing
         );
--- a/crates/cumintrail-daemon/src/gateway/publish.rs
+++ b/crates/cumintrail-daemon/src/gateway/publish.rs
@@ -9,7 +9,7 @@
 use cumintrail_control::evacuation::{EvacuationPage, EvacuationRow};
 use cumintrail_control::feed::{FeedPage, FeedRow, FeedTable, MAX_FOLLOWED_AGE};
 use cumintrail_control::registry::{RowChange, TargetRegistry};
-use cumintrail_types::{Bytes, Generation, Moment, WeightVersion};
+use cumintrail_types::{Bytes, Generation, LogText, Moment, WeightVersion};
 use cumintrail_wire::configuration::Configuration;
 use tokio::sync::mpsc;
 
@@ -204,7 +204,7 @@
             if change == cumintrail_control::registry::EntryChange::Unreadable {
                 log::warn!(
                     "event=registry-row key={} version={} outcome=unreadable",
-                    row.key,
+                    LogText(&row.key),
                     row.version
                 );
             }
@@ -237,7 +237,7 @@
             OperatorChange::Unreadable { reason } => {
                 log::warn!(
                     "event=operator-row key={} version={} outcome=unreadable reason=\"{reason}\"",
-                    row.key,
+                    LogText(&row.key),
                     row.version
                 );
                 false
@@ -250,7 +250,8 @@
         let known = self.versions.entry(model.clone()).or_default();
         let newer = version > *known;
         if newer {
-            log::info!("event=version-named model={model} version={version} before={known}");
+            let name = LogText(model);
+            log::info!("event=version-named model={name} version={version} before={known}");
             *known = version;
         }
         newer
--- a/crates/cumintrail-daemon/src/log_queue.rs
+++ b/crates/cumintrail-daemon/src/log_queue.rs
@@ -33,8 +33,8 @@
 impl LogWriter for LogQueue {
     fn write(&self, now: &mut DeferredNow, record: &Record<'_>) -> io::Result<()> {
         let time = now.format(TIME_FORMAT);
-        let line = format!("{time} level={} {}\n", record.level(), record.args());
-        if self.lines.try_send(line).is_err() {
+        let line = format!("{time} level={} {}", record.level(), record.args());
+        if self.lines.try_send(end_line(line)).is_err() {
             metrics::counter!(metric::DROPPED_LOG_LINES).increment(1);
         }
         Ok(())
@@ -45,6 +45,22 @@
     }
 }
 
+/// Ends a line; control characters within it are escaped, so that a text cannot begin another one.
+fn end_line(mut line: String) -> String {
+    if line.contains(char::is_control) {
+        let mut escaped = String::with_capacity(line.len() + 8);
+        for c in line.chars() {
+            match c {
+                c if c.is_control() => escaped.extend(c.escape_default()),
+                c => escaped.push(c),
+            }
+        }
+        line = escaped;
+    }
+    line.push('\n');
+    line
+}
+
 fn write_lines(queued: &Receiver<String>) {
     while let Ok(first) = queued.recv() {
         let mut text = first;
--- a/crates/cumintrail-daemon/src/relay/lines.rs
+++ b/crates/cumintrail-daemon/src/relay/lines.rs
@@ -7,7 +7,7 @@
 use cumintrail_client::{Connection, Framing, ProcessState};
 use cumintrail_config::Target;
 use cumintrail_control::{AttemptOutcome, Dispatch, TargetNotice};
-use cumintrail_types::{AttemptNumber, Moment, RefusalCode};
+use cumintrail_types::{AttemptNumber, LogText, Moment, RefusalCode};
 use smallvec::SmallVec;
 
 use super::relayed_call::RelayedCall;
@@ -16,13 +16,13 @@
 const MAX_LOGGED_PARTS: usize = 8;
 
 /// Returns the call id that the caller sent.
-fn caller_call_id(call: &RelayedCall) -> &str {
+fn caller_call_id(call: &RelayedCall) -> LogText<'_> {
     visible(call.metadata.id.as_ref())
 }
 
 /// Returns a header's value, or `-` if it is absent or has other bytes than visible ASCII.
-fn visible(value: Option<&HeaderValue>) -> &str {
-    value.and_then(|value| value.to_str().ok()).unwrap_or("-")
+fn visible(value: Option<&HeaderValue>) -> LogText<'_> {
+    LogText(value.and_then(|value| value.to_str().ok()).unwrap_or("-"))
 }
 
 /// Returns the names of the first parts of the prompt, or `-` if it is not given as parts.
@@ -56,14 +56,14 @@
         call.class,
         call.urgency,
         dispatch.attempt,
-        target.instance,
-        target.name,
-        connection.process().map_or("-", |process| process),
-        target.software.as_deref().unwrap_or("-"),
+        LogText(&target.instance),
+        LogText(&target.name),
+        LogText(connection.process().map_or("-", |process| process)),
+        LogText(target.software.as_deref().unwrap_or("-")),
         call.events.last_id().unwrap_or(0),
         visible(call.metadata.resumes.as_ref()),
         dispatch.origin,
-        part_names(call),
+        LogText(&part_names(call)),
         call.request.map_or_else(|| "-".into(), |key| format!("{:016x}", key.0)),
         call.metadata.prompt,
         call.metadata.max_output,
@@ -80,6 +80,7 @@
 
 /// Logs that a call is sent to a peer, since this daemon reaches no target.
 pub fn detoured(call: &RelayedCall, now: Moment, attempt: AttemptNumber, peer: &str, reused: bool) {
+    let peer = LogText(peer);
     log::info!(
         "event=detoured id={} call={} route={} class={} attempt={attempt} to={peer} reused={reused} age_ms={} left_ms={}",
         caller_call_id(call),
@@ -93,6 +94,7 @@
 
 /// Logs what a response said about its target.
 pub fn target_notice(call: &RelayedCall, target: &str, notice: TargetNotice) {
+    let target = LogText(target);
     log::info!(
         "event=target-notice id={} call={} target={target} leaving={} quiet_ms={}",
         caller_call_id(call),
@@ -104,6 +106,7 @@
 
 /// Logs that a response is skipped because it does not bear the call's id.
 pub fn foreign_response(call: &RelayedCall, target: &str, status: StatusCode) {
+    let target = LogText(target);
     log::info!(
         "event=foreign-response id={} call={} target={target} status={}",
         caller_call_id(call),
@@ -114,6 +117,7 @@
 
 /// Logs that a response ended or broke at the deadline of its call, at which targets stop.
 pub fn end_at_deadline(call: &RelayedCall, attempt: AttemptNumber, target: &str, left: Duration) {
+    let target = LogText(target);
     log::info!(
         "event=end-at-deadline id={} call={} attempt={attempt} target={target} last_event={} left_ms={}",
         caller_call_id(call),
@@ -132,6 +136,7 @@
     process: ProcessState,
     left: Duration,
 ) {
+    let target = LogText(target);
     log::info!(
         "event=unframed-end id={} call={} attempt={attempt} target={target} process={process} last_event={} \
          left_ms={}",
@@ -152,6 +157,7 @@
     cause: &str,
     code: Option<&str>,
 ) {
+    let target = LogText(target);
     log::info!(
         "event=attempt-ended id={} call={} attempt={attempt} target={target} outcome={} cause={cause} \
          code={} answering={} remainder_bytes={} age_ms={}",
--- a/crates/cumintrail-types/src/lib.rs
+++ b/crates/cumintrail-types/src/lib.rs
@@ -6,6 +6,7 @@
 mod call;
 mod clock;
 mod keys;
+mod log_text;
 mod refusal;
 mod time;
 mod units;
@@ -18,6 +19,7 @@
     AccountKey, CallKey, DomainKey, FencingNumber, Generation, Incarnation, ModelKey, RouteKey,
     ServiceKey, StoreKey, TargetKey, WeightVersion,
 };
+pub use log_text::LogText;
 pub use refusal::{Refusal, RefusalCode};
 pub use time::Moment;
 pub use units::{Bytes, RequestRate, Tokens};
