Log entries that have become unreadable, not each write of one

An entry of another writer that was written again and again logged a warning at each write, in each daemon: seven lines in two seconds. A thousand such entries logged a thousand lines at each start.

Change: an entry counts once for as long as it stays unreadable, and one line, at most every 10 s, stands for all that became so since the last one.

--- a/crates/cumintrail-control/src/registry.rs
+++ b/crates/cumintrail-control/src/registry.rs
@@ -1,6 +1,8 @@
 //! The targets in a registry, across outages, stale entries and replaced processes;
 //! docs/DESIGN.md, "Registry".
 
+mod unreadable;
+
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -9,6 +11,8 @@
 use cumintrail_config::Target;
 use cumintrail_types::{Moment, WeightVersion};
 
+pub use self::unreadable::{UnreadableEntries, UnreadableReport};
+
 /// How long entries that expired during an outage may take to return after it.
 ///
 /// The platform promises about two seconds; the remaining 300 ms allow for delivery of the change.
--- a/crates/cumintrail-control/tests/registry.rs
+++ b/crates/cumintrail-control/tests/registry.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use cumintrail_control::registry::{EntryChange, RegistryEntry, RowChange, TargetRegistry};
+use cumintrail_control::registry::{
+    EntryChange, RegistryEntry, RowChange, TargetRegistry, UnreadableEntries,
+};
 use cumintrail_types::{Moment, WeightVersion};
 
 const AFTER_RETURN: Duration = Duration::from_millis(2_400);
@@ -111,6 +113,37 @@
     assert_eq!(usable(&registry), ["x@7", "y@7"]);
 }
 
+/// Guards against a line of the log for each write of an entry that stays unreadable, and for each of
+/// many such entries.
+#[test]
+fn unreadable_entries_are_reported_once_and_together() {
+    let odd = |key: &str, version| row(key, version, EntryChange::Unreadable);
+    let mut entries = UnreadableEntries::default();
+    let all: Vec<RowChange> = (0..1_000).map(|i| odd(&format!("odd-{i}"), i + 1)).collect();
+    entries.record_page(&all, true);
+    let report = entries.report(Moment::from_millis(0)).unwrap();
+    assert_eq!((&*report.key, report.version, report.count), ("odd-0", 1, 1_000));
+    for second in 1..100 {
+        entries.record_page(&[odd("odd-0", 1_000 + second)], false);
+        entries.record_page(&all, true);
+        assert_eq!(entries.report(Moment::from_millis(second * 1_000)), None);
+    }
+}
+
+/// Guards against a line of the log for each entry whose writer changes or removes it again.
+#[test]
+fn entries_that_become_unreadable_again_are_reported_within_an_interval() {
+    let mut entries = UnreadableEntries::default();
+    let mut reports = Vec::new();
+    for second in 0..30 {
+        let changes = [EntryChange::Unreadable, EntryChange::Removed];
+        entries.record_page(&changes.map(|change| row("x", second, change)), false);
+        reports.extend(entries.report(Moment::from_millis(second * 1_000)));
+    }
+    let reported: Vec<_> = reports.iter().map(|r| (r.version, r.count)).collect();
+    assert_eq!(reported, [(0, 1), (1, 10), (11, 10)]);
+}
+
 #[test]
 fn a_whole_reading_never_undoes_a_change_that_is_newer() {
     let mut registry = registry(entry("x", 7, 5, false));
--- a/crates/cumintrail-daemon/src/gateway/publish.rs
+++ b/crates/cumintrail-daemon/src/gateway/publish.rs
@@ -8,7 +8,9 @@
 use cumintrail_control::Event;
 use cumintrail_control::evacuation::{EvacuationPage, EvacuationRow};
 use cumintrail_control::feed::{FeedPage, FeedRow, FeedTable, MAX_FOLLOWED_AGE};
-use cumintrail_control::registry::{RowChange, TargetRegistry};
+use cumintrail_control::registry::{
+    RowChange, TargetRegistry, UnreadableEntries, UnreadableReport,
+};
 use cumintrail_types::{Bytes, Generation, LogText, Moment, WeightVersion};
 use cumintrail_wire::configuration::Configuration;
 use tokio::sync::mpsc;
@@ -76,6 +78,7 @@
     declared: Option<(Arc<Snapshot>, Configuration)>,
     versions: HashMap<Arc<str>, WeightVersion>,
     registry: TargetRegistry,
+    unreadable: UnreadableEntries,
     /// The era of the platform's store in which the registry was last read whole.
     registry_era: u64,
     revision: u64,
@@ -102,6 +105,7 @@
             declared: None,
             versions: HashMap::new(),
             registry: TargetRegistry::default(),
+            unreadable: UnreadableEntries::default(),
             registry_era: 0,
             revision: 0,
             unreachable: [false; 2],
@@ -124,6 +128,7 @@
                 },
                 _ = expiry.tick() => self.registry.expire(self.shared.now()),
             };
+            self.report_unreadable_entries();
             // The first snapshot lets calls begin, which must not reach evacuated domains.
             if let Some(page) = self.evacuations.take() {
                 self.shared.control.send(Event::EvacuationsRead(page)).await;
@@ -168,12 +173,12 @@
                 if position.era > std::mem::replace(&mut self.registry_era, position.era) {
                     self.registry.begin_era(now);
                 }
-                let rows = self.parse_registry_rows(page);
+                let rows = self.parse_registry_rows(page, true);
                 self.registry.apply_snapshot(now, position.version, rows)
             }
             Update::Table(FeedTable::Registry, FeedEvent::Changes(page, as_of)) => {
                 self.registry_as_of = Some(as_of);
-                let (now, rows) = (self.shared.now(), self.parse_registry_rows(page));
+                let (now, rows) = (self.shared.now(), self.parse_registry_rows(page, false));
                 rows.into_iter()
                     .fold(false, |changed, row| changed | self.registry.apply_change(now, row))
             }
@@ -198,19 +203,27 @@
         false
     }
 
-    fn parse_registry_rows(&self, page: FeedPage) -> Vec<RowChange> {
-        let read = |row: FeedRow| {
-            let change = self.platform.target_change(&row.key, row.value.as_deref());
-            if change == cumintrail_control::registry::EntryChange::Unreadable {
-                log::warn!(
-                    "event=registry-row key={} version={} outcome=unreadable",
-                    LogText(&row.key),
-                    row.version
-                );
-            }
-            RowChange { key: row.key, version: row.version, change }
+    fn parse_registry_rows(&mut self, page: FeedPage, is_whole: bool) -> Vec<RowChange> {
+        let parse = |row: FeedRow| RowChange {
+            change: self.platform.target_change(&row.key, row.value.as_deref()),
+            key: row.key,
+            version: row.version,
         };
-        page.rows.into_iter().map(read).collect()
+        let rows: Vec<RowChange> = page.rows.into_iter().map(parse).collect();
+        self.unreadable.record_page(&rows, is_whole);
+        rows
+    }
+
+    /// Logs which entries of the registry have become unreadable.
+    fn report_unreadable_entries(&mut self) {
+        if let Some(UnreadableReport { key, version, count }) =
+            self.unreadable.report(self.shared.now())
+        {
+            let key = LogText(&key);
+            log::warn!(
+                "event=registry-row key={key} version={version} outcome=unreadable rows={count}"
+            );
+        }
     }
 
     fn handle_operator_page(&mut self, page: &FeedPage, as_of: Moment, is_whole: bool) -> bool {
