Count a request that cannot be built as not sent

A request whose path is no valid URI, or whose header is invalid, was reported as a broken connection, after which it may have arrived. The log of a daemon that could not read its registry blamed the connection.

Change: the library's errors of building a request count as not sent.

`a_request_without_a_valid_path_was_not_sent` was red before.

--- a/crates/cumintrail-client/src/error.rs
+++ b/crates/cumintrail-client/src/error.rs
@@ -68,7 +68,7 @@
             // The library also reports this error when the connection closes before the response
             // head, although the request has been written by then.
             E::Connect(awc::error::ConnectError::Disconnected) => Self::ConnectionLost,
-            E::Connect(_) | E::Url(_) => Self::NotSent,
+            E::Connect(_) | E::Url(_) | E::Http(_) => Self::NotSent,
             E::Timeout => Self::Timeout,
             _ => Self::ConnectionLost,
         }
--- a/crates/cumintrail-client/tests/platform.rs
+++ b/crates/cumintrail-client/tests/platform.rs
@@ -29,3 +29,12 @@
         () = actix_rt::time::sleep(TIMEOUT.mul_f64(1.25)) => panic!("the exchange goes on"),
     }
 }
+
+/// Guards against an exchange that counts as one whose connection broke, although its request cannot
+/// be sent.
+#[actix_rt::test]
+async fn a_request_without_a_valid_path_was_not_sent() {
+    let at = "127.0.0.1:1".parse().unwrap();
+    let failed = HttpPlatform::open(at, at, at).read("a b").await.unwrap_err();
+    assert!(!failed.may_have_arrived(), "{failed:?}");
+}
