Let soaks run beside registry entries of another writer

Each soak now has eight entries of another writer, whose keys end pages of the registry, so that daemons are killed, stopped and started beside them, with restored stores too.

--- a/tests/platform-standin/src/deployment.rs
+++ b/tests/platform-standin/src/deployment.rs
@@ -29,6 +29,10 @@
 pub const PLAIN_SERVICE: &str = "desk";
 /// Name of the service for model calls.
 pub const MODEL_SERVICE: &str = "pool";
+/// Keys of registry entries of another writer, which name no replica.
+const FOREIGN_KEYS: [&str; 8] = [" a", " b", "#a", "%1", "%7A", "&from=z", "+a", "i-0001 é"];
+/// The rows of a page of the store, once these entries are written.
+const FOREIGN_PAGE_ROWS: usize = 2;
 /// How long a replica may still receive calls after its entry changes to `draining`; the settings
 /// files state the same time as `bounds.drain_ms`.
 pub const DRAIN_PERIOD: Duration = Duration::from_secs(2);
@@ -231,12 +235,22 @@
         self.store.put(OPERATOR_TABLE, "config", &self.declarations.config_row());
         self.announce_weights();
         for key in self.store.keys(REGISTRY_TABLE) {
-            if self.endpoints.iter().all(|endpoint| endpoint.replica.spec().id != key) {
+            let is_replica = self.endpoints.iter().any(|e| e.replica.spec().id == key);
+            if !is_replica && !FOREIGN_KEYS.contains(&&*key) {
                 self.store.remove(REGISTRY_TABLE, &key);
             }
         }
     }
 
+    /// Writes entries of another writer to the registry, and limits pages so that their keys end
+    /// pages.
+    pub fn write_foreign_entries(&self) {
+        for key in FOREIGN_KEYS {
+            self.store.put(REGISTRY_TABLE, key, &json!({ "owner": "inventory" }));
+        }
+        self.store.set_max_page_rows(FOREIGN_PAGE_ROWS);
+    }
+
     /// Writes the row that announces the weight version.
     pub fn announce_weights(&self) {
         let key = format!("version/{MODEL}");
--- a/tests/platform-standin/src/soak.rs
+++ b/tests/platform-standin/src/soak.rs
@@ -73,6 +73,7 @@
     let spawned =
         Deployment::spawn(daemon, folder, vms, engines, plain_replicas, exchanges_digests);
     let deployment = spawned.await?;
+    deployment.write_foreign_entries();
     let mut soak = Soak {
         deployment,
         plan,
