Name a page without new rows in the error of its read

The read of a stalled table logged a line at each attempt, and `feed-lost` had "unreadable answer" as its cause.

--- a/crates/cumintrail-client/src/error.rs
+++ b/crates/cumintrail-client/src/error.rs
@@ -38,6 +38,9 @@
     /// A message cannot be encoded or decoded, or violates the protocol or a size limit.
     #[snafu(display("unreadable answer"))]
     Malformed,
+    /// A page of a table announces further rows, but has no new one.
+    #[snafu(display("a page without new rows"))]
+    NoProgress,
     /// A message between daemons cannot be encoded or decoded.
     #[snafu(transparent)]
     Codec {
@@ -51,7 +54,11 @@
     pub const fn has_response(&self) -> bool {
         matches!(
             self,
-            Self::Refused { .. } | Self::Status { .. } | Self::Malformed | Self::Truncated
+            Self::Refused { .. }
+                | Self::Status { .. }
+                | Self::Malformed
+                | Self::NoProgress
+                | Self::Truncated
         )
     }
 
