Log when a weight version was announced and when calls begin on replaced weights

event=version-announced states the age of a version by which the daemon decides, whether anybody observed it, and for how long the operator table was not read before. event=sent has replaced_by= and replaced_ms=. The first token of each attempt is reported, not only that of a call; event=began-on-replaced is logged for those that begin after the time for which calls are sent to replaced weights, and cumintrail_replaced_weights_begin_seconds counts all on replaced weights.

A further attempt of a stream no longer counts as a call without first token once its events arrive.

Tests of control, daemon and wire pass, and the comparison of metrics with OPERATIONS.md; no new test, since no decision changes.

--- a/crates/cumintrail-control/src/control.rs
+++ b/crates/cumintrail-control/src/control.rs
@@ -295,7 +295,7 @@
                 self.handle_fetches(now, call, target, &outcomes);
             }
             Event::ProcessIdentified { call, process } => self.record_process(call, process),
-            Event::FirstToken { call } => self.handle_first_token(now, call),
+            Event::FirstToken { call } => self.handle_first_token(now, call, &mut actions),
             Event::AttemptEnded { call, attempt, outcome } => {
                 self.handle_attempt_end(now, call, attempt, outcome, &mut actions);
             }
--- a/crates/cumintrail-control/src/control/announced_versions.rs
+++ b/crates/cumintrail-control/src/control/announced_versions.rs
@@ -4,14 +4,18 @@
 //! that has just started learns the time of an announcement only from a peer that observed it.
 
 use std::collections::HashMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 use cumintrail_config::{Snapshot, TargetKind};
-use cumintrail_types::{ModelKey, Moment, TargetKey, WeightVersion};
+use cumintrail_types::{CallKey, ModelKey, Moment, TargetKey, WeightVersion};
+use smallvec::SmallVec;
 
 use super::Control;
-use crate::VersionAnnouncement;
+use super::state::TargetState;
+use crate::announcements::{AnnouncementReport, AnnouncementSource, BeginOnReplaced};
 use crate::placement::Placer;
+use crate::{Action, Actions, Replacement, VersionAnnouncement};
 
 /// How long calls may start on older weights after the receipt of a version whose announcement
 /// neither this daemon nor a peer observed.
@@ -20,6 +24,8 @@
 /// second. A daemon that has received no age by then is assumed to have no peer that observed the
 /// announcement.
 const UNOBSERVED_LIMIT: Duration = Duration::from_secs(2);
+/// How much older an announcement must turn out to be for a report: digests are later than reads.
+const NOTICEABLE_AGE: Duration = Duration::from_millis(500);
 
 /// Tracks when weight versions were announced.
 #[derive(Debug, Default)]
@@ -53,10 +59,17 @@
         self.replaced_limit = Some(limit);
     }
 
-    /// Records the versions of a snapshot that are higher than the known ones.
+    /// Records the versions of a snapshot that are higher than the known ones, and returns their
+    /// models.
     ///
     /// The versions of the first snapshot were announced at an unknown time.
-    pub fn apply_snapshot(&mut self, now: Moment, snapshot: &Snapshot, is_first: bool) {
+    pub fn apply_snapshot(
+        &mut self,
+        now: Moment,
+        snapshot: &Snapshot,
+        is_first: bool,
+    ) -> SmallVec<[ModelKey; 2]> {
+        let mut changed = SmallVec::new();
         for (model, declared) in snapshot.models.iter() {
             let known = self.by_model.entry(model).or_default();
             if known.last().is_none_or(|newest| newest.version < declared.version) {
@@ -66,18 +79,24 @@
                     age_on_receipt: Duration::ZERO,
                     is_observed: !is_first,
                 });
+                changed.push(model);
             }
         }
+        changed
     }
 
     /// Records an announcement's age as a peer states it; the highest of the observed ages counts.
+    ///
+    /// Returns whether the announcement was not observed before, or turns out to be noticeably
+    /// older.
     pub fn record_peer_age(
         &mut self,
         now: Moment,
         model: ModelKey,
         version: WeightVersion,
         age: Duration,
-    ) {
+    ) -> bool {
+        let mut is_news = false;
         let known = self.by_model.get_mut(&model).into_iter().flatten();
         let is_earlier = |announcement: &&mut Announcement| {
             !announcement.is_observed || announcement.age(now) < age
@@ -85,9 +104,18 @@
         for announcement in
             known.filter(|announcement| announcement.version == version).filter(is_earlier)
         {
+            is_news |= !announcement.is_observed || age > announcement.age(now) + NOTICEABLE_AGE;
             *announcement =
                 Announcement { version, received_at: now, age_on_receipt: age, is_observed: true };
         }
+        is_news
+    }
+
+    /// Returns the newest version of a model with its announcement.
+    pub fn newest(&self, now: Moment, model: ModelKey) -> Option<Replacement> {
+        let newest = self.by_model.get(&model)?.last()?;
+        let (by, is_observed) = (newest.version, newest.is_observed);
+        Some(Replacement { by, age: newest.age(now), is_observed })
     }
 
     /// Returns how long ago the newest version of a model was announced, if that was observed.
@@ -96,15 +124,27 @@
         newest.is_observed.then(|| newest.age(now))
     }
 
+    /// Returns the announcement that replaced a version; `None` if it is the newest one.
+    pub fn replacement(
+        &self,
+        now: Moment,
+        model: ModelKey,
+        loaded: WeightVersion,
+    ) -> Option<Replacement> {
+        let known = self.by_model.get(&model).into_iter().flatten();
+        let next = known.into_iter().find(|announcement| announcement.version > loaded)?;
+        let (by, is_observed) = (next.version, next.is_observed);
+        Some(Replacement { by, age: next.age(now), is_observed })
+    }
+
     /// Returns whether weights were replaced so long ago that no call may start on them.
     pub fn is_outdated(&self, now: Moment, model: ModelKey, loaded: WeightVersion) -> bool {
-        let known = self.by_model.get(&model).into_iter().flatten();
-        let next = known.into_iter().find(|announcement| announcement.version > loaded);
-        let Some((next, limit)) = next.zip(self.replaced_limit) else {
+        let replacement = self.replacement(now, model, loaded);
+        let Some((replacement, limit)) = replacement.zip(self.replaced_limit) else {
             return false;
         };
-        let limit = if next.is_observed { limit } else { limit.min(UNOBSERVED_LIMIT) };
-        next.age(now) >= limit
+        let limit = if replacement.is_observed { limit } else { limit.min(UNOBSERVED_LIMIT) };
+        replacement.age >= limit
     }
 }
 
@@ -154,16 +194,95 @@
     }
 
     /// Records the ages of announced versions from a peer's digest.
-    pub(super) fn record_announcements(&mut self, now: Moment, announced: &[VersionAnnouncement]) {
+    pub(super) fn record_announcements(
+        &mut self,
+        now: Moment,
+        announced: &[VersionAnnouncement],
+        actions: &mut Actions,
+    ) {
         let Some(snapshot) = self.snapshot.clone().filter(|_| self.has_registry) else {
             return;
         };
         for (model, declared) in snapshot.models.iter() {
             for announced in announced.iter().filter(|a| a.weights == declared.weights_name) {
-                if let Some(age) = announced.age {
-                    self.announced_versions.record_peer_age(now, model, announced.version, age);
+                let known = &mut self.announced_versions;
+                if let Some(age) = announced.age
+                    && known.record_peer_age(now, model, announced.version, age)
+                {
+                    self.report_announcement(now, model, AnnouncementSource::Peer, actions);
                 }
             }
         }
     }
+
+    /// Records the versions of a snapshot and reports those that became known with it.
+    pub(super) fn apply_announced_versions(
+        &mut self,
+        now: Moment,
+        snapshot: &Snapshot,
+        is_first: bool,
+        actions: &mut Actions,
+    ) {
+        for model in self.announced_versions.apply_snapshot(now, snapshot, is_first) {
+            let weights = snapshot.models.get(model).map(|m| m.weights_name.clone());
+            self.report_newest(now, model, weights, AnnouncementSource::Receipt, actions);
+        }
+    }
+
+    fn report_announcement(
+        &self,
+        now: Moment,
+        model: ModelKey,
+        source: AnnouncementSource,
+        actions: &mut Actions,
+    ) {
+        let declared = self.snapshot.as_ref().and_then(|s| s.models.get(model));
+        self.report_newest(now, model, declared.map(|m| m.weights_name.clone()), source, actions);
+    }
+
+    /// Reports the newest version of a model, where versions are announced apart from declarations.
+    fn report_newest(
+        &self,
+        now: Moment,
+        model: ModelKey,
+        weights: Option<Arc<str>>,
+        source: AnnouncementSource,
+        actions: &mut Actions,
+    ) {
+        let newest = self.announced_versions.newest(now, model).filter(|_| self.has_registry);
+        let Some((weights, newest)) = weights.zip(newest) else { return };
+        let Replacement { by: version, age, is_observed } = newest;
+        let unread = now.since(self.managed_stores.platform_requested());
+        let report = AnnouncementReport { weights, version, age, is_observed, unread, source };
+        actions.push(Action::ReportAnnouncement(report));
+    }
+
+    /// Returns the announcement that replaced the weights of a target; `None` if they are the newest
+    /// or not known.
+    pub(super) fn replacement_at(&self, now: Moment, key: TargetKey) -> Option<Replacement> {
+        let target = self.snapshot.as_ref()?.targets.get(key)?;
+        let TargetKind::Engine(model) = target.kind else { return None };
+        let loaded = self.targets.get(key).and_then(TargetState::version)?;
+        self.announced_versions.replacement(now, model, loaded)
+    }
+
+    /// Reports a call that begins on replaced weights.
+    pub(super) fn report_begin(&self, now: Moment, key: CallKey, actions: &mut Actions) {
+        let Some(call) = self.calls.get(&key).filter(|call| call.target().is_some()) else {
+            return;
+        };
+        let (TargetKind::Engine(model), version) = (call.arrival.kind, call.version()) else {
+            return;
+        };
+        let replacement = self.announced_versions.replacement(now, model, version);
+        actions.extend(replacement.map(|replacement| {
+            Action::ReportBegin(BeginOnReplaced {
+                call: key,
+                version,
+                replacement,
+                waited: now.since(call.dispatched),
+                is_late: self.announced_versions.is_outdated(now, model, version),
+            })
+        }));
+    }
 }
--- a/crates/cumintrail-control/src/control/arrivals.rs
+++ b/crates/cumintrail-control/src/control/arrivals.rs
@@ -351,6 +351,7 @@
         // The keys of parts are derived for the version that the call arrived for.
         let parts = if version == arrival_version { parts } else { PartPlans::default() };
         let call = self.calls.get(&key);
+        let replacement = self.replacement_at(now, target);
         let must_identify = call.is_some_and(|call| self.must_identify(call, target));
         let origin = call.map_or(OriginEvidence::None, |call| call.origin);
         let dispatch = Dispatch {
@@ -358,6 +359,7 @@
             attempt,
             target,
             version,
+            replacement,
             plan,
             first_token,
             parts,
--- a/crates/cumintrail-control/src/control/attempts.rs
+++ b/crates/cumintrail-control/src/control/attempts.rs
@@ -19,13 +19,21 @@
 const REFUSAL_AVOIDANCE: Duration = Duration::from_millis(100);
 
 impl<P: Placer> Control<P> {
-    pub(super) fn handle_first_token(&mut self, now: Moment, key: CallKey) {
+    /// Handles the first token of an attempt.
+    pub(super) fn handle_first_token(&mut self, now: Moment, key: CallKey, actions: &mut Actions) {
+        self.report_begin(now, key, actions);
         self.clear_expected_prefill(now, key);
-        self.record_service_time(now, key);
+        let has_begun = self.calls.get(&key).is_some_and(|call| call.first_token.is_some());
+        if !has_begun {
+            self.record_service_time(now, key);
+        }
         let target = self.calls.get(&key).and_then(Call::target);
         if let Some(state) = target.and_then(|target| self.targets.get_mut(target)) {
             state.record_first_token(now, key);
         }
+        if has_begun {
+            return;
+        }
         if let Some(call) = self.calls.get_mut(&key).filter(|c| c.target().is_some()) {
             call.first_token.get_or_insert(now);
             call.start_streaming();
--- a/crates/cumintrail-control/src/control/digests.rs
+++ b/crates/cumintrail-control/src/control/digests.rs
@@ -239,7 +239,7 @@
         if !digest.leaving.is_empty() {
             self.send_digest_soon(now);
         }
-        self.record_announcements(now, &digest.versions);
+        self.record_announcements(now, &digest.versions, actions);
         self.record_announced_leaving(&digest.announced_leaving);
         self.record_stream_origins(now, digest);
         self.record_reported_software(now, digest);
--- a/crates/cumintrail-control/src/control/maintenance.rs
+++ b/crates/cumintrail-control/src/control/maintenance.rs
@@ -20,7 +20,7 @@
         &mut self,
         now: Moment,
         snapshot: Arc<Snapshot>,
-        _actions: &mut Actions,
+        actions: &mut Actions,
     ) {
         let old = self.snapshot.as_ref().map(|s| s.position());
         if old.is_some_and(|old| snapshot.position() <= old) {
@@ -44,7 +44,7 @@
             }
         }
         self.record_cold_targets(now, &snapshot, known_targets);
-        self.announced_versions.apply_snapshot(now, &snapshot, old.is_none());
+        self.apply_announced_versions(now, &snapshot, old.is_none(), actions);
         self.managed_stores.apply_configuration(now, &snapshot);
         self.rank_stores(&snapshot);
         let used = snapshot.targets.iter().filter(|(_, t)| !t.retired);
--- a/crates/cumintrail-control/src/control/managed.rs
+++ b/crates/cumintrail-control/src/control/managed.rs
@@ -56,6 +56,11 @@
         self.platform_requested = self.platform_requested.max(requested);
     }
 
+    /// Returns as of when the declarations of operators were last read.
+    pub const fn platform_requested(&self) -> Moment {
+        self.platform_requested
+    }
+
     /// Applies the stores and the inputs of cache salts in a snapshot.
     pub fn apply_configuration(&mut self, now: Moment, snapshot: &Snapshot) {
         self.configured_at.get_or_insert(now);
--- a/crates/cumintrail-control/src/event.rs
+++ b/crates/cumintrail-control/src/event.rs
@@ -21,6 +21,7 @@
 pub use self::target::{
     Export, NamedLimit, Order, OrderKind, RunningCalls, TargetNotice, TargetReport,
 };
+use crate::announcements::{AnnouncementReport, BeginOnReplaced};
 use crate::cold::ColdChange;
 use crate::digest::{PeerDigest, VmEntry};
 use crate::evacuation::{EvacuationChange, EvacuationPage};
@@ -67,7 +68,7 @@
         /// The name of the process that sent it.
         process: Arc<str>,
     },
-    /// The first token of a response arrived.
+    /// The first token of an attempt arrived.
     FirstToken {
         /// The call.
         call: CallKey,
@@ -405,6 +406,10 @@
     },
     /// Log and count a decision about content under which targets crash.
     ReportQuarantine(QuarantineChange),
+    /// Log when a weight version was announced.
+    ReportAnnouncement(AnnouncementReport),
+    /// Log and count a call that begins on replaced weights.
+    ReportBegin(BeginOnReplaced),
     /// Log a change of the limit of a target.
     ReportLimit(LimitChange),
     /// Log that a failure domain was evacuated or is no longer.
--- a/crates/cumintrail-control/src/event/call.rs
+++ b/crates/cumintrail-control/src/event/call.rs
@@ -11,6 +11,7 @@
 };
 use smallvec::SmallVec;
 
+use crate::announcements::Replacement;
 use crate::home_regions::AllowedRegions;
 use crate::parts::PartPlans;
 use crate::quarantine::CallContent;
@@ -84,6 +85,8 @@
     pub target: TargetKey,
     /// The weight version that the call is pinned to.
     pub version: WeightVersion,
+    /// The announcement that replaced the target's version, as of the dispatch.
+    pub replacement: Option<Replacement>,
     /// What to import first.
     pub plan: FetchPlan,
     /// The expected time from the dispatch to the first token.
--- a/crates/cumintrail-control/src/lib.rs
+++ b/crates/cumintrail-control/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod admission;
 pub mod adoption;
+pub mod announcements;
 pub mod cold;
 pub mod directory;
 pub mod evacuation;
@@ -38,6 +39,7 @@
 mod event;
 mod record_time;
 
+pub use announcements::Replacement;
 pub use calls::{Call, Phase};
 pub use control::{Control, Identity};
 pub use counts::{Counts, StateCounts};
--- a/crates/cumintrail-daemon/src/background/actions.rs
+++ b/crates/cumintrail-daemon/src/background/actions.rs
@@ -92,6 +92,8 @@
         | Action::Abandon { .. }
         | Action::Refuse { .. }
         | Action::ReportQuarantine(_)
+        | Action::ReportAnnouncement(_)
+        | Action::ReportBegin(_)
         | Action::ReportLimit(_)
         | Action::ReportEvacuation(_)
         | Action::ReportSpill(_)
--- a/crates/cumintrail-daemon/src/control_thread.rs
+++ b/crates/cumintrail-daemon/src/control_thread.rs
@@ -14,7 +14,7 @@
 use tokio::sync::{mpsc, oneshot};
 
 use crate::control_meter::ControlMeter;
-use crate::{evacuation_lines, limit_lines, metric, quarantine_lines, spill_lines};
+use crate::{evacuation_lines, limit_lines, metric, quarantine_lines, spill_lines, version_lines};
 
 /// How long after its issue an operation key may be used.
 pub const OPERATION_KEY_LIFETIME: Duration = Duration::from_secs(600);
@@ -257,6 +257,8 @@
         }
         Action::ReportQuarantine(change) => quarantine_lines::report(now, change),
         Action::ReportEvacuation(change) => evacuation_lines::report(&change),
+        Action::ReportAnnouncement(report) => version_lines::report_announcement(&report),
+        Action::ReportBegin(begin) => version_lines::report_begin(begin),
         Action::ReportLimit(change) => limit_lines::report(change),
         Action::ReportShortage { name, has_ended, held, refused } => {
             let outcome = if has_ended { "ended" } else { "began" };
--- a/crates/cumintrail-daemon/src/gateway/orders.rs
+++ b/crates/cumintrail-daemon/src/gateway/orders.rs
@@ -95,6 +95,8 @@
             | Action::Abandon { .. }
             | Action::Refuse { .. }
             | Action::ReportQuarantine(_)
+            | Action::ReportAnnouncement(_)
+            | Action::ReportBegin(_)
             | Action::ReportLimit(_)
             | Action::ReportEvacuation(_)
             | Action::ReportSpill(_)
--- a/crates/cumintrail-daemon/src/lib.rs
+++ b/crates/cumintrail-daemon/src/lib.rs
@@ -26,6 +26,7 @@
 mod spill_lines;
 mod table;
 mod usage;
+mod version_lines;
 
 pub use daemon::{Daemon, SpawnError};
 pub use gateway::{Gateway, GatewayOptions, OperatorChange, Platform};
--- a/crates/cumintrail-daemon/src/metric.rs
+++ b/crates/cumintrail-daemon/src/metric.rs
@@ -24,6 +24,9 @@
 pub const UNREACHED_DOMAIN: &str = "cumintrail_unreached_domain";
 /// Attempts that were abandoned because the failure domain of their target was not reached.
 pub const ABANDONED_ATTEMPTS: &str = "cumintrail_abandoned_attempts_total";
+/// Time from the announcement of a weight version to the first token of a call that begins on replaced
+/// weights, in seconds.
+pub const REPLACED_BEGIN_SECONDS: &str = "cumintrail_replaced_weights_begin_seconds";
 /// Crashes of targets under calls of this daemon.
 pub const TARGET_CRASHES: &str = "cumintrail_target_crashes_total";
 /// Decisions about content under which targets crash, by outcome: `quarantined` or `lifted`.
@@ -159,7 +162,7 @@
 }
 
 /// Lists all metrics.
-pub const METRICS: [MetricDescription; 52] = [
+pub const METRICS: [MetricDescription; 53] = [
     counter(CALLS, Unit::Count, "Calls by outcome").with_label("outcome"),
     gauge(CALLS_IN_FLIGHT, Unit::Count, "Calls that are not answered yet"),
     gauge(CALLS_WAITING, Unit::Count, "Calls that wait for a slot"),
@@ -196,6 +199,13 @@
         label: None,
         help: "Time from arrival to the first token",
     },
+    MetricDescription {
+        name: REPLACED_BEGIN_SECONDS,
+        kind: MetricKind::Histogram,
+        unit: Unit::Seconds,
+        label: None,
+        help: "Age of the newer version when a call begins on replaced weights",
+    },
     MetricDescription {
         name: RELAYED_CALL_SECONDS,
         kind: MetricKind::Histogram,
--- a/crates/cumintrail-daemon/src/relay/attempt/response.rs
+++ b/crates/cumintrail-daemon/src/relay/attempt/response.rs
@@ -130,7 +130,11 @@
             };
             let Some(chunk) = chunk else { break };
             let batch = self.call.events.push(&chunk);
-            has_events |= batch.count > 0;
+            let begins = batch.count > 0 && !has_events;
+            has_events |= begins;
+            if begins && self.call.response_started {
+                self.report_first_token().await;
+            }
             let is_passed_on = batch.bytes.is_empty()
                 || self.start_stream(&head, &connection).await
                     && self.write_events(batch.bytes).await.is_ok();
@@ -190,12 +194,16 @@
         metrics::histogram!(metric::FIRST_TOKEN_SECONDS)
             .record(now.since(self.call.arrived).as_secs_f64());
         self.report_process(connection).await;
-        self.worker.shared.control.send(Event::FirstToken { call: self.call.key }).await;
+        self.report_first_token().await;
         self.disable_keep_alive_if_needed();
         let caller_head = caller_response_head(head, self.caller, &self.name);
         self.caller.queue_response_head(caller_head).is_ok()
     }
 
+    async fn report_first_token(&self) {
+        self.worker.shared.control.send(Event::FirstToken { call: self.call.key }).await;
+    }
+
     fn log_answered(&self, status: StatusCode, framing: Framing) {
         let now = self.worker.shared.now();
         lines::answered(self.call, now, self.number, status.as_u16(), framing);
--- a/crates/cumintrail-daemon/src/relay/lines.rs
+++ b/crates/cumintrail-daemon/src/relay/lines.rs
@@ -1,5 +1,6 @@
 //! The log lines of relayed calls: one per decision, with the values that it was based on.
 
+use std::fmt::Display;
 use std::time::Duration;
 
 use actix_http::StatusCode;
@@ -38,6 +39,10 @@
     now.since(call.arrived).as_millis()
 }
 
+fn or_dash(value: Option<impl Display>) -> String {
+    value.map_or_else(|| "-".into(), |value| value.to_string())
+}
+
 /// Logs that a call is sent to a target.
 pub fn sent(
     call: &RelayedCall,
@@ -48,7 +53,7 @@
 ) {
     log::info!(
         "event=sent id={} call={} route={} account={} class={} urgency={} attempt={} target={} listed={} process={} software={} after_event={} resumes={} origin={} parts={} request={} prompt={} max_answer={} expected_ms={} \
-         version={} generation={} revision={} reused={} connected_ms={} age_ms={} left_ms={}",
+         version={} replaced_by={} replaced_ms={} generation={} revision={} reused={} connected_ms={} age_ms={} left_ms={}",
         caller_call_id(call),
         call.key,
         call.route,
@@ -69,6 +74,8 @@
         call.metadata.max_output,
         dispatch.first_token.as_millis(),
         dispatch.version,
+        or_dash(dispatch.replacement.map(|replacement| replacement.by)),
+        or_dash(dispatch.replacement.map(|replacement| replacement.age.as_millis())),
         call.snapshot.generation,
         call.snapshot.revision,
         connection.has_been_used(),
--- a/tests/src/experiment/run.rs
+++ b/tests/src/experiment/run.rs
@@ -207,6 +207,8 @@
             | Action::FreeParts { .. }
             | Action::AssignReaders(_)
             | Action::ReportQuarantine(_)
+            | Action::ReportAnnouncement(_)
+            | Action::ReportBegin(_)
             | Action::ReportLimit(_)
             | Action::ReportEvacuation(_)
             | Action::ReportSpill(_)
