Abandon calls that have not begun on replaced weights in time

A caller's request ran on a version that had been replaced for longer than the bound. Daemons stopped sending calls to replaced weights after 0.8 of it, but nothing limited how long a call that had been sent waits at its target: for a slot, behind other prompts, or because the target stalls.

The control state is given the bound itself. From 0.9 of it on, attempts at replaced weights without a first token are abandoned (cause=weights-replaced): streams that can be resumed are sent to a target with newer weights, others fail with 502, as the target may have begun. An attempt whose first event has arrived goes on. Calls without a stream do not show when they begin; they are abandoned only if they may be repeated. Abandonment says nothing about the health of the target. cumintrail_abandoned_attempts_total has the label reason.

--- a/crates/cumintrail-control/src/calls.rs
+++ b/crates/cumintrail-control/src/calls.rs
@@ -60,6 +60,10 @@
     version: WeightVersion,
     may_have_run: bool,
     failed_targets: SmallVec<[TargetKey; 2]>,
+    /// Whether a token of the current attempt has arrived.
+    has_begun: bool,
+    /// Whether the current attempt is to end before its response.
+    is_abandoned: bool,
     /// The peer that handles the current attempt.
     peer: Option<SocketAddr>,
     tried_peers: SmallVec<[SocketAddr; 2]>,
@@ -88,6 +92,8 @@
             version: WeightVersion(0),
             may_have_run: false,
             failed_targets: SmallVec::new(),
+            has_begun: false,
+            is_abandoned: false,
             peer: None,
             tried_peers: SmallVec::new(),
         }
@@ -154,6 +160,7 @@
         self.attempts = self.attempts.saturating_add(1);
         self.version = version;
         (self.target, self.peer) = (Some(target), None);
+        (self.has_begun, self.is_abandoned) = (false, false);
         self.dispatched = now;
         if self.phase == Phase::Queued {
             self.phase = Phase::Sending;
@@ -165,6 +172,7 @@
     pub fn start_detour(&mut self, peer: SocketAddr, now: Moment) -> AttemptNumber {
         self.attempts = self.attempts.saturating_add(1);
         (self.target, self.peer) = (None, Some(peer));
+        (self.has_begun, self.is_abandoned) = (false, false);
         self.tried_peers.push(peer);
         self.dispatched = now;
         if self.phase == Phase::Queued {
@@ -183,12 +191,33 @@
         &self.tried_peers
     }
 
+    /// Returns whether a token of the current attempt has arrived.
+    pub const fn has_begun(&self) -> bool {
+        self.has_begun
+    }
+
+    /// Records that a token of the current attempt has arrived.
+    pub const fn record_begin(&mut self) {
+        self.has_begun = true;
+    }
+
+    /// Returns whether the current attempt is to end before its response.
+    pub const fn is_abandoned(&self) -> bool {
+        self.is_abandoned
+    }
+
+    /// Records that the current attempt is to end before its response.
+    pub const fn record_abandonment(&mut self) {
+        self.is_abandoned = true;
+    }
+
     /// Records that an output token was passed on to the caller.
     ///
     /// The rest of the response must come from the weight version that the attempt was dispatched
     /// for, even if the target has loaded another version since.
     pub const fn start_streaming(&mut self) {
         self.phase = Phase::Streaming;
+        self.has_begun = true;
         self.pinned_version = Some(self.version);
         self.may_have_run = true;
     }
--- a/crates/cumintrail-control/src/control.rs
+++ b/crates/cumintrail-control/src/control.rs
@@ -262,9 +262,10 @@
         self.regions = regions;
     }
 
-    /// Sets how long after their replacement weights may still serve new calls.
-    pub const fn set_outdated_limit(&mut self, limit: Duration) {
-        self.announced_versions.set_limit(limit);
+    /// Sets the bound after the announcement of newer weights within which calls may begin on older
+    /// ones.
+    pub const fn set_weights_bound(&mut self, bound: Duration) {
+        self.announced_versions.set_bound(bound);
     }
 
     /// Sets the interval at which targets write their entries of the registry.
--- a/crates/cumintrail-control/src/control/announced_versions.rs
+++ b/crates/cumintrail-control/src/control/announced_versions.rs
@@ -1,22 +1,28 @@
 //! Announced weight versions, and engines that still serve older ones.
 //!
-//! New calls may start on replaced weights only for a limited time after the announcement. A daemon
-//! that has just started learns the time of an announcement only from a peer that observed it.
+//! Calls may begin on replaced weights only within a bound after the announcement. A daemon that has
+//! just started learns the time of an announcement only from a peer that observed it.
 
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
 use cumintrail_config::{Snapshot, TargetKind};
-use cumintrail_types::{CallKey, ModelKey, Moment, TargetKey, WeightVersion};
+use cumintrail_types::{CallClass, CallKey, ModelKey, Moment, TargetKey, WeightVersion};
 use smallvec::SmallVec;
 
 use super::Control;
 use super::state::TargetState;
 use crate::announcements::{AnnouncementReport, AnnouncementSource, BeginOnReplaced};
 use crate::placement::Placer;
-use crate::{Action, Actions, Replacement, VersionAnnouncement};
+use crate::{AbandonReason, Action, Actions, Call, Replacement, VersionAnnouncement};
 
+/// The fraction of the bound during which calls are sent to engines with replaced weights; the rest
+/// allows for the wait in the engine's queue.
+const DISPATCH_FRACTION: f64 = 0.8;
+/// The fraction of the bound after which calls that have not begun at such engines are abandoned; the
+/// rest allows for the time until an engine learns of that.
+const BEGIN_FRACTION: f64 = 0.9;
 /// How long calls may start on older weights after the receipt of a version whose announcement
 /// neither this daemon nor a peer observed.
 ///
@@ -32,8 +38,17 @@
 pub struct AnnouncedVersions {
     /// Announcements by model, lowest version first.
     by_model: HashMap<ModelKey, Vec<Announcement>>,
-    /// How long after an announcement calls may start on older weights; `None` means no limit.
-    replaced_limit: Option<Duration>,
+    /// How long after an announcement calls may begin on older weights; `None` means no bound.
+    bound: Option<Duration>,
+}
+
+/// Up to which part of the bound a decision may be taken.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BoundPart {
+    /// A call may be sent.
+    Dispatch,
+    /// A call that was sent may still begin.
+    Begin,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -54,9 +69,9 @@
 }
 
 impl AnnouncedVersions {
-    /// Sets how long replaced weights are used; without a limit they are used indefinitely.
-    pub const fn set_limit(&mut self, limit: Duration) {
-        self.replaced_limit = Some(limit);
+    /// Sets how long calls may begin on replaced weights; without a bound they may indefinitely.
+    pub const fn set_bound(&mut self, bound: Duration) {
+        self.bound = Some(bound);
     }
 
     /// Records the versions of a snapshot that are higher than the known ones, and returns their
@@ -137,12 +152,22 @@
         Some(Replacement { by, age: next.age(now), is_observed })
     }
 
-    /// Returns whether weights were replaced so long ago that no call may start on them.
-    pub fn is_outdated(&self, now: Moment, model: ModelKey, loaded: WeightVersion) -> bool {
+    /// Returns whether weights were replaced so long ago that a part of the bound has passed.
+    pub fn is_outdated(
+        &self,
+        now: Moment,
+        model: ModelKey,
+        loaded: WeightVersion,
+        part: BoundPart,
+    ) -> bool {
         let replacement = self.replacement(now, model, loaded);
-        let Some((replacement, limit)) = replacement.zip(self.replaced_limit) else {
+        let Some((replacement, bound)) = replacement.zip(self.bound) else {
             return false;
         };
+        let limit = bound.mul_f64(match part {
+            BoundPart::Dispatch => DISPATCH_FRACTION,
+            BoundPart::Begin => BEGIN_FRACTION,
+        });
         let limit = if replacement.is_observed { limit } else { limit.min(UNOBSERVED_LIMIT) };
         replacement.age >= limit
     }
@@ -160,9 +185,41 @@
             return false;
         };
         let starts_at = now + state.overdue(now);
-        state
-            .version()
-            .is_some_and(|loaded| self.announced_versions.is_outdated(starts_at, model, loaded))
+        state.version().is_some_and(|loaded| {
+            self.announced_versions.is_outdated(starts_at, model, loaded, BoundPart::Dispatch)
+        })
+    }
+
+    /// Abandons the attempts that have not begun on replaced weights while they may.
+    ///
+    /// A target may hold a call for as long as its caller waits. While the platform does not respond,
+    /// no daemon can order loads, as in [`Self::exclude_outdated`].
+    pub(super) fn abandon_late_calls(&mut self, now: Moment, actions: &mut Actions) {
+        if !self.has_recent_platform_response(now) {
+            return;
+        }
+        let late = self.calls.iter().filter(|(_, call)| self.would_begin_late(now, call));
+        let late: SmallVec<[CallKey; 8]> = late.map(|(key, _)| *key).collect();
+        for key in late {
+            self.abandon_attempt(key, AbandonReason::WeightsReplaced, actions);
+        }
+    }
+
+    /// Returns whether an attempt has not begun on replaced weights in time.
+    ///
+    /// The response to a call without a stream does not show when the call began, so that only those
+    /// that may run again are abandoned.
+    fn would_begin_late(&self, now: Moment, call: &Call) -> bool {
+        let TargetKind::Engine(model) = call.arrival.kind else {
+            return false;
+        };
+        let shows_begin = matches!(
+            call.arrival.class,
+            CallClass::Stream | CallClass::ResumableStream | CallClass::Repeatable
+        );
+        let is_pending = call.target().is_some() && !call.has_begun() && !call.is_abandoned();
+        let (version, part) = (call.version(), BoundPart::Begin);
+        shows_begin && is_pending && self.announced_versions.is_outdated(now, model, version, part)
     }
 
     /// Excludes targets whose weights were replaced too long ago, or will have been by the time a
@@ -281,7 +338,12 @@
                 version,
                 replacement,
                 waited: now.since(call.dispatched),
-                is_late: self.announced_versions.is_outdated(now, model, version),
+                is_late: self.announced_versions.is_outdated(
+                    now,
+                    model,
+                    version,
+                    BoundPart::Dispatch,
+                ),
             })
         }));
     }
--- a/crates/cumintrail-control/src/control/attempts.rs
+++ b/crates/cumintrail-control/src/control/attempts.rs
@@ -10,7 +10,7 @@
 use crate::placement::Placer;
 use crate::retry::HealthSignal;
 use crate::stream_origins::StreamRequest;
-use crate::{Action, Actions, AttemptOutcome, Call, Phase, Usage, retry};
+use crate::{AbandonReason, Action, Actions, AttemptOutcome, Call, Phase, Usage, retry};
 
 /// The time without a first token after which a call's passed deadline counts as a failure of the
 /// target.
@@ -32,10 +32,10 @@
             state.record_first_token(now, key);
         }
         if has_begun {
-            return;
+            return self.calls.get_mut(&key).into_iter().for_each(Call::record_begin);
         }
         if let Some(call) = self.calls.get_mut(&key).filter(|c| c.target().is_some()) {
-            call.first_token.get_or_insert(now);
+            call.first_token = Some(now);
             call.start_streaming();
         }
         self.pin_software(now, key);
@@ -78,10 +78,11 @@
             AttemptOutcome::NotSent
             | AttemptOutcome::NoConnection
             | AttemptOutcome::Unidentified { .. }
+            | AttemptOutcome::Abandoned { was_sent: false, .. }
             | AttemptOutcome::RefusedByTarget { .. } => {
                 call.record_unexecuted_attempt();
             }
-            AttemptOutcome::Failed { .. } => {
+            AttemptOutcome::Failed { .. } | AttemptOutcome::Abandoned { .. } => {
                 call.record_failed_attempt();
                 push_cancel(call, target, actions);
             }
@@ -288,6 +289,19 @@
         }
     }
 
+    /// Ends the attempt of a call, so that the call can go elsewhere or is refused.
+    pub(super) fn abandon_attempt(
+        &mut self,
+        key: CallKey,
+        reason: AbandonReason,
+        actions: &mut Actions,
+    ) {
+        if let Some(call) = self.calls.get_mut(&key) {
+            call.record_abandonment();
+            actions.push(Action::Abandon { call: key, attempt: call.attempt(), reason });
+        }
+    }
+
     /// Refuses calls whose deadline has passed and cancels their attempts.
     pub(super) fn expire_calls(&mut self, now: Moment, actions: &mut Actions) {
         let expired = self.calls.iter().filter(|(_, call)| call.arrival.deadline <= now);
@@ -332,6 +346,7 @@
         AttemptOutcome::NotSent
             | AttemptOutcome::NoConnection
             | AttemptOutcome::Unidentified { .. }
+            | AttemptOutcome::Abandoned { was_sent: false, .. }
     )
 }
 
--- a/crates/cumintrail-control/src/control/detours.rs
+++ b/crates/cumintrail-control/src/control/detours.rs
@@ -224,10 +224,13 @@
             AttemptOutcome::Completed(_) | AttemptOutcome::RespondedLocally => {
                 return self.end_call(key);
             }
-            AttemptOutcome::Failed { .. } => call.record_failed_attempt(),
+            AttemptOutcome::Failed { .. } | AttemptOutcome::Abandoned { was_sent: true, .. } => {
+                call.record_failed_attempt();
+            }
             AttemptOutcome::NotSent
             | AttemptOutcome::NoConnection
             | AttemptOutcome::Unidentified { .. }
+            | AttemptOutcome::Abandoned { .. }
             | AttemptOutcome::RefusedByTarget { .. } => call.record_unexecuted_attempt(),
         }
         if retry::may_retry(call, outcome, now) {
--- a/crates/cumintrail-control/src/control/domain_reach.rs
+++ b/crates/cumintrail-control/src/control/domain_reach.rs
@@ -9,7 +9,7 @@
 use super::Control;
 use crate::placement::Placer;
 use crate::reach::{Reach, ReachChange, ReachScope};
-use crate::{Action, Actions, Phase};
+use crate::{AbandonReason, Action, Actions, Phase};
 
 impl<P: Placer> Control<P> {
     /// Lets calls leave failure domains in which this daemon reaches no target.
@@ -58,9 +58,7 @@
             ReachChange::Restored { .. } => Vec::new(),
         };
         for key in &abandoned {
-            if let Some(call) = self.calls.get(key) {
-                actions.push(Action::Abandon { call: *key, attempt: call.attempt() });
-            }
+            self.abandon_attempt(*key, AbandonReason::DomainUnreached, actions);
         }
         let name = self.snapshot.as_ref().and_then(|s| s.domains.get(domain));
         let domain = name.cloned().unwrap_or_default();
--- a/crates/cumintrail-control/src/event.rs
+++ b/crates/cumintrail-control/src/event.rs
@@ -15,8 +15,8 @@
 use smallvec::SmallVec;
 
 pub use self::call::{
-    Arrival, AttemptOutcome, Detour, Dispatch, Fetch, FetchOutcome, FetchPlan, ResponseEnd,
-    RouteOptions, Usage,
+    AbandonReason, Arrival, AttemptOutcome, Detour, Dispatch, Fetch, FetchOutcome, FetchPlan,
+    ResponseEnd, RouteOptions, Usage,
 };
 pub use self::target::{
     Export, NamedLimit, Order, OrderKind, RunningCalls, TargetNotice, TargetReport,
@@ -327,12 +327,14 @@
         /// The attempts that were abandoned.
         abandoned: usize,
     },
-    /// End an attempt at a target that is not reached, so that the call can go elsewhere.
+    /// End an attempt before its response, so that the call can go elsewhere.
     Abandon {
         /// The call.
         call: CallKey,
         /// The attempt.
         attempt: AttemptNumber,
+        /// Why it ends.
+        reason: AbandonReason,
     },
     /// Log that calls for a model or service begin or cease to be held back or refused because
     /// capacity is scarce.
--- a/crates/cumintrail-control/src/event/call.rs
+++ b/crates/cumintrail-control/src/event/call.rs
@@ -9,6 +9,7 @@
     AccountKey, AttemptNumber, BlockKey, CallClass, CallKey, Moment, Sealed, StoreKey, TargetKey,
     Tokens, Urgency, WeightVersion,
 };
+use derive_more::Display;
 use smallvec::SmallVec;
 
 use crate::announcements::Replacement;
@@ -113,6 +114,17 @@
     pub peer: SocketAddr,
 }
 
+/// Why an attempt is ended before its response.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub enum AbandonReason {
+    /// The failure domain of its target is not reached.
+    #[display("domain-unreached")]
+    DomainUnreached,
+    /// The call has not begun, and the weights of its target were replaced too long ago.
+    #[display("weights-replaced")]
+    WeightsReplaced,
+}
+
 /// Lists the stored blocks to import before an attempt.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct FetchPlan {
@@ -170,6 +182,13 @@
         /// that is nothing.
         can_continue: bool,
     },
+    /// This daemon ended the attempt because the call would have begun too late.
+    Abandoned {
+        /// Whether bytes of the call may have left this daemon.
+        was_sent: bool,
+        /// As in [`AttemptOutcome::Failed`].
+        can_continue: bool,
+    },
     /// The traffic thread responded to the call itself, so no further attempt is needed.
     RespondedLocally,
 }
--- a/crates/cumintrail-control/src/lib.rs
+++ b/crates/cumintrail-control/src/lib.rs
@@ -52,7 +52,7 @@
     TargetDump,
 };
 pub use event::{
-    Action, Actions, Arrival, AttemptOutcome, Detour, Dispatch, Event, Export, Fetch, FetchOutcome,
-    FetchPlan, NamedLimit, Order, OrderKind, ResponseEnd, RouteOptions, RunningCalls, TargetNotice,
-    TargetReport, Usage,
+    AbandonReason, Action, Actions, Arrival, AttemptOutcome, Detour, Dispatch, Event, Export,
+    Fetch, FetchOutcome, FetchPlan, NamedLimit, Order, OrderKind, ResponseEnd, RouteOptions,
+    RunningCalls, TargetNotice, TargetReport, Usage,
 };
--- a/crates/cumintrail-control/src/retry.rs
+++ b/crates/cumintrail-control/src/retry.rs
@@ -105,8 +105,10 @@
         AttemptOutcome::NotSent
         | AttemptOutcome::NoConnection
         | AttemptOutcome::Unidentified { .. }
+        | AttemptOutcome::Abandoned { was_sent: false, .. }
         | AttemptOutcome::RefusedByTarget { .. } => true,
-        AttemptOutcome::Failed { can_continue } => {
+        AttemptOutcome::Failed { can_continue }
+        | AttemptOutcome::Abandoned { can_continue, .. } => {
             can_continue && call.arrival.class.is_repeatable()
         }
         AttemptOutcome::Completed(_) | AttemptOutcome::RespondedLocally => false,
@@ -163,6 +165,7 @@
             | AttemptOutcome::NoConnection
             | AttemptOutcome::Failed { .. } => Self::Failure,
             AttemptOutcome::Unidentified { .. }
+            | AttemptOutcome::Abandoned { .. }
             | AttemptOutcome::RefusedByTarget { .. }
             | AttemptOutcome::RespondedLocally => Self::Inconclusive,
         }
--- a/crates/cumintrail-control/tests/replaced.rs
+++ b/crates/cumintrail-control/tests/replaced.rs
@@ -14,6 +14,8 @@
     Ran, TargetKey, Tokens, WeightVersion,
 };
 
+const BOUND: Duration = Duration::from_secs(10);
+/// The time after an announcement during which calls are sent to replaced weights.
 const LIMIT: Duration = Duration::from_secs(8);
 const DECLARED: &str = "[deployment]\nfirst_preset = day\n[preset day]\n[model curd]\n\
     [account coop]\nkey_digests = 0000000000000000000000000000000000000000000000000000000000000000\nconcurrency = 1000\n";
@@ -51,7 +53,7 @@
     };
     let mut control = Control::with_placer(identity, 1, AffinityPlacer);
     control.follow_registry("a secret");
-    control.set_outdated_limit(LIMIT);
+    control.set_weights_bound(BOUND);
     control
 }
 
--- a/crates/cumintrail-daemon/src/callers/model_call.rs
+++ b/crates/cumintrail-daemon/src/callers/model_call.rs
@@ -138,7 +138,7 @@
                 return;
             }
             // Only relayed calls take detours or are abandoned.
-            Some(Command::Detour(_) | Command::Abandon(_)) | None => return,
+            Some(Command::Detour(_) | Command::Abandon(..)) | None => return,
         };
         let ended = tokio::select! {
             ended = engine_call.attempt(&worker, &snapshot, &dispatch, &tx) => ended,
--- a/crates/cumintrail-daemon/src/callers/model_response.rs
+++ b/crates/cumintrail-daemon/src/callers/model_response.rs
@@ -174,7 +174,7 @@
     loop {
         match commands.recv().await {
             Some(Command::Refuse(refusal)) => return refusal,
-            Some(Command::Dispatch(_) | Command::Detour(_) | Command::Abandon(_)) => {}
+            Some(Command::Dispatch(_) | Command::Detour(_) | Command::Abandon(..)) => {}
             None => return outcome_unknown(),
         }
     }
--- a/crates/cumintrail-daemon/src/callers/service_task.rs
+++ b/crates/cumintrail-daemon/src/callers/service_task.rs
@@ -117,7 +117,7 @@
                 Some(Command::Dispatch(dispatch)) => self.attempt(&dispatch).await,
                 Some(Command::Refuse(refusal)) => Some(self.refuse(&refusal)),
                 // Only relayed calls take detours or are abandoned.
-                Some(Command::Detour(_) | Command::Abandon(_)) | None => {
+                Some(Command::Detour(_) | Command::Abandon(..)) | None => {
                     Some(self.refuse(&outcome_unknown()))
                 }
             };
--- a/crates/cumintrail-daemon/src/control_thread.rs
+++ b/crates/cumintrail-daemon/src/control_thread.rs
@@ -6,7 +6,9 @@
 use cumintrail_control::once::{KeyOutcome, OperationKey, UsedKeys, Verdict};
 use cumintrail_control::placement::Placer;
 use cumintrail_control::reach::ReachChange;
-use cumintrail_control::{Action, Arrival, AttemptOutcome, Control, Detour, Dispatch, Dump, Event};
+use cumintrail_control::{
+    AbandonReason, Action, Arrival, AttemptOutcome, Control, Detour, Dispatch, Dump, Event,
+};
 use cumintrail_types::{
     AttemptNumber, CallKey, Clock, Digest, LogText, Moment, Refusal, RefusalCode, WriteId,
 };
@@ -29,7 +31,7 @@
     /// Send the call to a peer.
     Detour(Detour),
     /// End this attempt, whose target is not reached.
-    Abandon(AttemptNumber),
+    Abandon(AttemptNumber, AbandonReason),
     /// Respond to the caller with a refusal.
     Refuse(Refusal),
 }
@@ -203,7 +205,6 @@
     match change {
         ReachChange::Partitioned { failed_targets } => {
             unreached.set(1.0);
-            metrics::counter!(metric::ABANDONED_ATTEMPTS).increment(abandoned as u64);
             log::warn!(
                 "event=domain-unreached domain={domain} failed_targets={failed_targets} abandoned={abandoned}"
             );
@@ -272,9 +273,11 @@
         Action::ReportDomainReach { domain, change, abandoned } => {
             report_domain_reach(&domain, change, abandoned);
         }
-        Action::Abandon { call, attempt } => {
+        Action::Abandon { call, attempt, reason } => {
+            let label = reason.to_string();
+            metrics::counter!(metric::ABANDONED_ATTEMPTS, "reason" => label).increment(1);
             if let Some(commands) = calls.get(&call) {
-                let _ = commands.send(Command::Abandon(attempt));
+                let _ = commands.send(Command::Abandon(attempt, reason));
             }
         }
         other => {
--- a/crates/cumintrail-daemon/src/gateway.rs
+++ b/crates/cumintrail-daemon/src/gateway.rs
@@ -76,9 +76,8 @@
     /// The tolerance of cold targets beyond the rate that their service declares; without it, they
     /// are sent requests like others.
     pub cold_tolerance: Option<ColdTolerance>,
-    /// The time after the announcement of a weight version during which new calls may still be sent
-    /// to older ones.
-    pub outdated_limit: Duration,
+    /// The time after the announcement of a weight version within which calls may begin on older ones.
+    pub weights_bound: Duration,
     /// The interval at which targets write their entries of the registry.
     pub heartbeat_interval: Duration,
     /// Whether calls leave failure domains in which no target is reached.
@@ -146,7 +145,7 @@
         control.set_detour_port(detour_port.unwrap_or_default());
         control.set_retry_policy(options.retry_policy);
         control.set_cold_tolerance(options.cold_tolerance);
-        control.set_outdated_limit(options.outdated_limit);
+        control.set_weights_bound(options.weights_bound);
         control.set_heartbeat_interval(options.heartbeat_interval);
         if options.domain_failover {
             control.fail_over_domains();
--- a/crates/cumintrail-daemon/src/metric.rs
+++ b/crates/cumintrail-daemon/src/metric.rs
@@ -22,7 +22,8 @@
 pub const PARTITIONED: &str = "cumintrail_partitioned";
 /// Whether this daemon reaches no target in a failure domain: one if it reaches none.
 pub const UNREACHED_DOMAIN: &str = "cumintrail_unreached_domain";
-/// Attempts that were abandoned because the failure domain of their target was not reached.
+/// Attempts that were ended before their response, by reason: `domain-unreached` or
+/// `weights-replaced`.
 pub const ABANDONED_ATTEMPTS: &str = "cumintrail_abandoned_attempts_total";
 /// Time from the announcement of a weight version to the first token of a call that begins on replaced
 /// weights, in seconds.
@@ -172,7 +173,8 @@
         .with_label("serves"),
     gauge(UNREACHED_DOMAIN, Unit::Count, "Whether no target in a failure domain is reached")
         .with_label("domain"),
-    counter(ABANDONED_ATTEMPTS, Unit::Count, "Attempts abandoned in unreached failure domains"),
+    counter(ABANDONED_ATTEMPTS, Unit::Count, "Attempts that were ended before their response")
+        .with_label("reason"),
     counter(TARGET_CRASHES, Unit::Count, "Crashes of targets under calls of this daemon"),
     counter(QUARANTINE_DECISIONS, Unit::Count, "Decisions about content under which targets crash")
         .with_label("outcome"),
--- a/crates/cumintrail-daemon/src/relay/attempt.rs
+++ b/crates/cumintrail-daemon/src/relay/attempt.rs
@@ -13,7 +13,7 @@
 use cumintrail_config::Target;
 use cumintrail_control::parts::PartPlan;
 use cumintrail_control::{
-    AttemptOutcome, Detour, Dispatch, Event, NamedLimit, ResponseEnd, TargetNotice,
+    AbandonReason, AttemptOutcome, Detour, Dispatch, Event, NamedLimit, ResponseEnd, TargetNotice,
 };
 use cumintrail_types::{AttemptNumber, CallClass, Moment, Refusal, TargetKey};
 use smallvec::SmallVec;
@@ -59,7 +59,7 @@
     };
     let (number, name) = (dispatch.attempt, target.instance.clone());
     let destination = Destination::Target { dispatch, target };
-    let attempt = Attempt { worker, caller, call, number, name, destination };
+    let attempt = Attempt { worker, caller, call, number, name, destination, has_begun: false };
     attempt.run(target.address).await
 }
 
@@ -71,7 +71,8 @@
     detour: Detour,
 ) -> AttemptEnd {
     let (number, name) = (detour.attempt, format!("peer-{}", detour.peer).into());
-    let attempt = Attempt { worker, caller, call, number, name, destination: Destination::Peer };
+    let destination = Destination::Peer;
+    let attempt = Attempt { worker, caller, call, number, name, destination, has_begun: false };
     attempt.run(detour.peer).await
 }
 
@@ -83,6 +84,8 @@
     /// The instance name of the target, or a name for the peer.
     name: Arc<str>,
     destination: Destination<'a>,
+    /// Whether an event of its response has arrived.
+    has_begun: bool,
 }
 
 /// What an attempt is sent to.
@@ -125,7 +128,7 @@
         let connection = tokio::select! {
             biased;
             connection = connection => connection,
-            interrupt = next_interrupt(&mut self.call.commands, self.number) =>
+            interrupt = next_interrupt(&mut self.call.commands, self.number, self.has_begun) =>
                 return Err(self.interrupt_unsent(interrupt)),
             _ = self.caller.next_input(false) => return Err(AttemptEnd::Disconnected),
         };
@@ -312,7 +315,7 @@
                         return WaitResult::Target(head);
                     }
                 }
-                interrupt = next_interrupt(&mut self.call.commands, self.number) =>
+                interrupt = next_interrupt(&mut self.call.commands, self.number, self.has_begun) =>
                     return WaitResult::Ended(self.interrupt(interrupt)),
                 input = self.caller.next_input(has_room) => {
                     if let Some(end) = self.forward_body(connection, input).await {
@@ -327,8 +330,14 @@
     fn interrupt_unsent(&mut self, interrupt: Interrupt) -> AttemptEnd {
         match interrupt {
             Interrupt::Refused(refusal) => AttemptEnd::Refused(refusal),
-            Interrupt::Abandoned => {
-                self.record_end(AttemptOutcome::NoConnection, "domain-unreached")
+            Interrupt::Abandoned(reason) => {
+                let outcome = match reason {
+                    AbandonReason::DomainUnreached => AttemptOutcome::NoConnection,
+                    AbandonReason::WeightsReplaced => {
+                        AttemptOutcome::Abandoned { was_sent: false, can_continue: true }
+                    }
+                };
+                self.record_end(outcome, &reason.to_string())
             }
         }
     }
@@ -340,7 +349,16 @@
                 self.call.may_have_run = true;
                 AttemptEnd::Refused(refusal)
             }
-            Interrupt::Abandoned => self.record_end(self.failed(), "domain-unreached"),
+            Interrupt::Abandoned(reason) => {
+                let can_continue = self.can_continue();
+                let outcome = match reason {
+                    AbandonReason::DomainUnreached => AttemptOutcome::Failed { can_continue },
+                    AbandonReason::WeightsReplaced => {
+                        AttemptOutcome::Abandoned { was_sent: true, can_continue }
+                    }
+                };
+                self.record_end(outcome, &reason.to_string())
+            }
         }
     }
 
@@ -404,14 +422,18 @@
         self.record_end(self.failed(), cause)
     }
 
-    /// Returns the outcome of a failed attempt, after which only a stream whose last event has an id
-    /// can be continued. One that a peer began is left to its caller to resume, because this daemon
-    /// does not know at which software version it began.
-    fn failed(&self) -> AttemptOutcome {
+    /// Returns whether a further attempt can continue what the caller has received so far, which is
+    /// only so for a stream whose last event has an id. One that a peer began is left to its caller to
+    /// resume, because this daemon does not know at which software version it began.
+    fn can_continue(&self) -> bool {
         let can_resume = self.call.class == CallClass::ResumableStream
             && self.call.events.can_resume()
             && !self.is_detour();
-        AttemptOutcome::Failed { can_continue: !self.call.response_started || can_resume }
+        !self.call.response_started || can_resume
+    }
+
+    fn failed(&self) -> AttemptOutcome {
+        AttemptOutcome::Failed { can_continue: self.can_continue() }
     }
 
     fn record_end(&mut self, outcome: AttemptOutcome, cause: &str) -> AttemptEnd {
@@ -425,7 +447,10 @@
         cause: &str,
         code: Option<&str>,
     ) -> AttemptEnd {
-        self.call.may_have_run |= matches!(outcome, AttemptOutcome::Failed { .. });
+        self.call.may_have_run |= matches!(
+            outcome,
+            AttemptOutcome::Failed { .. } | AttemptOutcome::Abandoned { was_sent: true, .. }
+        );
         let now = self.worker.shared.now();
         lines::attempt_ended(self.call, now, self.number, &self.name, outcome, cause, code);
         AttemptEnd::Unsuccessful(outcome)
--- a/crates/cumintrail-daemon/src/relay/attempt/response.rs
+++ b/crates/cumintrail-daemon/src/relay/attempt/response.rs
@@ -121,7 +121,7 @@
             return self.fail(&connection, &ClientError::Malformed).await;
         }
         self.call.events.drop_partial();
-        let (mut room, mut has_events) = (self.worker.pool.hold_response(), false);
+        let mut room = self.worker.pool.hold_response();
         loop {
             let chunk = match self.wait_for_chunk(&mut connection).await {
                 WaitResult::Target(Ok(chunk)) => chunk,
@@ -130,8 +130,8 @@
             };
             let Some(chunk) = chunk else { break };
             let batch = self.call.events.push(&chunk);
-            let begins = batch.count > 0 && !has_events;
-            has_events |= begins;
+            let begins = batch.count > 0 && !self.has_begun;
+            self.has_begun |= begins;
             if begins && self.call.response_started {
                 self.report_first_token().await;
             }
@@ -151,7 +151,7 @@
         }
         // Without an event, a close does not distinguish the end of the stream from a crash, also
         // where the stream is resumed.
-        let is_empty = connection.framing() == Framing::Close && !has_events;
+        let is_empty = connection.framing() == Framing::Close && !self.has_begun;
         let rest = match self.call.events.finish() {
             Ok(rest) if !is_empty => rest,
             _ => return self.fail(&connection, &ClientError::Truncated).await,
@@ -226,7 +226,7 @@
         // Chunks that are always ready must not keep a response beyond its deadline.
         if self.call.response_started
             && let Some(interrupt) =
-                next_interrupt(&mut self.call.commands, self.number).now_or_never()
+                next_interrupt(&mut self.call.commands, self.number, self.has_begun).now_or_never()
         {
             return WaitResult::Ended(self.interrupt(interrupt));
         }
@@ -241,7 +241,7 @@
                     Ok(BodyPart::Pending) => {}
                     Err(e) => return WaitResult::Target(Err(e)),
                 },
-                interrupt = next_interrupt(&mut self.call.commands, self.number) =>
+                interrupt = next_interrupt(&mut self.call.commands, self.number, self.has_begun) =>
                     return WaitResult::Ended(self.interrupt(interrupt)),
                 input = self.caller.next_input(has_room) => {
                     if let Some(end) = self.forward_body(connection, input).await {
--- a/crates/cumintrail-daemon/src/relay/call.rs
+++ b/crates/cumintrail-daemon/src/relay/call.rs
@@ -264,7 +264,7 @@
                 (detour.attempt, attempt::run_detour(worker, caller, call, detour).await)
             }
             // The attempt ended before it could be abandoned.
-            Some(Command::Abandon(_)) => continue,
+            Some(Command::Abandon(..)) => continue,
             Some(Command::Refuse(refusal)) => {
                 return end_refused_call(worker, caller, call, refusal).await;
             }
--- a/crates/cumintrail-daemon/src/relay/lines.rs
+++ b/crates/cumintrail-daemon/src/relay/lines.rs
@@ -221,6 +221,7 @@
         AttemptOutcome::RefusedByTarget { leaving: false } => "refused",
         AttemptOutcome::RefusedByTarget { leaving: true } => "gone",
         AttemptOutcome::Failed { .. } => "failed",
+        AttemptOutcome::Abandoned { .. } => "abandoned",
         AttemptOutcome::RespondedLocally => "settled",
     }
 }
--- a/tests/src/gateway_cluster.rs
+++ b/tests/src/gateway_cluster.rs
@@ -60,7 +60,7 @@
         detour_address: Some(ANY.parse().unwrap()),
         retry_policy: RetryPolicy::default(),
         cold_tolerance: None,
-        outdated_limit: LIMIT,
+        weights_bound: LIMIT,
         heartbeat_interval: Duration::from_millis(400),
         domain_failover: false,
         stop_limit: LIMIT,
@@ -151,7 +151,12 @@
         Self::spawn_with(settings(), &GatewayOptions { clock, ..options() }, platform)
     }
 
-    fn spawn_with(settings: Settings, options: &GatewayOptions, platform: FeedPlatform) -> Self {
+    /// Starts a gateway with these settings and options on a platform.
+    pub fn spawn_with(
+        settings: Settings,
+        options: &GatewayOptions,
+        platform: FeedPlatform,
+    ) -> Self {
         let gateway = Gateway::spawn(settings, options, &platform).unwrap();
         Self { platform, gateway }
     }
