Do not send calls that are expected to begin on replaced weights too late

Callers waited for a target that would have begun their call after the bound by the daemon's own estimate: whether a call may be sent to replaced weights took the lateness of calls that wait there into account, but not the prompts before it nor the wait for a slot. Now that such calls are abandoned, they would be lost, too.

The expected begin has to lie within the part of the bound up to which calls may begin; otherwise another target is chosen, or the call is refused at once, not run. no_call_is_sent_where_it_is_expected_to_begin_on_replaced_weights_too_late is red without the change (a call is sent behind 5 s of prompts, 4 s before the end).

--- a/crates/cumintrail-control/src/control/announced_versions.rs
+++ b/crates/cumintrail-control/src/control/announced_versions.rs
@@ -174,20 +174,26 @@
 }
 
 impl<P: Placer> Control<P> {
-    /// Returns whether a target's weights are outdated by the time a call sent now would start.
+    /// Returns whether no call is sent to a target because it would begin on replaced weights too late.
     ///
-    /// The call is expected to start as late as the most overdue call that waits there.
+    /// The call is expected to begin as late as the most overdue call that waits there, and after the
+    /// prompts before it and the wait for a slot.
     pub(super) fn is_outdated(&self, now: Moment, key: TargetKey, kind: TargetKind) -> bool {
         let TargetKind::Engine(model) = kind else {
             return false;
         };
-        let Some(state) = self.targets.get(key) else {
+        let Some((state, loaded)) = self.targets.get(key).and_then(|s| Some((s, s.version()?)))
+        else {
             return false;
         };
-        let starts_at = now + state.overdue(now);
-        state.version().is_some_and(|loaded| {
-            self.announced_versions.is_outdated(starts_at, model, loaded, BoundPart::Dispatch)
-        })
+        let versions = &self.announced_versions;
+        if versions.replacement(now, model, loaded).is_none() {
+            return false;
+        }
+        let sent_at = now + state.overdue(now);
+        let begins_at = sent_at + self.expected_queue_time(now, key, state);
+        versions.is_outdated(sent_at, model, loaded, BoundPart::Dispatch)
+            || versions.is_outdated(begins_at, model, loaded, BoundPart::Begin)
     }
 
     /// Abandons the attempts that have not begun on replaced weights while they may.
--- a/crates/cumintrail-control/src/control/arrivals.rs
+++ b/crates/cumintrail-control/src/control/arrivals.rs
@@ -280,6 +280,22 @@
         })
     }
 
+    /// Estimates how long a call that is sent now waits at a target before its prompt is computed.
+    pub(super) fn expected_queue_time(
+        &self,
+        now: Moment,
+        key: TargetKey,
+        state: &TargetState,
+    ) -> Duration {
+        let Some(target) = self.snapshot.as_ref().and_then(|s| s.targets.get(key)) else {
+            return Duration::ZERO;
+        };
+        let rate = target.prefill_tokens_per_second;
+        let backlog = f64::from(state.expected_backlog(now, rate).0) / f64::from(rate.max(1));
+        let backlog = Duration::from_secs_f64(backlog * state.first_token_ratio.max(1.0));
+        self.slot_wait(state, target).max(backlog)
+    }
+
     /// Estimates the wait for a free slot at a target.
     fn slot_wait(&self, state: &TargetState, target: &Target) -> Duration {
         let Some(excess) = state.calls().checked_sub(target.slots) else {
--- a/crates/cumintrail-control/tests/replaced.rs
+++ b/crates/cumintrail-control/tests/replaced.rs
@@ -4,9 +4,10 @@
 use std::time::Duration;
 
 use cumintrail_config::{Document, Snapshot, Target, TargetKind};
+use cumintrail_control::parts::name_hash;
 use cumintrail_control::placement::AffinityPlacer;
 use cumintrail_control::{
-    Action, Arrival, Control, Event, Identity, PeerDigest, RouteOptions, TargetReport,
+    Action, Arrival, Control, Event, Identity, PeerDigest, RouteOptions, TargetLoad, TargetReport,
     VersionAnnouncement,
 };
 use cumintrail_types::{
@@ -17,6 +18,7 @@
 const BOUND: Duration = Duration::from_secs(10);
 /// The time after an announcement during which calls are sent to replaced weights.
 const LIMIT: Duration = Duration::from_secs(8);
+const PREFILL_TOKENS_PER_SECOND: u32 = 100_000;
 const DECLARED: &str = "[deployment]\nfirst_preset = day\n[preset day]\n[model curd]\n\
     [account coop]\nkey_digests = 0000000000000000000000000000000000000000000000000000000000000000\nconcurrency = 1000\n";
 const ANNOUNCED_AT: Moment = Moment::from_millis(1_000);
@@ -30,7 +32,7 @@
         address: "10.0.0.1:80".parse().unwrap(),
         domain: DomainKey(0),
         slots: 64,
-        prefill_tokens_per_second: 100_000,
+        prefill_tokens_per_second: PREFILL_TOKENS_PER_SECOND,
         link_bytes_per_second: Bytes(1 << 30),
         checks_fencing: false,
         cold_until: None,
@@ -142,6 +144,33 @@
     assert_eq!(target(&call(&mut control, soon, 2)), Some(other));
 }
 
+/// Tells a daemon that its only peer has this many prompt tokens to compute at each engine.
+fn report_backlog(control: &mut Control<AffinityPlacer>, now: Moment, backlog: Tokens) {
+    let load =
+        |name| TargetLoad { target_hash: name_hash(name), calls: 1, backlog, memory: Tokens(0) };
+    let digest = PeerDigest {
+        vm: "vm-2".into(),
+        address: Some("127.0.0.1:2".parse().unwrap()),
+        loads: vec![load("e0"), load("e1")],
+        ..PeerDigest::default()
+    };
+    control.handle(now, Event::PeerDigest(Box::new(digest)));
+}
+
+#[test]
+fn no_call_is_sent_where_it_is_expected_to_begin_on_replaced_weights_too_late() {
+    let now = ANNOUNCED_AT + Duration::from_secs(6);
+    for (backlog_seconds, is_sent) in [(1, true), (5, false)] {
+        let mut control = control(1, 1);
+        control.handle(now, Event::PlatformResponded { sent: now, era: 0 });
+        report_backlog(&mut control, now, Tokens(backlog_seconds * PREFILL_TOKENS_PER_SECOND));
+        match call(&mut control, now, 1) {
+            Action::Refuse { refusal, .. } => assert!(!is_sent && refusal.ran == Ran::No),
+            _ => assert!(is_sent, "{backlog_seconds} s of prompts are computed first"),
+        }
+    }
+}
+
 #[test]
 fn with_old_weights_only_calls_are_refused_unless_the_platform_is_silent() {
     let mut control = control(1, 1);
