State all recent weight versions to peers, and distrust gaps between versions

A call could begin on weights that had been replaced for longer than the bound if its daemon never read the version that replaced them. The operators' table holds the newest version only: a daemon that starts, or is suspended, after versions 2 and 3 were announced reads 3, and counted the age of version 1's replacement from the announcement of 3, which is all that peers stated.

Digests list the versions before the newest one, too, as far as they were replaced within the bound, and receivers record those that they never read. If it is not known whether a version was announced between two, the later one counts as unobserved, as for a daemon that has just started.

weights_are_outdated_by_a_version_that_a_started_daemon_never_read, versions_that_no_peer_states_are_not_taken_for_recent and a_daemon_states_the_versions_that_a_peer_may_not_have_read are red without the change. The record of announcements moves to a module without control state.

--- a/crates/cumintrail-control/src/control.rs
+++ b/crates/cumintrail-control/src/control.rs
@@ -41,7 +41,6 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
-use self::announced_versions::AnnouncedVersions;
 use self::evacuations::EvacuationState;
 use self::limits::LimitState;
 use self::managed::ManagedStores;
@@ -50,6 +49,7 @@
 use self::spillover::SpillState;
 use self::state::{StoreState, TargetState};
 use crate::admission::Admission;
+use crate::announcements::AnnouncedVersions;
 use crate::cold::ColdTolerance;
 use crate::directory::Directory;
 use crate::export_planner::ExportPlanner;
--- a/crates/cumintrail-control/src/control/announced_versions.rs
+++ b/crates/cumintrail-control/src/control/announced_versions.rs
@@ -1,178 +1,19 @@
-//! Announced weight versions, and engines that still serve older ones.
-//!
-//! Calls may begin on replaced weights only within a bound after the announcement. A daemon that has
-//! just started learns the time of an announcement only from a peer that observed it.
+//! Which targets calls are sent to while weight versions are replaced, and which calls are abandoned.
 
-use std::collections::HashMap;
 use std::sync::Arc;
-use std::time::Duration;
 
 use cumintrail_config::{Snapshot, TargetKind};
-use cumintrail_types::{CallClass, CallKey, ModelKey, Moment, TargetKey, WeightVersion};
+use cumintrail_types::{CallClass, CallKey, ModelKey, Moment, TargetKey};
 use smallvec::SmallVec;
 
 use super::Control;
 use super::state::TargetState;
-use crate::announcements::{AnnouncementReport, AnnouncementSource, BeginOnReplaced};
+use crate::announcements::{
+    AnnouncementReport, AnnouncementSource, BeginOnReplaced, BoundPart, StatedVersion,
+};
 use crate::placement::Placer;
 use crate::{AbandonReason, Action, Actions, Call, Replacement, VersionAnnouncement};
 
-/// The fraction of the bound during which calls are sent to engines with replaced weights; the rest
-/// allows for the wait in the engine's queue.
-const DISPATCH_FRACTION: f64 = 0.8;
-/// The fraction of the bound after which calls that have not begun at such engines are abandoned; the
-/// rest allows for the time until an engine learns of that.
-const BEGIN_FRACTION: f64 = 0.9;
-/// How long calls may start on older weights after the receipt of a version whose announcement
-/// neither this daemon nor a peer observed.
-///
-/// Each peer digest carries the age of the announced versions, and digests arrive several times a
-/// second. A daemon that has received no age by then is assumed to have no peer that observed the
-/// announcement.
-const UNOBSERVED_LIMIT: Duration = Duration::from_secs(2);
-/// How much older an announcement must turn out to be for a report: digests are later than reads.
-const NOTICEABLE_AGE: Duration = Duration::from_millis(500);
-
-/// Tracks when weight versions were announced.
-#[derive(Debug, Default)]
-pub struct AnnouncedVersions {
-    /// Announcements by model, lowest version first.
-    by_model: HashMap<ModelKey, Vec<Announcement>>,
-    /// How long after an announcement calls may begin on older weights; `None` means no bound.
-    bound: Option<Duration>,
-}
-
-/// Up to which part of the bound a decision may be taken.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum BoundPart {
-    /// A call may be sent.
-    Dispatch,
-    /// A call that was sent may still begin.
-    Begin,
-}
-
-#[derive(Debug, Clone, Copy)]
-struct Announcement {
-    version: WeightVersion,
-    /// When this daemon received the announcement.
-    received_at: Moment,
-    /// Time from the announcement to its receipt; the announcement may be older than the process.
-    age_on_receipt: Duration,
-    /// Whether this daemon or a peer observed the announcement.
-    is_observed: bool,
-}
-
-impl Announcement {
-    fn age(&self, now: Moment) -> Duration {
-        now.since(self.received_at) + self.age_on_receipt
-    }
-}
-
-impl AnnouncedVersions {
-    /// Sets how long calls may begin on replaced weights; without a bound they may indefinitely.
-    pub const fn set_bound(&mut self, bound: Duration) {
-        self.bound = Some(bound);
-    }
-
-    /// Records the versions of a snapshot that are higher than the known ones, and returns their
-    /// models.
-    ///
-    /// The versions of the first snapshot were announced at an unknown time.
-    pub fn apply_snapshot(
-        &mut self,
-        now: Moment,
-        snapshot: &Snapshot,
-        is_first: bool,
-    ) -> SmallVec<[ModelKey; 2]> {
-        let mut changed = SmallVec::new();
-        for (model, declared) in snapshot.models.iter() {
-            let known = self.by_model.entry(model).or_default();
-            if known.last().is_none_or(|newest| newest.version < declared.version) {
-                known.push(Announcement {
-                    version: declared.version,
-                    received_at: now,
-                    age_on_receipt: Duration::ZERO,
-                    is_observed: !is_first,
-                });
-                changed.push(model);
-            }
-        }
-        changed
-    }
-
-    /// Records an announcement's age as a peer states it; the highest of the observed ages counts.
-    ///
-    /// Returns whether the announcement was not observed before, or turns out to be noticeably
-    /// older.
-    pub fn record_peer_age(
-        &mut self,
-        now: Moment,
-        model: ModelKey,
-        version: WeightVersion,
-        age: Duration,
-    ) -> bool {
-        let mut is_news = false;
-        let known = self.by_model.get_mut(&model).into_iter().flatten();
-        let is_earlier = |announcement: &&mut Announcement| {
-            !announcement.is_observed || announcement.age(now) < age
-        };
-        for announcement in
-            known.filter(|announcement| announcement.version == version).filter(is_earlier)
-        {
-            is_news |= !announcement.is_observed || age > announcement.age(now) + NOTICEABLE_AGE;
-            *announcement =
-                Announcement { version, received_at: now, age_on_receipt: age, is_observed: true };
-        }
-        is_news
-    }
-
-    /// Returns the newest version of a model with its announcement.
-    pub fn newest(&self, now: Moment, model: ModelKey) -> Option<Replacement> {
-        let newest = self.by_model.get(&model)?.last()?;
-        let (by, is_observed) = (newest.version, newest.is_observed);
-        Some(Replacement { by, age: newest.age(now), is_observed })
-    }
-
-    /// Returns how long ago the newest version of a model was announced, if that was observed.
-    pub fn age(&self, now: Moment, model: ModelKey) -> Option<Duration> {
-        let newest = self.by_model.get(&model)?.last()?;
-        newest.is_observed.then(|| newest.age(now))
-    }
-
-    /// Returns the announcement that replaced a version; `None` if it is the newest one.
-    pub fn replacement(
-        &self,
-        now: Moment,
-        model: ModelKey,
-        loaded: WeightVersion,
-    ) -> Option<Replacement> {
-        let known = self.by_model.get(&model).into_iter().flatten();
-        let next = known.into_iter().find(|announcement| announcement.version > loaded)?;
-        let (by, is_observed) = (next.version, next.is_observed);
-        Some(Replacement { by, age: next.age(now), is_observed })
-    }
-
-    /// Returns whether weights were replaced so long ago that a part of the bound has passed.
-    pub fn is_outdated(
-        &self,
-        now: Moment,
-        model: ModelKey,
-        loaded: WeightVersion,
-        part: BoundPart,
-    ) -> bool {
-        let replacement = self.replacement(now, model, loaded);
-        let Some((replacement, bound)) = replacement.zip(self.bound) else {
-            return false;
-        };
-        let limit = bound.mul_f64(match part {
-            BoundPart::Dispatch => DISPATCH_FRACTION,
-            BoundPart::Begin => BEGIN_FRACTION,
-        });
-        let limit = if replacement.is_observed { limit } else { limit.min(UNOBSERVED_LIMIT) };
-        replacement.age >= limit
-    }
-}
-
 impl<P: Placer> Control<P> {
     /// Returns whether no call is sent to a target because it would begin on replaced weights too late.
     ///
@@ -247,16 +88,22 @@
     /// Returns the announced weight versions, where they are announced apart from the declarations.
     pub(super) fn version_announcements(&self, now: Moment) -> Vec<VersionAnnouncement> {
         let snapshot = self.snapshot.iter().filter(|_| self.has_registry);
-        let models = snapshot.flat_map(|s| s.models.iter());
-        let announcements = models.map(|(key, model)| VersionAnnouncement {
-            weights: model.weights_name.clone(),
-            version: model.version,
-            age: self.announced_versions.age(now, key),
-        });
-        announcements.collect()
+        let mut announcements: Vec<VersionAnnouncement> = Vec::new();
+        for (key, model) in snapshot.flat_map(|s| s.models.iter()) {
+            let weights = &model.weights_name;
+            if announcements.iter().all(|announcement| announcement.weights != *weights) {
+                let stated = self.announced_versions.stated(now, key).into_iter();
+                announcements.extend(stated.map(|(version, age)| VersionAnnouncement {
+                    weights: weights.clone(),
+                    version,
+                    age,
+                }));
+            }
+        }
+        announcements
     }
 
-    /// Records the ages of announced versions from a peer's digest.
+    /// Records the announced versions in a peer's digest.
     pub(super) fn record_announcements(
         &mut self,
         now: Moment,
@@ -267,13 +114,12 @@
             return;
         };
         for (model, declared) in snapshot.models.iter() {
-            for announced in announced.iter().filter(|a| a.weights == declared.weights_name) {
-                let known = &mut self.announced_versions;
-                if let Some(age) = announced.age
-                    && known.record_peer_age(now, model, announced.version, age)
-                {
-                    self.report_announcement(now, model, AnnouncementSource::Peer, actions);
-                }
+            let of_model = announced.iter().filter(|a| a.weights == declared.weights_name);
+            let stated: SmallVec<[StatedVersion; 4]> =
+                of_model.map(|a| (a.version, a.age)).collect();
+            if self.announced_versions.record_stated(now, model, &stated) {
+                let weights = Some(declared.weights_name.clone());
+                self.report_newest(now, model, weights, AnnouncementSource::Peer, actions);
             }
         }
     }
@@ -292,17 +138,6 @@
         }
     }
 
-    fn report_announcement(
-        &self,
-        now: Moment,
-        model: ModelKey,
-        source: AnnouncementSource,
-        actions: &mut Actions,
-    ) {
-        let declared = self.snapshot.as_ref().and_then(|s| s.models.get(model));
-        self.report_newest(now, model, declared.map(|m| m.weights_name.clone()), source, actions);
-    }
-
     /// Reports the newest version of a model, where versions are announced apart from declarations.
     fn report_newest(
         &self,
--- a/crates/cumintrail-control/tests/replaced.rs
+++ b/crates/cumintrail-control/tests/replaced.rs
@@ -187,15 +187,33 @@
 
 /// Creates the control state of a daemon that starts at [`ANNOUNCED_AT`], after the announcement.
 fn started_after_announcement() -> Control<AffinityPlacer> {
+    started_with(1, 2)
+}
+
+/// Creates the control state of a daemon that starts at [`ANNOUNCED_AT`], after the announcement of a
+/// version that only one engine has.
+fn started_with(loaded: u64, announced: u64) -> Control<AffinityPlacer> {
     let mut control = control_without_configuration();
     let sections = Document::parse(&"test".into(), DECLARED).unwrap().sections;
     let declared = Snapshot::build(Generation(1), &sections, None, None).unwrap();
-    let announced = declared.with_version(1, ModelKey(0), WeightVersion(2));
-    let first = announced.with_targets(2, vec![engine("e0", 1), engine("e1", 2)]);
+    let snapshot = declared.with_version(1, ModelKey(0), WeightVersion(announced));
+    let first = snapshot.with_targets(2, vec![engine("e0", loaded), engine("e1", announced)]);
     control.handle(ANNOUNCED_AT, Event::Configured(Arc::new(first)));
     control
 }
 
+/// Returns what a peer states of versions whose announcements it observed this many seconds ago.
+fn peer_states(versions: &[(u64, Option<u64>)]) -> Event {
+    let announcement = |(version, seconds): &(u64, Option<u64>)| VersionAnnouncement {
+        weights: "curd".into(),
+        version: WeightVersion(*version),
+        age: seconds.map(Duration::from_secs),
+    };
+    let versions = versions.iter().map(announcement).collect();
+    let digest = PeerDigest { vm: "vm-2".into(), versions, ..PeerDigest::default() };
+    Event::PeerDigest(Box::new(digest))
+}
+
 fn outdated_engine_gets_calls(control: &mut Control<AffinityPlacer>, now: Moment) -> bool {
     control.handle(now, Event::PlatformResponded { sent: now, era: 0 });
     (0..200).any(|i| target(&call(control, now, i)) == Some(TargetKey(0)))
@@ -224,3 +242,54 @@
         );
     }
 }
+
+#[test]
+fn weights_are_outdated_by_a_version_that_a_started_daemon_never_read() {
+    let later = ANNOUNCED_AT + Duration::from_millis(2_500);
+    for (second, serves) in [(3, true), (6, false)] {
+        let mut control = started_with(1, 3);
+        let stated = [(1, None), (2, Some(second)), (3, Some(1))];
+        control.handle(ANNOUNCED_AT, peer_states(&stated));
+        assert_eq!(
+            outdated_engine_gets_calls(&mut control, later),
+            serves,
+            "version 2 was announced {second} s before version 3 was read"
+        );
+    }
+}
+
+/// An earlier build states the newest version only.
+#[test]
+fn versions_that_no_peer_states_are_not_taken_for_recent() {
+    let later = ANNOUNCED_AT + Duration::from_millis(2_500);
+    for (loaded, serves) in [(1, false), (2, true)] {
+        let mut control = started_with(loaded, 3);
+        control.handle(ANNOUNCED_AT, peer_states(&[(3, Some(1))]));
+        assert_eq!(outdated_engine_gets_calls(&mut control, later), serves, "has {loaded}");
+    }
+}
+
+#[test]
+fn a_daemon_states_the_versions_that_a_peer_may_not_have_read() {
+    let mut control = control(1, 1);
+    let peer = PeerDigest {
+        vm: "vm-2".into(),
+        address: Some("127.0.0.1:2".parse().unwrap()),
+        ..PeerDigest::default()
+    };
+    control.handle(ANNOUNCED_AT, Event::PeerDigest(Box::new(peer)));
+    let second = ANNOUNCED_AT + Duration::from_secs(1);
+    let sections = Document::parse(&"test".into(), DECLARED).unwrap().sections;
+    let declared = Snapshot::build(Generation(1), &sections, None, None).unwrap();
+    let third = declared.with_version(4, ModelKey(0), WeightVersion(3));
+    control.handle(second, Event::Configured(Arc::new(third)));
+    let actions = control.handle(second + Duration::from_secs(1), Event::Tick);
+    let mut digests = actions.into_iter().filter_map(|action| match action {
+        Action::SendDigest { digest, .. } => Some(digest),
+        _ => None,
+    });
+    let versions = digests.next().expect("a digest is sent").versions;
+    let stated: Vec<_> = versions.iter().map(|v| (v.version.0, v.age)).collect();
+    let seconds = |n| Some(Duration::from_secs(n));
+    assert_eq!(stated, [(1, None), (2, seconds(2)), (3, seconds(1))]);
+}
