Do not take versions that were announced during a suspension for new

A daemon that is suspended while a version is announced reads it late and counted its age from then: it sent calls to replaced weights for up to the length of its suspension beyond the bound, and stated that age to peers.

The control state notices a time without events, ticks included. A version that it receives before the next read of the operators' table after that counts as unobserved, as for a daemon that has just started: a peer's age counts, and calls go to replaced weights for 2 s if no peer states one. A platform that does not respond is no suspension: nothing is acknowledged meanwhile.

a_resumed_daemon_does_not_take_a_version_that_was_announced_meanwhile_for_new is red without the change; the two tests beside it show that a peer's age and the next read end that state.

--- a/crates/cumintrail-control/src/announcements.rs
+++ b/crates/cumintrail-control/src/announcements.rs
@@ -85,12 +85,12 @@
     /// Records the versions of a snapshot that are higher than the known ones, and returns their
     /// models.
     ///
-    /// The versions of the first snapshot were announced at an unknown time.
+    /// Unless their announcement `is_observed`, they were announced at an unknown time.
     pub fn apply_snapshot(
         &mut self,
         now: Moment,
         snapshot: &Snapshot,
-        is_first: bool,
+        is_observed: bool,
     ) -> SmallVec<[ModelKey; 2]> {
         let mut changed = SmallVec::new();
         for (model, declared) in snapshot.models.iter() {
@@ -99,10 +99,10 @@
             if newest.is_none_or(|newest| newest < declared.version) {
                 known.push(Announcement {
                     version: declared.version,
-                    follows: newest.filter(|_| !is_first),
+                    follows: newest.filter(|_| is_observed),
                     received_at: now,
                     age_on_receipt: Duration::ZERO,
-                    is_observed: !is_first,
+                    is_observed,
                 });
                 forget_oldest(known);
                 changed.push(model);
--- a/crates/cumintrail-control/src/control.rs
+++ b/crates/cumintrail-control/src/control.rs
@@ -68,6 +68,9 @@
 use crate::unsettled_streams::UnsettledStreams;
 use crate::{Actions, Call, Event, TargetLoad};
 
+/// The time without an event from which on a daemon counts as suspended: ticks come far more often.
+const MIN_SUSPENSION: Duration = Duration::from_secs(2);
+
 /// Identifies a daemon and sets its intervals.
 #[derive(Debug, Clone)]
 pub struct Identity {
@@ -127,6 +130,10 @@
     /// The smoothed time from the first token of a response to its end.
     streaming_time: Duration,
     announced_versions: AnnouncedVersions,
+    /// When the last event was handled.
+    last_event: Moment,
+    /// When this daemon last handled an event after a time without any, in which it was suspended.
+    resumed_at: Moment,
     stream_origins: StreamOrigins,
     software_history: SoftwareHistory,
     /// The interval at which targets write their entries of the registry.
@@ -214,6 +221,8 @@
             newly_stored: Vec::new(),
             streaming_time: Duration::ZERO,
             announced_versions: AnnouncedVersions::default(),
+            last_event: Moment::default(),
+            resumed_at: Moment::default(),
             stream_origins: StreamOrigins::default(),
             software_history: SoftwareHistory::default(),
             heartbeat_interval: Duration::ZERO,
@@ -288,6 +297,9 @@
     /// Handles one event and returns the actions that it leads to.
     pub fn handle(&mut self, now: Moment, event: Event) -> Actions {
         let mut actions = Actions::new();
+        if now.since(std::mem::replace(&mut self.last_event, now)) >= MIN_SUSPENSION {
+            self.resumed_at = now;
+        }
         match event {
             Event::Configured(snapshot) => self.handle_configuration(now, snapshot, &mut actions),
             Event::Arrived(arrival) => self.handle_arrival(now, arrival, &mut actions),
--- a/crates/cumintrail-control/src/control/announced_versions.rs
+++ b/crates/cumintrail-control/src/control/announced_versions.rs
@@ -125,6 +125,9 @@
     }
 
     /// Records the versions of a snapshot and reports those that became known with it.
+    ///
+    /// A version that was announced while this daemon was suspended is received late. The next read of
+    /// the operator table shows all versions that were.
     pub(super) fn apply_announced_versions(
         &mut self,
         now: Moment,
@@ -132,7 +135,9 @@
         is_first: bool,
         actions: &mut Actions,
     ) {
-        for model in self.announced_versions.apply_snapshot(now, snapshot, is_first) {
+        let is_read = self.resumed_at <= self.managed_stores.platform_requested();
+        let is_observed = !is_first && is_read;
+        for model in self.announced_versions.apply_snapshot(now, snapshot, is_observed) {
             let weights = snapshot.models.get(model).map(|m| m.weights_name.clone());
             self.report_newest(now, model, weights, AnnouncementSource::Receipt, actions);
         }
--- a/crates/cumintrail-control/tests/replaced.rs
+++ b/crates/cumintrail-control/tests/replaced.rs
@@ -293,3 +293,50 @@
     let seconds = |n| Some(Duration::from_secs(n));
     assert_eq!(stated, [(1, None), (2, seconds(2)), (3, seconds(1))]);
 }
+
+/// Creates the control state of a daemon that is suspended while version 2 is announced, and reads it
+/// at the returned moment.
+fn suspended_during_announcement() -> (Control<AffinityPlacer>, Moment) {
+    let mut control = control_without_configuration();
+    let sections = Document::parse(&"test".into(), DECLARED).unwrap().sections;
+    let declared = Snapshot::build(Generation(1), &sections, None, None).unwrap();
+    let before = declared.with_targets(1, vec![engine("e0", 1), engine("e1", 1)]);
+    let announced = before.with_version(2, ModelKey(0), WeightVersion(2));
+    let after = announced.with_targets(3, vec![engine("e0", 1), engine("e1", 2)]);
+    control.handle(Moment(0), Event::Configured(Arc::new(before)));
+    control.handle(ANNOUNCED_AT, Event::PlatformResponded { sent: ANNOUNCED_AT, era: 0 });
+    let resumed = ANNOUNCED_AT + Duration::from_secs(7);
+    control.handle(resumed, Event::Tick);
+    let read = resumed + Duration::from_millis(100);
+    control.handle(read, Event::Configured(Arc::new(after)));
+    (control, read)
+}
+
+#[test]
+fn a_resumed_daemon_does_not_take_a_version_that_was_announced_meanwhile_for_new() {
+    let (mut control, read) = suspended_during_announcement();
+    let later = read + Duration::from_millis(2_500);
+    assert!(!outdated_engine_gets_calls(&mut control, later));
+}
+
+#[test]
+fn a_resumed_daemon_learns_from_a_peer_when_a_version_was_announced() {
+    let (mut control, read) = suspended_during_announcement();
+    control.handle(read, peer_states(&[(1, None), (2, Some(1))]));
+    let later = read + Duration::from_millis(2_500);
+    assert!(outdated_engine_gets_calls(&mut control, later));
+}
+
+#[test]
+fn a_resumed_daemon_observes_announcements_after_its_next_read() {
+    let (mut control, read) = suspended_during_announcement();
+    control.handle(read, Event::PlatformResponded { sent: read, era: 0 });
+    let sections = Document::parse(&"test".into(), DECLARED).unwrap().sections;
+    let declared = Snapshot::build(Generation(1), &sections, None, None).unwrap();
+    let third = declared.with_version(4, ModelKey(0), WeightVersion(3));
+    let third = third.with_targets(5, vec![engine("e0", 2), engine("e1", 3)]);
+    let announced = read + Duration::from_secs(1);
+    control.handle(announced, Event::Configured(Arc::new(third)));
+    let later = announced + Duration::from_millis(2_500);
+    assert!(outdated_engine_gets_calls(&mut control, later));
+}
