Name the expected weights in calls without prompt parts, too

A call whose prompt is not given as parts carried no expected version. If the daemon's knowledge of a target's weights was wrong, the target ran it on whatever it had loaded, while it answers other calls with 421, not run. The version was tied to the cache salt, which only prompts in parts have.

Calls to engines always name the version that they were sent for. a_call_without_prompt_parts_does_not_run_on_other_weights_than_expected is red without the change (no version is expected). The stand-in records the version.

--- a/crates/cumintrail-daemon/src/relay/attempt.rs
+++ b/crates/cumintrail-daemon/src/relay/attempt.rs
@@ -10,7 +10,7 @@
 use actix_http::body::BodySize;
 use actix_http::{RequestHead, ResponseHead, StatusCode};
 use cumintrail_client::{ClientError, Connection, RetrySafety};
-use cumintrail_config::Target;
+use cumintrail_config::{Target, TargetKind};
 use cumintrail_control::parts::PartPlan;
 use cumintrail_control::{
     AbandonReason, AttemptOutcome, Detour, Dispatch, Event, NamedLimit, ResponseEnd, TargetNotice,
@@ -278,6 +278,7 @@
     fn build_request_head(&self, now: Moment, dispatch: &Dispatch, target: &Target) -> RequestHead {
         let mut head = end_to_end_head(self.call.req.head());
         let has_prompt = self.call.has_prompt_parts();
+        let is_engine = matches!(target.kind, TargetKind::Engine(_));
         let secret = self.worker.shared.settings.block_secret.expose();
         let salt = self.call.cache_salt(secret, dispatch.version).filter(|_| has_prompt);
         let stores = &self.call.snapshot.stores;
@@ -293,7 +294,7 @@
             remaining: self.call.deadline.since(now),
             cache_salt: salt,
             urgency: self.call.urgency,
-            version: salt.map(|_| dispatch.version),
+            version: is_engine.then_some(dispatch.version),
             read: &read,
             save: &save,
             read_until: plans.read_until,
--- a/crates/cumintrail-daemon/src/relay/dialect.rs
+++ b/crates/cumintrail-daemon/src/relay/dialect.rs
@@ -54,7 +54,7 @@
     pub cache_salt: Option<BlockKey>,
     /// The urgency of the call.
     pub urgency: Urgency,
-    /// The weight version that the target must have; `None` if `cache_salt` is `None`.
+    /// The weight version that the target must have; `None` for services.
     pub version: Option<WeightVersion>,
     /// The id of the last event that the caller has.
     pub last_event_id: Option<u64>,
--- a/tests/platform-standin/src/replica.rs
+++ b/tests/platform-standin/src/replica.rs
@@ -52,6 +52,8 @@
     pub crashing_content: Option<CrashingContent>,
     /// The limit in requests a second that the replica named in its response.
     pub limit: Option<f64>,
+    /// The weight version that the daemon expected.
+    pub expected_version: Option<u64>,
 }
 
 /// Names the content under which a replica crashed.
@@ -332,6 +334,7 @@
             after_drain_period: is_after_drain,
             crashing_content,
             limit: self.limit(),
+            expected_version: version,
         };
         self.execution_log.record(call.clone(), execution);
         let is_stream = req.path().starts_with("/flow/") || req.path().starts_with("/resume/");
