Abandon only streams that have not begun on replaced weights

Callers of calls without a stream lost responses: a call that may be repeated was abandoned although it had begun before the announcement, or its response had begun to arrive, and one that was being passed on was cut in the middle. Such a response does not show when its call began, which the code took for not begun.

Only streams are abandoned now, which show it. Other calls at engines stay at replaced weights once they are sent.

--- a/crates/cumintrail-control/src/control/announcements.rs
+++ b/crates/cumintrail-control/src/control/announcements.rs
@@ -102,10 +102,8 @@
     ///
     /// Only streams show when they begin.
     fn would_begin_late(&self, now: Moment, call: &Call) -> bool {
-        let is_stream = matches!(
-            call.arrival.class,
-            CallClass::Stream | CallClass::ResumableStream | CallClass::Repeatable
-        );
+        let is_stream =
+            matches!(call.arrival.class, CallClass::Stream | CallClass::ResumableStream);
         let Some(target) = call.target().filter(|_| is_stream) else {
             return false;
         };
--- a/crates/cumintrail-control/tests/replaced.rs
+++ b/crates/cumintrail-control/tests/replaced.rs
@@ -411,6 +411,19 @@
     assert!(!outdated_engine_gets_calls(&mut control, later));
 }
 
+/// It may have begun in time, which its response does not show.
+#[test]
+fn a_call_without_a_stream_is_not_abandoned() {
+    let mut control = control(1, 1);
+    let sent = ANNOUNCED_AT + Duration::from_secs(5);
+    control.handle(sent, Event::PlatformResponded { sent, era: 0 });
+    for (key, class) in [(1, CallClass::Once), (2, CallClass::Repeatable)] {
+        let call = arrival(sent, key, class, Tokens(100));
+        assert!(dispatched(&control.handle(sent, Event::Arrived(call))).is_some());
+    }
+    assert_eq!(abandons(&mut control, ANNOUNCED_AT + Duration::from_millis(9_100)), 0);
+}
+
 /// The version may have been announced long before a configuration that declares its model.
 #[test]
 fn the_version_of_a_model_that_is_declared_later_is_not_taken_for_new() {
