Count a call's own prompt toward its expected begin

A call begins with its first token, after its own prompt has been computed, but the expected begin on replaced weights ended before that: a call was sent that its daemon expected to begin 1.97 s after the time allowed, and would be abandoned.

--- a/crates/cumintrail-control/src/control/arrivals.rs
+++ b/crates/cumintrail-control/src/control/arrivals.rs
@@ -298,8 +298,7 @@
             Duration::from_secs_f64(f64::from(tokens.0) / f64::from(rate.max(1)) * slowdown)
         };
         let backlog = prefill(state.expected_backlog(now, rate));
-        let _ = prompt;
-        self.slot_wait(state, target).max(backlog)
+        self.slot_wait(state, target).max(backlog) + prefill(prompt)
     }
 
     /// Estimates the wait for a free slot at a target.
--- a/crates/cumintrail-control/tests/replaced.rs
+++ b/crates/cumintrail-control/tests/replaced.rs
@@ -391,6 +391,20 @@
     assert_eq!(abandons(&mut control, silent + Duration::from_millis(100)), 0);
 }
 
+#[test]
+fn a_call_whose_own_prompt_takes_until_the_bound_is_not_sent_to_replaced_weights() {
+    let mut control = control(1, 1);
+    let now = ANNOUNCED_AT + Duration::from_millis(7_900);
+    control.handle(now, Event::PlatformResponded { sent: now, era: 0 });
+    let prompt = Tokens(3 * PREFILL_TOKENS_PER_SECOND);
+    let stream = arrival(now, 1, CallClass::Stream, prompt);
+    let sent = dispatched(&control.handle(now, Event::Arrived(stream)));
+    if let Some((_, first_token)) = sent {
+        let begins = now.since(ANNOUNCED_AT) + first_token;
+        assert!(begins < Duration::from_secs(9), "expected to begin {begins:?} after");
+    }
+}
+
 /// Its reader is suspended, so that a daemon gets no page of the operators' table for a while.
 #[test]
 fn a_version_that_may_be_older_than_its_receipt_is_not_taken_for_new() {
