Do not abandon calls at engines that have the newest weights

A call that was sent while the registry still listed replaced weights was abandoned at its engine after that had loaded the newest ones: only the version at the dispatch counted.

--- a/crates/cumintrail-control/src/control/announcements.rs
+++ b/crates/cumintrail-control/src/control/announcements.rs
@@ -80,7 +80,7 @@
         bound_use: BoundUse,
     ) -> bool {
         let declared = self.snapshot.as_ref().and_then(|s| s.targets.get(key));
-        let loaded = expected.or(self.targets.get(key).and_then(TargetState::version));
+        let loaded = self.targets.get(key).and_then(TargetState::version).max(expected);
         let Some((TargetKind::Engine(model), loaded)) = declared.map(|t| t.kind).zip(loaded) else {
             return false;
         };
--- a/crates/cumintrail-control/tests/replaced.rs
+++ b/crates/cumintrail-control/tests/replaced.rs
@@ -380,6 +380,18 @@
     Event::Configured(Arc::new(announced.with_targets(revision, engines)))
 }
 
+/// The registry lags, so that a call may be sent to new weights while the old version is known.
+#[test]
+fn a_call_at_an_engine_that_has_the_newest_weights_is_not_abandoned() {
+    let mut control = control(1, 1);
+    let sent = ANNOUNCED_AT + Duration::from_secs(5);
+    control.handle(sent, Event::PlatformResponded { sent, era: 0 });
+    let stream = arrival(sent, 1, CallClass::Stream, Tokens(100));
+    assert!(dispatched(&control.handle(sent, Event::Arrived(stream))).is_some());
+    control.handle(sent + Duration::from_millis(200), with_engines(2, 2, 4));
+    assert_eq!(abandons(&mut control, ANNOUNCED_AT + Duration::from_millis(9_100)), 0);
+}
+
 #[test]
 fn a_call_that_was_sent_while_the_platform_was_silent_is_not_abandoned_at_its_return() {
     let mut control = control(1, 1);
