--- a/crates/cumintrail-control/tests/replaced.rs
+++ b/crates/cumintrail-control/tests/replaced.rs
@@ -417,6 +417,17 @@
     }
 }
 
+#[test]
+fn a_call_that_was_sent_after_an_unobserved_announcement_has_time_to_begin() {
+    let mut control = started_with(1, 2);
+    control.handle(ANNOUNCED_AT, with_engines(1, 1, 4));
+    let sent = ANNOUNCED_AT + Duration::from_millis(1_980);
+    control.handle(sent, Event::PlatformResponded { sent, era: 0 });
+    let stream = arrival(sent, 1, CallClass::Stream, Tokens(10_000));
+    assert!(dispatched(&control.handle(sent, Event::Arrived(stream))).is_some());
+    assert_eq!(abandons(&mut control, sent + Duration::from_millis(20)), 0);
+}
+
 /// Its reader is suspended, so that a daemon gets no page of the operators' table for a while.
 #[test]
 fn a_version_that_may_be_older_than_its_receipt_is_not_taken_for_new() {
