--- a/crates/cumintrail-daemon/src/control_thread.rs
+++ b/crates/cumintrail-daemon/src/control_thread.rs
@@ -30,7 +30,7 @@
     Dispatch(Box<Dispatch>),
     /// Send the call to a peer.
     Detour(Detour),
-    /// End this attempt, whose target is not reached.
+    /// End this attempt before its response.
     Abandon(AttemptNumber, AbandonReason),
     /// Respond to the caller with a refusal.
     Refuse(Refusal),
