Do not send dispatched calls to targets that have been withdrawn

A target got calls after it had begun to drain, had said in a response that it was leaving, or was listed no more. Whether a target may get a call was checked only when the call was dispatched. The call leaves the daemon later: after a connection of up to 0.3 s, for resumable streams and responses that end with their connection after an identity request of up to 1 s and a second connection, or once its traffic thread has time. Both requests can be made twice, so that up to 2.9 s pass.

In each tick the control state recalls the attempts at targets that are withdrawn, by the same predicate as for new calls. The task of the call ends the attempt with cause=target-withdrawn if nothing was sent, and ignores the order otherwise, so that calls at a draining target go on. The call is placed again. Before the first byte of a request is queued, the task looks for orders that arrived while the connection became ready. Until now the connection won, so that a call which was refused or abandoned at that moment was still sent and then failed as one that may have run.

cumintrail_abandoned_attempts_total counts attempts when they end, since not every order ends one.

--- a/crates/cumintrail-control/src/calls.rs
+++ b/crates/cumintrail-control/src/calls.rs
@@ -64,6 +64,8 @@
     has_begun: bool,
     /// Whether the current attempt is to end before its response.
     is_abandoned: bool,
+    /// Whether the current attempt is to end unless it was sent.
+    is_recalled: bool,
     /// The peer that handles the current attempt.
     peer: Option<SocketAddr>,
     tried_peers: SmallVec<[SocketAddr; 2]>,
@@ -94,6 +96,7 @@
             failed_targets: SmallVec::new(),
             has_begun: false,
             is_abandoned: false,
+            is_recalled: false,
             peer: None,
             tried_peers: SmallVec::new(),
         }
@@ -160,7 +163,7 @@
         self.attempts = self.attempts.saturating_add(1);
         self.version = version;
         (self.target, self.peer) = (Some(target), None);
-        (self.has_begun, self.is_abandoned) = (false, false);
+        (self.has_begun, self.is_abandoned, self.is_recalled) = (false, false, false);
         self.dispatched = now;
         if self.phase == Phase::Queued {
             self.phase = Phase::Sending;
@@ -172,7 +175,7 @@
     pub fn start_detour(&mut self, peer: SocketAddr, now: Moment) -> AttemptNumber {
         self.attempts = self.attempts.saturating_add(1);
         (self.target, self.peer) = (None, Some(peer));
-        (self.has_begun, self.is_abandoned) = (false, false);
+        (self.has_begun, self.is_abandoned, self.is_recalled) = (false, false, false);
         self.tried_peers.push(peer);
         self.dispatched = now;
         if self.phase == Phase::Queued {
@@ -211,6 +214,16 @@
         self.is_abandoned = true;
     }
 
+    /// Returns whether the current attempt is to end unless it was sent.
+    pub const fn is_recalled(&self) -> bool {
+        self.is_recalled
+    }
+
+    /// Records that the current attempt is to end unless it was sent.
+    pub const fn record_recall(&mut self) {
+        self.is_recalled = true;
+    }
+
     /// Records that an output token was passed on to the caller.
     ///
     /// The rest of the response must come from the weight version that the attempt was dispatched
--- a/crates/cumintrail-control/src/control.rs
+++ b/crates/cumintrail-control/src/control.rs
@@ -26,6 +26,7 @@
 mod stop;
 mod stores;
 mod unknown_origins;
+mod unsent;
 mod waiting;
 
 use std::collections::HashMap;
--- a/crates/cumintrail-control/src/control/arrivals.rs
+++ b/crates/cumintrail-control/src/control/arrivals.rs
@@ -220,23 +220,20 @@
         let declared = snapshot.targets.iter();
         let software = call.pinned_software.as_ref();
         let domains = self.allowed_domains(snapshot, &call.arrival);
-        let usable = move |t: &Target| {
+        let usable = move |key: TargetKey, t: &Target| {
             t.kind == call.arrival.kind
-                && !t.retired
-                && !t.leaving
+                && !self.is_withdrawn(key, t)
                 && !self.is_evacuated(t)
                 && domains.as_ref().is_none_or(|domains| domains.contains(&t.domain))
                 && software.is_none_or(|software| t.software.as_ref() == Some(software))
         };
-        let matching = declared.filter(move |(_, t)| usable(t));
+        let matching = declared.filter(move |(key, t)| usable(*key, t));
         matching.map(|(key, _)| key).filter(move |key| {
             let Some(state) = self.targets.get(*key) else {
                 return false;
             };
             state.liveness != Liveness::Silent
                 && state.breaker.allows(now)
-                && !state.address_reused
-                && !self.is_leaving(*key)
                 && call
                     .pinned_version
                     .is_none_or(|version| self.version_of(*key, version) == version)
@@ -318,6 +315,12 @@
         state.and_then(TargetState::version).unwrap_or(fallback)
     }
 
+    /// Returns whether a target is gone or leaving.
+    pub(super) fn is_withdrawn(&self, key: TargetKey, target: &Target) -> bool {
+        let is_reused = self.targets.get(key).is_some_and(|state| state.address_reused);
+        target.retired || target.leaving || is_reused || self.is_leaving(key)
+    }
+
     pub(super) fn is_leaving(&self, key: TargetKey) -> bool {
         let declared = self.snapshot.as_ref().and_then(|s| s.targets.get(key));
         let state = self.targets.get(key);
--- a/crates/cumintrail-control/src/event/call.rs
+++ b/crates/cumintrail-control/src/event/call.rs
@@ -123,6 +123,9 @@
     /// The call has not begun, and the weights of its target were replaced too long ago.
     #[display("weights-replaced")]
     WeightsReplaced,
+    /// The call was not sent, and its target may get no calls any more.
+    #[display("target-withdrawn")]
+    TargetWithdrawn,
 }
 
 /// Lists the stored blocks to import before an attempt.
@@ -182,7 +185,7 @@
         /// that is nothing.
         can_continue: bool,
     },
-    /// This daemon ended the attempt because the call would have begun too late.
+    /// This daemon ended the attempt because the call would have been sent or have begun too late.
     Abandoned {
         /// Whether bytes of the call may have left this daemon.
         was_sent: bool,
--- a/crates/cumintrail-daemon/src/control_thread.rs
+++ b/crates/cumintrail-daemon/src/control_thread.rs
@@ -274,8 +274,6 @@
             report_domain_reach(&domain, change, abandoned);
         }
         Action::Abandon { call, attempt, reason } => {
-            let label = reason.to_string();
-            metrics::counter!(metric::ABANDONED_ATTEMPTS, "reason" => label).increment(1);
             if let Some(commands) = calls.get(&call) {
                 let _ = commands.send(Command::Abandon(attempt, reason));
             }
--- a/crates/cumintrail-daemon/src/metric.rs
+++ b/crates/cumintrail-daemon/src/metric.rs
@@ -22,8 +22,8 @@
 pub const PARTITIONED: &str = "cumintrail_partitioned";
 /// Whether this daemon reaches no target in a failure domain: one if it reaches none.
 pub const UNREACHED_DOMAIN: &str = "cumintrail_unreached_domain";
-/// Attempts that were ended before their response, by reason: `domain-unreached` or
-/// `weights-replaced`.
+/// Attempts that were ended before their response, by reason: `domain-unreached`,
+/// `weights-replaced` or `target-withdrawn`.
 pub const ABANDONED_ATTEMPTS: &str = "cumintrail_abandoned_attempts_total";
 /// Time from the announcement of a weight version to the first token of a call that begins on replaced
 /// weights, in seconds.
--- a/crates/cumintrail-daemon/src/relay/attempt.rs
+++ b/crates/cumintrail-daemon/src/relay/attempt.rs
@@ -16,12 +16,13 @@
     AbandonReason, AttemptOutcome, Detour, Dispatch, Event, NamedLimit, ResponseEnd, TargetNotice,
 };
 use cumintrail_types::{AttemptNumber, CallClass, Moment, Refusal, TargetKey};
+use futures_util::FutureExt as _;
 use smallvec::SmallVec;
 
 use super::caller::{CallerConnection, CallerInput};
 use super::dialect::{ForwardMetadata, HeaderDialect, ResponseKind};
 use super::heads::{body_size, end_to_end_head};
-use super::interrupt::{Interrupt, next_interrupt};
+use super::interrupt::{Interrupt, Progress, next_interrupt};
 use super::relayed_call::RelayedCall;
 use super::{Worker, detour, lines};
 use crate::metric;
@@ -59,7 +60,8 @@
     };
     let (number, name) = (dispatch.attempt, target.instance.clone());
     let destination = Destination::Target { dispatch, target };
-    let attempt = Attempt { worker, caller, call, number, name, destination, has_begun: false };
+    let attempt =
+        Attempt { worker, caller, call, number, name, destination, progress: Progress::Unsent };
     attempt.run(target.address).await
 }
 
@@ -72,7 +74,8 @@
 ) -> AttemptEnd {
     let (number, name) = (detour.attempt, format!("peer-{}", detour.peer).into());
     let destination = Destination::Peer;
-    let attempt = Attempt { worker, caller, call, number, name, destination, has_begun: false };
+    let attempt =
+        Attempt { worker, caller, call, number, name, destination, progress: Progress::Unsent };
     attempt.run(detour.peer).await
 }
 
@@ -84,8 +87,7 @@
     /// The instance name of the target, or a name for the peer.
     name: Arc<str>,
     destination: Destination<'a>,
-    /// Whether an event of its response has arrived.
-    has_begun: bool,
+    progress: Progress,
 }
 
 /// What an attempt is sent to.
@@ -128,7 +130,7 @@
         let connection = tokio::select! {
             biased;
             connection = connection => connection,
-            interrupt = next_interrupt(&mut self.call.commands, self.number, self.has_begun) =>
+            interrupt = next_interrupt(&mut self.call.commands, self.number, self.progress) =>
                 return Err(self.interrupt_unsent(interrupt)),
             _ = self.caller.next_input(false) => return Err(AttemptEnd::Disconnected),
         };
@@ -147,6 +149,12 @@
         if self.call.body_consumed {
             return self.record_end(AttemptOutcome::NotSent, "body-gone");
         }
+        // An order may have arrived while the connection became ready.
+        let interrupt = next_interrupt(&mut self.call.commands, self.number, self.progress);
+        if let Some(interrupt) = interrupt.now_or_never() {
+            return self.interrupt_unsent(interrupt);
+        }
+        self.progress = Progress::Sent;
         self.call.carried_by.push(connection.id());
         let head = match self.destination {
             Destination::Target { dispatch, target } => {
@@ -315,7 +323,7 @@
                         return WaitResult::Target(head);
                     }
                 }
-                interrupt = next_interrupt(&mut self.call.commands, self.number, self.has_begun) =>
+                interrupt = next_interrupt(&mut self.call.commands, self.number, self.progress) =>
                     return WaitResult::Ended(self.interrupt(interrupt)),
                 input = self.caller.next_input(has_room) => {
                     if let Some(end) = self.forward_body(connection, input).await {
@@ -333,11 +341,11 @@
             Interrupt::Abandoned(reason) => {
                 let outcome = match reason {
                     AbandonReason::DomainUnreached => AttemptOutcome::NoConnection,
-                    AbandonReason::WeightsReplaced => {
+                    AbandonReason::WeightsReplaced | AbandonReason::TargetWithdrawn => {
                         AttemptOutcome::Abandoned { was_sent: false, can_continue: true }
                     }
                 };
-                self.record_end(outcome, &reason.to_string())
+                self.record_abandonment(outcome, reason)
             }
         }
     }
@@ -353,11 +361,11 @@
                 let can_continue = self.can_continue();
                 let outcome = match reason {
                     AbandonReason::DomainUnreached => AttemptOutcome::Failed { can_continue },
-                    AbandonReason::WeightsReplaced => {
+                    AbandonReason::WeightsReplaced | AbandonReason::TargetWithdrawn => {
                         AttemptOutcome::Abandoned { was_sent: true, can_continue }
                     }
                 };
-                self.record_end(outcome, &reason.to_string())
+                self.record_abandonment(outcome, reason)
             }
         }
     }
@@ -436,6 +444,13 @@
         AttemptOutcome::Failed { can_continue: self.can_continue() }
     }
 
+    fn record_abandonment(&mut self, outcome: AttemptOutcome, reason: AbandonReason) -> AttemptEnd {
+        let reason = reason.to_string();
+        let end = self.record_end(outcome, &reason);
+        metrics::counter!(metric::ABANDONED_ATTEMPTS, "reason" => reason).increment(1);
+        end
+    }
+
     fn record_end(&mut self, outcome: AttemptOutcome, cause: &str) -> AttemptEnd {
         self.record_end_with_code(outcome, cause, None)
     }
--- a/crates/cumintrail-daemon/src/relay/attempt/end_by_close.rs
+++ b/crates/cumintrail-daemon/src/relay/attempt/end_by_close.rs
@@ -110,7 +110,7 @@
         }
         lines::end_at_deadline(self.call, self.number, &self.name, left);
         // The control thread refuses the call at its deadline.
-        let interrupt = next_interrupt(&mut self.call.commands, self.number, self.has_begun).await;
+        let interrupt = next_interrupt(&mut self.call.commands, self.number, self.progress).await;
         Some(self.interrupt(interrupt))
     }
 
--- a/crates/cumintrail-daemon/src/relay/attempt/identity.rs
+++ b/crates/cumintrail-daemon/src/relay/attempt/identity.rs
@@ -195,7 +195,7 @@
             biased;
             opened = opened => opened
                 .map_err(|_| self.record_end(AttemptOutcome::NoConnection, "no-connection")),
-            interrupt = next_interrupt(&mut self.call.commands, self.number, self.has_begun) =>
+            interrupt = next_interrupt(&mut self.call.commands, self.number, self.progress) =>
                 Err(self.interrupt_unsent(interrupt)),
             _ = self.caller.next_input(false) => Err(AttemptEnd::Disconnected),
         }
@@ -227,7 +227,7 @@
         tokio::select! {
             biased;
             responder = asked => Ok(responder),
-            interrupt = next_interrupt(&mut self.call.commands, self.number, self.has_begun) =>
+            interrupt = next_interrupt(&mut self.call.commands, self.number, self.progress) =>
                 Err(self.interrupt_unsent(interrupt)),
             _ = self.caller.next_input(false) => Err(AttemptEnd::Disconnected),
         }
--- a/crates/cumintrail-daemon/src/relay/attempt/response.rs
+++ b/crates/cumintrail-daemon/src/relay/attempt/response.rs
@@ -13,7 +13,7 @@
 use crate::relay::dialect::HeaderDialect;
 use crate::relay::events::MalformedStream;
 use crate::relay::heads::caller_response_head;
-use crate::relay::interrupt::next_interrupt;
+use crate::relay::interrupt::{Progress, next_interrupt};
 use crate::relay::lines;
 use crate::relay::relayed_call::{BufferedResponse, report_attempt_end, write_response};
 
@@ -130,8 +130,10 @@
             };
             let Some(chunk) = chunk else { break };
             let batch = self.call.events.push(&chunk);
-            let begins = batch.count > 0 && !self.has_begun;
-            self.has_begun |= begins;
+            let begins = batch.count > 0 && self.progress != Progress::Begun;
+            if begins {
+                self.progress = Progress::Begun;
+            }
             if begins && self.call.response_started {
                 self.report_first_token().await;
             }
@@ -151,7 +153,7 @@
         }
         // Without an event, a close does not distinguish the end of the stream from a crash, also
         // where the stream is resumed.
-        let is_empty = connection.framing() == Framing::Close && !self.has_begun;
+        let is_empty = connection.framing() == Framing::Close && self.progress != Progress::Begun;
         let rest = match self.call.events.finish() {
             Ok(rest) if !is_empty => rest,
             _ => return self.fail(&connection, &ClientError::Truncated).await,
@@ -226,7 +228,7 @@
         // Chunks that are always ready must not keep a response beyond its deadline.
         if self.call.response_started
             && let Some(interrupt) =
-                next_interrupt(&mut self.call.commands, self.number, self.has_begun).now_or_never()
+                next_interrupt(&mut self.call.commands, self.number, self.progress).now_or_never()
         {
             return WaitResult::Ended(self.interrupt(interrupt));
         }
@@ -241,7 +243,7 @@
                     Ok(BodyPart::Pending) => {}
                     Err(e) => return WaitResult::Target(Err(e)),
                 },
-                interrupt = next_interrupt(&mut self.call.commands, self.number, self.has_begun) =>
+                interrupt = next_interrupt(&mut self.call.commands, self.number, self.progress) =>
                     return WaitResult::Ended(self.interrupt(interrupt)),
                 input = self.caller.next_input(has_room) => {
                     if let Some(end) = self.forward_body(connection, input).await {
--- a/crates/cumintrail-daemon/src/relay/interrupt.rs
+++ b/crates/cumintrail-daemon/src/relay/interrupt.rs
@@ -15,24 +15,43 @@
     Abandoned(AbandonReason),
 }
 
+/// How far an attempt is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Progress {
+    /// No byte of the call was sent.
+    Unsent,
+    /// Bytes may have been sent.
+    Sent,
+    /// An event of the response has arrived.
+    Begun,
+}
+
+impl Progress {
+    /// Returns whether an attempt may still be abandoned for a reason.
+    const fn allows(self, reason: AbandonReason) -> bool {
+        match reason {
+            AbandonReason::DomainUnreached => true,
+            AbandonReason::WeightsReplaced => !matches!(self, Self::Begun),
+            AbandonReason::TargetWithdrawn => matches!(self, Self::Unsent),
+        }
+    }
+}
+
 /// Waits until the control thread refuses the call or abandons this attempt.
-///
-/// An attempt that `has_begun` meanwhile is not ended for beginning too late.
 pub(super) async fn next_interrupt(
     commands: &mut mpsc::UnboundedReceiver<Command>,
     number: AttemptNumber,
-    has_begun: bool,
+    progress: Progress,
 ) -> Interrupt {
     loop {
         // Reads that are always ready use up the task's budget, and must not hide an order.
         match unconstrained(commands.recv()).await {
             Some(Command::Abandon(attempt, reason))
-                if attempt == number
-                    && !(has_begun && reason == AbandonReason::WeightsReplaced) =>
+                if attempt == number && progress.allows(reason) =>
             {
                 return Interrupt::Abandoned(reason);
             }
-            // That attempt ended or began before the command arrived.
+            // That attempt ended, was sent or began before the command arrived.
             Some(Command::Abandon(..)) => {}
             Some(Command::Refuse(refusal)) => return Interrupt::Refused(refusal),
             // The control thread dispatches no second attempt during one, and keeps the command
--- a/tests/src/standins/feed.rs
+++ b/tests/src/standins/feed.rs
@@ -155,7 +155,19 @@
 
     /// Writes the registry entry of a target in a failure domain.
     pub fn list_in_domain(&self, id: &str, serves: &str, at: SocketAddr, domain: &str) {
-        let value = format!("1 1 {serves} {at} false - - {domain}");
+        self.list_software_in_domain(id, serves, at, "-", domain);
+    }
+
+    /// Writes the registry entry of a target in a failure domain with a version of its software.
+    pub fn list_software_in_domain(
+        &self,
+        id: &str,
+        serves: &str,
+        at: SocketAddr,
+        software: &str,
+        domain: &str,
+    ) {
+        let value = format!("1 1 {serves} {at} false - {software} {domain}");
         self.write(FeedTable::Registry, id, Some(value.into()));
     }
 
@@ -305,7 +317,8 @@
                 [] => (None, None, "a"),
                 [version] => (Some(WeightVersion(version.parse().ok()?)), None, "a"),
                 [_, software] => (None, Some(Arc::from(*software)), "a"),
-                [_, _, domain] => (None, None, *domain),
+                [_, "-", domain] => (None, None, *domain),
+                [_, software, domain] => (None, Some(Arc::from(*software)), *domain),
                 _ => return None,
             };
             let listed: SocketAddr = at.parse().ok()?;
