Do not send dispatched calls into failure domains that have been evacuated

A target got calls after the evacuation of its failure domain had come into force. It was considered when calls were dispatched, not when they were sent, as with targets that leave.

The attempts that are recalled include those in evacuated domains.

--- a/crates/cumintrail-control/src/control/unsent.rs
+++ b/crates/cumintrail-control/src/control/unsent.rs
@@ -31,7 +31,7 @@
         let targets = snapshot.flat_map(|snapshot| snapshot.targets.iter());
         let withdrawn = targets.filter(|(key, target)| {
             let is_used = self.targets.get(*key).is_some_and(|state| state.in_flight > 0);
-            is_used && self.is_withdrawn(*key, target)
+            is_used && (self.is_withdrawn(*key, target) || self.is_evacuated(target))
         });
         withdrawn.map(|(key, _)| key).collect()
     }
--- a/tests/tests/gateway_unsent.rs
+++ b/tests/tests/gateway_unsent.rs
@@ -189,6 +189,13 @@
     waiting.expect_sent_elsewhere().await;
 }
 
+#[actix_rt::test]
+async fn a_stream_whose_failure_domain_is_evacuated_before_it_is_sent_goes_elsewhere() {
+    let waiting = Waiting::spawn().await;
+    waiting.cluster.platform.set_evacuated("a", true);
+    waiting.expect_sent_elsewhere().await;
+}
+
 #[actix_rt::test]
 async fn a_call_that_was_sent_goes_on_at_a_target_that_begins_to_drain() {
     for path in ["/hold/", "/read/"] {
