Do not send dispatched calls to targets that have asked for none

A target that had refused a call with 503 and Retry-After got calls within that time that had been dispatched before. The time was considered when calls were dispatched, not when they were sent.

The attempts that are recalled include those at quiet targets. Such a call is placed again like one that has just arrived: elsewhere, or it waits or is refused by the time that it has left.

--- a/crates/cumintrail-control/src/control/maintenance.rs
+++ b/crates/cumintrail-control/src/control/maintenance.rs
@@ -65,7 +65,7 @@
     pub(super) fn tick(&mut self, now: Moment, actions: &mut Actions) {
         self.expire_calls(now, actions);
         self.abandon_late_calls(now, actions);
-        self.recall_unsent_calls(actions);
+        self.recall_unsent_calls(now, actions);
         self.refuse_for_stop(now, actions);
         self.requeue_due(now, actions);
         self.start_platform_reads(now, actions);
--- a/crates/cumintrail-control/src/control/unsent.rs
+++ b/crates/cumintrail-control/src/control/unsent.rs
@@ -3,7 +3,7 @@
 //! A new connection, an identity request or a busy traffic thread can delay a call by seconds after its
 //! dispatch.
 
-use cumintrail_types::TargetKey;
+use cumintrail_types::{Moment, TargetKey};
 use smallvec::SmallVec;
 
 use super::Control;
@@ -13,11 +13,11 @@
 impl<P: Placer> Control<P> {
     /// Recalls the attempts whose targets may get no calls any more. Those that were sent go on, which
     /// only their tasks know.
-    pub(super) fn recall_unsent_calls(&mut self, actions: &mut Actions) {
-        let withdrawn = self.withdrawn_targets();
+    pub(super) fn recall_unsent_calls(&mut self, now: Moment, actions: &mut Actions) {
+        let closed = self.closed_targets(now);
         for (key, call) in &mut self.calls {
-            let is_withdrawn = call.target().is_some_and(|target| withdrawn.contains(&target));
-            if is_withdrawn && !call.is_recalled() && !call.has_begun() {
+            let is_closed = call.target().is_some_and(|target| closed.contains(&target));
+            if is_closed && !call.is_recalled() && !call.has_begun() {
                 call.record_recall();
                 let (attempt, reason) = (call.attempt(), AbandonReason::TargetWithdrawn);
                 actions.push(Action::Abandon { call: *key, attempt, reason });
@@ -26,13 +26,17 @@
     }
 
     /// Returns the targets with attempts to which nothing more may be sent.
-    fn withdrawn_targets(&self) -> SmallVec<[TargetKey; 8]> {
+    fn closed_targets(&self, now: Moment) -> SmallVec<[TargetKey; 8]> {
         let snapshot = self.snapshot.iter().filter(|_| self.has_registry);
         let targets = snapshot.flat_map(|snapshot| snapshot.targets.iter());
-        let withdrawn = targets.filter(|(key, target)| {
-            let is_used = self.targets.get(*key).is_some_and(|state| state.in_flight > 0);
-            is_used && (self.is_withdrawn(*key, target) || self.is_evacuated(target))
+        let closed = targets.filter(|(key, target)| {
+            self.targets.get(*key).is_some_and(|state| {
+                state.in_flight > 0
+                    && (state.quiet_until > now
+                        || self.is_withdrawn(*key, target)
+                        || self.is_evacuated(target))
+            })
         });
-        withdrawn.map(|(key, _)| key).collect()
+        closed.map(|(key, _)| key).collect()
     }
 }
--- a/tests/tests/gateway_unsent.rs
+++ b/tests/tests/gateway_unsent.rs
@@ -196,6 +196,15 @@
     waiting.expect_sent_elsewhere().await;
 }
 
+#[actix_rt::test]
+async fn a_stream_whose_target_asks_for_no_calls_before_it_is_sent_goes_elsewhere() {
+    let response = "HTTP/1.1 503 Service Unavailable\r\nx-cumintrail-call: {id}\r\n\
+        x-cumintrail-not-run: 1\r\nretry-after: 3\r\ncontent-length: 0\r\n\r\n";
+    let waiting = Waiting::spawn().await;
+    waiting.slow.response.set(response);
+    waiting.expect_sent_elsewhere().await;
+}
+
 #[actix_rt::test]
 async fn a_call_that_was_sent_goes_on_at_a_target_that_begins_to_drain() {
     for path in ["/hold/", "/read/"] {
