Do not send dispatched calls whose content has been quarantined

A request under which targets crash could reach a further target after its quarantine. Calls were checked when they arrived, and while they waited until they were dispatched, but not after that.

The attempts that are recalled include those with quarantined content (cause=content-quarantined). The call is placed again, and refused there as one that has not run. Accounts are hashed for the check only while something is in quarantine.

--- a/crates/cumintrail-control/src/control/quarantines.rs
+++ b/crates/cumintrail-control/src/control/quarantines.rs
@@ -23,8 +23,10 @@
     /// Returns the refusal of a call whose content is in quarantine.
     pub(super) fn check_quarantine(&self, now: Moment, arrival: &Arrival) -> Result<(), Refusal> {
         let content = &arrival.options.content;
-        let account = || self.account_hash(arrival.account);
-        if content.is_empty() || !self.quarantine.refuses(now, account(), content) {
+        if content.is_empty() || self.quarantine.is_empty() {
+            return Ok(());
+        }
+        if !self.quarantine.refuses(now, self.account_hash(arrival.account), content) {
             return Ok(());
         }
         Err(Refusal::not_run(RefusalCode::Quarantined))
--- a/crates/cumintrail-control/src/event/call.rs
+++ b/crates/cumintrail-control/src/event/call.rs
@@ -126,6 +126,9 @@
     /// The call was not sent, and its target may get no calls any more.
     #[display("target-withdrawn")]
     TargetWithdrawn,
+    /// The call was not sent, and its content is in quarantine.
+    #[display("content-quarantined")]
+    ContentQuarantined,
 }
 
 /// Lists the stored blocks to import before an attempt.
--- a/crates/cumintrail-control/src/quarantine.rs
+++ b/crates/cumintrail-control/src/quarantine.rs
@@ -111,13 +111,17 @@
 }
 
 impl Quarantine {
+    /// Returns whether nothing is in quarantine.
+    pub fn is_empty(&self) -> bool {
+        self.quarantined.is_empty()
+    }
+
     /// Returns whether a call with this content is refused.
     pub fn refuses(&self, now: Moment, account: u64, content: &CallContent) -> bool {
-        !self.quarantined.is_empty()
-            && content.iter().any(|content| {
-                let entry = self.quarantined.get(&content);
-                entry.is_some_and(|entry| entry.until > now && entry.scope.includes(account))
-            })
+        content.iter().any(|content| {
+            let entry = self.quarantined.get(&content);
+            entry.is_some_and(|entry| entry.until > now && entry.scope.includes(account))
+        })
     }
 
     /// Records that a call with this content to the model or service whose name has the hash
--- a/crates/cumintrail-daemon/src/metric.rs
+++ b/crates/cumintrail-daemon/src/metric.rs
@@ -23,7 +23,7 @@
 /// Whether this daemon reaches no target in a failure domain: one if it reaches none.
 pub const UNREACHED_DOMAIN: &str = "cumintrail_unreached_domain";
 /// Attempts that were ended before their response, by reason: `domain-unreached`,
-/// `weights-replaced` or `target-withdrawn`.
+/// `weights-replaced`, `target-withdrawn` or `content-quarantined`.
 pub const ABANDONED_ATTEMPTS: &str = "cumintrail_abandoned_attempts_total";
 /// Time from the announcement of a weight version to the first token of a call that begins on replaced
 /// weights, in seconds.
--- a/crates/cumintrail-daemon/src/relay/attempt.rs
+++ b/crates/cumintrail-daemon/src/relay/attempt.rs
@@ -341,9 +341,7 @@
             Interrupt::Abandoned(reason) => {
                 let outcome = match reason {
                     AbandonReason::DomainUnreached => AttemptOutcome::NoConnection,
-                    AbandonReason::WeightsReplaced | AbandonReason::TargetWithdrawn => {
-                        AttemptOutcome::Abandoned { was_sent: false, can_continue: true }
-                    }
+                    _ => AttemptOutcome::Abandoned { was_sent: false, can_continue: true },
                 };
                 self.record_abandonment(outcome, reason)
             }
@@ -361,9 +359,7 @@
                 let can_continue = self.can_continue();
                 let outcome = match reason {
                     AbandonReason::DomainUnreached => AttemptOutcome::Failed { can_continue },
-                    AbandonReason::WeightsReplaced | AbandonReason::TargetWithdrawn => {
-                        AttemptOutcome::Abandoned { was_sent: true, can_continue }
-                    }
+                    _ => AttemptOutcome::Abandoned { was_sent: true, can_continue },
                 };
                 self.record_abandonment(outcome, reason)
             }
--- a/crates/cumintrail-daemon/src/relay/interrupt.rs
+++ b/crates/cumintrail-daemon/src/relay/interrupt.rs
@@ -32,7 +32,9 @@
         match reason {
             AbandonReason::DomainUnreached => true,
             AbandonReason::WeightsReplaced => !matches!(self, Self::Begun),
-            AbandonReason::TargetWithdrawn => matches!(self, Self::Unsent),
+            AbandonReason::TargetWithdrawn | AbandonReason::ContentQuarantined => {
+                matches!(self, Self::Unsent)
+            }
         }
     }
 }
