Do not send dispatched calls to replaced weights after the limit

A call that was dispatched to replaced weights just before the limit could be sent up to 2.9 s later. A stream that must run once and had not begun by 0.9 of the bound then failed with 502, since the engine may have begun it, although it could have been sent elsewhere. A call without a stream that must run once was not abandoned at all, and could begin after the bound.

The attempts that are recalled include those at engines whose weights were replaced before the limit for dispatches, while the platform responds.

--- a/crates/cumintrail-control/src/control/announced_versions.rs
+++ b/crates/cumintrail-control/src/control/announced_versions.rs
@@ -37,6 +37,23 @@
             || versions.is_outdated(begins_at, model, loaded, BoundPart::Begin)
     }
 
+    /// Returns whether the weights of a target were replaced so long ago that nothing more is sent to
+    /// it. While the platform does not respond it is, as in [`Self::exclude_outdated`].
+    pub(super) fn has_outdated_weights(
+        &self,
+        now: Moment,
+        key: TargetKey,
+        kind: TargetKind,
+    ) -> bool {
+        let TargetKind::Engine(model) = kind else {
+            return false;
+        };
+        let loaded = self.targets.get(key).and_then(TargetState::version);
+        let (versions, part) = (&self.announced_versions, BoundPart::Dispatch);
+        loaded.is_some_and(|loaded| versions.is_outdated(now, model, loaded, part))
+            && self.has_recent_platform_response(now)
+    }
+
     /// Abandons the attempts that have not begun on replaced weights while they may.
     ///
     /// A target may hold a call for as long as its caller waits. While the platform does not respond,
--- a/crates/cumintrail-control/src/control/unsent.rs
+++ b/crates/cumintrail-control/src/control/unsent.rs
@@ -39,7 +39,8 @@
                 state.in_flight > 0
                     && (state.quiet_until > now
                         || self.is_withdrawn(*key, target)
-                        || self.is_evacuated(target))
+                        || self.is_evacuated(target)
+                        || self.has_outdated_weights(now, *key, target.kind))
             })
         });
         closed.map(|(key, _)| key).collect()
--- a/crates/cumintrail-control/tests/replaced.rs
+++ b/crates/cumintrail-control/tests/replaced.rs
@@ -7,8 +7,8 @@
 use cumintrail_control::parts::name_hash;
 use cumintrail_control::placement::AffinityPlacer;
 use cumintrail_control::{
-    Action, Arrival, Control, Event, Identity, PeerDigest, RouteOptions, TargetLoad, TargetReport,
-    VersionAnnouncement,
+    AbandonReason, Action, Arrival, Control, Event, Identity, PeerDigest, RouteOptions, TargetLoad,
+    TargetReport, VersionAnnouncement,
 };
 use cumintrail_types::{
     AccountKey, Bytes, CallClass, CallKey, DomainKey, Generation, Incarnation, ModelKey, Moment,
@@ -118,6 +118,38 @@
     assert!(target(&call(&mut control, soon, 1)).is_some());
 }
 
+/// Guards against a call that is sent to replaced weights after the limit, because its connection took
+/// long, and begins there after the bound.
+#[test]
+fn a_call_that_was_dispatched_within_the_limit_is_not_sent_after_it() {
+    for (loaded, reason) in [(1, Some(AbandonReason::TargetWithdrawn)), (2, None)] {
+        let mut control = control(1, 1);
+        let soon = ANNOUNCED_AT + LIMIT - Duration::from_millis(1);
+        control.handle(soon, Event::PlatformResponded { sent: soon, era: 0 });
+        let sent_to = target(&call(&mut control, soon, 1)).unwrap();
+        control.handle(soon, Event::TargetReported { target: sent_to, report: report(loaded) });
+        let actions = control.handle(ANNOUNCED_AT + LIMIT, Event::Tick);
+        let recalled = actions.iter().find_map(|action| match action {
+            Action::Abandon { reason, .. } => Some(*reason),
+            _ => None,
+        });
+        assert_eq!(recalled, reason, "the engine has version {loaded}");
+    }
+}
+
+/// Returns the report of an idle engine.
+fn report(version: u64) -> TargetReport {
+    TargetReport {
+        incarnation: Incarnation(0),
+        leaving: false,
+        version: WeightVersion(version),
+        loading: false,
+        running: 0,
+        waiting: 0,
+        prefill_backlog: Tokens(0),
+    }
+}
+
 #[test]
 fn no_call_goes_to_an_engine_where_it_would_begin_on_replaced_weights_too_late() {
     let mut control = control(1, 1);
@@ -126,15 +158,7 @@
     let waiting = target(&call(&mut control, first_sent, 1)).unwrap();
     // Without the limit placement would avoid the other engine, which is loading.
     let other = TargetKey(1 - waiting.0);
-    let loading = TargetReport {
-        incarnation: Incarnation(0),
-        leaving: false,
-        version: WeightVersion(1),
-        loading: true,
-        running: 0,
-        waiting: 0,
-        prefill_backlog: Tokens(0),
-    };
+    let loading = TargetReport { loading: true, ..report(1) };
     let report = Event::TargetReported { target: other, report: loading };
     control.handle(first_sent + Duration::from_secs(2), report);
     // The first call has waited for more than two seconds, so a further one would start after the
