--- a/crates/cumintrail-control/src/control/announcements.rs
+++ b/crates/cumintrail-control/src/control/announcements.rs
@@ -72,7 +72,7 @@
     ///
     /// `expected` is the version that a call was sent for. A target that has a higher one by now
     /// does not run the call on `expected`.
-    fn is_outdated_since_silence(
+    pub(super) fn is_outdated_since_silence(
         &self,
         now: Moment,
         key: TargetKey,
