Do not free parts of declarations that the daemon never read at once

A salt that it never had in use counted as out of use since the daemon's first configuration. The tables hold the newest row only: a holder that reads weight version 3 after version 1 never had the salt of version 2 in use, and freed its parts at once, while daemons that had read version 2, and not yet 3, told engines to fetch them. An engine may then be sent a part that another one is written over.

Such a salt counts as out of use since the last change of the generation or of the salts, which is the last time at which declarations may have been skipped.

--- a/crates/cumintrail-control/src/control/managed.rs
+++ b/crates/cumintrail-control/src/control/managed.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use cumintrail_config::{Snapshot, TargetKind};
-use cumintrail_types::{BlockKey, Moment, StoreKey, Tokens};
+use cumintrail_types::{BlockKey, Generation, Moment, StoreKey, Tokens};
 
 use super::Control;
 use crate::parts::{
@@ -43,8 +43,8 @@
     salts_in_use: Vec<BlockKey>,
     /// Cache salts that went out of use, and when.
     replaced_salts: Vec<(BlockKey, Moment)>,
-    /// When the first configuration was applied.
-    configured_at: Option<Moment>,
+    /// The generation in force, and when it or the cache salts in use last changed.
+    declared: Option<(Generation, Moment)>,
     /// When the last request that the platform responded to was sent.
     platform_requested: Moment,
     next_free_at: Moment,
@@ -63,7 +63,6 @@
 
     /// Applies the stores and the inputs of cache salts in a snapshot.
     pub fn apply_configuration(&mut self, now: Moment, snapshot: &Snapshot) {
-        self.configured_at.get_or_insert(now);
         let stores = snapshot.stores.iter().filter(|(_, s)| s.stores_parts && !s.retired);
         let bytes_per_token =
             snapshot.models.iter().map(|(_, model)| model.state_bytes_per_token.0);
@@ -81,15 +80,20 @@
         let replaced = self.salts_in_use.iter().filter(|salt| !in_use.contains(salt));
         self.replaced_salts.extend(replaced.map(|salt| (*salt, now)));
         self.replaced_salts.retain(|(_, at)| now.since(*at) < REPLACED_SALT_RETENTION);
+        let is_same_generation = |(known, _): &(Generation, Moment)| *known == snapshot.generation;
+        if !self.declared.as_ref().is_some_and(is_same_generation) || self.salts_in_use != in_use {
+            self.declared = Some((snapshot.generation, now));
+        }
         self.salts_in_use = in_use;
     }
 
     /// Returns whether no daemon can still read parts under a cache salt.
     ///
-    /// A salt that this daemon never had in use counts as out of use since the first configuration.
+    /// A salt that this daemon never had in use may belong to declarations between the last two that
+    /// it read, so that it counts as out of use since the last change.
     fn may_free(&self, now: Moment, salt: Option<BlockKey>) -> bool {
         let known = self.replaced_salts.iter().rev().find(|(replaced, _)| Some(*replaced) == salt);
-        let since = known.map(|(_, at)| *at).or(self.configured_at);
+        let since = known.map(|(_, at)| *at).or(self.declared.map(|(_, changed)| changed));
         salt.is_none_or(|salt| !self.salts_in_use.contains(&salt))
             && since.is_some_and(|since| now.since(since) >= FREE_DELAY)
     }
