Do not free parts of declarations that the daemon has yet to read

Parts that other daemons save meanwhile under the cache salt of a newer weight version were not in use here, and were freed as soon as a store listed them: the age of that counted from an earlier change, not from the save.

A save shows that some daemon has its salt in use. The delay after which parts are freed now counts from the last save too; it is longer than the age that the declarations may have, so that the holder has read newer ones by then.

parts_of_a_version_that_the_daemon_has_yet_to_read_are_not_freed is red without the change (the part is freed before the declaration arrives).

--- a/crates/cumintrail-control/src/control/managed.rs
+++ b/crates/cumintrail-control/src/control/managed.rs
@@ -1,5 +1,6 @@
 //! Parts of prompts in managed stores: plans the reads and saves of calls, and frees unused parts.
 
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -43,6 +44,8 @@
     salts_in_use: Vec<BlockKey>,
     /// Cache salts that went out of use, and when.
     replaced_salts: Vec<(BlockKey, Moment)>,
+    /// When a part was last saved under each cache salt that was not in use here.
+    unused_saves: HashMap<BlockKey, Moment>,
     /// The generation in force, and when it or the cache salts in use last changed.
     declared: Option<(Generation, Moment)>,
     /// When the last request that the platform responded to was sent.
@@ -87,13 +90,30 @@
         self.salts_in_use = in_use;
     }
 
+    /// Records the cache salts under which other daemons saved parts though this one has them out of
+    /// use: they may have read newer declarations.
+    fn record_saves(&mut self, now: Moment, update: &PartsUpdate) {
+        self.unused_saves.retain(|_, at| now.since(*at) < REPLACED_SALT_RETENTION);
+        let saved = update.stored.iter().filter_map(|part| part.cache_salt);
+        for salt in saved.filter(|salt| !self.salts_in_use.contains(salt)) {
+            let at = self.unused_saves.entry(salt).or_insert(now);
+            // A complete list repeats parts that were saved before.
+            if !update.complete {
+                *at = now;
+            }
+        }
+    }
+
     /// Returns whether no daemon can still read parts under a cache salt.
     ///
     /// A salt that this daemon never had in use may belong to declarations between the last two that
-    /// it read, so that it counts as out of use since the last change.
+    /// it read, so that it counts as out of use since the last change. One under which a part was
+    /// saved was in use then.
     fn may_free(&self, now: Moment, salt: Option<BlockKey>) -> bool {
         let known = self.replaced_salts.iter().rev().find(|(replaced, _)| Some(*replaced) == salt);
         let since = known.map(|(_, at)| *at).or(self.declared.map(|(_, changed)| changed));
+        let saved = salt.and_then(|salt| self.unused_saves.get(&salt).copied());
+        let since = since.map(|since| saved.map_or(since, |saved| since.max(saved)));
         salt.is_none_or(|salt| !self.salts_in_use.contains(&salt))
             && since.is_some_and(|since| now.since(since) >= FREE_DELAY)
     }
@@ -107,6 +127,7 @@
         store: StoreKey,
         update: PartsUpdate,
     ) {
+        self.managed_stores.record_saves(now, &update);
         self.part_index.record(requested, now, store, update);
     }
 
--- a/crates/cumintrail-control/tests/freed_parts.rs
+++ b/crates/cumintrail-control/tests/freed_parts.rs
@@ -27,6 +27,7 @@
     now: Moment,
     revision: u64,
     freed: Vec<StoredPart>,
+    platform_responds: bool,
 }
 
 impl Daemon {
@@ -46,7 +47,8 @@
         let sections = Document::parse(&"test".into(), DECLARATIONS).unwrap().sections;
         let snapshot = Snapshot::build(Generation(1), &sections, None, None).unwrap();
         let (now, freed) = (Moment(0), Vec::new());
-        let mut daemon = Self { control, snapshot, now, revision: 0, freed };
+        let mut daemon =
+            Self { control, snapshot, now, revision: 0, freed, platform_responds: true };
         daemon.announce(version);
         daemon.read_store(true, Vec::new());
         daemon.run_until(START);
@@ -82,7 +84,9 @@
     fn run_until(&mut self, end: Moment) {
         while self.now < end {
             self.now = self.now + STEP;
-            self.handle(Event::PlatformResponded { sent: self.now, era: 0 });
+            if self.platform_responds {
+                self.handle(Event::PlatformResponded { sent: self.now, era: 0 });
+            }
             self.read_store(false, Vec::new());
             self.handle(Event::Tick);
         }
@@ -129,6 +133,18 @@
     assert!(time >= MAX_RESPONSE_AGE + READ_TIMEOUT, "freed after {time:?}");
 }
 
+#[test]
+fn parts_of_a_version_that_the_daemon_has_yet_to_read_are_not_freed() {
+    let mut daemon = Daemon::start(1);
+    daemon.platform_responds = false;
+    daemon.run_until(START + Duration::from_millis(500));
+    daemon.list_part(2);
+    daemon.run_until(START + MAX_RESPONSE_AGE);
+    daemon.platform_responds = true;
+    daemon.announce(2);
+    assert_eq!(daemon.time_to_free(), None);
+}
+
 #[test]
 fn parts_of_a_version_that_no_daemon_has_are_freed() {
     let mut daemon = Daemon::start(3);
