End evacuations that a restore lost only after a later read

After a restore from an older copy, an evacuation whose row the copy lacks counts for 2 s, in which the operator writes the row again. The 2 s were counted from the first read in the new era, whether or not the table was read since. A daemon that was suspended meanwhile, or did not reach the store, took its own silence for that of the operator and sent calls to the evacuated domain until it read the table or heard from a peer. A daemon that learned of such an evacuation from a peer ignored it after the 2 s in the same way.

The evacuation ends once the table was read as of a moment after the 2 s, as docs/design/evacuation.md has it. A daemon that does not reach the store still learns the end from peers that do.

a_row_that_a_restore_lost_counts_until_the_table_was_read_again is red without the change. The other tests of expiry now state the reads that they had taken for granted; what they expect is the same.

--- a/crates/cumintrail-control/src/control.rs
+++ b/crates/cumintrail-control/src/control.rs
@@ -345,6 +345,7 @@
             Event::PlatformResponded { sent, era } => {
                 self.rollout.record_era(now, era);
                 self.managed_stores.record_platform_response(sent);
+                self.confirm_evacuations(sent);
             }
             Event::EvacuationsRead(page) => {
                 self.handle_evacuation_page(now, &page, &mut actions);
--- a/crates/cumintrail-control/src/control/evacuations.rs
+++ b/crates/cumintrail-control/src/control/evacuations.rs
@@ -52,6 +52,10 @@
         self.apply_evacuation_changes(now, actions);
     }
 
+    pub(super) fn confirm_evacuations(&mut self, as_of: Moment) {
+        self.evacuation_state.evacuations.confirm(as_of);
+    }
+
     pub(super) fn expire_evacuations(&mut self, now: Moment, actions: &mut Actions) {
         self.evacuation_state.evacuations.expire(now);
         self.apply_evacuation_changes(now, actions);
--- a/crates/cumintrail-control/src/evacuation.rs
+++ b/crates/cumintrail-control/src/evacuation.rs
@@ -96,6 +96,8 @@
     read: Option<FeedPosition>,
     /// The position and the time of the first whole read in the present era.
     era_read: Option<(FeedPosition, Moment)>,
+    /// The moment as of which the table was last read, in whole or in part.
+    read_as_of: Moment,
     changes: Vec<EvacuationChange>,
 }
 
@@ -127,9 +129,14 @@
         }
     }
 
+    /// Records that all changes of the table up to a moment were applied.
+    pub fn confirm(&mut self, as_of: Moment) {
+        self.read_as_of = self.read_as_of.max(as_of);
+    }
+
     /// Applies what a peer knows.
     pub fn apply_report(&mut self, now: Moment, report: &EvacuationReport) {
-        if !self.domains.contains_key(&report.domain) && self.is_refuted(now, report.position) {
+        if !self.domains.contains_key(&report.domain) && self.is_refuted(report.position) {
             return;
         }
         let EvacuationReport { ref domain, evacuated, position, age } = *report;
@@ -138,19 +145,19 @@
 
     /// Returns whether a read of the table has shown that a row at a position no longer exists, if
     /// nothing is known of its domain.
-    fn is_refuted(&self, now: Moment, position: FeedPosition) -> bool {
+    fn is_refuted(&self, position: FeedPosition) -> bool {
         let Some((read, (first, at))) = self.read.zip(self.era_read) else {
             return false;
         };
-        let is_kept = position.era < first.era && now.since(at) < RESTORE_DELAY;
+        let is_kept = position.era < first.era && self.read_as_of < at + RESTORE_DELAY;
         position <= read && !is_kept
     }
 
-    /// Ends the evacuations whose rows a restored table lacks, once the operator had the time to
-    /// write them again.
+    /// Ends the evacuations whose rows a restored table lacks, once it was read after the operator
+    /// had the time to write them again.
     pub fn expire(&mut self, now: Moment) {
-        let Some((first, at)) = self.era_read.filter(|(_, at)| now.since(*at) >= RESTORE_DELAY)
-        else {
+        let is_settled = |at: Moment| self.read_as_of >= at + RESTORE_DELAY;
+        let Some((first, at)) = self.era_read.filter(|(_, at)| is_settled(*at)) else {
             return;
         };
         let lost = self.domains.iter();
--- a/crates/cumintrail-control/tests/evacuation.rs
+++ b/crates/cumintrail-control/tests/evacuation.rs
@@ -60,6 +60,7 @@
     let mut known = Evacuations::default();
     known.apply_page(at(1), &whole(position(2, 20), Vec::new()));
     let late = at(1) + RESTORE_DELAY;
+    known.confirm(late);
     known.apply_report(late, &report(true, position(1, 50)));
     assert!(!known.is_evacuated("a"), "a row that the restore lost for good");
 }
@@ -70,11 +71,14 @@
 fn a_row_that_a_restore_lost_counts_until_the_operator_could_write_it_again() {
     let mut known = Evacuations::default();
     known.apply_page(at(0), &whole(position(0, 30), vec![row(true, 30)]));
+    known.confirm(at(60_000));
     known.expire(at(60_000));
     assert!(known.is_evacuated("a"), "without a restore");
     known.apply_page(at(60_000), &whole(position(1, 25), Vec::new()));
+    known.confirm(at(61_999));
     known.expire(at(61_999));
     assert!(known.is_evacuated("a"), "within the delay");
+    known.confirm(at(62_000));
     known.expire(at(62_000));
     assert!(!known.is_evacuated("a"), "after the delay");
     let sources: Vec<_> = known.take_changes().iter().map(|change| change.source).collect();
@@ -83,6 +87,26 @@
     assert!(known.is_evacuated("a"), "written again late");
 }
 
+/// Guards against calls to a domain whose row was written again while this daemon was suspended or
+/// could not reach the store.
+#[test]
+fn a_row_that_a_restore_lost_counts_until_the_table_was_read_again() {
+    let mut known = Evacuations::default();
+    known.apply_page(at(0), &whole(position(0, 30), vec![row(true, 30)]));
+    known.apply_page(at(60_000), &whole(position(1, 25), Vec::new()));
+    known.expire(at(70_000));
+    assert!(known.is_evacuated("a"), "without a further read");
+    let mut started = Evacuations::default();
+    started.apply_page(at(60_000), &whole(position(1, 25), Vec::new()));
+    started.apply_report(at(70_000), &report(true, position(0, 30)));
+    assert!(started.is_evacuated("a"), "without a further read, by a peer");
+    for known in [&mut known, &mut started] {
+        known.confirm(at(70_000));
+        known.expire(at(70_000));
+        assert!(!known.is_evacuated("a"), "the row was not written again");
+    }
+}
+
 /// Guards against an evacuation that ends because two seconds passed although its row was written
 /// again in time.
 #[test]
@@ -91,6 +115,7 @@
     known.apply_page(at(0), &whole(position(0, 30), vec![row(true, 30)]));
     known.apply_page(at(100), &whole(position(1, 25), Vec::new()));
     known.apply_page(at(900), &changes(position(1, 26), vec![row(true, 26)]));
+    known.confirm(at(10_000));
     known.expire(at(10_000));
     assert!(known.is_evacuated("a"));
     known.apply_page(at(10_100), &changes(position(1, 27), vec![row(false, 27)]));
@@ -105,6 +130,7 @@
     known.apply_page(at(100), &whole(position(1, 25), Vec::new()));
     known.apply_report(at(200), &report(true, position(0, 30)));
     assert!(known.is_evacuated("a"));
+    known.confirm(at(2_100));
     known.expire(at(2_100));
     assert!(!known.is_evacuated("a"));
     known.apply_report(at(2_200), &report(true, position(0, 30)));
