Read the record of software versions again after a time without current entries

A resumed stream of unknown origin goes on at the only software version that is or lately was listed. A daemon that was suspended or cut off while another version came and went never lists that version, and lost the reports of the streams that began there; once its entries were confirmed again it sent their resumption to the only version that it knew, and callers got events of two versions in one stream. Peers' digests name the version, but up to a quarter of a second later; the record in the platform's table was read at the start only.

Entries that were not current for longer than a heartbeat now put the record in doubt: it is read again, and until then streams of unknown origin are refused, as they are while entries are not current. Versions that the daemon itself saw end keep the time of that, so that repeated reads do not keep them alive.

--- a/crates/cumintrail-control/src/control/software.rs
+++ b/crates/cumintrail-control/src/control/software.rs
@@ -98,7 +98,13 @@
     }
 
     /// Records that the registry's entries are current as of a moment.
+    ///
+    /// Unless they were current shortly before, a software version may have come and gone meanwhile.
     pub(super) fn confirm_registry(&mut self, now: Moment, as_of: Moment, max_age: Duration) {
+        if self.registry_current_until.is_some_and(|until| as_of >= until + self.heartbeat_interval)
+        {
+            self.software_history.forget();
+        }
         self.registry_current_until = self.registry_current_until.max(Some(as_of + max_age));
         self.registry_as_of = self.registry_as_of.max(as_of);
         self.registry_max_age = max_age;
@@ -239,7 +245,7 @@
             for kind in snapshot.kinds() {
                 let pool = self.pool_hash(kind);
                 for (_, version) in row.versions.iter().filter(|(of, _)| *of == pool) {
-                    self.stream_origins.record_history(now, kind, version.clone());
+                    self.stream_origins.record_stored(now, kind, version);
                 }
             }
         }
--- a/crates/cumintrail-control/src/software_history.rs
+++ b/crates/cumintrail-control/src/software_history.rs
@@ -36,6 +36,7 @@
 /// Decides when the row is read and written.
 #[derive(Debug, Default)]
 pub struct SoftwareHistory {
+    /// Whether the row was read since versions may have come and gone that this daemon did not see.
     is_known: bool,
     /// The row as last read or written; `None` if it has to be read.
     row: Option<HistoryRow>,
@@ -46,13 +47,19 @@
 }
 
 impl SoftwareHistory {
-    /// Returns whether the row was read since the process started.
+    /// Returns whether the row was read since versions may have come and gone that this daemon did not
+    /// see.
     pub const fn is_known(&self) -> bool {
         self.is_known
     }
 
-    /// Returns the next access to the row, if one is due: it is read once, and written by one daemon
-    /// when the recent versions differ from it. That daemon reads it again in a new `era` of the
+    /// Lets the row be read again: this daemon had no current entries of the registry for some time.
+    pub const fn forget(&mut self) {
+        self.is_known = false;
+    }
+
+    /// Returns the next access to the row, if one is due: it is read when it is not known, and written
+    /// by one daemon when the recent versions differ from it. That daemon reads it again in a new `era` of the
     /// platform's store, which may have been restored from a copy without the last versions.
     pub fn next_request(
         &mut self,
@@ -69,6 +76,7 @@
         }
         let request = match &self.row {
             None => HistoryRequest::Read,
+            Some(_) if !self.is_known => HistoryRequest::Read,
             Some(row) if is_writer && row.versions != recent => {
                 let write = HistoryRow { versions: recent.to_vec(), ..row.clone() };
                 self.pending = Some(write.clone());
--- a/crates/cumintrail-control/src/stream_origins.rs
+++ b/crates/cumintrail-control/src/stream_origins.rs
@@ -241,7 +241,16 @@
         }
     }
 
-    /// Records versions of a model or service that it lately had, by a record of another daemon.
+    /// Records a version that the record of recent versions lists as just ended, unless this daemon
+    /// knows when it ended.
+    pub fn record_stored(&mut self, now: Moment, kind: TargetKind, software: &Arc<str>) {
+        let at = self.last_listed.entry((kind, software.clone())).or_insert(now);
+        if now.since(*at) >= self.retention {
+            *at = now;
+        }
+    }
+
+    /// Records a version at which streams of a model or service may have begun until now.
     pub fn record_history(&mut self, now: Moment, kind: TargetKind, software: Arc<str>) {
         self.last_listed.insert((kind, software), now);
     }
--- a/crates/cumintrail-control/tests/restarted_software.rs
+++ b/crates/cumintrail-control/tests/restarted_software.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use cumintrail_config::{Document, Snapshot, Target, TargetKind};
-use cumintrail_control::software_history::HistoryRow;
+use cumintrail_control::parts::name_hash;
+use cumintrail_control::software_history::{HistoryRequest, HistoryRow};
 use cumintrail_control::stream_origins::{StreamId, StreamOrigin, StreamRequest};
 use cumintrail_control::{
     Action, Actions, Arrival, AttemptOutcome, Control, Event, Identity, PeerDigest, ResponseEnd,
@@ -584,3 +585,37 @@
         assert_eq!(daemon.take_up(call, 1), began);
     }
 }
+
+/// Guards against a version that came and went while this daemon was suspended or cut off, whose
+/// streams go on at the only listed one.
+#[test]
+fn a_daemon_learns_of_versions_that_it_had_no_current_entries_for() {
+    let version = |software: &str| (name_hash("desk"), software.into());
+    let recorded = HistoryRow { row_version: 1, versions: vec![version("v1"), version("v2")] };
+    for (row, resumed) in [(HistoryRow::default(), Some("t1")), (recorded, None)] {
+        let mut daemon = Daemon::start(1, &[OTHER]);
+        daemon.confirm();
+        daemon.now = daemon.now + Duration::from_secs(10);
+        daemon.confirm();
+        let unknown = StreamRequest::Continue(Some(stream(9)));
+        let actions = daemon.arrival_actions(1, unknown);
+        assert_eq!(refused(&actions), Some(RefusalCode::UnknownStream), "not read yet");
+        let actions = daemon.wait(100);
+        let is_read = |a: &Action| matches!(a, Action::SoftwareHistory(HistoryRequest::Read));
+        assert!(actions.iter().any(is_read));
+        daemon.control.handle(daemon.now, Event::SoftwareHistoryRead(row));
+        assert_eq!(daemon.take_up(2, 9), None, "entries may be to come");
+        assert_eq!(daemon.wait_for_entries(), resumed);
+    }
+}
+
+/// Guards against refusals of streams each time that the registry is read a little late.
+#[test]
+fn a_short_delay_of_entries_does_not_put_versions_in_doubt() {
+    let mut daemon = Daemon::start(1, &[OTHER]);
+    daemon.confirm();
+    daemon.wait(HEARTBEAT.as_millis() as u64 + 500);
+    daemon.confirm();
+    assert_eq!(daemon.take_up(1, 9), None, "entries may be to come");
+    assert_eq!(daemon.wait_for_entries(), Some("t1"));
+}
