Take the higher of the weight versions in report and registry

Peers pass on the last report that was read at an address while an engine there loaded weights, and a daemon took the later received of a report and the registry's entry for the version of the engine. A daemon that starts reads the entries first and gets reports of any age from peers right after. Where an engine has taken the address of one that had older weights, the daemon believed that it had these: it sent calls that the engine turned away as of another version, then none once the version was replaced for long, until the next version was announced. With a whole pool replaced, it refused all calls. A report that arrives after the entry of the loaded version has the same effect on a running daemon.

An entry names its process, and the weights of a process are only replaced by newer ones: orders that may be carried out late are conditional, and the registry rejects entries with lower heartbeats. The higher version is therefore the later one.

a_started_daemon_does_not_take_the_weights_of_an_earlier_process_for_those_of_an_engine is red without the change (the call is refused).

--- a/crates/cumintrail-control/src/control/state.rs
+++ b/crates/cumintrail-control/src/control/state.rs
@@ -126,16 +126,20 @@
         }
     }
 
-    /// Returns the latest weight version, from a report or a registry.
+    /// Returns the weight version, from a report or a registry.
     pub fn version(&self) -> Option<WeightVersion> {
         self.version_with_time().map(|(version, _)| version)
     }
 
-    /// Returns the latest weight version with the time at which it was received.
+    /// Returns the weight version with the time at which it was received.
+    ///
+    /// Versions only rise where a registry lists targets, so that the lower one of report and registry
+    /// is the older one, whenever it was received; a report may be that of an earlier process at the
+    /// same address.
     pub fn version_with_time(&self) -> Option<(WeightVersion, Moment)> {
         let reported = self.report.map(|r| r.version).filter(|v| v.0 > 0);
         let reported = reported.map(|version| (version, self.report_received.unwrap_or_default()));
-        [reported, self.registry_version].into_iter().flatten().max_by_key(|(_, at)| *at)
+        [reported, self.registry_version].into_iter().flatten().max()
     }
 
     /// Returns the delay before the next probe, in probe intervals.
--- a/crates/cumintrail-control/tests/replaced.rs
+++ b/crates/cumintrail-control/tests/replaced.rs
@@ -8,7 +8,7 @@
 use cumintrail_control::placement::AffinityPlacer;
 use cumintrail_control::{
     Action, Arrival, Control, Event, Identity, PeerDigest, RouteOptions, TargetLoad, TargetReport,
-    VersionAnnouncement,
+    TargetUpdate, VersionAnnouncement,
 };
 use cumintrail_types::{
     AccountKey, Bytes, CallClass, CallKey, DomainKey, Generation, Incarnation, ModelKey, Moment,
@@ -340,3 +340,35 @@
     let later = announced + Duration::from_millis(2_500);
     assert!(outdated_engine_gets_calls(&mut control, later));
 }
+
+/// Tells a daemon what a peer once knew of the process at the address of the last engine.
+fn report_earlier_process(control: &mut Control<AffinityPlacer>, version: u64, leaving: bool) {
+    let report = TargetReport {
+        incarnation: Incarnation(0),
+        leaving,
+        version: WeightVersion(version),
+        loading: false,
+        running: 0,
+        waiting: 0,
+        prefill_backlog: Tokens(0),
+    };
+    let address = engine("e1", 1).address;
+    let update = TargetUpdate { address, revision: 1, silent: false, report: Some(report) };
+    let digest = PeerDigest {
+        vm: "vm-2".into(),
+        address: Some("127.0.0.1:2".parse().unwrap()),
+        targets: vec![update],
+        ..PeerDigest::default()
+    };
+    let received = ANNOUNCED_AT + Duration::from_millis(250);
+    control.handle(received, Event::PeerDigest(Box::new(digest)));
+}
+
+#[test]
+fn a_started_daemon_does_not_take_the_weights_of_an_earlier_process_for_those_of_an_engine() {
+    let mut control = started_with(1, 2);
+    report_earlier_process(&mut control, 1, false);
+    let later = ANNOUNCED_AT + Duration::from_secs(3);
+    control.handle(later, Event::PlatformResponded { sent: later, era: 0 });
+    assert_eq!(target(&call(&mut control, later, 1)), Some(TargetKey(1)));
+}
