Do not take an engine for leaving because of a report at its address

The last report that daemons pass on for an address may say that the engine there is leaving. A daemon that starts gets such reports whatever their age, applied them to the process that the registry lists at the address by now, and stated that process by name as leaving to all peers. None of them sent it a call any more, for as long as it lived.

Where a registry lists targets, a report from a peer no longer marks a target as leaving. The daemon that reads such a report itself states the process by name, as builds before do too (`announced_leaving`).

a_started_daemon_does_not_take_an_engine_for_leaving_because_an_earlier_process_was is red without the change.

--- a/crates/cumintrail-control/src/control/probes.rs
+++ b/crates/cumintrail-control/src/control/probes.rs
@@ -123,7 +123,9 @@
         } else if !update.silent && state.missed_probes < SILENT_AFTER_MISSES {
             state.liveness = Liveness::Live;
         }
-        if let Some(report) = update.report.filter(|_| !answered_lately) {
+        if let Some(mut report) = update.report.filter(|_| !answered_lately) {
+            // An earlier process may have had the address; `announced_leaving` names the process.
+            report.leaving &= !self.has_registry;
             self.apply_report(now, key, update.address, report);
         }
     }
--- a/crates/cumintrail-control/tests/replaced.rs
+++ b/crates/cumintrail-control/tests/replaced.rs
@@ -372,3 +372,18 @@
     control.handle(later, Event::PlatformResponded { sent: later, era: 0 });
     assert_eq!(target(&call(&mut control, later, 1)), Some(TargetKey(1)));
 }
+
+#[test]
+fn a_started_daemon_does_not_take_an_engine_for_leaving_because_an_earlier_process_was() {
+    let mut control = started_with(1, 2);
+    report_earlier_process(&mut control, 2, true);
+    let later = ANNOUNCED_AT + Duration::from_secs(3);
+    let actions = control.handle(later, Event::Tick);
+    for action in actions {
+        if let Action::SendDigest { digest, .. } = action {
+            assert_eq!(digest.announced_leaving, [], "peers would take it for leaving, too");
+        }
+    }
+    control.handle(later, Event::PlatformResponded { sent: later, era: 0 });
+    assert_eq!(target(&call(&mut control, later, 1)), Some(TargetKey(1)));
+}
