Drop entries that an outage removed only after a later read

Entries lapse while the platform's store is away, and their targets get 2.3 s after its return to write them again. The 2.3 s ended by the clock of the daemon, whether or not it had read the registry since. If the store was away again by then, or the daemon was suspended, the targets of all lapsed entries were dropped unread, and calls were refused for as long as the next outage lasted. Entries that were missing at the second return had no time to come back either.

Missing entries are dropped by a read as of a moment after the time is over; a further outage renews that time. While the store responds, such a read follows within the wait of one request.

missing_entries_count_until_a_read_shows_that_they_did_not_return is red without the change. The two other tests of missing entries now state the reads that they had taken for granted, and one counts the remaining targets, too.

--- a/crates/cumintrail-control/src/registry.rs
+++ b/crates/cumintrail-control/src/registry.rs
@@ -116,8 +116,8 @@
     Listed,
     /// The row exists but cannot be parsed.
     Unreadable,
-    /// The row was removed just after an outage and may return before this moment.
-    Missing(Moment),
+    /// The row was removed just after an outage and may return.
+    Missing,
 }
 
 #[derive(Debug, Clone)]
@@ -145,6 +145,8 @@
     ended: HashMap<Arc<str>, EndedIncarnation>,
     /// Until when, after an outage, a removed entry counts as missing and may return.
     return_deadline: Moment,
+    /// The moment as of which the registry was last read.
+    read_as_of: Moment,
     is_loaded: bool,
 }
 
@@ -229,10 +231,8 @@
     fn remove(&mut self, now: Moment, key: &Arc<str>) -> bool {
         self.row_versions.remove(key);
         if now < self.return_deadline {
-            let missing = Presence::Missing(self.return_deadline);
-            let entry = self.entries.get_mut(key);
-            return entry.is_some_and(|e| {
-                !matches!(std::mem::replace(&mut e.presence, missing), Presence::Missing(_))
+            return self.entries.get_mut(key).is_some_and(|entry| {
+                std::mem::replace(&mut entry.presence, Presence::Missing) != Presence::Missing
             });
         }
         self.end_entry(now, key)
@@ -268,11 +268,19 @@
         self.return_deadline = self.return_deadline.max(now + RETURN_TIMEOUT);
     }
 
-    /// Removes missing entries that did not return in time; returns whether the targets changed.
+    /// Records that all changes of the registry up to a moment were applied.
+    pub fn confirm(&mut self, as_of: Moment) {
+        self.read_as_of = self.read_as_of.max(as_of);
+    }
+
+    /// Removes missing entries that had not returned by the deadline, as a later read shows; returns
+    /// whether the targets changed.
     pub fn expire(&mut self, now: Moment) -> bool {
         self.ended.retain(|_, ended| now.since(ended.ended_at) < ENDED_RETENTION);
-        let is_expired =
-            |entry: &TrackedEntry| matches!(entry.presence, Presence::Missing(by) if by <= now);
+        if self.read_as_of < self.return_deadline {
+            return false;
+        }
+        let is_expired = |entry: &TrackedEntry| entry.presence == Presence::Missing;
         let expired = self.entries.iter().filter(|(_, entry)| is_expired(entry));
         let expired: Vec<Arc<str>> = expired.map(|(key, _)| key.clone()).collect();
         let changed = !expired.is_empty();
@@ -291,7 +299,7 @@
         let mut surplus: HashMap<&Arc<str>, i32> = HashMap::new();
         for entry in self.entries.values().filter(|entry| !entry.leaving) {
             *surplus.entry(&entry.listed.serves).or_default() += match entry.presence {
-                Presence::Missing(_) => 1,
+                Presence::Missing => 1,
                 Presence::Listed => -1,
                 Presence::Unreadable => 0,
             };
@@ -299,7 +307,7 @@
         let usable = self.entries.values().filter(move |entry| match entry.presence {
             Presence::Listed => true,
             Presence::Unreadable => false,
-            Presence::Missing(_) => surplus.get(&entry.listed.serves).is_some_and(|n| *n > 0),
+            Presence::Missing => surplus.get(&entry.listed.serves).is_some_and(|n| *n > 0),
         });
         usable.map(|entry| (&entry.listed, entry.leaving))
     }
--- a/crates/cumintrail-control/tests/registry.rs
+++ b/crates/cumintrail-control/tests/registry.rs
@@ -91,7 +91,9 @@
     registry.record_recovery(returned);
     registry.apply_change(returned, row("x", 2, EntryChange::Removed));
     assert_eq!(usable(&registry), ["x@7"]);
+    registry.confirm(returned + Duration::from_secs(2));
     assert!(!registry.expire(returned + Duration::from_secs(2)));
+    registry.confirm(returned + AFTER_RETURN);
     assert!(registry.expire(returned + AFTER_RETURN), "an entry that does not return is removed");
     assert!(usable(&registry).is_empty());
 }
@@ -197,8 +199,33 @@
         write(&mut registry, Moment(2), 20 + n, entry(&format!("t{n}"), 7, 2, false));
     }
     assert_eq!(usable(&registry).len(), 7);
+    registry.confirm(Moment(0) + AFTER_RETURN);
     registry.expire(Moment(0) + AFTER_RETURN);
     assert_eq!(usable(&registry).len(), 7);
+    assert_eq!(registry.targets().count(), 7);
+}
+
+/// Guards against targets that are dropped unread: the store is away again, or this daemon was
+/// suspended, before their entries are back.
+#[test]
+fn missing_entries_count_until_a_read_shows_that_they_did_not_return() {
+    let mut registry = pool(4);
+    registry.record_recovery(Moment(0));
+    for n in 0..3 {
+        registry.apply_change(Moment(1), row(&format!("t{n}"), 2 + n, EntryChange::Removed));
+    }
+    registry.confirm(Moment(1));
+    let again = Moment(0) + Duration::from_secs(20);
+    assert!(!registry.expire(again), "nothing was read since");
+    assert_eq!(usable(&registry).len(), 4);
+    // The store is back, and entries have as much time as after the outage before.
+    registry.record_recovery(again);
+    registry.confirm(again);
+    assert!(!registry.expire(again));
+    write(&mut registry, again, 9, entry("t0", 7, 2, false));
+    registry.confirm(again + AFTER_RETURN);
+    assert!(registry.expire(again + AFTER_RETURN));
+    assert_eq!(usable(&registry), ["t0@7", "t3@7"]);
 }
 
 /// A restored store forgot that one target leaves, that one ended and that one joined, and counts
--- a/crates/cumintrail-daemon/src/gateway/publish.rs
+++ b/crates/cumintrail-daemon/src/gateway/publish.rs
@@ -174,13 +174,18 @@
                     self.registry.begin_era(now);
                 }
                 let rows = self.parse_registry_rows(page, true);
-                self.registry.apply_snapshot(now, position.version, rows)
+                let changed = self.registry.apply_snapshot(now, position.version, rows);
+                self.registry.confirm(as_of);
+                changed
             }
             Update::Table(FeedTable::Registry, FeedEvent::Changes(page, as_of)) => {
                 self.registry_as_of = Some(as_of);
                 let (now, rows) = (self.shared.now(), self.parse_registry_rows(page, false));
-                rows.into_iter()
-                    .fold(false, |changed, row| changed | self.registry.apply_change(now, row))
+                let changed = rows
+                    .into_iter()
+                    .fold(false, |changed, row| changed | self.registry.apply_change(now, row));
+                self.registry.confirm(as_of);
+                changed
             }
         }
     }
