Do not forget all peers because of a suspension

Where no list names the daemons, a peer without a digest for 60 s is forgotten. A daemon that was suspended for longer forgot all of them with its first tick, and counted itself as the only one until digests arrived: it sent no digests itself, and took the whole of the retry budget, of the limits that targets name and of the rate of cold targets for its share.

The time of a peer without a digest counts from the resumption at the earliest.

a_daemon_counts_its_peers_after_a_suspension is red without the change.

--- a/crates/cumintrail-control/src/control/maintenance.rs
+++ b/crates/cumintrail-control/src/control/maintenance.rs
@@ -92,7 +92,7 @@
         self.next_expiry = now + EXPIRY_INTERVAL;
         self.expire_limits(now);
         let (targets, target_at) = (&self.targets, &self.targets_by_address);
-        self.membership.expire(now, |address| {
+        self.membership.expire(now, self.resumed_at, |address| {
             let state = targets.get(*target_at.get(&address)?)?;
             (state.liveness == Liveness::Live).then(|| state.incarnation())
         });
--- a/crates/cumintrail-control/src/membership.rs
+++ b/crates/cumintrail-control/src/membership.rs
@@ -231,21 +231,21 @@
         self.leaving.may_contain(address, incarnation)
     }
 
-    /// Removes expired marks of leaving incarnations, and unlisted peers without recent digests.
+    /// Removes expired marks of leaving incarnations, and unlisted peers without recent digests; before
+    /// `resumed_at` this daemon may have been suspended and received none.
     ///
     /// `incarnation_at` returns the incarnation that responds at an address.
     pub fn expire(
         &mut self,
         now: Moment,
+        resumed_at: Moment,
         incarnation_at: impl Fn(SocketAddr) -> Option<Incarnation>,
     ) {
         self.leaving.expire(now, incarnation_at);
         self.change_at_previous_expiry =
             std::mem::replace(&mut self.change_at_last_expiry, self.last_change);
-        self.peers.retain(|_, peer| {
-            peer.listed
-                || peer.last_received.is_some_and(|at| now.since(at) < UNLISTED_PEER_RETENTION)
-        });
+        let is_recent = |at: Moment| now.since(at.max(resumed_at)) < UNLISTED_PEER_RETENTION;
+        self.peers.retain(|_, peer| peer.listed || peer.last_received.is_some_and(is_recent));
     }
 
     /// Records a response to an own probe; returns whether peers should be informed at once.
