Do not count a suspension as time to discover other daemons

A daemon divides the retry budget, limits and the rate of cold targets among all daemons that it knows, once it has run for 5 s; before that it assumes more than any deployment has. The 5 s counted from the start of the process. A daemon that was suspended shortly after its start took itself for the only one when it resumed, and sent a cold target all that the daemons together may.

The time counts from the last resumption until it has passed once. A daemon that already knows the others keeps its count.

a_daemon_that_was_suspended_after_its_start_does_not_know_all_daemons is red without the change.

--- a/crates/cumintrail-control/src/control/digests.rs
+++ b/crates/cumintrail-control/src/control/digests.rs
@@ -27,7 +27,8 @@
 pub(super) const LOAD_MAX_AGE: Duration = Duration::from_millis(1_500);
 /// Maximum number of daemons that one with recently received loads stands for.
 pub(super) const MAX_LOAD_SCALE: f64 = 16.0;
-/// Time from the start of a process after which its count of daemons is complete.
+/// Time from the start of a process, without a suspension, after which its count of daemons is
+/// complete.
 const PEER_DISCOVERY_TIME: Duration = Duration::from_secs(5);
 /// The number of daemons that is assumed until then: more than any deployment has.
 pub(super) const MAX_DAEMONS: usize = 1_000;
@@ -133,7 +134,8 @@
         let candidate = (own, self.identity.processor_share);
         let assignment = self.membership.assign_readers(now, candidate, domain, self.may_follow);
         let daemons = self.membership.daemon_count(now, own, domain);
-        let knows_daemons = now.since(Moment::default()) >= PEER_DISCOVERY_TIME;
+        // Nothing is discovered during a suspension, which may be just after the start.
+        let knows_daemons = self.knows_daemons || now.since(self.resumed_at) >= PEER_DISCOVERY_TIME;
         if (daemons, knows_daemons) != (self.daemon_count, self.knows_daemons) {
             (self.daemon_count, self.knows_daemons) = (daemons, knows_daemons);
             self.set_retry_policy(self.retry_policy);
--- a/crates/cumintrail-control/tests/resumed_daemon.rs
+++ b/crates/cumintrail-control/tests/resumed_daemon.rs
@@ -1,11 +1,19 @@
-//! What a daemon knows of its peers after a suspension.
+//! What a daemon knows of its peers after a suspension, and what it sends meanwhile.
 
+use std::sync::Arc;
 use std::time::Duration;
 
-use cumintrail_control::{Action, Control, Event, Identity, PeerDigest};
-use cumintrail_types::{Incarnation, Moment};
+use cumintrail_config::{ColdStart, Document, Snapshot, Target, TargetKind};
+use cumintrail_control::cold::ColdTolerance;
+use cumintrail_control::{Action, Arrival, Control, Event, Identity, PeerDigest, RouteOptions};
+use cumintrail_types::{
+    AccountKey, Bytes, CallClass, CallKey, DomainKey, Generation, Incarnation, Moment, RequestRate,
+    ServiceKey, Tokens, WeightVersion,
+};
 
 const DIGEST_INTERVAL: Duration = Duration::from_millis(250);
+const DECLARED: &str = "[deployment]\nfirst_preset = day\n[preset day]\n[service desk]\n\
+    [account coop]\nkey_digests = 0000000000000000000000000000000000000000000000000000000000000000\nconcurrency = 1000\n";
 
 fn control() -> Control {
     let identity = Identity {
@@ -58,3 +66,64 @@
     let resumed = Moment::from_millis(600_000);
     assert_eq!(known_daemons(&mut control, resumed), Some(5));
 }
+
+/// Returns a snapshot whose only target is cold.
+fn cold_target() -> Snapshot {
+    let sections = Document::parse(&"test".into(), DECLARED).unwrap().sections;
+    let mut declared = Snapshot::build(Generation(1), &sections, None, None).unwrap();
+    let service = declared.services.get_mut(ServiceKey(0)).unwrap();
+    let (period, rate) = (Duration::from_secs(3), RequestRate::from_per_second(10.0));
+    service.cold_start = Some(ColdStart { period, rate });
+    let target = Target {
+        name: "t0".into(),
+        instance: "t0".into(),
+        kind: TargetKind::Service(ServiceKey(0)),
+        address: "10.0.0.1:80".parse().unwrap(),
+        domain: DomainKey(0),
+        slots: 64,
+        prefill_tokens_per_second: 100_000,
+        link_bytes_per_second: Bytes(1 << 30),
+        checks_fencing: false,
+        cold_until: Some(Moment::from_millis(60_000)),
+        leaving: false,
+        version: None,
+        software: None,
+        retired: false,
+    };
+    declared.with_targets(1, vec![target])
+}
+
+/// Lets time pass, and returns whether a call is sent at its end.
+fn is_call_sent(control: &mut Control, from_ms: u64, to_ms: u64) -> bool {
+    for ms in (from_ms..to_ms).step_by(100) {
+        control.handle(Moment::from_millis(ms), Event::Tick);
+    }
+    let now = Moment::from_millis(to_ms);
+    let arrival = Arrival {
+        call: CallKey(to_ms),
+        account: AccountKey(0),
+        class: CallClass::Repeatable,
+        kind: TargetKind::Service(ServiceKey(0)),
+        version: WeightVersion(0),
+        blocks: Arc::from([]),
+        prompt: Tokens(0),
+        max_output: Tokens(0),
+        deadline: now + Duration::from_millis(50),
+        options: RouteOptions::default(),
+    };
+    let actions = control.handle(now, Event::Arrived(arrival));
+    actions.iter().any(|action| matches!(action, Action::Dispatch(_)))
+}
+
+/// Guards against a daemon that takes itself for the only one because it heard of no other yet.
+#[test]
+fn a_daemon_that_was_suspended_after_its_start_does_not_know_all_daemons() {
+    for (resumed_ms, is_sent) in [(200, true), (6_000, false)] {
+        let mut control = control();
+        control.set_cold_tolerance(Some(ColdTolerance { overage: 1.5, slack: 5.0 }));
+        control.handle(Moment(0), Event::Configured(Arc::new(cold_target())));
+        control.handle(Moment::from_millis(100), Event::Tick);
+        assert_eq!(is_call_sent(&mut control, resumed_ms, 8_000), is_sent, "from {resumed_ms} ms");
+        assert!(is_call_sent(&mut control, 8_100, 12_000), "it had the time to hear of others");
+    }
+}
