Do not take a suspension of the daemon for silence of targets

A call that ends at its deadline without a response counts as a failure of its target if it was sent two seconds or more before. A daemon that was suspended for longer than the deadlines of its calls handled their expiry first and the responses that had come meanwhile after it: the circuit breakers of all targets with a few calls opened, and new calls were refused although the targets were well.

The time without a response counts from the resumption at the earliest.

a_target_is_not_unresponsive_because_this_daemon_was_suspended is red without the change.

--- a/crates/cumintrail-control/src/control/attempts.rs
+++ b/crates/cumintrail-control/src/control/attempts.rs
@@ -319,8 +319,9 @@
                 continue;
             };
             let refusal = retry::refusal_for(call, RefusalCode::Deadline);
-            let unresponsive =
-                call.phase() == Phase::Sending && now.since(call.dispatched) >= UNRESPONSIVE_AFTER;
+            // Responses that came during a suspension of this daemon are still to be handled.
+            let waited = now.since(call.dispatched.max(self.resumed_at));
+            let unresponsive = call.phase() == Phase::Sending && waited >= UNRESPONSIVE_AFTER;
             let health =
                 if unresponsive { HealthSignal::Failure } else { HealthSignal::Inconclusive };
             self.cancel_attempt(now, key, health, actions);
