Do not learn the speed of targets from times with a suspension

The times to first tokens, of responses and of calls count from the dispatch to the receipt here. A daemon that was suspended meanwhile took that time for one that the targets needed: prompts were expected to take up to four times as long, services to have a fraction of their capacity, and calls were refused, held back or sent to other failure domains.

Times that began before the last resumption are not learned from.

a_suspension_of_the_daemon_is_not_taken_for_the_time_to_first_tokens is red without the change (the call is refused). The times of services and the pace of calls follow the same rule without a test of their own.

--- a/crates/cumintrail-control/src/control.rs
+++ b/crates/cumintrail-control/src/control.rs
@@ -395,6 +395,12 @@
         actions
     }
 
+    /// Returns the time since a moment; `None` if the daemon was suspended meanwhile, so that the time
+    /// says nothing about targets.
+    fn time_awake(&self, now: Moment, since: Moment) -> Option<Duration> {
+        (since >= self.resumed_at).then(|| now.since(since))
+    }
+
     /// Returns the generation in force; zero before the first one.
     pub fn generation(&self) -> Generation {
         self.snapshot.as_ref().map_or(Generation(0), |s| s.generation)
--- a/crates/cumintrail-control/src/control/attempts.rs
+++ b/crates/cumintrail-control/src/control/attempts.rs
@@ -28,8 +28,9 @@
             self.record_service_time(now, key);
         }
         let target = self.calls.get(&key).and_then(Call::target);
+        let resumed_at = self.resumed_at;
         if let Some(state) = target.and_then(|target| self.targets.get_mut(target)) {
-            state.record_first_token(now, key);
+            state.record_first_token(now, resumed_at, key);
         }
         if has_begun {
             return self.calls.get_mut(&key).into_iter().for_each(Call::record_begin);
@@ -189,7 +190,7 @@
         let blocks = call.arrival.blocks.clone();
         let expected = call.arrival.version;
         let current = call.version() == expected && self.version_of(target, expected) == expected;
-        let streaming = call.first_token.map(|at| now.since(at));
+        let streaming = call.first_token.and_then(|at| self.time_awake(now, at));
         self.record_streaming_time(streaming);
         self.record_pace(now, key, target);
         self.end_call(key);
--- a/crates/cumintrail-control/src/control/shortage.rs
+++ b/crates/cumintrail-control/src/control/shortage.rs
@@ -286,8 +286,9 @@
         }
         match (kind, call.first_token) {
             (TargetKind::Engine(_), Some(first_token)) => {
+                let Some(rest) = self.time_awake(now, first_token) else { return };
                 let pace = self.shortage.paces.entry((kind, urgency)).or_default();
-                pace.record_rest(now.since(first_token));
+                pace.record_rest(rest);
             }
             (TargetKind::Engine(_), None) => {}
             (TargetKind::Service(_), _) => {
@@ -295,9 +296,9 @@
                 let slots = slots.map_or(1, |t| t.slots.max(1));
                 let calls = self.targets.get(target).map_or(0, TargetState::calls) + 1;
                 let alone = f64::from(slots) / f64::from(slots.max(calls));
-                let elapsed = now.since(call.dispatched).mul_f64(alone);
+                let Some(elapsed) = self.time_awake(now, call.dispatched) else { return };
                 let pace = self.shortage.paces.entry((kind, Urgency::default())).or_default();
-                pace.record_rest(elapsed);
+                pace.record_rest(elapsed.mul_f64(alone));
             }
         }
     }
--- a/crates/cumintrail-control/src/control/spillover.rs
+++ b/crates/cumintrail-control/src/control/spillover.rs
@@ -89,7 +89,8 @@
     /// Records how long a call to a plain service took until the head of its response.
     pub(super) fn record_service_time(&mut self, now: Moment, key: CallKey) {
         let Some(call) = self.calls.get(&key) else { return };
-        let (kind, elapsed) = (call.arrival.kind, now.since(call.dispatched));
+        let kind = call.arrival.kind;
+        let Some(elapsed) = self.time_awake(now, call.dispatched) else { return };
         let state = call.target().and_then(|key| self.targets.get(key));
         let declared = call.target().and_then(|key| self.snapshot.as_ref()?.targets.get(key));
         let Some((state, target)) = state.zip(declared) else { return };
--- a/crates/cumintrail-control/src/control/state.rs
+++ b/crates/cumintrail-control/src/control/state.rs
@@ -180,12 +180,16 @@
         self.memory += memory;
     }
 
-    /// Records the first token of a call and updates the ratio of actual to expected time.
-    pub fn record_first_token(&mut self, now: Moment, call: CallKey) {
+    /// Records the first token of a call and updates the ratio of actual to expected time, unless the
+    /// daemon was suspended meanwhile.
+    pub fn record_first_token(&mut self, now: Moment, resumed_at: Moment, call: CallKey) {
         let Some(at) = self.pending_first_tokens.iter().position(|a| a.call == call) else {
             return;
         };
         let pending = self.pending_first_tokens.swap_remove(at);
+        if pending.sent < resumed_at {
+            return;
+        }
         let elapsed = now.since(pending.sent).as_secs_f64();
         let ratio = elapsed / pending.expected.as_secs_f64().max(MIN_EXPECTED_SECONDS);
         let previous = if self.first_token_ratio > 0.0 { self.first_token_ratio } else { 1.0 };
--- a/crates/cumintrail-control/tests/replaced.rs
+++ b/crates/cumintrail-control/tests/replaced.rs
@@ -7,12 +7,12 @@
 use cumintrail_control::parts::name_hash;
 use cumintrail_control::placement::AffinityPlacer;
 use cumintrail_control::{
-    Action, Arrival, Control, Event, Identity, PeerDigest, RouteOptions, TargetLoad, TargetReport,
-    TargetUpdate, VersionAnnouncement,
+    Action, Arrival, AttemptOutcome, Control, Event, Identity, PeerDigest, RouteOptions,
+    TargetLoad, TargetReport, TargetUpdate, Usage, VersionAnnouncement,
 };
 use cumintrail_types::{
-    AccountKey, Bytes, CallClass, CallKey, DomainKey, Generation, Incarnation, ModelKey, Moment,
-    Ran, TargetKey, Tokens, WeightVersion,
+    AccountKey, AttemptNumber, Bytes, CallClass, CallKey, DomainKey, Generation, Incarnation,
+    ModelKey, Moment, Ran, TargetKey, Tokens, WeightVersion,
 };
 
 const BOUND: Duration = Duration::from_secs(10);
@@ -387,3 +387,23 @@
     control.handle(later, Event::PlatformResponded { sent: later, era: 0 });
     assert_eq!(target(&call(&mut control, later, 1)), Some(TargetKey(1)));
 }
+
+/// Guards against refusals because this daemon handled the first tokens of its calls late.
+#[test]
+fn a_suspension_of_the_daemon_is_not_taken_for_the_time_to_first_tokens() {
+    let mut control = control(1, 1);
+    let sent = ANNOUNCED_AT + Duration::from_millis(100);
+    let calls = 0..60;
+    calls.clone().for_each(|i| assert!(target(&call(&mut control, sent, i)).is_some()));
+    let resumed = sent + Duration::from_secs(3);
+    for i in calls {
+        let (call, attempt) = (CallKey(i), AttemptNumber(1));
+        control.handle(resumed, Event::FirstToken { call });
+        let outcome = AttemptOutcome::Completed(Usage::default());
+        control.handle(resumed, Event::AttemptEnded { call, attempt, outcome });
+    }
+    let now = ANNOUNCED_AT + Duration::from_secs(5);
+    control.handle(now, Event::PlatformResponded { sent: now, era: 0 });
+    report_backlog(&mut control, now, Tokens(3 * PREFILL_TOKENS_PER_SECOND / 2));
+    assert!(target(&call(&mut control, now, 100)).is_some());
+}
