--- a/crates/cumintrail-control/src/control.rs
+++ b/crates/cumintrail-control/src/control.rs
@@ -69,6 +69,9 @@
 use crate::unsettled_streams::UnsettledStreams;
 use crate::{Actions, Call, Event, TargetLoad};
 
+/// The time without an event from which on a daemon counts as suspended: ticks come far more often.
+const MIN_SUSPENSION: Duration = Duration::from_secs(2);
+
 /// Identifies a daemon and sets its intervals.
 #[derive(Debug, Clone)]
 pub struct Identity {
@@ -128,6 +131,10 @@
     /// The smoothed time from the first token of a response to its end.
     streaming_time: Duration,
     announced_versions: AnnouncedVersions,
+    /// When the last event was handled.
+    last_event: Moment,
+    /// When this daemon last handled an event after a time without any, in which it was suspended.
+    resumed_at: Moment,
     stream_origins: StreamOrigins,
     software_history: SoftwareHistory,
     /// The interval at which targets write their entries of the registry.
@@ -215,6 +222,8 @@
             newly_stored: Vec::new(),
             streaming_time: Duration::ZERO,
             announced_versions: AnnouncedVersions::default(),
+            last_event: Moment::default(),
+            resumed_at: Moment::default(),
             stream_origins: StreamOrigins::default(),
             software_history: SoftwareHistory::default(),
             heartbeat_interval: Duration::ZERO,
@@ -289,6 +298,9 @@
     /// Handles one event and returns the actions that it leads to.
     pub fn handle(&mut self, now: Moment, event: Event) -> Actions {
         let mut actions = Actions::new();
+        if now.since(std::mem::replace(&mut self.last_event, now)) >= MIN_SUSPENSION {
+            self.resumed_at = now;
+        }
         match event {
             Event::Configured(snapshot) => self.handle_configuration(now, snapshot, &mut actions),
             Event::Arrived(arrival) => self.handle_arrival(now, arrival, &mut actions),
@@ -335,6 +347,7 @@
                 self.rollout.record_era(now, era);
                 self.managed_stores.record_platform_response(sent);
                 self.announced_versions.record_read(sent);
+                self.confirm_evacuations(sent);
             }
             Event::PlatformSilent { sent } => self.announced_versions.record_silence(sent),
             Event::EvacuationsRead(page) => {
@@ -385,6 +398,12 @@
         actions
     }
 
+    /// Returns the time since a moment; `None` if the daemon was suspended meanwhile, so that the time
+    /// says nothing about targets.
+    fn time_awake(&self, now: Moment, since: Moment) -> Option<Duration> {
+        (since >= self.resumed_at).then(|| now.since(since))
+    }
+
     /// Returns the generation in force; zero before the first one.
     pub fn generation(&self) -> Generation {
         self.snapshot.as_ref().map_or(Generation(0), |s| s.generation)
--- a/crates/cumintrail-control/src/control/managed.rs
+++ b/crates/cumintrail-control/src/control/managed.rs
@@ -1,10 +1,11 @@
 //! Parts of prompts in managed stores: plans the reads and saves of calls, and frees unused parts.
 
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
 use cumintrail_config::{Snapshot, TargetKind};
-use cumintrail_types::{BlockKey, Moment, StoreKey, Tokens};
+use cumintrail_types::{BlockKey, Generation, Moment, StoreKey, Tokens};
 
 use super::Control;
 use crate::parts::{
@@ -43,8 +44,10 @@
     salts_in_use: Vec<BlockKey>,
     /// Cache salts that went out of use, and when.
     replaced_salts: Vec<(BlockKey, Moment)>,
-    /// When the first configuration was applied.
-    configured_at: Option<Moment>,
+    /// When a part was last saved under each cache salt that was not in use here.
+    unused_saves: HashMap<BlockKey, Moment>,
+    /// The generation in force, and when it or the cache salts in use last changed.
+    declared: Option<(Generation, Moment)>,
     /// When the last request that the platform responded to was sent.
     platform_requested: Moment,
     next_free_at: Moment,
@@ -58,7 +61,6 @@
 
     /// Applies the stores and the inputs of cache salts in a snapshot.
     pub fn apply_configuration(&mut self, now: Moment, snapshot: &Snapshot) {
-        self.configured_at.get_or_insert(now);
         let stores = snapshot.stores.iter().filter(|(_, s)| s.stores_parts && !s.retired);
         let bytes_per_token =
             snapshot.models.iter().map(|(_, model)| model.state_bytes_per_token.0);
@@ -76,15 +78,37 @@
         let replaced = self.salts_in_use.iter().filter(|salt| !in_use.contains(salt));
         self.replaced_salts.extend(replaced.map(|salt| (*salt, now)));
         self.replaced_salts.retain(|(_, at)| now.since(*at) < REPLACED_SALT_RETENTION);
+        let is_same_generation = |(known, _): &(Generation, Moment)| *known == snapshot.generation;
+        if !self.declared.as_ref().is_some_and(is_same_generation) || self.salts_in_use != in_use {
+            self.declared = Some((snapshot.generation, now));
+        }
         self.salts_in_use = in_use;
     }
 
+    /// Records the cache salts under which other daemons saved parts though this one has them out of
+    /// use: they may have read newer declarations.
+    fn record_saves(&mut self, now: Moment, update: &PartsUpdate) {
+        self.unused_saves.retain(|_, at| now.since(*at) < REPLACED_SALT_RETENTION);
+        let saved = update.stored.iter().filter_map(|part| part.cache_salt);
+        for salt in saved.filter(|salt| !self.salts_in_use.contains(salt)) {
+            let at = self.unused_saves.entry(salt).or_insert(now);
+            // A complete list repeats parts that were saved before.
+            if !update.complete {
+                *at = now;
+            }
+        }
+    }
+
     /// Returns whether no daemon can still read parts under a cache salt.
     ///
-    /// A salt that this daemon never had in use counts as out of use since the first configuration.
+    /// A salt that this daemon never had in use may belong to declarations between the last two that
+    /// it read, so that it counts as out of use since the last change. One under which a part was
+    /// saved was in use then.
     fn may_free(&self, now: Moment, salt: Option<BlockKey>) -> bool {
         let known = self.replaced_salts.iter().rev().find(|(replaced, _)| Some(*replaced) == salt);
-        let since = known.map(|(_, at)| *at).or(self.configured_at);
+        let since = known.map(|(_, at)| *at).or(self.declared.map(|(_, changed)| changed));
+        let saved = salt.and_then(|salt| self.unused_saves.get(&salt).copied());
+        let since = since.map(|since| saved.map_or(since, |saved| since.max(saved)));
         salt.is_none_or(|salt| !self.salts_in_use.contains(&salt))
             && since.is_some_and(|since| now.since(since) >= FREE_DELAY)
     }
@@ -98,6 +122,7 @@
         store: StoreKey,
         update: PartsUpdate,
     ) {
+        self.managed_stores.record_saves(now, &update);
         self.part_index.record(requested, now, store, update);
     }
 
--- a/crates/cumintrail-control/src/control/state.rs
+++ b/crates/cumintrail-control/src/control/state.rs
@@ -126,16 +126,20 @@
         }
     }
 
-    /// Returns the latest weight version, from a report or a registry.
+    /// Returns the weight version, from a report or a registry.
     pub fn version(&self) -> Option<WeightVersion> {
         self.version_with_time().map(|(version, _)| version)
     }
 
-    /// Returns the latest weight version with the time at which it was received.
+    /// Returns the weight version with the time at which it was received.
+    ///
+    /// Versions only rise where a registry lists targets, so that the lower one of report and registry
+    /// is the older one, whenever it was received; a report may be that of an earlier process at the
+    /// same address.
     pub fn version_with_time(&self) -> Option<(WeightVersion, Moment)> {
         let reported = self.report.map(|r| r.version).filter(|v| v.0 > 0);
         let reported = reported.map(|version| (version, self.report_received.unwrap_or_default()));
-        [reported, self.registry_version].into_iter().flatten().max_by_key(|(_, at)| *at)
+        [reported, self.registry_version].into_iter().flatten().max()
     }
 
     /// Returns the delay before the next probe, in probe intervals.
@@ -176,12 +180,16 @@
         self.memory += memory;
     }
 
-    /// Records the first token of a call and updates the ratio of actual to expected time.
-    pub fn record_first_token(&mut self, now: Moment, call: CallKey) {
+    /// Records the first token of a call and updates the ratio of actual to expected time, unless the
+    /// daemon was suspended meanwhile.
+    pub fn record_first_token(&mut self, now: Moment, resumed_at: Moment, call: CallKey) {
         let Some(at) = self.pending_first_tokens.iter().position(|a| a.call == call) else {
             return;
         };
         let pending = self.pending_first_tokens.swap_remove(at);
+        if pending.sent < resumed_at {
+            return;
+        }
         let elapsed = now.since(pending.sent).as_secs_f64();
         let ratio = elapsed / pending.expected.as_secs_f64().max(MIN_EXPECTED_SECONDS);
         let previous = if self.first_token_ratio > 0.0 { self.first_token_ratio } else { 1.0 };
--- a/crates/cumintrail-control/tests/replaced.rs
+++ b/crates/cumintrail-control/tests/replaced.rs
@@ -7,12 +7,12 @@
 use cumintrail_control::parts::name_hash;
 use cumintrail_control::placement::AffinityPlacer;
 use cumintrail_control::{
-    AbandonReason, Action, Arrival, Control, Event, Identity, PeerDigest, RouteOptions, TargetLoad,
-    TargetReport, VersionAnnouncement,
+    AbandonReason, Action, Arrival, AttemptOutcome, Control, Event, Identity, PeerDigest,
+    RouteOptions, TargetLoad, TargetReport, TargetUpdate, Usage, VersionAnnouncement,
 };
 use cumintrail_types::{
-    AccountKey, Bytes, CallClass, CallKey, DomainKey, Generation, Incarnation, ModelKey, Moment,
-    Ran, TargetKey, Tokens, WeightVersion,
+    AccountKey, AttemptNumber, Bytes, CallClass, CallKey, DomainKey, Generation, Incarnation,
+    ModelKey, Moment, Ran, TargetKey, Tokens, WeightVersion,
 };
 
 const BOUND: Duration = Duration::from_secs(10);
@@ -538,3 +538,70 @@
     let after_bound = ANNOUNCED_AT + BOUND + Duration::from_millis(500);
     assert!(!outdated_engine_gets_calls(&mut control, after_bound));
 }
+
+/// Tells a daemon what a peer once knew of the process at the address of the last engine.
+fn report_earlier_process(control: &mut Control<AffinityPlacer>, version: u64, leaving: bool) {
+    let report = TargetReport {
+        incarnation: Incarnation(0),
+        leaving,
+        version: WeightVersion(version),
+        loading: false,
+        running: 0,
+        waiting: 0,
+        prefill_backlog: Tokens(0),
+    };
+    let address = engine("e1", 1).address;
+    let update = TargetUpdate { address, revision: 1, silent: false, report: Some(report) };
+    let digest = PeerDigest {
+        vm: "vm-2".into(),
+        address: Some("127.0.0.1:2".parse().unwrap()),
+        targets: vec![update],
+        ..PeerDigest::default()
+    };
+    let received = ANNOUNCED_AT + Duration::from_millis(250);
+    control.handle(received, Event::PeerDigest(Box::new(digest)));
+}
+
+#[test]
+fn a_started_daemon_does_not_take_the_weights_of_an_earlier_process_for_those_of_an_engine() {
+    let mut control = started_with(1, 2);
+    report_earlier_process(&mut control, 1, false);
+    let later = ANNOUNCED_AT + Duration::from_secs(3);
+    control.handle(later, Event::PlatformResponded { sent: later, era: 0 });
+    assert_eq!(target(&call(&mut control, later, 1)), Some(TargetKey(1)));
+}
+
+#[test]
+fn a_started_daemon_does_not_take_an_engine_for_leaving_because_an_earlier_process_was() {
+    let mut control = started_with(1, 2);
+    report_earlier_process(&mut control, 2, true);
+    let later = ANNOUNCED_AT + Duration::from_secs(3);
+    let actions = control.handle(later, Event::Tick);
+    for action in actions {
+        if let Action::SendDigest { digest, .. } = action {
+            assert_eq!(digest.announced_leaving, [], "peers would take it for leaving, too");
+        }
+    }
+    control.handle(later, Event::PlatformResponded { sent: later, era: 0 });
+    assert_eq!(target(&call(&mut control, later, 1)), Some(TargetKey(1)));
+}
+
+/// Guards against refusals because this daemon handled the first tokens of its calls late.
+#[test]
+fn a_suspension_of_the_daemon_is_not_taken_for_the_time_to_first_tokens() {
+    let mut control = control(1, 1);
+    let sent = ANNOUNCED_AT + Duration::from_millis(100);
+    let calls = 0..60;
+    calls.clone().for_each(|i| assert!(target(&call(&mut control, sent, i)).is_some()));
+    let resumed = sent + Duration::from_secs(3);
+    for i in calls {
+        let (call, attempt) = (CallKey(i), AttemptNumber(1));
+        control.handle(resumed, Event::FirstToken { call });
+        let outcome = AttemptOutcome::Completed(Usage::default());
+        control.handle(resumed, Event::AttemptEnded { call, attempt, outcome });
+    }
+    let now = ANNOUNCED_AT + Duration::from_secs(5);
+    control.handle(now, Event::PlatformResponded { sent: now, era: 0 });
+    report_backlog(&mut control, now, Tokens(3 * PREFILL_TOKENS_PER_SECOND / 2));
+    assert!(target(&call(&mut control, now, 100)).is_some());
+}
