Let engines of the platform's stand-in hold calls and orders

The stand-in's engines began each call on arrival and executed each order, so that no run showed what waits at a target while weights are replaced.

A stalled engine holds each call for a time that its id determines, up to a maximum, before it begins: an order that arrives meanwhile refuses the call, a call that expects other weights gets 421, and one whose connection closes is dropped. Orders get no response; they are executed late, if no other order was accepted before, or never. An execution counts from its begin and states the weight version and the arrival. Deployments accept additional settings.

--- a/tests/platform-standin/src/deployment.rs
+++ b/tests/platform-standin/src/deployment.rs
@@ -151,6 +151,18 @@
         engines: usize,
         plain_replicas: usize,
         exchanges_digests: bool,
+    ) -> std::io::Result<Self> {
+        let counts = (vms, engines, plain_replicas);
+        Self::spawn_with(builds, folder, counts, exchanges_digests, "").await
+    }
+
+    /// Like [`Deployment::spawn`], with additional lines of settings, which replace earlier ones.
+    pub async fn spawn_with(
+        builds: impl Into<Builds>,
+        folder: &Path,
+        (vms, engines, plain_replicas): (usize, usize, usize),
+        exchanges_digests: bool,
+        settings: &str,
     ) -> std::io::Result<Self> {
         let (store, running) = RowStore::bind(LOOPBACK_ANY_PORT)?;
         let mut deployment = Self {
@@ -192,7 +204,7 @@
                 process: RefCell::default(),
                 starts: Cell::default(),
             };
-            let settings = vm.settings_text(index, &control_addresses);
+            let settings = vm.settings_text(index, &control_addresses) + settings;
             let settings = if exchanges_digests {
                 // Without it, the key of peers would differ, since each VM has its own store link.
                 format!("{settings}provider.common_address={}\n", running.address)
--- a/tests/platform-standin/src/replica.rs
+++ b/tests/platform-standin/src/replica.rs
@@ -1,5 +1,7 @@
 //! Replicas that register themselves, execute calls and log each execution.
 
+mod stall;
+
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -16,6 +18,8 @@
 use serde::Deserialize;
 use serde_json::json;
 
+use self::stall::Queue;
+pub use self::stall::Stall;
 use crate::store::{REGISTRY_TABLE, RowStore};
 
 /// Name of the model that engines serve.
@@ -40,8 +44,12 @@
 pub struct Execution {
     /// Id of the replica that executed the call.
     pub replica_id: String,
+    /// When the replica received the call.
+    pub received_at: Instant,
     /// When the execution started.
     pub started_at: Instant,
+    /// The weight version on which it started; zero at a replica of a plain service.
+    pub version: u64,
     /// The client account from the `x-tenant` header.
     pub account: String,
     /// Whether the request contained an `authorization` header, which daemons must not pass on.
@@ -118,6 +126,7 @@
     has_crashed: AtomicBool,
     draining_since: Mutex<Option<Instant>>,
     limit: Mutex<Option<f64>>,
+    queue: Queue,
     started_unix_ms: u64,
 }
 
@@ -147,10 +156,11 @@
             has_crashed: AtomicBool::new(false),
             draining_since: Mutex::default(),
             limit: Mutex::default(),
+            queue: Queue::default(),
             started_unix_ms: since_epoch.as_millis() as u64,
         });
         let handler = shared.clone();
-        let running = http::serve(address, move |req| {
+        let running = http::serve_while_open(address, move |req| {
             let handler = handler.clone();
             async move { handler.handle(req).await }
         })?;
@@ -195,6 +205,11 @@
         *self.shared.limit.lock().unwrap_or_else(PoisonError::into_inner) = limit;
     }
 
+    /// Lets the replica hold calls and orders from now on; `None` ends that for new ones.
+    pub fn set_stall(&self, stall: Option<Stall>) {
+        self.shared.queue.set_stall(stall);
+    }
+
     /// Returns whether a call crashed the replica; whoever started it then kills it.
     pub fn has_crashed(&self) -> bool {
         self.shared.has_crashed.load(Ordering::Relaxed)
@@ -240,7 +255,7 @@
                     "models": [{ "name": MODEL, "version": self.version.load(Ordering::Relaxed),
                         "adapters": [] }],
                     "seq_no": self.accepted_orders.load(Ordering::Relaxed),
-                    "queued": 0, "running": 0, "kv_used": 0, "kv_total": 100_000, "handles": 0,
+                    "queued": self.queue.waiting(), "running": 0, "kv_used": 0, "kv_total": 100_000, "handles": 0,
                 }),
             ),
             _ if header(&req, "x-expect-instance").is_some_and(|id| id != self.spec.id) => {
@@ -248,7 +263,10 @@
             }
             "/order" => {
                 let order: Option<LoadOrder> = http::read(&mut req).await;
-                self.start_load(order)
+                match self.queue.stall() {
+                    Some(stall) => self.hold_order(stall, order).await,
+                    None => self.start_load(order),
+                }
             }
             _ => self.execute(req).await,
         }
@@ -302,15 +320,27 @@
         }
     }
 
-    async fn execute(&self, mut req: Request) -> HttpResponse {
-        let version = header(&req, "x-expect-version").and_then(|text| text.parse::<u64>().ok());
-        let is_loading = self.is_loading.load(Ordering::Relaxed);
-        match version {
+    /// Returns the status with which a call is refused because of the weights.
+    fn refusal(&self, expected: Option<u64>) -> Option<StatusCode> {
+        match expected {
             Some(v) if v != self.version.load(Ordering::Relaxed) => {
-                return self.refuse(&req, StatusCode::MISDIRECTED_REQUEST);
+                Some(StatusCode::MISDIRECTED_REQUEST)
             }
-            _ if is_loading => return self.refuse(&req, StatusCode::SERVICE_UNAVAILABLE),
-            _ => {}
+            _ if self.is_loading.load(Ordering::Relaxed) => Some(StatusCode::SERVICE_UNAVAILABLE),
+            _ => None,
+        }
+    }
+
+    async fn execute(&self, mut req: Request) -> HttpResponse {
+        let received_at = Instant::now();
+        let expected = header(&req, "x-expect-version").and_then(|text| text.parse::<u64>().ok());
+        if let Some(status) = self.refusal(expected) {
+            return self.refuse(&req, status);
+        }
+        if let Some(stall) = self.queue.stall()
+            && let Err(status) = self.wait_in_queue(&mut req, stall, expected).await
+        {
+            return self.refuse(&req, status);
         }
         let call = header(&req, "x-request-id").unwrap_or_default();
         let is_after_drain =
@@ -326,7 +356,9 @@
         let crashes = crashing_content.is_some();
         let execution = Execution {
             replica_id: self.spec.id.clone(),
+            received_at,
             started_at: Instant::now(),
+            version: self.version.load(Ordering::Relaxed),
             account: header(&req, "x-tenant").unwrap_or_default(),
             has_key: header(&req, "authorization").is_some(),
             after_drain_period: is_after_drain,
--- a/tests/src/http.rs
+++ b/tests/src/http.rs
@@ -34,6 +34,27 @@
 
 /// Serves `handler` on `address`; port zero selects a free port.
 pub fn serve<H, F>(address: SocketAddr, handler: H) -> std::io::Result<HttpServer>
+where
+    H: Fn(Request) -> F + Clone + Send + 'static,
+    F: Future<Output = HttpResponse> + 'static,
+{
+    serve_with(true, address, handler)
+}
+
+/// Like [`serve`], but drops the future of a request whose connection the client closes.
+pub fn serve_while_open<H, F>(address: SocketAddr, handler: H) -> std::io::Result<HttpServer>
+where
+    H: Fn(Request) -> F + Clone + Send + 'static,
+    F: Future<Output = HttpResponse> + 'static,
+{
+    serve_with(false, address, handler)
+}
+
+fn serve_with<H, F>(
+    allows_half_closed: bool,
+    address: SocketAddr,
+    handler: H,
+) -> std::io::Result<HttpServer>
 where
     H: Fn(Request) -> F + Clone + Send + 'static,
     F: Future<Output = HttpResponse> + 'static,
@@ -43,6 +64,7 @@
     let service = move || {
         let handler = handler.clone();
         HttpService::build()
+            .h1_allow_half_closed(allows_half_closed)
             .finish(fn_service(move |req: Request| {
                 let response = handler(req);
                 async move { Ok::<_, Infallible>(response.await) }
