Judge in the soak on which weights each call begins

The bound is 5 s. The judge compares the version on which each call begins with the announcements, for daemons whose process no fault affected from 3 s before the arrival of the call at the engine until its begin. A call that an engine begins over 400 ms after the daemon sent it to another engine breaks TWICE. Some calls state no parts of their prompt, and so expect no version. Other faults stay away in this mode, so that the store is stable and no link is disrupted.

--- a/tests/platform-standin/src/calls.rs
+++ b/tests/platform-standin/src/calls.rs
@@ -21,6 +21,8 @@
 const CALL_DELAY: Duration = Duration::from_millis(40);
 /// Calls that a caller sends before it opens a new connection.
 const CALLS_PER_CONNECTION: usize = 40;
+/// The calls of one connection in so many state no parts, where some do not.
+const CONNECTIONS_PER_OMISSION: usize = 4;
 /// The parts of the prompts of sound calls.
 const SOUND_PARTS: &str = "a1:40,b2:20";
 /// Calls with a part that crashes engines come for [`CRASHING_CALLS_DURATION`] of each such period,
@@ -101,16 +103,18 @@
 /// The VMs that callers connect to, as index and address; kept up to date by the balancer.
 pub type Rotation = Rc<RefCell<Vec<(usize, SocketAddr)>>>;
 
-/// Sends random calls one after the other until `stop` is set.
+/// Sends random calls one after the other until `stop` is set; those of one connection in
+/// [`CONNECTIONS_PER_OMISSION`] state no parts if `omits_parts` is set.
 pub async fn run_caller(
     seed: u64,
     number: usize,
+    omits_parts: bool,
     rotation: Rotation,
     call_log: CallLog,
     stop: Rc<RefCell<bool>>,
 ) {
     let mut rng = StdRng::seed_from_u64(seed ^ (number as u64) << 32);
-    let mut calls = 0;
+    let (mut calls, mut connections) = (0, 0);
     while !*stop.borrow() {
         let chosen = {
             let vms = rotation.borrow();
@@ -125,6 +129,10 @@
             actix_rt::time::sleep(CALL_DELAY).await;
             continue;
         };
+        connections += 1;
+        if omits_parts && (number + connections).is_multiple_of(CONNECTIONS_PER_OMISSION) {
+            caller.parts.clear();
+        }
         for _ in 0..CALLS_PER_CONNECTION {
             calls += 1;
             let kind = CallKind::ALL[rng.random_range(0..CallKind::ALL.len())];
@@ -226,7 +234,7 @@
     stream: TcpStream,
     vm: usize,
     input: Vec<u8>,
-    /// The parts of the prompts of streamed calls.
+    /// The parts of the prompts of streamed calls; none are sent if it is empty.
     parts: String,
 }
 
@@ -282,9 +290,12 @@
             body.len()
         );
         if record.kind.is_stream() {
-            head.push_str("X-Token-Usage: 60,6\r\nX-Prefix-Hash: ");
-            head.push_str(&self.parts);
-            head.push_str("\r\n");
+            head.push_str("X-Token-Usage: 60,6\r\n");
+            if !self.parts.is_empty() {
+                head.push_str("X-Prefix-Hash: ");
+                head.push_str(&self.parts);
+                head.push_str("\r\n");
+            }
         }
         self.stream.write_all(format!("{head}\r\n{body}").as_bytes()).await?;
         let head = self.read_until("\r\n\r\n").await?;
--- a/tests/platform-standin/src/main.rs
+++ b/tests/platform-standin/src/main.rs
@@ -107,6 +107,10 @@
     /// Also let replicas name limits of requests.
     #[arg(long)]
     limits: bool,
+    /// Announce weight versions in series while engines hold calls and orders, and daemons are
+    /// killed, restarted and suspended; no other faults come.
+    #[arg(long)]
+    weights: bool,
 }
 
 /// Accepts the path of a file that can be executed.
@@ -126,8 +130,13 @@
             Command::Soak { seed, seeds, seconds, options, folder } => {
                 let mut all_passed = true;
                 for seed in seed..seed + seeds {
-                    let SoakOptions { restores, crashing_parts, crashing_requests, limits } =
-                        options;
+                    let SoakOptions {
+                        restores,
+                        crashing_parts,
+                        crashing_requests,
+                        limits,
+                        weights,
+                    } = options;
                     let plan = soak::Plan {
                         seed,
                         seconds,
@@ -135,6 +144,7 @@
                         crashing_parts,
                         crashing_requests,
                         limits,
+                        weights,
                         ..soak::Plan::default()
                     };
                     let seed_folder = folder.join(format!("seed-{seed}"));
--- a/tests/platform-standin/src/soak.rs
+++ b/tests/platform-standin/src/soak.rs
@@ -4,6 +4,7 @@
 mod fault;
 mod limits;
 mod plan;
+mod weights;
 
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -20,6 +21,7 @@
 
 use self::fault::Fault;
 pub use self::plan::{Plan, Report};
+use self::weights::WeightFaults;
 use crate::calls::{self, CallKind, CallLog, CallRecord, Caller, Rotation};
 use crate::deployment::{ACCOUNT, DRAIN_PERIOD, Deployment};
 use crate::replica::{CrashingContent, Execution};
@@ -68,10 +70,11 @@
 
 /// Runs one seed. Settings files and logs of the daemons stay in `folder`.
 pub async fn run(daemon: &Path, folder: &Path, plan: Plan) -> std::io::Result<Report> {
-    let (vms, engines, plain_replicas) = (plan.vms, plan.engines, plan.plain_replicas);
-    let exchanges_digests = plan.crashing_parts || plan.crashing_requests || plan.limits;
-    let spawned =
-        Deployment::spawn(daemon, folder, vms, engines, plain_replicas, exchanges_digests);
+    let counts = (plan.vms, plan.engines, plan.plain_replicas);
+    let exchanges_digests =
+        plan.crashing_parts || plan.crashing_requests || plan.limits || plan.weights;
+    let settings = if plan.weights { weights::SETTINGS } else { "" };
+    let spawned = Deployment::spawn_with(daemon, folder, counts, exchanges_digests, settings);
     let deployment = spawned.await?;
     deployment.write_foreign_entries();
     let mut soak = Soak {
@@ -90,9 +93,14 @@
     *rotation.borrow_mut() =
         soak.deployment.vms.iter().map(|vm| vm.caller_address).enumerate().collect();
     for number in 0..plan.callers {
-        let caller =
-            calls::run_caller(plan.seed, number, rotation.clone(), call_log.clone(), stop.clone());
-        actix_rt::spawn(caller);
+        actix_rt::spawn(calls::run_caller(
+            plan.seed,
+            number,
+            plan.weights,
+            rotation.clone(),
+            call_log.clone(),
+            stop.clone(),
+        ));
     }
     let stop_crashing = Rc::new(RefCell::new(!plan.crashing_parts));
     actix_rt::spawn(calls::run_crashing_caller(
@@ -137,12 +145,16 @@
         let mut next_restore = started_at + Duration::from_secs(4);
         let mut limit_rng = StdRng::seed_from_u64(self.plan.seed.rotate_left(32));
         let mut next_limit = started_at + Duration::from_secs(1);
+        let mut weight_faults = WeightFaults::new(&self.plan, started_at);
         let mut balancer = Balancer::new(self.plan.vms);
         while started_at.elapsed() < Duration::from_secs(self.plan.seconds) {
             balancer.check(&self.deployment, rotation).await;
             self.end_due_faults(Instant::now()).await?;
             let phase = started_at.elapsed().as_millis() / PHASE_DURATION.as_millis();
-            if Instant::now() >= next_fault && phase.is_multiple_of(2) {
+            for (fault, duration) in weight_faults.draw_due(Instant::now()) {
+                self.start_unless_conflicting(fault, duration).await?;
+            }
+            if !self.plan.weights && Instant::now() >= next_fault && phase.is_multiple_of(2) {
                 next_fault = Instant::now() + Duration::from_millis(rng.random_range(150..1_200));
                 let duration = Duration::from_millis(rng.random_range(300..2_500));
                 let fault = Fault::draw(&mut rng, &self.plan);
@@ -225,6 +237,9 @@
                 let limit = f64::from(tenths) / 10.0;
                 deployment.endpoints[endpoint].replica.set_limit(Some(limit));
             }
+            Fault::StallEngine(endpoint, stall) => {
+                deployment.endpoints[endpoint].replica.set_stall(Some(stall));
+            }
             Fault::AnnounceWeights => {
                 deployment.declarations.weight_version += 1;
                 deployment.announce_weights();
@@ -316,6 +331,9 @@
             Fault::LimitReplica(endpoint, _) => {
                 deployment.endpoints[endpoint].replica.set_limit(None);
             }
+            Fault::StallEngine(endpoint, _) => {
+                deployment.endpoints[endpoint].replica.set_stall(None);
+            }
             Fault::SighupVm(_)
             | Fault::DiscardHistory
             | Fault::AnnounceWeights
@@ -420,6 +438,7 @@
         self.violations.extend(records.iter().filter_map(CallRecord::violation));
         self.check_crashing_content(records);
         self.check_limits(records);
+        self.check_versions(records);
         for record in records {
             let executions = self.deployment.execution_log.executions(&record.call_id);
             if record.kind.is_at_most_once() && executions.len() > 1 {
@@ -518,10 +537,15 @@
 
     /// Returns whether no fault at a VM or at the store was active in [`SETTLE_TIME`] before `at`.
     fn was_in_touch(&self, vm: usize, at: Instant) -> bool {
+        self.was_in_touch_during(vm, at, at)
+    }
+
+    /// Returns whether a VM was in touch from `from` to `until`.
+    fn was_in_touch_during(&self, vm: usize, from: Instant, until: Instant) -> bool {
         !self.injected.iter().any(|injected| {
             injected.fault.affects_vm(vm)
-                && injected.started_at <= at
-                && injected.ends_at + SETTLE_TIME >= at
+                && injected.started_at <= until
+                && injected.ends_at + SETTLE_TIME >= from
         })
     }
 
--- a/tests/platform-standin/src/soak/fault.rs
+++ b/tests/platform-standin/src/soak/fault.rs
@@ -6,6 +6,7 @@
 use rand::rngs::StdRng;
 
 use super::Plan;
+use crate::replica::Stall;
 use crate::store::StoreFault;
 
 /// A fault, with the index of the affected VM or endpoint.
@@ -30,6 +31,8 @@
     DrainReplica(usize),
     /// A replica names a limit, in tenths of a request a second.
     LimitReplica(usize, u32),
+    /// An engine holds calls and orders.
+    StallEngine(usize, Stall),
     AnnounceWeights,
     ChangeConfiguration,
 }
@@ -62,6 +65,17 @@
         }
     }
 
+    /// Draws a random fault of a daemon's process.
+    pub fn draw_of_process(rng: &mut StdRng, plan: &Plan) -> Self {
+        let vm = rng.random_range(0..plan.vms);
+        match rng.random_range(0..5) {
+            0 => Self::KillVm(vm),
+            1 | 2 => Self::PauseVm(vm),
+            3 => Self::StopVm(vm),
+            _ => Self::SighupVm(vm),
+        }
+    }
+
     /// Returns whether this is an operation that operators perform on purpose; such an operation
     /// may lose no call.
     pub const fn is_planned(self) -> bool {
@@ -78,7 +92,9 @@
 
     /// Returns whether both faults affect the same VM, the same endpoint or the store.
     pub fn conflicts_with(self, other: Self) -> bool {
-        if let (Self::LimitReplica(a, _), Self::LimitReplica(b, _)) = (self, other) {
+        if let (Self::LimitReplica(a, _), Self::LimitReplica(b, _))
+        | (Self::StallEngine(a, _), Self::StallEngine(b, _)) = (self, other)
+        {
             return a == b;
         }
         match (self.vm().zip(other.vm()), self.endpoint().zip(other.endpoint())) {
--- a/tests/platform-standin/src/soak/plan.rs
+++ b/tests/platform-standin/src/soak/plan.rs
@@ -26,6 +26,9 @@
     pub crashing_requests: bool,
     /// Whether replicas also name limits of requests. These faults are drawn separately too.
     pub limits: bool,
+    /// Whether weight versions come in series while engines hold calls and orders and processes of
+    /// daemons end or are suspended. No other faults come then.
+    pub weights: bool,
 }
 
 impl Default for Plan {
@@ -41,6 +44,7 @@
             crashing_parts: false,
             crashing_requests: false,
             limits: false,
+            weights: false,
         }
     }
 }
