--- a/tests/platform-standin/src/replica.rs
+++ b/tests/platform-standin/src/replica.rs
@@ -366,7 +366,7 @@
             after_drain_period: is_after_drain,
             crashing_content,
             limit: self.limit(),
-            expected_version: version,
+            expected_version: expected,
         };
         self.execution_log.record(call.clone(), execution);
         let is_stream = req.path().starts_with("/flow/") || req.path().starts_with("/resume/");
