Split balancer, recovery and crashes from the soak

soak.rs had grown to 600 lines. The balancer, the checks after the faults and the check of content that crashes replicas are files of their own; code moves unchanged.

--- a/tests/platform-standin/src/soak.rs
+++ b/tests/platform-standin/src/soak.rs
@@ -1,13 +1,15 @@
 //! A soak test: runs real daemons under random faults and checks the records of callers and
 //! replicas against the rules.
 
+mod balancer;
+mod crashes;
 mod fault;
 mod limits;
 mod plan;
+mod recovery;
 mod weights;
 
 use std::cell::RefCell;
-use std::collections::HashMap;
 use std::os::unix::process::ExitStatusExt;
 use std::path::Path;
 use std::rc::Rc;
@@ -19,18 +21,15 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
+use self::balancer::Balancer;
 use self::fault::Fault;
 pub use self::plan::{Plan, Report};
 use self::weights::WeightFaults;
-use crate::calls::{self, CallKind, CallLog, CallRecord, Caller, Rotation};
+use crate::calls::{self, CallKind, CallLog, CallRecord, Rotation};
 use crate::deployment::{ACCOUNT, DRAIN_PERIOD, Deployment};
-use crate::replica::{CrashingContent, Execution};
 use crate::store::StoreFault;
 
 const TICK_INTERVAL: Duration = Duration::from_millis(50);
-const BALANCER_CHECK_INTERVAL: Duration = Duration::from_millis(400);
-/// Consecutive failed checks after which the balancer takes a VM out of rotation.
-const BALANCER_FAILURE_THRESHOLD: u32 = 2;
 /// Phases in which faults start alternate with phases of the same length in which none starts.
 const PHASE_DURATION: Duration = Duration::from_secs(5);
 /// How long the effects of a fault may last after its end. Rules with a time bound are checked only
@@ -38,26 +37,10 @@
 const SETTLE_TIME: Duration = Duration::from_secs(3);
 /// How long a daemon may run after `SIGTERM`.
 const STOP_TIMEOUT: Duration = Duration::from_secs(9);
-/// Time from the write of a configuration until it must be in force on all VMs.
-const APPLY_TIMEOUT: Duration = Duration::from_millis(2_500);
-/// Time from the end of the last fault until calls must be served again.
-const RECOVERY_TIME: Duration = Duration::from_secs(6);
-/// Time from the end of the last fault until all engines must have the announced weights.
-const WEIGHTS_TIMEOUT: Duration = Duration::from_secs(12);
-/// Minimum time over which the fraction of served calls is measured after the faults.
-const MEASUREMENT_PERIOD: Duration = Duration::from_secs(3);
 /// Age of the copy that the store is restored from, at most.
 const MAX_COPY_AGE: Duration = Duration::from_secs(4);
 /// Time from the crash of a replica under a call until it is replaced.
 const CRASHED_REPLICA_DOWNTIME: Duration = Duration::from_millis(1_200);
-/// Replicas that may crash under one part before its calls must reach no further ones.
-const MAX_CRASHES: usize = 5;
-/// The same for one request.
-const MAX_CRASHES_UNDER_REQUEST: usize = 3;
-/// Calls with such content that may still be executed later than [`SETTLE_TIME`] after these crashes.
-const MAX_LATE_CRASHING_CALLS: usize = 3;
-/// Fraction of calls that must be served in the measurement period.
-const MIN_SERVED_FRACTION: f64 = 0.9;
 
 /// An injected fault.
 #[derive(Debug, Clone, Copy)]
@@ -342,97 +325,6 @@
         Ok(())
     }
 
-    /// Ends all faults and checks that configuration changes, calls and weights recover within
-    /// their time bounds.
-    async fn check_recovery(
-        &mut self,
-        rotation: &Rotation,
-        call_log: &CallLog,
-    ) -> std::io::Result<()> {
-        let mut balancer = Balancer::new(self.plan.vms);
-        while self.injected.iter().any(|injected| !injected.has_ended) {
-            let is_stopping = self.injected.iter().any(|injected| {
-                !injected.has_ended
-                    && matches!(injected.fault, Fault::StopVm(_) | Fault::DrainReplica(_))
-            });
-            let now = if is_stopping { Instant::now() } else { Instant::now() + STOP_TIMEOUT };
-            self.end_due_faults(now).await?;
-            self.kill_crashed_replicas().await?;
-            balancer.check(&self.deployment, rotation).await;
-            sleep(TICK_INTERVAL).await;
-        }
-        let faults_ended_at = Instant::now();
-        let revoked = "key-that-is-revoked-at-the-end";
-        self.deployment.declarations.extra_keys = vec![revoked.into()];
-        self.deployment.publish_declarations();
-        while faults_ended_at.elapsed() < RECOVERY_TIME {
-            self.kill_crashed_replicas().await?;
-            self.end_due_faults(Instant::now()).await?;
-            balancer.check(&self.deployment, rotation).await;
-            sleep(TICK_INTERVAL).await;
-        }
-        self.expect_status_everywhere(revoked, "/read/", 200).await;
-        self.deployment.declarations.extra_keys.clear();
-        self.deployment.declarations.extra_prefixes.push("/added/".into());
-        self.deployment.publish_declarations();
-        let measured_from = Instant::now();
-        sleep(APPLY_TIMEOUT).await;
-        self.expect_status_everywhere(revoked, "/read/", 401).await;
-        self.expect_status_everywhere(crate::deployment::API_KEY, "/added/", 200).await;
-        sleep(MEASUREMENT_PERIOD.saturating_sub(measured_from.elapsed())).await;
-        let served: Vec<bool> = {
-            let call_log = call_log.borrow();
-            call_log
-                .iter()
-                .filter(|record| record.sent_at >= measured_from)
-                .map(CallRecord::is_served)
-                .collect()
-        };
-        let share =
-            served.iter().filter(|served| **served).count() as f64 / served.len().max(1) as f64;
-        if share < MIN_SERVED_FRACTION {
-            let (total, share) = (served.len(), share * 100.0);
-            self.violations
-                .push(format!("RECOVER: only {share:.0} percent of {total} calls were served"));
-        }
-        while faults_ended_at.elapsed() < WEIGHTS_TIMEOUT && !self.outdated_engines().is_empty() {
-            sleep(TICK_INTERVAL).await;
-        }
-        for (replica, version) in self.outdated_engines() {
-            let expected = self.deployment.declarations.weight_version;
-            self.violations
-                .push(format!("VERSION: {replica} has weights {version}, not {expected}"));
-        }
-        Ok(())
-    }
-
-    /// Returns the engines that do not have the announced weights, with the version that they have.
-    fn outdated_engines(&self) -> Vec<(String, u64)> {
-        let expected = self.deployment.declarations.weight_version;
-        let engines = self.deployment.endpoints.iter().map(|endpoint| &endpoint.replica);
-        let outdated = engines.filter(|r| r.spec().weight_version > 0 && r.version() != expected);
-        outdated.map(|r| (r.spec().id.clone(), r.version())).collect()
-    }
-
-    /// Sends a call to each daemon and records a violation for each status other than `status`.
-    async fn expect_status_everywhere(&mut self, key: &str, path: &'static str, status: u16) {
-        for (index, vm) in self.deployment.vms.iter().enumerate() {
-            let id =
-                format!("{:x}-expect-{index}-{status}{}", self.plan.seed, path.replace('/', "-"));
-            let received = match Caller::connect(index, vm.caller_address).await {
-                Ok(mut caller) => caller.call(CallKind::Read, path, id, key).await.0.status,
-                Err(_) => 0,
-            };
-            if received != status {
-                let violation = format!(
-                    "CONFIG: VM {index} responds to {path} with {received}, not {status}, \
-                     after a change"
-                );
-                self.violations.push(violation);
-            }
-        }
-    }
-
     /// Checks the calls that callers recorded against the executions that replicas logged.
     fn check_calls(&mut self, records: &[CallRecord]) {
         self.violations.extend(records.iter().filter_map(CallRecord::violation));
@@ -491,50 +383,6 @@
         }
     }
 
-    /// Checks that calls with content that crashes replicas stop reaching them.
-    fn check_crashing_content(&mut self, records: &[CallRecord]) {
-        let vms: HashMap<&str, usize> =
-            records.iter().map(|record| (record.call_id.as_str(), record.vm)).collect();
-        let mut by_content: HashMap<CrashingContent, Vec<(String, Execution)>> = HashMap::new();
-        for (call, executions) in self.deployment.execution_log.all() {
-            for execution in executions {
-                if let Some(content) = execution.crashing_content.clone() {
-                    by_content.entry(content).or_default().push((call.clone(), execution));
-                }
-            }
-        }
-        for (content, mut executions) in by_content {
-            executions.sort_by_key(|(_, execution)| execution.started_at);
-            let max_crashes = match content {
-                CrashingContent::Part(_) => MAX_CRASHES,
-                CrashingContent::Request(_) => MAX_CRASHES_UNDER_REQUEST,
-            };
-            let mut replicas: Vec<&str> = Vec::new();
-            let mut last = None;
-            for (_, execution) in &executions {
-                if !replicas.contains(&execution.replica_id.as_str()) {
-                    replicas.push(&execution.replica_id);
-                    if replicas.len() == max_crashes {
-                        last = Some(execution.started_at);
-                    }
-                }
-            }
-            let Some(last) = last else { continue };
-            let late = executions.iter().filter(|(call, execution)| {
-                let vm = vms.get(call.as_str()).copied();
-                execution.started_at > last + SETTLE_TIME
-                    && vm.is_some_and(|vm| self.was_in_touch(vm, execution.started_at))
-            });
-            let late = late.count();
-            if late > MAX_LATE_CRASHING_CALLS {
-                let crashed = replicas.len();
-                self.violations.push(format!(
-                    "BUDGET: {late} calls with {content:?} were executed late; {crashed} replicas crashed"
-                ));
-            }
-        }
-    }
-
     /// Returns whether no fault at a VM or at the store was active in [`SETTLE_TIME`] before `at`.
     fn was_in_touch(&self, vm: usize, at: Instant) -> bool {
         self.was_in_touch_during(vm, at, at)
@@ -570,33 +418,3 @@
         }
     }
 }
-
-/// Takes VMs out of rotation after [`BALANCER_FAILURE_THRESHOLD`] consecutive failed readiness
-/// checks, as the platform's balancer does.
-struct Balancer {
-    failed_checks: Vec<u32>,
-    next_check: Instant,
-}
-
-impl Balancer {
-    fn new(vms: usize) -> Self {
-        Self { failed_checks: vec![0; vms], next_check: Instant::now() }
-    }
-
-    async fn check(&mut self, deployment: &Deployment, rotation: &Rotation) {
-        if Instant::now() < self.next_check {
-            return;
-        }
-        self.next_check = Instant::now() + BALANCER_CHECK_INTERVAL;
-        let checks = deployment.vms.iter().map(crate::deployment::Vm::is_ready);
-        let ready = futures_util::future::join_all(checks).await;
-        for (failed_checks, is_ready) in self.failed_checks.iter_mut().zip(ready) {
-            *failed_checks = if is_ready { 0 } else { *failed_checks + 1 };
-        }
-        let vms = deployment.vms.iter().enumerate().zip(&self.failed_checks);
-        let in_rotation =
-            vms.filter(|(_, failed_checks)| **failed_checks < BALANCER_FAILURE_THRESHOLD);
-        *rotation.borrow_mut() =
-            in_rotation.map(|((index, vm), _)| (index, vm.caller_address)).collect();
-    }
-}
