Let stalled engines notice closed connections before they begin a call

The server polls a request's future before it acts on a closed connection that it read in the same turn, so that a thread that runs late begins a call whose connection has been closed since.

The call is now pending once more between its wait and its begin.

--- a/tests/platform-standin/src/replica/stall.rs
+++ b/tests/platform-standin/src/replica/stall.rs
@@ -83,7 +83,9 @@
                 return Err(status);
             }
         }
-        Ok(())
+        // The server notices a closed connection only once this future is pending.
+        tokio::task::yield_now().await;
+        self.refusal(expected).map_or(Ok(()), Err)
     }
 
     /// Executes an order late or never, and sends no response.
