Test that a call that must run once is sent elsewhere if it was not sent

The other tests of withdrawn targets use resumable streams. A call that must run once waits for the identity of its target where responses end with their connections. Without the recall of unsent attempts, it reaches the target that drains.

--- a/tests/tests/gateway_unsent.rs
+++ b/tests/tests/gateway_unsent.rs
@@ -18,6 +18,7 @@
 
 /// Calls after which both of two equally loaded targets would have had one.
 const CALLS: usize = 24;
+const CLOSE: &str = "connection: close\r\n";
 
 /// A target that holds identity requests back.
 #[derive(Clone)]
@@ -28,7 +29,8 @@
     answered: Rc<Cell<usize>>,
     streams: Rc<Cell<usize>>,
     calls: Rc<Cell<usize>>,
-    /// The response to calls that are no streams.
+    /// The response to calls that are no streams. It closes connections, like those to identity
+    /// requests, if it says so.
     response: Rc<Cell<&'static str>>,
     is_released: Rc<watch::Sender<bool>>,
 }
@@ -75,6 +77,9 @@
                 }
             };
             stream.write_all(text.as_bytes()).await.ok()?;
+            if text.contains(CLOSE) {
+                return None;
+            }
         }
     }
 
@@ -87,7 +92,8 @@
             _ = stream.read(&mut byte) => {}
         }
         self.answered.set(self.answered.get() + 1);
-        "HTTP/1.1 204 No Content\r\nx-cumintrail-process-start: 1\r\n\r\n".to_owned()
+        let connection = if self.response.get().contains(CLOSE) { CLOSE } else { "" };
+        format!("HTTP/1.1 204 No Content\r\n{connection}x-cumintrail-process-start: 1\r\n\r\n")
     }
 }
 
@@ -205,6 +211,32 @@
     waiting.expect_sent_elsewhere().await;
 }
 
+#[actix_rt::test]
+async fn a_call_that_runs_once_and_was_not_sent_goes_elsewhere() {
+    let slow = SlowTarget::bind().await;
+    let platform = FeedPlatform::new();
+    platform.publish_declarations(1, &declarations(KEY));
+    platform.list_target("t0", 1, 1, "desk", slow.address, false);
+    let cluster = Cluster::spawn_on(platform);
+    cluster.until(Gateway::is_ready).await;
+    // Once a response ends with its connection, later calls wait for the identity of the process.
+    slow.response
+        .set("HTTP/1.1 200 OK\r\nx-cumintrail-call: {id}\r\nconnection: close\r\n\r\nwheel");
+    slow.is_released.send_replace(true);
+    cluster.call("/hold/").await;
+    slow.is_released.send_replace(false);
+    let (asked, calls) = (slow.asked.get(), slow.calls.get());
+    let mut caller = cluster.connect().await;
+    caller.send("/hold/", "c-1", "connection: close\r\n", "").await;
+    until(|| slow.asked.get() > asked).await;
+    let other = Replica::bind(|_| vec![send(WHOLE)]).await.unwrap();
+    cluster.platform.list_target("t1", 1, 1, "desk", other.address(), false);
+    cluster.platform.list_target("t0", 1, 2, "desk", slow.address, true);
+    let response = caller.rest().await;
+    assert_eq!(status(&response), "200", "{response}");
+    assert_eq!((slow.calls.get() - calls, other.calls().len()), (0, 1));
+}
+
 #[actix_rt::test]
 async fn a_call_that_was_sent_goes_on_at_a_target_that_begins_to_drain() {
     for path in ["/hold/", "/read/"] {
