--- a/tests/platform-standin/src/calls.rs
+++ b/tests/platform-standin/src/calls.rs
@@ -104,7 +104,7 @@
 pub type Rotation = Rc<RefCell<Vec<(usize, SocketAddr)>>>;
 
 /// Sends random calls one after the other until `stop` is set; those of one connection in
-/// [`CONNECTIONS_PER_OMISSION`] state no parts if `omits_parts` is set.
+/// `CONNECTIONS_PER_OMISSION` state no parts if `omits_parts` is set.
 pub async fn run_caller(
     seed: u64,
     number: usize,
