--- a/crates/cumintrail-daemon/src/relay/attempt.rs
+++ b/crates/cumintrail-daemon/src/relay/attempt.rs
@@ -1,5 +1,6 @@
 //! One attempt of a relayed call: the HTTP exchange with one target.
 
+mod abandonment;
 mod end_by_close;
 mod identity;
 mod response;
@@ -13,7 +14,7 @@
 use cumintrail_config::{Target, TargetKind};
 use cumintrail_control::parts::PartPlan;
 use cumintrail_control::{
-    AbandonReason, AttemptOutcome, Detour, Dispatch, Event, NamedLimit, ResponseEnd, TargetNotice,
+    AttemptOutcome, Detour, Dispatch, Event, NamedLimit, ResponseEnd, TargetNotice,
 };
 use cumintrail_types::{AttemptNumber, CallClass, Moment, Refusal, TargetKey};
 use futures_util::FutureExt as _;
@@ -22,7 +23,7 @@
 use super::caller::{CallerConnection, CallerInput};
 use super::dialect::{ForwardMetadata, HeaderDialect, ResponseKind};
 use super::heads::{body_size, end_to_end_head};
-use super::interrupt::{Interrupt, Progress, next_interrupt};
+use super::interrupt::{Progress, next_interrupt};
 use super::relayed_call::RelayedCall;
 use super::{Worker, detour, lines};
 use crate::metric;
@@ -335,38 +336,6 @@
         }
     }
 
-    /// Ends an attempt on order of the control thread before anything of the call was sent.
-    fn interrupt_unsent(&mut self, interrupt: Interrupt) -> AttemptEnd {
-        match interrupt {
-            Interrupt::Refused(refusal) => AttemptEnd::Refused(refusal),
-            Interrupt::Abandoned(reason) => {
-                let outcome = match reason {
-                    AbandonReason::DomainUnreached => AttemptOutcome::NoConnection,
-                    _ => AttemptOutcome::Abandoned { was_sent: false, can_continue: true },
-                };
-                self.record_abandonment(outcome, reason)
-            }
-        }
-    }
-
-    /// Ends an attempt on order of the control thread; the target may have run the call.
-    fn interrupt(&mut self, interrupt: Interrupt) -> AttemptEnd {
-        match interrupt {
-            Interrupt::Refused(refusal) => {
-                self.call.may_have_run = true;
-                AttemptEnd::Refused(refusal)
-            }
-            Interrupt::Abandoned(reason) => {
-                let can_continue = self.can_continue();
-                let outcome = match reason {
-                    AbandonReason::DomainUnreached => AttemptOutcome::Failed { can_continue },
-                    _ => AttemptOutcome::Abandoned { was_sent: true, can_continue },
-                };
-                self.record_abandonment(outcome, reason)
-            }
-        }
-    }
-
     /// Forwards input from the caller; returns the end of the attempt if it cannot continue.
     async fn forward_body(
         &mut self,
@@ -441,13 +410,6 @@
         AttemptOutcome::Failed { can_continue: self.can_continue() }
     }
 
-    fn record_abandonment(&mut self, outcome: AttemptOutcome, reason: AbandonReason) -> AttemptEnd {
-        let reason = reason.to_string();
-        let end = self.record_end(outcome, &reason);
-        metrics::counter!(metric::ABANDONED_ATTEMPTS, "reason" => reason).increment(1);
-        end
-    }
-
     fn record_end(&mut self, outcome: AttemptOutcome, cause: &str) -> AttemptEnd {
         self.record_end_with_code(outcome, cause, None)
     }
