Let relayed reports of loading weights lapse though peers repeat them

The holder of the lease had 18 slots, but ordered four targets every two seconds.

A holder marks targets that it will order next as loading and tells its peers. The mark of a holder that is killed is to lapse after 3 s, counted from its receipt. Peers that have just started are sent such reports and pass them on, and each receipt counted as new, so that the targets counted as loading, and as occupied slots, for as long as digests brought the report again.

A report that a peer repeats no longer renews that time where a registry lists the targets; there only the holder probes them. Own probes do.

a_report_of_loading_lapses_though_peers_repeat_it is red without the change (calls avoid the target after 5 s).

--- a/crates/cumintrail-control/src/control/probes.rs
+++ b/crates/cumintrail-control/src/control/probes.rs
@@ -7,7 +7,7 @@
 use rand::Rng;
 
 use super::Control;
-use super::state::TargetState;
+use super::state::{ReportSource, TargetState};
 use crate::membership::Liveness;
 use crate::parts::name_hash;
 use crate::placement::Placer;
@@ -59,7 +59,7 @@
             return;
         };
         self.record_probe_response(now, key);
-        self.apply_report(now, key, address, report);
+        self.apply_report(now, key, address, report, ReportSource::Probe);
         if self.membership.record_probe(address, Some(report)) {
             self.send_digest_soon(now);
         }
@@ -126,7 +126,10 @@
         if let Some(mut report) = update.report.filter(|_| !answered_lately) {
             // An earlier process may have had the address; `announced_leaving` names the process.
             report.leaving &= !self.has_registry;
-            self.apply_report(now, key, update.address, report);
+            // Without a registry, peers probe targets all the time and pass on what they find.
+            let source =
+                if self.has_registry { ReportSource::Relayed } else { ReportSource::Probe };
+            self.apply_report(now, key, update.address, report, source);
         }
     }
 
@@ -136,6 +139,7 @@
         key: TargetKey,
         address: SocketAddr,
         report: TargetReport,
+        source: ReportSource,
     ) {
         if report.leaving && self.has_registry {
             let notice = TargetNotice { leaving: true, quiet_for: None };
@@ -157,7 +161,7 @@
             self.directory.clear_engine_cache(key);
             state.breaker = CircuitBreaker::default();
         }
-        state.record_report(now, report);
+        state.record_report(now, report, source);
     }
 
     /// Marks an incarnation as leaving; if the mark is new, peers are sent it soon.
--- a/crates/cumintrail-control/src/control/state.rs
+++ b/crates/cumintrail-control/src/control/state.rs
@@ -33,6 +33,8 @@
     pub report: Option<TargetReport>,
     /// When the last report arrived.
     pub report_received: Option<Moment>,
+    /// When the target was last found to load weights; a peer that repeats a report found nothing new.
+    pub found_loading: Option<Moment>,
     /// Calls of this daemon in flight at it.
     pub in_flight: u32,
     /// Prompt tokens that it is expected to compute for calls of this daemon without a first token.
@@ -87,6 +89,15 @@
     pub first_token_ratio: f64,
 }
 
+/// Where a report of a target comes from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ReportSource {
+    /// A probe of about now.
+    Probe,
+    /// A peer that may pass on an old one again and again.
+    Relayed,
+}
+
 /// Records a call that has no first token yet.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct PendingFirstToken {
@@ -114,8 +125,7 @@
 
     /// Returns whether a recent report says that the target loads weights.
     pub fn is_loading(&self, now: Moment) -> bool {
-        let is_recent =
-            self.report_received.is_some_and(|at| now.since(at) < LOADING_REPORT_MAX_AGE);
+        let is_recent = self.found_loading.is_some_and(|at| now.since(at) < LOADING_REPORT_MAX_AGE);
         is_recent && self.report.is_some_and(|report| report.loading)
     }
 
@@ -158,7 +168,13 @@
     /// Records a report and derives from it the load that is not from this daemon.
     ///
     /// Reports are delayed, so the load of this daemon is taken from its calls in flight.
-    pub fn record_report(&mut self, now: Moment, report: TargetReport) {
+    pub fn record_report(&mut self, now: Moment, report: TargetReport, source: ReportSource) {
+        let state = |r: &TargetReport| (r.incarnation, r.version, r.loading);
+        let is_repeated = source == ReportSource::Relayed
+            && self.report.is_some_and(|known| state(&known) == state(&report));
+        if report.loading && !is_repeated {
+            self.found_loading = Some(now);
+        }
         self.foreign_calls = (report.running + report.waiting).saturating_sub(self.in_flight);
         self.foreign_backlog = report.prefill_backlog.saturating_sub(self.backlog);
         self.report = Some(report);
--- a/crates/cumintrail-control/tests/replaced.rs
+++ b/crates/cumintrail-control/tests/replaced.rs
@@ -605,3 +605,37 @@
     report_backlog(&mut control, now, Tokens(3 * PREFILL_TOKENS_PER_SECOND / 2));
     assert!(target(&call(&mut control, now, 100)).is_some());
 }
+
+/// Guards against a rollout that stands still since the drain marks of a holder that was killed are
+/// passed on again and again.
+#[test]
+fn a_report_of_loading_lapses_though_peers_repeat_it() {
+    let mut control = control(2, 2);
+    let update = TargetUpdate {
+        address: engine("e1", 2).address,
+        revision: 1,
+        silent: false,
+        report: Some(TargetReport { loading: true, ..report(2) }),
+    };
+    let busy = TargetLoad {
+        target_hash: name_hash("e0"),
+        calls: 1,
+        backlog: Tokens(5 * PREFILL_TOKENS_PER_SECOND),
+        memory: Tokens(0),
+    };
+    let digest = PeerDigest {
+        vm: "vm-2".into(),
+        address: Some("127.0.0.1:2".parse().unwrap()),
+        targets: vec![update],
+        loads: vec![busy],
+        ..PeerDigest::default()
+    };
+    let mut sent_to = Vec::new();
+    for seconds in 0..6 {
+        let now = ANNOUNCED_AT + Duration::from_secs(seconds);
+        control.handle(now, Event::PlatformResponded { sent: now, era: 0 });
+        control.handle(now, Event::PeerDigest(Box::new(digest.clone())));
+        sent_to.push(target(&call(&mut control, now, seconds)).unwrap().0);
+    }
+    assert_eq!((sent_to[1], sent_to[5]), (0, 1), "{sent_to:?}");
+}
