Count falls once and crashes by their time in the review's scripts

Two rejections at the same moment could count one fall of case 7 twice, and cases 6, 8 and 9 counted contact_ms from the arrival of the request instead of from the crash. Health checks of the stand-in wait for a slot.

--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -132,6 +132,29 @@
         });
     }
 
+    /// Returns whether few enough requests that crash replicas have reached one later than `contact_ms`
+    /// after crash number `count`. No machine is disturbed, so that all are in touch.
+    fn judge_deadly(&self, is_troubled: bool, name: &str, count: usize) -> Result<bool, String> {
+        let crashes = self.runs.crashes.lock().unwrap();
+        let all = crashes.len();
+        let Some(at) = crashes.get(count - 1) else {
+            self.record.line(true, &format!("crashes={all}"));
+            let reason = format!("there were no {count} crashes");
+            return if is_troubled { Err(reason) } else { Ok(true) };
+        };
+        let from = at + CONTACT.as_millis() as u64;
+        let runs = self.runs.runs.lock().unwrap();
+        let late = runs.iter().filter(|run| run.has_crashed && run.at_ms > from).count();
+        self.record.line(
+            true,
+            &format!(
+                "crashes={all} {name} at {at} ms; requests that reached a replica after {from} ms: \
+                 {late}, tolerated {TOLERATED_RETRIES}"
+            ),
+        );
+        Ok(late <= TOLERATED_RETRIES)
+    }
+
     fn finish(&mut self) -> Result<(), String> {
         for (answer, count) in self.answers.lock().unwrap().iter() {
             self.record.line(true, &format!("answers: {answer}: {count}"));
@@ -234,23 +257,7 @@
         is_over.store(true, Ordering::SeqCst);
     });
     deployment.finish()?;
-    let runs = deployment.runs.runs.lock().unwrap();
-    let crashes: Vec<u64> = runs.iter().filter(|r| r.has_crashed).map(|r| r.at_ms).collect();
-    let Some(third) = crashes.get(2) else {
-        record.line(true, &format!("{} crashes", crashes.len()));
-        return if is_troubled { Err("there were no three crashes".into()) } else { Ok(true) };
-    };
-    let from = third + CONTACT.as_millis() as u64;
-    let late = crashes.iter().filter(|at| **at > from).count();
-    let (all, tolerated) = (crashes.len(), TOLERATED_RETRIES);
-    record.line(
-        true,
-        &format!(
-            "crashes={all} third at {third} ms; retries that reached a replica after {from} ms: \
-             {late}, tolerated {tolerated}"
-        ),
-    );
-    Ok(late <= TOLERATED_RETRIES)
+    deployment.judge_deadly(is_troubled, "third", 3)
 }
 
 /// BUDGET: at most three requests with a part that crashes replicas reach replicas later than
@@ -275,23 +282,7 @@
         thread::sleep(Duration::from_secs(3));
     }
     deployment.finish()?;
-    let runs = deployment.runs.runs.lock().unwrap();
-    let crashes: Vec<u64> = runs.iter().filter(|r| r.has_crashed).map(|r| r.at_ms).collect();
-    let Some(fifth) = crashes.get(4) else {
-        record.line(true, &format!("{} crashes", crashes.len()));
-        return if is_troubled { Err("there were no five crashes".into()) } else { Ok(true) };
-    };
-    let from = fifth + CONTACT.as_millis() as u64;
-    let late = crashes.iter().filter(|at| **at > from).count();
-    let (all, tolerated) = (crashes.len(), TOLERATED_RETRIES);
-    record.line(
-        true,
-        &format!(
-            "crashes={all} fifth at {fifth} ms; requests with the part that reached a replica after \
-             {from} ms: {late}, tolerated {tolerated}"
-        ),
-    );
-    Ok(late <= TOLERATED_RETRIES)
+    deployment.judge_deadly(is_troubled, "fifth", 5)
 }
 
 /// LIMIT: while a service's replicas say that they are brittle, they fall over at most as often as
@@ -317,7 +308,7 @@
         is_over.store(true, Ordering::SeqCst);
     });
     deployment.finish()?;
-    let falls = deployment.runs.falls.lock().unwrap().len();
+    let falls = deployment.runs.crashes.lock().unwrap().len();
     let turned_away = deployment.runs.turned_away.load(Ordering::SeqCst);
     let tolerated = 2.0 + 0.1 * deployment.replicas.len() as f64;
     record.line(true, &format!("falls={falls} tolerated={tolerated} turned_away={turned_away}"));
--- a/review/standin-2/replica.rs
+++ b/review/standin-2/replica.rs
@@ -19,6 +19,9 @@
 /// The models of an engine; plain services list them too, which daemons ignore.
 const MODELS: &str = "[{\"name\":\"curd\",\"version\":1,\"adapters\":[]}]";
 
+/// Why a brittle replica ends.
+const FALL: &str = "falls over";
+
 /// Describes a replica.
 #[derive(Clone)]
 pub struct Spec {
@@ -55,8 +58,8 @@
 pub struct Runs {
     pub runs: Mutex<Vec<Run>>,
     pub turned_away: AtomicU64,
-    /// The times of falls, in milliseconds.
-    pub falls: Mutex<Vec<(u64, String)>>,
+    /// The times at which replicas crashed or fell over, in milliseconds.
+    pub crashes: Mutex<Vec<u64>>,
 }
 
 #[derive(Default)]
@@ -168,14 +171,16 @@
         }
     }
 
-    /// Ends the process: the port refuses connections from now on, and open ones are closed.
-    fn crash(&self, start: u64) {
+    /// Ends the process, unless it has ended: the port refuses connections from now on, and open ones
+    /// are closed.
+    fn crash(&self, start: u64, why: &str) {
         {
             let state = self.state.lock().unwrap();
             if state.start != start || self.is_ending.swap(true, Ordering::SeqCst) {
                 return;
             }
         }
+        self.record.line(why == FALL, &format!("replica {} {why}", self.spec.id));
         while !self.is_closed.load(Ordering::SeqCst) {
             thread::sleep(ACCEPT_INTERVAL);
         }
@@ -183,7 +188,8 @@
         for connection in connections {
             let _ = connection.shutdown(Shutdown::Both);
         }
-        self.record.line(false, &format!("replica {} ends", self.spec.id));
+        self.runs.crashes.lock().unwrap().push(self.record.now_ms());
+        self.record.line(false, &format!("replica {} has ended", self.spec.id));
         self.freed.notify_all();
     }
 
@@ -254,7 +260,14 @@
         }
         let born = self.born.load(Ordering::SeqCst);
         match request.path() {
-            "/health" => return Some((200, headers, String::new())),
+            // A health check waits for a slot like any other request.
+            "/health" => {
+                let has_room = self.take_slot(start)?;
+                if has_room {
+                    self.give_slot_back(start)?;
+                }
+                return Some((if has_room { 200 } else { 503 }, headers, String::new()));
+            }
             "/report" => {
                 headers.push(("Content-Type", "application/json".into()));
                 let state = self.state.lock().unwrap();
@@ -305,7 +318,7 @@
                 let _ = writer.write_all(head.as_bytes());
                 thread::sleep(Duration::from_millis(20));
             }
-            self.crash(start);
+            self.crash(start, "crashes");
             return None;
         }
         thread::sleep(self.spec.work);
@@ -336,10 +349,7 @@
             let count = state.turned_away.len();
             drop(state);
             if is_strict && self.spec.brittle.is_some_and(|limit| count > limit) {
-                let at = self.record.now_ms();
-                self.record.line(true, &format!("replica {} falls over", self.spec.id));
-                self.runs.falls.lock().unwrap().push((at, self.spec.id.clone()));
-                self.crash(start);
+                self.crash(start, FALL);
                 return None;
             }
             return Some(false);
