--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -1,5 +1,7 @@
 //! The cases: what is sent, and whether the rule held.
 
+mod origins;
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -40,6 +42,7 @@
         "long" => deadly(record, is_troubled, Deadly::LONG),
         "short" => deadly(record, is_troubled, Deadly { body: 600, ..Deadly::LONG }),
         "brittle" => brittle(record, is_troubled),
+        "origins" => origins::run(record, is_troubled),
         _ => Err(format!("there is no case {case}")),
     }
 }
@@ -56,12 +59,20 @@
 
 impl Deployment {
     fn spawn(record: &'static Record, spec: impl Fn(usize) -> Spec) -> Result<Self, String> {
+        Self::spawn_with(record, ZONES.len(), spec)
+    }
+
+    fn spawn_with(
+        record: &'static Record,
+        replicas: usize,
+        spec: impl Fn(usize) -> Spec,
+    ) -> Result<Self, String> {
         let store = Store::spawn().map_err(|e| e.to_string())?;
         store.put("op", "config", &configuration());
         store.put("op", "version/curd", "{\"model\":\"curd\",\"version\":1}");
         let runs: Arc<Runs> = Arc::default();
         let spawn = |index| Replica::spawn(spec(index), &store, record, &runs);
-        let replicas: Result<_, _> = (0..ZONES.len()).map(spawn).collect();
+        let replicas: Result<_, _> = (0..replicas).map(spawn).collect();
         let replicas = replicas.map_err(|e| e.to_string())?;
         let daemons = Daemons::spawn(DAEMONS, store.address)?;
         record.line(true, "daemons are ready");
@@ -171,7 +182,9 @@
     Spec {
         id: format!("i-{index:04}"),
         service: SERVICE.into(),
-        zone: ZONES[index].into(),
+        zone: ZONES[index % ZONES.len()].into(),
+        software: "v1".into(),
+        stream: None,
         slots: 6,
         queue: 12,
         work: Duration::from_millis(15),
@@ -190,7 +203,11 @@
          \"resumable\":false}},{{\"name\":\"talk\",\"host\":\"{HOST}\",\"prefix\":\"/talk/\",\
          \"kind\":\"streaming\",\"service\":\"{ENGINES}\",\"timeout_ms\":15000,\
          \"target_latency_ms\":600,\"target_gap_ms\":300,\"priority\":2,\"max_attempts\":1,\
-         \"public\":false,\"sticky\":true,\"resumable\":false}}],\"services\":[{{\
+         \"public\":false,\"sticky\":true,\"resumable\":false}},{{\"name\":\"draft\",\
+         \"host\":\"{HOST}\",\"prefix\":\"/draft/\",\"kind\":\"streaming\",\
+         \"service\":\"{ENGINES}\",\"timeout_ms\":12000,\"target_latency_ms\":400,\
+         \"target_gap_ms\":300,\"priority\":1,\"max_attempts\":2,\"public\":false,\
+         \"sticky\":true,\"resumable\":true}}],\"services\":[{{\
          \"name\":\"{ENGINES}\",\"health_path\":\"/health\",\"max_connections\":620,\
          \"engine\":{{\"slots\":32,\"kv_capacity_tokens\":179183,\"kv_token_bytes\":35136,\
          \"max_in_flight\":12,\"models\":[{{\"name\":\"curd\"}}]}}}},{{\"name\":\"{SERVICE}\",\
--- a/review/standin-2/http.rs
+++ b/review/standin-2/http.rs
@@ -109,6 +109,19 @@
     body: &[u8],
     timeout: Duration,
 ) -> io::Result<Message> {
+    let (response, read) = call_and_keep(at, first_line, headers, body, timeout)?;
+    read.map(|()| response)
+}
+
+/// Sends a request on a new connection; returns the response as far as it came, and whether it is
+/// complete.
+pub fn call_and_keep(
+    at: SocketAddr,
+    first_line: &str,
+    headers: &[(&str, String)],
+    body: &[u8],
+    timeout: Duration,
+) -> io::Result<(Message, io::Result<()>)> {
     let mut stream = TcpStream::connect_timeout(&at, Duration::from_secs(1))?;
     stream.set_nodelay(true)?;
     stream.set_read_timeout(Some(timeout))?;
@@ -127,6 +140,6 @@
     let mut reader = BufReader::new(stream);
     let head = read_head(&mut reader)?;
     let mut response = head.ok_or(io::Error::from(io::ErrorKind::UnexpectedEof))?;
-    read_body(&mut reader, &mut response)?;
-    Ok(response)
+    let read = read_body(&mut reader, &mut response);
+    Ok((response, read))
 }
